--- /dev/null
+++ b/crates/chart/src/lib.rs
@@ -0,0 +1,1 @@
+//! state charts read from JSON files and interpreted.
--- /dev/null
+++ b/crates/consensus/src/lib.rs
@@ -0,0 +1,1 @@
+//! replicated log without I/O, and its synced files.
--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,1 @@
+//! small stand-ins for model engines and order services, for demo, load and tests.
--- /dev/null
+++ b/crates/manifest/src/lib.rs
@@ -0,0 +1,1 @@
+//! settings and manifests: JSON with comments, checked, with findings by place.
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! hosts, heartbeats, leases and detection of silence, per failure domain.
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,1 @@
+//! entry and sidecar cores of late binding, without I/O.
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,1 @@
+//! replicated state machine: configuration, bookings ledger, leases and fencing numbers.
--- /dev/null
+++ b/crates/types/src/service.rs
@@ -0,0 +1,87 @@
+//! Units of service and the weight by which a client account is entitled to it.
+
+use derive_more::{Add, AddAssign, Display, Error, Sum};
+use serde::{Deserialize, Serialize};
+
+/// Service received: tokens in and out, each weighted by what it costs an engine.
+///
+/// A plain service call counts the cost its manifest states.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    Add,
+    AddAssign,
+    Sum,
+    Serialize,
+    Deserialize,
+)]
+pub struct ServiceUnits(pub u64);
+
+/// Why a number is not a weight.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+#[display("a weight of {found} is not between 1 and {}", Weight::MAX)]
+pub struct WeightError {
+    /// The number found.
+    found: u32,
+}
+
+/// The weight of a client account: its share of contended capacity is proportional to it.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
+)]
+#[serde(try_from = "u32", into = "u32")]
+pub struct Weight(u32);
+
+impl Weight {
+    /// The largest weight; keeps service divided by weight within 64 bits.
+    pub const MAX: u32 = 10_000;
+    /// The weight of an account whose manifest states none.
+    pub const DEFAULT: Self = Self(1);
+
+    /// Checks and stores a weight.
+    ///
+    /// # Errors
+    /// Returns a [`WeightError`] for zero and for numbers above [`Weight::MAX`].
+    ///
+    /// ```
+    /// use coltsfootnotch_types::Weight;
+    /// assert_eq!(Weight::new(4)?.get(), 4);
+    /// assert!(Weight::new(0).is_err());
+    /// # Ok::<(), coltsfootnotch_types::WeightError>(())
+    /// ```
+    pub fn new(number: u32) -> Result<Self, WeightError> {
+        if (1..=Self::MAX).contains(&number) {
+            Ok(Self(number))
+        } else {
+            Err(WeightError { found: number })
+        }
+    }
+
+    /// The weight as a number.
+    #[must_use]
+    pub fn get(self) -> u32 {
+        self.0
+    }
+}
+
+impl TryFrom<u32> for Weight {
+    type Error = WeightError;
+
+    fn try_from(number: u32) -> Result<Self, WeightError> {
+        Self::new(number)
+    }
+}
+
+impl From<Weight> for u32 {
+    fn from(weight: Weight) -> Self {
+        weight.0
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! wire types and codec between the fleet's own processes.
--- /dev/null
+++ b/src/bin/coltsfootnotchd/main.rs
@@ -0,0 +1,2 @@
+//! daemon.
+fn main() {}
--- /dev/null
+++ b/src/coltsfootnotch/lib.rs
@@ -0,0 +1,1 @@
+//! coltsfootnotch.
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,1 @@
+//! testsuite.
