--- /dev/null
+++ b/crates/consensus/src/core/mod.rs
@@ -0,0 +1,256 @@
+//! One member of the group: messages and time in, actions out.
+
+mod apply;
+mod election;
+mod follow;
+mod install;
+mod lead;
+mod leader;
+mod members;
+mod reads;
+mod replicate;
+mod report;
+mod step;
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use self::install::Incoming;
+use self::leader::Leader;
+use crate::log::Log;
+use crate::outbox::Outbox;
+use crate::{
+    Action, Body, CoreConfig, Entry, FoundRefused, HardState, LogIndex, MemberId, Membership,
+    Message, Payload, PersistSeq, Recovered, RoleKind, Snapshot, Term,
+};
+
+/// What a member is doing, with what it needs for that.
+#[derive(Debug)]
+enum Role {
+    Follower,
+    PreCandidate {
+        granted: BTreeSet<MemberId>,
+    },
+    Candidate {
+        granted: BTreeSet<MemberId>,
+        /// The own vote counts once this work is synced.
+        own_vote: PersistSeq,
+    },
+    Leader(Box<Leader>),
+}
+
+/// One member of the group.
+///
+/// Call [`Core::take_actions`] after every call or batch of calls, and [`Core::tick`] no later
+/// than [`Core::next_due`].
+///
+/// ```
+/// use coltsfootnotch_consensus::{Action, Core, CoreConfig, DiskId, MemberId, Recovered};
+/// use coltsfootnotch_types::HostName;
+/// use rand::SeedableRng;
+/// use std::time::Duration;
+///
+/// let mut rng = rand::rngs::StdRng::seed_from_u64(1);
+/// let me = MemberId { host: HostName::new("colombo-1")?, disk: DiskId::draw(&mut rng) };
+/// let now = Duration::ZERO;
+/// let mut core = Core::new(CoreConfig::default(), Recovered::empty(me.clone()), now, &mut rng);
+/// core.found(now, [me])?;
+/// let now = core.next_due();
+/// core.tick(now);
+/// while !core.is_leader() {
+///     for action in core.take_actions() {
+///         if let Action::Persist(persist) = action {
+///             core.synced(now, persist.seq); // after writing and syncing it
+///         }
+///     }
+/// }
+/// let proposal = core.propose(now, *b"a command")?;
+/// # let _ = proposal;
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
+#[derive(Debug)]
+pub struct Core {
+    cfg: CoreConfig,
+    me: MemberId,
+    rng: StdRng,
+    now: Duration,
+    hard: HardState,
+    log: Log,
+    out: Outbox,
+    commit: LogIndex,
+    applied: LogIndex,
+    role: Role,
+    /// The leader to name to others; unknown again when it falls silent.
+    leader: Option<MemberId>,
+    /// The one leader of this term, once it was heard.
+    term_leader: Option<MemberId>,
+    /// When the leader was last heard.
+    heard: Option<Duration>,
+    election_due: Duration,
+    next_read: u64,
+    incoming: Option<Incoming>,
+    /// The leader's snapshot, until it is synced.
+    installing: Option<(PersistSeq, Snapshot)>,
+    /// An own snapshot, until it is synced.
+    saving: Option<(PersistSeq, Snapshot)>,
+    snapshot_asked: bool,
+    /// Bytes applied since the last snapshot.
+    applied_bytes: usize,
+    reported: (RoleKind, Term, Option<MemberId>),
+    reported_members: LogIndex,
+}
+
+impl Core {
+    /// A member with what its storage recovered.
+    ///
+    /// A member that was in a group before refuses to elect anyone for one election timeout: the
+    /// run before may have answered a heartbeat on which the leader's lease still stands.
+    pub fn new(cfg: CoreConfig, recovered: Recovered, now: Duration, rng: &mut impl Rng) -> Self {
+        let me = recovered.member.clone();
+        let hard = recovered.hard.clone();
+        let snapshot = recovered.snapshot.clone();
+        let log = Log::new(recovered);
+        let start = log.snapshot_index();
+        let heard = (hard.term > Term(0)).then_some(now);
+        let mut core = Self {
+            cfg,
+            me,
+            rng: StdRng::from_rng(rng),
+            now,
+            reported: (RoleKind::Follower, hard.term, None),
+            hard,
+            log,
+            out: Outbox::default(),
+            commit: start,
+            applied: start,
+            role: Role::Follower,
+            leader: None,
+            term_leader: None,
+            heard,
+            election_due: now,
+            next_read: 0,
+            incoming: None,
+            installing: None,
+            saving: None,
+            snapshot_asked: false,
+            applied_bytes: 0,
+            reported_members: LogIndex(0),
+        };
+        core.reset_election();
+        if let Some(snapshot) = snapshot {
+            core.out.push(Action::InstallSnapshot(snapshot));
+        }
+        core
+    }
+
+    /// Founds a group of `members`, all of them voters, by writing the first entry.
+    ///
+    /// Only for a new group: the caller has made sure that every one of the members is reachable
+    /// and holds no entry. Otherwise hosts that lost their disks could found a second group beside
+    /// the one that remembers.
+    ///
+    /// # Errors
+    /// [`FoundRefused`] when this member holds entries or is not the first of `members`.
+    pub fn found(
+        &mut self,
+        now: Duration,
+        members: impl IntoIterator<Item = MemberId>,
+    ) -> Result<(), FoundRefused> {
+        self.advance(now);
+        let members = Membership::of(members);
+        let founder = members.voters.first().ok_or(FoundRefused::NoMembers)?;
+        if *founder != self.me {
+            let founder = founder.clone();
+            return Err(FoundRefused::NotFounder { founder });
+        }
+        if self.log.last_index() > LogIndex(0) {
+            return Err(FoundRefused::NotEmpty);
+        }
+        self.append(Entry {
+            index: LogIndex(1),
+            term: Term(0),
+            payload: Payload::Members(members),
+        });
+        Ok(())
+    }
+
+    /// Does what is due by time: elections, heartbeats, stepping down.
+    pub fn tick(&mut self, now: Duration) {
+        self.advance(now);
+        if self.is_leader() {
+            self.tick_leader();
+        } else if self.now >= self.election_due {
+            self.on_election_due();
+        }
+    }
+
+    /// When [`Core::tick`] should be called next.
+    #[must_use]
+    pub fn next_due(&self) -> Duration {
+        match &self.role {
+            Role::Leader(leader) => leader.heartbeat_due,
+            _ => self.election_due,
+        }
+    }
+
+    /// The storage has synced all work up to `seq`.
+    pub fn synced(&mut self, now: Duration, seq: PersistSeq) {
+        self.advance(now);
+        self.out.mark_synced(seq);
+        self.log.mark_synced(seq);
+        self.finish_snapshots();
+        self.count_own_vote();
+        self.advance_commit();
+        self.apply_committed();
+    }
+
+    /// Everything the core wants done since the last call.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        self.replicate();
+        self.out.flush(&self.hard, &mut self.log);
+        self.report();
+        self.out.take()
+    }
+
+    /// Whether this member leads, as far as it knows; only [`Core::read`] makes sure of it.
+    #[must_use]
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, Role::Leader(_))
+    }
+
+    /// The clock never goes back, whatever order the caller reads it in.
+    fn advance(&mut self, now: Duration) {
+        self.now = self.now.max(now);
+    }
+
+    fn append(&mut self, entry: Entry) {
+        self.out.appended(entry.index);
+        self.log.push(entry);
+    }
+
+    fn message(&self, to: &MemberId, body: Body) -> Message {
+        Message {
+            to: to.clone(),
+            term: self.hard.term,
+            body,
+        }
+    }
+
+    /// Answers `to` once the present state is synced.
+    fn answer(&mut self, to: &MemberId, body: Body) {
+        let msg = self.message(to, body);
+        self.out.send_synced(to.clone(), msg);
+    }
+}
+
+/// The command of an entry, where it is one of the state machine's.
+fn command(payload: &Payload) -> Option<Arc<[u8]>> {
+    match payload {
+        Payload::Data(data) => Some(data.clone()),
+        Payload::Noop | Payload::Members(_) => None,
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/entry.rs
@@ -0,0 +1,118 @@
+//! Entries of the log, and the numbers that order them.
+
+use std::sync::Arc;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::Membership;
+
+/// A position in the log; the first entry has 1, and 0 stands before the first.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    Serialize,
+    Deserialize,
+)]
+pub struct LogIndex(pub u64);
+
+impl LogIndex {
+    /// The position after this one.
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+
+    /// The position before this one; 0 stays 0.
+    #[must_use]
+    pub fn prev(self) -> Self {
+        Self(self.0.saturating_sub(1))
+    }
+}
+
+/// The number of an election; each term has at most one leader.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    Serialize,
+    Deserialize,
+)]
+pub struct Term(pub u64);
+
+impl Term {
+    /// The term after this one.
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+/// What an entry holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Payload {
+    /// The first entry of a leader's term. Entries of earlier terms count as committed only when
+    /// an entry of the leader's own term follows them on a majority.
+    Noop,
+    /// The members of the group from this entry on.
+    Members(Membership),
+    /// A command for the state machine.
+    Data(Arc<[u8]>),
+}
+
+impl Payload {
+    /// Size of the payload in bytes, near enough to bound messages and files.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        const MEMBER_BYTES: usize = 96;
+        match self {
+            Self::Noop => 0,
+            Self::Members(members) => members.all().count() * MEMBER_BYTES,
+            Self::Data(data) => data.len(),
+        }
+    }
+
+    /// Whether the payload has no bytes.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+/// One entry of the log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Its position.
+    pub index: LogIndex,
+    /// The term of the leader that wrote it.
+    pub term: Term,
+    /// What it holds.
+    pub payload: Payload,
+}
+
+/// Where a proposed command stands in the log.
+///
+/// The command took effect if [`crate::Action::Apply`] comes with the same index and the same
+/// term. Another term at that index means that it was replaced and never will take effect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Proposal {
+    /// Position of the entry.
+    pub index: LogIndex,
+    /// Term of the leader that took the proposal.
+    pub term: Term,
+}
--- /dev/null
+++ b/crates/consensus/src/storage/files.rs
@@ -0,0 +1,224 @@
+//! File operations of the data folder, with a place to inject faults.
+
+use std::fs::{self, File, OpenOptions, TryLockError};
+use std::io::{self, Write};
+use std::os::unix::fs::{FileExt, MetadataExt};
+use std::path::{Path, PathBuf};
+
+use super::StorageError;
+
+/// An operation about to be done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FileOp<'a> {
+    /// Append `len` bytes to the file.
+    Write {
+        /// The file.
+        name: &'a str,
+        /// Bytes.
+        len: usize,
+    },
+    /// Sync the file.
+    Sync {
+        /// The file.
+        name: &'a str,
+    },
+    /// Sync the folder, which makes new and renamed files last.
+    SyncFolder,
+    /// Give the file its final name.
+    Rename {
+        /// The final name.
+        name: &'a str,
+    },
+    /// Delete the file.
+    Remove {
+        /// The file.
+        name: &'a str,
+    },
+}
+
+/// What becomes of an operation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is done.
+    Proceed,
+    /// It is reported done and was not: a disk that lies, or a sync that a test does without.
+    Pretend,
+    /// Only so many bytes are written, then it fails as on a full disk.
+    Short(usize),
+    /// It fails.
+    Fail(io::ErrorKind),
+}
+
+/// Decides about every operation; outside of tests it lets all proceed.
+pub type Judge = Box<dyn FnMut(FileOp<'_>) -> Verdict + Send>;
+
+/// The data folder.
+pub(super) struct Files {
+    dir: PathBuf,
+    judge: Judge,
+    /// Held for as long as the folder is in use.
+    _lock: File,
+}
+
+/// A file that is being written.
+#[derive(Debug)]
+pub(super) struct OpenFile {
+    pub(super) name: String,
+    file: File,
+    inode: u64,
+}
+
+fn io_error(doing: &'static str, name: &str, source: io::Error) -> StorageError {
+    let name = name.to_owned();
+    match source.kind() {
+        io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded => StorageError::Full {
+            doing,
+            name,
+            source,
+        },
+        _ => StorageError::Io {
+            doing,
+            name,
+            source,
+        },
+    }
+}
+
+impl Files {
+    /// Creates the folder where it is missing, and takes its lock.
+    pub(super) fn open(dir: &Path, judge: Judge) -> Result<Self, StorageError> {
+        let name = dir.to_string_lossy();
+        fs::create_dir_all(dir).map_err(|e| io_error("create", &name, e))?;
+        if let Some(parent) = dir.parent() {
+            // Without this the new folder itself could vanish in a crash. A parent that may not
+            // be opened is one that this process did not create the folder in.
+            let _ = File::open(parent).and_then(|f| f.sync_all());
+        }
+        let lock = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(dir.join("lock"))
+            .map_err(|e| io_error("open", "lock", e))?;
+        match lock.try_lock() {
+            Ok(()) => {}
+            Err(TryLockError::WouldBlock) => return Err(StorageError::InUse),
+            Err(TryLockError::Error(e)) => return Err(io_error("lock", "lock", e)),
+        }
+        Ok(Self {
+            dir: dir.to_owned(),
+            judge,
+            _lock: lock,
+        })
+    }
+
+    /// The names of all files, sorted.
+    pub(super) fn list(&self) -> Result<Vec<String>, StorageError> {
+        let failed = |e| io_error("list", "the folder", e);
+        let mut names = Vec::new();
+        for item in fs::read_dir(&self.dir).map_err(failed)? {
+            let item = item.map_err(failed)?;
+            names.extend(item.file_name().into_string());
+        }
+        names.sort();
+        Ok(names)
+    }
+
+    pub(super) fn read(&self, name: &str) -> Result<Vec<u8>, StorageError> {
+        fs::read(self.dir.join(name)).map_err(|e| io_error("read", name, e))
+    }
+
+    /// Opens a file to write, emptying it where it exists.
+    pub(super) fn create(&self, name: &str) -> Result<OpenFile, StorageError> {
+        let failed = |e| io_error("create", name, e);
+        let file = File::create(self.dir.join(name)).map_err(failed)?;
+        let inode = file.metadata().map_err(failed)?.ino();
+        Ok(OpenFile {
+            name: name.to_owned(),
+            file,
+            inode,
+        })
+    }
+
+    pub(super) fn append(&mut self, file: &mut OpenFile, bytes: &[u8]) -> Result<(), StorageError> {
+        let failed = |e| io_error("write", &file.name, e);
+        let op = FileOp::Write {
+            name: &file.name,
+            len: bytes.len(),
+        };
+        let written = match (self.judge)(op) {
+            Verdict::Proceed => file.file.write_all(bytes),
+            Verdict::Pretend => Ok(()),
+            Verdict::Short(len) => file
+                .file
+                .write_all(&bytes[..len.min(bytes.len())])
+                .and(Err(io::ErrorKind::StorageFull.into())),
+            Verdict::Fail(kind) => Err(kind.into()),
+        };
+        written.map_err(failed)
+    }
+
+    /// Overwrites the beginning of a file.
+    pub(super) fn overwrite(&self, file: &OpenFile, bytes: &[u8]) -> Result<(), StorageError> {
+        let written = file.file.write_all_at(bytes, 0);
+        written.map_err(|e| io_error("write", &file.name, e))
+    }
+
+    /// Syncs a file, and makes sure that its name still leads to it: a sync of a file that was
+    /// removed succeeds, and nothing of it is there after a restart.
+    pub(super) fn sync(&mut self, file: &OpenFile) -> Result<(), StorageError> {
+        let name = &file.name;
+        let failed = |source| StorageError::SyncFailed {
+            name: name.clone(),
+            source,
+        };
+        match (self.judge)(FileOp::Sync { name }) {
+            Verdict::Pretend => return Ok(()),
+            Verdict::Fail(kind) => return Err(failed(kind.into())),
+            Verdict::Proceed | Verdict::Short(_) => file.file.sync_data().map_err(failed)?,
+        }
+        let found = fs::metadata(self.dir.join(name)).map(|m| m.ino());
+        match found {
+            Ok(inode) if inode == file.inode => Ok(()),
+            _ => Err(StorageError::FolderLost { name: name.clone() }),
+        }
+    }
+
+    pub(super) fn sync_folder(&mut self) -> Result<(), StorageError> {
+        let failed = |source| StorageError::SyncFailed {
+            name: "the folder".to_owned(),
+            source,
+        };
+        match (self.judge)(FileOp::SyncFolder) {
+            Verdict::Pretend => Ok(()),
+            Verdict::Fail(kind) => Err(failed(kind.into())),
+            Verdict::Proceed | Verdict::Short(_) => {
+                let folder = File::open(&self.dir).map_err(failed)?;
+                folder.sync_all().map_err(failed)
+            }
+        }
+    }
+
+    /// Writes a whole file so that it is either there, whole and synced, or not at all.
+    pub(super) fn write_whole(&mut self, name: &str, bytes: &[u8]) -> Result<(), StorageError> {
+        let mut file = self.create(&format!("{name}.tmp"))?;
+        self.append(&mut file, bytes)?;
+        self.sync(&file)?;
+        let to = self.dir.join(name);
+        let renamed = match (self.judge)(FileOp::Rename { name }) {
+            Verdict::Fail(kind) => Err(kind.into()),
+            Verdict::Pretend => Ok(()),
+            Verdict::Proceed | Verdict::Short(_) => fs::rename(self.dir.join(&file.name), to),
+        };
+        renamed.map_err(|e| io_error("rename", name, e))?;
+        self.sync_folder()
+    }
+
+    pub(super) fn remove(&mut self, name: &str) -> Result<(), StorageError> {
+        let removed = match (self.judge)(FileOp::Remove { name }) {
+            Verdict::Fail(kind) => Err(kind.into()),
+            Verdict::Pretend => Ok(()),
+            Verdict::Proceed | Verdict::Short(_) => fs::remove_file(self.dir.join(name)),
+        };
+        removed.map_err(|e| io_error("remove", name, e))
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/storage/store.rs
@@ -0,0 +1,266 @@
+//! The storage: opening the data folder, writing batches, saving snapshots.
+
+use std::collections::VecDeque;
+
+use rand::Rng;
+
+use super::disk::{DiskBatch, DiskEntry, DiskHard, DiskWork};
+use super::files::{Files, Judge, OpenFile, Verdict};
+use super::prepare::{create, remove_unfinished, start_segment};
+use super::recover::{self, Closed};
+use super::{StorageConfig, StorageError, identity, segment, snapshot_file, watermark};
+use crate::{HardState, LogIndex, Persist, PersistSeq, PersistWork, Recovered, Snapshot};
+
+/// The data folder of a member, used from one thread. After an error nothing more is written.
+pub struct Storage {
+    files: Files,
+    segment_bytes: u64,
+    file: OpenFile,
+    file_bytes: u64,
+    file_max: LogIndex,
+    closed: VecDeque<Closed>,
+    watermark: OpenFile,
+    watermark_synced: bool,
+    hard: HardState,
+    log_end: LogIndex,
+    batch: u64,
+    works: Vec<DiskWork>,
+    pending: PersistSeq,
+    syncs: u64,
+    failed: bool,
+}
+
+impl Storage {
+    /// Opens a data folder and reads it back. An empty one gets a new identity: the member that
+    /// lived here before, if any, never comes back.
+    ///
+    /// # Errors
+    /// [`StorageError`] when the folder can't be used, or lacks something that was synced.
+    ///
+    /// ```
+    /// use coltsfootnotch_consensus::storage::{Storage, StorageConfig};
+    /// use coltsfootnotch_types::HostName;
+    ///
+    /// let dir = tempfile::tempdir()?;
+    /// let cfg = StorageConfig::new(dir.path(), HostName::new("colombo-1")?);
+    /// let (storage, first) = Storage::open(&cfg, &mut rand::rng())?;
+    /// drop(storage);
+    /// let (_storage, second) = Storage::open(&cfg, &mut rand::rng())?;
+    /// assert_eq!(first.member, second.member);
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
+    pub fn open(
+        cfg: &StorageConfig,
+        rng: &mut impl Rng,
+    ) -> Result<(Self, Recovered), StorageError> {
+        Self::open_with(cfg, Box::new(|_| Verdict::Proceed), rng)
+    }
+
+    /// Like [`Storage::open`], with `judge` deciding about every file operation.
+    ///
+    /// # Errors
+    /// As [`Storage::open`].
+    pub fn open_with(
+        cfg: &StorageConfig,
+        judge: Judge,
+        rng: &mut impl Rng,
+    ) -> Result<(Self, Recovered), StorageError> {
+        let mut files = Files::open(&cfg.dir, judge)?;
+        remove_unfinished(&mut files)?;
+        let names = files.list()?;
+        if !names.iter().any(|n| n == identity::NAME) {
+            create(&mut files, &names, cfg, rng)?;
+        }
+        let member = identity::read(&files)?;
+        if member.host != cfg.host {
+            return Err(StorageError::OtherHost {
+                found: member.host,
+                expected: cfg.host.clone(),
+            });
+        }
+        let found = recover::recover(&mut files, member)?;
+        let log_end = found.recovered.entries.last().map(|e| e.index);
+        let hard = &found.recovered.hard;
+        let batch = found.last_batch + 1;
+        let (file, file_bytes) = start_segment(&mut files, batch, hard, log_end)?;
+        let watermark = files.create(watermark::NAME)?;
+        let mut storage = Self {
+            files,
+            segment_bytes: cfg.segment_bytes,
+            file,
+            file_bytes,
+            file_max: LogIndex(0),
+            closed: found.closed,
+            watermark,
+            watermark_synced: false,
+            hard: hard.clone(),
+            log_end: log_end.unwrap_or_default(),
+            batch,
+            works: Vec::new(),
+            pending: PersistSeq(0),
+            syncs: 0,
+            failed: false,
+        };
+        storage.note_synced()?;
+        storage.settle()?;
+        storage.files.sync_folder()?;
+        Ok((storage, found.recovered))
+    }
+
+    /// How often the log was synced since the folder was opened.
+    #[must_use]
+    pub fn syncs(&self) -> u64 {
+        self.syncs
+    }
+
+    /// Takes in one piece of work; it counts once [`Storage::sync`] has returned.
+    ///
+    /// # Errors
+    /// [`StorageError`]; nothing more is written then.
+    pub fn persist(&mut self, persist: &Persist) -> Result<(), StorageError> {
+        self.guarded(|storage| storage.take_in(persist))
+    }
+
+    /// Writes what was taken in since the last call and syncs it, all with one sync. Returns the
+    /// last piece of work that is now durable.
+    ///
+    /// # Errors
+    /// [`StorageError`]; nothing more is written then, and the process should stop.
+    pub fn sync(&mut self) -> Result<PersistSeq, StorageError> {
+        self.guarded(Self::sync_batch)
+    }
+
+    /// Takes in and syncs all of `works`.
+    ///
+    /// # Errors
+    /// As [`Storage::sync`].
+    pub fn run<'a>(
+        &mut self,
+        works: impl IntoIterator<Item = &'a Persist>,
+    ) -> Result<PersistSeq, StorageError> {
+        for persist in works {
+            self.persist(persist)?;
+        }
+        self.sync()
+    }
+
+    /// Syncs the number of the last synced batch, for a time when nothing else is to be done.
+    /// After that even damage to the very end of the log is told from a crash.
+    ///
+    /// # Errors
+    /// As [`Storage::sync`].
+    pub fn settle(&mut self) -> Result<(), StorageError> {
+        self.guarded(|storage| {
+            if !storage.watermark_synced {
+                storage.files.sync(&storage.watermark)?;
+                storage.watermark_synced = true;
+            }
+            Ok(())
+        })
+    }
+
+    /// Runs `work` unless something failed before; what fails is never tried again.
+    fn guarded<T>(
+        &mut self,
+        work: impl FnOnce(&mut Self) -> Result<T, StorageError>,
+    ) -> Result<T, StorageError> {
+        if self.failed {
+            return Err(StorageError::FailedBefore);
+        }
+        let done = work(self);
+        self.failed = done.is_err();
+        done
+    }
+
+    fn take_in(&mut self, persist: &Persist) -> Result<(), StorageError> {
+        assert!(persist.seq > self.pending, "storage work keeps its order");
+        match &persist.work {
+            PersistWork::Log {
+                hard,
+                truncate_from,
+                entries,
+            } => {
+                if let Some(hard) = hard {
+                    assert!(hard.term >= self.hard.term, "a stored term never falls");
+                    self.hard = hard.clone();
+                }
+                if let Some(from) = truncate_from {
+                    self.log_end = self.log_end.min(from.prev());
+                }
+                self.log_end = entries.last().map_or(self.log_end, |e| e.index);
+                let max = entries.iter().map(|e| e.index).max();
+                self.file_max = self.file_max.max(max.unwrap_or_default());
+                self.works.push(DiskWork {
+                    hard: hard.as_ref().map(DiskHard::from),
+                    truncate_from: truncate_from.map(|index| index.0),
+                    entries: entries.iter().map(DiskEntry::from).collect(),
+                });
+            }
+            PersistWork::Snapshot {
+                snapshot,
+                reset_log,
+            } => self.save_snapshot(snapshot, *reset_log)?,
+        }
+        self.pending = persist.seq;
+        Ok(())
+    }
+
+    fn sync_batch(&mut self) -> Result<PersistSeq, StorageError> {
+        if self.works.is_empty() {
+            return Ok(self.pending);
+        }
+        let batch = DiskBatch {
+            number: self.batch + 1,
+            start: None,
+            works: std::mem::take(&mut self.works),
+        };
+        let mut buf = Vec::new();
+        segment::encode(&self.file.name, &batch, &mut buf)?;
+        self.files.append(&mut self.file, &buf)?;
+        self.files.sync(&self.file)?;
+        self.batch = batch.number;
+        self.file_bytes += buf.len() as u64;
+        self.syncs += 1;
+        self.note_synced()?;
+        if self.file_bytes > self.segment_bytes {
+            self.rotate(false)?;
+        }
+        Ok(self.pending)
+    }
+
+    fn note_synced(&mut self) -> Result<(), StorageError> {
+        self.watermark_synced = false;
+        watermark::write(&self.files, &self.watermark, self.batch)
+    }
+
+    /// Saves a snapshot and deletes the segments that it covers.
+    fn save_snapshot(&mut self, snapshot: &Snapshot, reset: bool) -> Result<(), StorageError> {
+        self.sync_batch()?;
+        snapshot_file::save(&mut self.files, snapshot)?;
+        self.rotate(reset)?;
+        let until = snapshot.meta.index;
+        // Only from the oldest on: a later segment may void entries of an earlier one.
+        let covered = |closed: &mut Closed| reset || closed.max_index <= until;
+        while let Some(closed) = self.closed.pop_front_if(covered) {
+            self.files.remove(&closed.name)?;
+        }
+        self.files.sync_folder()
+    }
+
+    fn rotate(&mut self, reset: bool) -> Result<(), StorageError> {
+        self.batch += 1;
+        if reset {
+            self.log_end = LogIndex(0);
+        }
+        let log_end = Some(self.log_end).filter(|_| !reset);
+        let (file, bytes) = start_segment(&mut self.files, self.batch, &self.hard, log_end)?;
+        self.files.sync_folder()?;
+        let full = std::mem::replace(&mut self.file, file);
+        self.closed.push_back(Closed {
+            name: full.name,
+            max_index: std::mem::take(&mut self.file_max),
+        });
+        self.file_bytes = bytes;
+        self.note_synced()
+    }
+}
