Add the messages between processes and their codec

Cause: the parts of the fleet talk by messages that each package must agree on. Change: typed frames for late binding, attempts, relays and the control group; a length-prefixed postcard codec with a bound, and what each role may send.

--- /dev/null
+++ b/crates/wire/src/relay.rs
@@ -0,0 +1,131 @@
+//! Messages between a host and the control host that is its relay.
+
+use coltsfootnotch_types::prelude::*;
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+use crate::HostRecord;
+
+/// Says that a host lives, and what others should know of it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Number of the heartbeat within the run; an older one than the last is dropped.
+    pub seq: u64,
+    /// The host itself.
+    pub record: HostRecord,
+    /// Version of the directory that the host has; zero asks for the whole.
+    pub directory: u64,
+}
+
+/// Service given since the last batch, per account.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceBatch {
+    /// Number of the batch within the host's run; a relay applies each once.
+    pub seq: u64,
+    /// The accounts that received service.
+    pub served: Vec<(AccountName, ServiceUnits)>,
+    /// The accounts waiting at the host, whose totals it wants.
+    pub watched: Vec<AccountName>,
+}
+
+/// A configuration as it travels.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigBody {
+    /// Its number.
+    pub number: u64,
+    /// Digest of the body (SHA-256).
+    pub digest: [u8; 32],
+    /// The manifest in its canonical form.
+    pub body: Vec<u8>,
+}
+
+/// Why a proposal has no answer.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error, Serialize, Deserialize)]
+pub enum ProposeError {
+    /// The control group has no leader or no quorum; nothing was proposed.
+    #[display("the control group has no quorum")]
+    NoQuorum,
+    /// It may or may not take effect; the same command may be sent again.
+    #[display("the outcome of the proposal is unknown")]
+    Unknown,
+    /// The command could not be read.
+    #[display("the command could not be read")]
+    BadCommand,
+}
+
+/// From a host, or an operator, to a control host.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ToRelay {
+    /// I live.
+    Heartbeat(Heartbeat),
+    /// Service given.
+    Service(ServiceBatch),
+    /// A command for the replicated state, encoded by the `state` package.
+    Propose {
+        /// Matches the answer.
+        id: u64,
+        /// The command.
+        command: Vec<u8>,
+    },
+    /// Asks for the newest accepted configuration, confirmed by a quorum.
+    ConfigConfirmed {
+        /// Matches the answer.
+        id: u64,
+    },
+    /// Asks for the state of the fleet as JSON.
+    Status {
+        /// Matches the answer.
+        id: u64,
+    },
+}
+
+/// From a control host to a host or an operator.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FromRelay {
+    /// Hosts that have changed since the version the host had.
+    Directory {
+        /// The run of the relay; a version is good within it.
+        relay: Incarnation,
+        /// Version after this change.
+        version: u64,
+        /// Whether this is the whole directory.
+        full: bool,
+        /// Hosts that are new or have changed.
+        changed: Vec<HostRecord>,
+        /// Hosts that are gone.
+        gone: Vec<HostName>,
+    },
+    /// A batch was applied.
+    ServiceApplied {
+        /// Number of the batch.
+        seq: u64,
+    },
+    /// Total service of accounts, by all other hosts.
+    Totals {
+        /// The accounts and what they received elsewhere.
+        elsewhere: Vec<(AccountName, ServiceUnits)>,
+    },
+    /// A newer configuration than the host has in force.
+    Config(ConfigBody),
+    /// Answers [`ToRelay::ConfigConfirmed`]; none when there is no configuration yet.
+    ConfigConfirmed {
+        /// Matches the question.
+        id: u64,
+        /// The configuration, or why it can't be confirmed.
+        config: Result<Option<ConfigBody>, ProposeError>,
+    },
+    /// Answers [`ToRelay::Propose`].
+    Proposed {
+        /// Matches the question.
+        id: u64,
+        /// The state machine's reply, encoded by the `state` package.
+        reply: Result<Vec<u8>, ProposeError>,
+    },
+    /// Answers [`ToRelay::Status`].
+    Status {
+        /// Matches the question.
+        id: u64,
+        /// JSON text.
+        json: String,
+    },
+}
--- /dev/null
+++ b/crates/wire/tests/codec.rs
@@ -0,0 +1,67 @@
+//! Frames that are broken, truncated or oversized are refused without a panic.
+
+use coltsfootnotch_types::{Incarnation, Role};
+use coltsfootnotch_wire::{
+    AttemptId, CodecError, MAX_FRAME_BYTES, Message, ToRelay, ToSidecar, decode, encode,
+    split_frame,
+};
+use googletest::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+fn fixed() -> Config {
+    Config {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+fn cancel() -> Message {
+    let attempt = AttemptId {
+        entry: Incarnation(3),
+        request: 1,
+        attempt: 0,
+    };
+    Message::ToSidecar(ToSidecar::Cancel { attempt })
+}
+
+#[gtest]
+fn a_frame_longer_than_the_limit_is_refused_at_its_length() {
+    let len = u32::try_from(MAX_FRAME_BYTES + 1).unwrap();
+    expect_that!(
+        split_frame(&len.to_be_bytes()),
+        err(matches_pattern!(CodecError::TooLarge { .. }))
+    );
+}
+
+#[gtest]
+fn a_role_sends_only_its_own_messages() {
+    expect_true!(cancel().may_be_sent_by(Role::Entry));
+    expect_false!(cancel().may_be_sent_by(Role::Sidecar));
+    let propose = Message::ToRelay(ToRelay::Propose {
+        id: 1,
+        command: vec![],
+    });
+    expect_false!(propose.may_be_sent_by(Role::Sidecar));
+}
+
+proptest! {
+    #![proptest_config(fixed())]
+
+    #[test]
+    fn garbage_decodes_to_an_error_or_a_message(bytes in proptest::collection::vec(any::<u8>(), 0..512)) {
+        if let Ok(message) = decode::<Message>(&bytes) {
+            let frame = encode(&message).unwrap();
+            let (body, _) = split_frame(&frame).unwrap().unwrap();
+            prop_assert_eq!(decode::<Message>(body).unwrap(), message);
+        }
+    }
+
+    #[test]
+    fn a_truncated_frame_is_never_taken_for_a_whole_one(cut in 0_usize..20) {
+        let frame = encode(&cancel()).unwrap();
+        let cut = cut.min(frame.len() - 1);
+        prop_assert!(split_frame(&frame[..cut]).unwrap().is_none());
+    }
+}
