--- /dev/null
+++ b/crates/router/src/sidecar/pulls.rs
@@ -0,0 +1,107 @@
+//! Slots reserved for pulls, and which pulls were used.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use coltsfootnotch_types::prelude::*;
+
+/// How long a slot stays reserved for a pull.
+///
+/// It covers a round trip between regions and, for a call that may not be repeated, the commit of
+/// its intent; a cut connection frees the slot earlier.
+pub const PULL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How many used pulls are remembered, to say whether an attempt was dispatched.
+///
+/// An older pull is answered as if it might have been: the doubt is then settled by the rereading
+/// call or stays in the ledger.
+const USED_REMEMBERED: usize = 65_536;
+
+/// A slot reserved for one pull.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reserved {
+    /// The entry that was asked.
+    pub entry: HostName,
+    /// The account that was furthest behind.
+    pub account: AccountName,
+    /// The pool.
+    pub pool: PoolName,
+    /// The upstream that has the slot.
+    pub upstream: UpstreamName,
+    /// When the reservation ends.
+    pub until: Duration,
+}
+
+/// Reservations of one sidecar run.
+///
+/// A pull number is given out once and starts at most one attempt, whatever is resent or late.
+#[derive(Debug, Default)]
+pub struct PullTable {
+    next: u64,
+    reserved: BTreeMap<u64, Reserved>,
+    used: BTreeSet<u64>,
+    used_floor: u64,
+}
+
+impl PullTable {
+    /// Reserves a slot; gives the pull's number.
+    pub fn reserve(&mut self, reserved: Reserved) -> u64 {
+        let pull = self.next;
+        self.next += 1;
+        self.reserved.insert(pull, reserved);
+        pull
+    }
+
+    /// Uses a pull to start an attempt; none when it was used, ended or expired before.
+    pub fn take(&mut self, now: Duration, pull: u64) -> Option<Reserved> {
+        let reserved = self.reserved.remove(&pull)?;
+        if reserved.until <= now {
+            return None;
+        }
+        assert!(
+            self.used.insert(pull),
+            "pull {pull} starts a second attempt"
+        );
+        self.forget_oldest();
+        Some(reserved)
+    }
+
+    /// Ends a reservation that nothing will use.
+    pub fn release(&mut self, pull: u64) -> Option<Reserved> {
+        self.reserved.remove(&pull)
+    }
+
+    /// Ends the reservation and says whether no attempt was, or ever will be, started by it.
+    pub fn disown(&mut self, pull: u64) -> bool {
+        self.reserved.remove(&pull);
+        pull < self.next && pull >= self.used_floor && !self.used.contains(&pull)
+    }
+
+    /// Ends the reservations that have expired, or were asked of `gone`.
+    pub fn expire(&mut self, now: Duration, gone: Option<&HostName>) -> Vec<(u64, Reserved)> {
+        let ended = |reserved: &Reserved| reserved.until <= now || gone == Some(&reserved.entry);
+        let pulls: Vec<u64> = self
+            .reserved
+            .iter()
+            .filter(|(_, reserved)| ended(reserved))
+            .map(|(pull, _)| *pull)
+            .collect();
+        pulls
+            .into_iter()
+            .filter_map(|pull| Some((pull, self.reserved.remove(&pull)?)))
+            .collect()
+    }
+
+    /// Reservations in force.
+    pub fn iter(&self) -> impl Iterator<Item = &Reserved> {
+        self.reserved.values()
+    }
+
+    fn forget_oldest(&mut self) {
+        while self.used.len() > USED_REMEMBERED {
+            if let Some(oldest) = self.used.pop_first() {
+                self.used_floor = oldest + 1;
+            }
+        }
+    }
+}
--- a/crates/wire/src/waits.rs
+++ b/crates/wire/src/waits.rs
@@ -42,6 +42,8 @@
     Disown {
         /// The attempt.
         attempt: AttemptId,
+        /// The pull that the attempt was to answer.
+        pull: u64,
     },
 }
 
