Add state charts with checks and the charts of five lifecycles

The lives of a request, an upstream, a host, a control member and a daemon are to be files that the program interprets.

A chart gives for each state and event a transition, or lists the event as ignored (it may come late) or as never coming (a fault of the program when it does).

--- /dev/null
+++ b/crates/chart/src/source.rs
@@ -0,0 +1,45 @@
+//! A chart as its file writes it.
+
+use serde::Deserialize;
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct ChartSource {
+    pub(crate) name: String,
+    pub(crate) about: String,
+    pub(crate) events: Vec<EventSource>,
+    pub(crate) initial: String,
+    pub(crate) states: Vec<StateSource>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct EventSource {
+    pub(crate) name: String,
+    pub(crate) about: String,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct StateSource {
+    pub(crate) name: String,
+    pub(crate) about: String,
+    /// A final state ignores every event.
+    #[serde(default, rename = "final")]
+    pub(crate) is_final: bool,
+    #[serde(default)]
+    pub(crate) transitions: Vec<TransitionSource>,
+    /// Events that may come too late to matter.
+    #[serde(default)]
+    pub(crate) ignored: Vec<String>,
+    /// Events that the program itself raises, and never here.
+    #[serde(default)]
+    pub(crate) never: Vec<String>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct TransitionSource {
+    pub(crate) on: String,
+    pub(crate) to: String,
+}
--- /dev/null
+++ b/crates/chart/src/symbols/control_member.rs
@@ -0,0 +1,33 @@
+//! Names of the chart `control-member` as enumerations; `charts/control-member.json` describes each.
+
+use super::symbols;
+use crate::{EventId, StateId};
+
+symbols! {
+    /// States of the chart `control-member`.
+    ControlMemberState, StateId {
+        Learner = "learner",
+        Follower = "follower",
+        PreCandidate = "pre-candidate",
+        Candidate = "candidate",
+        Leader = "leader",
+        Removed = "removed",
+        Stopped = "stopped",
+    }
+}
+
+symbols! {
+    /// Events of the chart `control-member`.
+    ControlMemberEvent, EventId {
+        Promoted = "promoted",
+        Demoted = "demoted",
+        Removed = "removed",
+        LeaderHeard = "leader-heard",
+        ElectionTimeout = "election-timeout",
+        PreVoteWon = "pre-vote-won",
+        VoteWon = "vote-won",
+        HigherTerm = "higher-term",
+        QuorumLost = "quorum-lost",
+        StorageFailed = "storage-failed",
+    }
+}
--- /dev/null
+++ b/crates/chart/src/symbols/daemon.rs
@@ -0,0 +1,25 @@
+//! Names of the chart `daemon` as enumerations; `charts/daemon.json` describes each.
+
+use super::symbols;
+use crate::{EventId, StateId};
+
+symbols! {
+    /// States of the chart `daemon`.
+    DaemonState, StateId {
+        Starting = "starting",
+        Ready = "ready",
+        Draining = "draining",
+        Stopped = "stopped",
+    }
+}
+
+symbols! {
+    /// Events of the chart `daemon`.
+    DaemonEvent, EventId {
+        ConfigInForce = "config-in-force",
+        ShutdownAsked = "shutdown-asked",
+        Drained = "drained",
+        ShutdownTimeout = "shutdown-timeout",
+        EndedAtOnce = "ended-at-once",
+    }
+}
--- /dev/null
+++ b/crates/chart/src/symbols/upstream.rs
@@ -0,0 +1,29 @@
+//! Names of the chart `upstream` as enumerations; `charts/upstream.json` describes each.
+
+use super::symbols;
+use crate::{EventId, StateId};
+
+symbols! {
+    /// States of the chart `upstream`.
+    UpstreamState, StateId {
+        Announced = "announced",
+        Serving = "serving",
+        Unreachable = "unreachable",
+        Silent = "silent",
+        Leaving = "leaving",
+        Gone = "gone",
+    }
+}
+
+symbols! {
+    /// Events of the chart `upstream`.
+    UpstreamEvent, EventId {
+        Announced = "announced",
+        AnnouncedLeaving = "announced-leaving",
+        AnnouncementExpired = "announcement-expired",
+        ProbeSucceeded = "probe-succeeded",
+        ConnectFailed = "connect-failed",
+        Crashed = "crashed",
+        Drained = "drained",
+    }
+}
