--- /dev/null
+++ b/crates/decide/src/fair/meter.rs
@@ -0,0 +1,171 @@
+//! Measures the fairness gap while the fleet runs.
+
+use std::collections::HashMap;
+
+use coltsfootnotch_types::{AccountName, ServiceUnits, Weight};
+
+use super::FairnessBound;
+use crate::service::VirtualService;
+
+/// The largest difference seen in service per weight, and between whom.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Gap {
+    /// Service per weight.
+    pub size: VirtualService,
+    /// The pair of accounts.
+    pub between: (AccountName, AccountName),
+}
+
+#[derive(Debug, Clone)]
+struct Account {
+    name: AccountName,
+    weight: Weight,
+    service: VirtualService,
+    backlogged: bool,
+}
+
+/// Lowest and highest difference of one pair since both became backlogged.
+#[derive(Debug, Clone, Copy, Default)]
+struct Range {
+    low: VirtualService,
+    high: VirtualService,
+}
+
+/// Largest difference in service per weight over any window in which two accounts are backlogged.
+///
+/// Over all windows within a stretch the largest change of a pair's difference is its highest minus
+/// its lowest value, so two numbers a pair are enough and no window is stored. One event costs one
+/// step for each backlogged account: it is meant for tens or hundreds of accounts that share a pool.
+#[derive(Debug, Clone, Default)]
+pub struct FairnessMeter {
+    accounts: Vec<Account>,
+    index: HashMap<AccountName, usize>,
+    /// By pair of indices, the smaller first.
+    ranges: HashMap<(usize, usize), Range>,
+    largest: Option<Gap>,
+    bound: Option<FairnessBound>,
+}
+
+impl FairnessMeter {
+    /// A meter that only measures.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// A meter that panics when a gap exceeds `bound`.
+    #[must_use]
+    pub fn asserting(bound: FairnessBound) -> Self {
+        Self {
+            bound: Some(bound),
+            ..Self::default()
+        }
+    }
+
+    /// Says whether an account is backlogged: whether work of it waits.
+    pub fn set_backlogged(&mut self, account: &AccountName, weight: Weight, backlogged: bool) {
+        let i = self.slot(account, weight);
+        if self.accounts[i].backlogged == backlogged {
+            return;
+        }
+        self.accounts[i].backlogged = backlogged;
+        for j in 0..self.accounts.len() {
+            if j == i || !self.accounts[j].backlogged {
+                continue;
+            }
+            let pair = (i.min(j), i.max(j));
+            let now = self.difference(pair);
+            if backlogged {
+                self.ranges.insert(
+                    pair,
+                    Range {
+                        low: now,
+                        high: now,
+                    },
+                );
+            } else {
+                self.ranges.remove(&pair);
+            }
+        }
+    }
+
+    /// Counts service that an account received.
+    ///
+    /// # Panics
+    /// If the meter asserts a bound and a gap exceeds it.
+    ///
+    /// ```
+    /// use coltsfootnotch_decide::fair::FairnessMeter;
+    /// use coltsfootnotch_types::{AccountName, ServiceUnits, Weight};
+    /// let (a, b) = (AccountName::new("a")?, AccountName::new("b")?);
+    /// let mut meter = FairnessMeter::new();
+    /// meter.set_backlogged(&a, Weight::DEFAULT, true);
+    /// meter.set_backlogged(&b, Weight::DEFAULT, true);
+    /// meter.serve(&a, Weight::DEFAULT, ServiceUnits(30));
+    /// meter.serve(&b, Weight::DEFAULT, ServiceUnits(50));
+    /// let gap = meter.largest().expect("one gap was seen");
+    /// assert_eq!(gap.size.to_units(), ServiceUnits(50));
+    /// # Ok::<(), coltsfootnotch_types::NameError>(())
+    /// ```
+    pub fn serve(&mut self, account: &AccountName, weight: Weight, units: ServiceUnits) {
+        let i = self.slot(account, weight);
+        self.accounts[i].service += VirtualService::of(units, weight);
+        if !self.accounts[i].backlogged {
+            return;
+        }
+        for j in 0..self.accounts.len() {
+            if j != i && self.accounts[j].backlogged {
+                self.widen((i.min(j), i.max(j)));
+            }
+        }
+    }
+
+    /// The largest gap so far; `None` while no two accounts were backlogged at once.
+    #[must_use]
+    pub fn largest(&self) -> Option<&Gap> {
+        self.largest.as_ref()
+    }
+
+    fn slot(&mut self, account: &AccountName, weight: Weight) -> usize {
+        if let Some(i) = self.index.get(account) {
+            self.accounts[*i].weight = weight;
+            return *i;
+        }
+        let i = self.accounts.len();
+        self.index.insert(account.clone(), i);
+        self.accounts.push(Account {
+            name: account.clone(),
+            weight,
+            service: VirtualService::ZERO,
+            backlogged: false,
+        });
+        i
+    }
+
+    fn difference(&self, (i, j): (usize, usize)) -> VirtualService {
+        self.accounts[i].service - self.accounts[j].service
+    }
+
+    fn widen(&mut self, pair: (usize, usize)) {
+        let now = self.difference(pair);
+        let range = self.ranges.entry(pair).or_default();
+        range.low = range.low.min(now);
+        range.high = range.high.max(now);
+        let size = range.high - range.low;
+        if self.largest.as_ref().is_some_and(|gap| gap.size >= size) {
+            return;
+        }
+        let (a, b) = (&self.accounts[pair.0], &self.accounts[pair.1]);
+        if let Some(bound) = self.bound {
+            let most = bound.gap(a.weight, b.weight);
+            assert!(
+                size <= most,
+                "{} and {} are {size} apart in service per weight, more than {most}",
+                a.name,
+                b.name,
+            );
+        }
+        let between = (a.name.clone(), b.name.clone());
+        self.largest = Some(Gap { size, between });
+    }
+}
--- /dev/null
+++ b/crates/decide/src/service/virtual_service.rs
@@ -0,0 +1,60 @@
+//! Service per unit of weight, in fixed point.
+
+use coltsfootnotch_types::{ServiceUnits, Weight};
+use derive_more::{Add, AddAssign, Display, Sub, SubAssign, Sum};
+
+/// Service per unit of weight, in steps of one ten-thousandth of a unit.
+///
+/// Signed, because offsets between accounts go both ways. At weight 1 there is room for 9 * 10^14
+/// units: at ten million tokens a second, nearly three years of one account's service.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    Add,
+    AddAssign,
+    Sub,
+    SubAssign,
+    Sum,
+)]
+pub struct VirtualService(pub i64);
+
+impl VirtualService {
+    /// Steps in one unit at weight 1: the largest weight, so that one token of the heaviest account
+    /// is still a whole step and a token-by-token stream is never rounded to nothing.
+    pub const STEPS_PER_UNIT: i64 = Weight::MAX as i64;
+
+    /// No service.
+    pub const ZERO: Self = Self(0);
+
+    /// `units` of service shared out over `weight`.
+    ///
+    /// ```
+    /// use coltsfootnotch_decide::service::VirtualService;
+    /// use coltsfootnotch_types::{ServiceUnits, Weight};
+    /// let heavy = VirtualService::of(ServiceUnits(400), Weight::new(4)?);
+    /// let light = VirtualService::of(ServiceUnits(100), Weight::DEFAULT);
+    /// assert_eq!(heavy, light);
+    /// # Ok::<(), coltsfootnotch_types::WeightError>(())
+    /// ```
+    #[must_use]
+    pub fn of(units: ServiceUnits, weight: Weight) -> Self {
+        let steps = i128::from(units.0) * i128::from(Self::STEPS_PER_UNIT);
+        let shared = steps / i128::from(weight.get());
+        Self(i64::try_from(shared).unwrap_or(i64::MAX))
+    }
+
+    /// The service in units at weight 1, rounded down; a negative value is zero.
+    #[must_use]
+    pub fn to_units(self) -> ServiceUnits {
+        let whole = self.0 / Self::STEPS_PER_UNIT;
+        ServiceUnits(u64::try_from(whole).unwrap_or(0))
+    }
+}
