--- /dev/null
+++ b/crates/state/src/snapshot.rs
@@ -0,0 +1,96 @@
+//! Snapshots of the state on disk and on the wire.
+//!
+//! A snapshot is a magic number, a version, the CRC-32 of the payload, and the payload. The types of
+//! the payload are separate from those in memory: a change of the one does not silently change the
+//! other.
+
+use coltsfootnotch_types::{AccountName, Incarnation, LeaseName, UpstreamName};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    Action, BodyDigest, FencingNumber, KeyDigest, LedgerLimits, LogTime, ProcessId, SnapshotError,
+    StateMachine,
+};
+
+mod convert;
+mod record;
+
+use record::RecordV1;
+
+const MAGIC: [u8; 4] = *b"CFst";
+const VERSION: u16 = 1;
+const HEADER_BYTES: usize = MAGIC.len() + size_of::<u16>() + size_of::<u32>();
+
+#[derive(Serialize, Deserialize)]
+struct StateV1 {
+    applied: u64,
+    now: LogTime,
+    config: Option<ConfigV1>,
+    history: Vec<(u64, BodyDigest)>,
+    limits: LedgerLimits,
+    floor: Option<LogTime>,
+    accounts: Vec<AccountV1>,
+    leases: Vec<LeaseV1>,
+    finished: Vec<FinishedV1>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct ConfigV1 {
+    number: u64,
+    digest: BodyDigest,
+    body: Vec<u8>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct AccountV1 {
+    account: AccountName,
+    records: Vec<(KeyDigest, RecordV1)>,
+    tombstones: Vec<u64>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct LeaseV1 {
+    name: LeaseName,
+    holder: ProcessId,
+    number: FencingNumber,
+    until: LogTime,
+    released: bool,
+    after_expired: Option<FencingNumber>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct FinishedV1 {
+    upstream: UpstreamName,
+    incarnation: Incarnation,
+    orders: Vec<(LogTime, Action)>,
+}
+
+/// The bytes of a snapshot of `machine`.
+pub(crate) fn write(machine: &StateMachine) -> Vec<u8> {
+    let state = StateV1::from(machine);
+    let payload = postcard::to_stdvec(&state).expect("a state can be encoded");
+    let mut bytes = Vec::with_capacity(HEADER_BYTES + payload.len());
+    bytes.extend(MAGIC);
+    bytes.extend(VERSION.to_le_bytes());
+    bytes.extend(crc32fast::hash(&payload).to_le_bytes());
+    bytes.extend(payload);
+    bytes
+}
+
+/// The state in `bytes`.
+pub(crate) fn read(bytes: &[u8]) -> Result<StateMachine, SnapshotError> {
+    let rest = bytes.strip_prefix(&MAGIC).ok_or(SnapshotError::Header)?;
+    let (version, rest) = rest.split_first_chunk().ok_or(SnapshotError::Header)?;
+    let (crc, payload) = rest.split_first_chunk().ok_or(SnapshotError::Header)?;
+    let version = u16::from_le_bytes(*version);
+    if version != VERSION {
+        return Err(SnapshotError::Version { found: version });
+    }
+    let expected = u32::from_le_bytes(*crc);
+    let found = crc32fast::hash(payload);
+    if found != expected {
+        return Err(SnapshotError::Checksum { found, expected });
+    }
+    let state: StateV1 = postcard::from_bytes(payload)?;
+    StateMachine::try_from(state)
+}
--- /dev/null
+++ b/crates/state/src/snapshot/convert.rs
@@ -0,0 +1,141 @@
+//! Between the state in memory and its snapshot.
+
+use super::{AccountV1, ConfigV1, FinishedV1, LeaseV1, StateV1};
+use crate::{
+    Accepted, BodyDigest, BookingRecord, ConfigState, Finished, FinishedOrders, Lease, Leases,
+    Ledger, LedgerLimits, LogTime, SnapshotError, StateMachine,
+};
+
+impl From<&StateMachine> for StateV1 {
+    fn from(machine: &StateMachine) -> Self {
+        let config = machine.config.in_force.as_ref();
+        let accounts = machine.ledger.accounts.iter();
+        let leases = machine.leases.by_name.iter();
+        Self {
+            applied: machine.applied,
+            now: machine.now,
+            config: config.map(ConfigV1::from),
+            history: machine.config.history.clone().into_iter().collect(),
+            limits: machine.ledger.limits,
+            floor: machine.ledger.floor,
+            accounts: accounts
+                .map(|(account, a)| AccountV1 {
+                    account: account.clone(),
+                    records: a.records.iter().map(|(k, r)| (*k, r.into())).collect(),
+                    tombstones: a.tombstones.iter().copied().collect(),
+                })
+                .collect(),
+            leases: leases
+                .map(|(name, lease)| LeaseV1 {
+                    name: name.clone(),
+                    holder: lease.holder.clone(),
+                    number: lease.number,
+                    until: lease.until,
+                    released: lease.released,
+                    after_expired: lease.after_expired,
+                })
+                .collect(),
+            finished: machine
+                .finished
+                .iter()
+                .map(|(upstream, incarnation, orders)| FinishedV1 {
+                    upstream: upstream.clone(),
+                    incarnation,
+                    orders: orders.iter().map(|f| (f.at, f.action.clone())).collect(),
+                })
+                .collect(),
+        }
+    }
+}
+
+impl From<&Accepted> for ConfigV1 {
+    fn from(config: &Accepted) -> Self {
+        Self {
+            number: config.number,
+            digest: config.digest,
+            body: config.body.clone(),
+        }
+    }
+}
+
+impl TryFrom<StateV1> for StateMachine {
+    type Error = SnapshotError;
+
+    fn try_from(disk: StateV1) -> Result<Self, SnapshotError> {
+        Ok(Self {
+            applied: disk.applied,
+            now: disk.now,
+            config: config(disk.config, disk.history)?,
+            ledger: ledger(disk.limits, disk.floor, disk.accounts)?,
+            leases: leases(disk.leases, disk.applied)?,
+            finished: finished(disk.finished),
+        })
+    }
+}
+
+fn config(
+    disk: Option<ConfigV1>,
+    history: Vec<(u64, BodyDigest)>,
+) -> Result<ConfigState, SnapshotError> {
+    let in_force = disk.map(|c| Accepted {
+        number: c.number,
+        digest: c.digest,
+        body: c.body,
+    });
+    let newest = history.last().copied();
+    if in_force.as_ref().map(|c| (c.number, c.digest)) != newest {
+        let what = "the configuration in force is not the newest accepted";
+        return Err(SnapshotError::Inconsistent { what });
+    }
+    let history = history.into_iter().collect();
+    Ok(ConfigState { in_force, history })
+}
+
+fn ledger(
+    limits: LedgerLimits,
+    floor: Option<LogTime>,
+    accounts: Vec<AccountV1>,
+) -> Result<Ledger, SnapshotError> {
+    let mut ledger = Ledger::restored(limits, floor);
+    for a in accounts {
+        for (key, disk) in a.records {
+            let record = BookingRecord::try_from(disk)?;
+            if !ledger.restore_record(&a.account, key, record) {
+                let what = "a key has two records";
+                return Err(SnapshotError::Inconsistent { what });
+            }
+        }
+        ledger.restore_tombstones(&a.account, a.tombstones);
+    }
+    Ok(ledger)
+}
+
+fn leases(disk: Vec<LeaseV1>, applied: u64) -> Result<Leases, SnapshotError> {
+    let mut leases = Leases::default();
+    for l in disk {
+        if l.number.0 > applied {
+            let what = "a fencing number is above the last index applied";
+            return Err(SnapshotError::Inconsistent { what });
+        }
+        let lease = Lease {
+            holder: l.holder,
+            number: l.number,
+            until: l.until,
+            released: l.released,
+            after_expired: l.after_expired,
+        };
+        leases.by_name.insert(l.name, lease);
+    }
+    Ok(leases)
+}
+
+fn finished(disk: Vec<FinishedV1>) -> FinishedOrders {
+    let by_upstream = disk.into_iter().map(|f| {
+        let orders = f.orders.into_iter();
+        let done = orders.map(|(at, action)| Finished { at, action });
+        (f.upstream, (f.incarnation, done.collect()))
+    });
+    FinishedOrders {
+        by_upstream: by_upstream.collect(),
+    }
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -9,7 +9,9 @@
 mod service;
 
 pub use incarnation::Incarnation;
-pub use name::{AccountName, DomainName, HostName, NameError, PoolName, RegionName, UpstreamName};
+pub use name::{
+    AccountName, DomainName, HostName, LeaseName, NameError, PoolName, RegionName, UpstreamName,
+};
 pub use role::Role;
 pub use service::{ServiceUnits, Weight, WeightError};
 
--- a/crates/types/src/name.rs
+++ b/crates/types/src/name.rs
@@ -122,3 +122,7 @@
     /// An upstream: one model engine or one process of a plain service.
     UpstreamName
 );
+name_type!(
+    /// A lease: the right of one process at a time to do one job, such as giving orders to engines.
+    LeaseName
+);
