--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 //! `postcard` body. What a role may send is decided by [`Message::may_be_sent_by`], checked against
 //! the certificate of the connection before a message reaches any logic.
 
+pub mod announce;
 mod attempt;
 mod codec;
 mod directory;
