--- /dev/null
+++ b/crates/fabric/src/frames.rs
@@ -0,0 +1,47 @@
+//! Frames on a QUIC stream.
+
+use coltsfootnotch_wire::{CodecError, MAX_FRAME_BYTES, decode, encode};
+use derive_more::{Display, Error, From};
+use quinn::{ReadExactError, RecvStream, SendStream, WriteError};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Why a frame can't be read or written.
+#[derive(Debug, Display, Error, From)]
+pub enum FrameError {
+    /// The bytes are not a frame.
+    #[display("a frame is not valid")]
+    Codec(CodecError),
+    /// The stream ended or the connection is gone.
+    #[display("the stream can't be read")]
+    Read(ReadExactError),
+    /// The stream was stopped or the connection is gone.
+    #[display("the stream can't be written")]
+    Write(WriteError),
+}
+
+/// Reads one frame; its size is checked before anything is buffered.
+///
+/// # Errors
+/// Returns an error when the stream ends or the frame is not valid.
+pub async fn read_frame<T: DeserializeOwned>(recv: &mut RecvStream) -> Result<T, FrameError> {
+    let mut prefix = [0; 4];
+    recv.read_exact(&mut prefix).await?;
+    let len = u32::from_be_bytes(prefix) as usize;
+    if len > MAX_FRAME_BYTES {
+        return Err(CodecError::TooLarge { len }.into());
+    }
+    let mut body = vec![0; len];
+    recv.read_exact(&mut body).await?;
+    Ok(decode(&body)?)
+}
+
+/// Writes one frame.
+///
+/// # Errors
+/// Returns an error when the value is too large or the stream can't be written.
+pub async fn write_frame(send: &mut SendStream, value: &impl Serialize) -> Result<(), FrameError> {
+    let frame = encode(value)?;
+    send.write_all(&frame).await?;
+    Ok(())
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 mod attempt;
 mod codec;
 mod directory;
+mod hello;
 mod message;
 mod relay;
 mod waits;
@@ -18,6 +19,7 @@
 };
 pub use codec::{CodecError, MAX_FRAME_BYTES, Split, decode, encode, split_frame};
 pub use directory::{HostRecord, ServedPool};
+pub use hello::{Hello, WIRE_VERSION};
 pub use message::Message;
 pub use relay::{ConfigBody, FromRelay, Heartbeat, ProposeError, ServiceBatch, ToRelay};
 pub use waits::{AccountWait, FromSidecar, ToSidecar};
