--- /dev/null
+++ b/src/coltsfootnotch/ops/mod.rs
@@ -0,0 +1,1 @@
+//! What the commands do.
--- /dev/null
+++ b/src/coltsfootnotch/util/events.rs
@@ -0,0 +1,124 @@
+//! Numbered log events: the catalogue, and the one place that writes them.
+//!
+//! An operator finds an event by its number in `docs/EVENTS.md` or with `coltsfootnotch explain`;
+//! a test holds both together.
+
+use std::fmt::Display;
+
+use log::{Level, Record};
+
+use crate::core::HostIdentity;
+
+/// One event of the catalogue.
+#[derive(Debug, PartialEq, Eq)]
+pub struct EventDef {
+    /// Its number, written `CFN-0001`.
+    pub number: u16,
+    /// How severe it is.
+    pub level: Level,
+    /// What happened.
+    pub text: &'static str,
+    /// What an operator does about it.
+    pub action: &'static str,
+}
+
+impl EventDef {
+    /// The code by which the event is looked up.
+    #[must_use]
+    pub fn code(&self) -> String {
+        format!("CFN-{:04}", self.number)
+    }
+}
+
+/// A named value of an event.
+pub type Field<'a> = (&'a str, &'a dyn Display);
+
+macro_rules! catalogue {
+    ($($(#[$doc:meta])* $name:ident = $number:literal $level:ident $text:literal => $action:literal;)*) => {
+        $(
+            $(#[$doc])*
+            #[doc = $text]
+            pub const $name: EventDef = EventDef {
+                number: $number,
+                level: Level::$level,
+                text: $text,
+                action: $action,
+            };
+        )*
+
+        /// Every event, by number.
+        pub const CATALOGUE: &[&EventDef] = &[$(&$name),*];
+    };
+}
+
+catalogue! {
+    DAEMON_STARTED = 1 Info "daemon started" => "nothing";
+    CONFIG_IN_FORCE = 2 Info "configuration in force" => "nothing";
+    SHUTDOWN_STARTED = 3 Info "graceful shutdown started" => "nothing; a second signal ends the daemon at once";
+    DAEMON_STOPPED = 4 Info "daemon stopped" => "nothing";
+    CONFIG_REFUSED = 5 Error "a configuration does not decode and is not taken" => "compare the versions of the daemons; the configuration before stays in force";
+    SHUTDOWN_FORCED = 6 Warn "ended with requests in progress" => "raise shutdown_ms if requests run longer";
+    LINK_UP = 10 Info "connection to a host is up" => "nothing";
+    LINK_DOWN = 11 Warn "connection to a host is gone" => "if it stays away, look at that host and the network between";
+    MESSAGE_FORBIDDEN = 12 Error "a host sent what its role may not send" => "treat that host's key as stolen: see SECURITY.md";
+    UPSTREAM_ANNOUNCED = 20 Info "an upstream announced itself" => "nothing";
+    UPSTREAM_SILENT = 21 Warn "an upstream stopped announcing itself" => "look at the upstream; it receives no new work";
+    UPSTREAM_LEAVING = 22 Info "an upstream is leaving" => "nothing";
+    ANNOUNCEMENT_REFUSED = 23 Warn "an announcement is not valid" => "mend what the upstream sends: see INTERFACE.md";
+    ATTEMPT_FAILED = 30 Warn "an attempt failed after it had started" => "look at the upstream named";
+    ANSWER_DROPPED = 31 Warn "a late or crossed piece of an answer was dropped" => "nothing: it reached no caller; report it if it repeats";
+    REQUEST_SUSPECTED = 32 Warn "a request is suspected of crashing upstreams" => "nothing; it is refused after a second crash";
+    LEADER_ELECTED = 40 Info "this control host leads the group" => "nothing";
+    LEADER_LOST = 41 Info "this control host no longer leads" => "nothing unless no other host reports CFN-0040";
+    STORAGE_CORRUPT = 42 Error "the replicated log on disk is corrupt" => "replace this member: see OPERATING.md";
+    SYNC_FAILED = 43 Error "a write could not be synced; the daemon stops" => "check the disk, then replace this member: see OPERATING.md";
+    CONFIG_ACCEPTED = 44 Info "a configuration was accepted" => "nothing";
+    HOST_SILENT = 45 Warn "a host of the failure domain is silent" => "look at that host; it receives no new work";
+    BOOKING_IN_DOUBT = 50 Warn "whether a call that may not be repeated ran is not known" => "nothing: later calls with its key are told so; a rereading call may settle it";
+}
+
+/// Looks an event up by its code, in any case, with or without the prefix.
+///
+/// ```
+/// use coltsfootnotch::util::events::find;
+/// assert_eq!(find("cfn-0001").map(|event| event.text), Some("daemon started"));
+/// assert_eq!(find("CFN-9999"), None);
+/// ```
+#[must_use]
+pub fn find(code: &str) -> Option<&'static EventDef> {
+    let upper = code.trim().to_ascii_uppercase();
+    let number: u16 = upper.strip_prefix("CFN-").unwrap_or(&upper).parse().ok()?;
+    CATALOGUE
+        .iter()
+        .copied()
+        .find(|event| event.number == number)
+}
+
+/// Writes one event as a structured line.
+pub fn log_event(identity: &HostIdentity, event: &EventDef, fields: &[Field<'_>]) {
+    let logger = log::logger();
+    let mut line = format!(
+        "{} {} host={} role={}",
+        event.code(),
+        event.text,
+        identity.host,
+        identity.role
+    );
+    for (name, value) in fields {
+        line.push_str(&format!(" {name}={value}"));
+    }
+    let record = Record::builder()
+        .level(event.level)
+        .target("coltsfootnotch")
+        .build();
+    if logger.enabled(record.metadata()) {
+        let text = format_args!("{line}").to_string();
+        logger.log(
+            &Record::builder()
+                .level(event.level)
+                .target("coltsfootnotch")
+                .args(format_args!("{text}"))
+                .build(),
+        );
+    }
+}
--- /dev/null
+++ b/src/coltsfootnotch/util/http_server.rs
@@ -0,0 +1,157 @@
+//! The HTTP server of callers, announcements and administration.
+//!
+//! Connections, headers and idle time are bounded, since whoever connects decides how many bytes it
+//! sends and how slowly. When the peer closes its connection the handler's future, or the body it
+//! returned, is dropped: that is how a daemon learns that a caller has gone.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Frame, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc};
+
+/// A response body of any kind.
+pub type AnyBody = BoxBody<Bytes, Infallible>;
+/// A response.
+pub type AnyResponse = Response<AnyBody>;
+
+/// Bounds of a server.
+#[derive(Debug, Clone, Copy)]
+pub struct ServerLimits {
+    /// Connections at once; more are closed unanswered.
+    pub connections: usize,
+    /// Request line and headers, in bytes.
+    pub header_bytes: usize,
+    /// Time for the headers to come.
+    pub read_timeout: Duration,
+}
+
+/// Serves until the listener's task is aborted.
+pub async fn serve<F, R>(listener: TcpListener, limits: ServerLimits, handler: F)
+where
+    F: Fn(Request<Incoming>, SocketAddr) -> R + Send + Sync + 'static,
+    R: Future<Output = AnyResponse> + Send + 'static,
+{
+    let handler = Arc::new(handler);
+    let permits = Arc::new(Semaphore::new(limits.connections));
+    loop {
+        let Ok((stream, peer)) = listener.accept().await else {
+            // Out of file descriptors: connections in progress end and free some.
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+            continue;
+        };
+        let handler = Arc::clone(&handler);
+        tokio::spawn(async move {
+            serve_connection(stream, peer, limits, handler).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn serve_connection<F, R>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    limits: ServerLimits,
+    handler: Arc<F>,
+) where
+    F: Fn(Request<Incoming>, SocketAddr) -> R + Send + Sync + 'static,
+    R: Future<Output = AnyResponse> + Send + 'static,
+{
+    // Without it each token of a stream may wait for the acknowledgement of the one before.
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let service = service_fn(move |req| {
+        let answer = handler(req, peer);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    // An error here is the peer's: it has gone, or sent what is not HTTP and was told so.
+    let _outcome = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.read_timeout)
+        .max_buf_size(limits.header_bytes.max(MIN_BUFFER))
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+/// The least buffer that the library takes, in bytes.
+const MIN_BUFFER: usize = 8192;
+
+/// A whole body.
+#[must_use]
+pub fn full(status: StatusCode, content_type: &'static str, body: impl Into<Bytes>) -> AnyResponse {
+    let mut response = Response::new(Full::new(body.into()).boxed());
+    *response.status_mut() = status;
+    let content_type = hyper::header::HeaderValue::from_static(content_type);
+    response
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, content_type);
+    response
+}
+
+/// Reads a request body of at most `limit` bytes.
+///
+/// # Errors
+/// Returns the status to answer with: 413 for a larger body, 408 for a slow one, 400 for a broken one.
+pub async fn read_body(
+    body: Incoming,
+    limit: usize,
+    timeout: Duration,
+) -> Result<Bytes, StatusCode> {
+    let collected = tokio::time::timeout(timeout, Limited::new(body, limit).collect());
+    match collected.await {
+        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+            Err(StatusCode::PAYLOAD_TOO_LARGE)
+        }
+        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
+    }
+}
+
+/// A body whose pieces come over a channel; `guard` is dropped with it.
+pub struct ChannelBody<G> {
+    pieces: mpsc::Receiver<Bytes>,
+    _guard: G,
+}
+
+impl<G> ChannelBody<G> {
+    /// A body of what is sent to `pieces`; it ends when the sender is dropped.
+    pub fn new(pieces: mpsc::Receiver<Bytes>, guard: G) -> Self {
+        Self {
+            pieces,
+            _guard: guard,
+        }
+    }
+}
+
+impl<G: Unpin> Body for ChannelBody<G> {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        self.pieces
+            .poll_recv(cx)
+            .map(|piece| piece.map(|bytes| Ok(Frame::data(bytes))))
+    }
+}
