--- /dev/null
+++ b/src/coltsfootnotch/daemon/control/mod.rs
@@ -0,0 +1,1 @@
+//! The control role: replicated log, relay of its failure domain.
--- a/src/coltsfootnotch/daemon/mod.rs
+++ b/src/coltsfootnotch/daemon/mod.rs
@@ -1,1 +1,3 @@
-//! The daemons.
+//! The daemons: one actor each, and the tasks that own its sockets.
+
+pub mod control;
