--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,9 +6,11 @@
 //! `postcard` body. What a role may send is decided by [`Message::may_be_sent_by`], checked against
 //! the certificate of the connection before a message reaches any logic.
 
+pub mod announce;
 mod attempt;
 mod codec;
 mod directory;
+mod hello;
 mod message;
 mod relay;
 mod waits;
@@ -18,6 +20,7 @@
 };
 pub use codec::{CodecError, MAX_FRAME_BYTES, Split, decode, encode, split_frame};
 pub use directory::{HostRecord, ServedPool};
+pub use hello::{Hello, WIRE_VERSION};
 pub use message::Message;
 pub use relay::{ConfigBody, FromRelay, Heartbeat, ProposeError, ServiceBatch, ToRelay};
 pub use waits::{AccountWait, FromSidecar, ToSidecar};
