--- a/crates/consensus/src/storage/files.rs
+++ b/crates/consensus/src/storage/files.rs
@@ -57,7 +57,15 @@
     dir: PathBuf,
     judge: Judge,
     /// Held for as long as the folder is in use.
-    _lock: File,
+    lock: File,
+}
+
+impl Drop for Files {
+    /// Closing the file is not enough: a child process that another thread is just starting holds
+    /// a copy of it for a moment, and the folder could not be opened again at once.
+    fn drop(&mut self) {
+        let _ = self.lock.unlock();
+    }
 }
 
 /// A file that is being written.
@@ -107,7 +115,7 @@
         Ok(Self {
             dir: dir.to_owned(),
             judge,
-            _lock: lock,
+            lock,
         })
     }
 
