--- /dev/null
+++ b/src/coltsfootnotch/ops/load/run.rs
@@ -0,0 +1,176 @@
+//! One run of a scenario from its plan to its figures.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use coltsfootnotch_decide::fair::FairnessBound;
+use coltsfootnotch_types::{ServiceUnits, Weight};
+
+use super::caller::Caller;
+use super::plan::{self, CallerPlan, Shape};
+use super::recorder::Recorder;
+use super::sampler::{LOOK_EVERY, Sampler};
+use super::scenario::Scenario;
+use super::series::Sample;
+use super::summary::{Summary, times};
+use super::target::Target;
+use super::verify::verify;
+
+/// Stack of a caller's thread; it holds one answer line at a time.
+const CALLER_STACK_BYTES: usize = 256 * 1024;
+
+/// How a run is made.
+#[derive(Debug, Clone, Copy)]
+pub struct LoadOptions {
+    /// The pattern of load.
+    pub scenario: Scenario,
+    /// How long callers ask; what is in progress then is still read to its end.
+    pub length: Duration,
+    /// Seed of the callers' choices.
+    pub seed: u64,
+}
+
+/// What a run gives: its figures, and how it went over time.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LoadRun {
+    /// The figures.
+    pub summary: Summary,
+    /// Names of the accounts, in the order of the samples' service.
+    pub accounts: Vec<String>,
+    /// Samples over time.
+    pub samples: Vec<Sample>,
+}
+
+/// Plays a scenario against `target`; `progress` gets a line about once a second.
+///
+/// # Errors
+/// Returns the system's error when a caller's thread can't be started.
+pub fn run(
+    target: &Target<'_>,
+    opts: &LoadOptions,
+    mut progress: impl FnMut(&str),
+) -> std::io::Result<LoadRun> {
+    let shape = Shape {
+        entries: target.entries.len(),
+        slots: target.slots() as usize,
+    };
+    let plans = plan::callers(opts.scenario, &target.accounts, shape);
+    let recorder = Recorder::new(&target.accounts, target.token_weights);
+    let control_before = (target.control_bytes)();
+    let mut sampler = Sampler::new(target, &recorder, opts.scenario, opts.length);
+    let until = sampler.started() + opts.length;
+    let mut control = 0.0;
+    thread::scope(|scope| -> std::io::Result<()> {
+        for (index, plan) in plans.iter().enumerate() {
+            let mut caller = Caller::new(
+                target,
+                &recorder,
+                plan,
+                (index, opts.seed),
+                (sampler.started(), until),
+            );
+            thread::Builder::new()
+                .name(format!("caller-{index}"))
+                .stack_size(CALLER_STACK_BYTES)
+                .spawn_scoped(scope, move || caller.run())?;
+        }
+        while Instant::now() < until {
+            sampler.look(&mut progress);
+            thread::sleep(LOOK_EVERY);
+        }
+        let sent = (target.control_bytes)().saturating_sub(control_before);
+        control = sent as f64 / target.hosts.max(1) as f64 / opts.length.as_secs_f64();
+        Ok(())
+    })?;
+    let Sampler {
+        samples,
+        usage,
+        usage_while_waiting,
+        most_waiting,
+        ..
+    } = sampler;
+    let mut summary = figures(target, opts, &recorder, &plans);
+    summary.control_bytes_per_host_per_s = control;
+    summary.utilisation = usage.share();
+    summary.utilisation_while_waiting = usage_while_waiting.share();
+    summary.most_waiting = most_waiting;
+    let (keys, not_run) = recorder.into_claims();
+    let verdict = verify(target, &keys, &not_run);
+    summary.doubled_bookings = verdict.doubled_bookings;
+    summary.lost_bookings = verdict.lost_bookings;
+    summary.refused_but_run = verdict.refused_but_run;
+    let accounts = target.accounts.iter().map(|account| account.name.to_string());
+    Ok(LoadRun {
+        summary,
+        accounts: accounts.collect(),
+        samples,
+    })
+}
+
+/// The figures that the recorder and the stand-ins hold; the rest is filled in by the run.
+fn figures(
+    target: &Target<'_>,
+    opts: &LoadOptions,
+    recorder: &Recorder<'_>,
+    plans: &[CallerPlan],
+) -> Summary {
+    let counts = recorder.counts();
+    let (wait_ms, first_token_ms) = recorder.with_times(times);
+    let gap = recorder.gap();
+    let engines = target.engines.iter().map(|engine| engine.stats());
+    let inside = engines.clone().map(|stats| stats.most_waiting).max();
+    Summary {
+        scenario: opts.scenario.to_string(),
+        policy: target.policy.clone(),
+        seed: opts.seed,
+        seconds: opts.length.as_secs_f64(),
+        hosts: target.hosts,
+        callers: plans.len(),
+        slots: target.slots(),
+        fairness_gap_tokens: gap.as_ref().map_or(0, |(size, _)| *size),
+        fairness_gap_between: gap.map(|(_, between)| between),
+        fairness_bound_tokens: bound(target, plans),
+        utilisation: 0.0,
+        utilisation_while_waiting: 0.0,
+        control_bytes_per_host_per_s: 0.0,
+        wait_ms,
+        first_token_ms,
+        requests: counts.requests,
+        whole_answers: counts.whole,
+        refused_not_run: counts.refused_not_run,
+        refused_but_run: 0,
+        run_unknown: counts.run_unknown,
+        failed_after_run: counts.failed_after_run,
+        untyped_errors: counts.untyped_errors,
+        no_answer: counts.no_answer,
+        wrong_answers: counts.wrong_answers,
+        incomplete_answers: counts.incomplete_answers,
+        doubled_bookings: 0,
+        lost_bookings: 0,
+        crashes: engines.map(|stats| stats.crashes).sum(),
+        most_waiting: 0,
+        most_waiting_inside: inside.unwrap_or(0),
+    }
+}
+
+/// The bound for the largest request planned, at the smallest weight played.
+fn bound(target: &Target<'_>, plans: &[CallerPlan]) -> u64 {
+    let weights = target.token_weights;
+    let cost = |plan: &CallerPlan| {
+        let prompt = u64::from(*plan.prompt_tokens.end());
+        let answer = u64::from(*plan.answer_tokens.end());
+        weights.service(prompt, answer)
+    };
+    let per_token = target.engines.iter().map(|engine| engine.config().token);
+    let fastest = per_token.min().unwrap_or(Duration::MAX).as_secs_f64();
+    let slot_rate = (f64::from(weights.output) / fastest).ceil() as u64;
+    let bound = FairnessBound {
+        largest: plans.iter().map(cost).max().unwrap_or_default(),
+        slots: target.slots(),
+        slot_rate: ServiceUnits(slot_rate),
+        age: target.knowledge_age,
+    };
+    let smallest = target.accounts.iter().map(|account| account.weight).min();
+    let smallest = smallest.unwrap_or(Weight::DEFAULT);
+    bound.gap(smallest, smallest).to_units().0
+}
