Add the load driver: scenarios, checks, measures, report page and hop cost

Cause: fairness, utilisation and the promises to callers need figures that a reader can get again.

Change: ops::load plays a scenario with callers over HTTP against a fleet given to it, checks each answer against the one that follows from its request, and compares bookings and refusals with what the stand-ins really ran. A page with plots can be written, and the hop is measured with direct calls and calls through the fleet in turn.

--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -209,6 +209,12 @@
         &self.engine.cfg.name
     }
 
+    /// How the engine was made.
+    #[must_use]
+    pub fn config(&self) -> &EngineConfig {
+        &self.engine.cfg
+    }
+
     /// What the engine has done so far.
     #[must_use]
     pub fn stats(&self) -> EngineStats {
--- a/src/coltsfootnotch/ops/load/caller.rs
+++ b/src/coltsfootnotch/ops/load/caller.rs
@@ -142,7 +142,10 @@
         let system = format!("You answer the members of {}. ", account.name);
         let mut user = match self.plan.ask {
             Ask::CrashingChat => format!("{POISON_MARKER} of run {}", self.seed),
-            _ => format!("run {} caller {} request {}: ", self.seed, self.index, self.sent),
+            _ => format!(
+                "run {} caller {} request {}: ",
+                self.seed, self.index, self.sent
+            ),
         };
         let prompt_tokens = self.rng.random_range(self.plan.prompt_tokens.clone());
         let prompt_bytes = 4 * prompt_tokens as usize;
--- a/src/coltsfootnotch/ops/load/client.rs
+++ b/src/coltsfootnotch/ops/load/client.rs
@@ -173,7 +173,9 @@
 
 /// Whether an error says that its request was run.
 fn run_of(error: &Value) -> Option<Run> {
-    let run = error.get("run").or_else(|| error.get("error")?.get("run"))?;
+    let run = error
+        .get("run")
+        .or_else(|| error.get("error")?.get("run"))?;
     serde_json::from_value(run.clone()).ok()
 }
 
--- a/src/coltsfootnotch/ops/load/recorder.rs
+++ b/src/coltsfootnotch/ops/load/recorder.rs
@@ -126,7 +126,9 @@
     pub(super) fn head(&self, account: usize, wait: Duration) {
         let mut state = self.lock();
         let micros = micros(wait);
-        self.times(&mut state, account).wait.saturating_record(micros);
+        self.times(&mut state, account)
+            .wait
+            .saturating_record(micros);
     }
 
     /// The first token came after `wait`; the prompt has been served.
--- a/src/coltsfootnotch/ops/load/run.rs
+++ b/src/coltsfootnotch/ops/load/run.rs
@@ -99,7 +99,10 @@
     summary.doubled_bookings = verdict.doubled_bookings;
     summary.lost_bookings = verdict.lost_bookings;
     summary.refused_but_run = verdict.refused_but_run;
-    let accounts = target.accounts.iter().map(|account| account.name.to_string());
+    let accounts = target
+        .accounts
+        .iter()
+        .map(|account| account.name.to_string());
     Ok(LoadRun {
         summary,
         accounts: accounts.collect(),
--- a/src/coltsfootnotch/ops/load/scenario.rs
+++ b/src/coltsfootnotch/ops/load/scenario.rs
@@ -72,8 +72,11 @@
     /// ```
     fn from_str(name: &str) -> Result<Self, UnknownScenario> {
         let named = |scenario: &Self| scenario.to_string() == name;
-        Self::ALL.into_iter().find(named).ok_or_else(|| UnknownScenario {
-            name: name.to_owned(),
-        })
+        Self::ALL
+            .into_iter()
+            .find(named)
+            .ok_or_else(|| UnknownScenario {
+                name: name.to_owned(),
+            })
     }
 }
--- a/src/coltsfootnotch/ops/load/table.rs
+++ b/src/coltsfootnotch/ops/load/table.rs
@@ -19,12 +19,21 @@
     line("seconds", format!("{:.1}", summary.seconds));
     line("hosts / callers / slots", shape(summary));
     line("fairness gap (tokens)", gap(summary));
-    line("fairness bound (tokens)", summary.fairness_bound_tokens.to_string());
+    line(
+        "fairness bound (tokens)",
+        summary.fairness_bound_tokens.to_string(),
+    );
     line("utilisation", percent(summary.utilisation));
-    line("utilisation while work waits", percent(summary.utilisation_while_waiting));
+    line(
+        "utilisation while work waits",
+        percent(summary.utilisation_while_waiting),
+    );
     let control = summary.control_bytes_per_host_per_s;
     line("control bytes / host / s", format!("{control:.0}"));
-    for (name, times) in [("wait", &summary.wait_ms), ("first token", &summary.first_token_ms)] {
+    for (name, times) in [
+        ("wait", &summary.wait_ms),
+        ("first token", &summary.first_token_ms),
+    ] {
         for (group, times) in groups(times) {
             line(&format!("{name} ms, {group} accounts"), spread(&times));
         }
@@ -36,7 +45,10 @@
 }
 
 fn shape(summary: &Summary) -> String {
-    format!("{} / {} / {}", summary.hosts, summary.callers, summary.slots)
+    format!(
+        "{} / {} / {}",
+        summary.hosts, summary.callers, summary.slots
+    )
 }
 
 fn gap(summary: &Summary) -> String {
@@ -80,7 +92,10 @@
         ("doubled bookings", summary.doubled_bookings),
         ("lost bookings", summary.lost_bookings),
         ("engine crashes", summary.crashes),
-        ("most waiting inside an engine", summary.most_waiting_inside.into()),
+        (
+            "most waiting inside an engine",
+            summary.most_waiting_inside.into(),
+        ),
     ]
 }
 
@@ -93,14 +108,30 @@
         let (d, f) = (value(direct), value(fleet));
         let _ = writeln!(out, "{name:<34}{d:>12.3}{f:>12.3}{:>12.3}", f - d);
     };
-    let _ = writeln!(out, "{:<34}{:>12}{:>12}{:>12}", "", "direct", "fleet", "added");
-    row(&mut out, "first token ms p50", &|side| side.first_token_ms.p50);
-    row(&mut out, "first token ms p99", &|side| side.first_token_ms.p99);
-    row(&mut out, "between tokens ms p50", &|side| side.between_tokens_ms.p50);
-    row(&mut out, "between tokens ms p99", &|side| side.between_tokens_ms.p99);
+    let _ = writeln!(
+        out,
+        "{:<34}{:>12}{:>12}{:>12}",
+        "", "direct", "fleet", "added"
+    );
+    row(&mut out, "first token ms p50", &|side| {
+        side.first_token_ms.p50
+    });
+    row(&mut out, "first token ms p99", &|side| {
+        side.first_token_ms.p99
+    });
+    row(&mut out, "between tokens ms p50", &|side| {
+        side.between_tokens_ms.p50
+    });
+    row(&mut out, "between tokens ms p99", &|side| {
+        side.between_tokens_ms.p99
+    });
     row(&mut out, "requests / s", &|side| side.requests_per_s);
-    row(&mut out, "processor ms / request", &|side| side.cpu_ms_per_request);
+    row(&mut out, "processor ms / request", &|side| {
+        side.cpu_ms_per_request
+    });
     row(&mut out, "KB / open stream", &|side| side.kb_per_stream);
-    row(&mut out, "open streams measured", &|side| side.streams as f64);
+    row(&mut out, "open streams measured", &|side| {
+        side.streams as f64
+    });
     out
 }
--- a/src/coltsfootnotch/ops/mod.rs
+++ b/src/coltsfootnotch/ops/mod.rs
@@ -1,1 +1,2 @@
 //! What the commands do.
+pub mod load;
--- /dev/null
+++ b/tests/testsuite/load.rs
@@ -0,0 +1,123 @@
+//! The load tool against stand-ins that it calls directly: its checks pass and fail as they should.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use coltsfootnotch::ops::load::{
+    HopOptions, LoadAccount, LoadOptions, Scenario, Shape, Target, callers, hop, page, run,
+};
+use coltsfootnotch_fakes::{EngineConfig, EngineHandle, OrderConfig, OrderHandle};
+use coltsfootnotch_manifest::TokenWeights;
+use coltsfootnotch_types::{AccountName, Weight};
+use googletest::prelude::*;
+
+fn account(name: &str, weight: u32, large: bool) -> LoadAccount {
+    LoadAccount {
+        name: AccountName::new(name).expect("a name"),
+        key: format!("key-of-{name}"),
+        weight: Weight::new(weight).expect("a weight"),
+        large,
+    }
+}
+
+fn target<'a>(
+    entry: SocketAddr,
+    engines: &'a [EngineHandle],
+    services: &'a [OrderHandle],
+) -> Target<'a> {
+    Target {
+        entries: vec![entry],
+        accounts: vec![account("chain", 4, true), account("bistro", 1, false)],
+        model: "menu-writer".to_owned(),
+        token_weights: TokenWeights {
+            input: 1,
+            output: 4,
+        },
+        booking_prefix: Some(String::new()),
+        engines,
+        services,
+        policy: "none".to_owned(),
+        hosts: 1,
+        knowledge_age: Duration::ZERO,
+        control_bytes: Box::new(|| 0),
+    }
+}
+
+fn opts(scenario: Scenario) -> LoadOptions {
+    LoadOptions {
+        scenario,
+        length: Duration::from_millis(1500),
+        seed: 7,
+    }
+}
+
+fn engine() -> EngineHandle {
+    EngineHandle::start(EngineConfig::new("menu-1", "menu-writer")).expect("starts")
+}
+
+#[gtest]
+fn answers_of_an_engine_are_whole_and_right() {
+    let engines = [engine()];
+    let target = target(engines[0].address(), &engines, &[]);
+    let run = run(&target, &opts(Scenario::Saturation), |_| {}).expect("runs");
+    expect_that!(run.summary.all_right(), eq(true));
+    expect_that!(run.summary.whole_answers, ge(1));
+    expect_that!(run.summary.whole_answers, eq(run.summary.requests));
+    let html = page(&run).expect("plots");
+    expect_that!(html.matches("<svg").count(), eq(3));
+}
+
+// Callers send an acknowledged order again, and the order service, called without the fleet, books
+// it again: the load tool must count these doubled bookings, or it could never find one.
+#[gtest]
+fn a_service_without_the_fleet_shows_doubled_bookings() {
+    let services = [OrderHandle::start(OrderConfig::new("desk-1", "desk")).expect("starts")];
+    let mut target = target(services[0].address(), &[], &services);
+    target.accounts.remove(0);
+    let run = run(&target, &opts(Scenario::Bookings), |_| {}).expect("runs");
+    expect_that!(run.summary.doubled_bookings, ge(1));
+    expect_that!(run.summary.lost_bookings, eq(0));
+    expect_that!(run.summary.all_right(), eq(false));
+}
+
+// The engine crashes while it answers; callers see their streams cut without an error event, which
+// the load tool must count as incomplete.
+#[gtest]
+fn a_crash_without_the_fleet_shows_incomplete_answers() {
+    let engines = [engine()];
+    let target = target(engines[0].address(), &engines, &[]);
+    let run = run(&target, &opts(Scenario::CrashingRequest), |_| {}).expect("runs");
+    expect_that!(run.summary.crashes, ge(1));
+    expect_that!(
+        run.summary.incomplete_answers + run.summary.no_answer,
+        ge(1)
+    );
+}
+
+#[gtest]
+fn an_engine_called_twice_costs_no_hop() {
+    let engines = [engine()];
+    let target = target(engines[0].address(), &engines, &[]);
+    let opts = HopOptions {
+        pairs: 3,
+        phase: Duration::from_millis(200),
+        callers: 2,
+        open: Duration::from_millis(200),
+        streams: 2,
+    };
+    let cost = hop(&target, &opts, |_| {}).expect("runs");
+    expect_that!(cost.fleet.failures + cost.direct.failures, eq(0));
+    expect_that!(cost.fleet.first_token_ms.count, eq(3));
+}
+
+#[gtest]
+fn a_flood_comes_from_one_account() {
+    let accounts = [account("chain", 4, true), account("bistro", 1, false)];
+    let shape = Shape {
+        entries: 2,
+        slots: 16,
+    };
+    let plans = callers(Scenario::Flood, &accounts, shape);
+    let count = |account| plans.iter().filter(|plan| plan.account == account).count();
+    expect_that!([count(0), count(1)], eq([48, 8]));
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,1 +1,3 @@
 //! testsuite.
+
+mod load;
