--- /dev/null
+++ b/crates/membership/src/member.rs
@@ -0,0 +1,205 @@
+//! One host in the registry of its relay.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootnotch_types::{HostName, Incarnation};
+
+use crate::flaps::Flaps;
+use crate::{Heartbeat, HostRecord, Presence, Profile, Timing};
+
+/// What happened to a host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemberEvent {
+    /// The host.
+    pub host: HostName,
+    /// The run of its process.
+    pub incarnation: Incarnation,
+    /// What happened.
+    pub kind: MemberEventKind,
+}
+
+/// What happened to a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MemberEventKind {
+    /// It is listed as present, for the first time or again.
+    Present,
+    /// It has not been heard for a while: ask it for a sign.
+    Suspected,
+    /// It is listed as gone, since it was not heard.
+    Silent,
+    /// It has announced that it is leaving.
+    Leaving,
+    /// It has left.
+    Left,
+    /// A later run has taken its place.
+    Replaced,
+}
+
+/// Whether a host is heard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Hearing {
+    /// Heard without a gap since this time, but not listed yet.
+    Returning(Duration),
+    Listed,
+    Suspect,
+    Silent,
+    Left,
+}
+
+/// One host in the registry.
+#[derive(Debug, Clone)]
+pub(crate) struct Member {
+    pub(crate) incarnation: Incarnation,
+    pub(crate) profile_version: Option<u32>,
+    profile: Option<Arc<Profile>>,
+    started: u64,
+    attach: u32,
+    listed_attach: u32,
+    seq: u64,
+    config: u64,
+    leaving: bool,
+    heard: Duration,
+    hearing: Hearing,
+    flaps: Flaps,
+}
+
+impl Member {
+    pub(crate) fn new(now: Duration, hb: &Heartbeat, flaps: Flaps) -> Self {
+        Self {
+            incarnation: hb.incarnation,
+            profile_version: None,
+            profile: None,
+            started: hb.started,
+            attach: hb.attach,
+            listed_attach: 0,
+            seq: 0,
+            config: 0,
+            leaving: false,
+            heard: now,
+            hearing: Hearing::Returning(now),
+            flaps,
+        }
+    }
+
+    /// The damping of this host, handed on to its next run: a process that restarts again and again
+    /// flaps as well.
+    pub(crate) fn flaps(&self) -> Flaps {
+        self.flaps
+    }
+
+    /// Takes a heartbeat of this run; returns what changed.
+    pub(crate) fn hear(&mut self, now: Duration, hb: &Heartbeat) -> Option<MemberEventKind> {
+        // A copy or a straggler says nothing about now: taken as a sign of life, it would keep a lost
+        // host listed.
+        if hb.seq <= self.seq {
+            return None;
+        }
+        self.seq = hb.seq;
+        self.heard = now;
+        self.started = hb.started;
+        if hb.attach > self.attach {
+            self.attach = hb.attach;
+            self.forgive_move();
+        }
+        self.config = self.config.max(hb.config);
+        if let Some(profile) = &hb.profile {
+            self.profile = Some(Arc::new(profile.clone()));
+            self.profile_version = Some(hb.profile_version);
+        }
+        let announces = hb.leaving && !self.leaving;
+        self.leaving |= hb.leaving;
+        let listed = self.list(now);
+        listed.or(announces.then_some(MemberEventKind::Leaving))
+    }
+
+    /// A host that was silent here because it had turned to another relay has not flapped.
+    fn forgive_move(&mut self) {
+        if self.hearing == Hearing::Silent {
+            self.flaps.undo();
+        }
+    }
+
+    /// Lists the host if it may be.
+    fn list(&mut self, now: Duration) -> Option<MemberEventKind> {
+        let change = self.list_now(now);
+        if self.is_listed() {
+            self.listed_attach = self.attach;
+        }
+        change
+    }
+
+    fn list_now(&mut self, now: Duration) -> Option<MemberEventKind> {
+        match self.hearing {
+            Hearing::Suspect => self.hearing = Hearing::Listed,
+            Hearing::Silent => self.hearing = Hearing::Returning(now),
+            _ => {}
+        }
+        let Hearing::Returning(since) = self.hearing else {
+            return None;
+        };
+        if self.profile.is_none() || now < since + self.flaps.hold(now) {
+            return None;
+        }
+        self.hearing = Hearing::Listed;
+        Some(MemberEventKind::Present)
+    }
+
+    /// Looks at the time; returns what changed.
+    pub(crate) fn tick(&mut self, now: Duration, timing: &Timing) -> Option<MemberEventKind> {
+        let silence = now.saturating_sub(self.heard);
+        match self.hearing {
+            Hearing::Listed | Hearing::Suspect if silence >= timing.silent_after => {
+                self.hearing = Hearing::Silent;
+                if !self.leaving {
+                    self.flaps.add(now);
+                }
+                Some(MemberEventKind::Silent)
+            }
+            Hearing::Listed if silence >= timing.suspect_after => {
+                self.hearing = Hearing::Suspect;
+                Some(MemberEventKind::Suspected)
+            }
+            // A gap while it is being watched starts the watch anew.
+            Hearing::Returning(_) if silence >= timing.suspect_after => {
+                self.hearing = Hearing::Silent;
+                None
+            }
+            _ => None,
+        }
+    }
+
+    /// Notes that the host has left.
+    pub(crate) fn leave(&mut self) {
+        self.hearing = Hearing::Left;
+    }
+
+    /// When a host that is gone was heard last.
+    pub(crate) fn gone_since(&self) -> Option<Duration> {
+        matches!(self.hearing, Hearing::Silent | Hearing::Left).then_some(self.heard)
+    }
+
+    fn is_listed(&self) -> bool {
+        matches!(self.hearing, Hearing::Listed | Hearing::Suspect)
+    }
+
+    /// What other relays are told. A host that is being watched before it is listed again keeps the
+    /// attachment under which it was listed last: another relay may list it under a later one.
+    pub(crate) fn record(&self, host: &HostName) -> HostRecord {
+        let presence = match self.is_listed() {
+            true if self.leaving => Presence::Leaving,
+            true => Presence::Present,
+            false => Presence::Gone,
+        };
+        let is_here = presence != Presence::Gone;
+        HostRecord {
+            host: host.clone(),
+            incarnation: self.incarnation,
+            started: self.started,
+            attach: self.listed_attach,
+            presence,
+            config: self.config,
+            profile: self.profile.clone().filter(|_| is_here),
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/selection.rs
@@ -0,0 +1,105 @@
+//! Which entries and sidecars of different failure domains know each other.
+//!
+//! Within a failure domain every entry knows every sidecar. Across domains an entry knows a bounded
+//! number for each pool and domain, so that a host's state and connections grow with its own domain
+//! and not with the fleet. Each entry's choice is by rendezvous hashing: entries choose differently,
+//! together they cover every sidecar, and the loss of a sidecar changes only its own places.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use coltsfootnotch_types::{DomainName, HostName, PoolName, Role};
+
+use crate::{HostRecord, Presence, Profile};
+
+/// Sidecars that an entry knows for each pool in each other failure domain. At today's sizes (about
+/// 20 replicas of the largest pool in three domains) this is all of them.
+pub const REMOTE_CONTACTS: usize = 8;
+
+/// Sidecars of one pool in one failure domain, and whether each takes new work for it.
+type Candidates<'a> = BTreeMap<&'a HostName, bool>;
+
+/// The pairs across failure domains.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Selection {
+    sidecars_of: BTreeMap<HostName, BTreeSet<HostName>>,
+    entries_of: BTreeMap<HostName, BTreeSet<HostName>>,
+}
+
+impl Selection {
+    /// The pairs among `hosts`.
+    pub fn of<'a>(hosts: impl Iterator<Item = &'a HostRecord>) -> Self {
+        let mut entries = Vec::new();
+        let mut places: BTreeMap<(&DomainName, &PoolName), Candidates<'_>> = BTreeMap::new();
+        for (record, profile) in hosts.filter_map(listed) {
+            match profile.role {
+                Role::Entry => entries.push((&record.host, &profile.domain)),
+                Role::Sidecar => {
+                    for served in &profile.serves {
+                        let place = (&profile.domain, &served.pool);
+                        let is_active = record.presence == Presence::Present && !served.leaving;
+                        let candidates = places.entry(place).or_default();
+                        *candidates.entry(&record.host).or_default() |= is_active;
+                    }
+                }
+                Role::Control | Role::Operator => {}
+            }
+        }
+        let mut selection = Self::default();
+        for (entry, domain) in entries {
+            for ((remote, _), sidecars) in &places {
+                if *remote != domain {
+                    selection.choose(entry, sidecars);
+                }
+            }
+        }
+        selection
+    }
+
+    /// Chooses the best active sidecars. Leaving ones that rank among them stay chosen besides, so
+    /// that the entry learns that they are leaving and can end what it has there.
+    fn choose(&mut self, entry: &HostName, sidecars: &Candidates<'_>) {
+        let mut ranked: Vec<_> = sidecars
+            .iter()
+            .map(|(s, is_active)| (score(entry, s), *s, *is_active))
+            .collect();
+        ranked.sort_unstable();
+        let mut active = 0;
+        for (_, sidecar, is_active) in ranked {
+            if active == REMOTE_CONTACTS {
+                break;
+            }
+            active += usize::from(is_active);
+            let of_entry = self.sidecars_of.entry(entry.clone()).or_default();
+            of_entry.insert(sidecar.clone());
+            let of_sidecar = self.entries_of.entry(sidecar.clone()).or_default();
+            of_sidecar.insert(entry.clone());
+        }
+    }
+
+    /// The hosts of other failure domains that `host` knows.
+    pub fn remote(&self, host: &HostName) -> impl Iterator<Item = &HostName> {
+        let sidecars = self.sidecars_of.get(host).into_iter().flatten();
+        sidecars.chain(self.entries_of.get(host).into_iter().flatten())
+    }
+}
+
+fn listed(record: &HostRecord) -> Option<(&HostRecord, &Profile)> {
+    let profile = record.profile.as_ref()?;
+    (record.presence != Presence::Gone).then_some((record, profile))
+}
+
+/// The rank of a sidecar for an entry; lower is better. FNV-1a, since the standard library's hash may
+/// differ between relays that run different builds.
+fn score(entry: &HostName, sidecar: &HostName) -> u64 {
+    let bytes = entry
+        .as_str()
+        .bytes()
+        .chain([0])
+        .chain(sidecar.as_str().bytes());
+    let hash = bytes.fold(0xcbf2_9ce4_8422_2325, |h: u64, b| {
+        (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)
+    });
+    // The last bytes of a name reach only the low bits of the sum; folding spreads them.
+    let folded = (hash ^ (hash >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    folded ^ (folded >> 29)
+}
