--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -22,7 +22,9 @@
 pub use directory::{HostRecord, ServedPool};
 pub use hello::{Hello, WIRE_VERSION};
 pub use message::Message;
-pub use relay::{ConfigBody, FromRelay, Heartbeat, ProposeError, ServiceBatch, ToRelay};
+pub use relay::{
+    ConfigBody, FromRelay, Heartbeat, MembersError, ProposeError, ServiceBatch, ToRelay,
+};
 pub use waits::{AccountWait, FromSidecar, ToSidecar};
 
 /// The messages that nearly every module of the daemons needs.
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -53,6 +53,41 @@
     BadCommand,
 }
 
+/// Why the members of the control group were not changed.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error, Serialize, Deserialize)]
+pub enum MembersError {
+    /// The control group has no leader or no quorum; nothing was changed.
+    #[display("the control group has no quorum")]
+    NoQuorum,
+    /// The change may or may not take effect; see the status, and ask again.
+    #[display("the outcome of the change is unknown")]
+    Unknown,
+    /// No member has said hello from that host to the leader.
+    #[display("no control daemon is connected from host {host}")]
+    NotConnected {
+        /// The host.
+        host: HostName,
+    },
+    /// An earlier change is not finished.
+    #[display("an earlier change of members is under way")]
+    Unfinished,
+    /// The newcomer belongs to the group.
+    #[display("host {host} is a member already")]
+    AlreadyMember {
+        /// The host.
+        host: HostName,
+    },
+    /// The host to remove or replace has no member.
+    #[display("host {host} is not a member that can be removed")]
+    NotMember {
+        /// The host.
+        host: HostName,
+    },
+    /// The last voter can't be removed.
+    #[display("the last voter can't be removed")]
+    LastVoter,
+}
+
 /// From a host, or an operator, to a control host.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ToRelay {
@@ -77,6 +112,23 @@
         /// Matches the answer.
         id: u64,
     },
+    /// Admits the control daemon on a host to the control group.
+    AdmitMember {
+        /// Matches the answer.
+        id: u64,
+        /// The newcomer's host; its daemon runs and has an empty data folder.
+        host: HostName,
+        /// The host whose voter is removed once the newcomer counts. The same host when its disk
+        /// was lost.
+        replaces: Option<HostName>,
+    },
+    /// Removes the member on a host from the control group.
+    RemoveMember {
+        /// Matches the answer.
+        id: u64,
+        /// The host.
+        host: HostName,
+    },
 }
 
 /// From a control host to a host or an operator.
@@ -128,4 +180,11 @@
         /// JSON text.
         json: String,
     },
+    /// Answers [`ToRelay::AdmitMember`] and [`ToRelay::RemoveMember`].
+    Members {
+        /// Matches the question.
+        id: u64,
+        /// The change is committed, or why it is not.
+        outcome: Result<(), MembersError>,
+    },
 }
--- /dev/null
+++ b/src/coltsfootnotch/daemon/control/actor.rs
@@ -0,0 +1,241 @@
+//! The actor on the daemon's event loop, and how the daemon starts.
+
+use std::error::Error;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::mpsc::{self, SyncSender};
+use std::time::Duration;
+
+use coltsfootnotch_consensus::storage::{Storage, StorageConfig};
+use coltsfootnotch_fabric::{Endpoint, PeerId, Traffic};
+use coltsfootnotch_membership::RelayId;
+use coltsfootnotch_types::Role;
+use stakker::sync::{Channel, ChannelGuard};
+use stakker::{
+    CX, MinTimerKey, Stakker, StopCause, actor_new, call, fwd_to, ret_nop, stop, timer_min,
+};
+
+use super::daemon::{ControlDaemon, Next};
+use super::disk::Disk;
+use super::handle::Shared;
+use super::input::Input;
+use super::{ControlConfig, ControlError, ControlHandle, epoch};
+use crate::core::HostCx;
+use crate::util::{event_loop, events};
+
+/// Folder of the replicated log within the data folder.
+const LOG_FOLDER: &str = "log";
+
+/// Starts a control daemon.
+///
+/// # Errors
+/// Returns an error when the identity does not fit, the data folder can't be used or is damaged, or
+/// the address can't be bound.
+pub fn start(cx: HostCx, cfg: ControlConfig) -> Result<ControlHandle, ControlError> {
+    check_identity(&cx, &cfg)?;
+    let (started, starting) = mpsc::sync_channel(1);
+    let shared = Arc::new(Shared::default());
+    let of_loop = Arc::clone(&shared);
+    let thread = event_loop::spawn("control", move |stakker| {
+        run(stakker, &cx, &cfg, of_loop, &started);
+    })
+    .map_err(ControlError::Thread)?;
+    let ended = || ControlError::Thread(io::Error::other("the daemon's thread has ended"));
+    let parts = starting.recv().map_err(|_| ended())??;
+    Ok(ControlHandle {
+        address: parts.address,
+        traffic: parts.traffic,
+        channel: parts.channel,
+        shared,
+        thread,
+    })
+}
+
+/// What the handle needs of a daemon that has started.
+struct Started {
+    address: SocketAddr,
+    traffic: Arc<Traffic>,
+    channel: Channel<Input>,
+}
+
+fn check_identity(cx: &HostCx, cfg: &ControlConfig) -> Result<(), ControlError> {
+    let me = PeerId {
+        role: Role::Control,
+        host: cx.identity.host.clone(),
+    };
+    if *cfg.credentials.peer() != me || cx.identity.role != Role::Control {
+        return Err(ControlError::OtherIdentity);
+    }
+    if !cfg.members.iter().any(|m| m.host == me.host) {
+        return Err(ControlError::NotListed);
+    }
+    Ok(())
+}
+
+fn run(
+    stakker: &mut Stakker,
+    cx: &HostCx,
+    cfg: &ControlConfig,
+    shared: Arc<Shared>,
+    started: &SyncSender<Result<Started, ControlError>>,
+) {
+    let actor = actor_new!(stakker, ControlActor, ret_nop!());
+    let (channel, guard) = Channel::new(stakker, fwd_to!([actor], input() as (Input)));
+    match open(cx, cfg, &channel) {
+        Ok((daemon, parts)) => {
+            cx.log(&events::DAEMON_STARTED, &[("address", &parts.address)]);
+            call!([actor], ControlActor::init(daemon, shared, guard));
+            let _ = started.send(Ok(parts));
+            // Keeps the actor for as long as the loop runs.
+            stakker.anymap_set(Rc::new(actor));
+        }
+        Err(e) => {
+            if e.is_corrupt() {
+                cx.log(&events::STORAGE_CORRUPT, &[("error", &chain(&e))]);
+            }
+            let _ = started.send(Err(e));
+            stakker.shutdown(StopCause::Stopped);
+        }
+    }
+}
+
+/// Opens everything that can fail, and connects it to the actor's channel.
+fn open(
+    cx: &HostCx,
+    cfg: &ControlConfig,
+    channel: &Channel<Input>,
+) -> Result<(ControlDaemon, Started), ControlError> {
+    let host = cx.identity.host.clone();
+    let storage_cfg = StorageConfig::new(cfg.data.join(LOG_FOLDER), host.clone());
+    let (storage, recovered) =
+        Storage::open(&storage_cfg, &mut rand::rng()).map_err(ControlError::Open)?;
+    let epoch = epoch::next(&cfg.data).map_err(ControlError::Epoch)?;
+    let to_actor = channel.clone();
+    let endpoint = Endpoint::bind(
+        &cx.runtime,
+        cfg.listen,
+        &cfg.credentials,
+        cx.identity.incarnation,
+        move |event| {
+            to_actor.send(Input::Fabric(event));
+        },
+    )?;
+    let to_actor = channel.clone();
+    let disk = Disk::spawn(storage, move |report| {
+        to_actor.send(Input::Disk(report));
+    })
+    .map_err(ControlError::Thread)?;
+    let parts = Started {
+        address: endpoint.address().map_err(ControlError::Thread)?,
+        traffic: endpoint.traffic(),
+        channel: channel.clone(),
+    };
+    let relay = RelayId { host, epoch };
+    let daemon = ControlDaemon::new(cx.clone(), cfg, recovered, relay, endpoint, disk);
+    Ok((daemon, parts))
+}
+
+/// The actor that owns a control daemon's state.
+struct ControlActor {
+    /// Absent once it has ended.
+    daemon: Option<ControlDaemon>,
+    cx: HostCx,
+    shared: Arc<Shared>,
+    timer: MinTimerKey,
+    _guard: ChannelGuard,
+}
+
+impl ControlActor {
+    fn init(
+        cx: CX![],
+        daemon: ControlDaemon,
+        shared: Arc<Shared>,
+        guard: ChannelGuard,
+    ) -> Option<Self> {
+        let mut actor = Self {
+            cx: daemon.host.clone(),
+            daemon: Some(daemon),
+            shared,
+            timer: MinTimerKey::default(),
+            _guard: guard,
+        };
+        actor.set_timer(cx);
+        Some(actor)
+    }
+
+    fn input(&mut self, cx: CX![], input: Input) {
+        let Some(daemon) = &mut self.daemon else {
+            return;
+        };
+        let next = daemon.handle(input);
+        self.go_on(cx, next);
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        let Some(daemon) = &mut self.daemon else {
+            return;
+        };
+        let next = daemon.tick();
+        self.go_on(cx, next);
+    }
+
+    fn go_on(&mut self, cx: CX![], next: Result<Next, ControlError>) {
+        match next {
+            Ok(Next::GoOn) => {
+                let ready = self.daemon.as_ref().is_some_and(ControlDaemon::is_ready);
+                self.shared.set_ready(ready);
+                self.set_timer(cx);
+            }
+            Ok(Next::End) => self.end(cx),
+            Err(e) => {
+                self.report(&e);
+                self.shared.fail(e);
+                self.end(cx);
+            }
+        }
+    }
+
+    fn report(&self, error: &ControlError) {
+        let event = match error {
+            ControlError::Write(_) => &events::SYNC_FAILED,
+            _ => &events::STORAGE_CORRUPT,
+        };
+        self.cx.log(event, &[("error", &chain(error))]);
+    }
+
+    fn end(&mut self, cx: CX![]) {
+        self.shared.set_ready(false);
+        if let Some(daemon) = self.daemon.take() {
+            daemon.close();
+        }
+        self.cx.log(&events::DAEMON_STOPPED, &[]);
+        cx.shutdown(StopCause::Stopped);
+        stop!(cx);
+    }
+
+    fn set_timer(&mut self, cx: CX![]) {
+        let Some(daemon) = &self.daemon else {
+            return;
+        };
+        let wait = daemon.next_due().saturating_sub(self.cx.now());
+        let at = cx.now() + wait.max(MIN_WAIT);
+        timer_min!(&mut self.timer, at, [cx], tick());
+    }
+}
+
+/// Shortest wait: a timer that is due at once would keep messages from being taken in between.
+const MIN_WAIT: Duration = Duration::from_millis(1);
+
+/// An error with its causes.
+fn chain(error: &dyn Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(source) = cause {
+        text.push_str(": ");
+        text.push_str(&source.to_string());
+        cause = source.source();
+    }
+    text
+}
--- /dev/null
+++ b/src/coltsfootnotch/daemon/control/config.rs
@@ -0,0 +1,114 @@
+//! What a control daemon is told when it starts.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use coltsfootnotch_consensus::CoreConfig;
+use coltsfootnotch_fabric::Credentials;
+use coltsfootnotch_manifest::{ControlHost, Settings};
+use coltsfootnotch_membership::Timing;
+use coltsfootnotch_types::prelude::*;
+
+use super::ControlError;
+
+/// Longest command of the log in bytes: the largest manifest (4 MiB) and what describes it.
+const MAX_COMMAND_BYTES: usize = 5 << 20;
+/// Proposals that may wait for a majority, in bytes: a few of the longest.
+const MAX_UNCOMMITTED_BYTES: usize = 4 * MAX_COMMAND_BYTES;
+/// Entries of the log after which a snapshot replaces them.
+///
+/// A snapshot writes the whole state, so it must be rare beside the ledger's writes; a restart
+/// replays at most this many entries, which takes well under a second.
+const SNAPSHOT_ENTRIES: u64 = 4_096;
+
+/// One host of the control group.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ControlMember {
+    /// Its name.
+    pub host: HostName,
+    /// Its fleet address as other hosts reach it.
+    pub address: SocketAddr,
+}
+
+impl From<&ControlHost> for ControlMember {
+    fn from(host: &ControlHost) -> Self {
+        Self {
+            host: host.host.clone(),
+            address: host.address,
+        }
+    }
+}
+
+/// What a control daemon is told when it starts.
+pub struct ControlConfig {
+    /// UDP address that the fleet endpoint binds.
+    pub listen: SocketAddr,
+    /// Certificate and key of this host.
+    pub credentials: Credentials,
+    /// Data folder; the only state that outlives the process.
+    pub data: PathBuf,
+    /// The control group as it is when the fleet is first started, this host included.
+    pub members: Vec<ControlMember>,
+    /// Times and sizes of the replicated log.
+    pub core: CoreConfig,
+    /// Times of the detection of silence.
+    pub timing: Timing,
+    /// Whether writes of the ledger that come while one is in flight share one entry of the log.
+    pub batch_ledger: bool,
+}
+
+impl ControlConfig {
+    /// A configuration with the usual times and sizes.
+    #[must_use]
+    pub fn new(
+        listen: SocketAddr,
+        credentials: Credentials,
+        data: impl Into<PathBuf>,
+        members: Vec<ControlMember>,
+    ) -> Self {
+        let core = CoreConfig {
+            max_command_bytes: MAX_COMMAND_BYTES,
+            max_uncommitted_bytes: MAX_UNCOMMITTED_BYTES,
+            snapshot_entries: SNAPSHOT_ENTRIES,
+            ..CoreConfig::default()
+        };
+        Self {
+            listen,
+            credentials,
+            data: data.into(),
+            members,
+            core,
+            timing: Timing::DEFAULT,
+            batch_ledger: true,
+        }
+    }
+
+    /// The configuration that settings ask for; reads the certificate files.
+    ///
+    /// # Errors
+    /// Returns an error when a certificate file can't be read, or the settings are of another role.
+    pub fn from_settings(settings: &Settings) -> Result<Self, ControlError> {
+        let data = settings.data.clone().ok_or(ControlError::NoDataFolder)?;
+        let ca = read(&settings.keys.ca)?;
+        let certificate = read(&settings.keys.certificate)?;
+        let key = read(&settings.keys.key)?;
+        let credentials = Credentials::from_pem(&ca, &certificate, &key)?;
+        let members = settings.control.iter().map(ControlMember::from).collect();
+        let mut cfg = Self::new(settings.listen.fleet, credentials, data, members);
+        cfg.core.drift_per_mille = settings.clock_drift_ppm.div_ceil(1_000);
+        Ok(cfg)
+    }
+
+    /// The other hosts of the group.
+    pub(super) fn others(&self, me: &HostName) -> impl Iterator<Item = &ControlMember> {
+        self.members.iter().filter(move |m| m.host != *me)
+    }
+}
+
+fn read(path: &Path) -> Result<String, ControlError> {
+    fs::read_to_string(path).map_err(|source| ControlError::KeyFile {
+        path: path.to_owned(),
+        source,
+    })
+}
--- /dev/null
+++ b/src/coltsfootnotch/daemon/control/daemon/mod.rs
@@ -0,0 +1,320 @@
+//! What a control daemon does with each input, apart from threads and timers.
+
+mod from_hosts;
+mod from_members;
+mod requests;
+mod upkeep;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use coltsfootnotch_consensus::{Core, MemberId, Membership, Recovered, RoleKind, Term};
+use coltsfootnotch_fabric::{Dialed, Endpoint, Event, LinkId, PeerId};
+use coltsfootnotch_membership::RelayId;
+use coltsfootnotch_state::StateMachine;
+use coltsfootnotch_types::prelude::*;
+use coltsfootnotch_wire::{HostRecord, Message};
+
+use super::disk::{Disk, DiskReport};
+use super::founding::Founding;
+use super::input::{Input, Stop};
+use super::links::Links;
+use super::packet::{MemberHello, MemberPacket};
+use super::relay::Relay;
+use super::replica::{Effect, Replica};
+use super::request_table::RequestTable;
+use super::{ControlConfig, ControlError, ControlMember};
+use crate::core::HostCx;
+use crate::util::events;
+
+/// Longest time that a graceful stop waits for another leader.
+const STOP_WITHIN: Duration = Duration::from_secs(2);
+
+/// Whether the daemon goes on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Next {
+    /// It goes on.
+    GoOn,
+    /// It ends.
+    End,
+}
+
+/// One control daemon: what it knows and whom it talks to.
+pub(super) struct ControlDaemon {
+    pub(super) host: HostCx,
+    pub(super) replica: Replica,
+    pub(super) relay: Relay,
+    pub(super) requests: RequestTable,
+    /// Syncs of the data folder since the start.
+    pub(super) syncs: u64,
+    /// Accounts of the configuration in force.
+    pub(super) accounts: Vec<AccountName>,
+    endpoint: Endpoint,
+    disk: Disk,
+    links: Links,
+    /// The other control hosts are dialled for as long as these are kept.
+    _dialed: Vec<Dialed>,
+    founding: Founding,
+    leader: Option<MemberId>,
+    config_number: u64,
+    stop_by: Option<Duration>,
+    upkeep_due: Duration,
+    beat_due: Duration,
+    expire_due: Duration,
+    address: SocketAddr,
+}
+
+impl ControlDaemon {
+    pub(super) fn new(
+        host: HostCx,
+        cfg: &ControlConfig,
+        recovered: Recovered,
+        relay: RelayId,
+        endpoint: Endpoint,
+        disk: Disk,
+    ) -> Self {
+        let now = host.now();
+        let me = host.identity.host.clone();
+        let mut listed: Vec<_> = cfg.members.iter().map(|m| m.host.clone()).collect();
+        listed.sort();
+        let hello = MemberHello {
+            member: recovered.member.clone(),
+            listed,
+            empty: recovered.is_empty(),
+        };
+        let own = cfg.members.iter().find(|m| m.host == me);
+        let dialed = cfg.others(&me).map(|m| dial(&endpoint, m)).collect();
+        let core = Core::new(cfg.core.clone(), recovered, now, &mut rand::rng());
+        Self {
+            replica: Replica::new(core, cfg.batch_ledger),
+            relay: Relay::new(relay, cfg.timing, now),
+            requests: RequestTable::default(),
+            syncs: 0,
+            accounts: Vec::new(),
+            address: own.map_or(cfg.listen, |m| m.address),
+            endpoint,
+            disk,
+            links: Links::default(),
+            _dialed: dialed,
+            founding: Founding::new(hello),
+            leader: None,
+            config_number: 0,
+            stop_by: None,
+            upkeep_due: now,
+            beat_due: now,
+            expire_due: now,
+            host,
+        }
+    }
+
+    /// Takes one input in.
+    ///
+    /// # Errors
+    /// Returns an error after which the daemon must stop.
+    pub(super) fn handle(&mut self, input: Input) -> Result<Next, ControlError> {
+        let now = self.host.now();
+        match input {
+            Input::Fabric(event) => self.on_event(now, event),
+            Input::Disk(DiskReport::Synced { seq, syncs }) => {
+                self.syncs = syncs;
+                self.replica.core_mut().synced(now, seq);
+            }
+            Input::Disk(DiskReport::Failed(e)) => return Err(ControlError::Write(e)),
+            Input::Stop(Stop::Now) => return Ok(Next::End),
+            Input::Stop(Stop::Graceful) => self.begin_stop(now),
+        }
+        self.settle(now)
+    }
+
+    /// Does what is due by time.
+    ///
+    /// # Errors
+    /// Returns an error after which the daemon must stop.
+    pub(super) fn tick(&mut self) -> Result<Next, ControlError> {
+        let now = self.host.now();
+        self.replica.core_mut().tick(now);
+        if now >= self.upkeep_due {
+            self.upkeep(now);
+        }
+        self.settle(now)
+    }
+
+    /// When [`ControlDaemon::tick`] is due, in time since the start.
+    pub(super) fn next_due(&self) -> Duration {
+        self.replica.core().next_due().min(self.upkeep_due)
+    }
+
+    /// Whether this daemon knows a leader and is not stopping.
+    pub(super) fn is_ready(&self) -> bool {
+        self.leader.is_some() && self.stop_by.is_none()
+    }
+
+    /// Ends the daemon: the data folder is released when this returns.
+    pub(super) fn close(self) {
+        self.links.close_all();
+        self.endpoint.close();
+        self.disk.close();
+    }
+
+    /// Carries out everything that follows from what was taken in.
+    fn settle(&mut self, now: Duration) -> Result<Next, ControlError> {
+        loop {
+            let effects = self.replica.drive(now)?;
+            if effects.is_empty() {
+                break;
+            }
+            for effect in effects {
+                self.carry_out(now, effect);
+            }
+            self.config_applied(now);
+            self.answer_applied(now);
+        }
+        Ok(self.next_step(now))
+    }
+
+    fn next_step(&self, now: Duration) -> Next {
+        match self.stop_by {
+            Some(by) if now >= by || !self.replica.core().is_leader() => Next::End,
+            _ => Next::GoOn,
+        }
+    }
+
+    fn carry_out(&mut self, now: Duration, effect: Effect) {
+        match effect {
+            Effect::Send(to, msg) => self.send_log(&to, msg),
+            Effect::Persist(persist) => {
+                if self.founding.joined() {
+                    self.say_hello();
+                }
+                self.disk.persist(persist);
+            }
+            Effect::Done(request, answer) => self.done(now, request, answer),
+            Effect::Became(role, term, leader) => self.became(now, role, term, leader),
+            Effect::Members(members) => self.members_changed(&members),
+        }
+    }
+
+    fn became(&mut self, now: Duration, role: RoleKind, term: Term, leader: Option<MemberId>) {
+        let me = &self.founding.hello().member;
+        let led = self.leader.as_ref() == Some(me);
+        let leads = leader.as_ref() == Some(me) && role == RoleKind::Leader;
+        if leads && !led {
+            self.host.log(&events::LEADER_ELECTED, &[("term", &term)]);
+        }
+        if led && !leads {
+            self.host.log(&events::LEADER_LOST, &[("term", &term)]);
+        }
+        self.leader = leader;
+        self.retry_waiting(now);
+    }
+
+    /// A newcomer that the settings of this host do not name dials this one by its own settings.
+    fn members_changed(&mut self, members: &Membership) {
+        let count = members.voters.len() as f64;
+        self.host.metrics.gauge("control_voters", &[]).set(count);
+    }
+
+    fn begin_stop(&mut self, now: Duration) {
+        if self.stop_by.is_some() {
+            return;
+        }
+        self.host.log(&events::SHUTDOWN_STARTED, &[]);
+        self.stop_by = Some(now + STOP_WITHIN);
+        // Without a successor this member leads to its end, and the others elect when it is gone.
+        let _ = self.replica.core_mut().transfer(now, None);
+    }
+
+    fn on_event(&mut self, now: Duration, event: Event) {
+        match event {
+            Event::Up {
+                link,
+                peer,
+                incarnation,
+                tx,
+            } => {
+                self.host.log(&events::LINK_UP, &[("peer", &peer)]);
+                let is_control = peer.role == Role::Control;
+                self.links.add(link, peer, incarnation, tx);
+                if is_control {
+                    self.greet(link);
+                }
+            }
+            Event::Message {
+                link,
+                peer,
+                message,
+            } => self.on_message(now, link, &peer, message),
+            // Control hosts run no attempts.
+            Event::Stream { stream, .. } => drop(stream),
+            Event::Forbidden { peer } => self.forbidden(&peer, "role"),
+            Event::Down { link, peer } => self.on_down(link, &peer),
+        }
+    }
+
+    fn on_message(&mut self, now: Duration, link: LinkId, peer: &PeerId, message: Message) {
+        match message {
+            Message::ToRelay(message) => self.on_host(now, link, peer, message),
+            Message::Member(bytes) => self.on_member(now, link, peer, &bytes),
+            Message::BetweenRelays(bytes) => self.on_relay(now, link, peer, &bytes),
+            // Allowed for the sender's role, but not meant for a control host.
+            Message::ToSidecar(_) | Message::FromSidecar(_) | Message::FromRelay(_) => {
+                self.forbidden(peer, "receiver");
+            }
+        }
+    }
+
+    fn on_down(&mut self, link: LinkId, peer: &PeerId) {
+        self.host.log(&events::LINK_DOWN, &[("peer", peer)]);
+        if self.links.remove(link).is_none() {
+            return;
+        }
+        if peer.role == Role::Control && !self.links.has_control(&peer.host) {
+            self.founding.lose(&peer.host);
+        }
+        for request in self.requests.sent_over(link) {
+            if let Some((request, answer)) = self.requests.lose(request) {
+                self.deliver(request.origin, answer);
+            }
+        }
+    }
+
+    /// Counts and reports what a peer may not do.
+    fn forbidden(&self, peer: &PeerId, what: &'static str) {
+        self.host.log(
+            &events::MESSAGE_FORBIDDEN,
+            &[("peer", peer), ("why", &what)],
+        );
+    }
+
+    fn say_hello(&self) {
+        let hello = self.founding.hello().clone();
+        self.links.send_members(&MemberPacket::Hello(hello));
+    }
+
+    /// This host as the others find it.
+    fn own_record(&self) -> HostRecord {
+        let identity = &self.host.identity;
+        HostRecord {
+            host: identity.host.clone(),
+            incarnation: identity.incarnation,
+            role: Role::Control,
+            domain: identity.domain.clone(),
+            address: self.address,
+            config: self.machine().config().number(),
+            pools: Vec::new(),
+            leaving: self.stop_by.is_some(),
+        }
+    }
+
+    fn machine(&self) -> &StateMachine {
+        self.replica.machine()
+    }
+}
+
+fn dial(endpoint: &Endpoint, member: &ControlMember) -> Dialed {
+    let peer = PeerId {
+        role: Role::Control,
+        host: member.host.clone(),
+    };
+    endpoint.dial(member.address, peer)
+}
--- /dev/null
+++ b/src/coltsfootnotch/daemon/control/daemon/upkeep.rs
@@ -0,0 +1,171 @@
+//! What is done by time, apart from the log: silence, deltas, configurations, deadlines.
+
+use std::time::Duration;
+
+use coltsfootnotch_fabric::LinkId;
+use coltsfootnotch_manifest::Manifest;
+use coltsfootnotch_membership::{HostRecord, MemberEventKind, Presence};
+use coltsfootnotch_state::{LedgerLimits, Op};
+use coltsfootnotch_types::prelude::*;
+use coltsfootnotch_wire::Message;
+
+use super::ControlDaemon;
+use crate::daemon::control::packet::Ask;
+use crate::daemon::control::request_table::Origin;
+use crate::util::events;
+
+/// Between two rounds. Relays and hosts hear of a change within two rounds and the way between, far
+/// below the 3 s in which a silent host must be known; each round of deltas costs one packet a peer.
+const UPKEEP_EVERY: Duration = Duration::from_millis(150);
+/// Between two signs of life of this host in its own registry.
+const BEAT_EVERY: Duration = Duration::from_millis(500);
+/// Between two commands that move log time on and let ledger records expire.
+const EXPIRE_EVERY: Duration = Duration::from_secs(60);
+const SECONDS_PER_HOUR: u32 = 3_600;
+
+impl ControlDaemon {
+    pub(super) fn upkeep(&mut self, now: Duration) {
+        self.upkeep_due = now + UPKEEP_EVERY;
+        if now >= self.beat_due {
+            self.beat_due = now + BEAT_EVERY;
+            let record = self.own_record();
+            self.relay.beat_self(now, record);
+        }
+        self.watch_hosts(now);
+        self.found_group(now);
+        self.retry_waiting(now);
+        self.expire_requests(now);
+        self.expire_records(now);
+        self.tell_hosts(now);
+        self.tell_relays(now);
+    }
+
+    fn watch_hosts(&mut self, now: Duration) {
+        for event in self.relay.tick(now) {
+            if event.kind == MemberEventKind::Silent {
+                self.host
+                    .log(&events::HOST_SILENT, &[("silent_host", &event.host)]);
+            }
+        }
+    }
+
+    fn found_group(&mut self, now: Duration) {
+        let in_force = |r: &HostRecord| r.presence != Presence::Gone && r.config > 0;
+        let is_config_in_force = self.relay.directory.hosts().any(in_force);
+        let Some(members) = self.founding.due(now, is_config_in_force) else {
+            return;
+        };
+        // Refused only when this member holds entries by now, which is as good.
+        let _ = self.replica.core_mut().found(now, members);
+    }
+
+    fn expire_requests(&mut self, now: Duration) {
+        for (request, answer) in self.requests.expire(now) {
+            self.deliver(request.origin, answer);
+        }
+    }
+
+    fn expire_records(&mut self, now: Duration) {
+        if now >= self.expire_due && self.replica.core().is_leader() {
+            self.expire_due = now + EXPIRE_EVERY;
+            self.replica.propose_own(now, Op::Expire);
+        }
+    }
+
+    /// Sends each host what changed for it.
+    fn tell_hosts(&mut self, now: Duration) {
+        let run = self.host.identity.incarnation;
+        let number = self.config_number;
+        let mut behind = Vec::new();
+        for (id, link) in self.links.hosts_mut() {
+            let (host, incarnation) = (link.peer.host.clone(), link.incarnation);
+            let Some(feed) = &mut link.host else {
+                continue;
+            };
+            let own = |account: &AccountName| {
+                let own = &self.relay.own_service;
+                own.of(&host, incarnation, account)
+            };
+            let directory = feed.next_directory(now, run, &self.relay.directory);
+            let totals = feed.next_totals(&self.relay.sums, own);
+            if feed.config < number {
+                behind.push((id, feed.config));
+            }
+            for message in directory.into_iter().chain(totals) {
+                link.send_host(message);
+            }
+        }
+        for (link, config) in behind {
+            self.push_config(now, link, config);
+        }
+    }
+
+    /// Sends a host the configuration that it lacks.
+    ///
+    /// What this member has applied is committed but may be old, if the member is cut off. A host
+    /// with a configuration can't go back by it. A host that was restarted has none, and could be
+    /// put back behind what it had before: it gets one only after a quorum has confirmed it.
+    fn push_config(&mut self, now: Duration, link: LinkId, config: u64) {
+        if config > 0 {
+            return self.send_config(now, link);
+        }
+        let origin = Origin::FirstConfig(link);
+        if !self.requests.has(origin) {
+            self.request(now, origin, Ask::Read);
+        }
+    }
+
+    fn tell_relays(&mut self, now: Duration) {
+        for id in self.links.control_ids() {
+            let Some(link) = self.links.get_mut(id) else {
+                continue;
+            };
+            let (registry, sums) = (&self.relay.registry, &self.relay.sums);
+            let packet = link.relay.next(now, &link.peer.host, registry, sums);
+            if let Some(packet) = packet {
+                let bytes = postcard::to_allocvec(&packet).expect("a packet can be encoded");
+                link.send(&Message::BetweenRelays(bytes));
+            }
+        }
+    }
+
+    /// Notes a configuration that has just been applied, and sends it to hosts at once.
+    pub(super) fn config_applied(&mut self, now: Duration) {
+        let Some(accepted) = self.replica.machine().config().in_force() else {
+            return;
+        };
+        if accepted.number == self.config_number {
+            return;
+        }
+        assert!(
+            accepted.number > self.config_number,
+            "configuration goes back from {} to {}",
+            self.config_number,
+            accepted.number
+        );
+        self.config_number = accepted.number;
+        let (number, digest) = (accepted.number, accepted.digest);
+        let manifest = Manifest::from_body(&accepted.body);
+        self.host.log(
+            &events::CONFIG_ACCEPTED,
+            &[("number", &number), ("digest", &digest)],
+        );
+        if let Ok(manifest) = manifest {
+            self.accounts = manifest.accounts.iter().map(|a| a.name.clone()).collect();
+            self.set_limits(now, manifest.ledger.keep_hours);
+        }
+        self.tell_hosts(now);
+    }
+
+    /// The leader brings the ledger's limits in line with the manifest, through the log.
+    fn set_limits(&mut self, now: Duration, keep_hours: u32) {
+        let limits = self.replica.machine().ledger().limits();
+        let wanted = LedgerLimits {
+            retention_secs: keep_hours.saturating_mul(SECONDS_PER_HOUR),
+            ..limits
+        };
+        if wanted != limits {
+            self.replica.propose_own(now, Op::SetLimits(wanted));
+        }
+    }
+}
--- /dev/null
+++ b/src/coltsfootnotch/daemon/control/error.rs
@@ -0,0 +1,85 @@
+//! Why a control daemon can't start, or had to stop.
+
+use std::io;
+use std::path::PathBuf;
+
+use coltsfootnotch_consensus::LogIndex;
+use coltsfootnotch_consensus::storage::StorageError;
+use coltsfootnotch_fabric::{CredentialsError, EndpointError};
+use coltsfootnotch_state::{CodecError, SnapshotError};
+use derive_more::{Display, Error, From};
+
+/// Why a control daemon can't start, or had to stop.
+#[derive(Debug, Display, Error, From)]
+pub enum ControlError {
+    /// The settings name no data folder.
+    #[display("the settings name no data folder")]
+    NoDataFolder,
+    /// A certificate file can't be read.
+    #[display("the key file {} can't be read", path.display())]
+    #[from(skip)]
+    KeyFile {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: io::Error,
+    },
+    /// The certificate or key can't be used.
+    #[display("the credentials can't be used")]
+    Credentials(CredentialsError),
+    /// The certificate is that of another process.
+    #[display("the certificate names another host or role")]
+    OtherIdentity,
+    /// The host is not in its own list of control hosts.
+    #[display("the host is not in its list of control hosts")]
+    NotListed,
+    /// The fleet address can't be bound.
+    #[display("the fleet endpoint can't be opened")]
+    Endpoint(EndpointError),
+    /// A thread can't be started, or ended without a word.
+    #[display("a thread of the daemon failed")]
+    #[from(skip)]
+    Thread(io::Error),
+    /// The number of starts can't be kept in the data folder.
+    #[display("the number of starts can't be kept in the data folder")]
+    #[from(skip)]
+    Epoch(io::Error),
+    /// The data folder can't be read back.
+    #[display("the data folder can't be opened")]
+    #[from(skip)]
+    Open(StorageError),
+    /// A write could not be made durable; what it held was not acknowledged.
+    #[display("a write could not be made durable")]
+    #[from(skip)]
+    Write(StorageError),
+    /// A snapshot of the state can't be read, though it is whole on the disk.
+    #[display("a snapshot of the state can't be read")]
+    Snapshot(SnapshotError),
+    /// A committed command can't be read: another member runs a later program.
+    #[display("the committed command at {index} can't be read")]
+    #[from(skip)]
+    Command {
+        /// Its place in the log.
+        index: LogIndex,
+        /// The cause.
+        source: CodecError,
+    },
+}
+
+impl ControlError {
+    /// Whether what the disk holds is damaged, so that this member must be replaced.
+    #[must_use]
+    pub fn is_corrupt(&self) -> bool {
+        match self {
+            Self::Open(e) => matches!(
+                e,
+                StorageError::Corrupt { .. }
+                    | StorageError::IdentityLost
+                    | StorageError::LogLost
+                    | StorageError::FolderLost { .. }
+            ),
+            Self::Snapshot(_) => true,
+            _ => false,
+        }
+    }
+}
--- /dev/null
+++ b/src/coltsfootnotch/daemon/control/founding.rs
@@ -0,0 +1,87 @@
+//! When a new control group is founded.
+//!
+//! A group founded beside one that still remembers would hand out numbers twice and forget bookings,
+//! so a member founds only when nothing can remember: every control host of the settings is connected
+//! at once, each with a data folder that holds no entry, each with the same list in its settings, and
+//! no host of the fleet reports a configuration in force. Only the first host of the list founds. A
+//! host whose disk was lost later meets others that are not empty, and waits to be admitted by an
+//! operator.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use coltsfootnotch_consensus::MemberId;
+use coltsfootnotch_types::HostName;
+
+use super::packet::MemberHello;
+
+/// How long the conditions must hold, so that hosts which were up before have sent a heartbeat: one
+/// that has a configuration in force shows that there was a group.
+const FOUND_AFTER: Duration = Duration::from_millis(750);
+
+/// Decides whether this member founds the group.
+#[derive(Debug)]
+pub(super) struct Founding {
+    hello: MemberHello,
+    others: BTreeMap<HostName, MemberHello>,
+    holds_since: Option<Duration>,
+}
+
+impl Founding {
+    pub(super) fn new(hello: MemberHello) -> Self {
+        Self {
+            hello,
+            others: BTreeMap::new(),
+            holds_since: None,
+        }
+    }
+
+    /// What this member says of itself.
+    pub(super) fn hello(&self) -> &MemberHello {
+        &self.hello
+    }
+
+    /// This member holds an entry now; returns whether that is new.
+    pub(super) fn joined(&mut self) -> bool {
+        std::mem::replace(&mut self.hello.empty, false)
+    }
+
+    /// Takes what another member says of itself.
+    pub(super) fn hear(&mut self, hello: MemberHello) {
+        self.others.insert(hello.member.host.clone(), hello);
+    }
+
+    /// No connection to the host is left.
+    pub(super) fn lose(&mut self, host: &HostName) {
+        self.others.remove(host);
+    }
+
+    /// The member that runs on `host`, while it is connected.
+    pub(super) fn member_on(&self, host: &HostName) -> Option<&MemberId> {
+        self.others.get(host).map(|hello| &hello.member)
+    }
+
+    /// The members of the group to found now, if this member is to found one.
+    pub(super) fn due(&mut self, now: Duration, is_config_in_force: bool) -> Option<Vec<MemberId>> {
+        if is_config_in_force || !self.may_found() {
+            self.holds_since = None;
+            return None;
+        }
+        let since = *self.holds_since.get_or_insert(now);
+        (now >= since + FOUND_AFTER).then(|| self.all().map(|h| h.member.clone()).collect())
+    }
+
+    fn may_found(&self) -> bool {
+        let listed = &self.hello.listed;
+        let is_first = listed.iter().min() == Some(&self.hello.member.host);
+        let is_here = |host: &HostName| self.all().any(|h| h.member.host == *host);
+        let agrees = |h: &MemberHello| h.empty && h.listed == *listed;
+        is_first && listed.iter().all(is_here) && self.all().all(agrees)
+    }
+
+    /// The listed members that are connected, this one included.
+    fn all(&self) -> impl Iterator<Item = &MemberHello> {
+        let listed = |h: &&MemberHello| self.hello.listed.contains(&h.member.host);
+        std::iter::once(&self.hello).chain(self.others.values().filter(listed))
+    }
+}
--- /dev/null
+++ b/src/coltsfootnotch/daemon/control/handle.rs
@@ -0,0 +1,93 @@
+//! A control daemon from outside its thread.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::JoinHandle;
+
+use coltsfootnotch_fabric::Traffic;
+use stakker::sync::Channel;
+
+use super::ControlError;
+use super::input::{Input, Stop};
+
+/// What the daemon's thread tells whoever holds the handle.
+#[derive(Debug, Default)]
+pub(super) struct Shared {
+    ready: AtomicBool,
+    failure: Mutex<Option<ControlError>>,
+}
+
+impl Shared {
+    pub(super) fn set_ready(&self, ready: bool) {
+        self.ready.store(ready, Ordering::Relaxed);
+    }
+
+    pub(super) fn fail(&self, error: ControlError) {
+        let mut failure = self.failure.lock().unwrap_or_else(PoisonError::into_inner);
+        failure.get_or_insert(error);
+    }
+
+    fn take_failure(&self) -> Option<ControlError> {
+        let mut failure = self.failure.lock().unwrap_or_else(PoisonError::into_inner);
+        failure.take()
+    }
+}
+
+/// A running control daemon. It goes on when the handle is dropped; see [`ControlHandle::stop`].
+pub struct ControlHandle {
+    pub(super) address: SocketAddr,
+    pub(super) traffic: Arc<Traffic>,
+    pub(super) channel: Channel<Input>,
+    pub(super) shared: Arc<Shared>,
+    pub(super) thread: JoinHandle<()>,
+}
+
+impl ControlHandle {
+    /// The address of the fleet endpoint.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Control traffic so far.
+    #[must_use]
+    pub fn traffic(&self) -> Arc<Traffic> {
+        Arc::clone(&self.traffic)
+    }
+
+    /// Says whether the daemon knows a leader and does not stop; for `/readyz`.
+    pub fn readiness(&self) -> impl Fn() -> bool + Send + Sync + use<> {
+        let shared = Arc::clone(&self.shared);
+        move || shared.ready.load(Ordering::Relaxed)
+    }
+
+    /// Begins a graceful stop: the leadership is handed over first.
+    pub fn stop(&self) {
+        self.channel.send(Input::Stop(Stop::Graceful));
+    }
+
+    /// Ends the daemon at once, as a second signal does. Nothing that was acknowledged is lost.
+    pub fn kill(&self) {
+        self.channel.send(Input::Stop(Stop::Now));
+    }
+
+    /// Whether the daemon has ended.
+    #[must_use]
+    pub fn is_finished(&self) -> bool {
+        self.thread.is_finished()
+    }
+
+    /// Waits until the daemon has ended and its data folder is released.
+    ///
+    /// # Errors
+    /// Returns why it had to stop by itself, such as a write that could not be synced.
+    pub fn join(self) -> Result<(), ControlError> {
+        if self.thread.join().is_err() {
+            let source = io::Error::other("the daemon's thread panicked");
+            return Err(ControlError::Thread(source));
+        }
+        self.shared.take_failure().map_or(Ok(()), Err)
+    }
+}
--- /dev/null
+++ b/src/coltsfootnotch/daemon/control/host_feed.rs
@@ -0,0 +1,196 @@
+//! What one host said over its connection, and what it was told.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use coltsfootnotch_membership::{Contact, Directory, RelaySums, Served, SumsFeed, ViewFeed};
+use coltsfootnotch_membership::{Heartbeat as MemberHeartbeat, Profile};
+use coltsfootnotch_types::RegionName;
+use coltsfootnotch_types::prelude::*;
+use coltsfootnotch_wire::{FromRelay, Heartbeat, HostRecord, ServedPool};
+
+/// Time after which a configuration is sent again to a host that does not report it in force.
+const PUSH_AGAIN_AFTER: Duration = Duration::from_secs(2);
+
+/// Time after which a host that still has no directory gets the whole again.
+const WHOLE_AGAIN_AFTER: Duration = Duration::from_secs(2);
+
+/// What one host said over its connection, and what it was told.
+#[derive(Debug)]
+pub(super) struct HostFeed {
+    /// The configuration that the host has in force, by its last heartbeat.
+    pub(super) config: u64,
+    profile: Profile,
+    profile_version: u32,
+    view: ViewFeed,
+    whole_sent: Option<Duration>,
+    sums: SumsFeed,
+    watched: BTreeSet<AccountName>,
+    told: BTreeMap<AccountName, ServiceUnits>,
+    pushed: Option<(u64, Duration)>,
+}
+
+impl HostFeed {
+    /// A feed for a host that has just sent its first heartbeat on this connection.
+    pub(super) fn new(heartbeat: &Heartbeat) -> Self {
+        let record = &heartbeat.record;
+        Self {
+            config: record.config,
+            profile: profile(record),
+            profile_version: 1,
+            view: view_of(record),
+            whole_sent: None,
+            sums: SumsFeed::default(),
+            watched: BTreeSet::new(),
+            told: BTreeMap::new(),
+            pushed: None,
+        }
+    }
+
+    /// Takes a heartbeat; returns it as the registry wants it.
+    pub(super) fn hear(&mut self, now: Duration, heartbeat: &Heartbeat) -> MemberHeartbeat {
+        let record = &heartbeat.record;
+        let long_sent = self
+            .whole_sent
+            .is_some_and(|at| now >= at + WHOLE_AGAIN_AFTER);
+        if heartbeat.directory == 0 && long_sent {
+            // The host has lost what it was told.
+            self.view = view_of(record);
+            self.whole_sent = None;
+        }
+        let profile = profile(record);
+        if profile != self.profile {
+            self.profile = profile;
+            self.profile_version += 1;
+        }
+        self.config = record.config;
+        member_heartbeat(heartbeat, self.profile_version, &self.profile)
+    }
+
+    /// Replaces the accounts whose totals the host wants.
+    pub(super) fn watch(&mut self, watched: &[AccountName]) {
+        let wanted: BTreeSet<_> = watched.iter().cloned().collect();
+        self.sums.drop(self.watched.difference(&wanted));
+        self.sums.ask(wanted.difference(&self.watched));
+        self.told.retain(|account, _| wanted.contains(account));
+        self.watched = wanted;
+    }
+
+    /// The hosts that are new, changed or gone for this host.
+    pub(super) fn next_directory(
+        &mut self,
+        now: Duration,
+        relay: Incarnation,
+        directory: &Directory,
+    ) -> Option<FromRelay> {
+        let delta = self.view.next(now, directory)?;
+        if delta.from == 0 {
+            self.whole_sent = Some(now);
+        }
+        Some(FromRelay::Directory {
+            relay,
+            version: delta.to,
+            // Until the relay has settled a host missing here may only not have been heard yet.
+            full: delta.from == 0 && delta.settled,
+            changed: delta.upserts.iter().filter_map(record).collect(),
+            gone: delta.removed,
+        })
+    }
+
+    /// The totals of watched accounts that changed, without what the host itself reported (`own`).
+    pub(super) fn next_totals(
+        &mut self,
+        sums: &RelaySums,
+        own: impl Fn(&AccountName) -> ServiceUnits,
+    ) -> Option<FromRelay> {
+        let mut elsewhere = Vec::new();
+        for (account, total) in self.sums.next(sums) {
+            let others = ServiceUnits(total.0.saturating_sub(own(&account).0));
+            if self.told.insert(account.clone(), others) != Some(others) {
+                elsewhere.push((account, others));
+            }
+        }
+        (!elsewhere.is_empty()).then_some(FromRelay::Totals { elsewhere })
+    }
+
+    /// Whether the configuration `number` is to be sent now; notes that it is.
+    pub(super) fn wants_config(&mut self, now: Duration, number: u64) -> bool {
+        if self.config >= number {
+            return false;
+        }
+        let is_on_its_way = self
+            .pushed
+            .is_some_and(|(sent, at)| sent == number && now < at + PUSH_AGAIN_AFTER);
+        if !is_on_its_way {
+            self.pushed = Some((number, now));
+        }
+        !is_on_its_way
+    }
+}
+
+fn view_of(record: &HostRecord) -> ViewFeed {
+    ViewFeed::new(record.host.clone(), record.domain.clone(), record.role)
+}
+
+/// A wire heartbeat as the registry wants it.
+pub(super) fn member_heartbeat(
+    heartbeat: &Heartbeat,
+    profile_version: u32,
+    profile: &Profile,
+) -> MemberHeartbeat {
+    let record = &heartbeat.record;
+    MemberHeartbeat {
+        host: record.host.clone(),
+        incarnation: record.incarnation,
+        started: 0,
+        attach: 0,
+        seq: heartbeat.seq,
+        config: record.config,
+        leaving: record.leaving,
+        profile_version,
+        profile: Some(profile.clone()),
+    }
+}
+
+/// What a host says about itself, as the registry keeps it.
+pub(super) fn profile(record: &HostRecord) -> Profile {
+    let domain = &record.domain;
+    Profile {
+        role: record.role,
+        domain: domain.clone(),
+        region: RegionName::new(domain.as_str()).expect("every name is a name of a region"),
+        addresses: vec![record.address],
+        serves: record.pools.iter().map(served).collect(),
+    }
+}
+
+fn served(pool: &ServedPool) -> Served {
+    Served {
+        pool: pool.pool.clone(),
+        upstream: UpstreamName::new(pool.pool.as_str())
+            .expect("every name is a name of an upstream"),
+        slots: pool.upstreams,
+        leaving: pool.upstreams == 0,
+    }
+}
+
+/// A contact as hosts are told it; none for one without an address.
+fn record(contact: &Contact) -> Option<HostRecord> {
+    Some(HostRecord {
+        host: contact.host.clone(),
+        incarnation: contact.incarnation,
+        role: contact.role,
+        domain: contact.domain.clone(),
+        address: *contact.addresses.first()?,
+        config: 0,
+        pools: contact.serves.iter().map(served_pool).collect(),
+        leaving: contact.leaving,
+    })
+}
+
+fn served_pool(served: &Served) -> ServedPool {
+    ServedPool {
+        pool: served.pool.clone(),
+        upstreams: served.slots,
+    }
+}
--- /dev/null
+++ b/src/coltsfootnotch/daemon/control/status.rs
@@ -0,0 +1,165 @@
+//! The state of the fleet as JSON, for operators.
+
+use coltsfootnotch_consensus::Status as MemberStatus;
+use coltsfootnotch_membership::{HostRecord, Presence};
+use coltsfootnotch_types::prelude::*;
+use serde::Serialize;
+
+use super::daemon::ControlDaemon;
+
+#[derive(Serialize)]
+struct Status<'a> {
+    answered_by: &'a HostName,
+    group: Group<'a>,
+    configuration: Option<Configuration>,
+    hosts: Vec<Host<'a>>,
+    pools: Vec<Pool>,
+    accounts: Vec<Account>,
+    ledger: Ledger,
+}
+
+#[derive(Serialize)]
+struct Group<'a> {
+    host: &'a HostName,
+    member: String,
+    role: String,
+    term: u64,
+    leader: Option<&'a HostName>,
+    commit: u64,
+    applied: u64,
+    last: u64,
+    snapshot: u64,
+    commands_since_start: u64,
+    syncs: u64,
+    open_requests: usize,
+    voters: Vec<&'a HostName>,
+    learners: Vec<&'a HostName>,
+}
+
+#[derive(Serialize)]
+struct Configuration {
+    number: u64,
+    digest: String,
+    behind: Vec<HostName>,
+}
+
+#[derive(Serialize)]
+struct Host<'a> {
+    host: &'a HostName,
+    incarnation: String,
+    presence: &'static str,
+    config: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    role: Option<Role>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    domain: Option<&'a DomainName>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    address: Option<String>,
+}
+
+#[derive(Serialize)]
+struct Pool {
+    pool: PoolName,
+    host: HostName,
+    upstreams: u32,
+}
+
+#[derive(Serialize)]
+struct Account {
+    account: AccountName,
+    service: u64,
+}
+
+#[derive(Serialize)]
+struct Ledger {
+    accounts: usize,
+    records: u64,
+    open: u64,
+}
+
+/// The state of the fleet as this control host knows it.
+pub(super) fn to_json(daemon: &ControlDaemon) -> String {
+    let member = daemon.replica.core().status();
+    let machine = daemon.replica.machine();
+    let configuration = machine.config().in_force().map(|accepted| Configuration {
+        number: accepted.number,
+        digest: accepted.digest.to_string(),
+        behind: daemon.relay.directory.behind(accepted.number),
+    });
+    let usages: Vec<_> = machine.ledger().usages().collect();
+    let ledger = Ledger {
+        accounts: usages.len(),
+        records: usages.iter().map(|(_, u)| u64::from(u.records)).sum(),
+        open: usages.iter().map(|(_, u)| u64::from(u.open)).sum(),
+    };
+    let status = Status {
+        answered_by: &daemon.host.identity.host,
+        group: group(daemon, &member),
+        configuration,
+        hosts: daemon.relay.directory.hosts().map(host).collect(),
+        pools: daemon.relay.directory.hosts().flat_map(pools).collect(),
+        accounts: accounts(daemon),
+        ledger,
+    };
+    serde_json::to_string(&status).expect("a status has no map with keys other than strings")
+}
+
+fn group<'a>(daemon: &ControlDaemon, member: &'a MemberStatus) -> Group<'a> {
+    Group {
+        host: &member.member.host,
+        member: member.member.to_string(),
+        role: member.role.to_string(),
+        term: member.term.0,
+        leader: member.leader.as_ref().map(|m| &m.host),
+        commit: member.commit.0,
+        applied: member.applied.0,
+        last: member.last.0,
+        snapshot: member.snapshot.0,
+        commands_since_start: daemon.replica.replayed(),
+        syncs: daemon.syncs,
+        open_requests: daemon.requests.len(),
+        voters: member.members.voters.iter().map(|m| &m.host).collect(),
+        learners: member.members.learners.keys().map(|m| &m.host).collect(),
+    }
+}
+
+fn host(record: &HostRecord) -> Host<'_> {
+    let profile = record.profile.as_deref();
+    Host {
+        host: &record.host,
+        incarnation: record.incarnation.to_string(),
+        presence: match record.presence {
+            Presence::Present => "present",
+            Presence::Leaving => "leaving",
+            Presence::Gone => "gone",
+        },
+        config: record.config,
+        role: profile.map(|p| p.role),
+        domain: profile.map(|p| &p.domain),
+        address: profile.and_then(|p| p.addresses.first().map(ToString::to_string)),
+    }
+}
+
+fn pools(record: &HostRecord) -> Vec<Pool> {
+    let profile = record.profile.as_deref();
+    let serves = profile.map(|p| &p.serves).into_iter().flatten();
+    serves
+        .map(|served| Pool {
+            pool: served.pool.clone(),
+            host: record.host.clone(),
+            upstreams: served.slots,
+        })
+        .collect()
+}
+
+/// The accounts of the configuration in force, with their service over the fleet.
+fn accounts(daemon: &ControlDaemon) -> Vec<Account> {
+    daemon
+        .accounts
+        .iter()
+        .map(|account| Account {
+            account: account.clone(),
+            service: daemon.relay.sums.total(account).0,
+        })
+        .collect()
+}
--- /dev/null
+++ b/tests/testsuite/control.rs
@@ -0,0 +1,7 @@
+//! Failures of the control group, with real files, real connections and whole daemons.
+
+mod client;
+mod configuration;
+mod group;
+mod hosts;
+mod members;
--- /dev/null
+++ b/tests/testsuite/control/client.rs
@@ -0,0 +1,225 @@
+//! A host or operator that is connected to one control daemon.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::mpsc::{self, Receiver};
+
+use coltsfootnotch::core::{decode_reply, encode_op};
+use coltsfootnotch::daemon::control::ControlMember;
+use coltsfootnotch_fabric::{Credentials, Dialed, Endpoint, Event, LinkTx, PeerId};
+use coltsfootnotch_manifest::{KeyHash, Manifest};
+use coltsfootnotch_state::{ApplyConfig, BodyDigest, ConfigReply, Op, Reply};
+use coltsfootnotch_types::prelude::*;
+use coltsfootnotch_wire::{
+    ConfigBody, FromRelay, Heartbeat, HostRecord, MembersError, Message, ProposeError, ToRelay,
+};
+use tokio::runtime::Handle;
+
+use super::group::PATIENCE;
+
+/// A host or operator that is connected to one control daemon.
+pub(crate) struct Client {
+    pub(crate) peer: PeerId,
+    pub(crate) incarnation: Incarnation,
+    events: Receiver<Event>,
+    tx: LinkTx,
+    id: u64,
+    beats: u64,
+    /// Messages that came while another was awaited.
+    pub(crate) seen: Vec<FromRelay>,
+    _dialed: Dialed,
+    _endpoint: Endpoint,
+}
+
+impl Client {
+    pub(crate) fn connect(
+        runtime: &Handle,
+        credentials: &Credentials,
+        member: &ControlMember,
+    ) -> Self {
+        let (to_client, events) = mpsc::channel();
+        let incarnation = Incarnation(rand::random());
+        let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let endpoint = Endpoint::bind(runtime, any_port, credentials, incarnation, move |event| {
+            // The test may have ended.
+            let _ = to_client.send(event);
+        })
+        .expect("an endpoint");
+        let control = PeerId {
+            role: Role::Control,
+            host: member.host.clone(),
+        };
+        let dialed = endpoint.dial(member.address, control);
+        let tx = loop {
+            if let Event::Up { tx, .. } = events.recv_timeout(PATIENCE).expect("a connection") {
+                break tx;
+            }
+        };
+        Self {
+            peer: credentials.peer().clone(),
+            incarnation,
+            events,
+            tx,
+            id: 0,
+            beats: 0,
+            seen: Vec::new(),
+            _dialed: dialed,
+            _endpoint: endpoint,
+        }
+    }
+
+    pub(crate) fn send(&self, message: ToRelay) {
+        self.tx.send(&Message::ToRelay(message)).expect("a message");
+    }
+
+    /// Waits for the message that `wanted` takes; keeps the others.
+    pub(crate) fn wait_for<T>(&mut self, wanted: impl Fn(&FromRelay) -> Option<T>) -> T {
+        loop {
+            match self.events.recv_timeout(PATIENCE).expect("an answer") {
+                Event::Message {
+                    message: Message::FromRelay(message),
+                    ..
+                } => match wanted(&message) {
+                    Some(found) => return found,
+                    None => self.seen.push(message),
+                },
+                Event::Down { .. } => panic!("the daemon closed the connection"),
+                _ => {}
+            }
+        }
+    }
+
+    /// Whether the daemon closes the connection rather than answer anything more.
+    pub(crate) fn is_closed(&mut self) -> bool {
+        loop {
+            match self.events.recv_timeout(PATIENCE) {
+                Ok(Event::Down { .. }) => return true,
+                Ok(_) => {}
+                Err(_) => return false,
+            }
+        }
+    }
+
+    pub(crate) fn next_id(&mut self) -> u64 {
+        self.id += 1;
+        self.id
+    }
+
+    pub(crate) fn begin_propose(&mut self, op: &Op) -> u64 {
+        let id = self.next_id();
+        let command = encode_op(op);
+        self.send(ToRelay::Propose { id, command });
+        id
+    }
+
+    pub(crate) fn end_propose(&mut self, id: u64) -> Result<Reply, ProposeError> {
+        let reply = self.wait_for(|message| match message {
+            FromRelay::Proposed { id: of, reply } if *of == id => Some(reply.clone()),
+            _ => None,
+        })?;
+        Ok(decode_reply(&reply).expect("a reply"))
+    }
+
+    pub(crate) fn propose(&mut self, op: &Op) -> Result<Reply, ProposeError> {
+        let id = self.begin_propose(op);
+        self.end_propose(id)
+    }
+
+    /// Applies a configuration.
+    pub(crate) fn apply(&mut self, req: ApplyConfig) -> Result<ConfigReply, ProposeError> {
+        match self.propose(&Op::ApplyConfig(req))? {
+            Reply::Config(reply) => Ok(reply),
+            other => panic!("an unexpected reply: {other:?}"),
+        }
+    }
+
+    /// The newest configuration, confirmed by a quorum.
+    pub(crate) fn confirmed(&mut self) -> Result<Option<ConfigBody>, ProposeError> {
+        let id = self.next_id();
+        self.send(ToRelay::ConfigConfirmed { id });
+        self.wait_for(|message| match message {
+            FromRelay::ConfigConfirmed { id: of, config } if *of == id => Some(config.clone()),
+            _ => None,
+        })
+    }
+
+    pub(crate) fn confirmed_number(&mut self) -> Result<u64, ProposeError> {
+        Ok(self.confirmed()?.map_or(0, |config| config.number))
+    }
+
+    pub(crate) fn status(&mut self) -> serde_json::Value {
+        let id = self.next_id();
+        self.send(ToRelay::Status { id });
+        let json = self.wait_for(|message| match message {
+            FromRelay::Status { id: of, json } if *of == id => Some(json.clone()),
+            _ => None,
+        });
+        serde_json::from_str(&json).expect("JSON")
+    }
+
+    pub(crate) fn admit(
+        &mut self,
+        host: &HostName,
+        replaces: Option<&HostName>,
+    ) -> Result<(), MembersError> {
+        let id = self.next_id();
+        self.send(ToRelay::AdmitMember {
+            id,
+            host: host.clone(),
+            replaces: replaces.cloned(),
+        });
+        self.members_outcome(id)
+    }
+
+    fn members_outcome(&mut self, id: u64) -> Result<(), MembersError> {
+        self.wait_for(|message| match message {
+            FromRelay::Members { id: of, outcome } if *of == id => Some(outcome.clone()),
+            _ => None,
+        })
+    }
+
+    /// Sends a heartbeat with `config` in force.
+    pub(crate) fn beat(&mut self, config: u64) {
+        self.beats += 1;
+        let record = self.record(config);
+        self.send(ToRelay::Heartbeat(Heartbeat {
+            seq: self.beats,
+            record,
+            directory: 0,
+        }));
+    }
+
+    pub(crate) fn record(&self, config: u64) -> HostRecord {
+        HostRecord {
+            host: self.peer.host.clone(),
+            incarnation: self.incarnation,
+            role: self.peer.role,
+            domain: DomainName::new("d0").expect("a name"),
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9)),
+            config,
+            pools: Vec::new(),
+            leaving: false,
+        }
+    }
+}
+
+/// A change of configuration whose content depends on `accounts`.
+pub(crate) fn manifest(number: u64, accounts: &[&str]) -> ApplyConfig {
+    let accounts: Vec<_> = accounts
+        .iter()
+        .map(|name| {
+            let hash = KeyHash::of_key(name);
+            format!(r#"{{ "name": "{name}", "key_hashes": ["{hash}"] }}"#)
+        })
+        .collect();
+    let text = format!(
+        r#"{{ "number": {number}, "accounts": [{}] }}"#,
+        accounts.join(", ")
+    );
+    let manifest = Manifest::parse("m.jsonc", &text).unwrap_or_else(|e| panic!("{e}"));
+    let body = manifest.to_body();
+    ApplyConfig {
+        number,
+        digest: BodyDigest::of(&body),
+        body,
+    }
+}
--- /dev/null
+++ b/tests/testsuite/control/configuration.rs
@@ -0,0 +1,183 @@
+//! A configuration that was accepted stays, and there is one of each number.
+
+use coltsfootnotch_state::{ConfigReply, Op, Reply};
+use coltsfootnotch_types::prelude::*;
+use coltsfootnotch_wire::{FromRelay, ProposeError};
+use googletest::prelude::*;
+
+use super::client::{Client, manifest};
+use super::group::{Group, free_address, wait_until};
+
+/// An operator applies configuration 1 and is told that it is accepted; the leader is lost, then
+/// another member, each with its data folder kept. The two that run have a majority each time, so
+/// the operator finds configuration 1 confirmed, and 2 is accepted after it. When all are back, each
+/// answers the same.
+#[test]
+fn an_accepted_configuration_survives_the_loss_of_the_leader_and_of_another() {
+    let mut group = Group::started(|_| {});
+    let leader = group.wait_for_leader();
+    let mut operator = group.client(leader, Role::Operator, "op");
+    let accepted = operator.apply(manifest(1, &["bistro"]));
+    assert_that!(
+        accepted,
+        ok(matches_pattern!(ConfigReply::Accepted {
+            number: eq(&1),
+            ..
+        }))
+    );
+
+    group.kill(leader);
+    let next = group.wait_for_leader();
+    let mut operator = group.client(next, Role::Operator, "op");
+    assert_that!(operator.confirmed_number(), ok(eq(&1)));
+
+    group.start(leader);
+    group.kill(next);
+    let third = group.wait_for_leader();
+    let mut operator = group.client(third, Role::Operator, "op");
+    assert_that!(operator.confirmed_number(), ok(eq(&1)));
+    let accepted = operator.apply(manifest(2, &["bistro", "diner"]));
+    assert_that!(
+        accepted,
+        ok(matches_pattern!(ConfigReply::Accepted {
+            number: eq(&2),
+            ..
+        }))
+    );
+
+    group.start(next);
+    group.wait_for_leader();
+    for at in 0..3 {
+        let mut operator = group.client(at, Role::Operator, "op");
+        assert_that!(operator.confirmed_number(), ok(eq(&2)), "member {at}");
+    }
+}
+
+/// Two operators apply number 1 with different content through different members at the same time.
+/// The log puts one before the other: that one is accepted, and the other is told the digest of what
+/// was accepted, so it can see that it lost the race and to what.
+#[test]
+fn of_two_operators_with_one_number_exactly_one_wins() {
+    let group = Group::started(|_| {});
+    let reqs = [manifest(1, &["bistro"]), manifest(1, &["diner"])];
+    let mut first = group.client(0, Role::Operator, "op-1");
+    let mut second = group.client(1, Role::Operator, "op-2");
+
+    let first_id = first.begin_propose(&Op::ApplyConfig(reqs[0].clone()));
+    let second_id = second.begin_propose(&Op::ApplyConfig(reqs[1].clone()));
+    let replies = [first.end_propose(first_id), second.end_propose(second_id)];
+
+    let replies = replies.map(|reply| match reply {
+        Ok(Reply::Config(reply)) => reply,
+        other => panic!("an unexpected reply: {other:?}"),
+    });
+    let accepted = |reply: &ConfigReply| matches!(reply, ConfigReply::Accepted { .. });
+    let winner = replies.iter().position(accepted).expect("one is accepted");
+    let (number, digest) = (1, reqs[winner].digest);
+    assert_that!(
+        replies[winner],
+        eq(&ConfigReply::Accepted { number, digest })
+    );
+    assert_that!(
+        replies[1 - winner],
+        eq(&ConfigReply::Conflict {
+            number,
+            accepted: digest
+        })
+    );
+}
+
+/// An operator loses the answer to its change and sends it again, also through another member and
+/// after a later change. Every resend gets the answer of the first; a lower number that was never
+/// accepted is refused.
+#[test]
+fn a_change_that_is_sent_again_gets_the_same_answer() {
+    let group = Group::started(|_| {});
+    let req = manifest(2, &["bistro"]);
+    let mut operator = group.client(0, Role::Operator, "op");
+    let first = operator.apply(req.clone());
+    assert_that!(
+        first,
+        ok(matches_pattern!(ConfigReply::Accepted {
+            number: eq(&2),
+            ..
+        }))
+    );
+
+    for at in 0..3 {
+        let mut operator = group.client(at, Role::Operator, "op");
+        assert_that!(operator.apply(req.clone()), eq(&first), "member {at}");
+    }
+    let later = operator.apply(manifest(3, &["diner"]));
+    assert_that!(later, ok(matches_pattern!(ConfigReply::Accepted { .. })));
+    assert_that!(operator.apply(req), eq(&first));
+    let lower = operator.apply(manifest(1, &["bistro"]));
+    assert_that!(lower, ok(eq(&ConfigReply::Stale { accepted: 3 })));
+}
+
+/// A member is cut off while the others accept configuration 2. A host without a state connects to
+/// it and must not be put on configuration 1, which the member still has: the member can't confirm
+/// it, so it says that it has no quorum, and sends nothing. A host that has 2 in force keeps it.
+#[test]
+fn a_member_that_is_cut_off_confirms_no_configuration() {
+    let mut group = Group::started(|_| {});
+    let mut operator = group.client(0, Role::Operator, "op");
+    operator.apply(manifest(1, &["bistro"])).expect("accepted");
+    let applied = |operator: &mut Client| operator.status()["configuration"]["number"].as_u64();
+    let mut of_third = group.client(2, Role::Operator, "op");
+    wait_until("the third member has applied 1", || {
+        applied(&mut of_third) == Some(1)
+    });
+
+    group.kill(2);
+    let mut operator = group.client(group.wait_for_leader(), Role::Operator, "op");
+    operator.apply(manifest(2, &["diner"])).expect("accepted");
+    let mut cut_off = group.config(2);
+    cut_off.listen = free_address();
+    for member in &mut cut_off.members {
+        member.address = free_address();
+    }
+    group.members[2].address = cut_off.listen;
+    group.start_with(2, cut_off);
+
+    let mut entry = group.client(2, Role::Entry, "e1");
+    entry.beat(0);
+    assert_that!(entry.confirmed(), err(eq(&ProposeError::NoQuorum)));
+    entry.beat(0);
+    let refused = entry.propose(&Op::Batch(Vec::new()));
+    assert_that!(refused, err(eq(&ProposeError::NoQuorum)));
+    let was_sent_one = entry.seen.iter().any(|m| matches!(m, FromRelay::Config(_)));
+    assert_that!(was_sent_one, eq(false));
+}
+
+/// A host reports a lower configuration than is in force, or none, and is sent the newest; it is
+/// sent the next one when that is accepted, without asking.
+#[test]
+fn a_host_that_is_behind_is_sent_the_configuration() {
+    let group = Group::started(|_| {});
+    let mut operator = group.client(0, Role::Operator, "op");
+    operator.apply(manifest(1, &["bistro"])).expect("accepted");
+
+    let mut entry = group.client(1, Role::Entry, "e1");
+    entry.beat(0);
+    let config = |message: &FromRelay| match message {
+        FromRelay::Config(config) => Some(config.number),
+        _ => None,
+    };
+    assert_that!(entry.wait_for(config), eq(1));
+    entry.beat(1);
+    operator.apply(manifest(2, &["diner"])).expect("accepted");
+    assert_that!(entry.wait_for(config), eq(2));
+}
+
+/// A manifest that is none, or bears another number than the request, is refused by every member,
+/// since each host would refuse it after it was accepted.
+#[test]
+fn a_body_that_is_no_manifest_is_refused_before_it_is_proposed() {
+    let group = Group::started(|_| {});
+    let mut operator = group.client(0, Role::Operator, "op");
+    let mut req = manifest(1, &["bistro"]);
+    req.number = 2;
+    assert_that!(operator.apply(req), err(eq(&ProposeError::BadCommand)));
+    assert_that!(operator.confirmed_number(), ok(eq(&0)));
+}
--- /dev/null
+++ b/tests/testsuite/control/members.rs
@@ -0,0 +1,130 @@
+//! Members that come, go and are replaced, and what their data folders lose.
+
+use std::fs;
+
+use coltsfootnotch::daemon::control::{self, ControlError};
+use coltsfootnotch_state::ConfigReply;
+use coltsfootnotch_types::prelude::*;
+use coltsfootnotch_wire::MembersError;
+use googletest::prelude::*;
+
+use super::client::manifest;
+use super::group::{Group, host, wait_until};
+
+/// The disk of a member is lost and the host comes back empty. It is a new member, not the old one:
+/// it counts for nothing until an operator admits it. Then a second host is lost, right after the
+/// repair: the repaired member has everything, so nothing that was accepted is lost.
+#[test]
+fn a_member_whose_disk_was_lost_is_replaced_and_then_another_is_lost() {
+    let mut group = Group::started(|_| {});
+    let mut operator = group.client(0, Role::Operator, "op");
+    operator.apply(manifest(1, &["bistro"])).expect("accepted");
+
+    group.kill(2);
+    fs::remove_dir_all(group.data(2)).expect("the folder goes");
+    group.start(2);
+    let leader = group.wait_for_leader_but(2);
+    let mut operator = group.client(leader, Role::Operator, "op");
+    let c3 = host("c3");
+    wait_until("the newcomer is connected", || {
+        operator.admit(&c3, Some(&c3)) != Err(MembersError::NotConnected { host: c3.clone() })
+    });
+    wait_until("the old member is gone", || {
+        let group = &operator.status()["group"];
+        group["voters"].as_array().map(Vec::len) == Some(3)
+            && group["learners"].as_array().map(Vec::len) == Some(0)
+    });
+
+    group.kill(leader);
+    let next = group.wait_for_leader();
+    let mut operator = group.client(next, Role::Operator, "op");
+    assert_that!(operator.confirmed_number(), ok(eq(&1)));
+    let accepted = operator.apply(manifest(2, &["diner"]));
+    assert_that!(accepted, ok(matches_pattern!(ConfigReply::Accepted { .. })));
+}
+
+/// Two members lose their disks and come back empty. The third remembers, but can't form a majority
+/// with members that it does not know. Nothing is founded anew: configuration 1 is never replaced by
+/// an empty state, and changes are refused.
+#[test]
+fn members_that_lost_their_disks_found_no_second_group() {
+    let mut group = Group::started(|_| {});
+    let mut operator = group.client(0, Role::Operator, "op");
+    operator.apply(manifest(1, &["bistro"])).expect("accepted");
+    for at in [0, 1] {
+        group.kill(at);
+        fs::remove_dir_all(group.data(at)).expect("the folder goes");
+    }
+    group.start(0);
+    group.start(1);
+    let mut operator = group.client(0, Role::Operator, "op");
+    for _ in 0..2 {
+        assert_that!(operator.apply(manifest(2, &["diner"])), err(anything()));
+    }
+    let status = operator.status();
+    assert_that!(status["group"]["last"].as_u64(), some(eq(0)));
+}
+
+/// A graceful stop of the leader hands the leadership over first, so a change sent to another member
+/// at that moment is accepted.
+#[test]
+fn a_planned_stop_of_the_leader_hands_over() {
+    let mut group = Group::started(|_| {});
+    let leader = group.wait_for_leader();
+    let other = (leader + 1) % 3;
+    let mut operator = group.client(other, Role::Operator, "op");
+    group.stop(leader);
+    let accepted = operator.apply(manifest(1, &["bistro"]));
+    assert_that!(accepted, ok(matches_pattern!(ConfigReply::Accepted { .. })));
+}
+
+/// After 500 changes a member restarts. It replays only the entries since its last snapshot, and its
+/// folder holds the snapshot and those, not the 500.
+#[test]
+fn a_restart_after_500_changes_replays_what_follows_the_snapshot() {
+    const SNAPSHOT_ENTRIES: u64 = 100;
+    let mut group = Group::started(|cfg| cfg.core.snapshot_entries = SNAPSHOT_ENTRIES);
+    let mut operator = group.client(0, Role::Operator, "op");
+    for number in 1..=500 {
+        let accepted = operator.apply(manifest(number, &["bistro"]));
+        assert_that!(accepted, ok(matches_pattern!(ConfigReply::Accepted { .. })));
+    }
+    group.stop(0);
+    group.start(0);
+    group.wait_for_leader();
+    let mut operator = group.client(0, Role::Operator, "op");
+    assert_that!(operator.confirmed_number(), ok(eq(&500)));
+    let status = operator.status();
+    let replayed = status["group"]["commands_since_start"].as_u64();
+    assert_that!(replayed, some(le(2 * SNAPSHOT_ENTRIES)));
+    let held = status["group"]["last"].as_u64().expect("a number")
+        - status["group"]["snapshot"].as_u64().expect("a number");
+    assert_that!(held, le(2 * SNAPSHOT_ENTRIES));
+}
+
+/// A bit of the log that was synced has flipped. The member does not start: it would come back with
+/// less than it acknowledged.
+#[test]
+fn a_member_with_a_corrupt_log_does_not_start() {
+    let mut group = Group::started(|_| {});
+    let mut operator = group.client(0, Role::Operator, "op");
+    for number in 1..=5 {
+        operator
+            .apply(manifest(number, &["bistro"]))
+            .expect("accepted");
+    }
+    group.kill(0);
+    let segments = fs::read_dir(group.data(0).join("log")).expect("a folder");
+    let names = segments.map(|entry| entry.expect("an entry").path());
+    let segment = names
+        .filter(|path| path.extension().is_some_and(|ext| ext == "seg"))
+        .max_by_key(|path| fs::metadata(path).map_or(0, |meta| meta.len()))
+        .expect("a segment");
+    let mut bytes = fs::read(&segment).expect("bytes");
+    let middle = bytes.len() / 2;
+    bytes[middle] ^= 1;
+    fs::write(&segment, bytes).expect("written");
+
+    let refused = control::start(group.cx(0), group.config(0)).map(|_| ());
+    assert_that!(refused, err(predicate(ControlError::is_corrupt)));
+}
