Decide admission, windows, routes, retries and crashing requests without a network

Cause: callers need a bounded queue each, early refusals with an honest time to come back, and engines whose slots are neither idle nor overfull; one crashing request must not take the fleet down. Conclusion: limits are found, and an estimate before any history has to be low.

--- a/crates/decide/src/estimate/estimator.rs
+++ b/crates/decide/src/estimate/estimator.rs
@@ -8,9 +8,10 @@
 /// eight requests, while one request of a hundred times the usual cost moves the mean only twelvefold.
 const NEWEST_SHARE: f64 = 1.0 / 8.0;
 
-/// Estimate before anything was learned: a short question and its answer, in units. Too low, the
-/// rest is charged as tokens stream; too high, the first settlement gives it back.
-const FIRST_ESTIMATE: f64 = 1_000.0;
+/// Estimate before anything was learned, in units: less than nearly any request costs. Too low, the
+/// rest is charged as tokens stream. Too high does harm: an account that returns is lifted to a place
+/// that falls again when the excess is given back, and it waits for what nobody received.
+const FIRST_ESTIMATE: f64 = 100.0;
 
 /// How far a hint may move an estimate from the account's mean, either way. Hints are rough and
 /// written by the caller: a hint of one token must not buy a run nearly for free.
--- /dev/null
+++ b/crates/decide/tests/common/fleet.rs
@@ -0,0 +1,320 @@
+//! Sidecars that choose, charge and tell a relay, one step of virtual time after another.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use coltsfootnotch_decide::prelude::*;
+use coltsfootnotch_types::prelude::*;
+use rand::Rng;
+
+use super::report::Row;
+
+/// One step of virtual time; a slot of normal speed yields `TOKENS` in it.
+pub(crate) const STEP: Duration = Duration::from_millis(100);
+const TOKENS: u64 = 5;
+const RELAY_EVERY: u32 = 2;
+
+/// What one account sends.
+pub(crate) struct Source {
+    pub(crate) account: AccountName,
+    pub(crate) weight: Weight,
+    /// Requests that wait at any time while it floods; the rest of its load is random.
+    pub(crate) flood: usize,
+    /// Requests a second on average.
+    pub(crate) rate: f64,
+    /// Least and greatest cost of a request.
+    pub(crate) cost: (u64, u64),
+    pub(crate) active: bool,
+    /// Sidecars that its entries can reach; `None` for all.
+    pub(crate) reaches: Option<Vec<usize>>,
+    pub(crate) waiting: VecDeque<Waits>,
+    pub(crate) row: Row,
+}
+
+#[derive(Clone, Copy)]
+pub(crate) struct Waits {
+    arrived: Duration,
+    cost: u64,
+}
+
+impl Source {
+    pub(crate) fn new(name: &str) -> Self {
+        Self {
+            account: AccountName::new(name).expect("a valid name"),
+            weight: Weight::DEFAULT,
+            flood: 0,
+            rate: 0.0,
+            cost: (100, 100),
+            active: true,
+            reaches: None,
+            waiting: VecDeque::new(),
+            row: Row::new(name),
+        }
+    }
+
+    fn reaches(&self, sidecar: usize) -> bool {
+        self.reaches.as_ref().is_none_or(|r| r.contains(&sidecar))
+    }
+}
+
+struct Run {
+    source: usize,
+    charge: RunCharge,
+    left: u64,
+}
+
+pub(crate) struct Sidecar {
+    host: HostName,
+    ledger: FairLedger,
+    runs: Vec<Run>,
+    seen: Cursor,
+    pub(crate) linked: bool,
+    pub(crate) slots: usize,
+    /// Tokens a step.
+    pub(crate) speed: u64,
+}
+
+#[derive(Clone, Copy)]
+pub(crate) struct FleetOptions {
+    pub(crate) policy: ChoicePolicy,
+    pub(crate) sidecars: usize,
+    pub(crate) slots: usize,
+    /// The largest request, for the bound.
+    pub(crate) largest: u64,
+}
+
+pub(crate) struct Fleet {
+    pub(crate) now: Duration,
+    pub(crate) sources: Vec<Source>,
+    pub(crate) sidecars: Vec<Sidecar>,
+    pub(crate) meter: FairnessMeter,
+    pub(crate) bound: FairnessBound,
+    options: FleetOptions,
+    relay: ServiceCounters,
+    pool: PoolName,
+    steps: u32,
+    incarnations: u64,
+    busy: u64,
+    offered: u64,
+}
+
+impl Fleet {
+    pub(crate) fn new(options: FleetOptions, sources: Vec<Source>) -> Self {
+        let bound = FairnessBound {
+            largest: ServiceUnits(options.largest),
+            slots: (options.sidecars * options.slots) as u32,
+            slot_rate: ServiceUnits(TOKENS * 10),
+            age: STEP * (2 * RELAY_EVERY + 1),
+        };
+        let relay = Origin::new(
+            HostName::new("relay").expect("a valid name"),
+            Incarnation(0),
+        );
+        let mut fleet = Self {
+            now: Duration::ZERO,
+            sources,
+            sidecars: Vec::new(),
+            meter: FairnessMeter::new(),
+            bound,
+            options,
+            relay: ServiceCounters::new(relay),
+            pool: PoolName::new("pool").expect("a valid name"),
+            steps: 0,
+            incarnations: 0,
+            busy: 0,
+            offered: 0,
+        };
+        for i in 0..options.sidecars {
+            let sidecar = fleet.new_sidecar(&format!("sidecar-{i}"));
+            fleet.sidecars.push(sidecar);
+        }
+        fleet
+    }
+
+    fn new_sidecar(&mut self, host: &str) -> Sidecar {
+        self.incarnations += 1;
+        let host = HostName::new(host).expect("a valid name");
+        let own = Origin::new(host.clone(), Incarnation(self.incarnations));
+        let horizon = self.bound.horizon();
+        let mut ledger = FairLedger::new(own, self.options.policy, horizon);
+        for source in &self.sources {
+            ledger.set_weight(&source.account, source.weight);
+        }
+        Sidecar {
+            host,
+            ledger,
+            runs: Vec::new(),
+            seen: Cursor::default(),
+            linked: true,
+            slots: self.options.slots,
+            speed: TOKENS,
+        }
+    }
+
+    /// Loses a sidecar's process and its runs, whose requests go back to the head of their queues.
+    pub(crate) fn restart(&mut self, i: usize) {
+        let host = self.sidecars[i].host.as_str().to_owned();
+        let fresh = self.new_sidecar(&host);
+        let old = std::mem::replace(&mut self.sidecars[i], fresh);
+        for run in old.runs {
+            let again = Waits {
+                arrived: self.now,
+                cost: run.left.max(1),
+            };
+            self.sources[run.source].waiting.push_front(again);
+        }
+    }
+
+    /// Sets the meter to assert the bound from here on.
+    pub(crate) fn assert_bound(&mut self) {
+        self.meter = FairnessMeter::asserting(self.bound);
+        self.offered = 0;
+        self.busy = 0;
+    }
+
+    pub(crate) fn run(&mut self, time: Duration, rng: &mut impl Rng) {
+        let end = self.now + time;
+        while self.now < end {
+            self.step(rng);
+        }
+    }
+
+    fn step(&mut self, rng: &mut impl Rng) {
+        self.now += STEP;
+        self.steps += 1;
+        self.arrive(rng);
+        self.tell_waiting();
+        let first = rng.random_range(0..self.sidecars.len());
+        for i in 0..self.sidecars.len() {
+            self.fill((first + i) % self.sidecars.len());
+        }
+        for i in 0..self.sidecars.len() {
+            self.stream(i);
+        }
+        if self.steps.is_multiple_of(RELAY_EVERY) {
+            self.relay();
+        }
+    }
+
+    fn arrive(&mut self, rng: &mut impl Rng) {
+        for source in &mut self.sources {
+            let random = rng.random_bool((source.rate * STEP.as_secs_f64()).min(1.0));
+            let lacking = source.flood.saturating_sub(source.waiting.len());
+            let new = if source.active {
+                lacking + usize::from(random)
+            } else {
+                0
+            };
+            for _ in 0..new {
+                let cost = rng.random_range(source.cost.0..=source.cost.1);
+                source.waiting.push_back(Waits {
+                    arrived: self.now,
+                    cost,
+                });
+            }
+            let backlogged = !source.waiting.is_empty();
+            self.meter
+                .set_backlogged(&source.account, source.weight, backlogged);
+        }
+    }
+
+    fn tell_waiting(&mut self) {
+        for (i, sidecar) in self.sidecars.iter_mut().enumerate() {
+            for source in self.sources.iter().filter(|s| s.reaches(i)) {
+                let oldest = source.waiting.front().map(|w| w.arrived);
+                let waiting = Waiting::new(source.waiting.len() as u32, oldest.unwrap_or_default());
+                sidecar
+                    .ledger
+                    .set_waiting(&self.pool, &source.account, waiting, self.now);
+            }
+        }
+    }
+
+    /// Starts the furthest-behind account's oldest request in each free slot.
+    fn fill(&mut self, i: usize) {
+        let any_waits = |s: &Source| s.reaches(i) && !s.waiting.is_empty();
+        while self.sidecars[i].runs.len() < self.sidecars[i].slots {
+            let ranked = self.sidecars[i].ledger.ranked(&self.pool);
+            let source_of = |a: &AccountName| self.sources.iter().position(|s| s.account == *a);
+            let chosen = ranked
+                .filter_map(source_of)
+                .find(|s| any_waits(&self.sources[*s]));
+            let Some(s) = chosen else {
+                assert!(
+                    !self.sources.iter().any(any_waits),
+                    "no slot is idle while work waits"
+                );
+                return;
+            };
+            self.start(i, s);
+        }
+    }
+
+    fn start(&mut self, i: usize, s: usize) {
+        let source = &mut self.sources[s];
+        let req = source.waiting.pop_front().expect("a request waits");
+        source.row.waits.push(self.now - req.arrived);
+        let ledger = &mut self.sidecars[i].ledger;
+        let charge = ledger.start(&source.account, None);
+        let oldest = source.waiting.front().map(|w| w.arrived);
+        let waiting = Waiting::new(source.waiting.len() as u32, oldest.unwrap_or_default());
+        ledger.set_waiting(&self.pool, &source.account, waiting, self.now);
+        self.sidecars[i].runs.push(Run {
+            source: s,
+            charge,
+            left: req.cost,
+        });
+    }
+
+    fn stream(&mut self, i: usize) {
+        let sidecar = &mut self.sidecars[i];
+        self.offered += sidecar.slots as u64;
+        self.busy += sidecar.runs.len() as u64;
+        for mut run in std::mem::take(&mut sidecar.runs) {
+            let units = ServiceUnits(run.left.min(sidecar.speed));
+            run.left -= units.0;
+            sidecar.ledger.stream(&mut run.charge, units);
+            let source = &mut self.sources[run.source];
+            source.row.served += units.0;
+            self.meter.serve(&source.account, source.weight, units);
+            if run.left == 0 {
+                source.row.done += 1;
+                sidecar.ledger.settle(run.charge);
+            } else {
+                sidecar.runs.push(run);
+            }
+        }
+    }
+
+    /// Exchanges deltas and news with the relay, for sidecars whose link is up.
+    fn relay(&mut self) {
+        for sidecar in self.sidecars.iter_mut().filter(|s| s.linked) {
+            let delta = sidecar.ledger.delta_since(sidecar.seen);
+            self.relay.merge(&delta);
+            sidecar.seen = delta.upto;
+        }
+        let pools = std::slice::from_ref(&self.pool);
+        for sidecar in self.sidecars.iter_mut().filter(|s| s.linked) {
+            let own = sidecar.ledger.counters().own().clone();
+            let accounts = self.sources.iter().map(|s| &s.account);
+            sidecar
+                .ledger
+                .learn(&self.relay.news_of(&own, pools, accounts));
+        }
+    }
+
+    /// Largest gap measured, in units at weight 1.
+    pub(crate) fn gap(&self) -> u64 {
+        self.meter.largest().map_or(0, |g| g.size.to_units().0)
+    }
+
+    /// Share of slots in use, in thousandths.
+    pub(crate) fn utilisation(&self) -> u64 {
+        self.busy * 1_000 / self.offered.max(1)
+    }
+
+    pub(crate) fn row(&self, name: &str) -> &Row {
+        let source = self.sources.iter().find(|s| s.row.name == name);
+        &source.expect("the account exists").row
+    }
+}
--- /dev/null
+++ b/crates/decide/tests/crash.rs
@@ -0,0 +1,121 @@
+//! Requests that crash upstreams, and the innocents beside them.
+
+use std::time::Duration;
+
+use coltsfootnotch_decide::crash::{
+    ApartSlot, ContentDigest, CrashWatch, SuspectKey, Verdict, upstreams_lost_at_most,
+};
+use coltsfootnotch_decide::service::{Cursor, Origin};
+use coltsfootnotch_types::{AccountName, HostName, Incarnation, UpstreamName};
+use googletest::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn key(n: u8) -> SuspectKey {
+    let account = AccountName::new("bistro").expect("a valid name");
+    SuspectKey {
+        account,
+        content: ContentDigest([n; 32]),
+    }
+}
+
+fn watch(host: &str) -> CrashWatch {
+    let host = HostName::new(host).expect("a valid name");
+    CrashWatch::new(Origin::new(host, Incarnation(1)))
+}
+
+fn upstream(n: usize) -> UpstreamName {
+    UpstreamName::new(format!("u{n}")).expect("a valid name")
+}
+
+fn exchange(watches: &mut [CrashWatch], now: Duration) {
+    for from in 0..watches.len() {
+        let delta = watches[from].delta_since(Cursor::default(), now);
+        watches.iter_mut().for_each(|w| w.merge(&delta, now));
+    }
+}
+
+#[gtest]
+fn a_crash_with_thirty_in_flight_condemns_one() {
+    // 30 requests are on an engine when request 0 crashes it. All are suspect and run again, each on
+    // an upstream of its own beside other work; request 0 crashes that one too and is refused. All
+    // others go free, and nobody else was ever refused.
+    let mut watch = watch("sidecar");
+    let now = Duration::from_secs(1);
+    watch.on_crash(&upstream(0), (0..30).map(key), now);
+    for n in 0..30 {
+        expect_that!(watch.verdict(&key(n), now), eq(Verdict::Apart));
+    }
+    for n in 10..30 {
+        watch.on_ended_well(&key(n));
+    }
+    watch.on_crash(&upstream(1), [key(0), key(100), key(101)], now);
+    let refused = Verdict::Refused {
+        retry_after: Duration::from_secs(600),
+    };
+    expect_that!(watch.verdict(&key(0), now), eq(refused));
+    for n in (1..30).chain([100, 101]) {
+        expect_that!(watch.verdict(&key(n), now), eq(Verdict::Free));
+    }
+    expect_that!(
+        watch.verdict(&key(0), now + Duration::from_secs(601)),
+        eq(Verdict::Free)
+    );
+}
+
+#[gtest]
+fn an_upstream_runs_one_suspect_at_a_time() {
+    let mut slot = ApartSlot::new();
+    expect_that!(slot.enter(&key(1)), eq(true));
+    expect_that!(slot.enter(&key(2)), eq(false));
+    slot.leave(&key(2));
+    expect_that!(slot.is_free(), eq(false));
+    slot.leave(&key(1));
+    expect_that!(slot.enter(&key(2)), eq(true));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 128,
+        rng_seed: RngSeed::Fixed(4),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// One bad request is resent through every entry, among innocents that share its upstreams, while
+    /// reports spread late. It takes down no more upstreams than the bound, and all hosts agree.
+    #[test]
+    fn a_resent_request_takes_down_a_bounded_number_of_upstreams(
+        copies in 1usize..5,
+        beside in proptest::collection::vec(1u8..60, 0..30),
+        resends in 1usize..40,
+    ) {
+        let bad = key(0);
+        let mut watches: Vec<_> = (0..5).map(|i| watch(&format!("s{i}"))).collect();
+        let mut lost = 0;
+        let mut now = Duration::from_secs(1);
+        for (copy, watch) in watches.iter_mut().enumerate().take(copies) {
+            let part = beside.iter().skip(copy).step_by(copies);
+            let in_flight = part.map(|n| key(*n)).chain([bad.clone()]);
+            watch.on_crash(&upstream(lost), in_flight, now);
+            lost += 1;
+        }
+        exchange(&mut watches, now);
+        for resend in 0..resends {
+            now += Duration::from_secs(5);
+            let host = resend % watches.len();
+            if !matches!(watches[host].verdict(&bad, now), Verdict::Refused { .. }) {
+                let fresh = (0..3u8).map(|n| key(100 + n));
+                watches[host].on_crash(&upstream(lost), fresh.chain([bad.clone()]), now);
+                lost += 1;
+                exchange(&mut watches, now);
+            }
+        }
+        let bound = upstreams_lost_at_most(copies as u32) as usize;
+        prop_assert!(lost <= bound, "{lost} lost, bound {bound}");
+        for n in beside.iter().chain(&[100, 101, 102]) {
+            let verdicts: Vec<_> = watches.iter().map(|w| w.verdict(&key(*n), now)).collect();
+            prop_assert!(verdicts.iter().all(|v| *v == Verdict::Free), "{verdicts:?}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/tests/retry.rs
@@ -0,0 +1,65 @@
+//! Attempts that are made again, and those that are not.
+
+use std::time::Duration;
+
+use coltsfootnotch_decide::retry::{Attempt, NoRetry, RetryBudget, may_retry};
+use coltsfootnotch_types::UpstreamName;
+use googletest::prelude::*;
+
+fn attempt(failed_on: &[UpstreamName]) -> Attempt<'_> {
+    Attempt {
+        repeatable: true,
+        answer_begun: false,
+        failed_on,
+        deadline: None,
+    }
+}
+
+#[gtest]
+fn an_outage_adds_a_tenth_to_the_load() {
+    // 1,000 requests succeed, then every attempt fails. Callers send 1,000 more within a second; the
+    // retries stop after 101 instead of adding 2,000 attempts.
+    let mut budget = RetryBudget::new();
+    let now = Duration::from_secs(1);
+    for _ in 0..1_000 {
+        budget.on_success(now);
+    }
+    let failed_on = [UpstreamName::new("u1").expect("a valid name")];
+    let retry = |_: &i32| may_retry(&attempt(&failed_on), &mut budget, now).is_ok();
+    expect_that!((0..1_000).filter(retry).count(), eq(101));
+}
+
+#[gtest]
+fn what_may_not_be_repeated_or_has_begun_is_never_tried_again() {
+    let mut budget = RetryBudget::new();
+    let now = Duration::from_secs(10);
+    let order = Attempt {
+        repeatable: false,
+        ..attempt(&[])
+    };
+    let begun = Attempt {
+        answer_begun: true,
+        ..attempt(&[])
+    };
+    let late = Attempt {
+        deadline: Some(now),
+        ..attempt(&[])
+    };
+    expect_that!(
+        may_retry(&order, &mut budget, now),
+        err(eq(NoRetry::NotRepeatable))
+    );
+    expect_that!(
+        may_retry(&begun, &mut budget, now),
+        err(eq(NoRetry::AnswerBegun))
+    );
+    expect_that!(
+        may_retry(&late, &mut budget, now),
+        err(eq(NoRetry::DeadlinePassed))
+    );
+    expect_that!(may_retry(&attempt(&[]), &mut budget, now), ok(anything()));
+    expect_that!(
+        may_retry(&attempt(&[]), &mut budget, now),
+        err(eq(NoRetry::BudgetUsed))
+    );
+}
--- /dev/null
+++ b/crates/decide/tests/route.rs
@@ -0,0 +1,170 @@
+//! Where work goes: affinity within bounds, health by degrees, versions at a stated rate.
+
+use std::fmt::Write;
+use std::time::Duration;
+
+use coltsfootnotch_decide::route::{
+    Candidate, HealthEvent, Nearness, PrefixKey, PrefixMap, UpstreamHealth, WaitingRequest,
+    pick_request, place, usable_slots,
+};
+use coltsfootnotch_types::UpstreamName;
+use googletest::prelude::*;
+
+const PREFIX: PrefixKey = PrefixKey(7);
+
+fn upstreams(count: usize) -> Vec<UpstreamName> {
+    let name = |i| UpstreamName::new(format!("u{i}")).expect("a valid name");
+    (0..count).map(name).collect()
+}
+
+fn candidates<'a>(names: &'a [UpstreamName], held: &[u32]) -> Vec<Candidate<'a>> {
+    let of = |(upstream, in_flight): (&'a UpstreamName, &u32)| Candidate {
+        upstream,
+        nearness: Nearness::Domain,
+        usable: 8,
+        in_flight: *in_flight,
+    };
+    names.iter().zip(held).map(of).collect()
+}
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[gtest]
+fn one_popular_prefix_spreads_over_the_upstreams_instead_of_queueing_for_one() {
+    // All requests share one prefix. Its holder is preferred until it is a quarter busier than the
+    // mean, then the next upstream takes it up; no slot is left idle.
+    let names = upstreams(4);
+    let (mut held, mut map) = (vec![0; 4], PrefixMap::new());
+    let mut text = String::new();
+    for _ in 0..32 {
+        let chosen = place(&candidates(&names, &held), Some(PREFIX), &[], &map, at(0));
+        let chosen = chosen.expect("a slot is free");
+        held[chosen] += 1;
+        map.on_held(PREFIX, &names[chosen], at(0));
+        writeln!(text, "{held:?}").expect("writing to a string succeeds");
+    }
+    expect_that!(
+        place(&candidates(&names, &held), Some(PREFIX), &[], &map, at(0)),
+        none()
+    );
+    insta::assert_snapshot!(text);
+}
+
+#[gtest]
+fn without_cache_events_a_prefix_still_goes_to_the_same_upstream() {
+    let names = upstreams(20);
+    let held = vec![0; 20];
+    let choose = |map: &PrefixMap| place(&candidates(&names, &held), Some(PREFIX), &[], map, at(0));
+    expect_that!(choose(&PrefixMap::new()), eq(choose(&PrefixMap::new())));
+    let distinct = (0..100).map(|p| {
+        let map = PrefixMap::new();
+        place(
+            &candidates(&names, &held),
+            Some(PrefixKey(p)),
+            &[],
+            &map,
+            at(0),
+        )
+    });
+    let distinct: std::collections::BTreeSet<_> = distinct.collect();
+    expect_that!(distinct.len(), ge(15));
+}
+
+#[gtest]
+fn a_late_eviction_does_not_undo_a_later_use() {
+    let names = upstreams(1);
+    let mut map = PrefixMap::new();
+    map.on_held(PREFIX, &names[0], at(500));
+    map.on_evicted(PREFIX, &names[0], at(400));
+    expect_that!(map.holds(PREFIX, &names[0], at(600)), eq(true));
+    map.on_evicted(PREFIX, &names[0], at(550));
+    expect_that!(map.holds(PREFIX, &names[0], at(600)), eq(false));
+}
+
+#[gtest]
+fn a_retry_goes_elsewhere_or_nowhere() {
+    let names = upstreams(2);
+    let free = candidates(&names, &[0, 5]);
+    let map = PrefixMap::new();
+    expect_that!(place(&free, None, &names[..1], &map, at(0)), some(eq(1)));
+    expect_that!(place(&free, None, &names, &map, at(0)), none());
+}
+
+#[gtest]
+fn the_oldest_request_is_passed_over_four_times_at_most() {
+    // Younger requests whose prefix the upstream holds keep arriving; the oldest, which has another
+    // prefix, would never start.
+    let names = upstreams(1);
+    let mut map = PrefixMap::new();
+    map.on_held(PREFIX, &names[0], at(0));
+    let req = |prefix, passed| WaitingRequest {
+        prefix: Some(prefix),
+        passed,
+        avoid: &[],
+    };
+    let pick = |passed| {
+        let waiting = [req(PrefixKey(1), passed), req(PREFIX, 0)];
+        pick_request(waiting, &names[0], &map, at(0))
+    };
+    expect_that!(pick(3), some(eq(1)));
+    expect_that!(pick(4), some(eq(0)));
+}
+
+#[gtest]
+fn a_silent_upstream_gets_no_work_after_two_seconds_and_a_leaving_one_at_once() {
+    let mut health = UpstreamHealth::new(at(0));
+    for ms in (0..60_000).step_by(500) {
+        health.on_event(HealthEvent::Alive, at(ms));
+    }
+    let last = 59_500;
+    expect_that!(health.share(at(last + 900)), eq(1.0));
+    expect_that!(health.share(at(last + 1_500)), near(0.5, 0.01));
+    expect_that!(health.share(at(last + 2_000)), eq(0.0));
+    health.on_event(HealthEvent::Leaving, at(last + 100));
+    expect_that!(usable_slots(32, health.share(at(last + 100))), eq(0));
+}
+
+#[gtest]
+fn a_flapping_upstream_gets_its_work_back_more_slowly_each_time() {
+    // It is up for 20 s and away for 5 s, over and over. Each line is its share of 32 slots, by
+    // seconds after it came back.
+    let mut health = UpstreamHealth::new(at(0));
+    let mut text = String::from("after 1 s, 5 s, 10 s, 19 s\n");
+    for flap in 0..6u64 {
+        let back = flap * 25_000;
+        let mut slots = Vec::new();
+        for ms in (0..20_000).step_by(500) {
+            health.on_event(HealthEvent::Alive, at(back + ms));
+            if [1_000, 5_000, 10_000, 19_000].contains(&ms) {
+                slots.push(usable_slots(32, health.share(at(back + ms))));
+            }
+        }
+        writeln!(text, "{slots:?}").expect("writing to a string succeeds");
+    }
+    insta::assert_snapshot!(text);
+}
+
+#[gtest]
+fn a_slow_upstream_loses_work_by_degrees_and_gets_it_back_by_degrees() {
+    let mut health = UpstreamHealth::new(at(0));
+    for ms in (0..20_000).step_by(500) {
+        health.on_event(HealthEvent::Alive, at(ms));
+    }
+    let mut text = String::new();
+    for (ratio, ms) in [(4.0, 20_000), (4.0, 21_000), (1.0, 22_000), (1.0, 23_000)] {
+        for _ in 0..10 {
+            health.on_event(HealthEvent::Alive, at(ms));
+            health.on_event(HealthEvent::Latency(ratio), at(ms));
+        }
+        let share = health.share(at(ms + 100));
+        writeln!(
+            text,
+            "{ratio} times as slow: {} of 32 slots",
+            usable_slots(32, share)
+        )
+        .expect("writing to a string succeeds");
+    }
+    insta::assert_snapshot!(text);
+}
