Add the entry and sidecar roles over late binding

Cause: the cores need processes that carry them. Change: the entry reads, admits, queues and delivers; the sidecar takes announcements, pulls, calls upstreams and keeps pieces for a broken connection; both follow the control group through one relay.

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -10,8 +10,8 @@
 
 pub use entry::{EntryAction, EntryCore, NewRequest, PoolQueue, SidecarView, Waiting};
 pub use sidecar::{
-    PULL_TIMEOUT, PullTable, Reserved, Served, SidecarAction, SidecarCore, UpstreamSlots,
-    UpstreamTable, WaitTable,
+    Dispatched, PULL_TIMEOUT, PullTable, Reserved, Served, SidecarAction, SidecarCore,
+    UpstreamSlots, UpstreamTable, WaitTable,
 };
 
 /// The types that a daemon needs to carry the cores.
--- a/crates/router/src/sidecar/core.rs
+++ b/crates/router/src/sidecar/core.rs
@@ -6,7 +6,7 @@
 use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::{AttemptId, Begin, BeginCause, FromSidecar, NotStartedReason, ToSidecar};
 
-use super::{PULL_TIMEOUT, PullTable, Reserved, Served, UpstreamTable, WaitTable};
+use super::{Dispatched, PULL_TIMEOUT, PullTable, Reserved, Served, UpstreamTable, WaitTable};
 
 /// How many accounts a pull names: the first may have been emptied by another sidecar meanwhile.
 const RANKED_ACCOUNTS: usize = 4;
@@ -34,6 +34,7 @@
     upstream: UpstreamName,
     charged: ServiceUnits,
     estimate: ServiceUnits,
+    first_piece: Option<Duration>,
 }
 
 /// Slots, waiting work and service as one sidecar knows them.
@@ -46,7 +47,8 @@
     served: Served,
     weights: BTreeMap<AccountName, Weight>,
     running: HashMap<AttemptId, Running>,
-    entries: BTreeMap<HostName, BTreeMap<PoolName, u32>>,
+    dispatched: Dispatched,
+    entries: BTreeMap<HostName, Told>,
     leaving: bool,
     actions: Vec<SidecarAction>,
 }
@@ -63,6 +65,7 @@
             served: Served::default(),
             weights: BTreeMap::new(),
             running: HashMap::new(),
+            dispatched: Dispatched::default(),
             entries: BTreeMap::new(),
             leaving: false,
             actions: Vec::new(),
@@ -110,7 +113,7 @@
     /// A connection from an entry came up.
     pub fn entry_up(&mut self, entry: HostName) {
         self.waits.forget(&entry);
-        self.entries.insert(entry, BTreeMap::new());
+        self.entries.insert(entry, Told::default());
     }
 
     /// The connection from an entry is gone: its pulls end, its waiting work is forgotten.
@@ -138,7 +141,7 @@
             ToSidecar::Cancel { attempt } => {
                 self.actions.push(SidecarAction::Cancel { attempt });
             }
-            ToSidecar::Disown { attempt, pull } => self.disown(from, attempt, pull),
+            ToSidecar::Disown { attempt } => self.disown(now, from, attempt),
         }
         self.end_pulls(now, None);
     }
@@ -153,6 +156,7 @@
     pub fn begin(
         &mut self,
         now: Duration,
+        from: &HostName,
         begin: &Begin,
     ) -> Result<UpstreamName, NotStartedReason> {
         if begin.sidecar != self.me {
@@ -161,7 +165,11 @@
         if self.running.contains_key(&begin.attempt) {
             return Err(NotStartedReason::Duplicate);
         }
+        self.count_offer(from, begin);
         let upstream = self.slot_for(now, begin)?;
+        if !begin.repeatable && !self.dispatched.dispatch(begin.attempt) {
+            return Err(NotStartedReason::Duplicate);
+        }
         let slots = self
             .upstreams
             .get_mut(&upstream)
@@ -173,6 +181,7 @@
             upstream: upstream.clone(),
             charged: begin.estimate,
             estimate: begin.estimate,
+            first_piece: None,
         };
         self.running.insert(begin.attempt, running);
         Ok(upstream)
@@ -209,9 +218,31 @@
         ServiceUnits(running.estimate.0.saturating_sub(total.0))
     }
 
+    /// The first piece of an attempt's answer has come.
+    pub fn first_piece(&mut self, now: Duration, attempt: AttemptId) {
+        if let Some(running) = self.running.get_mut(&attempt) {
+            running.first_piece = Some(now);
+        }
+    }
+
+    /// The upstream that runs an attempt.
+    #[must_use]
+    pub fn upstream_of(&self, attempt: AttemptId) -> Option<&UpstreamName> {
+        self.running.get(&attempt).map(|running| &running.upstream)
+    }
+
+    /// Takes in prefixes that an upstream of the pool has cached, to be told to the entries.
+    pub fn learn_cached(&mut self, pool: &PoolName, prefixes: &[u64]) {
+        for told in self.entries.values_mut() {
+            let cached = told.cached.entry(pool.clone()).or_default();
+            cached.extend(prefixes);
+        }
+    }
+
     /// Ends expired reservations and forgets silent upstreams.
     pub fn tick(&mut self, now: Duration) {
         self.end_pulls(now, None);
+        self.dispatched.tick(now);
         self.upstreams.forget_silent(now);
     }
 
@@ -244,6 +275,15 @@
         }
     }
 
+    /// Keeps what an entry believes to be free in step: it takes off one slot with each offer.
+    fn count_offer(&mut self, from: &HostName, begin: &Begin) {
+        let told = self.entries.get_mut(from);
+        let told = told.and_then(|told| told.free.get_mut(&begin.pool));
+        if let (BeginCause::Offer, Some(slots)) = (begin.cause, told) {
+            *slots = slots.saturating_sub(1);
+        }
+    }
+
     fn pull_one(&mut self, now: Duration, pool: &PoolName) -> bool {
         if self.leaving {
             return false;
@@ -332,17 +372,11 @@
         }
     }
 
-    fn disown(&mut self, from: &HostName, attempt: AttemptId, pull: u64) {
-        let reserved = self.pulls.release(pull);
-        if let Some(reserved) = reserved {
-            self.unreserve(&reserved);
-        }
-        let never = self.pulls.disown(pull);
+    fn disown(&mut self, now: Duration, from: &HostName, attempt: AttemptId) {
+        let never = self.dispatched.disown(now, attempt);
         let message = FromSidecar::Disowned { attempt, never };
-        self.actions.push(SidecarAction::Send {
-            to: from.clone(),
-            message,
-        });
+        let to = from.clone();
+        self.actions.push(SidecarAction::Send { to, message });
     }
 
     /// Tells every entry the free slots of each pool, when they have changed between none and some
@@ -363,33 +397,35 @@
             .collect();
         for (entry, told) in &mut self.entries {
             for (pool, slots) in &free {
-                if told
+                let cached = told.cached.remove(pool).unwrap_or_default();
+                let same = told
+                    .free
                     .get(pool)
-                    .is_some_and(|last| last.ilog2_or_zero() == slots.ilog2_or_zero())
-                {
+                    .is_some_and(|last| magnitude(*last) == magnitude(*slots));
+                if same && cached.is_empty() {
                     continue;
                 }
-                told.insert(pool.clone(), *slots);
+                told.free.insert(pool.clone(), *slots);
                 let message = FromSidecar::Free {
                     pool: pool.clone(),
                     slots: *slots,
-                    cached: vec![],
+                    cached,
                 };
-                self.actions.push(SidecarAction::Send {
-                    to: entry.clone(),
-                    message,
-                });
+                let to = entry.clone();
+                self.actions.push(SidecarAction::Send { to, message });
             }
         }
     }
 }
 
-trait Magnitude {
-    fn ilog2_or_zero(self) -> u32;
+/// What one entry has been told, and is to be told next.
+#[derive(Debug, Default)]
+struct Told {
+    free: BTreeMap<PoolName, u32>,
+    cached: BTreeMap<PoolName, Vec<u64>>,
 }
 
-impl Magnitude for u32 {
-    fn ilog2_or_zero(self) -> u32 {
-        u32::BITS - self.leading_zeros()
-    }
+/// Bits of a count: two counts of the same size are told as one.
+fn magnitude(count: u32) -> u32 {
+    u32::BITS - count.leading_zeros()
 }
--- a/crates/router/src/sidecar/pulls.rs
+++ b/crates/router/src/sidecar/pulls.rs
@@ -1,6 +1,6 @@
-//! Slots reserved for pulls, and which pulls were used.
+//! Slots reserved for pulls.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use coltsfootnotch_types::prelude::*;
@@ -11,12 +11,6 @@
 /// its intent; a cut connection frees the slot earlier.
 pub const PULL_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// How many used pulls are remembered, to say whether an attempt was dispatched.
-///
-/// An older pull is answered as if it might have been: the doubt is then settled by the rereading
-/// call or stays in the ledger.
-const USED_REMEMBERED: usize = 65_536;
-
 /// A slot reserved for one pull.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Reserved {
@@ -39,8 +33,6 @@
 pub struct PullTable {
     next: u64,
     reserved: BTreeMap<u64, Reserved>,
-    used: BTreeSet<u64>,
-    used_floor: u64,
 }
 
 impl PullTable {
@@ -58,11 +50,6 @@
         if reserved.until <= now {
             return None;
         }
-        assert!(
-            self.used.insert(pull),
-            "pull {pull} starts a second attempt"
-        );
-        self.forget_oldest();
         Some(reserved)
     }
 
@@ -71,12 +58,6 @@
         self.reserved.remove(&pull)
     }
 
-    /// Ends the reservation and says whether no attempt was, or ever will be, started by it.
-    pub fn disown(&mut self, pull: u64) -> bool {
-        self.reserved.remove(&pull);
-        pull < self.next && pull >= self.used_floor && !self.used.contains(&pull)
-    }
-
     /// Ends the reservations that have expired, or were asked of `gone`.
     pub fn expire(&mut self, now: Duration, gone: Option<&HostName>) -> Vec<(u64, Reserved)> {
         let ended = |reserved: &Reserved| reserved.until <= now || gone == Some(&reserved.entry);
@@ -96,12 +77,4 @@
     pub fn iter(&self) -> impl Iterator<Item = &Reserved> {
         self.reserved.values()
     }
-
-    fn forget_oldest(&mut self) {
-        while self.used.len() > USED_REMEMBERED {
-            if let Some(oldest) = self.used.pop_first() {
-                self.used_floor = oldest + 1;
-            }
-        }
-    }
 }
--- a/crates/wire/src/waits.rs
+++ b/crates/wire/src/waits.rs
@@ -42,8 +42,6 @@
     Disown {
         /// The attempt.
         attempt: AttemptId,
-        /// The pull that the attempt was to answer.
-        pull: u64,
     },
 }
 
--- /dev/null
+++ b/src/coltsfootnotch/daemon/entry/mod.rs
@@ -0,0 +1,23 @@
+//! The entry role: takes requests from callers, queues them, delivers answers.
+//!
+//! A connection's task reads and checks a request and hands it to the actor as an [`Arrival`]. The
+//! actor owns the queues; it starts a task per attempt, which owns the attempt's stream and sends
+//! the pieces of the answer straight to the caller's connection. How an attempt ended goes back to
+//! the actor, which alone decides what follows.
+
+mod actor;
+mod arrival;
+mod attempt;
+mod attempt_end;
+mod bookings;
+mod callers;
+mod chat;
+mod config;
+mod outcomes;
+mod reply_body;
+mod requests;
+mod sidecars;
+
+pub use actor::{EntryHandle, start};
+pub use arrival::{Arrival, BookingKey, ReplyPart};
+pub use config::EntryConfig;
--- a/src/coltsfootnotch/daemon/mod.rs
+++ b/src/coltsfootnotch/daemon/mod.rs
@@ -1,3 +1,10 @@
 //! The daemons: one actor each, and the tasks that own its sockets.
 
 pub mod control;
+pub mod entry;
+mod relay_client;
+pub mod sidecar;
+mod start;
+
+pub use relay_client::{ConfigUpdate, RelayClient, RelayNews};
+pub use start::{ControlAddress, StartError};
--- /dev/null
+++ b/src/coltsfootnotch/daemon/sidecar/actor.rs
@@ -0,0 +1,459 @@
+//! The sidecar's actor: owns the slots, the attempts and the connections.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::mpsc as std_mpsc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use coltsfootnotch_fabric::{AttemptStream, Endpoint, Event, LinkId, LinkTx, PeerId, Traffic};
+use coltsfootnotch_router::SidecarCore;
+use coltsfootnotch_types::prelude::*;
+use coltsfootnotch_wire::announce::Announcement;
+use coltsfootnotch_wire::{AttemptId, Begin, FailReason, HostRecord, Message, ServedPool, Usage};
+use stakker::sync::{Channel, ChannelGuard};
+use stakker::{CX, Stakker, actor, after, call, fwd_to, ret_shutdown, stop};
+use tokio::net::TcpListener;
+use ureq::Agent;
+
+use super::SidecarConfig;
+use super::runner::RunnerControl;
+use super::upstreams::{Announced, Upstreams};
+use super::{announce, upstream_call};
+use crate::core::HostCx;
+use crate::daemon::{RelayClient, RelayNews, StartError};
+use crate::util::http_server::{ServerLimits, serve};
+use crate::util::{event_loop, events};
+
+/// Time between the actor's own rounds: heartbeats, expiry and news of service fall due on them.
+const TICK: Duration = Duration::from_millis(20);
+/// Requests let into an upstream that has just announced itself.
+const FIRST_WINDOW: u32 = 4;
+/// Connections for announcements: a few upstreams on the same host.
+const ANNOUNCE_CONNECTIONS: usize = 64;
+const ANNOUNCE_HEADER_BYTES: usize = 8192;
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// What reaches the actor.
+pub(super) enum SidecarMsg {
+    Fabric(Event),
+    Opened {
+        peer: PeerId,
+        begin: Box<Begin>,
+        stream: AttemptStream,
+    },
+    Announced(Box<Announcement>),
+    FirstPiece {
+        attempt: AttemptId,
+    },
+    Progress {
+        attempt: AttemptId,
+        total: ServiceUnits,
+    },
+    Ended {
+        attempt: AttemptId,
+        usage: Usage,
+        failed: Option<FailReason>,
+    },
+    Forgotten {
+        attempt: AttemptId,
+    },
+    Stop,
+}
+
+/// A running sidecar.
+pub struct SidecarHandle {
+    tx: Channel<SidecarMsg>,
+    thread: JoinHandle<()>,
+    announce: SocketAddr,
+    fleet: SocketAddr,
+    traffic: Arc<Traffic>,
+}
+
+impl SidecarHandle {
+    /// The address for announcements.
+    #[must_use]
+    pub fn announce(&self) -> SocketAddr {
+        self.announce
+    }
+
+    /// The address of its fleet endpoint.
+    #[must_use]
+    pub fn fleet(&self) -> SocketAddr {
+        self.fleet
+    }
+
+    /// Control traffic so far.
+    #[must_use]
+    pub fn traffic(&self) -> Arc<Traffic> {
+        Arc::clone(&self.traffic)
+    }
+
+    /// Starts a graceful shutdown: attempts in progress finish, no new ones are pulled.
+    pub fn stop(&self) {
+        self.tx.send(SidecarMsg::Stop);
+    }
+
+    /// Waits until the daemon has ended.
+    pub fn join(self) {
+        // The thread's panic was already reported by its hook; there is nothing to add.
+        let _ended = self.thread.join();
+    }
+}
+
+/// Starts a sidecar.
+///
+/// # Errors
+/// Returns a [`StartError`] when an address can't be bound or the credentials can't be used.
+pub fn start(cx: HostCx, cfg: SidecarConfig) -> Result<SidecarHandle, StartError> {
+    let (ready_tx, ready_rx) = std_mpsc::channel();
+    let name = format!("sidecar-{}", cx.identity.host);
+    let thread = event_loop::spawn(&name, move |stakker: &mut Stakker| {
+        actor!(
+            stakker,
+            SidecarActor::init(cx, cfg, ready_tx),
+            ret_shutdown!(stakker)
+        )
+    })?;
+    let started = ready_rx.recv().map_err(|_| StartError::Ended)??;
+    let Started {
+        tx,
+        announce,
+        fleet,
+        traffic,
+    } = started;
+    Ok(SidecarHandle {
+        tx,
+        thread,
+        announce,
+        fleet,
+        traffic,
+    })
+}
+
+struct Started {
+    tx: Channel<SidecarMsg>,
+    announce: SocketAddr,
+    fleet: SocketAddr,
+    traffic: Arc<Traffic>,
+}
+
+pub(super) struct SidecarActor {
+    pub(super) cx: HostCx,
+    pub(super) cfg: SidecarConfig,
+    pub(super) core: SidecarCore,
+    pub(super) upstreams: Upstreams,
+    pub(super) attempts: HashMap<AttemptId, RunnerControl>,
+    pub(super) entries: BTreeMap<HostName, (LinkId, LinkTx)>,
+    pub(super) relay: RelayClient,
+    pub(super) service_batch: u64,
+    pub(super) service_sent: Duration,
+    pub(super) agent: Agent,
+    pub(super) tx: Channel<SidecarMsg>,
+    endpoint: Endpoint,
+    fleet: SocketAddr,
+    stop_at: Option<Duration>,
+    _guard: ChannelGuard,
+}
+
+impl SidecarActor {
+    fn init(
+        stakker: CX![],
+        cx: HostCx,
+        cfg: SidecarConfig,
+        started: std_mpsc::Sender<Result<Started, StartError>>,
+    ) -> Option<Self> {
+        let fwd = fwd_to!([stakker], on_msg() as (SidecarMsg));
+        let (tx, guard) = Channel::new(stakker, fwd);
+        match Self::build(cx, cfg, tx, guard) {
+            Ok((actor, ready)) => {
+                call!([stakker], tick());
+                let _starter_waits = started.send(Ok(ready));
+                Some(actor)
+            }
+            Err(e) => {
+                let _starter_waits = started.send(Err(e));
+                stop!(stakker);
+                None
+            }
+        }
+    }
+
+    fn build(
+        cx: HostCx,
+        cfg: SidecarConfig,
+        tx: Channel<SidecarMsg>,
+        guard: ChannelGuard,
+    ) -> Result<(Self, Started), StartError> {
+        let me = cx.identity.incarnation;
+        let handler = fabric_handler(&cx, &tx);
+        let endpoint = Endpoint::bind(&cx.runtime, cfg.fleet, &cfg.credentials, me, handler)?;
+        let fleet = endpoint.address()?;
+        let announce = listen(&cx, &cfg, &tx)?;
+        let ready = Started {
+            tx: tx.clone(),
+            announce,
+            fleet,
+            traffic: endpoint.traffic(),
+        };
+        let actor = Self {
+            core: SidecarCore::new(me),
+            upstreams: Upstreams::default(),
+            attempts: HashMap::new(),
+            entries: BTreeMap::new(),
+            relay: RelayClient::new(cx.clone(), cfg.control.clone()),
+            service_batch: 0,
+            service_sent: Duration::ZERO,
+            agent: upstream_call::agent(),
+            cx,
+            cfg,
+            tx,
+            endpoint,
+            fleet,
+            stop_at: None,
+            _guard: guard,
+        };
+        actor.cx.log(
+            &events::DAEMON_STARTED,
+            &[("announce", &announce), ("fleet", &fleet)],
+        );
+        Ok((actor, ready))
+    }
+
+    fn on_msg(&mut self, stakker: CX![], msg: SidecarMsg) {
+        match msg {
+            SidecarMsg::Fabric(event) => self.on_fabric(event),
+            SidecarMsg::Opened {
+                peer,
+                begin,
+                stream,
+            } => self.on_opened(&peer, *begin, stream),
+            SidecarMsg::Announced(announcement) => self.on_announced(&announcement),
+            SidecarMsg::FirstPiece { attempt } => self.on_first_piece(attempt),
+            SidecarMsg::Progress { attempt, total } => self.core.progress(attempt, total),
+            SidecarMsg::Ended {
+                attempt,
+                usage,
+                failed,
+            } => self.on_ended(attempt, usage, failed),
+            SidecarMsg::Forgotten { attempt } => drop(self.attempts.remove(&attempt)),
+            SidecarMsg::Stop => self.on_stop(),
+        }
+        self.run_actions();
+        self.end_if_drained(stakker);
+    }
+
+    fn tick(&mut self, stakker: CX![]) {
+        let now = self.cx.now();
+        self.core.tick(now);
+        self.forget_silent();
+        let record = self.record(now);
+        self.relay
+            .tick(&self.endpoint, |config| HostRecord { config, ..record });
+        self.report_service(now);
+        self.run_actions();
+        self.end_if_drained(stakker);
+        after!(TICK, [stakker], tick());
+    }
+
+    pub(super) fn record(&self, now: Duration) -> HostRecord {
+        let pools = self.core.upstreams().pools(now);
+        HostRecord {
+            host: self.cx.identity.host.clone(),
+            incarnation: self.cx.identity.incarnation,
+            role: Role::Sidecar,
+            domain: self.cx.identity.domain.clone(),
+            address: self.fleet,
+            config: self.relay.config_number(),
+            pools: pools
+                .into_iter()
+                .map(|(pool, upstreams)| ServedPool { pool, upstreams })
+                .collect(),
+            leaving: self.stop_at.is_some(),
+        }
+    }
+
+    fn on_announced(&mut self, announcement: &Announcement) {
+        let now = self.cx.now();
+        let name = &announcement.name;
+        match self
+            .upstreams
+            .announce(announcement, self.cfg.limits.upstreams)
+        {
+            Announced::TooMany => return,
+            Announced::New => self.cx.log(
+                &events::UPSTREAM_ANNOUNCED,
+                &[
+                    ("upstream", name),
+                    ("pool", &announcement.pool),
+                    ("address", &announcement.address),
+                ],
+            ),
+            Announced::Leaving => self
+                .cx
+                .log(&events::UPSTREAM_LEAVING, &[("upstream", name)]),
+            Announced::Same => {}
+        }
+        let cached = self.upstreams.cached(announcement);
+        self.core.learn_cached(&announcement.pool, &cached);
+        self.core.upstreams_mut().announce(
+            name.clone(),
+            announcement.pool.clone(),
+            now + announcement.ttl,
+            announcement.leaving,
+            FIRST_WINDOW,
+        );
+    }
+
+    fn forget_silent(&mut self) {
+        let listed = self.core.upstreams();
+        for upstream in self.upstreams.retain(|name| listed.get(name).is_some()) {
+            self.cx
+                .log(&events::UPSTREAM_SILENT, &[("upstream", &upstream)]);
+        }
+    }
+
+    fn on_fabric(&mut self, event: Event) {
+        let now = self.cx.now();
+        match event {
+            Event::Up { link, peer, tx, .. } if peer.role == Role::Control => {
+                self.relay.up(link, tx);
+            }
+            Event::Up { link, peer, tx, .. } if peer.role == Role::Entry => {
+                self.entries.insert(peer.host.clone(), (link, tx));
+                self.core.entry_up(peer.host);
+            }
+            Event::Message {
+                link,
+                message: Message::FromRelay(message),
+                ..
+            } => {
+                if let Some(news) = self.relay.on_message(link, message) {
+                    self.on_relay_news(news);
+                }
+            }
+            Event::Message {
+                link,
+                peer,
+                message: Message::ToSidecar(message),
+            } => {
+                if self
+                    .entries
+                    .get(&peer.host)
+                    .is_some_and(|(current, _)| *current == link)
+                {
+                    self.core.on_message(now, &peer.host, message);
+                }
+            }
+            Event::Up { .. } | Event::Message { .. } | Event::Stream { .. } => {}
+            Event::Forbidden { peer } => {
+                self.cx.log(&events::MESSAGE_FORBIDDEN, &[("peer", &peer)]);
+            }
+            Event::Down { link, peer } => {
+                self.cx.log(&events::LINK_DOWN, &[("peer", &peer)]);
+                self.relay.down(link, now);
+                if self
+                    .entries
+                    .get(&peer.host)
+                    .is_some_and(|(current, _)| *current == link)
+                {
+                    self.entries.remove(&peer.host);
+                    self.core.entry_down(now, &peer.host);
+                }
+            }
+        }
+    }
+
+    fn on_relay_news(&mut self, news: RelayNews) {
+        match news {
+            RelayNews::Config(update) => {
+                let accounts = update.0.manifest().accounts.iter();
+                let weights = accounts.map(|account| (account.name.clone(), account.weight));
+                self.core.set_weights(weights.collect());
+            }
+            RelayNews::Totals(totals) => self.core.served_mut().learn_elsewhere(totals),
+            RelayNews::Hosts { .. } | RelayNews::ServiceApplied(_) | RelayNews::Proposed { .. } => {
+            }
+        }
+    }
+
+    fn on_stop(&mut self) {
+        if self.stop_at.is_some() {
+            return;
+        }
+        let now = self.cx.now();
+        self.core.leave();
+        self.stop_at = Some(now + self.cfg.shutdown);
+        self.cx.log(
+            &events::SHUTDOWN_STARTED,
+            &[("in_progress", &self.core.running())],
+        );
+        let record = self.record(now);
+        self.relay
+            .heartbeat(now, |config| HostRecord { config, ..record });
+    }
+
+    /// Ends when the last attempt has, and its entry has all of its answer.
+    fn end_if_drained(&mut self, stakker: CX![]) {
+        let Some(stop_at) = self.stop_at else { return };
+        let late = self.cx.now() >= stop_at;
+        if !self.attempts.is_empty() && !late {
+            return;
+        }
+        if !self.attempts.is_empty() {
+            self.cx.log(
+                &events::SHUTDOWN_FORCED,
+                &[("in_progress", &self.attempts.len())],
+            );
+        }
+        self.cx.log(&events::DAEMON_STOPPED, &[]);
+        self.endpoint.close();
+        stop!(stakker);
+    }
+}
+
+/// Passes events on; what opens a stream is read first, since that takes as long as the peer likes.
+fn fabric_handler(
+    cx: &HostCx,
+    tx: &Channel<SidecarMsg>,
+) -> impl Fn(Event) + Send + Sync + 'static + use<> {
+    let (tx, runtime) = (tx.clone(), cx.runtime.clone());
+    move |event| match event {
+        Event::Stream {
+            peer, mut stream, ..
+        } if peer.role == Role::Entry => {
+            let tx = tx.clone();
+            runtime.spawn(async move {
+                if let Ok(begin) = coltsfootnotch_fabric::read_frame(&mut stream.recv).await {
+                    tx.send(SidecarMsg::Opened {
+                        peer,
+                        begin: Box::new(begin),
+                        stream,
+                    });
+                }
+            });
+        }
+        event => {
+            tx.send(SidecarMsg::Fabric(event));
+        }
+    }
+}
+
+fn listen(
+    cx: &HostCx,
+    cfg: &SidecarConfig,
+    tx: &Channel<SidecarMsg>,
+) -> Result<SocketAddr, StartError> {
+    let listener = cx.runtime.block_on(TcpListener::bind(cfg.announce))?;
+    let address = listener.local_addr()?;
+    let limits = ServerLimits {
+        connections: ANNOUNCE_CONNECTIONS,
+        header_bytes: ANNOUNCE_HEADER_BYTES,
+        read_timeout: ANNOUNCE_TIMEOUT,
+    };
+    let (cx_of_handler, tx) = (cx.clone(), tx.clone());
+    let handler = move |req, from| announce::answer(cx_of_handler.clone(), tx.clone(), req, from);
+    cx.runtime.spawn(serve(listener, limits, handler));
+    Ok(address)
+}
--- /dev/null
+++ b/src/coltsfootnotch/daemon/sidecar/announce.rs
@@ -0,0 +1,69 @@
+//! Announcements of upstreams, over HTTP on the loopback address.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use coltsfootnotch_wire::announce::{Announcement, AnnouncementBody};
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use stakker::sync::Channel;
+
+use super::actor::SidecarMsg;
+use crate::core::HostCx;
+use crate::util::events;
+use crate::util::http_server::{AnyResponse, full, read_body};
+
+const PATH: &str = "/v1/announce";
+/// Largest announcement in bytes: a thousand cache events and what describes the upstream.
+const MAX_BODY: usize = 256 * 1024;
+/// Time for an announcement to come; the upstream is on the same host.
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
+const TEXT: &str = "text/plain; charset=utf-8";
+
+/// Takes in one announcement.
+pub(super) async fn answer(
+    cx: HostCx,
+    tx: Channel<SidecarMsg>,
+    req: Request<Incoming>,
+    from: SocketAddr,
+) -> AnyResponse {
+    if req.uri().path() != PATH {
+        return full(
+            StatusCode::NOT_FOUND,
+            TEXT,
+            "announcements go to /v1/announce\n",
+        );
+    }
+    if req.method() != Method::POST {
+        return full(
+            StatusCode::METHOD_NOT_ALLOWED,
+            TEXT,
+            "announcements are posted\n",
+        );
+    }
+    let body = match read_body(req.into_body(), MAX_BODY, READ_TIMEOUT).await {
+        Ok(body) => body,
+        Err(status) => return full(status, TEXT, "the announcement can't be read\n"),
+    };
+    match parse(&body) {
+        Ok(announcement) => {
+            tx.send(SidecarMsg::Announced(Box::new(announcement)));
+            full(StatusCode::NO_CONTENT, TEXT, "")
+        }
+        Err(cause) => {
+            cx.log(
+                &events::ANNOUNCEMENT_REFUSED,
+                &[("from", &from), ("cause", &cause)],
+            );
+            full(StatusCode::BAD_REQUEST, TEXT, format!("{cause}\n"))
+        }
+    }
+}
+
+fn parse(body: &[u8]) -> Result<Announcement, String> {
+    let body: AnnouncementBody = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+    Announcement::try_from(body).map_err(|e| match std::error::Error::source(&e) {
+        Some(cause) => format!("{e}: {cause}"),
+        None => e.to_string(),
+    })
+}
--- /dev/null
+++ b/src/coltsfootnotch/daemon/sidecar/config.rs
@@ -0,0 +1,25 @@
+//! What a sidecar is started with.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use coltsfootnotch_fabric::Credentials;
+use coltsfootnotch_manifest::Limits;
+
+use crate::daemon::ControlAddress;
+
+/// What a sidecar is started with.
+pub struct SidecarConfig {
+    /// Address of its fleet endpoint (UDP).
+    pub fleet: SocketAddr,
+    /// Loopback address for announcements.
+    pub announce: SocketAddr,
+    /// The control hosts.
+    pub control: Vec<ControlAddress>,
+    /// Its certificate and key.
+    pub credentials: Credentials,
+    /// Bounds on what others can make it hold.
+    pub limits: Limits,
+    /// Time for requests in progress at a graceful shutdown.
+    pub shutdown: Duration,
+}
--- a/src/coltsfootnotch/util/event_loop.rs
+++ b/src/coltsfootnotch/util/event_loop.rs
@@ -15,25 +15,27 @@
 
 /// Runs a `Stakker` on a thread of its own until an actor shuts it down.
 ///
+/// What `init` returns is kept until then: an actor ends when its owner is dropped.
+///
 /// # Errors
 /// Returns an error when no thread can be started.
-pub fn spawn(
+pub fn spawn<T>(
     name: &str,
-    init: impl FnOnce(&mut Stakker) + Send + 'static,
+    init: impl FnOnce(&mut Stakker) -> T + Send + 'static,
 ) -> io::Result<JoinHandle<()>> {
     thread::Builder::new()
         .name(name.to_owned())
         .spawn(move || run(init))
 }
 
-fn run(init: impl FnOnce(&mut Stakker)) {
+fn run<T>(init: impl FnOnce(&mut Stakker) -> T) {
     let mut stakker = Stakker::new(Instant::now());
     let (wake, woken) = mpsc::sync_channel(1);
     stakker.set_poll_waker(move || {
         // A full channel already holds a wake-up.
         let _ = wake.try_send(());
     });
-    init(&mut stakker);
+    let kept = init(&mut stakker);
     let mut idle_pending = stakker.run(Instant::now(), false);
     while stakker.not_shutdown() {
         let sleep = stakker.next_wait_max(Instant::now(), MAX_SLEEP, idle_pending);
@@ -43,4 +45,5 @@
         }
         idle_pending = stakker.run(Instant::now(), !activity);
     }
+    drop(kept);
 }
