--- a/src/coltsfootnotch/daemon/entry/actor.rs
+++ b/src/coltsfootnotch/daemon/entry/actor.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::mpsc as std_mpsc;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -26,7 +25,7 @@
 use super::sidecars::Sidecars;
 use super::{Arrival, EntryConfig, ReplyPart};
 use crate::core::{HostCx, Refusal, RefusalKind};
-use crate::daemon::{RelayClient, RelayNews, StartError};
+use crate::daemon::{RelayClient, RelayNews, StartError, Starter};
 use crate::util::http_server::{ServerLimits, serve};
 use crate::util::{event_loop, events};
 
@@ -98,17 +97,16 @@
 /// # Errors
 /// Returns a [`StartError`] when an address can't be bound or the credentials can't be used.
 pub fn start(cx: HostCx, cfg: EntryConfig) -> Result<EntryHandle, StartError> {
-    let (ready_tx, ready_rx) = std_mpsc::channel();
+    let (starter, outcome) = Starter::new();
     let name = format!("entry-{}", cx.identity.host);
     let thread = event_loop::spawn(&name, move |stakker: &mut Stakker| {
-        let started = ready_tx.clone();
         actor!(
             stakker,
-            EntryActor::init(cx, cfg, started),
+            EntryActor::init(cx, cfg, starter),
             ret_shutdown!(stakker)
         )
     })?;
-    let started = ready_rx.recv().map_err(|_| StartError::Ended)??;
+    let started = outcome.recv().map_err(|_| StartError::Ended)??;
     Ok(EntryHandle {
         tx: started.tx,
         thread,
@@ -151,18 +149,18 @@
         stakker: CX![],
         cx: HostCx,
         cfg: EntryConfig,
-        started: std_mpsc::Sender<Result<Started, StartError>>,
+        starter: Starter<Started>,
     ) -> Option<Self> {
         let fwd = fwd_to!([stakker], on_msg() as (EntryMsg));
         let (tx, guard) = Channel::new(stakker, fwd);
         match Self::build(cx, cfg, tx, guard) {
             Ok((actor, ready)) => {
                 call!([stakker], tick());
-                let _starter_waits = started.send(Ok(ready));
+                starter.tell(Ok(ready));
                 Some(actor)
             }
             Err(e) => {
-                let _starter_waits = started.send(Err(e));
+                starter.tell(Err(e));
                 stop!(stakker);
                 None
             }
--- a/src/coltsfootnotch/daemon/mod.rs
+++ b/src/coltsfootnotch/daemon/mod.rs
@@ -7,4 +7,4 @@
 mod start;
 
 pub use relay_client::{ConfigUpdate, RelayClient, RelayNews};
-pub use start::{ControlAddress, StartError};
+pub use start::{ControlAddress, StartError, Starter};
--- a/src/coltsfootnotch/daemon/sidecar/actor.rs
+++ b/src/coltsfootnotch/daemon/sidecar/actor.rs
@@ -3,7 +3,6 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::mpsc as std_mpsc;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -22,7 +21,7 @@
 use super::upstreams::{Announced, Upstreams};
 use super::{announce, upstream_call};
 use crate::core::HostCx;
-use crate::daemon::{RelayClient, RelayNews, StartError};
+use crate::daemon::{RelayClient, RelayNews, StartError, Starter};
 use crate::util::http_server::{ServerLimits, serve};
 use crate::util::{event_loop, events};
 
@@ -107,16 +106,16 @@
 /// # Errors
 /// Returns a [`StartError`] when an address can't be bound or the credentials can't be used.
 pub fn start(cx: HostCx, cfg: SidecarConfig) -> Result<SidecarHandle, StartError> {
-    let (ready_tx, ready_rx) = std_mpsc::channel();
+    let (starter, outcome) = Starter::new();
     let name = format!("sidecar-{}", cx.identity.host);
     let thread = event_loop::spawn(&name, move |stakker: &mut Stakker| {
         actor!(
             stakker,
-            SidecarActor::init(cx, cfg, ready_tx),
+            SidecarActor::init(cx, cfg, starter),
             ret_shutdown!(stakker)
         )
     })?;
-    let started = ready_rx.recv().map_err(|_| StartError::Ended)??;
+    let started = outcome.recv().map_err(|_| StartError::Ended)??;
     let Started {
         tx,
         announce,
@@ -162,18 +161,18 @@
         stakker: CX![],
         cx: HostCx,
         cfg: SidecarConfig,
-        started: std_mpsc::Sender<Result<Started, StartError>>,
+        starter: Starter<Started>,
     ) -> Option<Self> {
         let fwd = fwd_to!([stakker], on_msg() as (SidecarMsg));
         let (tx, guard) = Channel::new(stakker, fwd);
         match Self::build(cx, cfg, tx, guard) {
             Ok((actor, ready)) => {
                 call!([stakker], tick());
-                let _starter_waits = started.send(Ok(ready));
+                starter.tell(Ok(ready));
                 Some(actor)
             }
             Err(e) => {
-                let _starter_waits = started.send(Err(e));
+                starter.tell(Err(e));
                 stop!(stakker);
                 None
             }
--- a/src/coltsfootnotch/daemon/start.rs
+++ b/src/coltsfootnotch/daemon/start.rs
@@ -1,6 +1,7 @@
 //! What starting any daemon needs and can fail with.
 
 use std::net::SocketAddr;
+use std::sync::mpsc;
 
 use coltsfootnotch_fabric::{CredentialsError, EndpointError};
 use coltsfootnotch_manifest::ControlHost;
@@ -45,3 +46,22 @@
     #[from(skip)]
     Ended,
 }
+
+/// Tells whoever starts a daemon, once, that it runs or why it can't.
+#[derive(Debug)]
+pub struct Starter<T>(mpsc::Sender<Result<T, StartError>>);
+
+impl<T> Starter<T> {
+    /// A starter and where its word arrives.
+    #[must_use]
+    pub fn new() -> (Self, mpsc::Receiver<Result<T, StartError>>) {
+        let (tx, rx) = mpsc::channel();
+        (Self(tx), rx)
+    }
+
+    /// Says how the start went.
+    pub fn tell(self, outcome: Result<T, StartError>) {
+        // Whoever starts a daemon waits for this word; if it has gone, nobody asks.
+        let _waiting = self.0.send(outcome);
+    }
+}
