Keep places in the fair queue on the host and tell only used service

Cause: shared offsets and published estimates needed a protocol of their own, and an estimate of a host that is lost was never taken back. The sums that relays keep hold plain totals that only grow. Change: a ledger tells the units its runs used and learns totals of all others; estimates, lifts and drawing together stay on the host. A restarted host takes all accounts as level.

--- a/crates/decide/src/crash/delta.rs
+++ b/crates/decide/src/crash/delta.rs
@@ -4,8 +4,7 @@
 
 use coltsfootnotch_types::UpstreamName;
 
-use super::{CrashId, SuspectKey};
-use crate::service::Cursor;
+use super::{CrashId, Cursor, SuspectKey};
 
 /// One crash and what was in flight.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/decide/src/crash/key.rs
+++ b/crates/decide/src/crash/key.rs
@@ -3,7 +3,7 @@
 use coltsfootnotch_types::AccountName;
 use derive_more::Display;
 
-use crate::service::Origin;
+use super::Origin;
 
 /// Digest of a request's method, path and body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -27,3 +27,10 @@
     /// The how-manieth crash it noticed.
     pub number: u64,
 }
+
+/// How far a receiver has followed what a watch has learned.
+///
+/// It advances only when the receiver has acknowledged the delta, so a lost delta is sent again as
+/// part of the next one.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Cursor(pub u64);
--- a/crates/decide/src/crash/mod.rs
+++ b/crates/decide/src/crash/mod.rs
@@ -24,11 +24,13 @@
 mod apart;
 mod delta;
 mod key;
+mod origin;
 mod verdict;
 mod watch;
 
 pub use apart::ApartSlot;
 pub use delta::{Clearance, CrashDelta, CrashReport};
-pub use key::{ContentDigest, CrashId, SuspectKey};
+pub use key::{ContentDigest, CrashId, Cursor, SuspectKey};
+pub use origin::Origin;
 pub use verdict::{Verdict, upstreams_lost_at_most};
 pub use watch::CrashWatch;
--- a/crates/decide/src/service/origin.rs
+++ b/crates/decide/src/crash/origin.rs
@@ -1,16 +1,16 @@
-//! The one writer of a set of service tallies.
+//! Who notices crashes.
 
 use coltsfootnotch_types::{HostName, Incarnation};
 use derive_more::Display;
 
-/// One run of one host, the only writer of its tallies.
+/// One run of one host, which numbers the crashes that it notices.
 ///
 /// A host that restarts with no state counts from zero under a new incarnation. Were the host alone
-/// the key, its fresh zeros would erase the service it gave before.
+/// the key, its next crash would be taken for one that is already known.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
 #[display("{host}/{incarnation}")]
 pub struct Origin {
-    /// The host that gave the service.
+    /// The host.
     pub host: HostName,
     /// The run of its process.
     pub incarnation: Incarnation,
--- a/crates/decide/src/crash/watch.rs
+++ b/crates/decide/src/crash/watch.rs
@@ -5,8 +5,7 @@
 
 use coltsfootnotch_types::UpstreamName;
 
-use super::{Clearance, CrashDelta, CrashId, CrashReport, SuspectKey, Verdict};
-use crate::service::{Cursor, Origin};
+use super::{Clearance, CrashDelta, CrashId, CrashReport, Cursor, Origin, SuspectKey, Verdict};
 
 /// How long a crash is remembered, and so how long a request that crashed two upstreams is refused.
 /// A caller's retry loop has given up by then, or an operator has been told; a request that was
@@ -33,8 +32,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use coltsfootnotch_decide::crash::{ContentDigest, CrashWatch, SuspectKey, Verdict};
-/// use coltsfootnotch_decide::service::Origin;
+/// use coltsfootnotch_decide::crash::{ContentDigest, CrashWatch, Origin, SuspectKey, Verdict};
 /// use coltsfootnotch_types::{AccountName, HostName, Incarnation, UpstreamName};
 /// # fn main() -> Result<(), coltsfootnotch_types::NameError> {
 /// let own = Origin::new(HostName::new("sidecar-1")?, Incarnation(1));
--- a/crates/decide/src/estimate/mod.rs
+++ b/crates/decide/src/estimate/mod.rs
@@ -8,10 +8,10 @@
 //!
 //! **Life of a charge.** An estimate is charged at the start. Tokens that stream beyond it are
 //! charged as they come. At the end, whether finished, cancelled or failed, the charge is set to
-//! what was really used, so after a settlement the counters are exact and no error accumulates.
+//! what was really used, so after a settlement the place of the account is exact and no error accumulates.
 
 mod estimator;
 mod run_charge;
 
 pub use estimator::CostEstimator;
-pub use run_charge::{RunCharge, Settlement};
+pub use run_charge::{RunCharge, Settlement, Used};
--- a/crates/decide/src/estimate/run_charge.rs
+++ b/crates/decide/src/estimate/run_charge.rs
@@ -14,6 +14,15 @@
     used: ServiceUnits,
 }
 
+/// What a run has used since the last time, and what of it its estimate had not covered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Used {
+    /// Used since the last time.
+    pub more: ServiceUnits,
+    /// The part of it that must be charged now.
+    pub beyond: ServiceUnits,
+}
+
 impl RunCharge {
     /// Opens the charge of a run with its estimate; `hint` is what the caller said of its cost.
     #[must_use]
@@ -44,12 +53,6 @@
         self.weight
     }
 
-    /// What the caller said of the run's cost.
-    #[must_use]
-    pub fn hint(&self) -> Option<ServiceUnits> {
-        self.hint
-    }
-
     /// What has been charged so far.
     #[must_use]
     pub fn charged(&self) -> ServiceUnits {
@@ -62,12 +65,14 @@
         self.used
     }
 
-    /// Counts `units` as used; returns what must be charged now beyond the estimate.
-    pub fn use_units(&mut self, units: ServiceUnits) -> ServiceUnits {
-        self.used += units;
+    /// Notes that the run has used `total` since its start. A total that is older than one noted
+    /// before changes nothing.
+    pub fn use_total(&mut self, total: ServiceUnits) -> Used {
+        let more = ServiceUnits(total.0.saturating_sub(self.used.0));
+        self.used += more;
         let beyond = ServiceUnits(self.used.0.saturating_sub(self.charged.0));
         self.charged += beyond;
-        beyond
+        Used { more, beyond }
     }
 
     /// Ends the run; consumes the charge, so that a run can't be settled twice.
--- a/crates/decide/src/fair/account.rs
+++ b/crates/decide/src/fair/account.rs
@@ -4,25 +4,20 @@
 
 use coltsfootnotch_types::AccountName;
 
-use super::{ChoicePolicy, Waiting};
-use crate::service::{Offset, VirtualService};
+use super::{ChoicePolicy, VirtualService, Waiting};
 
 /// An account in the queue of one pool.
 #[derive(Debug, Clone)]
 pub(super) struct Account {
     pub(super) name: AccountName,
-    /// Service per weight that this host gave.
-    pub(super) own: VirtualService,
-    /// The same of all other hosts; `None` until the first word of it.
-    pub(super) elsewhere: Option<VirtualService>,
-    pub(super) offset: Offset,
-    /// Correction that holds on this host only, until `elsewhere` is known.
-    pub(super) provisional: VirtualService,
+    /// Where it stands: service per weight since it was first seen here, lifts and drawing together
+    /// included.
+    pub(super) place: VirtualService,
     pub(super) waiting: Waiting,
-    /// Whether it began to wait before its service was known, on a host that knew of others.
-    pub(super) lift_when_heard: bool,
     /// When it last stopped waiting, and how far it then stood below the others.
     pub(super) left: Option<Left>,
+    /// How far it was lifted when it last returned, until service elsewhere is next heard of.
+    pub(super) lifted: VirtualService,
 }
 
 /// How an account stood when it stopped waiting.
@@ -33,16 +28,13 @@
 }
 
 impl Account {
-    pub(super) fn new(name: AccountName) -> Self {
+    pub(super) fn new(name: AccountName, place: VirtualService) -> Self {
         Self {
             name,
-            own: VirtualService::ZERO,
-            elsewhere: None,
-            offset: Offset::default(),
-            provisional: VirtualService::ZERO,
+            place,
             waiting: Waiting::default(),
-            lift_when_heard: false,
             left: None,
+            lifted: VirtualService::ZERO,
         }
     }
 
@@ -50,18 +42,10 @@
         self.waiting.count > 0
     }
 
-    pub(super) fn is_known(&self) -> bool {
-        self.elsewhere.is_some()
-    }
-
-    /// Virtual service: where the account stands among the waiting ones.
-    pub(super) fn place(&self, policy: ChoicePolicy) -> VirtualService {
+    /// What the waiting accounts are ordered by, lowest first.
+    pub(super) fn key(&self, policy: ChoicePolicy) -> VirtualService {
         match policy {
-            ChoicePolicy::Fair => {
-                let elsewhere = self.elsewhere.unwrap_or_default();
-                self.own + elsewhere + self.offset.value + self.provisional
-            }
-            ChoicePolicy::PerHost => self.own + self.provisional,
+            ChoicePolicy::Fair | ChoicePolicy::PerHost => self.place,
             ChoicePolicy::Fifo => {
                 let micros = i64::try_from(self.waiting.oldest.as_micros());
                 VirtualService(micros.unwrap_or(i64::MAX))
--- a/crates/decide/src/fair/bound.rs
+++ b/crates/decide/src/fair/bound.rs
@@ -4,7 +4,7 @@
 
 use coltsfootnotch_types::{ServiceUnits, Weight};
 
-use crate::service::VirtualService;
+use super::VirtualService;
 
 /// Horizon in multiples of the bound. Accounts are drawn together to half the horizon, which must
 /// stay above the bound, or ordinary operation would be cut short; twice that leaves room for the
--- a/crates/decide/src/fair/ledger.rs
+++ b/crates/decide/src/fair/ledger.rs
@@ -1,44 +1,38 @@
-//! A sidecar's view of service: its counters and the queues of its pools, kept in step.
+//! A sidecar's view of service: what it has counted and the queues of its pools, kept in step.
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use coltsfootnotch_types::{AccountName, PoolName, ServiceUnits, Weight};
 
-use super::{ChoicePolicy, FairQueue, Waiting};
+use super::served::Served;
+use super::{ChoicePolicy, FairQueue, VirtualService, Waiting};
 use crate::estimate::{CostEstimator, RunCharge};
-use crate::service::{
-    Cursor, OffsetRecord, Origin, ServiceCounters, ServiceDelta, ServiceNews, VirtualService,
-};
 
 /// Charges runs, learns of service elsewhere and chooses the account that goes next.
 ///
 /// ```
 /// use std::time::Duration;
 /// use coltsfootnotch_decide::fair::{ChoicePolicy, FairLedger, Waiting};
-/// use coltsfootnotch_decide::service::{Cursor, Origin};
-/// use coltsfootnotch_types::{AccountName, HostName, Incarnation, PoolName, ServiceUnits};
+/// use coltsfootnotch_types::{AccountName, PoolName, ServiceUnits};
 /// # fn main() -> Result<(), coltsfootnotch_types::NameError> {
-/// let own = Origin::new(HostName::new("sidecar-1")?, Incarnation(1));
 /// let (pool, bistro) = (PoolName::new("menu-writer")?, AccountName::new("bistro")?);
-/// let mut ledger = FairLedger::new(own, ChoicePolicy::Fair, ServiceUnits(1_000_000));
+/// let mut ledger = FairLedger::new(ChoicePolicy::Fair, ServiceUnits(1_000_000));
 /// let now = Duration::ZERO;
 /// ledger.set_waiting(&pool, &bistro, Waiting::new(1, now), now);
 /// let chosen = ledger.choose(&pool).cloned().expect("one account waits");
-/// let mut run = ledger.start(&chosen, None);
+/// let mut run = ledger.start(&chosen, Some(ServiceUnits(100)));
 /// ledger.stream(&mut run, ServiceUnits(40));
 /// ledger.settle(run);
-/// assert_eq!(ledger.counters().total(&bistro).service, ServiceUnits(40));
-/// assert_eq!(ledger.delta_since(Cursor::default()).tallies.len(), 1);
+/// assert_eq!(ledger.take_unsent(), [(bistro, ServiceUnits(40))]);
 /// # Ok(()) }
 /// ```
 #[derive(Debug, Clone)]
 pub struct FairLedger {
-    counters: ServiceCounters,
     policy: ChoicePolicy,
     horizon: VirtualService,
     weights: HashMap<AccountName, Weight>,
-    elsewhere: HashMap<AccountName, VirtualService>,
+    served: Served,
     queues: BTreeMap<PoolName, FairQueue>,
     estimator: CostEstimator,
 }
@@ -49,13 +43,12 @@
     /// `horizon`, in units at weight 1, is the furthest two waiting accounts may stand apart; see
     /// [`FairnessBound::horizon`](super::FairnessBound::horizon).
     #[must_use]
-    pub fn new(own: Origin, policy: ChoicePolicy, horizon: ServiceUnits) -> Self {
+    pub fn new(policy: ChoicePolicy, horizon: ServiceUnits) -> Self {
         Self {
-            counters: ServiceCounters::new(own),
             policy,
             horizon: VirtualService::of(horizon, Weight::DEFAULT),
             weights: HashMap::new(),
-            elsewhere: HashMap::new(),
+            served: Served::default(),
             queues: BTreeMap::new(),
             estimator: CostEstimator::new(),
         }
@@ -81,9 +74,10 @@
         waiting: Waiting,
         now: Duration,
     ) {
-        let queue = self.seeded_queue(pool, account);
+        let (policy, horizon) = (self.policy, self.horizon);
+        let new_queue = || FairQueue::new(policy, horizon);
+        let queue = self.queues.entry(pool.clone()).or_insert_with(new_queue);
         queue.set_waiting(account, waiting, now);
-        self.collect_offsets();
     }
 
     /// The waiting account of a pool that goes next.
@@ -106,105 +100,67 @@
         self.queues.get(pool)
     }
 
-    /// Charges the estimate of a run that starts now.
+    /// Charges what a run that starts now is expected to use; `hint` is what was said of its cost.
     pub fn start(&mut self, account: &AccountName, hint: Option<ServiceUnits>) -> RunCharge {
         let estimate = self.estimator.estimate(account, hint);
-        let weight = self.weight(account);
-        let run = RunCharge::new(account.clone(), weight, hint, estimate);
+        let run = RunCharge::new(account.clone(), self.weight(account), hint, estimate);
         self.charge(&run, estimate);
         run
     }
 
-    /// Charges what a run uses, as it streams, beyond its estimate.
-    pub fn stream(&mut self, run: &mut RunCharge, units: ServiceUnits) {
-        let beyond = run.use_units(units);
-        if beyond > ServiceUnits(0) {
-            self.charge(run, beyond);
+    /// Notes that a run has used `total` since its start, and charges what its estimate didn't cover.
+    pub fn stream(&mut self, run: &mut RunCharge, total: ServiceUnits) {
+        let used = run.use_total(total);
+        self.served.add_here(run.account(), used.more);
+        if used.beyond > ServiceUnits(0) {
+            self.charge(run, used.beyond);
         }
     }
 
     /// Ends a run, finished, cancelled or failed: gives back what it was charged and did not use.
     pub fn settle(&mut self, run: RunCharge) {
         let end = run.end();
-        if end.unused > ServiceUnits(0) {
-            let back = self.counters.refund(&end.account, end.weight, end.unused);
-            self.add_own(&end.account, VirtualService::ZERO - back);
-        }
+        let unused = VirtualService::of(end.unused, end.weight);
+        self.add_here(&end.account, VirtualService::ZERO - unused);
         self.estimator.learn(&end.account, end.hint, end.used);
     }
 
-    /// Takes in one message of a relay: offsets and sums of service on all other hosts.
-    pub fn learn(&mut self, news: &ServiceNews) {
-        for record in &news.offsets {
-            self.learn_offset(record);
-        }
-        for sum in &news.sums {
-            self.elsewhere.insert(sum.account.clone(), sum.normalised);
-        }
-        for queue in self.queues.values_mut() {
-            let of_pool = news.sums.iter().filter(|s| queue.contains(&s.account));
-            let sums: Vec<_> = of_pool.map(|s| (&s.account, s.normalised)).collect();
-            queue.learn(sums);
+    /// Takes in totals of service that all other hosts gave.
+    pub fn learn_elsewhere<'a>(
+        &mut self,
+        totals: impl IntoIterator<Item = (&'a AccountName, ServiceUnits)>,
+    ) {
+        for (account, total) in totals {
+            let grown = self.served.learn_elsewhere(account, total);
+            let more = VirtualService::of(grown, self.weight(account));
+            for queue in self.queues.values_mut() {
+                if queue.contains(account) {
+                    queue.add_elsewhere(account, more);
+                }
+            }
         }
-        self.collect_offsets();
     }
 
-    /// What a relay has not yet acknowledged: service charged here and offsets set here.
-    #[must_use]
-    pub fn delta_since(&self, cursor: Cursor) -> ServiceDelta {
-        self.counters.delta_since(cursor)
+    /// Takes the service given here since the last call, for the relay.
+    pub fn take_unsent(&mut self) -> Vec<(AccountName, ServiceUnits)> {
+        self.served.take_unsent()
     }
 
-    /// The counters of service given here.
+    /// Service of an account in all, as far as it is known here.
     #[must_use]
-    pub fn counters(&self) -> &ServiceCounters {
-        &self.counters
-    }
-
-    fn learn_offset(&mut self, record: &OffsetRecord) {
-        let (pool, account) = (&record.pool, &record.account);
-        if !self.counters.set_offset(pool, account, record.offset) {
-            return;
-        }
-        if let Some(queue) = self.queues.get_mut(pool) {
-            queue.learn_offset(account, record.offset);
-        }
+    pub fn total(&self, account: &AccountName) -> ServiceUnits {
+        self.served.total(account)
     }
 
     fn charge(&mut self, run: &RunCharge, units: ServiceUnits) {
-        let more = self.counters.charge(run.account(), run.weight(), units);
-        self.add_own(run.account(), more);
+        let more = VirtualService::of(units, run.weight());
+        self.add_here(run.account(), more);
     }
 
-    fn add_own(&mut self, account: &AccountName, more: VirtualService) {
+    fn add_here(&mut self, account: &AccountName, more: VirtualService) {
         for queue in self.queues.values_mut() {
             if queue.contains(account) {
-                queue.add_own(account, more);
-            }
-        }
-        self.collect_offsets();
-    }
-
-    /// The queue of a pool, in which `account` stands by all that is known of it.
-    fn seeded_queue(&mut self, pool: &PoolName, account: &AccountName) -> &mut FairQueue {
-        let by = self.counters.own().incarnation;
-        let (policy, horizon) = (self.policy, self.horizon);
-        let new_queue = || FairQueue::new(policy, horizon, by);
-        let queue = self.queues.entry(pool.clone()).or_insert_with(new_queue);
-        if !queue.contains(account) {
-            let own = self.counters.tally(self.counters.own(), account);
-            queue.add_own(account, own.normalised);
-            queue.learn_offset(account, self.counters.offset(pool, account));
-            let sum = self.elsewhere.get(account);
-            queue.learn(sum.map(|s| (account, *s)));
-        }
-        queue
-    }
-
-    fn collect_offsets(&mut self) {
-        for (pool, queue) in &mut self.queues {
-            for (account, offset) in queue.take_moved() {
-                self.counters.set_offset(pool, &account, offset);
+                queue.add_here(account, more);
             }
         }
     }
--- a/crates/decide/src/fair/meter.rs
+++ b/crates/decide/src/fair/meter.rs
@@ -5,7 +5,7 @@
 use coltsfootnotch_types::{AccountName, ServiceUnits, Weight};
 
 use super::FairnessBound;
-use crate::service::VirtualService;
+use super::VirtualService;
 
 /// The largest difference seen in service per weight, and between whom.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/decide/src/fair/spread.rs
+++ b/crates/decide/src/fair/spread.rs
@@ -1,8 +1,7 @@
 //! Keeps the waiting accounts of a pool within the horizon of each other.
 
 use super::queue::Standing;
-use super::{ChoicePolicy, FairQueue};
-use crate::service::VirtualService;
+use super::{ChoicePolicy, FairQueue, VirtualService};
 
 impl FairQueue {
     /// Draws accounts together that stand further apart than the horizon.
@@ -15,7 +14,7 @@
         }
         while let Some((low, high)) = self.ends_too_far_apart() {
             let half = VirtualService(self.horizon.0 / 2);
-            if self.low_end_is_outlier(low.1, high.1) {
+            if self.low_end_is_outlier() {
                 self.move_to(low.1, high.0 - half);
             } else {
                 self.move_to(high.1, low.0 + half);
@@ -30,11 +29,7 @@
     }
 
     /// Whether the lowest account, rather than the highest, stands apart from the rest.
-    fn low_end_is_outlier(&self, low: usize, high: usize) -> bool {
-        let known = |i: usize| self.accounts[i].is_known();
-        if known(low) != known(high) {
-            return !known(low);
-        }
+    fn low_end_is_outlier(&self) -> bool {
         let mut up = self.order.iter().map(|(place, _)| place.0);
         let mut down = self.order.iter().rev().map(|(place, _)| place.0);
         let gap_below = up.next().zip(up.next()).map_or(0, |(a, b)| b - a);
--- a/crates/decide/src/service/virtual_service.rs
+++ b/crates/decide/src/fair/virtual_service.rs
@@ -5,7 +5,7 @@
 
 /// Service per unit of weight, in steps of one ten-thousandth of a unit.
 ///
-/// Signed, because offsets between accounts go both ways. At weight 1 there is room for 9 * 10^14
+/// Signed, because a settlement gives service back. At weight 1 there is room for 9 * 10^14
 /// units: at ten million tokens a second, nearly three years of one account's service.
 #[derive(
     Debug,
@@ -37,7 +37,7 @@
     /// `units` of service shared out over `weight`.
     ///
     /// ```
-    /// use coltsfootnotch_decide::service::VirtualService;
+    /// use coltsfootnotch_decide::fair::VirtualService;
     /// use coltsfootnotch_types::{ServiceUnits, Weight};
     /// let heavy = VirtualService::of(ServiceUnits(400), Weight::new(4)?);
     /// let light = VirtualService::of(ServiceUnits(100), Weight::DEFAULT);
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -10,7 +10,6 @@
 pub mod fair;
 pub mod retry;
 pub mod route;
-pub mod service;
 pub mod window;
 
 /// The types that a caller of this package usually needs.
@@ -19,16 +18,12 @@
     pub use crate::crash::{ApartSlot, CrashWatch, SuspectKey, Verdict};
     pub use crate::estimate::{CostEstimator, RunCharge};
     pub use crate::fair::{
-        ChoicePolicy, FairLedger, FairQueue, FairnessBound, FairnessMeter, Waiting,
+        ChoicePolicy, FairLedger, FairQueue, FairnessBound, FairnessMeter, VirtualService, Waiting,
     };
     pub use crate::retry::{Attempt, NoRetry, RetryBudget, may_retry};
     pub use crate::route::{
         Candidate, HealthEvent, Nearness, PrefixKey, PrefixMap, UpstreamHealth, VersionShift,
         WaitingRequest, pick_request, place, usable_slots,
     };
-    pub use crate::service::{
-        AccountSum, Cursor, Offset, OffsetRecord, Origin, ServiceCounters, ServiceDelta,
-        ServiceNews, VirtualService,
-    };
     pub use crate::window::{ConcurrencyWindow, RunEnd, WindowTargets};
 }
--- a/crates/decide/tests/common/fleet.rs
+++ b/crates/decide/tests/common/fleet.rs
@@ -1,6 +1,6 @@
 //! Sidecars that choose, charge and tell a relay, one step of virtual time after another.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use coltsfootnotch_decide::prelude::*;
@@ -60,14 +60,15 @@
 struct Run {
     source: usize,
     charge: RunCharge,
-    left: u64,
+    used: u64,
+    cost: u64,
 }
 
 pub(crate) struct Sidecar {
-    host: HostName,
     ledger: FairLedger,
     runs: Vec<Run>,
-    seen: Cursor,
+    /// What the relay has taken of this run of the process.
+    taken: HashMap<AccountName, ServiceUnits>,
     pub(crate) linked: bool,
     pub(crate) slots: usize,
     /// Tokens a step.
@@ -90,10 +91,10 @@
     pub(crate) meter: FairnessMeter,
     pub(crate) bound: FairnessBound,
     options: FleetOptions,
-    relay: ServiceCounters,
+    /// Totals of the relay.
+    relay: HashMap<AccountName, ServiceUnits>,
     pool: PoolName,
     steps: u32,
-    incarnations: u64,
     busy: u64,
     offered: u64,
 }
@@ -106,10 +107,6 @@
             slot_rate: ServiceUnits(TOKENS * 10),
             age: STEP * (2 * RELAY_EVERY + 1),
         };
-        let relay = Origin::new(
-            HostName::new("relay").expect("a valid name"),
-            Incarnation(0),
-        );
         let mut fleet = Self {
             now: Duration::ZERO,
             sources,
@@ -117,34 +114,26 @@
             meter: FairnessMeter::new(),
             bound,
             options,
-            relay: ServiceCounters::new(relay),
+            relay: HashMap::new(),
             pool: PoolName::new("pool").expect("a valid name"),
             steps: 0,
-            incarnations: 0,
             busy: 0,
             offered: 0,
         };
-        for i in 0..options.sidecars {
-            let sidecar = fleet.new_sidecar(&format!("sidecar-{i}"));
-            fleet.sidecars.push(sidecar);
-        }
+        let sidecars = (0..options.sidecars).map(|_| fleet.new_sidecar()).collect();
+        fleet.sidecars = sidecars;
         fleet
     }
 
-    fn new_sidecar(&mut self, host: &str) -> Sidecar {
-        self.incarnations += 1;
-        let host = HostName::new(host).expect("a valid name");
-        let own = Origin::new(host.clone(), Incarnation(self.incarnations));
-        let horizon = self.bound.horizon();
-        let mut ledger = FairLedger::new(own, self.options.policy, horizon);
+    fn new_sidecar(&self) -> Sidecar {
+        let mut ledger = FairLedger::new(self.options.policy, self.bound.horizon());
         for source in &self.sources {
             ledger.set_weight(&source.account, source.weight);
         }
         Sidecar {
-            host,
             ledger,
             runs: Vec::new(),
-            seen: Cursor::default(),
+            taken: HashMap::new(),
             linked: true,
             slots: self.options.slots,
             speed: TOKENS,
@@ -153,13 +142,12 @@
 
     /// Loses a sidecar's process and its runs, whose requests go back to the head of their queues.
     pub(crate) fn restart(&mut self, i: usize) {
-        let host = self.sidecars[i].host.as_str().to_owned();
-        let fresh = self.new_sidecar(&host);
+        let fresh = self.new_sidecar();
         let old = std::mem::replace(&mut self.sidecars[i], fresh);
         for run in old.runs {
             let again = Waits {
                 arrived: self.now,
-                cost: run.left.max(1),
+                cost: run.cost,
             };
             self.sources[run.source].waiting.push_front(again);
         }
@@ -262,7 +250,8 @@
         self.sidecars[i].runs.push(Run {
             source: s,
             charge,
-            left: req.cost,
+            used: 0,
+            cost: req.cost,
         });
     }
 
@@ -271,13 +260,15 @@
         self.offered += sidecar.slots as u64;
         self.busy += sidecar.runs.len() as u64;
         for mut run in std::mem::take(&mut sidecar.runs) {
-            let units = ServiceUnits(run.left.min(sidecar.speed));
-            run.left -= units.0;
-            sidecar.ledger.stream(&mut run.charge, units);
+            let units = ServiceUnits((run.cost - run.used).min(sidecar.speed));
+            run.used += units.0;
+            sidecar
+                .ledger
+                .stream(&mut run.charge, ServiceUnits(run.used));
             let source = &mut self.sources[run.source];
             source.row.served += units.0;
             self.meter.serve(&source.account, source.weight, units);
-            if run.left == 0 {
+            if run.used == run.cost {
                 source.row.done += 1;
                 sidecar.ledger.settle(run.charge);
             } else {
@@ -286,20 +277,21 @@
         }
     }
 
-    /// Exchanges deltas and news with the relay, for sidecars whose link is up.
+    /// Exchanges service with the relay, for sidecars whose link is up.
     fn relay(&mut self) {
         for sidecar in self.sidecars.iter_mut().filter(|s| s.linked) {
-            let delta = sidecar.ledger.delta_since(sidecar.seen);
-            self.relay.merge(&delta);
-            sidecar.seen = delta.upto;
+            for (account, units) in sidecar.ledger.take_unsent() {
+                *self.relay.entry(account.clone()).or_default() += units;
+                *sidecar.taken.entry(account).or_default() += units;
+            }
         }
-        let pools = std::slice::from_ref(&self.pool);
         for sidecar in self.sidecars.iter_mut().filter(|s| s.linked) {
-            let own = sidecar.ledger.counters().own().clone();
-            let accounts = self.sources.iter().map(|s| &s.account);
-            sidecar
-                .ledger
-                .learn(&self.relay.news_of(&own, pools, accounts));
+            let elsewhere = self.sources.iter().map(|s| {
+                let of = |m: &HashMap<_, ServiceUnits>| m.get(&s.account).map_or(0, |u| u.0);
+                let others = of(&self.relay) - of(&sidecar.taken);
+                (&s.account, ServiceUnits(others))
+            });
+            sidecar.ledger.learn_elsewhere(elsewhere);
         }
     }
 
--- a/crates/decide/tests/crash.rs
+++ b/crates/decide/tests/crash.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use coltsfootnotch_decide::crash::{
-    ApartSlot, ContentDigest, CrashWatch, SuspectKey, Verdict, upstreams_lost_at_most,
+    ApartSlot, ContentDigest, CrashWatch, Cursor, Origin, SuspectKey, Verdict,
+    upstreams_lost_at_most,
 };
-use coltsfootnotch_decide::service::{Cursor, Origin};
 use coltsfootnotch_types::{AccountName, HostName, Incarnation, UpstreamName};
 use googletest::prelude::*;
 use proptest::prelude::*;
