--- a/crates/manifest/examples/sizes.rs
+++ b/crates/manifest/examples/sizes.rs
@@ -1,5 +1,5 @@
-//! Prints what manifests of several sizes cost: bytes of the body and of a delta that changes one
-//! account, and times to parse, to apply the delta and to build the index.
+//! Prints what manifests of several sizes cost: bytes of the body, of the same in postcard and of a
+//! delta that changes one account; times to parse, to apply the delta and to build the index.
 
 use std::fmt::Write;
 use std::time::{Duration, Instant};
@@ -8,7 +8,9 @@
 use coltsfootnotch_types::Weight;
 
 fn main() {
-    println!("accounts  text_bytes  body_bytes  delta_bytes  parse_ms  apply_ms  index_ms");
+    println!(
+        "accounts  text_bytes  body_bytes  postcard_bytes  delta_bytes  parse_ms  apply_ms  index_ms"
+    );
     for accounts in [100, 1_000, 5_700, 20_000] {
         let text = text(accounts);
         let (parsed, parse) = timed(|| Manifest::parse("sizes", &text));
@@ -22,12 +24,15 @@
         let delta_bytes = postcard::to_allocvec(&delta)
             .expect("a delta can be written")
             .len();
+        let postcard_bytes = postcard::to_allocvec(&new)
+            .expect("a manifest can be written")
+            .len();
         let (applied, apply) = timed(|| delta.apply(&old));
         assert_eq!(applied.as_ref(), Ok(&new));
         let (index, build) = timed(|| ConfigIndex::new(new));
         let body_bytes = index.manifest().to_body().len();
         println!(
-            "{accounts:8}  {:10}  {body_bytes:10}  {delta_bytes:11}  {:8.2}  {:8.2}  {:8.2}",
+            "{accounts:8}  {:10}  {body_bytes:10}  {postcard_bytes:14}  {delta_bytes:11}  {:8.2}  {:8.2}  {:8.2}",
             text.len(),
             millis(parse),
             millis(apply),
--- a/crates/manifest/src/delta.rs
+++ b/crates/manifest/src/delta.rs
@@ -7,7 +7,9 @@
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
-use crate::{Account, Class, Digest, Ledger, Manifest, Model, Service, WeightStore};
+use crate::{
+    Account, Class, Digest, Ledger, MAX_BODY_BYTES, Manifest, Model, Service, WeightStore,
+};
 
 /// Why a delta does not apply.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
@@ -20,6 +22,12 @@
         /// Digest of the manifest at hand.
         found: Digest,
     },
+    /// The bytes are no delta, or longer than a whole manifest may be.
+    #[display("{len} bytes are not a delta")]
+    Bytes {
+        /// Length found, in bytes.
+        len: usize,
+    },
     /// The result is not the manifest that the sender has.
     #[display("a delta gives {found} in place of {expected}")]
     OtherResult {
@@ -119,6 +127,24 @@
         }
     }
 
+    /// The bytes in which the delta travels.
+    #[must_use]
+    pub fn to_bytes(&self) -> Vec<u8> {
+        postcard::to_allocvec(self).expect("a delta has no type that postcard refuses")
+    }
+
+    /// Reads the bytes in which a delta travelled.
+    ///
+    /// # Errors
+    /// Returns [`DeltaError::Bytes`] when the bytes are too many or not a delta; the receiver then asks
+    /// for the whole manifest.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, DeltaError> {
+        if bytes.len() > MAX_BODY_BYTES {
+            return Err(DeltaError::Bytes { len: bytes.len() });
+        }
+        postcard::from_bytes(bytes).map_err(|_| DeltaError::Bytes { len: bytes.len() })
+    }
+
     /// The manifest that the delta gives from `old`.
     ///
     /// # Errors
--- a/crates/manifest/tests/delta.rs
+++ b/crates/manifest/tests/delta.rs
@@ -52,9 +52,12 @@
     let checked = runner.run(&(edits(), edits()), |(before, after)| {
         let (old, new) = (edited(1, &before), edited(2, &after));
         let delta = ManifestDelta::between(&old, &new);
-        let bytes = postcard::to_allocvec(&delta).expect("a delta can be written");
-        let sent: ManifestDelta = postcard::from_bytes(&bytes).expect("and read");
+        let bytes = delta.to_bytes();
+        let sent = ManifestDelta::from_bytes(&bytes).expect("a delta can be read");
         prop_assert_eq!(sent.apply(&old), Ok(new));
+        for cut in 0..bytes.len() {
+            prop_assert!(ManifestDelta::from_bytes(&bytes[..cut]).is_err());
+        }
         Ok(())
     });
     expect_that!(checked, ok(anything()));
