--- a/src/coltsfootnotch/daemon/mod.rs
+++ b/src/coltsfootnotch/daemon/mod.rs
@@ -2,3 +2,10 @@
 
 pub mod admin;
 pub mod control;
+pub mod entry;
+mod relay_client;
+pub mod sidecar;
+mod start;
+
+pub use relay_client::{ConfigUpdate, RelayClient, RelayNews};
+pub use start::{ControlAddress, StartError, Starter};
