Share the control hosts' addresses and keep first configurations to confirmed answers

Cause: control hosts had two types for the same thing, and a relay pushed first configurations that hosts don't take before a confirmed answer. Change: one ControlAddress; hosts without a configuration ask for it; a proposal is still an entry's or an operator's message. Conclusion: one way for a first configuration, which a quorum confirms.

--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -42,8 +42,7 @@
             Self::FromRelay(_) | Self::Member(_) | Self::BetweenRelays(_) => role == Role::Control,
             Self::ToRelay(ToRelay::Heartbeat(heartbeat)) => heartbeat.record.role == role,
             Self::ToRelay(ToRelay::Service(_)) => role == Role::Sidecar,
-            // Which operations a role may propose, the control host decides.
-            Self::ToRelay(ToRelay::Propose { .. }) => role != Role::Control,
+            Self::ToRelay(ToRelay::Propose { .. }) => matches!(role, Role::Entry | Role::Operator),
             Self::ToRelay(ToRelay::AdmitMember { .. } | ToRelay::RemoveMember { .. }) => {
                 role == Role::Operator
             }
--- a/src/coltsfootnotch/daemon/control/actor.rs
+++ b/src/coltsfootnotch/daemon/control/actor.rs
@@ -3,7 +3,6 @@
 use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::mpsc::{self, SyncSender};
 use std::time::Duration;
@@ -14,7 +13,8 @@
 use coltsfootnotch_types::Role;
 use stakker::sync::{Channel, ChannelGuard};
 use stakker::{
-    CX, MinTimerKey, Stakker, StopCause, actor_new, call, fwd_to, ret_nop, stop, timer_min,
+    ActorOwn, CX, MinTimerKey, Stakker, StopCause, actor_new, call, fwd_to, ret_nop, stop,
+    timer_min,
 };
 
 use super::daemon::{ControlDaemon, Next};
@@ -39,7 +39,7 @@
     let shared = Arc::new(Shared::default());
     let of_loop = Arc::clone(&shared);
     let thread = event_loop::spawn("control", move |stakker| {
-        run(stakker, &cx, &cfg, of_loop, &started);
+        run(stakker, &cx, &cfg, of_loop, &started)
     })
     .map_err(ControlError::Thread)?;
     let ended = || ControlError::Thread(io::Error::other("the daemon's thread has ended"));
@@ -80,7 +80,7 @@
     cfg: &ControlConfig,
     shared: Arc<Shared>,
     started: &SyncSender<Result<Started, ControlError>>,
-) {
+) -> ActorOwn<ControlActor> {
     let actor = actor_new!(stakker, ControlActor, ret_nop!());
     let (channel, guard) = Channel::new(stakker, fwd_to!([actor], input() as (Input)));
     match open(cx, cfg, &channel) {
@@ -88,8 +88,6 @@
             cx.log(&events::DAEMON_STARTED, &[("address", &parts.address)]);
             call!([actor], ControlActor::init(daemon, shared, guard));
             let _ = started.send(Ok(parts));
-            // Keeps the actor for as long as the loop runs.
-            stakker.anymap_set(Rc::new(actor));
         }
         Err(e) => {
             if e.is_corrupt() {
@@ -99,6 +97,7 @@
             stakker.shutdown(StopCause::Stopped);
         }
     }
+    actor
 }
 
 /// Opens everything that can fail, and connects it to the actor's channel.
--- a/src/coltsfootnotch/daemon/control/config.rs
+++ b/src/coltsfootnotch/daemon/control/config.rs
@@ -6,11 +6,12 @@
 
 use coltsfootnotch_consensus::CoreConfig;
 use coltsfootnotch_fabric::Credentials;
-use coltsfootnotch_manifest::{ControlHost, Settings};
+use coltsfootnotch_manifest::Settings;
 use coltsfootnotch_membership::Timing;
 use coltsfootnotch_types::prelude::*;
 
 use super::ControlError;
+use crate::daemon::ControlAddress;
 
 /// Longest command of the log in bytes: the largest manifest (4 MiB) and what describes it.
 const MAX_COMMAND_BYTES: usize = 5 << 20;
@@ -22,24 +23,6 @@
 /// replays at most this many entries, which takes well under a second.
 const SNAPSHOT_ENTRIES: u64 = 4_096;
 
-/// One host of the control group.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ControlMember {
-    /// Its name.
-    pub host: HostName,
-    /// Its fleet address as other hosts reach it.
-    pub address: SocketAddr,
-}
-
-impl From<&ControlHost> for ControlMember {
-    fn from(host: &ControlHost) -> Self {
-        Self {
-            host: host.host.clone(),
-            address: host.address,
-        }
-    }
-}
-
 /// What a control daemon is told when it starts.
 pub struct ControlConfig {
     /// UDP address that the fleet endpoint binds.
@@ -49,7 +32,7 @@
     /// Data folder; the only state that outlives the process.
     pub data: PathBuf,
     /// The control group as it is when the fleet is first started, this host included.
-    pub members: Vec<ControlMember>,
+    pub members: Vec<ControlAddress>,
     /// Times and sizes of the replicated log.
     pub core: CoreConfig,
     /// Times of the detection of silence.
@@ -65,7 +48,7 @@
         listen: SocketAddr,
         credentials: Credentials,
         data: impl Into<PathBuf>,
-        members: Vec<ControlMember>,
+        members: Vec<ControlAddress>,
     ) -> Self {
         let core = CoreConfig {
             max_command_bytes: MAX_COMMAND_BYTES,
@@ -94,14 +77,14 @@
         let certificate = read(&settings.keys.certificate)?;
         let key = read(&settings.keys.key)?;
         let credentials = Credentials::from_pem(&ca, &certificate, &key)?;
-        let members = settings.control.iter().map(ControlMember::from).collect();
+        let members = settings.control.iter().map(ControlAddress::from).collect();
         let mut cfg = Self::new(settings.listen.fleet, credentials, data, members);
         cfg.core.drift_per_mille = settings.clock_drift_ppm.div_ceil(1_000);
         Ok(cfg)
     }
 
     /// The other hosts of the group.
-    pub(super) fn others(&self, me: &HostName) -> impl Iterator<Item = &ControlMember> {
+    pub(super) fn others(&self, me: &HostName) -> impl Iterator<Item = &ControlAddress> {
         self.members.iter().filter(move |m| m.host != *me)
     }
 }
--- a/src/coltsfootnotch/daemon/control/daemon/mod.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/mod.rs
@@ -23,8 +23,9 @@
 use super::relay::Relay;
 use super::replica::{Effect, Replica};
 use super::request_table::RequestTable;
-use super::{ControlConfig, ControlError, ControlMember};
+use super::{ControlConfig, ControlError};
 use crate::core::HostCx;
+use crate::daemon::ControlAddress;
 use crate::util::events;
 
 /// Longest time that a graceful stop waits for another leader.
@@ -167,7 +168,7 @@
                 self.carry_out(now, effect);
             }
             self.config_applied(now);
-            self.answer_applied(now);
+            self.answer_applied();
         }
         Ok(self.next_step(now))
     }
@@ -311,7 +312,7 @@
     }
 }
 
-fn dial(endpoint: &Endpoint, member: &ControlMember) -> Dialed {
+fn dial(endpoint: &Endpoint, member: &ControlAddress) -> Dialed {
     let peer = PeerId {
         role: Role::Control,
         host: member.host.clone(),
--- a/src/coltsfootnotch/daemon/control/daemon/requests.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/requests.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use coltsfootnotch_consensus::MemberChange;
-use coltsfootnotch_fabric::LinkId;
 use coltsfootnotch_types::HostName;
 use coltsfootnotch_wire::{FromRelay, MembersError, ProposeError};
 
@@ -104,7 +103,7 @@
             }
             (Answer::Read(index), origin) if !matches!(origin, Origin::Member(..)) => {
                 self.requests.put(now, id, Place::Applying(*index));
-                self.answer_applied(now);
+                self.answer_applied();
             }
             (_, origin) => {
                 self.requests.close(id);
@@ -114,15 +113,12 @@
     }
 
     /// Answers the reads whose state is applied here.
-    pub(super) fn answer_applied(&mut self, now: Duration) {
+    pub(super) fn answer_applied(&mut self) {
         for id in self.requests.applied(self.replica.applied()) {
-            match self.requests.close(id).map(|request| request.origin) {
-                Some(Origin::Confirm(link, id)) => {
-                    let config = Ok(self.config_body());
-                    self.tell(link, FromRelay::ConfigConfirmed { id, config });
-                }
-                Some(Origin::FirstConfig(link)) => self.send_config(now, link),
-                _ => {}
+            let origin = self.requests.close(id).map(|request| request.origin);
+            if let Some(Origin::Confirm(link, id)) = origin {
+                let config = Ok(self.config_body());
+                self.tell(link, FromRelay::ConfigConfirmed { id, config });
             }
         }
     }
@@ -160,25 +156,6 @@
                 };
                 self.tell(link, FromRelay::Members { id, outcome });
             }
-            // Asked again with the host's next heartbeats.
-            Origin::FirstConfig(_) => {}
-        }
-    }
-
-    /// Sends the configuration in force to a host.
-    pub(super) fn send_config(&mut self, now: Duration, link: LinkId) {
-        let Some(body) = self.config_body() else {
-            return;
-        };
-        let Some(link) = self.links.get_mut(link) else {
-            return;
-        };
-        let wanted = link
-            .host
-            .as_mut()
-            .is_some_and(|feed| feed.wants_config(now, body.number));
-        if wanted {
-            link.send_host(FromRelay::Config(body));
         }
     }
 }
--- a/src/coltsfootnotch/daemon/control/daemon/upkeep.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/upkeep.rs
@@ -2,16 +2,13 @@
 
 use std::time::Duration;
 
-use coltsfootnotch_fabric::LinkId;
 use coltsfootnotch_manifest::Manifest;
 use coltsfootnotch_membership::{HostRecord, MemberEventKind, Presence};
 use coltsfootnotch_state::{LedgerLimits, Op};
 use coltsfootnotch_types::prelude::*;
-use coltsfootnotch_wire::Message;
+use coltsfootnotch_wire::{FromRelay, Message};
 
 use super::ControlDaemon;
-use crate::daemon::control::packet::Ask;
-use crate::daemon::control::request_table::Origin;
 use crate::util::events;
 
 /// Between two rounds. Relays and hosts hear of a change within two rounds and the way between, far
@@ -75,43 +72,41 @@
     /// Sends each host what changed for it.
     fn tell_hosts(&mut self, now: Duration) {
         let run = self.host.identity.incarnation;
-        let number = self.config_number;
-        let mut behind = Vec::new();
-        for (id, link) in self.links.hosts_mut() {
-            let (host, incarnation) = (link.peer.host.clone(), link.incarnation);
+        let relay = &self.relay;
+        for link in self.links.hosts_mut() {
+            let (host, incarnation) = (&link.peer.host, link.incarnation);
             let Some(feed) = &mut link.host else {
                 continue;
             };
-            let own = |account: &AccountName| {
-                let own = &self.relay.own_service;
-                own.of(&host, incarnation, account)
-            };
-            let directory = feed.next_directory(now, run, &self.relay.directory);
-            let totals = feed.next_totals(&self.relay.sums, own);
-            if feed.config < number {
-                behind.push((id, feed.config));
-            }
+            let own = |account: &AccountName| relay.own_service.of(host, incarnation, account);
+            let directory = feed.next_directory(now, run, &relay.directory);
+            let totals = feed.next_totals(&relay.sums, own);
             for message in directory.into_iter().chain(totals) {
                 link.send_host(message);
             }
         }
-        for (link, config) in behind {
-            self.push_config(now, link, config);
-        }
+        self.push_config(now);
     }
 
-    /// Sends a host the configuration that it lacks.
+    /// Sends the configuration to the hosts that have a lower one in force.
     ///
     /// What this member has applied is committed but may be old, if the member is cut off. A host
     /// with a configuration can't go back by it. A host that was restarted has none, and could be
-    /// put back behind what it had before: it gets one only after a quorum has confirmed it.
-    fn push_config(&mut self, now: Duration, link: LinkId, config: u64) {
-        if config > 0 {
-            return self.send_config(now, link);
-        }
-        let origin = Origin::FirstConfig(link);
-        if !self.requests.has(origin) {
-            self.request(now, origin, Ask::Read);
+    /// put back behind what it had before; it asks for one that a quorum confirms.
+    fn push_config(&mut self, now: Duration) {
+        let number = self.config_number;
+        let mut body = None;
+        for id in self.links.host_ids() {
+            let feed = self.links.get_mut(id).and_then(|link| link.host.as_mut());
+            if feed.is_none_or(|feed| feed.config == 0 || !feed.wants_config(now, number)) {
+                continue;
+            }
+            if body.is_none() {
+                body = self.config_body().map(FromRelay::Config);
+            }
+            if let (Some(link), Some(body)) = (self.links.get(id), &body) {
+                link.send_host(body.clone());
+            }
         }
     }
 
--- a/src/coltsfootnotch/daemon/control/links.rs
+++ b/src/coltsfootnotch/daemon/control/links.rs
@@ -109,10 +109,15 @@
     }
 
     /// Every connection over which a host has sent a heartbeat.
-    pub(super) fn hosts_mut(&mut self) -> impl Iterator<Item = (LinkId, &mut Link)> {
-        let all = self.by_id.iter_mut();
-        all.filter(|(_, link)| link.host.is_some())
-            .map(|(id, link)| (*id, link))
+    pub(super) fn hosts_mut(&mut self) -> impl Iterator<Item = &mut Link> {
+        let all = self.by_id.values_mut();
+        all.filter(|link| link.host.is_some())
+    }
+
+    /// The same connections by number.
+    pub(super) fn host_ids(&self) -> Vec<LinkId> {
+        let hosts = self.by_id.iter().filter(|(_, link)| link.host.is_some());
+        hosts.map(|(id, _)| *id).collect()
     }
 
     /// Sends a packet on every connection to a control host.
--- a/src/coltsfootnotch/daemon/control/mod.rs
+++ b/src/coltsfootnotch/daemon/control/mod.rs
@@ -37,6 +37,6 @@
 mod status;
 
 pub use actor::start;
-pub use config::{ControlConfig, ControlMember};
+pub use config::ControlConfig;
 pub use error::ControlError;
 pub use handle::ControlHandle;
--- a/src/coltsfootnotch/daemon/control/permit.rs
+++ b/src/coltsfootnotch/daemon/control/permit.rs
@@ -11,9 +11,7 @@
     match op {
         Op::ApplyConfig(_) | Op::SetLimits(_) => role == Role::Operator,
         Op::Ledger(_) | Op::Batch(_) => role == Role::Entry,
-        Op::Grant(_) | Op::Renew(_) | Op::Release(_) | Op::OrderDone(_) => {
-            matches!(role, Role::Entry | Role::Sidecar)
-        }
+        Op::Grant(_) | Op::Renew(_) | Op::Release(_) | Op::OrderDone(_) => role == Role::Entry,
         // The leader proposes it by its own clock.
         Op::Expire => false,
     }
--- a/src/coltsfootnotch/daemon/control/request_table.rs
+++ b/src/coltsfootnotch/daemon/control/request_table.rs
@@ -31,8 +31,6 @@
     Propose(LinkId, u64),
     /// A host or an operator asked for the newest configuration.
     Confirm(LinkId, u64),
-    /// This relay wants to send a host its first configuration.
-    FirstConfig(LinkId),
     /// An operator changes the members.
     Members(LinkId, u64),
     /// Another member, which knows this one as the leader.
@@ -158,11 +156,6 @@
         Some((request, answer))
     }
 
-    /// Whether a request of this origin is open.
-    pub(super) fn has(&self, origin: Origin) -> bool {
-        self.open.values().any(|r| r.origin == origin)
-    }
-
     /// How many are open.
     pub(super) fn len(&self) -> usize {
         self.open.len()
--- a/tests/testsuite/control/client.rs
+++ b/tests/testsuite/control/client.rs
@@ -4,7 +4,7 @@
 use std::sync::mpsc::{self, Receiver};
 
 use coltsfootnotch::core::{decode_reply, encode_op};
-use coltsfootnotch::daemon::control::ControlMember;
+use coltsfootnotch::daemon::ControlAddress;
 use coltsfootnotch_fabric::{Credentials, Dialed, Endpoint, Event, LinkTx, PeerId};
 use coltsfootnotch_manifest::{KeyHash, Manifest};
 use coltsfootnotch_state::{ApplyConfig, BodyDigest, ConfigReply, Op, Reply};
@@ -34,7 +34,7 @@
     pub(crate) fn connect(
         runtime: &Handle,
         credentials: &Credentials,
-        member: &ControlMember,
+        member: &ControlAddress,
     ) -> Self {
         let (to_client, events) = mpsc::channel();
         let incarnation = Incarnation(rand::random());
@@ -193,7 +193,7 @@
             host: self.peer.host.clone(),
             incarnation: self.incarnation,
             role: self.peer.role,
-            domain: DomainName::new("d0").expect("a name"),
+            domain: DomainName::new("d1").expect("a name"),
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9)),
             config,
             pools: Vec::new(),
--- a/tests/testsuite/control/configuration.rs
+++ b/tests/testsuite/control/configuration.rs
@@ -150,7 +150,7 @@
     assert_that!(was_sent_one, eq(false));
 }
 
-/// A host reports a lower configuration than is in force, or none, and is sent the newest; it is
+/// A host without a configuration asks for one and gets it confirmed. It reports it in force, and is
 /// sent the next one when that is accepted, without asking.
 #[test]
 fn a_host_that_is_behind_is_sent_the_configuration() {
@@ -160,14 +160,14 @@
 
     let mut entry = group.client(1, Role::Entry, "e1");
     entry.beat(0);
-    let config = |message: &FromRelay| match message {
-        FromRelay::Config(config) => Some(config.number),
-        _ => None,
-    };
-    assert_that!(entry.wait_for(config), eq(1));
+    assert_that!(entry.confirmed_number(), ok(eq(&1)));
     entry.beat(1);
     operator.apply(manifest(2, &["diner"])).expect("accepted");
-    assert_that!(entry.wait_for(config), eq(2));
+    let pushed = entry.wait_for(|message| match message {
+        FromRelay::Config(config) => Some(config.number),
+        _ => None,
+    });
+    assert_that!(pushed, eq(2));
 }
 
 /// A manifest that is none, or bears another number than the request, is refused by every member,
--- a/tests/testsuite/control/group.rs
+++ b/tests/testsuite/control/group.rs
@@ -6,7 +6,8 @@
 use std::time::{Duration, Instant};
 
 use coltsfootnotch::core::{HostCx, HostIdentity};
-use coltsfootnotch::daemon::control::{self, ControlConfig, ControlHandle, ControlMember};
+use coltsfootnotch::daemon::ControlAddress;
+use coltsfootnotch::daemon::control::{self, ControlConfig, ControlHandle};
 use coltsfootnotch_fabric::{Authority, Credentials, PeerId};
 use coltsfootnotch_types::prelude::*;
 use tempfile::TempDir;
@@ -30,12 +31,16 @@
     HostName::new(name).expect("a name")
 }
 
+fn domain(number: usize) -> DomainName {
+    DomainName::new(format!("d{number}")).expect("a name")
+}
+
 /// A control group with its data folders.
 pub(crate) struct Group {
     pub(crate) runtime: Runtime,
     authority: Authority,
     dir: TempDir,
-    pub(crate) members: Vec<ControlMember>,
+    pub(crate) members: Vec<ControlAddress>,
     pub(crate) handles: Vec<Option<ControlHandle>>,
     adjust: fn(&mut ControlConfig),
 }
@@ -44,9 +49,10 @@
     /// A group of three whose members have not been started.
     pub(crate) fn new(adjust: fn(&mut ControlConfig)) -> Self {
         let members = (1..=3)
-            .map(|n| ControlMember {
+            .map(|n| ControlAddress {
                 host: host(&format!("c{n}")),
                 address: free_address(),
+                domain: domain(n),
             })
             .collect();
         Self {
@@ -115,7 +121,7 @@
         let identity = HostIdentity {
             host: self.members[at].host.clone(),
             role: Role::Control,
-            domain: DomainName::new(format!("d{at}")).expect("a name"),
+            domain: self.members[at].domain.clone(),
             incarnation: Incarnation(rand::random()),
         };
         HostCx::new(identity, self.runtime.handle().clone())
