--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -43,6 +43,9 @@
             Self::ToRelay(ToRelay::Heartbeat(heartbeat)) => heartbeat.record.role == role,
             Self::ToRelay(ToRelay::Service(_)) => role == Role::Sidecar,
             Self::ToRelay(ToRelay::Propose { .. }) => matches!(role, Role::Entry | Role::Operator),
+            Self::ToRelay(ToRelay::AdmitMember { .. } | ToRelay::RemoveMember { .. }) => {
+                role == Role::Operator
+            }
             Self::ToRelay(ToRelay::ConfigConfirmed { .. } | ToRelay::Status { .. }) => true,
         }
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,1 +1,3 @@
-//! testsuite.
+//! The daemons as a whole.
+
+mod control;
