--- a/crates/router/src/entry/core.rs
+++ b/crates/router/src/entry/core.rs
@@ -101,6 +101,16 @@
         self.sidecars.values().any(|view| view.serves(pool))
     }
 
+    /// Sidecars connected, and the pools that they serve.
+    #[must_use]
+    pub fn served(&self) -> (usize, BTreeSet<PoolName>) {
+        let pools = self
+            .sidecars
+            .values()
+            .flat_map(|view| view.free.keys().cloned());
+        (self.sidecars.len(), pools.collect())
+    }
+
     /// Takes in an admitted request: offers it when a slot is free and nothing waits, else queues it.
     pub fn submit(&mut self, waiting: NewRequest) {
         match self.offer_target(&waiting) {
--- /dev/null
+++ b/src/bin/coltsfootnotchd/cli.rs
@@ -0,0 +1,144 @@
+//! The daemon's arguments, its log, and its signals.
+
+use std::error::Error;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::{OptionParser, Parser, construct, long};
+use coltsfootnotch::ops::serve::{Daemon, ServeError, load_settings};
+use coltsfootnotch_manifest::Log;
+use flexi_logger::{FileSpec, Logger, LoggerHandle};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// The daemon was stopped and its work was done.
+const EXIT_OK: u8 = 0;
+/// It could not start, or had to stop.
+const EXIT_FAILED: u8 = 1;
+/// It was told twice to stop, and ended with work in progress.
+const EXIT_FORCED: u8 = 2;
+/// Threads that a request in progress may block, and the rest of the runtime.
+const BLOCKING_THREADS: usize = 4096;
+
+#[derive(Debug, Clone)]
+struct Args {
+    settings: PathBuf,
+}
+
+fn options() -> OptionParser<Args> {
+    let settings = long("settings")
+        .help("the settings of this host")
+        .argument::<PathBuf>("FILE");
+    construct!(Args { settings })
+        .to_options()
+        .version(env!("CARGO_PKG_VERSION"))
+        .descr("runs one host of a coltsfootnotch fleet")
+        .footer("exit codes: 0 stopped, 1 failed, 2 ended by a second signal")
+}
+
+/// Runs the daemon until it is stopped.
+pub(crate) fn main() -> ExitCode {
+    match run(&options().run()) {
+        Ok(code) => ExitCode::from(code),
+        Err(e) => {
+            report(e.as_ref());
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+fn run(args: &Args) -> Result<u8, Box<dyn Error>> {
+    let settings = load_settings(&args.settings)?;
+    let _log = start_log(&settings.log)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .max_blocking_threads(BLOCKING_THREADS)
+        .build()?;
+    let mut signals = runtime.block_on(async { Signals::new() })?;
+    let daemon = Daemon::start(&settings, runtime.handle(), &mut rand::rng())?;
+    let stopper = daemon.stopper();
+    let ended = std::thread::spawn(move || daemon.join());
+    let code = runtime.block_on(async {
+        tokio::select! {
+            () = signals.next() => stopper(),
+            () = until_ended(&ended) => return EXIT_OK,
+        }
+        tokio::select! {
+            () = signals.next() => EXIT_FORCED,
+            () = until_ended(&ended) => EXIT_OK,
+        }
+    });
+    runtime.shutdown_background();
+    if code == EXIT_FORCED {
+        return Ok(code);
+    }
+    match ended.join() {
+        Ok(outcome) => outcome.map_err(Box::<dyn Error>::from)?,
+        Err(_) => return Err(ServeError::Panicked.into()),
+    }
+    Ok(code)
+}
+
+async fn until_ended<T>(thread: &std::thread::JoinHandle<T>) {
+    while !thread.is_finished() {
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+}
+
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    fn new() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    async fn next(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
+
+fn start_log(log: &Log) -> Result<LoggerHandle, Box<dyn Error>> {
+    // The libraries' own lines would bury the numbered events.
+    let spec = format!("warn, coltsfootnotch={}", log.level);
+    let logger = Logger::try_with_str(spec)?.format(line);
+    let logger = match &log.file {
+        Some(file) => logger.log_to_file(FileSpec::try_from(file)?).append(),
+        None => logger.log_to_stderr(),
+    };
+    Ok(logger.start()?)
+}
+
+fn line(
+    w: &mut dyn std::io::Write,
+    now: &mut flexi_logger::DeferredNow,
+    record: &log::Record<'_>,
+) -> std::io::Result<()> {
+    write!(
+        w,
+        "{} {} {}",
+        now.format_rfc3339(),
+        record.level(),
+        record.args()
+    )
+}
+
+/// Prints an error with the chain of its causes.
+fn report(error: &dyn Error) {
+    eprintln!("error: {error}");
+    let mut cause = error.source();
+    while let Some(e) = cause {
+        eprintln!("  caused by: {e}");
+        cause = e.source();
+    }
+    eprintln!(
+        "help: `coltsfootnotch check FILE` reports everything that is wrong with a settings file"
+    );
+}
--- a/src/coltsfootnotch/daemon/entry/actor.rs
+++ b/src/coltsfootnotch/daemon/entry/actor.rs
@@ -1,5 +1,6 @@
 //! The entry's actor: owns the queues, the requests in progress and the connections.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -43,6 +44,13 @@
     Stop,
 }
 
+/// What an entry sees of the sidecars.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct Seen {
+    sidecars: usize,
+    pools: BTreeSet<PoolName>,
+}
+
 /// A running entry.
 pub struct EntryHandle {
     tx: Channel<EntryMsg>,
@@ -51,6 +59,7 @@
     fleet: SocketAddr,
     ready: watch::Receiver<Option<Arc<ConfigIndex>>>,
     draining: Arc<AtomicBool>,
+    seen: watch::Receiver<Seen>,
     traffic: Arc<Traffic>,
 }
 
@@ -74,6 +83,19 @@
         move || ready.borrow().is_some() && !draining.load(Ordering::Relaxed)
     }
 
+    /// Whether every one of the pools has a connected sidecar.
+    #[must_use]
+    pub fn serving(&self, pools: &[PoolName]) -> bool {
+        let seen = self.seen.borrow();
+        pools.iter().all(|pool| seen.pools.contains(pool))
+    }
+
+    /// Sidecars connected.
+    #[must_use]
+    pub fn connected(&self) -> usize {
+        self.seen.borrow().sidecars
+    }
+
     /// Control traffic so far.
     #[must_use]
     pub fn traffic(&self) -> Arc<Traffic> {
@@ -85,6 +107,14 @@
         self.tx.send(EntryMsg::Stop);
     }
 
+    /// A closure that starts a graceful shutdown.
+    pub fn stopper(&self) -> impl Fn() + Send + 'static + use<> {
+        let tx = self.tx.clone();
+        move || {
+            tx.send(EntryMsg::Stop);
+        }
+    }
+
     /// Waits until the daemon has ended.
     pub fn join(self) {
         // The thread's panic was already reported by its hook; there is nothing to add.
@@ -114,6 +144,7 @@
         fleet: started.fleet,
         ready: started.config,
         draining: started.draining,
+        seen: started.seen,
         traffic: started.traffic,
     })
 }
@@ -124,6 +155,7 @@
     fleet: SocketAddr,
     config: watch::Receiver<Option<Arc<ConfigIndex>>>,
     draining: Arc<AtomicBool>,
+    seen: watch::Receiver<Seen>,
     traffic: Arc<Traffic>,
 }
 
@@ -138,6 +170,7 @@
     pub(super) tx: Channel<EntryMsg>,
     endpoint: Endpoint,
     config: watch::Sender<Option<Arc<ConfigIndex>>>,
+    seen: watch::Sender<Seen>,
     fleet: SocketAddr,
     draining: Arc<AtomicBool>,
     stop_at: Option<Duration>,
@@ -182,6 +215,7 @@
         let fleet = endpoint.address()?;
         let config = watch::Sender::new(None);
         let draining = Arc::new(AtomicBool::new(false));
+        let seen = watch::Sender::new(Seen::default());
         let callers = listen(&cx, &cfg, &tx, config.subscribe(), Arc::clone(&draining))?;
         let ready = Started {
             tx: tx.clone(),
@@ -189,6 +223,7 @@
             fleet,
             config: config.subscribe(),
             draining: Arc::clone(&draining),
+            seen: seen.subscribe(),
             traffic: endpoint.traffic(),
         };
         let actor = Self {
@@ -202,6 +237,7 @@
             tx,
             endpoint,
             config,
+            seen,
             fleet,
             draining,
             stop_at: None,
@@ -245,6 +281,13 @@
             self.on_ledger(answered);
         }
         self.run_actions();
+        let (sidecars, pools) = self.core.served();
+        self.seen.send_if_modified(|seen| {
+            let new = Seen { sidecars, pools };
+            let changed = *seen != new;
+            *seen = new;
+            changed
+        });
         self.end_if_drained(stakker);
         after!(TICK, [stakker], tick());
     }
--- a/src/coltsfootnotch/daemon/sidecar/actor.rs
+++ b/src/coltsfootnotch/daemon/sidecar/actor.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -67,6 +68,7 @@
     thread: JoinHandle<()>,
     announce: SocketAddr,
     fleet: SocketAddr,
+    ready: Arc<AtomicBool>,
     traffic: Arc<Traffic>,
 }
 
@@ -94,6 +96,20 @@
         self.tx.send(SidecarMsg::Stop);
     }
 
+    /// A closure that starts a graceful shutdown.
+    pub fn stopper(&self) -> impl Fn() + Send + 'static + use<> {
+        let tx = self.tx.clone();
+        move || {
+            tx.send(SidecarMsg::Stop);
+        }
+    }
+
+    /// Whether it has a configuration and is not leaving: a closure for the readiness probe.
+    pub fn ready(&self) -> impl Fn() -> bool + Send + Sync + 'static + use<> {
+        let ready = Arc::clone(&self.ready);
+        move || ready.load(Ordering::Relaxed)
+    }
+
     /// Waits until the daemon has ended.
     pub fn join(self) {
         // The thread's panic was already reported by its hook; there is nothing to add.
@@ -116,18 +132,13 @@
         )
     })?;
     let started = outcome.recv().map_err(|_| StartError::Ended)??;
-    let Started {
-        tx,
-        announce,
-        fleet,
-        traffic,
-    } = started;
     Ok(SidecarHandle {
-        tx,
+        tx: started.tx,
         thread,
-        announce,
-        fleet,
-        traffic,
+        announce: started.announce,
+        fleet: started.fleet,
+        ready: started.ready,
+        traffic: started.traffic,
     })
 }
 
@@ -135,6 +146,7 @@
     tx: Channel<SidecarMsg>,
     announce: SocketAddr,
     fleet: SocketAddr,
+    ready: Arc<AtomicBool>,
     traffic: Arc<Traffic>,
 }
 
@@ -152,6 +164,7 @@
     pub(super) tx: Channel<SidecarMsg>,
     endpoint: Endpoint,
     fleet: SocketAddr,
+    ready: Arc<AtomicBool>,
     stop_at: Option<Duration>,
     _guard: ChannelGuard,
 }
@@ -166,7 +179,7 @@
         let fwd = fwd_to!([stakker], on_msg() as (SidecarMsg));
         let (tx, guard) = Channel::new(stakker, fwd);
         match Self::build(cx, cfg, tx, guard) {
-            Ok((actor, ready)) => {
+            Ok((actor, started)) => {
                 call!([stakker], tick());
                 starter.tell(Ok(ready));
                 Some(actor)
@@ -190,10 +203,12 @@
         let endpoint = Endpoint::bind(&cx.runtime, cfg.fleet, &cfg.credentials, me, handler)?;
         let fleet = endpoint.address()?;
         let announce = listen(&cx, &cfg, &tx)?;
-        let ready = Started {
+        let ready = Arc::new(AtomicBool::new(false));
+        let started = Started {
             tx: tx.clone(),
             announce,
             fleet,
+            ready: Arc::clone(&ready),
             traffic: endpoint.traffic(),
         };
         let actor = Self {
@@ -210,6 +225,7 @@
             tx,
             endpoint,
             fleet,
+            ready,
             stop_at: None,
             _guard: guard,
         };
@@ -217,7 +233,7 @@
             &events::DAEMON_STARTED,
             &[("announce", &announce), ("fleet", &fleet)],
         );
-        Ok((actor, ready))
+        Ok((actor, started))
     }
 
     fn on_msg(&mut self, stakker: CX![], msg: SidecarMsg) {
@@ -251,6 +267,8 @@
         self.relay
             .tick(&self.endpoint, |config| HostRecord { config, ..record });
         self.report_service(now);
+        let ready = self.relay.config().is_some() && self.stop_at.is_none();
+        self.ready.store(ready, Ordering::Relaxed);
         self.run_actions();
         self.end_if_drained(stakker);
         after!(TICK, [stakker], tick());
--- a/src/coltsfootnotch/daemon/sidecar/config.rs
+++ b/src/coltsfootnotch/daemon/sidecar/config.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use coltsfootnotch_decide::fair::ChoicePolicy;
 use coltsfootnotch_fabric::Credentials;
 use coltsfootnotch_manifest::Limits;
 
@@ -22,4 +23,6 @@
     pub limits: Limits,
     /// Time for requests in progress at a graceful shutdown.
     pub shutdown: Duration,
+    /// How it chooses whose work it pulls.
+    pub policy: ChoicePolicy,
 }
--- /dev/null
+++ b/src/coltsfootnotch/ops/fleet/mod.rs
@@ -0,0 +1,11 @@
+//! A fleet in one process on loopback, through the same code as the daemons.
+//!
+//! `demo`, `load --embedded` and the tests run it. Hosts have their own contexts, event loops and
+//! endpoints, and talk over UDP as separate processes do; stand-in upstreams announce themselves to
+//! the sidecars over HTTP.
+
+mod plan;
+mod running;
+
+pub use plan::{AccountPlan, FleetPlan, demo_key};
+pub use running::{Fleet, FleetError};
--- /dev/null
+++ b/src/coltsfootnotch/ops/fleet/plan.rs
@@ -0,0 +1,131 @@
+//! What a fleet in one process is made of.
+
+use coltsfootnotch_decide::fair::ChoicePolicy;
+use coltsfootnotch_fakes::{EngineConfig, OrderConfig};
+use coltsfootnotch_manifest::{Findings, KeyHash, Manifest};
+use coltsfootnotch_types::prelude::*;
+use serde_json::{Value, json};
+
+/// Model that the stand-in engines serve.
+pub const MODEL: &str = "spec-llm";
+/// Service that the stand-in order services are of.
+pub const SERVICE: &str = "member-desk";
+
+/// A client account of the fleet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AccountPlan {
+    /// Its name.
+    pub name: String,
+    /// Its weight.
+    pub weight: u32,
+    /// Most requests of it that wait at one entry.
+    pub queue: u32,
+}
+
+/// What a fleet is made of; hosts are spread over the failure domains in turn.
+#[derive(Debug, Clone)]
+pub struct FleetPlan {
+    /// Failure domains.
+    pub domains: Vec<String>,
+    /// Control hosts.
+    pub control: usize,
+    /// Entry hosts.
+    pub entries: usize,
+    /// Stand-in engines, each with a sidecar of its own.
+    pub engines: Vec<EngineConfig>,
+    /// Stand-in order services, each with a sidecar of its own.
+    pub services: Vec<OrderConfig>,
+    /// Client accounts.
+    pub accounts: Vec<AccountPlan>,
+    /// How sidecars choose whose work they pull.
+    pub policy: ChoicePolicy,
+}
+
+/// The bearer key of an account of a fleet in one process.
+///
+/// ```
+/// use coltsfootnotch::ops::fleet::demo_key;
+/// assert_eq!(demo_key("floorline"), "demo-key-floorline");
+/// ```
+#[must_use]
+pub fn demo_key(account: &str) -> String {
+    format!("demo-key-{account}")
+}
+
+impl FleetPlan {
+    /// Three control hosts, two entries, two engines and an order service.
+    #[must_use]
+    pub fn demo() -> Self {
+        let engine = |number: u32| EngineConfig::new(format!("{MODEL}-{number}"), MODEL);
+        let account = |name: &str, weight| AccountPlan {
+            name: name.to_owned(),
+            weight,
+            queue: 500,
+        };
+        Self {
+            domains: ["colombo", "gampaha", "kalutara"]
+                .map(str::to_owned)
+                .to_vec(),
+            control: 3,
+            entries: 2,
+            engines: vec![engine(1), engine(2)],
+            services: vec![OrderConfig::new(format!("{SERVICE}-1"), SERVICE)],
+            accounts: vec![
+                account("large-contractor", 4),
+                account("small-applicator", 1),
+            ],
+            policy: ChoicePolicy::Fair,
+        }
+    }
+
+    /// The manifest that the fleet is started with.
+    ///
+    /// # Errors
+    /// Returns findings when an account has no valid name or weight.
+    pub fn manifest(&self) -> Result<Manifest, Findings> {
+        let accounts: Vec<Value> = self.accounts.iter().map(account_json).collect();
+        let engines = u32::try_from(self.engines.len()).unwrap_or(u32::MAX);
+        let text = json!({
+            "number": 1,
+            "accounts": accounts,
+            "models": [{
+                "name": MODEL,
+                "deadline_ms": 60_000,
+                "token_weights": { "input": 1, "output": 4 },
+                "targets": { "first_token_ms": 1100, "between_tokens_ms": 28 },
+                "fenced": true,
+                "versions": [{ "name": "v1", "replicas": engines.max(1), "megabytes": 1 }],
+            }],
+            "services": [{
+                "name": SERVICE,
+                "prefix": format!("/{SERVICE}"),
+                "cost": 200,
+                "replicas": self.services.len().max(1),
+                "deadline_ms": 20_000,
+                "calls": [
+                    { "method": "POST", "path": "/orders", "repeatable": false },
+                    { "method": "GET", "path": "/orders/{id}", "repeatable": true },
+                    { "method": "GET", "path": "/orders/by-key/{key}", "repeatable": true },
+                ],
+                "reread": { "method": "GET", "path": "/orders/by-key/{key}" },
+            }],
+        });
+        Manifest::parse("embedded-manifest", &text.to_string())
+    }
+
+    /// The failure domain of host `number` of a role.
+    pub(super) fn domain(&self, number: usize) -> DomainName {
+        let name = self.domains.get(number % self.domains.len().max(1));
+        let name = name.map_or("domain", String::as_str);
+        DomainName::new(name).unwrap_or_else(|e| panic!("a failure domain of the plan: {e}"))
+    }
+}
+
+fn account_json(account: &AccountPlan) -> Value {
+    json!({
+        "name": account.name,
+        "key_hashes": [KeyHash::of_key(&demo_key(&account.name)).to_string()],
+        "weight": account.weight,
+        "limits": { "queue": account.queue },
+    })
+}
