Choose by fair service, find windows and tell crashes in the sidecar

Cause: the sidecar's first choice knew neither weights over time nor returns from idle, its windows were fixed at four, and crashes were not told. Change: the sidecar core uses the fair ledger, concurrency windows, health and apart slots; service is reported under numbers until acknowledged; an upstream that broke off is probed and its crash told to every entry.

--- a/crates/router/src/entry/core.rs
+++ b/crates/router/src/entry/core.rs
@@ -166,7 +166,10 @@
             } => {
                 self.on_pull(now, from, pull, &pool, &accounts);
             }
-            FromSidecar::Disowned { .. } => {}
+            // What crashes say of a request is weighed before it is submitted.
+            FromSidecar::Crashed(_)
+            | FromSidecar::Cleared { .. }
+            | FromSidecar::Disowned { .. } => {}
         }
     }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -10,8 +10,8 @@
 
 pub use entry::{EntryAction, EntryCore, NewRequest, PoolQueue, SidecarView, Waiting};
 pub use sidecar::{
-    Dispatched, PULL_TIMEOUT, PullTable, Reserved, Served, SidecarAction, SidecarCore,
-    UpstreamSlots, UpstreamTable, WaitTable,
+    Crashes, Dispatched, News, PULL_TIMEOUT, PullTable, Reserved, RunOutcome, SidecarAction,
+    SidecarConfig, SidecarCore, UpstreamSlots, UpstreamTable, WaitTable,
 };
 
 /// The types that a daemon needs to carry the cores.
--- a/crates/router/src/sidecar/pulls.rs
+++ b/crates/router/src/sidecar/pulls.rs
@@ -1,6 +1,6 @@
 //! Slots reserved for pulls.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use coltsfootnotch_types::prelude::*;
@@ -33,20 +33,25 @@
 pub struct PullTable {
     next: u64,
     reserved: BTreeMap<u64, Reserved>,
+    asked: HashMap<AskedOf, u32>,
 }
 
+/// What a pull asks for: pool, account and entry.
+type AskedOf = (PoolName, AccountName, HostName);
+
 impl PullTable {
     /// Reserves a slot; gives the pull's number.
     pub fn reserve(&mut self, reserved: Reserved) -> u64 {
         let pull = self.next;
         self.next += 1;
+        *self.asked.entry(reserved.asked_of()).or_insert(0) += 1;
         self.reserved.insert(pull, reserved);
         pull
     }
 
     /// Uses a pull to start an attempt; none when it was used, ended or expired before.
     pub fn take(&mut self, now: Duration, pull: u64) -> Option<Reserved> {
-        let reserved = self.reserved.remove(&pull)?;
+        let reserved = self.release(pull)?;
         if reserved.until <= now {
             return None;
         }
@@ -55,7 +60,9 @@
 
     /// Ends a reservation that nothing will use.
     pub fn release(&mut self, pull: u64) -> Option<Reserved> {
-        self.reserved.remove(&pull)
+        let reserved = self.reserved.remove(&pull)?;
+        self.count_off(&reserved);
+        Some(reserved)
     }
 
     /// Ends the reservations that have expired, or were asked of `gone`.
@@ -69,12 +76,30 @@
             .collect();
         pulls
             .into_iter()
-            .filter_map(|pull| Some((pull, self.reserved.remove(&pull)?)))
+            .filter_map(|pull| Some((pull, self.release(pull)?)))
             .collect()
     }
 
-    /// Reservations in force.
-    pub fn iter(&self) -> impl Iterator<Item = &Reserved> {
-        self.reserved.values()
+    /// Pulls on their way for an account of a pool at an entry.
+    #[must_use]
+    pub fn asked(&self, pool: &PoolName, account: &AccountName, entry: &HostName) -> u32 {
+        let key = (pool.clone(), account.clone(), entry.clone());
+        self.asked.get(&key).copied().unwrap_or(0)
+    }
+
+    fn count_off(&mut self, reserved: &Reserved) {
+        let key = reserved.asked_of();
+        if let Some(asked) = self.asked.get_mut(&key) {
+            *asked -= 1;
+            if *asked == 0 {
+                self.asked.remove(&key);
+            }
+        }
+    }
+}
+
+impl Reserved {
+    fn asked_of(&self) -> AskedOf {
+        (self.pool.clone(), self.account.clone(), self.entry.clone())
     }
 }
--- /dev/null
+++ b/crates/router/src/sidecar/runs.rs
@@ -0,0 +1,90 @@
+//! Attempts that run, and what they have been charged.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use coltsfootnotch_decide::estimate::RunCharge;
+use coltsfootnotch_types::prelude::*;
+use coltsfootnotch_wire::{AttemptId, Begin, ContentKey, CrashRef};
+
+/// One attempt that runs.
+#[derive(Debug)]
+pub(super) struct Run {
+    pub(super) upstream: UpstreamName,
+    pub(super) key: ContentKey,
+    pub(super) suspected_of: Vec<CrashRef>,
+    pub(super) charge: RunCharge,
+    pub(super) started: Duration,
+    /// When tokens were last counted, and how many there were.
+    pub(super) tokens: Option<(Duration, u64)>,
+}
+
+impl Run {
+    pub(super) fn new(
+        begin: &Begin,
+        upstream: UpstreamName,
+        charge: RunCharge,
+        now: Duration,
+    ) -> Self {
+        let key = ContentKey {
+            account: begin.account.clone(),
+            content: begin.content,
+        };
+        Self {
+            upstream,
+            key,
+            suspected_of: begin.suspected_of.clone(),
+            charge,
+            started: now,
+            tokens: None,
+        }
+    }
+
+    /// The mean time between the tokens that have come since the last count.
+    pub(super) fn gap(&mut self, now: Duration, tokens: u64) -> Option<Duration> {
+        let (since, before) = self.tokens.replace((now, tokens))?;
+        let new = u32::try_from(tokens.checked_sub(before)?)
+            .ok()
+            .filter(|new| *new > 0)?;
+        Some(now.saturating_sub(since) / new)
+    }
+}
+
+/// Attempts by their names.
+#[derive(Debug, Default)]
+pub(super) struct Runs {
+    runs: HashMap<AttemptId, Run>,
+}
+
+impl Runs {
+    pub(super) fn insert(&mut self, attempt: AttemptId, run: Run) {
+        let before = self.runs.insert(attempt, run);
+        assert!(before.is_none(), "the attempt {attempt} runs twice");
+    }
+
+    pub(super) fn contains(&self, attempt: AttemptId) -> bool {
+        self.runs.contains_key(&attempt)
+    }
+
+    pub(super) fn get(&self, attempt: AttemptId) -> Option<&Run> {
+        self.runs.get(&attempt)
+    }
+
+    pub(super) fn get_mut(&mut self, attempt: AttemptId) -> Option<&mut Run> {
+        self.runs.get_mut(&attempt)
+    }
+
+    pub(super) fn remove(&mut self, attempt: AttemptId) -> Option<Run> {
+        self.runs.remove(&attempt)
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// What an upstream runs.
+    pub(super) fn keys_on(&self, upstream: &UpstreamName) -> Vec<ContentKey> {
+        let there = self.runs.values().filter(|run| run.upstream == *upstream);
+        there.map(|run| run.key.clone()).collect()
+    }
+}
--- a/crates/router/src/sidecar/upstreams.rs
+++ b/crates/router/src/sidecar/upstreams.rs
@@ -3,17 +3,37 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use coltsfootnotch_decide::crash::ApartSlot;
+use coltsfootnotch_decide::route::{HealthEvent, UpstreamHealth, usable_slots};
+use coltsfootnotch_decide::window::{ConcurrencyWindow, WindowTargets};
 use coltsfootnotch_types::prelude::*;
 
+/// What an announcement says of an upstream's slots.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct News {
+    /// Until when the announcement holds.
+    pub live_until: Duration,
+    /// Whether the upstream is leaving.
+    pub leaving: bool,
+    /// Requests that wait inside it, as it reports.
+    pub queued: u32,
+    /// When that was so.
+    pub reported: Duration,
+    /// Times its window aims at.
+    pub targets: WindowTargets,
+}
+
 /// One upstream as its sidecar counts it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct UpstreamSlots {
     /// Its pool.
     pub pool: PoolName,
     /// How many requests it is let hold at once.
-    pub window: u32,
-    /// How many it holds.
-    pub running: u32,
+    pub window: ConcurrencyWindow,
+    /// How much of the window is used.
+    pub health: UpstreamHealth,
+    /// Keeps suspects of crashes apart.
+    pub apart: ApartSlot,
     /// How many slots are reserved for pulls.
     pub reserved: u32,
     /// Until when its last announcement holds.
@@ -23,13 +43,36 @@
 }
 
 impl UpstreamSlots {
+    fn new(pool: PoolName, now: Duration, news: News) -> Self {
+        Self {
+            pool,
+            window: ConcurrencyWindow::new(news.targets),
+            health: UpstreamHealth::new(now),
+            apart: ApartSlot::new(),
+            reserved: 0,
+            live_until: news.live_until,
+            leaving: news.leaving,
+        }
+    }
+
     /// Slots that may be given out now.
     #[must_use]
     pub fn free(&self, now: Duration) -> u32 {
         if self.leaving || self.live_until <= now {
             return 0;
         }
-        self.window.saturating_sub(self.running + self.reserved)
+        let usable = usable_slots(self.window.limit(), self.health.share(now));
+        usable.saturating_sub(self.window.in_flight() + self.reserved)
+    }
+
+    fn hear(&mut self, now: Duration, news: News) {
+        self.live_until = news.live_until;
+        if news.leaving && !self.leaving {
+            self.health.on_event(HealthEvent::Leaving, now);
+        }
+        self.leaving = news.leaving;
+        self.health.on_event(HealthEvent::Alive, now);
+        self.window.on_load_report(news.reported, news.queued);
     }
 }
 
@@ -41,25 +84,25 @@
 
 impl UpstreamTable {
     /// Takes in an announcement: a new upstream, or news of a known one.
-    pub fn announce(
-        &mut self,
-        name: UpstreamName,
-        pool: PoolName,
-        live_until: Duration,
-        leaving: bool,
-        first_window: u32,
-    ) {
-        let slots = self.upstreams.entry(name).or_insert_with(|| UpstreamSlots {
-            pool: pool.clone(),
-            window: first_window,
-            running: 0,
-            reserved: 0,
-            live_until,
-            leaving,
-        });
-        slots.pool = pool;
-        slots.live_until = live_until;
-        slots.leaving = leaving;
+    ///
+    /// An upstream that comes back under another pool starts over: its window was found for another
+    /// kind of work.
+    pub fn announce(&mut self, now: Duration, name: UpstreamName, pool: PoolName, news: News) {
+        let known = self.upstreams.get_mut(&name);
+        match known {
+            Some(slots) if slots.pool == pool => slots.hear(now, news),
+            _ => {
+                self.upstreams
+                    .insert(name, UpstreamSlots::new(pool, now, news));
+            }
+        }
+    }
+
+    /// Lets windows and health move on with time.
+    pub fn tick(&mut self, now: Duration) {
+        for slots in self.upstreams.values_mut() {
+            slots.window.on_tick(now);
+        }
     }
 
     /// Free slots of a pool.
@@ -72,9 +115,10 @@
     #[must_use]
     pub fn freest(&self, now: Duration, pool: &PoolName) -> Option<UpstreamName> {
         self.of_pool(pool)
-            .filter(|(_, slots)| slots.free(now) > 0)
-            .max_by_key(|(_, slots)| slots.free(now))
-            .map(|(name, _)| name.clone())
+            .map(|(name, slots)| (slots.free(now), name))
+            .filter(|(free, _)| *free > 0)
+            .max_by_key(|(free, _)| *free)
+            .map(|(_, name)| name.clone())
     }
 
     /// The pools served, each with its live upstreams that are not leaving.
@@ -104,10 +148,11 @@
         self.upstreams.iter()
     }
 
-    /// Forgets upstreams that have been silent since before `now` and hold nothing.
+    /// Forgets upstreams that are silent and hold nothing.
     pub fn forget_silent(&mut self, now: Duration) {
-        self.upstreams
-            .retain(|_, slots| slots.live_until > now || slots.running + slots.reserved > 0);
+        self.upstreams.retain(|_, slots| {
+            slots.live_until > now || slots.window.in_flight() + slots.reserved > 0
+        });
     }
 
     fn of_pool<'a>(
--- a/crates/router/src/sidecar/waits.rs
+++ b/crates/router/src/sidecar/waits.rs
@@ -1,11 +1,13 @@
 //! What waits at the entries, as they have told.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::AccountWait;
 
-type ByEntry = BTreeMap<HostName, u32>;
+/// What waits at one entry: how many, and since when.
+type ByEntry = BTreeMap<HostName, (u32, Duration)>;
 
 /// Waiting work by pool, account and entry.
 #[derive(Debug, Default)]
@@ -14,37 +16,42 @@
 }
 
 impl WaitTable {
-    /// Takes in what an entry tells; `full` replaces what it told before.
+    /// Takes in what an entry tells of an account; what waits of it at all entries, and since when.
     pub fn update(
         &mut self,
+        now: Duration,
         entry: &HostName,
         pool: &PoolName,
-        full: bool,
-        changes: &[AccountWait],
-    ) {
-        if full {
-            self.forget_in(entry, Some(pool));
-        }
+        wait: &AccountWait,
+    ) -> (u32, Duration) {
         let accounts = self.pools.entry(pool.clone()).or_default();
-        for wait in changes {
-            let entries = accounts.entry(wait.account.clone()).or_default();
-            if wait.count == 0 {
-                entries.remove(entry);
-            } else {
-                entries.insert(entry.clone(), wait.count);
-            }
+        let entries = accounts.entry(wait.account.clone()).or_default();
+        if wait.count == 0 {
+            entries.remove(entry);
+        } else {
+            let since = now.saturating_sub(Duration::from_millis(wait.oldest_ms));
+            entries.insert(entry.clone(), (wait.count, since));
         }
-        accounts.retain(|_, entries| !entries.is_empty());
-    }
-
-    /// Forgets an entry whose connection is gone.
-    pub fn forget(&mut self, entry: &HostName) {
-        self.forget_in(entry, None);
+        let left = sum(entries);
+        if entries.is_empty() {
+            accounts.remove(&wait.account);
+        }
+        left
     }
 
-    /// The accounts that wait in a pool.
-    pub fn accounts(&self, pool: &PoolName) -> impl Iterator<Item = &AccountName> {
-        self.pools.get(pool).into_iter().flat_map(BTreeMap::keys)
+    /// Forgets an entry whose connection is gone; what is left of the accounts that waited there.
+    pub fn forget(&mut self, entry: &HostName) -> Vec<(PoolName, AccountName, u32, Duration)> {
+        let mut changed = Vec::new();
+        for (pool, accounts) in &mut self.pools {
+            for (account, entries) in accounts.iter_mut() {
+                if entries.remove(entry).is_some() {
+                    let (count, oldest) = sum(entries);
+                    changed.push((pool.clone(), account.clone(), count, oldest));
+                }
+            }
+            accounts.retain(|_, entries| !entries.is_empty());
+        }
+        changed
     }
 
     /// Every account that waits, whatever the pool.
@@ -68,7 +75,7 @@
         let entries = self.pools.get(pool)?.get(account)?;
         entries
             .iter()
-            .map(|(entry, count)| (count.saturating_sub(asked(entry)), entry))
+            .map(|(entry, (count, _))| (count.saturating_sub(asked(entry)), entry))
             .filter(|(left, _)| *left > 0)
             .max_by_key(|(left, _)| *left)
             .map(|(_, entry)| entry.clone())
@@ -83,16 +90,12 @@
             .and_then(|accounts| accounts.get(account));
         entries.is_some_and(|entries| entries.contains_key(entry))
     }
+}
 
-    fn forget_in(&mut self, entry: &HostName, only: Option<&PoolName>) {
-        for (pool, accounts) in &mut self.pools {
-            if only.is_some_and(|only| only != pool) {
-                continue;
-            }
-            for entries in accounts.values_mut() {
-                entries.remove(entry);
-            }
-            accounts.retain(|_, entries| !entries.is_empty());
-        }
-    }
+fn sum(entries: &ByEntry) -> (u32, Duration) {
+    let count = entries
+        .values()
+        .fold(0, |sum: u32, (count, _)| sum.saturating_add(*count));
+    let oldest = entries.values().map(|(_, since)| *since).min();
+    (count, oldest.unwrap_or_default())
 }
--- a/crates/wire/src/attempt.rs
+++ b/crates/wire/src/attempt.rs
@@ -4,6 +4,8 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
+use crate::CrashRef;
+
 /// Names one attempt for ever: answers are matched by it, so a late or crossed one reaches nobody.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
@@ -80,12 +82,13 @@
     pub pool: PoolName,
     /// The sidecar run that may dispatch it; any other answers that it was not started.
     pub sidecar: Incarnation,
-    /// Digest of the content, by which crashing requests are recognised; the first 8 bytes of SHA-256.
-    pub content: u64,
+    /// SHA-256 of method, path and body, by which crashing requests are recognised.
+    pub content: [u8; 32],
     /// Whether it may be run again elsewhere.
     pub repeatable: bool,
-    /// Whether it must run alone on its upstream, since it is suspected of crashing upstreams.
-    pub alone: bool,
+    /// Crashes that the content is suspected of. A suspect runs beside no other suspect, so that a
+    /// second crash shows which it was.
+    pub suspected_of: Vec<CrashRef>,
     /// Estimated service, charged at the start and settled at the end.
     pub estimate: ServiceUnits,
     /// Time left until the caller's deadline, in milliseconds.
@@ -112,9 +115,9 @@
     /// The upstream could not be connected to: nothing was sent.
     #[display("upstream not reached")]
     NotReached,
-    /// The content is held to be crashing upstreams.
-    #[display("crashes upstreams")]
-    Crashing,
+    /// Another suspect of crashing upstreams runs there.
+    #[display("another suspect runs there")]
+    OtherSuspect,
     /// The attempt was already seen: a replayed or duplicated opening.
     #[display("already seen")]
     Duplicate,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod announce;
 mod attempt;
 mod codec;
+mod crash;
 mod directory;
 mod hello;
 mod message;
@@ -19,6 +20,7 @@
     AttemptId, AttemptReply, Begin, BeginCause, Call, FailReason, NotStartedReason, Run, Usage,
 };
 pub use codec::{CodecError, MAX_FRAME_BYTES, Split, decode, encode, split_frame};
+pub use crash::{ContentKey, CrashNews, CrashRef};
 pub use directory::{HostRecord, ServedPool};
 pub use hello::{Hello, WIRE_VERSION};
 pub use message::Message;
--- a/crates/wire/src/waits.rs
+++ b/crates/wire/src/waits.rs
@@ -3,7 +3,7 @@
 use coltsfootnotch_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::AttemptId;
+use crate::{AttemptId, ContentKey, CrashNews, CrashRef};
 
 /// How much one client account has waiting in one pool at one entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -66,6 +66,15 @@
         /// Accounts in the order in which they are behind.
         accounts: Vec<AccountName>,
     },
+    /// An upstream has crashed.
+    Crashed(CrashNews),
+    /// A suspect has ended well, so it did not cause these crashes.
+    Cleared {
+        /// The suspect.
+        key: ContentKey,
+        /// The crashes.
+        crashes: Vec<CrashRef>,
+    },
     /// Answers [`ToSidecar::Disown`].
     Disowned {
         /// The attempt.
--- a/src/coltsfootnotch/daemon/entry/arrival.rs
+++ b/src/coltsfootnotch/daemon/entry/arrival.rs
@@ -56,8 +56,8 @@
     pub estimate: ServiceUnits,
     /// Digest of the prompt's beginning; zero without a prompt.
     pub prefix: u64,
-    /// Digest of the content.
-    pub content: u64,
+    /// SHA-256 of method, path and body.
+    pub content: [u8; 32],
     /// The key of a call that may not be repeated; none for one that may.
     pub booking: Option<BookingKey>,
     /// What the upstream is sent.
--- a/src/coltsfootnotch/daemon/entry/callers.rs
+++ b/src/coltsfootnotch/daemon/entry/callers.rs
@@ -20,7 +20,7 @@
 use tokio::sync::{Semaphore, mpsc, watch};
 
 use super::actor::EntryMsg;
-use super::chat::{ChatRequest, digest64};
+use super::chat::ChatRequest;
 use super::reply_body::ReplyBody;
 use super::{Arrival, BookingKey, ReplyPart};
 use crate::core::{HostCx, Refusal, RefusalKind};
@@ -219,7 +219,7 @@
             deadline,
             estimate: asked.estimate,
             prefix: asked.prefix,
-            content: digest64(body),
+            content: content_digest(parts, body),
             booking,
             call,
             config: Arc::clone(config),
@@ -306,12 +306,16 @@
 fn booking_key(key: Option<&str>, parts: &Parts, body: &[u8]) -> Result<BookingKey, Refusal> {
     let key = key.ok_or(Refusal::not_run(RefusalKind::IdempotencyKeyMissing))?;
     let key = IdempotencyKey::parse(key).map_err(|_| Refusal::not_run(RefusalKind::BadRequest))?;
-    let mut content = format!("{} {}\n", parts.method, parts.uri).into_bytes();
-    content.extend_from_slice(body);
-    Ok(BookingKey {
-        key,
-        body: BodyDigest::of(&content),
-    })
+    let body = BodyDigest(content_digest(parts, body));
+    Ok(BookingKey { key, body })
+}
+
+/// SHA-256 of method, path and body.
+fn content_digest(parts: &Parts, body: &[u8]) -> [u8; 32] {
+    let mut digest = Sha256::new();
+    digest.update(format!("{} {}\n", parts.method, parts.uri));
+    digest.update(body);
+    digest.finalize().into()
 }
 
 fn deadline(
--- a/src/coltsfootnotch/daemon/entry/outcomes.rs
+++ b/src/coltsfootnotch/daemon/entry/outcomes.rs
@@ -76,7 +76,7 @@
             sidecar: chosen.sidecar,
             content: arrival.content,
             repeatable: arrival.booking.is_none(),
-            alone: false,
+            suspected_of: vec![],
             estimate: arrival.estimate,
             deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
             call: arrival.call.clone(),
@@ -152,10 +152,6 @@
     /// Not started: it waits again, after the ledger knows that this attempt never runs.
     fn after_not_started(&mut self, mut chosen: Chosen, end: &AttemptEnd) {
         let request = chosen.waiting.request;
-        if let AttemptEnd::NotStarted(NotStartedReason::Crashing) = end {
-            let refusal = Refusal::not_run(RefusalKind::Crashing);
-            return self.finish_failed(request, refusal);
-        }
         if matches!(
             end,
             AttemptEnd::NotStarted(NotStartedReason::NotReached | NotStartedReason::Leaving)
--- a/src/coltsfootnotch/daemon/sidecar/actor.rs
+++ b/src/coltsfootnotch/daemon/sidecar/actor.rs
@@ -1,17 +1,18 @@
 //! The sidecar's actor: owns the slots, the attempts and the connections.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use coltsfootnotch_decide::window::WindowTargets;
 use coltsfootnotch_fabric::{AttemptStream, Endpoint, Event, LinkId, LinkTx, PeerId, Traffic};
-use coltsfootnotch_router::SidecarCore;
+use coltsfootnotch_router::{News, RunOutcome, SidecarConfig as CoreConfig, SidecarCore};
 use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::announce::Announcement;
-use coltsfootnotch_wire::{AttemptId, Begin, FailReason, HostRecord, Message, ServedPool, Usage};
+use coltsfootnotch_wire::{AttemptId, Begin, ContentKey, HostRecord, Message, ServedPool, Usage};
 use stakker::sync::{Channel, ChannelGuard};
 use stakker::{CX, Stakker, actor, after, call, fwd_to, ret_shutdown, stop};
 use tokio::net::TcpListener;
@@ -19,6 +20,7 @@
 
 use super::SidecarConfig;
 use super::runner::RunnerControl;
+use super::service_reports::ServiceReports;
 use super::upstreams::{Announced, Upstreams};
 use super::{announce, upstream_call};
 use crate::core::HostCx;
@@ -28,8 +30,11 @@
 
 /// Time between the actor's own rounds: heartbeats, expiry and news of service fall due on them.
 const TICK: Duration = Duration::from_millis(20);
-/// Requests let into an upstream that has just announced itself.
-const FIRST_WINDOW: u32 = 4;
+/// Time in which a plain service should answer; beyond it, it is let hold less.
+const SERVICE_LATENCY: Duration = Duration::from_millis(250);
+/// Furthest that two waiting accounts may stand apart, in units at weight 1: four times the bound of
+/// a pool of 900 slots (30 replicas, 30 slots each) with requests of 10,000 units.
+const HORIZON: ServiceUnits = ServiceUnits(72_000_000);
 /// Connections for announcements: a few upstreams on the same host.
 const ANNOUNCE_CONNECTIONS: usize = 64;
 const ANNOUNCE_HEADER_BYTES: usize = 8192;
@@ -49,12 +54,18 @@
     },
     Progress {
         attempt: AttemptId,
+        tokens: u64,
         total: ServiceUnits,
     },
     Ended {
         attempt: AttemptId,
         usage: Usage,
-        failed: Option<FailReason>,
+        outcome: RunOutcome,
+    },
+    Probed {
+        upstream: UpstreamName,
+        crashed: bool,
+        suspects: Vec<ContentKey>,
     },
     Forgotten {
         attempt: AttemptId,
@@ -158,8 +169,8 @@
     pub(super) attempts: HashMap<AttemptId, RunnerControl>,
     pub(super) entries: BTreeMap<HostName, (LinkId, LinkTx)>,
     pub(super) relay: RelayClient,
-    pub(super) service_batch: u64,
-    pub(super) service_sent: Duration,
+    pub(super) reports: ServiceReports,
+    pub(super) probing: BTreeSet<UpstreamName>,
     pub(super) agent: Agent,
     pub(super) tx: Channel<SidecarMsg>,
     endpoint: Endpoint,
@@ -212,13 +223,18 @@
             traffic: endpoint.traffic(),
         };
         let actor = Self {
-            core: SidecarCore::new(me),
+            core: SidecarCore::new(CoreConfig {
+                host: cx.identity.host.clone(),
+                incarnation: me,
+                policy: cfg.policy,
+                horizon: HORIZON,
+            }),
             upstreams: Upstreams::default(),
             attempts: HashMap::new(),
             entries: BTreeMap::new(),
             relay: RelayClient::new(cx.clone(), cfg.control.clone()),
-            service_batch: 0,
-            service_sent: Duration::ZERO,
+            reports: ServiceReports::default(),
+            probing: BTreeSet::new(),
             agent: upstream_call::agent(),
             cx,
             cfg,
@@ -246,12 +262,25 @@
             } => self.on_opened(&peer, *begin, stream),
             SidecarMsg::Announced(announcement) => self.on_announced(&announcement),
             SidecarMsg::FirstPiece { attempt } => self.on_first_piece(attempt),
-            SidecarMsg::Progress { attempt, total } => self.core.progress(attempt, total),
+            SidecarMsg::Progress {
+                attempt,
+                tokens,
+                total,
+            } => {
+                self.core.progress(self.cx.now(), attempt, tokens, total);
+            }
+            SidecarMsg::Probed {
+                upstream,
+                crashed,
+                suspects,
+            } => {
+                self.on_probed(&upstream, crashed, suspects);
+            }
             SidecarMsg::Ended {
                 attempt,
                 usage,
-                failed,
-            } => self.on_ended(attempt, usage, failed),
+                outcome,
+            } => self.on_ended(attempt, usage, outcome),
             SidecarMsg::Forgotten { attempt } => drop(self.attempts.remove(&attempt)),
             SidecarMsg::Stop => self.on_stop(),
         }
@@ -314,13 +343,29 @@
         }
         let cached = self.upstreams.cached(announcement);
         self.core.learn_cached(&announcement.pool, &cached);
-        self.core.upstreams_mut().announce(
-            name.clone(),
-            announcement.pool.clone(),
-            now + announcement.ttl,
-            announcement.leaving,
-            FIRST_WINDOW,
-        );
+        let news = News {
+            live_until: now + announcement.ttl,
+            leaving: announcement.leaving,
+            queued: announcement.load.waiting,
+            reported: now.saturating_sub(Duration::from_millis(announcement.load.age_ms)),
+            targets: self.targets(&announcement.pool),
+        };
+        let pool = announcement.pool.clone();
+        self.core
+            .upstreams_mut()
+            .announce(now, name.clone(), pool, news);
+    }
+
+    /// What the windows of a pool aim at.
+    fn targets(&self, pool: &PoolName) -> WindowTargets {
+        let config = self.relay.config();
+        match config.and_then(|config| config.model(pool.as_str())) {
+            Some(model) => WindowTargets {
+                first: model.targets.first_token(),
+                gap: Some(model.targets.between_tokens()),
+            },
+            None => WindowTargets::service(SERVICE_LATENCY),
+        }
     }
 
     fn forget_silent(&mut self) {
@@ -339,7 +384,7 @@
             }
             Event::Up { link, peer, tx, .. } if peer.role == Role::Entry => {
                 self.entries.insert(peer.host.clone(), (link, tx));
-                self.core.entry_up(peer.host);
+                self.core.entry_up(now, peer.host);
             }
             Event::Message {
                 link,
@@ -385,11 +430,17 @@
     fn on_relay_news(&mut self, news: RelayNews) {
         match news {
             RelayNews::Config(update) => {
-                let accounts = update.0.manifest().accounts.iter();
-                let weights = accounts.map(|account| (account.name.clone(), account.weight));
-                self.core.set_weights(weights.collect());
+                for account in &update.0.manifest().accounts {
+                    self.core
+                        .fair_mut()
+                        .set_weight(&account.name, account.weight);
+                }
+            }
+            RelayNews::Totals(totals) => {
+                let totals = totals.iter().map(|(account, total)| (account, *total));
+                self.core.fair_mut().learn_elsewhere(totals);
             }
-            RelayNews::Totals(totals) => self.core.served_mut().learn_elsewhere(totals),
+            RelayNews::ServiceApplied(seq) => self.reports.acknowledged(seq),
             RelayNews::Hosts { .. } | RelayNews::ServiceApplied(_) | RelayNews::Proposed { .. } => {
             }
         }
--- a/src/coltsfootnotch/daemon/sidecar/attempts.rs
+++ b/src/coltsfootnotch/daemon/sidecar/attempts.rs
@@ -1,28 +1,29 @@
 //! Attempts at the sidecar: opened, run, ended.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use coltsfootnotch_fabric::{AttemptStream, PeerId, write_frame};
-use coltsfootnotch_router::SidecarAction;
+use coltsfootnotch_router::{RunOutcome, SidecarAction};
 use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::{
     AttemptId, AttemptReply, Begin, BeginCause, FailReason, Message, NotStartedReason,
     ServiceBatch, ToRelay, Usage,
 };
+use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
 
-use super::actor::SidecarActor;
+use super::actor::{SidecarActor, SidecarMsg};
 use super::runner::{Cost, Progress, Resumed, Runner, RunnerControl};
 use super::upstream_call::{self, UpstreamCall};
 use crate::util::events;
 
 /// Parts between the upstream's thread and the attempt's task.
 const PART_BUFFER: usize = 32;
-/// Time between two reports of service: what hosts know of each other's service is at most about
-/// this old, twice over (host to relay, relay to host).
-const REPORT_EVERY: Duration = Duration::from_millis(100);
+/// Time in which an upstream that broke off must take a connection, or it has crashed.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
 impl SidecarActor {
     /// An entry opens an attempt, or takes one up again.
@@ -76,7 +77,9 @@
     fn run_attempt(&mut self, begin: Begin, upstream: &UpstreamName, stream: AttemptStream) {
         let attempt = begin.attempt;
         let Some(known) = self.upstreams.get(upstream) else {
-            self.core.finish(attempt, ServiceUnits(0));
+            let now = self.cx.now();
+            self.core
+                .finish(now, attempt, ServiceUnits(0), RunOutcome::NotReached);
             return self.not_started(attempt, NotStartedReason::NotReached, stream);
         };
         let cancelled = Arc::new(AtomicBool::new(false));
@@ -131,27 +134,71 @@
     }
 
     /// An attempt has ended at the upstream; its slot is free.
-    pub(super) fn on_ended(
-        &mut self,
-        attempt: AttemptId,
-        usage: Usage,
-        failed: Option<FailReason>,
-    ) {
-        if let Some(reason) = failed {
+    pub(super) fn on_ended(&mut self, attempt: AttemptId, usage: Usage, outcome: RunOutcome) {
+        let now = self.cx.now();
+        let upstream = self.core.upstream_of(attempt).cloned();
+        if let RunOutcome::Failed(reason) = outcome {
             self.cx.log(
                 &events::ATTEMPT_FAILED,
                 &[("attempt", &attempt), ("cause", &reason)],
             );
+            if let Some(upstream) = &upstream {
+                self.after_failure(attempt, upstream, reason);
+            }
         }
-        let upstream = self.core.upstream_of(attempt).cloned();
-        self.core.finish(attempt, usage.service);
-        let cancelled = failed == Some(FailReason::Cancelled);
-        let known = upstream.and_then(|upstream| self.upstreams.get(&upstream));
-        if let Some(known) = known.filter(|known| cancelled && known.capabilities.cancel) {
-            let (agent, address) = (self.agent.clone(), known.address);
-            self.cx
-                .runtime
-                .spawn_blocking(move || upstream_call::cancel(&agent, address, attempt));
+        self.core.finish(now, attempt, usage.service, outcome);
+    }
+
+    fn after_failure(&mut self, attempt: AttemptId, upstream: &UpstreamName, reason: FailReason) {
+        let Some(known) = self.upstreams.get(upstream) else {
+            return;
+        };
+        let address = known.address;
+        match reason {
+            FailReason::Cancelled if known.capabilities.cancel => {
+                let agent = self.agent.clone();
+                let cancel = move || upstream_call::cancel(&agent, address, attempt);
+                self.cx.runtime.spawn_blocking(cancel);
+            }
+            FailReason::UpstreamBroke => self.probe(upstream, address),
+            _ => {}
+        }
+    }
+
+    /// Finds out whether an upstream that broke off has crashed. The first attempt to break off has
+    /// the others of the same crash still beside it; those that follow are of the same crash.
+    fn probe(&mut self, upstream: &UpstreamName, address: SocketAddr) {
+        if !self.probing.insert(upstream.clone()) {
+            return;
+        }
+        let suspects = self.core.keys_on(upstream);
+        let (tx, upstream) = (self.tx.clone(), upstream.clone());
+        self.cx.runtime.spawn(async move {
+            let connected = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
+            let crashed = !matches!(connected, Ok(Ok(_)));
+            tx.send(SidecarMsg::Probed {
+                upstream,
+                crashed,
+                suspects,
+            });
+        });
+    }
+
+    /// An upstream that broke off was looked at.
+    pub(super) fn on_probed(
+        &mut self,
+        upstream: &UpstreamName,
+        crashed: bool,
+        suspects: Vec<ContentKey>,
+    ) {
+        self.probing.remove(upstream);
+        if crashed {
+            let count = suspects.len();
+            self.cx.log(
+                &events::UPSTREAM_CRASHED,
+                &[("upstream", upstream), ("in_flight", &count)],
+            );
+            self.core.crashed(self.cx.now(), upstream, suspects);
         }
     }
 
@@ -176,21 +223,9 @@
 
     /// Tells the relay what service was given, and whose totals are wanted.
     pub(super) fn report_service(&mut self, now: Duration) {
-        if now < self.service_sent + REPORT_EVERY {
-            return;
-        }
-        self.service_sent = now;
         let watched = self.core.watched();
-        let served = self.core.served_mut().take_unsent();
-        if served.is_empty() && watched.is_empty() {
-            return;
+        if let Some(batch) = self.reports.due(now, self.core.fair_mut(), watched) {
+            self.relay.send(ToRelay::Service(batch));
         }
-        self.service_batch += 1;
-        let batch = ServiceBatch {
-            seq: self.service_batch,
-            served,
-            watched,
-        };
-        self.relay.send(ToRelay::Service(batch));
     }
 }
--- a/src/coltsfootnotch/daemon/sidecar/mod.rs
+++ b/src/coltsfootnotch/daemon/sidecar/mod.rs
@@ -9,6 +9,7 @@
 mod attempts;
 mod config;
 mod runner;
+mod service_reports;
 mod sse;
 mod upstream_call;
 mod upstreams;
--- a/src/coltsfootnotch/daemon/sidecar/runner.rs
+++ b/src/coltsfootnotch/daemon/sidecar/runner.rs
@@ -8,6 +8,7 @@
 
 use coltsfootnotch_fabric::{AttemptStream, write_frame};
 use coltsfootnotch_manifest::TokenWeights;
+use coltsfootnotch_router::RunOutcome;
 use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::{AttemptId, AttemptReply, FailReason, NotStartedReason, Usage};
 use stakker::sync::Channel;
@@ -95,9 +96,10 @@
         let ended = SidecarMsg::Ended {
             attempt: self.attempt,
             usage: self.state.usage,
-            failed: match &self.state.last {
-                Some(AttemptReply::Failed { reason, .. }) => Some(*reason),
-                _ => None,
+            outcome: match &self.state.last {
+                Some(AttemptReply::Failed { reason, .. }) => RunOutcome::Failed(*reason),
+                Some(AttemptReply::NotStarted { .. }) => RunOutcome::NotReached,
+                _ => RunOutcome::Finished,
             },
         };
         self.tx.send(ended);
@@ -164,6 +166,7 @@
             let total = self.service();
             self.tx.send(SidecarMsg::Progress {
                 attempt: self.attempt,
+                tokens: self.state.usage.tokens_out,
                 total,
             });
         }
--- a/src/coltsfootnotch/util/events.rs
+++ b/src/coltsfootnotch/util/events.rs
@@ -68,6 +68,7 @@
     ATTEMPT_FAILED = 30 Warn "an attempt failed after it had started" => "look at the upstream named";
     ANSWER_DROPPED = 31 Warn "a late or crossed piece of an answer was dropped" => "nothing: it reached no caller; report it if it repeats";
     REQUEST_SUSPECTED = 32 Warn "a request is suspected of crashing upstreams" => "nothing; it is refused after a second crash";
+    UPSTREAM_CRASHED = 33 Warn "an upstream crashed with requests in flight" => "look at the upstream; requests that were in flight are suspects and run apart";
     LEADER_ELECTED = 40 Info "this control host leads the group" => "nothing";
     LEADER_LOST = 41 Info "this control host no longer leads" => "nothing unless no other host reports CFN-0040";
     STORAGE_CORRUPT = 42 Error "the replicated log on disk is corrupt" => "replace this member: see OPERATING.md";
