Run a whole fleet in one process: demo

Cause: the parts had not served a request together. Change: a fleet in one process over the daemons' own code, the operators' connection, the daemon binary, and demo as the first command.

--- a/src/coltsfootnotch/daemon/control/handle.rs
+++ b/src/coltsfootnotch/daemon/control/handle.rs
@@ -68,6 +68,14 @@
         self.channel.send(Input::Stop(Stop::Graceful));
     }
 
+    /// A closure that begins a graceful stop.
+    pub fn stopper(&self) -> impl Fn() + Send + 'static + use<> {
+        let channel = self.channel.clone();
+        move || {
+            channel.send(Input::Stop(Stop::Graceful));
+        }
+    }
+
     /// Ends the daemon at once, as a second signal does. Nothing that was acknowledged is lost.
     pub fn kill(&self) {
         self.channel.send(Input::Stop(Stop::Now));
--- a/src/coltsfootnotch/daemon/entry/bookings.rs
+++ b/src/coltsfootnotch/daemon/entry/bookings.rs
@@ -15,6 +15,7 @@
 use super::BookingKey;
 use super::attempt_end::Collected;
 use super::requests::Chosen;
+use crate::core::{decode_reply, encode_op};
 use crate::daemon::RelayClient;
 
 /// Time after which an unanswered proposal is sent again.
@@ -135,7 +136,7 @@
         purpose: Purpose,
         op: LedgerOp,
     ) -> Option<()> {
-        let command = postcard::to_stdvec(&Op::Ledger(op)).ok()?;
+        let command = encode_op(&Op::Ledger(op));
         let id = relay.propose(command.clone())?;
         let pending = Pending {
             request,
@@ -217,7 +218,7 @@
 }
 
 fn ledger_reply(bytes: &[u8]) -> Option<LedgerReply> {
-    match postcard::from_bytes(bytes).ok()? {
+    match decode_reply(bytes).ok()? {
         Reply::Ledger(reply) => Some(reply),
         _ => None,
     }
--- a/src/coltsfootnotch/daemon/relay_client.rs
+++ b/src/coltsfootnotch/daemon/relay_client.rs
@@ -212,9 +212,10 @@
             } => self.on_config(&body),
             // A push before the first confirmed answer is not taken: the relay may be cut off and
             // behind what this host had in force before it restarted.
-            FromRelay::Config(_) | FromRelay::ConfigConfirmed { .. } | FromRelay::Status { .. } => {
-                None
-            }
+            FromRelay::Config(_)
+            | FromRelay::ConfigConfirmed { .. }
+            | FromRelay::Members { .. }
+            | FromRelay::Status { .. } => None,
         }
     }
 
--- a/src/coltsfootnotch/daemon/sidecar/actor.rs
+++ b/src/coltsfootnotch/daemon/sidecar/actor.rs
@@ -192,7 +192,7 @@
         match Self::build(cx, cfg, tx, guard) {
             Ok((actor, started)) => {
                 call!([stakker], tick());
-                starter.tell(Ok(ready));
+                starter.tell(Ok(started));
                 Some(actor)
             }
             Err(e) => {
@@ -441,8 +441,7 @@
                 self.core.fair_mut().learn_elsewhere(totals);
             }
             RelayNews::ServiceApplied(seq) => self.reports.acknowledged(seq),
-            RelayNews::Hosts { .. } | RelayNews::ServiceApplied(_) | RelayNews::Proposed { .. } => {
-            }
+            RelayNews::Hosts { .. } | RelayNews::Proposed { .. } => {}
         }
     }
 
--- a/src/coltsfootnotch/daemon/sidecar/attempts.rs
+++ b/src/coltsfootnotch/daemon/sidecar/attempts.rs
@@ -9,8 +9,8 @@
 use coltsfootnotch_router::{RunOutcome, SidecarAction};
 use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::{
-    AttemptId, AttemptReply, Begin, BeginCause, FailReason, Message, NotStartedReason,
-    ServiceBatch, ToRelay, Usage,
+    AttemptId, AttemptReply, Begin, BeginCause, ContentKey, FailReason, Message, NotStartedReason,
+    ToRelay, Usage,
 };
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
--- a/src/coltsfootnotch/ops/fleet/plan.rs
+++ b/src/coltsfootnotch/ops/fleet/plan.rs
@@ -7,9 +7,9 @@
 use serde_json::{Value, json};
 
 /// Model that the stand-in engines serve.
-pub const MODEL: &str = "spec-llm";
+pub(super) const MODEL: &str = "spec-llm";
 /// Service that the stand-in order services are of.
-pub const SERVICE: &str = "member-desk";
+pub(super) const SERVICE: &str = "member-desk";
 
 /// A client account of the fleet.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/coltsfootnotch/ops/operator_client.rs
+++ b/src/coltsfootnotch/ops/operator_client.rs
@@ -13,6 +13,7 @@
 use derive_more::{Display, Error, From};
 use tokio::runtime::Handle;
 
+use crate::core::{ProposalError, decode_reply, encode_op};
 use crate::daemon::ControlAddress;
 
 /// Time before an unanswered question is put to the group again; a command is safe to repeat.
@@ -38,7 +39,7 @@
     Group(ProposeError),
     /// The answer can't be read.
     #[display("the answer of the control group can't be read")]
-    Answer(postcard::Error),
+    Answer(ProposalError),
 }
 
 /// A connection to the first control host that answers.
@@ -110,7 +111,7 @@
     /// # Errors
     /// Returns an error when the group does not answer within `patience`.
     pub fn propose(&self, op: &Op, patience: Duration) -> Result<Reply, OperatorError> {
-        let command = postcard::to_stdvec(op)?;
+        let command = encode_op(op);
         let until = Instant::now() + patience;
         let mut refused = ProposeError::NoQuorum;
         while Instant::now() < until {
@@ -125,7 +126,7 @@
                 },
             )?;
             match answer {
-                Some(Ok(reply)) => return Ok(postcard::from_bytes(&reply)?),
+                Some(Ok(reply)) => return Ok(decode_reply(&reply)?),
                 Some(Err(ProposeError::BadCommand)) => return Err(ProposeError::BadCommand.into()),
                 Some(Err(e)) => {
                     refused = e;
--- a/src/coltsfootnotch/ops/serve.rs
+++ b/src/coltsfootnotch/ops/serve.rs
@@ -1,7 +1,7 @@
 //! `coltsfootnotchd`: one daemon from its settings file to its end.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 
 use coltsfootnotch_decide::fair::ChoicePolicy;
@@ -10,7 +10,6 @@
 use coltsfootnotch_types::prelude::*;
 use derive_more::{Display, Error, From};
 use rand::Rng;
-use tokio::net::TcpListener;
 use tokio::runtime::Handle;
 
 use crate::core::{HostCx, HostIdentity};
@@ -111,9 +110,9 @@
         };
         let cx = HostCx::new(identity, runtime.clone());
         match settings.role {
-            Role::Control => start_control(cx, settings),
-            Role::Entry => start_entry(cx, settings),
-            Role::Sidecar => start_sidecar(cx, settings),
+            Role::Control => start_control(&cx, settings),
+            Role::Entry => start_entry(&cx, settings),
+            Role::Sidecar => start_sidecar(&cx, settings),
             Role::Operator => Err(ServeError::NoDaemon),
         }
     }
@@ -141,14 +140,14 @@
     }
 }
 
-fn start_control(cx: HostCx, settings: &Settings) -> Result<Daemon, ServeError> {
+fn start_control(cx: &HostCx, settings: &Settings) -> Result<Daemon, ServeError> {
     let cfg = ControlConfig::from_settings(settings)?;
     let handle = control::start(cx.clone(), cfg)?;
-    serve_admin(&cx, settings, handle.ready())?;
+    serve_admin(cx, settings, handle.readiness())?;
     Ok(Daemon::Control(handle))
 }
 
-fn start_entry(cx: HostCx, settings: &Settings) -> Result<Daemon, ServeError> {
+fn start_entry(cx: &HostCx, settings: &Settings) -> Result<Daemon, ServeError> {
     let cfg = EntryConfig {
         fleet: settings.listen.fleet,
         callers: settings
@@ -161,11 +160,11 @@
         shutdown: settings.shutdown(),
     };
     let handle = entry::start(cx.clone(), cfg)?;
-    serve_admin(&cx, settings, handle.ready())?;
+    serve_admin(cx, settings, handle.ready())?;
     Ok(Daemon::Entry(handle))
 }
 
-fn start_sidecar(cx: HostCx, settings: &Settings) -> Result<Daemon, ServeError> {
+fn start_sidecar(cx: &HostCx, settings: &Settings) -> Result<Daemon, ServeError> {
     let cfg = SidecarConfig {
         fleet: settings.listen.fleet,
         announce: settings
@@ -179,7 +178,7 @@
         policy: ChoicePolicy::Fair,
     };
     let handle = sidecar::start(cx.clone(), cfg)?;
-    serve_admin(&cx, settings, handle.ready())?;
+    serve_admin(cx, settings, handle.ready())?;
     Ok(Daemon::Sidecar(handle))
 }
 
@@ -189,9 +188,9 @@
     ready: impl Fn() -> bool + Send + Sync + 'static,
 ) -> Result<(), ServeError> {
     let address = settings.listen.admin;
-    let bound = cx.runtime.block_on(TcpListener::bind(address));
-    let listener = bound.map_err(|source| ServeError::Admin { address, source })?;
-    admin::spawn(cx, listener, ready);
+    let failed = |source| ServeError::Admin { address, source };
+    let listener = TcpListener::bind(address).map_err(failed)?;
+    admin::spawn(cx, listener, ready).map_err(failed)?;
     Ok(())
 }
 
--- /dev/null
+++ b/tests/testsuite/demo.rs
@@ -0,0 +1,20 @@
+//! The README's first command.
+
+use coltsfootnotch::ops::demo::{DemoOptions, demo};
+use googletest::prelude::*;
+
+#[gtest]
+fn the_demo_shows_six_right_answers_and_one_booking() {
+    let mut out = Vec::new();
+    let opts = DemoOptions {
+        once: true,
+        seed: 1,
+    };
+    expect_that!(demo(&opts, &mut out, || {}), ok(anything()));
+    let text = String::from_utf8(out).unwrap();
+    expect_that!(
+        text.lines().filter(|line| line.contains("  yes  ")).count(),
+        eq(6)
+    );
+    expect_that!(text, contains_substring("curl -N http://127.0.0.1:"));
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,3 +1,4 @@
 //! The daemons as a whole.
 
 mod control;
+mod demo;
