--- a/src/coltsfootnotch/ops/fleet/running.rs
+++ b/src/coltsfootnotch/ops/fleet/running.rs
@@ -18,7 +18,7 @@
 
 use super::FleetPlan;
 use crate::core::{HostCx, HostIdentity};
-use crate::daemon::control::{self, ControlConfig, ControlError, ControlHandle, ControlMember};
+use crate::daemon::control::{self, ControlConfig, ControlError, ControlHandle};
 use crate::daemon::entry::{self, EntryConfig, EntryHandle};
 use crate::daemon::sidecar::{self, SidecarConfig, SidecarHandle};
 use crate::daemon::{ControlAddress, StartError};
@@ -217,18 +217,11 @@
 
     fn start_controls(&mut self, plan: &FleetPlan, rng: &mut impl Rng) -> Result<(), FleetError> {
         let addresses = self.control_addresses.clone();
-        let members: Vec<ControlMember> = addresses
-            .iter()
-            .map(|known| ControlMember {
-                host: known.host.clone(),
-                address: known.address,
-            })
-            .collect();
         for (number, known) in addresses.iter().enumerate() {
             let cx = self.cx(Role::Control, &known.host, plan.domain(number), rng);
             let credentials = self.credentials(Role::Control, &known.host)?;
             let data = self.data_of(&known.host);
-            let cfg = ControlConfig::new(known.address, credentials, data, members.clone());
+            let cfg = ControlConfig::new(known.address, credentials, data, addresses.clone());
             self.controls.push(control::start(cx, cfg)?);
         }
         Ok(())
