--- a/src/coltsfootnotch/daemon/control/permit.rs
+++ b/src/coltsfootnotch/daemon/control/permit.rs
@@ -11,7 +11,8 @@
     match op {
         Op::ApplyConfig(_) | Op::SetLimits(_) => role == Role::Operator,
         Op::Ledger(_) | Op::Batch(_) => role == Role::Entry,
-        Op::Grant(_) | Op::Renew(_) | Op::Release(_) | Op::OrderDone(_) => role == Role::Entry,
+        // Orders go to an engine from the sidecar beside it.
+        Op::Grant(_) | Op::Renew(_) | Op::Release(_) | Op::OrderDone(_) => role == Role::Sidecar,
         // The leader proposes it by its own clock.
         Op::Expire => false,
     }
