Measure how costs grow with the sizes of a fleet

Cause: docs/CAPACITY.md needs slopes, and nothing measured control traffic by role, or what hosts, backlogged accounts, open streams and changes of configuration add. Change: an example, slopes, with five parts, each over several sizes; a fleet in one process tells its control bytes apart by role.

--- /dev/null
+++ b/examples/slopes/backlog.rs
@@ -0,0 +1,97 @@
+//! What backlogged client accounts cost: every sidecar hears which of them wait, and how much
+//! service they had elsewhere.
+
+use std::net::TcpStream;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use coltsfootnotch::ops::fleet::{Fleet, FleetError};
+
+use crate::caller::open;
+use crate::fleets::{CONTROL, Size, account, start};
+use crate::process::{cpu_time, resident_bytes};
+
+const ENTRIES: usize = 2;
+const SIDECARS: usize = 8;
+const SETTLE: Duration = Duration::from_secs(3);
+const WATCHED: Duration = Duration::from_secs(10);
+/// Requests that each account has, so that it goes on waiting while some of them run.
+const REQUESTS: usize = 3;
+/// Tokens of each; with 20 ms between them a request runs for a second.
+const TOKENS: u32 = 50;
+
+/// Prints one row for each number of backlogged accounts.
+pub(crate) fn run(sizes: &[usize]) -> Result<(), FleetError> {
+    println!(
+        "backlogged accounts: {CONTROL} control hosts, {ENTRIES} entries, {SIDECARS} sidecars; \
+         {REQUESTS} requests an account of {TOKENS} tokens, 20 ms apart; control bytes a second \
+         sent by one host of each role"
+    );
+    println!(
+        "{:>9} {:>9} {:>9} {:>11} {:>9} {:>11} {:>13} {:>11}",
+        "accounts",
+        "waiting",
+        "started/s",
+        "control B/s",
+        "entry B/s",
+        "sidecar B/s",
+        "cpu ms/s/host",
+        "resident MB"
+    );
+    for &accounts in sizes {
+        let before = resident_bytes();
+        let fleet = start(&Size {
+            entries: ENTRIES,
+            engines: SIDECARS,
+            slots: 8,
+            token: Duration::from_millis(20),
+            accounts,
+        })?;
+        let waiting = ask(&fleet, accounts)?;
+        sleep(SETTLE);
+        row(&fleet, accounts, waiting.len(), before);
+        drop(waiting);
+        fleet.stop();
+        sleep(SETTLE);
+    }
+    Ok(())
+}
+
+fn ask(fleet: &Fleet, accounts: usize) -> Result<Vec<TcpStream>, FleetError> {
+    let entries = fleet.callers();
+    let ask = |number: usize| {
+        let at = entries[number % entries.len()];
+        open(at, &account(number % accounts), number, TOKENS)
+    };
+    let sockets: std::io::Result<Vec<_>> = (0..REQUESTS * accounts).map(ask).collect();
+    Ok(sockets?)
+}
+
+fn started(fleet: &Fleet) -> u64 {
+    fleet
+        .engines()
+        .iter()
+        .map(|engine| engine.stats().started)
+        .sum()
+}
+
+fn row(fleet: &Fleet, accounts: usize, asked: usize, resident_before: u64) {
+    let (bytes, cpu, from) = (fleet.control_bytes_by_role(), cpu_time(), Instant::now());
+    let started_before = started(fleet);
+    sleep(WATCHED);
+    let sent = fleet.control_bytes_by_role().since(&bytes);
+    let seconds = from.elapsed().as_secs_f64();
+    let cpu_ms = 1000.0 * (cpu_time() - cpu).as_secs_f64();
+    let started_after = started(fleet);
+    let each = |bytes: u64, hosts: usize| bytes as f64 / seconds / hosts as f64;
+    println!(
+        "{accounts:>9} {:>9} {:>9.1} {:>11.0} {:>9.0} {:>11.0} {:>13.2} {:>11.1}",
+        asked.saturating_sub(usize::try_from(started_after).unwrap_or(usize::MAX)),
+        (started_after - started_before) as f64 / seconds,
+        each(sent.control, CONTROL),
+        each(sent.entries, ENTRIES),
+        each(sent.sidecars, SIDECARS),
+        cpu_ms / seconds / fleet.hosts() as f64,
+        resident_bytes().saturating_sub(resident_before) as f64 / 1e6,
+    );
+}
--- /dev/null
+++ b/examples/slopes/requests.rs
@@ -0,0 +1,79 @@
+//! Processor time and control bytes of one request, for answers of several lengths.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+use coltsfootnotch::ops::fleet::FleetError;
+
+use crate::caller::{open, whole};
+use crate::fleets::{Size, account, start};
+use crate::process::cpu_time;
+
+const ENTRIES: usize = 2;
+const SIDECARS: usize = 4;
+const CALLERS: usize = 8;
+const REQUESTS: usize = 800;
+const ACCOUNTS: usize = 16;
+
+/// Prints one row for each number of tokens.
+pub(crate) fn run(sizes: &[usize]) -> Result<(), FleetError> {
+    println!(
+        "{REQUESTS} streamed requests by {CALLERS} callers at once, to the engines directly and \
+         through {ENTRIES} entries and {SIDECARS} sidecars; user and system time of the whole \
+         process, stand-ins and callers included"
+    );
+    println!(
+        "{:>7} {:>14} {:>13} {:>14} {:>18} {:>7}",
+        "tokens", "direct ms/req", "fleet ms/req", "added ms/req", "control B/request", "failed"
+    );
+    let fleet = start(&Size {
+        entries: ENTRIES,
+        engines: SIDECARS,
+        slots: 8,
+        token: Duration::from_millis(1),
+        accounts: ACCOUNTS,
+    })?;
+    let engines: Vec<SocketAddr> = fleet.engines().iter().map(|e| e.address()).collect();
+    let entries = fleet.callers();
+    for &tokens in sizes {
+        let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
+        let (direct, failed_direct) = cost(&engines, tokens);
+        let bytes = fleet.control_bytes();
+        let (through, failed) = cost(&entries, tokens);
+        let bytes = fleet.control_bytes() - bytes;
+        println!(
+            "{tokens:>7} {direct:>14.3} {through:>13.3} {:>14.3} {:>18.0} {:>7}",
+            through - direct,
+            bytes as f64 / REQUESTS as f64,
+            failed + failed_direct,
+        );
+    }
+    fleet.stop();
+    Ok(())
+}
+
+/// Milliseconds of processor time a request, and requests that were not answered whole.
+fn cost(at: &[SocketAddr], tokens: u32) -> (f64, usize) {
+    let before = cpu_time();
+    let ask = |caller: usize| {
+        let numbers = (caller..REQUESTS).step_by(CALLERS);
+        let answer = |number: usize| {
+            let to = at[number % at.len()];
+            open(to, &account(number % ACCOUNTS), number, tokens).is_ok_and(whole)
+        };
+        numbers.filter(|number| !answer(*number)).count()
+    };
+    let failed = thread::scope(|scope| {
+        let ask = &ask;
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|caller| scope.spawn(move || ask(caller)))
+            .collect();
+        callers
+            .into_iter()
+            .map(|caller| caller.join().unwrap_or(REQUESTS))
+            .sum()
+    });
+    let cpu_ms = 1000.0 * (cpu_time() - before).as_secs_f64();
+    (cpu_ms / REQUESTS as f64, failed)
+}
--- a/src/coltsfootnotch/ops/fleet/mod.rs
+++ b/src/coltsfootnotch/ops/fleet/mod.rs
@@ -4,8 +4,10 @@
 //! endpoints, and talk over UDP as separate processes do; stand-in upstreams announce themselves to
 //! the sidecars over HTTP.
 
+mod control_bytes;
 mod plan;
 mod running;
 
+pub use control_bytes::ControlBytes;
 pub use plan::{AccountPlan, FleetPlan, demo_key};
 pub use running::{Fleet, FleetError};
--- a/src/coltsfootnotch/ops/fleet/running.rs
+++ b/src/coltsfootnotch/ops/fleet/running.rs
@@ -16,7 +16,7 @@
 use tempfile::TempDir;
 use tokio::runtime::Runtime;
 
-use super::FleetPlan;
+use super::{ControlBytes, FleetPlan};
 use crate::core::{HostCx, HostIdentity};
 use crate::daemon::control::{self, ControlConfig, ControlError, ControlHandle};
 use crate::daemon::entry::{self, EntryConfig, EntryHandle};
@@ -149,11 +149,18 @@
     /// Bytes of control messages that the hosts have sent each other so far.
     #[must_use]
     pub fn control_bytes(&self) -> u64 {
+        self.control_bytes_by_role().total()
+    }
+
+    /// The same, apart for each role.
+    #[must_use]
+    pub fn control_bytes_by_role(&self) -> ControlBytes {
         let of = |traffic: Arc<Traffic>| traffic.sent();
-        let controls = self.controls.iter().map(|host| of(host.traffic()));
-        let entries = self.entries.iter().map(|host| of(host.traffic()));
-        let sidecars = self.sidecars.iter().map(|host| of(host.traffic()));
-        controls.chain(entries).chain(sidecars).sum()
+        ControlBytes {
+            control: self.controls.iter().map(|host| of(host.traffic())).sum(),
+            entries: self.entries.iter().map(|host| of(host.traffic())).sum(),
+            sidecars: self.sidecars.iter().map(|host| of(host.traffic())).sum(),
+        }
     }
 
     /// A client with an operator's key.
