--- a/src/coltsfootnotch/ops/load/caller.rs
+++ b/src/coltsfootnotch/ops/load/caller.rs
@@ -115,17 +115,18 @@
         let account = self.plan.account;
         let recorder = self.recorder;
         let sent = Instant::now();
-        let number = recorder.send(account);
+        let number = recorder.send(account, call.stream);
         let mut first = true;
         let answer = self.client.chat(&call, |progress| match progress {
-            Progress::Head => recorder.head(account, sent.elapsed()),
+            Progress::Head if call.stream => recorder.head(account, sent.elapsed()),
+            Progress::Head => {}
             Progress::Tokens(tokens) => {
-                if first {
-                    let prompt = prompt_tokens(&prompt);
-                    recorder.first_token(account, number, sent.elapsed(), prompt);
-                    first = false;
+                if first && call.stream {
+                    recorder.first_token(account, number, sent.elapsed());
                 }
-                recorder.tokens(account, tokens);
+                let prompt = if first { prompt_tokens(&prompt) } else { 0 };
+                first = false;
+                recorder.served(account, prompt, tokens);
             }
         });
         let correct = matches!(&answer, Answer::Whole(text)
@@ -220,7 +221,7 @@
     ) -> Answer {
         let account = self.plan.account;
         let sent = Instant::now();
-        let number = self.recorder.send(account);
+        let number = self.recorder.send(account, false);
         let answer = call(body);
         if matches!(answer, Answer::Whole(_)) {
             self.recorder.head(account, sent.elapsed());
--- a/src/coltsfootnotch/ops/load/recorder.rs
+++ b/src/coltsfootnotch/ops/load/recorder.rs
@@ -113,12 +113,17 @@
     }
 
     /// A request is being sent for an account; returns its number.
-    pub(super) fn send(&self, account: usize) -> u64 {
+    ///
+    /// Only a streamed answer shows when it begins, so only streamed requests count as backlog: an
+    /// answer in one piece would look as if it waited until its end.
+    pub(super) fn send(&self, account: usize, streamed: bool) -> u64 {
         let mut state = self.lock();
         let number = state.next;
         state.next += 1;
         state.counts.requests += 1;
-        state.unstarted[account].insert(number, Instant::now());
+        if streamed {
+            state.unstarted[account].insert(number, Instant::now());
+        }
         number
     }
 
@@ -131,20 +136,20 @@
             .saturating_record(micros);
     }
 
-    /// The first token came after `wait`; the prompt has been served.
-    pub(super) fn first_token(&self, account: usize, number: u64, wait: Duration, prompt: u32) {
+    /// The first token of a streamed answer came after `wait`.
+    pub(super) fn first_token(&self, account: usize, number: u64, wait: Duration) {
         let mut state = self.lock();
         state.unstarted[account].remove(&number);
         let micros = micros(wait);
         self.times(&mut state, account)
             .first_token
             .saturating_record(micros);
-        self.serve(&mut state, account, u64::from(prompt), 0);
     }
 
-    /// Tokens of an answer came.
-    pub(super) fn tokens(&self, account: usize, tokens: u32) {
-        self.serve(&mut self.lock(), account, 0, u64::from(tokens));
+    /// An account was served so many tokens of prompt and answer.
+    pub(super) fn served(&self, account: usize, prompt: u32, answer: u32) {
+        let mut state = self.lock();
+        self.serve(&mut state, account, prompt.into(), answer.into());
     }
 
     /// A request has ended; `correct` says whether a whole answer was the one expected.
