--- a/src/coltsfootnotch/ops/load/hop.rs
+++ b/src/coltsfootnotch/ops/load/hop.rs
@@ -4,6 +4,7 @@
 //! that whatever else the machine does falls on both.
 
 use std::io;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -51,7 +52,7 @@
     pub cpu_ms_per_request: f64,
     /// Growth of the whole process for one open stream.
     pub kb_per_stream: f64,
-    /// Streams that were answered while memory was read.
+    /// Streams that were open when memory was read.
     pub streams: usize,
     /// Requests that were not answered whole.
     pub failures: u64,
@@ -154,26 +155,36 @@
         let tokens = 2 * opts.open.as_micros() / token.as_micros().max(1);
         let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
         let before = resident_bytes();
+        let open = AtomicUsize::new(0);
         let side = &*self;
-        let read = thread::scope(|scope| {
+        let (read, answered) = thread::scope(|scope| {
             let reader = scope.spawn(|| {
                 thread::sleep(opts.open);
-                resident_bytes()
+                (resident_bytes(), open.load(Ordering::SeqCst))
             });
             let answered = scoped(streams, |number| {
                 let client = &side.clients[number % side.clients.len()];
-                let answer = client.chat(&side.call(number, tokens), |_| {});
+                let mut opened = false;
+                let answer = client.chat(&side.call(number, tokens), |progress| {
+                    if matches!(progress, Progress::Tokens(_)) && !opened {
+                        opened = true;
+                        open.fetch_add(1, Ordering::SeqCst);
+                    }
+                });
+                if opened {
+                    open.fetch_sub(1, Ordering::SeqCst);
+                }
                 matches!(answer, Answer::Whole(_))
             });
-            (reader.join().ok().flatten(), answered)
+            (reader.join().unwrap_or((None, 0)), answered)
         });
-        let (after, answered) = read;
+        let (after, open) = read;
         let whole = answered?.into_iter().filter(|whole| *whole).count();
         self.cost.failures += (streams - whole) as u64;
-        self.cost.streams = whole;
+        self.cost.streams = open;
         if let (Some(before), Some(after)) = (before, after) {
             let grown = after.saturating_sub(before) as f64;
-            self.cost.kb_per_stream = grown / 1024.0 / whole.max(1) as f64;
+            self.cost.kb_per_stream = grown / 1024.0 / open.max(1) as f64;
         }
         Ok(())
     }
--- a/src/coltsfootnotch/ops/load/mod.rs
+++ b/src/coltsfootnotch/ops/load/mod.rs
@@ -7,10 +7,13 @@
 
 mod caller;
 mod client;
+mod command;
 mod disturb;
+mod embedded;
 mod hop;
 mod page;
 mod plan;
+mod policy;
 mod process;
 mod recorder;
 mod run;
@@ -22,9 +25,12 @@
 mod target;
 mod verify;
 
+pub use command::{EmbeddedFleet, FleetChoice, LoadCommand, LoadError, RemoteFleet, load};
+pub use embedded::{Size, embedded_target, fleet_plan, remote_target};
 pub use hop::{HopCost, HopOptions, HopSide, hop};
 pub use page::page;
 pub use plan::{Ask, CallerPlan, MAX_CALLERS, Pattern, Shape, callers};
+pub use policy::{Policy, UnknownPolicy};
 pub use run::{LoadOptions, LoadRun, run};
 pub use scenario::{Scenario, UnknownScenario};
 pub use series::Sample;
--- a/src/coltsfootnotch/ops/load/target.rs
+++ b/src/coltsfootnotch/ops/load/target.rs
@@ -39,6 +39,8 @@
     pub engines: &'a [EngineHandle],
     /// The stand-in order services.
     pub services: &'a [OrderHandle],
+    /// Slots of engines that are not in this process.
+    pub slots_elsewhere: u32,
     /// Policy that the fleet chooses by, as it is printed.
     pub policy: String,
     /// Hosts of the fleet.
@@ -50,10 +52,11 @@
 }
 
 impl Target<'_> {
-    /// Slots of all stand-in engines.
+    /// Slots of all engines.
     #[must_use]
     pub fn slots(&self) -> u32 {
-        self.engines.iter().map(|engine| engine.stats().slots).sum()
+        let here: u32 = self.engines.iter().map(|engine| engine.stats().slots).sum();
+        here + self.slots_elsewhere
     }
 
     /// Slot time that the stand-in engines have used so far.
--- a/tests/testsuite/load.rs
+++ b/tests/testsuite/load.rs
@@ -36,6 +36,7 @@
         booking_prefix: Some(String::new()),
         engines,
         services,
+        slots_elsewhere: 0,
         policy: "none".to_owned(),
         hosts: 1,
         knowledge_age: Duration::ZERO,
