--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod announce;
 mod attempt;
 mod codec;
+mod crash;
 mod directory;
 mod hello;
 mod message;
@@ -19,10 +20,13 @@
     AttemptId, AttemptReply, Begin, BeginCause, Call, FailReason, NotStartedReason, Run, Usage,
 };
 pub use codec::{CodecError, MAX_FRAME_BYTES, Split, decode, encode, split_frame};
+pub use crash::{ContentKey, CrashNews, CrashRef};
 pub use directory::{HostRecord, ServedPool};
 pub use hello::{Hello, WIRE_VERSION};
 pub use message::Message;
-pub use relay::{ConfigBody, FromRelay, Heartbeat, ProposeError, ServiceBatch, ToRelay};
+pub use relay::{
+    ConfigBody, FromRelay, Heartbeat, MembersError, ProposeError, ServiceBatch, ToRelay,
+};
 pub use waits::{AccountWait, FromSidecar, ToSidecar};
 
 /// The messages that nearly every module of the daemons needs.
