Add the command load: an embedded or a running fleet, scenarios, policies, hop cost

Cause: the driver had no command, so no figure could be got again.

Change: `coltsfootnotch load` starts a fleet in its process, or drives one elsewhere by its manifest and entries, plays a scenario and ends with 1 when an answer or a claim of the fleet was wrong.

--- a/src/bin/coltsfootnotch/cli.rs
+++ b/src/bin/coltsfootnotch/cli.rs
@@ -14,7 +14,8 @@
 
 fn options() -> OptionParser<Command> {
     let demo = commands::demo::cli();
-    construct!([demo])
+    let load = commands::load::cli();
+    construct!([demo, load])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("operates a coltsfootnotch fleet")
--- a/src/bin/coltsfootnotch/commands/load.rs
+++ b/src/bin/coltsfootnotch/commands/load.rs
@@ -1,7 +1,6 @@
 //! `coltsfootnotch load`.
 
 use std::error::Error;
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -77,14 +76,16 @@
         .argument("TEXT")
         .fallback(String::new());
     let slots = slots();
-    construct!(entries, manifest, key_prefix, slots).map(|(entries, manifest, key_prefix, slots)| {
-        FleetChoice::Remote(RemoteFleet {
-            entries,
-            manifest,
-            key_prefix,
-            slots,
-        })
-    })
+    construct!(entries, manifest, key_prefix, slots).map(
+        |(entries, manifest, key_prefix, slots)| {
+            FleetChoice::Remote(RemoteFleet {
+                entries,
+                manifest,
+                key_prefix,
+                slots,
+            })
+        },
+    )
 }
 
 pub(crate) fn cli() -> impl Parser<Command> {
--- a/src/coltsfootnotch/ops/load/command.rs
+++ b/src/coltsfootnotch/ops/load/command.rs
@@ -115,7 +115,11 @@
 ) -> Result<(), LoadError> {
     match &command.fleet {
         FleetChoice::Embedded(embedded) => {
-            let manifest = embedded.manifest.as_deref().map(read_manifest).transpose()?;
+            let manifest = embedded
+                .manifest
+                .as_deref()
+                .map(read_manifest)
+                .transpose()?;
             let scenario = command.opts.scenario;
             let plan = fleet_plan(scenario, embedded.policy, embedded.size, manifest.as_ref());
             let mut rng = StdRng::seed_from_u64(command.opts.seed);
--- a/src/coltsfootnotch/ops/load/embedded.rs
+++ b/src/coltsfootnotch/ops/load/embedded.rs
@@ -90,7 +90,11 @@
 fn replicas(manifest: &Manifest) -> (usize, usize) {
     let versions = manifest.models.iter().flat_map(|model| &model.versions);
     let engines: u32 = versions.map(|version| version.replicas).sum();
-    let services: u32 = manifest.services.iter().map(|service| service.replicas).sum();
+    let services: u32 = manifest
+        .services
+        .iter()
+        .map(|service| service.replicas)
+        .sum();
     (engines.max(1) as usize, services.max(1) as usize)
 }
 
