--- a/src/coltsfootnotch/core/refusal.rs
+++ b/src/coltsfootnotch/core/refusal.rs
@@ -73,6 +73,32 @@
     ConnectionLost,
 }
 
+impl RefusalKind {
+    /// Every kind, in the order of docs/INTERFACE.md.
+    pub const ALL: &[Self] = &[
+        Self::Unauthenticated,
+        Self::Forbidden,
+        Self::NotFound,
+        Self::BadRequest,
+        Self::IdempotencyKeyMissing,
+        Self::IdempotencyKeyReused,
+        Self::IdempotencyKeyTooOld,
+        Self::InProgress,
+        Self::InDoubt,
+        Self::TooLarge,
+        Self::QueueFull,
+        Self::Overloaded,
+        Self::Deadline,
+        Self::NoUpstream,
+        Self::NoQuorum,
+        Self::NotReady,
+        Self::Crashing,
+        Self::UpstreamFailed,
+        Self::UpstreamTimeout,
+        Self::ConnectionLost,
+    ];
+}
+
 /// A refusal or failure as a caller sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Refusal {
