--- a/crates/membership/src/flaps.rs
+++ b/crates/membership/src/flaps.rs
@@ -8,7 +8,8 @@
 
 use std::time::Duration;
 
-/// Time after which one flap is forgiven.
+/// Time for which a host must be listed without a break for one flap to be forgiven. Time during
+/// which it is not listed proves nothing.
 const FORGIVE_AFTER: Duration = Duration::from_secs(60);
 
 /// How long a host that has flapped twice must be heard without a gap; doubled with each more.
@@ -17,18 +18,28 @@
 /// The longest such time: a host that is really back must not be left out for minutes.
 const MAX_HOLD: Duration = Duration::from_secs(30);
 
+/// More flaps than this change nothing, and would only take longer to be forgiven.
+const MAX_COUNT: u32 = 8;
+
 /// How often one host went silent lately.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Flaps {
     count: u32,
-    forgiven: Duration,
+    listed: Duration,
 }
 
 impl Flaps {
-    /// Counts one more.
+    /// Notes that the host is listed from now on.
+    pub(crate) fn list(&mut self, now: Duration) {
+        self.listed = now;
+    }
+
+    /// Counts one more, when a host that was listed goes silent.
     pub(crate) fn add(&mut self, now: Duration) {
-        self.forgive(now);
-        self.count = self.count.saturating_add(1);
+        let steady = now.saturating_sub(self.listed);
+        let forgiven = steady.as_secs() / FORGIVE_AFTER.as_secs();
+        let forgiven = u32::try_from(forgiven).unwrap_or(u32::MAX);
+        self.count = (self.count.saturating_sub(forgiven) + 1).min(MAX_COUNT);
     }
 
     /// Takes the last one back.
@@ -37,21 +48,10 @@
     }
 
     /// How long the host must be heard without a gap before it is taken back.
-    pub(crate) fn hold(&mut self, now: Duration) -> Duration {
-        self.forgive(now);
+    pub(crate) fn hold(self) -> Duration {
         match self.count {
             0 | 1 => Duration::ZERO,
-            n => (FIRST_HOLD * 2u32.pow((n - 2).min(8))).min(MAX_HOLD),
-        }
-    }
-
-    fn forgive(&mut self, now: Duration) {
-        if self.count == 0 {
-            self.forgiven = now;
-        }
-        while self.count > 0 && now >= self.forgiven + FORGIVE_AFTER {
-            self.count -= 1;
-            self.forgiven += FORGIVE_AFTER;
+            n => (FIRST_HOLD * 2u32.pow(n - 2)).min(MAX_HOLD),
         }
     }
 }
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -8,6 +8,10 @@
 use crate::flaps::Flaps;
 use crate::{Heartbeat, HostRecord, Presence, Profile, Timing};
 
+/// How long a host stays with another relay at least, before it goes back to its own; going there
+/// and back are two turns.
+const SHORTEST_STAY: Duration = Duration::from_secs(10);
+
 /// What happened to a host.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MemberEvent {
@@ -96,12 +100,12 @@
             return None;
         }
         self.seq = hb.seq;
-        self.heard = now;
-        self.started = hb.started;
         if hb.attach > self.attach {
+            self.forgive_move(now, hb.attach - self.attach);
             self.attach = hb.attach;
-            self.forgive_move();
         }
+        self.heard = now;
+        self.started = hb.started;
         self.config = self.config.max(hb.config);
         if let Some(profile) = &hb.profile {
             self.profile = Some(Arc::new(profile.clone()));
@@ -113,9 +117,11 @@
         listed.or(announces.then_some(MemberEventKind::Leaving))
     }
 
-    /// A host that was silent here because it had turned to another relay has not flapped.
-    fn forgive_move(&mut self) {
-        if self.hearing == Hearing::Silent {
+    /// A host that was silent here because it was with another relay has not flapped. One that is
+    /// heard badly by all turns from relay to relay without staying anywhere.
+    fn forgive_move(&mut self, now: Duration, turns: u32) {
+        let away = now.saturating_sub(self.heard);
+        if self.hearing == Hearing::Silent && away >= SHORTEST_STAY * turns / 2 {
             self.flaps.undo();
         }
     }
@@ -138,10 +144,11 @@
         let Hearing::Returning(since) = self.hearing else {
             return None;
         };
-        if self.profile.is_none() || now < since + self.flaps.hold(now) {
+        if self.profile.is_none() || now < since + self.flaps.hold() {
             return None;
         }
         self.hearing = Hearing::Listed;
+        self.flaps.list(now);
         Some(MemberEventKind::Present)
     }
 
--- a/crates/membership/src/sums.rs
+++ b/crates/membership/src/sums.rs
@@ -12,8 +12,10 @@
 
 use crate::{Epoch, RelayId, ServiceBatch};
 
-/// Earlier runs of one relay whose sums are kept apart; older ones are added up for good.
-const MAX_EPOCHS: usize = 8;
+/// Runs of one relay whose sums are kept apart; older ones are added up for good. Sums that were
+/// added up are not told to a relay that restarts later, so the number is well above the restarts
+/// between two replacements of a control host.
+const MAX_EPOCHS: usize = 64;
 
 /// Changes of one relay's sums.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
