Test restarts of relays and stragglers

Cause: leaving out what keeps a restarted relay's hosts listed failed no test. Change: three focused tests.

--- a/crates/membership/tests/testsuite/silence.rs
+++ b/crates/membership/tests/testsuite/silence.rs
@@ -1,6 +1,8 @@
 //! Hosts and relays that go silent, come back, restart and leave.
 
-use coltsfootnotch_membership::{HeartbeatReply, MemberEventKind, Presence, Registry, Timing};
+use coltsfootnotch_membership::{
+    Directory, HeartbeatReply, MemberEventKind, Presence, Registry, Timing,
+};
 use googletest::prelude::*;
 
 use crate::net::{Net, start_host};
@@ -157,6 +159,81 @@
     }
 }
 
+#[gtest]
+fn a_relay_restarted_at_once_costs_no_host_its_place() {
+    // A relay loses its state and is back before its hosts notice. Until they have sent their next
+    // heartbeats it knows none of them, and must not have the others believe that they are gone.
+    let mut net = Net::settled();
+    net.run(millis(130), |_, _| false, |_| {});
+    net.restart_relay(0);
+    let mut missing = 0;
+    net.run(
+        millis(10_000),
+        |_, _| false,
+        |net| {
+            for h in &net.hosts {
+                let others = if h.name.as_str().starts_with("entry") {
+                    6
+                } else {
+                    3
+                };
+                missing += usize::from(h.view.contacts().count() < others);
+            }
+        },
+    );
+    expect_that!(missing, eq(0));
+}
+
+#[gtest]
+fn a_host_that_is_watched_at_home_stays_listed_where_it_was() {
+    // A host has flapped at its own relay and is listed by another meanwhile. When it comes back it
+    // is watched for a while before it is listed again; until then the other relay's word counts.
+    let ids = [relay("control-0", 1), relay("control-1", 1)];
+    let mut home = Registry::new(ids[0].clone(), Timing::DEFAULT, millis(0));
+    let mut other = Registry::new(ids[1].clone(), Timing::DEFAULT, millis(0));
+    let mut seq = 0;
+    let mut send = |registry: &mut Registry, at: u64, attach: u32| {
+        seq += 1;
+        let mut hb = beat("a", 1, seq);
+        hb.attach = attach;
+        registry.heartbeat(millis(at), &hb);
+    };
+    for at in [0, 5_000, 10_000] {
+        send(&mut home, at, 1);
+        home.tick(millis(at + 4_000));
+    }
+    send(&mut other, 14_000, 2);
+    send(&mut home, 14_500, 3);
+    let mut directory = Directory::new(ids[1].clone(), &Timing::DEFAULT, millis(0));
+    directory.merge(millis(14_500), &home.delta_since(0));
+    directory.merge(millis(14_500), &other.delta_since(0));
+    let presence = |d: &Directory| d.get(&host("a")).map(|r| (r.presence, r.attach));
+    expect_that!(presence(&directory), some(eq((Presence::Present, 2))));
+    for at in (15_000..32_000).step_by(500) {
+        send(&mut home, at, 3);
+    }
+    directory.merge(millis(32_000), &home.delta_since(0));
+    expect_that!(presence(&directory), some(eq((Presence::Present, 3))));
+}
+
+#[gtest]
+fn a_straggling_delta_does_not_bring_a_forgotten_host_back() {
+    // A host left long ago and is forgotten. A copy of an old delta, in which it was present, comes
+    // late.
+    let me = relay("control-0", 1);
+    let mut registry = Registry::new(me.clone(), Timing::DEFAULT, millis(0));
+    registry.heartbeat(millis(0), &beat("a", 1, 1));
+    let old = registry.delta_since(0);
+    registry.leave(&host("a"), beat("a", 1, 1).incarnation);
+    let mut directory = Directory::new(me, &Timing::DEFAULT, millis(0));
+    directory.merge(millis(0), &registry.delta_since(0));
+    let day = millis(24 * 3_600_000);
+    directory.purge(day);
+    expect_that!(directory.get(&host("a")), none());
+    directory.merge(day, &old);
+    expect_that!(directory.get(&host("a")), none());
+}
+
 #[gtest]
 fn every_relay_lost_leaves_hosts_with_what_they_know() {
     let mut net = Net::settled();
