Add the operators' commands

Operators had nothing but `demo`: a manifest could be applied only from code.

`check`, `apply`, `status`, `keys`, `member` and `explain` are thin commands over functions in `ops`. Settings and manifests are told apart by their keys. Exit codes tell a refusal (3) from a missing answer (4), so that a pipeline knows whether the same command may be given again. Shell completion is the library's.

--- a/crates/manifest/src/lib.rs
+++ b/crates/manifest/src/lib.rs
@@ -24,6 +24,7 @@
 mod reference;
 mod schema;
 mod settings;
+mod text_kind;
 
 pub use config_index::{CallMatch, ConfigIndex};
 pub use delta::{DeltaError, ListDelta, ManifestDelta};
@@ -39,6 +40,7 @@
 pub use reference::reference;
 pub use schema::{Key, Kind, MANIFEST_KEYS, Need, SETTINGS_KEYS};
 pub use settings::{ControlHost, KeyFiles, Limits, Listen, Log, LogLevel, Settings};
+pub use text_kind::{TextKind, TextKindError};
 
 /// The types that users of settings and manifests nearly always need.
 pub mod prelude {
--- a/src/bin/coltsfootnotch/cli.rs
+++ b/src/bin/coltsfootnotch/cli.rs
@@ -4,21 +4,36 @@
 use std::process::ExitCode;
 
 use bpaf::{OptionParser, Parser, construct};
+use coltsfootnotch::ops::error::{Failure, OpsError};
 
 use crate::commands::{self, Command};
 
 /// The command did what it was asked.
 pub(crate) const EXIT_OK: u8 = 0;
-/// It failed, or `check` has findings.
+/// It failed, or `check` has findings. 2 is left to the daemon.
 pub(crate) const EXIT_FAILED: u8 = 1;
+/// The control group refused it: a conflict, a stale number, or a change of members.
+pub(crate) const EXIT_REFUSED: u8 = 3;
+/// Nobody answered, or the configuration is not in force everywhere in time.
+pub(crate) const EXIT_UNANSWERED: u8 = 4;
 
 fn options() -> OptionParser<Command> {
+    let apply = commands::apply::cli();
+    let check = commands::check::cli();
     let demo = commands::demo::cli();
-    construct!([demo])
+    let explain = commands::explain::cli();
+    let keys = commands::keys::cli();
+    let member = commands::member::cli();
+    let status = commands::status::cli();
+    construct!([apply, check, demo, explain, keys, member, status])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("operates a coltsfootnotch fleet")
-        .footer("exit codes: 0 done, 1 failed or with findings")
+        .footer(
+            "exit codes: 0 done, 1 failed or with findings, 3 refused by the control group, \
+             4 no answer or not in force everywhere in time. Shell completion: source what \
+             --bpaf-complete-style-bash (or -zsh, -fish, -elvish) prints.",
+        )
 }
 
 /// Runs the command line.
@@ -28,17 +43,29 @@
         Ok(()) => ExitCode::from(EXIT_OK),
         Err(e) => {
             report(e.as_ref());
-            ExitCode::from(EXIT_FAILED)
+            ExitCode::from(exit_code(e.as_ref()))
         }
     }
 }
 
-/// Prints an error with the chain of its causes.
-fn report(error: &dyn Error) {
+fn exit_code(error: &(dyn Error + 'static)) -> u8 {
+    let failure = error.downcast_ref().map(OpsError::failure);
+    match failure {
+        None | Some(Failure::Failed) => EXIT_FAILED,
+        Some(Failure::Refused) => EXIT_REFUSED,
+        Some(Failure::Unanswered) => EXIT_UNANSWERED,
+    }
+}
+
+/// Prints an error with the chain of its causes, and what to do about it.
+fn report(error: &(dyn Error + 'static)) {
     eprintln!("error: {error}");
     let mut cause = error.source();
     while let Some(e) = cause {
         eprintln!("  caused by: {e}");
         cause = e.source();
     }
+    if let Some(help) = error.downcast_ref().and_then(OpsError::help) {
+        eprintln!("help: {help}");
+    }
 }
--- /dev/null
+++ b/src/bin/coltsfootnotch/commands/access.rs
@@ -0,0 +1,45 @@
+//! The arguments by which a command reaches the control group.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use bpaf::{Parser, construct, long};
+use coltsfootnotch::ops::access::{Access, ControlArg};
+
+/// Longer than an election and a redial, short enough for a pipeline to fail on.
+const PATIENCE_S: u64 = 20;
+
+/// Parses `--settings`, `--control`, `--keys` and `--timeout`.
+pub(crate) fn access() -> impl Parser<Access> {
+    let settings = long("settings")
+        .help("settings of any host of the fleet: its control hosts, and the folder of its keys")
+        .argument::<PathBuf>("FILE")
+        .complete_shell(bpaf::ShellComp::File { mask: None })
+        .optional();
+    let control = long("control")
+        .help("a control host; may be given several times, and goes before --settings")
+        .argument::<ControlArg>("HOST=IP:PORT")
+        .many();
+    let keys = long("keys")
+        .help("folder with ca.pem, operator.pem and operator.key; goes before --settings")
+        .argument::<PathBuf>("DIR")
+        .complete_shell(bpaf::ShellComp::Dir { mask: None })
+        .optional();
+    let patience = long("timeout")
+        .help("how long to wait for the fleet, in seconds")
+        .argument::<u64>("S")
+        .fallback(PATIENCE_S)
+        .display_fallback()
+        .map(Duration::from_secs);
+    construct!(Access {
+        settings,
+        control,
+        keys,
+        patience
+    })
+}
+
+/// Parses `--json`.
+pub(crate) fn json() -> impl Parser<bool> {
+    long("json").help("prints JSON for a program").switch()
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,4 +1,5 @@
 //! The daemons as a whole.
 
+mod commands;
 mod control;
 mod demo;
