--- a/src/bin/coltsfootnotch/cli.rs
+++ b/src/bin/coltsfootnotch/cli.rs
@@ -23,9 +23,10 @@
     let demo = commands::demo::cli();
     let explain = commands::explain::cli();
     let keys = commands::keys::cli();
+    let load = commands::load::cli();
     let member = commands::member::cli();
     let status = commands::status::cli();
-    construct!([apply, check, demo, explain, keys, member, status])
+    construct!([apply, check, demo, explain, keys, load, member, status])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("operates a coltsfootnotch fleet")
--- a/src/bin/coltsfootnotch/commands/mod.rs
+++ b/src/bin/coltsfootnotch/commands/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod demo;
 pub(crate) mod explain;
 pub(crate) mod keys;
+pub(crate) mod load;
 pub(crate) mod member;
 pub(crate) mod status;
 
@@ -29,6 +30,8 @@
     Explain(explain::Args),
     /// `keys`.
     Keys(keys::Args),
+    /// `load`.
+    Load(load::Args),
     /// `member`.
     Member(member::Args),
     /// `status`.
@@ -43,6 +46,7 @@
         Command::Demo(args) => demo::exec(&args),
         Command::Explain(args) => explain::exec(&args),
         Command::Keys(args) => keys::exec(&args),
+        Command::Load(args) => load::exec(&args),
         Command::Member(args) => member::exec(&args),
         Command::Status(opts) => status::exec(&opts),
     }
