Decide at the entry: admission, retries, suspects, doubts

Cause: the entry let in up to a fixed queue, retried without a budget, said "run": "no" of requests that expired after a failed attempt, and left earlier attempts of a booking in doubt. Change: admission by measured drain, a retry budget, verdicts on crashing content from every sidecar, settlement of open attempts (the sidecar disowns, or the rereading call finds the booking), and the request chart interpreted for each request; an assertion holds "not run" to the chart.

--- a/crates/chart/src/symbols/request.rs
+++ b/crates/chart/src/symbols/request.rs
@@ -36,6 +36,7 @@
         SlotChosen = "slot-chosen",
         IntentCommitted = "intent-committed",
         IntentRefused = "intent-refused",
+        OpenElsewhere = "open-elsewhere",
         IntentUnknown = "intent-unknown",
         NotStarted = "not-started",
         Started = "started",
--- a/crates/decide/src/crash/watch.rs
+++ b/crates/decide/src/crash/watch.rs
@@ -123,6 +123,16 @@
         }
     }
 
+    /// The crashes that a request is suspected of, to be cleared of when it ends well.
+    #[must_use]
+    pub fn suspected_of(&self, key: &SuspectKey, now: Duration) -> Vec<CrashId> {
+        let crashes = self.by_key.get(key).into_iter().flatten();
+        crashes
+            .filter(|id| self.is_suspect(key, id, now))
+            .cloned()
+            .collect()
+    }
+
     /// Takes in what another host knows.
     pub fn merge(&mut self, delta: &CrashDelta, now: Duration) {
         for report in &delta.reports {
--- a/crates/wire/src/attempt.rs
+++ b/crates/wire/src/attempt.rs
@@ -129,9 +129,6 @@
     /// The upstream closed the connection before the end of the answer.
     #[display("upstream broke off")]
     UpstreamBroke,
-    /// The upstream crashed while it ran this attempt alone.
-    #[display("upstream crashed")]
-    UpstreamCrashed,
     /// The upstream gave no answer in time.
     #[display("upstream timed out")]
     UpstreamTimeout,
--- a/src/coltsfootnotch/daemon/entry/actor.rs
+++ b/src/coltsfootnotch/daemon/entry/actor.rs
@@ -1,164 +1,57 @@
 //! The entry's actor: owns the queues, the requests in progress and the connections.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread::JoinHandle;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-use coltsfootnotch_fabric::{Endpoint, Event, Traffic};
+use coltsfootnotch_chart::Charts;
+use coltsfootnotch_decide::admit::Admission;
+use coltsfootnotch_decide::retry::RetryBudget;
+use coltsfootnotch_fabric::{Endpoint, Event};
 use coltsfootnotch_manifest::ConfigIndex;
-use coltsfootnotch_router::{EntryAction, EntryCore};
+use coltsfootnotch_router::{EntryAction, EntryCore, Waiting};
 use coltsfootnotch_types::prelude::*;
-use coltsfootnotch_wire::{AttemptId, HostRecord, Message, ToSidecar};
+use coltsfootnotch_wire::{AttemptId, FromSidecar, HostRecord, Message};
 use stakker::sync::{Channel, ChannelGuard};
-use stakker::{CX, Stakker, actor, after, call, fwd_to, ret_shutdown, stop};
-use tokio::net::TcpListener;
-use tokio::runtime::Handle;
-use tokio::sync::mpsc::error::TrySendError;
+use stakker::{CX, after, call, fwd_to, stop};
 use tokio::sync::watch;
 
-use super::attempt_end::AttemptEnd;
+use super::admission::queue_of;
+use super::attempt_end::{AttemptEnd, Collected};
 use super::bookings::Bookings;
-use super::callers::Callers;
-use super::requests::{Chosen, InProgress, Requests, Stage};
+use super::handle::{Seen, Started};
+use super::listen::{Shared, listen};
+use super::requests::{Chosen, Requests};
 use super::sidecars::Sidecars;
-use super::{Arrival, EntryConfig, ReplyPart};
+use super::suspects::Suspects;
+use super::{Arrival, EntryConfig};
 use crate::core::{HostCx, Refusal, RefusalKind};
 use crate::daemon::{RelayClient, RelayNews, StartError, Starter};
-use crate::util::http_server::{ServerLimits, serve};
-use crate::util::{event_loop, events};
+use crate::util::events;
+use crate::util::events::Field;
 
 /// Time between the actor's own rounds: deadlines, heartbeats and proposals fall due on them.
 const TICK: Duration = Duration::from_millis(20);
-/// When a caller may come back to a pool that no upstream serves now.
-const NO_UPSTREAM_RETRY: Duration = Duration::from_secs(2);
 
 /// What reaches the actor.
 pub(super) enum EntryMsg {
     Fabric(Event),
     Arrive(Box<Arrival>),
-    CallerGone { request: u64 },
-    AttemptEnded { attempt: AttemptId, end: AttemptEnd },
+    Reread {
+        request: u64,
+        answer: Option<Collected>,
+    },
+    CallerGone {
+        request: u64,
+    },
+    AttemptEnded {
+        attempt: AttemptId,
+        end: AttemptEnd,
+    },
     Stop,
 }
 
-/// What an entry sees of the sidecars.
-#[derive(Debug, Default, PartialEq, Eq)]
-struct Seen {
-    sidecars: usize,
-    pools: BTreeSet<PoolName>,
-}
-
-/// A running entry.
-pub struct EntryHandle {
-    tx: Channel<EntryMsg>,
-    thread: JoinHandle<()>,
-    callers: SocketAddr,
-    fleet: SocketAddr,
-    ready: watch::Receiver<Option<Arc<ConfigIndex>>>,
-    draining: Arc<AtomicBool>,
-    seen: watch::Receiver<Seen>,
-    traffic: Arc<Traffic>,
-}
-
-impl EntryHandle {
-    /// The address for callers.
-    #[must_use]
-    pub fn callers(&self) -> SocketAddr {
-        self.callers
-    }
-
-    /// The address of its fleet endpoint.
-    #[must_use]
-    pub fn fleet(&self) -> SocketAddr {
-        self.fleet
-    }
-
-    /// Whether callers may be sent here: a closure for the readiness probe.
-    pub fn ready(&self) -> impl Fn() -> bool + Send + Sync + 'static + use<> {
-        let ready = self.ready.clone();
-        let draining = Arc::clone(&self.draining);
-        move || ready.borrow().is_some() && !draining.load(Ordering::Relaxed)
-    }
-
-    /// Whether every one of the pools has a connected sidecar.
-    #[must_use]
-    pub fn serving(&self, pools: &[PoolName]) -> bool {
-        let seen = self.seen.borrow();
-        pools.iter().all(|pool| seen.pools.contains(pool))
-    }
-
-    /// Sidecars connected.
-    #[must_use]
-    pub fn connected(&self) -> usize {
-        self.seen.borrow().sidecars
-    }
-
-    /// Control traffic so far.
-    #[must_use]
-    pub fn traffic(&self) -> Arc<Traffic> {
-        Arc::clone(&self.traffic)
-    }
-
-    /// Starts a graceful shutdown: requests in progress finish, no new ones are taken.
-    pub fn stop(&self) {
-        self.tx.send(EntryMsg::Stop);
-    }
-
-    /// A closure that starts a graceful shutdown.
-    pub fn stopper(&self) -> impl Fn() + Send + 'static + use<> {
-        let tx = self.tx.clone();
-        move || {
-            tx.send(EntryMsg::Stop);
-        }
-    }
-
-    /// Waits until the daemon has ended.
-    pub fn join(self) {
-        // The thread's panic was already reported by its hook; there is nothing to add.
-        let _ended = self.thread.join();
-    }
-}
-
-/// Starts an entry.
-///
-/// # Errors
-/// Returns a [`StartError`] when an address can't be bound or the credentials can't be used.
-pub fn start(cx: HostCx, cfg: EntryConfig) -> Result<EntryHandle, StartError> {
-    let (starter, outcome) = Starter::new();
-    let name = format!("entry-{}", cx.identity.host);
-    let thread = event_loop::spawn(&name, move |stakker: &mut Stakker| {
-        actor!(
-            stakker,
-            EntryActor::init(cx, cfg, starter),
-            ret_shutdown!(stakker)
-        )
-    })?;
-    let started = outcome.recv().map_err(|_| StartError::Ended)??;
-    Ok(EntryHandle {
-        tx: started.tx,
-        thread,
-        callers: started.callers,
-        fleet: started.fleet,
-        ready: started.config,
-        draining: started.draining,
-        seen: started.seen,
-        traffic: started.traffic,
-    })
-}
-
-struct Started {
-    tx: Channel<EntryMsg>,
-    callers: SocketAddr,
-    fleet: SocketAddr,
-    config: watch::Receiver<Option<Arc<ConfigIndex>>>,
-    draining: Arc<AtomicBool>,
-    seen: watch::Receiver<Seen>,
-    traffic: Arc<Traffic>,
-}
-
 pub(super) struct EntryActor {
     pub(super) cx: HostCx,
     pub(super) cfg: EntryConfig,
@@ -166,6 +59,10 @@
     pub(super) requests: Requests,
     pub(super) sidecars: Sidecars,
     pub(super) bookings: Bookings,
+    pub(super) admission: Admission,
+    pub(super) suspects: Suspects,
+    pub(super) retries: RetryBudget,
+    next_request: Arc<AtomicU64>,
     pub(super) relay: RelayClient,
     pub(super) tx: Channel<EntryMsg>,
     endpoint: Endpoint,
@@ -178,7 +75,7 @@
 }
 
 impl EntryActor {
-    fn init(
+    pub(super) fn init(
         stakker: CX![],
         cx: HostCx,
         cfg: EntryConfig,
@@ -216,7 +113,14 @@
         let config = watch::Sender::new(None);
         let draining = Arc::new(AtomicBool::new(false));
         let seen = watch::Sender::new(Seen::default());
-        let callers = listen(&cx, &cfg, &tx, config.subscribe(), Arc::clone(&draining))?;
+        let charts = Charts::load()?;
+        let next_request = Arc::new(AtomicU64::new(0));
+        let shared = Shared {
+            config: config.subscribe(),
+            draining: Arc::clone(&draining),
+            next_request: Arc::clone(&next_request),
+        };
+        let callers = listen(&cx, &cfg, &tx, shared)?;
         let ready = Started {
             tx: tx.clone(),
             callers,
@@ -228,9 +132,13 @@
         };
         let actor = Self {
             core: EntryCore::new(me, cx.identity.domain.clone()),
-            requests: Requests::default(),
+            requests: Requests::new(charts.request),
             sidecars: Sidecars::default(),
             bookings: Bookings::default(),
+            admission: queue_of(cfg.limits.queue_requests),
+            suspects: Suspects::new(&cx.identity.host, me),
+            retries: RetryBudget::new(),
+            next_request,
             relay: RelayClient::new(cx.clone(), cfg.control.clone()),
             cx,
             cfg,
@@ -256,6 +164,7 @@
             EntryMsg::Arrive(arrival) => self.on_arrive(*arrival),
             EntryMsg::CallerGone { request } => self.on_caller_gone(request),
             EntryMsg::AttemptEnded { attempt, end } => self.on_attempt_end(attempt, end),
+            EntryMsg::Reread { request, answer } => self.on_reread(request, answer),
             EntryMsg::Stop => self.on_stop(),
         }
         self.run_actions();
@@ -277,6 +186,8 @@
         };
         self.relay
             .tick(&self.endpoint, |config| HostRecord { config, ..record });
+        self.suspects.tick(now);
+        self.tick_doubts(now);
         for answered in self.bookings.tick(&mut self.relay, now) {
             self.on_ledger(answered);
         }
@@ -292,71 +203,6 @@
         after!(TICK, [stakker], tick());
     }
 
-    fn on_arrive(&mut self, arrival: Arrival) {
-        if let Some(refusal) = self.admission(&arrival) {
-            return refuse(&self.cx.runtime, &arrival, refusal);
-        }
-        let waiting = coltsfootnotch_router::Waiting {
-            request: arrival.request,
-            attempt: 0,
-            account: arrival.account.clone(),
-            pool: arrival.pool.clone(),
-            arrived: arrival.arrived,
-            deadline: arrival.deadline,
-            estimate: arrival.estimate,
-            prefix: arrival.prefix,
-            repeatable: arrival.booking.is_none(),
-            avoid: vec![],
-        };
-        self.requests.insert(arrival);
-        self.core.submit(waiting);
-    }
-
-    /// Why a request is not let in, if it is not.
-    fn admission(&self, arrival: &Arrival) -> Option<Refusal> {
-        if self.stop_at.is_some() {
-            return Some(Refusal::not_run(RefusalKind::NotReady).retry_after(NO_UPSTREAM_RETRY));
-        }
-        if !self.core.serves(&arrival.pool) {
-            return Some(Refusal::not_run(RefusalKind::NoUpstream).retry_after(NO_UPSTREAM_RETRY));
-        }
-        let account = arrival.config.account(arrival.account.as_str());
-        let queue = account.map_or(0, |account| account.limits.queue);
-        if self.core.waiting_of(&arrival.pool, &arrival.account) >= queue {
-            return Some(Refusal::not_run(RefusalKind::QueueFull).retry_after(NO_UPSTREAM_RETRY));
-        }
-        if self.core.waiting_in_all() >= self.cfg.limits.queue_requests {
-            return Some(Refusal::not_run(RefusalKind::Overloaded).retry_after(NO_UPSTREAM_RETRY));
-        }
-        None
-    }
-
-    fn on_caller_gone(&mut self, request: u64) {
-        let Some(in_progress) = self.requests.remove(request) else {
-            return;
-        };
-        let arrival = &in_progress.arrival;
-        match in_progress.stage {
-            Stage::Waiting => {
-                self.core.withdraw(&arrival.pool, &arrival.account, request);
-            }
-            // What may not be repeated goes on to its end, so that its outcome is recorded.
-            _ if arrival.booking.is_some() => {
-                self.requests.restore(in_progress);
-            }
-            Stage::Running { chosen, task } => {
-                task.abort();
-                self.sidecars.send(
-                    &chosen.host,
-                    ToSidecar::Cancel {
-                        attempt: chosen.attempt,
-                    },
-                );
-            }
-            Stage::Intent(_) | Stage::Closing(_) | Stage::Recording { .. } => {}
-        }
-    }
-
     /// Carries out what the core has decided.
     pub(super) fn run_actions(&mut self) {
         let now = self.cx.now();
@@ -370,6 +216,8 @@
                     cause,
                     waiting,
                 } => {
+                    self.admission
+                        .on_started(&waiting.pool, &waiting.account, now);
                     self.on_chosen(Chosen {
                         attempt,
                         host: to,
@@ -378,14 +226,39 @@
                         waiting,
                     });
                 }
-                EntryAction::Expired { waiting } => {
-                    let refusal = Refusal::not_run(RefusalKind::Deadline);
-                    self.finish_failed(waiting.request, refusal.retry_after(NO_UPSTREAM_RETRY));
-                }
+                EntryAction::Expired { waiting } => self.on_expired(&waiting),
             }
         }
     }
 
+    fn on_expired(&mut self, waiting: &Waiting) {
+        self.admission.on_left(&waiting.pool, &waiting.account);
+        let Some(in_progress) = self.requests.get(waiting.request) else {
+            return;
+        };
+        // An attempt that failed before may have run.
+        let refusal = Refusal {
+            run: in_progress.run(),
+            ..Refusal::unknown(RefusalKind::Deadline)
+        };
+        let after = self.come_back_after(&waiting.pool, &waiting.account);
+        self.finish_failed(waiting.request, refusal.retry_after(after));
+    }
+
+    fn on_sidecar_message(&mut self, now: Duration, host: &HostName, message: FromSidecar) {
+        match message {
+            FromSidecar::Crashed(news) => {
+                let count = news.suspects.len();
+                let fields: [Field<'_>; 2] = [("upstream", &news.upstream), ("suspects", &count)];
+                self.cx.log(&events::REQUEST_SUSPECTED, &fields);
+                self.suspects.on_crash(now, news);
+            }
+            FromSidecar::Cleared { key, crashes } => self.suspects.on_cleared(now, &key, &crashes),
+            FromSidecar::Disowned { attempt, never } => self.on_disowned(host, attempt, never),
+            message => self.core.on_message(now, host, message),
+        }
+    }
+
     fn on_fabric(&mut self, event: Event) {
         let now = self.cx.now();
         match event {
@@ -424,7 +297,7 @@
                 ..
             } => {
                 if let Some(host) = self.sidecars.host_of(link).cloned() {
-                    self.core.on_message(now, &host, message);
+                    self.on_sidecar_message(now, &host, message);
                 }
             }
             Event::Message { .. } | Event::Stream { .. } => {}
@@ -489,47 +362,13 @@
         stop!(stakker);
     }
 
-    /// Ends a request that gets no answer.
-    pub(super) fn finish_failed(&mut self, request: u64, refusal: Refusal) {
-        if let Some(InProgress { arrival, .. }) = self.requests.remove(request) {
-            refuse(&self.cx.runtime, &arrival, refusal);
-        }
+    /// Whether a graceful shutdown has started.
+    pub(super) fn is_stopping(&self) -> bool {
+        self.stop_at.is_some()
     }
-}
 
-/// Tells a caller that it gets no answer, or no more of it.
-pub(super) fn refuse(runtime: &Handle, arrival: &Arrival, refusal: Refusal) {
-    let reply = arrival.reply.clone();
-    if let Err(TrySendError::Full(part)) = reply.try_send(ReplyPart::Failed(refusal)) {
-        // The caller is slow; the explicit end of its stream must not be lost for that.
-        runtime.spawn(async move { reply.send(part).await });
+    /// A number for a request that the entry makes itself.
+    pub(super) fn next_request(&self) -> u64 {
+        self.next_request.fetch_add(1, Ordering::Relaxed)
     }
 }
-
-fn listen(
-    cx: &HostCx,
-    cfg: &EntryConfig,
-    tx: &Channel<EntryMsg>,
-    config: watch::Receiver<Option<Arc<ConfigIndex>>>,
-    draining: Arc<AtomicBool>,
-) -> Result<SocketAddr, StartError> {
-    let listener = cx.runtime.block_on(TcpListener::bind(cfg.callers))?;
-    let address = listener.local_addr()?;
-    let limits = ServerLimits {
-        connections: cfg.limits.connections,
-        header_bytes: cfg.limits.header_bytes,
-        read_timeout: cfg.limits.read_timeout(),
-    };
-    let callers = Arc::new(Callers {
-        cx: cx.clone(),
-        config,
-        tx: tx.clone(),
-        limits: cfg.limits.clone(),
-        draining,
-        memory: Callers::memory_of(&cfg.limits),
-        next_request: 0.into(),
-    });
-    let handler = move |req, peer| Arc::clone(&callers).answer(req, peer);
-    cx.runtime.spawn(serve(listener, limits, handler));
-    Ok(address)
-}
--- a/src/coltsfootnotch/daemon/entry/attempt.rs
+++ b/src/coltsfootnotch/daemon/entry/attempt.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use coltsfootnotch_fabric::{AttemptStream, LinkTx, read_frame, write_frame};
-use coltsfootnotch_types::Incarnation;
+use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::{AttemptReply, Begin, BeginCause, FailReason};
 use tokio::sync::{mpsc, watch};
 
@@ -33,6 +33,7 @@
     pub(super) next: u64,
     pub(super) collected: Collected,
     pub(super) first_piece: Option<Duration>,
+    pub(super) upstream: Option<UpstreamName>,
 }
 
 enum Step {
@@ -55,6 +56,7 @@
             let Some(resumed) = self.resume().await else {
                 return AttemptEnd::Lost {
                     delivered: self.next > 0 && self.stream,
+                    upstream: self.upstream,
                 };
             };
             stream = resumed;
@@ -122,7 +124,10 @@
         }
         match reply {
             AttemptReply::NotStarted { reason, .. } => Step::End(AttemptEnd::NotStarted(reason)),
-            AttemptReply::Started { .. } => Step::Go,
+            AttemptReply::Started { upstream, .. } => {
+                self.upstream = Some(upstream);
+                Step::Go
+            }
             AttemptReply::Head {
                 status,
                 content_type,
@@ -142,7 +147,12 @@
             AttemptReply::Done { .. } => Step::Broken,
             AttemptReply::Failed { reason, .. } => {
                 let delivered = self.stream && self.next > 0;
-                Step::End(AttemptEnd::Failed { reason, delivered })
+                let upstream = self.upstream.take();
+                Step::End(AttemptEnd::Failed {
+                    reason,
+                    delivered,
+                    upstream,
+                })
             }
         }
     }
@@ -192,9 +202,11 @@
     fn collect(&mut self, data: &[u8]) -> Step {
         if self.collected.body.len() + data.len() > MAX_COLLECTED {
             let reason = FailReason::UpstreamBroke;
+            let upstream = self.upstream.take();
             return Step::End(AttemptEnd::Failed {
                 reason,
                 delivered: false,
+                upstream,
             });
         }
         self.collected.body.extend_from_slice(data);
--- a/src/coltsfootnotch/daemon/entry/attempt_end.rs
+++ b/src/coltsfootnotch/daemon/entry/attempt_end.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::{FailReason, NotStartedReason, Usage};
 
 /// An answer that was collected whole before any of it goes to the caller.
@@ -26,9 +27,16 @@
         first_piece: Option<Duration>,
     },
     /// It started and won't be completed.
-    Failed { reason: FailReason, delivered: bool },
+    Failed {
+        reason: FailReason,
+        delivered: bool,
+        upstream: Option<UpstreamName>,
+    },
     /// The connection broke and did not come back; whether it started is not known.
-    Lost { delivered: bool },
+    Lost {
+        delivered: bool,
+        upstream: Option<UpstreamName>,
+    },
     /// The caller does not take its answer.
     CallerStalled,
 }
--- a/src/coltsfootnotch/daemon/entry/bookings.rs
+++ b/src/coltsfootnotch/daemon/entry/bookings.rs
@@ -7,7 +7,7 @@
 
 use coltsfootnotch_state::{
     AttemptId as LedgerAttempt, Close, Disowned, LedgerOp, LedgerReply, Op, Outcome, ProcessId,
-    Record, RecordedBody, Reply,
+    Record, RecordedBody, Reply, Settle,
 };
 use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::{AttemptId, ProposeError};
@@ -28,7 +28,9 @@
 pub(super) enum Purpose {
     Intent,
     Close,
+    CloseEarlier,
     Outcome,
+    Settle,
 }
 
 /// The ledger's answer to a write; none when it is not known whether it was taken.
@@ -104,21 +106,42 @@
     }
 }
 
-/// The answer of an attempt.
-pub(super) fn outcome(
+/// What a rereading call found of an earlier attempt.
+pub(super) fn settle(
     account: &AccountName,
     key: &BookingKey,
     attempt: AttemptId,
-    answer: &Collected,
+    found: &Collected,
 ) -> LedgerOp {
+    let settle = Settle {
+        attempt: ledger_attempt(attempt),
+        outcome: outcome_of(found),
+    };
+    LedgerOp {
+        account: account.clone(),
+        key: key.key.digest,
+        write: Record::Settle(settle),
+    }
+}
+
+fn outcome_of(answer: &Collected) -> Outcome {
     let headers = vec![("content-type".to_owned(), answer.content_type.clone())];
     let body = RecordedBody::Whole(answer.body.clone());
-    let outcome = Outcome {
+    Outcome {
         status: answer.status,
         headers,
         body,
-    };
-    let write = Record::Outcome(ledger_attempt(attempt), outcome);
+    }
+}
+
+/// The answer of an attempt.
+pub(super) fn outcome(
+    account: &AccountName,
+    key: &BookingKey,
+    attempt: AttemptId,
+    answer: &Collected,
+) -> LedgerOp {
+    let write = Record::Outcome(ledger_attempt(attempt), outcome_of(answer));
     LedgerOp {
         account: account.clone(),
         key: key.key.digest,
--- a/src/coltsfootnotch/daemon/entry/callers.rs
+++ b/src/coltsfootnotch/daemon/entry/callers.rs
@@ -47,7 +47,7 @@
     pub(super) limits: Limits,
     pub(super) draining: Arc<AtomicBool>,
     pub(super) memory: Arc<Semaphore>,
-    pub(super) next_request: AtomicU64,
+    pub(super) next_request: Arc<AtomicU64>,
 }
 
 /// Tells the actor when the caller goes away before the answer has ended.
--- a/src/coltsfootnotch/daemon/entry/mod.rs
+++ b/src/coltsfootnotch/daemon/entry/mod.rs
@@ -6,18 +6,25 @@
 //! the actor, which alone decides what follows.
 
 mod actor;
+mod admission;
 mod arrival;
+mod arrivals;
 mod attempt;
 mod attempt_end;
 mod bookings;
 mod callers;
 mod chat;
 mod config;
+mod doubts;
+mod handle;
+mod ledger_answers;
+mod listen;
 mod outcomes;
 mod reply_body;
 mod requests;
 mod sidecars;
+mod suspects;
 
-pub use actor::{EntryHandle, start};
 pub use arrival::{Arrival, BookingKey, ReplyPart};
 pub use config::EntryConfig;
+pub use handle::{EntryHandle, start};
--- a/src/coltsfootnotch/daemon/entry/outcomes.rs
+++ b/src/coltsfootnotch/daemon/entry/outcomes.rs
@@ -1,25 +1,24 @@
 //! What follows when a slot is chosen, an attempt ends, or the ledger answers.
 
 use bytes::Bytes;
-use coltsfootnotch_state::{Disowned, LedgerReply, Outcome, ProcessId, RecordedBody};
+use coltsfootnotch_chart::RequestEvent;
+use coltsfootnotch_decide::retry::{Attempt, may_retry};
+use coltsfootnotch_state::{Disowned, Outcome, ProcessId, RecordedBody};
+use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::{
-    AttemptId, Begin, BeginCause, FailReason, NotStartedReason, ProposeError, Run, ToSidecar, Usage,
+    AttemptId, Begin, BeginCause, FailReason, NotStartedReason, Run, ToSidecar, Usage,
 };
 
 use super::ReplyPart;
-use super::actor::{EntryActor, EntryMsg, refuse};
+use super::actor::{EntryActor, EntryMsg};
 use super::attempt::AttemptTask;
 use super::attempt_end::{AttemptEnd, Collected};
-use super::bookings::{self, Answered, Purpose};
+use super::bookings::{self, Purpose};
+use super::doubts::DOUBT_RETRY;
 use super::requests::{Chosen, InProgress, Stage};
 use crate::core::{Refusal, RefusalKind};
 use crate::util::events;
 
-/// Most attempts of one request, whatever the budget: beyond them the fault is not the upstream's.
-const MAX_ATTEMPTS: u32 = 4;
-/// When a caller may ask again about a call whose outcome is not known yet.
-const DOUBT_RETRY: std::time::Duration = std::time::Duration::from_secs(2);
-
 impl EntryActor {
     /// A slot is chosen: what may be repeated starts, the rest has its intent committed first.
     pub(super) fn on_chosen(&mut self, chosen: Chosen) {
@@ -28,6 +27,7 @@
             return self.give_back(&chosen);
         };
         let Some(key) = &in_progress.arrival.booking else {
+            self.requests.fire(request, RequestEvent::Begun);
             return self.start_attempt(chosen);
         };
         let op = bookings::intent(&in_progress.arrival.account, key, &chosen);
@@ -40,24 +40,25 @@
             let refusal = Refusal::not_run(RefusalKind::NoQuorum).retry_after(DOUBT_RETRY);
             return self.finish_failed(request, refusal);
         }
+        self.requests.fire(request, RequestEvent::SlotChosen);
         self.set_stage(request, Stage::Intent(Box::new(chosen)));
     }
 
     /// The slot that was chosen is not used after all.
-    fn give_back(&mut self, chosen: &Chosen) {
+    pub(super) fn give_back(&mut self, chosen: &Chosen) {
         if let BeginCause::Pull { pull } = chosen.cause {
             self.sidecars
                 .send(&chosen.host, ToSidecar::Nothing { pull });
         }
     }
 
-    fn set_stage(&mut self, request: u64, stage: Stage) {
+    pub(super) fn set_stage(&mut self, request: u64, stage: Stage) {
         if let Some(in_progress) = self.requests.get_mut(request) {
             in_progress.stage = stage;
         }
     }
 
-    fn start_attempt(&mut self, chosen: Chosen) {
+    pub(super) fn start_attempt(&mut self, chosen: Chosen) {
         let request = chosen.waiting.request;
         let Some(in_progress) = self.requests.get_mut(request) else {
             return;
@@ -76,7 +77,7 @@
             sidecar: chosen.sidecar,
             content: arrival.content,
             repeatable: arrival.booking.is_none(),
-            suspected_of: vec![],
+            suspected_of: self.suspects.suspected_of(now, arrival),
             estimate: arrival.estimate,
             deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
             call: arrival.call.clone(),
@@ -91,6 +92,7 @@
             next: 0,
             collected: Collected::default(),
             first_piece: None,
+            upstream: None,
         };
         let waited = now.saturating_sub(arrival.arrived);
         self.cx
@@ -122,7 +124,11 @@
             } => {
                 self.after_done(&chosen, usage, collected, first_piece);
             }
-            AttemptEnd::Failed { reason, delivered } => {
+            AttemptEnd::Failed {
+                reason,
+                delivered,
+                upstream,
+            } => {
                 self.cx.log(
                     &events::ATTEMPT_FAILED,
                     &[("attempt", &attempt), ("cause", &reason)],
@@ -130,12 +136,17 @@
                 let kind = match reason {
                     FailReason::UpstreamTimeout => RefusalKind::UpstreamTimeout,
                     FailReason::PiecesGone => RefusalKind::ConnectionLost,
-                    _ => RefusalKind::UpstreamFailed,
+                    FailReason::UpstreamBroke | FailReason::Cancelled => {
+                        RefusalKind::UpstreamFailed
+                    }
                 };
-                self.after_failed(chosen, kind, delivered);
+                self.after_failed(chosen, kind, delivered, upstream);
             }
-            AttemptEnd::Lost { delivered } => {
-                self.after_failed(chosen, RefusalKind::ConnectionLost, delivered);
+            AttemptEnd::Lost {
+                delivered,
+                upstream,
+            } => {
+                self.after_failed(chosen, RefusalKind::ConnectionLost, delivered, upstream);
             }
             AttemptEnd::CallerStalled => {
                 self.sidecars
@@ -158,12 +169,12 @@
         ) {
             chosen.waiting.avoid.push(chosen.host.clone());
         }
+        self.requests.fire(request, RequestEvent::NotStarted);
         let Some(in_progress) = self.requests.get(request) else {
             return;
         };
         let Some(key) = in_progress.arrival.booking.clone() else {
-            self.set_stage(request, Stage::Waiting);
-            return self.core.requeue(chosen.waiting);
+            return self.wait_again(request, chosen.waiting);
         };
         let by = match end {
             AttemptEnd::NotSent => Disowned::ByEntry(self.cx.identity.incarnation),
@@ -205,40 +216,64 @@
                 .metrics
                 .account_seconds("account_first_token_seconds", &account, waited);
         }
+        if chosen.waiting.attempt == 0 {
+            self.retries.on_success(self.cx.now());
+        }
         let Some(answer) = collected else {
             return self.finish_streamed(request);
         };
         let Some(key) = arrival.booking.clone() else {
+            self.requests.fire(request, RequestEvent::Finished);
             return self.finish_answered(request, &answer);
         };
+        self.requests.fire(request, RequestEvent::OutcomeReceived);
         let op = bookings::outcome(&account, &key, chosen.attempt, &answer);
         let now = self.cx.now();
         let sent = self
             .bookings
             .propose(&mut self.relay, now, request, Purpose::Outcome, op);
+        self.set_stage(request, Stage::Recording { answer });
         if sent.is_none() {
-            return self.finish_answered(request, &answer);
+            self.after_outcome(request, false);
         }
-        self.set_stage(request, Stage::Recording { answer });
     }
 
-    /// It started and failed: tried elsewhere if it may be repeated and the caller has seen nothing.
-    fn after_failed(&mut self, mut chosen: Chosen, kind: RefusalKind, delivered: bool) {
+    /// It started and failed: made again elsewhere, if the rules of retrying allow it.
+    fn after_failed(
+        &mut self,
+        mut chosen: Chosen,
+        kind: RefusalKind,
+        delivered: bool,
+        upstream: Option<UpstreamName>,
+    ) {
         let request = chosen.waiting.request;
-        let Some(in_progress) = self.requests.get(request) else {
+        let now = self.cx.now();
+        let Some(in_progress) = self.requests.get_mut(request) else {
             return;
         };
-        let repeatable = in_progress.arrival.booking.is_none();
-        if !repeatable {
-            self.cx
-                .log(&events::BOOKING_IN_DOUBT, &[("attempt", &chosen.attempt)]);
+        in_progress.failed_on.extend(upstream);
+        if delivered {
+            in_progress.fire(RequestEvent::AnswerBegun);
         }
-        if repeatable && !delivered && chosen.waiting.attempt + 1 < MAX_ATTEMPTS {
+        let attempt = Attempt {
+            repeatable: in_progress.arrival.booking.is_none(),
+            answer_begun: delivered,
+            failed_on: &in_progress.failed_on,
+            deadline: Some(in_progress.arrival.deadline),
+        };
+        if may_retry(&attempt, &mut self.retries, now).is_ok() {
             chosen.waiting.avoid.push(chosen.host.clone());
-            self.set_stage(request, Stage::Waiting);
-            return self.core.requeue(chosen.waiting);
+            in_progress.fire(RequestEvent::Retried);
+            return self.wait_again(request, chosen.waiting);
+        }
+        let run = in_progress.run();
+        if in_progress.arrival.booking.is_some() {
+            in_progress.fire(RequestEvent::OutcomeLost);
+            self.cx
+                .log(&events::BOOKING_IN_DOUBT, &[("attempt", &chosen.attempt)]);
+        } else {
+            in_progress.fire(RequestEvent::AttemptFailed);
         }
-        let run = if delivered { Run::Yes } else { Run::Unknown };
         self.finish_failed(
             request,
             Refusal {
@@ -248,100 +283,8 @@
         );
     }
 
-    /// The ledger answered a write.
-    pub(super) fn on_ledger(&mut self, answered: Answered) {
-        match answered.purpose {
-            Purpose::Intent => self.after_intent(answered),
-            Purpose::Close => self.after_close(&answered),
-            Purpose::Outcome => self.after_outcome(answered.request),
-        }
-    }
-
-    fn after_intent(&mut self, answered: Answered) {
-        let request = answered.request;
-        let Some(in_progress) = self.requests.get(request) else {
-            return;
-        };
-        let Stage::Intent(chosen) = &in_progress.stage else {
-            return;
-        };
-        let chosen = (**chosen).clone();
-        let reply = match answered.reply {
-            Ok(LedgerReply::Started) => return self.start_attempt(chosen),
-            Ok(reply) => reply,
-            Err(e) => return self.intent_unanswered(&chosen, &e),
-        };
-        self.give_back(&chosen);
-        let refusal = match reply {
-            LedgerReply::AlreadyDone(outcome) => return self.finish_recorded(request, outcome),
-            LedgerReply::InDoubt {
-                attempt, sidecar, ..
-            } => {
-                let attempt = bookings::wire_attempt(attempt);
-                self.sidecars
-                    .send(&sidecar.host, ToSidecar::Disown { attempt });
-                Refusal::unknown(RefusalKind::InDoubt).retry_after(DOUBT_RETRY)
-            }
-            LedgerReply::BodyMismatch => Refusal::not_run(RefusalKind::IdempotencyKeyReused),
-            LedgerReply::TooOld => Refusal::not_run(RefusalKind::IdempotencyKeyTooOld),
-            _ => Refusal::not_run(RefusalKind::Overloaded).retry_after(DOUBT_RETRY),
-        };
-        self.finish_failed(request, refusal);
-    }
-
-    /// Whether the intent was written is not known. Nothing was sent and nothing will be, so the
-    /// request did not run; the attempt is closed, lest it leave a later call in doubt.
-    fn intent_unanswered(&mut self, chosen: &Chosen, error: &ProposeError) {
-        let request = chosen.waiting.request;
-        self.give_back(chosen);
-        let Some(InProgress { arrival, .. }) = self.requests.remove(request) else {
-            return;
-        };
-        let refusal = Refusal::not_run(RefusalKind::NoQuorum).retry_after(DOUBT_RETRY);
-        refuse(&self.cx.runtime, &arrival, refusal);
-        if *error == ProposeError::NoQuorum {
-            return;
-        }
-        if let Some(key) = &arrival.booking {
-            let by = Disowned::ByEntry(self.cx.identity.incarnation);
-            let op = bookings::close(&arrival.account, key, chosen.attempt, by);
-            let now = self.cx.now();
-            self.bookings
-                .propose(&mut self.relay, now, request, Purpose::Close, op);
-        }
-    }
-
-    fn after_close(&mut self, answered: &Answered) {
-        let request = answered.request;
-        let Some(in_progress) = self.requests.get(request) else {
-            return;
-        };
-        let Stage::Closing(chosen) = &in_progress.stage else {
-            return;
-        };
-        let waiting = chosen.waiting.clone();
-        if let Ok(LedgerReply::Closed) = answered.reply {
-            self.set_stage(request, Stage::Waiting);
-            return self.core.requeue(waiting);
-        }
-        let refusal = Refusal::not_run(RefusalKind::NoQuorum).retry_after(DOUBT_RETRY);
-        self.finish_failed(request, refusal);
-    }
-
-    /// The answer is recorded, or could not be: the call ran and the caller is told so either way.
-    /// Without the record a later call with the key is told that the outcome is not known.
-    fn after_outcome(&mut self, request: u64) {
-        let Some(in_progress) = self.requests.get_mut(request) else {
-            return;
-        };
-        let Stage::Recording { answer } = &mut in_progress.stage else {
-            return;
-        };
-        let answer = std::mem::take(answer);
-        self.finish_answered(request, &answer);
-    }
-
     fn finish_streamed(&mut self, request: u64) {
+        self.requests.fire(request, RequestEvent::Finished);
         let Some(InProgress { arrival, .. }) = self.requests.remove(request) else {
             return;
         };
@@ -351,7 +294,7 @@
             .spawn(async move { reply.send(ReplyPart::End).await });
     }
 
-    fn finish_recorded(&mut self, request: u64, outcome: Outcome) {
+    pub(super) fn finish_recorded(&mut self, request: u64, outcome: Outcome) {
         let content_type = outcome
             .headers
             .into_iter()
@@ -371,7 +314,7 @@
         self.finish_answered(request, &answer);
     }
 
-    fn finish_answered(&mut self, request: u64, answer: &Collected) {
+    pub(super) fn finish_answered(&mut self, request: u64, answer: &Collected) {
         let Some(InProgress { arrival, .. }) = self.requests.remove(request) else {
             return;
         };
--- a/src/coltsfootnotch/daemon/entry/sidecars.rs
+++ b/src/coltsfootnotch/daemon/entry/sidecars.rs
@@ -93,6 +93,12 @@
         (self.hosts.get(host)?.link == Some(link)).then_some(host)
     }
 
+    /// The run of a host's process, while the connection to it is up.
+    pub(super) fn run_of(&self, host: &HostName) -> Option<Incarnation> {
+        let state = self.hosts.get(host)?.state.borrow();
+        state.as_ref().map(|(incarnation, _)| *incarnation)
+    }
+
     /// Follows the connection to a host.
     pub(super) fn watch(&self, host: &HostName) -> Option<LinkWatch> {
         Some(self.hosts.get(host)?.state.subscribe())
--- a/src/coltsfootnotch/daemon/sidecar/actor.rs
+++ b/src/coltsfootnotch/daemon/sidecar/actor.rs
@@ -4,29 +4,28 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread::JoinHandle;
 use std::time::Duration;
 
 use coltsfootnotch_decide::window::WindowTargets;
-use coltsfootnotch_fabric::{AttemptStream, Endpoint, Event, LinkId, LinkTx, PeerId, Traffic};
+use coltsfootnotch_fabric::{AttemptStream, Endpoint, Event, LinkId, LinkTx, PeerId};
 use coltsfootnotch_router::{News, RunOutcome, SidecarConfig as CoreConfig, SidecarCore};
 use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::announce::Announcement;
 use coltsfootnotch_wire::{AttemptId, Begin, ContentKey, HostRecord, Message, ServedPool, Usage};
 use stakker::sync::{Channel, ChannelGuard};
-use stakker::{CX, Stakker, actor, after, call, fwd_to, ret_shutdown, stop};
-use tokio::net::TcpListener;
+use stakker::{CX, after, call, fwd_to, stop};
 use ureq::Agent;
 
 use super::SidecarConfig;
+use super::handle::Started;
 use super::runner::RunnerControl;
 use super::service_reports::ServiceReports;
+use super::sockets::{fabric_handler, listen};
+use super::upstream_call;
 use super::upstreams::{Announced, Upstreams};
-use super::{announce, upstream_call};
 use crate::core::HostCx;
 use crate::daemon::{RelayClient, RelayNews, StartError, Starter};
-use crate::util::http_server::{ServerLimits, serve};
-use crate::util::{event_loop, events};
+use crate::util::events;
 
 /// Time between the actor's own rounds: heartbeats, expiry and news of service fall due on them.
 const TICK: Duration = Duration::from_millis(20);
@@ -35,10 +34,6 @@
 /// Furthest that two waiting accounts may stand apart, in units at weight 1: four times the bound of
 /// a pool of 900 slots (30 replicas, 30 slots each) with requests of 10,000 units.
 const HORIZON: ServiceUnits = ServiceUnits(72_000_000);
-/// Connections for announcements: a few upstreams on the same host.
-const ANNOUNCE_CONNECTIONS: usize = 64;
-const ANNOUNCE_HEADER_BYTES: usize = 8192;
-const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// What reaches the actor.
 pub(super) enum SidecarMsg {
@@ -73,94 +68,6 @@
     Stop,
 }
 
-/// A running sidecar.
-pub struct SidecarHandle {
-    tx: Channel<SidecarMsg>,
-    thread: JoinHandle<()>,
-    announce: SocketAddr,
-    fleet: SocketAddr,
-    ready: Arc<AtomicBool>,
-    traffic: Arc<Traffic>,
-}
-
-impl SidecarHandle {
-    /// The address for announcements.
-    #[must_use]
-    pub fn announce(&self) -> SocketAddr {
-        self.announce
-    }
-
-    /// The address of its fleet endpoint.
-    #[must_use]
-    pub fn fleet(&self) -> SocketAddr {
-        self.fleet
-    }
-
-    /// Control traffic so far.
-    #[must_use]
-    pub fn traffic(&self) -> Arc<Traffic> {
-        Arc::clone(&self.traffic)
-    }
-
-    /// Starts a graceful shutdown: attempts in progress finish, no new ones are pulled.
-    pub fn stop(&self) {
-        self.tx.send(SidecarMsg::Stop);
-    }
-
-    /// A closure that starts a graceful shutdown.
-    pub fn stopper(&self) -> impl Fn() + Send + 'static + use<> {
-        let tx = self.tx.clone();
-        move || {
-            tx.send(SidecarMsg::Stop);
-        }
-    }
-
-    /// Whether it has a configuration and is not leaving: a closure for the readiness probe.
-    pub fn ready(&self) -> impl Fn() -> bool + Send + Sync + 'static + use<> {
-        let ready = Arc::clone(&self.ready);
-        move || ready.load(Ordering::Relaxed)
-    }
-
-    /// Waits until the daemon has ended.
-    pub fn join(self) {
-        // The thread's panic was already reported by its hook; there is nothing to add.
-        let _ended = self.thread.join();
-    }
-}
-
-/// Starts a sidecar.
-///
-/// # Errors
-/// Returns a [`StartError`] when an address can't be bound or the credentials can't be used.
-pub fn start(cx: HostCx, cfg: SidecarConfig) -> Result<SidecarHandle, StartError> {
-    let (starter, outcome) = Starter::new();
-    let name = format!("sidecar-{}", cx.identity.host);
-    let thread = event_loop::spawn(&name, move |stakker: &mut Stakker| {
-        actor!(
-            stakker,
-            SidecarActor::init(cx, cfg, starter),
-            ret_shutdown!(stakker)
-        )
-    })?;
-    let started = outcome.recv().map_err(|_| StartError::Ended)??;
-    Ok(SidecarHandle {
-        tx: started.tx,
-        thread,
-        announce: started.announce,
-        fleet: started.fleet,
-        ready: started.ready,
-        traffic: started.traffic,
-    })
-}
-
-struct Started {
-    tx: Channel<SidecarMsg>,
-    announce: SocketAddr,
-    fleet: SocketAddr,
-    ready: Arc<AtomicBool>,
-    traffic: Arc<Traffic>,
-}
-
 pub(super) struct SidecarActor {
     pub(super) cx: HostCx,
     pub(super) cfg: SidecarConfig,
@@ -181,7 +88,7 @@
 }
 
 impl SidecarActor {
-    fn init(
+    pub(super) fn init(
         stakker: CX![],
         cx: HostCx,
         cfg: SidecarConfig,
@@ -479,48 +386,3 @@
         stop!(stakker);
     }
 }
-
-/// Passes events on; what opens a stream is read first, since that takes as long as the peer likes.
-fn fabric_handler(
-    cx: &HostCx,
-    tx: &Channel<SidecarMsg>,
-) -> impl Fn(Event) + Send + Sync + 'static + use<> {
-    let (tx, runtime) = (tx.clone(), cx.runtime.clone());
-    move |event| match event {
-        Event::Stream {
-            peer, mut stream, ..
-        } if peer.role == Role::Entry => {
-            let tx = tx.clone();
-            runtime.spawn(async move {
-                if let Ok(begin) = coltsfootnotch_fabric::read_frame(&mut stream.recv).await {
-                    tx.send(SidecarMsg::Opened {
-                        peer,
-                        begin: Box::new(begin),
-                        stream,
-                    });
-                }
-            });
-        }
-        event => {
-            tx.send(SidecarMsg::Fabric(event));
-        }
-    }
-}
-
-fn listen(
-    cx: &HostCx,
-    cfg: &SidecarConfig,
-    tx: &Channel<SidecarMsg>,
-) -> Result<SocketAddr, StartError> {
-    let listener = cx.runtime.block_on(TcpListener::bind(cfg.announce))?;
-    let address = listener.local_addr()?;
-    let limits = ServerLimits {
-        connections: ANNOUNCE_CONNECTIONS,
-        header_bytes: ANNOUNCE_HEADER_BYTES,
-        read_timeout: ANNOUNCE_TIMEOUT,
-    };
-    let (cx_of_handler, tx) = (cx.clone(), tx.clone());
-    let handler = move |req, from| announce::answer(cx_of_handler.clone(), tx.clone(), req, from);
-    cx.runtime.spawn(serve(listener, limits, handler));
-    Ok(address)
-}
--- a/src/coltsfootnotch/daemon/sidecar/mod.rs
+++ b/src/coltsfootnotch/daemon/sidecar/mod.rs
@@ -8,11 +8,13 @@
 mod announce;
 mod attempts;
 mod config;
+mod handle;
 mod runner;
 mod service_reports;
+mod sockets;
 mod sse;
 mod upstream_call;
 mod upstreams;
 
-pub use actor::{SidecarHandle, start};
 pub use config::SidecarConfig;
+pub use handle::{SidecarHandle, start};
--- a/src/coltsfootnotch/daemon/start.rs
+++ b/src/coltsfootnotch/daemon/start.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::mpsc;
 
+use coltsfootnotch_chart::ChartFindings;
 use coltsfootnotch_fabric::{CredentialsError, EndpointError};
 use coltsfootnotch_manifest::ControlHost;
 use coltsfootnotch_types::prelude::*;
@@ -38,6 +39,9 @@
     /// The credentials can't be used.
     #[display("the credentials can't be used")]
     Credentials(CredentialsError),
+    /// A state chart in the program is not valid.
+    #[display("a state chart is not valid")]
+    Charts(ChartFindings),
     /// A listener or thread can't be made.
     #[display("a listener or thread can't be started")]
     Io(std::io::Error),
