Test the control role's disks, batches and waiting requests

Cause: a failed sync, a full disk, a burst of bookings and a missing leader were handled by code that no test met. Change: the decisions (batches, open requests, founding) are public modules tested without a network; a judge of file operations can be passed to a daemon; large files are split. Conclusion: a failed sync ends the daemon with nothing accepted lost.

--- a/src/coltsfootnotch/daemon/control/actor.rs
+++ b/src/coltsfootnotch/daemon/control/actor.rs
@@ -7,7 +7,7 @@
 use std::sync::mpsc::{self, SyncSender};
 use std::time::Duration;
 
-use coltsfootnotch_consensus::storage::{Storage, StorageConfig};
+use coltsfootnotch_consensus::storage::{Storage, StorageConfig, Verdict};
 use coltsfootnotch_fabric::{Endpoint, PeerId, Traffic};
 use coltsfootnotch_membership::RelayId;
 use coltsfootnotch_types::Role;
@@ -39,7 +39,7 @@
     let shared = Arc::new(Shared::default());
     let of_loop = Arc::clone(&shared);
     let thread = event_loop::spawn("control", move |stakker| {
-        run(stakker, &cx, &cfg, of_loop, &started)
+        run(stakker, &cx, cfg, of_loop, &started)
     })
     .map_err(ControlError::Thread)?;
     let ended = || ControlError::Thread(io::Error::other("the daemon's thread has ended"));
@@ -77,7 +77,7 @@
 fn run(
     stakker: &mut Stakker,
     cx: &HostCx,
-    cfg: &ControlConfig,
+    cfg: ControlConfig,
     shared: Arc<Shared>,
     started: &SyncSender<Result<Started, ControlError>>,
 ) -> ActorOwn<ControlActor> {
@@ -103,13 +103,15 @@
 /// Opens everything that can fail, and connects it to the actor's channel.
 fn open(
     cx: &HostCx,
-    cfg: &ControlConfig,
+    mut cfg: ControlConfig,
     channel: &Channel<Input>,
 ) -> Result<(ControlDaemon, Started), ControlError> {
     let host = cx.identity.host.clone();
     let storage_cfg = StorageConfig::new(cfg.data.join(LOG_FOLDER), host.clone());
+    let judge = cfg.judge.take();
+    let judge = judge.unwrap_or_else(|| Box::new(|_| Verdict::Proceed));
     let (storage, recovered) =
-        Storage::open(&storage_cfg, &mut rand::rng()).map_err(ControlError::Open)?;
+        Storage::open_with(&storage_cfg, judge, &mut rand::rng()).map_err(ControlError::Open)?;
     let epoch = epoch::next(&cfg.data).map_err(ControlError::Epoch)?;
     let to_actor = channel.clone();
     let endpoint = Endpoint::bind(
@@ -132,7 +134,7 @@
         channel: channel.clone(),
     };
     let relay = RelayId { host, epoch };
-    let daemon = ControlDaemon::new(cx.clone(), cfg, recovered, relay, endpoint, disk);
+    let daemon = ControlDaemon::new(cx.clone(), &cfg, recovered, relay, endpoint, disk);
     Ok((daemon, parts))
 }
 
--- a/src/coltsfootnotch/daemon/control/batcher.rs
+++ b/src/coltsfootnotch/daemon/control/batcher.rs
@@ -14,23 +14,29 @@
 
 /// The part of a batch that belongs to one request.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) struct Share {
+pub struct Share {
     /// The request.
-    pub(super) request: RequestId,
+    pub request: RequestId,
     /// How many writes it proposed; none for a single one outside a batch of its own.
     count: Option<usize>,
 }
 
 /// Ledger writes on their way into the log.
+///
+/// ```
+/// use coltsfootnotch::daemon::control::batcher::Batcher;
+/// let mut batcher = Batcher::default();
+/// assert!(batcher.next_batch().is_none());
+/// ```
 #[derive(Debug, Default)]
-pub(super) struct Batcher {
+pub struct Batcher {
     waiting: Vec<(Share, Vec<LedgerOp>)>,
     in_flight: bool,
 }
 
 impl Batcher {
     /// Adds one write.
-    pub(super) fn push_one(&mut self, request: RequestId, op: LedgerOp) {
+    pub fn push_one(&mut self, request: RequestId, op: LedgerOp) {
         let share = Share {
             request,
             count: None,
@@ -39,7 +45,7 @@
     }
 
     /// Adds the writes that a host has grouped itself.
-    pub(super) fn push_many(&mut self, request: RequestId, ops: Vec<LedgerOp>) {
+    pub fn push_many(&mut self, request: RequestId, ops: Vec<LedgerOp>) {
         let share = Share {
             request,
             count: Some(ops.len()),
@@ -48,7 +54,7 @@
     }
 
     /// The next batch, unless one is in flight or nothing waits.
-    pub(super) fn next(&mut self) -> Option<(Vec<Share>, Op)> {
+    pub fn next_batch(&mut self) -> Option<(Vec<Share>, Op)> {
         if self.in_flight || self.waiting.is_empty() {
             return None;
         }
@@ -70,12 +76,12 @@
     }
 
     /// The batch in flight was applied, or refused.
-    pub(super) fn landed(&mut self) {
+    pub fn landed(&mut self) {
         self.in_flight = false;
     }
 
     /// Gives up: returns the requests whose writes were not proposed.
-    pub(super) fn abandon(&mut self) -> Vec<RequestId> {
+    pub fn abandon(&mut self) -> Vec<RequestId> {
         self.in_flight = false;
         self.waiting
             .drain(..)
@@ -88,7 +94,7 @@
 ///
 /// # Panics
 /// When there are not as many replies as writes: a caller would get another's answer.
-pub(super) fn split(shares: Vec<Share>, replies: Vec<LedgerReply>) -> Vec<(RequestId, Reply)> {
+pub fn split(shares: Vec<Share>, replies: Vec<LedgerReply>) -> Vec<(RequestId, Reply)> {
     let mut replies = replies.into_iter();
     let mut split = Vec::with_capacity(shares.len());
     for share in shares {
--- a/src/coltsfootnotch/daemon/control/config.rs
+++ b/src/coltsfootnotch/daemon/control/config.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 
 use coltsfootnotch_consensus::CoreConfig;
+use coltsfootnotch_consensus::storage::Judge;
 use coltsfootnotch_fabric::Credentials;
 use coltsfootnotch_manifest::Settings;
 use coltsfootnotch_membership::Timing;
@@ -39,6 +40,9 @@
     pub timing: Timing,
     /// Whether writes of the ledger that come while one is in flight share one entry of the log.
     pub batch_ledger: bool,
+    /// Decides about every file operation of the log, for tests of failing disks; all proceed
+    /// without it.
+    pub judge: Option<Judge>,
 }
 
 impl ControlConfig {
@@ -64,6 +68,7 @@
             core,
             timing: Timing::DEFAULT,
             batch_ledger: true,
+            judge: None,
         }
     }
 
--- a/src/coltsfootnotch/daemon/control/daemon/mod.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/mod.rs
@@ -1,5 +1,6 @@
 //! What a control daemon does with each input, apart from threads and timers.
 
+mod connections;
 mod from_hosts;
 mod from_members;
 mod requests;
@@ -9,11 +10,11 @@
 use std::time::Duration;
 
 use coltsfootnotch_consensus::{Core, MemberId, Membership, Recovered, RoleKind, Term};
-use coltsfootnotch_fabric::{Dialed, Endpoint, Event, LinkId, PeerId};
+use coltsfootnotch_fabric::{Dialed, Endpoint, PeerId};
 use coltsfootnotch_membership::RelayId;
 use coltsfootnotch_state::StateMachine;
 use coltsfootnotch_types::prelude::*;
-use coltsfootnotch_wire::{HostRecord, Message};
+use coltsfootnotch_wire::HostRecord;
 
 use super::disk::{Disk, DiskReport};
 use super::founding::Founding;
@@ -225,68 +226,6 @@
         let _ = self.replica.core_mut().transfer(now, None);
     }
 
-    fn on_event(&mut self, now: Duration, event: Event) {
-        match event {
-            Event::Up {
-                link,
-                peer,
-                incarnation,
-                tx,
-            } => {
-                self.host.log(&events::LINK_UP, &[("peer", &peer)]);
-                let is_control = peer.role == Role::Control;
-                self.links.add(link, peer, incarnation, tx);
-                if is_control {
-                    self.greet(link);
-                }
-            }
-            Event::Message {
-                link,
-                peer,
-                message,
-            } => self.on_message(now, link, &peer, message),
-            // Control hosts run no attempts.
-            Event::Stream { stream, .. } => drop(stream),
-            Event::Forbidden { peer } => self.forbidden(&peer, "role"),
-            Event::Down { link, peer } => self.on_down(link, &peer),
-        }
-    }
-
-    fn on_message(&mut self, now: Duration, link: LinkId, peer: &PeerId, message: Message) {
-        match message {
-            Message::ToRelay(message) => self.on_host(now, link, peer, message),
-            Message::Member(bytes) => self.on_member(now, link, peer, &bytes),
-            Message::BetweenRelays(bytes) => self.on_relay(now, link, peer, &bytes),
-            // Allowed for the sender's role, but not meant for a control host.
-            Message::ToSidecar(_) | Message::FromSidecar(_) | Message::FromRelay(_) => {
-                self.forbidden(peer, "receiver");
-            }
-        }
-    }
-
-    fn on_down(&mut self, link: LinkId, peer: &PeerId) {
-        self.host.log(&events::LINK_DOWN, &[("peer", peer)]);
-        if self.links.remove(link).is_none() {
-            return;
-        }
-        if peer.role == Role::Control && !self.links.has_control(&peer.host) {
-            self.founding.lose(&peer.host);
-        }
-        for request in self.requests.sent_over(link) {
-            if let Some((request, answer)) = self.requests.lose(request) {
-                self.deliver(request.origin, answer);
-            }
-        }
-    }
-
-    /// Counts and reports what a peer may not do.
-    fn forbidden(&self, peer: &PeerId, what: &'static str) {
-        self.host.log(
-            &events::MESSAGE_FORBIDDEN,
-            &[("peer", peer), ("why", &what)],
-        );
-    }
-
     fn say_hello(&self) {
         let hello = self.founding.hello().clone();
         self.links.send_members(&MemberPacket::Hello(hello));
--- a/src/coltsfootnotch/daemon/control/founding.rs
+++ b/src/coltsfootnotch/daemon/control/founding.rs
@@ -21,14 +21,16 @@
 
 /// Decides whether this member founds the group.
 #[derive(Debug)]
-pub(super) struct Founding {
+pub struct Founding {
     hello: MemberHello,
     others: BTreeMap<HostName, MemberHello>,
     holds_since: Option<Duration>,
 }
 
 impl Founding {
-    pub(super) fn new(hello: MemberHello) -> Self {
+    /// For the member that `hello` describes.
+    #[must_use]
+    pub fn new(hello: MemberHello) -> Self {
         Self {
             hello,
             others: BTreeMap::new(),
@@ -37,32 +39,32 @@
     }
 
     /// What this member says of itself.
-    pub(super) fn hello(&self) -> &MemberHello {
+    pub fn hello(&self) -> &MemberHello {
         &self.hello
     }
 
     /// This member holds an entry now; returns whether that is new.
-    pub(super) fn joined(&mut self) -> bool {
+    pub fn joined(&mut self) -> bool {
         std::mem::replace(&mut self.hello.empty, false)
     }
 
     /// Takes what another member says of itself.
-    pub(super) fn hear(&mut self, hello: MemberHello) {
+    pub fn hear(&mut self, hello: MemberHello) {
         self.others.insert(hello.member.host.clone(), hello);
     }
 
     /// No connection to the host is left.
-    pub(super) fn lose(&mut self, host: &HostName) {
+    pub fn lose(&mut self, host: &HostName) {
         self.others.remove(host);
     }
 
     /// The member that runs on `host`, while it is connected.
-    pub(super) fn member_on(&self, host: &HostName) -> Option<&MemberId> {
+    pub fn member_on(&self, host: &HostName) -> Option<&MemberId> {
         self.others.get(host).map(|hello| &hello.member)
     }
 
     /// The members of the group to found now, if this member is to found one.
-    pub(super) fn due(&mut self, now: Duration, is_config_in_force: bool) -> Option<Vec<MemberId>> {
+    pub fn due(&mut self, now: Duration, is_config_in_force: bool) -> Option<Vec<MemberId>> {
         if is_config_in_force || !self.may_found() {
             self.holds_since = None;
             return None;
--- a/src/coltsfootnotch/daemon/control/mod.rs
+++ b/src/coltsfootnotch/daemon/control/mod.rs
@@ -16,24 +16,24 @@
 //! does not start.
 
 mod actor;
-mod batcher;
+pub mod batcher;
 mod config;
 mod daemon;
 mod disk;
 mod epoch;
 mod error;
-mod founding;
+pub mod founding;
 mod handle;
 mod host_feed;
 mod input;
 mod links;
 mod own_service;
-mod packet;
+pub mod packet;
 mod permit;
 mod relay;
 mod relay_feed;
 mod replica;
-mod request_table;
+pub mod request_table;
 mod status;
 
 pub use actor::start;
--- a/src/coltsfootnotch/daemon/control/packet.rs
+++ b/src/coltsfootnotch/daemon/control/packet.rs
@@ -12,7 +12,7 @@
 
 /// Between members of the control group.
 #[derive(Debug, Serialize, Deserialize)]
-pub(super) enum MemberPacket {
+pub enum MemberPacket {
     /// The first packet of a connection, and again when it changes.
     Hello(MemberHello),
     /// A message of the replicated log.
@@ -40,18 +40,18 @@
 
 /// Who a member is, for founding a group and for admitting a newcomer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(super) struct MemberHello {
+pub struct MemberHello {
     /// The member: its host and its disk.
-    pub(super) member: MemberId,
+    pub member: MemberId,
     /// The control hosts of its settings, in order.
-    pub(super) listed: Vec<HostName>,
+    pub listed: Vec<HostName>,
     /// Whether it holds no entry and knows of no group.
-    pub(super) empty: bool,
+    pub empty: bool,
 }
 
 /// What only the leader can do.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(super) enum Ask {
+pub enum Ask {
     /// Propose an operation, encoded by [`crate::core::encode_op`].
     Propose(Vec<u8>),
     /// Name an index that a read must have applied to be linearizable.
@@ -73,7 +73,7 @@
 
 /// What became of an [`Ask`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(super) enum Answer {
+pub enum Answer {
     /// Nothing was done, and nothing will be: this member does not lead. It may be asked again.
     NotLeader,
     /// The reply of the state machine, encoded by [`crate::core::encode_reply`].
@@ -86,9 +86,9 @@
 
 /// Between control hosts as relays: what changed since the packet before on this connection.
 #[derive(Debug, Serialize, Deserialize)]
-pub(super) struct RelayPacket {
+pub struct RelayPacket {
     /// Hosts that the sender hears.
-    pub(super) hosts: Option<SummaryDelta>,
+    pub hosts: Option<SummaryDelta>,
     /// Sums of service.
-    pub(super) sums: Vec<SumsDelta>,
+    pub sums: Vec<SumsDelta>,
 }
--- a/src/coltsfootnotch/daemon/control/request_table.rs
+++ b/src/coltsfootnotch/daemon/control/request_table.rs
@@ -22,11 +22,11 @@
 
 /// Number of a request within this run of the daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub(super) struct RequestId(pub(super) u64);
+pub struct RequestId(pub u64);
 
 /// Who asked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Origin {
+pub enum Origin {
     /// A host or an operator proposed.
     Propose(LinkId, u64),
     /// A host or an operator asked for the newest configuration.
@@ -39,7 +39,7 @@
 
 /// Where a request is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Place {
+pub enum Place {
     /// Waits for a leader to be known.
     Waiting,
     /// With this member, which leads.
@@ -51,20 +51,31 @@
 }
 
 /// One request.
-#[derive(Debug, Clone)]
-pub(super) struct Request {
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Request {
     /// Who asked.
-    pub(super) origin: Origin,
+    pub origin: Origin,
     /// What for.
-    pub(super) ask: Ask,
+    pub ask: Ask,
     place: Place,
     opened: Duration,
     deadline: Duration,
 }
 
 /// The requests that are open.
+///
+/// ```
+/// use std::time::Duration;
+/// use coltsfootnotch::daemon::control::packet::Ask;
+/// use coltsfootnotch::daemon::control::request_table::{Origin, RequestTable};
+/// use coltsfootnotch_fabric::LinkId;
+/// let mut table = RequestTable::default();
+/// table.open(Duration::ZERO, Origin::Confirm(LinkId(1), 7), Ask::Read).unwrap();
+/// assert_eq!(table.expire(Duration::from_secs(1)), []);
+/// assert_eq!(table.expire(Duration::from_secs(2)).len(), 1, "no leader was found in time");
+/// ```
 #[derive(Debug, Default)]
-pub(super) struct RequestTable {
+pub struct RequestTable {
     last: u64,
     open: BTreeMap<RequestId, Request>,
 }
@@ -74,12 +85,7 @@
     ///
     /// # Errors
     /// Returns the answer to give at once when too many are open.
-    pub(super) fn open(
-        &mut self,
-        now: Duration,
-        origin: Origin,
-        ask: Ask,
-    ) -> Result<RequestId, Answer> {
+    pub fn open(&mut self, now: Duration, origin: Origin, ask: Ask) -> Result<RequestId, Answer> {
         if self.open.len() >= MAX_OPEN {
             return Err(refusal(&ask, Place::Waiting));
         }
@@ -96,12 +102,14 @@
         Ok(id)
     }
 
-    pub(super) fn get(&self, id: RequestId) -> Option<&Request> {
+    /// The request, while it is open.
+    #[must_use]
+    pub fn get(&self, id: RequestId) -> Option<&Request> {
         self.open.get(&id)
     }
 
     /// Moves a request. One that goes back to waiting does not get more time for it.
-    pub(super) fn put(&mut self, now: Duration, id: RequestId, place: Place) {
+    pub fn put(&mut self, now: Duration, id: RequestId, place: Place) {
         let Some(request) = self.open.get_mut(&id) else {
             return;
         };
@@ -113,22 +121,22 @@
     }
 
     /// Ends a request.
-    pub(super) fn close(&mut self, id: RequestId) -> Option<Request> {
+    pub fn close(&mut self, id: RequestId) -> Option<Request> {
         self.open.remove(&id)
     }
 
     /// Requests that wait for a leader.
-    pub(super) fn waiting(&self) -> Vec<RequestId> {
+    pub fn waiting(&self) -> Vec<RequestId> {
         self.ids(|place| place == Place::Waiting)
     }
 
     /// Requests sent over a connection, whose answers can't come any more once it is gone.
-    pub(super) fn sent_over(&self, link: LinkId) -> Vec<RequestId> {
+    pub fn sent_over(&self, link: LinkId) -> Vec<RequestId> {
         self.ids(|place| place == Place::Sent(link))
     }
 
     /// Reads whose state has been applied.
-    pub(super) fn applied(&self, index: u64) -> Vec<RequestId> {
+    pub fn applied(&self, index: u64) -> Vec<RequestId> {
         self.ids(|place| matches!(place, Place::Applying(wanted) if wanted <= index))
     }
 
@@ -138,7 +146,7 @@
     }
 
     /// Ends the requests whose time is over, each with its last answer.
-    pub(super) fn expire(&mut self, now: Duration) -> Vec<(Request, Answer)> {
+    pub fn expire(&mut self, now: Duration) -> Vec<(Request, Answer)> {
         let late = self
             .open
             .extract_if(.., |_, request| now >= request.deadline);
@@ -150,14 +158,15 @@
     }
 
     /// Ends a request whose answer can't come any more.
-    pub(super) fn lose(&mut self, id: RequestId) -> Option<(Request, Answer)> {
+    pub fn lose(&mut self, id: RequestId) -> Option<(Request, Answer)> {
         let request = self.open.remove(&id)?;
         let answer = refusal(&request.ask, request.place);
         Some((request, answer))
     }
 
     /// How many are open.
-    pub(super) fn len(&self) -> usize {
+    #[must_use]
+    pub fn open_count(&self) -> usize {
         self.open.len()
     }
 }
--- a/src/coltsfootnotch/daemon/control/status.rs
+++ b/src/coltsfootnotch/daemon/control/status.rs
@@ -117,7 +117,7 @@
         snapshot: member.snapshot.0,
         commands_since_start: daemon.replica.replayed(),
         syncs: daemon.syncs,
-        open_requests: daemon.requests.len(),
+        open_requests: daemon.requests.open_count(),
         voters: member.members.voters.iter().map(|m| &m.host).collect(),
         learners: member.members.learners.keys().map(|m| &m.host).collect(),
     }
--- a/tests/testsuite/control.rs
+++ b/tests/testsuite/control.rs
@@ -2,6 +2,8 @@
 
 mod client;
 mod configuration;
+mod disk;
 mod group;
 mod hosts;
+mod load;
 mod members;
--- /dev/null
+++ b/tests/testsuite/control/disk.rs
@@ -0,0 +1,89 @@
+//! Disks that fail under a running member.
+
+use std::io::ErrorKind;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use coltsfootnotch::daemon::control::{ControlConfig, ControlError};
+use coltsfootnotch_consensus::storage::{FileOp, StorageError, Verdict};
+use coltsfootnotch_state::ConfigReply;
+use coltsfootnotch_types::prelude::*;
+use googletest::prelude::*;
+
+use super::client::manifest;
+use super::group::{Group, wait_until};
+
+/// A group whose first member's disk fails with `verdict` once the switch is on.
+fn group_with_failing_disk(
+    verdict: Verdict,
+    wanted: fn(FileOp<'_>) -> bool,
+) -> (Group, Arc<AtomicBool>) {
+    let mut group = Group::new(|_: &mut ControlConfig| {});
+    let fails = Arc::new(AtomicBool::new(false));
+    let mut cfg = group.config(0);
+    let switch = Arc::clone(&fails);
+    cfg.judge = Some(Box::new(move |op| {
+        if switch.load(Ordering::Relaxed) && wanted(op) {
+            verdict
+        } else {
+            Verdict::Proceed
+        }
+    }));
+    group.start_with(0, cfg);
+    group.start(1);
+    group.start(2);
+    group.wait_for_leader();
+    (group, fails)
+}
+
+/// What the first member ends with when the next change comes; the others must accept it.
+fn end_of_first_member(group: &mut Group, fails: &AtomicBool) -> ControlError {
+    let mut operator = group.client(1, Role::Operator, "op");
+    operator.apply(manifest(1, &["bistro"])).expect("accepted");
+    fails.store(true, Ordering::Relaxed);
+    // The first member may lead, and then the outcome is unknown at first.
+    let req = manifest(2, &["diner"]);
+    wait_until("the others accept the change", || {
+        matches!(
+            operator.apply(req.clone()),
+            Ok(ConfigReply::Accepted { .. })
+        )
+    });
+    let handle = group.handles[0].take().expect("it was started");
+    wait_until("the first member ends by itself", || handle.is_finished());
+    handle.join().expect_err("it ends for a reason")
+}
+
+/// A sync of one member fails. What it wrote since the sync before may be lost, so it ends rather
+/// than acknowledge anything more; the change is accepted by the other two, and the member starts
+/// again from its folder with everything that was accepted.
+#[test]
+fn a_failed_sync_ends_the_daemon_and_loses_nothing() {
+    let is_sync = |op: FileOp<'_>| matches!(op, FileOp::Sync { .. });
+    let (mut group, fails) = group_with_failing_disk(Verdict::Fail(ErrorKind::Other), is_sync);
+    let error = end_of_first_member(&mut group, &fails);
+    let is_failed_sync =
+        |e: &ControlError| matches!(e, ControlError::Write(StorageError::SyncFailed { .. }));
+    assert_that!(error, predicate(is_failed_sync));
+
+    group.start(0);
+    group.wait_for_leader();
+    let mut operator = group.client(0, Role::Operator, "op");
+    assert_that!(operator.confirmed_number(), ok(eq(&2)));
+}
+
+/// The disk of one member is full in the middle of a write. The member ends; what was half written
+/// was never acknowledged, and is cut off when it starts again.
+#[test]
+fn a_full_disk_ends_the_daemon_and_loses_nothing() {
+    let is_write = |op: FileOp<'_>| matches!(op, FileOp::Write { .. });
+    let (mut group, fails) = group_with_failing_disk(Verdict::Short(5), is_write);
+    let error = end_of_first_member(&mut group, &fails);
+    let is_full = |e: &ControlError| matches!(e, ControlError::Write(StorageError::Full { .. }));
+    assert_that!(error, predicate(is_full));
+
+    group.start(0);
+    group.wait_for_leader();
+    let mut operator = group.client(0, Role::Operator, "op");
+    assert_that!(operator.confirmed_number(), ok(eq(&2)));
+}
