--- /dev/null
+++ b/benches/control.rs
@@ -0,0 +1,121 @@
+//! Commits a second of a control group on this machine: `cargo bench --bench control`.
+//!
+//! Three control daemons in one process, with real files and connections over loopback. One entry
+//! keeps a number of ledger writes under way, each for a key of its own, and measures how long each
+//! takes from proposal to answer; with and without grouping of writes into entries of the log.
+
+#[path = "../tests/testsuite/control/client.rs"]
+#[expect(dead_code, reason = "the tests use the rest")]
+mod client;
+#[path = "../tests/testsuite/control/group.rs"]
+#[expect(dead_code, reason = "the tests use the rest")]
+mod group;
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use coltsfootnotch::core::decode_reply;
+use coltsfootnotch_state::{
+    AttemptId, BodyDigest, IdempotencyKey, LedgerOp, LedgerReply, Op, ProcessId, Reply,
+};
+use coltsfootnotch_types::prelude::*;
+use coltsfootnotch_wire::FromRelay;
+use hdrhistogram::Histogram;
+
+use client::Client;
+use group::{Group, host};
+
+/// Long enough for hundreds of syncs.
+const RUN_FOR: Duration = Duration::from_secs(5);
+/// Writes under way at once.
+const UNDER_WAY: [usize; 4] = [1, 16, 128, 1024];
+/// Accounts that the keys belong to, so that no account's records run out.
+const ACCOUNTS: u64 = 500;
+
+fn main() {
+    println!(
+        "| asked | grouped | under way | commits/s | p50 ms | p99 ms | writes/entry | writes/sync |"
+    );
+    println!("|---|---|---|---|---|---|---|---|");
+    for batch_ledger in [false, true] {
+        for at_leader in [true, false] {
+            for under_way in UNDER_WAY {
+                measure(batch_ledger, at_leader, under_way);
+            }
+        }
+    }
+}
+
+fn measure(batch_ledger: bool, at_leader: bool, under_way: usize) {
+    let adjust = if batch_ledger {
+        |cfg: &mut coltsfootnotch::daemon::control::ControlConfig| cfg.batch_ledger = true
+    } else {
+        |cfg: &mut coltsfootnotch::daemon::control::ControlConfig| cfg.batch_ledger = false
+    };
+    let group = Group::started(adjust);
+    let leader = group.wait_for_leader();
+    let at = if at_leader { leader } else { (leader + 1) % 3 };
+    let mut operator = group.client(leader, Role::Operator, "op");
+    let mut entry = group.client(at, Role::Entry, "e1");
+    let (entries_before, syncs_before) = counts(&mut operator);
+    let latencies = run(&mut entry, under_way);
+    let (entries, syncs) = counts(&mut operator);
+    let commits = latencies.len() as f64;
+    let ms = |quantile| latencies.value_at_quantile(quantile) as f64 / 1e3;
+    println!(
+        "| {} | {} | {under_way} | {:.0} | {:.2} | {:.2} | {:.1} | {:.1} |",
+        if at_leader { "leader" } else { "follower" },
+        if batch_ledger { "yes" } else { "no" },
+        commits / RUN_FOR.as_secs_f64(),
+        ms(0.5),
+        ms(0.99),
+        commits / (entries - entries_before) as f64,
+        commits / (syncs - syncs_before) as f64,
+    );
+}
+
+/// Entries committed and syncs of the leader so far.
+fn counts(operator: &mut Client) -> (u64, u64) {
+    let status = operator.status();
+    let count = |name: &str| status["group"][name].as_u64().expect("a count");
+    (count("commit"), count("syncs"))
+}
+
+/// Keeps `under_way` writes under way; returns the latencies in microseconds.
+fn run(entry: &mut Client, under_way: usize) -> Histogram<u64> {
+    let mut latencies = Histogram::new(3).expect("a histogram");
+    let mut sent = BTreeMap::new();
+    let mut number = 0;
+    let began = Instant::now();
+    while began.elapsed() < RUN_FOR {
+        while sent.len() < under_way {
+            number += 1;
+            let id = entry.begin_propose(&Op::Ledger(intent(number)));
+            sent.insert(id, Instant::now());
+        }
+        let (id, reply) = entry.wait_for(|message| match message {
+            FromRelay::Proposed { id, reply } => Some((*id, reply.clone())),
+            _ => None,
+        });
+        let reply = decode_reply(&reply.expect("committed")).expect("a reply");
+        assert_eq!(reply, Reply::Ledger(LedgerReply::Started));
+        let since = sent.remove(&id).expect("it was sent");
+        let micros = u64::try_from(since.elapsed().as_micros()).unwrap_or(u64::MAX);
+        latencies.record(micros).expect("within the range");
+    }
+    latencies
+}
+
+fn intent(number: u64) -> LedgerOp {
+    let account = AccountName::new(format!("a{}", number % ACCOUNTS)).expect("a name");
+    let key = IdempotencyKey::parse(&format!("k{number}")).expect("a key");
+    let attempt = AttemptId {
+        entry: Incarnation(1),
+        number,
+    };
+    let sidecar = ProcessId {
+        host: host("s1"),
+        incarnation: Incarnation(2),
+    };
+    LedgerOp::intent(&account, &key, BodyDigest::of(b"{}"), attempt, &sidecar)
+}
