Send configurations as deltas, and describe the control role

Change: a relay keeps the last four manifests and sends the change from the one that a host reports; the whole follows when the host does not report the new number within 2 s. Conclusion: bytes a change grow with the change, not with the accounts.

--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -159,6 +159,14 @@
     },
     /// A newer configuration than the host has in force.
     Config(ConfigBody),
+    /// What changes from the configuration that the host has in force to a newer one. If it does not
+    /// fit, the whole follows.
+    ConfigDelta {
+        /// Number of the configuration that it gives.
+        number: u64,
+        /// The change, encoded by the `manifest` package's type with `postcard`.
+        delta: Vec<u8>,
+    },
     /// Answers [`ToRelay::ConfigConfirmed`]; none when there is no configuration yet.
     ConfigConfirmed {
         /// Matches the question.
--- a/src/coltsfootnotch/daemon/control/daemon/mod.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/mod.rs
@@ -16,6 +16,7 @@
 use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::HostRecord;
 
+use super::config_push::ConfigPush;
 use super::disk::{Disk, DiskReport};
 use super::founding::Founding;
 use super::input::{Input, Stop};
@@ -49,8 +50,8 @@
     pub(super) requests: RequestTable,
     /// Syncs of the data folder since the start.
     pub(super) syncs: u64,
-    /// Accounts of the configuration in force.
-    pub(super) accounts: Vec<AccountName>,
+    /// The configuration in force, as it is sent to hosts.
+    pub(super) config: ConfigPush,
     endpoint: Endpoint,
     disk: Disk,
     links: Links,
@@ -58,7 +59,6 @@
     _dialed: Vec<Dialed>,
     founding: Founding,
     leader: Option<MemberId>,
-    config_number: u64,
     stop_by: Option<Duration>,
     upkeep_due: Duration,
     beat_due: Duration,
@@ -92,7 +92,7 @@
             relay: Relay::new(relay, cfg.timing, now),
             requests: RequestTable::default(),
             syncs: 0,
-            accounts: Vec::new(),
+            config: ConfigPush::default(),
             address: own.map_or(cfg.listen, |m| m.address),
             endpoint,
             disk,
@@ -100,7 +100,6 @@
             _dialed: dialed,
             founding: Founding::new(hello),
             leader: None,
-            config_number: 0,
             stop_by: None,
             upkeep_due: now,
             beat_due: now,
--- a/src/coltsfootnotch/daemon/control/host_feed.rs
+++ b/src/coltsfootnotch/daemon/control/host_feed.rs
@@ -113,21 +113,36 @@
         (!elsewhere.is_empty()).then_some(FromRelay::Totals { elsewhere })
     }
 
-    /// Whether the configuration `number` is to be sent now; notes that it is.
-    pub(super) fn wants_config(&mut self, now: Duration, number: u64) -> bool {
+    /// How the configuration `number` is to be sent now, if it is; notes that it is.
+    ///
+    /// A host that does not report it in time could not use the delta, and gets the whole.
+    pub(super) fn next_config(&mut self, now: Duration, number: u64) -> Option<Push> {
         if self.config >= number {
-            return false;
+            return None;
         }
-        let is_on_its_way = self
-            .pushed
-            .is_some_and(|(sent, at)| sent == number && now < at + PUSH_AGAIN_AFTER);
-        if !is_on_its_way {
-            self.pushed = Some((number, now));
+        match self.pushed {
+            Some((sent, at)) if sent == number && now < at + PUSH_AGAIN_AFTER => None,
+            Some((sent, _)) if sent == number => {
+                self.pushed = Some((number, now));
+                Some(Push::Whole)
+            }
+            _ => {
+                self.pushed = Some((number, now));
+                Some(Push::DeltaFrom(self.config))
+            }
         }
-        !is_on_its_way
     }
 }
 
+/// How a configuration is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Push {
+    /// As a delta from this number, or whole where there is none.
+    DeltaFrom(u64),
+    /// Whole.
+    Whole,
+}
+
 fn view_of(record: &HostRecord) -> ViewFeed {
     ViewFeed::new(record.host.clone(), record.domain.clone(), record.role)
 }
--- a/src/coltsfootnotch/daemon/control/links.rs
+++ b/src/coltsfootnotch/daemon/control/links.rs
@@ -114,12 +114,6 @@
         all.filter(|link| link.host.is_some())
     }
 
-    /// The same connections by number.
-    pub(super) fn host_ids(&self) -> Vec<LinkId> {
-        let hosts = self.by_id.iter().filter(|(_, link)| link.host.is_some());
-        hosts.map(|(id, _)| *id).collect()
-    }
-
     /// Sends a packet on every connection to a control host.
     pub(super) fn send_members(&self, packet: &MemberPacket) {
         for id in self.control_ids() {
--- a/src/coltsfootnotch/daemon/control/mod.rs
+++ b/src/coltsfootnotch/daemon/control/mod.rs
@@ -8,7 +8,7 @@
 //! |---|---|
 //! | proposals, confirmed reads, changes of members | `request_table` holds them; `replica` is asked where this member leads, otherwise the leader over its connection |
 //! | the log | `replica` carries messages and time into the consensus core, writes out through `disk`, applies to the state machine |
-//! | configurations | applied by `replica`, then pushed to each host that reports a lower number |
+//! | configurations | applied by `replica`, kept by `config_push`, and sent to each host that reports a lower number |
 //! | heartbeats, directory, service | `relay` keeps them without a quorum; `host_feed` and `relay_feed` know what each peer was told |
 //!
 //! A failed sync ends the daemon: what was written since the last sync may be lost, and a member that
@@ -18,6 +18,7 @@
 mod actor;
 pub mod batcher;
 mod config;
+pub mod config_push;
 mod daemon;
 mod disk;
 mod epoch;
--- a/src/coltsfootnotch/daemon/control/status.rs
+++ b/src/coltsfootnotch/daemon/control/status.rs
@@ -154,12 +154,13 @@
 
 /// The accounts of the configuration in force, with their service over the fleet.
 fn accounts(daemon: &ControlDaemon) -> Vec<Account> {
-    daemon
-        .accounts
-        .iter()
-        .map(|account| Account {
-            account: account.clone(),
-            service: daemon.relay.sums.total(account).0,
-        })
-        .collect()
+    let Some(manifest) = daemon.config.manifest() else {
+        return Vec::new();
+    };
+    let service = |name: &AccountName| daemon.relay.sums.total(name).0;
+    let accounts = manifest.accounts.iter().map(|account| Account {
+        account: account.name.clone(),
+        service: service(&account.name),
+    });
+    accounts.collect()
 }
--- a/src/coltsfootnotch/daemon/relay_client.rs
+++ b/src/coltsfootnotch/daemon/relay_client.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use coltsfootnotch_fabric::{Dialed, Endpoint, LinkId, LinkTx, PeerId};
-use coltsfootnotch_manifest::{ConfigIndex, Manifest};
+use coltsfootnotch_manifest::{ConfigIndex, Manifest, ManifestDelta};
 use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::{
     ConfigBody, FromRelay, Heartbeat, HostRecord, Message, ProposeError, ToRelay,
@@ -206,6 +206,7 @@
             FromRelay::Totals { elsewhere } => Some(RelayNews::Totals(elsewhere)),
             FromRelay::Proposed { id, reply } => Some(RelayNews::Proposed { id, reply }),
             FromRelay::Config(body) if self.config.is_some() => self.on_config(&body),
+            FromRelay::ConfigDelta { delta, .. } => self.on_delta(&delta),
             FromRelay::ConfigConfirmed {
                 config: Ok(Some(body)),
                 ..
@@ -278,6 +279,19 @@
                 return None;
             }
         };
+        self.put_in_force(manifest)
+    }
+
+    /// A delta that does not fit is left: the relay sends the whole when this host does not report
+    /// the new number.
+    fn on_delta(&mut self, delta: &[u8]) -> Option<RelayNews> {
+        let base = self.config.as_ref()?;
+        let delta: ManifestDelta = postcard::from_bytes(delta).ok()?;
+        let manifest = delta.apply(base.manifest()).ok()?;
+        self.put_in_force(manifest)
+    }
+
+    fn put_in_force(&mut self, manifest: Manifest) -> Option<RelayNews> {
         if manifest.number <= self.config_number() {
             return None;
         }
--- a/tests/testsuite/control/load.rs
+++ b/tests/testsuite/control/load.rs
@@ -3,16 +3,19 @@
 use std::time::Duration;
 
 use coltsfootnotch::daemon::control::batcher::{Batcher, split};
+use coltsfootnotch::daemon::control::config_push::ConfigPush;
 use coltsfootnotch::daemon::control::packet::{Answer, Ask};
 use coltsfootnotch::daemon::control::request_table::{Origin, Place, RequestId, RequestTable};
 use coltsfootnotch_fabric::LinkId;
+use coltsfootnotch_manifest::{Manifest, ManifestDelta};
 use coltsfootnotch_state::{
     AttemptId, Close, Disowned, KeyDigest, LedgerOp, LedgerReply, LogTime, Op, Record, Reply,
 };
 use coltsfootnotch_types::prelude::*;
-use coltsfootnotch_wire::ProposeError;
+use coltsfootnotch_wire::{ConfigBody, FromRelay, ProposeError};
 use googletest::prelude::*;
 
+use super::client::manifest;
 use super::group::host;
 
 fn write(number: u64) -> LedgerOp {
@@ -163,3 +166,33 @@
     let late = table.expire(Duration::from_millis(1_500));
     assert_that!(late, len(eq(1)));
 }
+
+/// Ten changes in a burst. A host that has one of the last few in force gets a delta that gives the
+/// newest; one that is further behind gets none, and so the whole. What is kept stays bounded.
+#[test]
+fn a_host_a_few_changes_behind_gets_a_delta_to_the_newest() {
+    let mut push = ConfigPush::default();
+    let mut manifests = Vec::new();
+    for number in 1..=10 {
+        let req = manifest(number, &["bistro", &format!("diner-{number}")]);
+        manifests.push(Manifest::from_body(&req.body).expect("a manifest"));
+        push.accept(ConfigBody {
+            number,
+            digest: req.digest.0,
+            body: req.body,
+        });
+    }
+    let newest = manifests.last().expect("the newest");
+    for (base, expected) in manifests.iter().zip([
+        false, false, false, false, false, true, true, true, true, false,
+    ]) {
+        let Some(FromRelay::ConfigDelta { number, delta }) = push.delta(base.number) else {
+            assert_that!(expected, eq(false), "from {}", base.number);
+            continue;
+        };
+        assert_that!(expected, eq(true), "from {}", base.number);
+        assert_that!(number, eq(10));
+        let delta: ManifestDelta = postcard::from_bytes(&delta).expect("a delta");
+        assert_that!(delta.apply(base).expect("it fits"), eq(newest));
+    }
+}
