--- a/examples/slopes/configuration.rs
+++ b/examples/slopes/configuration.rs
@@ -95,7 +95,7 @@
 fn wait_in_force(operator: &OperatorClient, number: u64) -> Result<(), FleetError> {
     let until = Instant::now() + PATIENCE;
     while Instant::now() < until {
-        let status: Value = serde_json::from_str(&operator.status()?).unwrap_or_default();
+        let status: Value = serde_json::from_str(&operator.status(PATIENCE)?).unwrap_or_default();
         let configuration = &status["configuration"];
         let none_behind = configuration["behind"]
             .as_array()
