--- a/examples/slopes/backlog.rs
+++ b/examples/slopes/backlog.rs
@@ -15,8 +15,8 @@
 const SIDECARS: usize = 8;
 const SETTLE: Duration = Duration::from_secs(3);
 const WATCHED: Duration = Duration::from_secs(10);
-/// Requests that each account has, so that it goes on waiting while some of them run.
-const REQUESTS: usize = 3;
+/// Requests of all accounts together, so that every account goes on waiting while some run.
+const REQUESTS: usize = 2_400;
 /// Tokens of each; with 20 ms between them a request runs for a second.
 const TOKENS: u32 = 50;
 
@@ -24,7 +24,7 @@
 pub(crate) fn run(sizes: &[usize]) -> Result<(), FleetError> {
     println!(
         "backlogged accounts: {CONTROL} control hosts, {ENTRIES} entries, {SIDECARS} sidecars; \
-         {REQUESTS} requests an account of {TOKENS} tokens, 20 ms apart; control bytes a second \
+         {REQUESTS} requests of {TOKENS} tokens, 20 ms apart; control bytes a second \
          sent by one host of each role"
     );
     println!(
@@ -63,7 +63,7 @@
         let at = entries[number % entries.len()];
         open(at, &account(number % accounts), number, TOKENS)
     };
-    let sockets: std::io::Result<Vec<_>> = (0..REQUESTS * accounts).map(ask).collect();
+    let sockets: std::io::Result<Vec<_>> = (0..REQUESTS).map(ask).collect();
     Ok(sockets?)
 }
 
--- a/examples/slopes/main.rs
+++ b/examples/slopes/main.rs
@@ -1,23 +1,25 @@
 //! Measures how the cost of a fleet grows with its sizes, for docs/CAPACITY.md.
 //!
 //! `cargo run --release --example slopes -- PART [SIZE...]`, where PART is `hosts`, `backlog`,
-//! `requests`, `streams` or `configuration`. Every host and stand-in of a fleet runs in this one
-//! process, over loopback. Processor figures are user and system time, which other programs on the
+//! `requests`, `streams`, `configuration`, `accounts` or `roles`. The last two start real daemons, built
+//! by `cargo build --release --bins`, so that each role is measured by itself; in the others every
+//! host and stand-in of a fleet runs in this one process. All over loopback. Processor figures are user and system time, which other programs on the
 //! machine disturb less than the clock on the wall.
 
 mod backlog;
 mod caller;
 mod configuration;
+mod daemons;
 mod fleets;
 mod hosts;
 mod process;
 mod requests;
+mod roles;
 mod streams;
 
+use std::error::Error;
 use std::process::ExitCode;
 
-use coltsfootnotch::ops::fleet::FleetError;
-
 fn main() -> ExitCode {
     let mut args = std::env::args().skip(1);
     let part = args.next().unwrap_or_default();
@@ -31,21 +33,24 @@
     }
 }
 
-fn run(part: &str, sizes: &[String]) -> Result<(), FleetError> {
+fn run(part: &str, sizes: &[String]) -> Result<(), Box<dyn Error>> {
     match part {
-        "hosts" => hosts::run(&numbers(sizes, &[12, 24, 48, 96])),
-        "backlog" => backlog::run(&numbers(sizes, &[64, 128, 256, 570])),
-        "requests" => requests::run(&numbers(sizes, &[1, 32, 128, 256])),
-        "streams" => streams::run(&numbers(sizes, &[250, 500, 1000])),
+        "hosts" => hosts::run(&numbers(sizes, &[12, 24, 48, 96]))?,
+        "backlog" => backlog::run(&numbers(sizes, &[64, 128, 256, 570]))?,
+        "requests" => requests::run(&numbers(sizes, &[1, 32, 128, 256]))?,
+        "streams" => streams::run(&numbers(sizes, &[250, 500, 1000]))?,
+        "accounts" => roles::accounts(&numbers(sizes, &[100, 1000, 5700]))?,
+        "roles" => roles::requests()?,
         "configuration" => {
             let default = [(100, 12), (1000, 12), (5700, 12), (1000, 24), (1000, 48)];
-            configuration::run(&pairs(sizes, &default))
+            configuration::run(&pairs(sizes, &default))?;
         }
         _ => {
-            eprintln!("give a part: hosts, backlog, requests, streams or configuration");
-            Ok(())
+            let parts = "hosts, backlog, requests, streams, configuration, accounts or roles";
+            return Err(format!("give a part: {parts}").into());
         }
     }
+    Ok(())
 }
 
 fn numbers(texts: &[String], default: &[usize]) -> Vec<usize> {
--- /dev/null
+++ b/examples/slopes/roles.rs
@@ -0,0 +1,199 @@
+//! Processor time and memory of each role, with real daemon processes.
+
+use std::error::Error;
+use std::net::TcpStream;
+use std::thread::{self, sleep};
+use std::time::{Duration, Instant};
+
+use coltsfootnotch::ops::fleet::{AccountPlan, FleetPlan};
+use coltsfootnotch_fakes::EngineConfig;
+use coltsfootnotch_manifest::Manifest;
+
+use crate::caller::{open, whole};
+use crate::daemons::{ByRole, Daemons};
+use crate::fleets::account;
+
+const ENGINES: u32 = 2;
+/// A new upstream gets its whole share in ten seconds.
+const SETTLE: Duration = Duration::from_secs(12);
+const WATCHED: Duration = Duration::from_secs(10);
+const CHANGES: u64 = 3;
+const CALLERS: usize = 8;
+const REQUESTS: usize = 400;
+const TOKENS: [u32; 4] = [1, 32, 128, 256];
+const STREAMS: [usize; 4] = [64, 128, 256, 512];
+const WARM_UP_CALLERS: usize = 300;
+const WARM_UP: Duration = Duration::from_secs(15);
+const SLOWDOWN: f64 = 500.0;
+const OPENING: Duration = Duration::from_secs(6);
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Prints a row of idle costs and of changes for each number of accounts.
+pub(crate) fn accounts(sizes: &[usize]) -> Result<(), Box<dyn Error>> {
+    println!(
+        "real daemons: 3 control, 1 entry, {ENGINES} sidecars; for one host of each role: processor \
+         time idle, resident memory idle, processor time for one change of one account"
+    );
+    println!(
+        "{:>9} | {:>26} | {:>26} | {:>26}",
+        "accounts", "idle ms/s ctl/entry/side", "MB ctl/entry/side", "change ms ctl/entry/side"
+    );
+    for &size in sizes {
+        let (daemons, mut manifest) = start(size)?;
+        sleep(SETTLE);
+        let before = daemons.cpu_ms();
+        sleep(WATCHED);
+        let idle = each(&daemons, daemons.cpu_ms(), before, WATCHED.as_secs_f64());
+        let resident = each(&daemons, daemons.resident_mb(), ByRole::default(), 1.0);
+        let before = daemons.cpu_ms();
+        for _ in 0..CHANGES {
+            manifest.number += 1;
+            if let Some(account) = manifest.accounts.first_mut() {
+                account.limits.queue -= 1;
+            }
+            daemons.operator.apply(&manifest, PATIENCE)?;
+            daemons.wait_in_force(manifest.number)?;
+        }
+        let change = each(&daemons, daemons.cpu_ms(), before, CHANGES as f64);
+        println!(
+            "{size:>9} | {} | {} | {}",
+            row(idle),
+            row(resident),
+            row(change)
+        );
+    }
+    Ok(())
+}
+
+/// Prints a row for each length of answer, then one for each number of open streams.
+pub(crate) fn requests() -> Result<(), Box<dyn Error>> {
+    let (daemons, _) = start(100)?;
+    sleep(SETTLE);
+    println!(
+        "real daemons, {REQUESTS} streamed requests by {CALLERS} callers; processor time a request"
+    );
+    println!(
+        "{:>7} {:>12} {:>10} {:>12} {:>7}",
+        "tokens", "control ms", "entry ms", "sidecars ms", "failed"
+    );
+    for tokens in TOKENS {
+        let before = daemons.cpu_ms();
+        let failed = ask(&daemons, tokens);
+        let spent = daemons.cpu_ms();
+        let each = |after: f64, before: f64| (after - before) / REQUESTS as f64;
+        println!(
+            "{tokens:>7} {:>12.3} {:>10.3} {:>12.3} {failed:>7}",
+            each(spent.control, before.control),
+            each(spent.entry, before.entry),
+            each(spent.sidecars, before.sidecars),
+        );
+    }
+    streams(&daemons);
+    Ok(())
+}
+
+fn streams(daemons: &Daemons) {
+    println!("open streams, one token a second; growth of memory for each");
+    println!(
+        "{:>8} {:>8} {:>10} {:>12}",
+        "asked", "running", "entry KB", "sidecars KB"
+    );
+    warm_up(daemons);
+    daemons
+        .engines
+        .iter()
+        .for_each(|engine| engine.set_slowdown(SLOWDOWN));
+    let before = daemons.resident_mb();
+    let mut sockets: Vec<TcpStream> = vec![];
+    for streams in STREAMS {
+        let new = (sockets.len()..streams)
+            .filter_map(|n| open(daemons.callers, &account(n % 100), n, 1_000).ok());
+        let new: Vec<_> = new.collect();
+        sockets.extend(new);
+        sleep(OPENING);
+        let running: u32 = daemons
+            .engines
+            .iter()
+            .map(|engine| engine.stats().running)
+            .sum();
+        let grown = daemons.resident_mb();
+        let each = |after: f64, before: f64| 1000.0 * (after - before) / streams as f64;
+        println!(
+            "{streams:>8} {running:>8} {:>10.1} {:>12.1}",
+            each(grown.entry, before.entry),
+            each(grown.sidecars, before.sidecars)
+        );
+    }
+}
+
+fn start(accounts: usize) -> Result<(Daemons, Manifest), Box<dyn Error>> {
+    let engine = |number: u32| EngineConfig {
+        slots: 512,
+        token: Duration::from_millis(2),
+        ..EngineConfig::new(format!("spec-llm-{number}"), "spec-llm")
+    };
+    let daemons = Daemons::start((0..ENGINES).map(engine).collect())?;
+    let plan = |number| AccountPlan {
+        name: account(number),
+        weight: 1,
+        queue: 100_000,
+    };
+    let plan = FleetPlan {
+        accounts: (0..accounts).map(plan).collect(),
+        ..FleetPlan::demo()
+    };
+    let manifest = plan.manifest()?;
+    daemons.operator.apply(&manifest, PATIENCE)?;
+    daemons.wait_in_force(manifest.number)?;
+    Ok((daemons, manifest))
+}
+
+fn each(daemons: &Daemons, after: ByRole, before: ByRole, by: f64) -> ByRole {
+    let count = daemons.count();
+    ByRole {
+        control: (after.control - before.control) / count.control / by,
+        entry: (after.entry - before.entry) / by,
+        sidecars: (after.sidecars - before.sidecars) / count.sidecars / by,
+    }
+}
+
+fn row(figures: ByRole) -> String {
+    format!(
+        "{:>8.1} {:>8.1} {:>8.1}",
+        figures.control, figures.entry, figures.sidecars
+    )
+}
+
+fn ask(daemons: &Daemons, tokens: u32) -> usize {
+    let answer = |number: usize| {
+        open(daemons.callers, &account(number % 100), number, tokens).is_ok_and(whole)
+    };
+    let ask = |caller: usize| {
+        let numbers = (caller..REQUESTS).step_by(CALLERS);
+        numbers.filter(|number| !answer(*number)).count()
+    };
+    thread::scope(|scope| {
+        let ask = &ask;
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|caller| scope.spawn(move || ask(caller)))
+            .collect();
+        callers
+            .into_iter()
+            .map(|caller| caller.join().unwrap_or(REQUESTS))
+            .sum()
+    })
+}
+
+fn warm_up(daemons: &Daemons) {
+    let until = Instant::now() + WARM_UP;
+    thread::scope(|scope| {
+        for caller in 0..WARM_UP_CALLERS {
+            scope.spawn(move || {
+                while Instant::now() < until {
+                    let _warms_up_only =
+                        open(daemons.callers, &account(caller % 100), caller, 8).map(whole);
+                }
+            });
+        }
+    });
+}
