--- a/crates/fakes/src/http.rs
+++ b/crates/fakes/src/http.rs
@@ -50,6 +50,8 @@
 #[derive(Serialize)]
 struct ErrorDetail<'a> {
     message: &'a str,
+    /// Tells an upstream's own error from one of the fleet.
+    source: &'static str,
 }
 
 /// An answer with `value` as JSON.
@@ -71,7 +73,10 @@
 
 /// An error answer.
 pub(crate) fn error(status: StatusCode, message: &str) -> Reply {
-    let error = ErrorDetail { message };
+    let error = ErrorDetail {
+        message,
+        source: "upstream",
+    };
     json(status, &ErrorBody { error })
 }
 
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -33,6 +33,7 @@
 pub use answer::{expected_answer, expected_token, prefix_digest, prompt_tokens};
 pub use engine::EngineHandle;
 pub use engine_config::{EngineConfig, EngineStats};
+pub use order_book::OrderStore;
 pub use order_config::{OrderConfig, OrderStats};
 pub use order_service::OrderHandle;
 
--- a/crates/fakes/src/order_book.rs
+++ b/crates/fakes/src/order_book.rs
@@ -1,6 +1,7 @@
 //! The bookings of a stand-in order service.
 
 use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use serde::Serialize;
 use serde_json::Value;
@@ -13,8 +14,27 @@
     pub(crate) order: Value,
 }
 
+/// The database behind the replicas of an order service; each replica sees the bookings of all.
+///
+/// ```
+/// use coltsfootnotch_fakes::{OrderConfig, OrderStore};
+/// let store = OrderStore::default();
+/// let mut replicas = [1, 2].map(|n| OrderConfig::new(format!("desk-{n}"), "desk"));
+/// for replica in &mut replicas {
+///     replica.store = store.clone();
+/// }
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct OrderStore(Arc<Mutex<OrderBook>>);
+
+impl OrderStore {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, OrderBook> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// All bookings by the order in which they were made.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub(crate) struct OrderBook {
     bookings: Vec<Booking>,
     by_key: BTreeMap<String, Vec<usize>>,
@@ -51,12 +71,6 @@
         booking.order = order;
         Some(booking)
     }
-
-    /// How often each key was booked.
-    pub(crate) fn counts(&self) -> BTreeMap<String, usize> {
-        let count = |(key, places): (&String, &Vec<usize>)| (key.clone(), places.len());
-        self.by_key.iter().map(count).collect()
-    }
 }
 
 fn place_of(id: &str) -> Option<usize> {
--- a/crates/fakes/src/order_config.rs
+++ b/crates/fakes/src/order_config.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::announcer::AnnounceConfig;
+use crate::order_book::OrderStore;
 
 /// How a stand-in order service is made.
 #[derive(Debug, Clone)]
@@ -21,6 +22,8 @@
     pub fail_before: f64,
     /// Probability that a booking is made and then answered with 500.
     pub fail_after: f64,
+    /// Where bookings are kept; replicas of one service share a store.
+    pub store: OrderStore,
     /// Seed of the faults.
     pub seed: u64,
     /// Where the service announces itself, if it does.
@@ -39,6 +42,7 @@
             lose_answer: 0.0,
             fail_before: 0.0,
             fail_after: 0.0,
+            store: OrderStore::default(),
             seed: 1,
             announce: None,
         }
--- a/crates/fakes/src/order_service.rs
+++ b/crates/fakes/src/order_service.rs
@@ -24,7 +24,8 @@
 use crate::slots::Slots;
 
 struct State {
-    book: OrderBook,
+    /// How often this replica booked each key.
+    booked: BTreeMap<String, usize>,
     stats: OrderStats,
     leaving: bool,
     rng: StdRng,
@@ -40,7 +41,7 @@
 impl Service {
     fn new(cfg: OrderConfig) -> Self {
         let state = State {
-            book: OrderBook::default(),
+            booked: BTreeMap::new(),
             stats: OrderStats::default(),
             leaving: false,
             rng: StdRng::seed_from_u64(cfg.seed),
@@ -147,10 +148,10 @@
         self.service.stats()
     }
 
-    /// How often each key was booked; more than one is a doubled booking.
+    /// How often this replica booked each key; more than one over all replicas is a doubled booking.
     #[must_use]
     pub fn bookings(&self) -> BTreeMap<String, usize> {
-        self.service.lock().book.counts()
+        self.service.lock().booked.clone()
     }
 
     /// Announcements that the sidecar has accepted.
@@ -198,7 +199,9 @@
     if (&method, path.as_str()) == (&Method::POST, "/orders") {
         return book(&service.cfg, &mut state, key, &body);
     }
-    Ok(reread_or_replace(&mut state.book, &method, &path, &body))
+    drop(state);
+    let mut book = service.cfg.store.lock();
+    Ok(reread_or_replace(&mut book, &method, &path, &body))
 }
 
 fn book(
@@ -217,7 +220,8 @@
             "the order is not valid JSON",
         ));
     };
-    let booking = state.book.book(&key, order);
+    let booking = cfg.store.lock().book(&key, order);
+    *state.booked.entry(key).or_default() += 1;
     state.stats.booked += 1;
     if state.rng.random_bool(cfg.lose_answer) {
         state.stats.answers_lost += 1;
--- a/src/coltsfootnotch/ops/load/caller.rs
+++ b/src/coltsfootnotch/ops/load/caller.rs
@@ -155,11 +155,17 @@
         }
         let mut padded = system.clone();
         pad(&mut padded, SYSTEM_BYTES);
+        let mut max_tokens = self.rng.random_range(self.plan.answer_tokens.clone());
+        let mut stream = !self.rng.random_bool(WHOLE_SHARE);
+        if self.plan.ask == Ask::CrashingChat {
+            // The caller sends the very same request again.
+            (max_tokens, stream) = (*self.plan.answer_tokens.start(), true);
+        }
         ChatCall {
             model: self.target.model.clone(),
             messages: [padded, user],
-            max_tokens: self.rng.random_range(self.plan.answer_tokens.clone()),
-            stream: !self.rng.random_bool(WHOLE_SHARE),
+            max_tokens,
+            stream,
         }
     }
 
--- a/src/coltsfootnotch/ops/load/client.rs
+++ b/src/coltsfootnotch/ops/load/client.rs
@@ -52,6 +52,8 @@
     pub(super) status: u16,
     /// Whether it was run; `None` when the error doesn't say.
     pub(super) run: Option<Run>,
+    /// Whether it is the upstream's own answer, passed on.
+    pub(super) of_upstream: bool,
     /// When to ask again.
     pub(super) retry_after: Option<Duration>,
 }
@@ -164,9 +166,11 @@
         .map(|seconds| Duration::from_secs(seconds).min(MAX_RETRY_AFTER));
     let status = response.status().as_u16();
     let body = response.body_mut().read_to_string().unwrap_or_default();
+    let body: Value = serde_json::from_str(&body).unwrap_or_default();
     Failure {
         status,
-        run: run_of(&serde_json::from_str(&body).unwrap_or_default()),
+        run: run_of(&body),
+        of_upstream: body["error"]["source"] == "upstream",
         retry_after,
     }
 }
@@ -217,6 +221,7 @@
             return Answer::Failed(Failure {
                 status: 200,
                 run: run_of(&event),
+                of_upstream: false,
                 retry_after: None,
             });
         }
--- a/src/coltsfootnotch/ops/load/embedded.rs
+++ b/src/coltsfootnotch/ops/load/embedded.rs
@@ -118,6 +118,7 @@
         fail_before: often(FAIL_BEFORE),
         fail_after: often(FAIL_AFTER),
         seed: number as u64,
+        // A clone shares the store, as replicas share a database.
         ..template.clone()
     }
 }
--- a/src/coltsfootnotch/ops/load/recorder.rs
+++ b/src/coltsfootnotch/ops/load/recorder.rs
@@ -53,6 +53,7 @@
     pub(super) refused_not_run: u64,
     pub(super) run_unknown: u64,
     pub(super) failed_after_run: u64,
+    pub(super) upstream_errors: u64,
     pub(super) untyped_errors: u64,
     pub(super) no_answer: u64,
     pub(super) wrong_answers: u64,
@@ -166,6 +167,7 @@
                 Some(Run::No) => counts.refused_not_run += 1,
                 Some(Run::Unknown) => counts.run_unknown += 1,
                 Some(Run::Yes) => counts.failed_after_run += 1,
+                None if failure.of_upstream => counts.upstream_errors += 1,
                 None => counts.untyped_errors += 1,
             },
         }
--- a/src/coltsfootnotch/ops/load/run.rs
+++ b/src/coltsfootnotch/ops/load/run.rs
@@ -144,6 +144,7 @@
         refused_but_run: 0,
         run_unknown: counts.run_unknown,
         failed_after_run: counts.failed_after_run,
+        upstream_errors: counts.upstream_errors,
         untyped_errors: counts.untyped_errors,
         no_answer: counts.no_answer,
         wrong_answers: counts.wrong_answers,
--- a/src/coltsfootnotch/ops/load/summary.rs
+++ b/src/coltsfootnotch/ops/load/summary.rs
@@ -73,7 +73,9 @@
     pub run_unknown: u64,
     /// Requests that failed with `"run":"yes"`.
     pub failed_after_run: u64,
-    /// Errors that did not say whether the request was run.
+    /// Errors of the upstream itself, passed on.
+    pub upstream_errors: u64,
+    /// Errors of the fleet that did not say whether the request was run.
     pub untyped_errors: u64,
     /// Requests without any answer.
     pub no_answer: u64,
--- a/src/coltsfootnotch/ops/load/table.rs
+++ b/src/coltsfootnotch/ops/load/table.rs
@@ -77,7 +77,7 @@
     format!("p50 {p50:.1}  p95 {p95:.1}  p99 {p99:.1}  ({count})")
 }
 
-fn counts(summary: &Summary) -> [(&'static str, u64); 14] {
+fn counts(summary: &Summary) -> [(&'static str, u64); 15] {
     [
         ("requests", summary.requests),
         ("whole answers", summary.whole_answers),
@@ -85,6 +85,7 @@
         ("refused, but run", summary.refused_but_run),
         ("run unknown", summary.run_unknown),
         ("failed after run", summary.failed_after_run),
+        ("errors of upstreams", summary.upstream_errors),
         ("untyped errors", summary.untyped_errors),
         ("no answer", summary.no_answer),
         ("wrong answers", summary.wrong_answers),
