--- a/src/bin/coltsfootnotch/commands/load.rs
+++ b/src/bin/coltsfootnotch/commands/load.rs
@@ -48,12 +48,17 @@
         .argument("POLICY")
         .fallback(Policy::Fair);
     let manifest = manifest().optional();
-    construct!(embedded, hosts, slots, policy, manifest).map(
-        |((), hosts, slots, policy, manifest)| {
+    let settle = long("settle")
+        .help("seconds that the embedded fleet runs without callers first")
+        .argument("N")
+        .fallback(0);
+    construct!(embedded, hosts, slots, policy, manifest, settle).map(
+        |((), hosts, slots, policy, manifest, settle)| {
             FleetChoice::Embedded(EmbeddedFleet {
                 size: Size { hosts, slots },
                 policy,
                 manifest,
+                settle: Duration::from_secs(settle),
             })
         },
     )
--- a/src/coltsfootnotch/ops/load/command.rs
+++ b/src/coltsfootnotch/ops/load/command.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
-use std::{error, fs};
+use std::{error, fs, thread};
 
 use coltsfootnotch_manifest::{Findings, Manifest};
 use derive_more::{Display, Error, From};
@@ -45,6 +45,8 @@
     pub policy: Policy,
     /// Manifest whose accounts and replicas it takes, if any.
     pub manifest: Option<PathBuf>,
+    /// How long it runs without callers first: new upstreams are let in slowly.
+    pub settle: Duration,
 }
 
 /// A fleet that runs elsewhere.
@@ -124,6 +126,7 @@
             let plan = fleet_plan(scenario, embedded.policy, embedded.size, manifest.as_ref());
             let mut rng = StdRng::seed_from_u64(command.opts.seed);
             let fleet = Fleet::start(&plan, &mut rng)?;
+            thread::sleep(embedded.settle);
             let target = embedded_target(&fleet, embedded.policy);
             let outcome = drive(command, &target, out, progress);
             drop(target);
