--- a/crates/decide/src/fair/ledger.rs
+++ b/crates/decide/src/fair/ledger.rs
@@ -7,7 +7,7 @@
 
 use super::served::Served;
 use super::{ChoicePolicy, FairQueue, VirtualService, Waiting};
-use crate::estimate::{CostEstimator, RunCharge};
+use crate::estimate::{CostEstimator, RunCharge, Settlement};
 
 /// Charges runs, learns of service elsewhere and chooses the account that goes next.
 ///
@@ -120,11 +120,23 @@
     /// Ends a run, finished, cancelled or failed: gives back what it was charged and did not use.
     pub fn settle(&mut self, run: RunCharge) {
         let end = run.end();
-        let unused = VirtualService::of(end.unused, end.weight);
-        self.add_here(&end.account, VirtualService::ZERO - unused);
+        self.give_back(&end);
         self.estimator.learn(&end.account, end.hint, end.used);
     }
 
+    /// Ends the charge of a run that never started: gives all of it back and learns nothing of it.
+    ///
+    /// A slot that asks for work is best charged to the account it asks for at once. Several slots
+    /// that come free together would otherwise all ask for the same account.
+    ///
+    /// # Panics
+    /// If the run has used anything.
+    pub fn abandon(&mut self, run: RunCharge) {
+        let end = run.end();
+        assert_eq!(end.used, ServiceUnits(0), "an abandoned run never started");
+        self.give_back(&end);
+    }
+
     /// Takes in totals of service that all other hosts gave.
     pub fn learn_elsewhere<'a>(
         &mut self,
@@ -157,6 +169,11 @@
         self.add_here(run.account(), more);
     }
 
+    fn give_back(&mut self, end: &Settlement) {
+        let unused = VirtualService::of(end.unused, end.weight);
+        self.add_here(&end.account, VirtualService::ZERO - unused);
+    }
+
     fn add_here(&mut self, account: &AccountName, more: VirtualService) {
         for queue in self.queues.values_mut() {
             if queue.contains(account) {
--- a/crates/decide/src/route/health.rs
+++ b/crates/decide/src/route/health.rs
@@ -2,15 +2,17 @@
 
 use std::time::Duration;
 
-/// Without a sign of life for this long an upstream gets no new work. Signs come every 500 ms, so
-/// three in a row were lost; two seconds leave one for the word to reach every host within three.
-const SILENT_AFTER: Duration = Duration::from_secs(2);
+/// Without a sign of life for this long an upstream gets no new work, within the three seconds that
+/// the users allow. Signs come once a second, so two in a row were lost; the sidecar beside the
+/// upstream decides every start, so no time is needed for the word to spread.
+const SILENT_AFTER: Duration = Duration::from_millis(2_800);
 
-/// Without a sign for this long it is suspect and its share falls, in a line to zero at silence.
-const SUSPECT_AFTER: Duration = Duration::from_millis(1_000);
+/// Without a sign for this long it is suspect and its share falls, in a line to zero at silence. One
+/// lost sign costs less than half of the share, for a moment.
+const SUSPECT_AFTER: Duration = Duration::from_millis(1_500);
 
-/// Time in which a new or recovered upstream gains its whole share. It fills its prefix cache and
-/// proves itself on a few requests first.
+/// Time in which an upstream that was away once gains its whole share back: it proves itself on a few
+/// requests first. One that is new has no ramp, since its window begins low and grows.
 const FIRST_RAMP: Duration = Duration::from_secs(10);
 
 /// Longest ramp. Each outage soon after the one before doubles the ramp, so that a flapping upstream
@@ -67,7 +69,7 @@
         Self {
             last_sign: now,
             up_since: Some(now),
-            ramp: FIRST_RAMP,
+            ramp: Duration::ZERO,
             failure_rate: 0.0,
             slowness: 1.0,
             leaving: false,
@@ -100,8 +102,8 @@
     /// use std::time::Duration;
     /// use coltsfootnotch_decide::route::UpstreamHealth;
     /// let health = UpstreamHealth::new(Duration::ZERO);
-    /// let silent = Duration::from_secs(2);
-    /// assert_eq!(health.share(silent), 0.0);
+    /// assert_eq!(health.share(Duration::from_secs(1)), 1.0);
+    /// assert_eq!(health.share(Duration::from_secs(3)), 0.0);
     /// ```
     #[must_use]
     pub fn share(&self, now: Duration) -> f64 {
@@ -113,10 +115,14 @@
             return 0.0;
         }
         let up = now.saturating_sub(up_since);
-        let ramped = up.as_secs_f64() / self.ramp.as_secs_f64();
+        let ramped = if up < self.ramp {
+            up.as_secs_f64() / self.ramp.as_secs_f64()
+        } else {
+            1.0
+        };
         let well = 1.0 - self.failure_rate;
         let fast = (SLOW_FROM / self.slowness.max(SLOW_FROM)).min(1.0);
-        let share = ramped.min(1.0) * well * fast;
+        let share = ramped * well * fast;
         share.max(MIN_SHARE) * trust(quiet)
     }
 
--- a/crates/decide/tests/fair_queue.rs
+++ b/crates/decide/tests/fair_queue.rs
@@ -185,3 +185,21 @@
         elements_are![eq(&(bistro, ServiceUnits(3)))]
     );
 }
+
+#[gtest]
+fn slots_that_ask_for_work_together_ask_for_different_accounts() {
+    // Two slots come free at once. Charged when it asks, the first leaves the second to the other
+    // account; when nothing comes of it, the account has its place back.
+    let (a, b) = (account("a"), account("b"));
+    let mut ledger = ledger();
+    let now = Duration::ZERO;
+    for account in [&a, &b] {
+        ledger.set_waiting(&pool(), account, Waiting::new(5, now), now);
+    }
+    let first = ledger.start(&a, None);
+    expect_that!(ledger.choose(&pool()), some(eq(&b)));
+    ledger.abandon(first);
+    expect_that!(ledger.choose(&pool()), some(eq(&a)));
+    let place = ledger.queue(&pool()).and_then(|q| q.place(&a));
+    expect_that!(place, some(eq(VirtualService::ZERO)));
+}
