--- a/src/coltsfootnotch/daemon/control/status.rs
+++ b/src/coltsfootnotch/daemon/control/status.rs
@@ -117,7 +117,7 @@
         snapshot: member.snapshot.0,
         commands_since_start: daemon.replica.replayed(),
         syncs: daemon.syncs,
-        open_requests: daemon.requests.len(),
+        open_requests: daemon.requests.open_count(),
         voters: member.members.voters.iter().map(|m| &m.host).collect(),
         learners: member.members.learners.keys().map(|m| &m.host).collect(),
     }
@@ -154,12 +154,13 @@
 
 /// The accounts of the configuration in force, with their service over the fleet.
 fn accounts(daemon: &ControlDaemon) -> Vec<Account> {
-    daemon
-        .accounts
-        .iter()
-        .map(|account| Account {
-            account: account.clone(),
-            service: daemon.relay.sums.total(account).0,
-        })
-        .collect()
+    let Some(manifest) = daemon.config.manifest() else {
+        return Vec::new();
+    };
+    let service = |name: &AccountName| daemon.relay.sums.total(name).0;
+    let accounts = manifest.accounts.iter().map(|account| Account {
+        account: account.name.clone(),
+        service: service(&account.name),
+    });
+    accounts.collect()
 }
