--- a/src/coltsfootnotch/daemon/control/mod.rs
+++ b/src/coltsfootnotch/daemon/control/mod.rs
@@ -8,7 +8,7 @@
 //! |---|---|
 //! | proposals, confirmed reads, changes of members | `request_table` holds them; `replica` is asked where this member leads, otherwise the leader over its connection |
 //! | the log | `replica` carries messages and time into the consensus core, writes out through `disk`, applies to the state machine |
-//! | configurations | applied by `replica`, then pushed to each host that reports a lower number |
+//! | configurations | applied by `replica`, kept by `config_push`, and sent to each host that reports a lower number |
 //! | heartbeats, directory, service | `relay` keeps them without a quorum; `host_feed` and `relay_feed` know what each peer was told |
 //!
 //! A failed sync ends the daemon: what was written since the last sync may be lost, and a member that
@@ -16,24 +16,25 @@
 //! does not start.
 
 mod actor;
-mod batcher;
+pub mod batcher;
 mod config;
+pub mod config_push;
 mod daemon;
 mod disk;
 mod epoch;
 mod error;
-mod founding;
+pub mod founding;
 mod handle;
 mod host_feed;
 mod input;
 mod links;
 mod own_service;
-mod packet;
+pub mod packet;
 mod permit;
 mod relay;
 mod relay_feed;
 mod replica;
-mod request_table;
+pub mod request_table;
 mod status;
 
 pub use actor::start;
--- a/src/coltsfootnotch/daemon/entry/bookings.rs
+++ b/src/coltsfootnotch/daemon/entry/bookings.rs
@@ -7,7 +7,7 @@
 
 use coltsfootnotch_state::{
     AttemptId as LedgerAttempt, Close, Disowned, LedgerOp, LedgerReply, Op, Outcome, ProcessId,
-    Record, RecordedBody, Reply,
+    Record, RecordedBody, Reply, Settle,
 };
 use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::{AttemptId, ProposeError};
@@ -15,6 +15,7 @@
 use super::BookingKey;
 use super::attempt_end::Collected;
 use super::requests::Chosen;
+use crate::core::{decode_reply, encode_op};
 use crate::daemon::RelayClient;
 
 /// Time after which an unanswered proposal is sent again.
@@ -27,7 +28,9 @@
 pub(super) enum Purpose {
     Intent,
     Close,
+    CloseEarlier,
     Outcome,
+    Settle,
 }
 
 /// The ledger's answer to a write; none when it is not known whether it was taken.
@@ -103,21 +106,42 @@
     }
 }
 
-/// The answer of an attempt.
-pub(super) fn outcome(
+/// What a rereading call found of an earlier attempt.
+pub(super) fn settle(
     account: &AccountName,
     key: &BookingKey,
     attempt: AttemptId,
-    answer: &Collected,
+    found: &Collected,
 ) -> LedgerOp {
+    let settle = Settle {
+        attempt: ledger_attempt(attempt),
+        outcome: outcome_of(found),
+    };
+    LedgerOp {
+        account: account.clone(),
+        key: key.key.digest,
+        write: Record::Settle(settle),
+    }
+}
+
+fn outcome_of(answer: &Collected) -> Outcome {
     let headers = vec![("content-type".to_owned(), answer.content_type.clone())];
     let body = RecordedBody::Whole(answer.body.clone());
-    let outcome = Outcome {
+    Outcome {
         status: answer.status,
         headers,
         body,
-    };
-    let write = Record::Outcome(ledger_attempt(attempt), outcome);
+    }
+}
+
+/// The answer of an attempt.
+pub(super) fn outcome(
+    account: &AccountName,
+    key: &BookingKey,
+    attempt: AttemptId,
+    answer: &Collected,
+) -> LedgerOp {
+    let write = Record::Outcome(ledger_attempt(attempt), outcome_of(answer));
     LedgerOp {
         account: account.clone(),
         key: key.key.digest,
@@ -135,7 +159,7 @@
         purpose: Purpose,
         op: LedgerOp,
     ) -> Option<()> {
-        let command = postcard::to_stdvec(&Op::Ledger(op)).ok()?;
+        let command = encode_op(&Op::Ledger(op));
         let id = relay.propose(command.clone())?;
         let pending = Pending {
             request,
@@ -217,7 +241,7 @@
 }
 
 fn ledger_reply(bytes: &[u8]) -> Option<LedgerReply> {
-    match postcard::from_bytes(bytes).ok()? {
+    match decode_reply(bytes).ok()? {
         Reply::Ledger(reply) => Some(reply),
         _ => None,
     }
--- a/src/coltsfootnotch/daemon/sidecar/actor.rs
+++ b/src/coltsfootnotch/daemon/sidecar/actor.rs
@@ -1,38 +1,39 @@
 //! The sidecar's actor: owns the slots, the attempts and the connections.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::thread::JoinHandle;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use coltsfootnotch_fabric::{AttemptStream, Endpoint, Event, LinkId, LinkTx, PeerId, Traffic};
-use coltsfootnotch_router::SidecarCore;
+use coltsfootnotch_decide::window::WindowTargets;
+use coltsfootnotch_fabric::{AttemptStream, Endpoint, Event, LinkId, LinkTx, PeerId};
+use coltsfootnotch_router::{News, RunOutcome, SidecarConfig as CoreConfig, SidecarCore};
 use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::announce::Announcement;
-use coltsfootnotch_wire::{AttemptId, Begin, FailReason, HostRecord, Message, ServedPool, Usage};
+use coltsfootnotch_wire::{AttemptId, Begin, ContentKey, HostRecord, Message, ServedPool, Usage};
 use stakker::sync::{Channel, ChannelGuard};
-use stakker::{CX, Stakker, actor, after, call, fwd_to, ret_shutdown, stop};
-use tokio::net::TcpListener;
+use stakker::{CX, after, call, fwd_to, stop};
 use ureq::Agent;
 
 use super::SidecarConfig;
+use super::handle::Started;
 use super::runner::RunnerControl;
+use super::service_reports::ServiceReports;
+use super::sockets::{fabric_handler, listen};
+use super::upstream_call;
 use super::upstreams::{Announced, Upstreams};
-use super::{announce, upstream_call};
 use crate::core::HostCx;
 use crate::daemon::{RelayClient, RelayNews, StartError, Starter};
-use crate::util::http_server::{ServerLimits, serve};
-use crate::util::{event_loop, events};
+use crate::util::events;
 
 /// Time between the actor's own rounds: heartbeats, expiry and news of service fall due on them.
 const TICK: Duration = Duration::from_millis(20);
-/// Requests let into an upstream that has just announced itself.
-const FIRST_WINDOW: u32 = 4;
-/// Connections for announcements: a few upstreams on the same host.
-const ANNOUNCE_CONNECTIONS: usize = 64;
-const ANNOUNCE_HEADER_BYTES: usize = 8192;
-const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time in which a plain service should answer; beyond it, it is let hold less.
+const SERVICE_LATENCY: Duration = Duration::from_millis(250);
+/// Furthest that two waiting accounts may stand apart, in units at weight 1: four times the bound of
+/// a pool of 900 slots (30 replicas, 30 slots each) with requests of 10,000 units.
+const HORIZON: ServiceUnits = ServiceUnits(72_000_000);
 
 /// What reaches the actor.
 pub(super) enum SidecarMsg {
@@ -48,12 +49,18 @@
     },
     Progress {
         attempt: AttemptId,
+        tokens: u64,
         total: ServiceUnits,
     },
     Ended {
         attempt: AttemptId,
         usage: Usage,
-        failed: Option<FailReason>,
+        outcome: RunOutcome,
+    },
+    Probed {
+        upstream: UpstreamName,
+        crashed: bool,
+        suspects: Vec<ContentKey>,
     },
     Forgotten {
         attempt: AttemptId,
@@ -61,83 +68,6 @@
     Stop,
 }
 
-/// A running sidecar.
-pub struct SidecarHandle {
-    tx: Channel<SidecarMsg>,
-    thread: JoinHandle<()>,
-    announce: SocketAddr,
-    fleet: SocketAddr,
-    traffic: Arc<Traffic>,
-}
-
-impl SidecarHandle {
-    /// The address for announcements.
-    #[must_use]
-    pub fn announce(&self) -> SocketAddr {
-        self.announce
-    }
-
-    /// The address of its fleet endpoint.
-    #[must_use]
-    pub fn fleet(&self) -> SocketAddr {
-        self.fleet
-    }
-
-    /// Control traffic so far.
-    #[must_use]
-    pub fn traffic(&self) -> Arc<Traffic> {
-        Arc::clone(&self.traffic)
-    }
-
-    /// Starts a graceful shutdown: attempts in progress finish, no new ones are pulled.
-    pub fn stop(&self) {
-        self.tx.send(SidecarMsg::Stop);
-    }
-
-    /// Waits until the daemon has ended.
-    pub fn join(self) {
-        // The thread's panic was already reported by its hook; there is nothing to add.
-        let _ended = self.thread.join();
-    }
-}
-
-/// Starts a sidecar.
-///
-/// # Errors
-/// Returns a [`StartError`] when an address can't be bound or the credentials can't be used.
-pub fn start(cx: HostCx, cfg: SidecarConfig) -> Result<SidecarHandle, StartError> {
-    let (starter, outcome) = Starter::new();
-    let name = format!("sidecar-{}", cx.identity.host);
-    let thread = event_loop::spawn(&name, move |stakker: &mut Stakker| {
-        actor!(
-            stakker,
-            SidecarActor::init(cx, cfg, starter),
-            ret_shutdown!(stakker)
-        )
-    })?;
-    let started = outcome.recv().map_err(|_| StartError::Ended)??;
-    let Started {
-        tx,
-        announce,
-        fleet,
-        traffic,
-    } = started;
-    Ok(SidecarHandle {
-        tx,
-        thread,
-        announce,
-        fleet,
-        traffic,
-    })
-}
-
-struct Started {
-    tx: Channel<SidecarMsg>,
-    announce: SocketAddr,
-    fleet: SocketAddr,
-    traffic: Arc<Traffic>,
-}
-
 pub(super) struct SidecarActor {
     pub(super) cx: HostCx,
     pub(super) cfg: SidecarConfig,
@@ -146,18 +76,19 @@
     pub(super) attempts: HashMap<AttemptId, RunnerControl>,
     pub(super) entries: BTreeMap<HostName, (LinkId, LinkTx)>,
     pub(super) relay: RelayClient,
-    pub(super) service_batch: u64,
-    pub(super) service_sent: Duration,
+    pub(super) reports: ServiceReports,
+    pub(super) probing: BTreeSet<UpstreamName>,
     pub(super) agent: Agent,
     pub(super) tx: Channel<SidecarMsg>,
     endpoint: Endpoint,
     fleet: SocketAddr,
+    ready: Arc<AtomicBool>,
     stop_at: Option<Duration>,
     _guard: ChannelGuard,
 }
 
 impl SidecarActor {
-    fn init(
+    pub(super) fn init(
         stakker: CX![],
         cx: HostCx,
         cfg: SidecarConfig,
@@ -166,9 +97,9 @@
         let fwd = fwd_to!([stakker], on_msg() as (SidecarMsg));
         let (tx, guard) = Channel::new(stakker, fwd);
         match Self::build(cx, cfg, tx, guard) {
-            Ok((actor, ready)) => {
+            Ok((actor, started)) => {
                 call!([stakker], tick());
-                starter.tell(Ok(ready));
+                starter.tell(Ok(started));
                 Some(actor)
             }
             Err(e) => {
@@ -190,26 +121,34 @@
         let endpoint = Endpoint::bind(&cx.runtime, cfg.fleet, &cfg.credentials, me, handler)?;
         let fleet = endpoint.address()?;
         let announce = listen(&cx, &cfg, &tx)?;
-        let ready = Started {
+        let ready = Arc::new(AtomicBool::new(false));
+        let started = Started {
             tx: tx.clone(),
             announce,
             fleet,
+            ready: Arc::clone(&ready),
             traffic: endpoint.traffic(),
         };
         let actor = Self {
-            core: SidecarCore::new(me),
+            core: SidecarCore::new(CoreConfig {
+                host: cx.identity.host.clone(),
+                incarnation: me,
+                policy: cfg.policy,
+                horizon: HORIZON,
+            }),
             upstreams: Upstreams::default(),
             attempts: HashMap::new(),
             entries: BTreeMap::new(),
             relay: RelayClient::new(cx.clone(), cfg.control.clone()),
-            service_batch: 0,
-            service_sent: Duration::ZERO,
+            reports: ServiceReports::default(),
+            probing: BTreeSet::new(),
             agent: upstream_call::agent(),
             cx,
             cfg,
             tx,
             endpoint,
             fleet,
+            ready,
             stop_at: None,
             _guard: guard,
         };
@@ -217,7 +156,7 @@
             &events::DAEMON_STARTED,
             &[("announce", &announce), ("fleet", &fleet)],
         );
-        Ok((actor, ready))
+        Ok((actor, started))
     }
 
     fn on_msg(&mut self, stakker: CX![], msg: SidecarMsg) {
@@ -230,12 +169,25 @@
             } => self.on_opened(&peer, *begin, stream),
             SidecarMsg::Announced(announcement) => self.on_announced(&announcement),
             SidecarMsg::FirstPiece { attempt } => self.on_first_piece(attempt),
-            SidecarMsg::Progress { attempt, total } => self.core.progress(attempt, total),
+            SidecarMsg::Progress {
+                attempt,
+                tokens,
+                total,
+            } => {
+                self.core.progress(self.cx.now(), attempt, tokens, total);
+            }
+            SidecarMsg::Probed {
+                upstream,
+                crashed,
+                suspects,
+            } => {
+                self.on_probed(&upstream, crashed, suspects);
+            }
             SidecarMsg::Ended {
                 attempt,
                 usage,
-                failed,
-            } => self.on_ended(attempt, usage, failed),
+                outcome,
+            } => self.on_ended(attempt, usage, outcome),
             SidecarMsg::Forgotten { attempt } => drop(self.attempts.remove(&attempt)),
             SidecarMsg::Stop => self.on_stop(),
         }
@@ -251,6 +203,8 @@
         self.relay
             .tick(&self.endpoint, |config| HostRecord { config, ..record });
         self.report_service(now);
+        let ready = self.relay.config().is_some() && self.stop_at.is_none();
+        self.ready.store(ready, Ordering::Relaxed);
         self.run_actions();
         self.end_if_drained(stakker);
         after!(TICK, [stakker], tick());
@@ -296,13 +250,29 @@
         }
         let cached = self.upstreams.cached(announcement);
         self.core.learn_cached(&announcement.pool, &cached);
-        self.core.upstreams_mut().announce(
-            name.clone(),
-            announcement.pool.clone(),
-            now + announcement.ttl,
-            announcement.leaving,
-            FIRST_WINDOW,
-        );
+        let news = News {
+            live_until: now + announcement.ttl,
+            leaving: announcement.leaving,
+            queued: announcement.load.waiting,
+            reported: now.saturating_sub(Duration::from_millis(announcement.load.age_ms)),
+            targets: self.targets(&announcement.pool),
+        };
+        let pool = announcement.pool.clone();
+        self.core
+            .upstreams_mut()
+            .announce(now, name.clone(), pool, news);
+    }
+
+    /// What the windows of a pool aim at.
+    fn targets(&self, pool: &PoolName) -> WindowTargets {
+        let config = self.relay.config();
+        match config.and_then(|config| config.model(pool.as_str())) {
+            Some(model) => WindowTargets {
+                first: model.targets.first_token(),
+                gap: Some(model.targets.between_tokens()),
+            },
+            None => WindowTargets::service(SERVICE_LATENCY),
+        }
     }
 
     fn forget_silent(&mut self) {
@@ -321,7 +291,7 @@
             }
             Event::Up { link, peer, tx, .. } if peer.role == Role::Entry => {
                 self.entries.insert(peer.host.clone(), (link, tx));
-                self.core.entry_up(peer.host);
+                self.core.entry_up(now, peer.host);
             }
             Event::Message {
                 link,
@@ -367,13 +337,18 @@
     fn on_relay_news(&mut self, news: RelayNews) {
         match news {
             RelayNews::Config(update) => {
-                let accounts = update.0.manifest().accounts.iter();
-                let weights = accounts.map(|account| (account.name.clone(), account.weight));
-                self.core.set_weights(weights.collect());
+                for account in &update.0.manifest().accounts {
+                    self.core
+                        .fair_mut()
+                        .set_weight(&account.name, account.weight);
+                }
             }
-            RelayNews::Totals(totals) => self.core.served_mut().learn_elsewhere(totals),
-            RelayNews::Hosts { .. } | RelayNews::ServiceApplied(_) | RelayNews::Proposed { .. } => {
+            RelayNews::Totals(totals) => {
+                let totals = totals.iter().map(|(account, total)| (account, *total));
+                self.core.fair_mut().learn_elsewhere(totals);
             }
+            RelayNews::ServiceApplied(seq) => self.reports.acknowledged(seq),
+            RelayNews::Hosts { .. } | RelayNews::Proposed { .. } => {}
         }
     }
 
@@ -411,48 +386,3 @@
         stop!(stakker);
     }
 }
-
-/// Passes events on; what opens a stream is read first, since that takes as long as the peer likes.
-fn fabric_handler(
-    cx: &HostCx,
-    tx: &Channel<SidecarMsg>,
-) -> impl Fn(Event) + Send + Sync + 'static + use<> {
-    let (tx, runtime) = (tx.clone(), cx.runtime.clone());
-    move |event| match event {
-        Event::Stream {
-            peer, mut stream, ..
-        } if peer.role == Role::Entry => {
-            let tx = tx.clone();
-            runtime.spawn(async move {
-                if let Ok(begin) = coltsfootnotch_fabric::read_frame(&mut stream.recv).await {
-                    tx.send(SidecarMsg::Opened {
-                        peer,
-                        begin: Box::new(begin),
-                        stream,
-                    });
-                }
-            });
-        }
-        event => {
-            tx.send(SidecarMsg::Fabric(event));
-        }
-    }
-}
-
-fn listen(
-    cx: &HostCx,
-    cfg: &SidecarConfig,
-    tx: &Channel<SidecarMsg>,
-) -> Result<SocketAddr, StartError> {
-    let listener = cx.runtime.block_on(TcpListener::bind(cfg.announce))?;
-    let address = listener.local_addr()?;
-    let limits = ServerLimits {
-        connections: ANNOUNCE_CONNECTIONS,
-        header_bytes: ANNOUNCE_HEADER_BYTES,
-        read_timeout: ANNOUNCE_TIMEOUT,
-    };
-    let (cx_of_handler, tx) = (cx.clone(), tx.clone());
-    let handler = move |req, from| announce::answer(cx_of_handler.clone(), tx.clone(), req, from);
-    cx.runtime.spawn(serve(listener, limits, handler));
-    Ok(address)
-}
