--- a/examples/slopes/main.rs
+++ b/examples/slopes/main.rs
@@ -1,10 +1,11 @@
 //! Measures how the cost of a fleet grows with its sizes, for docs/CAPACITY.md.
 //!
 //! `cargo run --release --example slopes -- PART [SIZE...]`, where PART is `hosts`, `backlog`,
-//! `requests`, `streams`, `configuration`, `accounts` or `roles`. The last two start real daemons, built
-//! by `cargo build --release --bins`, so that each role is measured by itself; in the others every
-//! host and stand-in of a fleet runs in this one process. All over loopback. Processor figures are user and system time, which other programs on the
-//! machine disturb less than the clock on the wall.
+//! `requests`, `streams`, `configuration`, `accounts`, `changes` or `roles`. The last three start real
+//! daemons, built by `cargo build --release --bins`, so that each role is measured by itself; in the
+//! others every host and stand-in of a fleet runs in this one process. All over loopback. Processor
+//! figures are user and system time, which other programs on the machine disturb less than the clock
+//! on the wall.
 
 mod backlog;
 mod caller;
@@ -40,13 +41,15 @@
         "requests" => requests::run(&numbers(sizes, &[1, 32, 128, 256]))?,
         "streams" => streams::run(&numbers(sizes, &[250, 500, 1000]))?,
         "accounts" => roles::accounts(&numbers(sizes, &[100, 1000, 5700]))?,
+        "changes" => roles::changes(&numbers(sizes, &[0, 10, 30, 60]))?,
         "roles" => roles::requests()?,
         "configuration" => {
             let default = [(100, 12), (1000, 12), (5700, 12), (1000, 24), (1000, 48)];
             configuration::run(&pairs(sizes, &default))?;
         }
         _ => {
-            let parts = "hosts, backlog, requests, streams, configuration, accounts or roles";
+            let parts =
+                "hosts, backlog, requests, streams, configuration, accounts, changes or roles";
             return Err(format!("give a part: {parts}").into());
         }
     }
--- a/examples/slopes/process.rs
+++ b/examples/slopes/process.rs
@@ -35,3 +35,33 @@
     let ticks: u64 = ticks.filter_map(|n| n.parse::<u64>().ok()).sum();
     Duration::from_millis(ticks * 1000 / TICKS_PER_S)
 }
+
+/// IP packets and bytes sent in this network namespace, and UDP datagrams among them.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Network {
+    pub(crate) bytes: u64,
+    pub(crate) datagrams: u64,
+    pub(crate) segments: u64,
+}
+
+/// What was sent so far in this network namespace.
+pub(crate) fn network() -> Network {
+    let netstat = fs::read_to_string("/proc/self/net/netstat").unwrap_or_default();
+    let snmp = fs::read_to_string("/proc/self/net/snmp").unwrap_or_default();
+    Network {
+        bytes: field(&netstat, "IpExt:", "OutOctets"),
+        datagrams: field(&snmp, "Udp:", "OutDatagrams"),
+        segments: field(&snmp, "Tcp:", "OutSegs"),
+    }
+}
+
+/// A field of a table in which a line of names precedes a line of numbers.
+fn field(table: &str, line: &str, name: &str) -> u64 {
+    let mut lines = table.lines().filter(|text| text.starts_with(line));
+    let (Some(names), Some(numbers)) = (lines.next(), lines.next()) else {
+        return 0;
+    };
+    let place = names.split_whitespace().position(|known| known == name);
+    let number = place.and_then(|place| numbers.split_whitespace().nth(place));
+    number.and_then(|number| number.parse().ok()).unwrap_or(0)
+}
--- a/src/coltsfootnotch/ops/fleet/plan.rs
+++ b/src/coltsfootnotch/ops/fleet/plan.rs
@@ -3,6 +3,7 @@
 use coltsfootnotch_decide::fair::ChoicePolicy;
 use coltsfootnotch_fakes::{EngineConfig, OrderConfig};
 use coltsfootnotch_manifest::{Findings, KeyHash, Manifest};
+use coltsfootnotch_membership::REMOTE_CONTACTS;
 use coltsfootnotch_types::prelude::*;
 use serde_json::{Value, json};
 
@@ -113,6 +114,29 @@
         Manifest::parse("embedded-manifest", &text.to_string())
     }
 
+    /// Sidecars that entry `number` connects to: all of its own failure domain, and a bounded number
+    /// for each pool of each other one.
+    pub(super) fn contacts(&self, entry: usize) -> usize {
+        let domains = self.domains.len().max(1);
+        let own = entry % domains;
+        let engines = 0..self.engines.len();
+        let services = engines.end..engines.end + self.services.len();
+        let of = |pool: &std::ops::Range<usize>, domain: usize| {
+            let there = pool.clone().filter(|sidecar| sidecar % domains == domain);
+            let most = if domain == own {
+                usize::MAX
+            } else {
+                REMOTE_CONTACTS
+            };
+            there.count().min(most)
+        };
+        let pools = [engines, services];
+        let counts = pools
+            .iter()
+            .flat_map(|pool| (0..domains).map(|domain| of(pool, domain)));
+        counts.sum()
+    }
+
     /// The failure domain of host `number` of a role.
     pub(super) fn domain(&self, number: usize) -> DomainName {
         let name = self.domains.get(number % self.domains.len().max(1));
--- a/src/coltsfootnotch/ops/fleet/running.rs
+++ b/src/coltsfootnotch/ops/fleet/running.rs
@@ -112,7 +112,7 @@
         fleet.start_entries(plan, rng)?;
         fleet.start_upstreams(plan, rng)?;
         fleet.apply_manifest()?;
-        fleet.wait_ready()?;
+        fleet.wait_ready(plan)?;
         Ok(fleet)
     }
 
@@ -303,8 +303,8 @@
         }
     }
 
-    /// Waits until every entry has the configuration and every pool a connected sidecar.
-    fn wait_ready(&self) -> Result<(), FleetError> {
+    /// Waits until every entry has the configuration and is connected to the sidecars it is to know.
+    fn wait_ready(&self, plan: &FleetPlan) -> Result<(), FleetError> {
         let until = Instant::now() + START_PATIENCE;
         let model = self.manifest.models.first().map(|model| model.name.clone());
         let service = self
@@ -319,12 +319,12 @@
         .into_iter()
         .flatten()
         .collect();
-        let upstreams = self.sidecars.len();
         while Instant::now() < until {
-            let ready = |entry: &EntryHandle| {
-                (entry.ready())() && entry.serving(&pools) && entry.connected() >= upstreams
+            let ready = |(number, entry): (usize, &EntryHandle)| {
+                let connected = entry.connected() >= plan.contacts(number);
+                (entry.ready())() && entry.serving(&pools) && connected
             };
-            if self.entries.iter().all(ready) {
+            if self.entries.iter().enumerate().all(ready) {
                 return Ok(());
             }
             std::thread::sleep(Duration::from_millis(20));
