Measure the wait inside engines, and give the embedded fleet targets that fit its pace

Cause: under load the stand-in engines hold up to 7 waiting requests each beyond their 8 slots, where nothing can order them; the figures did not say how long they waited there.

Change: engines sum the time that requests wait inside, load prints its mean, and FleetPlan carries the model's targets, which load sets to 60 ms and 10 ms for engines that need 10 ms and 5 ms.

--- a/crates/fakes/src/completion.rs
+++ b/crates/fakes/src/completion.rs
@@ -1,6 +1,7 @@
 //! Chat completions of a stand-in engine: whole or streamed, resumed, cancelled, crashed.
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hyper::StatusCode;
@@ -260,8 +261,9 @@
 
 async fn batch(job: &Job, known: bool, output: &mut Output) -> Ending {
     let engine = &job.engine;
+    let arrived = Instant::now();
     let _slot = engine.slots.acquire().await;
-    let cached = note_start(job, known);
+    let cached = note_start(job, known, arrived.elapsed());
     if job.prompt.contains(POISON_MARKER) {
         engine.crash(&job.crasher, engine.cfg.down_after_crash);
         // The crash drops the connection, and this job with it.
@@ -285,10 +287,11 @@
 }
 
 /// Counts the start of a job; returns whether its prompt need not be computed.
-fn note_start(job: &Job, known: bool) -> bool {
+fn note_start(job: &Job, known: bool, waited: Duration) -> bool {
     let waiting = job.engine.slots.occupancy().waiting;
     let mut state = job.engine.lock();
     state.stats.started += 1;
+    state.stats.waited += waited;
     state.stats.most_waiting = state.stats.most_waiting.max(waiting);
     *state.runs.entry(job.prompt_id).or_default() += 1;
     let resumed = known && job.first > 0;
--- a/crates/fakes/src/engine_config.rs
+++ b/crates/fakes/src/engine_config.rs
@@ -88,6 +88,8 @@
     pub waiting: u32,
     /// Most requests that ever waited inside.
     pub most_waiting: u32,
+    /// Time that requests waited inside for a slot, summed over the requests.
+    pub waited: Duration,
     /// Slot time in use, summed over the slots.
     pub busy: Duration,
     /// Time since the engine started.
--- a/src/coltsfootnotch/ops/fleet/plan.rs
+++ b/src/coltsfootnotch/ops/fleet/plan.rs
@@ -2,7 +2,7 @@
 
 use coltsfootnotch_decide::fair::ChoicePolicy;
 use coltsfootnotch_fakes::{EngineConfig, OrderConfig};
-use coltsfootnotch_manifest::{Findings, KeyHash, Manifest};
+use coltsfootnotch_manifest::{Findings, KeyHash, Manifest, Targets};
 use coltsfootnotch_types::prelude::*;
 use serde_json::{Value, json};
 
@@ -39,6 +39,8 @@
     pub accounts: Vec<AccountPlan>,
     /// How sidecars choose whose work they pull.
     pub policy: ChoicePolicy,
+    /// Times that the model's requests should meet; sidecars find by them how much engines hold.
+    pub targets: Targets,
 }
 
 /// The bearer key of an account of a fleet in one process.
@@ -75,6 +77,10 @@
                 account("small-applicator", 1),
             ],
             policy: ChoicePolicy::Fair,
+            targets: Targets {
+                first_token_ms: 1100,
+                between_tokens_ms: 28,
+            },
         }
     }
 
@@ -92,7 +98,7 @@
                 "name": MODEL,
                 "deadline_ms": 60_000,
                 "token_weights": { "input": 1, "output": 4 },
-                "targets": { "first_token_ms": 1100, "between_tokens_ms": 28 },
+                "targets": self.targets,
                 "fenced": true,
                 "versions": [{ "name": "v1", "replicas": engines.max(1), "megabytes": 1 }],
             }],
--- a/src/coltsfootnotch/ops/load/embedded.rs
+++ b/src/coltsfootnotch/ops/load/embedded.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use coltsfootnotch_fakes::{EngineConfig, OrderConfig};
-use coltsfootnotch_manifest::{Account, Manifest, Service, TokenWeights};
+use coltsfootnotch_manifest::{Account, Manifest, Service, Targets, TokenWeights};
 use coltsfootnotch_types::Weight;
 
 use super::policy::Policy;
@@ -26,6 +26,12 @@
 /// Pace of the engines: a token in 5 ms lets one machine play a hundred slots.
 const FIRST_TOKEN: Duration = Duration::from_millis(10);
 const TOKEN: Duration = Duration::from_millis(5);
+/// Targets that fit the pace: with those of a real engine, a hundred times slower, sidecars would
+/// let requests wait inside the stand-ins for a second before they call an engine full.
+const TARGETS: Targets = Targets {
+    first_token_ms: 60,
+    between_tokens_ms: 10,
+};
 /// Longest lag of a sidecar's knowledge of service elsewhere: a report and its relaying.
 const KNOWLEDGE_AGE: Duration = Duration::from_millis(500);
 
@@ -71,6 +77,7 @@
         None => (1..=ACCOUNTS).map(built_in).collect(),
     };
     plan.policy = policy.into();
+    plan.targets = TARGETS;
     plan
 }
 
--- a/src/coltsfootnotch/ops/load/run.rs
+++ b/src/coltsfootnotch/ops/load/run.rs
@@ -154,9 +154,17 @@
         crashes: engines.map(|stats| stats.crashes).sum(),
         most_waiting: 0,
         most_waiting_inside: inside.unwrap_or(0),
+        mean_wait_inside_ms: mean_wait_inside(target),
     }
 }
 
+fn mean_wait_inside(target: &Target<'_>) -> f64 {
+    let stats = target.engines.iter().map(|engine| engine.stats());
+    let waited: Duration = stats.clone().map(|stats| stats.waited).sum();
+    let started: u64 = stats.map(|stats| stats.started).sum();
+    1000.0 * waited.as_secs_f64() / started.max(1) as f64
+}
+
 /// The bound for the largest request planned, at the smallest weight played.
 fn bound(target: &Target<'_>, plans: &[CallerPlan]) -> u64 {
     let weights = target.token_weights;
--- a/src/coltsfootnotch/ops/load/summary.rs
+++ b/src/coltsfootnotch/ops/load/summary.rs
@@ -93,6 +93,8 @@
     pub most_waiting: usize,
     /// Most requests that ever waited inside one engine, where nothing can order them.
     pub most_waiting_inside: u32,
+    /// Mean time that requests waited inside their engine for a slot, in milliseconds.
+    pub mean_wait_inside_ms: f64,
 }
 
 impl Summary {
--- a/src/coltsfootnotch/ops/load/table.rs
+++ b/src/coltsfootnotch/ops/load/table.rs
@@ -38,6 +38,8 @@
             line(&format!("{name} ms, {group} accounts"), spread(&times));
         }
     }
+    let inside = summary.mean_wait_inside_ms;
+    line("mean wait inside engines ms", format!("{inside:.1}"));
     for (name, count) in counts(summary) {
         line(name, count.to_string());
     }
