Name watched accounts as changes in service reports

Change: reports every 200 ms name only accounts newly watched or dropped, with five seconds of lingering; a new relay is told all anew.

--- a/crates/decide/examples/service_bytes.rs
+++ b/crates/decide/examples/service_bytes.rs
@@ -155,7 +155,8 @@
     let batch = ServiceBatch {
         seq: *seq,
         served,
-        watched,
+        watch: watched,
+        unwatch: Vec::new(),
     };
     up.add(&Message::ToRelay(ToRelay::Service(batch)));
     down.add(&Message::FromRelay(FromRelay::ServiceApplied { seq: *seq }));
--- a/crates/router/src/sidecar/core.rs
+++ b/crates/router/src/sidecar/core.rs
@@ -1,5 +1,6 @@
 //! The sidecar core: slots come free, work is pulled into them, and every start is decided here.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use coltsfootnotch_decide::fair::{ChoicePolicy, FairLedger, Waiting};
@@ -82,8 +83,8 @@
 
     /// Accounts that wait anywhere, whose totals are worth knowing.
     #[must_use]
-    pub fn watched(&self) -> Vec<AccountName> {
-        self.waits.all_accounts().into_iter().collect()
+    pub fn watched(&self) -> BTreeSet<AccountName> {
+        self.waits.all_accounts()
     }
 
     /// Starts to leave: no new work from now on.
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -24,8 +24,10 @@
     pub seq: u64,
     /// The accounts that received service.
     pub served: Vec<(AccountName, ServiceUnits)>,
-    /// The accounts waiting at the host, whose totals it wants.
-    pub watched: Vec<AccountName>,
+    /// Accounts whose totals the host wants from now on.
+    pub watch: Vec<AccountName>,
+    /// Accounts whose totals it no longer wants.
+    pub unwatch: Vec<AccountName>,
 }
 
 /// A configuration as it travels.
--- a/src/coltsfootnotch/daemon/control/daemon/from_hosts.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/from_hosts.rs
@@ -67,7 +67,8 @@
         };
         let seq = self.relay.serve(&peer.host, link.incarnation, batch);
         if let Some(feed) = &mut link.host {
-            feed.watch(&batch.watched);
+            feed.watch(&batch.watch);
+            feed.unwatch(&batch.unwatch);
         }
         link.send_host(FromRelay::ServiceApplied { seq });
     }
--- a/src/coltsfootnotch/daemon/control/host_feed.rs
+++ b/src/coltsfootnotch/daemon/control/host_feed.rs
@@ -68,12 +68,19 @@
     }
 
     /// Replaces the accounts whose totals the host wants.
-    pub(super) fn watch(&mut self, watched: &[AccountName]) {
-        let wanted: BTreeSet<_> = watched.iter().cloned().collect();
-        self.sums.drop(self.watched.difference(&wanted));
-        self.sums.ask(wanted.difference(&self.watched));
-        self.told.retain(|account, _| wanted.contains(account));
-        self.watched = wanted;
+    pub(super) fn watch(&mut self, accounts: &[AccountName]) {
+        let new = |account: &&AccountName| !self.watched.contains(*account);
+        self.sums.ask(accounts.iter().filter(new));
+        self.watched.extend(accounts.iter().cloned());
+    }
+
+    /// The host no longer wants the totals of these accounts.
+    pub(super) fn unwatch(&mut self, accounts: &[AccountName]) {
+        self.sums.drop(accounts);
+        for account in accounts {
+            self.watched.remove(account);
+            self.told.remove(account);
+        }
     }
 
     /// The hosts that are new, changed or gone for this host.
--- a/src/coltsfootnotch/daemon/sidecar/actor.rs
+++ b/src/coltsfootnotch/daemon/sidecar/actor.rs
@@ -287,6 +287,7 @@
         let now = self.cx.now();
         match event {
             Event::Up { link, peer, tx, .. } if peer.role == Role::Control => {
+                self.reports.relay_changed();
                 self.relay.up(link, tx);
             }
             Event::Up { link, peer, tx, .. } if peer.role == Role::Entry => {
--- a/src/coltsfootnotch/daemon/sidecar/attempts.rs
+++ b/src/coltsfootnotch/daemon/sidecar/attempts.rs
@@ -223,8 +223,8 @@
 
     /// Tells the relay what service was given, and whose totals are wanted.
     pub(super) fn report_service(&mut self, now: Duration) {
-        let watched = self.core.watched();
-        if let Some(batch) = self.reports.due(now, self.core.fair_mut(), watched) {
+        let waiting = self.core.watched();
+        if let Some(batch) = self.reports.due(now, self.core.fair_mut(), &waiting) {
             self.relay.send(ToRelay::Service(batch));
         }
     }
--- a/tests/testsuite/control/hosts.rs
+++ b/tests/testsuite/control/hosts.rs
@@ -30,7 +30,8 @@
     ToRelay::Service(ServiceBatch {
         seq,
         served: served.collect(),
-        watched: watched.iter().map(|name| account(name)).collect(),
+        watch: watched.iter().map(|name| account(name)).collect(),
+        unwatch: vec![],
     })
 }
 
