Test that a new leader waits before it changes the members

Cause: the test's leader had its members uncommitted as well, so it passed with the rule taken out (trial on a scratch copy). Measured: the test fails without the rule and passes with it. Conclusion: the rule is held by a test.

--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -5,7 +5,7 @@
 
 use coltsfootnotch_consensus::{
     Action, Body, ChangeRefused, Core, CoreConfig, DiskId, Entry, HardState, LogIndex,
-    MemberChange, MemberId, Membership, Message, Payload, Recovered, Term,
+    MemberChange, MemberId, Membership, Message, Payload, Recovered, Snapshot, SnapshotMeta, Term,
 };
 use coltsfootnotch_types::HostName;
 use googletest::prelude::*;
@@ -21,21 +21,23 @@
 
 /// Member `a` of `a`, `b` and `c`, with an entry of term 1 that may not be committed.
 fn recovered() -> Recovered {
-    let voters = Membership::of(["a", "b", "c"].map(member));
-    let entry = |index, term, payload| Entry {
-        index: LogIndex(index),
-        term: Term(term),
-        payload,
+    let meta = SnapshotMeta {
+        index: LogIndex(1),
+        term: Term(0),
+        members: Membership::of(["a", "b", "c"].map(member)),
     };
+    let data = [].into();
     Recovered {
         hard: HardState {
             term: Term(1),
             vote: None,
         },
-        entries: vec![
-            entry(1, 0, Payload::Members(voters)),
-            entry(2, 1, Payload::Data([7].into())),
-        ],
+        snapshot: Some(Snapshot { meta, data }),
+        entries: vec![Entry {
+            index: LogIndex(2),
+            term: Term(1),
+            payload: Payload::Data([7].into()),
+        }],
         ..Recovered::empty(member("a"))
     }
 }
@@ -127,7 +129,7 @@
     let mut script = Script::start();
     script.lead();
     script.appended("b", 2);
-    expect_that!(script.core.status().commit, eq(LogIndex(0)));
+    expect_that!(script.core.status().commit, eq(LogIndex(1)));
     script.appended("b", 3);
     expect_that!(script.core.status().commit, eq(LogIndex(3)));
 }
