Compare the real files with the fake disk of the random schedules

Cause: the random schedules restart members from a list in memory, which no test tied to the files of the storage. Change: a test in which every member writes both and compares them after each crash; the example of the core covers proposals, reads and members. Conclusion: the files hold what the schedules assume.

--- a/crates/consensus/src/core/mod.rs
+++ b/crates/consensus/src/core/mod.rs
@@ -49,27 +49,53 @@
 /// than [`Core::next_due`].
 ///
 /// ```
-/// use coltsfootnotch_consensus::{Action, Core, CoreConfig, DiskId, MemberId, Recovered};
+/// use coltsfootnotch_consensus::{Action, Core, CoreConfig, DiskId, MemberChange, MemberId};
+/// use coltsfootnotch_consensus::Recovered;
 /// use coltsfootnotch_types::HostName;
-/// use rand::SeedableRng;
 /// use std::time::Duration;
 ///
-/// let mut rng = rand::rngs::StdRng::seed_from_u64(1);
-/// let me = MemberId { host: HostName::new("colombo-1")?, disk: DiskId::draw(&mut rng) };
-/// let now = Duration::ZERO;
-/// let mut core = Core::new(CoreConfig::default(), Recovered::empty(me.clone()), now, &mut rng);
-/// core.found(now, [me])?;
-/// let now = core.next_due();
-/// core.tick(now);
-/// while !core.is_leader() {
-///     for action in core.take_actions() {
-///         if let Action::Persist(persist) = action {
-///             core.synced(now, persist.seq); // after writing and syncing it
+/// /// Carries out the storage work; a daemon writes and syncs it first, and sends messages.
+/// fn run(core: &mut Core, now: Duration) -> Vec<Action> {
+///     let mut done = Vec::new();
+///     loop {
+///         let actions = core.take_actions();
+///         if actions.is_empty() {
+///             return done;
+///         }
+///         for action in actions {
+///             match action {
+///                 Action::Persist(persist) => core.synced(now, persist.seq),
+///                 other => done.push(other),
+///             }
 ///         }
 ///     }
 /// }
-/// let proposal = core.propose(now, *b"a command")?;
-/// # let _ = proposal;
+///
+/// let member = |name: &str| HostName::new(name).map(|host| MemberId { host, disk: DiskId(1) });
+/// let me = member("colombo-1")?;
+/// let recovered = Recovered::empty(me.clone());
+/// let mut core =
+///     Core::new(CoreConfig::default(), recovered, Duration::ZERO, &mut rand::rng());
+/// core.found(Duration::ZERO, [me])?;
+/// let now = core.next_due();
+/// core.tick(now);
+/// run(&mut core, now);
+/// assert!(core.is_leader());
+///
+/// let placed = core.propose(now, *b"a command")?;
+/// let done = run(&mut core, now);
+/// let is_ours = |a: &Action| matches!(a, Action::Apply { index, .. } if *index == placed.index);
+/// assert!(done.iter().any(is_ours));
+///
+/// let id = core.read(now)?;
+/// let done = run(&mut core, now);
+/// let is_ours = |a: &Action| matches!(a, Action::ReadReady { id: ready, .. } if *ready == id);
+/// assert!(done.iter().any(is_ours));
+///
+/// let newcomer = member("gampaha-1")?;
+/// let add = MemberChange::Add { member: newcomer.clone(), replaces: None };
+/// core.change_members(now, &add)?;
+/// assert!(core.status().members.learners.contains_key(&newcomer));
 /// # Ok::<(), Box<dyn std::error::Error>>(())
 /// ```
 #[derive(Debug)]
--- a/crates/consensus/src/core/reads.rs
+++ b/crates/consensus/src/core/reads.rs
@@ -12,8 +12,8 @@
     ///
     /// A member that was cut off still takes itself for the leader for a while, and would answer
     /// with a state that the majority has left behind. So the read waits until a majority has
-    /// answered a heartbeat sent after the read began; or, under [`crate::CoreConfig::lease_reads`],
-    /// while the lease holds in which no majority elects another leader.
+    /// answered a heartbeat sent after the read began; or, with `lease_reads` of
+    /// [`crate::CoreConfig`], while the lease holds in which no majority elects another leader.
     ///
     /// # Errors
     /// [`NotLeader`] with the leader where it is known.
--- a/crates/consensus/src/storage/store.rs
+++ b/crates/consensus/src/storage/store.rs
@@ -134,6 +134,22 @@
     ///
     /// # Errors
     /// As [`Storage::sync`].
+    ///
+    /// ```
+    /// use coltsfootnotch_consensus::storage::{Storage, StorageConfig};
+    /// use coltsfootnotch_consensus::{Entry, LogIndex, Payload, Term};
+    /// use coltsfootnotch_consensus::{Persist, PersistSeq, PersistWork};
+    /// use coltsfootnotch_types::HostName;
+    ///
+    /// let dir = tempfile::tempdir()?;
+    /// let cfg = StorageConfig::new(dir.path(), HostName::new("colombo-1")?);
+    /// let (mut storage, _) = Storage::open(&cfg, &mut rand::rng())?;
+    /// let entries = vec![Entry { index: LogIndex(1), term: Term(1), payload: Payload::Noop }];
+    /// let work = PersistWork::Log { hard: None, truncate_from: None, entries };
+    /// let seq = storage.run(&[Persist { seq: PersistSeq(1), work }])?;
+    /// assert_eq!(seq, PersistSeq(1));
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
     pub fn run<'a>(
         &mut self,
         works: impl IntoIterator<Item = &'a Persist>,
--- /dev/null
+++ b/crates/consensus/tests/group/files.rs
@@ -0,0 +1,46 @@
+//! Real files that get the work of one fake disk.
+
+use coltsfootnotch_consensus::storage::{FileOp, Storage, StorageConfig, Verdict};
+use coltsfootnotch_consensus::{Persist, Recovered};
+use coltsfootnotch_types::HostName;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tempfile::TempDir;
+
+pub(crate) struct Files {
+    cfg: StorageConfig,
+    storage: Option<Storage>,
+    _dir: TempDir,
+}
+
+impl Files {
+    pub(crate) fn new(host: &HostName) -> Self {
+        let dir = tempfile::tempdir().expect("a temporary folder");
+        let mut cfg = StorageConfig::new(dir.path(), host.clone());
+        cfg.segment_bytes = 500;
+        Self {
+            cfg,
+            storage: None,
+            _dir: dir,
+        }
+    }
+
+    pub(crate) fn write(&mut self, works: &[Persist]) {
+        let storage = self.storage.as_mut().expect("it is open");
+        storage.run(works).expect("the disk is sound");
+    }
+
+    /// What the files hold, after closing them as a crash would.
+    pub(crate) fn reopen(&mut self) -> Recovered {
+        self.storage = None;
+        let judge = |op: FileOp<'_>| match op {
+            FileOp::Sync { .. } | FileOp::SyncFolder => Verdict::Pretend,
+            _ => Verdict::Proceed,
+        };
+        let rng = &mut StdRng::seed_from_u64(1);
+        let opened = Storage::open_with(&self.cfg, Box::new(judge), rng);
+        let (storage, recovered) = opened.expect("the disk is sound");
+        self.storage = Some(storage);
+        recovered
+    }
+}
--- a/crates/consensus/tests/group/mod.rs
+++ b/crates/consensus/tests/group/mod.rs
@@ -6,7 +6,9 @@
 )]
 
 mod checks;
+mod files;
 mod node;
+mod setup;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -19,6 +21,7 @@
 
 pub(crate) use checks::Checks;
 pub(crate) use node::Node;
+pub(crate) use setup::{member, small_limits};
 
 pub(crate) struct Group {
     pub(crate) cfg: CoreConfig,
@@ -31,33 +34,19 @@
     flying: BTreeMap<(u64, u64), (MemberId, Message)>,
     sent: u64,
     pub(crate) seen: Checks,
+    /// Members keep real files as well, and compare them.
+    with_files: bool,
     next_command: u64,
     /// A replacement under way: the newcomer and the member it replaces.
     pub(crate) repair: Option<(MemberId, MemberId)>,
 }
 
-/// A member of a host that is named by a number.
-pub(crate) fn member(host: usize, disk: u128) -> MemberId {
-    MemberId {
-        host: HostName::new(format!("control-{host}")).expect("a valid name"),
-        disk: DiskId(disk),
-    }
-}
-
-/// Small limits, so that short runs meet snapshots, chunks and full windows.
-pub(crate) fn small_limits() -> CoreConfig {
-    CoreConfig {
-        max_append_bytes: 120,
-        max_inflight_entries: 16,
-        snapshot_entries: 25,
-        keep_entries: 6,
-        chunk_bytes: 100,
-        ..CoreConfig::default()
-    }
-}
-
 impl Group {
     pub(crate) fn new(cfg: CoreConfig, hosts: usize, seed: u64) -> Self {
+        Self::start(cfg, hosts, seed, false)
+    }
+
+    pub(crate) fn start(cfg: CoreConfig, hosts: usize, seed: u64, with_files: bool) -> Self {
         let mut group = Self {
             cfg,
             rng: StdRng::seed_from_u64(seed),
@@ -68,6 +57,7 @@
             flying: BTreeMap::new(),
             sent: 0,
             seen: Checks::default(),
+            with_files,
             next_command: 0,
             repair: None,
         };
@@ -88,7 +78,7 @@
     pub(crate) fn join(&mut self, member: &MemberId) {
         let drift = u64::from(self.cfg.drift_per_mille);
         let rate = 1000 - drift + drift * self.rng.random_range(0..=2);
-        let mut node = Node::new(member.clone(), rate);
+        let mut node = Node::new(member.clone(), rate, self.with_files);
         node.start(&self.cfg, self.now_ms, &mut self.rng);
         self.nodes.insert(member.clone(), node);
     }
@@ -97,7 +87,7 @@
         for _ in 0..ms {
             self.now_ms += 1;
             self.deliver();
-            let members: Vec<_> = self.nodes.keys().cloned().collect();
+            let members = self.members();
             for id in members {
                 let node = self.nodes.get_mut(&id).expect("it is there");
                 let actions = node.turn(self.now_ms, &mut self.rng);
@@ -193,10 +183,9 @@
     }
 
     pub(crate) fn isolate(&mut self, id: &MemberId) {
-        let others: Vec<_> = self.nodes.keys().filter(|m| *m != id).cloned().collect();
-        for other in others {
-            self.cut(id, &other);
-            self.cut(&other, id);
+        for other in self.members().iter().filter(|m| *m != id) {
+            self.cut(id, other);
+            self.cut(other, id);
         }
     }
 
@@ -210,16 +199,23 @@
         self.seen.reads.retain(|(at, _), _| at != id);
     }
 
+    fn members(&self) -> Vec<MemberId> {
+        self.nodes.keys().cloned().collect()
+    }
+
+    pub(crate) fn crash_all(&mut self) {
+        let members = self.members();
+        members.iter().for_each(|id| self.crash(id));
+    }
+
     pub(crate) fn restart(&mut self, id: &MemberId) {
         let node = self.nodes.get_mut(id).expect("it is there");
         node.start(&self.cfg, self.now_ms, &mut self.rng);
     }
 
     pub(crate) fn restart_all(&mut self) {
-        let members: Vec<_> = self.nodes.keys().cloned().collect();
-        for id in members {
-            self.restart(&id);
-        }
+        let members = self.members();
+        members.iter().for_each(|id| self.restart(id));
     }
 
     /// Loses the disk of a member for good and starts its host with an empty one.
--- a/crates/consensus/tests/group/node.rs
+++ b/crates/consensus/tests/group/node.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::files::Files;
 use coltsfootnotch_consensus::{
     Action, Core, CoreConfig, LogIndex, MemberChange, MemberId, Message, Persist, PersistWork,
     ReadId, Recovered, Status, Term,
@@ -15,6 +16,8 @@
     pub(crate) core: Option<Core>,
     /// What survives a crash.
     pub(crate) disk: Recovered,
+    /// Real files that get the same work, where the run compares them.
+    files: Option<Files>,
     /// Work that is not synced yet, and when the sync ends.
     queue: Vec<Persist>,
     sync_due: Option<u64>,
@@ -30,11 +33,12 @@
 }
 
 impl Node {
-    pub(crate) fn new(id: MemberId, rate: u64) -> Self {
+    pub(crate) fn new(id: MemberId, rate: u64, with_files: bool) -> Self {
         Self {
             disk: Recovered::empty(id.clone()),
-            id,
             core: None,
+            files: with_files.then(|| Files::new(&id.host)),
+            id,
             queue: Vec::new(),
             sync_due: None,
             disk_hangs: false,
@@ -50,6 +54,18 @@
             self.started_ms = now_ms;
             self.state.clear();
             self.last = LogIndex(0);
+            if let Some(files) = &mut self.files {
+                let found = files.reopen();
+                assert_eq!(
+                    found.entries, self.disk.entries,
+                    "the files hold the entries"
+                );
+                assert_eq!(
+                    found.snapshot, self.disk.snapshot,
+                    "the files hold the snapshot"
+                );
+                assert_eq!(found.hard, self.disk.hard, "the files hold the vote");
+            }
             let now = self.clock(now_ms);
             self.core = Some(Core::new(cfg.clone(), self.disk.clone(), now, rng));
         }
@@ -58,9 +74,8 @@
     /// A part of the work that was under way may have reached the disk.
     pub(crate) fn crash(&mut self, rng: &mut StdRng) {
         let reached = rng.random_range(0..=self.queue.len());
-        for persist in std::mem::take(&mut self.queue).into_iter().take(reached) {
-            write(&mut self.disk, persist.work);
-        }
+        self.queue.truncate(reached);
+        self.write_queue();
         self.sync_due = None;
         self.core = None;
     }
@@ -81,20 +96,33 @@
         }
     }
 
+    fn end_sync(&mut self, now_ms: u64) {
+        let now = self.clock(now_ms);
+        let due = self.sync_due.is_some_and(|due| due <= now_ms) && !self.disk_hangs;
+        if let Some(core) = self.core.as_mut().filter(|_| due) {
+            let last = self.queue.last().expect("a sync has work").seq;
+            core.synced(now, last);
+            self.sync_due = None;
+            self.write_queue();
+        }
+    }
+
+    fn write_queue(&mut self) {
+        if let Some(files) = &mut self.files {
+            files.write(&self.queue);
+        }
+        for persist in self.queue.drain(..) {
+            write(&mut self.disk, persist.work);
+        }
+    }
+
     /// One millisecond of this member.
     pub(crate) fn turn(&mut self, now_ms: u64, rng: &mut StdRng) -> Vec<Action> {
         let now = self.clock(now_ms);
+        self.end_sync(now_ms);
         let Some(core) = &mut self.core else {
             return Vec::new();
         };
-        if self.sync_due.is_some_and(|due| due <= now_ms) && !self.disk_hangs {
-            self.sync_due = None;
-            let last = self.queue.last().expect("a sync has work").seq;
-            for persist in self.queue.drain(..) {
-                write(&mut self.disk, persist.work);
-            }
-            core.synced(now, last);
-        }
         if now >= core.next_due() {
             core.tick(now);
         }
--- a/crates/consensus/tests/randomised.rs
+++ b/crates/consensus/tests/randomised.rs
@@ -96,10 +96,7 @@
                 group.crash(&id);
             }
         }
-        Event::CrashAll => {
-            let members: Vec<_> = group.nodes.keys().cloned().collect();
-            members.iter().for_each(|id| group.crash(id));
-        }
+        Event::CrashAll => group.crash_all(),
         Event::Restart => group.restart_all(),
         Event::Transfer => {
             let now = group.now_ms;
@@ -152,13 +149,13 @@
 }
 
 /// Runs the schedule and checks the group at the end.
-fn play(schedule: &Schedule) -> Group {
+fn play(schedule: &Schedule, with_files: bool) -> Group {
     let cfg = CoreConfig {
         lease_reads: schedule.lease_reads,
         drift_per_mille: schedule.drift_per_mille,
         ..small_limits()
     };
-    let mut group = Group::new(cfg, schedule.hosts, schedule.seed);
+    let mut group = Group::start(cfg, schedule.hosts, schedule.seed, with_files);
     for event in &schedule.events {
         happen(&mut group, event);
     }
@@ -167,6 +164,32 @@
     group
 }
 
+fn runner(cases: u32, seed: u64) -> TestRunner {
+    TestRunner::new(Config {
+        cases,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        max_shrink_iters: 300,
+        ..Config::default()
+    })
+}
+
+// The runs below take a list in memory for the disk. Here every member writes real files as well,
+// and after each crash they must hold exactly what the list holds; otherwise a restarted member
+// would come back with something else than the runs have tried.
+#[test]
+fn the_files_hold_what_the_fake_disk_holds() {
+    let played = runner(12, 3).run(&schedule(40), |schedule| {
+        let mut group = play(&schedule, true);
+        group.crash_all();
+        group.restart_all();
+        Ok(())
+    });
+    if let Err(e) = played {
+        panic!("{e}");
+    }
+}
+
 // What the caller sees: whatever fails and in whatever order, nothing acknowledged is lost, all
 // members apply one order, a read never answers from before it began, and once trouble ends the
 // group goes on. The order of faults is random; each is one that the group must survive alone,
@@ -176,17 +199,11 @@
     let cases = number_from_env("CONSENSUS_CASES", 96) as u32;
     let steps = number_from_env("CONSENSUS_STEPS", 60) as usize;
     let seed = number_from_env("CONSENSUS_SEED", 20_261_202);
-    let mut runner = TestRunner::new(Config {
-        cases,
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        max_shrink_iters: 300,
-        ..Config::default()
-    });
+    let mut runner = runner(cases, seed);
     let (events, ms, acked, reads) = (Cell::new(0), Cell::new(0), Cell::new(0), Cell::new(0));
     let began = Instant::now();
     let verdict = runner.run(&schedule(steps), |schedule| {
-        let group = play(&schedule);
+        let group = play(&schedule, false);
         events.set(events.get() + schedule.events.len());
         ms.set(ms.get() + group.now_ms);
         acked.set(acked.get() + group.seen.acked.len());
