--- a/tests/testsuite/load.rs
+++ b/tests/testsuite/load.rs
@@ -3,13 +3,17 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use coltsfootnotch::ops::fleet::Fleet;
 use coltsfootnotch::ops::load::{
-    HopOptions, LoadAccount, LoadOptions, Scenario, Shape, Target, callers, hop, page, run,
+    HopOptions, LoadAccount, LoadOptions, Policy, Scenario, Shape, Size, Target, callers,
+    embedded_target, fleet_plan, hop, page, run,
 };
 use coltsfootnotch_fakes::{EngineConfig, EngineHandle, OrderConfig, OrderHandle};
 use coltsfootnotch_manifest::TokenWeights;
 use coltsfootnotch_types::{AccountName, Weight};
 use googletest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 
 fn account(name: &str, weight: u32, large: bool) -> LoadAccount {
     LoadAccount {
@@ -122,3 +126,23 @@
     let count = |account| plans.iter().filter(|plan| plan.account == account).count();
     expect_that!([count(0), count(1)], eq([48, 8]));
 }
+
+// Order services lose answers, fail before and after they book, and callers send their orders again
+// with the same key through any entry. Through the fleet no key may be booked twice, none that was
+// acknowledged may be missing, and nothing that was refused as not run may have run.
+#[gtest]
+fn through_the_fleet_bookings_are_neither_doubled_nor_lost() {
+    let size = Size { hosts: 9, slots: 4 };
+    let plan = fleet_plan(Scenario::Bookings, Policy::Fair, size, None);
+    let fleet = Fleet::start(&plan, &mut StdRng::seed_from_u64(7)).expect("starts");
+    let target = embedded_target(&fleet, Policy::Fair);
+    let run = run(&target, &opts(Scenario::Bookings), |_| {}).expect("runs");
+    drop(target);
+    fleet.stop();
+    expect_that!(run.summary.whole_answers, ge(1));
+    expect_that!(run.summary.doubled_bookings, eq(0));
+    expect_that!(run.summary.lost_bookings, eq(0));
+    expect_that!(run.summary.refused_but_run, eq(0));
+    expect_that!(run.summary.wrong_answers, eq(0));
+    expect_that!(run.summary.incomplete_answers, eq(0));
+}
