Run daemons and upstreams by their charts

Cause: entry and sidecar each had their own copy of the shutdown rules, and an upstream that refused connections was pulled for again at round-trip rate. Change: one lifecycle over the chart daemon, upstreams over the chart upstream; an upstream that can't be connected to gets no work until it announces itself.

--- a/src/coltsfootnotch/daemon/entry/actor.rs
+++ b/src/coltsfootnotch/daemon/entry/actor.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use coltsfootnotch_chart::Charts;
@@ -27,7 +27,7 @@
 use super::suspects::Suspects;
 use super::{Arrival, EntryConfig};
 use crate::core::{HostCx, Refusal, RefusalKind};
-use crate::daemon::{RelayClient, RelayNews, StartError, Starter};
+use crate::daemon::{Lifecycle, RelayClient, RelayNews, StartError, Starter};
 use crate::util::events;
 use crate::util::events::Field;
 
@@ -69,8 +69,7 @@
     config: watch::Sender<Option<Arc<ConfigIndex>>>,
     seen: watch::Sender<Seen>,
     fleet: SocketAddr,
-    draining: Arc<AtomicBool>,
-    stop_at: Option<Duration>,
+    pub(super) life: Lifecycle,
     _guard: ChannelGuard,
 }
 
@@ -111,13 +110,13 @@
         let endpoint = Endpoint::bind(&cx.runtime, cfg.fleet, &cfg.credentials, me, handler)?;
         let fleet = endpoint.address()?;
         let config = watch::Sender::new(None);
-        let draining = Arc::new(AtomicBool::new(false));
         let seen = watch::Sender::new(Seen::default());
         let charts = Charts::load()?;
+        let life = Lifecycle::new(cx.clone(), &charts.daemon, cfg.shutdown);
         let next_request = Arc::new(AtomicU64::new(0));
         let shared = Shared {
             config: config.subscribe(),
-            draining: Arc::clone(&draining),
+            ready: life.ready(),
             next_request: Arc::clone(&next_request),
         };
         let callers = listen(&cx, &cfg, &tx, shared)?;
@@ -125,8 +124,7 @@
             tx: tx.clone(),
             callers,
             fleet,
-            config: config.subscribe(),
-            draining: Arc::clone(&draining),
+            ready: life.ready(),
             seen: seen.subscribe(),
             traffic: endpoint.traffic(),
         };
@@ -147,8 +145,7 @@
             config,
             seen,
             fleet,
-            draining,
-            stop_at: None,
+            life,
             _guard: guard,
         };
         actor.cx.log(
@@ -182,7 +179,7 @@
             address: self.fleet,
             config: 0,
             pools: vec![],
-            leaving: self.stop_at.is_some(),
+            leaving: self.life.is_stopping(),
         };
         self.relay
             .tick(&self.endpoint, |config| HostRecord { config, ..record });
@@ -324,6 +321,7 @@
             }
             RelayNews::Config(update) => {
                 self.config.send_replace(Some(update.0));
+                self.life.config_in_force();
             }
             RelayNews::Proposed { id, reply } => {
                 if let Some(answered) = self.bookings.answered(self.cx.now(), id, reply) {
@@ -335,36 +333,14 @@
     }
 
     fn on_stop(&mut self) {
-        if self.stop_at.is_none() {
-            self.draining.store(true, Ordering::Relaxed);
-            self.stop_at = Some(self.cx.now() + self.cfg.shutdown);
-            self.cx.log(
-                &events::SHUTDOWN_STARTED,
-                &[("in_progress", &self.requests.len())],
-            );
-        }
+        self.life.ask_stop(self.requests.len());
     }
 
     fn end_if_drained(&mut self, stakker: CX![]) {
-        let Some(stop_at) = self.stop_at else { return };
-        let late = self.cx.now() >= stop_at;
-        if !self.requests.is_empty() && !late {
-            return;
+        if self.life.ends(self.requests.len()) {
+            self.endpoint.close();
+            stop!(stakker);
         }
-        if !self.requests.is_empty() {
-            self.cx.log(
-                &events::SHUTDOWN_FORCED,
-                &[("in_progress", &self.requests.len())],
-            );
-        }
-        self.cx.log(&events::DAEMON_STOPPED, &[]);
-        self.endpoint.close();
-        stop!(stakker);
-    }
-
-    /// Whether a graceful shutdown has started.
-    pub(super) fn is_stopping(&self) -> bool {
-        self.stop_at.is_some()
     }
 
     /// A number for a request that the entry makes itself.
--- a/src/coltsfootnotch/daemon/entry/admission.rs
+++ b/src/coltsfootnotch/daemon/entry/admission.rs
@@ -26,7 +26,7 @@
     /// Why a request is not let in, if it is not. It has reached no upstream.
     pub(super) fn refusal_of(&self, arrival: &Arrival) -> Option<Refusal> {
         let now = self.cx.now();
-        if self.is_stopping() {
+        if self.life.is_stopping() {
             return Some(Refusal::not_run(RefusalKind::NotReady).retry_after(RETRY_LATER));
         }
         if let Verdict::Refused { retry_after } = self.suspects.verdict(now, arrival) {
--- a/src/coltsfootnotch/daemon/entry/callers.rs
+++ b/src/coltsfootnotch/daemon/entry/callers.rs
@@ -45,7 +45,7 @@
     pub(super) config: watch::Receiver<Option<Arc<ConfigIndex>>>,
     pub(super) tx: Channel<EntryMsg>,
     pub(super) limits: Limits,
-    pub(super) draining: Arc<AtomicBool>,
+    pub(super) ready: Arc<AtomicBool>,
     pub(super) memory: Arc<Semaphore>,
     pub(super) next_request: Arc<AtomicU64>,
 }
@@ -122,7 +122,7 @@
     ) -> Result<AnyResponse, Refusal> {
         let config = self.config.borrow().clone();
         let config = match config {
-            Some(config) if !self.draining.load(Ordering::Relaxed) => config,
+            Some(config) if self.ready.load(Ordering::Relaxed) => config,
             _ => {
                 return Err(
                     Refusal::not_run(RefusalKind::NotReady).retry_after(Duration::from_secs(1))
--- a/src/coltsfootnotch/daemon/entry/handle.rs
+++ b/src/coltsfootnotch/daemon/entry/handle.rs
@@ -7,7 +7,6 @@
 use std::thread::JoinHandle;
 
 use coltsfootnotch_fabric::Traffic;
-use coltsfootnotch_manifest::ConfigIndex;
 use coltsfootnotch_types::prelude::*;
 use stakker::sync::Channel;
 use stakker::{Stakker, actor, ret_shutdown};
@@ -32,8 +31,7 @@
     thread: JoinHandle<()>,
     callers: SocketAddr,
     fleet: SocketAddr,
-    ready: watch::Receiver<Option<Arc<ConfigIndex>>>,
-    draining: Arc<AtomicBool>,
+    ready: Arc<AtomicBool>,
     seen: watch::Receiver<Seen>,
     traffic: Arc<Traffic>,
 }
@@ -53,9 +51,8 @@
 
     /// Whether callers may be sent here: a closure for the readiness probe.
     pub fn ready(&self) -> impl Fn() -> bool + Send + Sync + 'static + use<> {
-        let ready = self.ready.clone();
-        let draining = Arc::clone(&self.draining);
-        move || ready.borrow().is_some() && !draining.load(Ordering::Relaxed)
+        let ready = Arc::clone(&self.ready);
+        move || ready.load(Ordering::Relaxed)
     }
 
     /// Whether every one of the pools has a connected sidecar.
@@ -117,8 +114,7 @@
         thread,
         callers: started.callers,
         fleet: started.fleet,
-        ready: started.config,
-        draining: started.draining,
+        ready: started.ready,
         seen: started.seen,
         traffic: started.traffic,
     })
@@ -129,8 +125,7 @@
     pub(super) tx: Channel<EntryMsg>,
     pub(super) callers: SocketAddr,
     pub(super) fleet: SocketAddr,
-    pub(super) config: watch::Receiver<Option<Arc<ConfigIndex>>>,
-    pub(super) draining: Arc<AtomicBool>,
+    pub(super) ready: Arc<AtomicBool>,
     pub(super) seen: watch::Receiver<Seen>,
     pub(super) traffic: Arc<Traffic>,
 }
--- a/src/coltsfootnotch/daemon/entry/listen.rs
+++ b/src/coltsfootnotch/daemon/entry/listen.rs
@@ -19,7 +19,7 @@
 /// What the actor shares with the tasks of callers' connections.
 pub(super) struct Shared {
     pub(super) config: watch::Receiver<Option<Arc<ConfigIndex>>>,
-    pub(super) draining: Arc<AtomicBool>,
+    pub(super) ready: Arc<AtomicBool>,
     pub(super) next_request: Arc<AtomicU64>,
 }
 
@@ -42,7 +42,7 @@
         config: shared.config,
         tx: tx.clone(),
         limits: cfg.limits.clone(),
-        draining: shared.draining,
+        ready: shared.ready,
         memory: Callers::memory_of(&cfg.limits),
         next_request: shared.next_request,
     });
--- a/src/coltsfootnotch/daemon/entry/requests.rs
+++ b/src/coltsfootnotch/daemon/entry/requests.rs
@@ -167,8 +167,4 @@
     pub(super) fn len(&self) -> usize {
         self.by_number.len()
     }
-
-    pub(super) fn is_empty(&self) -> bool {
-        self.by_number.is_empty()
-    }
 }
--- a/src/coltsfootnotch/daemon/mod.rs
+++ b/src/coltsfootnotch/daemon/mod.rs
@@ -3,9 +3,11 @@
 pub mod admin;
 pub mod control;
 pub mod entry;
+mod lifecycle;
 mod relay_client;
 pub mod sidecar;
 mod start;
 
+pub use lifecycle::Lifecycle;
 pub use relay_client::{ConfigUpdate, RelayClient, RelayNews};
 pub use start::{ControlAddress, StartError, Starter};
--- a/src/coltsfootnotch/daemon/sidecar/actor.rs
+++ b/src/coltsfootnotch/daemon/sidecar/actor.rs
@@ -2,10 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use coltsfootnotch_chart::{Charts, UpstreamEvent};
 use coltsfootnotch_decide::window::WindowTargets;
 use coltsfootnotch_fabric::{AttemptStream, Endpoint, Event, LinkId, LinkTx, PeerId};
 use coltsfootnotch_router::{News, RunOutcome, SidecarConfig as CoreConfig, SidecarCore};
@@ -24,7 +23,7 @@
 use super::upstream_call;
 use super::upstreams::{Announced, Upstreams};
 use crate::core::HostCx;
-use crate::daemon::{RelayClient, RelayNews, StartError, Starter};
+use crate::daemon::{Lifecycle, RelayClient, RelayNews, StartError, Starter};
 use crate::util::events;
 
 /// Time between the actor's own rounds: heartbeats, expiry and news of service fall due on them.
@@ -82,8 +81,7 @@
     pub(super) tx: Channel<SidecarMsg>,
     endpoint: Endpoint,
     fleet: SocketAddr,
-    ready: Arc<AtomicBool>,
-    stop_at: Option<Duration>,
+    life: Lifecycle,
     _guard: ChannelGuard,
 }
 
@@ -121,12 +119,13 @@
         let endpoint = Endpoint::bind(&cx.runtime, cfg.fleet, &cfg.credentials, me, handler)?;
         let fleet = endpoint.address()?;
         let announce = listen(&cx, &cfg, &tx)?;
-        let ready = Arc::new(AtomicBool::new(false));
+        let charts = Charts::load()?;
+        let life = Lifecycle::new(cx.clone(), &charts.daemon, cfg.shutdown);
         let started = Started {
             tx: tx.clone(),
             announce,
             fleet,
-            ready: Arc::clone(&ready),
+            ready: life.ready(),
             traffic: endpoint.traffic(),
         };
         let actor = Self {
@@ -136,7 +135,7 @@
                 policy: cfg.policy,
                 horizon: HORIZON,
             }),
-            upstreams: Upstreams::default(),
+            upstreams: Upstreams::new(charts.upstream),
             attempts: HashMap::new(),
             entries: BTreeMap::new(),
             relay: RelayClient::new(cx.clone(), cfg.control.clone()),
@@ -148,8 +147,7 @@
             tx,
             endpoint,
             fleet,
-            ready,
-            stop_at: None,
+            life,
             _guard: guard,
         };
         actor.cx.log(
@@ -203,8 +201,6 @@
         self.relay
             .tick(&self.endpoint, |config| HostRecord { config, ..record });
         self.report_service(now);
-        let ready = self.relay.config().is_some() && self.stop_at.is_none();
-        self.ready.store(ready, Ordering::Relaxed);
         self.run_actions();
         self.end_if_drained(stakker);
         after!(TICK, [stakker], tick());
@@ -223,7 +219,7 @@
                 .into_iter()
                 .map(|(pool, upstreams)| ServedPool { pool, upstreams })
                 .collect(),
-            leaving: self.stop_at.is_some(),
+            leaving: self.life.is_stopping(),
         }
     }
 
@@ -283,6 +279,16 @@
         }
     }
 
+    /// An upstream can't be connected to, or has crashed: it gets no work until it announces itself
+    /// again. Without this its slots would be filled, refused and filled again at round-trip rate.
+    pub(super) fn unreachable(&mut self, upstream: &UpstreamName, event: UpstreamEvent) {
+        self.upstreams.fire(upstream, event);
+        let now = self.cx.now();
+        if let Some(slots) = self.core.upstreams_mut().get_mut(upstream) {
+            slots.live_until = now;
+        }
+    }
+
     fn on_fabric(&mut self, event: Event) {
         let now = self.cx.now();
         match event {
@@ -338,6 +344,7 @@
     fn on_relay_news(&mut self, news: RelayNews) {
         match news {
             RelayNews::Config(update) => {
+                self.life.config_in_force();
                 for account in &update.0.manifest().accounts {
                     self.core
                         .fair_mut()
@@ -354,16 +361,11 @@
     }
 
     fn on_stop(&mut self) {
-        if self.stop_at.is_some() {
+        if !self.life.ask_stop(self.core.running()) {
             return;
         }
-        let now = self.cx.now();
         self.core.leave();
-        self.stop_at = Some(now + self.cfg.shutdown);
-        self.cx.log(
-            &events::SHUTDOWN_STARTED,
-            &[("in_progress", &self.core.running())],
-        );
+        let now = self.cx.now();
         let record = self.record(now);
         self.relay
             .heartbeat(now, |config| HostRecord { config, ..record });
@@ -371,19 +373,9 @@
 
     /// Ends when the last attempt has, and its entry has all of its answer.
     fn end_if_drained(&mut self, stakker: CX![]) {
-        let Some(stop_at) = self.stop_at else { return };
-        let late = self.cx.now() >= stop_at;
-        if !self.attempts.is_empty() && !late {
-            return;
-        }
-        if !self.attempts.is_empty() {
-            self.cx.log(
-                &events::SHUTDOWN_FORCED,
-                &[("in_progress", &self.attempts.len())],
-            );
+        if self.life.ends(self.attempts.len()) {
+            self.endpoint.close();
+            stop!(stakker);
         }
-        self.cx.log(&events::DAEMON_STOPPED, &[]);
-        self.endpoint.close();
-        stop!(stakker);
     }
 }
--- a/src/coltsfootnotch/daemon/sidecar/attempts.rs
+++ b/src/coltsfootnotch/daemon/sidecar/attempts.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
+use coltsfootnotch_chart::UpstreamEvent;
 use coltsfootnotch_fabric::{AttemptStream, PeerId, write_frame};
 use coltsfootnotch_router::{RunOutcome, SidecarAction};
 use coltsfootnotch_types::prelude::*;
@@ -130,6 +131,9 @@
 
     /// The first piece has come.
     pub(super) fn on_first_piece(&mut self, attempt: AttemptId) {
+        if let Some(upstream) = self.core.upstream_of(attempt) {
+            self.upstreams.fire(upstream, UpstreamEvent::ProbeSucceeded);
+        }
         self.core.first_piece(self.cx.now(), attempt);
     }
 
@@ -147,6 +151,9 @@
             }
         }
         self.core.finish(now, attempt, usage.service, outcome);
+        if let (RunOutcome::NotReached, Some(upstream)) = (outcome, upstream) {
+            self.unreachable(&upstream, UpstreamEvent::ConnectFailed);
+        }
     }
 
     fn after_failure(&mut self, attempt: AttemptId, upstream: &UpstreamName, reason: FailReason) {
@@ -198,6 +205,7 @@
                 &events::UPSTREAM_CRASHED,
                 &[("upstream", upstream), ("in_flight", &count)],
             );
+            self.unreachable(upstream, UpstreamEvent::Crashed);
             self.core.crashed(self.cx.now(), upstream, suspects);
         }
     }
--- a/src/coltsfootnotch/daemon/sidecar/upstreams.rs
+++ b/src/coltsfootnotch/daemon/sidecar/upstreams.rs
@@ -2,22 +2,33 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
+use coltsfootnotch_chart::{Chart, Machine, UpstreamEvent, UpstreamState};
 use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::announce::{Announcement, CacheOp, Capabilities};
 
-/// One upstream.
+/// One upstream; its life follows the chart `upstream`.
 #[derive(Debug, Clone)]
 pub(super) struct Upstream {
     pub(super) address: SocketAddr,
     pub(super) capabilities: Capabilities,
-    pub(super) leaving: bool,
     last_cache_event: u64,
+    machine: Machine,
+}
+
+impl Upstream {
+    fn fire(&mut self, event: UpstreamEvent) {
+        if let Err(e) = self.machine.fire(event) {
+            panic!("upstream at {}: {e}", self.address);
+        }
+    }
 }
 
 /// Upstreams by name.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Upstreams {
+    chart: Arc<Chart>,
     known: BTreeMap<UpstreamName, Upstream>,
 }
 
@@ -32,26 +43,48 @@
 }
 
 impl Upstreams {
+    pub(super) fn new(chart: Arc<Chart>) -> Self {
+        Self {
+            chart,
+            known: BTreeMap::new(),
+        }
+    }
+
     /// Takes in an announcement.
     pub(super) fn announce(&mut self, announcement: &Announcement, most: usize) -> Announced {
-        let known = self.known.get(&announcement.name);
-        if known.is_none() && self.known.len() >= most {
+        let is_new = !self.known.contains_key(&announcement.name);
+        if is_new && self.known.len() >= most {
             return Announced::TooMany;
         }
-        let change = match known {
-            None => Announced::New,
-            Some(known) if announcement.leaving && !known.leaving => Announced::Leaving,
-            Some(_) => Announced::Same,
-        };
-        let last_cache_event = known.map_or(0, |known| known.last_cache_event);
-        let upstream = Upstream {
-            address: announcement.address,
-            capabilities: announcement.capabilities,
-            leaving: announcement.leaving,
-            last_cache_event,
-        };
-        self.known.insert(announcement.name.clone(), upstream);
-        change
+        let machine = Machine::new(&self.chart);
+        let upstream = self
+            .known
+            .entry(announcement.name.clone())
+            .or_insert(Upstream {
+                address: announcement.address,
+                capabilities: announcement.capabilities,
+                last_cache_event: 0,
+                machine,
+            });
+        upstream.address = announcement.address;
+        upstream.capabilities = announcement.capabilities;
+        let was_leaving = upstream.machine.is(UpstreamState::Leaving);
+        upstream.fire(match announcement.leaving {
+            true => UpstreamEvent::AnnouncedLeaving,
+            false => UpstreamEvent::Announced,
+        });
+        match (is_new, announcement.leaving && !was_leaving) {
+            (_, true) => Announced::Leaving,
+            (true, false) => Announced::New,
+            (false, false) => Announced::Same,
+        }
+    }
+
+    /// Moves an upstream on.
+    pub(super) fn fire(&mut self, name: &UpstreamName, event: UpstreamEvent) {
+        if let Some(upstream) = self.known.get_mut(name) {
+            upstream.fire(event);
+        }
     }
 
     /// Prefixes that were cached since the last announcement; late and doubled events are skipped.
@@ -60,31 +93,33 @@
             return vec![];
         };
         let last = upstream.last_cache_event;
-        let new = announcement
-            .cache_events
-            .iter()
-            .filter(|event| event.seq > last);
+        let events = announcement.cache_events.iter();
+        let new = events.filter(|event| event.seq > last);
         let cached = new.clone().filter(|event| event.op == CacheOp::Add);
-        let cached = cached
-            .filter_map(|event| u64::from_str_radix(&event.prefix, 16).ok())
-            .collect();
+        let digests = cached.filter_map(|event| u64::from_str_radix(&event.prefix, 16).ok());
+        let digests = digests.collect();
         upstream.last_cache_event = new.map(|event| event.seq).max().unwrap_or(last);
-        cached
+        digests
     }
 
     pub(super) fn get(&self, name: &UpstreamName) -> Option<&Upstream> {
         self.known.get(name)
     }
 
-    /// Forgets upstreams that are no longer listed; their names.
+    /// Forgets upstreams that are no longer listed; the names of those that fell silent unannounced.
     pub(super) fn retain(&mut self, listed: impl Fn(&UpstreamName) -> bool) -> Vec<UpstreamName> {
-        let gone: Vec<_> = self
-            .known
-            .keys()
-            .filter(|name| !listed(name))
-            .cloned()
-            .collect();
-        self.known.retain(|name, _| listed(name));
-        gone
+        let mut silent = Vec::new();
+        self.known.retain(|name, upstream| {
+            if listed(name) {
+                return true;
+            }
+            let known_down = upstream.machine.is(UpstreamState::Unreachable);
+            upstream.fire(UpstreamEvent::AnnouncementExpired);
+            if !known_down && upstream.machine.is(UpstreamState::Silent) {
+                silent.push(name.clone());
+            }
+            false
+        });
+        silent
     }
 }
