--- a/crates/consensus/src/storage/disk.rs
+++ b/crates/consensus/src/storage/disk.rs
@@ -62,12 +62,31 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(super) struct DiskStart {
     pub(super) format: u32,
-    /// The log before this segment is void.
+    /// The log before this segment is void: a snapshot has replaced all of it.
     pub(super) reset: bool,
-    /// Last entry of the log before this segment; 0 where it is void.
+    /// The last entry before this segment, in the log or, where that is void, in the snapshot.
     pub(super) log_end: u64,
 }
 
+impl DiskStart {
+    /// The segment goes on after the entry at `log_end`.
+    pub(super) fn after(log_end: LogIndex) -> Self {
+        Self {
+            format: FORMAT,
+            reset: false,
+            log_end: log_end.0,
+        }
+    }
+
+    /// The segment goes on after the snapshot that ends with `snapshot_end`.
+    pub(super) fn after_snapshot(snapshot_end: LogIndex) -> Self {
+        Self {
+            reset: true,
+            ..Self::after(snapshot_end)
+        }
+    }
+}
+
 /// What one sync made durable.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(super) struct DiskBatch {
--- a/crates/consensus/src/storage/prepare.rs
+++ b/crates/consensus/src/storage/prepare.rs
@@ -2,27 +2,23 @@
 
 use rand::Rng;
 
-use super::disk::{DiskBatch, DiskHard, DiskStart, DiskWork, FORMAT};
+use super::disk::{DiskBatch, DiskHard, DiskStart, DiskWork};
 use super::files::{Files, OpenFile};
 use super::{StorageConfig, StorageError, identity, segment, snapshot_file, watermark};
 use crate::{DiskId, HardState, LogIndex, MemberId};
 
-/// Starts a segment with its first batch, which repeats the vote, and states where the log ends or
-/// that it is void. The folder is not synced yet.
+/// Starts a segment with its first batch, which repeats the vote and states what goes before. The
+/// folder is not synced yet.
 pub(super) fn start_segment(
     files: &mut Files,
     number: u64,
     hard: &HardState,
-    log_end: Option<LogIndex>,
+    start: DiskStart,
 ) -> Result<(OpenFile, u64), StorageError> {
     let mut file = files.create(&segment::name_of(number))?;
     let batch = DiskBatch {
         number,
-        start: Some(DiskStart {
-            format: FORMAT,
-            reset: log_end.is_none(),
-            log_end: log_end.unwrap_or_default().0,
-        }),
+        start: Some(start),
         works: vec![DiskWork {
             hard: Some(DiskHard::from(hard)),
             truncate_from: None,
@@ -61,7 +57,8 @@
     if names.iter().any(|n| other(&n)) {
         return Err(StorageError::IdentityLost);
     }
-    start_segment(files, 1, &HardState::default(), None)?;
+    let start = DiskStart::after(LogIndex(0));
+    start_segment(files, 1, &HardState::default(), start)?;
     files.sync_folder()?;
     let member = MemberId {
         host: cfg.host.clone(),
--- a/crates/consensus/src/storage/recover.rs
+++ b/crates/consensus/src/storage/recover.rs
@@ -28,7 +28,7 @@
     hard: HardState,
     entries: Vec<Entry>,
     last_batch: Option<u64>,
-    /// Where the log ended when the oldest segment that is left was started.
+    /// The last entry before those that the segments hold; a snapshot must include it.
     before: u64,
 }
 
@@ -110,7 +110,7 @@
             return Err(corrupt(name, 0, "a batch is missing"));
         }
         if let Some(start) = &batch.start
-            && self.last_batch.is_none()
+            && (self.last_batch.is_none() || start.reset)
         {
             self.before = start.log_end;
         }
@@ -169,7 +169,11 @@
             .map_or_else(Default::default, |s| (s.meta.index, s.meta.term));
         // Older segments are deleted only when a snapshot holds all of their entries.
         if self.before > index.0 {
-            return Err(corrupt(name, 0, "segments are missing before the first"));
+            return Err(corrupt(
+                name,
+                0,
+                "a snapshot or segments are missing before it",
+            ));
         }
         // The leader's snapshot was saved, and a crash came before the log that it replaces was
         // marked void: entries that contradict it are void all the same.
--- a/crates/consensus/src/storage/store.rs
+++ b/crates/consensus/src/storage/store.rs
@@ -4,7 +4,7 @@
 
 use rand::Rng;
 
-use super::disk::{DiskBatch, DiskEntry, DiskHard, DiskWork};
+use super::disk::{DiskBatch, DiskEntry, DiskHard, DiskStart, DiskWork};
 use super::files::{Files, Judge, OpenFile, Verdict};
 use super::prepare::{create, remove_unfinished, start_segment};
 use super::recover::{self, Closed};
@@ -79,10 +79,15 @@
             });
         }
         let found = recover::recover(&mut files, member)?;
-        let log_end = found.recovered.entries.last().map(|e| e.index);
+        let snapshot = found.recovered.snapshot.as_ref();
+        let snapshot_end = snapshot.map_or(LogIndex(0), |s| s.meta.index);
+        let (log_end, start) = match found.recovered.entries.last() {
+            Some(last) => (last.index, DiskStart::after(last.index)),
+            None => (snapshot_end, DiskStart::after_snapshot(snapshot_end)),
+        };
         let hard = &found.recovered.hard;
         let batch = found.last_batch + 1;
-        let (file, file_bytes) = start_segment(&mut files, batch, hard, log_end)?;
+        let (file, file_bytes) = start_segment(&mut files, batch, hard, start)?;
         let watermark = files.create(watermark::NAME)?;
         let mut storage = Self {
             files,
@@ -94,7 +99,7 @@
             watermark,
             watermark_synced: false,
             hard: hard.clone(),
-            log_end: log_end.unwrap_or_default(),
+            log_end,
             batch,
             works: Vec::new(),
             pending: PersistSeq(0),
@@ -239,7 +244,7 @@
         self.syncs += 1;
         self.note_synced()?;
         if self.file_bytes > self.segment_bytes {
-            self.rotate(false)?;
+            self.rotate(DiskStart::after(self.log_end))?;
         }
         Ok(self.pending)
     }
@@ -253,8 +258,13 @@
     fn save_snapshot(&mut self, snapshot: &Snapshot, reset: bool) -> Result<(), StorageError> {
         self.sync_batch()?;
         snapshot_file::save(&mut self.files, snapshot)?;
-        self.rotate(reset)?;
         let until = snapshot.meta.index;
+        if reset {
+            self.log_end = until;
+            self.rotate(DiskStart::after_snapshot(until))?;
+        } else {
+            self.rotate(DiskStart::after(self.log_end))?;
+        }
         // Only from the oldest on: a later segment may void entries of an earlier one.
         let covered = |closed: &mut Closed| reset || closed.max_index <= until;
         while let Some(closed) = self.closed.pop_front_if(covered) {
@@ -263,13 +273,9 @@
         self.files.sync_folder()
     }
 
-    fn rotate(&mut self, reset: bool) -> Result<(), StorageError> {
+    fn rotate(&mut self, start: DiskStart) -> Result<(), StorageError> {
         self.batch += 1;
-        if reset {
-            self.log_end = LogIndex(0);
-        }
-        let log_end = Some(self.log_end).filter(|_| !reset);
-        let (file, bytes) = start_segment(&mut self.files, self.batch, &self.hard, log_end)?;
+        let (file, bytes) = start_segment(&mut self.files, self.batch, &self.hard, start)?;
         self.files.sync_folder()?;
         let full = std::mem::replace(&mut self.file, file);
         self.closed.push_back(Closed {
--- a/crates/consensus/tests/storage/main.rs
+++ b/crates/consensus/tests/storage/main.rs
@@ -39,7 +39,7 @@
 #[gtest]
 fn what_was_synced_and_is_damaged_stops_the_member() {
     type Damage = fn(&Path);
-    let damages: [(&str, Damage); 8] = [
+    let damages: [(&str, Damage); 11] = [
         ("middle", |dir| change(&log_file(dir), |b| b[120] ^= 1)),
         ("end", |dir| {
             change(&log_file(dir), |b| *b.last_mut().expect("bytes") ^= 1);
@@ -50,6 +50,18 @@
         ("log file gone", |dir| {
             fs::remove_file(log_file(dir)).expect("removed");
         }),
+        ("older log files gone", |dir| {
+            drop(open(dir).expect("it recovers"));
+            let mut older = files_like(dir, "log-");
+            older.pop();
+            older
+                .iter()
+                .for_each(|p| fs::remove_file(p).expect("removed"));
+        }),
+        ("middle log file gone", |dir| {
+            drop(open(dir).expect("it recovers"));
+            fs::remove_file(log_file(dir)).expect("removed");
+        }),
         ("all log files gone", |dir| {
             files_like(dir, "log-")
                 .iter()
@@ -61,6 +73,12 @@
         ("identity damaged", |dir| {
             change(&dir.join("identity"), |b| b[15] ^= 1);
         }),
+        ("snapshot gone", |dir| {
+            let (mut storage, _) = open(dir).expect("it recovers");
+            storage.run(&[snapshot(6, 9, true)]).expect("it is saved");
+            drop(storage);
+            fs::remove_file(&files_like(dir, "snap-")[0]).expect("removed");
+        }),
         ("snapshot damaged", |dir| {
             let (mut storage, _) = open(dir).expect("it recovers");
             storage.run(&[snapshot(6, 5, false)]).expect("it is saved");
