--- a/crates/router/src/entry/core.rs
+++ b/crates/router/src/entry/core.rs
@@ -1,58 +1,31 @@
 //! The entry core: a request comes in, waits or is offered, is pulled, and leaves.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::time::Duration;
 
+use coltsfootnotch_decide::route::{PrefixKey, PrefixMap};
 use coltsfootnotch_types::prelude::*;
-use coltsfootnotch_wire::{AccountWait, AttemptId, BeginCause, FromSidecar, ToSidecar};
+use coltsfootnotch_wire::{AttemptId, BeginCause, FromSidecar};
 
-use super::{PoolQueue, SidecarView, Waiting};
-
-/// How many of an account's waiting requests are looked at for a cached prefix.
-const LOOK_AHEAD: usize = 16;
+use super::{EntryAction, PoolQueue, SidecarView, Waiting};
 
 /// A request that was admitted.
 pub type NewRequest = Waiting;
 
-/// What the daemon is to do.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum EntryAction {
-    /// Send a control message to a sidecar.
-    Send {
-        /// The sidecar.
-        to: HostName,
-        /// The message.
-        message: ToSidecar,
-    },
-    /// Open an attempt at a sidecar. From here on only its `NotStarted` means not run.
-    Begin {
-        /// The attempt.
-        attempt: AttemptId,
-        /// The sidecar.
-        to: HostName,
-        /// The run of the sidecar that may dispatch it.
-        sidecar: Incarnation,
-        /// Offered, or pulled.
-        cause: BeginCause,
-        /// The request; handed back by [`EntryCore::requeue`] when it was not started.
-        waiting: Waiting,
-    },
-    /// The deadline passed while the request waited: it did not run.
-    Expired {
-        /// The request.
-        waiting: Waiting,
-    },
-}
-
 /// Queues of one entry, and what it knows of the sidecars.
 #[derive(Debug)]
 pub struct EntryCore {
-    me: Incarnation,
-    domain: DomainName,
-    queues: BTreeMap<PoolName, PoolQueue>,
-    sidecars: BTreeMap<HostName, SidecarView>,
-    changed: BTreeSet<(PoolName, AccountName)>,
-    actions: Vec<EntryAction>,
+    pub(super) me: Incarnation,
+    pub(super) domain: DomainName,
+    pub(super) queues: BTreeMap<PoolName, PoolQueue>,
+    /// Requests that go back to their queue at a later time.
+    held: BTreeMap<(Duration, u64), Waiting>,
+    /// Every request that waits, held ones included.
+    numbers: HashSet<u64>,
+    pub(super) sidecars: BTreeMap<HostName, SidecarView>,
+    pub(super) prefixes: PrefixMap,
+    pub(super) changed: BTreeSet<(PoolName, AccountName)>,
+    pub(super) actions: Vec<EntryAction>,
 }
 
 impl EntryCore {
@@ -63,7 +36,10 @@
             me,
             domain,
             queues: BTreeMap::new(),
+            held: BTreeMap::new(),
+            numbers: HashSet::new(),
             sidecars: BTreeMap::new(),
+            prefixes: PrefixMap::new(),
             changed: BTreeSet::new(),
             actions: Vec::new(),
         }
@@ -78,21 +54,25 @@
     /// Requests waiting in a pool.
     #[must_use]
     pub fn waiting(&self, pool: &PoolName) -> usize {
-        self.queues.get(pool).map_or(0, PoolQueue::len)
+        let held = self.held.values().filter(|held| held.pool == *pool).count();
+        self.queues
+            .get(pool)
+            .map_or(held, |queue| queue.len() + held)
     }
 
     /// Requests of one account waiting in a pool.
     #[must_use]
     pub fn waiting_of(&self, pool: &PoolName, account: &AccountName) -> usize {
-        self.queues
-            .get(pool)
-            .map_or(0, |queue| queue.count(account))
+        let queue = self.queues.get(pool);
+        let queued = queue.map_or(0, |queue| queue.count(account));
+        let is_of = |held: &&Waiting| held.pool == *pool && held.account == *account;
+        queued + self.held.values().filter(is_of).count()
     }
 
     /// Requests waiting in all pools.
     #[must_use]
     pub fn waiting_in_all(&self) -> usize {
-        self.queues.values().map(PoolQueue::len).sum()
+        self.numbers.len()
     }
 
     /// Whether any connected sidecar serves the pool.
@@ -104,10 +84,8 @@
     /// Sidecars connected, and the pools that they serve.
     #[must_use]
     pub fn served(&self) -> (usize, BTreeSet<PoolName>) {
-        let pools = self
-            .sidecars
-            .values()
-            .flat_map(|view| view.free.keys().cloned());
+        let views = self.sidecars.values();
+        let pools = views.flat_map(|view| view.pools.keys().cloned());
         (self.sidecars.len(), pools.collect())
     }
 
@@ -128,6 +106,18 @@
         self.enqueue(waiting, PoolQueue::push_front);
     }
 
+    /// Takes back a request that can't start before `at`: queued then, it waits until then without
+    /// being pulled.
+    ///
+    /// A suspect of crashes that finds another suspect running would otherwise be pulled and sent
+    /// back again and again, one round trip after the other, and stand in the way of the rest of its
+    /// account.
+    pub fn requeue_at(&mut self, at: Duration, mut waiting: Waiting) {
+        waiting.attempt += 1;
+        self.note(waiting.request);
+        self.held.insert((at, waiting.request), waiting);
+    }
+
     /// Takes out a request whose caller has gone; none when it no longer waits.
     pub fn withdraw(
         &mut self,
@@ -135,20 +125,32 @@
         account: &AccountName,
         request: u64,
     ) -> Option<Waiting> {
-        let taken = self.queues.get_mut(pool)?.remove(account, request)?;
-        self.changed.insert((pool.clone(), account.clone()));
+        if !self.numbers.contains(&request) {
+            return None;
+        }
+        let held = self.held.keys().find(|(_, held)| *held == request).copied();
+        let taken = match held {
+            Some(key) => self.held.remove(&key)?,
+            None => self.queues.get_mut(pool)?.remove(account, request)?,
+        };
+        self.numbers.remove(&request);
+        self.mark(&taken);
         Some(taken)
     }
 
     /// A connection to a sidecar came up: it is told everything that waits once it says what it serves.
     pub fn sidecar_up(&mut self, host: HostName, incarnation: Incarnation, domain: DomainName) {
-        self.sidecars
-            .insert(host, SidecarView::new(incarnation, domain));
+        self.sidecar_down(&host);
+        let view = SidecarView::new(&host, incarnation, domain);
+        self.sidecars.insert(host, view);
     }
 
     /// The connection to a sidecar is gone.
     pub fn sidecar_down(&mut self, host: &HostName) {
-        self.sidecars.remove(host);
+        let view = self.sidecars.remove(host);
+        for pool in view.iter().flat_map(|view| view.pools.keys()) {
+            self.retell_avoiding(pool);
+        }
     }
 
     /// Takes in a message from a sidecar.
@@ -157,14 +159,22 @@
             FromSidecar::Free {
                 pool,
                 slots,
+                usable,
                 cached,
-            } => self.on_free(from, &pool, slots, &cached),
+            } => {
+                self.learn_prefixes(now, from, &cached);
+                self.on_free(now, from, &pool, slots, usable);
+            }
             FromSidecar::Pull {
                 pull,
                 pool,
                 accounts,
-            } => {
-                self.on_pull(now, from, pull, &pool, &accounts);
+            } => self.on_pull(now, from, pull, &pool, &accounts),
+            FromSidecar::NotServed { pool } => {
+                if let Some(view) = self.sidecars.get_mut(from) {
+                    view.pools.remove(&pool);
+                }
+                self.retell_avoiding(&pool);
             }
             // What crashes say of a request is weighed before it is submitted.
             FromSidecar::Crashed(_)
@@ -173,57 +183,64 @@
         }
     }
 
-    /// Ends the wait of requests whose deadline has passed.
+    /// Ends the wait of requests whose deadline has passed, and queues those held until now.
     pub fn tick(&mut self, now: Duration) {
-        for (pool, queue) in &mut self.queues {
-            for waiting in queue.take_expired(|waiting| waiting.deadline <= now) {
-                self.changed.insert((pool.clone(), waiting.account.clone()));
-                self.actions.push(EntryAction::Expired { waiting });
-            }
+        let later = self.held.split_off(&(now + Duration::from_nanos(1), 0));
+        let due = std::mem::replace(&mut self.held, later);
+        for waiting in due.into_values() {
+            self.numbers.remove(&waiting.request);
+            self.enqueue(waiting, PoolQueue::push_front);
+        }
+        let queues = self.queues.values_mut();
+        let expired = queues.flat_map(|queue| queue.take_expired(|w| w.deadline <= now));
+        for waiting in expired.collect::<Vec<_>>() {
+            self.numbers.remove(&waiting.request);
+            self.mark(&waiting);
+            self.actions.push(EntryAction::Expired { waiting });
         }
     }
 
     fn enqueue(&mut self, waiting: Waiting, push: impl Fn(&mut PoolQueue, Waiting)) {
-        self.changed
-            .insert((waiting.pool.clone(), waiting.account.clone()));
-        push(
-            self.queues.entry(waiting.pool.clone()).or_default(),
-            waiting,
-        );
+        self.note(waiting.request);
+        self.mark(&waiting);
+        let queue = self.queues.entry(waiting.pool.clone()).or_default();
+        push(queue, waiting);
     }
 
-    /// The sidecar to offer to: one with a cached prefix first, then a near one, then the freest.
-    ///
-    /// A call that may not be repeated is never offered: its slot is reserved by a pull before the
-    /// intent is committed, and the pull's number lets it start once only.
-    fn offer_target(&self, waiting: &Waiting) -> Option<HostName> {
-        if !waiting.repeatable || self.waiting(&waiting.pool) > 0 {
-            return None;
-        }
-        let free = |view: &SidecarView| view.free.get(&waiting.pool).copied().unwrap_or(0);
-        self.sidecars
-            .iter()
-            .filter(|(host, view)| free(view) > 0 && !waiting.avoid.contains(host))
-            .max_by_key(|(_, view)| {
-                let cached = view.has_prefix(waiting.prefix);
-                let near = view.domain == self.domain;
-                (cached, near, free(view))
-            })
-            .map(|(host, _)| host.clone())
+    /// Notes a request that begins to wait. One that waited twice could be started twice.
+    fn note(&mut self, request: u64) {
+        let is_new = self.numbers.insert(request);
+        assert!(is_new, "request {request} waits twice");
+    }
+
+    fn mark(&mut self, waiting: &Waiting) {
+        let place = (waiting.pool.clone(), waiting.account.clone());
+        self.changed.insert(place);
     }
 
     fn offer(&mut self, to: &HostName, waiting: Waiting) {
         let Some(view) = self.sidecars.get_mut(to) else {
             return self.enqueue(waiting, PoolQueue::push_back);
         };
-        if let Some(free) = view.free.get_mut(&waiting.pool) {
-            *free = free.saturating_sub(1);
+        if let Some(pool) = view.pools.get_mut(&waiting.pool) {
+            pool.free = pool.free.saturating_sub(1);
         }
         let sidecar = view.incarnation;
-        self.begin(to, sidecar, BeginCause::Offer, waiting);
+        let now = waiting.arrived;
+        self.begin(now, to, sidecar, BeginCause::Offer, waiting);
     }
 
-    fn begin(&mut self, to: &HostName, sidecar: Incarnation, cause: BeginCause, waiting: Waiting) {
+    fn begin(
+        &mut self,
+        now: Duration,
+        to: &HostName,
+        sidecar: Incarnation,
+        cause: BeginCause,
+        waiting: Waiting,
+    ) {
+        if let Some((prefix, view)) = waiting.prefix_key().zip(self.sidecars.get(to)) {
+            self.prefixes.on_held(prefix, &view.route, now);
+        }
         let attempt = AttemptId {
             entry: self.me,
             request: waiting.request,
@@ -239,20 +256,26 @@
         });
     }
 
-    fn on_free(&mut self, from: &HostName, pool: &PoolName, slots: u32, cached: &[u64]) {
-        let Some(view) = self.sidecars.get_mut(from) else {
+    fn learn_prefixes(&mut self, now: Duration, from: &HostName, cached: &[u64]) {
+        let Some(view) = self.sidecars.get(from) else {
             return;
         };
-        view.learn_prefixes(cached);
-        let first = view.free.insert(pool.clone(), slots).is_none();
-        if !first {
-            return;
+        for prefix in cached {
+            self.prefixes.on_held(PrefixKey(*prefix), &view.route, now);
         }
-        let Some(queue) = self.queues.get(pool) else {
+    }
+
+    fn on_free(&mut self, now: Duration, from: &HostName, pool: &PoolName, slots: u32, all: u32) {
+        let Some(view) = self.sidecars.get_mut(from) else {
             return;
         };
-        for account in queue.accounts() {
-            self.changed.insert((pool.clone(), account.clone()));
+        let is_new = !view.serves(pool);
+        let known = view.pools.entry(pool.clone()).or_default();
+        known.free = slots;
+        known.usable = all;
+        if is_new {
+            self.tell_all_of(now, from, pool);
+            self.retell_avoiding(pool);
         }
     }
 
@@ -264,79 +287,17 @@
         pool: &PoolName,
         accounts: &[AccountName],
     ) {
-        let taken = accounts
-            .iter()
-            .find_map(|account| self.take_for(now, from, pool, account));
         let Some(view) = self.sidecars.get(from) else {
             return;
         };
         let sidecar = view.incarnation;
-        if let Some(waiting) = taken {
-            self.changed.insert((pool.clone(), waiting.account.clone()));
-            return self.begin(from, sidecar, BeginCause::Pull { pull }, waiting);
-        }
-        // The sidecar must hear that nothing waits before it hears that the pull is answered, or it
-        // would pull the same account again at once.
-        self.changed.extend(
-            accounts
-                .iter()
-                .map(|account| (pool.clone(), account.clone())),
-        );
-        self.flush_waits(now);
-        let message = ToSidecar::Nothing { pull };
-        self.actions.push(EntryAction::Send {
-            to: from.clone(),
-            message,
-        });
-    }
-
-    fn take_for(
-        &mut self,
-        now: Duration,
-        from: &HostName,
-        pool: &PoolName,
-        account: &AccountName,
-    ) -> Option<Waiting> {
-        let elsewhere = self.sidecars.len() > 1;
-        let view = self.sidecars.get(from)?;
-        let score = |waiting: &Waiting| {
-            let avoided = elsewhere && waiting.avoid.contains(from);
-            let live = waiting.deadline > now && !avoided;
-            live.then(|| u32::from(view.has_prefix(waiting.prefix)))
+        let mut named = accounts.iter();
+        let taken = named.find_map(|account| self.take_for(now, from, pool, account));
+        let Some(waiting) = taken else {
+            return self.answer_nothing(now, from, pull, pool, accounts);
         };
-        self.queues.get_mut(pool)?.take(account, LOOK_AHEAD, score)
-    }
-
-    fn flush_waits(&mut self, now: Duration) {
-        let mut batches: BTreeMap<(HostName, PoolName), Vec<AccountWait>> = BTreeMap::new();
-        for (pool, account) in std::mem::take(&mut self.changed) {
-            let wait = self.wait_of(now, &pool, &account);
-            for (host, view) in &mut self.sidecars {
-                if view.serves(&pool) && view.tell(&pool, &account, wait.count) {
-                    let batch = batches.entry((host.clone(), pool.clone())).or_default();
-                    batch.push(wait.clone());
-                }
-            }
-        }
-        for ((to, pool), changes) in batches {
-            let message = ToSidecar::Waits {
-                pool,
-                full: false,
-                changes,
-            };
-            self.actions.push(EntryAction::Send { to, message });
-        }
-    }
-
-    fn wait_of(&self, now: Duration, pool: &PoolName, account: &AccountName) -> AccountWait {
-        let queue = self.queues.get(pool);
-        let count = queue.map_or(0, |queue| queue.count(account));
-        let oldest = queue.and_then(|queue| queue.oldest(account));
-        let age = oldest.map_or(Duration::ZERO, |at| now.saturating_sub(at));
-        AccountWait {
-            account: account.clone(),
-            count: u32::try_from(count).unwrap_or(u32::MAX),
-            oldest_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-        }
+        self.numbers.remove(&waiting.request);
+        self.mark(&waiting);
+        self.begin(now, from, sidecar, BeginCause::Pull { pull }, waiting);
     }
 }
--- /dev/null
+++ b/crates/router/src/entry/telling.rs
@@ -0,0 +1,160 @@
+//! What the sidecars are told to wait here.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use coltsfootnotch_types::prelude::*;
+use coltsfootnotch_wire::{AccountWait, ToSidecar};
+
+use super::choosing::may_run_at;
+use super::{EntryAction, EntryCore, PoolQueue, Waiting};
+
+impl EntryCore {
+    /// Tells each sidecar what has changed since it was last told.
+    pub(super) fn flush_waits(&mut self, now: Duration) {
+        let mut batches: BTreeMap<(HostName, PoolName), Vec<AccountWait>> = BTreeMap::new();
+        for (pool, account) in std::mem::take(&mut self.changed) {
+            for host in self.serving(&pool) {
+                let count = self.count_at(now, &host, &pool, &account);
+                let wait = self.wait_of(now, &pool, &account, count);
+                let told = self.sidecars.get_mut(&host);
+                let told = told.and_then(|view| view.pools.get_mut(&pool));
+                if told.is_some_and(|told| told.tell(&account, wait.count)) {
+                    let batch = batches.entry((host, pool.clone())).or_default();
+                    batch.push(wait);
+                }
+            }
+        }
+        for ((to, pool), changes) in batches {
+            let full = false;
+            self.send_waits(to, pool, full, changes);
+        }
+    }
+
+    /// Tells a sidecar that has begun to serve a pool all that waits in it.
+    ///
+    /// What it was told before it stopped serving may have crossed with its word that it stopped, so
+    /// it can't be relied on: without a fresh start it would pull work for ever that is long gone.
+    pub(super) fn tell_all_of(&mut self, now: Duration, host: &HostName, pool: &PoolName) {
+        let accounts = self.queues.get(pool).map(PoolQueue::accounts);
+        let accounts: Vec<AccountName> = accounts.into_iter().flatten().cloned().collect();
+        let waits = self.tell_anyway(now, host, pool, &accounts);
+        let waiting = waits.into_iter().filter(|wait| wait.count > 0).collect();
+        self.send_waits(host.clone(), pool.clone(), true, waiting);
+    }
+
+    /// Answers a pull for which there is nothing.
+    ///
+    /// The sidecar must hear what waits of these accounts, and before it hears that the pull is
+    /// answered, or it would pull the same again at once and for ever.
+    pub(super) fn answer_nothing(
+        &mut self,
+        now: Duration,
+        to: &HostName,
+        pull: u64,
+        pool: &PoolName,
+        accounts: &[AccountName],
+    ) {
+        let waits = self.tell_anyway(now, to, pool, accounts);
+        self.send_waits(to.clone(), pool.clone(), false, waits);
+        let message = ToSidecar::Nothing { pull };
+        let to = to.clone();
+        self.actions.push(EntryAction::Send { to, message });
+    }
+
+    /// Marks for telling what a change of who serves a pool can allow: a request that avoids a
+    /// sidecar may run there when it is the last.
+    pub(super) fn retell_avoiding(&mut self, pool: &PoolName) {
+        let Some(queue) = self.queues.get(pool) else {
+            return;
+        };
+        let avoiding = queue
+            .accounts()
+            .filter(|account| queue.has_avoiding(account));
+        let marks = avoiding.map(|account| (pool.clone(), account.clone()));
+        self.changed.extend(marks);
+    }
+
+    fn tell_anyway(
+        &mut self,
+        now: Duration,
+        host: &HostName,
+        pool: &PoolName,
+        accounts: &[AccountName],
+    ) -> Vec<AccountWait> {
+        let mut waits = Vec::new();
+        for account in accounts {
+            let count = self.count_allowed(now, host, pool, account);
+            let wait = self.wait_of(now, pool, account, count);
+            let view = self.sidecars.get_mut(host);
+            if let Some(told) = view.and_then(|view| view.pools.get_mut(pool)) {
+                told.tell_anyway(account, wait.count);
+                waits.push(wait);
+            }
+        }
+        waits
+    }
+
+    /// Requests of an account that a sidecar may be told of. Those that have just expired count
+    /// until the next tick, unless the queue has to be looked through anyway.
+    fn count_at(
+        &self,
+        now: Duration,
+        host: &HostName,
+        pool: &PoolName,
+        account: &AccountName,
+    ) -> usize {
+        match self.queues.get(pool) {
+            Some(queue) if !queue.has_avoiding(account) => queue.count(account),
+            _ => self.count_allowed(now, host, pool, account),
+        }
+    }
+
+    /// Requests of an account that a pull of the sidecar would get.
+    fn count_allowed(
+        &self,
+        now: Duration,
+        host: &HostName,
+        pool: &PoolName,
+        account: &AccountName,
+    ) -> usize {
+        let live = |waiting: &Waiting| {
+            waiting.deadline > now && may_run_at(self.sidecars.iter(), host, waiting)
+        };
+        let queue = self.queues.get(pool);
+        queue.map_or(0, |queue| queue.count_allowed(account, live))
+    }
+
+    fn wait_of(
+        &self,
+        now: Duration,
+        pool: &PoolName,
+        account: &AccountName,
+        count: usize,
+    ) -> AccountWait {
+        let oldest = self
+            .queues
+            .get(pool)
+            .and_then(|queue| queue.oldest(account));
+        let age = oldest.map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        AccountWait {
+            account: account.clone(),
+            count: u32::try_from(count).unwrap_or(u32::MAX),
+            oldest_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+
+    fn serving(&self, pool: &PoolName) -> Vec<HostName> {
+        let serving = self.sidecars.iter().filter(|(_, view)| view.serves(pool));
+        serving.map(|(host, _)| host.clone()).collect()
+    }
+
+    fn send_waits(&mut self, to: HostName, pool: PoolName, full: bool, changes: Vec<AccountWait>) {
+        let message = ToSidecar::Waits {
+            pool,
+            full,
+            changes,
+        };
+        self.actions.push(EntryAction::Send { to, message });
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -8,9 +8,9 @@
 mod entry;
 mod sidecar;
 
-pub use entry::{EntryAction, EntryCore, NewRequest, PoolQueue, SidecarView, Waiting};
+pub use entry::{EntryAction, EntryCore, NewRequest, PoolQueue, PoolView, SidecarView, Waiting};
 pub use sidecar::{
-    Crashes, Dispatched, News, PULL_TIMEOUT, PullTable, Reserved, RunOutcome, SidecarAction,
+    Crashes, Dispatched, Left, News, PULL_TIMEOUT, PullTable, Reserved, RunOutcome, SidecarAction,
     SidecarConfig, SidecarCore, UpstreamSlots, UpstreamTable, WaitTable,
 };
 
--- a/crates/router/src/sidecar/core.rs
+++ b/crates/router/src/sidecar/core.rs
@@ -7,7 +7,8 @@
 use coltsfootnotch_wire::{AccountWait, AttemptId, ContentKey, FromSidecar, ToSidecar};
 
 use super::runs::Runs;
-use super::told::Entries;
+use super::told::{Entries, Slots};
+use super::waits::Left;
 use super::{Crashes, Dispatched, PullTable, SidecarAction, UpstreamTable, WaitTable};
 
 /// What a sidecar core is made with.
@@ -111,8 +112,12 @@
 
     /// A connection from an entry came up: it is told of crashes, and of free slots with the next
     /// actions.
+    ///
+    /// What was asked over an earlier connection gets no answer: its end may not have been noticed
+    /// yet, and its slots would stay reserved beside waiting work.
     pub fn entry_up(&mut self, now: Duration, entry: HostName) {
         self.forget_waits(now, &entry);
+        self.end_pulls(now, Some(&entry));
         for news in self.crashes.recent(now) {
             let to = entry.clone();
             self.actions.push(SidecarAction::Send {
@@ -170,20 +175,17 @@
 
     /// Takes the actions that have come up: pulls for free slots, and news of free slots.
     pub fn take_actions(&mut self, now: Duration) -> Vec<SidecarAction> {
-        let pools: Vec<PoolName> = self.upstreams.pools(now).into_keys().collect();
-        for pool in &pools {
+        let served = self.served(now);
+        for pool in &served {
             while self.pull_one(now, pool) {}
         }
-        let slots = |pool| {
-            if self.leaving {
-                0
-            } else {
-                self.upstreams.free(now, pool)
-            }
-        };
-        let free: Vec<_> = pools
-            .iter()
-            .map(|pool| (pool.clone(), slots(pool)))
+        let free: Vec<Slots> = served
+            .into_iter()
+            .map(|pool| Slots {
+                free: self.upstreams.free(now, &pool),
+                usable: self.upstreams.usable(now, &pool),
+                pool,
+            })
             .collect();
         for (to, message) in self.entries.news(&free) {
             self.actions.push(SidecarAction::Send { to, message });
@@ -200,7 +202,8 @@
         changes: &[AccountWait],
     ) {
         if full {
-            self.forget_waits(now, from);
+            let gone = self.waits.forget_pool(from, pool);
+            self.lower_waits(now, gone);
         }
         for change in changes {
             let (count, oldest) = self.waits.update(now, from, pool, change);
@@ -210,10 +213,33 @@
     }
 
     fn forget_waits(&mut self, now: Duration, entry: &HostName) {
-        for (pool, account, count, oldest) in self.waits.forget(entry) {
-            self.fair
-                .set_waiting(&pool, &account, Waiting::new(count, oldest), now);
+        let gone = self.waits.forget(entry);
+        self.lower_waits(now, gone);
+    }
+
+    fn lower_waits(&mut self, now: Duration, left: Vec<Left>) {
+        for Left {
+            pool,
+            account,
+            count,
+            oldest,
+        } in left
+        {
+            let waiting = Waiting::new(count, oldest);
+            self.fair.set_waiting(&pool, &account, waiting, now);
+        }
+    }
+
+    /// The pools that it serves now: those with a live upstream that stays.
+    fn served(&self, now: Duration) -> Vec<PoolName> {
+        if self.leaving {
+            return Vec::new();
         }
+        let pools = self.upstreams.pools(now).into_iter();
+        pools
+            .filter(|(_, upstreams)| *upstreams > 0)
+            .map(|(pool, _)| pool)
+            .collect()
     }
 
     fn disown(&mut self, now: Duration, from: &HostName, attempt: AttemptId) {
--- a/crates/router/src/sidecar/mod.rs
+++ b/crates/router/src/sidecar/mod.rs
@@ -18,4 +18,4 @@
 pub use dispatched::Dispatched;
 pub use pulls::{PULL_TIMEOUT, PullTable, Reserved};
 pub use upstreams::{News, UpstreamSlots, UpstreamTable};
-pub use waits::WaitTable;
+pub use waits::{Left, WaitTable};
--- a/crates/router/src/sidecar/pulling.rs
+++ b/crates/router/src/sidecar/pulling.rs
@@ -36,9 +36,11 @@
             .skip_while(|ranked| **ranked != account);
         let at_entry = from_choice.filter(|ranked| self.waits.waits_at(pool, ranked, &entry));
         let accounts = at_entry.take(RANKED_ACCOUNTS).cloned().collect();
-        if let Some(slots) = self.upstreams.get_mut(&upstream) {
-            slots.reserved += 1;
-        }
+        let Some(slots) = self.upstreams.get_mut(&upstream) else {
+            return false;
+        };
+        slots.reserved += 1;
+        let generation = slots.generation;
         let pool = pool.clone();
         let until = now + PULL_TIMEOUT;
         let reserved = Reserved {
@@ -46,6 +48,7 @@
             account,
             pool: pool.clone(),
             upstream,
+            generation,
             until,
         };
         let pull = self.pulls.reserve(reserved);
@@ -60,8 +63,10 @@
     }
 
     pub(super) fn unreserve(&mut self, reserved: &Reserved) {
-        if let Some(slots) = self.upstreams.get_mut(&reserved.upstream) {
-            slots.reserved = slots.reserved.saturating_sub(1);
+        let (upstream, generation) = (&reserved.upstream, reserved.generation);
+        if let Some(slots) = self.upstreams.of_generation(upstream, generation) {
+            assert!(slots.reserved > 0, "a slot of {upstream} is freed twice");
+            slots.reserved -= 1;
         }
     }
 
--- a/crates/router/src/sidecar/pulls.rs
+++ b/crates/router/src/sidecar/pulls.rs
@@ -22,6 +22,8 @@
     pub pool: PoolName,
     /// The upstream that has the slot.
     pub upstream: UpstreamName,
+    /// Which slots of that upstream.
+    pub generation: u64,
     /// When the reservation ends.
     pub until: Duration,
 }
--- a/crates/router/src/sidecar/runs.rs
+++ b/crates/router/src/sidecar/runs.rs
@@ -11,6 +11,8 @@
 #[derive(Debug)]
 pub(super) struct Run {
     pub(super) upstream: UpstreamName,
+    /// Which slots of the upstream it holds one of.
+    pub(super) generation: u64,
     pub(super) key: ContentKey,
     pub(super) suspected_of: Vec<CrashRef>,
     pub(super) charge: RunCharge,
@@ -22,7 +24,7 @@
 impl Run {
     pub(super) fn new(
         begin: &Begin,
-        upstream: UpstreamName,
+        (upstream, generation): (UpstreamName, u64),
         charge: RunCharge,
         now: Duration,
     ) -> Self {
@@ -32,6 +34,7 @@
         };
         Self {
             upstream,
+            generation,
             key,
             suspected_of: begin.suspected_of.clone(),
             charge,
--- a/crates/router/src/sidecar/starts.rs
+++ b/crates/router/src/sidecar/starts.rs
@@ -11,7 +11,7 @@
 };
 
 use super::runs::Run;
-use super::{RunOutcome, SidecarCore};
+use super::{Reserved, RunOutcome, SidecarCore, UpstreamSlots};
 
 impl SidecarCore {
     /// Decides whether an attempt starts, and on which upstream.
@@ -34,19 +34,20 @@
             return Err(NotStartedReason::Duplicate);
         }
         let upstream = self.slot_for(now, from, begin)?;
-        self.keep_apart(&upstream, begin)?;
+        let more_waits = self.fair.choose(&begin.pool).is_some();
+        let slots = self.upstreams.get_mut(&upstream);
+        let slots = slots.ok_or(NotStartedReason::Leaving)?;
+        keep_apart(slots, begin)?;
         if !begin.repeatable && !self.dispatched.dispatch(begin.attempt) {
+            // Held on, the place of the suspect that does not start would keep all others out.
+            slots.apart.leave(&suspect_key(&content_key(begin)));
             return Err(NotStartedReason::Duplicate);
         }
-        let more_waits = self.fair.choose(&begin.pool).is_some();
-        if let Some(slots) = self.upstreams.get_mut(&upstream) {
-            slots.window.on_start(now, more_waits);
-        }
+        slots.window.on_start(now, more_waits);
+        let place = (upstream.clone(), slots.generation);
         let charge = self.fair.start(&begin.account, Some(begin.estimate));
-        self.runs.insert(
-            begin.attempt,
-            Run::new(begin, upstream.clone(), charge, now),
-        );
+        let run = Run::new(begin, place, charge, now);
+        self.runs.insert(begin.attempt, run);
         Ok(upstream)
     }
 
@@ -56,7 +57,8 @@
             return;
         };
         run.tokens = Some((now, 0));
-        if let Some(slots) = self.upstreams.get_mut(&run.upstream) {
+        let slots = self.upstreams.of_generation(&run.upstream, run.generation);
+        if let Some(slots) = slots {
             slots.window.on_first(run.started, now);
         }
     }
@@ -74,7 +76,8 @@
         };
         self.fair.stream(&mut run.charge, total);
         let gap = run.gap(now, tokens);
-        if let (Some(gap), Some(slots)) = (gap, self.upstreams.get_mut(&run.upstream)) {
+        let slots = self.upstreams.of_generation(&run.upstream, run.generation);
+        if let (Some(gap), Some(slots)) = (gap, slots) {
             slots.window.on_gap(gap, now);
         }
     }
@@ -93,9 +96,12 @@
         self.fair.stream(&mut run.charge, total);
         self.fair.settle(run.charge);
         let end = outcome.end();
-        if let Some(slots) = self.upstreams.get_mut(&run.upstream) {
+        let slots = self.upstreams.of_generation(&run.upstream, run.generation);
+        if let Some(slots) = slots {
             slots.window.on_end(run.started, now, end);
-            slots.apart.leave(&suspect_key(&run.key));
+            if !run.suspected_of.is_empty() {
+                slots.apart.leave(&suspect_key(&run.key));
+            }
             match end {
                 RunEnd::Finished => slots.health.on_event(HealthEvent::Succeeded, now),
                 RunEnd::Failed => slots.health.on_event(HealthEvent::Failed, now),
@@ -123,49 +129,61 @@
         from: &HostName,
         begin: &Begin,
     ) -> Result<UpstreamName, NotStartedReason> {
-        match begin.cause {
+        let pulled = match begin.cause {
             BeginCause::Pull { pull } => {
-                let reserved = self
-                    .pulls
-                    .take(now, pull)
-                    .ok_or(NotStartedReason::PullExpired)?;
-                self.unreserve(&reserved);
-                Ok(reserved.upstream)
+                let reserved = self.pulls.take(now, pull);
+                if let Some(reserved) = &reserved {
+                    self.unreserve(reserved);
+                }
+                Some(reserved.ok_or(NotStartedReason::PullExpired)?)
             }
-            BeginCause::Offer if self.leaving => Err(NotStartedReason::Leaving),
-            BeginCause::Offer if !begin.repeatable => Err(NotStartedReason::PullExpired),
+            BeginCause::Offer if !begin.repeatable => return Err(NotStartedReason::PullExpired),
             BeginCause::Offer => {
                 self.entries.count_offer(from, &begin.pool);
-                self.upstreams
-                    .freest(now, &begin.pool)
-                    .ok_or(NotStartedReason::Busy)
+                None
             }
-            BeginCause::Resume { .. } => Err(NotStartedReason::Duplicate),
+            BeginCause::Resume { .. } => return Err(NotStartedReason::Duplicate),
+        };
+        if self.leaving {
+            return Err(NotStartedReason::Leaving);
         }
+        let kept = pulled.and_then(|reserved| self.still_open(now, reserved, &begin.pool));
+        let upstream = kept.or_else(|| self.upstreams.freest(now, &begin.pool));
+        upstream.ok_or(NotStartedReason::Busy)
     }
 
-    /// A suspect of crashes starts only where no other suspect runs.
-    fn keep_apart(
-        &mut self,
-        upstream: &UpstreamName,
-        begin: &Begin,
-    ) -> Result<(), NotStartedReason> {
-        let slots = self
-            .upstreams
-            .get_mut(upstream)
-            .ok_or(NotStartedReason::Leaving)?;
-        if begin.suspected_of.is_empty() {
-            return Ok(());
-        }
-        let key = ContentKey {
-            account: begin.account.clone(),
-            content: begin.content,
-        };
-        if slots.apart.enter(&suspect_key(&key)) {
-            Ok(())
-        } else {
-            Err(NotStartedReason::OtherSuspect)
-        }
+    /// The upstream of a reservation, if it still takes work of the pool.
+    ///
+    /// Between the pull and the start it may have announced that it leaves, fallen silent or changed
+    /// its pool: the request would run on an upstream that is going away, or on a wrong one.
+    fn still_open(
+        &self,
+        now: Duration,
+        reserved: Reserved,
+        pool: &PoolName,
+    ) -> Option<UpstreamName> {
+        let slots = self.upstreams.get(&reserved.upstream)?;
+        let same = slots.generation == reserved.generation && slots.pool == *pool;
+        (same && slots.usable(now) > 0).then_some(reserved.upstream)
+    }
+}
+
+/// A suspect of crashes starts only where no other suspect runs.
+fn keep_apart(slots: &mut UpstreamSlots, begin: &Begin) -> Result<(), NotStartedReason> {
+    if begin.suspected_of.is_empty() {
+        return Ok(());
+    }
+    if slots.apart.enter(&suspect_key(&content_key(begin))) {
+        Ok(())
+    } else {
+        Err(NotStartedReason::OtherSuspect)
+    }
+}
+
+fn content_key(begin: &Begin) -> ContentKey {
+    ContentKey {
+        account: begin.account.clone(),
+        content: begin.content,
     }
 }
 
--- a/crates/router/src/sidecar/told.rs
+++ b/crates/router/src/sidecar/told.rs
@@ -12,6 +12,14 @@
     cached: BTreeMap<PoolName, Vec<u64>>,
 }
 
+/// Slots of one pool.
+#[derive(Debug)]
+pub(super) struct Slots {
+    pub(super) pool: PoolName,
+    pub(super) free: u32,
+    pub(super) usable: u32,
+}
+
 /// Every connected entry.
 #[derive(Debug, Default)]
 pub(super) struct Entries {
@@ -54,29 +62,50 @@
 
     /// Messages to the entries whose picture has changed: between none and some, or by a power of
     /// two. Each start and end of a request told to every entry would be most of the control traffic.
-    pub(super) fn news(&mut self, free: &[(PoolName, u32)]) -> Vec<(HostName, FromSidecar)> {
+    ///
+    /// `served` has every pool that is served; of the others an entry hears that they are not, or it
+    /// would go on offering to slots that are gone.
+    pub(super) fn news(&mut self, served: &[Slots]) -> Vec<(HostName, FromSidecar)> {
         let mut news = Vec::new();
         for (entry, told) in &mut self.told {
-            for (pool, slots) in free {
-                let cached = told.cached.remove(pool).unwrap_or_default();
-                let last = told.free.get(pool);
-                let same = last.is_some_and(|last| magnitude(*last) == magnitude(*slots));
-                if same && cached.is_empty() {
-                    continue;
-                }
-                told.free.insert(pool.clone(), *slots);
-                let message = FromSidecar::Free {
-                    pool: pool.clone(),
-                    slots: *slots,
-                    cached,
-                };
-                news.push((entry.clone(), message));
+            for slots in served {
+                news.extend(told.of(slots).map(|message| (entry.clone(), message)));
             }
+            let gone = told.drop_others(served);
+            news.extend(gone.into_iter().map(|message| (entry.clone(), message)));
         }
         news
     }
 }
 
+impl Told {
+    fn of(&mut self, slots: &Slots) -> Option<FromSidecar> {
+        let cached = self.cached.remove(&slots.pool).unwrap_or_default();
+        let last = self.free.get(&slots.pool);
+        let same = last.is_some_and(|last| magnitude(*last) == magnitude(slots.free));
+        if same && cached.is_empty() {
+            return None;
+        }
+        self.free.insert(slots.pool.clone(), slots.free);
+        Some(FromSidecar::Free {
+            pool: slots.pool.clone(),
+            slots: slots.free,
+            usable: slots.usable,
+            cached,
+        })
+    }
+
+    fn drop_others(&mut self, served: &[Slots]) -> Vec<FromSidecar> {
+        let is_served = |pool: &PoolName| served.iter().any(|slots| slots.pool == *pool);
+        self.cached.retain(|pool, _| is_served(pool));
+        let told = self.free.keys();
+        let gone: Vec<PoolName> = told.filter(|pool| !is_served(pool)).cloned().collect();
+        self.free.retain(|pool, _| is_served(pool));
+        let not_served = |pool| FromSidecar::NotServed { pool };
+        gone.into_iter().map(not_served).collect()
+    }
+}
+
 /// Bits of a count: two counts of the same size are told as one.
 fn magnitude(count: u32) -> u32 {
     u32::BITS - count.leading_zeros()
--- a/crates/router/src/sidecar/upstreams.rs
+++ b/crates/router/src/sidecar/upstreams.rs
@@ -40,12 +40,15 @@
     pub live_until: Duration,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// Tells its slots from earlier ones under the same name.
+    pub generation: u64,
 }
 
 impl UpstreamSlots {
-    fn new(pool: PoolName, now: Duration, news: News) -> Self {
+    fn new(pool: PoolName, generation: u64, now: Duration, news: News) -> Self {
         Self {
             pool,
+            generation,
             window: ConcurrencyWindow::new(news.targets),
             health: UpstreamHealth::new(now),
             apart: ApartSlot::new(),
@@ -55,14 +58,20 @@
         }
     }
 
-    /// Slots that may be given out now.
+    /// Slots that are used at all, free or not; none while it is leaving or silent.
     #[must_use]
-    pub fn free(&self, now: Duration) -> u32 {
+    pub fn usable(&self, now: Duration) -> u32 {
         if self.leaving || self.live_until <= now {
             return 0;
         }
-        let usable = usable_slots(self.window.limit(), self.health.share(now));
-        usable.saturating_sub(self.window.in_flight() + self.reserved)
+        usable_slots(self.window.limit(), self.health.share(now))
+    }
+
+    /// Slots that may be given out now.
+    #[must_use]
+    pub fn free(&self, now: Duration) -> u32 {
+        let held = self.window.in_flight() + self.reserved;
+        self.usable(now).saturating_sub(held)
     }
 
     fn hear(&mut self, now: Duration, news: News) {
@@ -79,6 +88,7 @@
 /// Every upstream beside one sidecar.
 #[derive(Debug, Default)]
 pub struct UpstreamTable {
+    generations: u64,
     upstreams: BTreeMap<UpstreamName, UpstreamSlots>,
 }
 
@@ -86,14 +96,16 @@
     /// Takes in an announcement: a new upstream, or news of a known one.
     ///
     /// An upstream that comes back under another pool starts over: its window was found for another
-    /// kind of work.
+    /// kind of work. Runs that it still has belong to the slots of before, by their generation:
+    /// counted off from the new ones, they would free slots that were never taken.
     pub fn announce(&mut self, now: Duration, name: UpstreamName, pool: PoolName, news: News) {
         let known = self.upstreams.get_mut(&name);
         match known {
             Some(slots) if slots.pool == pool => slots.hear(now, news),
             _ => {
-                self.upstreams
-                    .insert(name, UpstreamSlots::new(pool, now, news));
+                self.generations += 1;
+                let slots = UpstreamSlots::new(pool, self.generations, now, news);
+                self.upstreams.insert(name, slots);
             }
         }
     }
@@ -111,6 +123,12 @@
         self.of_pool(pool).map(|(_, slots)| slots.free(now)).sum()
     }
 
+    /// Slots of a pool in all, free or not.
+    #[must_use]
+    pub fn usable(&self, now: Duration, pool: &PoolName) -> u32 {
+        self.of_pool(pool).map(|(_, slots)| slots.usable(now)).sum()
+    }
+
     /// The upstream of a pool with the most free slots.
     #[must_use]
     pub fn freest(&self, now: Duration, pool: &PoolName) -> Option<UpstreamName> {
@@ -137,6 +155,16 @@
         self.upstreams.get_mut(name)
     }
 
+    /// The slots that something was counted on, to be counted off; none when they are gone.
+    pub(super) fn of_generation(
+        &mut self,
+        name: &UpstreamName,
+        generation: u64,
+    ) -> Option<&mut UpstreamSlots> {
+        let slots = self.upstreams.get_mut(name);
+        slots.filter(|slots| slots.generation == generation)
+    }
+
     /// One upstream.
     #[must_use]
     pub fn get(&self, name: &UpstreamName) -> Option<&UpstreamSlots> {
--- a/crates/router/src/sidecar/waits.rs
+++ b/crates/router/src/sidecar/waits.rs
@@ -9,6 +9,19 @@
 /// What waits at one entry: how many, and since when.
 type ByEntry = BTreeMap<HostName, (u32, Duration)>;
 
+/// What is left of an account that waited at an entry that was forgotten.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Left {
+    /// The pool.
+    pub pool: PoolName,
+    /// The account.
+    pub account: AccountName,
+    /// Requests that wait at other entries.
+    pub count: u32,
+    /// When the oldest of them arrived.
+    pub oldest: Duration,
+}
+
 /// Waiting work by pool, account and entry.
 #[derive(Debug, Default)]
 pub struct WaitTable {
@@ -40,17 +53,30 @@
     }
 
     /// Forgets an entry whose connection is gone; what is left of the accounts that waited there.
-    pub fn forget(&mut self, entry: &HostName) -> Vec<(PoolName, AccountName, u32, Duration)> {
+    pub fn forget(&mut self, entry: &HostName) -> Vec<Left> {
+        let pools: Vec<PoolName> = self.pools.keys().cloned().collect();
+        let left = pools.iter().map(|pool| self.forget_pool(entry, pool));
+        left.flatten().collect()
+    }
+
+    /// Forgets what waits at an entry in one pool.
+    pub fn forget_pool(&mut self, entry: &HostName, pool: &PoolName) -> Vec<Left> {
+        let Some(accounts) = self.pools.get_mut(pool) else {
+            return Vec::new();
+        };
         let mut changed = Vec::new();
-        for (pool, accounts) in &mut self.pools {
-            for (account, entries) in accounts.iter_mut() {
-                if entries.remove(entry).is_some() {
-                    let (count, oldest) = sum(entries);
-                    changed.push((pool.clone(), account.clone(), count, oldest));
-                }
+        for (account, entries) in accounts.iter_mut() {
+            if entries.remove(entry).is_some() {
+                let (count, oldest) = sum(entries);
+                changed.push(Left {
+                    pool: pool.clone(),
+                    account: account.clone(),
+                    count,
+                    oldest,
+                });
             }
-            accounts.retain(|_, entries| !entries.is_empty());
         }
+        accounts.retain(|_, entries| !entries.is_empty());
         changed
     }
 
--- /dev/null
+++ b/crates/router/tests/late_binding/scenarios.rs
@@ -0,0 +1,235 @@
+//! What callers get of late binding under load and faults, in virtual time with fixed seeds.
+
+use std::fmt::Write;
+use std::time::Duration;
+
+use crate::sim::{Ended, Options, Sim, Source, bound};
+use coltsfootnotch_decide::fair::ChoicePolicy;
+use coltsfootnotch_types::Weight;
+use googletest::prelude::*;
+
+const MINUTE: Duration = Duration::from_secs(60);
+
+fn flood(name: &str, weight: u32, entries: &[usize]) -> Source {
+    let mut source = Source::new(name);
+    source.weight = Weight::new(weight).expect("a valid weight");
+    source.entries = entries.to_vec();
+    source.backlog = 20;
+    source.patience = 10 * MINUTE;
+    source
+}
+
+fn steady(name: &str, rate: f64, entries: &[usize]) -> Source {
+    let mut source = Source::new(name);
+    source.rate = rate;
+    source.entries = entries.to_vec();
+    source
+}
+
+/// A line for each account, and how all requests ended.
+fn report(sim: &mut Sim, since: Duration) -> String {
+    let mut text = String::new();
+    for (i, source) in sim.sources.iter().enumerate() {
+        let waits = sim.truth.waits(i, since);
+        let at =
+            |part: usize| waits.get((waits.len() * part / 100).min(waits.len().saturating_sub(1)));
+        let line = format!(
+            "{:<8} weight {} started {:>5} wait ms p50 {:>6} p99 {:>6}",
+            source.account.as_str(),
+            source.weight.get(),
+            waits.len(),
+            at(50).unwrap_or(&0),
+            at(99).unwrap_or(&0),
+        );
+        writeln!(text, "{line}").expect("a string takes all");
+    }
+    let gap = sim.meter.largest().map(|gap| gap.size.to_units().0);
+    writeln!(text, "largest gap {} units", gap.unwrap_or(0)).expect("a string takes all");
+    text
+}
+
+/// Three accounts with weights 1, 2 and 4 are always backlogged, each at entries of its own: one
+/// reaches a single entry, another all. The slots serve whoever is furthest behind over the whole
+/// fleet, so each gets service by its weight and the gap stays within the bound, which the meter
+/// asserts at every count.
+#[gtest]
+fn a_saturated_pool_serves_by_weight_however_accounts_spread() {
+    let sources = vec![
+        flood("small", 1, &[0]),
+        flood("middle", 2, &[1, 2]),
+        flood("large", 4, &[0, 1, 2, 3]),
+    ];
+    let options = Options {
+        entries: 4,
+        sidecars: 4,
+        ..Options::default()
+    };
+    let mut sim = Sim::new(options, sources);
+    sim.run(MINUTE);
+    sim.take_utilisation(MINUTE);
+    sim.run(2 * MINUTE);
+    let used = sim.take_utilisation(2 * MINUTE);
+    expect_that!(used, gt(0.95));
+    insta::assert_snapshot!(report(&mut sim, MINUTE));
+}
+
+/// One account keeps 300 requests waiting; two others send a request now and then. Theirs go before
+/// the flood's as soon as a slot comes free, so they wait for about one slot's end.
+#[gtest]
+fn a_flood_starves_nobody() {
+    let mut noisy = flood("noisy", 1, &[0, 1]);
+    noisy.backlog = 300;
+    let sources = vec![
+        noisy,
+        steady("bistro", 0.5, &[0]),
+        steady("cafe", 0.5, &[1]),
+    ];
+    let mut sim = Sim::new(Options::default(), sources);
+    sim.run(3 * MINUTE);
+    for source in [1, 2] {
+        let waits = sim.truth.waits(source, MINUTE);
+        expect_that!(waits.last().copied(), some(lt(3_000)));
+    }
+    insta::assert_snapshot!(report(&mut sim, MINUTE));
+}
+
+/// An entry and a sidecar are cut off from the rest for an hour and go on serving each other. At the
+/// rejoin the account that reaches both sides has been served twice as much; the others are owed no
+/// more than the horizon for it, so it is not starved, and all share again.
+#[gtest]
+fn an_hour_apart_and_the_rejoin() {
+    let sources = vec![
+        flood("both", 1, &[0, 1]),
+        flood("here", 1, &[0]),
+        flood("there", 1, &[1]),
+    ];
+    let options = Options {
+        sidecars: 2,
+        bounded_gap: false,
+        slots: 4,
+        ..Options::default()
+    };
+    let mut sim = Sim::new(options.clone(), sources);
+    sim.run(MINUTE);
+    sim.cut(0, 1);
+    sim.cut(1, 0);
+    sim.sidecars[1].relayed = false;
+    sim.run(60 * MINUTE);
+    sim.connect(0, 1);
+    sim.connect(1, 0);
+    sim.sidecars[1].relayed = true;
+    let rejoined = sim.now;
+    sim.run(10 * MINUTE);
+    let started: Vec<usize> = (0..3).map(|i| sim.truth.waits(i, rejoined).len()).collect();
+    expect_that!(started, each(gt(&100)));
+    insta::assert_snapshot!(report(&mut sim, rejoined));
+    sim.come_to_rest();
+}
+
+/// Every entry restarts with no state, then every sidecar. Callers of a restarted entry lose their
+/// connections; runs lost with a sidecar are tried elsewhere. Nothing is lost or run twice, and the
+/// newly started hosts serve at once.
+#[gtest]
+fn restarts_with_no_state() {
+    let mut sources = vec![flood("large", 4, &[0, 1]), flood("small", 1, &[1])];
+    sources[1].bookings = 0.5;
+    let options = Options {
+        bounded_gap: false,
+        ..Options::default()
+    };
+    let mut sim = Sim::new(options, sources);
+    for host in 0..5 {
+        sim.run(MINUTE / 2);
+        if host < 2 {
+            sim.restart_entry(host);
+        } else {
+            sim.restart_sidecar(host - 2);
+        }
+    }
+    let restarted = sim.now;
+    sim.run(MINUTE);
+    expect_that!(sim.truth.waits(1, restarted).len(), gt(10));
+    sim.come_to_rest();
+    expect_that!(sim.truth.count(Ended::NotRun), eq(0));
+}
+
+/// One upstream says that it leaves and another falls silent. The harness asserts at every start that
+/// neither has had that state for 3 s; callers notice nothing but less capacity.
+#[gtest]
+fn a_leaving_and_a_silent_upstream_get_no_new_work() {
+    let sources = vec![flood("large", 1, &[0, 1]), steady("small", 1.0, &[0])];
+    let mut sim = Sim::new(Options::default(), sources);
+    sim.run(MINUTE / 2);
+    sim.sidecars[0].engine.leaving = Some(sim.now);
+    sim.run(MINUTE / 2);
+    sim.sidecars[1].engine.silent = Some(sim.now);
+    sim.run(MINUTE);
+    expect_that!(sim.sidecars[0].engine.active.len(), eq(0));
+    expect_that!(sim.sidecars[1].engine.active.len(), eq(0));
+    expect_that!(sim.sidecars[2].engine.active.len(), gt(0));
+    sim.come_to_rest();
+}
+
+/// Suspects of crashes find another suspect running. They are held back instead of being pulled and
+/// sent back once for every round trip, and the rest of their account is served meanwhile.
+#[gtest]
+fn a_suspect_that_waits_for_another_does_not_spin() {
+    let mut suspects = flood("suspects", 1, &[0]);
+    suspects.backlog = 4;
+    suspects.suspects = 1.0;
+    let options = Options {
+        entries: 1,
+        sidecars: 1,
+        bounded_gap: false,
+        ..Options::default()
+    };
+    let mut sim = Sim::new(options, vec![suspects, flood("clean", 1, &[0])]);
+    sim.traffic.measuring = true;
+    sim.run(MINUTE);
+    expect_that!(sim.truth.waits(0, Duration::ZERO).len(), gt(10));
+    // Four suspects, each tried again at most every 50 ms.
+    expect_that!(sim.traffic.not_started, lt(4 * 20 * 60));
+    sim.come_to_rest();
+}
+
+/// A request has failed at the only sidecar of its pool; the other sidecar serves another pool. It
+/// runs there again rather than wait for one that will never come.
+#[gtest]
+fn the_last_sidecar_of_a_pool_is_not_avoided() {
+    let sources = vec![steady("only", 0.2, &[0]), steady("other", 0.2, &[0])];
+    let options = Options {
+        entries: 1,
+        sidecars: 2,
+        pools: 2,
+        unreachable: 0.3,
+        bounded_gap: false,
+        ..Options::default()
+    };
+    let mut sim = Sim::new(options, sources);
+    sim.run(MINUTE);
+    sim.come_to_rest();
+    expect_that!(sim.truth.count(Ended::NotRun), eq(0));
+    expect_that!(sim.truth.count(Ended::Unknown), eq(0));
+}
+
+/// What a saturated pool's gap is measured against.
+#[gtest]
+fn the_gap_of_the_other_policies_is_larger() {
+    let gap = |policy| {
+        let mut sources = vec![flood("large", 1, &[0, 1]), flood("small", 1, &[0])];
+        sources[0].backlog = 200;
+        sources[1].backlog = 2;
+        let options = Options {
+            policy,
+            ..Options::default()
+        };
+        let allowed = bound(&options, &sources).gap(Weight::DEFAULT, Weight::DEFAULT);
+        let mut sim = Sim::new(options, sources);
+        sim.run(10 * MINUTE);
+        let gap = sim.meter.largest().map(|gap| gap.size);
+        (gap.expect("two accounts are backlogged"), allowed)
+    };
+    let (fair, allowed) = gap(ChoicePolicy::Fair);
+    expect_that!(fair, le(allowed));
+    expect_that!(gap(ChoicePolicy::Fifo).0, gt(fair));
+}
--- a/crates/router/tests/sim/engine.rs
+++ b/crates/router/tests/late_binding/sim/engine.rs
@@ -25,6 +25,8 @@
 pub(crate) struct Engine {
     pub(crate) name: UpstreamName,
     pub(crate) pool: PoolName,
+    /// The pool of its last announcement: all that its sidecar can know.
+    pub(crate) announced: PoolName,
     pub(crate) slots: usize,
     /// Tokens a second in each slot.
     pub(crate) rate: u64,
@@ -41,6 +43,7 @@
         Self {
             name: UpstreamName::new(name).expect("a valid name"),
             pool: pool.clone(),
+            announced: pool.clone(),
             slots,
             rate,
             active: Vec::new(),
--- /dev/null
+++ b/crates/router/tests/late_binding/sim/events.rs
@@ -0,0 +1,302 @@
+//! What happens in the harness, one event after another.
+
+use std::time::Duration;
+
+use coltsfootnotch_router::{EntryAction, SidecarAction};
+use coltsfootnotch_types::prelude::*;
+use coltsfootnotch_wire::{AttemptId, Begin, FromSidecar, Message, NotStartedReason, ToSidecar};
+use rand::Rng;
+
+use super::entry::domain;
+use super::{Ended, Sim, Stage};
+
+#[derive(Clone)]
+pub(crate) enum Event {
+    Tick(u64),
+    Arrive(usize),
+    Up {
+        e: usize,
+        s: usize,
+        link: u64,
+        entry_first: bool,
+    },
+    Down {
+        e: usize,
+        s: usize,
+        link: u64,
+        at_entry: bool,
+    },
+    ToSidecar {
+        e: usize,
+        s: usize,
+        link: u64,
+        message: ToSidecar,
+    },
+    FromSidecar {
+        e: usize,
+        s: usize,
+        link: u64,
+        message: FromSidecar,
+    },
+    Committed {
+        e: usize,
+        run: Incarnation,
+        s: usize,
+        link: u64,
+        begin: Box<Begin>,
+    },
+    Open {
+        e: usize,
+        s: usize,
+        link: u64,
+        begin: Box<Begin>,
+    },
+    NotStarted {
+        e: usize,
+        link: u64,
+        attempt: AttemptId,
+        reason: NotStartedReason,
+    },
+    Done {
+        e: usize,
+        link: u64,
+        attempt: AttemptId,
+    },
+    First {
+        s: usize,
+        run: Incarnation,
+        attempt: AttemptId,
+    },
+    Finish {
+        s: usize,
+        run: Incarnation,
+        attempt: AttemptId,
+    },
+}
+
+impl Sim {
+    pub(crate) fn at(&mut self, time: Duration, event: Event) {
+        let number = self.number();
+        self.events.insert((time, number), event);
+    }
+
+    pub(super) fn delay(&mut self) -> Duration {
+        let (least, greatest) = self.options.delay;
+        Duration::from_micros(self.rng.random_range(least..=greatest))
+    }
+
+    /// When a control message sent now arrives: after the one before it.
+    fn in_order(&mut self, e: usize, s: usize, way: usize) -> Duration {
+        let at = self.now + self.delay();
+        let last = &mut self.links[e][s].last[way];
+        *last = at.max(*last);
+        *last
+    }
+
+    pub(crate) fn schedule_arrival(&mut self, source: usize) {
+        let rate = self.sources[source].rate;
+        if rate > 0.0 {
+            let uniform: f64 = self.rng.random_range(f64::EPSILON..1.0);
+            let wait = Duration::from_secs_f64(-uniform.ln() / rate);
+            self.at(self.now + wait, Event::Arrive(source));
+        }
+    }
+
+    pub(crate) fn handle(&mut self, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Tick(count) => self.tick(count),
+            Event::Arrive(source) => {
+                self.submit(source);
+                self.schedule_arrival(source);
+            }
+            Event::Up {
+                e,
+                s,
+                link,
+                entry_first,
+            } => self.on_up(e, s, link, entry_first),
+            Event::Down {
+                e,
+                s,
+                link,
+                at_entry,
+            } => self.on_down(e, s, link, at_entry),
+            Event::ToSidecar {
+                e,
+                s,
+                link,
+                message,
+            } => {
+                if !self.links[e][s].cut && self.links[e][s].at_sidecar == link {
+                    let from = self.entries[e].host.clone();
+                    self.sidecars[s].core.on_message(now, &from, message);
+                    self.run_sidecar(s);
+                }
+            }
+            Event::FromSidecar {
+                e,
+                s,
+                link,
+                message,
+            } => {
+                if !self.links[e][s].cut && self.links[e][s].at_entry == link {
+                    let from = self.sidecars[s].host.clone();
+                    self.entries[e].core.on_message(now, &from, message);
+                    self.run_entry(e);
+                }
+            }
+            Event::Committed {
+                e,
+                run,
+                s,
+                link,
+                begin,
+            } => {
+                self.on_committed(e, run, s, link, begin);
+            }
+            Event::Open { e, s, link, begin } => self.on_open(e, s, link, &begin),
+            Event::NotStarted {
+                e,
+                link,
+                attempt,
+                reason,
+            } => {
+                self.on_not_started(e, link, attempt, reason);
+            }
+            Event::Done { e, link, attempt } => {
+                if self.is_running(e, attempt, link) {
+                    self.entries[e].requests.remove(&attempt.request);
+                    self.truth.end(attempt.request, Ended::Done);
+                }
+            }
+            Event::First { s, run, attempt } => {
+                if self.sidecars[s].run == run {
+                    self.sidecars[s].core.first_piece(now, attempt);
+                }
+            }
+            Event::Finish { s, run, attempt } => {
+                if self.sidecars[s].run == run {
+                    self.on_finish(s, attempt);
+                }
+            }
+        }
+    }
+
+    fn on_up(&mut self, e: usize, s: usize, link: u64, entry_first: bool) {
+        if self.links[e][s].id != link || self.links[e][s].cut {
+            return;
+        }
+        self.lose_attempts(e, s);
+        let now = self.now;
+        self.links[e][s].at_entry = link;
+        self.links[e][s].at_sidecar = link;
+        self.links[e][s].up_since = now;
+        let entry = self.entries[e].host.clone();
+        let (host, run) = (self.sidecars[s].host.clone(), self.sidecars[s].run);
+        if entry_first {
+            self.entries[e].core.sidecar_up(host, run, domain(s));
+            self.run_entry(e);
+            self.sidecars[s].core.entry_up(now, entry);
+            self.run_sidecar(s);
+        } else {
+            self.sidecars[s].core.entry_up(now, entry);
+            self.run_sidecar(s);
+            self.entries[e].core.sidecar_up(host, run, domain(s));
+            self.run_entry(e);
+        }
+    }
+
+    fn on_down(&mut self, e: usize, s: usize, link: u64, at_entry: bool) {
+        let now = self.now;
+        if at_entry && self.links[e][s].at_entry == link {
+            self.links[e][s].at_entry = 0;
+            let host = self.sidecars[s].host.clone();
+            self.entries[e].core.sidecar_down(&host);
+            self.lose_attempts(e, s);
+            self.run_entry(e);
+        }
+        if !at_entry && self.links[e][s].at_sidecar == link {
+            self.links[e][s].at_sidecar = 0;
+            let host = self.entries[e].host.clone();
+            self.sidecars[s].core.entry_down(now, &host);
+            self.run_sidecar(s);
+        }
+    }
+
+    /// Carries out what an entry's core has decided.
+    pub(crate) fn run_entry(&mut self, e: usize) {
+        for action in self.entries[e].core.take_actions(self.now) {
+            match action {
+                EntryAction::Send { to, message } => {
+                    let s = self.sidecar_of(&to);
+                    let link = self.links[e][s].at_entry;
+                    self.traffic.count(&Message::ToSidecar(message.clone()));
+                    let at = self.in_order(e, s, 0);
+                    self.at(
+                        at,
+                        Event::ToSidecar {
+                            e,
+                            s,
+                            link,
+                            message,
+                        },
+                    );
+                }
+                EntryAction::Begin {
+                    attempt,
+                    to,
+                    sidecar,
+                    cause,
+                    waiting,
+                } => {
+                    let s = self.sidecar_of(&to);
+                    let begin = self.begin_of(e, attempt, sidecar, cause, &waiting);
+                    self.open(e, s, begin, waiting);
+                }
+                EntryAction::Expired { waiting } => {
+                    let request = self.entries[e].requests.remove(&waiting.request);
+                    let request = request.expect("what expires is known");
+                    assert!(matches!(request.stage, Stage::Waiting { .. }));
+                    self.sources[request.source].waiting -= 1;
+                    self.truth.end(waiting.request, Ended::NotRun);
+                }
+            }
+        }
+    }
+
+    /// Carries out what a sidecar's core has decided.
+    pub(crate) fn run_sidecar(&mut self, s: usize) {
+        for action in self.sidecars[s].core.take_actions(self.now) {
+            let SidecarAction::Send { to, message } = action else {
+                continue;
+            };
+            let e = self.entry_of(&to);
+            let link = self.links[e][s].at_sidecar;
+            self.traffic.count(&Message::FromSidecar(message.clone()));
+            let at = self.in_order(e, s, 1);
+            self.at(
+                at,
+                Event::FromSidecar {
+                    e,
+                    s,
+                    link,
+                    message,
+                },
+            );
+        }
+    }
+
+    fn entry_of(&self, host: &HostName) -> usize {
+        let at = self.entries.iter().position(|entry| entry.host == *host);
+        at.expect("a known entry")
+    }
+
+    fn sidecar_of(&self, host: &HostName) -> usize {
+        let at = self
+            .sidecars
+            .iter()
+            .position(|sidecar| sidecar.host == *host);
+        at.expect("a known sidecar")
+    }
+}
--- a/crates/wire/src/waits.rs
+++ b/crates/wire/src/waits.rs
@@ -23,7 +23,8 @@
     Waits {
         /// The pool.
         pool: PoolName,
-        /// Whether this replaces all that was said before (first message of a connection).
+        /// Whether this replaces all that was said of the pool before: the first message after the
+        /// sidecar has said that it serves the pool.
         full: bool,
         /// The accounts whose waiting has changed.
         changes: Vec<AccountWait>,
@@ -48,12 +49,14 @@
 /// From a sidecar to an entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FromSidecar {
-    /// Free slots of a pool at this sidecar; zero while it is full or leaving.
+    /// Free slots of a pool at this sidecar; zero while it is full.
     Free {
         /// The pool.
         pool: PoolName,
         /// Free slots, reserved ones taken off.
         slots: u32,
+        /// Slots that its live upstreams of the pool have in all, free or not.
+        usable: u32,
         /// Prefix digests held in the upstreams' caches that are new since the last message.
         cached: Vec<u64>,
     },
@@ -82,4 +85,9 @@
         /// Whether this run never dispatched it and never will.
         never: bool,
     },
+    /// The sidecar serves a pool no longer: its upstreams of it are gone, or it is leaving itself.
+    NotServed {
+        /// The pool.
+        pool: PoolName,
+    },
 }
