--- a/crates/router/src/entry/core.rs
+++ b/crates/router/src/entry/core.rs
@@ -9,6 +9,10 @@
 
 use super::{EntryAction, PoolQueue, SidecarView, Waiting};
 
+/// How long a suspect that found another one running is held back. A run takes seconds, so this is
+/// a few tries for one wait, at twenty a second at most.
+const SUSPECT_HOLD: Duration = Duration::from_millis(50);
+
 /// A request that was admitted.
 pub type NewRequest = Waiting;
 
@@ -106,16 +110,15 @@
         self.enqueue(waiting, PoolQueue::push_front);
     }
 
-    /// Takes back a request that can't start before `at`: queued then, it waits until then without
-    /// being pulled.
+    /// Takes back a suspect of crashes that found another suspect running.
     ///
-    /// A suspect of crashes that finds another suspect running would otherwise be pulled and sent
-    /// back again and again, one round trip after the other, and stand in the way of the rest of its
-    /// account.
-    pub fn requeue_at(&mut self, at: Duration, mut waiting: Waiting) {
+    /// It waits for a while without being pulled: it would otherwise be pulled and sent back again
+    /// and again, one round trip after the other, and stand in the way of the rest of its account.
+    pub fn hold_back(&mut self, now: Duration, mut waiting: Waiting) {
         waiting.attempt += 1;
         self.note(waiting.request);
-        self.held.insert((at, waiting.request), waiting);
+        self.held
+            .insert((now + SUSPECT_HOLD, waiting.request), waiting);
     }
 
     /// Takes out a request whose caller has gone; none when it no longer waits.
--- a/crates/router/tests/late_binding/sim/attempts.rs
+++ b/crates/router/tests/late_binding/sim/attempts.rs
@@ -12,8 +12,6 @@
 
 /// Most attempts of a request that may be repeated.
 const MAX_ATTEMPTS: u32 = 3;
-/// How long a suspect that finds another one running is held back.
-const HOLD_BACK: Duration = Duration::from_millis(50);
 
 impl Sim {
     pub(super) fn open(&mut self, e: usize, s: usize, begin: Box<Begin>, waiting: Waiting) {
@@ -205,7 +203,7 @@
         let waiting = request.waiting.clone();
         self.sources[request.source].waiting += 1;
         if reason == Some(NotStartedReason::OtherSuspect) {
-            return self.entries[e].core.requeue_at(now + HOLD_BACK, waiting);
+            return self.entries[e].core.hold_back(now, waiting);
         }
         self.entries[e].core.requeue(waiting);
     }
--- a/crates/router/tests/late_binding/sim/events.rs
+++ b/crates/router/tests/late_binding/sim/events.rs
@@ -107,8 +107,10 @@
         match event {
             Event::Tick(count) => self.tick(count),
             Event::Arrive(source) => {
-                self.submit(source);
-                self.schedule_arrival(source);
+                if self.sources[source].rate > 0.0 {
+                    self.submit(source);
+                    self.schedule_arrival(source);
+                }
             }
             Event::Up {
                 e,
--- a/src/coltsfootnotch/daemon/entry/outcomes.rs
+++ b/src/coltsfootnotch/daemon/entry/outcomes.rs
@@ -163,6 +163,9 @@
         };
         let Some(key) = in_progress.arrival.booking.clone() else {
             self.set_stage(request, Stage::Waiting);
+            if *end == AttemptEnd::NotStarted(NotStartedReason::OtherSuspect) {
+                return self.core.hold_back(self.cx.now(), chosen.waiting);
+            }
             return self.core.requeue(chosen.waiting);
         };
         let by = match end {
