--- a/crates/router/src/entry/core.rs
+++ b/crates/router/src/entry/core.rs
@@ -3,9 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::time::Duration;
 
-use coltsfootnotch_decide::route::{PrefixKey, PrefixMap};
+use coltsfootnotch_decide::route::PrefixMap;
 use coltsfootnotch_types::prelude::*;
-use coltsfootnotch_wire::{AttemptId, BeginCause, FromSidecar};
+use coltsfootnotch_wire::{AttemptId, BeginCause};
 
 use super::{EntryAction, PoolQueue, SidecarView, Waiting};
 
@@ -25,7 +25,7 @@
     /// Requests that go back to their queue at a later time.
     held: BTreeMap<(Duration, u64), Waiting>,
     /// Every request that waits, held ones included.
-    numbers: HashSet<u64>,
+    pub(super) numbers: HashSet<u64>,
     pub(super) sidecars: BTreeMap<HostName, SidecarView>,
     pub(super) prefixes: PrefixMap,
     pub(super) changed: BTreeSet<(PoolName, AccountName)>,
@@ -156,36 +156,6 @@
         }
     }
 
-    /// Takes in a message from a sidecar.
-    pub fn on_message(&mut self, now: Duration, from: &HostName, message: FromSidecar) {
-        match message {
-            FromSidecar::Free {
-                pool,
-                slots,
-                usable,
-                cached,
-            } => {
-                self.learn_prefixes(now, from, &cached);
-                self.on_free(now, from, &pool, slots, usable);
-            }
-            FromSidecar::Pull {
-                pull,
-                pool,
-                accounts,
-            } => self.on_pull(now, from, pull, &pool, &accounts),
-            FromSidecar::NotServed { pool } => {
-                if let Some(view) = self.sidecars.get_mut(from) {
-                    view.pools.remove(&pool);
-                }
-                self.retell_avoiding(&pool);
-            }
-            // What crashes say of a request is weighed before it is submitted.
-            FromSidecar::Crashed(_)
-            | FromSidecar::Cleared { .. }
-            | FromSidecar::Disowned { .. } => {}
-        }
-    }
-
     /// Ends the wait of requests whose deadline has passed, and queues those held until now.
     pub fn tick(&mut self, now: Duration) {
         let later = self.held.split_off(&(now + Duration::from_nanos(1), 0));
@@ -216,7 +186,7 @@
         assert!(is_new, "request {request} waits twice");
     }
 
-    fn mark(&mut self, waiting: &Waiting) {
+    pub(super) fn mark(&mut self, waiting: &Waiting) {
         let place = (waiting.pool.clone(), waiting.account.clone());
         self.changed.insert(place);
     }
@@ -233,7 +203,7 @@
         self.begin(now, to, sidecar, BeginCause::Offer, waiting);
     }
 
-    fn begin(
+    pub(super) fn begin(
         &mut self,
         now: Duration,
         to: &HostName,
@@ -258,49 +228,4 @@
             waiting,
         });
     }
-
-    fn learn_prefixes(&mut self, now: Duration, from: &HostName, cached: &[u64]) {
-        let Some(view) = self.sidecars.get(from) else {
-            return;
-        };
-        for prefix in cached {
-            self.prefixes.on_held(PrefixKey(*prefix), &view.route, now);
-        }
-    }
-
-    fn on_free(&mut self, now: Duration, from: &HostName, pool: &PoolName, slots: u32, all: u32) {
-        let Some(view) = self.sidecars.get_mut(from) else {
-            return;
-        };
-        let is_new = !view.serves(pool);
-        let known = view.pools.entry(pool.clone()).or_default();
-        known.free = slots;
-        known.usable = all;
-        if is_new {
-            self.tell_all_of(now, from, pool);
-            self.retell_avoiding(pool);
-        }
-    }
-
-    fn on_pull(
-        &mut self,
-        now: Duration,
-        from: &HostName,
-        pull: u64,
-        pool: &PoolName,
-        accounts: &[AccountName],
-    ) {
-        let Some(view) = self.sidecars.get(from) else {
-            return;
-        };
-        let sidecar = view.incarnation;
-        let mut named = accounts.iter();
-        let taken = named.find_map(|account| self.take_for(now, from, pool, account));
-        let Some(waiting) = taken else {
-            return self.answer_nothing(now, from, pull, pool, accounts);
-        };
-        self.numbers.remove(&waiting.request);
-        self.mark(&waiting);
-        self.begin(now, from, sidecar, BeginCause::Pull { pull }, waiting);
-    }
 }
--- a/crates/router/src/entry/mod.rs
+++ b/crates/router/src/entry/mod.rs
@@ -3,6 +3,7 @@
 mod action;
 mod choosing;
 mod core;
+mod messages;
 mod queue;
 mod sidecar_view;
 mod telling;
--- a/src/coltsfootnotch/ops/load/caller.rs
+++ b/src/coltsfootnotch/ops/load/caller.rs
@@ -115,17 +115,18 @@
         let account = self.plan.account;
         let recorder = self.recorder;
         let sent = Instant::now();
-        let number = recorder.send(account);
+        let number = recorder.send(account, call.stream);
         let mut first = true;
         let answer = self.client.chat(&call, |progress| match progress {
-            Progress::Head => recorder.head(account, sent.elapsed()),
+            Progress::Head if call.stream => recorder.head(account, sent.elapsed()),
+            Progress::Head => {}
             Progress::Tokens(tokens) => {
-                if first {
-                    let prompt = prompt_tokens(&prompt);
-                    recorder.first_token(account, number, sent.elapsed(), prompt);
-                    first = false;
+                if first && call.stream {
+                    recorder.first_token(account, number, sent.elapsed());
                 }
-                recorder.tokens(account, tokens);
+                let prompt = if first { prompt_tokens(&prompt) } else { 0 };
+                first = false;
+                recorder.served(account, prompt, tokens);
             }
         });
         let correct = matches!(&answer, Answer::Whole(text)
@@ -154,11 +155,17 @@
         }
         let mut padded = system.clone();
         pad(&mut padded, SYSTEM_BYTES);
+        let mut max_tokens = self.rng.random_range(self.plan.answer_tokens.clone());
+        let mut stream = !self.rng.random_bool(WHOLE_SHARE);
+        if self.plan.ask == Ask::CrashingChat {
+            // The caller sends the very same request again.
+            (max_tokens, stream) = (*self.plan.answer_tokens.start(), true);
+        }
         ChatCall {
             model: self.target.model.clone(),
             messages: [padded, user],
-            max_tokens: self.rng.random_range(self.plan.answer_tokens.clone()),
-            stream: !self.rng.random_bool(WHOLE_SHARE),
+            max_tokens,
+            stream,
         }
     }
 
@@ -220,7 +227,7 @@
     ) -> Answer {
         let account = self.plan.account;
         let sent = Instant::now();
-        let number = self.recorder.send(account);
+        let number = self.recorder.send(account, false);
         let answer = call(body);
         if matches!(answer, Answer::Whole(_)) {
             self.recorder.head(account, sent.elapsed());
--- a/src/coltsfootnotch/ops/load/recorder.rs
+++ b/src/coltsfootnotch/ops/load/recorder.rs
@@ -53,6 +53,7 @@
     pub(super) refused_not_run: u64,
     pub(super) run_unknown: u64,
     pub(super) failed_after_run: u64,
+    pub(super) upstream_errors: u64,
     pub(super) untyped_errors: u64,
     pub(super) no_answer: u64,
     pub(super) wrong_answers: u64,
@@ -113,12 +114,17 @@
     }
 
     /// A request is being sent for an account; returns its number.
-    pub(super) fn send(&self, account: usize) -> u64 {
+    ///
+    /// Only a streamed answer shows when it begins, so only streamed requests count as backlog: an
+    /// answer in one piece would look as if it waited until its end.
+    pub(super) fn send(&self, account: usize, streamed: bool) -> u64 {
         let mut state = self.lock();
         let number = state.next;
         state.next += 1;
         state.counts.requests += 1;
-        state.unstarted[account].insert(number, Instant::now());
+        if streamed {
+            state.unstarted[account].insert(number, Instant::now());
+        }
         number
     }
 
@@ -131,20 +137,20 @@
             .saturating_record(micros);
     }
 
-    /// The first token came after `wait`; the prompt has been served.
-    pub(super) fn first_token(&self, account: usize, number: u64, wait: Duration, prompt: u32) {
+    /// The first token of a streamed answer came after `wait`.
+    pub(super) fn first_token(&self, account: usize, number: u64, wait: Duration) {
         let mut state = self.lock();
         state.unstarted[account].remove(&number);
         let micros = micros(wait);
         self.times(&mut state, account)
             .first_token
             .saturating_record(micros);
-        self.serve(&mut state, account, u64::from(prompt), 0);
     }
 
-    /// Tokens of an answer came.
-    pub(super) fn tokens(&self, account: usize, tokens: u32) {
-        self.serve(&mut self.lock(), account, 0, u64::from(tokens));
+    /// An account was served so many tokens of prompt and answer.
+    pub(super) fn served(&self, account: usize, prompt: u32, answer: u32) {
+        let mut state = self.lock();
+        self.serve(&mut state, account, prompt.into(), answer.into());
     }
 
     /// A request has ended; `correct` says whether a whole answer was the one expected.
@@ -161,6 +167,7 @@
                 Some(Run::No) => counts.refused_not_run += 1,
                 Some(Run::Unknown) => counts.run_unknown += 1,
                 Some(Run::Yes) => counts.failed_after_run += 1,
+                None if failure.of_upstream => counts.upstream_errors += 1,
                 None => counts.untyped_errors += 1,
             },
         }
