--- a/crates/router/src/entry/core.rs
+++ b/crates/router/src/entry/core.rs
@@ -9,9 +9,12 @@
 
 use super::{EntryAction, PoolQueue, SidecarView, Waiting};
 
-/// How long a suspect that found another one running is held back. A run takes seconds, so this is
-/// a few tries for one wait, at twenty a second at most.
+/// How long a suspect that found another one running is first held back; each further time doubles
+/// it. A run takes seconds: without the doubling, a handful of suspects that take their turns at the
+/// head of their account's queue would get every pull that is meant for the rest of the account.
 const SUSPECT_HOLD: Duration = Duration::from_millis(50);
+/// Doublings at most: 0.8 s, which an upstream that comes free stands without a suspect at worst.
+const SUSPECT_DOUBLINGS: u32 = 4;
 
 /// A request that was admitted.
 pub type NewRequest = Waiting;
@@ -115,10 +118,10 @@
     /// It waits for a while without being pulled: it would otherwise be pulled and sent back again
     /// and again, one round trip after the other, and stand in the way of the rest of its account.
     pub fn hold_back(&mut self, now: Duration, mut waiting: Waiting) {
+        let hold = SUSPECT_HOLD * 2_u32.pow(waiting.attempt.min(SUSPECT_DOUBLINGS));
         waiting.attempt += 1;
         self.note(waiting.request);
-        self.held
-            .insert((now + SUSPECT_HOLD, waiting.request), waiting);
+        self.held.insert((now + hold, waiting.request), waiting);
     }
 
     /// Takes out a request whose caller has gone; none when it no longer waits.
