--- a/crates/router/src/sidecar/upstreams.rs
+++ b/crates/router/src/sidecar/upstreams.rs
@@ -70,6 +70,12 @@
         if news.leaving && !self.leaving {
             self.health.on_event(HealthEvent::Leaving, now);
         }
+        if !news.leaving && self.leaving {
+            // It stays after all, or has loaded what its pool needs: its caches are cold, so it gets
+            // its work back by the ramp of an upstream that was down.
+            self.health = UpstreamHealth::new(now);
+            self.health.on_event(HealthEvent::Down, now);
+        }
         self.leaving = news.leaving;
         self.health.on_event(HealthEvent::Alive, now);
         self.window.on_load_report(news.reported, news.queued);
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -51,7 +51,7 @@
 pub use ledger::{Ledger, LedgerCounters};
 pub use limits::LedgerLimits;
 pub use machine::StateMachine;
-pub use orders::{Action, Desired, Order, Placement, Reconcile, Reported, reconcile};
+pub use orders::{Action, Desired, Order, Placement, Reconcile, Reported, next_action, reconcile};
 pub use outcome::{Outcome, RecordedBody};
 pub use process::{AttemptId, ProcessId};
 pub use record::{BookingRecord, BookingState};
--- a/crates/state/src/orders.rs
+++ b/crates/state/src/orders.rs
@@ -80,7 +80,7 @@
 
 impl Action {
     /// Applies the action to what an engine has.
-    pub(crate) fn carry_out(&self, placement: &mut Placement) {
+    pub fn carry_out(&self, placement: &mut Placement) {
         match self {
             Self::LoadModel { model, version } => {
                 placement.model = Some((model.clone(), version.clone()));
@@ -97,7 +97,8 @@
     }
 
     /// The name of the weights that the action fetches.
-    fn fetches(&self) -> Option<&str> {
+    #[must_use]
+    pub fn fetches(&self) -> Option<&str> {
         match self {
             Self::LoadModel { model, .. } => Some(model),
             Self::LoadAdapter { adapter, .. } => Some(adapter),
@@ -171,7 +172,17 @@
 }
 
 /// The first thing to do: the model before its adapters, and room for adapters before more of them.
-fn next_action(want: &Placement, has: &Placement) -> Option<Action> {
+///
+/// ```
+/// use coltsfootnotch_state::{Action, Placement, next_action};
+/// let model = Some(("spec-llm".to_owned(), "v2".to_owned()));
+/// let want = Placement { model, ..Placement::default() };
+/// let load = Action::LoadModel { model: "spec-llm".into(), version: "v2".into() };
+/// assert_eq!(next_action(&want, &Placement::default()), Some(load));
+/// assert_eq!(next_action(&want, &want), None);
+/// ```
+#[must_use]
+pub fn next_action(want: &Placement, has: &Placement) -> Option<Action> {
     if let Some((model, version)) = &want.model
         && want.model != has.model
     {
--- a/src/coltsfootnotch/daemon/sidecar/actor.rs
+++ b/src/coltsfootnotch/daemon/sidecar/actor.rs
@@ -6,9 +6,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use coltsfootnotch_decide::window::WindowTargets;
 use coltsfootnotch_fabric::{AttemptStream, Endpoint, Event, LinkId, LinkTx, PeerId};
-use coltsfootnotch_router::{News, RunOutcome, SidecarConfig as CoreConfig, SidecarCore};
+use coltsfootnotch_router::{RunOutcome, SidecarConfig as CoreConfig, SidecarCore};
 use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::announce::Announcement;
 use coltsfootnotch_wire::{AttemptId, Begin, ContentKey, HostRecord, Message, ServedPool, Usage};
@@ -17,20 +16,20 @@
 use ureq::Agent;
 
 use super::SidecarConfig;
+use super::announced::process_id;
 use super::handle::Started;
+use super::orders::{OrderEnd, Orders};
 use super::runner::RunnerControl;
 use super::service_reports::ServiceReports;
-use super::sockets::{fabric_handler, listen};
+use super::sockets::{ListenTask, fabric_handler, listen};
 use super::upstream_call;
-use super::upstreams::{Announced, Upstreams};
+use super::upstreams::Upstreams;
 use crate::core::HostCx;
 use crate::daemon::{RelayClient, RelayNews, StartError, Starter};
 use crate::util::events;
 
 /// Time between the actor's own rounds: heartbeats, expiry and news of service fall due on them.
 const TICK: Duration = Duration::from_millis(20);
-/// Time in which a plain service should answer; beyond it, it is let hold less.
-const SERVICE_LATENCY: Duration = Duration::from_millis(250);
 /// Furthest that two waiting accounts may stand apart, in units at weight 1: four times the bound of
 /// a pool of 900 slots (30 replicas, 30 slots each) with requests of 10,000 units.
 const HORIZON: ServiceUnits = ServiceUnits(72_000_000);
@@ -65,6 +64,10 @@
     Forgotten {
         attempt: AttemptId,
     },
+    OrderEnded {
+        upstream: UpstreamName,
+        end: OrderEnd,
+    },
     Stop,
 }
 
@@ -78,6 +81,7 @@
     pub(super) relay: RelayClient,
     pub(super) reports: ServiceReports,
     pub(super) probing: BTreeSet<UpstreamName>,
+    pub(super) orders: Orders,
     pub(super) agent: Agent,
     pub(super) tx: Channel<SidecarMsg>,
     endpoint: Endpoint,
@@ -85,6 +89,7 @@
     ready: Arc<AtomicBool>,
     stop_at: Option<Duration>,
     _guard: ChannelGuard,
+    _listening: ListenTask,
 }
 
 impl SidecarActor {
@@ -120,7 +125,7 @@
         let handler = fabric_handler(&cx, &tx);
         let endpoint = Endpoint::bind(&cx.runtime, cfg.fleet, &cfg.credentials, me, handler)?;
         let fleet = endpoint.address()?;
-        let announce = listen(&cx, &cfg, &tx)?;
+        let (announce, listening) = listen(&cx, &cfg, &tx)?;
         let ready = Arc::new(AtomicBool::new(false));
         let started = Started {
             tx: tx.clone(),
@@ -142,6 +147,7 @@
             relay: RelayClient::new(cx.clone(), cfg.control.clone()),
             reports: ServiceReports::default(),
             probing: BTreeSet::new(),
+            orders: Orders::new(process_id(&cx), cfg.drift),
             agent: upstream_call::agent(),
             cx,
             cfg,
@@ -151,6 +157,7 @@
             ready,
             stop_at: None,
             _guard: guard,
+            _listening: listening,
         };
         actor.cx.log(
             &events::DAEMON_STARTED,
@@ -189,6 +196,7 @@
                 outcome,
             } => self.on_ended(attempt, usage, outcome),
             SidecarMsg::Forgotten { attempt } => drop(self.attempts.remove(&attempt)),
+            SidecarMsg::OrderEnded { upstream, end } => self.on_order_ended(&upstream, end),
             SidecarMsg::Stop => self.on_stop(),
         }
         self.run_actions();
@@ -203,6 +211,7 @@
         self.relay
             .tick(&self.endpoint, |config| HostRecord { config, ..record });
         self.report_service(now);
+        self.give_orders(now);
         let ready = self.relay.config().is_some() && self.stop_at.is_none();
         self.ready.store(ready, Ordering::Relaxed);
         self.run_actions();
@@ -227,57 +236,10 @@
         }
     }
 
-    fn on_announced(&mut self, announcement: &Announcement) {
-        let now = self.cx.now();
-        let name = &announcement.name;
-        match self
-            .upstreams
-            .announce(announcement, self.cfg.limits.upstreams)
-        {
-            Announced::TooMany => return,
-            Announced::New => self.cx.log(
-                &events::UPSTREAM_ANNOUNCED,
-                &[
-                    ("upstream", name),
-                    ("pool", &announcement.pool),
-                    ("address", &announcement.address),
-                ],
-            ),
-            Announced::Leaving => self
-                .cx
-                .log(&events::UPSTREAM_LEAVING, &[("upstream", name)]),
-            Announced::Same => {}
-        }
-        let cached = self.upstreams.cached(announcement);
-        self.core.learn_cached(&announcement.pool, &cached);
-        let news = News {
-            live_until: now + announcement.ttl,
-            leaving: announcement.leaving,
-            queued: announcement.load.waiting,
-            reported: now.saturating_sub(Duration::from_millis(announcement.load.age_ms)),
-            targets: self.targets(&announcement.pool),
-        };
-        let pool = announcement.pool.clone();
-        self.core
-            .upstreams_mut()
-            .announce(now, name.clone(), pool, news);
-    }
-
-    /// What the windows of a pool aim at.
-    fn targets(&self, pool: &PoolName) -> WindowTargets {
-        let config = self.relay.config();
-        match config.and_then(|config| config.model(pool.as_str())) {
-            Some(model) => WindowTargets {
-                first: model.targets.first_token(),
-                gap: Some(model.targets.between_tokens()),
-            },
-            None => WindowTargets::service(SERVICE_LATENCY),
-        }
-    }
-
     fn forget_silent(&mut self) {
         let listed = self.core.upstreams();
         for upstream in self.upstreams.retain(|name| listed.get(name).is_some()) {
+            self.orders.forget(&upstream);
             self.cx
                 .log(&events::UPSTREAM_SILENT, &[("upstream", &upstream)]);
         }
@@ -349,7 +311,8 @@
                 self.core.fair_mut().learn_elsewhere(totals);
             }
             RelayNews::ServiceApplied(seq) => self.reports.acknowledged(seq),
-            RelayNews::Hosts { .. } | RelayNews::Proposed { .. } => {}
+            RelayNews::Proposed { id, reply } => self.orders.answered(self.cx.now(), id, &reply),
+            RelayNews::Hosts { .. } => {}
         }
     }
 
@@ -359,6 +322,8 @@
         }
         let now = self.cx.now();
         self.core.leave();
+        self.orders.stop();
+        self.give_orders(now);
         self.stop_at = Some(now + self.cfg.shutdown);
         self.cx.log(
             &events::SHUTDOWN_STARTED,
--- a/src/coltsfootnotch/daemon/sidecar/config.rs
+++ b/src/coltsfootnotch/daemon/sidecar/config.rs
@@ -6,6 +6,7 @@
 use coltsfootnotch_decide::fair::ChoicePolicy;
 use coltsfootnotch_fabric::Credentials;
 use coltsfootnotch_manifest::Limits;
+use coltsfootnotch_state::DriftBound;
 
 use crate::daemon::ControlAddress;
 
@@ -25,4 +26,6 @@
     pub shutdown: Duration,
     /// How it chooses whose work it pulls.
     pub policy: ChoicePolicy,
+    /// Bound on the drift of clocks; leases for orders to engines are held shorter by it.
+    pub drift: DriftBound,
 }
--- a/src/coltsfootnotch/daemon/sidecar/mod.rs
+++ b/src/coltsfootnotch/daemon/sidecar/mod.rs
@@ -6,9 +6,11 @@
 
 mod actor;
 mod announce;
+mod announced;
 mod attempts;
 mod config;
 mod handle;
+mod orders;
 mod runner;
 mod service_reports;
 mod sockets;
--- /dev/null
+++ b/src/coltsfootnotch/daemon/sidecar/orders/timing.rs
@@ -0,0 +1,78 @@
+//! How long loads, orders and their leases take, from the manifest.
+//!
+//! Load pattern answered: a new version wants weights on every engine of a model at once. The store
+//! has as many permits as it allows loads; a permit is kept for as long as the store needs at its
+//! stated rate, also when the engine was faster, so that neither the number of loads nor the rate is
+//! exceeded over the whole fleet.
+
+use std::time::Duration;
+
+use coltsfootnotch_manifest::WeightStore;
+use coltsfootnotch_state::Guard;
+
+/// What an order takes besides its load.
+const ORDER_OVERHEAD: Duration = Duration::from_secs(5);
+/// Longest order to an engine that checks numbers: nothing waits for its end.
+const LONGEST_ORDER: Duration = Duration::from_secs(3600);
+/// Longest order to an engine that ignores numbers. Its lease lasts twice as long, and the log
+/// grants 600 s at most.
+const LONGEST_UNFENCED: Duration = Duration::from_secs(290);
+/// Lease for orders to an engine that checks numbers: what a new holder waits for after a crash.
+const FENCED_TTL: Duration = Duration::from_secs(10);
+/// Shortest lease of a permit: renewals of a third of it survive an election.
+const SHORTEST_PERMIT: Duration = Duration::from_secs(10);
+/// Longest lease that the log grants.
+const LONGEST_LEASE: Duration = Duration::from_secs(600);
+/// Shortest pause after all permits were found taken.
+const SHORTEST_REST: Duration = Duration::from_millis(250);
+/// Longest such pause: 600 sidecars that wait ask 60 times a second together.
+const LONGEST_REST: Duration = Duration::from_secs(10);
+
+/// Times of one order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Timing {
+    /// For how long the permit is kept from the start of the load.
+    pub(super) pace: Duration,
+    /// The order is aborted after this.
+    pub(super) timeout: Duration,
+    /// Lease under which the order is given.
+    pub(super) orders_ttl: Duration,
+    /// Lease of the permit. Twice the time planned, so that a load which its sidecar can't renew any
+    /// more has most likely ended before the permit goes to another.
+    pub(super) permit_ttl: Duration,
+    /// Pause after all permits were found taken.
+    pub(super) rest: Duration,
+}
+
+impl Timing {
+    /// The times for a load of so many megabytes; zero for an order that loads nothing.
+    pub(super) fn new(store: WeightStore, megabytes: u64, is_fenced: bool) -> Self {
+        let pace = store.load_time(megabytes.saturating_mul(u64::from(store.loads)));
+        let longest = match is_fenced {
+            true => LONGEST_ORDER,
+            false => LONGEST_UNFENCED,
+        };
+        let timeout = (pace * 2 + ORDER_OVERHEAD).min(longest);
+        let orders_ttl = match is_fenced {
+            true => FENCED_TTL,
+            false => timeout * 2,
+        };
+        Self {
+            pace,
+            timeout,
+            orders_ttl,
+            permit_ttl: (pace * 2).clamp(SHORTEST_PERMIT, LONGEST_LEASE),
+            rest: pace.clamp(SHORTEST_REST, LONGEST_REST),
+        }
+    }
+
+    /// How the engine is protected from an earlier holder.
+    pub(super) fn guard(&self, is_fenced: bool) -> Guard {
+        match is_fenced {
+            true => Guard::Numbers,
+            false => Guard::Wait {
+                order_timeout: self.timeout,
+            },
+        }
+    }
+}
--- a/src/coltsfootnotch/daemon/sidecar/sockets.rs
+++ b/src/coltsfootnotch/daemon/sidecar/sockets.rs
@@ -7,6 +7,7 @@
 use coltsfootnotch_types::prelude::*;
 use stakker::sync::Channel;
 use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
 
 use super::actor::SidecarMsg;
 use super::{SidecarConfig, announce};
@@ -46,12 +47,21 @@
     }
 }
 
+/// The task that takes announcements; it ends with its sidecar, whose address is free again then.
+pub(super) struct ListenTask(JoinHandle<()>);
+
+impl Drop for ListenTask {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 /// Starts to take announcements; gives the address bound.
 pub(super) fn listen(
     cx: &HostCx,
     cfg: &SidecarConfig,
     tx: &Channel<SidecarMsg>,
-) -> Result<SocketAddr, StartError> {
+) -> Result<(SocketAddr, ListenTask), StartError> {
     let listener = cx.runtime.block_on(TcpListener::bind(cfg.announce))?;
     let address = listener.local_addr()?;
     let limits = ServerLimits {
@@ -61,6 +71,6 @@
     };
     let (cx_of_handler, tx) = (cx.clone(), tx.clone());
     let handler = move |req, from| announce::answer(cx_of_handler.clone(), tx.clone(), req, from);
-    cx.runtime.spawn(serve(listener, limits, handler));
-    Ok(address)
+    let task = cx.runtime.spawn(serve(listener, limits, handler));
+    Ok((address, ListenTask(task)))
 }
--- a/src/coltsfootnotch/ops/fleet/mod.rs
+++ b/src/coltsfootnotch/ops/fleet/mod.rs
@@ -6,6 +6,7 @@
 
 mod control_bytes;
 mod plan;
+mod restart;
 mod running;
 
 pub use control_bytes::ControlBytes;
--- a/src/coltsfootnotch/ops/fleet/running.rs
+++ b/src/coltsfootnotch/ops/fleet/running.rs
@@ -9,7 +9,7 @@
 use coltsfootnotch_fabric::{Authority, Credentials, CredentialsError, KeysError, PeerId, Traffic};
 use coltsfootnotch_fakes::{AnnounceConfig, EngineHandle, OrderHandle};
 use coltsfootnotch_manifest::{Findings, Limits, Manifest, Settings};
-use coltsfootnotch_state::{ConfigReply, Reply};
+use coltsfootnotch_state::{ConfigReply, DriftBound, Reply};
 use coltsfootnotch_types::prelude::*;
 use derive_more::{Display, Error, From};
 use rand::Rng;
@@ -72,7 +72,7 @@
 pub struct Fleet {
     controls: Vec<ControlHandle>,
     entries: Vec<EntryHandle>,
-    sidecars: Vec<SidecarHandle>,
+    pub(super) sidecars: Vec<SidecarHandle>,
     engines: Vec<EngineHandle>,
     services: Vec<OrderHandle>,
     control_addresses: Vec<ControlAddress>,
@@ -278,21 +278,32 @@
         number: usize,
         rng: &mut impl Rng,
     ) -> Result<SocketAddr, FleetError> {
+        let handle = self.sidecar(plan, number, ANY, rng)?;
+        let announce = handle.announce();
+        self.sidecars.push(handle);
+        Ok(announce)
+    }
+
+    pub(super) fn sidecar(
+        &self,
+        plan: &FleetPlan,
+        number: usize,
+        announce: SocketAddr,
+        rng: &mut impl Rng,
+    ) -> Result<SidecarHandle, FleetError> {
         let host = host_name("sidecar", number)?;
         let cx = self.cx(Role::Sidecar, &host, plan.domain(number), rng);
         let cfg = SidecarConfig {
             fleet: ANY,
-            announce: ANY,
+            announce,
             control: self.control_addresses.clone(),
             credentials: self.credentials(Role::Sidecar, &host)?,
             limits: self.limits.clone(),
             shutdown: SHUTDOWN,
             policy: plan.policy,
+            drift: DriftBound::DEFAULT,
         };
-        let handle = sidecar::start(cx, cfg)?;
-        let announce = handle.announce();
-        self.sidecars.push(handle);
-        Ok(announce)
+        Ok(sidecar::start(cx, cfg)?)
     }
 
     fn apply_manifest(&self) -> Result<(), FleetError> {
--- a/src/coltsfootnotch/ops/serve.rs
+++ b/src/coltsfootnotch/ops/serve.rs
@@ -7,6 +7,7 @@
 use coltsfootnotch_decide::fair::ChoicePolicy;
 use coltsfootnotch_fabric::{Credentials, CredentialsError};
 use coltsfootnotch_manifest::{Findings, Settings};
+use coltsfootnotch_state::DriftBound;
 use coltsfootnotch_types::prelude::*;
 use derive_more::{Display, Error, From};
 use rand::Rng;
@@ -176,6 +177,7 @@
         limits: settings.limits.clone(),
         shutdown: settings.shutdown(),
         policy: ChoicePolicy::Fair,
+        drift: DriftBound::new(settings.clock_drift_ppm),
     };
     let handle = sidecar::start(cx.clone(), cfg)?;
     serve_admin(cx, settings, handle.ready())?;
--- a/src/coltsfootnotch/util/events.rs
+++ b/src/coltsfootnotch/util/events.rs
@@ -76,6 +76,10 @@
     CONFIG_ACCEPTED = 44 Info "a configuration was accepted" => "nothing";
     HOST_SILENT = 45 Warn "a host of the failure domain is silent" => "look at that host; it receives no new work";
     BOOKING_IN_DOUBT = 50 Warn "whether a call that may not be repeated ran is not known" => "nothing: later calls with its key are told so; a rereading call may settle it";
+    ORDER_GIVEN = 60 Info "an engine is given an order" => "nothing";
+    ORDER_DONE = 61 Info "an engine has carried out an order" => "nothing";
+    ORDER_REFUSED = 62 Warn "an engine refused an order for its old fencing number" => "nothing unless it repeats: then the engine has been given a number from elsewhere";
+    ORDER_FAILED = 63 Warn "an order to an engine failed; it is given again after a pause" => "look at the engine named";
 }
 
 /// Looks an event up by its code, in any case, with or without the prefix.
