--- a/src/coltsfootnotch/daemon/sidecar/actor.rs
+++ b/src/coltsfootnotch/daemon/sidecar/actor.rs
@@ -2,10 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use coltsfootnotch_chart::{Charts, UpstreamEvent};
 use coltsfootnotch_fabric::{AttemptStream, Endpoint, Event, LinkId, LinkTx, PeerId};
 use coltsfootnotch_router::{RunOutcome, SidecarConfig as CoreConfig, SidecarCore};
 use coltsfootnotch_types::prelude::*;
@@ -25,7 +24,7 @@
 use super::upstream_call;
 use super::upstreams::Upstreams;
 use crate::core::HostCx;
-use crate::daemon::{RelayClient, RelayNews, StartError, Starter};
+use crate::daemon::{Lifecycle, RelayClient, RelayNews, StartError, Starter};
 use crate::util::events;
 
 /// Time between the actor's own rounds: heartbeats, expiry and news of service fall due on them.
@@ -86,8 +85,7 @@
     pub(super) tx: Channel<SidecarMsg>,
     endpoint: Endpoint,
     fleet: SocketAddr,
-    ready: Arc<AtomicBool>,
-    stop_at: Option<Duration>,
+    life: Lifecycle,
     _guard: ChannelGuard,
     _listening: ListenTask,
 }
@@ -126,12 +124,13 @@
         let endpoint = Endpoint::bind(&cx.runtime, cfg.fleet, &cfg.credentials, me, handler)?;
         let fleet = endpoint.address()?;
         let (announce, listening) = listen(&cx, &cfg, &tx)?;
-        let ready = Arc::new(AtomicBool::new(false));
+        let charts = Charts::load()?;
+        let life = Lifecycle::new(cx.clone(), &charts.daemon, cfg.shutdown);
         let started = Started {
             tx: tx.clone(),
             announce,
             fleet,
-            ready: Arc::clone(&ready),
+            ready: life.ready(),
             traffic: endpoint.traffic(),
         };
         let actor = Self {
@@ -141,7 +140,7 @@
                 policy: cfg.policy,
                 horizon: HORIZON,
             }),
-            upstreams: Upstreams::default(),
+            upstreams: Upstreams::new(charts.upstream),
             attempts: HashMap::new(),
             entries: BTreeMap::new(),
             relay: RelayClient::new(cx.clone(), cfg.control.clone()),
@@ -154,8 +153,7 @@
             tx,
             endpoint,
             fleet,
-            ready,
-            stop_at: None,
+            life,
             _guard: guard,
             _listening: listening,
         };
@@ -212,8 +210,6 @@
             .tick(&self.endpoint, |config| HostRecord { config, ..record });
         self.report_service(now);
         self.give_orders(now);
-        let ready = self.relay.config().is_some() && self.stop_at.is_none();
-        self.ready.store(ready, Ordering::Relaxed);
         self.run_actions();
         self.end_if_drained(stakker);
         after!(TICK, [stakker], tick());
@@ -232,17 +228,28 @@
                 .into_iter()
                 .map(|(pool, upstreams)| ServedPool { pool, upstreams })
                 .collect(),
-            leaving: self.stop_at.is_some(),
+            leaving: self.life.is_stopping(),
         }
     }
 
     fn forget_silent(&mut self) {
         let listed = self.core.upstreams();
         for upstream in self.upstreams.retain(|name| listed.get(name).is_some()) {
-            self.orders.forget(&upstream);
             self.cx
                 .log(&events::UPSTREAM_SILENT, &[("upstream", &upstream)]);
         }
+        let known = &self.upstreams;
+        self.orders.retain(|name| known.get(name).is_some());
+    }
+
+    /// An upstream can't be connected to, or has crashed: it gets no work until it announces itself
+    /// again. Without this its slots would be filled, refused and filled again at round-trip rate.
+    pub(super) fn unreachable(&mut self, upstream: &UpstreamName, event: UpstreamEvent) {
+        self.upstreams.fire(upstream, event);
+        let now = self.cx.now();
+        if let Some(slots) = self.core.upstreams_mut().get_mut(upstream) {
+            slots.live_until = now;
+        }
     }
 
     fn on_fabric(&mut self, event: Event) {
@@ -300,6 +307,7 @@
     fn on_relay_news(&mut self, news: RelayNews) {
         match news {
             RelayNews::Config(update) => {
+                self.life.config_in_force();
                 for account in &update.0.manifest().accounts {
                     self.core
                         .fair_mut()
@@ -317,18 +325,13 @@
     }
 
     fn on_stop(&mut self) {
-        if self.stop_at.is_some() {
+        if !self.life.ask_stop(self.core.running()) {
             return;
         }
-        let now = self.cx.now();
         self.core.leave();
+        let now = self.cx.now();
         self.orders.stop();
         self.give_orders(now);
-        self.stop_at = Some(now + self.cfg.shutdown);
-        self.cx.log(
-            &events::SHUTDOWN_STARTED,
-            &[("in_progress", &self.core.running())],
-        );
         let record = self.record(now);
         self.relay
             .heartbeat(now, |config| HostRecord { config, ..record });
@@ -336,19 +339,9 @@
 
     /// Ends when the last attempt has, and its entry has all of its answer.
     fn end_if_drained(&mut self, stakker: CX![]) {
-        let Some(stop_at) = self.stop_at else { return };
-        let late = self.cx.now() >= stop_at;
-        if !self.attempts.is_empty() && !late {
-            return;
-        }
-        if !self.attempts.is_empty() {
-            self.cx.log(
-                &events::SHUTDOWN_FORCED,
-                &[("in_progress", &self.attempts.len())],
-            );
+        if self.life.ends(self.attempts.len()) {
+            self.endpoint.close();
+            stop!(stakker);
         }
-        self.cx.log(&events::DAEMON_STOPPED, &[]);
-        self.endpoint.close();
-        stop!(stakker);
     }
 }
--- a/src/coltsfootnotch/daemon/sidecar/orders/mod.rs
+++ b/src/coltsfootnotch/daemon/sidecar/orders/mod.rs
@@ -68,7 +68,7 @@
         let is_other = |engine: &Engine| engine.pool != announcement.pool;
         let known = self.engines.get(&announcement.name);
         if announcement.leaving || known.is_some_and(is_other) {
-            self.forget(&announcement.name);
+            self.retain(|name| *name != announcement.name);
         }
         if announcement.leaving {
             return;
@@ -80,11 +80,16 @@
         engine.hear(now, announcement);
     }
 
-    /// The engine is silent, or gone.
-    pub(super) fn forget(&mut self, upstream: &UpstreamName) {
-        if let Some(mut engine) = self.engines.remove(upstream) {
-            engine.give_up(&mut self.leases);
-        }
+    /// Forgets engines that are silent or gone.
+    pub(super) fn retain(&mut self, is_known: impl Fn(&UpstreamName) -> bool) {
+        let leases = &mut self.leases;
+        self.engines.retain(|name, engine| {
+            let stays = is_known(name);
+            if !stays {
+                engine.give_up(leases);
+            }
+            stays
+        });
     }
 
     /// Decides what to order, and asks for, renews and gives back leases through `propose`, which
