--- a/src/coltsfootnotch/daemon/sidecar/actor.rs
+++ b/src/coltsfootnotch/daemon/sidecar/actor.rs
@@ -330,7 +330,7 @@
         }
         self.core.leave();
         let now = self.cx.now();
-        self.orders.stop();
+        self.orders.stop(now);
         self.give_orders(now);
         let record = self.record(now);
         self.relay
@@ -339,6 +339,9 @@
 
     /// Ends when the last attempt has, and its entry has all of its answer.
     fn end_if_drained(&mut self, stakker: CX![]) {
+        if self.orders.is_releasing(self.cx.now()) {
+            return;
+        }
         if self.life.ends(self.attempts.len()) {
             self.endpoint.close();
             stop!(stakker);
--- a/src/coltsfootnotch/daemon/sidecar/orders/lease_set.rs
+++ b/src/coltsfootnotch/daemon/sidecar/orders/lease_set.rs
@@ -93,6 +93,11 @@
         self.leases.get(lease).is_some_and(|entry| entry.is_refused)
     }
 
+    /// Whether a lease is given up here and not yet known to be released in the log.
+    pub(super) fn is_releasing(&self) -> bool {
+        self.leases.values().any(|entry| entry.releasing.is_some())
+    }
+
     /// Sends what is due; `propose` returns the number of the request, or none without a relay.
     pub(super) fn tick(&mut self, now: Duration, mut propose: impl FnMut(Vec<u8>) -> Option<u64>) {
         self.requests
--- a/src/coltsfootnotch/daemon/sidecar/orders/mod.rs
+++ b/src/coltsfootnotch/daemon/sidecar/orders/mod.rs
@@ -32,12 +32,15 @@
 pub(super) use names::serves;
 use records::Records;
 
+/// Time for releases to be answered when the sidecar stops; the leases expire without them.
+const RELEASE_PATIENCE: Duration = Duration::from_secs(1);
+
 /// Orders to the engines beside one sidecar.
 pub(super) struct Orders {
     engines: BTreeMap<UpstreamName, Engine>,
     leases: LeaseSet,
     records: Records,
-    is_stopped: bool,
+    stopped: Option<Duration>,
 }
 
 /// How an order ended, to be logged.
@@ -56,13 +59,13 @@
             engines: BTreeMap::new(),
             leases: LeaseSet::new(me, drift),
             records: Records::default(),
-            is_stopped: false,
+            stopped: None,
         }
     }
 
     /// Takes in an announcement; services get no orders, and engines that leave no more of them.
     pub(super) fn announced(&mut self, now: Duration, announcement: &Announcement) {
-        if announcement.kind != UpstreamKind::Engine || self.is_stopped {
+        if announcement.kind != UpstreamKind::Engine || self.stopped.is_some() {
             return;
         }
         let is_other = |engine: &Engine| engine.pool != announcement.pool;
@@ -102,7 +105,7 @@
     ) -> Vec<(UpstreamName, OrderCall)> {
         self.records.tick(now, &mut propose);
         let calls = match config {
-            Some(config) if !self.is_stopped => self.step(now, config),
+            Some(config) if self.stopped.is_none() => self.step(now, config),
             _ => Vec::new(),
         };
         self.leases.tick(now, propose);
@@ -179,10 +182,17 @@
     }
 
     /// The sidecar stops: no further order, and what is held goes back.
-    pub(super) fn stop(&mut self) {
-        self.is_stopped = true;
+    pub(super) fn stop(&mut self, now: Duration) {
+        self.stopped = Some(now);
         for engine in self.engines.values_mut() {
             engine.give_up(&mut self.leases);
         }
     }
+
+    /// Whether leases are still going back after a stop. A process that ended before that would keep
+    /// its places and permits from others until they expire.
+    pub(super) fn is_releasing(&self, now: Duration) -> bool {
+        let is_recent = |stopped| now < stopped + RELEASE_PATIENCE;
+        self.stopped.is_some_and(is_recent) && self.leases.is_releasing()
+    }
 }
