--- a/crates/router/src/sidecar/upstreams.rs
+++ b/crates/router/src/sidecar/upstreams.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use coltsfootnotch_decide::crash::ApartSlot;
-use coltsfootnotch_decide::route::{HealthEvent, UpstreamHealth, usable_slots};
+use coltsfootnotch_decide::route::{HealthEvent, UpstreamHealth, VersionShift, usable_slots};
 use coltsfootnotch_decide::window::{ConcurrencyWindow, WindowTargets};
 use coltsfootnotch_types::prelude::*;
 
@@ -32,6 +32,8 @@
     pub window: ConcurrencyWindow,
     /// How much of the window is used.
     pub health: UpstreamHealth,
+    /// How much of it the version that it serves has been given yet.
+    pub version: VersionShift,
     /// Keeps suspects of crashes apart.
     pub apart: ApartSlot,
     /// How many slots are reserved for pulls.
@@ -51,6 +53,7 @@
             generation,
             window: ConcurrencyWindow::new(news.targets),
             health: UpstreamHealth::new(now),
+            version: VersionShift::new(1.0),
             apart: ApartSlot::new(),
             reserved: 0,
             live_until: news.live_until,
@@ -64,7 +67,15 @@
         if self.leaving || self.live_until <= now {
             return 0;
         }
-        usable_slots(self.window.limit(), self.health.share(now))
+        let share = self.health.share(now) * self.version.share(now);
+        usable_slots(self.window.limit(), share)
+    }
+
+    /// It serves another version from now on, which gets its work at a stated rate: a version that
+    /// is bad has by then been seen to be with little of the work.
+    pub fn change_version(&mut self, now: Duration) {
+        self.version = VersionShift::new(0.0);
+        self.version.aim(1.0, now);
     }
 
     /// Slots that may be given out now.
--- a/src/coltsfootnotch/daemon/sidecar/announced.rs
+++ b/src/coltsfootnotch/daemon/sidecar/announced.rs
@@ -103,6 +103,11 @@
         let Some(ended) = self.orders.ended(self.cx.now(), upstream, end) else {
             return;
         };
+        if ended.changes_version {
+            let now = self.cx.now();
+            let slots = self.core.upstreams_mut().get_mut(upstream);
+            slots.into_iter().for_each(|slots| slots.change_version(now));
+        }
         let event = match end {
             OrderEnd::Done => &events::ORDER_DONE,
             OrderEnd::OldNumber => &events::ORDER_REFUSED,
--- a/src/coltsfootnotch/daemon/sidecar/orders/engine.rs
+++ b/src/coltsfootnotch/daemon/sidecar/orders/engine.rs
@@ -29,6 +29,8 @@
     pub(super) fence: FencingNumber,
     pub(super) action: Action,
     pub(super) name: String,
+    /// Whether it puts a version in the place of another.
+    pub(super) changes_version: bool,
 }
 
 /// One engine beside the sidecar.
@@ -147,7 +149,9 @@
     ) -> OrderCall {
         assert!(self.sent.is_none(), "{} gets two orders at once", self.name);
         let (order, key, value) = as_order(cx.model.name.as_str(), &action, has);
+        let loads_version = matches!(action, Action::LoadModel { .. });
         self.sent = Some(Sent {
+            changes_version: loads_version && has.model.is_some(),
             fence,
             action,
             name: value.clone(),
--- a/src/coltsfootnotch/daemon/sidecar/orders/mod.rs
+++ b/src/coltsfootnotch/daemon/sidecar/orders/mod.rs
@@ -51,6 +51,8 @@
     pub name: String,
     /// Number of the lease under which it was given.
     pub fence: u64,
+    /// Whether the engine serves another version than before.
+    pub changes_version: bool,
     /// How it ended.
     pub end: OrderEnd,
 }
@@ -176,6 +178,7 @@
             upstream: upstream.clone(),
             name: sent.name,
             fence: sent.fence.0,
+            changes_version: sent.changes_version && end == OrderEnd::Done,
             end,
         })
     }
--- a/tests/testsuite/orders_random.rs
+++ b/tests/testsuite/orders_random.rs
@@ -53,6 +53,8 @@
     machine: StateMachine,
     leader_rate: f64,
     index: u64,
+    /// Longest way of a proposal, in milliseconds.
+    most_delay: u64,
     processes: Vec<Process>,
     packets: Vec<(Duration, ProcessId, u64, Packet)>,
     /// Orders at the engine: fencing number, begin and end.
@@ -94,7 +96,9 @@
     fn new(seed: u64) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let mut manifest = FleetPlan::demo().manifest().unwrap();
-        manifest.models[0].versions[0].replicas = SIDECARS as u32;
+        // So many that crashed processes, whose places and permits have yet to expire, leave some.
+        manifest.models[0].versions[0].replicas = 64;
+        manifest.weight_store.loads = 64;
         Self {
             now: Duration::from_secs(1),
             config: ConfigIndex::new(manifest),
@@ -104,6 +108,7 @@
             processes: (0..SIDECARS).map(|host| process(host, &mut rng)).collect(),
             packets: vec![],
             seen: vec![],
+            most_delay: [50, 500, 1_000][rng.random_range(0..3)],
             rng,
         }
     }
@@ -119,12 +124,18 @@
 
     /// Crashes a process, or cuts its relay off.
     fn fail(&mut self, at: usize) {
-        if self.rng.random_bool(0.0005) {
+        // Crashes matter most in the middle of an order, cuts while a lease is waited for or held.
+        let crash = if self.processes[at].order.is_some() {
+            0.01
+        } else {
+            0.0005
+        };
+        if self.rng.random_bool(crash) {
             self.processes[at] = process(at, &mut self.rng);
         }
-        if self.rng.random_bool(0.0005) {
-            self.processes[at].cut_until =
-                self.now + Duration::from_secs(self.rng.random_range(1..40));
+        if self.rng.random_bool(0.005) {
+            let length = Duration::from_millis(self.rng.random_range(500..15_000));
+            self.processes[at].cut_until = self.now + length;
         }
     }
 
@@ -140,11 +151,12 @@
         }
         let (me, cut) = (process.me.clone(), self.now < process.cut_until);
         let (packets, rng, now) = (&mut self.packets, &mut self.rng, self.now);
+        let most_delay = self.most_delay;
         let next_id = &mut process.next_id;
         let propose = |command| {
             *next_id += 1;
             if !cut && !rng.random_bool(0.1) {
-                let delay = Duration::from_millis(rng.random_range(1..3_000));
+                let delay = Duration::from_millis(rng.random_range(1..most_delay));
                 packets.push((now + delay, me.clone(), *next_id, Packet::Proposal(command)));
             }
             Some(*next_id)
@@ -178,7 +190,9 @@
             match packet {
                 Packet::Proposal(bytes) => {
                     let reply = self.commit(decode_op(&bytes).unwrap());
-                    let delay = Duration::from_millis(self.rng.random_range(1..3_000));
+                    // Late answers leave a holder little of its lease.
+                    let most = self.most_delay * 8;
+                    let delay = Duration::from_millis(self.rng.random_range(1..most));
                     self.packets
                         .push((now + delay, to, id, Packet::Reply(reply)));
                 }
