--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,3 +4,4 @@
 mod control;
 mod demo;
 mod load;
+mod orders;
