--- a/src/coltsfootnotch/daemon/entry/attempt.rs
+++ b/src/coltsfootnotch/daemon/entry/attempt.rs
@@ -6,6 +6,7 @@
 use coltsfootnotch_fabric::{AttemptStream, LinkTx, read_frame, write_frame};
 use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::{AttemptReply, Begin, BeginCause, FailReason};
+use metrics::Histogram;
 use tokio::sync::{mpsc, watch};
 
 use super::ReplyPart;
@@ -33,6 +34,9 @@
     pub(super) next: u64,
     pub(super) collected: Collected,
     pub(super) first_piece: Option<Duration>,
+    /// When the last piece came, for the time between tokens.
+    pub(super) last_piece: Option<Duration>,
+    pub(super) gaps: Histogram,
     pub(super) upstream: Option<UpstreamName>,
 }
 
@@ -176,8 +180,12 @@
         }
         let first = self.next == 0;
         self.next += 1;
+        let now = self.cx.now();
+        if let Some(last) = self.last_piece.replace(now) {
+            self.gaps.record(now.saturating_sub(last).as_secs_f64());
+        }
         if first {
-            self.first_piece = Some(self.cx.now());
+            self.first_piece = Some(now);
         }
         if !self.stream {
             return self.collect(&data);
--- a/src/coltsfootnotch/daemon/entry/outcomes.rs
+++ b/src/coltsfootnotch/daemon/entry/outcomes.rs
@@ -19,6 +19,9 @@
 use crate::core::{Refusal, RefusalKind};
 use crate::util::events;
 
+/// Time between the pieces of an answer, by account.
+const TOKEN_GAP: &str = "account_token_gap_seconds";
+
 impl EntryActor {
     /// A slot is chosen: what may be repeated starts, the rest has its intent committed first.
     pub(super) fn on_chosen(&mut self, chosen: Chosen) {
@@ -92,6 +95,11 @@
             next: 0,
             collected: Collected::default(),
             first_piece: None,
+            last_piece: None,
+            gaps: self
+                .cx
+                .metrics
+                .account_histogram(TOKEN_GAP, &arrival.account),
             upstream: None,
         };
         let waited = now.saturating_sub(arrival.arrived);
--- a/src/coltsfootnotch/util/metrics.rs
+++ b/src/coltsfootnotch/util/metrics.rs
@@ -107,7 +107,8 @@
         self.recorder.handle().render()
     }
 
-    fn account_histogram(&self, name: &str, account: &AccountName) -> Histogram {
+    /// The histogram of an account, to be recorded in often.
+    pub fn account_histogram(&self, name: &str, account: &AccountName) -> Histogram {
         let label = self.account_label(account);
         self.recorder
             .register_histogram(&key(name, &[("account", &label)]), &METADATA)
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! The daemons as a whole.
 
+mod bad_input;
 mod commands;
 mod control;
 mod demo;
