Charge an account when its work is pulled for

Cause: an account was charged when its request started, so slots that came free together all asked for the same account; and a reservation that had expired but was not yet ended was taken out of the table without its slot being freed. Change: a pull charges the learned estimate, given back when the request starts with its own or the pull ends; an expired reservation stays until it is ended.

--- a/crates/router/src/sidecar/core.rs
+++ b/crates/router/src/sidecar/core.rs
@@ -148,7 +148,7 @@
             }
             ToSidecar::Nothing { pull } => {
                 if let Some(reserved) = self.pulls.release(pull) {
-                    self.unreserve(&reserved);
+                    self.unreserve(reserved);
                 }
             }
             ToSidecar::Cancel { attempt } => {
--- a/crates/router/src/sidecar/pulling.rs
+++ b/crates/router/src/sidecar/pulling.rs
@@ -43,6 +43,7 @@
         let generation = slots.generation;
         let pool = pool.clone();
         let until = now + PULL_TIMEOUT;
+        let charge = self.fair.start(&account, None);
         let reserved = Reserved {
             entry: entry.clone(),
             account,
@@ -50,6 +51,7 @@
             upstream,
             generation,
             until,
+            charge,
         };
         let pull = self.pulls.reserve(reserved);
         let message = FromSidecar::Pull {
@@ -62,7 +64,8 @@
         true
     }
 
-    pub(super) fn unreserve(&mut self, reserved: &Reserved) {
+    pub(super) fn unreserve(&mut self, reserved: Reserved) {
+        self.fair.abandon(reserved.charge);
         let (upstream, generation) = (&reserved.upstream, reserved.generation);
         if let Some(slots) = self.upstreams.of_generation(upstream, generation) {
             assert!(slots.reserved > 0, "a slot of {upstream} is freed twice");
@@ -72,7 +75,7 @@
 
     pub(super) fn end_pulls(&mut self, now: Duration, gone: Option<&HostName>) {
         for (_, reserved) in self.pulls.expire(now, gone) {
-            self.unreserve(&reserved);
+            self.unreserve(reserved);
         }
     }
 }
--- a/crates/router/src/sidecar/pulls.rs
+++ b/crates/router/src/sidecar/pulls.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use coltsfootnotch_decide::estimate::RunCharge;
 use coltsfootnotch_types::prelude::*;
 
 /// How long a slot stays reserved for a pull.
@@ -26,6 +27,9 @@
     pub generation: u64,
     /// When the reservation ends.
     pub until: Duration,
+    /// What the account is charged while the slot waits for its work: slots that come free together
+    /// would otherwise all ask for the same account.
+    pub charge: RunCharge,
 }
 
 /// Reservations of one sidecar run.
@@ -53,11 +57,11 @@
 
     /// Uses a pull to start an attempt; none when it was used, ended or expired before.
     pub fn take(&mut self, now: Duration, pull: u64) -> Option<Reserved> {
-        let reserved = self.release(pull)?;
-        if reserved.until <= now {
+        // One that has expired stays until it is ended with the others, which frees its slot.
+        if self.reserved.get(&pull)?.until <= now {
             return None;
         }
-        Some(reserved)
+        self.release(pull)
     }
 
     /// Ends a reservation that nothing will use.
--- a/crates/router/src/sidecar/starts.rs
+++ b/crates/router/src/sidecar/starts.rs
@@ -11,7 +11,7 @@
 };
 
 use super::runs::Run;
-use super::{Reserved, RunOutcome, SidecarCore, UpstreamSlots};
+use super::{RunOutcome, SidecarCore, UpstreamSlots};
 
 impl SidecarCore {
     /// Decides whether an attempt starts, and on which upstream.
@@ -132,10 +132,10 @@
         let pulled = match begin.cause {
             BeginCause::Pull { pull } => {
                 let reserved = self.pulls.take(now, pull);
-                if let Some(reserved) = &reserved {
-                    self.unreserve(reserved);
-                }
-                Some(reserved.ok_or(NotStartedReason::PullExpired)?)
+                let reserved = reserved.ok_or(NotStartedReason::PullExpired)?;
+                let place = (reserved.upstream.clone(), reserved.generation);
+                self.unreserve(reserved);
+                Some(place)
             }
             BeginCause::Offer if !begin.repeatable => return Err(NotStartedReason::PullExpired),
             BeginCause::Offer => {
@@ -147,7 +147,7 @@
         if self.leaving {
             return Err(NotStartedReason::Leaving);
         }
-        let kept = pulled.and_then(|reserved| self.still_open(now, reserved, &begin.pool));
+        let kept = pulled.and_then(|place| self.still_open(now, place, &begin.pool));
         let upstream = kept.or_else(|| self.upstreams.freest(now, &begin.pool));
         upstream.ok_or(NotStartedReason::Busy)
     }
@@ -159,12 +159,12 @@
     fn still_open(
         &self,
         now: Duration,
-        reserved: Reserved,
+        (upstream, generation): (UpstreamName, u64),
         pool: &PoolName,
     ) -> Option<UpstreamName> {
-        let slots = self.upstreams.get(&reserved.upstream)?;
-        let same = slots.generation == reserved.generation && slots.pool == *pool;
-        (same && slots.usable(now) > 0).then_some(reserved.upstream)
+        let slots = self.upstreams.get(&upstream)?;
+        let same = slots.generation == generation && slots.pool == *pool;
+        (same && slots.usable(now) > 0).then_some(upstream)
     }
 }
 
