--- a/crates/membership/src/directory.rs
+++ b/crates/membership/src/directory.rs
@@ -9,7 +9,9 @@
 use coltsfootnotch_types::{HostName, Role};
 
 use crate::timing::KEEP_STALE_RELAY;
-use crate::{Epoch, HostRecord, Presence, RelayId, Selection, Summary, SummaryDelta, Timing};
+use crate::{
+    Epoch, HostRecord, Presence, REMOTE_CONTACTS, RelayId, Selection, Summary, SummaryDelta, Timing,
+};
 
 /// One relay as this one knows it.
 #[derive(Debug, Clone)]
@@ -30,6 +32,7 @@
     sources: BTreeMap<HostName, Source>,
     hosts: BTreeMap<HostName, HostRecord>,
     selection: Selection,
+    remote_contacts: usize,
     version: u64,
 }
 
@@ -43,10 +46,19 @@
             sources: BTreeMap::new(),
             hosts: BTreeMap::new(),
             selection: Selection::default(),
+            remote_contacts: REMOTE_CONTACTS,
             version: 0,
         }
     }
 
+    /// Changes how many sidecars an entry knows for each pool in each other failure domain. It must
+    /// be the same at every relay.
+    pub fn set_remote_contacts(&mut self, n: usize) {
+        self.remote_contacts = n;
+        self.selection = Selection::of(self.hosts.values(), n);
+        self.version += 1;
+    }
+
     /// Whether this relay has been up long enough for a host missing here to be gone.
     #[must_use]
     pub fn is_settled(&self, now: Duration) -> bool {
@@ -124,7 +136,7 @@
         }
         if hosts != self.hosts {
             self.hosts = hosts;
-            self.selection = Selection::of(self.hosts.values());
+            self.selection = Selection::of(self.hosts.values(), self.remote_contacts);
             self.version += 1;
         }
     }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -27,6 +27,7 @@
 mod sums;
 mod sums_feed;
 mod timing;
+mod totals;
 mod view;
 
 pub use batches::{ServiceBatch, ServiceBatches};
--- a/crates/membership/src/selection.rs
+++ b/crates/membership/src/selection.rs
@@ -26,8 +26,8 @@
 }
 
 impl Selection {
-    /// The pairs among `hosts`.
-    pub fn of<'a>(hosts: impl Iterator<Item = &'a HostRecord>) -> Self {
+    /// The pairs among `hosts`, with up to `max` sidecars for each entry, pool and other domain.
+    pub fn of<'a>(hosts: impl Iterator<Item = &'a HostRecord>, max: usize) -> Self {
         let mut entries = Vec::new();
         let mut places: BTreeMap<(&DomainName, &PoolName), Candidates<'_>> = BTreeMap::new();
         for (record, profile) in hosts.filter_map(listed) {
@@ -48,7 +48,7 @@
         for (entry, domain) in entries {
             for ((remote, _), sidecars) in &places {
                 if *remote != domain {
-                    selection.choose(entry, sidecars);
+                    selection.choose(entry, sidecars, max);
                 }
             }
         }
@@ -57,7 +57,7 @@
 
     /// Chooses the best active sidecars. Leaving ones that rank among them stay chosen besides, so
     /// that the entry learns that they are leaving and can end what it has there.
-    fn choose(&mut self, entry: &HostName, sidecars: &Candidates<'_>) {
+    fn choose(&mut self, entry: &HostName, sidecars: &Candidates<'_>, max: usize) {
         let mut ranked: Vec<_> = sidecars
             .iter()
             .map(|(s, is_active)| (score(entry, s), *s, *is_active))
@@ -65,7 +65,7 @@
         ranked.sort_unstable();
         let mut active = 0;
         for (_, sidecar, is_active) in ranked {
-            if active == REMOTE_CONTACTS {
+            if active == max {
                 break;
             }
             active += usize::from(is_active);
--- a/crates/membership/src/sums.rs
+++ b/crates/membership/src/sums.rs
@@ -10,11 +10,12 @@
 use coltsfootnotch_types::{AccountName, HostName, Incarnation, ServiceUnits};
 use serde::{Deserialize, Serialize};
 
+use crate::totals::Totals;
 use crate::{Epoch, RelayId, ServiceBatch};
 
-/// Runs of one relay whose sums are kept apart; older ones are added up for good. Sums that were
-/// added up are not told to a relay that restarts later, so the number is well above the restarts
-/// between two replacements of a control host.
+/// Runs of one relay whose sums are kept apart; of older ones only the totals remain. These are not
+/// told to a relay that restarts later, so the number is well above the restarts between two
+/// replacements of a control host.
 const MAX_EPOCHS: usize = 64;
 
 /// Changes of one relay's sums.
@@ -42,9 +43,9 @@
 pub struct RelaySums {
     me: RelayId,
     runs: BTreeMap<HostName, BTreeMap<Epoch, Component>>,
-    base: BTreeMap<AccountName, u64>,
     folded: BTreeMap<HostName, Epoch>,
     taken: BTreeMap<(HostName, Incarnation), u64>,
+    totals: Totals,
 }
 
 impl RelaySums {
@@ -54,9 +55,9 @@
         Self {
             me,
             runs: BTreeMap::new(),
-            base: BTreeMap::new(),
             folded: BTreeMap::new(),
             taken: BTreeMap::new(),
+            totals: Totals::default(),
         }
     }
 
@@ -76,6 +77,7 @@
         for (account, units) in &batch.added {
             let sum = own.sums.entry(account.clone()).or_default();
             *sum = (sum.0.saturating_add(units.0), own.version);
+            self.totals.add(account, units.0);
         }
         batch.seq
     }
@@ -125,6 +127,7 @@
         for (account, units) in &delta.sums {
             let sum = component.sums.entry(account.clone()).or_default();
             if units.0 > sum.0 {
+                self.totals.add(account, units.0 - sum.0);
                 *sum = (units.0, delta.to);
             }
         }
@@ -136,18 +139,15 @@
         is_complete
     }
 
-    /// Adds the oldest runs of a relay up for good when there are too many.
+    /// Drops the oldest runs of a relay when there are too many; the totals keep what they counted.
     fn fold(&mut self, host: &HostName) {
         let Some(runs) = self.runs.get_mut(host) else {
             return;
         };
         while runs.len() > MAX_EPOCHS {
-            let Some((epoch, component)) = runs.pop_first() else {
+            let Some((epoch, _)) = runs.pop_first() else {
                 return;
             };
-            for (account, (units, _)) in component.sums {
-                *self.base.entry(account).or_default() += units;
-            }
             self.folded.insert(host.clone(), epoch);
         }
     }
@@ -155,10 +155,12 @@
     /// The service of `account` over the whole fleet.
     #[must_use]
     pub fn total(&self, account: &AccountName) -> ServiceUnits {
-        let base = self.base.get(account).copied().unwrap_or(0);
-        let runs = self.runs.values().flat_map(BTreeMap::values);
-        let units = runs.filter_map(|c| c.sums.get(account)).map(|(u, _)| *u);
-        ServiceUnits(units.fold(base, u64::saturating_add))
+        self.totals.get(account)
+    }
+
+    /// What changed in the totals, for the feeds of hosts.
+    pub(crate) fn totals(&self) -> &Totals {
+        &self.totals
     }
 }
 
