--- a/crates/membership/src/timing.rs
+++ b/crates/membership/src/timing.rs
@@ -7,7 +7,7 @@
 /// A host that is lost just after a heartbeat is found silent `silent_after` later, plus one call of
 /// [`crate::Registry::tick`]: 2.5 s and 0.25 s with the defaults, within the 3 s that are required.
 /// Five heartbeats fall into `silent_after`; with a tenth of them lost at random, a present host is
-/// taken for silent about once in 14 hours (0.1 to the fifth, twice a second), and then damped.
+/// taken for silent about once in 15 hours (0.1 to the fifth, twice a second), and then damped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Timing {
     /// Between two heartbeats of a host.
--- a/crates/state/src/limits.rs
+++ b/crates/state/src/limits.rs
@@ -23,11 +23,11 @@
 }
 
 impl LedgerLimits {
-    /// 48 hours cover a weekend's retries of a print run; 4,096 records, 4 MiB and 262,144 keys
+    /// 72 hours cover the retries of a long weekend; 4,096 records, 4 MiB and 262,144 keys
     /// (2 MiB) bound what one account can cost every control host; 8 KiB holds an order's answer;
     /// eight attempts mean that seven sidecars gave the call back unrun.
     pub const DEFAULT: Self = Self {
-        retention_secs: 48 * 3_600,
+        retention_secs: 72 * 3_600,
         records_per_account: 4_096,
         answer_bytes_per_account: 4 << 20,
         answer_bytes_per_record: 8 << 10,
