Round the expiry of a lease up

Cause: a stamp is cut to whole milliseconds, so with clocks at the bound of drift a lease was handed on up to a millisecond before its holder stopped. Change: the expiry counts a millisecond more.

--- a/crates/state/src/lease.rs
+++ b/crates/state/src/lease.rs
@@ -18,6 +18,10 @@
 /// Longest lease: what is waited for after its holder was lost.
 const MAX_TTL: Duration = Duration::from_secs(600);
 
+/// A stamp is cut to whole milliseconds, so the lease may really have begun up to this much after its
+/// stamp. Without it the expiry came a fraction of a millisecond before the holder stopped.
+const STAMP_ROUNDING: Duration = Duration::from_millis(1);
+
 /// Where a lease stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Lease {
@@ -73,7 +77,7 @@
         if !(MIN_TTL..=MAX_TTL).contains(&req.ttl) {
             return LeaseReply::BadTtl;
         }
-        let until = now.after(req.ttl);
+        let until = expiry(now, req.ttl);
         let before = self.by_name.get_mut(&req.lease);
         if let Some(lease) = before
             && lease.is_held(now)
@@ -133,7 +137,7 @@
         }
         match self.by_name.get_mut(&req.lease) {
             Some(lease) if lease.number == req.number && lease.is_held(now) => {
-                lease.until = lease.until.max(now.after(req.ttl));
+                lease.until = lease.until.max(expiry(now, req.ttl));
                 lease.granted(req.ttl)
             }
             _ => LeaseReply::Lost,
@@ -150,3 +154,7 @@
         }
     }
 }
+
+fn expiry(now: LogTime, ttl: Duration) -> LogTime {
+    now.after(ttl + STAMP_ROUNDING)
+}
