Kill real control processes while changes and bookings go on

Cause: the group was tested in one process only, where a lost process still closes its connections; and open requests were scanned with every input. Change: a test that ends coltsfootnotchd processes by SIGKILL, the leader and then a second host, and asks every member for everything that was acknowledged; the table of requests keeps those that wait or apply apart.

--- a/src/coltsfootnotch/daemon/control/daemon/from_members.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/from_members.rs
@@ -36,7 +36,7 @@
             MemberPacket::Ask { id, ask } => self.on_ask(now, link, id, ask),
             MemberPacket::Answer { id, answer } => {
                 let request = RequestId(id);
-                if self.requests.sent_over(link).contains(&request) {
+                if self.requests.is_sent_over(link, request) {
                     self.done(now, request, answer);
                 }
             }
--- a/src/coltsfootnotch/daemon/control/request_table.rs
+++ b/src/coltsfootnotch/daemon/control/request_table.rs
@@ -4,7 +4,7 @@
 //! refused though a new leader is there within a second. Requests wait that long, bounded in number,
 //! and are then refused as not proposed, so that a caller hears `"run":"no"` soon.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use coltsfootnotch_fabric::LinkId;
@@ -78,6 +78,11 @@
 pub struct RequestTable {
     last: u64,
     open: BTreeMap<RequestId, Request>,
+    /// Those that wait for a leader. It and `applying` are looked at with every input, when thousands
+    /// may be open.
+    waiting: BTreeSet<RequestId>,
+    /// Those that wait until an index is applied, lowest first.
+    applying: BTreeSet<(u64, RequestId)>,
 }
 
 impl RequestTable {
@@ -99,6 +104,7 @@
             deadline: now + WAIT_FOR_LEADER,
         };
         self.open.insert(id, request);
+        self.waiting.insert(id);
         Ok(id)
     }
 
@@ -113,53 +119,84 @@
         let Some(request) = self.open.get_mut(&id) else {
             return;
         };
-        request.place = place;
+        let left = std::mem::replace(&mut request.place, place);
         request.deadline = match place {
             Place::Waiting => request.opened + WAIT_FOR_LEADER,
             Place::Here | Place::Sent(_) | Place::Applying(_) => now + WAIT_FOR_COMMIT,
         };
+        self.leave(id, left);
+        match place {
+            Place::Waiting => {
+                self.waiting.insert(id);
+            }
+            Place::Applying(index) => {
+                self.applying.insert((index, id));
+            }
+            Place::Here | Place::Sent(_) => {}
+        }
+    }
+
+    fn leave(&mut self, id: RequestId, place: Place) {
+        match place {
+            Place::Waiting => {
+                self.waiting.remove(&id);
+            }
+            Place::Applying(index) => {
+                self.applying.remove(&(index, id));
+            }
+            Place::Here | Place::Sent(_) => {}
+        }
     }
 
     /// Ends a request.
     pub fn close(&mut self, id: RequestId) -> Option<Request> {
-        self.open.remove(&id)
+        let request = self.open.remove(&id)?;
+        self.leave(id, request.place);
+        Some(request)
     }
 
     /// Requests that wait for a leader.
+    #[must_use]
     pub fn waiting(&self) -> Vec<RequestId> {
-        self.ids(|place| place == Place::Waiting)
+        self.waiting.iter().copied().collect()
+    }
+
+    /// Whether a request was sent over a connection and not answered yet.
+    #[must_use]
+    pub fn is_sent_over(&self, link: LinkId, id: RequestId) -> bool {
+        self.get(id).is_some_and(|r| r.place == Place::Sent(link))
     }
 
     /// Requests sent over a connection, whose answers can't come any more once it is gone.
+    #[must_use]
     pub fn sent_over(&self, link: LinkId) -> Vec<RequestId> {
-        self.ids(|place| place == Place::Sent(link))
+        let sent = self
+            .open
+            .iter()
+            .filter(|(_, r)| r.place == Place::Sent(link));
+        sent.map(|(id, _)| *id).collect()
     }
 
     /// Reads whose state has been applied.
+    #[must_use]
     pub fn applied(&self, index: u64) -> Vec<RequestId> {
-        self.ids(|place| matches!(place, Place::Applying(wanted) if wanted <= index))
-    }
-
-    fn ids(&self, wanted: impl Fn(Place) -> bool) -> Vec<RequestId> {
-        let matching = self.open.iter().filter(|(_, r)| wanted(r.place));
-        matching.map(|(id, _)| *id).collect()
+        let applied = self
+            .applying
+            .iter()
+            .take_while(|(wanted, _)| *wanted <= index);
+        applied.map(|(_, id)| *id).collect()
     }
 
     /// Ends the requests whose time is over, each with its last answer.
     pub fn expire(&mut self, now: Duration) -> Vec<(Request, Answer)> {
-        let late = self
-            .open
-            .extract_if(.., |_, request| now >= request.deadline);
-        late.map(|(_, request)| {
-            let answer = refusal(&request.ask, request.place);
-            (request, answer)
-        })
-        .collect()
+        let late = self.open.iter().filter(|(_, r)| now >= r.deadline);
+        let late: Vec<_> = late.map(|(id, _)| *id).collect();
+        late.into_iter().filter_map(|id| self.lose(id)).collect()
     }
 
     /// Ends a request whose answer can't come any more.
     pub fn lose(&mut self, id: RequestId) -> Option<(Request, Answer)> {
-        let request = self.open.remove(&id)?;
+        let request = self.close(id)?;
         let answer = refusal(&request.ask, request.place);
         Some((request, answer))
     }
--- a/tests/testsuite/control.rs
+++ b/tests/testsuite/control.rs
@@ -7,3 +7,4 @@
 mod hosts;
 mod load;
 mod members;
+mod processes;
--- a/tests/testsuite/control/group.rs
+++ b/tests/testsuite/control/group.rs
@@ -1,6 +1,6 @@
 //! A control group in one process on loopback, and clients that talk to it as hosts do.
 
-use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
@@ -201,10 +201,19 @@
 /// Each is an IP number of its own: a port that is free now may be given to another test before the
 /// daemon binds it, or while the daemon restarts.
 pub(crate) fn free_address() -> SocketAddr {
+    let socket = UdpSocket::bind((own_ip(), 0)).expect("a socket");
+    socket.local_addr().expect("an address")
+}
+
+/// The same for TCP.
+pub(crate) fn free_tcp_address() -> SocketAddr {
+    let listener = TcpListener::bind((own_ip(), 0)).expect("a socket");
+    listener.local_addr().expect("an address")
+}
+
+fn own_ip() -> Ipv4Addr {
     let [_, _, process_high, process_low] = std::process::id().to_be_bytes();
     let number = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed);
     let low = u8::try_from(number % 250).expect("below 250") + 2;
-    let ip = Ipv4Addr::new(127, process_high | 1, process_low, low);
-    let socket = UdpSocket::bind((ip, 0)).expect("a socket");
-    socket.local_addr().expect("an address")
+    Ipv4Addr::new(127, process_high | 1, process_low, low)
 }
--- /dev/null
+++ b/tests/testsuite/control/processes.rs
@@ -0,0 +1,236 @@
+//! Control hosts as real processes that are ended by SIGKILL.
+
+use std::fs;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+
+use coltsfootnotch::daemon::ControlAddress;
+use coltsfootnotch_fabric::{Authority, Credentials, PeerId};
+use coltsfootnotch_state::{
+    AttemptId, BodyDigest, ConfigReply, IdempotencyKey, LedgerOp, LedgerReply, Op, ProcessId, Reply,
+};
+use coltsfootnotch_types::prelude::*;
+use googletest::prelude::*;
+use tempfile::TempDir;
+use tokio::runtime::Runtime;
+
+use super::client::{Client, manifest};
+use super::group::{free_address, free_tcp_address, host, wait_until};
+
+/// Three processes of `coltsfootnotchd` with settings, keys and data folders of their own.
+struct Processes {
+    runtime: Runtime,
+    authority: Authority,
+    dir: TempDir,
+    members: Vec<ControlAddress>,
+    running: Vec<Option<Child>>,
+}
+
+impl Processes {
+    fn started() -> Self {
+        let members: Vec<_> = (1..=3)
+            .map(|n| ControlAddress {
+                host: host(&format!("c{n}")),
+                address: free_address(),
+                domain: DomainName::new(format!("d{n}")).expect("a name"),
+            })
+            .collect();
+        let mut processes = Self {
+            runtime: Runtime::new().expect("a runtime"),
+            authority: Authority::generate().expect("an authority"),
+            dir: TempDir::new().expect("a folder"),
+            running: members.iter().map(|_| None).collect(),
+            members,
+        };
+        for at in 0..processes.members.len() {
+            processes.write_files(at);
+            processes.start(at);
+        }
+        processes
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        self.dir.path().join(name)
+    }
+
+    fn write_files(&self, at: usize) {
+        let member = &self.members[at];
+        let name = member.host.as_str();
+        let peer = PeerId {
+            role: Role::Control,
+            host: member.host.clone(),
+        };
+        let issued = self.authority.issue(&peer).expect("a key");
+        let control: Vec<_> = self
+            .members
+            .iter()
+            .map(|m| {
+                serde_json::json!({
+                    "host": m.host, "address": m.address.to_string(), "domain": m.domain,
+                })
+            })
+            .collect();
+        let settings = serde_json::json!({
+            "role": "control",
+            "host": member.host,
+            "domain": member.domain,
+            "region": "r1",
+            "listen": {
+                "fleet": member.address.to_string(),
+                "admin": free_tcp_address().to_string(),
+            },
+            "control": control,
+            "keys": {
+                "ca": "ca.pem",
+                "certificate": format!("{name}.pem"),
+                "key": format!("{name}.key"),
+            },
+            "data": format!("data-{name}"),
+        });
+        let files = [
+            ("ca.pem".to_owned(), self.authority.certificate().to_owned()),
+            (format!("{name}.pem"), issued.certificate),
+            (format!("{name}.key"), issued.key),
+            (format!("{name}.jsonc"), settings.to_string()),
+        ];
+        for (file, text) in files {
+            fs::write(self.path(&file), text).expect("written");
+        }
+    }
+
+    fn start(&mut self, at: usize) {
+        let settings = self.path(&format!("{}.jsonc", self.members[at].host));
+        let child = Command::new(env!("CARGO_BIN_EXE_coltsfootnotchd"))
+            .arg("--settings")
+            .arg(settings)
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the daemon starts");
+        self.running[at] = Some(child);
+    }
+
+    /// SIGKILL: the process gets no chance to write or to say anything.
+    fn kill(&mut self, at: usize) {
+        let mut child = self.running[at].take().expect("it runs");
+        child.kill().expect("it is killed");
+        child.wait().expect("it has ended");
+    }
+
+    fn client(&self, at: usize, role: Role, name: &str) -> Client {
+        let peer = PeerId {
+            role,
+            host: host(name),
+        };
+        let issued = self.authority.issue(&peer).expect("a key");
+        let ca = self.authority.certificate();
+        let credentials =
+            Credentials::from_pem(ca, &issued.certificate, &issued.key).expect("credentials");
+        Client::connect(self.runtime.handle(), &credentials, &self.members[at])
+    }
+
+    /// The leader, as the member at `asked` knows it.
+    fn leader(&self, asked: usize) -> usize {
+        let mut client = self.client(asked, Role::Operator, "probe");
+        let mut leader = None;
+        wait_until("there is a leader", || {
+            let name = client.status()["group"]["leader"].as_str().map(host);
+            leader = name.and_then(|l| self.members.iter().position(|m| m.host == l));
+            leader.is_some_and(|at| self.running[at].is_some())
+        });
+        leader.expect("a leader")
+    }
+}
+
+impl Drop for Processes {
+    fn drop(&mut self) {
+        for child in self.running.iter_mut().flatten() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+fn intent(key: &str, attempt: u64) -> Op {
+    let account = AccountName::new("bistro").expect("a name");
+    let key = IdempotencyKey::parse(key).expect("a key");
+    let attempt = AttemptId {
+        entry: Incarnation(1),
+        number: attempt,
+    };
+    let sidecar = ProcessId {
+        host: host("s1"),
+        incarnation: Incarnation(2),
+    };
+    Op::Ledger(LedgerOp::intent(
+        &account,
+        &key,
+        BodyDigest::of(b"{}"),
+        attempt,
+        &sidecar,
+    ))
+}
+
+/// Proposes again until there is an answer, as hosts do.
+fn until_answered(client: &mut Client, op: &Op) -> Reply {
+    let mut reply = None;
+    wait_until("the group answers", || {
+        reply = client.propose(op).ok();
+        reply.is_some()
+    });
+    reply.expect("a reply")
+}
+
+/// Changes and intents come all the time, through the member at `at`; everything in `numbers` is
+/// acknowledged when this returns.
+fn work(processes: &Processes, at: usize, numbers: std::ops::Range<u64>) {
+    let mut operator = processes.client(at, Role::Operator, "op");
+    let mut entry = processes.client(at, Role::Entry, "e1");
+    for number in numbers {
+        let change = Op::ApplyConfig(manifest(number, &["bistro"]));
+        let accepted = until_answered(&mut operator, &change);
+        assert_that!(
+            accepted,
+            pat!(Reply::Config(pat!(ConfigReply::Accepted { .. })))
+        );
+        let started = until_answered(&mut entry, &intent(&format!("k{number}"), number));
+        assert_that!(started, eq(&Reply::Ledger(LedgerReply::Started)));
+    }
+}
+
+/// The leader is killed, and after it has come back a second host, while changes and bookings go on;
+/// each comes back with its folder. What was acknowledged at any time is there at the end, at every
+/// member: each change is answered as accepted again, and each booked key still names its attempt, so
+/// a second run of it is refused.
+#[test]
+fn nothing_acknowledged_is_lost_when_the_leader_and_a_second_host_are_killed() {
+    let mut processes = Processes::started();
+    let leader = processes.leader(0);
+    let (second, third) = ((leader + 1) % 3, (leader + 2) % 3);
+    work(&processes, second, 1..6);
+    processes.kill(leader);
+    work(&processes, second, 6..11);
+    processes.start(leader);
+    processes.kill(second);
+    work(&processes, third, 11..16);
+    processes.start(second);
+    work(&processes, leader, 16..18);
+
+    for at in 0..3 {
+        let mut operator = processes.client(at, Role::Operator, "op");
+        let mut entry = processes.client(at, Role::Entry, "e1");
+        for number in 1..18 {
+            let change = Op::ApplyConfig(manifest(number, &["bistro"]));
+            let again = until_answered(&mut operator, &change);
+            assert_that!(
+                again,
+                pat!(Reply::Config(pat!(ConfigReply::Accepted { .. })))
+            );
+            let other_attempt = 1_000 + number;
+            let refused = until_answered(&mut entry, &intent(&format!("k{number}"), other_attempt));
+            let Reply::Ledger(LedgerReply::InDoubt { attempt, .. }) = refused else {
+                panic!("key {number} could run again: {refused:?}");
+            };
+            assert_that!(attempt.number, eq(number));
+        }
+    }
+}
