Measure restarts and the cost of hosts at a control host

Cause: the size to design for needs slopes, and restarts after 500 and 5,000 changes were not measured. Change: the control bench has three parts: commits, restart, hosts.

--- a/benches/control.rs
+++ b/benches/control/commits.rs
@@ -1,15 +1,7 @@
-//! Commits a second of a control group on this machine: `cargo bench --bench control`.
+//! Commits a second.
 //!
-//! Three control daemons in one process, with real files and connections over loopback. One entry
-//! keeps a number of ledger writes under way, each for a key of its own, and measures how long each
-//! takes from proposal to answer; with and without grouping of writes into entries of the log.
-
-#[path = "../tests/testsuite/control/client.rs"]
-#[expect(dead_code, reason = "the tests use the rest")]
-mod client;
-#[path = "../tests/testsuite/control/group.rs"]
-#[expect(dead_code, reason = "the tests use the rest")]
-mod group;
+//! One entry keeps a number of ledger writes under way, each for a key of its own, and measures how
+//! long each takes from proposal to answer; with and without grouping of writes into entries.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -22,8 +14,8 @@
 use coltsfootnotch_wire::FromRelay;
 use hdrhistogram::Histogram;
 
-use client::Client;
-use group::{Group, host};
+use crate::client::Client;
+use crate::group::{Group, host};
 
 /// Long enough for hundreds of syncs.
 const RUN_FOR: Duration = Duration::from_secs(5);
@@ -32,7 +24,8 @@
 /// Accounts that the keys belong to, so that no account's records run out.
 const ACCOUNTS: u64 = 500;
 
-fn main() {
+/// Measures each combination and prints a row of a table for it.
+pub(crate) fn run() {
     println!(
         "| asked | grouped | under way | commits/s | p50 ms | p99 ms | writes/entry | writes/sync |"
     );
@@ -58,7 +51,7 @@
     let mut operator = group.client(leader, Role::Operator, "op");
     let mut entry = group.client(at, Role::Entry, "e1");
     let (entries_before, syncs_before) = counts(&mut operator);
-    let latencies = run(&mut entry, under_way);
+    let latencies = keep_under_way(&mut entry, under_way);
     let (entries, syncs) = counts(&mut operator);
     let commits = latencies.len() as f64;
     let ms = |quantile| latencies.value_at_quantile(quantile) as f64 / 1e3;
@@ -82,7 +75,7 @@
 }
 
 /// Keeps `under_way` writes under way; returns the latencies in microseconds.
-fn run(entry: &mut Client, under_way: usize) -> Histogram<u64> {
+fn keep_under_way(entry: &mut Client, under_way: usize) -> Histogram<u64> {
     let mut latencies = Histogram::new(3).expect("a histogram");
     let mut sent = BTreeMap::new();
     let mut number = 0;
