--- a/crates/consensus/tests/group/mod.rs
+++ b/crates/consensus/tests/group/mod.rs
@@ -5,22 +5,23 @@
     reason = "every test file uses its own part of the fake group"
 )]
 
+mod checks;
+mod files;
 mod node;
+mod setup;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
 
 use coltsfootnotch_consensus::{
-    Action, CoreConfig, DiskId, LogIndex, MemberChange, MemberId, Message, ReadId, RoleKind, Term,
+    Action, CoreConfig, DiskId, LogIndex, MemberChange, MemberId, Message,
 };
 use coltsfootnotch_types::HostName;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+pub(crate) use checks::Checks;
 pub(crate) use node::Node;
-
-/// A command acknowledged to its proposer: where it stands.
-type Place = (LogIndex, Term);
+pub(crate) use setup::{member, small_limits};
 
 pub(crate) struct Group {
     pub(crate) cfg: CoreConfig,
@@ -32,40 +33,20 @@
     cut: BTreeSet<(HostName, HostName)>,
     flying: BTreeMap<(u64, u64), (MemberId, Message)>,
     sent: u64,
-    leaders: BTreeMap<Term, MemberId>,
-    /// What any member applied at an index.
-    order: BTreeMap<LogIndex, (Term, Option<u64>)>,
-    proposed: BTreeMap<Place, u64>,
-    pub(crate) acked: BTreeMap<LogIndex, u64>,
-    reads: BTreeMap<(MemberId, ReadId), LogIndex>,
-    pub(crate) reads_answered: usize,
+    pub(crate) seen: Checks,
+    /// Members keep real files as well, and compare them.
+    with_files: bool,
     next_command: u64,
     /// A replacement under way: the newcomer and the member it replaces.
     pub(crate) repair: Option<(MemberId, MemberId)>,
 }
 
-/// A member of a host that is named by a number.
-pub(crate) fn member(host: usize, disk: u128) -> MemberId {
-    MemberId {
-        host: HostName::new(format!("control-{host}")).expect("a valid name"),
-        disk: DiskId(disk),
-    }
-}
-
-/// Small limits, so that short runs meet snapshots, chunks and full windows.
-pub(crate) fn small_limits() -> CoreConfig {
-    CoreConfig {
-        max_append_bytes: 120,
-        max_inflight_entries: 16,
-        snapshot_entries: 25,
-        keep_entries: 6,
-        chunk_bytes: 100,
-        ..CoreConfig::default()
-    }
-}
-
 impl Group {
     pub(crate) fn new(cfg: CoreConfig, hosts: usize, seed: u64) -> Self {
+        Self::start(cfg, hosts, seed, false)
+    }
+
+    pub(crate) fn start(cfg: CoreConfig, hosts: usize, seed: u64, with_files: bool) -> Self {
         let mut group = Self {
             cfg,
             rng: StdRng::seed_from_u64(seed),
@@ -75,12 +56,8 @@
             cut: BTreeSet::new(),
             flying: BTreeMap::new(),
             sent: 0,
-            leaders: BTreeMap::new(),
-            order: BTreeMap::new(),
-            proposed: BTreeMap::new(),
-            acked: BTreeMap::new(),
-            reads: BTreeMap::new(),
-            reads_answered: 0,
+            seen: Checks::default(),
+            with_files,
             next_command: 0,
             repair: None,
         };
@@ -99,9 +76,9 @@
 
     /// Starts a member with an empty disk.
     pub(crate) fn join(&mut self, member: &MemberId) {
-        let drift = i64::from(self.cfg.drift_per_mille);
-        let rate = self.rng.random_range(1000 - drift..=1000 + drift);
-        let mut node = Node::new(member.clone(), rate as u64);
+        let drift = u64::from(self.cfg.drift_per_mille);
+        let rate = 1000 - drift + drift * self.rng.random_range(0..=2);
+        let mut node = Node::new(member.clone(), rate, self.with_files);
         node.start(&self.cfg, self.now_ms, &mut self.rng);
         self.nodes.insert(member.clone(), node);
     }
@@ -110,7 +87,7 @@
         for _ in 0..ms {
             self.now_ms += 1;
             self.deliver();
-            let members: Vec<_> = self.nodes.keys().cloned().collect();
+            let members = self.members();
             for id in members {
                 let node = self.nodes.get_mut(&id).expect("it is there");
                 let actions = node.turn(self.now_ms, &mut self.rng);
@@ -151,69 +128,37 @@
 
     fn carry_out(&mut self, id: &MemberId, actions: Vec<Action>) {
         for action in actions {
-            match action {
-                Action::Send { msg, .. } => self.send(id, &msg),
-                Action::Apply { index, term, data } => {
-                    self.check_apply(id, index, term, data.as_deref());
-                }
-                Action::Became {
-                    role: RoleKind::Leader,
-                    term,
-                    ..
-                } => {
-                    let first = self.leaders.entry(term).or_insert_with(|| id.clone());
-                    assert_eq!(first, id, "one leader a term");
-                }
-                Action::ReadReady { id: read, index } => self.check_read(id, read, index),
-                Action::ReadFailed { id: read, .. } => {
-                    self.reads.remove(&(id.clone(), read));
-                }
-                _ => {}
+            if let Action::Send { msg, .. } = &action {
+                self.send(id, msg);
             }
+            self.seen.check(id, &action);
         }
     }
 
-    fn check_apply(&mut self, id: &MemberId, index: LogIndex, term: Term, data: Option<&[u8]>) {
-        let command = data.map(|d| u64::from_le_bytes(d.try_into().expect("eight bytes")));
-        let first = self.order.entry(index).or_insert((term, command));
-        assert_eq!(*first, (term, command), "one order: {id} at {index}");
-        if let Some(command) = self.proposed.remove(&(index, term)) {
-            self.acked.insert(index, command);
-        }
-    }
-
-    /// A read sees everything that was acknowledged before it began.
-    fn check_read(&mut self, id: &MemberId, read: ReadId, index: LogIndex) {
-        let begun = self.reads.remove(&(id.clone(), read));
-        let begun = begun.expect("a read is answered once");
-        assert!(index >= begun, "{id} answers from {index}, before {begun}");
-        self.reads_answered += 1;
-    }
-
     /// Proposes at every member that takes itself for the leader.
     pub(crate) fn propose(&mut self) {
         for node in self.nodes.values_mut() {
             let command = self.next_command;
             self.next_command += 1;
             if let Some(place) = node.propose(self.now_ms, command) {
-                self.proposed.insert(place, command);
+                self.seen.proposed.insert(place, command);
             }
         }
     }
 
     /// Reads at every member that takes itself for the leader.
     pub(crate) fn read(&mut self) {
-        let acked = self.acked.keys().last().copied().unwrap_or_default();
+        let acked = self.seen.acked.keys().last().copied().unwrap_or_default();
         for (id, node) in &mut self.nodes {
             if let Some(read) = node.read(self.now_ms) {
-                self.reads.insert((id.clone(), read), acked);
+                self.seen.reads.insert((id.clone(), read), acked);
             }
         }
     }
 
     /// How many reads wait at this member.
     pub(crate) fn reads_waiting(&self, id: &MemberId) -> usize {
-        self.reads.keys().filter(|(at, _)| at == id).count()
+        self.seen.reads.keys().filter(|(at, _)| at == id).count()
     }
 
     /// The member that leads in the highest term.
@@ -238,10 +183,9 @@
     }
 
     pub(crate) fn isolate(&mut self, id: &MemberId) {
-        let others: Vec<_> = self.nodes.keys().filter(|m| *m != id).cloned().collect();
-        for other in others {
-            self.cut(id, &other);
-            self.cut(&other, id);
+        for other in self.members().iter().filter(|m| *m != id) {
+            self.cut(id, other);
+            self.cut(other, id);
         }
     }
 
@@ -252,7 +196,16 @@
     pub(crate) fn crash(&mut self, id: &MemberId) {
         let rng = &mut self.rng;
         self.nodes.get_mut(id).expect("it is there").crash(rng);
-        self.reads.retain(|(at, _), _| at != id);
+        self.seen.reads.retain(|(at, _), _| at != id);
+    }
+
+    fn members(&self) -> Vec<MemberId> {
+        self.nodes.keys().cloned().collect()
+    }
+
+    pub(crate) fn crash_all(&mut self) {
+        let members = self.members();
+        members.iter().for_each(|id| self.crash(id));
     }
 
     pub(crate) fn restart(&mut self, id: &MemberId) {
@@ -261,10 +214,8 @@
     }
 
     pub(crate) fn restart_all(&mut self) {
-        let members: Vec<_> = self.nodes.keys().cloned().collect();
-        for id in members {
-            self.restart(&id);
-        }
+        let members = self.members();
+        members.iter().for_each(|id| self.restart(id));
     }
 
     /// Loses the disk of a member for good and starts its host with an empty one.
@@ -317,7 +268,7 @@
             assert!(self.now_ms < until, "the group goes on once trouble ends");
         }
         for node in self.nodes.values() {
-            for (index, command) in &self.acked {
+            for (index, command) in &self.seen.acked {
                 let held = node.state.get(index);
                 assert_eq!(held, Some(command), "{} lost {index}", node.id);
             }
@@ -332,8 +283,4 @@
         let all = self.nodes.values().all(|n| n.applied() == status.last);
         status.last > LogIndex(1) && all
     }
-
-    pub(crate) fn elapsed(&self) -> Duration {
-        Duration::from_millis(self.now_ms)
-    }
 }
