--- a/src/coltsfootnotch/daemon/control/daemon/mod.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/mod.rs
@@ -230,6 +230,15 @@
         self.links.send_members(&MemberPacket::Hello(hello));
     }
 
+    /// Whether `host` is another control host that is not connected. What it said as a relay is kept
+    /// for its hosts' sake, and with it its own record, which only it could take back.
+    pub(super) fn is_lost_relay(&self, host: &HostName) -> bool {
+        let record = self.relay.directory.get(host);
+        let profile = record.and_then(|r| r.profile.as_ref());
+        let is_control = profile.is_some_and(|p| p.role == Role::Control);
+        is_control && *host != self.host.identity.host && !self.links.has_control(host)
+    }
+
     /// This host as the others find it.
     fn own_record(&self) -> HostRecord {
         let identity = &self.host.identity;
--- a/src/coltsfootnotch/daemon/control/status.rs
+++ b/src/coltsfootnotch/daemon/control/status.rs
@@ -84,7 +84,7 @@
     let configuration = machine.config().in_force().map(|accepted| Configuration {
         number: accepted.number,
         digest: accepted.digest.to_string(),
-        behind: daemon.relay.directory.behind(accepted.number),
+        behind: behind(daemon, accepted.number),
     });
     let usages: Vec<_> = machine.ledger().usages().collect();
     let ledger = Ledger {
@@ -96,7 +96,7 @@
         answered_by: &daemon.host.identity.host,
         group: group(daemon, &member),
         configuration,
-        hosts: daemon.relay.directory.hosts().map(host).collect(),
+        hosts: hosts(daemon),
         pools: daemon.relay.directory.hosts().flat_map(pools).collect(),
         accounts: accounts(daemon),
         ledger,
@@ -123,15 +123,30 @@
     }
 }
 
-fn host(record: &HostRecord) -> Host<'_> {
+/// Live hosts that do not have the configuration `number` in force.
+fn behind(daemon: &ControlDaemon, number: u64) -> Vec<HostName> {
+    let mut behind = daemon.relay.directory.behind(number);
+    behind.retain(|host| !daemon.is_lost_relay(host));
+    behind
+}
+
+fn hosts(daemon: &ControlDaemon) -> Vec<Host<'_>> {
+    let records = daemon.relay.directory.hosts();
+    records
+        .map(|record| host(record, daemon.is_lost_relay(&record.host)))
+        .collect()
+}
+
+fn host(record: &HostRecord, is_lost: bool) -> Host<'_> {
     let profile = record.profile.as_deref();
     Host {
         host: &record.host,
         incarnation: record.incarnation.to_string(),
         presence: match record.presence {
+            Presence::Gone => "gone",
+            _ if is_lost => "gone",
             Presence::Present => "present",
             Presence::Leaving => "leaving",
-            Presence::Gone => "gone",
         },
         config: record.config,
         role: profile.map(|p| p.role),
--- a/tests/testsuite/control/hosts.rs
+++ b/tests/testsuite/control/hosts.rs
@@ -6,7 +6,7 @@
 use googletest::prelude::*;
 
 use super::client::{Client, manifest};
-use super::group::{Group, host};
+use super::group::{Group, host, wait_until};
 
 /// Waits until the relay names `wanted`.
 fn wait_for_host(client: &mut Client, wanted: &str) {
@@ -121,3 +121,28 @@
     let mut operator = group.client(0, Role::Operator, "op");
     assert_that!(operator.confirmed_number(), ok(eq(&0)));
 }
+
+/// A control host is lost. The others report it as gone as soon as its connections are, so whoever
+/// waits for a configuration to be in force everywhere does not wait for it.
+#[test]
+fn a_lost_control_host_is_reported_as_gone() {
+    let mut group = Group::started(|_| {});
+    let mut operator = group.client(0, Role::Operator, "op");
+    let presence = |operator: &mut Client| {
+        let status = operator.status();
+        let hosts = status["hosts"].as_array().cloned().unwrap_or_default();
+        let lost = hosts.into_iter().find(|h| h["host"] == "c3");
+        lost.and_then(|h| h["presence"].as_str().map(str::to_owned))
+    };
+    wait_until("it is present", || {
+        presence(&mut operator).as_deref() == Some("present")
+    });
+    group.kill(2);
+    wait_until("it is gone", || {
+        presence(&mut operator).as_deref() == Some("gone")
+    });
+    operator.apply(manifest(1, &["bistro"])).expect("accepted");
+    let status = operator.status();
+    let behind = status["configuration"]["behind"].as_array().cloned();
+    assert_that!(behind, some(not(contains(eq(&serde_json::json!("c3"))))));
+}
