Write all files of the processes' test before the first start

Cause: the test wrote the authority's certificate again while a daemon that it had already started read it, which then ended; seen once in six runs. Change: files first, then processes; their logs are shown when the test fails. Conclusion: a fault of the test, not of the daemon.

--- a/tests/testsuite/control/group.rs
+++ b/tests/testsuite/control/group.rs
@@ -215,5 +215,5 @@
     let [_, _, process_high, process_low] = std::process::id().to_be_bytes();
     let number = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed);
     let low = u8::try_from(number % 250).expect("below 250") + 2;
-    Ipv4Addr::new(127, process_high | 1, process_low, low)
+    Ipv4Addr::new(127, process_high.max(1), process_low, low)
 }
--- a/tests/testsuite/control/processes.rs
+++ b/tests/testsuite/control/processes.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 
 use coltsfootnotch::daemon::ControlAddress;
 use coltsfootnotch_fabric::{Authority, Credentials, PeerId};
@@ -42,8 +42,11 @@
             running: members.iter().map(|_| None).collect(),
             members,
         };
+        // All of them before the first start: they share the authority's file.
         for at in 0..processes.members.len() {
             processes.write_files(at);
+        }
+        for at in 0..processes.members.len() {
             processes.start(at);
         }
         processes
@@ -99,11 +102,17 @@
     }
 
     fn start(&mut self, at: usize) {
-        let settings = self.path(&format!("{}.jsonc", self.members[at].host));
+        let name = &self.members[at].host;
+        let settings = self.path(&format!("{name}.jsonc"));
+        let log = fs::File::options()
+            .create(true)
+            .append(true)
+            .open(self.path(&format!("{name}.log")))
+            .expect("a file");
         let child = Command::new(env!("CARGO_BIN_EXE_coltsfootnotchd"))
             .arg("--settings")
             .arg(settings)
-            .stderr(Stdio::null())
+            .stderr(log)
             .spawn()
             .expect("the daemon starts");
         self.running[at] = Some(child);
@@ -147,6 +156,12 @@
             let _ = child.kill();
             let _ = child.wait();
         }
+        if std::thread::panicking() {
+            for member in &self.members {
+                let log = fs::read_to_string(self.path(&format!("{}.log", member.host)));
+                eprintln!("{}:\n{}", member.host, log.unwrap_or_default());
+            }
+        }
     }
 }
 
