--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,3 +3,5 @@
 mod commands;
 mod control;
 mod demo;
+mod load;
+mod orders;
