--- a/crates/consensus/tests/storage.rs
+++ b/crates/consensus/tests/storage/main.rs
@@ -1,121 +1,23 @@
 //! Faults of the disk: what the member finds when it comes back, and when it must not.
 
+mod folder;
+
 use std::collections::BTreeMap;
 use std::fs;
 use std::io::ErrorKind;
 use std::path::Path;
 use std::sync::{Arc, Mutex};
 
-use coltsfootnotch_consensus::storage::{FileOp, Judge, Storage, StorageConfig, Verdict};
-use coltsfootnotch_consensus::{
-    Entry, HardState, LogIndex, Payload, Persist, PersistSeq, PersistWork, Recovered, Snapshot,
-    SnapshotMeta, Term,
-};
+use coltsfootnotch_consensus::Term;
+use coltsfootnotch_consensus::storage::{FileOp, Storage, StorageConfig, Verdict};
 use coltsfootnotch_types::HostName;
+use folder::{append, change, failing, files_like, five_synced, last_index, log_file};
+use folder::{open, open_with, snapshot};
 use googletest::prelude::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use tempfile::TempDir;
-
-type Opened = std::result::Result<(Storage, Recovered), String>;
-
-fn open_with(dir: &Path, judge: Judge) -> Opened {
-    let mut cfg = StorageConfig::new(dir, HostName::new("control-0").expect("a valid name"));
-    cfg.segment_bytes = 400;
-    let opened = Storage::open_with(&cfg, judge, &mut StdRng::seed_from_u64(1));
-    opened.map_err(|e| e.to_string())
-}
-
-fn open(dir: &Path) -> Opened {
-    open_with(dir, Box::new(|_| Verdict::Proceed))
-}
-
-/// Lets operations proceed until the one that `fails` picks.
-fn failing(fails: impl Fn(FileOp<'_>) -> Option<Verdict> + Send + 'static) -> Judge {
-    Box::new(move |op| fails(op).unwrap_or(Verdict::Proceed))
-}
-
-fn entry(index: u64, term: u64) -> Entry {
-    Entry {
-        index: LogIndex(index),
-        term: Term(term),
-        payload: Payload::Data(Arc::from([index as u8; 20])),
-    }
-}
-
-fn append(seq: u64, indexes: impl IntoIterator<Item = u64>) -> Persist {
-    let work = PersistWork::Log {
-        hard: Some(HardState {
-            term: Term(seq),
-            vote: None,
-        }),
-        truncate_from: None,
-        entries: indexes.into_iter().map(|i| entry(i, 1)).collect(),
-    };
-    Persist {
-        seq: PersistSeq(seq),
-        work,
-    }
-}
-
-fn snapshot(seq: u64, index: u64, reset_log: bool) -> Persist {
-    let meta = SnapshotMeta {
-        index: LogIndex(index),
-        term: Term(1),
-        ..SnapshotMeta::default()
-    };
-    let snapshot = Snapshot {
-        meta,
-        data: Arc::from([7; 1000]),
-    };
-    let work = PersistWork::Snapshot {
-        snapshot,
-        reset_log,
-    };
-    Persist {
-        seq: PersistSeq(seq),
-        work,
-    }
-}
-
-/// A folder in which entries 1 to 5 were synced, one after the other.
-fn five_synced() -> TempDir {
-    let dir = tempfile::tempdir().expect("a temporary folder");
-    let (mut storage, _) = open(dir.path()).expect("an empty folder opens");
-    for index in 1..=5 {
-        storage
-            .run(&[append(index, [index])])
-            .expect("it is synced");
-    }
-    dir
-}
-
-fn files_like(dir: &Path, part: &str) -> Vec<std::path::PathBuf> {
-    let items = fs::read_dir(dir).expect("the folder can be listed");
-    let mut paths: Vec<_> = items.map(|i| i.expect("an item").path()).collect();
-    paths.retain(|p| p.to_string_lossy().contains(part));
-    paths.sort();
-    paths
-}
-
-fn change(path: &Path, edit: impl FnOnce(&mut Vec<u8>)) {
-    let mut bytes = fs::read(path).expect("the file can be read");
-    edit(&mut bytes);
-    fs::write(path, bytes).expect("the file can be written");
-}
-
-/// The segment with the entries; the ones after it are empty.
-fn log_file(dir: &Path) -> std::path::PathBuf {
-    let mut segments = files_like(dir, "log-");
-    segments.sort_by_key(|p| fs::metadata(p).expect("it is there").len());
-    segments.pop().expect("there is a segment")
-}
-
-fn last_index(recovered: &Recovered) -> u64 {
-    recovered.entries.last().map_or(0, |e| e.index.0)
-}
 
 // The process is killed in the middle of a write. The frame was never synced, so nobody was told
 // that it counts: it is cut off, and the member goes on with everything acknowledged.
@@ -137,7 +39,7 @@
 #[gtest]
 fn what_was_synced_and_is_damaged_stops_the_member() {
     type Damage = fn(&Path);
-    let damages: [(&str, Damage); 8] = [
+    let damages: [(&str, Damage); 11] = [
         ("middle", |dir| change(&log_file(dir), |b| b[120] ^= 1)),
         ("end", |dir| {
             change(&log_file(dir), |b| *b.last_mut().expect("bytes") ^= 1);
@@ -148,6 +50,18 @@
         ("log file gone", |dir| {
             fs::remove_file(log_file(dir)).expect("removed");
         }),
+        ("older log files gone", |dir| {
+            drop(open(dir).expect("it recovers"));
+            let mut older = files_like(dir, "log-");
+            older.pop();
+            older
+                .iter()
+                .for_each(|p| fs::remove_file(p).expect("removed"));
+        }),
+        ("middle log file gone", |dir| {
+            drop(open(dir).expect("it recovers"));
+            fs::remove_file(log_file(dir)).expect("removed");
+        }),
         ("all log files gone", |dir| {
             files_like(dir, "log-")
                 .iter()
@@ -159,6 +73,12 @@
         ("identity damaged", |dir| {
             change(&dir.join("identity"), |b| b[15] ^= 1);
         }),
+        ("snapshot gone", |dir| {
+            let (mut storage, _) = open(dir).expect("it recovers");
+            storage.run(&[snapshot(6, 9, true)]).expect("it is saved");
+            drop(storage);
+            fs::remove_file(&files_like(dir, "snap-")[0]).expect("removed");
+        }),
         ("snapshot damaged", |dir| {
             let (mut storage, _) = open(dir).expect("it recovers");
             storage.run(&[snapshot(6, 5, false)]).expect("it is saved");
@@ -298,14 +218,15 @@
     })]
 
     // Power fails at a random moment: a part of the bytes after the last sync is on the disk, and
-    // the rest is not. Everything synced comes back, and nothing that was never written.
+    // the rest is not; the test does the tearing, so real syncs would add nothing. Everything synced comes back, and nothing that was never written.
     #[test]
     fn a_crash_keeps_everything_synced(
         batches in prop::collection::vec((1..4u64, any::<bool>()), 1..30),
         kept in 0.0..1.0f64,
     ) {
         let dir = tempfile::tempdir().expect("a temporary folder");
-        let (mut storage, _) = open(dir.path()).expect("an empty folder opens");
+        let unsynced = failing(|op| matches!(op, FileOp::Sync { .. }).then_some(Verdict::Pretend));
+        let (mut storage, _) = open_with(dir.path(), unsynced).expect("an empty folder opens");
         let (mut last, mut seq, mut voted) = (0, 0, 0);
         for (count, snap) in batches {
             seq += 1;
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -24,8 +24,10 @@
     pub seq: u64,
     /// The accounts that received service.
     pub served: Vec<(AccountName, ServiceUnits)>,
-    /// The accounts waiting at the host, whose totals it wants.
-    pub watched: Vec<AccountName>,
+    /// Accounts whose totals the host wants from now on.
+    pub watch: Vec<AccountName>,
+    /// Accounts whose totals it no longer wants.
+    pub unwatch: Vec<AccountName>,
 }
 
 /// A configuration as it travels.
@@ -159,6 +161,14 @@
     },
     /// A newer configuration than the host has in force.
     Config(ConfigBody),
+    /// What changes from the configuration that the host has in force to a newer one. If it does not
+    /// fit, the whole follows.
+    ConfigDelta {
+        /// Number of the configuration that it gives.
+        number: u64,
+        /// The change, encoded by the `manifest` package's type with `postcard`.
+        delta: Vec<u8>,
+    },
     /// Answers [`ToRelay::ConfigConfirmed`]; none when there is no configuration yet.
     ConfigConfirmed {
         /// Matches the question.
--- a/src/coltsfootnotch/daemon/control/host_feed.rs
+++ b/src/coltsfootnotch/daemon/control/host_feed.rs
@@ -67,13 +67,20 @@
         member_heartbeat(heartbeat, self.profile_version, &self.profile)
     }
 
-    /// Replaces the accounts whose totals the host wants.
-    pub(super) fn watch(&mut self, watched: &[AccountName]) {
-        let wanted: BTreeSet<_> = watched.iter().cloned().collect();
-        self.sums.drop(self.watched.difference(&wanted));
-        self.sums.ask(wanted.difference(&self.watched));
-        self.told.retain(|account, _| wanted.contains(account));
-        self.watched = wanted;
+    /// The host wants the totals of these accounts from now on.
+    pub(super) fn watch(&mut self, accounts: &[AccountName]) {
+        let new = |account: &&AccountName| !self.watched.contains(*account);
+        self.sums.ask(accounts.iter().filter(new));
+        self.watched.extend(accounts.iter().cloned());
+    }
+
+    /// The host no longer wants the totals of these accounts.
+    pub(super) fn unwatch(&mut self, accounts: &[AccountName]) {
+        self.sums.drop(accounts);
+        for account in accounts {
+            self.watched.remove(account);
+            self.told.remove(account);
+        }
     }
 
     /// The hosts that are new, changed or gone for this host.
@@ -113,21 +120,36 @@
         (!elsewhere.is_empty()).then_some(FromRelay::Totals { elsewhere })
     }
 
-    /// Whether the configuration `number` is to be sent now; notes that it is.
-    pub(super) fn wants_config(&mut self, now: Duration, number: u64) -> bool {
+    /// How the configuration `number` is to be sent now, if it is; notes that it is.
+    ///
+    /// A host that does not report it in time could not use the delta, and gets the whole.
+    pub(super) fn next_config(&mut self, now: Duration, number: u64) -> Option<Push> {
         if self.config >= number {
-            return false;
+            return None;
         }
-        let is_on_its_way = self
-            .pushed
-            .is_some_and(|(sent, at)| sent == number && now < at + PUSH_AGAIN_AFTER);
-        if !is_on_its_way {
-            self.pushed = Some((number, now));
+        match self.pushed {
+            Some((sent, at)) if sent == number && now < at + PUSH_AGAIN_AFTER => None,
+            Some((sent, _)) if sent == number => {
+                self.pushed = Some((number, now));
+                Some(Push::Whole)
+            }
+            _ => {
+                self.pushed = Some((number, now));
+                Some(Push::DeltaFrom(self.config))
+            }
         }
-        !is_on_its_way
     }
 }
 
+/// How a configuration is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Push {
+    /// As a delta from this number, or whole where there is none.
+    DeltaFrom(u64),
+    /// Whole.
+    Whole,
+}
+
 fn view_of(record: &HostRecord) -> ViewFeed {
     ViewFeed::new(record.host.clone(), record.domain.clone(), record.role)
 }
--- a/src/coltsfootnotch/daemon/control/request_table.rs
+++ b/src/coltsfootnotch/daemon/control/request_table.rs
@@ -4,7 +4,7 @@
 //! refused though a new leader is there within a second. Requests wait that long, bounded in number,
 //! and are then refused as not proposed, so that a caller hears `"run":"no"` soon.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use coltsfootnotch_fabric::LinkId;
@@ -22,11 +22,11 @@
 
 /// Number of a request within this run of the daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub(super) struct RequestId(pub(super) u64);
+pub struct RequestId(pub u64);
 
 /// Who asked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Origin {
+pub enum Origin {
     /// A host or an operator proposed.
     Propose(LinkId, u64),
     /// A host or an operator asked for the newest configuration.
@@ -39,7 +39,7 @@
 
 /// Where a request is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Place {
+pub enum Place {
     /// Waits for a leader to be known.
     Waiting,
     /// With this member, which leads.
@@ -51,22 +51,38 @@
 }
 
 /// One request.
-#[derive(Debug, Clone)]
-pub(super) struct Request {
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Request {
     /// Who asked.
-    pub(super) origin: Origin,
+    pub origin: Origin,
     /// What for.
-    pub(super) ask: Ask,
+    pub ask: Ask,
     place: Place,
     opened: Duration,
     deadline: Duration,
 }
 
 /// The requests that are open.
+///
+/// ```
+/// use std::time::Duration;
+/// use coltsfootnotch::daemon::control::packet::Ask;
+/// use coltsfootnotch::daemon::control::request_table::{Origin, RequestTable};
+/// use coltsfootnotch_fabric::LinkId;
+/// let mut table = RequestTable::default();
+/// table.open(Duration::ZERO, Origin::Confirm(LinkId(1), 7), Ask::Read).unwrap();
+/// assert_eq!(table.expire(Duration::from_secs(1)), []);
+/// assert_eq!(table.expire(Duration::from_secs(2)).len(), 1, "no leader was found in time");
+/// ```
 #[derive(Debug, Default)]
-pub(super) struct RequestTable {
+pub struct RequestTable {
     last: u64,
     open: BTreeMap<RequestId, Request>,
+    /// Those that wait for a leader. It and `applying` are looked at with every input, when thousands
+    /// may be open.
+    waiting: BTreeSet<RequestId>,
+    /// Those that wait until an index is applied, lowest first.
+    applying: BTreeSet<(u64, RequestId)>,
 }
 
 impl RequestTable {
@@ -74,12 +90,7 @@
     ///
     /// # Errors
     /// Returns the answer to give at once when too many are open.
-    pub(super) fn open(
-        &mut self,
-        now: Duration,
-        origin: Origin,
-        ask: Ask,
-    ) -> Result<RequestId, Answer> {
+    pub fn open(&mut self, now: Duration, origin: Origin, ask: Ask) -> Result<RequestId, Answer> {
         if self.open.len() >= MAX_OPEN {
             return Err(refusal(&ask, Place::Waiting));
         }
@@ -93,71 +104,106 @@
             deadline: now + WAIT_FOR_LEADER,
         };
         self.open.insert(id, request);
+        self.waiting.insert(id);
         Ok(id)
     }
 
-    pub(super) fn get(&self, id: RequestId) -> Option<&Request> {
+    /// The request, while it is open.
+    #[must_use]
+    pub fn get(&self, id: RequestId) -> Option<&Request> {
         self.open.get(&id)
     }
 
     /// Moves a request. One that goes back to waiting does not get more time for it.
-    pub(super) fn put(&mut self, now: Duration, id: RequestId, place: Place) {
+    pub fn put(&mut self, now: Duration, id: RequestId, place: Place) {
         let Some(request) = self.open.get_mut(&id) else {
             return;
         };
-        request.place = place;
+        let left = std::mem::replace(&mut request.place, place);
         request.deadline = match place {
             Place::Waiting => request.opened + WAIT_FOR_LEADER,
             Place::Here | Place::Sent(_) | Place::Applying(_) => now + WAIT_FOR_COMMIT,
         };
+        self.leave(id, left);
+        match place {
+            Place::Waiting => {
+                self.waiting.insert(id);
+            }
+            Place::Applying(index) => {
+                self.applying.insert((index, id));
+            }
+            Place::Here | Place::Sent(_) => {}
+        }
+    }
+
+    fn leave(&mut self, id: RequestId, place: Place) {
+        match place {
+            Place::Waiting => {
+                self.waiting.remove(&id);
+            }
+            Place::Applying(index) => {
+                self.applying.remove(&(index, id));
+            }
+            Place::Here | Place::Sent(_) => {}
+        }
     }
 
     /// Ends a request.
-    pub(super) fn close(&mut self, id: RequestId) -> Option<Request> {
-        self.open.remove(&id)
+    pub fn close(&mut self, id: RequestId) -> Option<Request> {
+        let request = self.open.remove(&id)?;
+        self.leave(id, request.place);
+        Some(request)
     }
 
     /// Requests that wait for a leader.
-    pub(super) fn waiting(&self) -> Vec<RequestId> {
-        self.ids(|place| place == Place::Waiting)
+    #[must_use]
+    pub fn waiting(&self) -> Vec<RequestId> {
+        self.waiting.iter().copied().collect()
     }
 
-    /// Requests sent over a connection, whose answers can't come any more once it is gone.
-    pub(super) fn sent_over(&self, link: LinkId) -> Vec<RequestId> {
-        self.ids(|place| place == Place::Sent(link))
+    /// Whether a request was sent over a connection and not answered yet.
+    #[must_use]
+    pub fn is_sent_over(&self, link: LinkId, id: RequestId) -> bool {
+        self.get(id).is_some_and(|r| r.place == Place::Sent(link))
     }
 
-    /// Reads whose state has been applied.
-    pub(super) fn applied(&self, index: u64) -> Vec<RequestId> {
-        self.ids(|place| matches!(place, Place::Applying(wanted) if wanted <= index))
+    /// Requests sent over a connection, whose answers can't come any more once it is gone.
+    #[must_use]
+    pub fn sent_over(&self, link: LinkId) -> Vec<RequestId> {
+        let sent = self
+            .open
+            .iter()
+            .filter(|(_, r)| r.place == Place::Sent(link));
+        sent.map(|(id, _)| *id).collect()
     }
 
-    fn ids(&self, wanted: impl Fn(Place) -> bool) -> Vec<RequestId> {
-        let matching = self.open.iter().filter(|(_, r)| wanted(r.place));
-        matching.map(|(id, _)| *id).collect()
+    /// Reads whose state has been applied.
+    #[must_use]
+    pub fn applied(&self, index: u64) -> Vec<RequestId> {
+        let applied = self
+            .applying
+            .iter()
+            .take_while(|(wanted, _)| *wanted <= index);
+        applied.map(|(_, id)| *id).collect()
     }
 
     /// Ends the requests whose time is over, each with its last answer.
-    pub(super) fn expire(&mut self, now: Duration) -> Vec<(Request, Answer)> {
-        let late = self
-            .open
-            .extract_if(.., |_, request| now >= request.deadline);
-        late.map(|(_, request)| {
-            let answer = refusal(&request.ask, request.place);
-            (request, answer)
-        })
-        .collect()
+    pub fn expire(&mut self, now: Duration) -> Vec<(Request, Answer)> {
+        let late = self.open.iter().filter(|(_, r)| now >= r.deadline);
+        let late: Vec<_> = late.map(|(id, _)| *id).collect();
+        late.into_iter().filter_map(|id| self.lose(id)).collect()
     }
 
     /// Ends a request whose answer can't come any more.
-    pub(super) fn lose(&mut self, id: RequestId) -> Option<(Request, Answer)> {
-        let request = self.open.remove(&id)?;
+    pub fn lose(&mut self, id: RequestId) -> Option<(Request, Answer)> {
+        let request = self.close(id)?;
         let answer = refusal(&request.ask, request.place);
         Some((request, answer))
     }
 
     /// How many are open.
-    pub(super) fn len(&self) -> usize {
+    #[must_use]
+    pub fn open_count(&self) -> usize {
         self.open.len()
     }
 }
--- a/src/coltsfootnotch/ops/fleet/running.rs
+++ b/src/coltsfootnotch/ops/fleet/running.rs
@@ -9,14 +9,14 @@
 use coltsfootnotch_fabric::{Authority, Credentials, CredentialsError, KeysError, PeerId, Traffic};
 use coltsfootnotch_fakes::{AnnounceConfig, EngineHandle, OrderHandle};
 use coltsfootnotch_manifest::{Findings, Limits, Manifest, Settings};
-use coltsfootnotch_state::{ConfigReply, Reply};
+use coltsfootnotch_state::{ConfigReply, DriftBound, Reply};
 use coltsfootnotch_types::prelude::*;
 use derive_more::{Display, Error, From};
 use rand::Rng;
 use tempfile::TempDir;
 use tokio::runtime::Runtime;
 
-use super::FleetPlan;
+use super::{ControlBytes, FleetPlan};
 use crate::core::{HostCx, HostIdentity};
 use crate::daemon::control::{self, ControlConfig, ControlError, ControlHandle};
 use crate::daemon::entry::{self, EntryConfig, EntryHandle};
@@ -72,7 +72,7 @@
 pub struct Fleet {
     controls: Vec<ControlHandle>,
     entries: Vec<EntryHandle>,
-    sidecars: Vec<SidecarHandle>,
+    pub(super) sidecars: Vec<SidecarHandle>,
     engines: Vec<EngineHandle>,
     services: Vec<OrderHandle>,
     control_addresses: Vec<ControlAddress>,
@@ -112,7 +112,7 @@
         fleet.start_entries(plan, rng)?;
         fleet.start_upstreams(plan, rng)?;
         fleet.apply_manifest()?;
-        fleet.wait_ready()?;
+        fleet.wait_ready(plan)?;
         Ok(fleet)
     }
 
@@ -149,11 +149,18 @@
     /// Bytes of control messages that the hosts have sent each other so far.
     #[must_use]
     pub fn control_bytes(&self) -> u64 {
+        self.control_bytes_by_role().total()
+    }
+
+    /// The same, apart for each role.
+    #[must_use]
+    pub fn control_bytes_by_role(&self) -> ControlBytes {
         let of = |traffic: Arc<Traffic>| traffic.sent();
-        let controls = self.controls.iter().map(|host| of(host.traffic()));
-        let entries = self.entries.iter().map(|host| of(host.traffic()));
-        let sidecars = self.sidecars.iter().map(|host| of(host.traffic()));
-        controls.chain(entries).chain(sidecars).sum()
+        ControlBytes {
+            control: self.controls.iter().map(|host| of(host.traffic())).sum(),
+            entries: self.entries.iter().map(|host| of(host.traffic())).sum(),
+            sidecars: self.sidecars.iter().map(|host| of(host.traffic())).sum(),
+        }
     }
 
     /// A client with an operator's key.
@@ -271,21 +278,32 @@
         number: usize,
         rng: &mut impl Rng,
     ) -> Result<SocketAddr, FleetError> {
+        let handle = self.sidecar(plan, number, ANY, rng)?;
+        let announce = handle.announce();
+        self.sidecars.push(handle);
+        Ok(announce)
+    }
+
+    pub(super) fn sidecar(
+        &self,
+        plan: &FleetPlan,
+        number: usize,
+        announce: SocketAddr,
+        rng: &mut impl Rng,
+    ) -> Result<SidecarHandle, FleetError> {
         let host = host_name("sidecar", number)?;
         let cx = self.cx(Role::Sidecar, &host, plan.domain(number), rng);
         let cfg = SidecarConfig {
             fleet: ANY,
-            announce: ANY,
+            announce,
             control: self.control_addresses.clone(),
             credentials: self.credentials(Role::Sidecar, &host)?,
             limits: self.limits.clone(),
             shutdown: SHUTDOWN,
             policy: plan.policy,
+            drift: DriftBound::DEFAULT,
         };
-        let handle = sidecar::start(cx, cfg)?;
-        let announce = handle.announce();
-        self.sidecars.push(handle);
-        Ok(announce)
+        Ok(sidecar::start(cx, cfg)?)
     }
 
     fn apply_manifest(&self) -> Result<(), FleetError> {
@@ -296,8 +314,8 @@
         }
     }
 
-    /// Waits until every entry has the configuration and every pool a connected sidecar.
-    fn wait_ready(&self) -> Result<(), FleetError> {
+    /// Waits until every entry has the configuration and is connected to the sidecars it is to know.
+    fn wait_ready(&self, plan: &FleetPlan) -> Result<(), FleetError> {
         let until = Instant::now() + START_PATIENCE;
         let model = self.manifest.models.first().map(|model| model.name.clone());
         let service = self
@@ -312,12 +330,12 @@
         .into_iter()
         .flatten()
         .collect();
-        let upstreams = self.sidecars.len();
         while Instant::now() < until {
-            let ready = |entry: &EntryHandle| {
-                (entry.ready())() && entry.serving(&pools) && entry.connected() >= upstreams
+            let ready = |(number, entry): (usize, &EntryHandle)| {
+                let connected = entry.connected() >= plan.contacts(number);
+                (entry.ready())() && entry.serving(&pools) && connected
             };
-            if self.entries.iter().all(ready) {
+            if self.entries.iter().enumerate().all(ready) {
                 return Ok(());
             }
             std::thread::sleep(Duration::from_millis(20));
--- a/src/coltsfootnotch/ops/load/summary.rs
+++ b/src/coltsfootnotch/ops/load/summary.rs
@@ -73,7 +73,9 @@
     pub run_unknown: u64,
     /// Requests that failed with `"run":"yes"`.
     pub failed_after_run: u64,
-    /// Errors that did not say whether the request was run.
+    /// Errors of the upstream itself, passed on.
+    pub upstream_errors: u64,
+    /// Errors of the fleet that did not say whether the request was run.
     pub untyped_errors: u64,
     /// Requests without any answer.
     pub no_answer: u64,
@@ -91,6 +93,8 @@
     pub most_waiting: usize,
     /// Most requests that ever waited inside one engine, where nothing can order them.
     pub most_waiting_inside: u32,
+    /// Mean time that requests waited inside their engine for a slot, in milliseconds.
+    pub mean_wait_inside_ms: f64,
 }
 
 impl Summary {
