--- a/crates/fakes/src/completion.rs
+++ b/crates/fakes/src/completion.rs
@@ -1,6 +1,7 @@
 //! Chat completions of a stand-in engine: whole or streamed, resumed, cancelled, crashed.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::StatusCode;
@@ -107,6 +108,15 @@
     }
 }
 
+/// Sleeps, but not at all for no time: the timer's least sleep is a millisecond.
+async fn pause(time: Duration) {
+    if time.is_zero() {
+        tokio::task::yield_now().await;
+    } else {
+        sleep(time).await;
+    }
+}
+
 /// Answers a chat completion.
 pub(crate) async fn answer(
     engine: Arc<Engine>,
@@ -274,7 +284,7 @@
     for index in job.first..job.max_tokens {
         if index > job.first {
             let occupancy = engine.slots.occupancy();
-            sleep(engine.pace().between(occupancy, size)).await;
+            pause(engine.pace().between(occupancy, size)).await;
         }
         engine.lock().stats.tokens += 1;
         if !output.put(job, token_at(job.prompt_id, index)).await {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,3 +3,4 @@
 mod commands;
 mod control;
 mod demo;
+mod processes;
--- /dev/null
+++ b/tests/testsuite/processes.rs
@@ -0,0 +1,11 @@
+//! Whole fleets of real processes: `coltsfootnotchd` from settings files, over real connections,
+//! ended by real signals.
+
+mod caller;
+mod configuration_log;
+mod control_loss;
+mod daemon;
+mod example;
+mod fleet;
+mod sidecar_loss;
+mod stops;
--- /dev/null
+++ b/tests/testsuite/processes/caller.rs
@@ -0,0 +1,188 @@
+//! A caller: completions, streams and bookings over HTTP.
+
+use std::io::{BufRead, BufReader, Read};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use ureq::http::Response;
+use ureq::{Agent, Body};
+
+/// The bearer key of the one client account.
+pub(crate) const KEY: &str = "bistro-key";
+/// Longer than any answer takes.
+const TIMEOUT: Duration = Duration::from_secs(60);
+
+/// A caller at one entry.
+#[derive(Clone)]
+pub(crate) struct Caller {
+    agent: Agent,
+    entry: SocketAddr,
+    key: String,
+    service: String,
+    model: String,
+}
+
+/// A stream that is being read.
+pub(crate) struct Stream {
+    reader: BufReader<Box<dyn Read + Send>>,
+    pub(crate) text: String,
+}
+
+impl Caller {
+    pub(crate) fn new(entry: SocketAddr) -> Self {
+        let agent = Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(TIMEOUT))
+            .max_idle_connections_per_host(0)
+            .build();
+        Self {
+            agent: agent.into(),
+            entry,
+            key: KEY.to_owned(),
+            service: "member-desk".to_owned(),
+            model: "spec-llm".to_owned(),
+        }
+    }
+
+    /// The same caller with another bearer key.
+    pub(crate) fn with_key(mut self, key: &str) -> Self {
+        self.key = key.to_owned();
+        self
+    }
+
+    fn bearer(&self) -> String {
+        format!("Bearer {}", self.key)
+    }
+
+    fn chat(&self, prompt: &str, max_tokens: u32, stream: bool) -> Option<Response<Body>> {
+        let body = json!({
+            "model": self.model,
+            "messages": [{ "role": "user", "content": prompt }],
+            "max_tokens": max_tokens,
+            "stream": stream,
+        });
+        let url = format!("http://{}/v1/chat/completions", self.entry);
+        let req = self.agent.post(url).header("authorization", self.bearer());
+        req.content_type("application/json")
+            .send(body.to_string())
+            .ok()
+    }
+
+    /// Status and text of a completion; 0 when the connection broke.
+    pub(crate) fn complete(&self, prompt: &str, max_tokens: u32) -> (u16, String) {
+        let (status, body) = answer(self.chat(prompt, max_tokens, false));
+        let content = body["choices"][0]["message"]["content"].as_str();
+        (status, content.unwrap_or_default().to_owned())
+    }
+
+    /// Begins a stream and reads its first event.
+    pub(crate) fn stream(&self, prompt: &str, max_tokens: u32) -> Stream {
+        let response = self.chat(prompt, max_tokens, true).expect("an answer");
+        assert_eq!(response.status().as_u16(), 200);
+        let reader: Box<dyn Read + Send> = Box::new(response.into_body().into_reader());
+        let mut stream = Stream {
+            reader: BufReader::new(reader),
+            text: String::new(),
+        };
+        stream.read_line();
+        stream
+    }
+
+    /// Books with a key: status and body; 0 when the connection broke.
+    pub(crate) fn book(&self, key: &str) -> (u16, Value) {
+        let url = format!("http://{}/{}/orders", self.entry, self.service);
+        let req = self.agent.post(url).header("authorization", self.bearer());
+        let req = req.header("idempotency-key", key);
+        let body = json!({ "pigment": "RAL 7035", "litres": 1 });
+        answer(
+            req.content_type("application/json")
+                .send(body.to_string())
+                .ok(),
+        )
+    }
+
+    /// Books with a key, again while the answer says that it was not run or is not known, as a
+    /// member's program does; the body of the answer.
+    pub(crate) fn book_until_made(&self, key: &str) -> Option<Value> {
+        let until = std::time::Instant::now() + super::daemon::PATIENCE;
+        while std::time::Instant::now() < until {
+            match self.book(key) {
+                (200 | 201, body) => return Some(body),
+                _ => std::thread::sleep(Duration::from_millis(100)),
+            }
+        }
+        None
+    }
+
+    /// Rereads a booking by its key.
+    pub(crate) fn reread(&self, key: &str) -> (u16, Value) {
+        let url = format!("http://{}/{}/orders/by-key/{key}", self.entry, self.service);
+        answer(
+            self.agent
+                .get(url)
+                .header("authorization", self.bearer())
+                .call()
+                .ok(),
+        )
+    }
+}
+
+fn answer(response: Option<Response<Body>>) -> (u16, Value) {
+    let Some(response) = response else {
+        return (0, Value::Null);
+    };
+    let status = response.status().as_u16();
+    let mut text = String::new();
+    match response.into_body().into_reader().read_to_string(&mut text) {
+        Ok(_) => (status, serde_json::from_str(&text).unwrap_or_default()),
+        Err(_) => (0, Value::Null),
+    }
+}
+
+impl Stream {
+    fn read_line(&mut self) -> bool {
+        let read = self.reader.read_line(&mut self.text);
+        matches!(read, Ok(1..))
+    }
+
+    /// Reads until `tokens` events with text have come.
+    pub(crate) fn read_tokens(&mut self, tokens: usize) {
+        while self.tokens().count() < tokens {
+            assert!(self.read_line(), "the stream ended early: {}", self.text);
+        }
+    }
+
+    /// Reads to the end, however it ends.
+    pub(crate) fn read_to_end(&mut self) {
+        while self.read_line() {}
+    }
+
+    fn tokens(&self) -> impl Iterator<Item = String> {
+        let events = self
+            .text
+            .lines()
+            .filter_map(|line| line.strip_prefix("data: "));
+        let chunks = events.filter_map(|data| serde_json::from_str::<Value>(data).ok());
+        chunks.filter_map(|chunk| {
+            let content = chunk["choices"][0]["delta"]["content"].as_str();
+            content.map(str::to_owned)
+        })
+    }
+
+    /// The text that came so far.
+    pub(crate) fn content(&self) -> String {
+        self.tokens().collect()
+    }
+
+    /// Whether the stream ended as a whole one does.
+    pub(crate) fn is_whole(&self) -> bool {
+        self.text.trim_end().ends_with("data: [DONE]")
+    }
+
+    /// The error event that ended the stream.
+    pub(crate) fn error(&self) -> Option<Value> {
+        let (_, data) = self.text.split_once("event: error\ndata: ")?;
+        serde_json::from_str(data.trim()).ok()
+    }
+}
--- /dev/null
+++ b/tests/testsuite/processes/stops.rs
@@ -0,0 +1,126 @@
+//! Planned stops.
+
+use std::time::Duration;
+
+use coltsfootnotch_fakes::{EngineConfig, OrderConfig, expected_answer};
+use googletest::prelude::*;
+
+use super::daemon::{Daemon, Signal, wait_until};
+use super::fleet::{Fleet, Plan};
+
+const PROMPT: &str = "walkthrough notes of the third bay";
+/// A stream of these lasts some seconds: long enough for a signal in the middle of it.
+const TOKENS: u32 = 120;
+
+/// An engine that takes its time between tokens.
+fn slow_engine(number: usize) -> EngineConfig {
+    EngineConfig {
+        token: Duration::from_millis(15),
+        ..EngineConfig::new(format!("spec-llm-{number}"), "spec-llm")
+    }
+}
+
+/// An operator stops an entry, then a sidecar, each with a stream open through it. The caller gets
+/// every byte and the usual end of its stream, new requests go elsewhere, and the process ends with
+/// 0. Then a second signal: the operator does not want to wait, so the process ends at once, with 2.
+#[test]
+fn a_planned_stop_cuts_off_no_stream() {
+    let mut fleet = Fleet::start(Plan {
+        entries: 2,
+        engines: vec![slow_engine(1), slow_engine(2)],
+        services: vec![OrderConfig::new("member-desk-1", "member-desk")],
+    });
+    stop_an_entry(&mut fleet);
+    stop_a_sidecar(&mut fleet);
+    stop_at_once(&mut fleet);
+    for control in &mut fleet.controls {
+        control.signal(Signal::Term);
+        assert_that!(control.wait(), eq(0));
+    }
+}
+
+fn stop_an_entry(fleet: &mut Fleet) {
+    let mut stream = fleet.caller(0).stream(PROMPT, TOKENS);
+    stream.read_tokens(5);
+    fleet.entries[0].signal(Signal::Term);
+    wait_until("the balancer is told", || !fleet.is_ready(0));
+    assert_that!(fleet.caller(0).complete(PROMPT, 1).0, any![eq(503), eq(0)]);
+    assert_that!(fleet.caller(1).complete(PROMPT, 1).0, eq(200));
+    stream.read_to_end();
+    assert_that!(stream.content(), eq(&expected_answer(PROMPT, TOKENS)));
+    assert!(stream.is_whole(), "{}", stream.text);
+    assert_that!(fleet.entries[0].wait(), eq(0));
+}
+
+fn stop_a_sidecar(fleet: &mut Fleet) {
+    let mut stream = fleet.caller(1).stream(PROMPT, TOKENS);
+    stream.read_tokens(5);
+    let runs = |at: usize| fleet.engines[at].stats().running > 0;
+    let (busy, other) = if runs(0) { (0, 1) } else { (1, 0) };
+    fleet.sidecars[busy].signal(Signal::Term);
+    let started = fleet.engines[busy].stats().started;
+    for number in 0..10 {
+        let prompt = format!("question {number}");
+        let (status, content) = fleet.caller(1).complete(&prompt, 2);
+        assert_that!(status, eq(200));
+        assert_that!(content, eq(&expected_answer(&prompt, 2)));
+    }
+    assert_that!(fleet.engines[busy].stats().started, eq(started));
+    assert_that!(fleet.engines[other].stats().started, ge(10));
+    stream.read_to_end();
+    assert_that!(stream.content(), eq(&expected_answer(PROMPT, TOKENS)));
+    assert!(stream.is_whole(), "{}", stream.text);
+    assert_that!(fleet.sidecars[busy].wait(), eq(0));
+    fleet.sidecars[busy].start();
+}
+
+fn stop_at_once(fleet: &mut Fleet) {
+    const MINUTES: u32 = 30_000;
+    let mut stream = fleet.caller(1).stream(PROMPT, MINUTES);
+    stream.read_tokens(1);
+    let runs = |at: usize| fleet.engines[at].stats().running > 0;
+    let busy = usize::from(!runs(0));
+    for daemon in [&mut fleet.entries[1], &mut fleet.sidecars[busy]] {
+        daemon.signal(Signal::Term);
+        std::thread::sleep(Duration::from_millis(300));
+        daemon.signal(Signal::Term);
+        assert_that!(daemon.wait(), eq(2));
+    }
+    stream.read_to_end();
+    assert!(!stream.is_whole(), "a stream that was cut off looks whole");
+}
+
+/// A member on a slow line has most of a long answer still to come when its sidecar, and then its
+/// entry, is stopped. The engine has ended long before. What waits in the buffers of either process
+/// is part of the answer, so neither ends before the member has taken it.
+#[test]
+fn a_planned_stop_waits_for_a_slow_reader() {
+    let engine = EngineConfig {
+        token: Duration::ZERO,
+        ..EngineConfig::new("spec-llm-1", "spec-llm")
+    };
+    let mut fleet = Fleet::start(Plan {
+        entries: 1,
+        engines: vec![engine],
+        services: vec![],
+    });
+    // Longer than the sidecar keeps pieces for an entry whose connection broke.
+    read_slowly(&fleet, Duration::from_secs(7), &fleet.sidecars[0]);
+    assert_that!(fleet.sidecars[0].wait(), eq(0));
+    fleet.sidecars[0].start();
+    fleet.wait_ready();
+    read_slowly(&fleet, Duration::from_secs(2), &fleet.entries[0]);
+    assert_that!(fleet.entries[0].wait(), eq(0));
+}
+
+/// Begins a long stream, stops a daemon, pauses, and reads the rest.
+fn read_slowly(fleet: &Fleet, pause: Duration, stopped: &Daemon) {
+    const LONG: u32 = 30_000;
+    let mut stream = fleet.caller(0).stream(PROMPT, LONG);
+    stream.read_tokens(5);
+    stopped.signal(Signal::Term);
+    std::thread::sleep(pause);
+    stream.read_to_end();
+    assert!(stream.is_whole(), "cut after {} bytes", stream.text.len());
+    assert!(stream.content() == expected_answer(PROMPT, LONG));
+}
