--- a/src/coltsfootnotch/daemon/entry/actor.rs
+++ b/src/coltsfootnotch/daemon/entry/actor.rs
@@ -28,6 +28,7 @@
 use super::{Arrival, EntryConfig};
 use crate::core::{HostCx, Refusal, RefusalKind};
 use crate::daemon::{RelayClient, RelayNews, StartError, Starter};
+use crate::util::connections::Connections;
 use crate::util::events;
 use crate::util::events::Field;
 
@@ -70,6 +71,7 @@
     seen: watch::Sender<Seen>,
     fleet: SocketAddr,
     draining: Arc<AtomicBool>,
+    connections: Arc<Connections>,
     stop_at: Option<Duration>,
     _guard: ChannelGuard,
 }
@@ -115,10 +117,12 @@
         let seen = watch::Sender::new(Seen::default());
         let charts = Charts::load()?;
         let next_request = Arc::new(AtomicU64::new(0));
+        let connections = Arc::<Connections>::default();
         let shared = Shared {
             config: config.subscribe(),
             draining: Arc::clone(&draining),
             next_request: Arc::clone(&next_request),
+            connections: Arc::clone(&connections),
         };
         let callers = listen(&cx, &cfg, &tx, shared)?;
         let ready = Started {
@@ -148,6 +152,7 @@
             seen,
             fleet,
             draining,
+            connections,
             stop_at: None,
             _guard: guard,
         };
@@ -351,6 +356,11 @@
         if !self.requests.is_empty() && !late {
             return;
         }
+        // The last bytes of an answer may still wait for a slow caller to take them.
+        self.connections.close();
+        if self.connections.count() > 0 && !late {
+            return;
+        }
         if !self.requests.is_empty() {
             self.cx.log(
                 &events::SHUTDOWN_FORCED,
--- a/src/coltsfootnotch/daemon/entry/listen.rs
+++ b/src/coltsfootnotch/daemon/entry/listen.rs
@@ -14,13 +14,15 @@
 use super::callers::Callers;
 use crate::core::HostCx;
 use crate::daemon::StartError;
-use crate::util::http_server::{ServerLimits, serve};
+use crate::util::connections::Connections;
+use crate::util::http_server::{ServerLimits, serve_and_close};
 
 /// What the actor shares with the tasks of callers' connections.
 pub(super) struct Shared {
     pub(super) config: watch::Receiver<Option<Arc<ConfigIndex>>>,
     pub(super) draining: Arc<AtomicBool>,
     pub(super) next_request: Arc<AtomicU64>,
+    pub(super) connections: Arc<Connections>,
 }
 
 /// Starts to take callers; gives the address bound.
@@ -47,6 +49,8 @@
         next_request: shared.next_request,
     });
     let handler = move |req, peer| Arc::clone(&callers).answer(req, peer);
-    cx.runtime.spawn(serve(listener, limits, handler));
+    let connections = shared.connections;
+    cx.runtime
+        .spawn(serve_and_close(listener, limits, connections, handler));
     Ok(address)
 }
--- a/src/coltsfootnotch/util/http_server.rs
+++ b/src/coltsfootnotch/util/http_server.rs
@@ -7,7 +7,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -24,6 +24,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc};
 
+use super::connections::{Connections, OpenConnection};
+
 /// A response body of any kind.
 pub type AnyBody = BoxBody<Bytes, Infallible>;
 /// A response.
@@ -45,6 +47,19 @@
 where
     F: Fn(Request<Incoming>, SocketAddr) -> R + Send + Sync + 'static,
     R: Future<Output = AnyResponse> + Send + 'static,
+{
+    serve_and_close(listener, limits, Arc::default(), handler).await;
+}
+
+/// The same for a server whose connections are counted, and closed before its process ends.
+pub async fn serve_and_close<F, R>(
+    listener: TcpListener,
+    limits: ServerLimits,
+    connections: Arc<Connections>,
+    handler: F,
+) where
+    F: Fn(Request<Incoming>, SocketAddr) -> R + Send + Sync + 'static,
+    R: Future<Output = AnyResponse> + Send + 'static,
 {
     let handler = Arc::new(handler);
     let permits = Arc::new(Semaphore::new(limits.connections));
@@ -58,8 +73,9 @@
             continue;
         };
         let handler = Arc::clone(&handler);
+        let open = connections.open();
         tokio::spawn(async move {
-            serve_connection(stream, peer, limits, handler).await;
+            serve_connection(stream, peer, limits, open, handler).await;
             drop(permit);
         });
     }
@@ -69,6 +85,7 @@
     stream: TcpStream,
     peer: SocketAddr,
     limits: ServerLimits,
+    open: OpenConnection,
     handler: Arc<F>,
 ) where
     F: Fn(Request<Incoming>, SocketAddr) -> R + Send + Sync + 'static,
@@ -82,13 +99,22 @@
         let answer = handler(req, peer);
         async move { Ok::<_, Infallible>(answer.await) }
     });
-    // An error here is the peer's: it has gone, or sent what is not HTTP and was told so.
-    let _outcome = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.read_timeout)
-        .max_buf_size(limits.header_bytes.max(MIN_BUFFER))
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+    let mut connection = pin!(
+        http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(limits.read_timeout)
+            .max_buf_size(limits.header_bytes.max(MIN_BUFFER))
+            .serve_connection(TokioIo::new(stream), service)
+    );
+    let told_to_close = tokio::select! {
+        // An error here is the peer's: it has gone, or sent what is not HTTP and was told so.
+        _ = connection.as_mut() => false,
+        () = open.told_to_close() => true,
+    };
+    if told_to_close {
+        connection.as_mut().graceful_shutdown();
+        let _outcome = connection.await;
+    }
 }
 
 /// The least buffer that the library takes, in bytes.
--- a/src/coltsfootnotch/util/mod.rs
+++ b/src/coltsfootnotch/util/mod.rs
@@ -1,5 +1,6 @@
 //! Helpers shared by daemons and commands.
 
+pub mod connections;
 pub mod event_loop;
 pub mod events;
 pub mod http_server;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! The daemons as a whole.
 
 mod commands;
+mod connections;
 mod control;
 mod demo;
 mod processes;
