--- a/src/coltsfootnotch/daemon/entry/actor.rs
+++ b/src/coltsfootnotch/daemon/entry/actor.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use coltsfootnotch_chart::Charts;
@@ -19,18 +19,17 @@
 
 use super::admission::queue_of;
 use super::attempt_end::{AttemptEnd, Collected};
-use super::bookings::Bookings;
 use super::handle::{Seen, Started};
 use super::listen::{Shared, listen};
+use super::bookings::Bookings;
 use super::requests::{Chosen, Requests};
 use super::sidecars::Sidecars;
 use super::suspects::Suspects;
 use super::{Arrival, EntryConfig};
 use crate::core::{HostCx, Refusal, RefusalKind};
-use crate::daemon::{RelayClient, RelayNews, StartError, Starter};
+use crate::daemon::{Lifecycle, RelayClient, RelayNews, StartError, Starter};
 use crate::util::connections::Connections;
-use crate::util::events;
-use crate::util::events::Field;
+use crate::util::events::{self, Field};
 
 /// Time between the actor's own rounds: deadlines, heartbeats and proposals fall due on them.
 const TICK: Duration = Duration::from_millis(20);
@@ -70,9 +69,8 @@
     config: watch::Sender<Option<Arc<ConfigIndex>>>,
     seen: watch::Sender<Seen>,
     fleet: SocketAddr,
-    draining: Arc<AtomicBool>,
     connections: Arc<Connections>,
-    stop_at: Option<Duration>,
+    pub(super) life: Lifecycle,
     _guard: ChannelGuard,
 }
 
@@ -113,14 +111,14 @@
         let endpoint = Endpoint::bind(&cx.runtime, cfg.fleet, &cfg.credentials, me, handler)?;
         let fleet = endpoint.address()?;
         let config = watch::Sender::new(None);
-        let draining = Arc::new(AtomicBool::new(false));
         let seen = watch::Sender::new(Seen::default());
         let charts = Charts::load()?;
+        let life = Lifecycle::new(cx.clone(), &charts.daemon, cfg.shutdown);
         let next_request = Arc::new(AtomicU64::new(0));
         let connections = Arc::<Connections>::default();
         let shared = Shared {
             config: config.subscribe(),
-            draining: Arc::clone(&draining),
+            ready: life.ready(),
             next_request: Arc::clone(&next_request),
             connections: Arc::clone(&connections),
         };
@@ -129,8 +127,7 @@
             tx: tx.clone(),
             callers,
             fleet,
-            config: config.subscribe(),
-            draining: Arc::clone(&draining),
+            ready: life.ready(),
             seen: seen.subscribe(),
             traffic: endpoint.traffic(),
         };
@@ -151,9 +148,8 @@
             config,
             seen,
             fleet,
-            draining,
             connections,
-            stop_at: None,
+            life,
             _guard: guard,
         };
         actor.cx.log(
@@ -187,7 +183,7 @@
             address: self.fleet,
             config: 0,
             pools: vec![],
-            leaving: self.stop_at.is_some(),
+            leaving: self.life.is_stopping(),
         };
         self.relay
             .tick(&self.endpoint, |config| HostRecord { config, ..record });
@@ -329,6 +325,7 @@
             }
             RelayNews::Config(update) => {
                 self.config.send_replace(Some(update.0));
+                self.life.config_in_force();
             }
             RelayNews::Proposed { id, reply } => {
                 if let Some(answered) = self.bookings.answered(self.cx.now(), id, reply) {
@@ -340,41 +337,19 @@
     }
 
     fn on_stop(&mut self) {
-        if self.stop_at.is_none() {
-            self.draining.store(true, Ordering::Relaxed);
-            self.stop_at = Some(self.cx.now() + self.cfg.shutdown);
-            self.cx.log(
-                &events::SHUTDOWN_STARTED,
-                &[("in_progress", &self.requests.len())],
-            );
-        }
+        self.life.ask_stop(self.requests.len());
     }
 
     fn end_if_drained(&mut self, stakker: CX![]) {
-        let Some(stop_at) = self.stop_at else { return };
-        let late = self.cx.now() >= stop_at;
-        if !self.requests.is_empty() && !late {
-            return;
+        if self.life.is_stopping() && self.requests.len() == 0 {
+            self.connections.close();
         }
         // The last bytes of an answer may still wait for a slow caller to take them.
-        self.connections.close();
-        if self.connections.count() > 0 && !late {
-            return;
-        }
-        if !self.requests.is_empty() {
-            self.cx.log(
-                &events::SHUTDOWN_FORCED,
-                &[("in_progress", &self.requests.len())],
-            );
+        let in_progress = self.requests.len().max(self.connections.count());
+        if self.life.ends(in_progress) {
+            self.endpoint.close();
+            stop!(stakker);
         }
-        self.cx.log(&events::DAEMON_STOPPED, &[]);
-        self.endpoint.close();
-        stop!(stakker);
-    }
-
-    /// Whether a graceful shutdown has started.
-    pub(super) fn is_stopping(&self) -> bool {
-        self.stop_at.is_some()
     }
 
     /// A number for a request that the entry makes itself.
--- a/src/coltsfootnotch/ops/fleet/plan.rs
+++ b/src/coltsfootnotch/ops/fleet/plan.rs
@@ -2,7 +2,8 @@
 
 use coltsfootnotch_decide::fair::ChoicePolicy;
 use coltsfootnotch_fakes::{EngineConfig, OrderConfig};
-use coltsfootnotch_manifest::{Findings, KeyHash, Manifest};
+use coltsfootnotch_manifest::{Findings, KeyHash, Manifest, Targets};
+use coltsfootnotch_membership::REMOTE_CONTACTS;
 use coltsfootnotch_types::prelude::*;
 use serde_json::{Value, json};
 
@@ -39,6 +40,8 @@
     pub accounts: Vec<AccountPlan>,
     /// How sidecars choose whose work they pull.
     pub policy: ChoicePolicy,
+    /// Times that the model's requests should meet; sidecars find by them how much engines hold.
+    pub targets: Targets,
 }
 
 /// The bearer key of an account of a fleet in one process.
@@ -75,6 +78,10 @@
                 account("small-applicator", 1),
             ],
             policy: ChoicePolicy::Fair,
+            targets: Targets {
+                first_token_ms: 1100,
+                between_tokens_ms: 28,
+            },
         }
     }
 
@@ -92,7 +99,7 @@
                 "name": MODEL,
                 "deadline_ms": 60_000,
                 "token_weights": { "input": 1, "output": 4 },
-                "targets": { "first_token_ms": 1100, "between_tokens_ms": 28 },
+                "targets": self.targets,
                 "fenced": true,
                 "versions": [{ "name": "v1", "replicas": engines.max(1), "megabytes": 1 }],
             }],
@@ -113,6 +120,29 @@
         Manifest::parse("embedded-manifest", &text.to_string())
     }
 
+    /// Sidecars that entry `number` connects to: all of its own failure domain, and a bounded number
+    /// for each pool of each other one.
+    pub(super) fn contacts(&self, entry: usize) -> usize {
+        let domains = self.domains.len().max(1);
+        let own = entry % domains;
+        let engines = 0..self.engines.len();
+        let services = engines.end..engines.end + self.services.len();
+        let of = |pool: &std::ops::Range<usize>, domain: usize| {
+            let there = pool.clone().filter(|sidecar| sidecar % domains == domain);
+            let most = if domain == own {
+                usize::MAX
+            } else {
+                REMOTE_CONTACTS
+            };
+            there.count().min(most)
+        };
+        let pools = [engines, services];
+        let counts = pools
+            .iter()
+            .flat_map(|pool| (0..domains).map(|domain| of(pool, domain)));
+        counts.sum()
+    }
+
     /// The failure domain of host `number` of a role.
     pub(super) fn domain(&self, number: usize) -> DomainName {
         let name = self.domains.get(number % self.domains.len().max(1));
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,4 +4,5 @@
 mod connections;
 mod control;
 mod demo;
+mod load;
 mod processes;
