Take the answer to any proposal of a ledger write

An entry proposed an unanswered write again every 500 ms under a new number and forgot the number before, so an answer that took longer than that was never taken. Without a majority the relay answers after 1.5 s: a booking was refused only when the entry gave up after 10 s. With commits slower than 500 ms no booking would have got through.

Any number of a write is now good for its answer, and a write is proposed again only over another connection, when its outcome is not known, or after 5 s: proposing again because the answer is slow doubles the load of a slow group.

--- a/src/coltsfootnotch/daemon/entry/actor.rs
+++ b/src/coltsfootnotch/daemon/entry/actor.rs
@@ -21,7 +21,7 @@
 use super::attempt_end::{AttemptEnd, Collected};
 use super::handle::{Seen, Started};
 use super::listen::{Shared, listen};
-use super::bookings::Bookings;
+use super::proposals::Proposals;
 use super::requests::{Chosen, Requests};
 use super::sidecars::Sidecars;
 use super::suspects::Suspects;
@@ -58,7 +58,7 @@
     pub(super) core: EntryCore,
     pub(super) requests: Requests,
     pub(super) sidecars: Sidecars,
-    pub(super) bookings: Bookings,
+    pub(super) proposals: Proposals,
     pub(super) admission: Admission,
     pub(super) suspects: Suspects,
     pub(super) retries: RetryBudget,
@@ -135,7 +135,7 @@
             core: EntryCore::new(me, cx.identity.domain.clone()),
             requests: Requests::new(charts.request),
             sidecars: Sidecars::default(),
-            bookings: Bookings::default(),
+            proposals: Proposals::default(),
             admission: queue_of(cfg.limits.queue_requests),
             suspects: Suspects::new(&cx.identity.host, me),
             retries: RetryBudget::new(),
@@ -189,7 +189,7 @@
             .tick(&self.endpoint, |config| HostRecord { config, ..record });
         self.suspects.tick(now);
         self.tick_doubts(now);
-        for answered in self.bookings.tick(&mut self.relay, now) {
+        for answered in self.proposals.tick(&mut self.relay, now) {
             self.on_ledger(answered);
         }
         self.run_actions();
@@ -328,7 +328,7 @@
                 self.life.config_in_force();
             }
             RelayNews::Proposed { id, reply } => {
-                if let Some(answered) = self.bookings.answered(self.cx.now(), id, reply) {
+                if let Some(answered) = self.proposals.answered(self.cx.now(), id, reply) {
                     self.on_ledger(answered);
                 }
             }
--- a/src/coltsfootnotch/daemon/entry/bookings.rs
+++ b/src/coltsfootnotch/daemon/entry/bookings.rs
@@ -1,58 +1,15 @@
-//! Writes of the ledger that this entry has proposed, and their answers.
-//!
-//! A proposal whose answer is lost is proposed again as it was: the ledger gives the same answer.
-
-use std::collections::BTreeMap;
-use std::time::Duration;
+//! The writes of the ledger that an entry makes for a call that may not be repeated.
 
 use coltsfootnotch_state::{
-    AttemptId as LedgerAttempt, Close, Disowned, LedgerOp, LedgerReply, Op, Outcome, ProcessId,
-    Record, RecordedBody, Reply, Settle,
+    AttemptId as LedgerAttempt, Close, Disowned, LedgerOp, Outcome, ProcessId, Record,
+    RecordedBody, Settle,
 };
 use coltsfootnotch_types::prelude::*;
-use coltsfootnotch_wire::{AttemptId, ProposeError};
+use coltsfootnotch_wire::AttemptId;
 
 use super::BookingKey;
 use super::attempt_end::Collected;
 use super::requests::Chosen;
-use crate::core::{decode_reply, encode_op};
-use crate::daemon::RelayClient;
-
-/// Time after which an unanswered proposal is sent again.
-const PROPOSE_AGAIN: Duration = Duration::from_millis(500);
-/// Time after which a proposal is given up.
-const GIVE_UP: Duration = Duration::from_secs(10);
-
-/// What a write is for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Purpose {
-    Intent,
-    Close,
-    CloseEarlier,
-    Outcome,
-    Settle,
-}
-
-/// The ledger's answer to a write; none when it is not known whether it was taken.
-pub(super) struct Answered {
-    pub(super) request: u64,
-    pub(super) purpose: Purpose,
-    pub(super) reply: Result<LedgerReply, ProposeError>,
-}
-
-struct Pending {
-    request: u64,
-    purpose: Purpose,
-    command: Vec<u8>,
-    first_sent: Duration,
-    last_sent: Duration,
-}
-
-/// Writes without an answer.
-#[derive(Default)]
-pub(super) struct Bookings {
-    pending: BTreeMap<u64, Pending>,
-}
 
 /// The attempt as the ledger names it.
 pub(super) fn ledger_attempt(attempt: AttemptId) -> LedgerAttempt {
@@ -148,101 +105,3 @@
         write,
     }
 }
-
-impl Bookings {
-    /// Proposes a write; none without a connection to a relay.
-    pub(super) fn propose(
-        &mut self,
-        relay: &mut RelayClient,
-        now: Duration,
-        request: u64,
-        purpose: Purpose,
-        op: LedgerOp,
-    ) -> Option<()> {
-        let command = encode_op(&Op::Ledger(op));
-        let id = relay.propose(command.clone())?;
-        let pending = Pending {
-            request,
-            purpose,
-            command,
-            first_sent: now,
-            last_sent: now,
-        };
-        self.pending.insert(id, pending);
-        Some(())
-    }
-
-    /// Takes in an answer.
-    pub(super) fn answered(
-        &mut self,
-        now: Duration,
-        id: u64,
-        reply: Result<Vec<u8>, ProposeError>,
-    ) -> Option<Answered> {
-        let pending = self.pending.get_mut(&id)?;
-        let reply = match reply {
-            Ok(bytes) => Ok(ledger_reply(&bytes)?),
-            Err(ProposeError::Unknown) => {
-                pending.last_sent = now.saturating_sub(PROPOSE_AGAIN);
-                return None;
-            }
-            // The group may be electing a leader; an outcome is worth proposing until then.
-            Err(ProposeError::NoQuorum) if pending.purpose != Purpose::Intent => {
-                pending.last_sent = now;
-                return None;
-            }
-            Err(e) if first_try(pending) => Err(e),
-            // An earlier send of the same write may still be committed.
-            Err(_) => Err(ProposeError::Unknown),
-        };
-        let pending = self.pending.remove(&id)?;
-        Some(Answered {
-            request: pending.request,
-            purpose: pending.purpose,
-            reply,
-        })
-    }
-
-    /// Sends unanswered writes again, and gives up old ones.
-    pub(super) fn tick(&mut self, relay: &mut RelayClient, now: Duration) -> Vec<Answered> {
-        let due = |pending: &Pending| now >= pending.last_sent + PROPOSE_AGAIN;
-        let ids: Vec<u64> = self
-            .pending
-            .iter()
-            .filter(|(_, pending)| due(pending))
-            .map(|(id, _)| *id)
-            .collect();
-        ids.into_iter()
-            .filter_map(|id| self.again(relay, now, id))
-            .collect()
-    }
-
-    fn again(&mut self, relay: &mut RelayClient, now: Duration, id: u64) -> Option<Answered> {
-        let mut pending = self.pending.remove(&id)?;
-        if now >= pending.first_sent + GIVE_UP {
-            let reply = Err(ProposeError::Unknown);
-            return Some(Answered {
-                request: pending.request,
-                purpose: pending.purpose,
-                reply,
-            });
-        }
-        pending.last_sent = now;
-        match relay.propose(pending.command.clone()) {
-            Some(new_id) => self.pending.insert(new_id, pending),
-            None => self.pending.insert(id, pending),
-        };
-        None
-    }
-}
-
-fn first_try(pending: &Pending) -> bool {
-    pending.first_sent == pending.last_sent
-}
-
-fn ledger_reply(bytes: &[u8]) -> Option<LedgerReply> {
-    match decode_reply(bytes).ok()? {
-        Reply::Ledger(reply) => Some(reply),
-        _ => None,
-    }
-}
--- a/src/coltsfootnotch/daemon/entry/doubts.rs
+++ b/src/coltsfootnotch/daemon/entry/doubts.rs
@@ -18,7 +18,8 @@
 
 use super::actor::{EntryActor, EntryMsg};
 use super::attempt_end::Collected;
-use super::bookings::{self, Purpose};
+use super::bookings;
+use super::proposals::Purpose;
 use super::requests::{Chosen, Settling, Stage};
 use super::{Arrival, ReplyPart};
 use crate::core::{Refusal, RefusalKind};
@@ -91,7 +92,7 @@
         let op = bookings::close(&in_progress.arrival.account, key, settling.earlier, by);
         let now = self.cx.now();
         if self
-            .bookings
+            .proposals
             .propose(&mut self.relay, now, request, Purpose::CloseEarlier, op)
             .is_none()
         {
@@ -153,7 +154,7 @@
         let op = bookings::settle(&in_progress.arrival.account, key, settling.earlier, &found);
         let now = self.cx.now();
         if self
-            .bookings
+            .proposals
             .propose(&mut self.relay, now, request, Purpose::Settle, op)
             .is_none()
         {
--- a/src/coltsfootnotch/daemon/entry/ledger_answers.rs
+++ b/src/coltsfootnotch/daemon/entry/ledger_answers.rs
@@ -6,8 +6,9 @@
 
 use super::actor::EntryActor;
 use super::arrivals::refuse;
-use super::bookings::{self, Answered, Purpose};
+use super::bookings;
 use super::doubts::DOUBT_RETRY;
+use super::proposals::{Answered, Purpose};
 use super::requests::{Chosen, InProgress, Stage};
 use crate::core::{Refusal, RefusalKind};
 
@@ -85,7 +86,7 @@
             let by = Disowned::ByEntry(self.cx.identity.incarnation);
             let op = bookings::close(&arrival.account, key, chosen.attempt, by);
             let now = self.cx.now();
-            self.bookings
+            self.proposals
                 .propose(&mut self.relay, now, request, Purpose::Close, op);
         }
     }
--- a/src/coltsfootnotch/daemon/entry/mod.rs
+++ b/src/coltsfootnotch/daemon/entry/mod.rs
@@ -20,6 +20,7 @@
 mod ledger_answers;
 mod listen;
 mod outcomes;
+mod proposals;
 mod reply_body;
 mod requests;
 mod sidecars;
--- a/src/coltsfootnotch/daemon/entry/outcomes.rs
+++ b/src/coltsfootnotch/daemon/entry/outcomes.rs
@@ -13,8 +13,9 @@
 use super::actor::{EntryActor, EntryMsg};
 use super::attempt::AttemptTask;
 use super::attempt_end::{AttemptEnd, Collected};
-use super::bookings::{self, Purpose};
+use super::bookings;
 use super::doubts::DOUBT_RETRY;
+use super::proposals::Purpose;
 use super::requests::{Chosen, InProgress, Stage};
 use crate::core::{Refusal, RefusalKind};
 use crate::util::events;
@@ -33,7 +34,7 @@
         let op = bookings::intent(&in_progress.arrival.account, key, &chosen);
         let now = self.cx.now();
         let sent = self
-            .bookings
+            .proposals
             .propose(&mut self.relay, now, request, Purpose::Intent, op);
         if sent.is_none() {
             self.give_back(&chosen);
@@ -187,7 +188,7 @@
         let op = bookings::close(&account, &key, chosen.attempt, by);
         let now = self.cx.now();
         let sent = self
-            .bookings
+            .proposals
             .propose(&mut self.relay, now, request, Purpose::Close, op);
         if sent.is_none() {
             let refusal = Refusal::not_run(RefusalKind::NoQuorum).retry_after(DOUBT_RETRY);
@@ -230,7 +231,7 @@
         let op = bookings::outcome(&account, &key, chosen.attempt, &answer);
         let now = self.cx.now();
         let sent = self
-            .bookings
+            .proposals
             .propose(&mut self.relay, now, request, Purpose::Outcome, op);
         self.set_stage(request, Stage::Recording { answer });
         if sent.is_none() {
--- a/src/coltsfootnotch/daemon/relay_client.rs
+++ b/src/coltsfootnotch/daemon/relay_client.rs
@@ -143,6 +143,12 @@
         }
     }
 
+    /// The connection to the relay, if there is one.
+    #[must_use]
+    pub fn link(&self) -> Option<LinkId> {
+        self.current.as_ref().map(|current| current.link)
+    }
+
     /// Sends a message to the relay; whether there is one.
     pub fn send(&self, message: ToRelay) -> bool {
         let Some(current) = &self.current else {
