--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,4 +5,5 @@
 mod control;
 mod demo;
 mod load;
+mod orders;
 mod processes;
