Tell a sidecar no service of its own after its relay was lost

Cause: a relay left out of a host's totals only what the host had reported to that relay. After its relay was lost a sidecar was told its earlier service as service elsewhere; accounts it had served most had to wait for the others to catch up with service that they had never missed. Change: a sidecar that begins to watch an account says how much it has reported of it in all; the relay takes that off. The relay's own book of reports is gone.

--- a/benches/control/hosts.rs
+++ b/benches/control/hosts.rs
@@ -87,17 +87,15 @@
 }
 
 fn report(seq: u64) -> ToRelay {
-    let accounts: Vec<_> = (0..ACCOUNTS)
-        .map(|n| AccountName::new(format!("account-{n}")).expect("a name"))
-        .collect();
+    let accounts = (0..ACCOUNTS).map(|n| AccountName::new(format!("account-{n}")).expect("a name"));
+    let units = |a: AccountName| (a, ServiceUnits(100));
+    let served: Vec<_> = accounts.map(units).collect();
     ToRelay::Service(ServiceBatch {
         seq,
-        served: accounts
-            .iter()
-            .map(|a| (a.clone(), ServiceUnits(100)))
-            .collect(),
-        watch: if seq == 1 { accounts } else { Vec::new() },
+        // Watched with the first report, in which all that was reported is what this one adds.
+        watch: if seq == 1 { served.clone() } else { Vec::new() },
         unwatch: Vec::new(),
+        served,
     })
 }
 
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -24,8 +24,9 @@
     pub seq: u64,
     /// The accounts that received service.
     pub served: Vec<(AccountName, ServiceUnits)>,
-    /// Accounts whose totals the host wants from now on.
-    pub watch: Vec<AccountName>,
+    /// Accounts whose totals the host wants from now on, each with all service that this run of the
+    /// host has reported of it to any relay, this batch included.
+    pub watch: Vec<(AccountName, ServiceUnits)>,
     /// Accounts whose totals it no longer wants.
     pub unwatch: Vec<AccountName>,
 }
--- a/src/coltsfootnotch/daemon/control/daemon/from_hosts.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/from_hosts.rs
@@ -70,8 +70,7 @@
         let Some(feed) = &mut link.host else {
             return;
         };
-        feed.watch(&batch.watch);
-        feed.unwatch(&batch.unwatch);
+        feed.report(batch);
         let seq = self.relay.serve(&peer.host, link.incarnation, batch);
         link.send_host(FromRelay::ServiceApplied { seq });
     }
--- a/src/coltsfootnotch/daemon/control/daemon/upkeep.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/upkeep.rs
@@ -5,7 +5,6 @@
 use coltsfootnotch_manifest::Digest;
 use coltsfootnotch_membership::{HostRecord, MemberEventKind, Presence};
 use coltsfootnotch_state::{LedgerLimits, Op};
-use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::Message;
 
 use super::ControlDaemon;
@@ -75,13 +74,11 @@
         let run = self.host.identity.incarnation;
         let relay = &self.relay;
         for link in self.links.hosts_mut() {
-            let (host, incarnation) = (&link.peer.host, link.incarnation);
             let Some(feed) = &mut link.host else {
                 continue;
             };
-            let own = |account: &AccountName| relay.own_service.of(host, incarnation, account);
             let directory = feed.next_directory(now, run, &relay.directory);
-            let totals = feed.next_totals(&relay.sums, own);
+            let totals = feed.next_totals(&relay.sums);
             for message in directory.into_iter().chain(totals) {
                 link.send_host(message);
             }
--- a/src/coltsfootnotch/daemon/control/host_feed.rs
+++ b/src/coltsfootnotch/daemon/control/host_feed.rs
@@ -1,13 +1,13 @@
 //! What one host said over its connection, and what it was told.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use coltsfootnotch_membership::{Contact, Directory, RelaySums, Served, SumsFeed, ViewFeed};
 use coltsfootnotch_membership::{Heartbeat as MemberHeartbeat, Profile};
 use coltsfootnotch_types::RegionName;
 use coltsfootnotch_types::prelude::*;
-use coltsfootnotch_wire::{FromRelay, Heartbeat, HostRecord, ServedPool};
+use coltsfootnotch_wire::{FromRelay, Heartbeat, HostRecord, ServedPool, ServiceBatch};
 
 /// Time after which a configuration is sent again to a host that does not report it in force.
 const PUSH_AGAIN_AFTER: Duration = Duration::from_secs(2);
@@ -25,7 +25,10 @@
     view: ViewFeed,
     whole_sent: Option<Duration>,
     sums: SumsFeed,
-    watched: BTreeSet<AccountName>,
+    /// Accounts whose totals the host wants, with what it has reported of each to any relay.
+    watched: BTreeMap<AccountName, ServiceUnits>,
+    /// The last batch taken over this connection.
+    reported: u64,
     told: BTreeMap<AccountName, ServiceUnits>,
     pushed: Option<(u64, Duration)>,
 }
@@ -41,7 +44,8 @@
             view: view_of(record),
             whole_sent: None,
             sums: SumsFeed::default(),
-            watched: BTreeSet::new(),
+            watched: BTreeMap::new(),
+            reported: 0,
             told: BTreeMap::new(),
             pushed: None,
         }
@@ -67,20 +71,27 @@
         member_heartbeat(heartbeat, self.profile_version, &self.profile)
     }
 
-    /// The host wants the totals of these accounts from now on.
-    pub(super) fn watch(&mut self, accounts: &[AccountName]) {
-        let new = |account: &&AccountName| !self.watched.contains(*account);
-        self.sums.ask(accounts.iter().filter(new));
-        self.watched.extend(accounts.iter().cloned());
-    }
-
-    /// The host no longer wants the totals of these accounts.
-    pub(super) fn unwatch(&mut self, accounts: &[AccountName]) {
-        self.sums.drop(accounts);
-        for account in accounts {
+    /// Takes what a batch says of watched accounts, once.
+    pub(super) fn report(&mut self, batch: &ServiceBatch) {
+        if batch.seq <= self.reported {
+            return;
+        }
+        self.reported = batch.seq;
+        for (account, units) in &batch.served {
+            if let Some(own) = self.watched.get_mut(account) {
+                *own += *units;
+            }
+        }
+        for (account, own) in &batch.watch {
+            self.watched.insert(account.clone(), *own);
+        }
+        self.sums
+            .ask(batch.watch.iter().map(|(account, _)| account));
+        for account in &batch.unwatch {
             self.watched.remove(account);
             self.told.remove(account);
         }
+        self.sums.drop(&batch.unwatch);
     }
 
     /// The hosts that are new, changed or gone for this host.
@@ -104,15 +115,13 @@
         })
     }
 
-    /// The totals of watched accounts that changed, without what the host itself reported (`own`).
-    pub(super) fn next_totals(
-        &mut self,
-        sums: &RelaySums,
-        own: impl Fn(&AccountName) -> ServiceUnits,
-    ) -> Option<FromRelay> {
+    /// The totals of watched accounts that changed, without what the host itself reported: it counts
+    /// its own service at once, and told the whole total it would count it twice.
+    pub(super) fn next_totals(&mut self, sums: &RelaySums) -> Option<FromRelay> {
         let mut elsewhere = Vec::new();
         for (account, total) in self.sums.next(sums) {
-            let others = ServiceUnits(total.0.saturating_sub(own(&account).0));
+            let own = self.watched.get(&account).copied().unwrap_or_default();
+            let others = ServiceUnits(total.0.saturating_sub(own.0));
             if self.told.insert(account.clone(), others) != Some(others) {
                 elsewhere.push((account, others));
             }
--- a/src/coltsfootnotch/daemon/control/mod.rs
+++ b/src/coltsfootnotch/daemon/control/mod.rs
@@ -28,7 +28,6 @@
 mod host_feed;
 mod input;
 mod links;
-mod own_service;
 pub mod packet;
 mod permit;
 mod relay;
--- a/src/coltsfootnotch/daemon/control/relay.rs
+++ b/src/coltsfootnotch/daemon/control/relay.rs
@@ -13,7 +13,6 @@
 use coltsfootnotch_wire::{Heartbeat, HostRecord, ServiceBatch};
 
 use super::host_feed::{member_heartbeat, profile};
-use super::own_service::OwnService;
 use super::packet::RelayPacket;
 
 /// Time after which the directory drops what is long gone.
@@ -24,7 +23,6 @@
     pub(super) registry: Registry,
     pub(super) directory: Directory,
     pub(super) sums: RelaySums,
-    pub(super) own_service: OwnService,
     me: RelayId,
     own_beats: u64,
     merged: u64,
@@ -38,7 +36,6 @@
             registry: Registry::new(me.clone(), timing, now),
             directory: Directory::new(me.clone(), &timing, now),
             sums: RelaySums::new(me.clone()),
-            own_service: OwnService::default(),
             me,
             own_beats: 0,
             merged: 0,
@@ -67,7 +64,6 @@
 
     /// Takes the service that a host reports.
     pub(super) fn serve(&mut self, host: &HostName, run: Incarnation, batch: &ServiceBatch) -> u64 {
-        self.own_service.take(host, run, batch);
         self.sums.take(&MemberBatch {
             host: host.clone(),
             incarnation: run,
@@ -109,7 +105,6 @@
                 event.kind,
                 MemberEventKind::Replaced | MemberEventKind::Left
             ) {
-                self.own_service.forget(&event.host, event.incarnation);
                 self.sums.forget(&event.host, event.incarnation);
             }
         }
--- a/src/coltsfootnotch/daemon/sidecar/service_reports.rs
+++ b/src/coltsfootnotch/daemon/sidecar/service_reports.rs
@@ -29,6 +29,9 @@
     last: Duration,
     /// Watched accounts, and when they last waited.
     watched: BTreeMap<AccountName, Duration>,
+    /// All service reported so far. Only the host itself can tell a new relay which part of a total
+    /// is its own; taken for service elsewhere, it would count twice.
+    reported: BTreeMap<AccountName, ServiceUnits>,
 }
 
 impl ServiceReports {
@@ -51,6 +54,9 @@
         }
         self.last = now;
         let served = fair.take_unsent();
+        for (account, units) in &served {
+            *self.reported.entry(account.clone()).or_default() += *units;
+        }
         let (watch, unwatch) = self.rewatch(now, waiting);
         if served.is_empty() && watch.is_empty() && unwatch.is_empty() {
             return None;
@@ -84,11 +90,12 @@
         &mut self,
         now: Duration,
         waiting: &BTreeSet<AccountName>,
-    ) -> (Vec<AccountName>, Vec<AccountName>) {
+    ) -> (Vec<(AccountName, ServiceUnits)>, Vec<AccountName>) {
         let mut watch = Vec::new();
         for account in waiting {
             if self.watched.insert(account.clone(), now).is_none() {
-                watch.push(account.clone());
+                let reported = self.reported.get(account).copied();
+                watch.push((account.clone(), reported.unwrap_or_default()));
             }
         }
         let is_stale = |waited: &Duration| now.saturating_sub(*waited) > WATCH_LINGER;
--- a/tests/testsuite/control/hosts.rs
+++ b/tests/testsuite/control/hosts.rs
@@ -23,14 +23,13 @@
     AccountName::new(name).expect("a name")
 }
 
-fn service(seq: u64, served: &[(&str, u64)], watched: &[&str]) -> ToRelay {
-    let served = served
-        .iter()
-        .map(|(name, units)| (account(name), ServiceUnits(*units)));
+/// A report; `watched` are newly watched accounts with all that the host has reported of them.
+fn service(seq: u64, served: &[(&str, u64)], watched: &[(&str, u64)]) -> ToRelay {
+    let units = |(name, units): &(&str, u64)| (account(name), ServiceUnits(*units));
     ToRelay::Service(ServiceBatch {
         seq,
-        served: served.collect(),
-        watch: watched.iter().map(|name| account(name)).collect(),
+        served: served.iter().map(units).collect(),
+        watch: watched.iter().map(units).collect(),
         unwatch: vec![],
     })
 }
@@ -77,14 +76,36 @@
     let mut second = group.client(1, Role::Sidecar, "s2");
     first.beat(0);
     second.beat(0);
-    first.send(service(1, &[("bistro", 40)], &["bistro"]));
-    first.send(service(1, &[("bistro", 40)], &["bistro"]));
-    second.send(service(1, &[("bistro", 2)], &["bistro"]));
+    first.send(service(1, &[("bistro", 40)], &[("bistro", 40)]));
+    first.send(service(1, &[("bistro", 40)], &[("bistro", 40)]));
+    second.send(service(1, &[("bistro", 2)], &[("bistro", 2)]));
 
     while next_total(&mut first, "bistro") != ServiceUnits(2) {}
     while next_total(&mut second, "bistro") != ServiceUnits(40) {}
 }
 
+/// The relay of a sidecar is lost after it has taken the sidecar's service. At its new relay the
+/// sidecar is told what the others gave and not what it gave itself through the lost one: taken for
+/// service elsewhere it would count twice, and accounts served here would have to wait for it.
+#[test]
+fn a_sidecar_that_turns_to_another_relay_is_not_told_its_own_service() {
+    let mut group = Group::started(|_| {});
+    let mut other = group.client(1, Role::Sidecar, "s2");
+    other.beat(0);
+    let mut sidecar = group.client(0, Role::Sidecar, "s1");
+    sidecar.beat(0);
+    sidecar.send(service(1, &[("bistro", 40)], &[("bistro", 40)]));
+    other.send(service(1, &[("bistro", 9)], &[("bistro", 9)]));
+    while next_total(&mut other, "bistro") != ServiceUnits(40) {}
+
+    group.kill(0);
+    let mut moved = group.client(1, Role::Sidecar, "s1");
+    moved.beat(0);
+    moved.send(service(2, &[("bistro", 1)], &[("bistro", 41)]));
+    assert_that!(next_total(&mut moved, "bistro"), eq(ServiceUnits(9)));
+    while next_total(&mut other, "bistro") != ServiceUnits(41) {}
+}
+
 /// A sidecar's report overtakes its first heartbeat at a new relay. The report names the account that
 /// it watches only once, so it is not acknowledged until the relay knows the host, and then the total
 /// of the other sidecar is told.
@@ -95,7 +116,7 @@
     other.beat(0);
     other.send(service(1, &[("bistro", 9)], &[]));
     let mut sidecar = group.client(0, Role::Sidecar, "s1");
-    let report = service(1, &[("bistro", 40)], &["bistro"]);
+    let report = service(1, &[("bistro", 40)], &[("bistro", 40)]);
     sidecar.send(report.clone());
     sidecar.status();
     let is_ack = |message: &FromRelay| matches!(message, FromRelay::ServiceApplied { .. });
