--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,7 +2,9 @@
 
 mod bad_input;
 mod commands;
+mod connections;
 mod control;
 mod demo;
 mod load;
 mod orders;
+mod processes;
