--- a/src/coltsfootnotch/daemon/sidecar/actor.rs
+++ b/src/coltsfootnotch/daemon/sidecar/actor.rs
@@ -12,7 +12,6 @@
 use coltsfootnotch_wire::{AttemptId, Begin, ContentKey, HostRecord, Message, ServedPool, Usage};
 use stakker::sync::{Channel, ChannelGuard};
 use stakker::{CX, after, call, fwd_to, stop};
-use ureq::Agent;
 
 use super::SidecarConfig;
 use super::announced::process_id;
@@ -21,7 +20,7 @@
 use super::runner::RunnerControl;
 use super::service_reports::ServiceReports;
 use super::sockets::{ListenTask, fabric_handler, listen};
-use super::upstream_call;
+use super::upstream_call::Clients;
 use super::upstreams::Upstreams;
 use crate::core::HostCx;
 use crate::daemon::{Lifecycle, RelayClient, RelayNews, StartError, Starter};
@@ -81,7 +80,7 @@
     pub(super) reports: ServiceReports,
     pub(super) probing: BTreeSet<UpstreamName>,
     pub(super) orders: Orders,
-    pub(super) agent: Agent,
+    pub(super) clients: Clients,
     pub(super) tx: Channel<SidecarMsg>,
     endpoint: Endpoint,
     fleet: SocketAddr,
@@ -147,7 +146,7 @@
             reports: ServiceReports::default(),
             probing: BTreeSet::new(),
             orders: Orders::new(process_id(&cx), cfg.drift),
-            agent: upstream_call::agent(),
+            clients: Clients::new(),
             cx,
             cfg,
             tx,
--- a/src/coltsfootnotch/daemon/sidecar/announced.rs
+++ b/src/coltsfootnotch/daemon/sidecar/announced.rs
@@ -106,7 +106,9 @@
         if ended.changes_version {
             let now = self.cx.now();
             let slots = self.core.upstreams_mut().get_mut(upstream);
-            slots.into_iter().for_each(|slots| slots.change_version(now));
+            slots
+                .into_iter()
+                .for_each(|slots| slots.change_version(now));
         }
         let event = match end {
             OrderEnd::Done => &events::ORDER_DONE,
