Keep the hosts of a relay that has nothing to say

Cause: the hosts of a relay were dropped after ten minutes without a delta. Relays send deltas only when hosts change, so a whole failure domain would have vanished from the directory of the others in a quiet fleet. Change: nothing is dropped by silence alone; a relay whose control host was replaced is forgotten by name. Worlds of the randomised runs have files of their own.

--- a/crates/membership/src/directory.rs
+++ b/crates/membership/src/directory.rs
@@ -8,7 +8,6 @@
 
 use coltsfootnotch_types::{HostName, Role};
 
-use crate::timing::KEEP_STALE_RELAY;
 use crate::{
     Epoch, HostRecord, Presence, REMOTE_CONTACTS, RelayId, Selection, Summary, SummaryDelta, Timing,
 };
@@ -21,7 +20,6 @@
     /// What the run before said, kept until the present one has settled: a relay that has just been
     /// restarted has heard no host yet, and its failure domain must not vanish for that.
     before: Option<Summary>,
-    heard: Duration,
 }
 
 /// The hosts of the whole fleet, as a relay knows them.
@@ -80,8 +78,7 @@
         }
     }
 
-    /// Takes in a delta of some relay's summary, also an empty one, which is a sign of life. Returns
-    /// whether everything up to its end is now known; if not, ask for a delta from
+    /// Takes in a delta of some relay's summary. Returns whether everything up to its end is now known; if not, ask for a delta from
     /// [`Directory::known`].
     pub fn merge(&mut self, now: Duration, delta: &SummaryDelta) -> bool {
         let source = self
@@ -91,7 +88,6 @@
                 epoch: delta.relay.epoch,
                 summary: Summary::default(),
                 before: None,
-                heard: now,
             });
         if delta.relay.epoch < source.epoch {
             return true;
@@ -100,7 +96,6 @@
             source.epoch = delta.relay.epoch;
             source.before = Some(std::mem::take(&mut source.summary));
         }
-        source.heard = now;
         let is_complete = source.summary.merge(now, delta);
         if delta.settled && is_complete {
             source.before = None;
@@ -109,17 +104,23 @@
         is_complete
     }
 
-    /// Drops what is known of hosts that are long gone and of relays that are long silent.
+    /// Drops what is known of hosts that are long gone. What a silent relay said of others is kept: it
+    /// may have had nothing to say for long, and its hosts are there all the same.
     pub fn purge(&mut self, now: Duration) {
-        let me = &self.me.host;
-        self.sources
-            .retain(|host, s| host == me || now < s.heard + KEEP_STALE_RELAY);
         for source in self.sources.values_mut() {
             source.summary.purge(now);
         }
         self.resolve();
     }
 
+    /// Forgets the summary of a relay that will not come back, since its control host was replaced.
+    pub fn forget_relay(&mut self, host: &HostName) {
+        if *host != self.me.host {
+            self.sources.remove(host);
+            self.resolve();
+        }
+    }
+
     fn resolve(&mut self) {
         let mut hosts: BTreeMap<HostName, HostRecord> = BTreeMap::new();
         let summaries = self
--- a/crates/membership/src/timing.rs
+++ b/crates/membership/src/timing.rs
@@ -45,8 +45,3 @@
 
 /// How long what is known of a host that is gone is kept, so that older news of it loses against it.
 pub(crate) const KEEP_GONE: Duration = Duration::from_secs(20 * 60);
-
-/// How long the hosts of a relay that is silent are kept as they were. Their own moves to other
-/// relays take precedence at once; this is for what was lost together with the relay. Shorter than
-/// [`KEEP_GONE`], or a host that moved away and was lost would come back from the stale summary.
-pub(crate) const KEEP_STALE_RELAY: Duration = Duration::from_secs(10 * 60);
--- a/crates/membership/tests/testsuite/silence.rs
+++ b/crates/membership/tests/testsuite/silence.rs
@@ -216,6 +216,21 @@
     expect_that!(presence(&directory), some(eq((Presence::Present, 3))));
 }
 
+#[gtest]
+fn a_relay_with_nothing_to_say_keeps_its_hosts() {
+    // Nothing changes in a failure domain for a day, so its relay sends no delta. Others must not take
+    // that for the loss of every host there.
+    let mut registry = Registry::new(relay("control-1", 1), Timing::DEFAULT, millis(0));
+    registry.heartbeat(millis(0), &beat("a", 1, 1));
+    let mut directory = Directory::new(relay("control-0", 1), &Timing::DEFAULT, millis(0));
+    directory.merge(millis(0), &registry.delta_since(0));
+    directory.purge(millis(24 * 3_600_000));
+    let seen = directory.get(&host("a")).map(|r| r.presence);
+    expect_that!(seen, some(eq(Presence::Present)));
+    directory.forget_relay(&host("control-1"));
+    expect_that!(directory.get(&host("a")), none());
+}
+
 #[gtest]
 fn a_straggling_delta_does_not_bring_a_forgotten_host_back() {
     // A host left long ago and is forgotten. A copy of an old delta, in which it was present, comes
--- a/crates/state/tests/testsuite/main.rs
+++ b/crates/state/tests/testsuite/main.rs
@@ -11,6 +11,8 @@
 mod configuration;
 mod format;
 mod lease_runs;
+mod lease_world;
 mod ledger_runs;
+mod ledger_world;
 mod orders;
 mod support;
