--- a/crates/membership/src/link.rs
+++ b/crates/membership/src/link.rs
@@ -7,12 +7,12 @@
 //! and lose them again every few seconds.
 
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use coltsfootnotch_types::{DomainName, HostName, Incarnation};
+use coltsfootnotch_types::{HostName, Incarnation};
 
-use crate::{Heartbeat, HeartbeatReply, Profile, Timing};
+use crate::relay_address::ranked;
+use crate::{Heartbeat, HeartbeatReply, Profile, RelayAddress, Timing};
 
 /// Probes of the own relay that must be answered in a row before the host goes back.
 const HOME_PROOF: u32 = 3;
@@ -20,17 +20,6 @@
 /// Heartbeats whose sending times are kept to tell when the registration ends.
 const KEPT_SENDINGS: usize = 16;
 
-/// Where a relay is.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct RelayAddress {
-    /// Its host.
-    pub host: HostName,
-    /// Its failure domain.
-    pub domain: DomainName,
-    /// Where to reach it.
-    pub addresses: Vec<SocketAddr>,
-}
-
 /// What the daemon is to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum LinkAction {
@@ -54,6 +43,24 @@
 }
 
 /// The link of one host to its relay.
+///
+/// ```
+/// use std::time::Duration;
+/// use coltsfootnotch_membership::{HostLink, LinkAction, Profile, RelayAddress, Timing};
+/// use coltsfootnotch_types::{DomainName, HostName, Incarnation, RegionName, Role};
+/// let domain = DomainName::new("jhb-north")?;
+/// let host = HostName::new("control-1")?;
+/// let relay = RelayAddress { host, domain: domain.clone(), addresses: vec![] };
+/// let region = RegionName::new("za-gauteng")?;
+/// let profile = Profile { role: Role::Entry, domain, region, addresses: vec![], serves: vec![] };
+/// let now = Duration::from_secs(5);
+/// let me = HostName::new("entry-1")?;
+/// let mut link = HostLink::new(me, Incarnation(7), 0, profile, vec![relay], Timing::DEFAULT, now);
+/// let actions = link.poll(now);
+/// assert!(matches!(actions[..], [LinkAction::TurnTo(_), LinkAction::Heartbeat(_)]));
+/// assert_eq!(link.next_poll(), now + Timing::DEFAULT.heartbeat);
+/// # Ok::<(), coltsfootnotch_types::NameError>(())
+/// ```
 #[derive(Debug, Clone)]
 pub struct HostLink {
     timing: Timing,
@@ -272,17 +279,3 @@
         }
     }
 }
-
-/// The relays in the order of trial: the own failure domain's first, then the others beginning at a
-/// place that depends on the host.
-fn ranked(host: &HostName, domain: &DomainName, relays: Vec<RelayAddress>) -> Vec<RelayAddress> {
-    let (mut own, mut other): (Vec<_>, Vec<_>) =
-        relays.into_iter().partition(|r| r.domain == *domain);
-    if !other.is_empty() {
-        let sum: usize = host.as_str().bytes().map(usize::from).sum();
-        let start = sum % other.len();
-        other.rotate_left(start);
-    }
-    own.append(&mut other);
-    own
-}
--- a/crates/membership/src/sums.rs
+++ b/crates/membership/src/sums.rs
@@ -39,6 +39,23 @@
 }
 
 /// The sums of every relay, as one of them knows them.
+///
+/// ```
+/// use coltsfootnotch_membership::{Epoch, RelayId, RelaySums, ServiceBatches};
+/// use coltsfootnotch_types::{AccountName, HostName, Incarnation, ServiceUnits};
+/// let relay = |name: &str| -> Result<RelayId, coltsfootnotch_types::NameError> {
+///     Ok(RelayId { host: HostName::new(name)?, epoch: Epoch(1) })
+/// };
+/// let bistro = AccountName::new("bistro")?;
+/// let mut batches = ServiceBatches::new(HostName::new("sidecar-1")?, Incarnation(7));
+/// batches.add(&bistro, ServiceUnits(30));
+/// let mut here = RelaySums::new(relay("control-1")?);
+/// here.take(batches.next().unwrap());
+/// let mut there = RelaySums::new(relay("control-2")?);
+/// there.merge(&here.delta_since(0).unwrap());
+/// assert_eq!(there.total(&bistro), ServiceUnits(30));
+/// # Ok::<(), coltsfootnotch_types::NameError>(())
+/// ```
 #[derive(Debug, Clone)]
 pub struct RelaySums {
     me: RelayId,
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -34,6 +34,16 @@
 }
 
 /// What one host knows of the others. It is kept while no relay can be reached.
+///
+/// ```
+/// use coltsfootnotch_membership::{View, ViewDelta};
+/// let whole = ViewDelta { from: 0, to: 4, settled: true, upserts: vec![], removed: vec![] };
+/// let mut view = View::default();
+/// assert_eq!(view.apply(whole.clone())?, vec![]);
+/// let later = ViewDelta { from: 6, to: 7, ..whole };
+/// assert!(view.apply(later).is_err(), "a delta between was lost");
+/// # Ok::<(), coltsfootnotch_membership::ViewGap>(())
+/// ```
 #[derive(Debug, Clone, Default)]
 pub struct View {
     version: u64,
--- a/crates/state/src/store.rs
+++ b/crates/state/src/store.rs
@@ -20,6 +20,20 @@
 
 /// Which loads run, and when the next may start.
 ///
+/// ```
+/// use std::time::Duration;
+/// use coltsfootnotch_state::{StoreLimit, WeightStore};
+/// use coltsfootnotch_types::UpstreamName;
+/// let limit = StoreLimit { bytes_per_sec: 1_000, loads_at_once: 2 };
+/// let sec = Duration::from_secs;
+/// let mut store = WeightStore::new(limit, sec(0), sec(0));
+/// let (a, b) = (UpstreamName::new("engine-a")?, UpstreamName::new("engine-b")?);
+/// assert!(store.try_start(&a, 5_000, sec(0)));
+/// assert!(!store.try_start(&b, 5_000, sec(4)), "the store still delivers to the first");
+/// assert!(store.try_start(&b, 5_000, sec(5)));
+/// # Ok::<(), coltsfootnotch_types::NameError>(())
+/// ```
+///
 /// A load takes its bytes from the future: the next one starts when the store could have delivered
 /// all those before. A process that has just taken over starts without credit and, since it does not
 /// know what its predecessor had in flight, waits for the time that the caller states as `busy_for`.
