--- a/examples/slopes/roles.rs
+++ b/examples/slopes/roles.rs
@@ -22,10 +22,8 @@
 const CALLERS: usize = 8;
 const REQUESTS: usize = 400;
 const TOKENS: [u32; 4] = [1, 32, 128, 256];
-const STREAMS: [usize; 4] = [64, 128, 256, 512];
-const WARM_UP_CALLERS: usize = 300;
-const WARM_UP: Duration = Duration::from_secs(15);
-const SLOWDOWN: f64 = 500.0;
+const STREAMS: [usize; 5] = [32, 64, 128, 512, 1024];
+const STREAM_SIDECARS: u32 = 32;
 const OPENING: Duration = Duration::from_secs(6);
 const PATIENCE: Duration = Duration::from_secs(60);
 
@@ -91,7 +89,7 @@
     }
 }
 
-/// Prints a row for each length of answer, then one for each number of open streams.
+/// Prints a row for each length of answer.
 pub(crate) fn requests() -> Result<(), Box<dyn Error>> {
     let (daemons, _) = start(100)?;
     sleep(SETTLE);
@@ -115,21 +113,21 @@
             began.elapsed().as_secs_f64(),
         );
     }
-    streams(&daemons);
     Ok(())
 }
 
-fn streams(daemons: &Daemons) {
-    println!("open streams, one token a second; growth of memory for each");
+/// Prints a row for each number of open requests: four run at each sidecar, the rest wait.
+pub(crate) fn open_requests() -> Result<(), Box<dyn Error>> {
+    let (daemons, _) = start_with(100, STREAM_SIDECARS, Duration::from_secs(1))?;
+    sleep(SETTLE);
+    println!(
+        "real daemons, 1 entry, {STREAM_SIDECARS} sidecars; open streams, one token a second; growth \
+         of the entry for each open request, of all sidecars for each that runs"
+    );
     println!(
         "{:>8} {:>8} {:>10} {:>12}",
-        "asked", "running", "entry KB", "sidecars KB"
+        "open", "running", "entry KB", "sidecars KB"
     );
-    warm_up(daemons);
-    daemons
-        .engines
-        .iter()
-        .for_each(|engine| engine.set_slowdown(SLOWDOWN));
     let before = daemons.resident_mb();
     let mut sockets: Vec<TcpStream> = vec![];
     for streams in STREAMS {
@@ -138,28 +136,33 @@
         let new: Vec<_> = new.collect();
         sockets.extend(new);
         sleep(OPENING);
-        let running: u32 = daemons
-            .engines
-            .iter()
-            .map(|engine| engine.stats().running)
-            .sum();
+        let engines = daemons.engines.iter();
+        let running: u32 = engines.map(|engine| engine.stats().running).sum();
         let grown = daemons.resident_mb();
-        let each = |after: f64, before: f64| 1000.0 * (after - before) / streams as f64;
         println!(
             "{streams:>8} {running:>8} {:>10.1} {:>12.1}",
-            each(grown.entry, before.entry),
-            each(grown.sidecars, before.sidecars)
+            1000.0 * (grown.entry - before.entry) / streams as f64,
+            1000.0 * (grown.sidecars - before.sidecars) / f64::from(running.max(1)),
         );
     }
+    Ok(())
 }
 
 fn start(accounts: usize) -> Result<(Daemons, Manifest), Box<dyn Error>> {
+    start_with(accounts, ENGINES, Duration::from_millis(2))
+}
+
+fn start_with(
+    accounts: usize,
+    engines: u32,
+    token: Duration,
+) -> Result<(Daemons, Manifest), Box<dyn Error>> {
     let engine = |number: u32| EngineConfig {
         slots: 512,
-        token: Duration::from_millis(2),
+        token,
         ..EngineConfig::new(format!("spec-llm-{number}"), "spec-llm")
     };
-    let daemons = Daemons::start((0..ENGINES).map(engine).collect())?;
+    let daemons = Daemons::start((0..engines).map(engine).collect())?;
     let plan = |number| AccountPlan {
         name: account(number),
         weight: 1,
@@ -210,17 +213,3 @@
             .sum()
     })
 }
-
-fn warm_up(daemons: &Daemons) {
-    let until = Instant::now() + WARM_UP;
-    thread::scope(|scope| {
-        for caller in 0..WARM_UP_CALLERS {
-            scope.spawn(move || {
-                while Instant::now() < until {
-                    let _warms_up_only =
-                        open(daemons.callers, &account(caller % 100), caller, 8).map(whole);
-                }
-            });
-        }
-    });
-}
