--- a/examples/slopes/requests.rs
+++ b/examples/slopes/requests.rs
@@ -2,19 +2,23 @@
 
 use std::net::SocketAddr;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use coltsfootnotch::ops::fleet::FleetError;
+use coltsfootnotch::ops::fleet::{ControlBytes, Fleet, FleetError};
 
 use crate::caller::{open, whole};
 use crate::fleets::{Size, account, start};
-use crate::process::cpu_time;
+use crate::process::{cpu_time, network};
 
 const ENTRIES: usize = 2;
 const SIDECARS: usize = 4;
 const CALLERS: usize = 8;
 const REQUESTS: usize = 800;
 const ACCOUNTS: usize = 16;
+const ENTRY_TOKENS: u32 = 8;
+/// A new upstream gets its whole share in ten seconds.
+const SETTLE: Duration = Duration::from_secs(11);
+const IDLE: Duration = Duration::from_secs(6);
 
 /// Prints one row for each number of tokens.
 pub(crate) fn run(sizes: &[usize]) -> Result<(), FleetError> {
@@ -53,6 +57,64 @@
     Ok(())
 }
 
+/// Prints one row for each number of entries: a sidecar tells each of them of its free slots.
+pub(crate) fn entries(sizes: &[usize]) -> Result<(), FleetError> {
+    println!(
+        "{REQUESTS} streamed requests of {ENTRY_TOKENS} tokens by {CALLERS} callers at once, through \
+         {SIDECARS} sidecars; control bytes a request by role, and UDP datagrams a request in the \
+         network namespace, each without what the idle fleet sends in the same time"
+    );
+    println!(
+        "{:>8} {:>11} {:>9} {:>10} {:>8} {:>7}",
+        "entries", "control B", "entries B", "sidecars B", "UDP", "failed"
+    );
+    for &entries in sizes {
+        let fleet = start(&Size {
+            entries,
+            engines: SIDECARS,
+            slots: 8,
+            token: Duration::from_millis(1),
+            accounts: ACCOUNTS,
+        })?;
+        thread::sleep(SETTLE);
+        let idle = used(&fleet, || thread::sleep(IDLE));
+        let mut failed = 0;
+        let busy = used(&fleet, || {
+            (_, failed) = cost(&fleet.callers(), ENTRY_TOKENS);
+        });
+        let each = |busy_bytes: u64, idle_bytes: u64| {
+            let idle_bytes = idle_bytes as f64 * busy.seconds / idle.seconds;
+            (busy_bytes as f64 - idle_bytes) / REQUESTS as f64
+        };
+        println!(
+            "{entries:>8} {:>11.0} {:>9.0} {:>10.0} {:>8.1} {failed:>7}",
+            each(busy.bytes.control, idle.bytes.control),
+            each(busy.bytes.entries, idle.bytes.entries),
+            each(busy.bytes.sidecars, idle.bytes.sidecars),
+            each(busy.datagrams, idle.datagrams),
+        );
+        fleet.stop();
+    }
+    Ok(())
+}
+
+/// What was sent while something went on.
+struct Used {
+    bytes: ControlBytes,
+    datagrams: u64,
+    seconds: f64,
+}
+
+fn used(fleet: &Fleet, work: impl FnOnce()) -> Used {
+    let (bytes, net, began) = (fleet.control_bytes_by_role(), network(), Instant::now());
+    work();
+    Used {
+        bytes: fleet.control_bytes_by_role().since(&bytes),
+        datagrams: network().datagrams - net.datagrams,
+        seconds: began.elapsed().as_secs_f64(),
+    }
+}
+
 /// Milliseconds of processor time a request, and requests that were not answered whole.
 fn cost(at: &[SocketAddr], tokens: u32) -> (f64, usize) {
     let before = cpu_time();
