--- a/src/coltsfootnotch/daemon/entry/arrivals.rs
+++ b/src/coltsfootnotch/daemon/entry/arrivals.rs
@@ -42,11 +42,21 @@
 
     /// Queues a request again whose attempt was not started, or is made again.
     pub(super) fn wait_again(&mut self, request: u64, waiting: Waiting) {
+        self.note_queued(request, &waiting);
+        self.core.requeue(waiting);
+    }
+
+    /// A suspect of crashes waits for a while before it is tried again: another suspect runs.
+    pub(super) fn hold_back(&mut self, request: u64, waiting: Waiting) {
+        self.note_queued(request, &waiting);
+        self.core.hold_back(self.cx.now(), waiting);
+    }
+
+    fn note_queued(&mut self, request: u64, waiting: &Waiting) {
         let now = self.cx.now();
         self.admission
             .on_queued(&waiting.pool, &waiting.account, now);
         self.set_stage(request, Stage::Waiting);
-        self.core.requeue(waiting);
     }
 
     /// The caller has closed its connection.
--- a/src/coltsfootnotch/daemon/entry/outcomes.rs
+++ b/src/coltsfootnotch/daemon/entry/outcomes.rs
@@ -174,6 +174,9 @@
             return;
         };
         let Some(key) = in_progress.arrival.booking.clone() else {
+            if let AttemptEnd::NotStarted(NotStartedReason::OtherSuspect) = end {
+                return self.hold_back(request, chosen.waiting);
+            }
             return self.wait_again(request, chosen.waiting);
         };
         let by = match end {
