--- a/examples/slopes/main.rs
+++ b/examples/slopes/main.rs
@@ -1,7 +1,7 @@
 //! Measures how the cost of a fleet grows with its sizes, for docs/CAPACITY.md.
 //!
 //! `cargo run --release --example slopes -- PART [SIZE...]`, where PART is `hosts`, `backlog`,
-//! `requests`, `entries`, `streams`, `configuration`, `accounts`, `changes`, `open` or `roles`. The last four start real
+//! `requests`, `entries`, `streams`, `configuration`, `accounts`, `changes`, `connections`, `open` or `roles`. The last five start real
 //! daemons, built by `cargo build --release --bins`, so that each role is measured by itself; in the
 //! others every host and stand-in of a fleet runs in this one process. All over loopback. Processor
 //! figures are user and system time, which other programs on the machine disturb less than the clock
@@ -43,6 +43,7 @@
         "streams" => streams::run(&numbers(sizes, &[250, 500, 1000]))?,
         "accounts" => roles::accounts(&numbers(sizes, &[100, 1000, 5700]))?,
         "changes" => roles::changes(&numbers(sizes, &[0, 10, 30, 60]))?,
+        "connections" => roles::connections(&numbers(sizes, &[4, 16, 64, 128]))?,
         "open" => roles::open_requests()?,
         "roles" => roles::requests()?,
         "configuration" => {
@@ -50,7 +51,7 @@
             configuration::run(&pairs(sizes, &default))?;
         }
         _ => {
-            let parts = "hosts, backlog, requests, entries, streams, configuration, accounts, changes, open or roles";
+            let parts = "hosts, backlog, requests, entries, streams, configuration, accounts, changes, connections, open or roles";
             return Err(format!("give a part: {parts}").into());
         }
     }
--- a/examples/slopes/roles.rs
+++ b/examples/slopes/roles.rs
@@ -61,6 +61,26 @@
     Ok(())
 }
 
+/// Prints a row of idle costs for each number of sidecars, to all of which the entry is connected.
+pub(crate) fn connections(sizes: &[usize]) -> Result<(), Box<dyn Error>> {
+    println!("real daemons: 3 control, 1 entry; idle, for one host of each role");
+    println!(
+        "{:>9} | {:>26} | {:>26}",
+        "sidecars", "idle ms/s ctl/entry/side", "MB ctl/entry/side"
+    );
+    for &size in sizes {
+        let engines = u32::try_from(size).unwrap_or(u32::MAX);
+        let (daemons, _) = start_with(100, engines, Duration::from_millis(2))?;
+        sleep(SETTLE);
+        let before = daemons.cpu_ms();
+        sleep(WATCHED);
+        let idle = each(&daemons, daemons.cpu_ms(), before, WATCHED.as_secs_f64());
+        let resident = each(&daemons, daemons.resident_mb(), ByRole::default(), 1.0);
+        println!("{size:>9} | {} | {}", row(idle), row(resident));
+    }
+    Ok(())
+}
+
 /// Prints a row for each number of changes at the largest number of accounts.
 pub(crate) fn changes(sizes: &[usize]) -> Result<(), Box<dyn Error>> {
     println!(
