Measure memory per open stream as a slope

Cause: the first reading counted what is allocated once (threads, connections) as the streams' cost: 1018 KB a stream through the fleet with 24 open, because the sidecars let only four requests per engine in.

Change: the hop first loads its side until windows are open, then reads memory with a quarter of the streams and with all of them, and gives the slope between.

--- a/src/coltsfootnotch/ops/load/hop.rs
+++ b/src/coltsfootnotch/ops/load/hop.rs
@@ -22,6 +22,8 @@
 const TOKENS: u32 = 16;
 /// Longest time between tokens that the histograms hold, in microseconds.
 const MAX_MICROS: u64 = 60_000_000;
+/// One part in this many of the streams is open at the first reading of memory.
+const FEW: usize = 4;
 const CALLER_STACK_BYTES: usize = 256 * 1024;
 
 /// How the hop is measured.
@@ -50,7 +52,7 @@
     pub requests_per_s: f64,
     /// Processor time of the whole process for one short request.
     pub cpu_ms_per_request: f64,
-    /// Growth of the whole process for one open stream.
+    /// Growth of the whole process for one more open stream, its caller included.
     pub kb_per_stream: f64,
     /// Streams that were open when memory was read.
     pub streams: usize,
@@ -67,6 +69,13 @@
     pub fleet: HopSide,
 }
 
+/// What was seen while streams were held open.
+struct Held {
+    resident: Option<u64>,
+    open: usize,
+    failures: u64,
+}
+
 /// One side at work.
 struct Side<'a> {
     clients: Vec<Client>,
@@ -122,25 +131,31 @@
         self.cost.failures += u64::from(!matches!(answer, Answer::Whole(_)));
     }
 
-    /// Short requests from several callers for `phase`.
-    fn throughput(&mut self, opts: &HopOptions) -> io::Result<()> {
-        let (started, cpu_before) = (Instant::now(), cpu_time());
-        let side = &*self;
-        let counts: Vec<(u64, u64)> = scoped(opts.callers, |caller| {
-            let client = &side.clients[caller % side.clients.len()];
+    /// Asks from several callers for `phase` with answers of `tokens`; returns whole and failed ones.
+    fn ask(&self, callers: usize, phase: Duration, tokens: u32) -> io::Result<(u64, u64)> {
+        let started = Instant::now();
+        let counts: Vec<(u64, u64)> = scoped(callers, |caller| {
+            let client = &self.clients[caller % self.clients.len()];
             let (mut whole, mut failed) = (0, 0);
-            while started.elapsed() < opts.phase {
-                let number = caller + opts.callers * (whole + failed) as usize;
-                match client.chat(&side.call(number, 1), |_| {}) {
+            while started.elapsed() < phase {
+                let number = caller + callers * (whole + failed) as usize;
+                match client.chat(&self.call(number, tokens), |_| {}) {
                     Answer::Whole(_) => whole += 1,
                     _ => failed += 1,
                 }
             }
             (whole, failed)
         })?;
+        let add = |(a, b), (whole, failed)| (a + whole, b + failed);
+        Ok(counts.into_iter().fold((0, 0), add))
+    }
+
+    /// Short requests from several callers for `phase`.
+    fn throughput(&mut self, opts: &HopOptions) -> io::Result<()> {
+        let (started, cpu_before) = (Instant::now(), cpu_time());
+        let (whole, failed) = self.ask(opts.callers, opts.phase, 1)?;
         let elapsed = started.elapsed();
-        let whole: u64 = counts.iter().map(|(whole, _)| whole).sum();
-        self.cost.failures += counts.iter().map(|(_, failed)| failed).sum::<u64>();
+        self.cost.failures += failed;
         self.cost.requests_per_s = whole as f64 / elapsed.as_secs_f64();
         if let (Some(before), Some(after)) = (cpu_before, cpu_time()) {
             let cpu_ms = 1000.0 * (after - before).as_secs_f64();
@@ -149,23 +164,37 @@
         Ok(())
     }
 
-    /// Holds streams open and reads how much memory the process has grown by.
-    fn open_streams(&mut self, opts: &HopOptions, token: Duration) -> io::Result<()> {
-        let streams = opts.streams;
-        let tokens = 2 * opts.open.as_micros() / token.as_micros().max(1);
+    /// Reads the memory of the process with a few streams open and with many; the slope between the
+    /// two leaves out what is allocated once.
+    fn memory(&mut self, opts: &HopOptions, token: Duration) -> io::Result<()> {
+        // More callers than slots, so that the upstreams are let hold as many as the streams need.
+        let (_, failed) = self.ask(2 * opts.streams, opts.phase, TOKENS)?;
+        let few = self.hold(opts.streams.div_ceil(FEW), opts.open, token)?;
+        let many = self.hold(opts.streams, opts.open, token)?;
+        self.cost.failures += failed + few.failures + many.failures;
+        self.cost.streams = many.open;
+        if let (Some(before), Some(after)) = (few.resident, many.resident) {
+            let grown = after as f64 - before as f64;
+            let streams = many.open as f64 - few.open as f64;
+            self.cost.kb_per_stream = grown / 1024.0 / streams.max(1.0);
+        }
+        Ok(())
+    }
+
+    /// Holds streams open and reads the memory of the process half-way.
+    fn hold(&self, streams: usize, half: Duration, token: Duration) -> io::Result<Held> {
+        let tokens = 2 * half.as_micros() / token.as_micros().max(1);
         let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
-        let before = resident_bytes();
         let open = AtomicUsize::new(0);
-        let side = &*self;
-        let (read, answered) = thread::scope(|scope| {
+        thread::scope(|scope| {
             let reader = scope.spawn(|| {
-                thread::sleep(opts.open);
+                thread::sleep(half);
                 (resident_bytes(), open.load(Ordering::SeqCst))
             });
-            let answered = scoped(streams, |number| {
-                let client = &side.clients[number % side.clients.len()];
+            let whole = scoped(streams, |number| {
+                let client = &self.clients[number % self.clients.len()];
                 let mut opened = false;
-                let answer = client.chat(&side.call(number, tokens), |progress| {
+                let answer = client.chat(&self.call(number, tokens), |progress| {
                     if matches!(progress, Progress::Tokens(_)) && !opened {
                         opened = true;
                         open.fetch_add(1, Ordering::SeqCst);
@@ -175,18 +204,14 @@
                     open.fetch_sub(1, Ordering::SeqCst);
                 }
                 matches!(answer, Answer::Whole(_))
-            });
-            (reader.join().unwrap_or((None, 0)), answered)
-        });
-        let (after, open) = read;
-        let whole = answered?.into_iter().filter(|whole| *whole).count();
-        self.cost.failures += (streams - whole) as u64;
-        self.cost.streams = open;
-        if let (Some(before), Some(after)) = (before, after) {
-            let grown = after.saturating_sub(before) as f64;
-            self.cost.kb_per_stream = grown / 1024.0 / open.max(1) as f64;
-        }
-        Ok(())
+            })?;
+            let (resident, open) = reader.join().unwrap_or((None, 0));
+            Ok(Held {
+                resident,
+                open,
+                failures: whole.into_iter().filter(|whole| !whole).count() as u64,
+            })
+        })
     }
 
     fn finish(mut self) -> HopSide {
@@ -229,14 +254,14 @@
         fleet.timed(number);
         direct.timed(number);
     }
-    progress("memory of open streams");
-    let token = target.engines.iter().map(|engine| engine.config().token);
-    let token = token.min().unwrap_or(Duration::from_millis(1));
-    fleet.open_streams(opts, token)?;
-    direct.open_streams(opts, token)?;
     progress("short requests from several callers");
     fleet.throughput(opts)?;
     direct.throughput(opts)?;
+    progress("memory of open streams");
+    let token = target.engines.iter().map(|engine| engine.config().token);
+    let token = token.min().unwrap_or(Duration::from_millis(1));
+    fleet.memory(opts, token)?;
+    direct.memory(opts, token)?;
     Ok(HopCost {
         direct: direct.finish(),
         fleet: fleet.finish(),
