--- a/src/coltsfootnotch/ops/load/command.rs
+++ b/src/coltsfootnotch/ops/load/command.rs
@@ -22,7 +22,8 @@
 
 /// Callers of the hop's throughput phases for each engine; half of the usual slots.
 const HOP_CALLERS_PER_ENGINE: usize = 4;
-const HOP_PAIRS: usize = 400;
+/// Pairs of requests: enough for a p99, and half a minute at the pace of the embedded engines.
+const HOP_PAIRS: usize = 150;
 const HOP_STREAMS: usize = 64;
 /// How long the hop's streams are open before memory is read.
 const HOP_OPEN: Duration = Duration::from_secs(2);
