--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,7 +1,10 @@
 //! The daemons as a whole.
 
+mod bad_input;
 mod commands;
+mod connections;
 mod control;
 mod demo;
 mod load;
 mod orders;
+mod processes;
