--- a/src/coltsfootnotch/ops/load/embedded.rs
+++ b/src/coltsfootnotch/ops/load/embedded.rs
@@ -13,6 +13,8 @@
 
 /// Control hosts of an embedded fleet: the fewest that outlive the loss of one.
 const CONTROL: usize = 3;
+/// Entries of a fleet sized by a manifest: one in each failure domain of the examples.
+const MANIFEST_ENTRIES: usize = 3;
 /// Accounts of a fleet without a manifest: the sizes of today, 16 with a few large ones.
 const ACCOUNTS: usize = 16;
 const LARGE_ACCOUNTS: usize = 3;
@@ -65,7 +67,10 @@
         None => shares(scenario, size.hosts),
     };
     plan.control = CONTROL;
-    plan.entries = entries(size.hosts);
+    plan.entries = match manifest {
+        Some(_) => MANIFEST_ENTRIES,
+        None => entries(size.hosts),
+    };
     plan.engines = (1..=engines)
         .map(|number| engine(&template.0, number, size.slots))
         .collect();
