Build the example that measures service reports again

Cause: watched accounts now carry the total known to the host; the example named accounts alone and main did not build all targets. Change: the example states what its ledger knows. Measured: clippy clean over all targets, the workspace's tests pass.

--- a/crates/decide/examples/service_bytes.rs
+++ b/crates/decide/examples/service_bytes.rs
@@ -146,11 +146,15 @@
     down: &mut Cost,
 ) {
     let served = ledger.take_unsent();
-    let watched = if grouping.repeats_watched {
-        accounts.to_vec()
+    let named = if grouping.repeats_watched {
+        accounts
     } else {
-        Vec::new()
+        &[]
     };
+    let watched = named
+        .iter()
+        .map(|account| (account.clone(), ledger.total(account)));
+    let watched = watched.collect();
     *seq += 1;
     let batch = ServiceBatch {
         seq: *seq,
