--- a/crates/membership/src/timing.rs
+++ b/crates/membership/src/timing.rs
@@ -7,7 +7,7 @@
 /// A host that is lost just after a heartbeat is found silent `silent_after` later, plus one call of
 /// [`crate::Registry::tick`]: 2.5 s and 0.25 s with the defaults, within the 3 s that are required.
 /// Five heartbeats fall into `silent_after`; with a tenth of them lost at random, a present host is
-/// taken for silent about once in 14 hours (0.1 to the fifth, twice a second), and then damped.
+/// taken for silent about once in 15 hours (0.1 to the fifth, twice a second), and then damped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Timing {
     /// Between two heartbeats of a host.
@@ -45,8 +45,3 @@
 
 /// How long what is known of a host that is gone is kept, so that older news of it loses against it.
 pub(crate) const KEEP_GONE: Duration = Duration::from_secs(20 * 60);
-
-/// How long the hosts of a relay that is silent are kept as they were. Their own moves to other
-/// relays take precedence at once; this is for what was lost together with the relay. Shorter than
-/// [`KEEP_GONE`], or a host that moved away and was lost would come back from the stale summary.
-pub(crate) const KEEP_STALE_RELAY: Duration = Duration::from_secs(10 * 60);
--- a/src/coltsfootnotch/daemon/entry/actor.rs
+++ b/src/coltsfootnotch/daemon/entry/actor.rs
@@ -19,17 +19,17 @@
 
 use super::admission::queue_of;
 use super::attempt_end::{AttemptEnd, Collected};
-use super::bookings::Bookings;
 use super::handle::{Seen, Started};
 use super::listen::{Shared, listen};
+use super::proposals::Proposals;
 use super::requests::{Chosen, Requests};
 use super::sidecars::Sidecars;
 use super::suspects::Suspects;
 use super::{Arrival, EntryConfig};
 use crate::core::{HostCx, Refusal, RefusalKind};
 use crate::daemon::{Lifecycle, RelayClient, RelayNews, StartError, Starter};
-use crate::util::events;
-use crate::util::events::Field;
+use crate::util::connections::Connections;
+use crate::util::events::{self, Field};
 
 /// Time between the actor's own rounds: deadlines, heartbeats and proposals fall due on them.
 const TICK: Duration = Duration::from_millis(20);
@@ -58,7 +58,7 @@
     pub(super) core: EntryCore,
     pub(super) requests: Requests,
     pub(super) sidecars: Sidecars,
-    pub(super) bookings: Bookings,
+    pub(super) proposals: Proposals,
     pub(super) admission: Admission,
     pub(super) suspects: Suspects,
     pub(super) retries: RetryBudget,
@@ -69,6 +69,7 @@
     config: watch::Sender<Option<Arc<ConfigIndex>>>,
     seen: watch::Sender<Seen>,
     fleet: SocketAddr,
+    connections: Arc<Connections>,
     pub(super) life: Lifecycle,
     _guard: ChannelGuard,
 }
@@ -114,10 +115,12 @@
         let charts = Charts::load()?;
         let life = Lifecycle::new(cx.clone(), &charts.daemon, cfg.shutdown);
         let next_request = Arc::new(AtomicU64::new(0));
+        let connections = Arc::<Connections>::default();
         let shared = Shared {
             config: config.subscribe(),
             ready: life.ready(),
             next_request: Arc::clone(&next_request),
+            connections: Arc::clone(&connections),
         };
         let callers = listen(&cx, &cfg, &tx, shared)?;
         let ready = Started {
@@ -132,7 +135,7 @@
             core: EntryCore::new(me, cx.identity.domain.clone()),
             requests: Requests::new(charts.request),
             sidecars: Sidecars::default(),
-            bookings: Bookings::default(),
+            proposals: Proposals::default(),
             admission: queue_of(cfg.limits.queue_requests),
             suspects: Suspects::new(&cx.identity.host, me),
             retries: RetryBudget::new(),
@@ -145,6 +148,7 @@
             config,
             seen,
             fleet,
+            connections,
             life,
             _guard: guard,
         };
@@ -185,7 +189,7 @@
             .tick(&self.endpoint, |config| HostRecord { config, ..record });
         self.suspects.tick(now);
         self.tick_doubts(now);
-        for answered in self.bookings.tick(&mut self.relay, now) {
+        for answered in self.proposals.tick(&mut self.relay, now) {
             self.on_ledger(answered);
         }
         self.run_actions();
@@ -324,7 +328,7 @@
                 self.life.config_in_force();
             }
             RelayNews::Proposed { id, reply } => {
-                if let Some(answered) = self.bookings.answered(self.cx.now(), id, reply) {
+                if let Some(answered) = self.proposals.answered(self.cx.now(), id, reply) {
                     self.on_ledger(answered);
                 }
             }
@@ -337,7 +341,12 @@
     }
 
     fn end_if_drained(&mut self, stakker: CX![]) {
-        if self.life.ends(self.requests.len()) {
+        if self.life.is_stopping() && self.requests.len() == 0 {
+            self.connections.close();
+        }
+        // The last bytes of an answer may still wait for a slow caller to take them.
+        let in_progress = self.requests.len().max(self.connections.count());
+        if self.life.ends(in_progress) {
             self.endpoint.close();
             stop!(stakker);
         }
--- a/src/coltsfootnotch/daemon/entry/outcomes.rs
+++ b/src/coltsfootnotch/daemon/entry/outcomes.rs
@@ -13,12 +13,16 @@
 use super::actor::{EntryActor, EntryMsg};
 use super::attempt::AttemptTask;
 use super::attempt_end::{AttemptEnd, Collected};
-use super::bookings::{self, Purpose};
+use super::bookings;
 use super::doubts::DOUBT_RETRY;
+use super::proposals::Purpose;
 use super::requests::{Chosen, InProgress, Stage};
 use crate::core::{Refusal, RefusalKind};
 use crate::util::events;
 
+/// Time between the pieces of an answer, by account.
+const TOKEN_GAP: &str = "account_token_gap_seconds";
+
 impl EntryActor {
     /// A slot is chosen: what may be repeated starts, the rest has its intent committed first.
     pub(super) fn on_chosen(&mut self, chosen: Chosen) {
@@ -33,7 +37,7 @@
         let op = bookings::intent(&in_progress.arrival.account, key, &chosen);
         let now = self.cx.now();
         let sent = self
-            .bookings
+            .proposals
             .propose(&mut self.relay, now, request, Purpose::Intent, op);
         if sent.is_none() {
             self.give_back(&chosen);
@@ -92,6 +96,11 @@
             next: 0,
             collected: Collected::default(),
             first_piece: None,
+            last_piece: None,
+            gaps: self
+                .cx
+                .metrics
+                .account_histogram(TOKEN_GAP, &arrival.account),
             upstream: None,
         };
         let waited = now.saturating_sub(arrival.arrived);
@@ -190,7 +199,7 @@
         let op = bookings::close(&account, &key, chosen.attempt, by);
         let now = self.cx.now();
         let sent = self
-            .bookings
+            .proposals
             .propose(&mut self.relay, now, request, Purpose::Close, op);
         if sent.is_none() {
             let refusal = Refusal::not_run(RefusalKind::NoQuorum).retry_after(DOUBT_RETRY);
@@ -233,7 +242,7 @@
         let op = bookings::outcome(&account, &key, chosen.attempt, &answer);
         let now = self.cx.now();
         let sent = self
-            .bookings
+            .proposals
             .propose(&mut self.relay, now, request, Purpose::Outcome, op);
         self.set_stage(request, Stage::Recording { answer });
         if sent.is_none() {
