Test that no group is founded while a host has a configuration

Cause: the rule that a host with a configuration in force keeps a new group from being founded was met by no test. Change: a test with three empty members and an entry at configuration 5; nothing is founded for 2 s, and the group is when the entry is gone. Conclusion: the rule holds, and does not outlast the host.

--- a/tests/testsuite/control/members.rs
+++ b/tests/testsuite/control/members.rs
@@ -1,6 +1,7 @@
 //! Members that come, go and are replaced, and what their data folders lose.
 
 use std::fs;
+use std::time::Duration;
 
 use coltsfootnotch::daemon::control::{self, ControlError};
 use coltsfootnotch_state::ConfigReply;
@@ -65,6 +66,28 @@
     assert_that!(status["group"]["last"].as_u64(), some(eq(0)));
 }
 
+/// Every control host has lost its disk, and an entry that kept running has configuration 5 in force:
+/// there was a group. None is founded, or the entry's next configuration could be number 1. When the
+/// entry is gone nothing remembers any more, and the group is founded.
+#[test]
+fn no_group_is_founded_while_a_host_has_a_configuration_in_force() {
+    let mut group = Group::new(|_| {});
+    group.start(0);
+    let mut entry = group.client(0, Role::Entry, "e1");
+    entry.beat(5);
+    group.start(1);
+    group.start(2);
+    let mut operator = group.client(0, Role::Operator, "op");
+    for _ in 0..20 {
+        entry.beat(5);
+        let status = operator.status();
+        assert_that!(status["group"]["last"].as_u64(), some(eq(0)));
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    drop(entry);
+    group.wait_for_leader();
+}
+
 /// A graceful stop of the leader hands the leadership over first, so a change sent to another member
 /// at that moment is accepted.
 #[test]
