--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,4 +7,5 @@
 mod demo;
 mod load;
 mod orders;
+mod orders_random;
 mod processes;
