Count a change of configuration without the answers about it

Cause: the program asked for the fleet's state every 20 ms, and the answers, 50 bytes an account, were counted as the change's own bytes: six to ten bodies a change were reported. Change: answers are taken off.

--- a/examples/slopes/configuration.rs
+++ b/examples/slopes/configuration.rs
@@ -15,14 +15,14 @@
 const SETTLE: Duration = Duration::from_secs(3);
 const PATIENCE: Duration = Duration::from_secs(60);
 const CHANGES: u64 = 3;
-const POLL: Duration = Duration::from_millis(20);
+const POLL: Duration = Duration::from_millis(50);
 
 /// Prints one row for each size, given as `accounts x hosts`.
 pub(crate) fn run(sizes: &[(usize, usize)]) -> Result<(), FleetError> {
     println!(
         "changes of one account, {CHANGES} a row, averages: {CONTROL} control hosts, {ENTRIES} \
          entries, the rest sidecars; control bytes sent by all hosts of a role until the change is \
-         in force on every host, the idle traffic of that time included"
+         in force on every host, the idle traffic of that time included, answers about it not"
     );
     println!(
         "{:>9} {:>6} {:>11} {:>14} {:>14} {:>10} {:>11} {:>10} {:>12}",
@@ -57,16 +57,18 @@
     let operator = fleet.operator()?;
     let mut manifest = fleet.manifest().clone();
     let (mut accepted, mut in_force) = (Duration::ZERO, Duration::ZERO);
+    let mut asked = 0;
     let (bytes, cpu) = (fleet.control_bytes_by_role(), cpu_time());
     for _ in 0..CHANGES {
         change(&mut manifest);
         let began = Instant::now();
         operator.apply(&manifest, PATIENCE)?;
         accepted += began.elapsed();
-        wait_in_force(&operator, manifest.number)?;
+        asked += wait_in_force(&operator, manifest.number)?;
         in_force += began.elapsed();
     }
     let sent = fleet.control_bytes_by_role().since(&bytes);
+    let control = sent.control.saturating_sub(asked);
     let cpu = cpu_time() - cpu;
     let each = |total: f64| total / CHANGES as f64;
     let others = (fleet.hosts() - CONTROL) as f64;
@@ -74,8 +76,8 @@
         "{accounts:>9} {:>6} {:>11} {:>14.0} {:>14.0} {:>10.2} {:>11.2} {:>10.2} {:>12.1}",
         fleet.hosts(),
         manifest.to_body().len(),
-        each(sent.control as f64),
-        each(sent.control as f64) / others,
+        each(control as f64),
+        each(control as f64) / others,
         each(accepted.as_secs_f64()),
         each(in_force.as_secs_f64()),
         each(cpu.as_secs_f64()),
@@ -91,17 +93,21 @@
     }
 }
 
-/// Waits until no host is behind, as the control host that answers knows it.
-fn wait_in_force(operator: &OperatorClient, number: u64) -> Result<(), FleetError> {
+/// Waits until no host is behind, as the control host that answers knows it; the bytes of its answers,
+/// which would otherwise be counted as the change's.
+fn wait_in_force(operator: &OperatorClient, number: u64) -> Result<u64, FleetError> {
+    let mut asked = 0;
     let until = Instant::now() + PATIENCE;
     while Instant::now() < until {
-        let status: Value = serde_json::from_str(&operator.status(PATIENCE)?).unwrap_or_default();
+        let answer = operator.status(PATIENCE)?;
+        asked += answer.len() as u64;
+        let status: Value = serde_json::from_str(&answer).unwrap_or_default();
         let configuration = &status["configuration"];
         let none_behind = configuration["behind"]
             .as_array()
             .is_some_and(Vec::is_empty);
         if configuration["number"] == number && none_behind {
-            return Ok(());
+            return Ok(asked);
         }
         sleep(POLL);
     }
