--- a/src/coltsfootnotch/ops/load/hop.rs
+++ b/src/coltsfootnotch/ops/load/hop.rs
@@ -23,7 +23,7 @@
 /// Longest time between tokens that the histograms hold, in microseconds.
 const MAX_MICROS: u64 = 60_000_000;
 /// One part in this many of the streams is open at the first reading of memory.
-const FEW: usize = 4;
+const SOME: usize = 2;
 const CALLER_STACK_BYTES: usize = 256 * 1024;
 
 /// How the hop is measured.
@@ -164,12 +164,16 @@
         Ok(())
     }
 
-    /// Reads the memory of the process with a few streams open and with many; the slope between the
+    /// Reads the memory of the process with some streams open and with many; the slope between the
     /// two leaves out what is allocated once.
+    ///
+    /// The callers that go before make the upstreams' windows grow. There are no more of them than
+    /// streams at the first reading: memory that they used is kept by the allocator, and would hide
+    /// what the streams of the second reading need.
     fn memory(&mut self, opts: &HopOptions, token: Duration) -> io::Result<()> {
-        // More callers than slots, so that the upstreams are let hold as many as the streams need.
-        let (_, failed) = self.ask(2 * opts.streams, opts.phase, TOKENS)?;
-        let few = self.hold(opts.streams.div_ceil(FEW), opts.open, token)?;
+        let some = opts.streams.div_ceil(SOME);
+        let (_, failed) = self.ask(some, opts.phase, TOKENS)?;
+        let few = self.hold(some, opts.open, token)?;
         let many = self.hold(opts.streams, opts.open, token)?;
         self.cost.failures += failed + few.failures + many.failures;
         self.cost.streams = many.open;
