--- a/crates/router/tests/late_binding/scenarios.rs
+++ b/crates/router/tests/late_binding/scenarios.rs
@@ -5,7 +5,9 @@
 
 use crate::sim::{Ended, Options, Sim, Source, bound};
 use coltsfootnotch_decide::fair::ChoicePolicy;
-use coltsfootnotch_types::Weight;
+use coltsfootnotch_decide::window::WindowTargets;
+use coltsfootnotch_router::{News, UpstreamTable};
+use coltsfootnotch_types::{PoolName, UpstreamName, Weight};
 use googletest::prelude::*;
 
 const MINUTE: Duration = Duration::from_secs(60);
@@ -256,3 +258,41 @@
     expect_that!(fair, le(allowed));
     expect_that!(gap(ChoicePolicy::Fifo).0, gt(fair));
 }
+
+// An engine has loaded a new version in place of the old one, and the version is bad. It gets one
+// request at a time at first and a hundredth of its slots more each second, so that most callers are
+// still served by the version that they know when an operator sees the errors.
+#[gtest]
+fn a_new_version_gets_its_slots_gradually() {
+    let second = Duration::from_secs(1);
+    let pool = PoolName::new("spec-llm").expect("a valid name");
+    let name = UpstreamName::new("spec-llm-1").expect("a valid name");
+    let news = |now: Duration| News {
+        live_until: now + 3 * second,
+        leaving: false,
+        queued: 0,
+        reported: now,
+        targets: WindowTargets::service(second),
+    };
+    let mut table = UpstreamTable::default();
+    table.announce(
+        Duration::ZERO,
+        name.clone(),
+        pool.clone(),
+        news(Duration::ZERO),
+    );
+    let whole = table.free(Duration::ZERO, &pool);
+    let slots = table.get_mut(&name).expect("it was announced");
+    slots.change_version(Duration::ZERO);
+    let free = (0..=100).map(|seconds| {
+        let now = seconds * second;
+        table.announce(now, name.clone(), pool.clone(), news(now));
+        table.free(now, &pool)
+    });
+    let free: Vec<u32> = free.collect();
+    expect_that!(whole, ge(2));
+    expect_that!(
+        [free[1], free[50], free[100]],
+        eq([1, whole.div_ceil(2), whole])
+    );
+}
