Say what becomes of old keys, and allow for slewed clocks

Cause: the reference said that a key used after its record expired counts as new, which would be a second run; and 500 ppm is below a slewing clock daemon together with a crystal's error, about 600. Change: the text says refused, never run; the default drift bound is 1,000 ppm.

--- a/crates/manifest/src/schema/service_keys.rs
+++ b/crates/manifest/src/schema/service_keys.rs
@@ -111,6 +111,6 @@
         "ledger.keep_hours",
         number(1, 8760, "hours"),
         Need::Default("72"),
-        "time for which the outcome of a call is kept; a key used again later counts as new",
+        "time for which the outcome of a call is kept; a key used again later is refused, never run",
     ),
 ];
--- a/crates/manifest/src/schema/settings_keys.rs
+++ b/crates/manifest/src/schema/settings_keys.rs
@@ -201,7 +201,7 @@
     Key::new(
         "clock_drift_ppm",
         number(0, 100_000, "parts per million"),
-        Need::Default("500"),
+        Need::Default("1000"),
         "most by which the clocks of two hosts run apart; leases are kept shorter by twice as much",
     ),
     Key::new(
