Test which engines serve their pool, and tell upstreams

Cause: the rule by which an engine gets no requests was tested by nothing and missing in the interface. Conclusion: an engine that lists nothing still serves, as before.

--- a/src/coltsfootnotch/daemon/sidecar/orders/mod.rs
+++ b/src/coltsfootnotch/daemon/sidecar/orders/mod.rs
@@ -29,7 +29,7 @@
 pub use call::{OrderCall, OrderEnd};
 use engine::{Engine, StepCx};
 use lease_set::LeaseSet;
-pub(super) use names::serves;
+pub use names::serves;
 use records::Records;
 
 /// Time for releases to be answered when the sidecar stops; the leases expire without them.
--- a/src/coltsfootnotch/daemon/sidecar/orders/names.rs
+++ b/src/coltsfootnotch/daemon/sidecar/orders/names.rs
@@ -68,7 +68,18 @@
 }
 
 /// Whether an engine can serve its pool by what it lists. One that lists nothing is not asked to.
-pub(in crate::daemon::sidecar) fn serves(model: &Model, listed: &[String]) -> bool {
+///
+/// ```
+/// use coltsfootnotch::daemon::sidecar::orders::serves;
+/// use coltsfootnotch::ops::fleet::FleetPlan;
+/// let manifest = FleetPlan::demo().manifest()?;
+/// let model = &manifest.models[0];
+/// assert!(serves(model, &["spec-llm:v1".to_owned()]));
+/// assert!(!serves(model, &["embeddings".to_owned()]));
+/// # Ok::<(), coltsfootnotch_manifest::Findings>(())
+/// ```
+#[must_use]
+pub fn serves(model: &Model, listed: &[String]) -> bool {
     let is_version = |name: &String| {
         let version = name.strip_prefix(model.name.as_str());
         version.is_some_and(|rest| rest.starts_with(':') && !rest[1..].contains(':'))
--- a/tests/testsuite/orders.rs
+++ b/tests/testsuite/orders.rs
@@ -5,6 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use coltsfootnotch::daemon::sidecar::orders;
 use coltsfootnotch::ops::fleet::{Fleet, FleetPlan};
 use coltsfootnotch_fakes::{EngineConfig, EngineHandle};
 use coltsfootnotch_manifest::{Adapter, Manifest, Version, WeightStore};
@@ -36,7 +37,7 @@
     }
 }
 
-fn orders(fleet: &Fleet) -> Vec<u64> {
+fn counts(fleet: &Fleet) -> Vec<u64> {
     let of = |engine: &EngineHandle| engine.stats().orders;
     fleet.engines().iter().map(of).collect()
 }
@@ -80,10 +81,10 @@
     let plan = plan(3);
     let mut rng = StdRng::seed_from_u64(1);
     let mut fleet = Fleet::start(&plan, &mut rng).unwrap();
-    wait_until("versions loaded", || orders(&fleet) == [1, 1, 1]);
+    wait_until("versions loaded", || counts(&fleet) == [1, 1, 1]);
 
     apply(&fleet, &with_adapter(fleet.manifest(), 2, 1));
-    let total = |fleet: &Fleet| orders(fleet).iter().sum::<u64>();
+    let total = |fleet: &Fleet| counts(fleet).iter().sum::<u64>();
     wait_until("two adapters loaded", || total(&fleet) == 5);
 
     fleet.restart_sidecar(&plan, 0, &mut rng).unwrap();
@@ -115,7 +116,7 @@
 fn loads_keep_the_rate_of_the_weight_store() {
     let plan = plan(3);
     let fleet = Fleet::start(&plan, &mut StdRng::seed_from_u64(3)).unwrap();
-    wait_until("versions loaded", || orders(&fleet) == [1, 1, 1]);
+    wait_until("versions loaded", || counts(&fleet) == [1, 1, 1]);
     let mut manifest = fleet.manifest().clone();
     manifest.number += 1;
     manifest.weight_store = WeightStore {
@@ -130,7 +131,7 @@
     apply(&fleet, &manifest);
     let mut seen = vec![];
     wait_until("second versions loaded", || {
-        let total = orders(&fleet).iter().sum::<u64>() - 3;
+        let total = counts(&fleet).iter().sum::<u64>() - 3;
         while (seen.len() as u64) < total {
             seen.push(Instant::now());
         }
@@ -147,6 +148,23 @@
     fleet.stop();
 }
 
+// An engine that has loaded nothing of its pool would answer each request with an error, while the
+// pool's other engines answer them well. What it announces decides whether it gets any.
+#[gtest]
+fn an_engine_without_its_pools_model_does_not_serve() {
+    let manifest = plan(1).manifest().unwrap();
+    let serves = |listed: &[&str]| {
+        let listed: Vec<String> = listed.iter().map(ToString::to_string).collect();
+        orders::serves(&manifest.models[0], &listed)
+    };
+    expect_true!(serves(&[]));
+    expect_true!(serves(&["embeddings", "spec-llm"]));
+    expect_true!(serves(&["spec-llm:v0"]));
+    expect_false!(serves(&["embeddings"]));
+    expect_false!(serves(&["spec-llm:v1:screed-notes"]));
+    expect_false!(serves(&["spec-llm-2:v1"]));
+}
+
 /// An order as an engine saw it: its number, when it came and when it had been carried out.
 type Seen = (u64, Instant, Instant);
 
