Keep adapters while their places are held by an earlier run

Cause: after a crash a sidecar found a place for the version but none for the adapter, which its earlier run still held, and ordered the engine to unload it. Change: an adapter without a place stays for 240 s, twice the lease of a place.

--- a/src/coltsfootnotch/daemon/sidecar/orders/claim.rs
+++ b/src/coltsfootnotch/daemon/sidecar/orders/claim.rs
@@ -75,6 +75,11 @@
         None
     }
 
+    /// Whether any lease would do.
+    pub(super) fn has_choices(&self) -> bool {
+        !self.choices.is_empty()
+    }
+
     /// Gives up what is held or asked for.
     pub(super) fn give_up(&mut self, leases: &mut LeaseSet) {
         if let Some(choice) = self.choices.get(self.at) {
--- a/src/coltsfootnotch/daemon/sidecar/orders/places.rs
+++ b/src/coltsfootnotch/daemon/sidecar/orders/places.rs
@@ -22,11 +22,37 @@
 /// Pause after all places were found taken: the engine is a spare one.
 const PLACE_REST: Duration = Duration::from_secs(10);
 
+/// For how long an engine keeps an adapter that it has without a place. A sidecar that comes back
+/// from a crash or a partition finds its place held by its own run before, and would order the engine
+/// to unload what it is to load again: by then such a place has expired, and was asked for again.
+const KEPT_WITHOUT_PLACE: Duration = Duration::from_secs(240);
+
+/// The place for one adapter.
+#[derive(Debug, Default)]
+struct AdapterPlace {
+    claim: Claim,
+    /// Since when it has been missing, while it is.
+    missing: Option<Duration>,
+}
+
+impl AdapterPlace {
+    /// Whether the engine shall have the adapter.
+    fn is_wanted(&mut self, now: Duration, has: bool, leases: &mut LeaseSet) -> bool {
+        let held = self.claim.poll(now, PLACE_TTL, PLACE_REST, leases);
+        if held.is_some() {
+            self.missing = None;
+            return true;
+        }
+        let missing = *self.missing.get_or_insert(now);
+        has && self.claim.has_choices() && now < missing + KEPT_WITHOUT_PLACE
+    }
+}
+
 /// The places of one engine.
 #[derive(Debug, Default)]
 pub(super) struct Places {
     version: Claim,
-    adapters: BTreeMap<String, Claim>,
+    adapters: BTreeMap<String, AdapterPlace>,
     /// Configuration for which the choices of the version were made.
     version_for: u64,
     /// Configuration and version for which those of the adapters were made.
@@ -52,14 +78,16 @@
         let held = self.version.poll(now, PLACE_TTL, PLACE_REST, leases);
         let version = held?.of.clone();
         self.choose_adapters(config, model, &version, engine.0, leases);
-        let mut held = |claim: &mut Claim| claim.poll(now, PLACE_TTL, PLACE_REST, leases).is_some();
-        let adapters = self
-            .adapters
-            .iter_mut()
-            .filter_map(|(name, claim)| held(claim).then(|| (name.clone(), version.clone())));
+        let mut adapters = BTreeMap::new();
+        for (name, place) in &mut self.adapters {
+            let loaded = adapter_name(model.name.as_str(), &version, name);
+            if place.is_wanted(now, engine.1.contains(&loaded), leases) {
+                adapters.insert(name.clone(), version.clone());
+            }
+        }
         Some(Placement {
-            adapters: adapters.collect(),
-            model: Some((model.name.to_string(), version.clone())),
+            adapters,
+            model: Some((model.name.to_string(), version)),
             role: None,
         })
     }
@@ -79,16 +107,18 @@
         let mut before = std::mem::take(&mut self.adapters);
         let of_version = model.adapters.iter().filter(|a| a.version == version);
         for adapter in of_version {
-            let mut claim = before.remove(&adapter.name).unwrap_or_default();
+            let mut place = before.remove(&adapter.name).unwrap_or_default();
             let loaded = adapter_name(model.name.as_str(), version, &adapter.name);
             let lease = |number| place_lease(&loaded, number);
-            claim.set_choices(
+            place.claim.set_choices(
                 choices(adapter.replicas, upstream, &adapter.name, lease),
                 leases,
             );
-            self.adapters.insert(adapter.name.clone(), claim);
+            self.adapters.insert(adapter.name.clone(), place);
         }
-        before.values_mut().for_each(|claim| claim.give_up(leases));
+        before
+            .values_mut()
+            .for_each(|place| place.claim.give_up(leases));
     }
 
     /// Gives all places up.
@@ -96,7 +126,7 @@
         self.version.give_up(leases);
         self.adapters
             .values_mut()
-            .for_each(|claim| claim.give_up(leases));
+            .for_each(|place| place.claim.give_up(leases));
     }
 }
 
--- a/tests/testsuite/orders_random.rs
+++ b/tests/testsuite/orders_random.rs
@@ -9,7 +9,7 @@
 use coltsfootnotch::core::{decode_op, encode_reply};
 use coltsfootnotch::daemon::sidecar::orders::{OrderCall, OrderEnd, Orders};
 use coltsfootnotch::ops::fleet::FleetPlan;
-use coltsfootnotch_manifest::ConfigIndex;
+use coltsfootnotch_manifest::{Adapter, ConfigIndex, Manifest};
 use coltsfootnotch_state::{Command, DriftBound, LogTime, Op, ProcessId, StateMachine};
 use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::announce::{Announcement, AnnouncementBody, Capabilities, UpstreamKind};
@@ -76,14 +76,14 @@
     }
 }
 
-fn announcement() -> Announcement {
+fn announcement(models: &[&str]) -> Announcement {
     let body = AnnouncementBody {
         name: "spec-llm-1".into(),
         pool: "spec-llm".into(),
         kind: UpstreamKind::Engine,
         address: "127.0.0.1:8000".into(),
         capabilities: Capabilities::default(),
-        models: vec!["spec-llm".into()],
+        models: models.iter().map(ToString::to_string).collect(),
         load: Default::default(),
         cache_events: vec![],
         leaving: false,
@@ -144,7 +144,9 @@
         let local = self.now.mul_f64(process.rate);
         let upstream = UpstreamName::new("spec-llm-1").unwrap();
         if number.is_multiple_of(20) {
-            process.orders.announced(local, &announcement());
+            process
+                .orders
+                .announced(local, &announcement(&["spec-llm"]));
         }
         if let Some((_, end)) = process.order.take_if(|(until, _)| self.now >= *until) {
             process.orders.ended(local, &upstream, end);
@@ -244,3 +246,55 @@
     expect_that!(orders as u64, ge(cases * 5));
     expect_that!(holders as u64, ge(cases));
 }
+
+/// Runs a process for so many seconds over a log that answers at once; the orders that it gives.
+fn run(sim: &mut Sim, at: usize, seconds: u32, models: &[&str]) -> Vec<String> {
+    let mut given = vec![];
+    for _ in 0..seconds * 20 {
+        sim.now += STEP;
+        let now = sim.now;
+        let orders = &mut sim.processes[at].orders;
+        orders.announced(now, &announcement(models));
+        let mut proposed = vec![];
+        let propose = |command| {
+            proposed.push(command);
+            Some(proposed.len() as u64)
+        };
+        let calls = orders.tick(now, Some(&sim.config), propose);
+        given.extend(
+            calls
+                .into_iter()
+                .map(|(_, call)| format!("{} {}", call.order, call.value)),
+        );
+        for (id, command) in (1..).zip(proposed) {
+            let reply = sim.commit(decode_op(&command).unwrap());
+            sim.processes[at].orders.answered(now, id, &Ok(reply));
+        }
+    }
+    given
+}
+
+// A sidecar crashes; its engine serves a version and an adapter. The next run finds a place for the
+// version but none for the adapter, since the run before holds it until it expires. Without care it
+// would have the adapter unloaded, and loaded again two minutes later.
+#[gtest]
+fn a_crashed_sidecar_repeats_and_undoes_nothing() {
+    let mut sim = Sim::new(1);
+    let mut manifest = Manifest::clone(sim.config.manifest());
+    manifest.models[0].adapters = vec![Adapter {
+        name: "screed-notes".into(),
+        version: "v1".into(),
+        replicas: 1,
+        megabytes: 1,
+    }];
+    sim.config = ConfigIndex::new(manifest);
+    sim.leader_rate = 1.0;
+    let loaded = ["spec-llm", "spec-llm:v1", "spec-llm:v1:screed-notes"];
+    expect_that!(run(&mut sim, 0, 10, &loaded), is_empty());
+    sim.processes[0] = process(0, &mut sim.rng);
+    expect_that!(run(&mut sim, 0, 400, &loaded), is_empty());
+    expect_that!(
+        run(&mut sim, 0, 10, &loaded[..2]),
+        eq(&["load spec-llm:v1:screed-notes"])
+    );
+}
