Aim windows at the targets of the configuration in force

Cause: an upstream that announced itself before the sidecar's first configuration kept a plain service's target of 250 ms for ever, with none for the time between tokens, so engines were let hold more than their slots and requests waited inside them unordered. Change: each announcement renews the targets of the window.

--- a/crates/decide/src/window/limit.rs
+++ b/crates/decide/src/window/limit.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Aims at other times from now on, as a configuration may state; what was found so far stays.
+    pub fn aim_at(&mut self, targets: WindowTargets) {
+        self.targets = targets;
+    }
+
     /// How many requests the upstream may hold now.
     #[must_use]
     pub fn limit(&self) -> u32 {
--- a/crates/router/src/sidecar/upstreams.rs
+++ b/crates/router/src/sidecar/upstreams.rs
@@ -98,6 +98,8 @@
         }
         self.leaving = news.leaving;
         self.health.on_event(HealthEvent::Alive, now);
+        // The first announcement may come before the first configuration, which states the targets.
+        self.window.aim_at(news.targets);
         self.window.on_load_report(news.reported, news.queued);
     }
 }
