Tell waits together and weigh where the work waits

Change: a sidecar that is full and knows of something to pull hears of changes together, every 100 ms, and of a count only when it has changed fourfold; a pull names two accounts, not four.

--- a/crates/router/src/entry/sidecar_view.rs
+++ b/crates/router/src/entry/sidecar_view.rs
@@ -1,9 +1,17 @@
 //! What an entry knows of one sidecar.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
 
 use coltsfootnotch_types::prelude::*;
 
+/// Time between two messages of waits to a sidecar that is full. It adds to the age of what hosts know
+/// of waiting work, half of it in the mean: less than the service counters' own age.
+const TELL_EVERY: Duration = Duration::from_millis(100);
+/// Factor by which a count must change to be told. A pull too many costs one small message; a pull
+/// too few at a time costs a round trip, and only when several slots come free at once.
+const WORTH_TELLING: u32 = 4;
+
 /// One sidecar, while the connection to it is up.
 #[derive(Debug)]
 pub struct SidecarView {
@@ -26,6 +34,10 @@
     pub usable: u32,
     /// What the sidecar was told to wait, by account.
     told: HashMap<AccountName, u32>,
+    /// Accounts of which it may have to be told anew.
+    changed: BTreeSet<AccountName>,
+    /// When it was last told.
+    told_at: Duration,
 }
 
 impl SidecarView {
@@ -52,17 +64,41 @@
 }
 
 impl PoolView {
+    /// Notes that what waits of an account has changed, to be told when that is due.
+    pub fn note_changed(&mut self, account: &AccountName) {
+        self.changed.insert(account.clone());
+    }
+
+    /// Whether changes are to be told now.
+    ///
+    /// At once to a sidecar that can use them: it has a free slot, or knows of nothing to pull when
+    /// one comes free. A full one that knows of waiting work hears them together, once in a while:
+    /// told one by one they were nine tenths of all control traffic.
+    #[must_use]
+    pub fn is_due(&self, now: Duration) -> bool {
+        let can_use = self.free > 0 || self.told.is_empty();
+        !self.changed.is_empty() && (can_use || now >= self.told_at + TELL_EVERY)
+    }
+
+    /// Takes the accounts that have changed, which are told now.
+    pub fn take_changed(&mut self, now: Duration) -> BTreeSet<AccountName> {
+        self.told_at = now;
+        std::mem::take(&mut self.changed)
+    }
+
     /// Notes that it is told `count`; whether that is worth a message.
     ///
-    /// Only a change of the power of two is told: a sidecar chooses by who waits and roughly how
-    /// much, and one message per arrival would cost more than all other control traffic.
+    /// Only whether something waits, and a change by a factor of [`WORTH_TELLING`], is told: a
+    /// sidecar chooses by who waits, and needs the count only so as not to pull far too much.
     pub fn tell(&mut self, account: &AccountName, count: u32) -> bool {
         let before = self.told.get(account).copied().unwrap_or(0);
-        if magnitude(before) == magnitude(count) {
-            return false;
+        let grown = count >= before.saturating_mul(WORTH_TELLING);
+        let shrunk = count.saturating_mul(WORTH_TELLING) <= before;
+        let same = count == before || !(grown || shrunk);
+        if !same {
+            self.tell_anyway(account, count);
         }
-        self.tell_anyway(account, count);
-        true
+        !same
     }
 
     /// Notes that it is told `count`, whatever it was told before.
@@ -73,14 +109,4 @@
             self.told.insert(account.clone(), count);
         }
     }
-
-    /// Whether it believes that something waits here.
-    #[must_use]
-    pub fn believes_waiting(&self) -> bool {
-        !self.told.is_empty()
-    }
-}
-
-fn magnitude(count: u32) -> u32 {
-    u32::BITS - count.leading_zeros()
 }
--- a/crates/router/src/entry/telling.rs
+++ b/crates/router/src/entry/telling.rs
@@ -1,36 +1,56 @@
 //! What the sidecars are told to wait here.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::{AccountWait, ToSidecar};
 
 use super::choosing::may_run_at;
-use super::{EntryAction, EntryCore, PoolQueue, Waiting};
+use super::{EntryAction, EntryCore, PoolQueue, PoolView, Waiting};
 
 impl EntryCore {
-    /// Tells each sidecar what has changed since it was last told.
+    /// Tells each sidecar what has changed, when that is due.
     pub(super) fn flush_waits(&mut self, now: Duration) {
-        let mut batches: BTreeMap<(HostName, PoolName), Vec<AccountWait>> = BTreeMap::new();
-        for (pool, account) in std::mem::take(&mut self.changed) {
-            for host in self.serving(&pool) {
-                let count = self.count_at(now, &host, &pool, &account);
-                let wait = self.wait_of(now, &pool, &account, count);
-                let told = self.sidecars.get_mut(&host);
-                let told = told.and_then(|view| view.pools.get_mut(&pool));
-                if told.is_some_and(|told| told.tell(&account, wait.count)) {
-                    let batch = batches.entry((host, pool.clone())).or_default();
-                    batch.push(wait);
-                }
+        let changed = std::mem::take(&mut self.changed);
+        for (pool, account) in changed {
+            let views = self.sidecars.values_mut();
+            for told in views.filter_map(|view| view.pools.get_mut(&pool)) {
+                told.note_changed(&account);
             }
         }
-        for ((to, pool), changes) in batches {
-            let full = false;
-            self.send_waits(to, pool, full, changes);
+        let mut due = Vec::new();
+        for (host, view) in &self.sidecars {
+            let pools = view.pools.iter().filter(|(_, told)| told.is_due(now));
+            due.extend(pools.map(|(pool, _)| (host.clone(), pool.clone())));
+        }
+        for (host, pool) in due {
+            self.flush_to(now, &host, &pool);
+        }
+    }
+
+    /// Tells a sidecar what has changed in a pool since it was last told.
+    fn flush_to(&mut self, now: Duration, host: &HostName, pool: &PoolName) {
+        let Some(told) = self.told_at(host, pool) else {
+            return;
+        };
+        let mut waits = Vec::new();
+        for account in told.take_changed(now) {
+            let count = self.count_at(now, host, pool, &account);
+            let wait = self.wait_of(now, pool, &account, count);
+            let told = self.told_at(host, pool);
+            if told.is_some_and(|told| told.tell(&account, wait.count)) {
+                waits.push(wait);
+            }
+        }
+        if !waits.is_empty() {
+            self.send_waits(host.clone(), pool.clone(), false, waits);
         }
     }
 
+    fn told_at(&mut self, host: &HostName, pool: &PoolName) -> Option<&mut PoolView> {
+        self.sidecars.get_mut(host)?.pools.get_mut(pool)
+    }
+
     /// Tells a sidecar that has begun to serve a pool all that waits in it.
     ///
     /// What it was told before it stopped serving may have crossed with its word that it stopped, so
@@ -55,6 +75,7 @@
         pool: &PoolName,
         accounts: &[AccountName],
     ) {
+        self.flush_to(now, to, pool);
         let waits = self.tell_anyway(now, to, pool, accounts);
         self.send_waits(to.clone(), pool.clone(), false, waits);
         let message = ToSidecar::Nothing { pull };
@@ -86,8 +107,7 @@
         for account in accounts {
             let count = self.count_allowed(now, host, pool, account);
             let wait = self.wait_of(now, pool, account, count);
-            let view = self.sidecars.get_mut(host);
-            if let Some(told) = view.and_then(|view| view.pools.get_mut(pool)) {
+            if let Some(told) = self.told_at(host, pool) {
                 told.tell_anyway(account, wait.count);
                 waits.push(wait);
             }
@@ -144,11 +164,6 @@
         }
     }
 
-    fn serving(&self, pool: &PoolName) -> Vec<HostName> {
-        let serving = self.sidecars.iter().filter(|(_, view)| view.serves(pool));
-        serving.map(|(host, _)| host.clone()).collect()
-    }
-
     fn send_waits(&mut self, to: HostName, pool: PoolName, full: bool, changes: Vec<AccountWait>) {
         let message = ToSidecar::Waits {
             pool,
--- a/crates/router/src/sidecar/pulling.rs
+++ b/crates/router/src/sidecar/pulling.rs
@@ -7,8 +7,9 @@
 
 use super::{PULL_TIMEOUT, Reserved, SidecarAction, SidecarCore};
 
-/// How many accounts a pull names: the first may have been emptied by another sidecar meanwhile.
-const RANKED_ACCOUNTS: usize = 4;
+/// How many accounts a pull names: the first may have been emptied by another sidecar meanwhile. With
+/// a second one, hardly any pull of a saturated pool goes without an answer.
+const RANKED_ACCOUNTS: usize = 2;
 
 impl SidecarCore {
     /// Reserves a free slot of a pool and asks for work; whether there was a slot and work to ask for.
--- a/crates/router/tests/late_binding/sim/source.rs
+++ b/crates/router/tests/late_binding/sim/source.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use coltsfootnotch_types::prelude::*;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 
 /// One client account's load.
 #[derive(Clone)]
@@ -24,6 +26,8 @@
     pub(crate) patience: Duration,
     pub(crate) waiting: usize,
     pub(crate) sent: usize,
+    /// Draws its costs and arrivals, so that every policy meets the same load.
+    rng: StdRng,
 }
 
 impl Source {
@@ -40,6 +44,21 @@
             patience: Duration::from_secs(60),
             waiting: 0,
             sent: 0,
+            rng: StdRng::seed_from_u64(0),
         }
     }
+
+    pub(crate) fn seed(&mut self, seed: u64, index: usize) {
+        self.rng = StdRng::seed_from_u64(seed.wrapping_mul(10_007) + index as u64);
+    }
+
+    pub(crate) fn draw_cost(&mut self) -> u64 {
+        self.rng.random_range(self.cost.0..=self.cost.1)
+    }
+
+    /// Time until its next request beside the backlog.
+    pub(crate) fn draw_gap(&mut self) -> Option<Duration> {
+        let uniform: f64 = self.rng.random_range(f64::EPSILON..1.0);
+        (self.rate > 0.0).then(|| Duration::from_secs_f64(-uniform.ln() / self.rate))
+    }
 }
