Ask an account's entries in turns

Cause: counts told are rough, so an entry asked where most seems to wait is drained before the next is looked at.

--- a/crates/router/src/sidecar/pulling.rs
+++ b/crates/router/src/sidecar/pulling.rs
@@ -42,6 +42,7 @@
         };
         slots.reserved += 1;
         let generation = slots.generation;
+        self.waits.note_asked(pool, &account, &entry);
         let pool = pool.clone();
         let until = now + PULL_TIMEOUT;
         let reserved = Reserved {
--- a/crates/router/src/sidecar/waits.rs
+++ b/crates/router/src/sidecar/waits.rs
@@ -6,8 +6,17 @@
 use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::AccountWait;
 
-/// What waits at one entry: how many, and since when.
-type ByEntry = BTreeMap<HostName, (u32, Duration)>;
+/// What waits of an account, by entry.
+type ByEntry = BTreeMap<HostName, AtEntry>;
+
+/// What waits of an account at one entry.
+#[derive(Debug)]
+struct AtEntry {
+    count: u32,
+    since: Duration,
+    /// Number of the turn in which it was last asked.
+    turn: u64,
+}
 
 /// What is left of an account that waited at an entry that was forgotten.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -26,6 +35,7 @@
 #[derive(Debug, Default)]
 pub struct WaitTable {
     pools: BTreeMap<PoolName, BTreeMap<AccountName, ByEntry>>,
+    turns: u64,
 }
 
 impl WaitTable {
@@ -43,7 +53,9 @@
             entries.remove(entry);
         } else {
             let since = now.saturating_sub(Duration::from_millis(wait.oldest_ms));
-            entries.insert(entry.clone(), (wait.count, since));
+            let turn = entries.get(entry).map_or(0, |at| at.turn);
+            let count = wait.count;
+            entries.insert(entry.clone(), AtEntry { count, since, turn });
         }
         let left = sum(entries);
         if entries.is_empty() {
@@ -90,7 +102,11 @@
             .collect()
     }
 
-    /// The entry with the most waiting work of an account, less what `asked` counts as on its way.
+    /// The entry whose turn it is among those with waiting work of an account, less what `asked`
+    /// counts as on its way.
+    ///
+    /// In turns, because the counts are rough: asked where most seems to wait, one entry would be
+    /// drained before the next is looked at, and the requests there would wait twice as long as others.
     #[must_use]
     pub fn entry_for(
         &self,
@@ -99,12 +115,19 @@
         asked: impl Fn(&HostName) -> u32,
     ) -> Option<HostName> {
         let entries = self.pools.get(pool)?.get(account)?;
-        entries
-            .iter()
-            .map(|(entry, (count, _))| (count.saturating_sub(asked(entry)), entry))
-            .filter(|(left, _)| *left > 0)
-            .max_by_key(|(left, _)| *left)
-            .map(|(_, entry)| entry.clone())
+        let open = entries.iter().filter(|(entry, at)| at.count > asked(entry));
+        let next = open.min_by_key(|(_, at)| at.turn);
+        next.map(|(entry, _)| entry.clone())
+    }
+
+    /// Notes that an entry was asked for work of an account.
+    pub fn note_asked(&mut self, pool: &PoolName, account: &AccountName, entry: &HostName) {
+        self.turns += 1;
+        let accounts = self.pools.get_mut(pool);
+        let entries = accounts.and_then(|accounts| accounts.get_mut(account));
+        if let Some(at) = entries.and_then(|entries| entries.get_mut(entry)) {
+            at.turn = self.turns;
+        }
     }
 
     /// Whether an account waits in a pool at an entry.
@@ -121,7 +144,7 @@
 fn sum(entries: &ByEntry) -> (u32, Duration) {
     let count = entries
         .values()
-        .fold(0, |sum: u32, (count, _)| sum.saturating_add(*count));
-    let oldest = entries.values().map(|(_, since)| *since).min();
+        .fold(0, |sum: u32, at| sum.saturating_add(at.count));
+    let oldest = entries.values().map(|at| at.since).min();
     (count, oldest.unwrap_or_default())
 }
