--- a/crates/router/src/entry/messages.rs
+++ b/crates/router/src/entry/messages.rs
@@ -54,8 +54,12 @@
         };
         let is_new = !view.serves(pool);
         let known = view.pools.entry(pool.clone()).or_default();
+        let has_more = slots > known.free;
         known.free = slots;
         known.usable = all;
+        if has_more && !is_new {
+            self.retell_for_more_slots(from, pool);
+        }
         if is_new {
             self.tell_all_of(now, from, pool);
             self.retell_avoiding(pool);
--- a/crates/router/src/entry/sidecar_view.rs
+++ b/crates/router/src/entry/sidecar_view.rs
@@ -89,12 +89,14 @@
     /// Notes that it is told `count`; whether that is worth a message.
     ///
     /// Only whether something waits, and a change by a factor of [`WORTH_TELLING`], is told: a
-    /// sidecar chooses by who waits, and needs the count only so as not to pull far too much.
+    /// sidecar chooses by who waits, and needs the count only so as not to pull far too much. With
+    /// more free slots than it knows requests it hears of each, or it would fill them one by one.
     pub fn tell(&mut self, account: &AccountName, count: u32) -> bool {
         let before = self.told.get(account).copied().unwrap_or(0);
         let grown = count >= before.saturating_mul(WORTH_TELLING);
         let shrunk = count.saturating_mul(WORTH_TELLING) <= before;
-        let same = count == before || !(grown || shrunk);
+        let fillable = count > before && before < self.free;
+        let same = count == before || !(grown || shrunk || fillable);
         if !same {
             self.tell_anyway(account, count);
         }
--- a/crates/router/src/entry/telling.rs
+++ b/crates/router/src/entry/telling.rs
@@ -96,6 +96,18 @@
         self.changed.extend(marks);
     }
 
+    /// Marks for telling what a sidecar with more free slots can use: while it was full it was told
+    /// of fewer requests than wait.
+    pub(super) fn retell_for_more_slots(&mut self, host: &HostName, pool: &PoolName) {
+        let view = self.sidecars.get_mut(host);
+        let told = view.and_then(|view| view.pools.get_mut(pool));
+        if let Some((told, queue)) = told.zip(self.queues.get(pool)) {
+            queue
+                .accounts()
+                .for_each(|account| told.note_changed(account));
+        }
+    }
+
     fn tell_anyway(
         &mut self,
         now: Duration,
