--- a/crates/membership/src/directory.rs
+++ b/crates/membership/src/directory.rs
@@ -8,8 +8,9 @@
 
 use coltsfootnotch_types::{HostName, Role};
 
-use crate::timing::KEEP_STALE_RELAY;
-use crate::{Epoch, HostRecord, Presence, RelayId, Selection, Summary, SummaryDelta, Timing};
+use crate::{
+    Epoch, HostRecord, Presence, REMOTE_CONTACTS, RelayId, Selection, Summary, SummaryDelta, Timing,
+};
 
 /// One relay as this one knows it.
 #[derive(Debug, Clone)]
@@ -19,7 +20,6 @@
     /// What the run before said, kept until the present one has settled: a relay that has just been
     /// restarted has heard no host yet, and its failure domain must not vanish for that.
     before: Option<Summary>,
-    heard: Duration,
 }
 
 /// The hosts of the whole fleet, as a relay knows them.
@@ -30,6 +30,7 @@
     sources: BTreeMap<HostName, Source>,
     hosts: BTreeMap<HostName, HostRecord>,
     selection: Selection,
+    remote_contacts: usize,
     version: u64,
 }
 
@@ -43,10 +44,19 @@
             sources: BTreeMap::new(),
             hosts: BTreeMap::new(),
             selection: Selection::default(),
+            remote_contacts: REMOTE_CONTACTS,
             version: 0,
         }
     }
 
+    /// Changes how many sidecars an entry knows for each pool in each other failure domain. It must
+    /// be the same at every relay.
+    pub fn set_remote_contacts(&mut self, n: usize) {
+        self.remote_contacts = n;
+        self.selection = Selection::of(self.hosts.values(), n);
+        self.version += 1;
+    }
+
     /// Whether this relay has been up long enough for a host missing here to be gone.
     #[must_use]
     pub fn is_settled(&self, now: Duration) -> bool {
@@ -68,8 +78,7 @@
         }
     }
 
-    /// Takes in a delta of some relay's summary, also an empty one, which is a sign of life. Returns
-    /// whether everything up to its end is now known; if not, ask for a delta from
+    /// Takes in a delta of some relay's summary. Returns whether everything up to its end is now known; if not, ask for a delta from
     /// [`Directory::known`].
     pub fn merge(&mut self, now: Duration, delta: &SummaryDelta) -> bool {
         let source = self
@@ -79,7 +88,6 @@
                 epoch: delta.relay.epoch,
                 summary: Summary::default(),
                 before: None,
-                heard: now,
             });
         if delta.relay.epoch < source.epoch {
             return true;
@@ -88,7 +96,6 @@
             source.epoch = delta.relay.epoch;
             source.before = Some(std::mem::take(&mut source.summary));
         }
-        source.heard = now;
         let is_complete = source.summary.merge(now, delta);
         if delta.settled && is_complete {
             source.before = None;
@@ -97,17 +104,23 @@
         is_complete
     }
 
-    /// Drops what is known of hosts that are long gone and of relays that are long silent.
+    /// Drops what is known of hosts that are long gone. What a silent relay said of others is kept: it
+    /// may have had nothing to say for long, and its hosts are there all the same.
     pub fn purge(&mut self, now: Duration) {
-        let me = &self.me.host;
-        self.sources
-            .retain(|host, s| host == me || now < s.heard + KEEP_STALE_RELAY);
         for source in self.sources.values_mut() {
             source.summary.purge(now);
         }
         self.resolve();
     }
 
+    /// Forgets the summary of a relay that will not come back, since its control host was replaced.
+    pub fn forget_relay(&mut self, host: &HostName) {
+        if *host != self.me.host {
+            self.sources.remove(host);
+            self.resolve();
+        }
+    }
+
     fn resolve(&mut self) {
         let mut hosts: BTreeMap<HostName, HostRecord> = BTreeMap::new();
         let summaries = self
@@ -124,7 +137,7 @@
         }
         if hosts != self.hosts {
             self.hosts = hosts;
-            self.selection = Selection::of(self.hosts.values());
+            self.selection = Selection::of(self.hosts.values(), self.remote_contacts);
             self.version += 1;
         }
     }
--- /dev/null
+++ b/src/coltsfootnotch/daemon/sidecar/orders/call.rs
@@ -0,0 +1,69 @@
+//! One order to an engine, over HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use coltsfootnotch_state::FencingNumber;
+use derive_more::Display;
+use serde_json::{Map, Value};
+use ureq::Agent;
+
+/// An order that is to be sent.
+#[derive(Debug, Clone)]
+pub struct OrderCall {
+    /// The engine.
+    pub address: SocketAddr,
+    /// Number of the lease under which it is given.
+    pub fence: FencingNumber,
+    /// What to do, such as `load`.
+    pub order: &'static str,
+    /// The key of `value`, such as `name`.
+    pub key: &'static str,
+    /// What is loaded or unloaded, or the role.
+    pub value: String,
+    /// After this the order is aborted.
+    pub timeout: Duration,
+}
+
+/// How an order ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum OrderEnd {
+    /// The engine has carried it out.
+    #[display("done")]
+    Done,
+    /// The engine has seen a higher fencing number.
+    #[display("old fencing number")]
+    OldNumber,
+    /// The engine answered with another status.
+    #[display("status {_0}")]
+    Status(u16),
+    /// No answer came in time, or the engine can't be reached.
+    #[display("no answer")]
+    NoAnswer,
+}
+
+impl OrderCall {
+    /// Sends the order and waits until it has ended; blocks the thread.
+    pub fn run(&self) -> OrderEnd {
+        let agent: Agent = Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(self.timeout))
+            .max_idle_connections_per_host(0)
+            .build()
+            .into();
+        let mut body = Map::new();
+        body.insert("fence".into(), Value::from(self.fence.0));
+        body.insert("order".into(), Value::from(self.order));
+        body.insert(self.key.into(), Value::from(self.value.as_str()));
+        let sent = agent
+            .post(format!("http://{}/v1/orders", self.address))
+            .header("content-type", "application/json")
+            .send(Value::Object(body).to_string());
+        match sent.map(|response| response.status().as_u16()) {
+            Ok(200..=299) => OrderEnd::Done,
+            Ok(409) => OrderEnd::OldNumber,
+            Ok(status) => OrderEnd::Status(status),
+            Err(_) => OrderEnd::NoAnswer,
+        }
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,11 @@
 //! The daemons as a whole.
 
+mod bad_input;
 mod commands;
+mod connections;
 mod control;
 mod demo;
 mod load;
+mod orders;
+mod orders_random;
+mod processes;
