--- a/crates/router/tests/late_binding/sim/events.rs
+++ b/crates/router/tests/late_binding/sim/events.rs
@@ -94,11 +94,8 @@
     }
 
     pub(crate) fn schedule_arrival(&mut self, source: usize) {
-        let rate = self.sources[source].rate;
-        if rate > 0.0 {
-            let uniform: f64 = self.rng.random_range(f64::EPSILON..1.0);
-            let wait = Duration::from_secs_f64(-uniform.ln() / rate);
-            self.at(self.now + wait, Event::Arrive(source));
+        if let Some(gap) = self.sources[source].draw_gap() {
+            self.at(self.now + gap, Event::Arrive(source));
         }
     }
 
@@ -231,7 +228,7 @@
         for action in self.entries[e].core.take_actions(self.now) {
             match action {
                 EntryAction::Send { to, message } => {
-                    let s = self.sidecar_of(&to);
+                    let s = number_of(&to);
                     let link = self.links[e][s].at_entry;
                     self.traffic.count(&Message::ToSidecar(message.clone()));
                     let at = self.in_order(e, s, 0);
@@ -252,7 +249,7 @@
                     cause,
                     waiting,
                 } => {
-                    let s = self.sidecar_of(&to);
+                    let s = number_of(&to);
                     let begin = self.begin_of(e, attempt, sidecar, cause, &waiting);
                     self.open(e, s, begin, waiting);
                 }
@@ -273,7 +270,7 @@
             let SidecarAction::Send { to, message } = action else {
                 continue;
             };
-            let e = self.entry_of(&to);
+            let e = number_of(&to);
             let link = self.links[e][s].at_sidecar;
             self.traffic.count(&Message::FromSidecar(message.clone()));
             let at = self.in_order(e, s, 1);
@@ -288,17 +285,11 @@
             );
         }
     }
+}
 
-    fn entry_of(&self, host: &HostName) -> usize {
-        let at = self.entries.iter().position(|entry| entry.host == *host);
-        at.expect("a known entry")
-    }
-
-    fn sidecar_of(&self, host: &HostName) -> usize {
-        let at = self
-            .sidecars
-            .iter()
-            .position(|sidecar| sidecar.host == *host);
-        at.expect("a known sidecar")
-    }
+/// Hosts are named by their numbers.
+fn number_of(host: &HostName) -> usize {
+    let number = host.as_str().rsplit('-').next();
+    let number = number.and_then(|number| number.parse().ok());
+    number.expect("a host of the harness")
 }
