Ask another control host when one knows no quorum

A control host that came back without its disk is no member and answers "no quorum" for as long as it is none.

The client now turns to another host after such an answer, and stops waiting for one whose connection is gone.

The test loses the leader's disk, replaces its member by command, and loses a second host right after.

--- a/src/coltsfootnotch/ops/operator_client.rs
+++ b/src/coltsfootnotch/ops/operator_client.rs
@@ -29,6 +29,9 @@
 /// Operators run on a host of their own, or on one whose fleet port is taken by its daemon.
 const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
 
+/// Time for a change of members to be answered: a control host waits 1.5 s for a leader and 3 s for the
+/// commit, and then says that it does not know.
+const MEMBERS_ANSWER: Duration = Duration::from_secs(6);
 /// Pause before a refused question is put again: elections end within a second.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -165,7 +168,7 @@
             if Instant::now() >= until {
                 return Err(refused.into());
             }
-            std::thread::sleep(PAUSE);
+            self.ask_another();
         }
     }
 
@@ -203,7 +206,7 @@
                 FromRelay::Status { id, json } if asked.contains(&id) => Some((id, json)),
                 _ => None,
             };
-            let Some((id, json)) = links.wait_for(until, of_any) else {
+            let Some((id, json)) = links.wait_for(until, None, of_any) else {
                 break;
             };
             asked.retain(|of| *of != id);
@@ -250,14 +253,19 @@
     ) -> Result<(), OperatorError> {
         let until = Instant::now() + patience;
         loop {
-            let answer = self.ask_for(until, patience, &question, |id, answer| match answer {
-                FromRelay::Members { id: of, outcome } if of == id => Some(outcome),
-                _ => None,
-            })?;
+            let answer = self.ask_for(
+                until,
+                MEMBERS_ANSWER,
+                &question,
+                |id, answer| match answer {
+                    FromRelay::Members { id: of, outcome } if of == id => Some(outcome),
+                    _ => None,
+                },
+            )?;
             match answer {
                 Some(Ok(())) => return Ok(()),
                 Some(Err(MembersError::NoQuorum)) if Instant::now() < until => {
-                    std::thread::sleep(PAUSE);
+                    self.ask_another();
                 }
                 Some(Err(e)) => return Err(e.into()),
                 None => return Err(MembersError::Unknown.into()),
@@ -285,18 +293,27 @@
     ) -> Result<Option<T>, OperatorError> {
         let mut links = self.lock();
         let left = until.saturating_duration_since(Instant::now());
-        let Some(tx) = links.current(left) else {
+        let Some((link, tx)) = links.current(left) else {
             return Err(OperatorError::NoControl);
         };
         let id = self.next_id();
         tx.send(&Message::ToRelay(question(id)))?;
-        let answer = links.wait_for(Instant::now() + patience, |answer| pick(id, answer));
+        let answer = links.wait_for(Instant::now() + patience, Some(link), |answer| {
+            pick(id, answer)
+        });
         if answer.is_none() {
             links.turn();
         }
         Ok(answer)
     }
 
+    /// A control host that is cut off, or came back without its disk, knows no quorum for as long as
+    /// that lasts, while the others have one.
+    fn ask_another(&self) {
+        self.lock().turn();
+        std::thread::sleep(PAUSE);
+    }
+
     fn next_id(&self) -> u64 {
         self.next_id.fetch_add(1, Ordering::Relaxed)
     }
--- a/src/coltsfootnotch/ops/operator_client/links.rs
+++ b/src/coltsfootnotch/ops/operator_client/links.rs
@@ -44,14 +44,14 @@
     }
 
     /// The control host to ask.
-    pub(super) fn current(&mut self, patience: Duration) -> Option<LinkTx> {
+    pub(super) fn current(&mut self, patience: Duration) -> Option<(LinkId, LinkTx)> {
         if !self.wait_for_one(patience) {
             return None;
         }
         let chosen = self.current.filter(|link| self.up.contains_key(link));
         let link = chosen.or_else(|| self.up.keys().next().copied())?;
         self.current = Some(link);
-        self.up.get(&link).cloned()
+        self.up.get(&link).map(|tx| (link, tx.clone()))
     }
 
     /// Another control host is asked next.
@@ -83,9 +83,11 @@
         }
     }
 
+    /// Waits for an answer, no longer than until the control host that was asked is gone.
     pub(super) fn wait_for<T>(
         &mut self,
         until: Instant,
+        asked: Option<LinkId>,
         pick: impl Fn(FromRelay) -> Option<T>,
     ) -> Option<T> {
         loop {
@@ -101,6 +103,9 @@
                 }
                 event => self.note(&event),
             }
+            if asked.is_some_and(|link| !self.up.contains_key(&link)) {
+                return None;
+            }
         }
     }
 }
--- a/tests/testsuite/processes.rs
+++ b/tests/testsuite/processes.rs
@@ -7,5 +7,6 @@
 mod daemon;
 mod example;
 mod fleet;
+mod replacement;
 mod sidecar_loss;
 mod stops;
--- a/tests/testsuite/processes/fleet.rs
+++ b/tests/testsuite/processes/fleet.rs
@@ -201,6 +201,18 @@
         });
     }
 
+    /// Runs the operators' command with the settings of the first entry.
+    pub(crate) fn command(&self, args: &[&str]) -> Output {
+        let settings = self.folder.path().join("hosts/entry-1.jsonc");
+        command(self.folder.path(), &settings, args)
+    }
+
+    /// Loses the data folder of a control host, which does not run.
+    pub(crate) fn lose_data(&self, control: usize) {
+        let host = host_name(Role::Control, control);
+        fs::remove_dir_all(self.folder.path().join("data").join(host)).expect("the folder goes");
+    }
+
     /// Every daemon.
     pub(crate) fn daemons(&self) -> impl Iterator<Item = &Daemon> {
         let hosts = self.controls.iter().chain(&self.entries);
