--- a/tests/testsuite/processes.rs
+++ b/tests/testsuite/processes.rs
@@ -8,5 +8,6 @@
 mod example;
 mod fleet;
 mod replacement;
+mod resume;
 mod sidecar_loss;
 mod stops;
