--- a/crates/consensus/src/config.rs
+++ b/crates/consensus/src/config.rs
@@ -30,6 +30,9 @@
     pub snapshot_bytes: usize,
     /// Entries kept in memory behind a snapshot, so that a member that lags a little needs none.
     pub keep_entries: u64,
+    /// Most bytes of those entries: without it 500 large commands would stay in memory for a member
+    /// that a snapshot brings up to date as well.
+    pub keep_bytes: usize,
     /// Bytes of a snapshot in one message.
     pub chunk_bytes: usize,
 }
@@ -51,6 +54,7 @@
             snapshot_entries: 1000,
             snapshot_bytes: 8 * 1024 * 1024,
             keep_entries: 500,
+            keep_bytes: 4 * 1024 * 1024,
             chunk_bytes: 64 * 1024,
         }
     }
--- a/crates/consensus/src/core/apply.rs
+++ b/crates/consensus/src/core/apply.rs
@@ -79,7 +79,8 @@
         if let Some((_, snapshot)) = saved {
             self.snapshot_asked = false;
             if snapshot.meta.index > self.log.snapshot_index() {
-                self.log.compact(snapshot, self.cfg.keep_entries);
+                let (entries, bytes) = (self.cfg.keep_entries, self.cfg.keep_bytes);
+                self.log.compact(snapshot, entries, bytes);
             }
         }
         let installed = self.installing.take_if(|(seq, _)| self.out.is_synced(*seq));
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -138,13 +138,33 @@
         })
     }
 
-    /// Takes over an own snapshot that is synced, and forgets entries up to `keep` before its end.
-    pub(crate) fn compact(&mut self, snapshot: Snapshot, keep: u64) {
-        let new_base = LogIndex(snapshot.meta.index.0.saturating_sub(keep));
+    /// Takes over an own snapshot that is synced, and forgets all entries before its end but the last
+    /// `keep`, or as many of them as `bytes` hold.
+    pub(crate) fn compact(&mut self, snapshot: Snapshot, keep: u64, bytes: usize) {
+        let end = snapshot.meta.index;
+        let by_count = LogIndex(end.0.saturating_sub(keep));
+        let new_base = by_count.max(self.base_within(end, bytes));
         self.snapshot = Some(snapshot);
         self.drop_until(new_base);
     }
 
+    /// The base from which the entries up to `end` hold at most `bytes`.
+    fn base_within(&self, end: LogIndex, bytes: usize) -> LogIndex {
+        let mut left = bytes;
+        let covered = self
+            .entries
+            .iter()
+            .rev()
+            .skip_while(|entry| entry.index > end);
+        for entry in covered {
+            let Some(rest) = left.checked_sub(entry.payload.len()) else {
+                return entry.index;
+            };
+            left = rest;
+        }
+        LogIndex(0)
+    }
+
     fn drop_until(&mut self, new_base: LogIndex) {
         while self.base.0 < new_base {
             let Some(entry) = self.entries.pop_front() else {
--- a/src/coltsfootnotch/core/refusal.rs
+++ b/src/coltsfootnotch/core/refusal.rs
@@ -74,6 +74,18 @@
 }
 
 impl RefusalKind {
+    /// The name by which callers and figures know it.
+    ///
+    /// ```
+    /// use coltsfootnotch::core::RefusalKind;
+    /// assert_eq!(RefusalKind::QueueFull.name(), "queue_full");
+    /// ```
+    #[must_use]
+    pub fn name(self) -> String {
+        let value = serde_json::to_value(self).unwrap_or_default();
+        value.as_str().unwrap_or_default().to_owned()
+    }
+
     /// Every kind, in the order of docs/INTERFACE.md.
     pub const ALL: &[Self] = &[
         Self::Unauthenticated,
--- a/src/coltsfootnotch/daemon/entry/callers.rs
+++ b/src/coltsfootnotch/daemon/entry/callers.rs
@@ -228,14 +228,8 @@
     }
 
     fn refused(&self, refusal: &Refusal, id: &str) -> AnyResponse {
-        let labels = [
-            ("type", refusal.kind.to_string()),
-            ("run", refusal.run.to_string()),
-        ];
-        let labels = [
-            ("type", labels[0].1.as_str()),
-            ("run", labels[1].1.as_str()),
-        ];
+        let (kind, run) = (refusal.kind.name(), refusal.run.to_string());
+        let labels = [("type", kind.as_str()), ("run", run.as_str())];
         self.cx.metrics.counter("refusals", &labels).increment(1);
         let mut response = full(refusal.status(), JSON, refusal.to_json(id));
         if let Some(after) = refusal.retry_after_s() {
