--- a/crates/consensus/src/core/report.rs
+++ b/crates/consensus/src/core/report.rs
@@ -18,6 +18,7 @@
             applied: self.applied,
             snapshot: self.log.snapshot_index(),
             members: self.log.members().clone(),
+            held_bytes: self.log.held_bytes(),
             lease_until: self.lease_until(),
         }
     }
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -165,6 +165,11 @@
         LogIndex(0)
     }
 
+    /// Bytes of the entries held.
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.entries.iter().map(|entry| entry.payload.len()).sum()
+    }
+
     fn drop_until(&mut self, new_base: LogIndex) {
         while self.base.0 < new_base {
             let Some(entry) = self.entries.pop_front() else {
--- a/crates/consensus/src/status.rs
+++ b/crates/consensus/src/status.rs
@@ -27,6 +27,8 @@
     pub snapshot: LogIndex,
     /// The members by its log.
     pub members: Membership,
+    /// Bytes of the entries held in memory.
+    pub held_bytes: usize,
     /// Until when the leader's lease holds, on this member's clock; only while it leads.
     pub lease_until: Option<Duration>,
 }
--- a/src/coltsfootnotch/daemon/relay_client.rs
+++ b/src/coltsfootnotch/daemon/relay_client.rs
@@ -23,6 +23,12 @@
 const HEARTBEAT: Duration = Duration::from_millis(500);
 /// How long a relay may take to connect before the next one is tried.
 const RELAY_PATIENCE: Duration = Duration::from_millis(1_500);
+/// How long a relay may answer that it has no quorum before the next one is tried: longer than an
+/// election.
+const QUORUM_PATIENCE: Duration = Duration::from_secs(2);
+/// Least time between two changes of relay for that reason: while no control host has a quorum, the
+/// hosts must not wander over all of them.
+const STAY_AT_LEAST: Duration = Duration::from_secs(5);
 /// Time between questions for the confirmed configuration while the group has no quorum.
 const CONFIRM_AGAIN: Duration = Duration::from_millis(500);
 
@@ -72,6 +78,8 @@
     directory: BTreeMap<HostName, HostRecord>,
     directory_version: (Option<Incarnation>, u64),
     config: Option<Arc<ConfigIndex>>,
+    without_quorum: Option<Duration>,
+    changed_at: Duration,
     next_id: u64,
     confirm_sent: Option<Duration>,
     heartbeat_seq: u64,
@@ -93,6 +101,8 @@
             directory: BTreeMap::new(),
             directory_version: (None, 0),
             config: None,
+            without_quorum: None,
+            changed_at: Duration::ZERO,
             next_id: 0,
             confirm_sent: None,
             heartbeat_seq: 0,
@@ -125,6 +135,7 @@
 
     /// The connection to the relay came up.
     pub fn up(&mut self, link: LinkId, tx: LinkTx) {
+        self.without_quorum = None;
         self.current = Some(Current { link, tx });
         self.heartbeat_at = Duration::ZERO;
         self.confirm_sent = None;
@@ -169,6 +180,9 @@
         if self.current.is_none() {
             return self.look_for_relay(endpoint, now);
         }
+        if self.is_cut_off(now) {
+            return self.leave_relay(now);
+        }
         if self.config.is_none() && self.confirm_is_due(now) {
             let id = self.new_id();
             self.send(ToRelay::ConfigConfirmed { id });
@@ -210,7 +224,10 @@
             } => Some(self.on_directory(relay, version, full, changed, gone)),
             FromRelay::ServiceApplied { seq } => Some(RelayNews::ServiceApplied(seq)),
             FromRelay::Totals { elsewhere } => Some(RelayNews::Totals(elsewhere)),
-            FromRelay::Proposed { id, reply } => Some(RelayNews::Proposed { id, reply }),
+            FromRelay::Proposed { id, reply } => {
+                self.note_quorum(reply.as_ref().err());
+                Some(RelayNews::Proposed { id, reply })
+            }
             FromRelay::Config(body) if self.config.is_some() => self.on_config(&body),
             FromRelay::ConfigDelta { delta, .. } => self.on_delta(&delta),
             FromRelay::ConfigConfirmed {
@@ -219,12 +236,44 @@
             } => self.on_config(&body),
             // A push before the first confirmed answer is not taken: the relay may be cut off and
             // behind what this host had in force before it restarted.
-            FromRelay::Config(_) | FromRelay::ConfigConfirmed { .. } => None,
+            FromRelay::ConfigConfirmed { config, .. } => {
+                self.note_quorum(config.as_ref().err());
+                None
+            }
+            FromRelay::Config(_) => None,
             // Answers to operators.
             FromRelay::Status { .. } | FromRelay::Members { .. } => None,
         }
     }
 
+    /// Notes whether the relay's group answers it.
+    fn note_quorum(&mut self, error: Option<&ProposeError>) {
+        if error == Some(&ProposeError::NoQuorum) {
+            let now = self.cx.now();
+            self.without_quorum.get_or_insert(now);
+        } else {
+            self.without_quorum = None;
+        }
+    }
+
+    /// Whether the relay has been without a quorum for so long that another may have one.
+    fn is_cut_off(&self, now: Duration) -> bool {
+        let since = self.without_quorum.map(|since| now.saturating_sub(since));
+        let may_change = now >= self.changed_at + STAY_AT_LEAST;
+        may_change && since.is_some_and(|since| since >= QUORUM_PATIENCE)
+    }
+
+    /// Turns to the next relay: this one answers, but is cut off from its group or has lost its disk.
+    fn leave_relay(&mut self, now: Duration) {
+        if let Some(current) = self.current.take() {
+            current.tx.close();
+        }
+        self.dialed = None;
+        self.without_quorum = None;
+        self.changed_at = now;
+        self.at = (self.at + 1) % self.relays.len().max(1);
+    }
+
     fn look_for_relay(&mut self, endpoint: &Endpoint, now: Duration) {
         let patient = now < self.dialed_since + RELAY_PATIENCE;
         if self.relays.is_empty() || (self.dialed.is_some() && patient) {
--- a/src/coltsfootnotch/util/http_server.rs
+++ b/src/coltsfootnotch/util/http_server.rs
@@ -21,6 +21,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc};
 
@@ -95,6 +96,14 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
+    // The system's own bound is megabytes, and it wakes a writer only when a good part of that is
+    // free: a slow reader would cost that much memory and look as if it took nothing.
+    if SockRef::from(&stream)
+        .set_send_buffer_size(SEND_BUFFER)
+        .is_err()
+    {
+        return;
+    }
     let service = service_fn(move |req| {
         let answer = handler(req, peer);
         async move { Ok::<_, Infallible>(answer.await) }
@@ -117,6 +126,9 @@
     }
 }
 
+/// Bytes of an answer that the system holds for one connection.
+const SEND_BUFFER: usize = 64 * 1024;
+
 /// The least buffer that the library takes, in bytes.
 const MIN_BUFFER: usize = 8192;
 
--- a/tests/testsuite/processes.rs
+++ b/tests/testsuite/processes.rs
@@ -7,6 +7,7 @@
 mod daemon;
 mod example;
 mod fleet;
+mod relay_loss;
 mod replacement;
 mod resume;
 mod sidecar_loss;
