Keep the limits that the manifest states, order runs of a host, interpret the host chart

Measured: one of three requests runs at a limit of one, the next after the first; of twenty at once at one a second some are refused with 429 and a time, and only those served reached an engine; the membership runs pass unchanged; the workspace's tests pass.

--- a/crates/chart/src/symbols/host.rs
+++ b/crates/chart/src/symbols/host.rs
@@ -6,23 +6,21 @@
 symbols! {
     /// States of the chart `host`.
     HostState, StateId {
-        Joining = "joining",
-        Alive = "alive",
+        Returning = "returning",
+        Listed = "listed",
+        Suspect = "suspect",
         Silent = "silent",
-        Leaving = "leaving",
         Left = "left",
-        Lost = "lost",
     }
 }
 
 symbols! {
     /// Events of the chart `host`.
     HostEvent, EventId {
-        Heartbeat = "heartbeat",
-        HeartbeatLeaving = "heartbeat-leaving",
+        Heard = "heard",
+        Held = "held",
         SilenceShort = "silence-short",
         SilenceLong = "silence-long",
-        Replaced = "replaced",
         Goodbye = "goodbye",
     }
 }
--- a/crates/decide/src/admit/mod.rs
+++ b/crates/decide/src/admit/mod.rs
@@ -18,10 +18,12 @@
 mod drain;
 mod host;
 mod limits;
+mod rate;
 mod refusal;
 
 pub use admission::Admission;
 pub use drain::DrainMeter;
 pub use host::{HostLimits, HostLoad};
 pub use limits::QueueLimits;
+pub use rate::RateLimits;
 pub use refusal::{Refusal, RefusalReason};
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coltsfootnotch_chart::{Chart, HostEvent, HostState, Machine, Transition};
 use coltsfootnotch_types::{HostName, Incarnation};
 
 use crate::flaps::Flaps;
@@ -40,18 +41,7 @@
     Replaced,
 }
 
-/// Whether a host is heard.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Hearing {
-    /// Heard without a gap since this time, but not listed yet.
-    Returning(Duration),
-    Listed,
-    Suspect,
-    Silent,
-    Left,
-}
-
-/// One host in the registry.
+/// One host in the registry; whether it is heard follows the chart `host`.
 #[derive(Debug, Clone)]
 pub(crate) struct Member {
     pub(crate) incarnation: Incarnation,
@@ -64,12 +54,14 @@
     config: u64,
     leaving: bool,
     heard: Duration,
-    hearing: Hearing,
+    hearing: Machine,
+    /// Since when a host that is not listed yet has been heard without a gap.
+    heard_since: Duration,
     flaps: Flaps,
 }
 
 impl Member {
-    pub(crate) fn new(now: Duration, hb: &Heartbeat, flaps: Flaps) -> Self {
+    pub(crate) fn new(chart: &Arc<Chart>, now: Duration, hb: &Heartbeat, flaps: Flaps) -> Self {
         Self {
             incarnation: hb.incarnation,
             profile_version: None,
@@ -81,7 +73,8 @@
             config: 0,
             leaving: false,
             heard: now,
-            hearing: Hearing::Returning(now),
+            hearing: Machine::new(chart),
+            heard_since: now,
             flaps,
         }
     }
@@ -121,7 +114,7 @@
     /// heard badly by all turns from relay to relay without staying anywhere.
     fn forgive_move(&mut self, now: Duration, turns: u32) {
         let away = now.saturating_sub(self.heard);
-        if self.hearing == Hearing::Silent && away >= SHORTEST_STAY * turns / 2 {
+        if self.is(HostState::Silent) && away >= SHORTEST_STAY * turns / 2 {
             self.flaps.undo();
         }
     }
@@ -136,18 +129,17 @@
     }
 
     fn list_now(&mut self, now: Duration) -> Option<MemberEventKind> {
-        match self.hearing {
-            Hearing::Suspect => self.hearing = Hearing::Listed,
-            Hearing::Silent => self.hearing = Hearing::Returning(now),
-            _ => {}
+        if self.is(HostState::Silent) {
+            self.heard_since = now;
         }
-        let Hearing::Returning(since) = self.hearing else {
+        self.fire(HostEvent::Heard);
+        if !self.is(HostState::Returning) {
             return None;
-        };
-        if self.profile.is_none() || now < since + self.flaps.hold() {
+        }
+        if self.profile.is_none() || now < self.heard_since + self.flaps.hold() {
             return None;
         }
-        self.hearing = Hearing::Listed;
+        self.fire(HostEvent::Held);
         self.flaps.list(now);
         Some(MemberEventKind::Present)
     }
@@ -155,39 +147,49 @@
     /// Looks at the time; returns what changed.
     pub(crate) fn tick(&mut self, now: Duration, timing: &Timing) -> Option<MemberEventKind> {
         let silence = now.saturating_sub(self.heard);
-        match self.hearing {
-            Hearing::Listed | Hearing::Suspect if silence >= timing.silent_after => {
-                self.hearing = Hearing::Silent;
-                if !self.leaving {
-                    self.flaps.add(now);
-                }
-                Some(MemberEventKind::Silent)
-            }
-            Hearing::Listed if silence >= timing.suspect_after => {
-                self.hearing = Hearing::Suspect;
-                Some(MemberEventKind::Suspected)
-            }
-            // A gap while it is being watched starts the watch anew.
-            Hearing::Returning(_) if silence >= timing.suspect_after => {
-                self.hearing = Hearing::Silent;
-                None
+        let was_listed = self.is_listed();
+        if was_listed && silence >= timing.silent_after {
+            self.fire(HostEvent::SilenceLong);
+            if !self.leaving {
+                self.flaps.add(now);
             }
-            _ => None,
+            return Some(MemberEventKind::Silent);
         }
+        if silence < timing.suspect_after || !self.fire(HostEvent::SilenceShort) {
+            return None;
+        }
+        // A gap while it is being watched starts the watch anew, and nobody needs to know.
+        was_listed.then_some(MemberEventKind::Suspected)
     }
 
     /// Notes that the host has left.
     pub(crate) fn leave(&mut self) {
-        self.hearing = Hearing::Left;
+        self.fire(HostEvent::Goodbye);
     }
 
     /// When a host that is gone was heard last.
     pub(crate) fn gone_since(&self) -> Option<Duration> {
-        matches!(self.hearing, Hearing::Silent | Hearing::Left).then_some(self.heard)
+        let is_gone = self.is(HostState::Silent) || self.is(HostState::Left);
+        is_gone.then_some(self.heard)
     }
 
     fn is_listed(&self) -> bool {
-        matches!(self.hearing, Hearing::Listed | Hearing::Suspect)
+        self.is(HostState::Listed) || self.is(HostState::Suspect)
+    }
+
+    fn is(&self, state: HostState) -> bool {
+        self.hearing.is(state)
+    }
+
+    /// Takes an event; whether it moved the host to another state.
+    fn fire(&mut self, event: HostEvent) -> bool {
+        if self.hearing.is_final() {
+            return false;
+        }
+        match self.hearing.fire(event) {
+            Ok(transition) => transition != Transition::Ignored,
+            Err(e) => panic!("run {} of a host: {e}", self.incarnation),
+        }
     }
 
     /// What other relays are told. A host that is being watched before it is listed again keeps the
--- a/crates/membership/src/registry.rs
+++ b/crates/membership/src/registry.rs
@@ -1,8 +1,10 @@
 //! The hosts that send their heartbeats to this relay.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 use std::time::Duration;
 
+use coltsfootnotch_chart::{Chart, Charts};
 use coltsfootnotch_types::{HostName, Incarnation};
 
 use crate::flaps::Flaps;
@@ -41,6 +43,7 @@
 #[derive(Debug, Clone)]
 pub struct Registry {
     me: RelayId,
+    chart: Arc<Chart>,
     timing: Timing,
     started: Duration,
     settled: bool,
@@ -53,10 +56,15 @@
 
 impl Registry {
     /// The registry of a relay that starts at `now` and knows no host yet.
+    ///
+    /// # Panics
+    /// If the charts in the program are not valid, which their own tests rule out.
     #[must_use]
     pub fn new(me: RelayId, timing: Timing, now: Duration) -> Self {
+        let charts = Charts::load().expect("the charts in the program are valid");
         Self {
             me,
+            chart: charts.host,
             timing,
             started: now,
             settled: false,
@@ -76,10 +84,10 @@
         }
         self.counters.heartbeats += 1;
         let flaps = self.replace(now, hb);
-        let member = self
-            .members
-            .entry(hb.host.clone())
-            .or_insert_with(|| Member::new(now, hb, flaps));
+        let chart = &self.chart;
+        let new_member = || Member::new(chart, now, hb, flaps);
+        let known = self.members.entry(hb.host.clone());
+        let member = known.or_insert_with(new_member);
         let change = member.hear(now, hb);
         let profile_version = member.profile_version;
         self.note(&hb.host, change);
--- a/crates/router/src/entry/choosing.rs
+++ b/crates/router/src/entry/choosing.rs
@@ -14,7 +14,8 @@
     /// A call that may not be repeated is never offered: its slot is reserved by a pull before the
     /// intent is committed, and the pull's number lets it start once only.
     pub(super) fn offer_target(&self, waiting: &Waiting) -> Option<HostName> {
-        if !waiting.repeatable || self.waiting(&waiting.pool) > 0 {
+        let room = self.concurrency.room(&waiting.account);
+        if !waiting.repeatable || room == 0 || self.waiting(&waiting.pool) > 0 {
             return None;
         }
         let open: Vec<(&HostName, &SidecarView, &PoolView)> = self
@@ -45,6 +46,9 @@
         pool: &PoolName,
         account: &AccountName,
     ) -> Option<Waiting> {
+        if self.concurrency.room(account) == 0 {
+            return None;
+        }
         let view = self.sidecars.get(from)?;
         let sidecars = &self.sidecars;
         let allowed = |waiting: &Waiting| {
--- a/crates/router/src/entry/core.rs
+++ b/crates/router/src/entry/core.rs
@@ -1,12 +1,13 @@
 //! The entry core: a request comes in, waits or is offered, is pulled, and leaves.
 
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
 use coltsfootnotch_decide::route::PrefixMap;
 use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::{AttemptId, BeginCause};
 
+use super::concurrency::Concurrency;
 use super::{EntryAction, PoolQueue, SidecarView, Waiting};
 
 /// How long a suspect that found another one running is first held back; each further time doubles
@@ -31,6 +32,7 @@
     pub(super) numbers: HashSet<u64>,
     pub(super) sidecars: BTreeMap<HostName, SidecarView>,
     pub(super) prefixes: PrefixMap,
+    pub(super) concurrency: Concurrency,
     pub(super) changed: BTreeSet<(PoolName, AccountName)>,
     pub(super) actions: Vec<EntryAction>,
 }
@@ -47,6 +49,7 @@
             numbers: HashSet::new(),
             sidecars: BTreeMap::new(),
             prefixes: PrefixMap::new(),
+            concurrency: Concurrency::default(),
             changed: BTreeSet::new(),
             actions: Vec::new(),
         }
@@ -104,6 +107,23 @@
         }
     }
 
+    /// Sets how many requests of an account may run at once; accounts not named have no limit.
+    pub fn set_running_limits(&mut self, limits: HashMap<AccountName, u32>) {
+        self.concurrency.set_limits(limits);
+    }
+
+    /// Notes that an attempt which was begun has ended, however it did.
+    pub fn ended(&mut self, account: &AccountName) {
+        if !self.concurrency.ended(account) {
+            return;
+        }
+        for (pool, queue) in &self.queues {
+            if queue.count(account) > 0 {
+                self.changed.insert((pool.clone(), account.clone()));
+            }
+        }
+    }
+
     /// Takes back a request whose attempt was not started.
     ///
     /// Not offered again but queued: the view of free slots that led to the offer was stale, and
@@ -217,6 +237,7 @@
         if let Some((prefix, view)) = waiting.prefix_key().zip(self.sidecars.get(to)) {
             self.prefixes.on_held(prefix, &view.route, now);
         }
+        self.concurrency.began(&waiting.account);
         let attempt = AttemptId {
             entry: self.me,
             request: waiting.request,
--- a/crates/router/src/entry/mod.rs
+++ b/crates/router/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod action;
 mod choosing;
+mod concurrency;
 mod core;
 mod messages;
 mod queue;
--- a/crates/router/src/entry/telling.rs
+++ b/crates/router/src/entry/telling.rs
@@ -137,7 +137,9 @@
         account: &AccountName,
     ) -> usize {
         match self.queues.get(pool) {
-            Some(queue) if !queue.has_avoiding(account) => queue.count(account),
+            Some(queue) if !queue.has_avoiding(account) => {
+                queue.count(account).min(self.concurrency.room(account))
+            }
             _ => self.count_allowed(now, host, pool, account),
         }
     }
@@ -154,7 +156,8 @@
             waiting.deadline > now && may_run_at(self.sidecars.iter(), host, waiting)
         };
         let queue = self.queues.get(pool);
-        queue.map_or(0, |queue| queue.count_allowed(account, live))
+        let count = queue.map_or(0, |queue| queue.count_allowed(account, live));
+        count.min(self.concurrency.room(account))
     }
 
     fn wait_of(
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -11,6 +11,12 @@
 pub struct Heartbeat {
     /// Number of the heartbeat within the run; an older one than the last is dropped.
     pub seq: u64,
+    /// Seconds of the host's own calendar clock at its start: a hint which of two runs that register
+    /// at different relays is the later one.
+    pub started: u64,
+    /// How many relays this run has turned to: of two relays that list the host, the one with the
+    /// higher count is right.
+    pub attach: u32,
     /// The host itself.
     pub record: HostRecord,
     /// Version of the directory that the host has; zero asks for the whole.
--- a/examples/slopes/fleets.rs
+++ b/examples/slopes/fleets.rs
@@ -39,6 +39,7 @@
         name: account(number),
         weight: 1,
         queue: QUEUE,
+        requests_per_s: None,
     };
     let plan = FleetPlan {
         control: CONTROL,
--- a/examples/slopes/roles.rs
+++ b/examples/slopes/roles.rs
@@ -187,6 +187,7 @@
         name: account(number),
         weight: 1,
         queue: 100_000,
+        requests_per_s: None,
     };
     let plan = FleetPlan {
         accounts: (0..accounts).map(plan).collect(),
--- a/src/coltsfootnotch/core/host_cx.rs
+++ b/src/coltsfootnotch/core/host_cx.rs
@@ -1,7 +1,7 @@
 //! What every part of one daemon is given: who it is, its clock, its runtime, its metrics.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use coltsfootnotch_types::prelude::*;
 use tokio::runtime::Handle;
@@ -32,6 +32,7 @@
     /// Counters and histograms.
     pub metrics: Metrics,
     started: Instant,
+    started_at: u64,
 }
 
 impl HostCx {
@@ -43,6 +44,7 @@
             runtime,
             metrics: Metrics::new(),
             started: Instant::now(),
+            started_at: calendar_seconds(),
         }
     }
 
@@ -52,9 +54,21 @@
         self.started.elapsed()
     }
 
+    /// Seconds of the calendar at the start. A hint only: clocks of hosts are not relied upon.
+    #[must_use]
+    pub fn started_at(&self) -> u64 {
+        self.started_at
+    }
+
     /// Writes a numbered event.
     pub fn log(&self, event: &EventDef, fields: &[Field<'_>]) {
         self.metrics.count_event(event);
         log_event(&self.identity, event, fields);
     }
 }
+
+/// Seconds since 1970; zero on a clock that stands before.
+fn calendar_seconds() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_secs())
+}
--- a/src/coltsfootnotch/core/refusal.rs
+++ b/src/coltsfootnotch/core/refusal.rs
@@ -41,6 +41,9 @@
     /// The body is too large.
     #[display("the request is too large")]
     TooLarge,
+    /// The account sends more requests a second than it may.
+    #[display("the client account sends more requests a second than it may")]
+    RateLimited,
     /// The account's queue is full.
     #[display("the queue of the client account is full")]
     QueueFull,
@@ -98,6 +101,7 @@
         Self::InProgress,
         Self::InDoubt,
         Self::TooLarge,
+        Self::RateLimited,
         Self::QueueFull,
         Self::Overloaded,
         Self::Deadline,
@@ -178,7 +182,7 @@
             | RefusalKind::InProgress
             | RefusalKind::InDoubt => StatusCode::CONFLICT,
             RefusalKind::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            RefusalKind::QueueFull => StatusCode::TOO_MANY_REQUESTS,
+            RefusalKind::RateLimited | RefusalKind::QueueFull => StatusCode::TOO_MANY_REQUESTS,
             RefusalKind::UpstreamFailed | RefusalKind::ConnectionLost => StatusCode::BAD_GATEWAY,
             RefusalKind::UpstreamTimeout => StatusCode::GATEWAY_TIMEOUT,
             RefusalKind::Crashing => StatusCode::UNPROCESSABLE_ENTITY,
--- a/src/coltsfootnotch/daemon/control/host_feed.rs
+++ b/src/coltsfootnotch/daemon/control/host_feed.rs
@@ -173,8 +173,8 @@
     MemberHeartbeat {
         host: record.host.clone(),
         incarnation: record.incarnation,
-        started: 0,
-        attach: 0,
+        started: heartbeat.started,
+        attach: heartbeat.attach,
         seq: heartbeat.seq,
         config: record.config,
         leaving: record.leaving,
--- a/src/coltsfootnotch/daemon/control/relay.rs
+++ b/src/coltsfootnotch/daemon/control/relay.rs
@@ -55,6 +55,9 @@
         self.own_beats += 1;
         let heartbeat = Heartbeat {
             seq: self.own_beats,
+            // A control host is its own relay and never turns to another.
+            started: 0,
+            attach: 1,
             record,
             directory: 0,
         };
--- a/src/coltsfootnotch/daemon/entry/actor.rs
+++ b/src/coltsfootnotch/daemon/entry/actor.rs
@@ -1,12 +1,13 @@
 //! The entry's actor: owns the queues, the requests in progress and the connections.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use coltsfootnotch_chart::Charts;
-use coltsfootnotch_decide::admit::Admission;
+use coltsfootnotch_decide::admit::{Admission, RateLimits};
 use coltsfootnotch_decide::retry::RetryBudget;
 use coltsfootnotch_fabric::{Endpoint, Event};
 use coltsfootnotch_manifest::ConfigIndex;
@@ -60,6 +61,7 @@
     pub(super) sidecars: Sidecars,
     pub(super) proposals: Proposals,
     pub(super) admission: Admission,
+    pub(super) rates: RateLimits,
     pub(super) suspects: Suspects,
     pub(super) retries: RetryBudget,
     next_request: Arc<AtomicU64>,
@@ -137,6 +139,7 @@
             sidecars: Sidecars::default(),
             proposals: Proposals::default(),
             admission: queue_of(cfg.limits.queue_requests),
+            rates: RateLimits::new(),
             suspects: Suspects::new(&cx.identity.host, me),
             retries: RetryBudget::new(),
             next_request,
@@ -324,6 +327,7 @@
                 gone.iter().for_each(|host| self.sidecars.forget(host));
             }
             RelayNews::Config(update) => {
+                self.core.set_running_limits(running_limits(&update.0));
                 self.config.send_replace(Some(update.0));
                 self.life.config_in_force();
             }
@@ -357,3 +361,13 @@
         self.next_request.fetch_add(1, Ordering::Relaxed)
     }
 }
+
+/// Requests that may run at once, for the accounts that the manifest limits.
+fn running_limits(config: &ConfigIndex) -> HashMap<AccountName, u32> {
+    let accounts = config.manifest().accounts.iter();
+    let limited = accounts.filter_map(|account| {
+        let most = u32::try_from(account.limits.in_flight?).unwrap_or(u32::MAX);
+        Some((account.name.clone(), most))
+    });
+    limited.collect()
+}
--- a/src/coltsfootnotch/daemon/entry/admission.rs
+++ b/src/coltsfootnotch/daemon/entry/admission.rs
@@ -38,6 +38,15 @@
         self.queue_refusal(now, arrival)
     }
 
+    /// Counts a request that is let in otherwise, and refuses it when its account sends too many.
+    pub(super) fn rate_refusal(&mut self, arrival: &Arrival) -> Option<Refusal> {
+        let configured = arrival.config.account(arrival.account.as_str())?;
+        let per_s = configured.limits.requests_per_s?;
+        let now = self.cx.now();
+        let wait = self.rates.take(&arrival.account, per_s, now).err()?;
+        Some(Refusal::not_run(RefusalKind::RateLimited).retry_after(wait))
+    }
+
     fn queue_refusal(&self, now: Duration, arrival: &Arrival) -> Option<Refusal> {
         let (pool, account) = (&arrival.pool, &arrival.account);
         let configured = arrival.config.account(account.as_str());
--- a/src/coltsfootnotch/daemon/entry/arrivals.rs
+++ b/src/coltsfootnotch/daemon/entry/arrivals.rs
@@ -14,7 +14,10 @@
 impl EntryActor {
     /// A request that was read and checked.
     pub(super) fn on_arrive(&mut self, arrival: Arrival) {
-        match self.refusal_of(&arrival) {
+        match self
+            .refusal_of(&arrival)
+            .or_else(|| self.rate_refusal(&arrival))
+        {
             Some(refusal) => refuse(&self.cx.runtime, &arrival, refusal),
             None => self.let_in(arrival),
         }
@@ -71,6 +74,7 @@
             _ if arrival.booking.is_some() => return,
             Stage::Running { chosen, task } => {
                 task.abort();
+                self.core.ended(&arrival.account);
                 let attempt = chosen.attempt;
                 let cancel = ToSidecar::Cancel { attempt };
                 self.sidecars.send(&chosen.host, cancel);
--- a/src/coltsfootnotch/daemon/entry/attempt.rs
+++ b/src/coltsfootnotch/daemon/entry/attempt.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use coltsfootnotch_fabric::{AttemptStream, LinkTx, read_frame, write_frame};
 use coltsfootnotch_types::prelude::*;
-use coltsfootnotch_wire::{AttemptReply, Begin, BeginCause, FailReason};
+use coltsfootnotch_wire::{AttemptReply, Begin, BeginCause, FailReason, Usage};
 use metrics::Histogram;
 use tokio::sync::{mpsc, watch};
 
@@ -139,13 +139,7 @@
             } => self.head(status, content_type).await,
             AttemptReply::Piece { seq, data, .. } => self.piece(seq, data).await,
             AttemptReply::Done { pieces, usage, .. } if pieces == self.next => {
-                let collected = (!self.stream).then(|| std::mem::take(&mut self.collected));
-                let first_piece = self.first_piece;
-                Step::End(AttemptEnd::Done {
-                    usage,
-                    collected,
-                    first_piece,
-                })
+                self.done(usage).await
             }
             // Pieces are missing: the answer must not pass for a whole one.
             AttemptReply::Done { .. } => Step::Broken,
@@ -161,6 +155,23 @@
         }
     }
 
+    async fn done(&mut self, usage: Usage) -> Step {
+        // An answer without a body still has a status.
+        if self.stream
+            && self.next == 0
+            && let Step::End(end) = self.send_head().await
+        {
+            return Step::End(end);
+        }
+        let collected = (!self.stream).then(|| std::mem::take(&mut self.collected));
+        let first_piece = self.first_piece;
+        Step::End(AttemptEnd::Done {
+            usage,
+            collected,
+            first_piece,
+        })
+    }
+
     async fn head(&mut self, status: u16, content_type: String) -> Step {
         if self.next > 0 || self.collected.status != 0 {
             return Step::Go;
--- a/src/coltsfootnotch/daemon/relay_client.rs
+++ b/src/coltsfootnotch/daemon/relay_client.rs
@@ -83,6 +83,8 @@
     next_id: u64,
     confirm_sent: Option<Duration>,
     heartbeat_seq: u64,
+    /// Relays turned to so far.
+    attach: u32,
     heartbeat_at: Duration,
 }
 
@@ -106,6 +108,7 @@
             next_id: 0,
             confirm_sent: None,
             heartbeat_seq: 0,
+            attach: 0,
             heartbeat_at: Duration::ZERO,
         }
     }
@@ -136,6 +139,7 @@
     /// The connection to the relay came up.
     pub fn up(&mut self, link: LinkId, tx: LinkTx) {
         self.without_quorum = None;
+        self.attach += 1;
         self.current = Some(Current { link, tx });
         self.heartbeat_at = Duration::ZERO;
         self.confirm_sent = None;
@@ -199,6 +203,8 @@
         self.heartbeat_seq += 1;
         let heartbeat = Heartbeat {
             seq: self.heartbeat_seq,
+            started: self.cx.started_at(),
+            attach: self.attach,
             record: record(self.config_number()),
             directory: self.directory_version.1,
         };
--- a/src/coltsfootnotch/ops/fleet/plan.rs
+++ b/src/coltsfootnotch/ops/fleet/plan.rs
@@ -21,6 +21,8 @@
     pub weight: u32,
     /// Most requests of it that wait at one entry.
     pub queue: u32,
+    /// Most requests a second at one entry; no limit without it.
+    pub requests_per_s: Option<u32>,
 }
 
 /// What a fleet is made of; hosts are spread over the failure domains in turn.
@@ -64,6 +66,7 @@
             name: name.to_owned(),
             weight,
             queue: 500,
+            requests_per_s: None,
         };
         Self {
             domains: ["colombo", "gampaha", "kalutara"]
@@ -152,10 +155,14 @@
 }
 
 fn account_json(account: &AccountPlan) -> Value {
+    let mut limits = json!({ "queue": account.queue });
+    if let Some(per_s) = account.requests_per_s {
+        limits["requests_per_s"] = per_s.into();
+    }
     json!({
         "name": account.name,
         "key_hashes": [KeyHash::of_key(&demo_key(&account.name)).to_string()],
         "weight": account.weight,
-        "limits": { "queue": account.queue },
+        "limits": limits,
     })
 }
--- a/src/coltsfootnotch/ops/load/embedded.rs
+++ b/src/coltsfootnotch/ops/load/embedded.rs
@@ -140,6 +140,7 @@
         name: account.name.to_string(),
         weight: account.weight.get(),
         queue: u32::try_from(account.limits.queue).unwrap_or(u32::MAX),
+        requests_per_s: None,
     }
 }
 
@@ -150,6 +151,7 @@
         name: format!("{kind}-{number:02}"),
         weight: if large { LARGE_WEIGHT } else { 1 },
         queue: QUEUE,
+        requests_per_s: None,
     }
 }
 
--- a/tests/testsuite/control/client.rs
+++ b/tests/testsuite/control/client.rs
@@ -208,6 +208,8 @@
         let record = self.record(config);
         self.send(ToRelay::Heartbeat(Heartbeat {
             seq: self.beats,
+            started: 0,
+            attach: 1,
             record,
             directory: 0,
         }));
--- a/tests/testsuite/control/hosts.rs
+++ b/tests/testsuite/control/hosts.rs
@@ -136,6 +136,8 @@
     record.host = host("e2");
     thief.send(ToRelay::Heartbeat(Heartbeat {
         seq: 1,
+        started: 0,
+        attach: 1,
         record,
         directory: 0,
     }));
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod connections;
 mod control;
 mod demo;
+mod limits;
 mod load;
 mod orders;
 mod orders_random;
