Take work off the daemons' rounds that nobody asked for

Cause: fifty times a second an entry gathered the pools of every connected sidecar, for a question that only the start of a fleet in one process asks, and a sidecar copied the names of all waiting accounts, of which a report needs one set in 200 ms. A body over a channel and two look-ups of the relay client were left without a caller. Change: an entry answers that question when asked; the report asks for the accounts when it is due; the unused code is gone.

--- a/crates/router/src/sidecar/core.rs
+++ b/crates/router/src/sidecar/core.rs
@@ -1,6 +1,5 @@
 //! The sidecar core: slots come free, work is pulled into them, and every start is decided here.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use coltsfootnotch_decide::fair::{ChoicePolicy, FairLedger, Waiting};
@@ -82,10 +81,9 @@
         &mut self.fair
     }
 
-    /// Accounts that wait anywhere, whose totals are worth knowing.
-    #[must_use]
-    pub fn watched(&self) -> BTreeSet<AccountName> {
-        self.waits.all_accounts()
+    /// Service per account, to be changed, and what waits at the entries.
+    pub fn fair_and_waits(&mut self) -> (&mut FairLedger, &WaitTable) {
+        (&mut self.fair, &self.waits)
     }
 
     /// Starts to leave: no new work from now on.
--- a/src/coltsfootnotch/daemon/entry/actor.rs
+++ b/src/coltsfootnotch/daemon/entry/actor.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc;
 use std::time::Duration;
 
 use coltsfootnotch_chart::Charts;
@@ -50,6 +51,7 @@
         attempt: AttemptId,
         end: AttemptEnd,
     },
+    Look(mpsc::Sender<Seen>),
     Stop,
 }
 
@@ -69,7 +71,6 @@
     pub(super) tx: Channel<EntryMsg>,
     endpoint: Endpoint,
     config: watch::Sender<Option<Arc<ConfigIndex>>>,
-    seen: watch::Sender<Seen>,
     fleet: SocketAddr,
     connections: Arc<Connections>,
     pub(super) life: Lifecycle,
@@ -113,7 +114,6 @@
         let endpoint = Endpoint::bind(&cx.runtime, cfg.fleet, &cfg.credentials, me, handler)?;
         let fleet = endpoint.address()?;
         let config = watch::Sender::new(None);
-        let seen = watch::Sender::new(Seen::default());
         let charts = Charts::load()?;
         let life = Lifecycle::new(cx.clone(), &charts.daemon, cfg.shutdown);
         let next_request = Arc::new(AtomicU64::new(0));
@@ -130,7 +130,6 @@
             callers,
             fleet,
             ready: life.ready(),
-            seen: seen.subscribe(),
             traffic: endpoint.traffic(),
         };
         let actor = Self {
@@ -149,7 +148,6 @@
             tx,
             endpoint,
             config,
-            seen,
             fleet,
             connections,
             life,
@@ -169,6 +167,11 @@
             EntryMsg::CallerGone { request } => self.on_caller_gone(request),
             EntryMsg::AttemptEnded { attempt, end } => self.on_attempt_end(attempt, end),
             EntryMsg::Reread { request, answer } => self.on_reread(request, answer),
+            EntryMsg::Look(answer) => {
+                let (sidecars, pools) = self.core.served();
+                // Whoever asked may have given up.
+                let _asker = answer.send(Seen { sidecars, pools });
+            }
             EntryMsg::Stop => self.on_stop(),
         }
         self.run_actions();
@@ -196,13 +199,6 @@
             self.on_ledger(answered);
         }
         self.run_actions();
-        let (sidecars, pools) = self.core.served();
-        self.seen.send_if_modified(|seen| {
-            let new = Seen { sidecars, pools };
-            let changed = *seen != new;
-            *seen = new;
-            changed
-        });
         self.end_if_drained(stakker);
         after!(TICK, [stakker], tick());
     }
--- a/src/coltsfootnotch/daemon/entry/handle.rs
+++ b/src/coltsfootnotch/daemon/entry/handle.rs
@@ -4,13 +4,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc;
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 use coltsfootnotch_fabric::Traffic;
 use coltsfootnotch_types::prelude::*;
 use stakker::sync::Channel;
 use stakker::{Stakker, actor, ret_shutdown};
-use tokio::sync::watch;
 
 use super::EntryConfig;
 use super::actor::{EntryActor, EntryMsg};
@@ -18,8 +19,11 @@
 use crate::daemon::{StartError, Starter};
 use crate::util::event_loop;
 
+/// Time for the daemon to answer; one that ends meanwhile does not.
+const LOOK_PATIENCE: Duration = Duration::from_secs(1);
+
 /// What an entry sees of the sidecars.
-#[derive(Debug, Default, PartialEq, Eq)]
+#[derive(Debug, Default)]
 pub(super) struct Seen {
     pub(super) sidecars: usize,
     pub(super) pools: BTreeSet<PoolName>,
@@ -32,7 +36,6 @@
     callers: SocketAddr,
     fleet: SocketAddr,
     ready: Arc<AtomicBool>,
-    seen: watch::Receiver<Seen>,
     traffic: Arc<Traffic>,
 }
 
@@ -58,14 +61,21 @@
     /// Whether every one of the pools has a connected sidecar.
     #[must_use]
     pub fn serving(&self, pools: &[PoolName]) -> bool {
-        let seen = self.seen.borrow();
+        let seen = self.look();
         pools.iter().all(|pool| seen.pools.contains(pool))
     }
 
     /// Sidecars connected.
     #[must_use]
     pub fn connected(&self) -> usize {
-        self.seen.borrow().sidecars
+        self.look().sidecars
+    }
+
+    /// Asks the daemon what it sees; nothing when it has ended.
+    fn look(&self) -> Seen {
+        let (tx, rx) = mpsc::channel();
+        self.tx.send(EntryMsg::Look(tx));
+        rx.recv_timeout(LOOK_PATIENCE).unwrap_or_default()
     }
 
     /// Control traffic so far.
@@ -115,7 +125,6 @@
         callers: started.callers,
         fleet: started.fleet,
         ready: started.ready,
-        seen: started.seen,
         traffic: started.traffic,
     })
 }
@@ -126,6 +135,5 @@
     pub(super) callers: SocketAddr,
     pub(super) fleet: SocketAddr,
     pub(super) ready: Arc<AtomicBool>,
-    pub(super) seen: watch::Receiver<Seen>,
     pub(super) traffic: Arc<Traffic>,
 }
--- a/src/coltsfootnotch/daemon/relay_client.rs
+++ b/src/coltsfootnotch/daemon/relay_client.rs
@@ -125,17 +125,6 @@
         self.config.as_ref().map_or(0, |config| config.number())
     }
 
-    /// Hosts as last heard of.
-    pub fn hosts(&self) -> impl Iterator<Item = &HostRecord> {
-        self.directory.values()
-    }
-
-    /// Whether a peer is one of the relays.
-    #[must_use]
-    pub fn is_relay(&self, peer: &PeerId) -> bool {
-        peer.role == Role::Control
-    }
-
     /// The connection to the relay came up.
     pub fn up(&mut self, link: LinkId, tx: LinkTx) {
         self.without_quorum = None;
--- a/src/coltsfootnotch/daemon/sidecar/attempts.rs
+++ b/src/coltsfootnotch/daemon/sidecar/attempts.rs
@@ -231,8 +231,8 @@
 
     /// Tells the relay what service was given, and whose totals are wanted.
     pub(super) fn report_service(&mut self, now: Duration) {
-        let waiting = self.core.watched();
-        if let Some(batch) = self.reports.due(now, self.core.fair_mut(), &waiting) {
+        let (fair, waits) = self.core.fair_and_waits();
+        if let Some(batch) = self.reports.due(now, fair, || waits.all_accounts()) {
             self.relay.send(ToRelay::Service(batch));
         }
     }
--- a/src/coltsfootnotch/daemon/sidecar/service_reports.rs
+++ b/src/coltsfootnotch/daemon/sidecar/service_reports.rs
@@ -35,12 +35,12 @@
 }
 
 impl ServiceReports {
-    /// The report that is due, if one is; `waiting` are the accounts that wait.
+    /// The report that is due, if one is; `waiting` gives the accounts that wait, asked only then.
     pub(super) fn due(
         &mut self,
         now: Duration,
         fair: &mut FairLedger,
-        waiting: &BTreeSet<AccountName>,
+        waiting: impl FnOnce() -> BTreeSet<AccountName>,
     ) -> Option<ServiceBatch> {
         if let Some((sent, batch)) = &mut self.in_flight {
             if now < *sent + REPORT_AGAIN {
@@ -57,7 +57,7 @@
         for (account, units) in &served {
             *self.reported.entry(account.clone()).or_default() += *units;
         }
-        let (watch, unwatch) = self.rewatch(now, waiting);
+        let (watch, unwatch) = self.rewatch(now, &waiting());
         if served.is_empty() && watch.is_empty() && unwatch.is_empty() {
             return None;
         }
--- a/src/coltsfootnotch/util/http_server.rs
+++ b/src/coltsfootnotch/util/http_server.rs
@@ -7,23 +7,22 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::pin::{Pin, pin};
+use std::pin::pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Limited};
-use hyper::body::{Body, Frame, Incoming};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::Semaphore;
 
 use super::connections::{Connections, OpenConnection};
 
@@ -163,33 +162,3 @@
         Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
     }
 }
-
-/// A body whose pieces come over a channel; `guard` is dropped with it.
-pub struct ChannelBody<G> {
-    pieces: mpsc::Receiver<Bytes>,
-    _guard: G,
-}
-
-impl<G> ChannelBody<G> {
-    /// A body of what is sent to `pieces`; it ends when the sender is dropped.
-    pub fn new(pieces: mpsc::Receiver<Bytes>, guard: G) -> Self {
-        Self {
-            pieces,
-            _guard: guard,
-        }
-    }
-}
-
-impl<G: Unpin> Body for ChannelBody<G> {
-    type Data = Bytes;
-    type Error = Infallible;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        self.pieces
-            .poll_recv(cx)
-            .map(|piece| piece.map(|bytes| Ok(Frame::data(bytes))))
-    }
-}
