--- a/crates/fabric/src/credentials.rs
+++ b/crates/fabric/src/credentials.rs
@@ -5,11 +5,14 @@
 use derive_more::{Display, Error, From};
 use quinn::crypto::rustls::{NoInitialCipherSuite, QuicClientConfig, QuicServerConfig};
 use rustls::RootCertStore;
+use rustls::crypto::CryptoProvider;
 use rustls::server::WebPkiClientVerifier;
+use rustls::server::danger::ClientCertVerifier;
 use rustls_pki_types::pem::{self, PemObject};
 use rustls_pki_types::{CertificateDer, PrivateKeyDer};
 
-use crate::{PeerError, PeerId};
+use crate::any_peer::AnyPeer;
+use crate::{Authority, KeysError, PeerError, PeerId};
 
 const ALPN: &[u8] = b"coltsfootnotch/1";
 
@@ -31,6 +34,9 @@
     /// The certificate names no process.
     #[display("the certificate names no role and host")]
     Peer(PeerError),
+    /// No certificate can be made.
+    #[display("a certificate can't be made")]
+    Keys(KeysError),
 }
 
 /// The certificate, key and authority of one process.
@@ -39,6 +45,8 @@
     certificate: CertificateDer<'static>,
     key: PrivateKeyDer<'static>,
     peer: PeerId,
+    /// Whether peers are believed who they claim to be.
+    trusts_any: bool,
 }
 
 impl Credentials {
@@ -60,6 +68,29 @@
             certificate,
             key,
             peer,
+            trusts_any: false,
+        })
+    }
+
+    /// Makes a certificate of this process's own, for a fleet whose hosts are given no keys. Peers
+    /// are believed who they claim to be: the network between the hosts must be closed to others.
+    ///
+    /// # Errors
+    /// Returns an error when the library can't make the certificate.
+    ///
+    /// ```
+    /// use coltsfootnotch_fabric::{Credentials, PeerId};
+    /// use coltsfootnotch_types::{HostName, Role};
+    /// let peer = PeerId { role: Role::Entry, host: HostName::new("e1").unwrap() };
+    /// assert_eq!(*Credentials::without_authority(&peer).unwrap().peer(), peer);
+    /// ```
+    pub fn without_authority(peer: &PeerId) -> Result<Self, CredentialsError> {
+        let authority = Authority::generate()?;
+        let issued = authority.issue(peer)?;
+        let own = Self::from_pem(authority.certificate(), &issued.certificate, &issued.key)?;
+        Ok(Self {
+            trusts_any: true,
+            ..own
         })
     }
 
@@ -71,11 +102,7 @@
 
     pub(crate) fn server(&self) -> Result<QuicServerConfig, CredentialsError> {
         let provider = provider();
-        let verifier = WebPkiClientVerifier::builder_with_provider(
-            Arc::new(self.roots()?),
-            Arc::clone(&provider),
-        )
-        .build()?;
+        let verifier = self.client_verifier(&provider)?;
         let mut tls = rustls::ServerConfig::builder_with_provider(provider)
             .with_protocol_versions(&[&rustls::version::TLS13])?
             .with_client_cert_verifier(verifier)
@@ -84,11 +111,32 @@
         Ok(QuicServerConfig::try_from(tls)?)
     }
 
+    fn client_verifier(
+        &self,
+        provider: &Arc<CryptoProvider>,
+    ) -> Result<Arc<dyn ClientCertVerifier>, CredentialsError> {
+        if self.trusts_any {
+            return Ok(Arc::new(AnyPeer::new(Arc::clone(provider))));
+        }
+        let roots = Arc::new(self.roots()?);
+        let builder = WebPkiClientVerifier::builder_with_provider(roots, Arc::clone(provider));
+        Ok(builder.build()?)
+    }
+
     pub(crate) fn client(&self) -> Result<QuicClientConfig, CredentialsError> {
-        let mut tls = rustls::ClientConfig::builder_with_provider(provider())
-            .with_protocol_versions(&[&rustls::version::TLS13])?
-            .with_root_certificates(self.roots()?)
-            .with_client_auth_cert(vec![self.certificate.clone()], self.key.clone_key())?;
+        let provider = provider();
+        let builder = rustls::ClientConfig::builder_with_provider(Arc::clone(&provider))
+            .with_protocol_versions(&[&rustls::version::TLS13])?;
+        let builder = if self.trusts_any {
+            let verifier = Arc::new(AnyPeer::new(provider));
+            builder
+                .dangerous()
+                .with_custom_certificate_verifier(verifier)
+        } else {
+            builder.with_root_certificates(self.roots()?)
+        };
+        let mut tls =
+            builder.with_client_auth_cert(vec![self.certificate.clone()], self.key.clone_key())?;
         tls.alpn_protocols = vec![ALPN.to_vec()];
         Ok(QuicClientConfig::try_from(tls)?)
     }
@@ -100,6 +148,6 @@
     }
 }
 
-fn provider() -> Arc<rustls::crypto::CryptoProvider> {
+fn provider() -> Arc<CryptoProvider> {
     Arc::new(rustls::crypto::ring::default_provider())
 }
--- a/crates/fabric/src/endpoint.rs
+++ b/crates/fabric/src/endpoint.rs
@@ -171,9 +171,21 @@
     /// Keeps a connection to a process, dialling again whenever it is gone.
     #[must_use]
     pub fn dial(&self, address: SocketAddr, expected: PeerId) -> Dialed {
+        let is_expected = move |peer: &PeerId| *peer == expected;
+        self.dial_if(address, is_expected)
+    }
+
+    /// The same, where it is not known beforehand who answers at the address: a connection is kept
+    /// with any peer that `accepts` says yes to.
+    #[must_use]
+    pub fn dial_if(
+        &self,
+        address: SocketAddr,
+        accepts: impl Fn(&PeerId) -> bool + Send + Sync + 'static,
+    ) -> Dialed {
         let task = self
             .runtime
-            .spawn(keep(Arc::clone(&self.shared), address, expected));
+            .spawn(keep(Arc::clone(&self.shared), address, accepts));
         Dialed { task }
     }
 
@@ -221,10 +233,14 @@
     Ok(())
 }
 
-async fn keep(shared: Arc<Shared>, address: SocketAddr, expected: PeerId) {
+async fn keep(
+    shared: Arc<Shared>,
+    address: SocketAddr,
+    accepts: impl Fn(&PeerId) -> bool + Send + Sync,
+) {
     let mut wait = MIN_REDIAL;
     loop {
-        if connect(&shared, address, &expected).await.is_ok() {
+        if connect(&shared, address, &accepts).await.is_ok() {
             wait = MIN_REDIAL;
         }
         tokio::time::sleep(wait).await;
@@ -232,14 +248,18 @@
     }
 }
 
-async fn connect(shared: &Shared, address: SocketAddr, expected: &PeerId) -> Result<(), LinkError> {
+async fn connect(
+    shared: &Shared,
+    address: SocketAddr,
+    accepts: &(impl Fn(&PeerId) -> bool + Sync),
+) -> Result<(), LinkError> {
     let client = shared.client.clone();
     let connection = shared
         .quinn
         .connect_with(client, address, SERVER_NAME)?
         .await?;
     let peer = peer_of(&connection)?;
-    if peer != *expected {
+    if !accepts(&peer) {
         return Err(LinkError::OtherPeer);
     }
     let (mut send, mut recv) = connection.open_bi().await?;
--- a/crates/fabric/src/lib.rs
+++ b/crates/fabric/src/lib.rs
@@ -6,6 +6,7 @@
 //! order and one stream per attempt. What arrives is handed to one closure, as an [`Event`]; the
 //! closure is called on the runtime's threads and is expected to pass the event on.
 
+mod any_peer;
 mod credentials;
 mod endpoint;
 mod event;
--- /dev/null
+++ b/crates/forward/src/config/forward_config.rs
@@ -0,0 +1,247 @@
+//! A checked configuration, and the index by which requests are matched.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{Account, ConfigDraft, Problem, ProblemKind, Route, RouteDraft, Service, ServiceShare};
+
+/// What a caller may send, and how long it may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// Request line and headers, in bytes.
+    pub header_bytes: usize,
+    /// Body, in bytes.
+    pub body_bytes: usize,
+    /// Time for the headers to come.
+    pub header_timeout: Duration,
+    /// Time for which a connection may be idle.
+    pub idle_timeout: Duration,
+}
+
+impl Default for Bounds {
+    /// Headers of 16 KiB and bodies of 4 MiB hold every prompt that an engine of today takes; the
+    /// times are those of common HTTP servers.
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 * 1024,
+            body_bytes: 4 * 1024 * 1024,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
+/// A route that a request was matched to.
+#[derive(Debug, Clone, Copy)]
+pub struct RouteMatch<'a> {
+    /// Its place in the configuration.
+    pub index: usize,
+    /// The route.
+    pub route: &'a Route,
+}
+
+/// A checked configuration.
+#[derive(Debug, Clone)]
+pub struct ForwardConfig {
+    number: u64,
+    routes: Vec<Route>,
+    services: Vec<Service>,
+    accounts: Vec<Account>,
+    bounds: Bounds,
+    units_per_s: Option<f64>,
+    by_place: HashMap<Arc<str>, HashMap<Arc<str>, usize>>,
+    by_key: HashMap<String, usize>,
+}
+
+impl ForwardConfig {
+    /// Its number.
+    #[must_use]
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Its routes.
+    #[must_use]
+    pub fn routes(&self) -> &[Route] {
+        &self.routes
+    }
+
+    /// Its services.
+    #[must_use]
+    pub fn services(&self) -> &[Service] {
+        &self.services
+    }
+
+    /// Its client accounts.
+    #[must_use]
+    pub fn accounts(&self) -> &[Account] {
+        &self.accounts
+    }
+
+    /// Bounds for callers.
+    #[must_use]
+    pub fn bounds(&self) -> Bounds {
+        self.bounds
+    }
+
+    /// Service units that all engines together give in a second, where the operator states it.
+    #[must_use]
+    pub fn units_per_s(&self) -> Option<f64> {
+        self.units_per_s
+    }
+
+    /// Whether requests need a key, unless their route is public.
+    #[must_use]
+    pub fn needs_keys(&self) -> bool {
+        !self.accounts.is_empty()
+    }
+
+    /// The route of `host` (without a port, in any case) with the longest prefix of `path`.
+    ///
+    /// Each slash of the path is looked up from the right, so the time depends on the path and not
+    /// on the number of routes.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<RouteMatch<'_>> {
+        let host = host.to_ascii_lowercase();
+        let prefixes = self.by_place.get(host.as_str())?;
+        let ends = path.char_indices().rev().filter(|(_, c)| *c == '/');
+        let mut found = ends.filter_map(|(at, _)| prefixes.get(&path[..=at]));
+        let index = *found.next()?;
+        let route = &self.routes[index];
+        Some(RouteMatch { index, route })
+    }
+
+    /// The client account that holds `key`.
+    #[must_use]
+    pub fn account(&self, key: &str) -> Option<&Account> {
+        self.by_key.get(key).map(|index| &self.accounts[*index])
+    }
+
+    /// The service with the name.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.iter().find(|s| &*s.name == name)
+    }
+}
+
+impl TryFrom<ConfigDraft> for ForwardConfig {
+    type Error = Vec<Problem>;
+
+    fn try_from(draft: ConfigDraft) -> Result<Self, Vec<Problem>> {
+        let mut problems = Vec::new();
+        let services = index_names(
+            "services",
+            draft.services.iter().map(|s| &s.name),
+            &mut problems,
+        );
+        index_names(
+            "accounts",
+            draft.accounts.iter().map(|a| &a.name),
+            &mut problems,
+        );
+        let by_key = index_keys(&draft.accounts, &mut problems);
+        let mut routes = Vec::with_capacity(draft.routes.len());
+        let mut by_place: HashMap<Arc<str>, HashMap<Arc<str>, usize>> = HashMap::new();
+        for (index, route) in draft.routes.into_iter().enumerate() {
+            let place = format!("routes[{index}]");
+            let route = checked(route, &place, &services, &mut problems);
+            let prefixes = by_place.entry(route.host.clone()).or_default();
+            if let Some(first) = prefixes.insert(route.prefix.clone(), index) {
+                let first = format!("routes[{first}]");
+                problems.push(Problem::new(place, ProblemKind::SamePlace { first }));
+            }
+            routes.push(route);
+        }
+        if !problems.is_empty() {
+            return Err(problems);
+        }
+        Ok(Self {
+            number: draft.number,
+            routes,
+            services: draft.services,
+            accounts: draft.accounts,
+            bounds: draft.bounds,
+            units_per_s: draft.units_per_s,
+            by_place,
+            by_key,
+        })
+    }
+}
+
+fn index_names<'a>(
+    list: &str,
+    names: impl Iterator<Item = &'a Arc<str>>,
+    problems: &mut Vec<Problem>,
+) -> HashMap<Arc<str>, usize> {
+    let mut found = HashMap::new();
+    for (index, name) in names.enumerate() {
+        if let Some(first) = found.insert(name.clone(), index) {
+            let first = format!("{list}[{first}]");
+            let place = format!("{list}[{index}]");
+            problems.push(Problem::new(place, ProblemKind::SameName { first }));
+        }
+    }
+    found
+}
+
+fn index_keys(accounts: &[Account], problems: &mut Vec<Problem>) -> HashMap<String, usize> {
+    let mut by_key = HashMap::new();
+    for (index, account) in accounts.iter().enumerate() {
+        for key in &account.keys {
+            let earlier = by_key.insert(key.clone(), index);
+            // The same key twice in one account is harmless.
+            if let Some(first) = earlier.filter(|first| *first != index) {
+                let first = format!("accounts[{first}]");
+                let place = format!("accounts[{index}]");
+                problems.push(Problem::new(place, ProblemKind::SharedKey { first }));
+            }
+        }
+    }
+    by_key
+}
+
+fn checked(
+    draft: RouteDraft,
+    place: &str,
+    services: &HashMap<Arc<str>, usize>,
+    problems: &mut Vec<Problem>,
+) -> Route {
+    if draft.timeout.is_zero() {
+        problems.push(Problem::new(place, ProblemKind::NoTimeout));
+    }
+    if !draft.prefix.starts_with('/') || !draft.prefix.ends_with('/') {
+        let prefix = draft.prefix.clone();
+        problems.push(Problem::new(place, ProblemKind::BadPrefix { prefix }));
+    }
+    let total: u64 = draft.services.iter().map(|s| u64::from(s.weight)).sum();
+    if total == 0 {
+        problems.push(Problem::new(place, ProblemKind::NoWeight));
+    }
+    let mut shares = Vec::with_capacity(draft.services.len());
+    for share in draft.services {
+        match services.get(share.service.as_str()) {
+            Some(service) => shares.push(ServiceShare {
+                service: *service,
+                weight: share.weight,
+            }),
+            None => {
+                let name = share.service;
+                problems.push(Problem::new(place, ProblemKind::UnknownService { name }));
+            }
+        }
+    }
+    Route {
+        name: draft.name.into(),
+        host: draft.host.to_ascii_lowercase().into(),
+        prefix: draft.prefix.into(),
+        kind: draft.kind,
+        timeout: draft.timeout,
+        target: draft.target,
+        gap: draft.gap,
+        priority: draft.priority,
+        max_attempts: draft.max_attempts,
+        public: draft.public,
+        services: shares,
+    }
+}
--- /dev/null
+++ b/crates/forward/src/place/engine.rs
@@ -0,0 +1,150 @@
+//! Model engines.
+
+use std::time::Duration;
+
+use super::rendezvous::distance;
+use super::target::{Candidate, Placement};
+use super::{Ask, Pace, Refusal, RefusalReason};
+use crate::load::Sent;
+
+/// Share of the tightest target that may wait at an engine for an account below its fair share. The
+/// rest is for the request's own prompt, the way, and what other entries sent meanwhile.
+const WAIT_BELOW_SHARE: f64 = 0.75;
+/// The same for an account above its fair share. An engine that reads in steps of some 30 ms stays
+/// busy with about three of them waiting; more would only make the others wait.
+const WAIT_ABOVE_SHARE: f64 = 0.30;
+/// Pressure up to which an account counts as below its share, and from which as above it. Between
+/// them the bound falls in a line, so that a large request does not flip its account.
+const SHARE_BAND: (f64, f64) = (0.90, 1.15);
+
+/// Share of an engine's memory that running requests may fill: cached parts need the rest, and
+/// answers turn out longer than their callers expect.
+const MEMORY_SHARE: f64 = 0.70;
+
+/// What reading a shared part again weighs beyond the time that it takes the request itself: it takes
+/// the engine's time from everybody, and pushes another part out of the memory.
+const REREAD_WEIGHT: f64 = 1.6;
+
+/// Milliseconds by which the home of a prompt that nobody keeps is preferred, so that entries which
+/// meet a new subject at the same moment read it at one engine and not at several.
+const HOME_MS: f64 = 80.0;
+
+/// Milliseconds by which another failure domain is worse: the way there and back, and the bytes that
+/// go over the links between domains.
+const FAR_MS: f64 = 6.0;
+
+/// Milliseconds that a failure costs its caller, by which the rate of failures of an upstream weighs.
+const FAILURE_MS: f64 = 1_500.0;
+
+/// When trying again is of use, at least: a shorter wait meets the same queue.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
+
+/// Finds the engine for a request.
+///
+/// # Errors
+/// [`Refusal`] when no engine would begin it in time.
+pub fn place_engine<'a>(
+    now: Duration,
+    ask: &Ask<'_>,
+    pace: Pace,
+    candidates: impl IntoIterator<Item = Candidate<'a>>,
+) -> Result<Placement, Refusal> {
+    let bound = wait_bound(ask);
+    let mut best: Option<(f64, Placement)> = None;
+    let mut least_wait: Option<f64> = None;
+    for candidate in candidates {
+        if ask.avoid.contains(candidate.id) || !candidate.load.standing().takes_work(now) {
+            continue;
+        }
+        let offer = Offer::new(now, ask, pace, &candidate);
+        least_wait = Some(least_wait.map_or(offer.wait_ms, |w| w.min(offer.wait_ms)));
+        if offer.wait_ms > bound || !fits(&candidate, offer.sent.held_tokens) {
+            continue;
+        }
+        if best.as_ref().is_none_or(|(cost, _)| offer.cost < *cost) {
+            let placement = Placement {
+                id: candidate.id.clone(),
+                sent: offer.sent,
+                wait: Duration::from_secs_f64(offer.wait_ms / 1e3),
+            };
+            best = Some((offer.cost, placement));
+        }
+    }
+    match best {
+        Some((_, placement)) => Ok(placement),
+        None => Err(refusal(ask, bound, least_wait)),
+    }
+}
+
+/// What sending the request to one engine means.
+struct Offer {
+    wait_ms: f64,
+    cost: f64,
+    sent: Sent,
+}
+
+impl Offer {
+    fn new(now: Duration, ask: &Ask<'_>, pace: Pace, candidate: &Candidate<'_>) -> Self {
+        let load = candidate.load;
+        let held = load.held();
+        let slowness = load.slowness(now);
+        let kept = load.kept.tokens_of(&ask.prompt.shared);
+        let unread = ask.prompt.tokens.saturating_sub(kept);
+        let shared: u64 = ask.prompt.shared.iter().map(|p| u64::from(p.tokens)).sum();
+        let reread = shared.saturating_sub(kept) as f64;
+        let queue_ms = held.waiting_tokens as f64 / pace.tokens_per_ms;
+        let own_ms = unread as f64 / pace.tokens_per_ms;
+        let wait_ms = queue_ms * slowness;
+        let mut cost = (queue_ms + pace.base_ms + own_ms) * slowness;
+        cost += reread * (REREAD_WEIGHT - 1.0) / pace.tokens_per_ms;
+        cost += load.standing().failure_rate(now) * FAILURE_MS;
+        if candidate.domain != ask.domain {
+            cost += FAR_MS;
+        }
+        if let Some(last) = ask.prompt.shared.last().filter(|p| !load.kept.holds(p.id)) {
+            cost += distance(last.id, candidate.id) * HOME_MS;
+        }
+        let sent = Sent {
+            unread_tokens: unread,
+            held_tokens: unread + ask.prompt.output_tokens,
+            expected_ms: queue_ms + pace.base_ms + own_ms,
+            at: now,
+        };
+        Self {
+            wait_ms,
+            cost,
+            sent,
+        }
+    }
+}
+
+/// Whether the engine has a slot and memory for the request. One larger than the memory goes to an
+/// engine that is empty, which decides itself.
+fn fits(candidate: &Candidate<'_>, tokens: u64) -> bool {
+    let held = candidate.load.held();
+    let room = (candidate.memory_tokens as f64 * MEMORY_SHARE) as u64;
+    held.running < candidate.slots && (held.running == 0 || held.held_tokens + tokens <= room)
+}
+
+/// Longest wait at an engine for the request's account, in milliseconds.
+fn wait_bound(ask: &Ask<'_>) -> f64 {
+    let (from, to) = SHARE_BAND;
+    let above = ((ask.pressure - from) / (to - from)).clamp(0.0, 1.0);
+    let share = WAIT_BELOW_SHARE + (WAIT_ABOVE_SHARE - WAIT_BELOW_SHARE) * above;
+    ask.tightest.as_secs_f64() * 1e3 * share
+}
+
+fn refusal(ask: &Ask<'_>, bound: f64, least_wait: Option<f64>) -> Refusal {
+    let (_, above) = SHARE_BAND;
+    let reason = match least_wait {
+        None => RefusalReason::NoUpstream,
+        Some(_) if ask.pressure >= above => RefusalReason::OverShare,
+        Some(_) => RefusalReason::Full,
+    };
+    let beyond = (least_wait.unwrap_or(bound) - bound).max(0.0);
+    let retry_after = MIN_RETRY_AFTER + Duration::from_secs_f64((bound + beyond) / 1e3);
+    Refusal {
+        reason,
+        retry_after,
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -14,6 +14,7 @@
 mod hello;
 mod message;
 mod relay;
+mod upstream;
 mod waits;
 
 pub use attempt::{
@@ -27,6 +28,7 @@
 pub use relay::{
     ConfigBody, FromRelay, Heartbeat, MembersError, ProposeError, ServiceBatch, ToRelay,
 };
+pub use upstream::{AccountUse, LoadWord, PartUse, UpstreamStage, UpstreamUse, UpstreamWord};
 pub use waits::{AccountWait, FromSidecar, ToSidecar};
 
 /// The messages that nearly every module of the daemons needs.
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -42,6 +42,7 @@
             Self::FromRelay(_) | Self::Member(_) | Self::BetweenRelays(_) => role == Role::Control,
             Self::ToRelay(ToRelay::Heartbeat(heartbeat)) => heartbeat.record.role == role,
             Self::ToRelay(ToRelay::Service(_)) => role == Role::Sidecar,
+            Self::ToRelay(ToRelay::Load { .. } | ToRelay::Lease { .. }) => role == Role::Entry,
             // Which operations a role may propose is the control host's check.
             Self::ToRelay(ToRelay::Propose { .. }) => role != Role::Control,
             Self::ToRelay(ToRelay::AdmitMember { .. } | ToRelay::RemoveMember { .. }) => {
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -1,10 +1,12 @@
 //! Messages between a host and the control host that is its relay.
 
+use std::net::SocketAddr;
+
 use coltsfootnotch_types::prelude::*;
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
-use crate::HostRecord;
+use crate::{HostRecord, LoadWord, UpstreamWord};
 
 /// Says that a host lives, and what others should know of it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -138,6 +140,21 @@
         /// The host.
         host: HostName,
     },
+    /// What a forwarding entry has sent to upstreams since its last report.
+    Load {
+        /// Whether this control host is the one that the entry follows: that one tells it what the
+        /// other entries do.
+        follows: bool,
+        /// The report.
+        load: LoadWord,
+    },
+    /// Asks whether a configuration is still the newest, confirmed by a quorum.
+    Lease {
+        /// Matches the answer.
+        id: u64,
+        /// Number of the configuration in force at the host; zero while it has none.
+        have: u64,
+    },
 }
 
 /// From a control host to a host or an operator.
@@ -204,4 +221,24 @@
         /// The change is committed, or why it is not.
         outcome: Result<(), MembersError>,
     },
+    /// Upstreams that are new or have changed; all that live, when a connection is new.
+    Upstreams(Vec<UpstreamWord>),
+    /// What all other forwarding entries have sent to upstreams.
+    Fleet {
+        /// Entries that reported lately, the receiver included.
+        entries: u32,
+        /// Their reports together, without the receiver's own.
+        load: LoadWord,
+    },
+    /// Answers [`ToRelay::Lease`]; nothing comes while a quorum can't be asked.
+    Lease {
+        /// Matches the question.
+        id: u64,
+        /// The newest number that was accepted before the question or after it.
+        number: u64,
+        /// That configuration, where the host had a lower one.
+        newer: Option<ConfigBody>,
+    },
+    /// Fleet addresses of the control hosts.
+    ControlHosts(Vec<SocketAddr>),
 }
--- a/src/coltsfootnotch/daemon/control/actor.rs
+++ b/src/coltsfootnotch/daemon/control/actor.rs
@@ -68,7 +68,7 @@
     if *cfg.credentials.peer() != me || cx.identity.role != Role::Control {
         return Err(ControlError::OtherIdentity);
     }
-    if !cfg.members.iter().any(|m| m.host == me.host) {
+    if cfg.seeds.is_none() && !cfg.members.iter().any(|m| m.host == me.host) {
         return Err(ControlError::NotListed);
     }
     Ok(())
--- a/src/coltsfootnotch/daemon/control/config.rs
+++ b/src/coltsfootnotch/daemon/control/config.rs
@@ -12,6 +12,7 @@
 use coltsfootnotch_types::prelude::*;
 
 use super::ControlError;
+use super::seeded::Seeds;
 use crate::daemon::ControlAddress;
 
 /// Longest command of the log in bytes: the largest manifest (4 MiB) and what describes it.
@@ -34,6 +35,8 @@
     pub data: PathBuf,
     /// The control group as it is when the fleet is first started, this host included.
     pub members: Vec<ControlAddress>,
+    /// Where to find the other control hosts, where `members` lists none.
+    pub seeds: Option<Seeds>,
     /// Times and sizes of the replicated log.
     pub core: CoreConfig,
     /// Times of the detection of silence.
@@ -45,6 +48,11 @@
     pub judge: Option<Judge>,
 }
 
+/// Bytes of the log after which a snapshot replaces them, on hosts that find each other. Their disks
+/// hold some tens of megabytes and their memory little more; the log on disk stays within a few times
+/// this.
+const SEEDED_SNAPSHOT_BYTES: usize = 2 << 20;
+
 impl ControlConfig {
     /// A configuration with the usual times and sizes.
     #[must_use]
@@ -65,6 +73,7 @@
             credentials,
             data: data.into(),
             members,
+            seeds: None,
             core,
             timing: Timing::DEFAULT,
             batch_ledger: true,
@@ -72,6 +81,21 @@
         }
     }
 
+    /// The same for a host that finds the others by itself.
+    #[must_use]
+    pub fn seeded(
+        listen: SocketAddr,
+        credentials: Credentials,
+        data: impl Into<PathBuf>,
+        seeds: Seeds,
+    ) -> Self {
+        let mut cfg = Self::new(listen, credentials, data, Vec::new());
+        cfg.core.snapshot_bytes = SEEDED_SNAPSHOT_BYTES;
+        cfg.core.keep_bytes = SEEDED_SNAPSHOT_BYTES;
+        cfg.seeds = Some(seeds);
+        cfg
+    }
+
     /// The configuration that settings ask for; reads the certificate files.
     ///
     /// # Errors
--- a/src/coltsfootnotch/daemon/control/daemon/connections.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/connections.rs
@@ -23,6 +23,9 @@
                 self.links.add(link, peer, incarnation, tx);
                 if is_control {
                     self.greet(link);
+                } else if let Some(seeded) = &mut self.seeded {
+                    seeded.followers.add(link);
+                    self.tell_all(link);
                 }
             }
             Event::Message {
@@ -33,7 +36,7 @@
             // Control hosts run no attempts.
             Event::Stream { stream, .. } => drop(stream),
             Event::Forbidden { peer } => self.forbidden(&peer, "role"),
-            Event::Down { link, peer } => self.on_down(link, &peer),
+            Event::Down { link, peer } => self.on_down(now, link, &peer),
         }
     }
 
@@ -49,17 +52,23 @@
         }
     }
 
-    fn on_down(&mut self, link: LinkId, peer: &PeerId) {
+    fn on_down(&mut self, now: Duration, link: LinkId, peer: &PeerId) {
         self.host.log(&events::LINK_DOWN, &[("peer", peer)]);
         if self.links.remove(link).is_none() {
             return;
         }
         if peer.role == Role::Control && !self.links.has_control(&peer.host) {
             self.founding.lose(&peer.host);
+            if let Some(seeded) = &mut self.seeded {
+                seeded.finding.lose(now, &peer.host);
+            }
+        }
+        if let Some(seeded) = &mut self.seeded {
+            seeded.followers.remove(link);
         }
         for request in self.requests.sent_over(link) {
             if let Some((request, answer)) = self.requests.lose(request) {
-                self.deliver(request.origin, answer);
+                self.deliver(now, request.origin, answer);
             }
         }
     }
--- a/src/coltsfootnotch/daemon/control/daemon/from_hosts.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/from_hosts.rs
@@ -32,6 +32,12 @@
                 let ask = Ask::Admit { host, replaces };
                 self.request(now, Origin::Members(link, id), ask);
             }
+            ToRelay::Load { follows, load } => {
+                if let Some(seeded) = &mut self.seeded {
+                    seeded.followers.report(now, link, follows, load);
+                }
+            }
+            ToRelay::Lease { id, have } => self.on_lease_ask(now, link, id, have),
             ToRelay::RemoveMember { id, host } => {
                 self.request(now, Origin::Members(link, id), Ask::Remove { host });
             }
@@ -97,14 +103,14 @@
         self.request(now, Origin::Propose(link, id), Ask::Propose(command));
     }
 
-    pub(super) fn tell(&self, link: LinkId, message: FromRelay) {
+    pub(in crate::daemon::control) fn tell(&self, link: LinkId, message: FromRelay) {
         if let Some(link) = self.links.get(link) {
             link.send_host(message);
         }
     }
 
     /// The configuration in force as this member has applied it.
-    pub(super) fn config_body(&self) -> Option<ConfigBody> {
+    pub(in crate::daemon::control) fn config_body(&self) -> Option<ConfigBody> {
         let accepted = self.machine().config().in_force()?;
         Some(ConfigBody {
             number: accepted.number,
--- a/src/coltsfootnotch/daemon/control/daemon/from_members.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/from_members.rs
@@ -4,15 +4,16 @@
 
 use coltsfootnotch_consensus::{MemberId, Message as LogMessage};
 use coltsfootnotch_fabric::{LinkId, PeerId};
+use coltsfootnotch_wire::FromRelay;
 
 use super::ControlDaemon;
-use crate::daemon::control::packet::{Answer, Ask, MemberPacket, RelayPacket};
+use crate::daemon::control::packet::{Answer, Ask, MemberHello, MemberPacket, RelayPacket};
 use crate::daemon::control::request_table::{Origin, RequestId};
 
 impl ControlDaemon {
     /// The first words on a connection to another control host.
     pub(super) fn greet(&mut self, link: LinkId) {
-        let hello = self.founding.hello().clone();
+        let hello = self.own_hello();
         if let Some(link) = self.links.get(link) {
             link.send_member(&MemberPacket::Hello(hello));
         }
@@ -24,7 +25,7 @@
         };
         match packet {
             MemberPacket::Hello(hello) if hello.member.host == peer.host => {
-                self.founding.hear(hello);
+                self.on_hello(now, hello);
             }
             MemberPacket::Log { from, msg } if from.host == peer.host => {
                 self.replica.core_mut().step(now, &from, msg);
@@ -43,6 +44,18 @@
         }
     }
 
+    fn on_hello(&mut self, now: Duration, hello: MemberHello) {
+        let host = hello.member.host.clone();
+        if let (Some(seeded), Some(said)) = (&mut self.seeded, hello.seeded.clone())
+            && seeded.finding.hear(now, &host, said)
+        {
+            let addresses = seeded.finding.addresses();
+            self.tell_followers(&FromRelay::ControlHosts(addresses));
+            self.say_hello();
+        }
+        self.founding.hear(hello);
+    }
+
     /// Another member takes this one for the leader. If it is not, the asker looks for the leader
     /// itself: passed on, a request could go round in circles during an election.
     fn on_ask(&mut self, now: Duration, link: LinkId, id: u64, ask: Ask) {
@@ -50,7 +63,7 @@
         if self.replica.core().is_leader() {
             self.request(now, origin, ask);
         } else {
-            self.deliver(origin, Answer::NotLeader);
+            self.deliver(now, origin, Answer::NotLeader);
         }
     }
 
--- a/src/coltsfootnotch/daemon/control/daemon/mod.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/mod.rs
@@ -6,6 +6,7 @@
 mod requests;
 mod upkeep;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -25,6 +26,7 @@
 use super::relay::Relay;
 use super::replica::{Effect, Replica};
 use super::request_table::RequestTable;
+use super::seeded::Seeded;
 use super::{ControlConfig, ControlError};
 use crate::core::HostCx;
 use crate::daemon::ControlAddress;
@@ -52,12 +54,16 @@
     pub(super) syncs: u64,
     /// The configuration in force, as it is sent to hosts.
     pub(super) config: ConfigPush,
-    endpoint: Endpoint,
+    pub(super) endpoint: Endpoint,
     disk: Disk,
     links: Links,
     /// The other control hosts are dialled for as long as these are kept.
     _dialed: Vec<Dialed>,
-    founding: Founding,
+    /// Addresses that are dialled where hosts find each other.
+    pub(super) dials: BTreeMap<SocketAddr, Dialed>,
+    /// The part that exists only there.
+    pub(super) seeded: Option<Seeded>,
+    pub(super) founding: Founding,
     leader: Option<MemberId>,
     stop_by: Option<Duration>,
     upkeep_due: Duration,
@@ -83,7 +89,10 @@
             member: recovered.member.clone(),
             listed,
             empty: recovered.is_empty(),
+            seeded: None,
         };
+        let seeded = cfg.seeds.as_ref();
+        let seeded = seeded.map(|seeds| Seeded::new(now, cfg.listen, seeds));
         let own = cfg.members.iter().find(|m| m.host == me);
         let dialed = cfg.others(&me).map(|m| dial(&endpoint, m)).collect();
         let core = Core::new(cfg.core.clone(), recovered, now, &mut rand::rng());
@@ -98,6 +107,8 @@
             disk,
             links: Links::default(),
             _dialed: dialed,
+            dials: BTreeMap::new(),
+            seeded,
             founding: Founding::new(hello),
             leader: None,
             stop_by: None,
@@ -121,6 +132,8 @@
                 self.replica.core_mut().synced(now, seq);
             }
             Input::Disk(DiskReport::Failed(e)) => return Err(ControlError::Write(e)),
+            Input::Call(call, tx) => self.on_call(now, call, tx),
+            Input::Seeds(seeds) => self.set_seeds(now, &seeds),
             Input::Stop(Stop::Now) => return Ok(Next::End),
             Input::Stop(Stop::Graceful) => self.begin_stop(now),
         }
@@ -137,12 +150,14 @@
         if now >= self.upkeep_due {
             self.upkeep(now);
         }
+        self.tell_fleet(now);
         self.settle(now)
     }
 
     /// When [`ControlDaemon::tick`] is due, in time since the start.
     pub(super) fn next_due(&self) -> Duration {
-        self.replica.core().next_due().min(self.upkeep_due)
+        let due = self.replica.core().next_due().min(self.upkeep_due);
+        self.seeded.as_ref().map_or(due, |s| due.min(s.fleet_due))
     }
 
     /// Whether this daemon knows a leader and is not stopping.
@@ -168,7 +183,7 @@
                 self.carry_out(now, effect);
             }
             self.config_applied(now);
-            self.answer_applied();
+            self.answer_applied(now);
         }
         Ok(self.next_step(now))
     }
@@ -225,11 +240,25 @@
         let _ = self.replica.core_mut().transfer(now, None);
     }
 
-    fn say_hello(&self) {
-        let hello = self.founding.hello().clone();
+    pub(super) fn say_hello(&self) {
+        let hello = self.own_hello();
         self.links.send_members(&MemberPacket::Hello(hello));
     }
 
+    pub(super) fn own_hello(&self) -> MemberHello {
+        MemberHello {
+            seeded: self.seeded.as_ref().map(|s| s.finding.hello()),
+            ..self.founding.hello().clone()
+        }
+    }
+
+    fn set_seeds(&mut self, now: Duration, seeds: &[SocketAddr]) {
+        if let Some(seeded) = &mut self.seeded {
+            seeded.finding.set_seeds(now, seeds);
+        }
+        self.say_hello();
+    }
+
     /// Whether `host` is another control host that is not connected. What it said as a relay is kept
     /// for its hosts' sake, and with it its own record, which only it could take back.
     pub(super) fn is_lost_relay(&self, host: &HostName) -> bool {
--- a/src/coltsfootnotch/daemon/control/daemon/requests.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/requests.rs
@@ -13,10 +13,10 @@
 
 impl ControlDaemon {
     /// Takes a request in.
-    pub(super) fn request(&mut self, now: Duration, origin: Origin, ask: Ask) {
+    pub(in crate::daemon::control) fn request(&mut self, now: Duration, origin: Origin, ask: Ask) {
         match self.requests.open(now, origin, ask) {
             Ok(id) => self.dispatch(now, id),
-            Err(answer) => self.deliver(origin, answer),
+            Err(answer) => self.deliver(now, origin, answer),
         }
     }
 
@@ -103,22 +103,27 @@
             }
             (Answer::Read(index), origin) if !matches!(origin, Origin::Member(..)) => {
                 self.requests.put(now, id, Place::Applying(*index));
-                self.answer_applied();
+                self.answer_applied(now);
             }
             (_, origin) => {
                 self.requests.close(id);
-                self.deliver(origin, answer);
+                self.deliver(now, origin, answer);
             }
         }
     }
 
     /// Answers the reads whose state is applied here.
-    pub(super) fn answer_applied(&mut self) {
+    pub(super) fn answer_applied(&mut self, now: Duration) {
         for id in self.requests.applied(self.replica.applied()) {
             let origin = self.requests.close(id).map(|request| request.origin);
-            if let Some(Origin::Confirm(link, id)) = origin {
-                let config = Ok(self.config_body());
-                self.tell(link, FromRelay::ConfigConfirmed { id, config });
+            match origin {
+                Some(Origin::Confirm(link, id)) => {
+                    let config = Ok(self.config_body());
+                    self.tell(link, FromRelay::ConfigConfirmed { id, config });
+                }
+                Some(Origin::Call(id)) => self.answer_read_call(id),
+                Some(Origin::Leases) => self.end_lease_read(now, true),
+                Some(Origin::Propose(..) | Origin::Members(..) | Origin::Member(..)) | None => {}
             }
         }
     }
@@ -131,13 +136,15 @@
     }
 
     /// Gives an answer to whoever asked.
-    pub(super) fn deliver(&self, origin: Origin, answer: Answer) {
+    pub(super) fn deliver(&mut self, now: Duration, origin: Origin, answer: Answer) {
         match origin {
             Origin::Member(link, id) => {
                 if let Some(link) = self.links.get(link) {
                     link.send_member(&MemberPacket::Answer { id, answer });
                 }
             }
+            Origin::Call(id) => self.answer_call(id, &answer),
+            Origin::Leases => self.end_lease_read(now, false),
             Origin::Propose(link, id) => {
                 let reply = match answer {
                     Answer::Proposed(reply) => reply,
--- a/src/coltsfootnotch/daemon/control/daemon/upkeep.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/upkeep.rs
@@ -30,6 +30,7 @@
         }
         self.watch_hosts(now);
         self.found_group(now);
+        self.upkeep_seeded(now);
         self.retry_waiting(now);
         self.expire_requests(now);
         self.expire_records(now);
@@ -58,7 +59,7 @@
 
     fn expire_requests(&mut self, now: Duration) {
         for (request, answer) in self.requests.expire(now) {
-            self.deliver(request.origin, answer);
+            self.deliver(now, request.origin, answer);
         }
     }
 
@@ -143,6 +144,9 @@
             self.set_limits(now, manifest.ledger.keep_hours);
         }
         self.push_config(now);
+        if let Some(whole) = self.config.whole() {
+            self.tell_followers(&whole);
+        }
     }
 
     /// The leader brings the ledger's limits in line with the manifest, through the log.
--- a/src/coltsfootnotch/daemon/control/founding.rs
+++ b/src/coltsfootnotch/daemon/control/founding.rs
@@ -63,6 +63,11 @@
         self.others.get(host).map(|hello| &hello.member)
     }
 
+    /// What the member on `host` says of itself, while it is connected.
+    pub fn hello_of(&self, host: &HostName) -> Option<&MemberHello> {
+        self.others.get(host)
+    }
+
     /// The members of the group to found now, if this member is to found one.
     pub fn due(&mut self, now: Duration, is_config_in_force: bool) -> Option<Vec<MemberId>> {
         if is_config_in_force || !self.may_found() {
--- a/src/coltsfootnotch/daemon/control/handle.rs
+++ b/src/coltsfootnotch/daemon/control/handle.rs
@@ -8,9 +8,11 @@
 
 use coltsfootnotch_fabric::Traffic;
 use stakker::sync::Channel;
+use tokio::sync::oneshot;
 
 use super::ControlError;
 use super::input::{Input, Stop};
+use super::seeded::{Call, CallReply};
 
 /// What the daemon's thread tells whoever holds the handle.
 #[derive(Debug, Default)]
@@ -63,6 +65,26 @@
         move || shared.ready.load(Ordering::Relaxed)
     }
 
+    /// A closure by which operators and upstreams call; the answer never comes once the daemon ends.
+    pub fn caller(
+        &self,
+    ) -> impl Fn(Call) -> oneshot::Receiver<CallReply> + Clone + Send + Sync + 'static + use<> {
+        let channel = self.channel.clone();
+        move |call| {
+            let (tx, rx) = oneshot::channel();
+            channel.send(Input::Call(call, tx));
+            rx
+        }
+    }
+
+    /// A closure by which the daemon is told of other seeds.
+    pub fn seeder(&self) -> impl Fn(Vec<SocketAddr>) + Send + 'static + use<> {
+        let channel = self.channel.clone();
+        move |seeds| {
+            channel.send(Input::Seeds(seeds));
+        }
+    }
+
     /// Begins a graceful stop: the leadership is handed over first.
     pub fn stop(&self) {
         self.channel.send(Input::Stop(Stop::Graceful));
--- a/src/coltsfootnotch/daemon/control/input.rs
+++ b/src/coltsfootnotch/daemon/control/input.rs
@@ -1,8 +1,12 @@
 //! What comes to the daemon's actor.
 
+use std::net::SocketAddr;
+
 use coltsfootnotch_fabric::Event;
+use tokio::sync::oneshot;
 
 use super::disk::DiskReport;
+use super::seeded::{Call, CallReply};
 
 /// How the daemon is to end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -20,6 +24,10 @@
     Fabric(Event),
     /// From the thread that owns the data folder.
     Disk(DiskReport),
+    /// An operator or an upstream calls over HTTP.
+    Call(Call, oneshot::Sender<CallReply>),
+    /// The settings name other seeds now.
+    Seeds(Vec<SocketAddr>),
     /// From the handle.
     Stop(Stop),
 }
--- a/src/coltsfootnotch/daemon/control/mod.rs
+++ b/src/coltsfootnotch/daemon/control/mod.rs
@@ -34,6 +34,7 @@
 mod relay_feed;
 mod replica;
 pub mod request_table;
+pub mod seeded;
 mod status;
 
 pub use actor::start;
--- a/src/coltsfootnotch/daemon/control/packet.rs
+++ b/src/coltsfootnotch/daemon/control/packet.rs
@@ -10,6 +10,8 @@
 use coltsfootnotch_wire::{MembersError, ProposeError};
 use serde::{Deserialize, Serialize};
 
+use super::seeded::SeededHello;
+
 /// Between members of the control group.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum MemberPacket {
@@ -47,6 +49,8 @@
     pub listed: Vec<HostName>,
     /// Whether it holds no entry and knows of no group.
     pub empty: bool,
+    /// Where and how it found the others, if it had to.
+    pub seeded: Option<SeededHello>,
 }
 
 /// What only the leader can do.
--- a/src/coltsfootnotch/daemon/control/request_table.rs
+++ b/src/coltsfootnotch/daemon/control/request_table.rs
@@ -35,6 +35,10 @@
     Members(LinkId, u64),
     /// Another member, which knows this one as the leader.
     Member(LinkId, u64),
+    /// An operator called over HTTP.
+    Call(u64),
+    /// Forwarding entries ask whether their configuration is the newest.
+    Leases,
 }
 
 /// Where a request is.
--- /dev/null
+++ b/src/coltsfootnotch/daemon/control/seeded/finding.rs
@@ -0,0 +1,106 @@
+//! Which addresses a control host dials to find the others.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use coltsfootnotch_types::HostName;
+
+use super::{SeededHello, Seeds};
+
+/// An address that is no seed and at which nobody answered for this long is dialled no more: a host
+/// that was removed for good would otherwise be dialled for ever. One that was only cut off is told of
+/// again by the others once it is back, or dials by itself.
+const FORGET_AFTER: Duration = Duration::from_secs(30);
+
+/// Most addresses dialled. Groups have at most seven members; the rest are hosts that were replaced.
+const MAX_ADDRESSES: usize = 64;
+
+/// Which addresses a control host dials.
+#[derive(Debug)]
+pub(in crate::daemon::control) struct Finding {
+    own: SocketAddr,
+    seeds: BTreeSet<SocketAddr>,
+    first_start: bool,
+    /// Addresses that others told of, with when one was last connected or told of.
+    told: BTreeMap<SocketAddr, Duration>,
+    connected: BTreeMap<HostName, SeededHello>,
+}
+
+impl Finding {
+    pub(in crate::daemon::control) fn new(own: SocketAddr, seeds: &Seeds) -> Self {
+        Self {
+            own,
+            seeds: seeds.addresses.iter().copied().collect(),
+            first_start: seeds.first_start,
+            told: BTreeMap::new(),
+            connected: BTreeMap::new(),
+        }
+    }
+
+    /// The settings name other seeds now. Those of before stay known for a while.
+    pub(in crate::daemon::control) fn set_seeds(&mut self, now: Duration, seeds: &[SocketAddr]) {
+        let before = std::mem::replace(&mut self.seeds, seeds.iter().copied().collect());
+        for address in before {
+            self.told.insert(address, now);
+        }
+    }
+
+    /// What this host says of itself.
+    pub(in crate::daemon::control) fn hello(&self) -> SeededHello {
+        SeededHello {
+            address: self.own,
+            first_start: self.first_start,
+            seeds: self.seeds.iter().copied().collect(),
+            connected: self.connected.values().map(|h| h.address).collect(),
+        }
+    }
+
+    /// Takes what another host says of itself; whether it is one that was not connected.
+    pub(in crate::daemon::control) fn hear(
+        &mut self,
+        now: Duration,
+        host: &HostName,
+        hello: SeededHello,
+    ) -> bool {
+        for address in hello.connected.iter().chain([&hello.address]) {
+            if self.told.len() < MAX_ADDRESSES {
+                self.told.insert(*address, now);
+            }
+        }
+        self.connected.insert(host.clone(), hello).is_none()
+    }
+
+    /// No connection to the host is left.
+    pub(in crate::daemon::control) fn lose(&mut self, now: Duration, host: &HostName) {
+        if let Some(hello) = self.connected.remove(host) {
+            self.told.insert(hello.address, now);
+        }
+    }
+
+    /// The hosts that are connected.
+    pub(in crate::daemon::control) fn connected(
+        &self,
+    ) -> impl Iterator<Item = (&HostName, &SeededHello)> {
+        self.connected.iter()
+    }
+
+    /// Addresses of this host and those connected, for forwarding entries.
+    pub(in crate::daemon::control) fn addresses(&self) -> Vec<SocketAddr> {
+        let others = self.connected.values().map(|h| h.address);
+        others.chain([self.own]).collect()
+    }
+
+    /// The addresses to dial now.
+    pub(in crate::daemon::control) fn wanted(&mut self, now: Duration) -> BTreeSet<SocketAddr> {
+        for hello in self.connected.values() {
+            self.told.insert(hello.address, now);
+        }
+        self.told
+            .retain(|_, at| now.saturating_sub(*at) < FORGET_AFTER);
+        let mut wanted: BTreeSet<_> = self.told.keys().copied().collect();
+        wanted.extend(&self.seeds);
+        wanted.remove(&self.own);
+        wanted
+    }
+}
--- /dev/null
+++ b/src/coltsfootnotch/daemon/control/seeded/followers.rs
@@ -0,0 +1,95 @@
+//! Forwarding entries that follow this control host.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use coltsfootnotch_fabric::LinkId;
+use coltsfootnotch_forward::load::FleetLoad;
+use coltsfootnotch_wire::LoadWord;
+
+/// A question whether a configuration is the newest.
+#[derive(Debug, Clone, Copy)]
+pub(in crate::daemon::control) struct LeaseAsk {
+    pub(in crate::daemon::control) link: LinkId,
+    pub(in crate::daemon::control) id: u64,
+    pub(in crate::daemon::control) have: u64,
+}
+
+/// Forwarding entries that are connected.
+///
+/// Every entry asks twice a second whether its configuration is the newest. One read of the log
+/// answers all questions that came before it began, so a thousand entries cost as many reads as one.
+#[derive(Default)]
+pub(in crate::daemon::control) struct Followers {
+    links: BTreeSet<LinkId>,
+    /// Those that want to be told what the others do.
+    followed_by: BTreeMap<LinkId, Duration>,
+    pub(in crate::daemon::control) fleet: FleetLoad<LinkId>,
+    asked: Vec<LeaseAsk>,
+    under_read: Option<Vec<LeaseAsk>>,
+}
+
+impl Followers {
+    pub(in crate::daemon::control) fn add(&mut self, link: LinkId) {
+        self.links.insert(link);
+    }
+
+    pub(in crate::daemon::control) fn remove(&mut self, link: LinkId) {
+        self.links.remove(&link);
+        self.followed_by.remove(&link);
+        self.fleet.forget(&link);
+    }
+
+    /// All connected entries.
+    pub(in crate::daemon::control) fn links(&self) -> impl Iterator<Item = LinkId> {
+        self.links.iter().copied()
+    }
+
+    pub(in crate::daemon::control) fn report(
+        &mut self,
+        now: Duration,
+        link: LinkId,
+        follows: bool,
+        load: LoadWord,
+    ) {
+        self.fleet.take(now, link, load);
+        if follows {
+            self.followed_by.insert(link, now);
+        } else {
+            self.followed_by.remove(&link);
+        }
+    }
+
+    /// What each entry that follows is to be told of the others; begins a new period.
+    pub(in crate::daemon::control) fn next_period(
+        &mut self,
+        now: Duration,
+    ) -> Vec<(LinkId, u32, LoadWord)> {
+        let entries = self.fleet.entries(now);
+        let links = self.followed_by.keys();
+        let words = links.map(|link| (*link, entries, self.fleet.without(now, link)));
+        let words = words.collect();
+        self.fleet.next_period(now);
+        words
+    }
+
+    /// Takes a question; whether a read is to be begun for it.
+    pub(in crate::daemon::control) fn ask(&mut self, ask: LeaseAsk) -> bool {
+        self.asked.push(ask);
+        self.begin_read()
+    }
+
+    /// Begins a read for all that was asked, unless one is under way; whether it did.
+    pub(in crate::daemon::control) fn begin_read(&mut self) -> bool {
+        if self.under_read.is_some() || self.asked.is_empty() {
+            return false;
+        }
+        self.under_read = Some(std::mem::take(&mut self.asked));
+        true
+    }
+
+    /// The read is over; the questions that it answers.
+    pub(in crate::daemon::control) fn end_read(&mut self) -> Vec<LeaseAsk> {
+        self.under_read.take().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/src/coltsfootnotch/daemon/control/seeded/mod.rs
@@ -0,0 +1,74 @@
+//! A control host that is told nothing but a few addresses of others.
+//!
+//! Where nobody lists the control hosts, they find each other: each dials the seeds of its settings
+//! and every control host that others are connected to. The group is founded once, by the lowest seed
+//! ([`founding`]); after that the leader admits and replaces members by itself ([`upkeep`]).
+//! Forwarding entries and upstreams are served here as well, since no sidecar stands between.
+
+mod call;
+mod finding;
+mod followers;
+pub mod founding;
+pub mod members;
+mod upkeep;
+mod upstreams;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+pub(super) use self::call::Calls;
+pub use self::call::{Call, CallReply};
+pub(super) use self::finding::Finding;
+pub(super) use self::followers::Followers;
+use self::founding::SeededFounding;
+use coltsfootnotch_forward::book::UpstreamBook;
+
+/// What a control host is told that has to find the others.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Seeds {
+    /// Fleet addresses of some control hosts, perhaps its own among them.
+    pub addresses: Vec<SocketAddr>,
+    /// Whether the whole fleet starts for the first time. A host that joins later, or has lost its
+    /// disk, never founds a group.
+    pub first_start: bool,
+}
+
+/// What a control host that finds the others says of itself besides its membership.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeededHello {
+    /// Its fleet address.
+    pub address: SocketAddr,
+    /// Whether its settings say that the fleet starts for the first time.
+    pub first_start: bool,
+    /// The seeds of its settings, sorted.
+    pub seeds: Vec<SocketAddr>,
+    /// Fleet addresses of the control hosts that it is connected to.
+    pub connected: Vec<SocketAddr>,
+}
+
+/// The part of a control host that exists only where hosts find each other.
+pub(super) struct Seeded {
+    pub(super) finding: Finding,
+    pub(super) founding: SeededFounding,
+    pub(super) followers: Followers,
+    pub(super) calls: Calls,
+    pub(super) book: UpstreamBook,
+    pub(super) away: members::Away,
+    pub(super) fleet_due: Duration,
+}
+
+impl Seeded {
+    pub(super) fn new(now: Duration, own: SocketAddr, seeds: &Seeds) -> Self {
+        Self {
+            finding: Finding::new(own, seeds),
+            founding: SeededFounding::default(),
+            followers: Followers::default(),
+            calls: Calls::default(),
+            book: UpstreamBook::default(),
+            away: members::Away::default(),
+            fleet_due: now,
+        }
+    }
+}
--- /dev/null
+++ b/src/coltsfootnotch/daemon/control/seeded/upkeep.rs
@@ -0,0 +1,259 @@
+//! What a control host that finds the others does by time, and with calls.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use coltsfootnotch_consensus::{MemberChange, MemberId};
+use coltsfootnotch_fabric::{LinkId, PeerId};
+use coltsfootnotch_state::{ApplyConfig, BodyDigest, ConfigReply, Op, Reply};
+use coltsfootnotch_types::Role;
+use coltsfootnotch_wire::FromRelay;
+use tokio::sync::oneshot;
+
+use super::followers::LeaseAsk;
+use super::founding::Seen;
+use super::members::next_change;
+use super::{Call, CallReply};
+use crate::core::{decode_reply, encode_op};
+use crate::daemon::control::daemon::ControlDaemon;
+use crate::daemon::control::packet::{Answer, Ask};
+use crate::daemon::control::request_table::Origin;
+use crate::util::events;
+
+/// Between two rounds in which entries are told what the others do. Shorter than the time in which an
+/// engine works off what may wait there, so that an entry does not fill what another just filled.
+const FLEET_EVERY: Duration = Duration::from_millis(100);
+
+impl ControlDaemon {
+    /// Finds hosts, founds the group, changes its members.
+    pub(in crate::daemon::control) fn upkeep_seeded(&mut self, now: Duration) {
+        if self.seeded.is_none() {
+            return;
+        }
+        self.dial_wanted(now);
+        self.found_seeded(now);
+        self.change_members(now);
+        self.expire_upstreams(now);
+    }
+
+    /// Tells entries what the others do, when it is due.
+    pub(in crate::daemon::control) fn tell_fleet(&mut self, now: Duration) {
+        let Some(seeded) = &mut self.seeded else {
+            return;
+        };
+        if now < seeded.fleet_due {
+            return;
+        }
+        seeded.fleet_due = now + FLEET_EVERY;
+        for (link, entries, load) in seeded.followers.next_period(now) {
+            self.tell(link, FromRelay::Fleet { entries, load });
+        }
+    }
+
+    fn dial_wanted(&mut self, now: Duration) {
+        let Some(seeded) = &mut self.seeded else {
+            return;
+        };
+        let wanted = seeded.finding.wanted(now);
+        self.dials.retain(|address, _| wanted.contains(address));
+        for address in wanted {
+            let endpoint = &self.endpoint;
+            let is_control = |peer: &PeerId| peer.role == Role::Control;
+            let dial = || endpoint.dial_if(address, is_control);
+            self.dials.entry(address).or_insert_with(dial);
+        }
+    }
+
+    fn found_seeded(&mut self, now: Duration) {
+        let Some(seeded) = &mut self.seeded else {
+            return;
+        };
+        let own_hello = seeded.finding.hello();
+        let own = self.founding.hello();
+        let own = Seen {
+            member: &own.member,
+            empty: own.empty,
+            hello: &own_hello,
+        };
+        let founding = &self.founding;
+        let others = seeded.finding.connected().filter_map(|(host, hello)| {
+            let said = founding.hello_of(host)?;
+            Some(Seen {
+                member: &said.member,
+                empty: said.empty,
+                hello,
+            })
+        });
+        let Some(members) = seeded.founding.due(now, own, others) else {
+            return;
+        };
+        let voters = members.len();
+        match self.replica.core_mut().found(now, members) {
+            Ok(()) => self
+                .host
+                .log(&events::GROUP_FOUNDED, &[("voters", &voters)]),
+            // This member holds entries by now, which is as good.
+            Err(e) => log::debug!("not founded: {e}"),
+        }
+    }
+
+    fn change_members(&mut self, now: Duration) {
+        if !self.replica.core().is_leader() {
+            return;
+        }
+        let members = self.replica.core().status().members;
+        let connected = self.connected_members();
+        let Some(seeded) = &mut self.seeded else {
+            return;
+        };
+        seeded.away.note(now, &members, &connected);
+        let Some(change) = next_change(now, &members, &connected, &seeded.away) else {
+            return;
+        };
+        // Refused while an earlier change is not finished; the next round tries again.
+        if self.replica.core_mut().change_members(now, &change).is_ok() {
+            self.log_change(&change);
+        }
+    }
+
+    fn connected_members(&self) -> BTreeSet<MemberId> {
+        let own = self.founding.hello().member.clone();
+        let hosts = self.seeded.iter().flat_map(|s| s.finding.connected());
+        let others = hosts.filter_map(|(host, _)| self.founding.member_on(host).cloned());
+        others.chain([own]).collect()
+    }
+
+    fn log_change(&self, change: &MemberChange) {
+        let (what, member, replaces) = match change {
+            MemberChange::Add { member, replaces } => ("add", member, replaces.as_ref()),
+            MemberChange::Remove { member } => ("remove", member, None),
+        };
+        let replaces = replaces.map_or_else(|| "none".to_owned(), ToString::to_string);
+        self.host.log(
+            &events::MEMBERS_CHANGING,
+            &[
+                ("change", &what),
+                ("member", member),
+                ("replaces", &replaces),
+            ],
+        );
+    }
+
+    /// An operator or an upstream calls.
+    pub(in crate::daemon::control) fn on_call(
+        &mut self,
+        now: Duration,
+        call: Call,
+        tx: oneshot::Sender<CallReply>,
+    ) {
+        match call {
+            Call::Announce(said) => {
+                self.announced(now, said);
+                let _caller_waits = tx.send(CallReply::Done);
+            }
+            Call::Leave { id, born_ms } => {
+                self.left(now, &id, born_ms);
+                let _caller_waits = tx.send(CallReply::Done);
+            }
+            Call::Apply { number, body } => self.apply(now, number, body, tx),
+            Call::Read => self.ask_group(now, Ask::Read, tx),
+        }
+    }
+
+    fn apply(&mut self, now: Duration, number: u64, body: Vec<u8>, tx: oneshot::Sender<CallReply>) {
+        let digest = BodyDigest::of(&body);
+        let req = ApplyConfig {
+            number,
+            digest,
+            body,
+        };
+        if self.replica.machine().config().known(&req).is_some() {
+            // Accepted before, or overtaken by what was: either is committed.
+            let _caller_waits = tx.send(CallReply::Done);
+            return;
+        }
+        let ask = Ask::Propose(encode_op(&Op::ApplyConfig(req)));
+        self.ask_group(now, ask, tx);
+    }
+
+    fn ask_group(&mut self, now: Duration, ask: Ask, tx: oneshot::Sender<CallReply>) {
+        let Some(seeded) = &mut self.seeded else {
+            return;
+        };
+        let id = seeded.calls.open(tx);
+        self.request(now, Origin::Call(id), ask);
+    }
+
+    /// The control group's answer to a call.
+    pub(in crate::daemon::control) fn answer_call(&mut self, id: u64, answer: &Answer) {
+        let reply = match answer {
+            Answer::Proposed(Ok(bytes)) => reply_to_apply(bytes),
+            Answer::Proposed(Err(_)) | Answer::NotLeader => CallReply::Unknown,
+            Answer::Read(_) | Answer::Members(_) => CallReply::Unknown,
+        };
+        if let Some(seeded) = &mut self.seeded {
+            seeded.calls.answer(id, reply);
+        }
+    }
+
+    /// What was read for a call is applied here.
+    pub(in crate::daemon::control) fn answer_read_call(&mut self, id: u64) {
+        let config = self.config_body();
+        if let Some(seeded) = &mut self.seeded {
+            seeded.calls.answer(id, CallReply::Config(config));
+        }
+    }
+
+    /// An entry asks whether its configuration is the newest.
+    pub(in crate::daemon::control) fn on_lease_ask(
+        &mut self,
+        now: Duration,
+        link: LinkId,
+        id: u64,
+        have: u64,
+    ) {
+        let Some(seeded) = &mut self.seeded else {
+            return;
+        };
+        if seeded.followers.ask(LeaseAsk { link, id, have }) {
+            self.request(now, Origin::Leases, Ask::Read);
+        }
+    }
+
+    /// The read for questions of entries is over; `confirmed` tells how.
+    pub(in crate::daemon::control) fn end_lease_read(&mut self, now: Duration, confirmed: bool) {
+        let Some(seeded) = &mut self.seeded else {
+            return;
+        };
+        let asks = seeded.followers.end_read();
+        let goes_on = seeded.followers.begin_read();
+        if confirmed {
+            self.answer_leases(&asks);
+        }
+        if goes_on {
+            self.request(now, Origin::Leases, Ask::Read);
+        }
+    }
+
+    fn answer_leases(&self, asks: &[LeaseAsk]) {
+        let number = self.replica.machine().config().number();
+        for ask in asks {
+            let newer = (ask.have < number).then(|| self.config_body()).flatten();
+            let id = ask.id;
+            self.tell(ask.link, FromRelay::Lease { id, number, newer });
+        }
+    }
+}
+
+fn reply_to_apply(bytes: &[u8]) -> CallReply {
+    match decode_reply(bytes) {
+        Ok(Reply::Config(
+            ConfigReply::Accepted { .. } | ConfigReply::Conflict { .. } | ConfigReply::Stale { .. },
+        )) => CallReply::Done,
+        Ok(_) => CallReply::Unknown,
+        Err(e) => {
+            log::error!("the control group's reply can't be read: {e}");
+            CallReply::Unknown
+        }
+    }
+}
--- /dev/null
+++ b/src/coltsfootnotch/daemon/control/seeded/upstreams.rs
@@ -0,0 +1,106 @@
+//! What upstreams announce, and how the forwarding entries hear of it.
+
+use std::time::Duration;
+
+use coltsfootnotch_fabric::LinkId;
+use coltsfootnotch_forward::book::{Announcement, News};
+use coltsfootnotch_wire::{FromRelay, UpstreamWord};
+
+use super::Seeded;
+use crate::daemon::control::daemon::ControlDaemon;
+use crate::util::events;
+
+/// Silence after which an upstream is forgotten here: several announcements of it were lost. Entries
+/// have noticed by their own requests long before.
+const SILENCE: Duration = Duration::from_secs(6);
+
+impl ControlDaemon {
+    /// An upstream announces itself.
+    ///
+    /// Entries are told before it is answered: whoever leaves may count on it that nobody sends new
+    /// work for long, and a word that waited for the next round could be lost with this host.
+    pub(in crate::daemon::control) fn announced(&mut self, now: Duration, said: Announcement) {
+        let Some(seeded) = &mut self.seeded else {
+            return;
+        };
+        let word = UpstreamWord::from(&said);
+        let news = seeded.book.take(now, said);
+        if news == News::Changed {
+            self.log_upstream(&word);
+        }
+        if news != News::Stale {
+            self.tell_followers(&FromRelay::Upstreams(vec![word]));
+        }
+    }
+
+    /// An upstream says that it has left.
+    pub(in crate::daemon::control) fn left(
+        &mut self,
+        now: Duration,
+        id: &str,
+        born_ms: Option<u64>,
+    ) {
+        let Some(seeded) = &mut self.seeded else {
+            return;
+        };
+        if let Some(said) = seeded.book.leave(now, id, born_ms) {
+            let word = UpstreamWord::from(&said);
+            self.log_upstream(&word);
+            self.tell_followers(&FromRelay::Upstreams(vec![word]));
+        }
+    }
+
+    pub(super) fn expire_upstreams(&mut self, now: Duration) {
+        let Some(seeded) = &mut self.seeded else {
+            return;
+        };
+        for said in seeded.book.expire(now, SILENCE) {
+            self.host.log(
+                &events::UPSTREAM_SILENT,
+                &[("upstream", &said.id), ("service", &said.service)],
+            );
+        }
+    }
+
+    /// Tells an entry that has just connected everything that holds.
+    pub(in crate::daemon::control) fn tell_all(&self, link: LinkId) {
+        let Some(seeded) = &self.seeded else {
+            return;
+        };
+        self.tell(link, FromRelay::ControlHosts(seeded.finding.addresses()));
+        self.tell(link, FromRelay::Upstreams(known(seeded)));
+        // Only a higher number than the entry's has an effect there.
+        if let Some(config) = self.config_body() {
+            self.tell(link, FromRelay::Config(config));
+        }
+    }
+
+    pub(in crate::daemon::control) fn tell_followers(&self, message: &FromRelay) {
+        let followers = self.seeded.iter().flat_map(|s| s.followers.links());
+        for link in followers {
+            self.tell(link, message.clone());
+        }
+    }
+
+    fn log_upstream(&self, word: &UpstreamWord) {
+        let event = match word.stage {
+            coltsfootnotch_wire::UpstreamStage::Ready => &events::UPSTREAM_ANNOUNCED,
+            _ => &events::UPSTREAM_LEAVING,
+        };
+        self.host.log(
+            event,
+            &[
+                ("upstream", &word.id),
+                ("service", &word.service),
+                ("address", &word.address),
+                ("born_ms", &word.born_ms),
+                ("sequence", &word.sequence),
+            ],
+        );
+    }
+}
+
+fn known(seeded: &Seeded) -> Vec<UpstreamWord> {
+    let all = seeded.book.all();
+    all.map(|u| UpstreamWord::from(&u.said)).collect()
+}
--- a/src/coltsfootnotch/daemon/entry/reply_body.rs
+++ b/src/coltsfootnotch/daemon/entry/reply_body.rs
@@ -1,6 +1,5 @@
 //! The body of an answer that is on its way.
 
-use std::convert::Infallible;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
@@ -11,6 +10,7 @@
 use super::ReplyPart;
 use super::callers::CallerGuard;
 use crate::core::Refusal;
+use crate::util::http_server::BrokenOff;
 
 /// Passes pieces on as they come; a stream that can't be completed ends in an `error` event.
 pub(super) struct ReplyBody {
@@ -41,12 +41,12 @@
 
 impl Body for ReplyBody {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = BrokenOff;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
         loop {
             if self.ended {
                 return Poll::Ready(None);
--- /dev/null
+++ b/src/coltsfootnotch/daemon/forward/control_links.rs
@@ -0,0 +1,171 @@
+//! Connections to the control hosts.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use coltsfootnotch_fabric::{Dialed, Endpoint, LinkId, LinkTx, PeerId};
+use coltsfootnotch_types::Role;
+use coltsfootnotch_wire::{Message, ToRelay};
+
+/// Between two questions whether the configuration is the newest. Several fit into the shortest lease
+/// that is of use, so that one lost answer costs nothing.
+const ASK_EVERY: Duration = Duration::from_millis(500);
+
+/// Time after which an unanswered question is asked of the next control host. An answer takes some
+/// milliseconds; during an election nobody can give one.
+const ANSWER_WITHIN: Duration = Duration::from_millis(400);
+
+/// A control host that is connected.
+struct Link {
+    tx: LinkTx,
+    /// Where its fleet endpoint is, once it has said so.
+    peer: PeerId,
+}
+
+/// A question that is not answered yet.
+struct Open {
+    id: u64,
+    asked: Duration,
+    link: LinkId,
+}
+
+/// Connections to the control hosts, all of them: each tells of the upstreams that announced
+/// themselves to it, and which of them has the newest configuration can't be known.
+///
+/// One of them is followed: it alone is asked whether the configuration is the newest and tells what
+/// the other entries do. When it does not answer, the next one is followed.
+pub(super) struct ControlLinks {
+    dialed: BTreeMap<SocketAddr, Dialed>,
+    seeds: BTreeSet<SocketAddr>,
+    told: BTreeSet<SocketAddr>,
+    links: BTreeMap<LinkId, Link>,
+    followed: Option<LinkId>,
+    open: Option<Open>,
+    ask_due: Duration,
+    last_id: u64,
+}
+
+impl ControlLinks {
+    pub(super) fn new(seeds: &[SocketAddr]) -> Self {
+        Self {
+            dialed: BTreeMap::new(),
+            seeds: seeds.iter().copied().collect(),
+            told: BTreeSet::new(),
+            links: BTreeMap::new(),
+            followed: None,
+            open: None,
+            ask_due: Duration::ZERO,
+            last_id: 0,
+        }
+    }
+
+    pub(super) fn set_seeds(&mut self, endpoint: &Endpoint, seeds: &[SocketAddr]) {
+        self.seeds = seeds.iter().copied().collect();
+        self.dial(endpoint);
+    }
+
+    /// A control host told where the control hosts are. What others told before is kept until nobody
+    /// answers there any more: one that is cut off from the rest knows only itself.
+    pub(super) fn set_told(&mut self, endpoint: &Endpoint, addresses: &[SocketAddr]) {
+        if self.told.len() > MAX_TOLD {
+            self.told.clear();
+        }
+        self.told.extend(addresses);
+        self.dial(endpoint);
+    }
+
+    pub(super) fn dial(&mut self, endpoint: &Endpoint) {
+        let wanted: BTreeSet<_> = self.seeds.union(&self.told).copied().collect();
+        self.dialed.retain(|address, _| wanted.contains(address));
+        for address in wanted {
+            let is_control = |peer: &PeerId| peer.role == Role::Control;
+            let dial = || endpoint.dial_if(address, is_control);
+            self.dialed.entry(address).or_insert_with(dial);
+        }
+    }
+
+    pub(super) fn up(&mut self, link: LinkId, peer: PeerId, tx: LinkTx) {
+        self.links.insert(link, Link { tx, peer });
+        self.followed.get_or_insert(link);
+    }
+
+    pub(super) fn down(&mut self, link: LinkId) {
+        self.links.remove(&link);
+        if self.followed == Some(link) {
+            self.follow_next(link);
+        }
+    }
+
+    fn follow_next(&mut self, after: LinkId) {
+        let later = self
+            .links
+            .range((std::ops::Bound::Excluded(after), std::ops::Bound::Unbounded));
+        let next = later.chain(self.links.iter()).next();
+        self.followed = next.map(|(link, _)| *link);
+        self.open = None;
+        self.ask_due = Duration::ZERO;
+    }
+
+    /// The control host that is followed.
+    pub(super) fn followed(&self) -> Option<(LinkId, &PeerId)> {
+        let link = self.followed?;
+        Some((link, &self.links.get(&link)?.peer))
+    }
+
+    pub(super) fn count(&self) -> usize {
+        self.links.len()
+    }
+
+    /// Asks whether the configuration `have` is the newest, when that is due.
+    pub(super) fn ask(&mut self, now: Duration, have: u64) {
+        if let Some(open) = &self.open
+            && now >= open.asked + ANSWER_WITHIN
+        {
+            let link = open.link;
+            self.follow_next(link);
+        }
+        if self.open.is_some() || now < self.ask_due {
+            return;
+        }
+        let Some(link) = self.followed else {
+            return;
+        };
+        self.last_id += 1;
+        let id = self.last_id;
+        self.open = Some(Open {
+            id,
+            asked: now,
+            link,
+        });
+        self.ask_due = now + ASK_EVERY;
+        self.send(link, ToRelay::Lease { id, have });
+    }
+
+    /// An answer came; when its question was asked, if it is the open one.
+    pub(super) fn answered(&mut self, id: u64) -> Option<Duration> {
+        let open = self.open.take_if(|open| open.id == id)?;
+        Some(open.asked)
+    }
+
+    /// Sends what each control host is to know, given whether it is the followed one.
+    pub(super) fn send_each(&self, message: impl Fn(bool) -> ToRelay) {
+        for link in self.links.keys() {
+            self.send(*link, message(self.followed == Some(*link)));
+        }
+    }
+
+    fn send(&self, link: LinkId, message: ToRelay) {
+        let Some(Link { tx, .. }) = self.links.get(&link) else {
+            return;
+        };
+        if let Err(e) = tx.send(&Message::ToRelay(message)) {
+            // Reports are small; one beyond the size of a frame would be a fault of this program.
+            log::error!("a message to a control host can't be encoded: {e}");
+            tx.close();
+        }
+    }
+}
+
+/// Most addresses remembered from control hosts.
+const MAX_TOLD: usize = 64;
--- /dev/null
+++ b/src/coltsfootnotch/daemon/forward/requested.rs
@@ -0,0 +1,81 @@
+//! A request that was read and matched.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use coltsfootnotch_forward::config::{ForwardConfig, Kind, Route};
+use http_body_util::Full;
+use hyper::{HeaderMap, Method, Request, Uri};
+
+use super::dialect::{Dialect, Onward, RequestHead};
+use super::messages::Ticket;
+
+/// A request that was read and matched.
+pub(super) struct Requested {
+    pub(super) method: Method,
+    pub(super) uri: Uri,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) head: RequestHead,
+    pub(super) config: Arc<ForwardConfig>,
+    pub(super) route: usize,
+    pub(super) service: usize,
+    pub(super) account: Option<Arc<str>>,
+    /// When the caller's time, or the route's, is over.
+    pub(super) deadline: Instant,
+    /// When its headers had come.
+    pub(super) arrived: Instant,
+}
+
+impl Requested {
+    pub(super) fn route(&self) -> &Route {
+        &self.config.routes()[self.route]
+    }
+
+    pub(super) fn kind(&self) -> Kind {
+        self.route().kind
+    }
+
+    /// The caller's name for the request, for log lines.
+    pub(super) fn id(&self) -> &str {
+        self.head.id.as_deref().unwrap_or("-")
+    }
+
+    /// Digest of what an upstream is asked to do, the same each time that the caller asks it.
+    pub(super) fn content(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        self.method.as_str().hash(&mut hasher);
+        self.uri.path().hash(&mut hasher);
+        self.uri.query().hash(&mut hasher);
+        self.account.hash(&mut hasher);
+        self.body.hash(&mut hasher);
+        hasher.finish()
+    }
+
+    /// The request as it is sent to an upstream.
+    pub(super) fn onward(
+        &self,
+        dialect: &Dialect,
+        ticket: &Ticket,
+        last_event: Option<u64>,
+    ) -> Request<Full<Bytes>> {
+        let time_left = self.deadline.saturating_duration_since(Instant::now());
+        let mut headers = self.headers.clone();
+        (dialect.write_onward)(
+            &mut headers,
+            &Onward {
+                time_left,
+                upstream: &ticket.upstream,
+                account: self.account.as_deref(),
+                last_event: last_event.or(self.head.last_event),
+            },
+        );
+        let mut req = Request::new(Full::new(self.body.clone()));
+        *req.method_mut() = self.method.clone();
+        *req.uri_mut() = self.uri.clone();
+        *req.headers_mut() = headers;
+        req
+    }
+}
--- /dev/null
+++ b/src/coltsfootnotch/daemon/forward/state.rs
@@ -0,0 +1,265 @@
+//! What all requests share, and the decisions about them.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootnotch_forward::book::{Stage, UpstreamBook};
+use coltsfootnotch_forward::config::{Engine, ForwardConfig};
+use coltsfootnotch_forward::lease::ConfigLease;
+use coltsfootnotch_forward::load::UpstreamLoads;
+use coltsfootnotch_forward::place::{
+    Ask, Candidate, Pace, Placement, Refusal, place_engine, place_plain,
+};
+use coltsfootnotch_forward::retry::{BrokenRequests, SecondSends};
+use coltsfootnotch_forward::share::FairShares;
+use coltsfootnotch_wire::LoadWord;
+
+use super::messages::{Ended, NotPlaced, PlaceAsk, Ticket};
+
+/// Share of an engine's memory that is believed to keep shared parts. Running requests take the rest.
+const KEPT_SHARE: f64 = 0.55;
+
+/// Time to the first event of a prompt that need not be read: the engine's own, the way, a step that
+/// was under way. Measured at idle engines: 25 to 40 ms.
+const BASE_MS: f64 = 35.0;
+
+/// What reading takes of an engine's pace against the figure that the operator states for all
+/// engines, which counts tokens made as well.
+const READ_SHARE: f64 = 1.25;
+/// Prompt tokens a millisecond where the operator states nothing; a medium engine of today.
+const DEFAULT_PACE: f64 = 25.0;
+
+/// Tightest target where no route states one.
+const DEFAULT_TARGET: Duration = Duration::from_millis(800);
+
+/// What all requests share.
+pub(super) struct State {
+    pub(super) domain: Arc<str>,
+    pub(super) book: UpstreamBook,
+    pub(super) loads: UpstreamLoads,
+    pub(super) shares: FairShares,
+    pub(super) sends: SecondSends,
+    pub(super) broken: BrokenRequests,
+    pub(super) lease: ConfigLease,
+    pub(super) entries: u32,
+    /// Most engines of a service seen at once: the operator's figure is for all of them, those that
+    /// are down for the moment included.
+    most_engines: HashMap<Arc<str>, usize>,
+}
+
+impl State {
+    pub(super) fn new(domain: Arc<str>, sends: SecondSends, lease: ConfigLease) -> Self {
+        Self {
+            domain,
+            book: UpstreamBook::default(),
+            loads: UpstreamLoads::default(),
+            shares: FairShares::default(),
+            sends,
+            broken: BrokenRequests::default(),
+            lease,
+            entries: 1,
+            most_engines: HashMap::new(),
+        }
+    }
+
+    /// Decides where a request goes.
+    pub(super) fn place(
+        &mut self,
+        now: Duration,
+        boot_now: Duration,
+        newest: u64,
+        ask: &PlaceAsk,
+    ) -> Result<Ticket, NotPlaced> {
+        if ask.needs_lease && !self.lease.holds(boot_now, newest) {
+            return Err(NotPlaced::NoLease);
+        }
+        if self.broken.is_refused(now, ask.content) {
+            return Err(NotPlaced::Crashing);
+        }
+        let service = &ask.config.services()[ask.service];
+        let is_first = ask.avoid.is_empty() && !ask.is_second;
+        if is_first {
+            self.sends.on_request(now, &service.name);
+        }
+        let units = ask.prompt.units();
+        if let Some(account) = ask.account.as_ref().filter(|_| is_first) {
+            self.shares.ask(now, account, units);
+        }
+        let placement = match &service.engine {
+            Some(engine) => self.place_engine(now, ask, engine),
+            None => self.place_plain(now, ask),
+        };
+        let placement = placement.map_err(NotPlaced::Refused)?;
+        if ask.is_second && !self.sends.try_take(now, &service.name, self.entries) {
+            return Err(NotPlaced::NoSecondSend);
+        }
+        if let Some(account) = ask.account.as_ref().filter(|_| is_first) {
+            self.shares.admit(now, account, units);
+        }
+        Ok(self.ticket(now, ask, placement))
+    }
+
+    fn place_engine(
+        &mut self,
+        now: Duration,
+        ask: &PlaceAsk,
+        engine: &Engine,
+    ) -> Result<Placement, Refusal> {
+        let service = &ask.config.services()[ask.service].name;
+        let pressure = match &ask.account {
+            Some(account) => self.shares.pressure(now, account),
+            None => 0.0,
+        };
+        let pace = self.pace(&ask.config, service);
+        let question = Ask {
+            prompt: &ask.prompt,
+            pressure,
+            tightest: tightest(&ask.config, ask.service),
+            domain: &self.domain,
+            avoid: &ask.avoid,
+        };
+        place_engine(now, &question, pace, self.candidates(service, Some(engine)))
+    }
+
+    fn place_plain(&mut self, now: Duration, ask: &PlaceAsk) -> Result<Placement, Refusal> {
+        let service = &ask.config.services()[ask.service].name;
+        let candidates = self.candidates(service, None);
+        place_plain(now, &self.domain, &ask.avoid, candidates)
+    }
+
+    fn candidates<'a>(
+        &'a self,
+        service: &'a str,
+        engine: Option<&Engine>,
+    ) -> impl Iterator<Item = Candidate<'a>> {
+        let memory_tokens = engine.map_or(0, |e| e.memory_tokens);
+        let slots = engine.map(|e| e.slots);
+        self.book.ready(service).filter_map(move |upstream| {
+            let said = &upstream.said;
+            Some(Candidate {
+                id: &said.id,
+                domain: &said.domain,
+                slots: slots.unwrap_or(said.slots),
+                memory_tokens,
+                load: self.loads.get(&said.id, said.born_ms)?,
+            })
+        })
+    }
+
+    fn ticket(&mut self, now: Duration, ask: &PlaceAsk, placement: Placement) -> Ticket {
+        let service = &ask.config.services()[ask.service];
+        let upstream = self
+            .book
+            .get(&placement.id)
+            .expect("placed at a known upstream");
+        let said = &upstream.said;
+        assert_eq!(
+            said.stage,
+            Stage::Ready,
+            "no work for an upstream that leaves"
+        );
+        let (born_ms, address) = (said.born_ms, said.address);
+        self.loads
+            .entry(&placement.id, born_ms)
+            .on_sent(&placement.sent);
+        let room = service.engine.as_ref().map_or(0, kept_room);
+        self.loads
+            .note_parts(now, &placement.id, &ask.prompt.shared, room);
+        let share = service.max_connections / self.entries.max(1);
+        Ticket {
+            upstream: placement.id,
+            born_ms,
+            address,
+            sent: placement.sent,
+            content: ask.content,
+            connections: share.max(1) as usize,
+        }
+    }
+
+    /// The first event of an answer has come.
+    pub(super) fn begun(&mut self, now: Duration, ticket: &Ticket) {
+        if let Some(load) = self.loads.get_mut(&ticket.upstream, ticket.born_ms) {
+            load.on_begun(now, &ticket.sent);
+        }
+    }
+
+    /// An exchange is over.
+    pub(super) fn over(&mut self, now: Duration, ticket: &Ticket, begun: bool, ended: Ended) {
+        if ended == Ended::Broken {
+            self.broken.note_own(now, ticket.content);
+        }
+        let Some(load) = self.loads.get_mut(&ticket.upstream, ticket.born_ms) else {
+            return;
+        };
+        if !begun {
+            load.no_longer_waits(&ticket.sent);
+        }
+        load.on_over(&ticket.sent);
+        match ended {
+            Ended::Well => load.on_succeeded(now),
+            Ended::Failed | Ended::Broken => load.on_failed(now),
+            Ended::Unreachable => load.on_unreachable(now),
+            Ended::NotRun | Ended::Abandoned => {}
+        }
+    }
+
+    /// Takes in what the other entries do.
+    pub(super) fn take_fleet(
+        &mut self,
+        now: Duration,
+        entries: u32,
+        load: &LoadWord,
+        config: Option<&ForwardConfig>,
+    ) {
+        self.entries = entries.max(1);
+        self.shares.take_others(now, load);
+        for content in &load.broken {
+            self.broken.note(now, *content);
+        }
+        let book = &self.book;
+        let room = |upstream: &str| {
+            let service = book.get(upstream).map(|u| &u.said.service);
+            let service = service.and_then(|name| config?.service(name));
+            service.and_then(|s| s.engine.as_ref()).map_or(0, kept_room)
+        };
+        self.loads.take_others(now, load, room);
+    }
+
+    /// What this entry has and did since its last report.
+    pub(super) fn report(&mut self) -> LoadWord {
+        let (upstreams, parts) = self.loads.report();
+        LoadWord {
+            upstreams,
+            accounts: self.shares.report(),
+            parts,
+            broken: self.broken.report(),
+        }
+    }
+
+    fn pace(&mut self, config: &ForwardConfig, service: &Arc<str>) -> Pace {
+        let engines = self.book.ready(service).count();
+        let most = self.most_engines.entry(service.clone()).or_default();
+        *most = engines.max(*most);
+        let stated = config.units_per_s();
+        let each = stated.map(|units| units * READ_SHARE / 1e3 / (*most).max(1) as f64);
+        Pace {
+            tokens_per_ms: each.unwrap_or(DEFAULT_PACE).max(1.0),
+            base_ms: BASE_MS,
+        }
+    }
+}
+
+/// The shortest target of the service's streams.
+fn tightest(config: &ForwardConfig, service: usize) -> Duration {
+    let of_service = config.routes().iter().filter(|route| {
+        let names_it = route.services.iter().any(|s| s.service == service);
+        names_it && route.kind.is_stream()
+    });
+    let targets = of_service.filter_map(|route| route.target);
+    targets.min().unwrap_or(DEFAULT_TARGET)
+}
+
+fn kept_room(engine: &Engine) -> u64 {
+    (engine.memory_tokens as f64 * KEPT_SHARE) as u64
+}
--- a/src/coltsfootnotch/daemon/mod.rs
+++ b/src/coltsfootnotch/daemon/mod.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod control;
 pub mod entry;
+pub mod forward;
 mod lifecycle;
 mod relay_client;
 pub mod sidecar;
--- a/src/coltsfootnotch/daemon/relay_client.rs
+++ b/src/coltsfootnotch/daemon/relay_client.rs
@@ -236,8 +236,13 @@
                 None
             }
             FromRelay::Config(_) => None,
-            // Answers to operators.
-            FromRelay::Status { .. } | FromRelay::Members { .. } => None,
+            // Answers to operators, and what only forwarding entries are told.
+            FromRelay::Status { .. }
+            | FromRelay::Members { .. }
+            | FromRelay::Upstreams(_)
+            | FromRelay::Fleet { .. }
+            | FromRelay::Lease { .. }
+            | FromRelay::ControlHosts(_) => None,
         }
     }
 
--- a/src/coltsfootnotch/util/http_server.rs
+++ b/src/coltsfootnotch/util/http_server.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use derive_more::{Display, Error};
 use http_body_util::Full;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Limited};
@@ -26,8 +27,13 @@
 
 use super::connections::{Connections, OpenConnection};
 
+/// A body can't be completed: the connection is closed, so that its end does not look like the body's.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+#[display("the answer was broken off")]
+pub struct BrokenOff;
+
 /// A response body of any kind.
-pub type AnyBody = BoxBody<Bytes, Infallible>;
+pub type AnyBody = BoxBody<Bytes, BrokenOff>;
 /// A response.
 pub type AnyResponse = Response<AnyBody>;
 
@@ -134,7 +140,8 @@
 /// A whole body.
 #[must_use]
 pub fn full(status: StatusCode, content_type: &'static str, body: impl Into<Bytes>) -> AnyResponse {
-    let mut response = Response::new(Full::new(body.into()).boxed());
+    let body = Full::new(body.into()).map_err(|never| match never {});
+    let mut response = Response::new(body.boxed());
     *response.status_mut() = status;
     let content_type = hyper::header::HeaderValue::from_static(content_type);
     response
--- a/src/coltsfootnotch/util/metrics.rs
+++ b/src/coltsfootnotch/util/metrics.rs
@@ -82,6 +82,12 @@
         self.recorder.register_gauge(&key(name, labels), &METADATA)
     }
 
+    /// A histogram of seconds.
+    pub fn histogram(&self, name: &str, labels: &[(&'static str, &str)]) -> Histogram {
+        self.recorder
+            .register_histogram(&key(name, labels), &METADATA)
+    }
+
     /// Records a duration in the histogram of an account.
     pub fn account_seconds(&self, name: &str, account: &AccountName, duration: Duration) {
         self.account_histogram(name, account)
--- a/src/coltsfootnotch/util/mod.rs
+++ b/src/coltsfootnotch/util/mod.rs
@@ -1,5 +1,6 @@
 //! Helpers shared by daemons and commands.
 
+pub mod boot_clock;
 pub mod connections;
 pub mod event_loop;
 pub mod events;
