Keep subjects at home, tell floods apart, refuse what a stopping host can't finish

Cause: over-share accounts were kept from their home by the bound and read their subjects elsewhere; a fifth of all tokens read were shared parts again. A stream of 5 s begun after SIGTERM was cut at the end of the grace time.

--- a/crates/forward/src/place/ask.rs
+++ b/crates/forward/src/place/ask.rs
@@ -23,8 +23,19 @@
         let shared: u64 = self.shared.iter().map(|p| u64::from(p.tokens)).sum();
         self.tokens.saturating_sub(shared) + 2 * self.output_tokens
     }
+
+    /// How long the answer may take once it has begun.
+    #[must_use]
+    pub fn longest_run(&self) -> Duration {
+        let tokens = u32::try_from(self.output_tokens).unwrap_or(u32::MAX);
+        TOKEN_TIME.saturating_mul(tokens)
+    }
 }
 
+/// Time for a token of an answer at an engine under load, by which it is judged whether an answer can
+/// still be given by a host that stops. Engines with some hundred streams make one each 20 to 25 ms.
+const TOKEN_TIME: Duration = Duration::from_millis(25);
+
 /// How fast an engine of the service reads when nothing is wrong with it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Pace {
--- a/crates/forward/src/place/engine.rs
+++ b/crates/forward/src/place/engine.rs
@@ -26,11 +26,14 @@
 /// answers turn out longer than their callers expect.
 const MEMORY_SHARE: f64 = 0.70;
 
-/// What reading a shared part again weighs against the same time of waiting. It takes the engine's
-/// time from everybody, not from the one request, and pushes another part out of the memory; as long
-/// as the wait at home is within the bound, it costs nobody anything. With 1.6 a fifth of all tokens
-/// read on a calm day were shared parts read again.
-const REREAD_WEIGHT: f64 = 4.0;
+/// What reading parts again that another engine keeps weighs against the same time of waiting. It
+/// takes the engine's time from everybody behind it, and pushes other parts out of the memory.
+///
+/// It counts towards the bound as well: a request whose home is full is read elsewhere only if an
+/// engine there has that much time to spare. Without that, every account that was kept away from its
+/// home by the bound spread its subjects over all engines: each was kept by three on average, and a
+/// fifth of all tokens read on a calm day were shared parts read again.
+const REREAD_WEIGHT: f64 = 1.5;
 
 /// Milliseconds by which the home of a prompt that nobody keeps is preferred, so that entries which
 /// meet a new subject at the same moment read it at one engine and not at several.
@@ -57,15 +60,18 @@
     candidates: impl IntoIterator<Item = Candidate<'a>>,
 ) -> Result<Placement, Refusal> {
     let bound = wait_bound(ask);
+    let usable = |c: &Candidate<'_>| !ask.avoid.contains(c.id) && c.load.standing().takes_work(now);
+    let candidates: Vec<_> = candidates.into_iter().filter(usable).collect();
+    let kept = candidates
+        .iter()
+        .map(|c| c.load.kept.tokens_of(&ask.prompt.shared));
+    let most_kept = kept.max().unwrap_or(0);
     let mut best: Option<(f64, Placement)> = None;
     let mut least_wait: Option<f64> = None;
-    for candidate in candidates {
-        if ask.avoid.contains(candidate.id) || !candidate.load.standing().takes_work(now) {
-            continue;
-        }
-        let offer = Offer::new(now, ask, pace, &candidate);
-        least_wait = Some(least_wait.map_or(offer.wait_ms, |w| w.min(offer.wait_ms)));
-        if offer.wait_ms > bound || !fits(&candidate, offer.sent.held_tokens) {
+    for candidate in &candidates {
+        let offer = Offer::new(now, ask, pace, most_kept, candidate);
+        least_wait = Some(least_wait.map_or(offer.burden_ms, |w| w.min(offer.burden_ms)));
+        if offer.burden_ms > bound || !fits(candidate, offer.sent.held_tokens) {
             continue;
         }
         if best.as_ref().is_none_or(|(cost, _)| offer.cost < *cost) {
@@ -85,40 +91,49 @@
 
 /// What sending the request to one engine means.
 struct Offer {
+    /// What waits there to be read.
     wait_ms: f64,
+    /// The same, with the time in which it reads again what another engine keeps.
+    burden_ms: f64,
+    /// By which engines are compared.
     cost: f64,
     sent: Sent,
 }
 
 impl Offer {
-    fn new(now: Duration, ask: &Ask<'_>, pace: Pace, candidate: &Candidate<'_>) -> Self {
+    fn new(
+        now: Duration,
+        ask: &Ask<'_>,
+        pace: Pace,
+        most_kept: u64,
+        candidate: &Candidate<'_>,
+    ) -> Self {
         let load = candidate.load;
         let held = load.held();
         let slowness = load.slowness(now);
         let kept = load.kept.tokens_of(&ask.prompt.shared);
         let unread = ask.prompt.tokens.saturating_sub(kept);
-        let shared: u64 = ask.prompt.shared.iter().map(|p| u64::from(p.tokens)).sum();
-        let reread = shared.saturating_sub(kept) as f64;
-        let queue_ms = held.waiting_tokens as f64 / pace.tokens_per_ms;
-        let own_ms = unread as f64 / pace.tokens_per_ms;
-        let wait_ms = queue_ms * slowness;
-        let mut cost = (queue_ms + pace.base_ms + own_ms) * slowness;
-        cost += reread * (REREAD_WEIGHT - 1.0) / pace.tokens_per_ms;
+        let to_ms = |tokens: u64| tokens as f64 / pace.tokens_per_ms;
+        let queue_ms = to_ms(held.waiting_tokens);
+        let again_ms = to_ms(most_kept - kept) * REREAD_WEIGHT;
+        let expected_ms = queue_ms + pace.base_ms + to_ms(unread);
+        let mut cost = expected_ms * slowness + again_ms;
         cost += load.standing().failure_rate(now) * FAILURE_MS;
         if candidate.domain != ask.domain {
             cost += FAR_MS;
         }
-        if let Some(last) = ask.prompt.shared.last().filter(|p| !load.kept.holds(p.id)) {
+        if let Some(last) = ask.prompt.shared.last().filter(|_| most_kept == 0) {
             cost += distance(last.id, candidate.id) * HOME_MS;
         }
         let sent = Sent {
             unread_tokens: unread,
             held_tokens: unread + ask.prompt.output_tokens,
-            expected_ms: queue_ms + pace.base_ms + own_ms,
+            expected_ms,
             at: now,
         };
         Self {
-            wait_ms,
+            wait_ms: queue_ms * slowness,
+            burden_ms: queue_ms * slowness + again_ms,
             cost,
             sent,
         }
@@ -150,7 +165,11 @@
         Some(_) => RefusalReason::Full,
     };
     let beyond = (least_wait.unwrap_or(bound) - bound).max(0.0);
-    let retry_after = MIN_RETRY_AFTER + Duration::from_secs_f64((bound + beyond) / 1e3);
+    let mut retry_after = MIN_RETRY_AFTER + Duration::from_secs_f64((bound + beyond) / 1e3);
+    if ask.pressure > above {
+        // Its use fades to its share in this time, if nothing more of it is let in meanwhile.
+        retry_after = retry_after.max(crate::share::MEMORY.mul_f64(ask.pressure.ln()));
+    }
     Refusal {
         reason,
         retry_after,
--- a/crates/forward/src/share/fair_shares.rs
+++ b/crates/forward/src/share/fair_shares.rs
@@ -11,7 +11,7 @@
 /// Time in which use loses about two thirds of its weight. Half of the window of some seconds over
 /// which operators judge shares, so that an account's share follows its demand within the window and
 /// a single large request does not push it over.
-const MEMORY: Duration = Duration::from_millis(2_000);
+pub(crate) const MEMORY: Duration = Duration::from_millis(2_000);
 
 /// Share of what was asked that must have been refused before there is a level at all. Below it the
 /// refusals are those of single full upstreams, not of a fleet that is short.
--- a/crates/forward/src/share/mod.rs
+++ b/crates/forward/src/share/mod.rs
@@ -14,3 +14,4 @@
 mod fair_shares;
 
 pub use fair_shares::FairShares;
+pub(crate) use fair_shares::MEMORY;
--- a/src/coltsfootnotch/daemon/forward/actor.rs
+++ b/src/coltsfootnotch/daemon/forward/actor.rs
@@ -18,7 +18,7 @@
 
 use super::control_links::ControlLinks;
 use super::dialect::{Dialect, InForce};
-use super::messages::ForwardMsg;
+use super::messages::{ForwardMsg, NotPlaced, PlaceAsk, Ticket};
 use super::pool::Pool;
 use super::server::Gateway;
 use super::state::State;
@@ -42,7 +42,7 @@
 const STOP_LISTENING_AFTER: Duration = Duration::from_millis(2_600);
 
 /// Kept of the time to stop, for the process to end by itself.
-const STOP_MARGIN: Duration = Duration::from_millis(700);
+const STOP_MARGIN: Duration = Duration::from_millis(300);
 
 /// Time for a caller's headers before a configuration says otherwise.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(15);
@@ -206,8 +206,7 @@
         match msg {
             ForwardMsg::Fabric(event) => self.on_event(now, event),
             ForwardMsg::Place(ask, tx) => {
-                let boot_now = self.boot.now();
-                let placed = self.state.place(now, boot_now, self.number, &ask);
+                let placed = self.place(now, &ask);
                 // The caller may have left meanwhile: what was placed is given back.
                 if let Err(Ok(ticket)) = tx.send(placed) {
                     self.state
@@ -225,6 +224,16 @@
         }
     }
 
+    fn place(&mut self, now: Duration, ask: &PlaceAsk) -> Result<Ticket, NotPlaced> {
+        if let Some(stopping) = self.stopping {
+            let end = stopping.since + self.times.shutdown.saturating_sub(STOP_MARGIN);
+            if now + ask.prompt.longest_run() > end {
+                return Err(NotPlaced::Stopping);
+            }
+        }
+        self.state.place(now, self.boot.now(), self.number, ask)
+    }
+
     fn tick(&mut self, cx: CX![]) {
         let now = self.cx.now();
         after!(TICK, [cx], tick());
--- a/src/coltsfootnotch/daemon/forward/messages.rs
+++ b/src/coltsfootnotch/daemon/forward/messages.rs
@@ -59,6 +59,8 @@
     NoSecondSend,
     /// The content has crashed upstreams.
     Crashing,
+    /// The process ends before the answer could.
+    Stopping,
 }
 
 /// How an exchange with an upstream ended.
--- a/src/coltsfootnotch/daemon/forward/server.rs
+++ b/src/coltsfootnotch/daemon/forward/server.rs
@@ -248,6 +248,7 @@
             NotPlaced::Refused(refusal) => (refusal.reason.to_string(), refusal.retry_after),
             NotPlaced::NoLease => ("the configuration is not confirmed".to_owned(), RETRY_SOON),
             NotPlaced::NoSecondSend => ("too much is sent again".to_owned(), RETRY_SOON),
+            NotPlaced::Stopping => ("this host is stopping".to_owned(), Duration::ZERO),
             NotPlaced::Crashing => (
                 "the request has crashed upstreams".to_owned(),
                 Duration::from_secs(10),
--- a/src/coltsfootnotch/util/events.rs
+++ b/src/coltsfootnotch/util/events.rs
@@ -9,6 +9,7 @@
 use log::{Level, Record};
 
 use crate::core::HostIdentity;
+use crate::util::json_log::REQUEST_TARGET;
 
 /// One event of the catalogue.
 #[derive(Debug, PartialEq, Eq)]
@@ -112,11 +113,14 @@
 
 /// Writes one event as a structured line: as text, and as fields for whoever writes those.
 pub fn log_event(identity: &HostIdentity, event: &EventDef, fields: &[Field<'_>]) {
+    let is_request = fields.iter().any(|(name, _)| *name == "request");
+    let target = if is_request {
+        REQUEST_TARGET
+    } else {
+        "coltsfootnotch"
+    };
     let logger = log::logger();
-    let record = Record::builder()
-        .level(event.level)
-        .target("coltsfootnotch")
-        .build();
+    let record = Record::builder().level(event.level).target(target).build();
     if !logger.enabled(record.metadata()) {
         return;
     }
@@ -136,7 +140,7 @@
     logger.log(
         &Record::builder()
             .level(event.level)
-            .target("coltsfootnotch")
+            .target(target)
             .args(format_args!("{line}"))
             .key_values(&pairs)
             .build(),
--- a/src/coltsfootnotch/util/json_log.rs
+++ b/src/coltsfootnotch/util/json_log.rs
@@ -17,15 +17,21 @@
 
 use flexi_logger::DeferredNow;
 use flexi_logger::writers::LogWriter;
+use log::Record;
 use log::kv::{Key, Value, VisitSource};
-use log::{Level, Record};
 
 /// Lines that wait for the thread: some seconds' worth at the budget.
 const QUEUED_LINES: usize = 1_024;
-/// Routine lines a second. At about 20 microseconds a line this is 0.2% of a core.
-const ROUTINE_BUDGET: u32 = 100;
-/// Lines a second for warnings and errors, beside the routine ones.
-const WARNING_BUDGET: u32 = 200;
+/// Lines a second about requests: at about 20 microseconds a line, 0.2% of a core.
+const REQUEST_BUDGET: u32 = 100;
+/// All other lines a second, which say what the process believes. They have a budget of their own: in
+/// a flood of refusals the line that tells why would be the one left out.
+const STATE_BUDGET: u32 = 200;
+/// Longest wait for the thread when the process ends.
+const FLUSH_WITHIN: Duration = Duration::from_millis(250);
+
+/// Records with this target are about one request.
+pub const REQUEST_TARGET: &str = "coltsfootnotch::request";
 /// Time for which the thread gathers lines: one wake-up and one write for many.
 const GATHER: Duration = Duration::from_millis(100);
 
@@ -33,13 +39,20 @@
 #[derive(Debug)]
 struct Second {
     began: Instant,
-    routine: u32,
-    warnings: u32,
+    requests: u32,
+    states: u32,
+}
+
+/// What the thread is told.
+enum Told {
+    Line(String),
+    /// Write everything before this, and say so.
+    Flush(SyncSender<()>),
 }
 
 /// Writes log records as JSON lines.
 pub struct JsonLog {
-    tx: SyncSender<String>,
+    tx: SyncSender<Told>,
     second: Mutex<Second>,
     dropped: AtomicU64,
 }
@@ -58,32 +71,32 @@
             tx,
             second: Mutex::new(Second {
                 began: Instant::now(),
-                routine: 0,
-                warnings: 0,
+                requests: 0,
+                states: 0,
             }),
             dropped: AtomicU64::new(0),
         })
     }
 
     /// Whether the budget has room for a line; takes it.
-    fn take(&self, level: Level) -> bool {
+    fn take(&self, is_request: bool) -> bool {
         let mut second = self.second.lock().unwrap_or_else(PoisonError::into_inner);
         if second.began.elapsed() >= Duration::from_secs(1) {
             second.began = Instant::now();
-            second.routine = 0;
-            second.warnings = 0;
+            second.requests = 0;
+            second.states = 0;
         }
-        let (used, budget) = if level <= Level::Warn {
-            (&mut second.warnings, WARNING_BUDGET)
+        let (used, budget) = if is_request {
+            (&mut second.requests, REQUEST_BUDGET)
         } else {
-            (&mut second.routine, ROUTINE_BUDGET)
+            (&mut second.states, STATE_BUDGET)
         };
         *used += 1;
         *used <= budget
     }
 
     fn send(&self, line: String) {
-        if self.tx.try_send(line).is_err() {
+        if self.tx.try_send(Told::Line(line)).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
@@ -91,7 +104,7 @@
 
 impl LogWriter for JsonLog {
     fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
-        if !self.take(record.level()) {
+        if !self.take(record.target() == REQUEST_TARGET) {
             self.dropped.fetch_add(1, Ordering::Relaxed);
             return Ok(());
         }
@@ -102,15 +115,26 @@
     }
 
     fn flush(&self) -> io::Result<()> {
+        let (tx, rx) = mpsc::sync_channel(1);
+        if self.tx.try_send(Told::Flush(tx)).is_ok() {
+            // Nobody reads the output if this takes longer; the process ends all the same.
+            let _written = rx.recv_timeout(FLUSH_WITHIN);
+        }
         Ok(())
     }
+
+    fn shutdown(&self) {
+        let _flushed = self.flush();
+    }
 }
 
 /// One record as a line of JSON. Events bring their own fields; other records have a message.
 fn to_json(time: &str, record: &Record<'_>, dropped: u64) -> String {
     let mut fields = Fields(BTreeMap::new());
     if let Err(e) = record.key_values().visit(&mut fields) {
-        fields.0.insert("fields_error".to_owned(), e.to_string().into());
+        fields
+            .0
+            .insert("fields_error".to_owned(), e.to_string().into());
     }
     let mut line = serde_json::Map::new();
     line.insert("time".to_owned(), time.into());
@@ -139,20 +163,28 @@
     }
 }
 
-fn write_lines(rx: &Receiver<String>) {
+fn write_lines(rx: &Receiver<Told>) {
     let mut out = io::stdout();
-    let mut buf = String::new();
     while let Ok(first) = rx.recv() {
-        thread::sleep(GATHER);
-        buf.clear();
-        buf.push_str(&first);
-        buf.push('\n');
-        for line in rx.try_iter() {
-            buf.push_str(&line);
-            buf.push('\n');
+        if matches!(first, Told::Line(_)) {
+            thread::sleep(GATHER);
+        }
+        let mut buf = String::new();
+        let mut flushes = Vec::new();
+        for told in std::iter::once(first).chain(rx.try_iter()) {
+            match told {
+                Told::Line(line) => {
+                    buf.push_str(&line);
+                    buf.push('\n');
+                }
+                Told::Flush(tx) => flushes.push(tx),
+            }
         }
         // Nobody is left who could be told that the output is gone.
         let _outcome = out.write_all(buf.as_bytes()).and_then(|()| out.flush());
+        for tx in flushes {
+            let _waits = tx.send(());
+        }
     }
 }
 
