--- a/crates/forward/src/place/engine.rs
+++ b/crates/forward/src/place/engine.rs
@@ -28,12 +28,15 @@
 
 /// What reading parts again that another engine keeps weighs against the same time of waiting. It
 /// takes the engine's time from everybody behind it, and pushes other parts out of the memory.
-///
-/// It counts towards the bound as well: a request whose home is full is read elsewhere only if an
-/// engine there has that much time to spare. Without that, every account that was kept away from its
-/// home by the bound spread its subjects over all engines: each was kept by three on average, and a
-/// fifth of all tokens read on a calm day were shared parts read again.
-const REREAD_WEIGHT: f64 = 1.5;
+const REREAD_WEIGHT: f64 = 3.0;
+
+/// Share of the bound of an account below its fair share that reading again counts at most. It counts towards the bound, so a request
+/// whose home is full is read elsewhere only at an engine that has nearly nothing to do, however long
+/// its prompt. Without that, every account that was kept away from its home by the bound spread its
+/// subjects over all engines: each was kept by three on average, and a fifth of all tokens read on a
+/// calm day were shared parts read again. Without the limit, a subject that many ask for at once was
+/// refused at its home while other engines idled.
+const REREAD_SHARE: f64 = 0.75;
 
 /// Milliseconds by which the home of a prompt that nobody keeps is preferred, so that entries which
 /// meet a new subject at the same moment read it at one engine and not at several.
@@ -66,10 +69,11 @@
         .iter()
         .map(|c| c.load.kept.tokens_of(&ask.prompt.shared));
     let most_kept = kept.max().unwrap_or(0);
+    let most_again_ms = full_bound(ask) * REREAD_SHARE;
     let mut best: Option<(f64, Placement)> = None;
     let mut least_wait: Option<f64> = None;
     for candidate in &candidates {
-        let offer = Offer::new(now, ask, pace, most_kept, candidate);
+        let offer = Offer::new(now, ask, pace, most_kept, most_again_ms, candidate);
         least_wait = Some(least_wait.map_or(offer.burden_ms, |w| w.min(offer.burden_ms)));
         if offer.burden_ms > bound || !fits(candidate, offer.sent.held_tokens) {
             continue;
@@ -106,6 +110,7 @@
         ask: &Ask<'_>,
         pace: Pace,
         most_kept: u64,
+        most_again_ms: f64,
         candidate: &Candidate<'_>,
     ) -> Self {
         let load = candidate.load;
@@ -133,7 +138,7 @@
         };
         Self {
             wait_ms: queue_ms * slowness,
-            burden_ms: queue_ms * slowness + again_ms,
+            burden_ms: queue_ms * slowness + again_ms.min(most_again_ms),
             cost,
             sent,
         }
@@ -148,13 +153,18 @@
     held.running < candidate.slots && (held.running == 0 || held.held_tokens + tokens <= room)
 }
 
+/// Longest wait at an engine for an account below its fair share, in milliseconds.
+fn full_bound(ask: &Ask<'_>) -> f64 {
+    ask.tightest.as_secs_f64() * 1e3 * WAIT_BELOW_SHARE
+}
+
 /// Longest wait at an engine for the request's account, in milliseconds.
 fn wait_bound(ask: &Ask<'_>) -> f64 {
     let (from, to) = SHARE_BAND;
     let above = ((ask.pressure - from) / (to - from)).clamp(0.0, 1.0);
-    let share = WAIT_BELOW_SHARE + (WAIT_ABOVE_SHARE - WAIT_BELOW_SHARE) * above;
+    let fall = 1.0 + (WAIT_ABOVE_SHARE / WAIT_BELOW_SHARE - 1.0) * above;
     let beyond = (to / ask.pressure.max(to)).powi(BEYOND_POWER);
-    ask.tightest.as_secs_f64() * 1e3 * share * beyond
+    full_bound(ask) * fall * beyond
 }
 
 fn refusal(ask: &Ask<'_>, bound: f64, least_wait: Option<f64>) -> Refusal {
