Serve control on hosts without a disk as well: they name those that have one

Cause: how many fronts of a zone have a disk differs from site to site; with one control host a zone the grown sites bear the loss of one disk, not two. Change: two a zone; one without a disk keeps no log, is no member, and redirects callers.

--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -239,6 +239,11 @@
         /// That configuration, where the host had a lower one.
         newer: Option<ConfigBody>,
     },
-    /// Fleet addresses of the control hosts.
-    ControlHosts(Vec<SocketAddr>),
+    /// Fleet addresses of the control hosts that keep a log.
+    ControlHosts {
+        /// Whether the sender is one of them; if not, it can only name them.
+        keeps_log: bool,
+        /// The addresses.
+        addresses: Vec<SocketAddr>,
+    },
 }
--- a/src/coltsfootnotch/daemon/control/actor.rs
+++ b/src/coltsfootnotch/daemon/control/actor.rs
@@ -8,9 +8,10 @@
 use std::time::Duration;
 
 use coltsfootnotch_consensus::storage::{Storage, StorageConfig, Verdict};
+use coltsfootnotch_consensus::{DiskId, MemberId, Recovered};
 use coltsfootnotch_fabric::{Endpoint, PeerId, Traffic};
-use coltsfootnotch_membership::RelayId;
-use coltsfootnotch_types::Role;
+use coltsfootnotch_membership::{Epoch, RelayId};
+use coltsfootnotch_types::{HostName, Role};
 use stakker::sync::{Channel, ChannelGuard};
 use stakker::{
     ActorOwn, CX, MinTimerKey, Stakker, StopCause, actor_new, call, fwd_to, ret_nop, stop,
@@ -107,12 +108,11 @@
     channel: &Channel<Input>,
 ) -> Result<(ControlDaemon, Started), ControlError> {
     let host = cx.identity.host.clone();
-    let storage_cfg = StorageConfig::new(cfg.data.join(LOG_FOLDER), host.clone());
-    let judge = cfg.judge.take();
-    let judge = judge.unwrap_or_else(|| Box::new(|_| Verdict::Proceed));
-    let (storage, recovered) =
-        Storage::open_with(&storage_cfg, judge, &mut rand::rng()).map_err(ControlError::Open)?;
-    let epoch = epoch::next(&cfg.data).map_err(ControlError::Epoch)?;
+    let opened = if cfg.diskless {
+        without_disk(&host)
+    } else {
+        open_disk(&host, &mut cfg, channel)?
+    };
     let to_actor = channel.clone();
     let endpoint = Endpoint::bind(
         &cx.runtime,
@@ -123,21 +123,63 @@
             to_actor.send(Input::Fabric(event));
         },
     )?;
-    let to_actor = channel.clone();
-    let disk = Disk::spawn(storage, move |report| {
-        to_actor.send(Input::Disk(report));
-    })
-    .map_err(ControlError::Thread)?;
     let parts = Started {
         address: endpoint.address().map_err(ControlError::Thread)?,
         traffic: endpoint.traffic(),
         channel: channel.clone(),
     };
-    let relay = RelayId { host, epoch };
+    let relay = RelayId {
+        host,
+        epoch: opened.epoch,
+    };
+    let (recovered, disk) = (opened.recovered, opened.disk);
     let daemon = ControlDaemon::new(cx.clone(), &cfg, recovered, relay, endpoint, disk);
     Ok((daemon, parts))
 }
 
+/// What a host has kept, and where it goes on keeping.
+struct Opened {
+    recovered: Recovered,
+    epoch: Epoch,
+    disk: Disk,
+}
+
+fn open_disk(
+    host: &HostName,
+    cfg: &mut ControlConfig,
+    channel: &Channel<Input>,
+) -> Result<Opened, ControlError> {
+    let storage_cfg = StorageConfig::new(cfg.data.join(LOG_FOLDER), host.clone());
+    let judge = cfg.judge.take();
+    let judge = judge.unwrap_or_else(|| Box::new(|_| Verdict::Proceed));
+    let (storage, recovered) =
+        Storage::open_with(&storage_cfg, judge, &mut rand::rng()).map_err(ControlError::Open)?;
+    let epoch = epoch::next(&cfg.data).map_err(ControlError::Epoch)?;
+    let to_actor = channel.clone();
+    let disk = Disk::spawn(storage, move |report| {
+        to_actor.send(Input::Disk(report));
+    })
+    .map_err(ControlError::Thread)?;
+    Ok(Opened {
+        recovered,
+        epoch,
+        disk,
+    })
+}
+
+/// A host without a disk is another one each time that it starts.
+fn without_disk(host: &HostName) -> Opened {
+    let member = MemberId {
+        host: host.clone(),
+        disk: DiskId::draw(&mut rand::rng()),
+    };
+    Opened {
+        recovered: Recovered::empty(member),
+        epoch: Epoch(rand::random()),
+        disk: Disk::none(),
+    }
+}
+
 /// The actor that owns a control daemon's state.
 struct ControlActor {
     /// Absent once it has ended.
--- a/src/coltsfootnotch/daemon/control/config.rs
+++ b/src/coltsfootnotch/daemon/control/config.rs
@@ -35,6 +35,9 @@
     pub data: PathBuf,
     /// The control group as it is when the fleet is first started, this host included.
     pub members: Vec<ControlAddress>,
+    /// Whether the host has no disk: it then keeps no log, is never a member, and only says where the
+    /// control hosts are that do.
+    pub diskless: bool,
     /// Where to find the other control hosts, where `members` lists none.
     pub seeds: Option<Seeds>,
     /// Times and sizes of the replicated log.
@@ -73,6 +76,7 @@
             credentials,
             data: data.into(),
             members,
+            diskless: false,
             seeds: None,
             core,
             timing: Timing::DEFAULT,
@@ -81,15 +85,18 @@
         }
     }
 
-    /// The same for a host that finds the others by itself.
+    /// The same for a host that finds the others by itself; without a data folder for one that has no
+    /// disk.
     #[must_use]
     pub fn seeded(
         listen: SocketAddr,
         credentials: Credentials,
-        data: impl Into<PathBuf>,
+        data: Option<PathBuf>,
         seeds: Seeds,
     ) -> Self {
-        let mut cfg = Self::new(listen, credentials, data, Vec::new());
+        let diskless = data.is_none();
+        let mut cfg = Self::new(listen, credentials, data.unwrap_or_default(), Vec::new());
+        cfg.diskless = diskless;
         cfg.core.snapshot_bytes = SEEDED_SNAPSHOT_BYTES;
         cfg.core.keep_bytes = SEEDED_SNAPSHOT_BYTES;
         cfg.seeds = Some(seeds);
--- a/src/coltsfootnotch/daemon/control/daemon/from_members.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/from_members.rs
@@ -4,7 +4,6 @@
 
 use coltsfootnotch_consensus::{MemberId, Message as LogMessage};
 use coltsfootnotch_fabric::{LinkId, PeerId};
-use coltsfootnotch_wire::FromRelay;
 
 use super::ControlDaemon;
 use crate::daemon::control::packet::{Answer, Ask, MemberHello, MemberPacket, RelayPacket};
@@ -49,8 +48,8 @@
         if let (Some(seeded), Some(said)) = (&mut self.seeded, hello.seeded.clone())
             && seeded.finding.hear(now, &host, said)
         {
-            let addresses = seeded.finding.addresses();
-            self.tell_followers(&FromRelay::ControlHosts(addresses));
+            let told = seeded.control_hosts();
+            self.tell_followers(&told);
             self.say_hello();
         }
         self.founding.hear(hello);
--- a/src/coltsfootnotch/daemon/control/daemon/mod.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/mod.rs
@@ -92,7 +92,7 @@
             seeded: None,
         };
         let seeded = cfg.seeds.as_ref();
-        let seeded = seeded.map(|seeds| Seeded::new(now, cfg.listen, seeds));
+        let seeded = seeded.map(|seeds| Seeded::new(now, cfg.listen, !cfg.diskless, seeds));
         let own = cfg.members.iter().find(|m| m.host == me);
         let dialed = cfg.others(&me).map(|m| dial(&endpoint, m)).collect();
         let core = Core::new(cfg.core.clone(), recovered, now, &mut rand::rng());
--- a/src/coltsfootnotch/daemon/control/disk.rs
+++ b/src/coltsfootnotch/daemon/control/disk.rs
@@ -31,6 +31,11 @@
 
 /// Hands work to the thread, which ends when this is dropped.
 pub(super) struct Disk {
+    /// Absent on a host without a disk, which is never a member and so has nothing to keep.
+    worker: Option<Worker>,
+}
+
+struct Worker {
     work: Sender<Persist>,
     thread: JoinHandle<()>,
 }
@@ -45,18 +50,28 @@
         let thread = thread::Builder::new()
             .name("control-disk".to_owned())
             .spawn(move || run(storage, &rx, report))?;
-        Ok(Self { work, thread })
+        let worker = Some(Worker { work, thread });
+        Ok(Self { worker })
+    }
+
+    /// For a host without a disk.
+    pub(super) fn none() -> Self {
+        Self { worker: None }
     }
 
     pub(super) fn persist(&self, persist: Persist) {
+        let worker = self.worker.as_ref();
+        let worker = worker.expect("a host without a disk is no member, and persists nothing");
         // The thread ends early only after it has reported why.
-        let _ = self.work.send(persist);
+        let _ = worker.work.send(persist);
     }
 
     /// Waits until all work is done and the folder is released.
     pub(super) fn close(self) {
-        drop(self.work);
-        let _ = self.thread.join();
+        if let Some(Worker { work, thread }) = self.worker {
+            drop(work);
+            let _ = thread.join();
+        }
     }
 }
 
--- a/src/coltsfootnotch/daemon/control/seeded/call.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/call.rs
@@ -1,6 +1,7 @@
 //! Calls of operators and upstreams, which may come to any control host.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use coltsfootnotch_forward::book::Announcement;
 use coltsfootnotch_wire::ConfigBody;
@@ -36,6 +37,8 @@
     Done,
     /// The newest configuration; none while there is none.
     Config(Option<ConfigBody>),
+    /// Nothing was done: this host keeps no log. One that does has this fleet address.
+    Elsewhere(SocketAddr),
     /// It is not known whether it is done; the same call may be made again, here or elsewhere.
     Unknown,
 }
--- a/src/coltsfootnotch/daemon/control/seeded/finding.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/finding.rs
@@ -22,17 +22,21 @@
     own: SocketAddr,
     seeds: BTreeSet<SocketAddr>,
     first_start: bool,
+    keeps_log: bool,
+    next_keeper: usize,
     /// Addresses that others told of, with when one was last connected or told of.
     told: BTreeMap<SocketAddr, Duration>,
     connected: BTreeMap<HostName, SeededHello>,
 }
 
 impl Finding {
-    pub(in crate::daemon::control) fn new(own: SocketAddr, seeds: &Seeds) -> Self {
+    pub(in crate::daemon::control) fn new(own: SocketAddr, keeps_log: bool, seeds: &Seeds) -> Self {
         Self {
             own,
             seeds: seeds.addresses.iter().copied().collect(),
             first_start: seeds.first_start,
+            keeps_log,
+            next_keeper: 0,
             told: BTreeMap::new(),
             connected: BTreeMap::new(),
         }
@@ -51,6 +55,7 @@
         SeededHello {
             address: self.own,
             first_start: self.first_start,
+            keeps_log: self.keeps_log,
             seeds: self.seeds.iter().copied().collect(),
             connected: self.connected.values().map(|h| h.address).collect(),
         }
@@ -85,10 +90,25 @@
         self.connected.iter()
     }
 
-    /// Addresses of this host and those connected, for forwarding entries.
-    pub(in crate::daemon::control) fn addresses(&self) -> Vec<SocketAddr> {
-        let others = self.connected.values().map(|h| h.address);
-        others.chain([self.own]).collect()
+    /// Whether this host keeps a log.
+    pub(in crate::daemon::control) fn keeps_log(&self) -> bool {
+        self.keeps_log
+    }
+
+    /// Addresses of the hosts that keep a log, among this one and those connected.
+    pub(in crate::daemon::control) fn keepers(&self) -> Vec<SocketAddr> {
+        let others = self.connected.values().filter(|h| h.keeps_log);
+        let own = self.keeps_log.then_some(self.own);
+        others.map(|h| h.address).chain(own).collect()
+    }
+
+    /// One of these, in turn.
+    pub(in crate::daemon::control) fn next_keeper(&mut self) -> Option<SocketAddr> {
+        let keepers = self.keepers();
+        self.next_keeper = self.next_keeper.wrapping_add(1);
+        keepers
+            .get(self.next_keeper % keepers.len().max(1))
+            .copied()
     }
 
     /// The addresses to dial now.
--- a/src/coltsfootnotch/daemon/control/seeded/founding.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/founding.rs
@@ -1,7 +1,7 @@
 //! When a group of control hosts that found each other is founded.
 //!
 //! A second group beside one that still remembers would forget what was acknowledged. So a host
-//! founds only if it is the lowest seed, its settings say that the whole fleet starts for the first
+//! founds only if it is the lowest seed that has a disk, its settings say that the whole fleet starts for the first
 //! time, and every seed is connected, says the same, names the same seeds and holds no entry. A host
 //! that lost its disk is started with other settings and never founds; it waits to be admitted.
 
@@ -54,20 +54,21 @@
     others: impl IntoIterator<Item = Seen<'a>>,
 ) -> Option<Vec<MemberId>> {
     let seeds = &own.hello.seeds;
-    let is_lowest = seeds.iter().min() == Some(&own.hello.address);
-    if !is_lowest || !is_fresh(&own) {
-        return None;
-    }
-    let others: Vec<_> = others.into_iter().collect();
-    let mut members = vec![own.member.clone()];
-    for seed in seeds.iter().filter(|seed| **seed != own.hello.address) {
-        let seen = others.iter().find(|o| o.hello.address == *seed)?;
+    let all: Vec<_> = others.into_iter().chain([own]).collect();
+    let mut found = Vec::new();
+    for seed in seeds {
+        let seen = all.iter().find(|s| s.hello.address == *seed)?;
         if !is_fresh(seen) || seen.hello.seeds != *seeds {
             return None;
         }
-        members.push(seen.member.clone());
+        // A seed without a disk has nothing to found with, but has to agree.
+        if seen.hello.keeps_log {
+            found.push(seen);
+        }
     }
-    Some(members)
+    let lowest = found.iter().map(|s| s.hello.address).min();
+    let is_founder = lowest == Some(own.hello.address);
+    is_founder.then(|| found.iter().map(|s| s.member.clone()).collect())
 }
 
 fn is_fresh(seen: &Seen<'_>) -> bool {
--- a/src/coltsfootnotch/daemon/control/seeded/mod.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/mod.rs
@@ -16,6 +16,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use coltsfootnotch_wire::FromRelay;
 use serde::{Deserialize, Serialize};
 
 pub(super) use self::call::Calls;
@@ -44,6 +45,8 @@
     pub first_start: bool,
     /// The seeds of its settings, sorted.
     pub seeds: Vec<SocketAddr>,
+    /// Whether it keeps a log; without a disk it can't.
+    pub keeps_log: bool,
     /// Fleet addresses of the control hosts that it is connected to.
     pub connected: Vec<SocketAddr>,
 }
@@ -60,9 +63,9 @@
 }
 
 impl Seeded {
-    pub(super) fn new(now: Duration, own: SocketAddr, seeds: &Seeds) -> Self {
+    pub(super) fn new(now: Duration, own: SocketAddr, keeps_log: bool, seeds: &Seeds) -> Self {
         Self {
-            finding: Finding::new(own, seeds),
+            finding: Finding::new(own, keeps_log, seeds),
             founding: SeededFounding::default(),
             followers: Followers::default(),
             calls: Calls::default(),
@@ -71,4 +74,12 @@
             fleet_due: now,
         }
     }
+
+    /// Where the control hosts are that keep a log, for forwarding entries.
+    pub(super) fn control_hosts(&self) -> FromRelay {
+        FromRelay::ControlHosts {
+            keeps_log: self.finding.keeps_log(),
+            addresses: self.finding.keepers(),
+        }
+    }
 }
--- a/src/coltsfootnotch/daemon/control/seeded/upkeep.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/upkeep.rs
@@ -119,7 +119,8 @@
     fn connected_members(&self) -> BTreeSet<MemberId> {
         let own = self.founding.hello().member.clone();
         let hosts = self.seeded.iter().flat_map(|s| s.finding.connected());
-        let others = hosts.filter_map(|(host, _)| self.founding.member_on(host).cloned());
+        let keepers = hosts.filter(|(_, hello)| hello.keeps_log);
+        let others = keepers.filter_map(|(host, _)| self.founding.member_on(host).cloned());
         others.chain([own]).collect()
     }
 
@@ -146,6 +147,10 @@
         call: Call,
         tx: oneshot::Sender<CallReply>,
     ) {
+        if let Some(elsewhere) = self.elsewhere() {
+            let _caller_waits = tx.send(elsewhere);
+            return;
+        }
         match call {
             Call::Announce(said) => {
                 self.announced(now, said);
@@ -160,6 +165,16 @@
         }
     }
 
+    /// The answer of a host that keeps no log: who does.
+    fn elsewhere(&mut self) -> Option<CallReply> {
+        let finding = &mut self.seeded.as_mut()?.finding;
+        if finding.keeps_log() {
+            return None;
+        }
+        let keeper = finding.next_keeper();
+        Some(keeper.map_or(CallReply::Unknown, CallReply::Elsewhere))
+    }
+
     fn apply(&mut self, now: Duration, number: u64, body: Vec<u8>, tx: oneshot::Sender<CallReply>) {
         let digest = BodyDigest::of(&body);
         let req = ApplyConfig {
--- a/src/coltsfootnotch/daemon/control/seeded/upstreams.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/upstreams.rs
@@ -67,7 +67,10 @@
         let Some(seeded) = &self.seeded else {
             return;
         };
-        self.tell(link, FromRelay::ControlHosts(seeded.finding.addresses()));
+        self.tell(link, seeded.control_hosts());
+        if !seeded.finding.keeps_log() {
+            return;
+        }
         self.tell(link, FromRelay::Upstreams(known(seeded)));
         // Only a higher number than the entry's has an effect there.
         if let Some(config) = self.config_body() {
--- a/src/coltsfootnotch/daemon/forward/actor.rs
+++ b/src/coltsfootnotch/daemon/forward/actor.rs
@@ -296,9 +296,10 @@
                 self.links.down(link);
             }
             Event::Message {
+                link,
                 message: Message::FromRelay(message),
                 ..
-            } => self.on_control(now, message),
+            } => self.on_control(now, link, message),
             Event::Message { peer, .. } | Event::Forbidden { peer } => {
                 self.cx.log(&events::MESSAGE_FORBIDDEN, &[("peer", &peer)]);
             }
@@ -315,7 +316,7 @@
         }
     }
 
-    fn on_control(&mut self, now: Duration, message: FromRelay) {
+    fn on_control(&mut self, now: Duration, link: LinkId, message: FromRelay) {
         match message {
             FromRelay::Upstreams(words) => self.take_upstreams(now, words),
             FromRelay::Fleet { entries, load } => {
@@ -333,8 +334,14 @@
                 }
             }
             FromRelay::Config(body) => self.take_config(&body),
-            FromRelay::ControlHosts(addresses) => {
+            FromRelay::ControlHosts {
+                keeps_log,
+                addresses,
+            } => {
                 self.links.set_told(&self.endpoint, &addresses);
+                if !keeps_log {
+                    self.links.do_not_follow(link);
+                }
             }
             // What only hosts of other roles are told.
             FromRelay::Directory { .. }
--- a/src/coltsfootnotch/daemon/forward/control_links.rs
+++ b/src/coltsfootnotch/daemon/forward/control_links.rs
@@ -19,8 +19,9 @@
 /// A control host that is connected.
 struct Link {
     tx: LinkTx,
-    /// Where its fleet endpoint is, once it has said so.
     peer: PeerId,
+    /// Whether it keeps a log; one that does not can answer no question.
+    keeps_log: bool,
 }
 
 /// A question that is not answered yet.
@@ -86,7 +87,15 @@
     }
 
     pub(super) fn up(&mut self, link: LinkId, peer: PeerId, tx: LinkTx) {
-        self.links.insert(link, Link { tx, peer });
+        let keeps_log = true;
+        self.links.insert(
+            link,
+            Link {
+                tx,
+                peer,
+                keeps_log,
+            },
+        );
         self.followed.get_or_insert(link);
     }
 
@@ -101,12 +110,22 @@
         let later = self
             .links
             .range((std::ops::Bound::Excluded(after), std::ops::Bound::Unbounded));
-        let next = later.chain(self.links.iter()).next();
-        self.followed = next.map(|(link, _)| *link);
+        let mut able = later.chain(self.links.iter()).filter(|(_, l)| l.keeps_log);
+        self.followed = able.next().map(|(link, _)| *link);
         self.open = None;
         self.ask_due = Duration::ZERO;
     }
 
+    /// The control host keeps no log, and can't be followed.
+    pub(super) fn do_not_follow(&mut self, link: LinkId) {
+        if let Some(known) = self.links.get_mut(&link) {
+            known.keeps_log = false;
+        }
+        if self.followed == Some(link) {
+            self.follow_next(link);
+        }
+    }
+
     /// The control host that is followed.
     pub(super) fn followed(&self) -> Option<(LinkId, &PeerId)> {
         let link = self.followed?;
@@ -150,7 +169,8 @@
 
     /// Sends what each control host is to know, given whether it is the followed one.
     pub(super) fn send_each(&self, message: impl Fn(bool) -> ToRelay) {
-        for link in self.links.keys() {
+        let able = self.links.iter().filter(|(_, l)| l.keeps_log);
+        for (link, _) in able {
             self.send(*link, message(self.followed == Some(*link)));
         }
     }
--- a/src/coltsfootnotch/daemon/relay_client.rs
+++ b/src/coltsfootnotch/daemon/relay_client.rs
@@ -242,7 +242,7 @@
             | FromRelay::Upstreams(_)
             | FromRelay::Fleet { .. }
             | FromRelay::Lease { .. }
-            | FromRelay::ControlHosts(_) => None,
+            | FromRelay::ControlHosts { .. } => None,
         }
     }
 
--- a/tests/testsuite/seeded.rs
+++ b/tests/testsuite/seeded.rs
@@ -27,6 +27,7 @@
         address: address(own),
         first_start,
         seeds: vec![address(1), address(2), address(3)],
+        keeps_log: true,
         connected: Vec::new(),
     }
 }
@@ -78,6 +79,16 @@
     expect_that!(founds(&one, &[&two, &three, &newcomer]), some(eq(3)));
 }
 
+/// Seeds may be hosts without a disk: they agree to the founding, and are no members.
+#[googletest::test]
+fn seeds_without_a_disk_are_no_members() {
+    let (mut one, two, three) = (host(1), host(2), host(3));
+    one.hello.keeps_log = false;
+    expect_that!(founds(&one, &[&two, &three]), none());
+    expect_that!(founds(&two, &[&one, &three]), some(eq(2)));
+    expect_that!(founds(&two, &[&three]), none(), "all seeds have to agree");
+}
+
 /// The acknowledged configuration would be forgotten. Two of three control hosts lose power and the
 /// third its disk; the empty one is back first, and is the lowest seed. It must not found a second
 /// group, neither alone nor with an empty newcomer.
