Follow one control host, and gather signs of life

Cause: 31 entries on 0.063 of a core each heard 34 single announcements a second and reported to six control hosts. Change: the first one is followed, the others are told each fifth time.

--- a/crates/forward/src/load/mod.rs
+++ b/crates/forward/src/load/mod.rs
@@ -10,6 +10,7 @@
 mod fleet_load;
 mod held;
 mod kept_parts;
+mod period;
 mod speed;
 mod standing;
 mod upstream_load;
@@ -18,6 +19,7 @@
 pub use fleet_load::FleetLoad;
 pub use held::Held;
 pub use kept_parts::{KeptParts, Part};
+pub use period::reporting_period;
 pub use speed::Speed;
 pub(crate) use speed::fade;
 pub use standing::Standing;
--- a/crates/forward/src/place/ask.rs
+++ b/crates/forward/src/place/ask.rs
@@ -56,6 +56,8 @@
     pub tightest: Duration,
     /// The failure domain of this entry.
     pub domain: &'a str,
+    /// Differs from request to request, and breaks ties.
+    pub turn: u64,
     /// Upstreams on which the request has failed.
     pub avoid: &'a [std::sync::Arc<str>],
 }
--- a/crates/forward/src/place/engine.rs
+++ b/crates/forward/src/place/engine.rs
@@ -42,6 +42,11 @@
 /// meet a new subject at the same moment read it at one engine and not at several.
 const HOME_MS: f64 = 80.0;
 
+/// Milliseconds by which equal engines are told apart, differently for each request. Entries see each
+/// other's requests some 200 ms late; if all sent what has no home to the engine with the least to do,
+/// it would be the fullest before they knew. Less than reading a short shared part again costs.
+const TURN_MS: f64 = 30.0;
+
 /// Milliseconds by which another failure domain is worse: the way there and back, and the bytes that
 /// go over the links between domains.
 const FAR_MS: f64 = 6.0;
@@ -125,6 +130,7 @@
         let expected_ms = queue_ms + pace.base_ms + to_ms(unread);
         let mut cost = expected_ms * slowness + again_ms;
         cost += load.standing().failure_rate(now) * FAILURE_MS;
+        cost += distance(ask.turn, candidate.id) * TURN_MS;
         if candidate.domain != ask.domain {
             cost += FAR_MS;
         }
--- a/crates/forward/tests/testsuite/engines.rs
+++ b/crates/forward/tests/testsuite/engines.rs
@@ -33,6 +33,7 @@
     pub(crate) slowness: Vec<f64>,
     free_at: Vec<Duration>,
     running: Vec<Running>,
+    turn: u64,
     /// Tokens that engines read, and of these the ones of shared parts.
     pub(crate) read: u64,
     pub(crate) reads_of_part: HashMap<u64, u32>,
@@ -49,6 +50,7 @@
             slowness: vec![1.0; engines],
             free_at: vec![Duration::ZERO; engines],
             running: Vec::new(),
+            turn: 0,
             read: 0,
             reads_of_part: HashMap::new(),
             ids,
@@ -84,11 +86,13 @@
         pressure: f64,
     ) -> Result<(usize, Duration), Refusal> {
         self.work(now);
+        self.turn += 1;
         let ask = Ask {
             prompt,
             pressure,
             tightest: TARGET,
             domain: "colombo",
+            turn: self.turn,
             avoid: &[],
         };
         let loads = &self.loads;
--- a/src/coltsfootnotch/daemon/control/seeded/mod.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/mod.rs
@@ -16,7 +16,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use coltsfootnotch_wire::FromRelay;
+use coltsfootnotch_wire::{FromRelay, UpstreamWord};
 use serde::{Deserialize, Serialize};
 
 pub(super) use self::call::Calls;
@@ -60,6 +60,9 @@
     pub(super) book: UpstreamBook,
     pub(super) away: members::Away,
     pub(super) fleet_due: Duration,
+    /// Upstreams that said no more than that they live, since entries were told.
+    pub(super) alive: Vec<UpstreamWord>,
+    pub(super) alive_due: Duration,
 }
 
 impl Seeded {
@@ -72,6 +75,8 @@
             book: UpstreamBook::default(),
             away: members::Away::default(),
             fleet_due: now,
+            alive: Vec::new(),
+            alive_due: now,
         }
     }
 
--- a/src/coltsfootnotch/daemon/control/seeded/upkeep.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/upkeep.rs
@@ -19,10 +19,7 @@
 use crate::daemon::control::packet::{Answer, Ask};
 use crate::daemon::control::request_table::Origin;
 use crate::util::events;
-
-/// Between two rounds in which entries are told what the others do. Shorter than the time in which an
-/// engine works off what may wait there, so that an entry does not fill what another just filled.
-const FLEET_EVERY: Duration = Duration::from_millis(100);
+use coltsfootnotch_forward::load::reporting_period;
 
 impl ControlDaemon {
     /// Finds hosts, founds the group, changes its members.
@@ -34,6 +31,7 @@
         self.found_seeded(now);
         self.change_members(now);
         self.expire_upstreams(now);
+        self.tell_alive(now);
     }
 
     /// Tells entries what the others do, when it is due.
@@ -44,7 +42,7 @@
         if now < seeded.fleet_due {
             return;
         }
-        seeded.fleet_due = now + FLEET_EVERY;
+        seeded.fleet_due = now + reporting_period(seeded.followers.fleet.entries(now));
         for (link, entries, load) in seeded.followers.next_period(now) {
             self.tell(link, FromRelay::Fleet { entries, load });
         }
--- a/src/coltsfootnotch/daemon/control/seeded/upstreams.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/upstreams.rs
@@ -14,6 +14,9 @@
 /// have noticed by their own requests long before.
 const SILENCE: Duration = Duration::from_secs(6);
 
+/// Between two rounds in which entries are told that upstreams still live, far below their silence.
+const ALIVE_EVERY: Duration = Duration::from_millis(500);
+
 impl ControlDaemon {
     /// An upstream announces itself.
     ///
@@ -28,8 +31,30 @@
         if news == News::Changed {
             self.log_upstream(&word);
         }
-        if news != News::Stale {
-            self.tell_followers(&FromRelay::Upstreams(vec![word]));
+        match news {
+            News::Changed => self.tell_followers(&FromRelay::Upstreams(vec![word])),
+            News::Alive => {
+                if let Some(seeded) = &mut self.seeded {
+                    seeded.alive.push(word);
+                }
+            }
+            News::Stale => {}
+        }
+    }
+
+    /// Tells entries which upstreams still live, many at once: each such word alone would wake every
+    /// entry several times a second for nothing new.
+    pub(super) fn tell_alive(&mut self, now: Duration) {
+        let Some(seeded) = &mut self.seeded else {
+            return;
+        };
+        if now < seeded.alive_due {
+            return;
+        }
+        seeded.alive_due = now + ALIVE_EVERY;
+        let alive = std::mem::take(&mut seeded.alive);
+        if !alive.is_empty() {
+            self.tell_followers(&FromRelay::Upstreams(alive));
         }
     }
 
--- a/src/coltsfootnotch/daemon/forward/actor.rs
+++ b/src/coltsfootnotch/daemon/forward/actor.rs
@@ -8,6 +8,7 @@
 use coltsfootnotch_forward::book::{Announcement, News};
 use coltsfootnotch_forward::config::ForwardConfig;
 use coltsfootnotch_forward::lease::ConfigLease;
+use coltsfootnotch_forward::load::{FleetLoad, reporting_period};
 use coltsfootnotch_forward::retry::SecondSends;
 use coltsfootnotch_wire::{ConfigBody, FromRelay, Message, ToRelay, UpstreamWord};
 use derive_more::{Display, Error, From};
@@ -29,10 +30,15 @@
 use crate::util::event_loop;
 use crate::util::events;
 use crate::util::http_server::{ServerLimits, serve_and_close};
+use Reporter::{Nobody, Own};
 
 /// Between two rounds of the actor: reports, questions, upkeep.
 const TICK: Duration = Duration::from_millis(100);
 
+/// Reports to the followed control host for one to each of the others. Entries follow the same one
+/// unless they are cut off from it; who follows another hears of this entry half a second late.
+const REPORTS_TO_OTHERS: u64 = 5;
+
 /// Silence after which an upstream is dropped, while control hosts tell of others. Upstreams announce
 /// themselves about each second, and are seen to do so late by seconds.
 const SILENCE: Duration = Duration::from_secs(8);
@@ -95,6 +101,13 @@
     actor
 }
 
+/// Whose reports are added up for the control hosts that are not followed: only this entry's own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum Reporter {
+    Own,
+    Nobody,
+}
+
 /// How far a graceful stop is.
 #[derive(Debug, Clone, Copy)]
 struct Stopping {
@@ -118,6 +131,9 @@
     stopping: Option<Stopping>,
     serving: tokio::task::JoinHandle<()>,
     had_lease: bool,
+    report_due: Duration,
+    reports: u64,
+    for_others: FleetLoad<Reporter>,
     heard_upstreams: Duration,
     tx: Channel<ForwardMsg>,
     _guard: ChannelGuard,
@@ -181,6 +197,9 @@
             stopping: None,
             serving,
             had_lease: false,
+            report_due: Duration::ZERO,
+            reports: 0,
+            for_others: FleetLoad::default(),
             heard_upstreams: Duration::ZERO,
             tx,
             _guard: guard,
@@ -239,16 +258,36 @@
         after!(TICK, [cx], tick());
         // Asked by the clock that goes on while the host is suspended: the lease is measured by it.
         self.links.ask(self.boot.now(), self.number);
-        let load = self.state.report();
-        self.links.send_each(|follows| ToRelay::Load {
-            follows,
-            load: load.clone(),
-        });
+        self.report(now);
         self.expire(now);
         self.watch_lease();
         self.go_on_stopping(cx, now);
     }
 
+    /// Tells the followed control host what this entry does; the others as well, since other entries
+    /// may follow those, but less often.
+    fn report(&mut self, now: Duration) {
+        if now < self.report_due {
+            return;
+        }
+        self.report_due = now + reporting_period(self.state.entries);
+        self.reports += 1;
+        let load = self.state.report();
+        self.for_others.take(now, Own, load.clone());
+        self.links.send_followed(ToRelay::Load {
+            follows: true,
+            load,
+        });
+        if self.reports.is_multiple_of(REPORTS_TO_OTHERS) {
+            let load = self.for_others.without(now, &Nobody);
+            self.for_others.next_period(now);
+            self.links.send_others(&ToRelay::Load {
+                follows: false,
+                load,
+            });
+        }
+    }
+
     /// Drops upstreams that fell silent, unless it is the control hosts that say nothing.
     fn expire(&mut self, now: Duration) {
         let is_told = now.saturating_sub(self.heard_upstreams) < SILENCE / 4;
--- a/src/coltsfootnotch/daemon/forward/control_links.rs
+++ b/src/coltsfootnotch/daemon/forward/control_links.rs
@@ -96,7 +96,17 @@
                 keeps_log,
             },
         );
-        self.followed.get_or_insert(link);
+        let is_first = |known: &Link| self.links[&link].peer.host < known.peer.host;
+        // All entries follow the first by name that they reach, so that they hear of each other soon.
+        if self.followed_link().is_none_or(is_first) {
+            self.followed = Some(link);
+            self.open = None;
+            self.ask_due = Duration::ZERO;
+        }
+    }
+
+    fn followed_link(&self) -> Option<&Link> {
+        self.links.get(&self.followed?)
     }
 
     pub(super) fn down(&mut self, link: LinkId) {
@@ -167,11 +177,19 @@
         Some(open.asked)
     }
 
-    /// Sends what each control host is to know, given whether it is the followed one.
-    pub(super) fn send_each(&self, message: impl Fn(bool) -> ToRelay) {
+    /// Sends to the control host that is followed.
+    pub(super) fn send_followed(&self, message: ToRelay) {
+        if let Some(link) = self.followed {
+            self.send(link, message);
+        }
+    }
+
+    /// Sends to the other control hosts that keep a log.
+    pub(super) fn send_others(&self, message: &ToRelay) {
+        let is_other = |link: &LinkId| self.followed != Some(*link);
         let able = self.links.iter().filter(|(_, l)| l.keeps_log);
-        for (link, _) in able {
-            self.send(*link, message(self.followed == Some(*link)));
+        for (link, _) in able.filter(|(link, _)| is_other(link)) {
+            self.send(*link, message.clone());
         }
     }
 
--- a/src/coltsfootnotch/daemon/forward/state.rs
+++ b/src/coltsfootnotch/daemon/forward/state.rs
@@ -117,6 +117,7 @@
             pressure,
             tightest: tightest(&ask.config, ask.service),
             domain: &self.domain,
+            turn: ask.turn,
             avoid: &ask.avoid,
         };
         place_engine(now, &question, pace, self.candidates(service, Some(engine)))
