Lead from a request's identity to its cause; let broken streams go on

Change: the line names upstream, way of ending and reason; a second send is not measured against the account's share again, and an upstream that can go on is looked for for a second. trace reads the logs of many hosts.

--- a/src/bin/coltsfootnotch/cli.rs
+++ b/src/bin/coltsfootnotch/cli.rs
@@ -26,15 +26,18 @@
     let load = commands::load::cli();
     let member = commands::member::cli();
     let status = commands::status::cli();
-    construct!([apply, check, demo, explain, keys, load, member, status])
-        .to_options()
-        .version(env!("CARGO_PKG_VERSION"))
-        .descr("operates a coltsfootnotch fleet")
-        .footer(
-            "exit codes: 0 done, 1 failed or with findings, 3 refused by the control group, \
+    let trace = commands::trace::cli();
+    construct!([
+        apply, check, demo, explain, keys, load, member, status, trace
+    ])
+    .to_options()
+    .version(env!("CARGO_PKG_VERSION"))
+    .descr("operates a coltsfootnotch fleet")
+    .footer(
+        "exit codes: 0 done, 1 failed or with findings, 3 refused by the control group, \
              4 no answer or not in force everywhere in time. Shell completion: source what \
              --bpaf-complete-style-bash (or -zsh, -fish, -elvish) prints.",
-        )
+    )
 }
 
 /// Runs the command line.
--- a/src/bin/coltsfootnotch/commands/mod.rs
+++ b/src/bin/coltsfootnotch/commands/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod load;
 pub(crate) mod member;
 pub(crate) mod status;
+pub(crate) mod trace;
 
 use std::error::Error;
 
@@ -36,6 +37,8 @@
     Member(member::Args),
     /// `status`.
     Status(StatusOptions),
+    /// `trace`.
+    Trace(trace::Args),
 }
 
 /// Runs a command.
@@ -49,5 +52,6 @@
         Command::Load(args) => load::exec(&args),
         Command::Member(args) => member::exec(&args),
         Command::Status(opts) => status::exec(&opts),
+        Command::Trace(args) => trace::exec(&args),
     }
 }
--- a/src/coltsfootnotch/daemon/forward/server.rs
+++ b/src/coltsfootnotch/daemon/forward/server.rs
@@ -143,7 +143,7 @@
             };
             avoid.push(ticket.upstream.clone());
             let may_try_again = req.kind().is_idempotent() && sends + 1 < req.route().max_attempts;
-            match self.try_at(req, ticket, may_try_again).await {
+            match self.try_at(req, ticket, sends + 1, may_try_again).await {
                 Tried::Done(response) => return response,
                 Tried::Failed(response) => answer = Some(response),
                 Tried::NotRun => continue,
@@ -163,6 +163,7 @@
         self: &Arc<Self>,
         req: &Arc<Requested>,
         ticket: Ticket,
+        attempts: u32,
         may_try_again: bool,
     ) -> Tried {
         let until = if may_try_again {
@@ -175,7 +176,7 @@
         let tried = match exchanged {
             Exchanged::NotRun => Tried::NotRun,
             Exchanged::Lost => Tried::Lost,
-            Exchanged::Answered(answer) => self.deliver(req, *answer, until).await,
+            Exchanged::Answered(answer) => self.deliver(req, *answer, until, attempts).await,
         };
         match &tried {
             Tried::Done(_) => {
@@ -205,10 +206,11 @@
         req: &Arc<Requested>,
         answer: Answer,
         until: Instant,
+        attempts: u32,
     ) -> Tried {
         let streams = req.kind().is_stream() && answer.response.status().is_success();
         if streams {
-            return match open(self, req, answer, until).await {
+            return match open(self, req, answer, until, attempts).await {
                 Opened::Streaming(response) => Tried::Done(response),
                 Opened::Lost => Tried::Lost,
             };
--- a/src/coltsfootnotch/daemon/forward/state.rs
+++ b/src/coltsfootnotch/daemon/forward/state.rs
@@ -107,10 +107,9 @@
         engine: &Engine,
     ) -> Result<Placement, Refusal> {
         let service = &ask.config.services()[ask.service].name;
-        let pressure = match &ask.account {
-            Some(account) => self.shares.pressure(now, account),
-            None => 0.0,
-        };
+        // A request that was sent before has been let in: refused now, what was done for it is lost.
+        let account = ask.account.as_ref().filter(|_| !ask.is_second);
+        let pressure = account.map_or(0.0, |account| self.shares.pressure(now, account));
         let pace = self.pace(&ask.config, service);
         let question = Ask {
             prompt: &ask.prompt,
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -13,7 +13,7 @@
 use tokio::time::timeout_at;
 
 use super::exchange::{Answer, Exchanged, exchange, patience};
-use super::messages::Ended;
+use super::messages::{Ended, NotPlaced};
 use super::requested::Requested;
 use super::server::Gateway;
 use super::sse::Events;
@@ -29,6 +29,12 @@
 /// The same where the route aims at no pause.
 const DEFAULT_PAUSE: Duration = Duration::from_secs(2);
 
+/// Longest time for which an upstream is looked for that goes on with a stream. A caller takes a pause
+/// of two seconds for the end.
+const RESUME_WITHIN: Duration = Duration::from_millis(1_000);
+/// Between two looks: an engine works off about three waiting prompts in it.
+const RESUME_AGAIN: Duration = Duration::from_millis(60);
+
 /// What became of a stream before its first event.
 pub(super) enum Opened {
     /// Its first event has come; the rest follows by itself.
@@ -51,12 +57,14 @@
     Late,
 }
 
-/// Waits for the first event, then passes the stream on from a task of its own.
+/// Waits for the first event, then passes the stream on from a task of its own. `attempts` counts the
+/// upstreams that the request was sent to, this one included.
 pub(super) async fn open(
     gw: &Arc<Gateway>,
     req: &Arc<Requested>,
     answer: Answer,
     until: Instant,
+    attempts: u32,
 ) -> Opened {
     let mut source = Source {
         answer,
@@ -65,7 +73,7 @@
     match source.next(until).await {
         Next::Events(first) => {
             source.answer.flight.begin();
-            Opened::Streaming(start(gw, req, source, first))
+            Opened::Streaming(start(gw, req, source, first, attempts))
         }
         Next::End(rest) => {
             source.answer.flight.begin();
@@ -125,7 +133,13 @@
     response
 }
 
-fn start(gw: &Arc<Gateway>, req: &Arc<Requested>, source: Source, first: Bytes) -> AnyResponse {
+fn start(
+    gw: &Arc<Gateway>,
+    req: &Arc<Requested>,
+    source: Source,
+    first: Bytes,
+    attempts: u32,
+) -> AnyResponse {
     let (tx, rx) = mpsc::channel(QUEUED_PIECES);
     let response = head(gw, &source, StreamBody { pieces: rx });
     let relay = Relay {
@@ -133,7 +147,7 @@
         req: Arc::clone(req),
         tx,
     };
-    tokio::spawn(relay.run(source, first));
+    tokio::spawn(relay.run(source, first, attempts));
     response
 }
 
@@ -157,11 +171,10 @@
 }
 
 impl Relay {
-    async fn run(self, mut source: Source, first: Bytes) {
+    async fn run(self, mut source: Source, first: Bytes, mut attempts: u32) {
         if self.tx.send(Ok(first)).await.is_err() {
             return;
         }
-        let mut attempts = 1;
         loop {
             let until = self.pause_until();
             let next = tokio::select! {
@@ -192,18 +205,17 @@
             source.answer.flight.end(ended);
             drop(source.answer.connection);
             let resumed = if ended == Ended::Abandoned {
-                None
+                Err("no time is left")
             } else {
-                self.resume(&mut attempts, &events, left).await
+                self.resume(&mut attempts, &events, left.clone()).await
             };
-            let Some(answer) = resumed else {
-                self.gw.log(
-                    &events::STREAM_BROKEN_OFF,
-                    &self.req,
-                    &[("events", &events.seen())],
-                );
-                let _caller_waits = self.tx.send(Err(BrokenOff)).await;
-                return;
+            let answer = match resumed {
+                Ok(answer) => answer,
+                Err(why) => {
+                    self.broken_off(&left, &events, ended, why);
+                    let _caller_waits = self.tx.send(Err(BrokenOff)).await;
+                    return;
+                }
             };
             source = Source { answer, events };
             source.answer.flight.begin();
@@ -223,19 +235,46 @@
         (Instant::now() + pause).min(self.req.deadline)
     }
 
+    fn broken_off(&self, left: &[Arc<str>], events: &Events, ended: Ended, why: &'static str) {
+        let upstream = left.first().map_or("-", |id| id);
+        let ended = format!("{ended:?}");
+        self.gw.log(
+            &events::STREAM_BROKEN_OFF,
+            &self.req,
+            &[
+                ("upstream", &upstream),
+                ("ended", &ended),
+                ("events", &events.seen()),
+                ("not_resumed", &why),
+            ],
+        );
+    }
+
     /// Has another upstream go on after the last event that the caller has.
+    ///
+    /// # Errors
+    /// Says why none does.
     async fn resume(
         &self,
         attempts: &mut u32,
         events: &Events,
         mut avoid: Vec<Arc<str>>,
-    ) -> Option<Answer> {
+    ) -> Result<Answer, &'static str> {
         if !self.req.kind().is_idempotent() {
-            return None;
+            return Err("the route's streams can't be resumed");
         }
-        let last_event = Some(events.last_id()?);
+        let last_event = Some(events.last_id().ok_or("its events have no numbers")?);
+        let give_up = Instant::now() + RESUME_WITHIN;
         while *attempts < self.req.route().max_attempts {
-            let ticket = self.gw.place(&self.req, &avoid, true).await.ok()?;
+            let ticket = match self.gw.place(&self.req, &avoid, true).await {
+                Ok(ticket) => ticket,
+                Err(NotPlaced::Refused(_)) if Instant::now() < give_up => {
+                    tokio::time::sleep(RESUME_AGAIN).await;
+                    continue;
+                }
+                Err(NotPlaced::NoSecondSend) => return Err("too much is sent again"),
+                Err(_) => return Err("no upstream can go on in time"),
+            };
             let until = patience(&self.req, &ticket, 1.0);
             avoid.push(ticket.upstream.clone());
             let exchanged = exchange(&self.gw, &self.req, ticket, last_event, until).await;
@@ -249,7 +288,7 @@
                             ("events", &events.seen()),
                         ],
                     );
-                    return Some(*answer);
+                    return Ok(*answer);
                 }
                 Exchanged::Answered(answer) => answer.flight.end(Ended::Failed),
                 Exchanged::NotRun => continue,
@@ -257,7 +296,7 @@
             }
             *attempts += 1;
         }
-        None
+        Err("all attempts are used up")
     }
 }
 
--- a/src/coltsfootnotch/ops/error.rs
+++ b/src/coltsfootnotch/ops/error.rs
@@ -115,6 +115,13 @@
         /// The hosts that do not have it.
         behind: Vec<HostName>,
     },
+    /// No log names the request.
+    #[display("no line is about the request {id}")]
+    #[from(skip)]
+    NoRequest {
+        /// What was asked for.
+        id: String,
+    },
     /// No event has that number.
     #[display("there is no event {code}")]
     #[from(skip)]
@@ -157,6 +164,9 @@
             Self::Behind { .. } => {
                 Some("`coltsfootnotch status` shows what each host has in force")
             }
+            Self::NoRequest { .. } => Some(
+                "refusals and failures have a line each, answers one in 32; a host that was killed wrote none",
+            ),
             Self::NoEvent { .. } => Some("docs/EVENTS.md lists every event"),
             Self::Read { .. } => {
                 Some("`coltsfootnotch keys` makes what is missing in a folder of keys")
--- a/src/coltsfootnotch/ops/mod.rs
+++ b/src/coltsfootnotch/ops/mod.rs
@@ -14,3 +14,4 @@
 pub mod operator_client;
 pub mod serve;
 pub mod status;
+pub mod trace;
--- a/src/coltsfootnotch/util/events.rs
+++ b/src/coltsfootnotch/util/events.rs
@@ -73,8 +73,8 @@
     UPSTREAM_CRASHED = 33 Warn "an upstream crashed with requests in flight" => "look at the upstream; requests that were in flight are suspects and run apart";
     LEADER_ELECTED = 40 Info "this control host leads the group" => "nothing";
     LEADER_LOST = 41 Info "this control host no longer leads" => "nothing unless no other host reports CFN-0040";
-    STORAGE_CORRUPT = 42 Error "the replicated log on disk is corrupt" => "replace this member: see OPERATING.md";
-    SYNC_FAILED = 43 Error "a write could not be synced; the daemon stops" => "check the disk, then replace this member: see OPERATING.md";
+    STORAGE_CORRUPT = 42 Error "the replicated log on disk is corrupt" => "replace this member: see OPERATIONS.md";
+    SYNC_FAILED = 43 Error "a write could not be synced; the daemon stops" => "check the disk, then replace this member: see OPERATIONS.md";
     CONFIG_ACCEPTED = 44 Info "a configuration was accepted" => "nothing";
     HOST_SILENT = 45 Warn "a host of the failure domain is silent" => "look at that host; it receives no new work";
     GROUP_FOUNDED = 46 Info "this control host founds the group" => "nothing; once in the life of a fleet";
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,3 +11,4 @@
 mod orders_random;
 mod processes;
 mod seeded;
+mod trace;
