Hear of leaving from any control host

Ruled out by the trail: the other control hosts told at once. Change: leaving is remembered and told without knowing the upstream, to entries and to the other control hosts.

--- a/crates/forward/src/book/upstream_book.rs
+++ b/crates/forward/src/book/upstream_book.rs
@@ -18,6 +18,10 @@
 /// minute covers a partition of that length.
 const REMEMBER_LEFT: Duration = Duration::from_secs(60);
 
+/// How long announcements may be late. Where leaving names no run, one that comes within this time is
+/// taken for a late one of the run that left.
+const LATE_WORDS: Duration = Duration::from_secs(5);
+
 /// Most upstreams kept. Six hundred are planned for; more than ten times that are made up.
 const MAX_UPSTREAMS: usize = 8_192;
 
@@ -56,11 +60,22 @@
 #[derive(Debug, Clone, Default)]
 pub struct UpstreamBook {
     by_id: BTreeMap<Arc<str>, Upstream>,
+    left: BTreeMap<Arc<str>, Leaving>,
+}
+
+/// That an upstream has left.
+#[derive(Debug, Clone, Copy)]
+struct Leaving {
+    born_ms: Option<u64>,
+    at: Duration,
 }
 
 impl UpstreamBook {
     /// Takes an announcement in.
     pub fn take(&mut self, now: Duration, said: Announcement) -> News {
+        if self.has_left(now, &said) {
+            return News::Stale;
+        }
         let known = self.by_id.get(&said.id);
         if known.is_some_and(|k| !is_later(&said, &k.said)) {
             return News::Stale;
@@ -81,15 +96,36 @@
         news
     }
 
-    /// The upstream leaves by its own word; a run that was never heard of is remembered as well.
-    pub fn leave(&mut self, now: Duration, id: &str, born_ms: Option<u64>) -> Option<Announcement> {
-        let known = self.by_id.get_mut(id)?;
-        if born_ms.is_some_and(|born| born < known.said.born_ms) {
-            return None;
+    /// The upstream leaves by its own word, also one that was never heard of: it may have announced
+    /// itself elsewhere. Whether that holds; it does not for an earlier run than the known.
+    pub fn leave(&mut self, now: Duration, id: &str, born_ms: Option<u64>) -> bool {
+        if let Some(known) = self.by_id.get_mut(id) {
+            if born_ms.is_some_and(|born| born < known.said.born_ms) {
+                return false;
+            }
+            known.said.stage = Stage::Left;
+            known.heard = now;
+        }
+        if self.left.len() < MAX_UPSTREAMS {
+            self.left.insert(id.into(), Leaving { born_ms, at: now });
+        }
+        true
+    }
+
+    /// Who has left by its own word, with the run where it was named.
+    pub fn left(&self) -> impl Iterator<Item = (&str, Option<u64>)> {
+        self.left.iter().map(|(id, left)| (&**id, left.born_ms))
+    }
+
+    /// Whether an announcement is of a run that has left.
+    fn has_left(&self, now: Duration, said: &Announcement) -> bool {
+        let Some(left) = self.left.get(&said.id) else {
+            return false;
+        };
+        match left.born_ms {
+            Some(born) => said.born_ms <= born,
+            None => now.saturating_sub(left.at) < LATE_WORDS,
         }
-        known.said.stage = Stage::Left;
-        known.heard = now;
-        Some(known.said.clone())
     }
 
     /// The upstream with the identity, whatever its stage.
@@ -113,6 +149,8 @@
     /// Drops upstreams that were not heard of for `silence`, and runs that left long ago. Returns
     /// those that fell silent.
     pub fn expire(&mut self, now: Duration, silence: Duration) -> Vec<Announcement> {
+        self.left
+            .retain(|_, left| now.saturating_sub(left.at) < REMEMBER_LEFT);
         let mut silent = Vec::new();
         self.by_id.retain(|_, u| {
             let quiet = now.saturating_sub(u.heard);
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -223,6 +223,13 @@
     },
     /// Upstreams that are new or have changed; all that live, when a connection is new.
     Upstreams(Vec<UpstreamWord>),
+    /// An upstream has left, by its own word.
+    UpstreamLeft {
+        /// Its identity.
+        id: String,
+        /// Start of the run that left, where it said so.
+        born_ms: Option<u64>,
+    },
     /// What all other forwarding entries have sent to upstreams.
     Fleet {
         /// Entries that reported lately, the receiver included.
--- a/src/coltsfootnotch/daemon/control/daemon/from_members.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/from_members.rs
@@ -33,6 +33,9 @@
             MemberPacket::Hello(_) | MemberPacket::Log { .. } => {
                 self.forbidden(peer, "packet of another host");
             }
+            MemberPacket::UpstreamLeft { id, born_ms } => {
+                self.note_left(now, &id, born_ms);
+            }
             MemberPacket::Ask { id, ask } => self.on_ask(now, link, id, ask),
             MemberPacket::Answer { id, answer } => {
                 let request = RequestId(id);
--- a/src/coltsfootnotch/daemon/control/daemon/mod.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/mod.rs
@@ -56,7 +56,7 @@
     pub(super) config: ConfigPush,
     pub(super) endpoint: Endpoint,
     disk: Disk,
-    links: Links,
+    pub(super) links: Links,
     /// The other control hosts are dialled for as long as these are kept.
     _dialed: Vec<Dialed>,
     /// Addresses that are dialled where hosts find each other.
--- a/src/coltsfootnotch/daemon/control/packet.rs
+++ b/src/coltsfootnotch/daemon/control/packet.rs
@@ -31,6 +31,13 @@
         /// What to do.
         ask: Ask,
     },
+    /// An upstream told the sender that it has left.
+    UpstreamLeft {
+        /// Its identity.
+        id: String,
+        /// Start of the run that left, where it said so.
+        born_ms: Option<u64>,
+    },
     /// Answers `Ask`.
     Answer {
         /// Matches the question.
--- a/src/coltsfootnotch/daemon/control/seeded/upstreams.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/upstreams.rs
@@ -8,6 +8,7 @@
 
 use super::Seeded;
 use crate::daemon::control::daemon::ControlDaemon;
+use crate::daemon::control::packet::MemberPacket;
 use crate::util::events;
 
 /// Silence after which an upstream is forgotten here: several announcements of it were lost. Entries
@@ -58,21 +59,42 @@
         }
     }
 
-    /// An upstream says that it has left.
+    /// An upstream says that it has left. It may have announced itself to other control hosts only, so
+    /// they hear of it as well as the entries: one that is asked by a new entry must not name it.
     pub(in crate::daemon::control) fn left(
         &mut self,
         now: Duration,
         id: &str,
         born_ms: Option<u64>,
     ) {
+        if self.note_left(now, id, born_ms) {
+            self.links.send_members(&MemberPacket::UpstreamLeft {
+                id: id.to_owned(),
+                born_ms,
+            });
+        }
+    }
+
+    /// The same, told by another control host.
+    pub(in crate::daemon::control) fn note_left(
+        &mut self,
+        now: Duration,
+        id: &str,
+        born_ms: Option<u64>,
+    ) -> bool {
         let Some(seeded) = &mut self.seeded else {
-            return;
+            return false;
         };
-        if let Some(said) = seeded.book.leave(now, id, born_ms) {
-            let word = UpstreamWord::from(&said);
-            self.log_upstream(&word);
-            self.tell_followers(&FromRelay::Upstreams(vec![word]));
+        let holds = seeded.book.leave(now, id, born_ms);
+        if holds {
+            self.host
+                .log(&events::UPSTREAM_LEAVING, &[("upstream", &id)]);
+            self.tell_followers(&FromRelay::UpstreamLeft {
+                id: id.to_owned(),
+                born_ms,
+            });
         }
+        holds
     }
 
     pub(super) fn expire_upstreams(&mut self, now: Duration) {
@@ -97,6 +119,10 @@
             return;
         }
         self.tell(link, FromRelay::Upstreams(known(seeded)));
+        for (id, born_ms) in seeded.book.left() {
+            let id = id.to_owned();
+            self.tell(link, FromRelay::UpstreamLeft { id, born_ms });
+        }
         // Only a higher number than the entry's has an effect there.
         if let Some(config) = self.config_body() {
             self.tell(link, FromRelay::Config(config));
--- a/src/coltsfootnotch/daemon/forward/actor.rs
+++ b/src/coltsfootnotch/daemon/forward/actor.rs
@@ -358,6 +358,10 @@
     fn on_control(&mut self, now: Duration, link: LinkId, message: FromRelay) {
         match message {
             FromRelay::Upstreams(words) => self.take_upstreams(now, words),
+            FromRelay::UpstreamLeft { id, born_ms } => {
+                self.state.book.leave(now, &id, born_ms);
+                self.cx.log(&events::UPSTREAM_LEAVING, &[("upstream", &id)]);
+            }
             FromRelay::Fleet { entries, load } => {
                 let config = self.config.borrow().clone();
                 self.state
--- a/src/coltsfootnotch/daemon/relay_client.rs
+++ b/src/coltsfootnotch/daemon/relay_client.rs
@@ -240,6 +240,7 @@
             FromRelay::Status { .. }
             | FromRelay::Members { .. }
             | FromRelay::Upstreams(_)
+            | FromRelay::UpstreamLeft { .. }
             | FromRelay::Fleet { .. }
             | FromRelay::Lease { .. }
             | FromRelay::ControlHosts { .. } => None,
