Keep the linter clean, and identities as they were sent

An identity of digits with a leading zero was logged as a number and could not be found again. The line of an answered request names its outcome like the others.

--- a/src/coltsfootnotch/daemon/forward/actor.rs
+++ b/src/coltsfootnotch/daemon/forward/actor.rs
@@ -183,7 +183,7 @@
         let domain = cx.identity.domain.as_str().into();
         let lease = ConfigLease::new(settings.times.lease);
         Ok(Self {
-            boot: BootClock::default(),
+            boot: BootClock,
             dialect: settings.dialect,
             times: settings.times,
             state: State::new(domain, SecondSends::new(settings.retries), lease),
--- a/src/coltsfootnotch/daemon/forward/server.rs
+++ b/src/coltsfootnotch/daemon/forward/server.rs
@@ -178,25 +178,16 @@
             Exchanged::Lost => Tried::Lost,
             Exchanged::Answered(answer) => self.deliver(req, *answer, until, attempts).await,
         };
+        let outcome = match &tried {
+            Tried::Done(_) => "answered",
+            Tried::Failed(_) => "failed",
+            Tried::NotRun => "not run",
+            Tried::Lost => "lost",
+        };
+        let fields: [Field<'_>; 2] = [("upstream", &upstream), ("outcome", &outcome)];
         match &tried {
-            Tried::Done(_) => {
-                self.log_sample(&events::REQUEST_ANSWERED, req, &[("upstream", &upstream)])
-            }
-            Tried::Failed(_) => self.log(
-                &events::TRY_FAILED,
-                req,
-                &[("upstream", &upstream), ("outcome", &"failed")],
-            ),
-            Tried::NotRun => self.log(
-                &events::TRY_FAILED,
-                req,
-                &[("upstream", &upstream), ("outcome", &"not run")],
-            ),
-            Tried::Lost => self.log(
-                &events::TRY_FAILED,
-                req,
-                &[("upstream", &upstream), ("outcome", &"lost")],
-            ),
+            Tried::Done(_) => self.log_sample(&events::REQUEST_ANSWERED, req, &fields),
+            _ => self.log(&events::TRY_FAILED, req, &fields),
         }
         tried
     }
--- a/src/coltsfootnotch/ops/trace/line.rs
+++ b/src/coltsfootnotch/ops/trace/line.rs
@@ -41,8 +41,9 @@
     pub(super) fn is_about(&self, id: &str) -> bool {
         match self.fields.get("request") {
             Some(Value::String(text)) => text == id,
-            Some(other) => other.to_string() == id,
-            None => false,
+            // An identity of digits alone is written as a number.
+            Some(Value::Number(number)) => number.to_string() == id,
+            _ => false,
         }
     }
 
--- a/src/coltsfootnotch/util/boot_clock.rs
+++ b/src/coltsfootnotch/util/boot_clock.rs
@@ -8,7 +8,7 @@
 ///
 /// The steady clock stands still while a machine is suspended. A lease measured by it would outlive
 /// its term by that time, and a host could go on by what was taken from it meanwhile.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub struct BootClock;
 
 impl BootClock {
--- a/src/coltsfootnotch/util/json_log.rs
+++ b/src/coltsfootnotch/util/json_log.rs
@@ -154,9 +154,10 @@
 impl<'kvs> VisitSource<'kvs> for Fields {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
         let text = value.to_string();
+        // An identity such as 0012 must stay as it was sent.
         let value = match text.parse::<u64>() {
-            Ok(number) => number.into(),
-            Err(_) => text.into(),
+            Ok(number) if number.to_string() == text => number.into(),
+            _ => text.into(),
         };
         self.0.insert(key.as_str().to_owned(), value);
         Ok(())
--- a/src/coltsfootnotch/util/json_log_tests.rs
+++ b/src/coltsfootnotch/util/json_log_tests.rs
@@ -7,7 +7,11 @@
 
 #[googletest::test]
 fn an_event_is_its_fields() {
-    let fields = [("code", "CFN-0071"), ("retry_after_ms", "250")];
+    let fields = [
+        ("code", "CFN-0071"),
+        ("request", "0012"),
+        ("retry_after_ms", "250"),
+    ];
     let record = Record::builder()
         .level(Level::Info)
         .args(format_args!("left out"))
@@ -15,7 +19,9 @@
         .build();
     expect_that!(
         to_json("then", &record, 0).as_str(),
-        eq(r#"{"code":"CFN-0071","level":"INFO","retry_after_ms":250,"time":"then"}"#)
+        eq(
+            r#"{"code":"CFN-0071","level":"INFO","request":"0012","retry_after_ms":250,"time":"then"}"#
+        )
     );
 }
 
