--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -11,10 +11,12 @@
 //! | [`load`] | what all entries together have sent to each upstream, and how fast it works |
 //! | [`share`] | which client accounts use more than their fair share |
 //! | [`place`] | which upstream a request goes to, or that it is refused at once |
+//! | [`awake`] | whether requests have waited through a stand-still of the host |
 //! | [`retry`] | whether a request is sent to a second upstream |
 //!
 //! Time is passed in as [`std::time::Duration`] since the start of the process.
 
+pub mod awake;
 pub mod book;
 pub mod config;
 pub mod lease;
--- a/src/coltsfootnotch/daemon/forward/actor.rs
+++ b/src/coltsfootnotch/daemon/forward/actor.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use coltsfootnotch_fabric::{Endpoint, Event, LinkId};
+use coltsfootnotch_forward::awake::Awake;
 use coltsfootnotch_forward::book::{Announcement, News};
 use coltsfootnotch_forward::config::ForwardConfig;
 use coltsfootnotch_forward::lease::ConfigLease;
@@ -131,6 +132,7 @@
     stopping: Option<Stopping>,
     serving: tokio::task::JoinHandle<()>,
     had_lease: bool,
+    awake: Arc<Awake>,
     report_due: Duration,
     reports: u64,
     for_others: FleetLoad<Reporter>,
@@ -162,12 +164,14 @@
         links.dial(&endpoint);
         let (config, watched) = watch::channel(None);
         let (pool, connections) = (Arc::<Pool>::default(), Arc::<Connections>::default());
+        let awake = Arc::<Awake>::default();
         let gateway = Arc::new(Gateway {
             cx: cx.clone(),
             dialect: settings.dialect,
             config: watched,
             tx: tx.clone(),
             pool: Arc::clone(&pool),
+            awake: Arc::clone(&awake),
             connections: Arc::clone(&connections),
             crowded: settings.connections / 2,
             draw,
@@ -197,6 +201,7 @@
             stopping: None,
             serving,
             had_lease: false,
+            awake,
             report_due: Duration::ZERO,
             reports: 0,
             for_others: FleetLoad::default(),
@@ -256,6 +261,9 @@
     fn tick(&mut self, cx: CX![]) {
         let now = self.cx.now();
         after!(TICK, [cx], tick());
+        if self.awake.tick(self.boot.now()) {
+            self.cx.log(&events::STOOD_STILL, &[]);
+        }
         // Asked by the clock that goes on while the host is suspended: the lease is measured by it.
         self.links.ask(self.boot.now(), self.number);
         self.report(now);
--- a/src/coltsfootnotch/daemon/forward/answer.rs
+++ b/src/coltsfootnotch/daemon/forward/answer.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
-use hyper::header::{HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 
 use crate::util::http_server::{AnyResponse, full};
 
@@ -24,6 +24,15 @@
     response
 }
 
+/// The host stood still while the request waited; the connection is closed, so that the caller comes
+/// to another host.
+pub(super) fn stood_still() -> AnyResponse {
+    let mut response = not_run("this host stood still", Duration::ZERO);
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    response
+}
+
 /// Whether the request ran is not known, or it ran and its answer is lost.
 pub(super) fn lost() -> AnyResponse {
     failure(
--- a/src/coltsfootnotch/daemon/forward/server.rs
+++ b/src/coltsfootnotch/daemon/forward/server.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use coltsfootnotch_forward::awake::Awake;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::{Request, StatusCode};
@@ -19,6 +20,7 @@
 use super::requested::Requested;
 use super::stream::{Opened, open};
 use crate::core::HostCx;
+use crate::util::boot_clock::BootClock;
 use crate::util::connections::Connections;
 use crate::util::events::{self, EventDef, Field};
 use crate::util::http_server::{AnyResponse, read_body};
@@ -37,6 +39,7 @@
     pub(super) config: watch::Receiver<InForce>,
     pub(super) tx: Channel<ForwardMsg>,
     pub(super) pool: Arc<Pool>,
+    pub(super) awake: Arc<Awake>,
     pub(super) connections: Arc<Connections>,
     /// Connections from which on callers are asked to close theirs after an answer: beyond the most
     /// that are taken, new callers would be turned away while idle connections are kept.
@@ -62,6 +65,9 @@
         req: Request<Incoming>,
         _peer: SocketAddr,
     ) -> AnyResponse {
+        if self.awake.has_stood_still(BootClock.now()) {
+            return answer::stood_still();
+        }
         let arrived = Instant::now();
         match self.read(req, arrived).await {
             Ok(req) => {
--- a/src/coltsfootnotch/ops/trace/line.rs
+++ b/src/coltsfootnotch/ops/trace/line.rs
@@ -5,9 +5,9 @@
 use serde_json::{Map, Value};
 
 /// Events by which a host says what it believes of itself and of whom it depends on.
-const STATE_CODES: [&str; 9] = [
+const STATE_CODES: [&str; 10] = [
     "CFN-0001", "CFN-0002", "CFN-0003", "CFN-0004", "CFN-0006", "CFN-0011", "CFN-0075", "CFN-0076",
-    "CFN-0077",
+    "CFN-0077", "CFN-0078",
 ];
 
 /// An event of a log, read from a line of JSON; what stands before the first brace is passed over, such
--- a/src/coltsfootnotch/util/events.rs
+++ b/src/coltsfootnotch/util/events.rs
@@ -92,6 +92,7 @@
     LEASE_LOST = 75 Warn "whether the configuration is the newest is not confirmed any more" => "look at the control hosts; requests with keys are refused until it is";
     LEASE_REGAINED = 76 Info "the configuration is confirmed again" => "nothing";
     FOLLOWED = 77 Info "another control host is followed" => "nothing";
+    STOOD_STILL = 78 Warn "this host stood still; what waited meanwhile is refused" => "look at the machine if it repeats";
 }
 
 /// Looks an event up by its code, in any case, with or without the prefix.
