Make less of each refused request

Cause: the whole body was digested, all routes were looped over and a line was made for each refusal. Change: samples, a table, a budget asked first.

--- a/crates/forward/src/config/forward_config.rs
+++ b/crates/forward/src/config/forward_config.rs
@@ -50,6 +50,8 @@
     accounts: Vec<Account>,
     bounds: Bounds,
     units_per_s: Option<f64>,
+    /// The shortest target of each service's streams; looked up for every request.
+    tightest: Vec<Option<Duration>>,
     by_place: HashMap<Arc<str>, HashMap<Arc<str>, usize>>,
     by_key: HashMap<String, usize>,
 }
@@ -91,6 +93,12 @@
         self.units_per_s
     }
 
+    /// The shortest target of the streams of the service at this place.
+    #[must_use]
+    pub fn tightest(&self, service: usize) -> Option<Duration> {
+        self.tightest[service]
+    }
+
     /// Whether requests need a key, unless their route is public.
     #[must_use]
     pub fn needs_keys(&self) -> bool {
@@ -156,6 +164,8 @@
         if !problems.is_empty() {
             return Err(problems);
         }
+        let tightest = (0..draft.services.len()).map(|s| tightest(&routes, s));
+        let tightest = tightest.collect();
         Ok(Self {
             number: draft.number,
             routes,
@@ -163,12 +173,21 @@
             accounts: draft.accounts,
             bounds: draft.bounds,
             units_per_s: draft.units_per_s,
+            tightest,
             by_place,
             by_key,
         })
     }
 }
 
+fn tightest(routes: &[Route], service: usize) -> Option<Duration> {
+    let streams = routes.iter().filter(|route| {
+        let names_it = route.services.iter().any(|s| s.service == service);
+        names_it && route.kind.is_stream()
+    });
+    streams.filter_map(|route| route.target).min()
+}
+
 fn index_names<'a>(
     list: &str,
     names: impl Iterator<Item = &'a Arc<str>>,
--- a/src/coltsfootnotch/daemon/forward/actor.rs
+++ b/src/coltsfootnotch/daemon/forward/actor.rs
@@ -31,6 +31,7 @@
 use crate::util::event_loop;
 use crate::util::events;
 use crate::util::http_server::{ServerLimits, serve_and_close};
+use crate::util::line_budget::LineBudget;
 use Reporter::{Nobody, Own};
 
 /// Between two rounds of the actor: reports, questions, upkeep.
@@ -171,6 +172,7 @@
             config: watched,
             tx: tx.clone(),
             pool: Arc::clone(&pool),
+            refusals: LineBudget::default(),
             awake: Arc::clone(&awake),
             connections: Arc::clone(&connections),
             crowded: settings.connections / 2,
--- a/src/coltsfootnotch/daemon/forward/requested.rs
+++ b/src/coltsfootnotch/daemon/forward/requested.rs
@@ -12,6 +12,11 @@
 use super::dialect::{Dialect, Onward, RequestHead};
 use super::messages::Ticket;
 
+/// Bytes at each end of a body that its digest covers. The digest is made for every request, also for
+/// those refused in a flood, and bodies have tens of kilobytes; requests that differ in neither end nor
+/// in length have come from one template.
+const SAMPLE_BYTES: usize = 512;
+
 /// A request that was read and matched.
 pub(super) struct Requested {
     pub(super) method: Method,
@@ -50,7 +55,10 @@
         self.uri.path().hash(&mut hasher);
         self.uri.query().hash(&mut hasher);
         self.account.hash(&mut hasher);
-        self.body.hash(&mut hasher);
+        self.body.len().hash(&mut hasher);
+        let sample = self.body.len().min(SAMPLE_BYTES);
+        self.body[..sample].hash(&mut hasher);
+        self.body[self.body.len() - sample..].hash(&mut hasher);
         hasher.finish()
     }
 
--- a/src/coltsfootnotch/daemon/forward/server.rs
+++ b/src/coltsfootnotch/daemon/forward/server.rs
@@ -24,6 +24,7 @@
 use crate::util::connections::Connections;
 use crate::util::events::{self, EventDef, Field};
 use crate::util::http_server::{AnyResponse, read_body};
+use crate::util::line_budget::LineBudget;
 
 /// Share of the time left that a first try may take where a second is possible.
 const FIRST_TRY_SHARE: f64 = 0.5;
@@ -39,6 +40,8 @@
     pub(super) config: watch::Receiver<InForce>,
     pub(super) tx: Channel<ForwardMsg>,
     pub(super) pool: Arc<Pool>,
+    /// Refusals that are still written in this second.
+    pub(super) refusals: LineBudget,
     pub(super) awake: Arc<Awake>,
     pub(super) connections: Arc<Connections>,
     /// Connections from which on callers are asked to close theirs after an answer: beyond the most
@@ -255,11 +258,12 @@
             ),
         };
         let millis = retry_after.as_millis();
-        self.log(
-            &events::REQUEST_REFUSED,
-            req,
-            &[("reason", &text), ("retry_after_ms", &millis)],
-        );
+        let fields: [Field<'_>; 2] = [("reason", &text), ("retry_after_ms", &millis)];
+        if self.refusals.take(self.cx.now()) {
+            self.log(&events::REQUEST_REFUSED, req, &fields);
+        } else {
+            self.cx.metrics.count_event(&events::REQUEST_REFUSED);
+        }
         answer::not_run(&text, retry_after)
     }
 
--- a/src/coltsfootnotch/daemon/forward/state.rs
+++ b/src/coltsfootnotch/daemon/forward/state.rs
@@ -114,7 +114,7 @@
         let question = Ask {
             prompt: &ask.prompt,
             pressure,
-            tightest: tightest(&ask.config, ask.service),
+            tightest: ask.config.tightest(ask.service).unwrap_or(DEFAULT_TARGET),
             domain: &self.domain,
             turn: ask.turn,
             avoid: &ask.avoid,
@@ -250,16 +250,6 @@
     }
 }
 
-/// The shortest target of the service's streams.
-fn tightest(config: &ForwardConfig, service: usize) -> Duration {
-    let of_service = config.routes().iter().filter(|route| {
-        let names_it = route.services.iter().any(|s| s.service == service);
-        names_it && route.kind.is_stream()
-    });
-    let targets = of_service.filter_map(|route| route.target);
-    targets.min().unwrap_or(DEFAULT_TARGET)
-}
-
 fn kept_room(engine: &Engine) -> u64 {
     (engine.memory_tokens as f64 * KEPT_SHARE) as u64
 }
--- a/src/coltsfootnotch/util/mod.rs
+++ b/src/coltsfootnotch/util/mod.rs
@@ -6,4 +6,5 @@
 pub mod events;
 pub mod http_server;
 pub mod json_log;
+pub mod line_budget;
 pub mod metrics;
