Keep to the configuration's bounds for headers and idle time; don't deny what is not sure

Cause: bounds of the configuration for headers and idle connections were read and not used, and a host that was cut off answered 404 and 401 from a configuration that may be out of date. Change: longer headers get 431, each connection has the bounds in force when it is taken, and an unconfirmed host answers 503 instead of denying. Ruled out: a bound of its own for header time, since the server library has one timer.

--- a/crates/forward/src/config/forward_config.rs
+++ b/crates/forward/src/config/forward_config.rs
@@ -19,6 +19,15 @@
     pub idle_timeout: Duration,
 }
 
+impl Bounds {
+    /// Time for which a connection is kept without a whole head of a request on it. One timer serves
+    /// both bounds: a caller may send nothing for the idle time and then take the other for its headers.
+    #[must_use]
+    pub fn read_timeout(&self) -> Duration {
+        self.idle_timeout + self.header_timeout
+    }
+}
+
 impl Default for Bounds {
     /// Headers of 16 KiB and bodies of 4 MiB hold every prompt that an engine of today takes; the
     /// times are those of common HTTP servers.
--- a/src/coltsfootnotch/daemon/entry/listen.rs
+++ b/src/coltsfootnotch/daemon/entry/listen.rs
@@ -50,7 +50,12 @@
     });
     let handler = move |req, peer| Arc::clone(&callers).answer(req, peer);
     let connections = shared.connections;
-    cx.runtime
-        .spawn(serve_and_close(listener, limits, connections, handler));
+    cx.runtime.spawn(serve_and_close(
+        listener,
+        limits,
+        move || limits.read_timeout,
+        connections,
+        handler,
+    ));
     Ok(address)
 }
--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -41,8 +41,8 @@
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 
 /// Time for a caller's headers before a configuration says otherwise.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(15);
-/// Longest request line and headers before a configuration says otherwise, in bytes.
+const READ_TIMEOUT: Duration = Duration::from_secs(15);
+/// Longest request line and headers that are read at all, in bytes; a configuration may allow less.
 const HEADER_BYTES: usize = 64 * 1024;
 
 /// Why a forwarding entry can't run.
@@ -120,7 +120,8 @@
     ready: Arc<AtomicBool>,
     stopping: Option<Stopping>,
     serving: tokio::task::JoinHandle<()>,
-    had_lease: bool,
+    /// Whether the lease held when it was last looked at; shared with the tasks of connections.
+    confirmed: Arc<AtomicBool>,
     awake: Arc<Awake>,
     report_due: Duration,
     reports: u64,
@@ -154,6 +155,7 @@
         let (config, watched) = watch::channel(None);
         let (pool, connections) = (Arc::<Pool>::default(), Arc::<Connections>::default());
         let awake = Arc::<Awake>::default();
+        let confirmed = Arc::<AtomicBool>::default();
         let gateway = Arc::new(Gateway {
             cx: cx.clone(),
             dialect: settings.dialect,
@@ -161,6 +163,7 @@
             tx: tx.clone(),
             pool: Arc::clone(&pool),
             refusals: LineBudget::default(),
+            confirmed: Arc::clone(&confirmed),
             awake: Arc::clone(&awake),
             connections: Arc::clone(&connections),
             crowded: settings.connections / 2,
@@ -169,10 +172,18 @@
         let limits = ServerLimits {
             connections: settings.connections,
             header_bytes: HEADER_BYTES,
-            read_timeout: HEADER_TIMEOUT,
+            read_timeout: READ_TIMEOUT,
         };
         let handler = move |req, peer| Arc::clone(&gateway).answer(req, peer);
-        let serving = serve_and_close(listener, limits, Arc::clone(&connections), handler);
+        let in_force = config.subscribe();
+        let read_timeout = move || {
+            let config = in_force.borrow();
+            config
+                .as_ref()
+                .map_or(READ_TIMEOUT, |c| c.bounds().read_timeout())
+        };
+        let open = Arc::clone(&connections);
+        let serving = serve_and_close(listener, limits, read_timeout, open, handler);
         let serving = cx.runtime.spawn(serving);
         let domain = cx.identity.domain.as_str().into();
         let lease = ConfigLease::new(settings.times.lease);
@@ -190,7 +201,7 @@
             ready: Arc::default(),
             stopping: None,
             serving,
-            had_lease: false,
+            confirmed,
             awake,
             report_due: Duration::ZERO,
             reports: 0,
@@ -264,7 +275,7 @@
 
     fn watch_lease(&mut self) {
         let holds = self.state.lease.holds(self.boot.now(), self.number);
-        if holds != self.had_lease {
+        if holds != self.confirmed.swap(holds, Ordering::Relaxed) {
             let event = if holds {
                 &events::LEASE_REGAINED
             } else {
@@ -273,7 +284,6 @@
             let (links, number) = (self.links.count(), self.number);
             self.cx
                 .log(event, &[("config", &number), ("control_hosts", &links)]);
-            self.had_lease = holds;
         }
         let ready = holds && self.number > 0 && self.stopping.is_none();
         self.ready.store(ready, Ordering::Relaxed);
--- a/src/coltsfootnotch/daemon/forward/server.rs
+++ b/src/coltsfootnotch/daemon/forward/server.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use coltsfootnotch_forward::awake::Awake;
@@ -42,6 +43,8 @@
     pub(super) pool: Arc<Pool>,
     /// Refusals that are still written in this second.
     pub(super) refusals: LineBudget,
+    /// Whether the configuration is surely the newest.
+    pub(super) confirmed: Arc<AtomicBool>,
     pub(super) awake: Arc<Awake>,
     pub(super) connections: Arc<Connections>,
     /// Connections from which on callers are asked to close theirs after an answer: beyond the most
@@ -101,19 +104,20 @@
             ));
         };
         let (parts, body) = req.into_parts();
+        if head_bytes(&parts) > config.bounds().header_bytes {
+            let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+            return Err(answer::failure(status, "the headers are too large"));
+        }
         let head = (self.dialect.read_request)(&parts.headers);
         let matched = config.route(host_of(&parts), parts.uri.path());
         let Some(matched) = matched else {
-            return Err(answer::failure(StatusCode::NOT_FOUND, "no route"));
+            return Err(self.unknown(StatusCode::NOT_FOUND, "no route"));
         };
         let (index, route) = (matched.index, matched.route);
         let account = match head.key.as_deref().and_then(|key| config.account(key)) {
             Some(account) => Some(account.name.clone()),
             None if config.needs_keys() && !route.public => {
-                return Err(answer::failure(
-                    StatusCode::UNAUTHORIZED,
-                    "the key is not known",
-                ));
+                return Err(self.unknown(StatusCode::UNAUTHORIZED, "the key is not known"));
             }
             None => None,
         };
@@ -139,6 +143,16 @@
         })
     }
 
+    /// The answer to a route or key that the configuration lacks. A host that can't be sure that its
+    /// configuration is the newest does not say that there is none: a newer one may have it.
+    fn unknown(&self, status: StatusCode, text: &str) -> AnyResponse {
+        if self.confirmed.load(Ordering::Relaxed) {
+            answer::failure(status, text)
+        } else {
+            answer::not_run("the configuration is not confirmed", RETRY_SOON)
+        }
+    }
+
     /// Sends a request to upstreams until one has answered, or no other may be tried.
     async fn run(self: &Arc<Self>, req: &Arc<Requested>) -> AnyResponse {
         let mut avoid = Vec::new();
@@ -314,6 +328,15 @@
     sum % SAMPLE_ONE_IN == 0
 }
 
+/// Size of the request line and headers as they were sent, nearly: what separates them counts as four
+/// bytes a line.
+fn head_bytes(parts: &hyper::http::request::Parts) -> usize {
+    let line = parts.method.as_str().len() + parts.uri.to_string().len();
+    let headers = parts.headers.iter();
+    let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + 4);
+    line + headers.sum::<usize>()
+}
+
 /// The host that a request names, without a port.
 fn host_of(parts: &hyper::http::request::Parts) -> &str {
     let named = parts.headers.get(HOST).and_then(|v| v.to_str().ok());
--- a/src/coltsfootnotch/util/http_server.rs
+++ b/src/coltsfootnotch/util/http_server.rs
@@ -54,13 +54,16 @@
     F: Fn(Request<Incoming>, SocketAddr) -> R + Send + Sync + 'static,
     R: Future<Output = AnyResponse> + Send + 'static,
 {
-    serve_and_close(listener, limits, Arc::default(), handler).await;
+    let read_timeout = move || limits.read_timeout;
+    serve_and_close(listener, limits, read_timeout, Arc::default(), handler).await;
 }
 
-/// The same for a server whose connections are counted, and closed before its process ends.
+/// The same for a server whose connections are counted, and closed before its process ends. Each
+/// connection gets the `read_timeout` of the moment at which it is taken.
 pub async fn serve_and_close<F, R>(
     listener: TcpListener,
     limits: ServerLimits,
+    read_timeout: impl Fn() -> Duration,
     connections: Arc<Connections>,
     handler: F,
 ) where
@@ -80,6 +83,10 @@
         };
         let handler = Arc::clone(&handler);
         let open = connections.open();
+        let limits = ServerLimits {
+            read_timeout: read_timeout(),
+            ..limits
+        };
         tokio::spawn(async move {
             serve_connection(stream, peer, limits, open, handler).await;
             drop(permit);
--- a/tests/testsuite/connections.rs
+++ b/tests/testsuite/connections.rs
@@ -41,6 +41,7 @@
     runtime.spawn(serve_and_close(
         listener,
         LIMITS,
+        || LIMITS.read_timeout,
         Arc::clone(&connections),
         answer,
     ));
