--- a/src/coltsfootnotch/daemon/forward/control_links.rs
+++ b/src/coltsfootnotch/daemon/forward/control_links.rs
@@ -66,8 +66,8 @@
         self.dial(endpoint);
     }
 
-    /// A control host told where the control hosts are. What others told before is kept until nobody
-    /// answers there any more: one that is cut off from the rest knows only itself.
+    /// A control host told where the control hosts are. What others told before is kept, up to a bound:
+    /// one that is cut off from the rest knows only itself.
     pub(super) fn set_told(&mut self, endpoint: &Endpoint, addresses: &[SocketAddr]) {
         if self.told.len() > MAX_TOLD {
             self.told.clear();
