Make one piece of code of what stood twice

Nothing was red; what was found was written twice, done twice, or dead.

Change: - Entries and control hosts kept dialled addresses with the same loop; both use `ControlDials`. - The JSON log counted lines of a second by hand; it takes two `LineBudget`s, which now are told their lines. - The digest of a request and a copy of its prompt were made for each placement, so again for each second send; they are made once, when the body has been read. - The most engines of a service seen at once were counted for each request; they are counted when an announcement changes something. Only an announcement can make an upstream ready, so the figure is the highest that a request could have seen, or a higher one that stood between two requests. - The command line prints causes with `print_causes`, as the daemons do. - One constant each for the type of plain text and for the refusal of a host that is cut off. - Gone: `keep`, which did nothing; `needs_lease`, which said whether there is an account; times that nobody read in `Followers`.

Ruled out: one impl for the two links of `AnyPeer` (the traits of the library want both); sharing fields of `RouteDraft` and `Route` (one is what was written, the other what is valid).

No figure of speed was taken, and none is claimed.

--- a/crates/forward/src/load/fleet_load.rs
+++ b/crates/forward/src/load/fleet_load.rs
@@ -82,16 +82,14 @@
         let own = self.entries.get(receiver).filter(|e| is_live(now, e));
         let others = self.entries.iter().filter(|(key, _)| *key != receiver);
         let others: Vec<_> = others.map(|(_, e)| e).filter(|e| is_live(now, e)).collect();
-        let of = |list: fn(&Period) -> &Vec<u64>| {
-            let lists = others.iter().flat_map(|e| list(&e.period));
-            lists.copied().collect()
-        };
+        let parts = others.iter().flat_map(|e| &e.period.parts);
+        let broken = others.iter().flat_map(|e| &e.period.broken);
         let (upstreams, accounts) = totals.less(own);
         LoadWord {
             upstreams,
             accounts,
-            parts: others.iter().flat_map(|e| e.period.parts.clone()).collect(),
-            broken: of(|period| &period.broken),
+            parts: parts.cloned().collect(),
+            broken: broken.copied().collect(),
         }
     }
 
--- a/src/bin/coltsfootnotch/cli.rs
+++ b/src/bin/coltsfootnotch/cli.rs
@@ -5,6 +5,7 @@
 
 use bpaf::{OptionParser, Parser, construct};
 use coltsfootnotch::ops::error::{Failure, OpsError};
+use coltsfootnotch::util::print_causes;
 
 use crate::commands::{self, Command};
 
@@ -63,12 +64,7 @@
 
 /// Prints an error with the chain of its causes, and what to do about it.
 fn report(error: &(dyn Error + 'static)) {
-    eprintln!("error: {error}");
-    let mut cause = error.source();
-    while let Some(e) = cause {
-        eprintln!("  caused by: {e}");
-        cause = e.source();
-    }
+    print_causes(error);
     if let Some(help) = error.downcast_ref().and_then(OpsError::help) {
         eprintln!("help: {help}");
     }
--- a/src/coltsfootnotch/daemon/admin.rs
+++ b/src/coltsfootnotch/daemon/admin.rs
@@ -9,7 +9,7 @@
 use tokio::task::JoinHandle;
 
 use crate::core::HostCx;
-use crate::util::http_server::{self, AnyResponse, ServerLimits};
+use crate::util::http_server::{self, AnyResponse, ServerLimits, TEXT};
 use crate::util::metrics::Metrics;
 
 /// A balancer and a scraper are the only callers; a few connections each are plenty.
@@ -19,7 +19,6 @@
     read_timeout: Duration::from_secs(5),
 };
 
-const TEXT: &str = "text/plain; charset=utf-8";
 /// The type that scrapers of the Prometheus text format ask for.
 const PROMETHEUS_TEXT: &str = "text/plain; version=0.0.4; charset=utf-8";
 
--- a/src/coltsfootnotch/daemon/control/daemon/mod.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/mod.rs
@@ -6,7 +6,6 @@
 mod requests;
 mod upkeep;
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -30,6 +29,7 @@
 use super::{ControlConfig, ControlError};
 use crate::core::HostCx;
 use crate::daemon::ControlAddress;
+use crate::daemon::control_dials::ControlDials;
 use crate::util::events;
 
 /// Longest time that a graceful stop waits for another leader.
@@ -60,7 +60,7 @@
     /// The other control hosts are dialled for as long as these are kept.
     _dialed: Vec<Dialed>,
     /// Addresses that are dialled where hosts find each other.
-    pub(super) dials: BTreeMap<SocketAddr, Dialed>,
+    pub(super) dials: ControlDials,
     /// The part that exists only there.
     pub(super) seeded: Option<Seeded>,
     pub(super) founding: Founding,
@@ -107,7 +107,7 @@
             disk,
             links: Links::default(),
             _dialed: dialed,
-            dials: BTreeMap::new(),
+            dials: ControlDials::default(),
             seeded,
             founding: Founding::new(hello),
             leader: None,
--- a/src/coltsfootnotch/daemon/control/seeded/followers.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/followers.rs
@@ -1,6 +1,6 @@
 //! Forwarding entries that follow this control host.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use coltsfootnotch_fabric::LinkId;
@@ -23,7 +23,7 @@
 pub(in crate::daemon::control) struct Followers {
     links: BTreeSet<LinkId>,
     /// Those that want to be told what the others do.
-    followed_by: BTreeMap<LinkId, Duration>,
+    followed_by: BTreeSet<LinkId>,
     pub(in crate::daemon::control) fleet: FleetLoad<LinkId>,
     asked: Vec<LeaseAsk>,
     under_read: Option<Vec<LeaseAsk>>,
@@ -54,7 +54,7 @@
     ) {
         self.fleet.take(now, link, load);
         if follows {
-            self.followed_by.insert(link, now);
+            self.followed_by.insert(link);
         } else {
             self.followed_by.remove(&link);
         }
@@ -66,7 +66,7 @@
         now: Duration,
     ) -> Vec<(LinkId, u32, LoadWord)> {
         let entries = self.fleet.entries(now);
-        let links = self.followed_by.keys();
+        let links = self.followed_by.iter();
         let totals = self.fleet.totals(now);
         let words = links.map(|link| (*link, entries, self.fleet.without(now, &totals, link)));
         let words = words.collect();
--- a/src/coltsfootnotch/daemon/control/seeded/mod.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/mod.rs
@@ -16,6 +16,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use coltsfootnotch_forward::book::UpstreamBook;
 use coltsfootnotch_wire::{FromRelay, UpstreamSign};
 use serde::{Deserialize, Serialize};
 
@@ -24,7 +25,6 @@
 pub(super) use self::finding::Finding;
 pub(super) use self::followers::Followers;
 use self::founding::SeededFounding;
-use coltsfootnotch_forward::book::UpstreamBook;
 
 /// What a control host is told that has to find the others.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/coltsfootnotch/daemon/control/seeded/upkeep.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/upkeep.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use coltsfootnotch_consensus::{MemberChange, MemberId};
-use coltsfootnotch_fabric::{LinkId, PeerId};
+use coltsfootnotch_fabric::LinkId;
+use coltsfootnotch_forward::load::reporting_period;
 use coltsfootnotch_state::{ApplyConfig, BodyDigest, ConfigReply, Op, Reply};
-use coltsfootnotch_types::Role;
 use coltsfootnotch_wire::FromRelay;
 use tokio::sync::oneshot;
 
@@ -19,7 +19,6 @@
 use crate::daemon::control::packet::{Answer, Ask};
 use crate::daemon::control::request_table::Origin;
 use crate::util::events;
-use coltsfootnotch_forward::load::reporting_period;
 
 /// Time kept between two rounds for each upstream in each message of the round. One takes some 25
 /// bytes and 2 microseconds, so a control host spends at most a megabyte and a tenth of a core a second on
@@ -63,13 +62,7 @@
             return;
         };
         let wanted = seeded.finding.wanted(now);
-        self.dials.retain(|address, _| wanted.contains(address));
-        for address in wanted {
-            let endpoint = &self.endpoint;
-            let is_control = |peer: &PeerId| peer.role == Role::Control;
-            let dial = || endpoint.dial_if(address, is_control);
-            self.dials.entry(address).or_insert_with(dial);
-        }
+        self.dials.keep(&self.endpoint, &wanted);
     }
 
     fn found_seeded(&mut self, now: Duration) {
@@ -211,8 +204,9 @@
     pub(in crate::daemon::control) fn answer_call(&mut self, id: u64, answer: &Answer) {
         let reply = match answer {
             Answer::Proposed(Ok(bytes)) => reply_to_apply(bytes),
-            Answer::Proposed(Err(_)) | Answer::NotLeader => CallReply::Unknown,
-            Answer::Read(_) | Answer::Members(_) => CallReply::Unknown,
+            Answer::Proposed(Err(_)) | Answer::NotLeader | Answer::Read(_) | Answer::Members(_) => {
+                CallReply::Unknown
+            }
         };
         if let Some(seeded) = &mut self.seeded {
             seeded.calls.answer(id, reply);
--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -15,15 +15,15 @@
 use coltsfootnotch_forward::retry::SecondSends;
 use derive_more::{Display, Error, From};
 use stakker::sync::{Channel, ChannelGuard};
-use stakker::{ActorOwn, CX, Stakker, StopCause, actor_new, after, call, fwd_to, ret_nop, stop};
+use stakker::{CX, StopCause, actor_new, after, call, fwd_to, ret_nop, stop};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use super::control_links::ControlLinks;
 use super::dialect::{Dialect, InForce};
-use super::messages::{ForwardMsg, NotPlaced, PlaceAsk, Ticket};
+use super::messages::{Ended, ForwardMsg, NotPlaced, PlaceAsk, Ticket};
 use super::pool::Pool;
-use super::server::Gateway;
+use super::server::{Gateway, REFUSAL_LINES};
 use super::state::State;
 use super::{ForwardHandle, ForwardSettings, Times};
 use crate::core::HostCx;
@@ -81,16 +81,12 @@
                 stakker.shutdown(StopCause::Stopped);
             }
         }
-        keep(actor, stakker)
+        actor
     })
     .await;
     outcome
 }
 
-fn keep(actor: ActorOwn<ForwardActor>, _stakker: &mut Stakker) -> ActorOwn<ForwardActor> {
-    actor
-}
-
 /// Whose reports are added up for the control hosts that are not followed: only this entry's own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 enum Reporter {
@@ -162,7 +158,7 @@
             config: watched,
             tx: tx.clone(),
             pool: Arc::clone(&pool),
-            refusals: LineBudget::default(),
+            refusals: LineBudget::new(REFUSAL_LINES),
             confirmed: Arc::clone(&confirmed),
             awake: Arc::clone(&awake),
             connections: Arc::clone(&connections),
@@ -234,8 +230,7 @@
                 let placed = self.place(now, &ask);
                 // The caller may have left meanwhile: what was placed is given back.
                 if let Err(Ok(ticket)) = tx.send(placed) {
-                    self.state
-                        .over(now, &ticket, false, super::messages::Ended::Abandoned);
+                    self.state.over(now, &ticket, false, Ended::Abandoned);
                 }
             }
             ForwardMsg::Begun(ticket) => self.state.begun(now, &ticket),
--- a/src/coltsfootnotch/daemon/forward/actor/news.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/news.rs
@@ -101,7 +101,7 @@
         }
         for word in words {
             let said = Announcement::from(word);
-            let news = self.state.book.take(now, said.clone());
+            let news = self.state.announced(now, said.clone());
             if news == News::Changed {
                 self.cx.log(
                     &events::UPSTREAM_ANNOUNCED,
@@ -113,9 +113,6 @@
                     ],
                 );
             }
-            if news != News::Stale {
-                self.state.loads.entry(&said.id, said.born_ms);
-            }
         }
     }
 
--- a/src/coltsfootnotch/daemon/forward/answer.rs
+++ b/src/coltsfootnotch/daemon/forward/answer.rs
@@ -5,9 +5,7 @@
 use hyper::StatusCode;
 use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 
-use crate::util::http_server::{AnyResponse, full};
-
-const TEXT: &str = "text/plain; charset=utf-8";
+use crate::util::http_server::{AnyResponse, TEXT, full};
 
 /// A failure, told in a line.
 pub(super) fn failure(status: StatusCode, text: &str) -> AnyResponse {
--- a/src/coltsfootnotch/daemon/forward/control_links.rs
+++ b/src/coltsfootnotch/daemon/forward/control_links.rs
@@ -4,10 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use coltsfootnotch_fabric::{Dialed, Endpoint, LinkId, LinkTx, PeerId};
-use coltsfootnotch_types::Role;
+use coltsfootnotch_fabric::{Endpoint, LinkId, LinkTx, PeerId};
 use coltsfootnotch_wire::{Message, ToRelay};
 
+use crate::daemon::control_dials::ControlDials;
+
 /// Between two questions whether the configuration is the newest. Several fit into the shortest lease
 /// that is of use, so that one lost answer costs nothing.
 const ASK_EVERY: Duration = Duration::from_millis(500);
@@ -16,6 +17,9 @@
 /// milliseconds; during an election nobody can give one.
 const ANSWER_WITHIN: Duration = Duration::from_millis(400);
 
+/// Most addresses remembered from control hosts.
+const MAX_TOLD: usize = 64;
+
 /// A control host that is connected.
 struct Link {
     tx: LinkTx,
@@ -37,7 +41,7 @@
 /// One of them is followed: it alone is asked whether the configuration is the newest and tells what
 /// the other entries do. When it does not answer, the next one is followed.
 pub(super) struct ControlLinks {
-    dialed: BTreeMap<SocketAddr, Dialed>,
+    dials: ControlDials,
     seeds: BTreeSet<SocketAddr>,
     told: BTreeSet<SocketAddr>,
     links: BTreeMap<LinkId, Link>,
@@ -50,7 +54,7 @@
 impl ControlLinks {
     pub(super) fn new(seeds: &[SocketAddr]) -> Self {
         Self {
-            dialed: BTreeMap::new(),
+            dials: ControlDials::default(),
             seeds: seeds.iter().copied().collect(),
             told: BTreeSet::new(),
             links: BTreeMap::new(),
@@ -78,12 +82,7 @@
 
     pub(super) fn dial(&mut self, endpoint: &Endpoint) {
         let wanted: BTreeSet<_> = self.seeds.union(&self.told).copied().collect();
-        self.dialed.retain(|address, _| wanted.contains(address));
-        for address in wanted {
-            let is_control = |peer: &PeerId| peer.role == Role::Control;
-            let dial = || endpoint.dial_if(address, is_control);
-            self.dialed.entry(address).or_insert_with(dial);
-        }
+        self.dials.keep(endpoint, &wanted);
     }
 
     pub(super) fn up(&mut self, link: LinkId, peer: PeerId, tx: LinkTx) {
@@ -204,6 +203,3 @@
         }
     }
 }
-
-/// Most addresses remembered from control hosts.
-const MAX_TOLD: usize = 64;
--- a/src/coltsfootnotch/daemon/forward/exchange.rs
+++ b/src/coltsfootnotch/daemon/forward/exchange.rs
@@ -68,16 +68,13 @@
                 if unsent && connection.reused {
                     continue;
                 }
-                flight.end(if unsent {
-                    Ended::Unreachable
-                } else {
-                    Ended::Broken
-                });
-                return if unsent {
-                    Exchanged::NotRun
+                let (ended, exchanged) = if unsent {
+                    (Ended::Unreachable, Exchanged::NotRun)
                 } else {
-                    Exchanged::Lost
+                    (Ended::Broken, Exchanged::Lost)
                 };
+                flight.end(ended);
+                return exchanged;
             }
             Ok(Ok(response)) => return judge(gw, req, ticket, response, connection, flight),
         }
--- a/src/coltsfootnotch/daemon/forward/messages.rs
+++ b/src/coltsfootnotch/daemon/forward/messages.rs
@@ -17,12 +17,10 @@
     pub(super) config: Arc<ForwardConfig>,
     /// Its service, by place in the configuration.
     pub(super) service: usize,
-    /// Its client account.
+    /// Its client account; with one it needs a configuration that is surely in force.
     pub(super) account: Option<Arc<str>>,
     /// Its prompt.
     pub(super) prompt: Arc<Prompt>,
-    /// Whether it needs a key, and so a configuration that is surely in force.
-    pub(super) needs_lease: bool,
     /// Upstreams on which it has failed.
     pub(super) avoid: Vec<Arc<str>>,
     /// Whether it was sent to an upstream before, which draws on the budget of second sends.
--- a/src/coltsfootnotch/daemon/forward/requested.rs
+++ b/src/coltsfootnotch/daemon/forward/requested.rs
@@ -6,7 +6,9 @@
 
 use bytes::Bytes;
 use coltsfootnotch_forward::config::{ForwardConfig, Kind, Route};
+use coltsfootnotch_forward::place::Prompt;
 use http_body_util::Full;
+use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, Uri};
 
 use super::dialect::{Dialect, Onward, RequestHead};
@@ -28,6 +30,9 @@
     pub(super) route: usize,
     pub(super) service: usize,
     pub(super) account: Option<Arc<str>>,
+    pub(super) prompt: Arc<Prompt>,
+    /// Digest of what an upstream is asked to do, the same each time that the caller asks it.
+    pub(super) content: u64,
     /// When the caller's time, or the route's, is over.
     pub(super) deadline: Instant,
     /// When its headers had come.
@@ -48,20 +53,6 @@
         self.head.id.as_deref().unwrap_or("-")
     }
 
-    /// Digest of what an upstream is asked to do, the same each time that the caller asks it.
-    pub(super) fn content(&self) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        self.method.as_str().hash(&mut hasher);
-        self.uri.path().hash(&mut hasher);
-        self.uri.query().hash(&mut hasher);
-        self.account.hash(&mut hasher);
-        self.body.len().hash(&mut hasher);
-        let sample = self.body.len().min(SAMPLE_BYTES);
-        self.body[..sample].hash(&mut hasher);
-        self.body[self.body.len() - sample..].hash(&mut hasher);
-        hasher.finish()
-    }
-
     /// The request as it is sent to an upstream.
     pub(super) fn onward(
         &self,
@@ -87,3 +78,17 @@
         req
     }
 }
+
+/// Digest of a request's content.
+pub(super) fn digest(parts: &Parts, account: Option<&str>, body: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    parts.method.as_str().hash(&mut hasher);
+    parts.uri.path().hash(&mut hasher);
+    parts.uri.query().hash(&mut hasher);
+    account.hash(&mut hasher);
+    body.len().hash(&mut hasher);
+    let sample = body.len().min(SAMPLE_BYTES);
+    body[..sample].hash(&mut hasher);
+    body[body.len() - sample..].hash(&mut hasher);
+    hasher.finish()
+}
--- a/src/coltsfootnotch/daemon/forward/server.rs
+++ b/src/coltsfootnotch/daemon/forward/server.rs
@@ -18,7 +18,7 @@
 use super::exchange::{Answer, Exchanged, exchange, patience};
 use super::messages::{ForwardMsg, NotPlaced, PlaceAsk, RETRY_SOON, Ticket};
 use super::pool::Pool;
-use super::requested::Requested;
+use super::requested::{Requested, digest};
 use super::stream::{Opened, open};
 use crate::core::HostCx;
 use crate::util::boot_clock::BootClock;
@@ -34,6 +34,14 @@
 /// that what is kept of a request is kept whole.
 const SAMPLE_ONE_IN: u64 = 32;
 
+/// Refusals written in a second. Making a line costs some 20 microseconds whether it is written or not;
+/// in a flood of some hundred refusals a second on a small share of a core that is a tenth of all there
+/// is.
+pub(super) const REFUSAL_LINES: u16 = 50;
+
+/// Why a host that is cut off from the control group refuses.
+const NOT_CONFIRMED: &str = "the configuration is not confirmed";
+
 /// What the tasks of all connections share.
 pub(super) struct Gateway {
     pub(super) cx: HostCx,
@@ -108,7 +116,7 @@
             let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
             return Err(answer::failure(status, "the headers are too large"));
         }
-        let head = (self.dialect.read_request)(&parts.headers);
+        let mut head = (self.dialect.read_request)(&parts.headers);
         let matched = config.route(host_of(&parts), parts.uri.path());
         let Some(matched) = matched else {
             return Err(self.unknown(StatusCode::NOT_FOUND, "no route"));
@@ -128,6 +136,8 @@
         let body = read_body(body, bounds.body_bytes, kept)
             .await
             .map_err(|status| answer::failure(status, "the body can't be read"))?;
+        let content = digest(&parts, account.as_deref(), &body);
+        let prompt = Arc::new(std::mem::take(&mut head.prompt));
         Ok(Requested {
             method: parts.method,
             uri: parts.uri,
@@ -138,6 +148,8 @@
             route: index,
             service,
             account,
+            prompt,
+            content,
             deadline,
             arrived,
         })
@@ -149,7 +161,7 @@
         if self.confirmed.load(Ordering::Relaxed) {
             answer::failure(status, text)
         } else {
-            answer::not_run("the configuration is not confirmed", RETRY_SOON)
+            answer::not_run(NOT_CONFIRMED, RETRY_SOON)
         }
     }
 
@@ -248,11 +260,10 @@
             config: Arc::clone(&req.config),
             service: req.service,
             account: req.account.clone(),
-            prompt: Arc::new(req.head.prompt.clone()),
-            needs_lease: req.account.is_some(),
+            prompt: Arc::clone(&req.prompt),
             avoid: avoid.to_vec(),
             is_second,
-            content: req.content(),
+            content: req.content,
             turn: ((self.draw)() * u64::MAX as f64) as u64,
         };
         self.tx.send(ForwardMsg::Place(Box::new(ask), tx));
@@ -263,7 +274,7 @@
     fn refuse(&self, req: &Requested, why: NotPlaced) -> AnyResponse {
         let (text, retry_after) = match why {
             NotPlaced::Refused(refusal) => (refusal.reason.to_string(), refusal.retry_after),
-            NotPlaced::NoLease => ("the configuration is not confirmed".to_owned(), RETRY_SOON),
+            NotPlaced::NoLease => (NOT_CONFIRMED.to_owned(), RETRY_SOON),
             NotPlaced::NoSecondSend => ("too much is sent again".to_owned(), RETRY_SOON),
             NotPlaced::Stopping => ("this host is stopping".to_owned(), Duration::ZERO),
             NotPlaced::Crashing => (
--- a/src/coltsfootnotch/daemon/forward/state.rs
+++ b/src/coltsfootnotch/daemon/forward/state.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coltsfootnotch_forward::book::{Stage, UpstreamBook};
+use coltsfootnotch_forward::book::{Announcement, News, Stage, UpstreamBook};
 use coltsfootnotch_forward::config::{Engine, ForwardConfig};
 use coltsfootnotch_forward::lease::ConfigLease;
 use coltsfootnotch_forward::load::UpstreamLoads;
@@ -63,6 +63,25 @@
         }
     }
 
+    /// Takes in what an upstream announced.
+    pub(super) fn announced(&mut self, now: Duration, said: Announcement) -> News {
+        let (id, born_ms, service) = (said.id.clone(), said.born_ms, said.service.clone());
+        let news = self.book.take(now, said);
+        if news != News::Stale {
+            self.loads.entry(&id, born_ms);
+        }
+        if news == News::Changed {
+            self.count_engines(service);
+        }
+        news
+    }
+
+    fn count_engines(&mut self, service: Arc<str>) {
+        let engines = self.book.ready(&service).count();
+        let most = self.most_engines.entry(service).or_default();
+        *most = engines.max(*most);
+    }
+
     /// Decides where a request goes.
     pub(super) fn place(
         &mut self,
@@ -71,7 +90,7 @@
         newest: u64,
         ask: &PlaceAsk,
     ) -> Result<Ticket, NotPlaced> {
-        if ask.needs_lease && !self.lease.holds(boot_now, newest) {
+        if ask.account.is_some() && !self.lease.holds(boot_now, newest) {
             return Err(NotPlaced::NoLease);
         }
         if self.broken.is_refused(now, ask.content) {
@@ -237,12 +256,10 @@
         }
     }
 
-    fn pace(&mut self, config: &ForwardConfig, service: &Arc<str>) -> Pace {
-        let engines = self.book.ready(service).count();
-        let most = self.most_engines.entry(service.clone()).or_default();
-        *most = engines.max(*most);
+    fn pace(&self, config: &ForwardConfig, service: &str) -> Pace {
+        let most = self.most_engines.get(service).copied().unwrap_or(0);
         let stated = config.units_per_s();
-        let each = stated.map(|units| units * READ_SHARE / 1e3 / (*most).max(1) as f64);
+        let each = stated.map(|units| units * READ_SHARE / 1e3 / most.max(1) as f64);
         Pace {
             tokens_per_ms: each.unwrap_or(DEFAULT_PACE).max(1.0),
             base_ms: BASE_MS,
--- a/src/coltsfootnotch/daemon/mod.rs
+++ b/src/coltsfootnotch/daemon/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod control;
+mod control_dials;
 pub mod entry;
 pub mod forward;
 mod lifecycle;
--- a/src/coltsfootnotch/daemon/sidecar/announce.rs
+++ b/src/coltsfootnotch/daemon/sidecar/announce.rs
@@ -11,14 +11,13 @@
 use super::actor::SidecarMsg;
 use crate::core::HostCx;
 use crate::util::events;
-use crate::util::http_server::{AnyResponse, full, read_body};
+use crate::util::http_server::{AnyResponse, TEXT, full, read_body};
 
 const PATH: &str = "/v1/announce";
 /// Largest announcement in bytes: a thousand cache events and what describes the upstream.
 const MAX_BODY: usize = 256 * 1024;
 /// Time for an announcement to come; the upstream is on the same host.
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
-const TEXT: &str = "text/plain; charset=utf-8";
 
 /// Takes in one announcement.
 pub(super) async fn answer(
--- a/src/coltsfootnotch/util/http_server.rs
+++ b/src/coltsfootnotch/util/http_server.rs
@@ -144,6 +144,9 @@
 /// The least buffer that the library takes, in bytes.
 const MIN_BUFFER: usize = 8192;
 
+/// The type of a body that is a line or two for people.
+pub const TEXT: &str = "text/plain; charset=utf-8";
+
 /// A whole body.
 #[must_use]
 pub fn full(status: StatusCode, content_type: &'static str, body: impl Into<Bytes>) -> AnyResponse {
--- a/src/coltsfootnotch/util/json_log.rs
+++ b/src/coltsfootnotch/util/json_log.rs
@@ -11,7 +11,6 @@
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{self, Receiver, SyncSender};
-use std::sync::{Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -20,13 +19,15 @@
 use log::Record;
 use log::kv::{Key, Value, VisitSource};
 
+use super::line_budget::LineBudget;
+
 /// Lines that wait for the thread: some seconds' worth at the budget.
 const QUEUED_LINES: usize = 1_024;
 /// Lines a second about requests: at about 20 microseconds a line, 0.2% of a core.
-const REQUEST_BUDGET: u32 = 100;
+const REQUEST_LINES: u16 = 100;
 /// All other lines a second, which say what the process believes. They have a budget of their own: in
 /// a flood of refusals the line that tells why would be the one left out.
-const STATE_BUDGET: u32 = 200;
+const STATE_LINES: u16 = 200;
 /// Longest wait for the thread when the process ends.
 const FLUSH_WITHIN: Duration = Duration::from_millis(250);
 
@@ -35,14 +36,6 @@
 /// Time for which the thread gathers lines: one wake-up and one write for many.
 const GATHER: Duration = Duration::from_millis(100);
 
-/// Lines of the present second.
-#[derive(Debug)]
-struct Second {
-    began: Instant,
-    requests: u32,
-    states: u32,
-}
-
 /// What the thread is told.
 enum Told {
     Line(String),
@@ -53,7 +46,9 @@
 /// Writes log records as JSON lines.
 pub struct JsonLog {
     tx: SyncSender<Told>,
-    second: Mutex<Second>,
+    started: Instant,
+    requests: LineBudget,
+    states: LineBudget,
     dropped: AtomicU64,
 }
 
@@ -69,32 +64,13 @@
             .spawn(move || write_lines(&rx))?;
         Ok(Self {
             tx,
-            second: Mutex::new(Second {
-                began: Instant::now(),
-                requests: 0,
-                states: 0,
-            }),
+            started: Instant::now(),
+            requests: LineBudget::new(REQUEST_LINES),
+            states: LineBudget::new(STATE_LINES),
             dropped: AtomicU64::new(0),
         })
     }
 
-    /// Whether the budget has room for a line; takes it.
-    fn take(&self, is_request: bool) -> bool {
-        let mut second = self.second.lock().unwrap_or_else(PoisonError::into_inner);
-        if second.began.elapsed() >= Duration::from_secs(1) {
-            second.began = Instant::now();
-            second.requests = 0;
-            second.states = 0;
-        }
-        let (used, budget) = if is_request {
-            (&mut second.requests, REQUEST_BUDGET)
-        } else {
-            (&mut second.states, STATE_BUDGET)
-        };
-        *used += 1;
-        *used <= budget
-    }
-
     fn send(&self, line: String) {
         if self.tx.try_send(Told::Line(line)).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
@@ -104,7 +80,11 @@
 
 impl LogWriter for JsonLog {
     fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
-        if !self.take(record.target() == REQUEST_TARGET) {
+        let budget = match record.target() {
+            REQUEST_TARGET => &self.requests,
+            _ => &self.states,
+        };
+        if !budget.take(self.started.elapsed()) {
             self.dropped.fetch_add(1, Ordering::Relaxed);
             return Ok(());
         }
