Tell a request that crashes upstreams from one that is only popular; add a soak of the real programs

Ruled out: upstreams gone (all were announced), a lost lease (the log names the reason: the request has crashed upstreams). Change: what counts is runs of upstreams that broke off, not connections, and a request with the content that ends well clears it, at every entry.

--- a/crates/forward/src/load/fleet_load.rs
+++ b/crates/forward/src/load/fleet_load.rs
@@ -4,7 +4,7 @@
 use std::hash::Hash;
 use std::time::Duration;
 
-use coltsfootnotch_wire::{AccountUse, LoadWord, PartUse, UpstreamUse};
+use coltsfootnotch_wire::{AccountUse, BreakWord, LoadWord, PartUse, UpstreamUse};
 
 /// Age at which what an entry last reported no longer counts: it has ended, or is cut off. Reports
 /// come each 100 ms, so many in a row were lost.
@@ -16,7 +16,8 @@
     upstreams: BTreeMap<String, UpstreamUse>,
     accounts: BTreeMap<String, AccountUse>,
     parts: Vec<PartUse>,
-    broken: Vec<u64>,
+    broken: Vec<BreakWord>,
+    mended: Vec<u64>,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -84,12 +85,14 @@
         let others: Vec<_> = others.map(|(_, e)| e).filter(|e| is_live(now, e)).collect();
         let parts = others.iter().flat_map(|e| &e.period.parts);
         let broken = others.iter().flat_map(|e| &e.period.broken);
+        let mended = others.iter().flat_map(|e| &e.period.mended);
         let (upstreams, accounts) = totals.less(own);
         LoadWord {
             upstreams,
             accounts,
             parts: parts.cloned().collect(),
             broken: broken.copied().collect(),
+            mended: mended.copied().collect(),
         }
     }
 
@@ -206,5 +209,6 @@
         }
         self.parts.extend(load.parts.iter().cloned());
         self.broken.extend(&load.broken);
+        self.mended.extend(&load.mended);
     }
 }
--- a/crates/forward/tests/testsuite/retry.rs
+++ b/crates/forward/tests/testsuite/retry.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use coltsfootnotch_forward::retry::{BrokenRequests, RetryBound, SecondSends};
+use coltsfootnotch_wire::BreakWord;
 use googletest::prelude::*;
 use proptest::prelude::{prop_assert, proptest};
 
@@ -49,12 +50,20 @@
     let now = Duration::from_secs(5);
     let mut entries = vec![BrokenRequests::default(); 3];
     for entry in 0..3 {
-        entries[entry].note_own(now, 7);
-        entries[entry].note_own(now, 100 + entry as u64);
-        let told = entries[entry].report();
+        let run = entry as u64;
+        let beside = 100 + run;
+        entries[entry].note_own(now, BreakWord { content: 7, run });
+        entries[entry].note_own(
+            now,
+            BreakWord {
+                content: beside,
+                run,
+            },
+        );
+        let (told, _) = entries[entry].report();
         for (other, broken) in entries.iter_mut().enumerate().filter(|(n, _)| *n != entry) {
             let _ = other;
-            told.iter().for_each(|content| broken.note(now, *content));
+            told.iter().for_each(|word| broken.note(now, *word));
         }
     }
     for entry in &entries {
@@ -66,3 +75,37 @@
         );
     }
 }
+
+/// Many callers of one account ask the same, and the upstream that runs ten of their requests crashes.
+/// It was one crash: what they ask is not refused.
+#[googletest::test]
+fn one_crash_counts_once_however_many_asked_the_same() {
+    let now = Duration::from_secs(5);
+    let mut broken = BrokenRequests::default();
+    for _ in 0..10 {
+        broken.note_own(now, BreakWord { content: 7, run: 1 });
+    }
+    expect_that!(broken.is_refused(now, 7), eq(false));
+}
+
+/// The same content is asked for again and again, and upstreams crash for other reasons. Between the
+/// crashes it is answered, at this entry or another, so it is not what crashes them.
+#[googletest::test]
+fn a_content_that_is_answered_between_crashes_is_not_their_cause() {
+    let now = Duration::from_secs(5);
+    let (mut here, mut there) = (BrokenRequests::default(), BrokenRequests::default());
+    for run in 0..20 {
+        let word = BreakWord { content: 7, run };
+        here.note_own(now, word);
+        there.note(now, word);
+        if run % 2 == 1 {
+            here.note_own_success(7);
+            let (_, mended) = here.report();
+            mended
+                .iter()
+                .for_each(|content| there.note_success(*content));
+        }
+        expect_that!(here.is_refused(now, 7), eq(false));
+        expect_that!(there.is_refused(now, 7), eq(false));
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -29,7 +29,8 @@
     ConfigBody, FromRelay, Heartbeat, MembersError, ProposeError, ServiceBatch, ToRelay,
 };
 pub use upstream::{
-    AccountUse, LoadWord, PartUse, UpstreamSign, UpstreamStage, UpstreamUse, UpstreamWord,
+    AccountUse, BreakWord, LoadWord, PartUse, UpstreamSign, UpstreamStage, UpstreamUse,
+    UpstreamWord,
 };
 pub use waits::{AccountWait, FromSidecar, ToSidecar};
 
--- a/crates/wire/src/upstream.rs
+++ b/crates/wire/src/upstream.rs
@@ -92,6 +92,15 @@
     pub tokens: u32,
 }
 
+/// An upstream broke the connection off during a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct BreakWord {
+    /// Digest of the request's content.
+    pub content: u64,
+    /// Digest of the upstream and its run.
+    pub run: u64,
+}
+
 /// What one entry, or several together, have sent where.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadWord {
@@ -101,6 +110,8 @@
     pub accounts: Vec<AccountUse>,
     /// Parts of prompts that upstreams have read since the last report.
     pub parts: Vec<PartUse>,
-    /// Contents of requests during which an upstream broke the connection off, since the last report.
-    pub broken: Vec<u64>,
+    /// Requests during which an upstream broke the connection off, since the last report.
+    pub broken: Vec<BreakWord>,
+    /// Contents among these of which a request ended well since.
+    pub mended: Vec<u64>,
 }
--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,150 @@
+//! `coltsfootnotch-soak`: a fleet under faults, checked while it runs.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bpaf::{OptionParser, Parser, construct, long};
+use coltsfootnotch_soak::prelude::*;
+use coltsfootnotch_soak::run::logs_of;
+
+/// Clients for each router.
+const CLIENTS: usize = 6;
+
+/// What the command line asks for.
+#[derive(Debug, Clone)]
+struct Options {
+    seed: Option<u64>,
+    seeds: u64,
+    minutes: f64,
+    controls: usize,
+    routers: usize,
+    binary: PathBuf,
+    keep: Option<PathBuf>,
+    quiet: bool,
+}
+
+fn options() -> OptionParser<Options> {
+    let seed = long("seed")
+        .help("the first seed; one is drawn without it")
+        .argument::<u64>("N")
+        .optional();
+    let seeds = long("seeds")
+        .help("so many seeds, one run each, one after the other")
+        .argument::<u64>("N")
+        .fallback(1);
+    let minutes = long("minutes")
+        .help("length of a run")
+        .argument::<f64>("M")
+        .fallback(0.5);
+    let controls = long("controls")
+        .help("control hosts: 3, 5 or 7")
+        .argument::<usize>("N")
+        .fallback(3);
+    let routers = long("processes")
+        .help("routers, each a process; at most 120")
+        .argument::<usize>("N")
+        .fallback(3);
+    let binary = long("binary")
+        .help("the platform's program; without it the one beside this one")
+        .argument::<PathBuf>("FILE")
+        .fallback_with(beside);
+    let keep = long("keep")
+        .help("folder for the logs of runs that found something")
+        .argument::<PathBuf>("DIR")
+        .optional();
+    let quiet = long("quiet").help("print no steps").switch();
+    construct!(Options {
+        seed,
+        seeds,
+        minutes,
+        controls,
+        routers,
+        binary,
+        keep,
+        quiet
+    })
+    .guard(
+        |o| [3, 5, 7].contains(&o.controls),
+        "--controls takes 3, 5 or 7",
+    )
+    .guard(
+        |o| (1..=120).contains(&o.routers),
+        "--processes takes 1 to 120",
+    )
+    .guard(
+        |o| o.minutes > 0.0 && o.minutes <= 600.0,
+        "--minutes takes more than 0, at most 600",
+    )
+    .to_options()
+    .version(env!("CARGO_PKG_VERSION"))
+    .descr("runs a fleet as processes under faults and checks its promises")
+    .footer("exits with 1 when a promise is broken, with 2 when a run can't be set up")
+}
+
+fn beside() -> std::io::Result<PathBuf> {
+    Ok(std::env::current_exe()?.with_file_name("coltsfootnotch-platform"))
+}
+
+fn main() -> ExitCode {
+    let options = options().run();
+    let first = options.seed.unwrap_or_else(rand::random);
+    let mut broken = false;
+    for seed in (0..options.seeds).map(|n| first.wrapping_add(n)) {
+        match play(&options, seed) {
+            Ok(is_kept) => broken |= !is_kept,
+            Err(e) => {
+                eprintln!("seed {seed}: {e}: {:?}", std::error::Error::source(&e));
+                return ExitCode::from(2);
+            }
+        }
+    }
+    ExitCode::from(u8::from(broken))
+}
+
+/// Plays one seed; whether every promise was kept.
+fn play(options: &Options, seed: u64) -> Result<bool, RunError> {
+    let folder = tempfile::tempdir()?;
+    let soak = Soak {
+        seed,
+        length: Duration::from_secs_f64(options.minutes * 60.0),
+        shape: Shape {
+            controls: options.controls,
+            routers: options.routers,
+            upstreams: 6,
+        },
+        clients: CLIENTS,
+        binary: options.binary.clone(),
+        block: (std::process::id() % 250) as u8,
+        folder: folder.path().to_owned(),
+        prints: !options.quiet,
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()?;
+    let outcome = runtime.block_on(soak.run())?;
+    let counts = outcome.counts;
+    println!(
+        "seed {seed}: {} steps, {} served, {} refused, {} failed, {} cut, {} changes, {} read back, {:.3} served at the end, {} findings",
+        outcome.steps,
+        counts.served,
+        counts.refused,
+        counts.failed,
+        counts.cut,
+        counts.accepted,
+        counts.read_back,
+        outcome.recovered,
+        outcome.findings.len(),
+    );
+    for finding in &outcome.findings {
+        println!("seed {seed}: {finding}");
+    }
+    if let (false, Some(keep)) = (outcome.findings.is_empty(), &options.keep) {
+        let kept = keep.join(format!("seed-{seed}"));
+        std::fs::create_dir_all(keep)?;
+        std::fs::rename(folder.keep(), &kept)?;
+        println!("seed {seed}: {}", logs_of(&kept));
+    }
+    Ok(outcome.findings.is_empty())
+}
--- a/src/coltsfootnotch/daemon/forward/state.rs
+++ b/src/coltsfootnotch/daemon/forward/state.rs
@@ -1,6 +1,7 @@
 //! What all requests share, and the decisions about them.
 
 use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,7 +14,7 @@
 };
 use coltsfootnotch_forward::retry::{BrokenRequests, SecondSends};
 use coltsfootnotch_forward::share::FairShares;
-use coltsfootnotch_wire::LoadWord;
+use coltsfootnotch_wire::{BreakWord, LoadWord};
 
 use super::messages::{Ended, NotPlaced, PlaceAsk, Ticket};
 
@@ -211,7 +212,11 @@
     /// An exchange is over.
     pub(super) fn over(&mut self, now: Duration, ticket: &Ticket, begun: bool, ended: Ended) {
         if ended == Ended::Broken {
-            self.broken.note_own(now, ticket.content);
+            let (content, run) = (ticket.content, run_digest(ticket));
+            self.broken.note_own(now, BreakWord { content, run });
+        }
+        if ended == Ended::Well {
+            self.broken.note_own_success(ticket.content);
         }
         let Some(load) = self.loads.get_mut(&ticket.upstream, ticket.born_ms) else {
             return;
@@ -238,8 +243,11 @@
     ) {
         self.entries = entries.max(1);
         self.shares.take_others(now, load);
-        for content in &load.broken {
-            self.broken.note(now, *content);
+        for broken in &load.broken {
+            self.broken.note(now, *broken);
+        }
+        for content in &load.mended {
+            self.broken.note_success(*content);
         }
         let book = &self.book;
         let room = |upstream: &str| {
@@ -258,11 +266,13 @@
     /// What this entry has and did since its last report.
     pub(super) fn report(&mut self) -> LoadWord {
         let (upstreams, parts) = self.loads.report();
+        let (broken, mended) = self.broken.report();
         LoadWord {
             upstreams,
             accounts: self.shares.report(),
             parts,
-            broken: self.broken.report(),
+            broken,
+            mended,
         }
     }
 
@@ -277,6 +287,14 @@
     }
 }
 
+/// Digest of the run of an upstream that a request was sent to, the same at every entry.
+fn run_digest(ticket: &Ticket) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    ticket.upstream.hash(&mut hasher);
+    ticket.born_ms.hash(&mut hasher);
+    hasher.finish()
+}
+
 fn kept_room(engine: &Engine) -> u64 {
     (engine.memory_tokens as f64 * KEPT_SHARE) as u64
 }
