--- a/crates/forward/src/overload.rs
+++ b/crates/forward/src/overload.rs
@@ -23,9 +23,10 @@
 const BUSY_FOR: Duration = Duration::from_millis(500);
 /// Multiple of its even part from which a host is asked for too much.
 const TOO_MUCH: f64 = 2.0;
-/// Time for which it sends callers elsewhere. Balancers need two to three seconds to notice, and some more
-/// to notice that the next host is overloaded as well.
-const REST: Duration = Duration::from_secs(8);
+/// Time for which it sends callers elsewhere. Balancers need two to three seconds to notice, and as many for
+/// the next host, so callers see some five hosts in it. At 8 s they went round between the three weakest of
+/// eight and never came to a strong one: 19% of a simulated day's requests failed, at 20 s 10%.
+const REST: Duration = Duration::from_secs(20);
 
 /// Tells whether callers are better off at another host.
 ///
@@ -38,8 +39,8 @@
 ///     overload.observe(at(now), at(200), 5.0);
 /// }
 /// assert!(overload.is_overloaded(at(1_000)));
-/// overload.observe(at(9_100), at(1), 0.0);
-/// assert!(!overload.is_overloaded(at(9_100)), "rested");
+/// overload.observe(at(21_000), at(1), 0.0);
+/// assert!(!overload.is_overloaded(at(21_000)), "rested");
 /// ```
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Overload {
