--- a/src/bin/coltsfootnotch/commands/access.rs
+++ b/src/bin/coltsfootnotch/commands/access.rs
@@ -9,7 +9,7 @@
 /// Longer than an election and a redial, short enough for a pipeline to fail on.
 const PATIENCE_S: u64 = 20;
 
-/// Parses `--settings`, `--control`, `--keys` and `--timeout`.
+/// Parses `--settings`, `--control`, `--keys`, `--without-keys` and `--timeout`.
 pub(crate) fn access() -> impl Parser<Access> {
     let settings = long("settings")
         .help("settings of any host of the fleet: its control hosts, and the folder of its keys")
@@ -25,6 +25,9 @@
         .argument::<PathBuf>("DIR")
         .complete_shell(bpaf::ShellComp::Dir { mask: None })
         .optional();
+    let without_keys = long("without-keys")
+        .help("the fleet has no keys of its own and takes any, as on the users' platform")
+        .switch();
     let patience = long("timeout")
         .help("how long to wait for the fleet, in seconds")
         .argument::<u64>("S")
@@ -35,6 +38,7 @@
         settings,
         control,
         keys,
+        without_keys,
         patience
     })
 }
--- a/src/coltsfootnotch/daemon/control/daemon/connections.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/connections.rs
@@ -19,12 +19,14 @@
                 tx,
             } => {
                 self.host.log(&events::LINK_UP, &[("peer", &peer)]);
-                let is_control = peer.role == Role::Control;
+                let (role, host) = (peer.role, peer.host.clone());
                 self.links.add(link, peer, incarnation, tx);
-                if is_control {
+                if role == Role::Control {
                     self.greet(link);
-                } else if let Some(seeded) = &mut self.seeded {
-                    seeded.followers.add(link);
+                } else if role == Role::Entry
+                    && let Some(seeded) = &mut self.seeded
+                {
+                    seeded.followers.add(link, host);
                     self.tell_all(link);
                 }
             }
--- a/src/coltsfootnotch/daemon/control/seeded/followers.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/followers.rs
@@ -1,10 +1,11 @@
 //! Forwarding entries that follow this control host.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use coltsfootnotch_fabric::LinkId;
 use coltsfootnotch_forward::load::FleetLoad;
+use coltsfootnotch_types::HostName;
 use coltsfootnotch_wire::LoadWord;
 
 /// A question whether a configuration is the newest.
@@ -15,13 +16,21 @@
     pub(in crate::daemon::control) have: u64,
 }
 
+/// A forwarding entry that is connected.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(in crate::daemon::control) struct Follower {
+    pub(in crate::daemon::control) host: HostName,
+    /// The configuration that it last said it has in force; none before its first question.
+    pub(in crate::daemon::control) config: u64,
+}
+
 /// Forwarding entries that are connected.
 ///
 /// Every entry asks twice a second whether its configuration is the newest. One read of the log
 /// answers all questions that came before it began, so a thousand entries cost as many reads as one.
 #[derive(Default)]
 pub(in crate::daemon::control) struct Followers {
-    links: BTreeSet<LinkId>,
+    links: BTreeMap<LinkId, Follower>,
     /// Those that want to be told what the others do.
     followed_by: BTreeSet<LinkId>,
     pub(in crate::daemon::control) fleet: FleetLoad<LinkId>,
@@ -30,8 +39,8 @@
 }
 
 impl Followers {
-    pub(in crate::daemon::control) fn add(&mut self, link: LinkId) {
-        self.links.insert(link);
+    pub(in crate::daemon::control) fn add(&mut self, link: LinkId, host: HostName) {
+        self.links.insert(link, Follower { host, config: 0 });
     }
 
     pub(in crate::daemon::control) fn remove(&mut self, link: LinkId) {
@@ -42,7 +51,12 @@
 
     /// All connected entries.
     pub(in crate::daemon::control) fn links(&self) -> impl Iterator<Item = LinkId> {
-        self.links.iter().copied()
+        self.links.keys().copied()
+    }
+
+    /// The same, with what is known of each.
+    pub(in crate::daemon::control) fn all(&self) -> impl Iterator<Item = &Follower> {
+        self.links.values()
     }
 
     pub(in crate::daemon::control) fn report(
@@ -76,6 +90,9 @@
 
     /// Takes a question; whether a read is to be begun for it.
     pub(in crate::daemon::control) fn ask(&mut self, ask: LeaseAsk) -> bool {
+        if let Some(follower) = self.links.get_mut(&ask.link) {
+            follower.config = ask.have;
+        }
         self.asked.push(ask);
         self.begin_read()
     }
--- a/src/coltsfootnotch/daemon/control/seeded/mod.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/mod.rs
@@ -23,7 +23,7 @@
 pub(super) use self::call::Calls;
 pub use self::call::{Call, CallReply};
 pub(super) use self::finding::Finding;
-pub(super) use self::followers::Followers;
+pub(super) use self::followers::{Follower, Followers};
 use self::founding::SeededFounding;
 
 /// What a control host is told that has to find the others.
--- a/src/coltsfootnotch/daemon/control/status.rs
+++ b/src/coltsfootnotch/daemon/control/status.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use super::daemon::ControlDaemon;
+use super::seeded::Follower;
 
 #[derive(Serialize)]
 struct Status<'a> {
@@ -132,9 +133,23 @@
 
 fn hosts(daemon: &ControlDaemon) -> Vec<Host<'_>> {
     let records = daemon.relay.directory.hosts();
-    records
-        .map(|record| host(record, daemon.is_lost_relay(&record.host)))
-        .collect()
+    let records = records.map(|record| host(record, daemon.is_lost_relay(&record.host)));
+    let seeded = daemon.seeded.iter();
+    let entries = seeded.flat_map(|s| s.followers.all()).map(entry);
+    records.chain(entries).collect()
+}
+
+/// A forwarding entry that is connected here. It is no member, so what is known of it is its own word.
+fn entry(follower: &Follower) -> Host<'_> {
+    Host {
+        host: &follower.host,
+        incarnation: String::new(),
+        presence: "present",
+        config: follower.config,
+        role: Some(Role::Entry),
+        domain: None,
+        address: None,
+    }
 }
 
 fn host(record: &HostRecord, is_lost: bool) -> Host<'_> {
--- a/src/coltsfootnotch/ops/access.rs
+++ b/src/coltsfootnotch/ops/access.rs
@@ -5,7 +5,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use coltsfootnotch_fabric::Credentials;
+use coltsfootnotch_fabric::{Credentials, PeerId};
 use coltsfootnotch_manifest::Settings;
 use coltsfootnotch_types::prelude::*;
 use derive_more::{Display, Error};
@@ -58,6 +58,8 @@
     pub control: Vec<ControlArg>,
     /// Folder with `ca.pem`, `operator.pem` and `operator.key`; goes before that of the settings.
     pub keys: Option<PathBuf>,
+    /// Whether the fleet has no keys of its own and takes any; its network is the boundary then.
+    pub without_keys: bool,
     /// How long to wait for the control group.
     pub patience: Duration,
 }
@@ -106,6 +108,13 @@
     }
 
     fn credentials(&self, settings: Option<&Settings>) -> Result<Credentials, OpsError> {
+        if self.without_keys {
+            let peer = PeerId {
+                role: Role::Operator,
+                host: HostName::new(OPERATOR).expect("a valid name"),
+            };
+            return Ok(Credentials::without_authority(&peer)?);
+        }
         let of_settings = settings.and_then(|settings| settings.keys.ca.parent());
         let folder = self.keys.as_deref().or(of_settings);
         let folder = folder.ok_or(OpsError::NoKeys)?;
