--- a/src/coltsfootnotch/daemon/forward/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/mod.rs
@@ -20,11 +20,13 @@
 mod in_flight;
 mod messages;
 mod pool;
+mod record;
 mod requested;
 mod server;
 mod sse;
 mod state;
 mod stream;
+mod tries;
 
 pub use actor::run;
 pub use config::{ForwardSettings, Times};
