Refuse unread what an overloaded host can't read in time

Cause: until a balancer notices that a host is overloaded, its callers waited for their turn or for a connection, and found no other host in time. Ruled out: resting longer (the first seconds are before it). Change: a host whose tasks wait more than 40 ms and that is asked for twice its part refuses a growing part of requests before any work on them, with a connection that closes, so that callers come to another host at once.

--- a/crates/forward/src/overload.rs
+++ b/crates/forward/src/overload.rs
@@ -9,7 +9,9 @@
 //!
 //! **The rule.** A host whose tasks wait long for their turn, and that is asked for more than its part,
 //! says that it is not ready and asks callers to close their connections, so that the balancer sends them
-//! elsewhere. It stays so for some seconds: the callers come to one host after the other, until one is
+//! elsewhere. Until the balancer does, it refuses at once what it can't read in time, before any work on it:
+//! a caller that is refused comes to another host, one that waits for its turn does not. It stays so for
+//! some seconds: the callers come to one host after the other, until one is
 //! strong enough for them. A fleet that is short everywhere stays ready everywhere, since nobody is asked
 //! for more than its part.
 
@@ -28,6 +30,14 @@
 /// eight and never came to a strong one: 19% of a simulated day's requests failed, at 20 s 10%.
 const REST: Duration = Duration::from_secs(20);
 
+/// Added to the part of requests that is refused unread for each observation of a long wait, and taken off
+/// it for each of a short one. With an observation each 100 ms a host at twice what it can read comes back
+/// to short waits within a second, and reads everything again two seconds after its callers have left.
+const REFUSE_MORE: f64 = 0.10;
+const REFUSE_LESS: f64 = 0.05;
+/// Most that is refused unread, so that a host never stops serving on its own word alone.
+const REFUSE_MOST: f64 = 0.90;
+
 /// Tells whether callers are better off at another host.
 ///
 /// ```
@@ -46,6 +56,7 @@
 pub struct Overload {
     busy_since: Option<Duration>,
     rests_until: Duration,
+    refused: f64,
 }
 
 impl Overload {
@@ -53,14 +64,25 @@
     pub fn observe(&mut self, now: Duration, waited: Duration, times: f64) {
         if waited < LONG_WAIT {
             self.busy_since = None;
+            self.refused = (self.refused - REFUSE_LESS).max(0.0);
             return;
         }
+        // What is refused unread no longer counts as asked for, so a host that rests goes by its waits alone.
+        if times >= TOO_MUCH || self.is_overloaded(now) {
+            self.refused = (self.refused + REFUSE_MORE).min(REFUSE_MOST);
+        }
         let since = *self.busy_since.get_or_insert(now);
         if now.saturating_sub(since) >= BUSY_FOR && times >= TOO_MUCH {
             self.rests_until = now + REST;
         }
     }
 
+    /// Part of the requests that is refused at once, unread.
+    #[must_use]
+    pub fn refused_part(&self) -> f64 {
+        self.refused
+    }
+
     /// Whether callers are better off at another host now.
     #[must_use]
     pub fn is_overloaded(&self, now: Duration) -> bool {
--- a/crates/forward/tests/testsuite/overload.rs
+++ b/crates/forward/tests/testsuite/overload.rs
@@ -29,6 +29,29 @@
     expect_that!(after(&[250; 10], 1.3), eq(false));
 }
 
+/// Pattern: a caller sends three times what a host can read, and the balancer needs two seconds to notice.
+/// Within one the host refuses so much at once that the rest waits no longer; when the caller has left, it
+/// reads everything again.
+#[googletest::test]
+fn a_host_refuses_unread_what_it_cannot_read_in_time() {
+    let mut overload = Overload::default();
+    // Of three times what can be read in a period, what is not refused waits.
+    let wait = |overload: &Overload, sent: f64| {
+        let read = sent * (1.0 - overload.refused_part());
+        if read > 1.0 { at(200) } else { at(5) }
+    };
+    for n in 0..10 {
+        let waited = wait(&overload, 3.0);
+        overload.observe(at(100 * n), waited, 12.0);
+    }
+    expect_that!(wait(&overload, 3.0), eq(at(5)));
+    for n in 10..30 {
+        let waited = wait(&overload, 0.2);
+        overload.observe(at(100 * n), waited, 0.2);
+    }
+    expect_that!(overload.refused_part(), eq(0.0));
+}
+
 /// Pattern: bursts of a tenth of a second, with time between them.
 #[googletest::test]
 fn single_bursts_do_not_count() {
--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -23,6 +23,7 @@
 use super::control_links::ControlLinks;
 use super::dialect::{Dialect, InForce};
 use super::messages::{Ended, ForwardMsg, NotPlaced, PlaceAsk, Ticket};
+use super::overload_flags::OverloadFlags;
 use super::pool::Pool;
 use super::record::REFUSAL_LINES;
 use super::server::Gateway;
@@ -122,8 +123,7 @@
     confirmed: Arc<AtomicBool>,
     awake: Arc<Awake>,
     overload: Overload,
-    /// Whether callers are sent elsewhere; shared with the tasks of connections.
-    overloaded: Arc<AtomicBool>,
+    overload_flags: Arc<OverloadFlags>,
     report_due: Duration,
     reports: u64,
     for_others: FleetLoad<Reporter>,
@@ -156,7 +156,8 @@
         let (config, watched) = watch::channel(None);
         let (pool, connections) = (Arc::<Pool>::default(), Arc::<Connections>::default());
         let awake = Arc::<Awake>::default();
-        let (confirmed, overloaded) = (Arc::<AtomicBool>::default(), Arc::<AtomicBool>::default());
+        let confirmed = Arc::<AtomicBool>::default();
+        let overload_flags = Arc::<OverloadFlags>::default();
         let gateway = Arc::new(Gateway {
             cx: cx.clone(),
             dialect: settings.dialect,
@@ -166,7 +167,7 @@
             refusals: LineBudget::new(REFUSAL_LINES),
             confirmed: Arc::clone(&confirmed),
             awake: Arc::clone(&awake),
-            overloaded: Arc::clone(&overloaded),
+            overload: Arc::clone(&overload_flags),
             connections: Arc::clone(&connections),
             crowded: settings.connections / 2,
             draw,
@@ -206,7 +207,7 @@
             confirmed,
             awake,
             overload: Overload::default(),
-            overloaded,
+            overload_flags,
             report_due: Duration::ZERO,
             reports: 0,
             for_others: FleetLoad::default(),
@@ -290,7 +291,7 @@
             self.cx
                 .log(event, &[("config", &number), ("control_hosts", &links)]);
         }
-        let overloaded = self.overloaded.load(Ordering::Relaxed);
+        let overloaded = self.overload_flags.sends_elsewhere();
         let ready = holds && self.number > 0 && self.stopping.is_none() && !overloaded;
         self.ready.store(ready, Ordering::Relaxed);
     }
--- a/src/coltsfootnotch/daemon/forward/actor/upkeep.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/upkeep.rs
@@ -1,6 +1,5 @@
 //! What a forwarding entry does by time: reports, and dropping what fell silent.
 
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use coltsfootnotch_forward::load::reporting_period;
@@ -60,7 +59,8 @@
         let times = self.state.times_even_part(now);
         self.overload.observe(now, waited, times);
         let overloaded = self.overload.is_overloaded(now);
-        if overloaded != self.overloaded.swap(overloaded, Ordering::Relaxed) {
+        let refused = self.overload.refused_part();
+        if overloaded != self.overload_flags.set(overloaded, refused) {
             let event = if overloaded {
                 &events::OVERLOADED
             } else {
--- a/src/coltsfootnotch/daemon/forward/answer.rs
+++ b/src/coltsfootnotch/daemon/forward/answer.rs
@@ -31,6 +31,15 @@
     response
 }
 
+/// The host has more callers than it can read; the connection is closed, so that the caller comes to
+/// another host.
+pub(super) fn overloaded() -> AnyResponse {
+    let mut response = not_run("this host is overloaded", Duration::ZERO);
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    response
+}
+
 /// Whether the request ran is not known, or it ran and its answer is lost.
 pub(super) fn lost() -> AnyResponse {
     failure(
--- a/src/coltsfootnotch/daemon/forward/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/mod.rs
@@ -19,6 +19,7 @@
 mod handle;
 mod in_flight;
 mod messages;
+mod overload_flags;
 mod pool;
 mod record;
 mod requested;
--- a/src/coltsfootnotch/daemon/forward/server.rs
+++ b/src/coltsfootnotch/daemon/forward/server.rs
@@ -15,6 +15,7 @@
 use super::answer;
 use super::dialect::{Dialect, InForce};
 use super::messages::{ForwardMsg, RETRY_SOON};
+use super::overload_flags::OverloadFlags;
 use super::pool::Pool;
 use super::requested::{Requested, digest};
 use crate::core::HostCx;
@@ -38,8 +39,7 @@
     /// Whether the configuration is surely the newest.
     pub(super) confirmed: Arc<AtomicBool>,
     pub(super) awake: Arc<Awake>,
-    /// Whether callers are better off at another host.
-    pub(super) overloaded: Arc<AtomicBool>,
+    pub(super) overload: Arc<OverloadFlags>,
     pub(super) connections: Arc<Connections>,
     /// Connections from which on callers are asked to close theirs after an answer: beyond the most
     /// that are taken, new callers would be turned away while idle connections are kept.
@@ -57,14 +57,20 @@
         if self.awake.has_stood_still(BootClock.now()) {
             return answer::stood_still();
         }
+        if self.overload.refuses((self.draw)()) {
+            self.cx
+                .metrics
+                .counter("requests_refused_unread", &[])
+                .increment(1);
+            return answer::overloaded();
+        }
         let arrived = Instant::now();
         match self.read(req, arrived).await {
             Ok(req) => {
                 let req = Arc::new(req);
                 let mut response = self.run(&req).await;
                 self.count(&req, &response);
-                let overloaded = self.overloaded.load(Ordering::Relaxed);
-                if overloaded || self.connections.count() > self.crowded {
+                if self.overload.sends_elsewhere() || self.connections.count() > self.crowded {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
                 }
