--- a/src/coltsfootnotch/daemon/control/seeded/followers.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/followers.rs
@@ -6,7 +6,7 @@
 use coltsfootnotch_fabric::LinkId;
 use coltsfootnotch_forward::load::FleetLoad;
 use coltsfootnotch_types::HostName;
-use coltsfootnotch_wire::LoadWord;
+use coltsfootnotch_wire::{FromRelay, LoadWord};
 
 /// A question whether a configuration is the newest.
 #[derive(Debug, Clone, Copy)]
@@ -74,18 +74,26 @@
         }
     }
 
-    /// What each entry that follows is to be told of the others; begins a new period.
-    pub(in crate::daemon::control) fn next_period(
+    /// Tells each entry that follows what the others do, by `tell`; begins a new period. How many words
+    /// about upstreams that were.
+    ///
+    /// One entry's word is gone before the next one's is made: all at once they grow with entries times
+    /// upstreams, some 100 bytes for each pair.
+    pub(in crate::daemon::control) fn tell_each(
         &mut self,
         now: Duration,
-    ) -> Vec<(LinkId, u32, LoadWord)> {
+        tell: impl Fn(LinkId, FromRelay),
+    ) -> usize {
         let entries = self.fleet.entries(now);
-        let links = self.followed_by.iter();
         let totals = self.fleet.totals(now);
-        let words = links.map(|link| (*link, entries, self.fleet.without(now, &totals, link)));
-        let words = words.collect();
+        let mut used = 0;
+        for link in &self.followed_by {
+            let load = self.fleet.without(now, &totals, link);
+            used += load.upstreams.len();
+            tell(*link, FromRelay::Fleet { entries, load });
+        }
         self.fleet.next_period(now);
-        words
+        used
     }
 
     /// Takes a question; whether a read is to be begun for it.
--- a/src/coltsfootnotch/daemon/control/seeded/upkeep.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/upkeep.rs
@@ -46,15 +46,17 @@
         if now < seeded.fleet_due {
             return;
         }
-        let words = seeded.followers.next_period(now);
-        let used: usize = words.iter().map(|(_, _, load)| load.upstreams.len()).sum();
+        let links = &self.links;
+        let tell = |link, message| {
+            if let Some(link) = links.get(link) {
+                link.send_host(message);
+            }
+        };
+        let used = seeded.followers.tell_each(now, tell);
         let entries = seeded.followers.fleet.entries(now);
         let period =
             reporting_period(entries).max(USE_TIME * u32::try_from(used).unwrap_or(u32::MAX));
         seeded.fleet_due = now + period;
-        for (link, entries, load) in words {
-            self.tell(link, FromRelay::Fleet { entries, load });
-        }
     }
 
     fn dial_wanted(&mut self, now: Duration) {
