Found a fleet whatever order its names and addresses are in

Cause: the host with the lowest address asked its log to found the group, and the log accepts only the first member by name. Where the two orders differ the request was refused every 150 ms, at debug level. Ruled out: seeds that are not heard (all connected within 0.2 s), the disk.

Change: Membership::founder is the one definition, used by the log and by both ways of founding.

Kin looked at: which control host entries follow (first by name on a new connection, next by connection after a loss: mended here, module follow), next_change (one leader decides, by identity), homes of prompts (hash of identity, the same on every entry), relays of hosts (order of the configuration), transfer of the leadership (its failure has a reason beside it), oldest kept part (by use, then identity).

--- a/crates/consensus/src/core/mod.rs
+++ b/crates/consensus/src/core/mod.rs
@@ -180,7 +180,7 @@
     /// the one that remembers.
     ///
     /// # Errors
-    /// [`FoundRefused`] when this member holds entries or is not the first of `members`.
+    /// [`FoundRefused`] when this member holds entries or is not [`Membership::founder`] of `members`.
     pub fn found(
         &mut self,
         now: Duration,
@@ -188,7 +188,7 @@
     ) -> Result<(), FoundRefused> {
         self.advance(now);
         let members = Membership::of(members);
-        let founder = members.voters.first().ok_or(FoundRefused::NoMembers)?;
+        let founder = members.founder().ok_or(FoundRefused::NoMembers)?;
         if *founder != self.me {
             let founder = founder.clone();
             return Err(FoundRefused::NotFounder { founder });
--- a/crates/consensus/src/error.rs
+++ b/crates/consensus/src/error.rs
@@ -95,8 +95,7 @@
     /// The member holds entries, so it belongs to a group.
     #[display("this member belongs to a group already")]
     NotEmpty,
-    /// Only the first of the members, in their order, founds the group. Two founders could
-    /// otherwise write different first entries.
+    /// Another member founds the group; see [`Membership::founder`](crate::Membership::founder).
     #[display("the group is founded by {founder}")]
     NotFounder {
         /// The member that founds the group.
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -51,6 +51,21 @@
         }
     }
 
+    /// The voter that writes the first entry of the group. Two founders could write different ones, so
+    /// every host that decides whether to found goes by this order and no other.
+    ///
+    /// ```
+    /// use coltsfootnotch_consensus::{DiskId, MemberId, Membership};
+    /// use coltsfootnotch_types::HostName;
+    /// let on = |host: &str| MemberId { host: HostName::new(host).unwrap(), disk: DiskId(1) };
+    /// let members = Membership::of([on("b"), on("a")]);
+    /// assert_eq!(members.founder(), Some(&on("a")));
+    /// ```
+    #[must_use]
+    pub fn founder(&self) -> Option<&MemberId> {
+        self.voters.first()
+    }
+
     /// How many voters make a majority.
     #[must_use]
     pub fn quorum(&self) -> usize {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -8,6 +8,7 @@
 //! |---|---|
 //! | [`config`] | which route and client account a request belongs to, and whether a configuration is valid |
 //! | [`book`] | which upstreams there are, by what they announce |
+//! | [`follow`] | which control host is followed |
 //! | [`load`] | what all entries together have sent to each upstream, and how fast it works |
 //! | [`share`] | which client accounts use more than their fair share |
 //! | [`place`] | which upstream a request goes to, or that it is refused at once |
@@ -20,6 +21,7 @@
 pub mod awake;
 pub mod book;
 pub mod config;
+pub mod follow;
 pub mod lease;
 pub mod load;
 pub mod overload;
--- a/crates/forward/tests/testsuite/main.rs
+++ b/crates/forward/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod book;
 mod config;
 mod engines;
+mod follow;
 mod load;
 mod many_entries;
 mod overload;
--- a/src/coltsfootnotch/daemon/control/daemon/upkeep.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/upkeep.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use coltsfootnotch_consensus::Membership;
 use coltsfootnotch_manifest::Digest;
 use coltsfootnotch_membership::{HostRecord, MemberEventKind, Presence};
 use coltsfootnotch_state::{LedgerLimits, Op};
@@ -53,8 +54,18 @@
         let Some(members) = self.founding.due(now, is_config_in_force) else {
             return;
         };
-        // Refused only when this member holds entries by now, which is as good.
-        let _ = self.replica.core_mut().found(now, members);
+        self.found(now, members);
+    }
+
+    /// Writes the first entry of the group. Refused, it stays without a group, which an operator must see.
+    pub(in crate::daemon::control) fn found(&mut self, now: Duration, members: Membership) {
+        let voters = members.voters.len();
+        match self.replica.core_mut().found(now, members.voters) {
+            Ok(()) => self
+                .host
+                .log(&events::GROUP_FOUNDED, &[("voters", &voters)]),
+            Err(e) => self.host.log(&events::FOUND_REFUSED, &[("reason", &e)]),
+        }
     }
 
     fn expire_requests(&mut self, now: Duration) {
--- a/src/coltsfootnotch/daemon/control/founding.rs
+++ b/src/coltsfootnotch/daemon/control/founding.rs
@@ -3,14 +3,14 @@
 //! A group founded beside one that still remembers would hand out numbers twice and forget bookings,
 //! so a member founds only when nothing can remember: every control host of the settings is connected
 //! at once, each with a data folder that holds no entry, each with the same list in its settings, and
-//! no host of the fleet reports a configuration in force. Only the first host of the list founds. A
-//! host whose disk was lost later meets others that are not empty, and waits to be admitted by an
+//! no host of the fleet reports a configuration in force. Only the [founder](Membership::founder) of the
+//! listed members founds. A host whose disk was lost later meets others that are not empty, and waits to be admitted by an
 //! operator.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use coltsfootnotch_consensus::MemberId;
+use coltsfootnotch_consensus::{MemberId, Membership};
 use coltsfootnotch_types::HostName;
 
 use super::packet::MemberHello;
@@ -69,21 +69,27 @@
     }
 
     /// The members of the group to found now, if this member is to found one.
-    pub fn due(&mut self, now: Duration, is_config_in_force: bool) -> Option<Vec<MemberId>> {
-        if is_config_in_force || !self.may_found() {
+    pub fn due(&mut self, now: Duration, is_config_in_force: bool) -> Option<Membership> {
+        let members = Membership::of(self.all().map(|h| h.member.clone()));
+        let is_founder = members.founder() == Some(&self.hello.member);
+        if is_config_in_force || !is_founder || !self.all_agree() {
             self.holds_since = None;
             return None;
         }
         let since = *self.holds_since.get_or_insert(now);
-        (now >= since + FOUND_AFTER).then(|| self.all().map(|h| h.member.clone()).collect())
+        (now >= since + FOUND_AFTER).then_some(members)
     }
 
-    fn may_found(&self) -> bool {
+    /// Whether every listed host is here and agrees. A host that is not listed itself, as where the
+    /// settings list nobody, has nothing to found.
+    fn all_agree(&self) -> bool {
         let listed = &self.hello.listed;
-        let is_first = listed.iter().min() == Some(&self.hello.member.host);
+        if !listed.contains(&self.hello.member.host) {
+            return false;
+        }
         let is_here = |host: &HostName| self.all().any(|h| h.member.host == *host);
         let agrees = |h: &MemberHello| h.empty && h.listed == *listed;
-        is_first && listed.iter().all(is_here) && self.all().all(agrees)
+        listed.iter().all(is_here) && self.all().all(agrees)
     }
 
     /// The listed members that are connected, this one included.
--- a/src/coltsfootnotch/daemon/control/seeded/finding.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/finding.rs
@@ -18,7 +18,7 @@
 
 /// Which addresses a control host dials.
 #[derive(Debug)]
-pub(in crate::daemon::control) struct Finding {
+pub struct Finding {
     own: SocketAddr,
     seeds: BTreeSet<SocketAddr>,
     first_start: bool,
@@ -30,7 +30,9 @@
 }
 
 impl Finding {
-    pub(in crate::daemon::control) fn new(own: SocketAddr, keeps_log: bool, seeds: &Seeds) -> Self {
+    /// For the host at `own`, which dials its seeds first.
+    #[must_use]
+    pub fn new(own: SocketAddr, keeps_log: bool, seeds: &Seeds) -> Self {
         Self {
             own,
             seeds: seeds.addresses.iter().copied().collect(),
@@ -51,7 +53,8 @@
     }
 
     /// What this host says of itself.
-    pub(in crate::daemon::control) fn hello(&self) -> SeededHello {
+    #[must_use]
+    pub fn hello(&self) -> SeededHello {
         SeededHello {
             address: self.own,
             first_start: self.first_start,
@@ -62,12 +65,7 @@
     }
 
     /// Takes what another host says of itself; whether it is one that was not connected.
-    pub(in crate::daemon::control) fn hear(
-        &mut self,
-        now: Duration,
-        host: &HostName,
-        hello: SeededHello,
-    ) -> bool {
+    pub fn hear(&mut self, now: Duration, host: &HostName, hello: SeededHello) -> bool {
         for address in hello.connected.iter().chain([&hello.address]) {
             if self.told.len() < MAX_ADDRESSES {
                 self.told.insert(*address, now);
@@ -84,9 +82,7 @@
     }
 
     /// The hosts that are connected.
-    pub(in crate::daemon::control) fn connected(
-        &self,
-    ) -> impl Iterator<Item = (&HostName, &SeededHello)> {
+    pub fn connected(&self) -> impl Iterator<Item = (&HostName, &SeededHello)> {
         self.connected.iter()
     }
 
@@ -112,7 +108,7 @@
     }
 
     /// The addresses to dial now.
-    pub(in crate::daemon::control) fn wanted(&mut self, now: Duration) -> BTreeSet<SocketAddr> {
+    pub fn wanted(&mut self, now: Duration) -> BTreeSet<SocketAddr> {
         for hello in self.connected.values() {
             self.told.insert(hello.address, now);
         }
--- a/src/coltsfootnotch/daemon/control/seeded/mod.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/mod.rs
@@ -1,7 +1,7 @@
 //! A control host that is told nothing but a few addresses of others.
 //!
 //! Where nobody lists the control hosts, they find each other: each dials the seeds of its settings
-//! and every control host that others are connected to. The group is founded once, by the lowest seed
+//! and every control host that others are connected to. The group is founded once, by one of the seeds
 //! ([`founding`]); after that the leader admits and replaces members by itself ([`upkeep`]).
 //! Forwarding entries and upstreams are served here as well, since no sidecar stands between.
 
@@ -22,7 +22,7 @@
 
 pub(super) use self::call::Calls;
 pub use self::call::{Call, CallReply};
-pub(super) use self::finding::Finding;
+pub use self::finding::Finding;
 pub(super) use self::followers::{Follower, Followers};
 use self::founding::SeededFounding;
 
@@ -58,6 +58,8 @@
     pub(super) followers: Followers,
     pub(super) calls: Calls,
     pub(super) book: UpstreamBook,
+    /// When it is told next why there is no group yet.
+    pub(super) waiting_due: Duration,
     pub(super) away: members::Away,
     pub(super) fleet_due: Duration,
     /// Upstreams that said no more than that they live, since entries were told.
@@ -73,6 +75,7 @@
             followers: Followers::default(),
             calls: Calls::default(),
             book: UpstreamBook::default(),
+            waiting_due: now + upkeep::SAY_WAITING_EVERY,
             away: members::Away::default(),
             fleet_due: now,
             alive: Vec::new(),
--- a/src/coltsfootnotch/daemon/control/seeded/upkeep.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/upkeep.rs
@@ -11,7 +11,7 @@
 use tokio::sync::oneshot;
 
 use super::followers::LeaseAsk;
-use super::founding::Seen;
+use super::founding::{NotFounding, Seen};
 use super::members::next_change;
 use super::{Call, CallReply};
 use crate::core::{decode_reply, encode_op};
@@ -25,6 +25,9 @@
 /// them, however large the fleet; in a very large one entries hear of each other late.
 const USE_TIME: Duration = Duration::from_micros(25);
 
+/// Between two lines that tell why there is no group yet. A fleet that starts has one within a second.
+pub(super) const SAY_WAITING_EVERY: Duration = Duration::from_secs(2);
+
 impl ControlDaemon {
     /// Finds hosts, founds the group, changes its members.
     pub(in crate::daemon::control) fn upkeep_seeded(&mut self, now: Duration) {
@@ -73,6 +76,9 @@
         };
         let own_hello = seeded.finding.hello();
         let own = self.founding.hello();
+        if !own.empty {
+            return;
+        }
         let own = Seen {
             member: &own.member,
             empty: own.empty,
@@ -87,17 +93,27 @@
                 hello,
             })
         });
-        let Some(members) = seeded.founding.due(now, own, others) else {
+        let due = seeded.founding.due(now, own, others);
+        match due {
+            Ok(members) => self.found(now, members),
+            Err(why) => self.wait_for_group(now, &why),
+        }
+    }
+
+    /// Tells now and then why there is no group yet: without one no configuration is ever accepted.
+    fn wait_for_group(&mut self, now: Duration, why: &NotFounding) {
+        let Some(seeded) = &mut self.seeded else {
             return;
         };
-        let voters = members.len();
-        match self.replica.core_mut().found(now, members) {
-            Ok(()) => self
-                .host
-                .log(&events::GROUP_FOUNDED, &[("voters", &voters)]),
-            // This member holds entries by now, which is as good.
-            Err(e) => log::debug!("not founded: {e}"),
+        if now < seeded.waiting_due {
+            return;
         }
+        seeded.waiting_due = now + SAY_WAITING_EVERY;
+        let connected = seeded.finding.connected().count();
+        self.host.log(
+            &events::NO_GROUP_YET,
+            &[("reason", why), ("control_hosts", &connected)],
+        );
     }
 
     fn change_members(&mut self, now: Duration) {
--- a/src/coltsfootnotch/daemon/forward/control_links.rs
+++ b/src/coltsfootnotch/daemon/forward/control_links.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use coltsfootnotch_fabric::{Endpoint, LinkId, LinkTx, PeerId};
+use coltsfootnotch_forward::follow::Following;
 use coltsfootnotch_wire::{Message, ToRelay};
 
 use crate::daemon::control_dials::ControlDials;
@@ -32,7 +33,6 @@
 struct Open {
     id: u64,
     asked: Duration,
-    link: LinkId,
 }
 
 /// Connections to the control hosts, all of them: each tells of the upstreams that announced
@@ -45,7 +45,7 @@
     seeds: BTreeSet<SocketAddr>,
     told: BTreeSet<SocketAddr>,
     links: BTreeMap<LinkId, Link>,
-    followed: Option<LinkId>,
+    following: Following<LinkId>,
     open: Option<Open>,
     ask_due: Duration,
     last_id: u64,
@@ -58,7 +58,7 @@
             seeds: seeds.iter().copied().collect(),
             told: BTreeSet::new(),
             links: BTreeMap::new(),
-            followed: None,
+            following: Following::default(),
             open: None,
             ask_due: Duration::ZERO,
             last_id: 0,
@@ -95,49 +95,38 @@
                 keeps_log,
             },
         );
-        let is_first = |known: &Link| self.links[&link].peer.host < known.peer.host;
-        // All entries follow the first by name that they reach, so that they hear of each other soon.
-        if self.followed_link().is_none_or(is_first) {
-            self.followed = Some(link);
-            self.open = None;
-            self.ask_due = Duration::ZERO;
+        let host = self.links[&link].peer.host.clone();
+        if self.following.up(host.as_str(), link) {
+            self.ask_anew();
         }
     }
 
-    fn followed_link(&self) -> Option<&Link> {
-        self.links.get(&self.followed?)
-    }
-
     pub(super) fn down(&mut self, link: LinkId) {
         self.links.remove(&link);
-        if self.followed == Some(link) {
-            self.follow_next(link);
+        if self.following.drop_link(link) {
+            self.ask_anew();
         }
     }
 
-    fn follow_next(&mut self, after: LinkId) {
-        let later = self
-            .links
-            .range((std::ops::Bound::Excluded(after), std::ops::Bound::Unbounded));
-        let mut able = later.chain(self.links.iter()).filter(|(_, l)| l.keeps_log);
-        self.followed = able.next().map(|(link, _)| *link);
-        self.open = None;
-        self.ask_due = Duration::ZERO;
-    }
-
     /// The control host keeps no log, and can't be followed.
     pub(super) fn do_not_follow(&mut self, link: LinkId) {
         if let Some(known) = self.links.get_mut(&link) {
             known.keeps_log = false;
         }
-        if self.followed == Some(link) {
-            self.follow_next(link);
+        if self.following.drop_link(link) {
+            self.ask_anew();
         }
     }
 
+    /// Another control host is followed: it is asked at once.
+    fn ask_anew(&mut self) {
+        self.open = None;
+        self.ask_due = Duration::ZERO;
+    }
+
     /// The control host that is followed.
     pub(super) fn followed(&self) -> Option<(LinkId, &PeerId)> {
-        let link = self.followed?;
+        let link = self.following.followed()?;
         Some((link, &self.links.get(&link)?.peer))
     }
 
@@ -150,22 +139,18 @@
         if let Some(open) = &self.open
             && now >= open.asked + ANSWER_WITHIN
         {
-            let link = open.link;
-            self.follow_next(link);
+            self.following.unanswered();
+            self.ask_anew();
         }
         if self.open.is_some() || now < self.ask_due {
             return;
         }
-        let Some(link) = self.followed else {
+        let Some(link) = self.following.followed() else {
             return;
         };
         self.last_id += 1;
         let id = self.last_id;
-        self.open = Some(Open {
-            id,
-            asked: now,
-            link,
-        });
+        self.open = Some(Open { id, asked: now });
         self.ask_due = now + ASK_EVERY;
         self.send(link, ToRelay::Lease { id, have });
     }
@@ -178,14 +163,14 @@
 
     /// Sends to the control host that is followed.
     pub(super) fn send_followed(&self, message: ToRelay) {
-        if let Some(link) = self.followed {
+        if let Some(link) = self.following.followed() {
             self.send(link, message);
         }
     }
 
     /// Sends to the other control hosts that keep a log.
     pub(super) fn send_others(&self, message: &ToRelay) {
-        let is_other = |link: &LinkId| self.followed != Some(*link);
+        let is_other = |link: &LinkId| self.following.followed() != Some(*link);
         let able = self.links.iter().filter(|(_, l)| l.keeps_log);
         for (link, _) in able.filter(|(link, _)| is_other(link)) {
             self.send(*link, message.clone());
--- a/src/coltsfootnotch/util/events.rs
+++ b/src/coltsfootnotch/util/events.rs
@@ -79,6 +79,8 @@
     HOST_SILENT = 45 Warn "a host of the failure domain is silent" => "look at that host; it receives no new work";
     GROUP_FOUNDED = 46 Info "this control host founds the group" => "nothing; once in the life of a fleet";
     MEMBERS_CHANGING = 47 Info "the leader changes the members of the control group" => "nothing unless it repeats: then a control host comes and goes";
+    NO_GROUP_YET = 48 Warn "there is no control group yet" => "the reason names what is missing: a seed that is not heard, is not empty or names others; see OPERATIONS.md";
+    FOUND_REFUSED = 49 Error "the control group could not be founded" => "a fault of this program unless the reason says that there is a group already";
     BOOKING_IN_DOUBT = 50 Warn "whether a call that may not be repeated ran is not known" => "nothing: later calls with its key are told so; a rereading call may settle it";
     ORDER_GIVEN = 60 Info "an engine is given an order" => "nothing";
     ORDER_DONE = 61 Info "an engine has carried out an order" => "nothing";
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod connections;
 mod control;
 mod demo;
+mod founding_runs;
 mod limits;
 mod load;
 mod orders;
