Let no more wait at an engine than its streams bear

Change: BacklogLimit, one for each engine, starts at 0.35 of the route's gap, grows while it is in the way, is cut by a pause of 0.6 of the gap and more.

--- a/crates/forward/src/config/forward_config.rs
+++ b/crates/forward/src/config/forward_config.rs
@@ -61,6 +61,7 @@
     units_per_s: Option<f64>,
     /// The shortest target of each service's streams; looked up for every request.
     tightest: Vec<Option<Duration>>,
+    shortest_gap: Vec<Option<Duration>>,
     by_place: HashMap<Arc<str>, HashMap<Arc<str>, usize>>,
     by_key: HashMap<String, usize>,
 }
@@ -108,6 +109,13 @@
         self.tightest[service]
     }
 
+    /// The shortest pause between two events that a route of streams to the service, by its place,
+    /// aims at; none where no route states one.
+    #[must_use]
+    pub fn shortest_gap(&self, service: usize) -> Option<Duration> {
+        self.shortest_gap[service]
+    }
+
     /// Whether requests need a key, unless their route is public.
     #[must_use]
     pub fn needs_keys(&self) -> bool {
@@ -173,8 +181,10 @@
         if !problems.is_empty() {
             return Err(problems);
         }
-        let tightest = (0..draft.services.len()).map(|s| tightest(&routes, s));
+        let all = 0..draft.services.len();
+        let tightest = all.clone().map(|s| least_of(&routes, s, |r| r.target));
         let tightest = tightest.collect();
+        let shortest_gap = all.map(|s| least_of(&routes, s, |r| r.gap)).collect();
         Ok(Self {
             number: draft.number,
             routes,
@@ -183,18 +193,24 @@
             bounds: draft.bounds,
             units_per_s: draft.units_per_s,
             tightest,
+            shortest_gap,
             by_place,
             by_key,
         })
     }
 }
 
-fn tightest(routes: &[Route], service: usize) -> Option<Duration> {
+/// The least of what the routes of streams to a service state.
+fn least_of(
+    routes: &[Route],
+    service: usize,
+    stated: impl Fn(&Route) -> Option<Duration>,
+) -> Option<Duration> {
     let streams = routes.iter().filter(|route| {
         let names_it = route.services.iter().any(|s| s.service == service);
         names_it && route.kind.is_stream()
     });
-    streams.filter_map(|route| route.target).min()
+    streams.filter_map(stated).min()
 }
 
 fn index_names<'a>(
--- a/crates/forward/src/load/mod.rs
+++ b/crates/forward/src/load/mod.rs
@@ -7,6 +7,7 @@
 //! Each entry reports about ten times a second what it has where; control hosts add the reports up.
 //! What others have is therefore two ways and up to two reporting periods old (some 200 ms).
 
+mod backlog_limit;
 mod fleet_load;
 mod held;
 mod kept_parts;
@@ -16,6 +17,7 @@
 mod upstream_load;
 mod upstream_loads;
 
+pub use backlog_limit::BacklogLimit;
 pub use fleet_load::{FleetLoad, Totals};
 pub use held::Held;
 pub use kept_parts::{KeptParts, Part};
--- a/crates/forward/src/load/upstream_load.rs
+++ b/crates/forward/src/load/upstream_load.rs
@@ -4,7 +4,7 @@
 
 use coltsfootnotch_wire::UpstreamUse;
 
-use super::{Held, KeptParts, Speed, Standing};
+use super::{BacklogLimit, Held, KeptParts, Speed, Standing};
 
 /// A request that was sent, as it counts until it ends.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -36,6 +36,8 @@
     speed: Speed,
     standing: Standing,
     seen: Seen,
+    /// How much may wait to be read there.
+    pub backlog: BacklogLimit,
     /// The shared parts of prompts that it keeps.
     pub kept: KeptParts,
 }
@@ -83,14 +85,16 @@
         self.seen.expected_ms += sent.expected_ms;
     }
 
-    /// A request whose answer had not begun waits no longer: it has begun, or it is over.
-    pub fn no_longer_waits(&mut self, sent: &Sent) {
+    fn no_longer_waits(&mut self, sent: &Sent) {
         let left = self.own.waiting_tokens.checked_sub(sent.unread_tokens);
         self.own.waiting_tokens = left.expect("a request stops waiting once");
     }
 
-    /// A request is over, however it ended.
-    pub fn on_over(&mut self, sent: &Sent) {
+    /// A request is over, however it ended; `begun` tells whether its answer had begun.
+    pub fn on_over(&mut self, sent: &Sent, begun: bool) {
+        if !begun {
+            self.no_longer_waits(sent);
+        }
         let running = self.own.running.checked_sub(1);
         self.own.running = running.expect("a request ends once");
         let held = self.own.held_tokens.checked_sub(sent.held_tokens);
--- a/crates/forward/src/place/ask.rs
+++ b/crates/forward/src/place/ask.rs
@@ -58,6 +58,9 @@
     pub fraction: f64,
     /// The shortest target of the service's routes: what waits at an engine must leave room for it.
     pub tightest: Duration,
+    /// The shortest pause that a route of the service aims at: what waits at an engine must not make its
+    /// streams pause for longer. None where no route states one.
+    pub gap: Option<Duration>,
     /// The failure domain of this entry.
     pub domain: &'a str,
     /// Differs from request to request, and breaks ties.
--- a/crates/forward/src/place/engine.rs
+++ b/crates/forward/src/place/engine.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::admission::{full_bound, is_above_share, is_let_in, wait_bound};
+use super::admission::{account_factor, full_bound, is_above_share, is_let_in};
 use super::rendezvous::distance;
 use super::shortlist::Shortlist;
 use super::target::{Candidate, Placement};
@@ -67,10 +67,12 @@
     now: Duration,
     ask: &'a Ask<'b>,
     pace: Pace,
-    bound_ms: f64,
+    /// By how much the bound of an engine is multiplied for the request's account.
+    factor: f64,
     most_kept: u64,
     best: Option<(f64, Placement)>,
-    least_burden_ms: Option<f64>,
+    /// By how much the least crowded engine is beyond its bound.
+    least_beyond_ms: Option<f64>,
 }
 
 impl<'a, 'b> Choice<'a, 'b> {
@@ -79,18 +81,19 @@
             now,
             ask,
             pace,
-            bound_ms: wait_bound(ask),
+            factor: account_factor(ask),
             most_kept,
             best: None,
-            least_burden_ms: None,
+            least_beyond_ms: None,
         }
     }
 
     fn compare(&mut self, candidate: &Candidate<'_>) {
         let offer = Offer::new(self.now, self.ask, self.pace, self.most_kept, candidate);
-        let least = self.least_burden_ms.unwrap_or(f64::INFINITY);
-        self.least_burden_ms = Some(least.min(offer.burden_ms));
-        if offer.burden_ms > self.bound_ms || !fits(candidate, offer.sent.held_tokens) {
+        let beyond_ms = offer.burden_ms - offer.bound_ms * self.factor;
+        let least = self.least_beyond_ms.unwrap_or(f64::INFINITY);
+        self.least_beyond_ms = Some(least.min(beyond_ms));
+        if beyond_ms > 0.0 || !fits(candidate, offer.sent.held_tokens) {
             return;
         }
         if self
@@ -102,16 +105,20 @@
                 id: candidate.id.clone(),
                 sent: offer.sent,
                 wait: Duration::from_secs_f64(offer.wait_ms / 1e3),
+                bound: Duration::from_secs_f64(offer.bound_ms / 1e3),
             };
             self.best = Some((offer.cost, placement));
         }
     }
 
     fn end(self) -> Result<Placement, Refusal> {
-        match self.best {
-            Some((_, placement)) if is_let_in(self.ask, placement.wait) => Ok(placement),
-            _ => Err(refusal(self.ask, self.bound_ms, self.least_burden_ms)),
+        let Some((_, placement)) = self.best else {
+            return Err(refusal(self.ask, self.least_beyond_ms, true));
+        };
+        if is_let_in(self.ask, placement.wait, placement.bound) {
+            return Ok(placement);
         }
+        Err(refusal(self.ask, self.least_beyond_ms, false))
     }
 }
 
@@ -121,6 +128,8 @@
     wait_ms: f64,
     /// The same, with the time in which it reads again what another engine keeps.
     burden_ms: f64,
+    /// What of both may be there for an account with its fair share.
+    bound_ms: f64,
     /// By which engines are compared.
     cost: f64,
     sent: Sent,
@@ -157,9 +166,11 @@
             expected_ms,
             at: now,
         };
+        let bound_ms = full_bound(ask, load);
         Self {
             wait_ms: queue_ms * slowness,
-            burden_ms: queue_ms * slowness + again_ms.min(full_bound(ask) * REREAD_SHARE),
+            burden_ms: queue_ms * slowness + again_ms.min(bound_ms * REREAD_SHARE),
+            bound_ms,
             cost,
             sent,
         }
@@ -174,13 +185,13 @@
     held.running < candidate.slots && (held.running == 0 || held.held_tokens + tokens <= room)
 }
 
-fn refusal(ask: &Ask<'_>, bound: f64, least_wait: Option<f64>) -> Refusal {
-    let reason = match least_wait {
+fn refusal(ask: &Ask<'_>, least_beyond_ms: Option<f64>, is_crowded: bool) -> Refusal {
+    let reason = match least_beyond_ms {
         None => RefusalReason::NoUpstream,
         Some(_) if is_above_share(ask) => RefusalReason::OverShare,
         Some(_) => RefusalReason::Full,
     };
-    let beyond = (least_wait.unwrap_or(bound) - bound).max(0.0);
+    let beyond = least_beyond_ms.unwrap_or(0.0).max(0.0);
     let mut retry_after = MIN_RETRY_AFTER + Duration::from_secs_f64(beyond / 1e3);
     let pressure = ask.pressure.unwrap_or(0.0);
     if pressure > 1.0 {
@@ -190,5 +201,6 @@
     Refusal {
         reason,
         retry_after,
+        is_crowded: is_crowded && least_beyond_ms.is_some(),
     }
 }
--- a/crates/forward/src/place/plain.rs
+++ b/crates/forward/src/place/plain.rs
@@ -72,6 +72,7 @@
         return Err(Refusal {
             reason,
             retry_after: RETRY_AFTER,
+            is_crowded: any,
         });
     };
     Ok(Placement {
@@ -83,5 +84,6 @@
             at: now,
         },
         wait: Duration::ZERO,
+        bound: Duration::ZERO,
     })
 }
--- a/crates/forward/src/place/refusal.rs
+++ b/crates/forward/src/place/refusal.rs
@@ -25,4 +25,6 @@
     pub reason: RefusalReason,
     /// When trying again is of use.
     pub retry_after: Duration,
+    /// Whether every upstream compared has as much waiting as it may.
+    pub is_crowded: bool,
 }
--- a/crates/forward/src/place/target.rs
+++ b/crates/forward/src/place/target.rs
@@ -29,4 +29,6 @@
     pub sent: Sent,
     /// How long it is expected to wait there before the engine reads it.
     pub wait: Duration,
+    /// How long an account with its fair share may wait there.
+    pub bound: Duration,
 }
--- a/crates/forward/tests/testsuite/engines.rs
+++ b/crates/forward/tests/testsuite/engines.rs
@@ -69,7 +69,7 @@
                 run.begun = true;
             }
             if run.begun && run.begins + Duration::from_millis(300) <= now {
-                load.on_over(&run.sent);
+                load.on_over(&run.sent, true);
                 load.on_succeeded(now);
             } else {
                 left.push(run);
@@ -92,6 +92,7 @@
             pressure: pressure.into(),
             fraction: 1.0,
             tightest: TARGET,
+            gap: None,
             domain: "colombo",
             turn: self.turn,
             avoid: &[],
--- a/crates/forward/tests/testsuite/main.rs
+++ b/crates/forward/tests/testsuite/main.rs
@@ -10,3 +10,4 @@
 mod place;
 mod retry;
 mod share;
+mod stalls;
--- a/crates/forward/tests/testsuite/many_entries/fleet.rs
+++ b/crates/forward/tests/testsuite/many_entries/fleet.rs
@@ -141,6 +141,7 @@
             pressure: shares.pressure(self.now, account),
             fraction: shares.fraction(self.now, account),
             tightest: TARGET,
+            gap: None,
             domain: DOMAIN,
             turn,
             avoid: &[],
@@ -186,7 +187,7 @@
                 run.begun = true;
             }
             if run.begun && run.begins + ANSWER <= now {
-                load.on_over(&run.sent);
+                load.on_over(&run.sent, true);
                 load.on_succeeded(now);
             }
         }
--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -248,6 +248,7 @@
                 begun,
                 ended,
             } => self.state.over(now, &ticket, begun, ended),
+            ForwardMsg::Paused(paused) => self.on_paused(now, &paused),
             ForwardMsg::Waited(waited) => self.on_waited(now, waited),
             ForwardMsg::Seeds(seeds) => self.links.set_seeds(&self.endpoint, &seeds),
             ForwardMsg::Stop => self.begin_stop(now),
--- a/src/coltsfootnotch/daemon/forward/actor/upkeep.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/upkeep.rs
@@ -8,6 +8,7 @@
 use super::ForwardActor;
 use super::ForwardMsg;
 use super::Reporter::{Nobody, Own};
+use crate::daemon::forward::messages::Paused;
 use crate::util::events;
 
 /// Reports to the followed control host for one to each of the others. Entries follow the same one
@@ -78,6 +79,22 @@
         }
     }
 
+    /// A stream had no event for a while: less may wait at its upstream.
+    pub(super) fn on_paused(&mut self, now: Duration, paused: &Paused) {
+        let Some(limit) = self.state.paused(now, paused) else {
+            return;
+        };
+        let (pause_ms, limit_ms) = (paused.time.as_millis(), limit.as_millis());
+        self.cx.log(
+            &events::BACKLOG_CUT,
+            &[
+                ("upstream", &paused.upstream),
+                ("pause_ms", &pause_ms),
+                ("limit_ms", &limit_ms),
+            ],
+        );
+    }
+
     /// Drops upstreams that fell silent, unless it is the control hosts that say nothing.
     pub(super) fn expire(&mut self, now: Duration) {
         let is_told = now.saturating_sub(self.heard_upstreams) < SILENCE / 4;
--- a/src/coltsfootnotch/daemon/forward/messages.rs
+++ b/src/coltsfootnotch/daemon/forward/messages.rs
@@ -80,6 +80,19 @@
     Abandoned,
 }
 
+/// A stream had no event for a while.
+#[derive(Debug, Clone)]
+pub(super) struct Paused {
+    /// The upstream.
+    pub(super) upstream: Arc<str>,
+    /// Its run.
+    pub(super) born_ms: u64,
+    /// Time without an event.
+    pub(super) time: Duration,
+    /// The pause that the route aims at.
+    pub(super) borne: Duration,
+}
+
 /// What reaches the actor.
 pub(super) enum ForwardMsg {
     Fabric(Event),
@@ -92,6 +105,8 @@
         begun: bool,
         ended: Ended,
     },
+    /// A stream had no event for a while, and goes on.
+    Paused(Paused),
     /// A task has waited so long for its turn.
     Waited(Duration),
     /// The settings name other seeds now.
--- a/src/coltsfootnotch/daemon/forward/state.rs
+++ b/src/coltsfootnotch/daemon/forward/state.rs
@@ -16,7 +16,7 @@
 use coltsfootnotch_forward::share::FairShares;
 use coltsfootnotch_wire::{BreakWord, LoadWord};
 
-use super::messages::{Ended, NotPlaced, PlaceAsk, Ticket};
+use super::messages::{Ended, NotPlaced, Paused, PlaceAsk, Ticket};
 
 /// Share of an engine's memory that is believed to keep shared parts. Running requests take the rest.
 const KEPT_SHARE: f64 = 0.55;
@@ -140,11 +140,41 @@
             pressure,
             fraction,
             tightest: ask.config.tightest(ask.service).unwrap_or(DEFAULT_TARGET),
+            gap: ask.config.shortest_gap(ask.service),
             domain: &self.domain,
             turn: ask.turn,
             avoid: &ask.avoid,
         };
-        place_engine(now, &question, pace, self.candidates(service, Some(engine)))
+        let placed = place_engine(now, &question, pace, self.candidates(service, Some(engine)));
+        self.note_crowding(now, service, &placed);
+        placed
+    }
+
+    /// Notes at which engines what may wait is in the way of requests.
+    fn note_crowding(&mut self, now: Duration, service: &str, placed: &Result<Placement, Refusal>) {
+        match placed {
+            Ok(placed) if placed.wait * 2 >= placed.bound => {
+                let born_ms = self.book.get(&placed.id).map(|u| u.said.born_ms);
+                let load = born_ms.and_then(|born| self.loads.get_mut(&placed.id, born));
+                load.into_iter().for_each(|l| l.backlog.is_in_the_way(now));
+            }
+            Err(refused) if refused.is_crowded => {
+                for upstream in self.book.ready(service) {
+                    let said = &upstream.said;
+                    let load = self.loads.get_mut(&said.id, said.born_ms);
+                    load.into_iter().for_each(|l| l.backlog.is_in_the_way(now));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// A stream from an upstream had no event for a while; how much may wait there now, if that is less
+    /// than before.
+    pub(super) fn paused(&mut self, now: Duration, paused: &Paused) -> Option<Duration> {
+        let load = self.loads.get_mut(&paused.upstream, paused.born_ms)?;
+        let is_cut = load.backlog.observe_pause(now, paused.time, paused.borne);
+        is_cut.then(|| load.backlog.get(paused.borne))
     }
 
     fn place_plain(&mut self, now: Duration, ask: &PlaceAsk) -> Result<Placement, Refusal> {
@@ -221,10 +251,7 @@
         let Some(load) = self.loads.get_mut(&ticket.upstream, ticket.born_ms) else {
             return;
         };
-        if !begun {
-            load.no_longer_waits(&ticket.sent);
-        }
-        load.on_over(&ticket.sent);
+        load.on_over(&ticket.sent, begun);
         match ended {
             Ended::Well => load.on_succeeded(now),
             Ended::Failed | Ended::Broken => load.on_failed(now),
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -13,7 +13,7 @@
 use tokio::time::timeout_at;
 
 use super::exchange::{Answer, Exchanged, exchange, patience};
-use super::messages::{Ended, NotPlaced};
+use super::messages::{Ended, ForwardMsg, NotPlaced, Paused, Ticket};
 use super::requested::Requested;
 use super::server::Gateway;
 use super::sse::Events;
@@ -175,8 +175,10 @@
         if self.tx.send(Ok(first)).await.is_err() {
             return;
         }
+        let mut longest = Duration::ZERO;
         loop {
             let until = self.pause_until();
+            let waits_since = Instant::now();
             let next = tokio::select! {
                 // The caller has left: the upstream's connection is closed with the source.
                 () = self.tx.closed() => return,
@@ -184,6 +186,9 @@
             };
             let ended = match next {
                 Next::Events(events) => {
+                    let pause = waits_since.elapsed();
+                    longest = longest.max(pause);
+                    self.tell_pause(&source.answer.ticket, pause);
                     if self.tx.send(Ok(events)).await.is_err() {
                         return;
                     }
@@ -193,6 +198,7 @@
                     if !rest.is_empty() {
                         let _caller_waits = self.tx.send(Ok(rest)).await;
                     }
+                    self.count_pause(longest);
                     return finish(&self.gw, source);
                 }
                 Next::Broken => Ended::Broken,
@@ -222,6 +228,29 @@
         }
     }
 
+    fn count_pause(&self, longest: Duration) {
+        let service = &self.req.config.services()[self.req.service].name;
+        let histogram = self
+            .gw
+            .cx
+            .metrics
+            .histogram("longest_pause_seconds", &[("service", &**service)]);
+        histogram.record(longest.as_secs_f64());
+    }
+
+    /// Tells of a pause that comes near what callers bear.
+    fn tell_pause(&self, ticket: &Ticket, time: Duration) {
+        let Some(borne) = self.req.route().gap.filter(|gap| time * 2 >= *gap) else {
+            return;
+        };
+        self.gw.tx.send(ForwardMsg::Paused(Paused {
+            upstream: ticket.upstream.clone(),
+            born_ms: ticket.born_ms,
+            time,
+            borne,
+        }));
+    }
+
     /// Until when the next event must come.
     fn pause_until(&self) -> Instant {
         if !self.req.kind().is_idempotent() {
--- a/src/coltsfootnotch/util/events.rs
+++ b/src/coltsfootnotch/util/events.rs
@@ -97,6 +97,7 @@
     STOOD_STILL = 78 Warn "this host stood still; what waited meanwhile is refused" => "look at the machine if it repeats";
     OVERLOADED = 79 Warn "this host has more callers than it can read and sends them elsewhere" => "look at how the balancer spreads callers if it repeats";
     NOT_OVERLOADED = 80 Info "this host takes callers again" => "nothing";
+    BACKLOG_CUT = 81 Info "streams of an engine paused for long; less may wait there" => "nothing unless it repeats for one engine and not the others: then that engine is slow";
 }
 
 /// Looks an event up by its code, in any case, with or without the prefix.
