--- a/crates/forward/src/awake.rs
+++ b/crates/forward/src/awake.rs
@@ -7,8 +7,7 @@
 //!
 //! **The rule.** A host that finds that its own regular tick is late by more than a second refuses what
 //! it reads, until the pile is gone. That costs a fraction of serving it, and it is true that nothing
-//! ran. In the four seconds after a front had stood still for eight, 5,325 of 10,321 requests failed with
-//! it and 5,768 without, in one play each of the same simulated day.
+//! ran.
 //!
 //! The time must be one that goes on while the host is suspended.
 
--- a/crates/forward/src/overload.rs
+++ b/crates/forward/src/overload.rs
@@ -4,8 +4,8 @@
 //! usual through a single caller: one host of a failure domain gets twelve times its even part, more than
 //! its share of a core can read, while the others have time to spare.
 //!
-//! **Without it** that host reads all it can and the rest waits for connections: of 51,700 requests of a
-//! failure domain with ten hosts 21,700 never got one, and a third of those served were late.
+//! **Without it** that host reads all it can and the rest waits for connections, many of them in vain, and
+//! what is served there is late.
 //!
 //! **The rule.** A host whose tasks wait long for their turn, and that is asked for more than its part,
 //! says that it is not ready and asks callers to close their connections, so that the balancer sends them
@@ -25,8 +25,8 @@
 /// Multiple of its even part from which a host is asked for too much.
 const TOO_MUCH: f64 = 2.0;
 /// Time for which it sends callers elsewhere. Balancers need two to three seconds to notice, and as many for
-/// the next host, so callers see some five hosts in it. At 8 s they went round between the three weakest of
-/// eight and never came to a strong one: 19% of a simulated day's requests failed, at 20 s 10%.
+/// the next host, so callers see some five hosts in it. With less they go round between the weakest few
+/// and never come to a strong one.
 const REST: Duration = Duration::from_secs(20);
 
 /// Added to the part of requests that is refused unread for each observation of a long wait, and taken off
--- a/crates/forward/src/place/admission.rs
+++ b/crates/forward/src/place/admission.rs
@@ -9,10 +9,9 @@
 /// Share of the tightest target that may wait at an engine for an account that has no more than its fair
 /// share. The rest is for the request's own prompt, the way, and what other entries sent meanwhile.
 const WAIT: f64 = 0.75;
-/// The multiple of that for an account far below its fair share, while the fleet is short. Entries learn of each
-/// other late, so in the first second of a flood engines are filled beyond the bound of the others; a
-/// small account that stopped at the same bound was refused most of what it asked, though it asked for
-/// a tenth of its share.
+/// The multiple of that for an account far below its fair share, while the fleet is short. Entries learn
+/// of each other late, so in the first second of a flood engines are filled beyond the bound of the
+/// others; a small account that stopped at the same bound would be refused most of the little it asks.
 const RISE_FAR_BELOW: f64 = 1.5;
 /// Pressure up to which an account counts as far below its share.
 const FAR_BELOW: f64 = 0.5;
@@ -25,10 +24,8 @@
 const ABOVE_POWER: i32 = 3;
 
 /// By how much more than the engines do entries let in when nothing waits. Entries act on what waited
-/// 100 to 200 ms ago; with a steeper answer to it the fleet swings between engines that idle and engines
-/// where everybody is late. With 32 entries and floods of eight times their share, 3.9% of what is
-/// served is late and engines idle for 6.3% of the time; at 1.7 it is 4.6% and 8.2%. Less is steadier still, but
-/// a fleet that idled fills up more slowly.
+/// one or two reports ago; with a steeper answer to it the fleet swings between engines that idle and
+/// engines where everybody is late. Less is steadier, but a fleet that idled fills up more slowly.
 const GAIN_AT_NOTHING: f64 = 1.5;
 
 /// Name under which a request's admission is drawn, apart from the draws for engines.
@@ -67,8 +64,8 @@
 /// nothing of each other.
 ///
 /// A bound alone lets everybody in at an engine that looks idle. It looks so to all entries for a whole
-/// period of their reports, and each of them fills it: with 32 entries and floods of eight times their
-/// share two thirds of what was served was late, while engines idled for a ninth of the time.
+/// period of their reports, and each of them fills it, so most of what is served in a flood is late while
+/// other engines idle.
 pub(super) fn is_let_in(ask: &Ask<'_>, wait: Duration, bound: Duration) -> bool {
     if ask.fraction >= 1.0 {
         return true;
--- a/crates/forward/src/place/engine.rs
+++ b/crates/forward/src/place/engine.rs
@@ -17,12 +17,11 @@
 /// takes the engine's time from everybody behind it, and pushes other parts out of the memory.
 const REREAD_WEIGHT: f64 = 3.0;
 
-/// Share of the bound of an account below its fair share that reading again counts at most. It counts towards the bound, so a request
-/// whose home is full is read elsewhere only at an engine that has nearly nothing to do, however long
-/// its prompt. Without that, every account that was kept away from its home by the bound spread its
-/// subjects over all engines: each was kept by three on average, and a fifth of all tokens read on a
-/// calm day were shared parts read again. Without the limit, a subject that many ask for at once was
-/// refused at its home while other engines idled.
+/// Share of the bound of an account below its fair share that reading again counts at most. It counts
+/// towards the bound, so a request whose home is full is read elsewhere only at an engine that has nearly
+/// nothing to do, however long its prompt. Without that, every account that the bound keeps away from its
+/// home would spread its subjects over all engines. Without the limit, a subject that many ask for at once
+/// would be refused at its home while other engines idle.
 const REREAD_SHARE: f64 = 0.75;
 
 /// Milliseconds by which the home of a prompt that nobody keeps is preferred, so that entries which
--- a/crates/forward/src/place/mod.rs
+++ b/crates/forward/src/place/mod.rs
@@ -11,7 +11,9 @@
 //! read, and what of its own prompt is not kept there, over the pace of the engine. So a subject
 //! stays where it is kept, and is read elsewhere as well once its home is that far behind. What would
 //! wait longer than a bound is refused at once: an engine takes requests in their order, so work
-//! beyond the bound makes everybody late and serves nobody more. The bound is deeper for accounts
+//! beyond the bound makes everybody late and serves nobody more. The bound is what leaves room for the
+//! tightest target, or what the engine's streams bear without a pause
+//! ([`BacklogLimit`](crate::load::BacklogLimit)), whichever is less. It is deeper for accounts
 //! below their fair share than for those above it, which makes room for the former.
 
 mod admission;
--- a/crates/forward/src/place/shortlist.rs
+++ b/crates/forward/src/place/shortlist.rs
@@ -3,8 +3,7 @@
 //! **Pattern of load.** Many entries place at the same time, each by what it heard 100 to 200 ms ago.
 //!
 //! **Without it** all of them see the same engine as the one with the least to do, and fill it before
-//! they hear of each other, while the one beside it idles. With 32 entries, 40 engines and a load of four
-//! times what these can do, 63% of what was served was late.
+//! they hear of each other, while the one beside it idles: most of what is served is late.
 //!
 //! **The rule.** Only a few engines are compared for each request: those where it need not read what
 //! others have read for it, and two drawn by lot. So no engine gets more than twice its even part before
--- a/crates/forward/src/retry/broken_requests.rs
+++ b/crates/forward/src/retry/broken_requests.rs
@@ -8,8 +8,8 @@
 //! Two things look like it and are not. One crash breaks off every request that the upstream runs, and
 //! many of them may ask the same: a run of an upstream counts once. And a content that is asked for
 //! hundreds of times a minute meets three crashes by chance: a request with it that ends well shows that
-//! it was not the cause. Without these two a popular request was refused everywhere for a minute after
-//! an upstream crashed, and 70% of all requests with it.
+//! it was not the cause. Without these two a popular request would be refused everywhere for a minute
+//! after an upstream crashed.
 
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
--- a/examples/orders.rs
+++ b/examples/orders.rs
@@ -1,5 +1,5 @@
 //! Time from `apply` of a new version until every engine has loaded it, at several limits of the
-//! weight store. Prints the rows of `docs/MEASUREMENTS.md`, section "Orders".
+//! weight store. Prints the rows of `docs/measurements/late-binding.md`, section "Orders".
 
 use std::error::Error;
 use std::thread;
--- a/src/coltsfootnotch/daemon/forward/state.rs
+++ b/src/coltsfootnotch/daemon/forward/state.rs
@@ -22,7 +22,7 @@
 const KEPT_SHARE: f64 = 0.55;
 
 /// Time to the first event of a prompt that need not be read: the engine's own, the way, a step that
-/// was under way. Measured at idle engines: 25 to 40 ms.
+/// was under way.
 const BASE_MS: f64 = 35.0;
 
 /// What reading takes of an engine's pace against the figure that the operator states for all
