Take no bound on pauses from routes that state none

A route's gap of zero would have made what may wait at its engines zero, and refused everything; a call's gap says nothing about streams. Found by reading; the test failed with a bound of zero before. A function left from a trial goes, and what notes that a limit is in the way says so in its name.

--- a/crates/forward/src/config/forward_config.rs
+++ b/crates/forward/src/config/forward_config.rs
@@ -200,7 +200,8 @@
     }
 }
 
-/// The least of what the routes of streams to a service state.
+/// The least of what the routes of streams to a service state. Nothing could keep to zero, so it states
+/// nothing.
 fn least_of(
     routes: &[Route],
     service: usize,
@@ -210,7 +211,8 @@
         let names_it = route.services.iter().any(|s| s.service == service);
         names_it && route.kind.is_stream()
     });
-    streams.filter_map(stated).min()
+    let stated = streams.filter_map(stated);
+    stated.filter(|time| !time.is_zero()).min()
 }
 
 fn index_names<'a>(
--- a/crates/forward/src/load/backlog_limit.rs
+++ b/crates/forward/src/load/backlog_limit.rs
@@ -93,7 +93,7 @@
     }
 
     /// The limit kept a request from the engine, or nearly did.
-    pub fn is_in_the_way(&mut self, now: Duration) {
+    pub fn note_in_the_way(&mut self, now: Duration) {
         let time = now.saturating_sub(self.in_the_way).min(SIGN_LASTS);
         self.in_the_way = now;
         let growth = self.growth(now) * time.as_secs_f64();
--- a/crates/forward/src/load/upstream_loads.rs
+++ b/crates/forward/src/load/upstream_loads.rs
@@ -39,11 +39,6 @@
         (*born == born_ms).then_some(load)
     }
 
-    /// Every upstream.
-    pub fn all_mut(&mut self) -> impl Iterator<Item = (&Arc<str>, &mut UpstreamLoad)> {
-        self.by_id.iter_mut().map(|(id, (_, load))| (id, load))
-    }
-
     /// Notes the shared parts of a prompt that was sent, of which the upstream keeps `room` tokens.
     pub fn note_parts(&mut self, now: Duration, id: &Arc<str>, parts: &[Part], room: u64) {
         let Some((_, load)) = self.by_id.get_mut(id) else {
--- a/crates/forward/tests/testsuite/config.rs
+++ b/crates/forward/tests/testsuite/config.rs
@@ -134,3 +134,29 @@
     expect_that!(name("k2"), some(eq(&Arc::from("one"))));
     expect_that!(name("k4"), none());
 }
+
+/// What waits at an engine is bounded by the shortest pause that its routes aim at. A route that aims at
+/// none, states zero, or is no stream, must not make that bound zero: everything would be refused.
+#[googletest::test]
+fn the_shortest_pause_is_of_streams_that_state_one() {
+    let gap = |ms| Some(Duration::from_millis(ms));
+    let stream = |prefix, gap| RouteDraft {
+        kind: Kind::Streaming { resumable: true },
+        gap,
+        ..route("a.example", prefix, &[("spec", 1)])
+    };
+    let calls = RouteDraft {
+        gap: gap(5),
+        ..route("a.example", "/calls/", &[("spec", 1)])
+    };
+    let routes = vec![
+        stream("/long/", gap(400)),
+        stream("/short/", gap(300)),
+        stream("/zero/", gap(0)),
+        stream("/none/", None),
+        calls,
+    ];
+    let config = ForwardConfig::try_from(draft(routes)).unwrap();
+    expect_that!(config.shortest_gap(1), eq(gap(300)));
+    expect_that!(config.shortest_gap(0), none());
+}
--- a/crates/forward/tests/testsuite/stalls.rs
+++ b/crates/forward/tests/testsuite/stalls.rs
@@ -163,13 +163,13 @@
             self.got.refused += 1;
             for engine in &self.engines {
                 let load = self.loads.entry(&engine.id, 1);
-                load.backlog.is_in_the_way(self.now);
+                load.backlog.note_in_the_way(self.now);
             }
             return;
         };
         let load = self.loads.entry(&placed.id, 1);
         if placed.wait * 2 >= placed.bound {
-            load.backlog.is_in_the_way(self.now);
+            load.backlog.note_in_the_way(self.now);
         }
         load.on_sent(&placed.sent);
         let engine = self.engines.iter_mut().find(|e| e.id == placed.id);
@@ -287,7 +287,7 @@
     limit.observe_pause(at(2_500), at(4_000), GAP);
     expect_that!(limit.get(GAP), eq(slow));
     for now in (3_000..20_000).step_by(100) {
-        limit.is_in_the_way(at(now));
+        limit.note_in_the_way(at(now));
     }
     expect_that!(limit.get(GAP), gt(start));
 }
--- a/src/coltsfootnotch/daemon/forward/state.rs
+++ b/src/coltsfootnotch/daemon/forward/state.rs
@@ -156,13 +156,15 @@
             Ok(placed) if placed.wait * 2 >= placed.bound => {
                 let born_ms = self.book.get(&placed.id).map(|u| u.said.born_ms);
                 let load = born_ms.and_then(|born| self.loads.get_mut(&placed.id, born));
-                load.into_iter().for_each(|l| l.backlog.is_in_the_way(now));
+                load.into_iter()
+                    .for_each(|l| l.backlog.note_in_the_way(now));
             }
             Err(refused) if refused.is_crowded => {
                 for upstream in self.book.ready(service) {
                     let said = &upstream.said;
                     let load = self.loads.get_mut(&said.id, said.born_ms);
-                    load.into_iter().for_each(|l| l.backlog.is_in_the_way(now));
+                    load.into_iter()
+                        .for_each(|l| l.backlog.note_in_the_way(now));
                 }
             }
             _ => {}
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -228,6 +228,7 @@
         }
     }
 
+    /// Counts the longest pause of a stream that ended well.
     fn count_pause(&self, longest: Duration) {
         let service = &self.req.config.services()[self.req.service].name;
         let histogram = self
