Start what may wait at 0.7 of the gap

Ruled out: cuts, of which its longest pauses (0.57 of the gap) make hardly any.

Change: start at 0.7 of the gap, cut from 0.65 of it. With the deep cuts and the slow growth after them farsa's engines are at their limit after two or three cuts.

--- a/crates/forward/src/load/backlog_limit.rs
+++ b/crates/forward/src/load/backlog_limit.rs
@@ -14,9 +14,9 @@
 
 use std::time::Duration;
 
-/// Limit at the start, as a share of the pause that callers bear. The rest of the pause is for what other
-/// entries send before they hear of each other, for the prompt itself, and for the engine's steps.
-const START: f64 = 0.35;
+/// Limit at the start, as a share of the pause that callers bear: an engine that reads all that waits at
+/// once needs few cuts from here, and one that bears more refuses little until the limit has grown.
+const START: f64 = 0.7;
 /// The least, as a share of the same: an engine with nothing to read takes a request in any case.
 const LEAST: f64 = 0.1;
 /// The greatest. Beyond it a prompt waits for several seconds.
@@ -24,7 +24,7 @@
 
 /// Share of the pause that callers bear from which the limit is cut. Pauses below what they bear are
 /// signs of the longer ones to come, and cost nobody anything.
-const TOO_LONG: f64 = 0.6;
+const TOO_LONG: f64 = 0.65;
 /// Multiple of the same beyond which a pause is no work of the engine's reading: it crashed, hangs, or is cut off.
 const NOT_READING: f64 = 4.0;
 /// What a cut leaves at most and at least.
