Keep once which control hosts can be followed

Cause: each link said whether its host keeps a log, and Following held the same hosts as able to answer; both were changed in the same three places. Change: Following alone knows, and names the others; behaviour is the same.

--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -81,6 +81,12 @@
         self.followed
     }
 
+    /// The connections to the other hosts that are able to answer.
+    pub fn others(&self) -> impl Iterator<Item = K> {
+        let able = self.able.keys().copied();
+        able.filter(|link| self.followed != Some(*link))
+    }
+
     fn first(&self) -> Option<K> {
         let first = self.able.iter().min_by_key(|(link, host)| (*host, *link));
         first.map(|(link, _)| *link)
--- a/src/coltsfootnotch/daemon/forward/control_links.rs
+++ b/src/coltsfootnotch/daemon/forward/control_links.rs
@@ -25,8 +25,6 @@
 struct Link {
     tx: LinkTx,
     peer: PeerId,
-    /// Whether it keeps a log; one that does not can answer no question.
-    keeps_log: bool,
 }
 
 /// A question that is not answered yet.
@@ -86,19 +84,10 @@
     }
 
     pub(super) fn up(&mut self, link: LinkId, peer: PeerId, tx: LinkTx) {
-        let keeps_log = true;
-        self.links.insert(
-            link,
-            Link {
-                tx,
-                peer,
-                keeps_log,
-            },
-        );
-        let host = self.links[&link].peer.host.clone();
-        if self.following.up(host.as_str(), link) {
+        if self.following.up(peer.host.as_str(), link) {
             self.ask_anew();
         }
+        self.links.insert(link, Link { tx, peer });
     }
 
     pub(super) fn down(&mut self, link: LinkId) {
@@ -110,9 +99,6 @@
 
     /// The control host keeps no log, and can't be followed.
     pub(super) fn do_not_follow(&mut self, link: LinkId) {
-        if let Some(known) = self.links.get_mut(&link) {
-            known.keeps_log = false;
-        }
         if self.following.drop_link(link) {
             self.ask_anew();
         }
@@ -170,10 +156,8 @@
 
     /// Sends to the other control hosts that keep a log.
     pub(super) fn send_others(&self, message: &ToRelay) {
-        let is_other = |link: &LinkId| self.following.followed() != Some(*link);
-        let able = self.links.iter().filter(|(_, l)| l.keeps_log);
-        for (link, _) in able.filter(|(link, _)| is_other(link)) {
-            self.send(*link, message.clone());
+        for link in self.following.others() {
+            self.send(link, message.clone());
         }
     }
 
