Say who the members of the control group are, and when one knows no leader

On-call could not tell from the logs which voters a group had, which of them were reachable, or that a member was waiting for a leader: the members said nothing, and hosts without a log said "there is no control group yet".

No decision changes.

--- a/src/coltsfootnotch/daemon/control/daemon/mod.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/mod.rs
@@ -3,13 +3,14 @@
 mod connections;
 mod from_hosts;
 mod from_members;
+mod group_watch;
 mod requests;
 mod upkeep;
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use coltsfootnotch_consensus::{Core, MemberId, Membership, Recovered, RoleKind, Term};
+use coltsfootnotch_consensus::{Core, MemberId, Recovered, RoleKind, Term};
 use coltsfootnotch_fabric::{Dialed, Endpoint, PeerId};
 use coltsfootnotch_membership::RelayId;
 use coltsfootnotch_state::StateMachine;
@@ -65,6 +66,8 @@
     pub(super) seeded: Option<Seeded>,
     pub(super) founding: Founding,
     leader: Option<MemberId>,
+    /// When it is told next that no leader is known; none while one is.
+    no_leader_due: Option<Duration>,
     stop_by: Option<Duration>,
     upkeep_due: Duration,
     beat_due: Duration,
@@ -111,6 +114,7 @@
             seeded,
             founding: Founding::new(hello),
             leader: None,
+            no_leader_due: None,
             stop_by: None,
             upkeep_due: now,
             beat_due: now,
@@ -224,12 +228,6 @@
         self.retry_waiting(now);
     }
 
-    /// A newcomer that the settings of this host do not name dials this one by its own settings.
-    fn members_changed(&mut self, members: &Membership) {
-        let count = members.voters.len() as f64;
-        self.host.metrics.gauge("control_voters", &[]).set(count);
-    }
-
     fn begin_stop(&mut self, now: Duration) {
         if self.stop_by.is_some() {
             return;
--- a/src/coltsfootnotch/daemon/control/daemon/upkeep.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/upkeep.rs
@@ -32,6 +32,7 @@
         self.watch_hosts(now);
         self.found_group(now);
         self.upkeep_seeded(now);
+        self.watch_group(now);
         self.retry_waiting(now);
         self.expire_requests(now);
         self.expire_records(now);
--- a/src/coltsfootnotch/daemon/control/mod.rs
+++ b/src/coltsfootnotch/daemon/control/mod.rs
@@ -24,6 +24,7 @@
 mod epoch;
 mod error;
 pub mod founding;
+pub mod group_health;
 mod handle;
 mod host_feed;
 mod input;
--- a/src/coltsfootnotch/util/events.rs
+++ b/src/coltsfootnotch/util/events.rs
@@ -79,7 +79,7 @@
     HOST_SILENT = 45 Warn "a host of the failure domain is silent" => "look at that host; it receives no new work";
     GROUP_FOUNDED = 46 Info "this control host founds the group" => "nothing; once in the life of a fleet";
     MEMBERS_CHANGING = 47 Info "the leader changes the members of the control group" => "nothing unless it repeats: then a control host comes and goes";
-    NO_GROUP_YET = 48 Warn "there is no control group yet" => "the reason names what is missing: a seed that is not heard, is not empty or names others; see OPERATIONS.md";
+    NO_GROUP_YET = 48 Warn "this control host belongs to no control group" => "nothing on a host without a disk; otherwise the reason names what is missing: a seed that is not heard, holds entries of a group that has yet to admit this host, or names others; see OPERATIONS.md";
     FOUND_REFUSED = 49 Error "the control group could not be founded" => "a fault of this program unless the reason says that there is a group already";
     BOOKING_IN_DOUBT = 50 Warn "whether a call that may not be repeated ran is not known" => "nothing: later calls with its key are told so; a rereading call may settle it";
     ORDER_GIVEN = 60 Info "an engine is given an order" => "nothing";
@@ -98,6 +98,8 @@
     OVERLOADED = 79 Warn "this host has more callers than it can read and sends them elsewhere" => "look at how the balancer spreads callers if it repeats";
     NOT_OVERLOADED = 80 Info "this host takes callers again" => "nothing";
     BACKLOG_CUT = 81 Info "streams of an engine paused for long; less may wait there" => "nothing unless it repeats for one engine and not the others: then that engine is slow";
+    MEMBERS_CHANGED = 90 Info "the members of the control group have changed" => "nothing; a voter that left for good has to disappear from the voters soon after";
+    NO_LEADER = 91 Error "this member of the control group knows no leader" => "if fewer voters are connected than needed, start the missing ones again with their disks; otherwise look at the connections between the voters";
 }
 
 /// Looks an event up by its code, in any case, with or without the prefix.
--- a/tests/testsuite/seeded.rs
+++ b/tests/testsuite/seeded.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use coltsfootnotch::daemon::control::founding::Founding;
+use coltsfootnotch::daemon::control::group_health::GroupHealth;
 use coltsfootnotch::daemon::control::packet::MemberHello;
 use coltsfootnotch::daemon::control::seeded::SeededHello;
 use coltsfootnotch::daemon::control::seeded::founding::{NotFounding, SeededFounding, Seen};
@@ -301,3 +302,19 @@
     group.connected.insert(member("x", 100));
     expect_that!(group.change(0), none());
 }
+
+/// Guards against a group that reports a spare voter while its next loss stops it.
+#[googletest::test]
+fn a_voter_that_is_gone_leaves_no_spare_beside_a_fourth() {
+    let group = Group::new(&[("a", 1), ("b", 2), ("c", 3)]);
+    let mut here = group.connected.clone();
+    expect_that!(GroupHealth::of(&group.members, &here).spare(), eq(1));
+    here.remove(&member("c", 3));
+    here.insert(member("c", 9));
+    expect_that!(GroupHealth::of(&group.members, &here).spare(), eq(0));
+    let group = Group::new(&[("a", 1), ("b", 2), ("c", 3), ("d", 4)]);
+    here.insert(member("d", 4));
+    expect_that!(GroupHealth::of(&group.members, &here).spare(), eq(0));
+    here.remove(&member("b", 2));
+    expect_that!(GroupHealth::of(&group.members, &here).spare(), eq(-1));
+}
