Reproduce a control group that ends with its second loss

Seen: no configuration could be read and nobody was served once a disk was lost, although the host lost before had had a successor for long.

The new tests play whole fleets of control hosts in virtual time with the daemon's own decisions: the real log, disks with unsynced work, links that are given up late, lost disks, hosts that go for good, newcomers.

Recovered::write is what the log's own tests did with a piece of work, now in one place.

--- a/crates/consensus/src/recovered.rs
+++ b/crates/consensus/src/recovered.rs
@@ -1,6 +1,6 @@
 //! What a member finds in its data folder when it starts.
 
-use crate::{Entry, HardState, MemberId, Snapshot};
+use crate::{Entry, HardState, MemberId, PersistWork, Snapshot};
 
 /// The synced state of a member.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -32,4 +32,42 @@
     pub fn is_empty(&self) -> bool {
         self.snapshot.is_none() && self.entries.is_empty()
     }
+
+    /// Takes up a piece of work, as a storage does that keeps everything in memory.
+    ///
+    /// ```
+    /// use coltsfootnotch_consensus::{DiskId, HardState, MemberId, PersistWork, Recovered, Term};
+    /// use coltsfootnotch_types::HostName;
+    /// let member = MemberId { host: HostName::new("a")?, disk: DiskId(1) };
+    /// let mut disk = Recovered::empty(member);
+    /// let hard = HardState { term: Term(3), vote: None };
+    /// disk.write(PersistWork::Log { hard: Some(hard), truncate_from: None, entries: Vec::new() });
+    /// assert_eq!(disk.hard.term, Term(3));
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
+    pub fn write(&mut self, work: PersistWork) {
+        match work {
+            PersistWork::Log {
+                hard,
+                truncate_from,
+                entries,
+            } => {
+                if let Some(hard) = hard {
+                    self.hard = hard;
+                }
+                if let Some(from) = truncate_from {
+                    self.entries.retain(|e| e.index < from);
+                }
+                self.entries.extend(entries);
+            }
+            PersistWork::Snapshot {
+                snapshot,
+                reset_log,
+            } => {
+                let index = snapshot.meta.index;
+                self.entries.retain(|e| !reset_log && e.index > index);
+                self.snapshot = Some(snapshot);
+            }
+        }
+    }
 }
--- a/crates/consensus/tests/group/node.rs
+++ b/crates/consensus/tests/group/node.rs
@@ -5,8 +5,8 @@
 
 use super::files::Files;
 use coltsfootnotch_consensus::{
-    Action, Core, CoreConfig, LogIndex, MemberChange, MemberId, Message, Persist, PersistWork,
-    ReadId, Recovered, Status, Term,
+    Action, Core, CoreConfig, LogIndex, MemberChange, MemberId, Message, Persist, ReadId,
+    Recovered, Status, Term,
 };
 use rand::Rng;
 use rand::rngs::StdRng;
@@ -112,7 +112,7 @@
             files.write(&self.queue);
         }
         for persist in self.queue.drain(..) {
-            write(&mut self.disk, persist.work);
+            self.disk.write(persist.work);
         }
     }
 
@@ -209,30 +209,3 @@
         settled && !status.members.contains(old)
     }
 }
-
-/// What the storage does with a piece of work.
-fn write(disk: &mut Recovered, work: PersistWork) {
-    match work {
-        PersistWork::Log {
-            hard,
-            truncate_from,
-            entries,
-        } => {
-            if let Some(hard) = hard {
-                disk.hard = hard;
-            }
-            if let Some(from) = truncate_from {
-                disk.entries.retain(|e| e.index < from);
-            }
-            disk.entries.extend(entries);
-        }
-        PersistWork::Snapshot {
-            snapshot,
-            reset_log,
-        } => {
-            let index = snapshot.meta.index;
-            disk.entries.retain(|e| !reset_log && e.index > index);
-            disk.snapshot = Some(snapshot);
-        }
-    }
-}
--- a/src/coltsfootnotch/daemon/control/seeded/finding.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/finding.rs
@@ -75,7 +75,7 @@
     }
 
     /// No connection to the host is left.
-    pub(in crate::daemon::control) fn lose(&mut self, now: Duration, host: &HostName) {
+    pub fn lose(&mut self, now: Duration, host: &HostName) {
         if let Some(hello) = self.connected.remove(host) {
             self.told.insert(hello.address, now);
         }
--- /dev/null
+++ b/tests/testsuite/control_fleet/host.rs
@@ -0,0 +1,165 @@
+//! A simulated control host and the process on it, which decides with the daemon's own code.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use coltsfootnotch::daemon::control::seeded::founding::{SeededFounding, Seen};
+use coltsfootnotch::daemon::control::seeded::members::{Away, next_change};
+use coltsfootnotch::daemon::control::seeded::{Finding, SeededHello, Seeds};
+use coltsfootnotch_consensus::{Core, CoreConfig, LogIndex, MemberId, Membership, Recovered};
+use coltsfootnotch_types::HostName;
+use rand::rngs::StdRng;
+
+use super::disk::Disk;
+
+/// What a control host says of itself when a connection is made.
+#[derive(Clone)]
+pub(crate) struct Hello {
+    pub(crate) member: MemberId,
+    pub(crate) empty: bool,
+    pub(crate) seeded: SeededHello,
+}
+
+/// A simulated control host.
+pub(crate) struct Host {
+    pub(crate) address: SocketAddr,
+    pub(crate) keeps_log: bool,
+    pub(crate) seeds: Seeds,
+    pub(crate) disk: Disk,
+    pub(crate) process: Option<Process>,
+    /// Processes started here so far.
+    pub(crate) run: u64,
+    /// When a process starts here next.
+    pub(crate) starts_ms: Option<u64>,
+    /// The process does nothing before this millisecond.
+    pub(crate) frozen_until: u64,
+}
+
+impl Host {
+    pub(crate) fn member(&self) -> &MemberId {
+        &self.disk.content().member
+    }
+
+    pub(crate) fn is_awake(&self, now_ms: u64) -> bool {
+        self.process.is_some() && now_ms >= self.frozen_until
+    }
+
+    pub(crate) fn start(&mut self, cfg: &CoreConfig, now: Duration, rng: &mut StdRng) {
+        let recovered = self.disk.content().clone();
+        let finding = Finding::new(self.address, self.keeps_log, &self.seeds);
+        self.process = Some(Process::new(cfg, recovered, finding, now, rng));
+        self.starts_ms = None;
+        self.run += 1;
+    }
+
+    /// The group that this host founds now, if it does.
+    pub(crate) fn found(&mut self, now: Duration) -> Option<Membership> {
+        let keeps_log = self.keeps_log;
+        let founded = self.process.as_mut()?.found(now)?;
+        assert!(keeps_log, "a host without a disk can't found a group");
+        Some(founded)
+    }
+}
+
+/// A control process.
+pub(crate) struct Process {
+    pub(crate) core: Core,
+    pub(crate) finding: Finding,
+    founding: SeededFounding,
+    away: Away,
+    pub(crate) empty: bool,
+    /// What the connected hosts said of themselves.
+    heard: BTreeMap<HostName, Hello>,
+    /// The state machine: every configuration number by its place in the log.
+    pub(crate) applied: BTreeMap<LogIndex, u64>,
+    pub(crate) last_applied: LogIndex,
+}
+
+impl Process {
+    fn new(
+        cfg: &CoreConfig,
+        recovered: Recovered,
+        finding: Finding,
+        now: Duration,
+        rng: &mut StdRng,
+    ) -> Self {
+        Self {
+            empty: recovered.is_empty(),
+            core: Core::new(cfg.clone(), recovered, now, rng),
+            finding,
+            founding: SeededFounding::default(),
+            away: Away::default(),
+            heard: BTreeMap::new(),
+            applied: BTreeMap::new(),
+            last_applied: LogIndex(0),
+        }
+    }
+
+    pub(crate) fn hello(&self) -> Hello {
+        Hello {
+            member: self.core.status().member,
+            empty: self.empty,
+            seeded: self.finding.hello(),
+        }
+    }
+
+    /// Takes what another host says of itself; whether it is one that was not connected.
+    pub(crate) fn hear(&mut self, now: Duration, hello: Hello) -> bool {
+        let host = hello.member.host.clone();
+        let is_new = self.finding.hear(now, &host, hello.seeded.clone());
+        self.heard.insert(host, hello);
+        is_new
+    }
+
+    pub(crate) fn lose(&mut self, now: Duration, host: &HostName) {
+        self.finding.lose(now, host);
+        self.heard.remove(host);
+    }
+
+    /// The highest configuration number that is applied here.
+    pub(crate) fn newest(&self) -> u64 {
+        self.applied.values().copied().max().unwrap_or(0)
+    }
+
+    fn found(&mut self, now: Duration) -> Option<Membership> {
+        if !self.empty {
+            return None;
+        }
+        let own = self.hello();
+        let own = Seen {
+            member: &own.member,
+            empty: true,
+            hello: &own.seeded,
+        };
+        let others = self.heard.values().map(|hello| Seen {
+            member: &hello.member,
+            empty: hello.empty,
+            hello: &hello.seeded,
+        });
+        let members = self.founding.due(now, own, others).ok()?;
+        self.core
+            .found(now, members.voters.clone())
+            .expect("the log takes the same host for the founder");
+        Some(members)
+    }
+
+    pub(crate) fn change_members(&mut self, now: Duration) {
+        if !self.core.is_leader() {
+            return;
+        }
+        let members = self.core.status().members;
+        let connected = self.connected_members();
+        self.away.note(now, &members, &connected);
+        if let Some(change) = next_change(now, &members, &connected, &self.away) {
+            // Refused while an earlier change is under way; the next round tries again.
+            let _refused = self.core.change_members(now, &change);
+        }
+    }
+
+    fn connected_members(&self) -> BTreeSet<MemberId> {
+        let keepers = self.heard.values().filter(|h| h.seeded.keeps_log);
+        let others = keepers.map(|h| h.member.clone());
+        others.chain([self.core.status().member]).collect()
+    }
+}
--- /dev/null
+++ b/tests/testsuite/control_fleet/mod.rs
@@ -0,0 +1,421 @@
+//! Whole fleets of control hosts in virtual time: processes, disks, connections and an operator.
+//!
+//! Hosts find each other, found the group and change its members with the daemon's own code; the log is
+//! the real one. Hosts lose power, freeze, are cut off, lose their disk or go for good. A connection
+//! whose other end is silent is given up as late as the daemons give it up.
+
+mod disk;
+mod host;
+mod links;
+pub(crate) mod ordeal;
+mod trouble;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use coltsfootnotch::daemon::control::seeded::Seeds;
+use coltsfootnotch_consensus::{
+    Action, CoreConfig, DiskId, LogIndex, MemberId, Membership, Message, Term,
+};
+use coltsfootnotch_types::HostName;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+pub(crate) use self::disk::Disk;
+pub(crate) use self::host::{Hello, Host};
+use self::links::{End, Links};
+
+/// Between two rounds of upkeep, as in the daemon.
+const UPKEEP_MS: u64 = 150;
+/// Longest time that a sync takes on a sound disk.
+const SYNC_MS: u64 = 4;
+/// Longest way of a message.
+const DELAY_MS: u64 = 8;
+/// Entries after which a snapshot is taken, few enough that every long run takes some.
+const SNAPSHOT_ENTRIES: u64 = 40;
+/// Between two configurations of the operator.
+const CONFIG_EVERY_MS: u64 = 250;
+
+/// What is under way between two hosts.
+enum Packet {
+    Hello(Hello),
+    Log { from: MemberId, msg: Message },
+}
+
+/// A fleet of control hosts in virtual time.
+pub(crate) struct Fleet {
+    pub(crate) now_ms: u64,
+    pub(crate) rng: StdRng,
+    pub(crate) hosts: Vec<Host>,
+    cfg: CoreConfig,
+    links: Links,
+    /// By due time and number of sending, with receiver.
+    packets: BTreeMap<(u64, u64), (usize, Packet)>,
+    sent: u64,
+    /// Configurations proposed and not yet known to be applied, by place in the log and leader.
+    proposed: BTreeMap<(usize, LogIndex), (Term, u64)>,
+    next_number: u64,
+    next_config_ms: u64,
+    /// The highest configuration number that was acknowledged.
+    pub(crate) acknowledged: u64,
+    pub(crate) groups_founded: usize,
+}
+
+pub(crate) fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+impl Fleet {
+    /// A fleet without hosts.
+    pub(crate) fn new(seed: u64) -> Self {
+        Self {
+            now_ms: 0,
+            rng: StdRng::seed_from_u64(seed),
+            hosts: Vec::new(),
+            cfg: CoreConfig {
+                snapshot_entries: SNAPSHOT_ENTRIES,
+                keep_entries: SNAPSHOT_ENTRIES / 2,
+                ..CoreConfig::default()
+            },
+            links: Links::default(),
+            packets: BTreeMap::new(),
+            sent: 0,
+            proposed: BTreeMap::new(),
+            next_number: 1,
+            next_config_ms: 0,
+            acknowledged: 0,
+            groups_founded: 0,
+        }
+    }
+
+    /// A fleet of `keepers` hosts with a disk that has a group and a configuration.
+    pub(crate) fn founded(seed: u64, keepers: u8) -> Self {
+        let mut fleet = Self::new(seed);
+        let seeds: Vec<_> = (1..=keepers.min(3)).map(address).collect();
+        for number in 1..=keepers {
+            fleet.add(number, &seeds, true, 0);
+        }
+        while fleet.acknowledged == 0 {
+            fleet.step();
+            assert!(fleet.now_ms < 10_000, "a new fleet founds a group");
+        }
+        fleet
+    }
+
+    /// Adds a host with an empty disk whose process starts at `starts_ms`; its place.
+    pub(crate) fn add(
+        &mut self,
+        number: u8,
+        seeds: &[SocketAddr],
+        first_start: bool,
+        starts_ms: u64,
+    ) -> usize {
+        let name = HostName::new(format!("h{number}")).expect("a valid name");
+        self.add_named(name, address(number), seeds, first_start, starts_ms)
+    }
+
+    pub(crate) fn add_named(
+        &mut self,
+        host: HostName,
+        address: SocketAddr,
+        seeds: &[SocketAddr],
+        first_start: bool,
+        starts_ms: u64,
+    ) -> usize {
+        let disk = DiskId(self.rng.random());
+        let host = Host {
+            address,
+            keeps_log: true,
+            seeds: Seeds {
+                addresses: seeds.to_vec(),
+                first_start,
+            },
+            disk: Disk::empty(MemberId { host, disk }),
+            process: None,
+            run: 0,
+            starts_ms: Some(starts_ms),
+            frozen_until: 0,
+        };
+        self.hosts.push(host);
+        self.hosts.len() - 1
+    }
+
+    pub(crate) fn run(&mut self, for_ms: u64) {
+        let until = self.now_ms + for_ms;
+        while self.now_ms < until {
+            self.step();
+        }
+    }
+
+    /// One millisecond.
+    pub(crate) fn step(&mut self) {
+        self.now_ms += 1;
+        self.start_due();
+        self.deliver_due();
+        self.operate();
+        for index in 0..self.hosts.len() {
+            if !self.hosts[index].is_awake(self.now_ms) {
+                continue;
+            }
+            if (self.now_ms + 7 * index as u64).is_multiple_of(UPKEEP_MS) {
+                self.upkeep(index);
+            }
+            self.drive(index);
+        }
+    }
+
+    fn start_due(&mut self) {
+        for index in 0..self.hosts.len() {
+            let due = self.hosts[index].starts_ms;
+            if due.is_some_and(|due| due <= self.now_ms) {
+                let now = ms(self.now_ms);
+                self.hosts[index].start(&self.cfg, now, &mut self.rng);
+            }
+        }
+    }
+
+    fn deliver_due(&mut self) {
+        while let Some(entry) = self.packets.first_entry() {
+            if entry.key().0 > self.now_ms {
+                break;
+            }
+            let (to, packet) = entry.remove();
+            if self.hosts[to].is_awake(self.now_ms) {
+                self.deliver(to, packet);
+            }
+        }
+    }
+
+    fn deliver(&mut self, to: usize, packet: Packet) {
+        let now = ms(self.now_ms);
+        let Some(process) = &mut self.hosts[to].process else {
+            return;
+        };
+        match packet {
+            Packet::Hello(hello) => {
+                if process.hear(now, hello) {
+                    self.say_hello(to);
+                }
+            }
+            Packet::Log { from, msg } => process.core.step(now, &from, msg),
+        }
+    }
+
+    /// The operator proposes the next configuration to whoever leads.
+    fn operate(&mut self) {
+        if self.now_ms < self.next_config_ms {
+            return;
+        }
+        self.next_config_ms = self.now_ms + CONFIG_EVERY_MS;
+        let now = ms(self.now_ms);
+        let number = self.next_number;
+        for (index, host) in self.hosts.iter_mut().enumerate() {
+            let awake = host.is_awake(self.now_ms);
+            let Some(process) = host.process.as_mut().filter(|_| awake) else {
+                continue;
+            };
+            if let Ok(placed) = process.core.propose(now, number.to_le_bytes()) {
+                let place = (index, placed.index);
+                self.proposed.insert(place, (placed.term, number));
+                self.next_number = number + 1;
+            }
+        }
+    }
+
+    fn say_hello(&mut self, from: usize) {
+        let Some(process) = &self.hosts[from].process else {
+            return;
+        };
+        let hello = process.hello();
+        for to in 0..self.hosts.len() {
+            if self.links.works(self.end(from), self.end(to)) {
+                self.send(to, Packet::Hello(hello.clone()));
+            }
+        }
+    }
+
+    fn send(&mut self, to: usize, packet: Packet) {
+        self.sent += 1;
+        let due = self.now_ms + self.rng.random_range(1..=DELAY_MS);
+        self.packets.insert((due, self.sent), (to, packet));
+    }
+
+    fn upkeep(&mut self, index: usize) {
+        self.watch_links(index);
+        self.dial(index);
+        let now = ms(self.now_ms);
+        if self.hosts[index].found(now).is_some() {
+            self.groups_founded += 1;
+        }
+        if let Some(process) = &mut self.hosts[index].process {
+            process.change_members(now);
+        }
+    }
+
+    fn dial(&mut self, index: usize) {
+        let now = ms(self.now_ms);
+        let Some(process) = &mut self.hosts[index].process else {
+            return;
+        };
+        for address in process.finding.wanted(now) {
+            let other = self.hosts.iter().position(|h| h.address == address);
+            let Some(other) = other.filter(|other| *other != index) else {
+                continue;
+            };
+            let (a, b) = (self.end(index), self.end(other));
+            if self.links.connect(self.now_ms, a, b) {
+                self.say_hello(index);
+                self.say_hello(other);
+            }
+        }
+    }
+
+    fn end(&self, place: usize) -> End {
+        let host = &self.hosts[place];
+        let run = host.is_awake(self.now_ms).then_some(host.run);
+        End { place, run }
+    }
+
+    fn watch_links(&mut self, index: usize) {
+        for other in (0..self.hosts.len()).filter(|other| *other != index) {
+            let (a, b) = (self.end(index), self.end(other));
+            if self.links.watch(self.now_ms, a, b) {
+                self.lose_each_other(index, other);
+            }
+        }
+    }
+
+    fn lose_each_other(&mut self, a: usize, b: usize) {
+        let now = ms(self.now_ms);
+        for (one, other) in [(a, b), (b, a)] {
+            let other = self.hosts[other].member().host.clone();
+            if let Some(process) = &mut self.hosts[one].process {
+                process.lose(now, &other);
+            }
+        }
+    }
+
+    fn drive(&mut self, index: usize) {
+        let now = ms(self.now_ms);
+        let host = &mut self.hosts[index];
+        let Some(process) = &mut host.process else {
+            return;
+        };
+        if let Some(seq) = host.disk.synced(self.now_ms) {
+            process.core.synced(now, seq);
+        }
+        if now >= process.core.next_due() {
+            process.core.tick(now);
+        }
+        for action in process.core.take_actions() {
+            self.carry_out(index, action);
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, action: Action) {
+        let now = ms(self.now_ms);
+        match action {
+            Action::Send { to, msg } => {
+                let from = self.hosts[index].member().clone();
+                let to = self.hosts.iter().position(|h| *h.member() == to);
+                let works = |to: &usize| self.links.works(self.end(index), self.end(*to));
+                if let Some(to) = to.filter(works) {
+                    self.send(to, Packet::Log { from, msg });
+                }
+            }
+            Action::Persist(persist) => self.persist(index, persist),
+            Action::Apply {
+                index: at,
+                term,
+                data,
+            } => self.apply(index, at, term, data.as_deref()),
+            Action::TakeSnapshot { index: at } => {
+                if let Some(process) = &mut self.hosts[index].process {
+                    let data = postcard::to_stdvec(&process.applied).expect("it can be encoded");
+                    process.core.snapshot_taken(now, at, data);
+                }
+            }
+            Action::InstallSnapshot(snapshot) => {
+                if let Some(process) = &mut self.hosts[index].process {
+                    process.last_applied = snapshot.meta.index;
+                    let state = postcard::from_bytes(&snapshot.data);
+                    process.applied = state.expect("it can be decoded");
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn persist(&mut self, index: usize, persist: coltsfootnotch_consensus::Persist) {
+        let ends = self.now_ms + self.rng.random_range(1..=SYNC_MS);
+        let host = &mut self.hosts[index];
+        assert!(host.keeps_log, "a host without a disk persists nothing");
+        host.disk.persist(ends, persist);
+        let process = host.process.as_mut().expect("it runs");
+        if std::mem::replace(&mut process.empty, false) {
+            self.say_hello(index);
+        }
+    }
+
+    fn apply(&mut self, index: usize, at: LogIndex, term: Term, data: Option<&[u8]>) {
+        let process = self.hosts[index].process.as_mut().expect("it runs");
+        assert_eq!(
+            at,
+            process.last_applied.next(),
+            "entries come without a gap"
+        );
+        process.last_applied = at;
+        let Some(data) = data else {
+            return;
+        };
+        let number = u64::from_le_bytes(data.try_into().expect("eight bytes"));
+        process.applied.insert(at, number);
+        let ours = self.proposed.remove(&(index, at));
+        if ours == Some((term, number)) {
+            self.acknowledged = self.acknowledged.max(number);
+        }
+    }
+
+    /// The host that leads in the highest term.
+    pub(crate) fn leader(&self) -> Option<usize> {
+        let leads = self.hosts.iter().enumerate().filter_map(|(place, host)| {
+            let process = host.process.as_ref()?;
+            process
+                .core
+                .is_leader()
+                .then_some((process.core.status().term, place))
+        });
+        leads.max().map(|(_, place)| place)
+    }
+
+    /// The members as the leader knows them.
+    pub(crate) fn members(&self) -> Option<Membership> {
+        let leader = self.hosts[self.leader()?].process.as_ref()?;
+        Some(leader.core.status().members)
+    }
+
+    /// The highest configuration number that the leader has applied.
+    pub(crate) fn newest(&self) -> Option<u64> {
+        let leader = self.hosts[self.leader()?].process.as_ref()?;
+        Some(leader.newest())
+    }
+
+    /// Runs until a configuration newer than all before is acknowledged; whether it was within `within_ms`.
+    pub(crate) fn accepts(&mut self, within_ms: u64) -> bool {
+        let wanted = self.next_number;
+        let until = self.now_ms + within_ms;
+        while self.now_ms < until {
+            self.step();
+            if self.acknowledged >= wanted {
+                return true;
+            }
+        }
+        false
+    }
+}
+
+/// The address of the host with this number.
+pub(crate) fn address(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, number % 3, 0, number], 7400))
+}
--- /dev/null
+++ b/tests/testsuite/control_fleet/trouble.rs
@@ -0,0 +1,59 @@
+//! What happens to simulated control hosts.
+
+use coltsfootnotch_consensus::{DiskId, MemberId};
+use rand::Rng;
+
+use super::{Disk, Fleet};
+
+impl Fleet {
+    /// The host loses power and has it again after `down_ms`.
+    pub(crate) fn power_off(&mut self, place: usize, down_ms: u64) {
+        let host = &mut self.hosts[place];
+        host.process = None;
+        host.disk.interrupt(&mut self.rng);
+        host.starts_ms = Some(self.now_ms + down_ms);
+        self.proposed.retain(|(at, _), _| *at != place);
+    }
+
+    /// The process is killed and started again after `down_ms`; its connections are reset.
+    pub(crate) fn kill(&mut self, place: usize, down_ms: u64) {
+        self.power_off(place, down_ms);
+        for other in 0..self.hosts.len() {
+            if self.links.drop_link(place, other) {
+                self.lose_each_other(place, other);
+            }
+        }
+    }
+
+    /// The host loses its disk, and comes back with an empty one after `down_ms`.
+    pub(crate) fn wipe(&mut self, place: usize, down_ms: u64) {
+        self.power_off(place, down_ms);
+        let disk = DiskId(self.rng.random());
+        let host = &mut self.hosts[place];
+        let name = host.member().host.clone();
+        host.disk = Disk::empty(MemberId { host: name, disk });
+        host.seeds.first_start = false;
+    }
+
+    /// The host is gone for good.
+    pub(crate) fn lose_for_good(&mut self, place: usize) {
+        self.power_off(place, 0);
+        self.hosts[place].starts_ms = None;
+    }
+
+    pub(crate) fn freeze(&mut self, place: usize, for_ms: u64) {
+        self.hosts[place].frozen_until = self.now_ms + for_ms;
+    }
+
+    pub(crate) fn stall_disk(&mut self, place: usize, for_ms: u64) {
+        self.hosts[place].disk.stalls_until = self.now_ms + for_ms;
+    }
+
+    /// Cuts a host off from all others.
+    pub(crate) fn isolate(&mut self, place: usize) {
+        for other in (0..self.hosts.len()).filter(|other| *other != place) {
+            self.links.cut(place, other);
+            self.links.cut(other, place);
+        }
+    }
+}
