Give a newcomer a vote only in place of a voter that is gone

Cause: a newcomer got a vote beside the voter in whose place it came, because that one had not been away for long enough when the newcomer was admitted. Four voters with one gone need all three others. The gone one was removed only after 8 s without a break, counted anew by every leader, and only while all others were connected. Class: a decision that rests on knowledge which is not there yet (who is gone) is made once, when the newcomer comes, and undone late.

Ruled out: the newcomer was never promoted (it counts itself); a majority that does not elect (2 of 4 were connected).

Why this works: a newcomer is a learner, which counts for nothing, until it replaces a voter that is gone, decided at that moment; an even group removes a gone voter at once, since every majority of 2k is one of the others of 2k - 1; two learners make the next odd number together. Silence is measured from the last answer and kept by every member, so neither a hanging disk nor a new leader hides it. A learner that is gone gives up its place at once: two dead ones had kept newcomers out in the random groups.

--- a/crates/consensus/src/config.rs
+++ b/crates/consensus/src/config.rs
@@ -35,6 +35,9 @@
     pub keep_bytes: usize,
     /// Bytes of a snapshot in one message.
     pub chunk_bytes: usize,
+    /// Make a learner a voter as soon as it has caught up. Otherwise it waits for
+    /// [`MemberChange::Promote`](crate::MemberChange::Promote).
+    pub promote_learners: bool,
 }
 
 impl Default for CoreConfig {
@@ -56,6 +59,7 @@
             keep_entries: 500,
             keep_bytes: 4 * 1024 * 1024,
             chunk_bytes: 64 * 1024,
+            promote_learners: true,
         }
     }
 }
--- a/crates/consensus/src/core/lead.rs
+++ b/crates/consensus/src/core/lead.rs
@@ -85,6 +85,7 @@
             progress: BTreeMap::new(),
             first: last.next(),
             heartbeat_due: self.now,
+            commit_at_heartbeats: [last.next(); 2],
             round: 0,
             rounds: VecDeque::new(),
             reads: VecDeque::new(),
@@ -119,11 +120,20 @@
         self.end_transfer_when_late();
         let due = matches!(&self.role, Role::Leader(l) if self.now >= l.heartbeat_due);
         if due {
+            self.note_commit();
             self.begin_round();
         }
         self.drive_members();
     }
 
+    fn note_commit(&mut self) {
+        let commit = self.commit;
+        if let Role::Leader(leader) = &mut self.role {
+            let [last, _] = leader.commit_at_heartbeats;
+            leader.commit_at_heartbeats = [commit.max(last), last];
+        }
+    }
+
     fn has_heard_quorum(&self) -> bool {
         let Role::Leader(leader) = &self.role else {
             return false;
--- a/crates/consensus/src/core/leader.rs
+++ b/crates/consensus/src/core/leader.rs
@@ -31,6 +31,9 @@
     /// The leader's first entry of its term.
     pub(super) first: LogIndex,
     pub(super) heartbeat_due: Duration,
+    /// The commit index at the last heartbeat and at the one before. A member that has synced the earlier
+    /// one has caught up: under load even a sound member lacks what is under way to it.
+    pub(super) commit_at_heartbeats: [LogIndex; 2],
     /// The round of heartbeats sent last.
     pub(super) round: u64,
     /// When the rounds began that a majority has not gone beyond yet.
--- a/crates/consensus/src/core/members.rs
+++ b/crates/consensus/src/core/members.rs
@@ -1,15 +1,18 @@
 //! Changes of members: one at a time, and a newcomer counts only once it has caught up.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::{Core, Role};
+use crate::progress::Progress;
 use crate::{
-    ChangeRefused, LogIndex, MemberChange, MemberId, Membership, NotLeader, Payload, Proposal,
+    ChangeRefused, MemberChange, MemberId, Membership, NotLeader, Payload, PeerStatus, Proposal,
 };
 
 impl Core {
-    /// Begins a change of members. Adding goes on by itself: the newcomer is promoted when its
-    /// synced log has caught up, and the voter that it replaces is removed after that.
+    /// Begins a change of members. With [`CoreConfig::promote_learners`](crate::CoreConfig) adding goes
+    /// on by itself: the newcomer is promoted when its synced log has caught up. The voter that a
+    /// promoted member replaces is removed after that in any case.
     ///
     /// # Errors
     /// [`ChangeRefused`]; a refused change is in no log.
@@ -28,6 +31,7 @@
         }
         let next = match change {
             MemberChange::Add { member, replaces } => self.with_learner(member, replaces)?,
+            MemberChange::Promote { member, replaces } => self.with_promoted(member, replaces)?,
             MemberChange::Remove { member } => self.with_removed(member)?,
         };
         Ok(self.propose_members(next))
@@ -43,17 +47,30 @@
             let member = member.clone();
             return Err(ChangeRefused::AlreadyMember { member });
         }
-        if let Some(old) = replaces
-            && !members.voters.contains(old)
-        {
-            let member = old.clone();
-            return Err(ChangeRefused::NotMember { member });
-        }
+        check_voter(members, replaces)?;
         let mut next = members.clone();
         next.learners.insert(member.clone(), replaces.clone());
         Ok(next)
     }
 
+    fn with_promoted(
+        &self,
+        member: &MemberId,
+        replaces: &Option<MemberId>,
+    ) -> Result<Membership, ChangeRefused> {
+        let members = self.log.members();
+        if !members.learners.contains_key(member) {
+            let member = member.clone();
+            return Err(ChangeRefused::NotLearner { member });
+        }
+        check_voter(members, replaces)?;
+        if !self.has_caught_up(member) {
+            let member = member.clone();
+            return Err(ChangeRefused::NotCaughtUp { member });
+        }
+        Ok(members.promoted(member, replaces.clone()))
+    }
+
     fn with_removed(&self, member: &MemberId) -> Result<Membership, ChangeRefused> {
         let members = self.log.members();
         if *member == self.me {
@@ -101,9 +118,12 @@
         if let Some(old) = members.leaving.clone() {
             return self.remove_replaced(&old);
         }
-        let ready = members.learners.keys().find(|m| self.has_caught_up(m));
-        if let Some(learner) = ready {
-            let next = members.promoted(learner);
+        if !self.cfg.promote_learners {
+            return;
+        }
+        let mut learners = members.learners.iter();
+        if let Some((learner, replaces)) = learners.find(|(m, _)| self.has_caught_up(m)) {
+            let next = members.promoted(learner, replaces.clone());
             self.propose_members(next);
         }
     }
@@ -122,12 +142,40 @@
         }
     }
 
-    /// Whether the learner has synced everything that is committed.
-    fn has_caught_up(&self, learner: &MemberId) -> bool {
+    /// Whether the member has synced everything that was committed a heartbeat ago, and an entry of this
+    /// leader's term.
+    fn has_caught_up(&self, member: &MemberId) -> bool {
         let Role::Leader(leader) = &self.role else {
             return false;
         };
-        let matched = leader.progress.get(learner).map(|p| p.matched);
-        matched.is_some_and(|matched| matched >= self.commit && matched > LogIndex(0))
+        let [_, settled] = leader.commit_at_heartbeats;
+        let progress = leader.progress.get(member);
+        progress.is_some_and(|p| p.matched >= settled)
+    }
+
+    /// What this member knows of the others while it leads; nothing otherwise.
+    #[must_use]
+    pub fn peers(&self) -> BTreeMap<MemberId, PeerStatus> {
+        let Role::Leader(leader) = &self.role else {
+            return BTreeMap::new();
+        };
+        let status = |(member, progress): (&MemberId, &Progress)| {
+            let status = PeerStatus {
+                silent_for: self.now.saturating_sub(progress.heard),
+                caught_up: self.has_caught_up(member),
+            };
+            (member.clone(), status)
+        };
+        leader.progress.iter().map(status).collect()
+    }
+}
+
+fn check_voter(members: &Membership, voter: &Option<MemberId>) -> Result<(), ChangeRefused> {
+    match voter {
+        Some(voter) if !members.voters.contains(voter) => {
+            let member = voter.clone();
+            Err(ChangeRefused::NotMember { member })
+        }
+        _ => Ok(()),
     }
 }
--- a/crates/consensus/src/error.rs
+++ b/crates/consensus/src/error.rs
@@ -66,6 +66,20 @@
         #[error(not(source))]
         member: MemberId,
     },
+    /// The member to promote is no learner.
+    #[display("{member} is not a learner")]
+    NotLearner {
+        /// The member named.
+        #[error(not(source))]
+        member: MemberId,
+    },
+    /// The learner lacks entries that are committed; promoted, it could keep the group from committing.
+    #[display("{member} has not caught up")]
+    NotCaughtUp {
+        /// The learner.
+        #[error(not(source))]
+        member: MemberId,
+    },
     /// The leader can't remove itself; transfer the leadership first.
     #[display("the leader can't remove itself")]
     IsLeader,
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -21,14 +21,22 @@
 /// change shares a member with every majority after it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum MemberChange {
-    /// Admits a newcomer as a learner; it becomes a voter once its synced log has caught up. The
-    /// voter that it `replaces` is removed after that.
+    /// Admits a newcomer as a learner. With [`CoreConfig::promote_learners`](crate::CoreConfig) it
+    /// becomes a voter once its synced log has caught up, and the voter that it `replaces` is removed
+    /// after that.
     Add {
         /// The newcomer.
         member: MemberId,
         /// The voter to remove once the newcomer counts.
         replaces: Option<MemberId>,
     },
+    /// Makes a learner that has caught up a voter. The voter that it `replaces` is removed after that.
+    Promote {
+        /// The learner.
+        member: MemberId,
+        /// The voter to remove next.
+        replaces: Option<MemberId>,
+    },
     /// Removes a learner or a voter.
     Remove {
         /// The member that goes.
@@ -96,11 +104,11 @@
         values.into_iter().nth(self.quorum() - 1)
     }
 
-    /// The membership in which `learner` has become a voter.
+    /// The membership in which `learner` has become a voter and `replaced` is to leave.
     #[must_use]
-    pub(crate) fn promoted(&self, learner: &MemberId) -> Self {
+    pub(crate) fn promoted(&self, learner: &MemberId, replaced: Option<MemberId>) -> Self {
         let mut next = self.clone();
-        let replaced = next.learners.remove(learner).flatten();
+        next.learners.remove(learner);
         next.voters.insert(learner.clone());
         next.leaving = replaced.filter(|old| next.voters.contains(old));
         next
--- a/crates/consensus/tests/failures.rs
+++ b/crates/consensus/tests/failures.rs
@@ -3,7 +3,8 @@
 mod group;
 
 use coltsfootnotch_consensus::{
-    ChangeRefused, CoreConfig, FoundRefused, LogIndex, MemberChange, MemberId, ProposeRefused,
+    ChangeRefused, CoreConfig, FoundRefused, LogIndex, MemberChange, MemberId, Proposal,
+    ProposeRefused,
 };
 use googletest::prelude::*;
 use group::{Group, member, small_limits};
@@ -133,6 +134,62 @@
     expect_that!(members.voters.contains(&new), eq(true));
 }
 
+// Guards against a newcomer that gets a vote by itself where the group leaves that to its user, and
+// against one that is given a vote before it holds what is committed.
+#[gtest]
+fn a_learner_waits_to_be_promoted_where_the_group_is_told_so() {
+    let cfg = CoreConfig {
+        promote_learners: false,
+        ..small_limits()
+    };
+    let mut group = Group::new(cfg, 3, 7);
+    load(&mut group, 10);
+    let leader = group.leader().expect("a new group elects a leader");
+    let old = follower(&group);
+    let new = member(9, 99);
+    group.join(&new);
+    group.node(&new).disk_hangs = true;
+    let now = group.now_ms;
+    let add = MemberChange::Add {
+        member: new.clone(),
+        replaces: None,
+    };
+    group.node(&leader).change(now, &add);
+    load(&mut group, 20);
+    let promote = MemberChange::Promote {
+        member: new.clone(),
+        replaces: Some(old.clone()),
+    };
+    let refused = ChangeRefused::NotCaughtUp {
+        member: new.clone(),
+    };
+    expect_that!(try_change(&mut group, &leader, &promote), err(eq(&refused)));
+
+    group.node(&new).disk_hangs = false;
+    load(&mut group, 100);
+    let peer = group.node(&leader).core.as_ref().map(|c| c.peers()[&new]);
+    expect_that!(peer.map(|p| p.caught_up), some(eq(true)));
+    let members = group.node(&leader).status().members;
+    expect_that!(members.learners.contains_key(&new), eq(true));
+
+    expect_that!(try_change(&mut group, &leader, &promote), ok(anything()));
+    load(&mut group, 100);
+    let members = group.node(&leader).status().members;
+    expect_that!(members.voters.contains(&new), eq(true));
+    expect_that!(members.contains(&old), eq(false));
+    let refused = ChangeRefused::NotLearner { member: new };
+    expect_that!(try_change(&mut group, &leader, &promote), err(eq(&refused)));
+}
+
+fn try_change(
+    group: &mut Group,
+    leader: &MemberId,
+    change: &MemberChange,
+) -> Result<Proposal, ChangeRefused> {
+    let core = group.node(leader).core.as_mut().expect("it runs");
+    core.change_members(std::time::Duration::ZERO, change)
+}
+
 // One host's disk is lost and the host is replaced; as soon as the group calls the repair done,
 // a second host's disk is lost, the one that led. Everything acknowledged is still there, read
 // from the newcomer and the host that is left.
--- a/src/coltsfootnotch/daemon/control/config.rs
+++ b/src/coltsfootnotch/daemon/control/config.rs
@@ -103,6 +103,7 @@
         cfg.diskless = diskless;
         cfg.core.snapshot_bytes = SEEDED_SNAPSHOT_BYTES;
         cfg.core.keep_bytes = SEEDED_SNAPSHOT_BYTES;
+        cfg.core.promote_learners = false;
         cfg.seeds = Some(seeds);
         cfg
     }
--- a/src/coltsfootnotch/daemon/control/replica/mod.rs
+++ b/src/coltsfootnotch/daemon/control/replica/mod.rs
@@ -223,6 +223,10 @@
         ChangeRefused::AlreadyMember { member } => {
             MembersError::AlreadyMember { host: member.host }
         }
+        // An operator admits and removes; only the leader itself promotes.
+        ChangeRefused::NotCaughtUp { .. } | ChangeRefused::NotLearner { .. } => {
+            MembersError::Unfinished
+        }
         ChangeRefused::NotMember { member } => MembersError::NotMember { host: member.host },
         ChangeRefused::LastVoter => MembersError::LastVoter,
     };
--- a/src/coltsfootnotch/daemon/control/seeded/mod.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/mod.rs
@@ -60,7 +60,7 @@
     pub(super) book: UpstreamBook,
     /// When it is told next why there is no group yet.
     pub(super) waiting_due: Duration,
-    pub(super) away: members::Away,
+    pub(super) contact: members::Contact,
     pub(super) fleet_due: Duration,
     /// Upstreams that said no more than that they live, since entries were told.
     pub(super) alive: Vec<UpstreamSign>,
@@ -76,7 +76,7 @@
             calls: Calls::default(),
             book: UpstreamBook::default(),
             waiting_due: now + upkeep::SAY_WAITING_EVERY,
-            away: members::Away::default(),
+            contact: members::Contact::default(),
             fleet_due: now,
             alive: Vec::new(),
             alive_due: now,
--- a/src/coltsfootnotch/daemon/control/seeded/upkeep.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/upkeep.rs
@@ -12,8 +12,8 @@
 
 use super::followers::LeaseAsk;
 use super::founding::{NotFounding, Seen};
-use super::members::next_change;
-use super::{Call, CallReply};
+use super::members::GroupView;
+use super::{Call, CallReply, SeededHello};
 use crate::core::{decode_reply, encode_op};
 use crate::daemon::control::daemon::ControlDaemon;
 use crate::daemon::control::packet::{Answer, Ask};
@@ -117,16 +117,24 @@
     }
 
     fn change_members(&mut self, now: Duration) {
-        if !self.replica.core().is_leader() {
-            return;
-        }
         let members = self.replica.core().status().members;
         let connected = self.connected_members();
+        let first_starters = self.first_starters();
         let Some(seeded) = &mut self.seeded else {
             return;
         };
-        seeded.away.note(now, &members, &connected);
-        let Some(change) = next_change(now, &members, &connected, &seeded.away) else {
+        seeded.contact.note(now, &members, &connected);
+        if !self.replica.core().is_leader() {
+            return;
+        }
+        let view = GroupView {
+            members: &members,
+            connected: &connected,
+            peers: &self.replica.core().peers(),
+            first_starters: &first_starters,
+            contact: &seeded.contact,
+        };
+        let Some(change) = view.next_change(now) else {
             return;
         };
         // Refused while an earlier change is not finished; the next round tries again.
@@ -135,17 +143,31 @@
         }
     }
 
+    /// The members on connected hosts that keep a log, and this one.
     fn connected_members(&self) -> BTreeSet<MemberId> {
         let own = self.founding.hello().member.clone();
+        let others = self.connected_keepers().map(|(member, _)| member.clone());
+        others.chain([own]).collect()
+    }
+
+    /// Those of them whose hosts belong to the first start of the fleet, this one aside.
+    fn first_starters(&self) -> BTreeSet<MemberId> {
+        let first = self
+            .connected_keepers()
+            .filter(|(_, hello)| hello.first_start);
+        first.map(|(member, _)| member.clone()).collect()
+    }
+
+    fn connected_keepers(&self) -> impl Iterator<Item = (&MemberId, &SeededHello)> {
         let hosts = self.seeded.iter().flat_map(|s| s.finding.connected());
         let keepers = hosts.filter(|(_, hello)| hello.keeps_log);
-        let others = keepers.filter_map(|(host, _)| self.founding.member_on(host).cloned());
-        others.chain([own]).collect()
+        keepers.filter_map(|(host, hello)| Some((self.founding.member_on(host)?, hello)))
     }
 
     fn log_change(&self, change: &MemberChange) {
         let (what, member, replaces) = match change {
             MemberChange::Add { member, replaces } => ("add", member, replaces.as_ref()),
+            MemberChange::Promote { member, replaces } => ("promote", member, replaces.as_ref()),
             MemberChange::Remove { member } => ("remove", member, None),
         };
         let replaces = replaces.map_or_else(|| "none".to_owned(), ToString::to_string);
--- a/tests/testsuite/control_fleet/host.rs
+++ b/tests/testsuite/control_fleet/host.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use coltsfootnotch::daemon::control::seeded::founding::{SeededFounding, Seen};
-use coltsfootnotch::daemon::control::seeded::members::{Away, next_change};
+use coltsfootnotch::daemon::control::seeded::members::{Contact, GroupView};
 use coltsfootnotch::daemon::control::seeded::{Finding, SeededHello, Seeds};
 use coltsfootnotch_consensus::{Core, CoreConfig, LogIndex, MemberId, Membership, Recovered};
 use coltsfootnotch_types::HostName;
@@ -67,7 +67,7 @@
     pub(crate) core: Core,
     pub(crate) finding: Finding,
     founding: SeededFounding,
-    away: Away,
+    contact: Contact,
     pub(crate) empty: bool,
     /// What the connected hosts said of themselves.
     heard: BTreeMap<HostName, Hello>,
@@ -89,7 +89,7 @@
             core: Core::new(cfg.clone(), recovered, now, rng),
             finding,
             founding: SeededFounding::default(),
-            away: Away::default(),
+            contact: Contact::default(),
             heard: BTreeMap::new(),
             applied: BTreeMap::new(),
             last_applied: LogIndex(0),
@@ -145,13 +145,22 @@
     }
 
     pub(crate) fn change_members(&mut self, now: Duration) {
+        let members = self.core.status().members;
+        let connected = self.connected_members();
+        self.contact.note(now, &members, &connected);
         if !self.core.is_leader() {
             return;
         }
-        let members = self.core.status().members;
-        let connected = self.connected_members();
-        self.away.note(now, &members, &connected);
-        if let Some(change) = next_change(now, &members, &connected, &self.away) {
+        let first = self.heard.values().filter(|h| h.seeded.first_start);
+        let first_starters = first.map(|h| h.member.clone()).collect();
+        let view = GroupView {
+            members: &members,
+            connected: &connected,
+            peers: &self.core.peers(),
+            first_starters: &first_starters,
+            contact: &self.contact,
+        };
+        if let Some(change) = view.next_change(now) {
             // Refused while an earlier change is under way; the next round tries again.
             let _refused = self.core.change_members(now, &change);
         }
--- a/tests/testsuite/control_fleet/mod.rs
+++ b/tests/testsuite/control_fleet/mod.rs
@@ -11,12 +11,13 @@
 mod trouble;
 
 use std::collections::BTreeMap;
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use coltsfootnotch::daemon::control::seeded::Seeds;
 use coltsfootnotch_consensus::{
-    Action, CoreConfig, DiskId, LogIndex, MemberId, Membership, Message, Term,
+    Action, CoreConfig, DiskId, LogIndex, MemberId, Membership, Message, RoleKind, Term,
 };
 use coltsfootnotch_types::HostName;
 use rand::rngs::StdRng;
@@ -60,6 +61,8 @@
     /// The highest configuration number that was acknowledged.
     pub(crate) acknowledged: u64,
     pub(crate) groups_founded: usize,
+    /// What has happened, for the report of a failed run.
+    pub(crate) story: Vec<String>,
 }
 
 pub(crate) fn ms(ms: u64) -> Duration {
@@ -76,6 +79,7 @@
             cfg: CoreConfig {
                 snapshot_entries: SNAPSHOT_ENTRIES,
                 keep_entries: SNAPSHOT_ENTRIES / 2,
+                promote_learners: false,
                 ..CoreConfig::default()
             },
             links: Links::default(),
@@ -86,6 +90,7 @@
             next_config_ms: 0,
             acknowledged: 0,
             groups_founded: 0,
+            story: Vec::new(),
         }
     }
 
@@ -343,10 +348,35 @@
                     process.applied = state.expect("it can be decoded");
                 }
             }
+            Action::Members { members } => self.tell_members(index, &members),
+            Action::Became {
+                role: RoleKind::Leader,
+                term,
+                ..
+            } => self.tell(format!("{index} leads in term {term}")),
             _ => {}
         }
     }
 
+    /// Adds to the story.
+    pub(crate) fn tell(&mut self, what: impl Display) {
+        self.story.push(format!("{}: {what}", self.now_ms));
+    }
+
+    fn tell_members(&mut self, index: usize, members: &Membership) {
+        let place = |member: &MemberId| self.hosts.iter().position(|h| h.member() == member);
+        let places = |members: &mut dyn Iterator<Item = &MemberId>| -> String {
+            let places = members.map(|m| place(m).map_or("lost".to_owned(), |p| p.to_string()));
+            places.collect::<Vec<_>>().join(" ")
+        };
+        let voters = places(&mut members.voters.iter());
+        let learners = places(&mut members.learners.keys());
+        let leads = self.leader() == Some(index);
+        if leads {
+            self.tell(format!("voters {voters}; learners {learners}"));
+        }
+    }
+
     fn persist(&mut self, index: usize, persist: coltsfootnotch_consensus::Persist) {
         let ends = self.now_ms + self.rng.random_range(1..=SYNC_MS);
         let host = &mut self.hosts[index];
@@ -389,12 +419,6 @@
         leads.max().map(|(_, place)| place)
     }
 
-    /// The members as the leader knows them.
-    pub(crate) fn members(&self) -> Option<Membership> {
-        let leader = self.hosts[self.leader()?].process.as_ref()?;
-        Some(leader.core.status().members)
-    }
-
     /// The highest configuration number that the leader has applied.
     pub(crate) fn newest(&self) -> Option<u64> {
         let leader = self.hosts[self.leader()?].process.as_ref()?;
--- a/tests/testsuite/control_fleet/ordeal.rs
+++ b/tests/testsuite/control_fleet/ordeal.rs
@@ -16,9 +16,6 @@
 /// Longest time for which a host is frozen, cut off or without power.
 const MAX_AWAY_MS: u64 = 6_000;
 
-/// What has happened to a fleet, for the report of a failed run.
-pub(crate) type Story = Vec<String>;
-
 /// Trouble for one fleet.
 pub(crate) struct Ordeal {
     fleet: Fleet,
@@ -31,7 +28,6 @@
     /// Hosts that end for good, by time.
     leaving: Vec<(u64, usize)>,
     next_number: u8,
-    story: Story,
 }
 
 impl Ordeal {
@@ -45,13 +41,12 @@
             heals: Vec::new(),
             leaving: Vec::new(),
             next_number: keepers + 1,
-            story: vec![format!("{keepers} hosts with a disk")],
         }
     }
 
-    /// Plays all trouble and a last loss; the fleet, the newest configuration acknowledged before the
-    /// loss, and what happened.
-    pub(crate) fn play(mut self) -> (Fleet, u64, Story) {
+    /// Plays all trouble and a last loss; the fleet, and the newest configuration acknowledged before the
+    /// loss.
+    pub(crate) fn play(mut self) -> (Fleet, u64) {
         // Where there are more hosts than seeds, they are admitted first.
         self.run(CATCH_UP_MS);
         while self.fleet.now_ms < TROUBLE_MS {
@@ -65,7 +60,7 @@
         self.run(settled + 1);
         let before = self.fleet.acknowledged;
         self.last_loss();
-        (self.fleet, before, self.story)
+        (self.fleet, before)
     }
 
     fn run(&mut self, for_ms: u64) {
@@ -212,11 +207,6 @@
     }
 
     fn tell(&mut self, what: impl Display) {
-        let now = self.fleet.now_ms;
-        let leader = self.fleet.leader();
-        let members = self.fleet.members();
-        let voters = members.map_or(0, |m| m.voters.len());
-        self.story
-            .push(format!("{now}: {what} ({leader:?} leads {voters} voters)"));
+        self.fleet.tell(what);
     }
 }
--- a/tests/testsuite/member_runs.rs
+++ b/tests/testsuite/member_runs.rs
@@ -99,9 +99,10 @@
     let groups = number("MEMBER_RUNS").unwrap_or(GROUPS);
     let seeds = number("MEMBER_SEED").map_or(0..groups, |seed| seed..seed + 1);
     for seed in seeds {
-        let (mut fleet, before, story) = Ordeal::new(seed).play();
-        let case = format!("seed {seed}: {story:#?}");
-        expect_that!(fleet.accepts(RECOVERS_WITHIN_MS), eq(true), "{case}");
+        let (mut fleet, before) = Ordeal::new(seed).play();
+        let accepts = fleet.accepts(RECOVERS_WITHIN_MS);
+        let case = format!("seed {seed}: {:#?}", fleet.story);
+        expect_that!(accepts, eq(true), "{case}");
         if let Some(newest) = fleet.newest() {
             expect_that!(newest, ge(before), "{case}");
         }
