Keep the addresses of the control hosts in the data folder

Cause: a control host knew the others only in memory and by the seeds of its settings. Once the hosts that those name had been replaced, a member that restarted dialled nobody, and nobody dialled it. Class: state that a restart needs was held only in memory.

The new test replaces all three seeds and then takes the power away; it failed before.

Change: a host with a disk keeps the addresses in its data folder, written by the disk's thread whenever a control host appears, and dials them beside its seeds. A file that can't be written costs only this and is logged; the founding of a group goes by the seeds alone, as before. Replacing a small file as a whole is now in one place, for this and the number of starts.

--- a/src/coltsfootnotch/daemon/control/actor.rs
+++ b/src/coltsfootnotch/daemon/control/actor.rs
@@ -1,5 +1,6 @@
 //! The actor on the daemon's event loop, and how the daemon starts.
 
+use std::collections::BTreeSet;
 use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
@@ -22,7 +23,7 @@
 use super::disk::Disk;
 use super::handle::Shared;
 use super::input::Input;
-use super::{ControlConfig, ControlError, ControlHandle, epoch};
+use super::{ControlConfig, ControlError, ControlHandle, address_file, epoch};
 use crate::core::HostCx;
 use crate::util::{event_loop, events};
 
@@ -132,8 +133,15 @@
         host,
         epoch: opened.epoch,
     };
-    let (recovered, disk) = (opened.recovered, opened.disk);
-    let daemon = ControlDaemon::new(cx.clone(), &cfg, recovered, relay, endpoint, disk);
+    let daemon = ControlDaemon::new(
+        cx.clone(),
+        &cfg,
+        opened.recovered,
+        relay,
+        endpoint,
+        opened.disk,
+        opened.addresses,
+    );
     Ok((daemon, parts))
 }
 
@@ -142,6 +150,7 @@
     recovered: Recovered,
     epoch: Epoch,
     disk: Disk,
+    addresses: BTreeSet<SocketAddr>,
 }
 
 fn open_disk(
@@ -155,8 +164,9 @@
     let (storage, recovered) =
         Storage::open_with(&storage_cfg, judge, &mut rand::rng()).map_err(ControlError::Open)?;
     let epoch = epoch::next(&cfg.data).map_err(ControlError::Epoch)?;
+    let addresses = address_file::load(&cfg.data).map_err(ControlError::Addresses)?;
     let to_actor = channel.clone();
-    let disk = Disk::spawn(storage, move |report| {
+    let disk = Disk::spawn(storage, &cfg.data, move |report| {
         to_actor.send(Input::Disk(report));
     })
     .map_err(ControlError::Thread)?;
@@ -164,6 +174,7 @@
         recovered,
         epoch,
         disk,
+        addresses,
     })
 }
 
@@ -177,6 +188,7 @@
         recovered: Recovered::empty(member),
         epoch: Epoch(rand::random()),
         disk: Disk::none(),
+        addresses: BTreeSet::new(),
     }
 }
 
--- a/src/coltsfootnotch/daemon/control/daemon/mod.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/mod.rs
@@ -7,6 +7,7 @@
 mod requests;
 mod upkeep;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -26,7 +27,7 @@
 use super::relay::Relay;
 use super::replica::{Effect, Replica};
 use super::request_table::RequestTable;
-use super::seeded::Seeded;
+use super::seeded::{Finding, Seeded};
 use super::{ControlConfig, ControlError};
 use crate::core::HostCx;
 use crate::daemon::ControlAddress;
@@ -56,7 +57,7 @@
     /// The configuration in force, as it is sent to hosts.
     pub(super) config: ConfigPush,
     pub(super) endpoint: Endpoint,
-    disk: Disk,
+    pub(super) disk: Disk,
     pub(super) links: Links,
     /// The other control hosts are dialled for as long as these are kept.
     _dialed: Vec<Dialed>,
@@ -83,6 +84,7 @@
         relay: RelayId,
         endpoint: Endpoint,
         disk: Disk,
+        kept_addresses: BTreeSet<SocketAddr>,
     ) -> Self {
         let now = host.now();
         let me = host.identity.host.clone();
@@ -95,7 +97,10 @@
             seeded: None,
         };
         let seeded = cfg.seeds.as_ref();
-        let seeded = seeded.map(|seeds| Seeded::new(now, cfg.address(), !cfg.diskless, seeds));
+        let seeded = seeded.map(|seeds| {
+            let finding = Finding::new(cfg.address(), !cfg.diskless, seeds, kept_addresses);
+            Seeded::new(now, finding)
+        });
         let own = cfg.members.iter().find(|m| m.host == me);
         let dialed = cfg.others(&me).map(|m| dial(&endpoint, m)).collect();
         let core = Core::new(cfg.core.clone(), recovered, now, &mut rand::rng());
--- a/src/coltsfootnotch/daemon/control/disk.rs
+++ b/src/coltsfootnotch/daemon/control/disk.rs
@@ -4,7 +4,10 @@
 //! waits before it syncs once (group commit): without that, a burst of bookings would take one sync
 //! each and the disk alone would bound the commits a second.
 
+use std::collections::BTreeSet;
 use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
@@ -12,6 +15,8 @@
 use coltsfootnotch_consensus::storage::{Storage, StorageError};
 use coltsfootnotch_consensus::{Persist, PersistSeq};
 
+use super::address_file;
+
 /// Quiet time after which the number of the last sync is synced as well.
 const SETTLE_AFTER: Duration = Duration::from_millis(200);
 
@@ -36,20 +41,31 @@
 }
 
 struct Worker {
-    work: Sender<Persist>,
+    work: Sender<Work>,
     thread: JoinHandle<()>,
 }
 
+/// Work for the thread.
+enum Work {
+    Log(Persist),
+    Addresses(BTreeSet<SocketAddr>),
+}
+
 impl Disk {
     /// Starts the thread; `report` is called on it.
     pub(super) fn spawn(
         storage: Storage,
+        dir: &Path,
         report: impl Fn(DiskReport) + Send + 'static,
     ) -> io::Result<Self> {
         let (work, rx) = mpsc::channel();
+        let mut files = Files {
+            storage,
+            dir: dir.to_owned(),
+        };
         let thread = thread::Builder::new()
             .name("control-disk".to_owned())
-            .spawn(move || run(storage, &rx, report))?;
+            .spawn(move || run(&mut files, &rx, report))?;
         let worker = Some(Worker { work, thread });
         Ok(Self { worker })
     }
@@ -63,7 +79,15 @@
         let worker = self.worker.as_ref();
         let worker = worker.expect("a host without a disk is no member, and persists nothing");
         // The thread ends early only after it has reported why.
-        let _ = worker.work.send(persist);
+        let _ = worker.work.send(Work::Log(persist));
+    }
+
+    /// Keeps the addresses of other control hosts.
+    pub(super) fn keep_addresses(&self, addresses: BTreeSet<SocketAddr>) {
+        if let Some(worker) = &self.worker {
+            // The thread ends early only after it has reported why.
+            let _ = worker.work.send(Work::Addresses(addresses));
+        }
     }
 
     /// Waits until all work is done and the folder is released.
@@ -75,17 +99,23 @@
     }
 }
 
-fn run(mut storage: Storage, rx: &Receiver<Persist>, report: impl Fn(DiskReport)) {
+/// What the thread owns.
+struct Files {
+    storage: Storage,
+    dir: PathBuf,
+}
+
+fn run(files: &mut Files, rx: &Receiver<Work>, report: impl Fn(DiskReport)) {
     loop {
         let done = match rx.recv_timeout(SETTLE_AFTER) {
-            Ok(first) => sync(&mut storage, &first, rx).map(Some),
-            Err(RecvTimeoutError::Timeout) => storage.settle().map(|()| None),
+            Ok(first) => files.take_up(first, rx),
+            Err(RecvTimeoutError::Timeout) => files.storage.settle().map(|()| None),
             Err(RecvTimeoutError::Disconnected) => return,
         };
         match done {
             Ok(Some(seq)) => report(DiskReport::Synced {
                 seq,
-                syncs: storage.syncs(),
+                syncs: files.storage.syncs(),
             }),
             Ok(None) => {}
             Err(e) => return report(DiskReport::Failed(e)),
@@ -93,14 +123,35 @@
     }
 }
 
-fn sync(
-    storage: &mut Storage,
-    first: &Persist,
-    rx: &Receiver<Persist>,
-) -> Result<PersistSeq, StorageError> {
-    storage.persist(first)?;
-    while let Ok(more) = rx.try_recv() {
-        storage.persist(&more)?;
+impl Files {
+    /// Does everything that waits; the last work of the log that is synced, if there was any.
+    fn take_up(
+        &mut self,
+        first: Work,
+        rx: &Receiver<Work>,
+    ) -> Result<Option<PersistSeq>, StorageError> {
+        let mut addresses = None;
+        let mut to_sync = false;
+        for work in std::iter::once(first).chain(rx.try_iter()) {
+            match work {
+                Work::Log(persist) => {
+                    self.storage.persist(&persist)?;
+                    to_sync = true;
+                }
+                Work::Addresses(newest) => addresses = Some(newest),
+            }
+        }
+        let synced = to_sync.then(|| self.storage.sync()).transpose()?;
+        if let Some(addresses) = addresses {
+            self.keep(&addresses);
+        }
+        Ok(synced)
+    }
+
+    /// Without the file a restart has only the seeds, as a new host does, so a failure ends nothing.
+    fn keep(&self, addresses: &BTreeSet<SocketAddr>) {
+        if let Err(e) = address_file::save(&self.dir, addresses) {
+            log::warn!("the addresses of the other control hosts are not kept: {e}");
+        }
     }
-    storage.sync()
 }
--- a/src/coltsfootnotch/daemon/control/epoch.rs
+++ b/src/coltsfootnotch/daemon/control/epoch.rs
@@ -4,15 +4,16 @@
 //! random could make the later run the lower one, and the other relays would keep the earlier run's
 //! hosts for minutes.
 
-use std::fs::{self, File};
-use std::io::{self, Write};
+use std::fs;
+use std::io;
 use std::path::Path;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use coltsfootnotch_membership::Epoch;
 
+use super::kept_file;
+
 const NAME: &str = "relay-epoch";
-const UNFINISHED: &str = "relay-epoch.new";
 
 /// Counts this start, and returns its number once it is synced.
 ///
@@ -24,18 +25,12 @@
 /// runs one number.
 pub(super) fn next(dir: &Path) -> io::Result<Epoch> {
     fs::create_dir_all(dir)?;
-    let stored = match fs::read_to_string(dir.join(NAME)) {
-        Ok(text) => text.trim().parse().map_err(io::Error::other)?,
-        Err(e) if e.kind() == io::ErrorKind::NotFound => calendar_seconds(),
-        Err(e) => return Err(e),
+    let stored = match kept_file::read(dir, NAME)? {
+        Some(text) => text.trim().parse().map_err(io::Error::other)?,
+        None => calendar_seconds(),
     };
     let epoch: u64 = stored + 1;
-    let unfinished = dir.join(UNFINISHED);
-    let mut file = File::create(&unfinished)?;
-    writeln!(file, "{epoch}")?;
-    file.sync_all()?;
-    fs::rename(&unfinished, dir.join(NAME))?;
-    File::open(dir)?.sync_all()?;
+    kept_file::replace(dir, NAME, &format!("{epoch}\n"))?;
     Ok(Epoch(epoch))
 }
 
--- a/src/coltsfootnotch/daemon/control/error.rs
+++ b/src/coltsfootnotch/daemon/control/error.rs
@@ -44,6 +44,10 @@
     #[display("the number of starts can't be kept in the data folder")]
     #[from(skip)]
     Epoch(io::Error),
+    /// The addresses of the other control hosts can't be read back.
+    #[display("the addresses of the other control hosts can't be read")]
+    #[from(skip)]
+    Addresses(io::Error),
     /// The data folder can't be read back.
     #[display("the data folder can't be opened")]
     #[from(skip)]
--- a/src/coltsfootnotch/daemon/control/mod.rs
+++ b/src/coltsfootnotch/daemon/control/mod.rs
@@ -16,6 +16,7 @@
 //! does not start.
 
 mod actor;
+mod address_file;
 pub mod batcher;
 mod config;
 pub mod config_push;
@@ -28,6 +29,7 @@
 mod handle;
 mod host_feed;
 mod input;
+mod kept_file;
 mod links;
 pub mod packet;
 mod permit;
--- a/src/coltsfootnotch/daemon/control/seeded/finding.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/finding.rs
@@ -21,6 +21,8 @@
 pub struct Finding {
     own: SocketAddr,
     seeds: BTreeSet<SocketAddr>,
+    /// Addresses that the data folder keeps.
+    kept: BTreeSet<SocketAddr>,
     first_start: bool,
     keeps_log: bool,
     next_keeper: usize,
@@ -30,11 +32,17 @@
 }
 
 impl Finding {
-    /// For the host at `own`, which dials its seeds first.
+    /// For the host at `own`, which dials its seeds and the addresses that it has `kept` first.
     #[must_use]
-    pub fn new(own: SocketAddr, keeps_log: bool, seeds: &Seeds) -> Self {
+    pub fn new(
+        own: SocketAddr,
+        keeps_log: bool,
+        seeds: &Seeds,
+        kept: BTreeSet<SocketAddr>,
+    ) -> Self {
         Self {
             own,
+            kept,
             seeds: seeds.addresses.iter().copied().collect(),
             first_start: seeds.first_start,
             keeps_log,
@@ -52,6 +60,19 @@
         }
     }
 
+    /// The addresses to keep from now on, where a control host is connected that keeps a log and whose
+    /// address is not kept yet. Hosts that went are left out then: those that nobody tells of any more.
+    pub fn to_keep(&mut self, now: Duration) -> Option<BTreeSet<SocketAddr>> {
+        let keepers = self.connected.values().filter(|h| h.keeps_log);
+        let mut addresses = keepers.map(|h| &h.address);
+        if addresses.all(|a| self.kept.contains(a)) {
+            return None;
+        }
+        let known = self.known(now);
+        self.kept.clone_from(&known);
+        Some(known)
+    }
+
     /// What this host says of itself.
     #[must_use]
     pub fn hello(&self) -> SeededHello {
@@ -109,14 +130,21 @@
 
     /// The addresses to dial now.
     pub fn wanted(&mut self, now: Duration) -> BTreeSet<SocketAddr> {
+        let mut wanted = self.known(now);
+        wanted.extend(&self.seeds);
+        wanted.extend(&self.kept);
+        wanted.remove(&self.own);
+        wanted
+    }
+
+    /// Addresses of hosts that were connected or told of not long ago.
+    fn known(&mut self, now: Duration) -> BTreeSet<SocketAddr> {
         for hello in self.connected.values() {
             self.told.insert(hello.address, now);
         }
         self.told
             .retain(|_, at| now.saturating_sub(*at) < FORGET_AFTER);
-        let mut wanted: BTreeSet<_> = self.told.keys().copied().collect();
-        wanted.extend(&self.seeds);
-        wanted.remove(&self.own);
-        wanted
+        let others = self.told.keys().filter(|a| **a != self.own);
+        others.copied().collect()
     }
 }
--- a/src/coltsfootnotch/daemon/control/seeded/mod.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/mod.rs
@@ -68,9 +68,9 @@
 }
 
 impl Seeded {
-    pub(super) fn new(now: Duration, own: SocketAddr, keeps_log: bool, seeds: &Seeds) -> Self {
+    pub(super) fn new(now: Duration, finding: Finding) -> Self {
         Self {
-            finding: Finding::new(own, keeps_log, seeds),
+            finding,
             founding: SeededFounding::default(),
             followers: Followers::default(),
             calls: Calls::default(),
--- a/src/coltsfootnotch/daemon/control/seeded/upkeep.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/upkeep.rs
@@ -68,6 +68,9 @@
         };
         let wanted = seeded.finding.wanted(now);
         self.dials.keep(&self.endpoint, &wanted);
+        if let Some(addresses) = seeded.finding.to_keep(now) {
+            self.disk.keep_addresses(addresses);
+        }
     }
 
     fn found_seeded(&mut self, now: Duration) {
--- a/tests/testsuite/control_fleet/host.rs
+++ b/tests/testsuite/control_fleet/host.rs
@@ -27,6 +27,8 @@
     pub(crate) keeps_log: bool,
     pub(crate) seeds: Seeds,
     pub(crate) disk: Disk,
+    /// Addresses of other control hosts that the data folder keeps.
+    pub(crate) kept: BTreeSet<SocketAddr>,
     pub(crate) process: Option<Process>,
     /// Processes started here so far.
     pub(crate) run: u64,
@@ -47,7 +49,7 @@
 
     pub(crate) fn start(&mut self, cfg: &CoreConfig, now: Duration, rng: &mut StdRng) {
         let recovered = self.disk.content().clone();
-        let finding = Finding::new(self.address, self.keeps_log, &self.seeds);
+        let finding = Finding::new(self.address, self.keeps_log, &self.seeds, self.kept.clone());
         self.process = Some(Process::new(cfg, recovered, finding, now, rng));
         self.starts_ms = None;
         self.run += 1;
--- a/tests/testsuite/control_fleet/mod.rs
+++ b/tests/testsuite/control_fleet/mod.rs
@@ -10,7 +10,7 @@
 pub(crate) mod ordeal;
 mod trouble;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Display;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -137,6 +137,7 @@
                 first_start,
             },
             disk: Disk::empty(MemberId { host, disk }),
+            kept: BTreeSet::new(),
             process: None,
             run: 0,
             starts_ms: Some(starts_ms),
@@ -260,9 +261,13 @@
 
     fn dial(&mut self, index: usize) {
         let now = ms(self.now_ms);
-        let Some(process) = &mut self.hosts[index].process else {
+        let host = &mut self.hosts[index];
+        let Some(process) = &mut host.process else {
             return;
         };
+        if let Some(addresses) = process.finding.to_keep(now).filter(|_| host.keeps_log) {
+            host.kept = addresses;
+        }
         for address in process.finding.wanted(now) {
             let other = self.hosts.iter().position(|h| h.address == address);
             let Some(other) = other.filter(|other| *other != index) else {
--- a/tests/testsuite/control_fleet/trouble.rs
+++ b/tests/testsuite/control_fleet/trouble.rs
@@ -31,6 +31,7 @@
         let disk = DiskId(self.rng.random());
         let host = &mut self.hosts[place];
         let name = host.member().host.clone();
+        host.kept.clear();
         host.disk = Disk::empty(MemberId { host: name, disk });
         host.seeds.first_start = false;
     }
--- a/tests/testsuite/member_runs.rs
+++ b/tests/testsuite/member_runs.rs
@@ -109,3 +109,27 @@
         expect_that!(fleet.groups_founded, eq(1), "{case}");
     }
 }
+
+/// Guards against members that restart and never find each other again: every host that their settings
+/// name has been replaced since, each by one that names other hosts.
+#[googletest::test]
+fn members_find_each_other_when_all_their_seeds_are_gone() {
+    let mut fleet = Fleet::founded(1, 3);
+    for (gone, seeds) in [(0, [2, 3]), (1, [3, 3]), (2, [5, 5])] {
+        let newcomer = fleet.hosts.len() as u8 + 1;
+        fleet.run(8_000);
+        fleet.lose_for_good(gone);
+        let starts_ms = fleet.now_ms + 500;
+        fleet.add(newcomer, &seeds.map(address), false, starts_ms);
+    }
+    fleet.run(8_000);
+    let newest = fleet.hosts.len() - 1;
+    lose_a_disk_and_power(&mut fleet, newest);
+    fleet.run(600);
+    expect_that!(
+        fleet.accepts(RECOVERS_WITHIN_MS),
+        eq(true),
+        "{:#?}",
+        fleet.story
+    );
+}
