Replace control hosts in the soak

Routers read of it at their next start; the other control hosts keep the seeds that they have, so that members have to find each other by the addresses that they keep. Schedules of seeds are as before.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -7,6 +7,7 @@
 
 use coltsfootnotch_platform_peers::HostText;
 
+use crate::controls::Controls;
 use crate::process::Process;
 use crate::proxy::{Path, Place, Rules, proxy_tcp, proxy_udp};
 use crate::schedule::Shape;
@@ -94,12 +95,18 @@
     }
 }
 
+/// Places for control hosts, those that replace others included.
+const CONTROL_PLACES: usize = 18;
+
 /// The fleet's processes.
 pub struct Fleet {
     /// Their addresses.
     pub addresses: Addresses,
     /// What happens on the paths.
     pub rules: Rules,
+    /// Where the control hosts run.
+    pub places: Controls,
+    binary: PathBuf,
     controls: Vec<Mutex<Process>>,
     routers: Vec<Mutex<Process>>,
     folder: PathBuf,
@@ -120,6 +127,8 @@
         let mut fleet = Self {
             addresses,
             rules: Rules::default(),
+            places: Controls::new(shape.controls, CONTROL_PLACES),
+            binary: binary.to_owned(),
             controls: Vec::new(),
             routers: Vec::new(),
             folder: folder.to_owned(),
@@ -127,11 +136,11 @@
         };
         fleet.start_proxies().await?;
         for n in 0..shape.controls {
-            let process = fleet.start_process(binary, Place::Control(n), "control")?;
+            let process = fleet.start_process(Place::Control(n), "control", true)?;
             fleet.controls.push(Mutex::new(process));
         }
         for n in 0..shape.routers {
-            let process = fleet.start_process(binary, Place::Router(n), "router")?;
+            let process = fleet.start_process(Place::Router(n), "router", true)?;
             fleet.routers.push(Mutex::new(process));
         }
         Ok(fleet)
@@ -143,7 +152,7 @@
             let listen = SocketAddr::new(addresses.reached(place), port);
             (listen, SocketAddr::new(addresses.bound(place), port))
         };
-        for n in 0..self.shape.controls {
+        for n in 0..CONTROL_PLACES {
             let to = Place::Control(n);
             let (listen, target) = at(to, FIRST_PORT);
             let place_of = move |sender| addresses.place_of(sender);
@@ -163,22 +172,26 @@
 
     fn start_process(
         &self,
-        binary: &FilePath,
         place: Place,
         role: &'static str,
+        first_start: bool,
     ) -> io::Result<Process> {
         let name = name_of(place);
         let settings = self.folder.join(format!("{name}.toml"));
-        std::fs::write(&settings, self.settings(place, true))?;
+        std::fs::write(&settings, self.settings(place, first_start))?;
         let log = self.folder.join(format!("{name}.log"));
-        Process::start(binary, role, settings, log)
+        Process::start(&self.binary, role, settings, log)
     }
 
     fn settings(&self, place: Place, first_start: bool) -> String {
         let ip = self.addresses.bound(place);
         let name = name_of(place);
         let data = self.folder.join(format!("{name}.data"));
-        let seeds = (0..self.shape.controls.min(3)).map(|n| self.addresses.operators(n));
+        let controls = self.places.places();
+        let seeds = controls
+            .iter()
+            .take(3)
+            .map(|n| self.addresses.operators(*n));
         let seeds: Vec<SocketAddr> = seeds.collect();
         let at = |port| SocketAddr::new(ip, port);
         HostText {
@@ -232,12 +245,32 @@
         Ok(())
     }
 
+    /// Starts an empty control host at a new place instead of one that does not run and never will again.
+    /// Routers hear of it at their next start; the other control hosts keep the seeds that they have.
+    /// Whether there was a place left.
+    ///
+    /// # Errors
+    /// Returns an error when settings can't be written or the program can't be started.
+    pub fn replace(&self, control: usize) -> io::Result<bool> {
+        let Some(place) = self.places.replace(control) else {
+            return Ok(false);
+        };
+        let successor = self.start_process(Place::Control(place), "control", false)?;
+        *self.control(control) = successor;
+        for n in 0..self.shape.routers {
+            let router = Place::Router(n);
+            let path = self.folder.join(format!("{}.toml", name_of(router)));
+            std::fs::write(path, self.settings(router, false))?;
+        }
+        Ok(true)
+    }
+
     /// Takes the disk of a control host that does not run.
     ///
     /// # Errors
     /// Returns an error when the folder can't be removed.
     pub fn wipe(&self, control: usize) -> io::Result<()> {
-        let name = name_of(Place::Control(control));
+        let name = name_of(Place::Control(self.places.place(control)));
         let data = self.folder.join(format!("{name}.data"));
         match std::fs::remove_dir_all(data) {
             Err(e) if e.kind() != io::ErrorKind::NotFound => Err(e),
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod book;
 pub mod caller;
+pub mod controls;
 pub mod disturbed;
 pub mod fleet;
 pub mod operator;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -22,6 +22,7 @@
     binary: PathBuf,
     keep: Option<PathBuf>,
     quiet: bool,
+    replace: bool,
 }
 
 fn options() -> OptionParser<Options> {
@@ -54,6 +55,9 @@
         .argument::<PathBuf>("DIR")
         .optional();
     let quiet = long("quiet").help("print no steps").switch();
+    let replace = long("replace")
+        .help("control hosts that lose their disk are replaced by others at new addresses")
+        .switch();
     construct!(Options {
         seed,
         seeds,
@@ -62,7 +66,8 @@
         routers,
         binary,
         keep,
-        quiet
+        quiet,
+        replace
     })
     .guard(
         |o| [3, 5, 7].contains(&o.controls),
@@ -114,6 +119,7 @@
             upstreams: 6,
         },
         clients: CLIENTS,
+        replaces: options.replace,
         binary: options.binary.clone(),
         block: (std::process::id() % 250) as u8,
         folder: folder.path().to_owned(),
--- a/soak/src/operator.rs
+++ b/soak/src/operator.rs
@@ -1,6 +1,7 @@
 //! Operators: they put configurations, race each other, take keys away and read back.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 use tokio::time::sleep;
 
 use crate::book::{Book, Promise};
+use crate::controls::Controls;
 use crate::fleet::{Addresses, REVOKE_MS};
 
 /// Host of all routes.
@@ -35,13 +37,14 @@
 pub struct Calls {
     agent: ureq::Agent,
     addresses: Addresses,
-    controls: usize,
+    controls: Controls,
+    count: usize,
 }
 
 impl Calls {
     /// Calls to the control hosts of a fleet.
     #[must_use]
-    pub fn new(addresses: Addresses, controls: usize) -> Self {
+    pub fn new(addresses: Addresses, controls: Controls) -> Self {
         let agent = ureq::Agent::config_builder()
             .http_status_as_error(false)
             .timeout_global(Some(CALL_TIMEOUT))
@@ -50,19 +53,24 @@
         Self {
             agent,
             addresses,
+            count: controls.places().len(),
             controls,
         }
     }
 
+    fn address(&self, control: usize) -> SocketAddr {
+        self.addresses.operators(self.controls.place(control))
+    }
+
     /// Posts to some control host; the status, zero where none came.
     pub async fn post(&self, path: &str, body: String) -> u16 {
-        self.post_at(rand::random_range(0..self.controls), path, body)
+        self.post_at(rand::random_range(0..self.count), path, body)
             .await
     }
 
     /// Posts to one control host.
     pub async fn post_at(&self, control: usize, path: &str, body: String) -> u16 {
-        let url = format!("http://{}{path}", self.addresses.operators(control));
+        let url = format!("http://{}{path}", self.address(control));
         let agent = self.agent.clone();
         let call = move || {
             let sent = agent.post(&url).content_type("application/json").send(body);
@@ -73,7 +81,7 @@
 
     /// What one control host reads back.
     pub async fn read(&self, control: usize) -> Option<String> {
-        let url = format!("http://{}{CONFIG_GET}", self.addresses.operators(control));
+        let url = format!("http://{}{CONFIG_GET}", self.address(control));
         let agent = self.agent.clone();
         let call = move || {
             let mut answer = agent.get(&url).call().ok()?;
@@ -213,8 +221,7 @@
         let mut rng = StdRng::seed_from_u64(seed);
         loop {
             self.change().await;
-            self.read_back(rng.random_range(0..self.calls.controls))
-                .await;
+            self.read_back(rng.random_range(0..self.calls.count)).await;
             let (from, to) = CHANGE_EVERY;
             sleep(Duration::from_millis(rng.random_range(from..to))).await;
         }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -56,6 +56,9 @@
     pub shape: Shape,
     /// Clients for each router.
     pub clients: usize,
+    /// Whether a control host that loses its disk is gone for good, and an empty one comes at another
+    /// address.
+    pub replaces: bool,
     /// The platform's program.
     pub binary: PathBuf,
     /// Block of loopback addresses; two runs at once need two.
@@ -118,7 +121,7 @@
     async fn stage(&self, fleet: Fleet) -> io::Result<Stage> {
         let addresses = fleet.addresses;
         let book = Book::new();
-        let calls = Calls::new(addresses, self.shape.controls);
+        let calls = Calls::new(addresses, fleet.places.clone());
         let operator = Operator::new(calls.clone(), book.clone());
         let disturbed = Disturbed::new(self.shape.routers);
         let mut upstreams = Vec::new();
@@ -151,6 +154,7 @@
             operator,
             upstreams,
             disturbed,
+            replaces: self.replaces,
         })
     }
 
--- a/soak/src/stage.rs
+++ b/soak/src/stage.rs
@@ -28,6 +28,8 @@
     pub(crate) operator: Operator,
     pub(crate) upstreams: Vec<Mutex<Upstream>>,
     pub(crate) disturbed: Disturbed,
+    /// Whether a control host that loses its disk is gone for good and replaced by another.
+    pub(crate) replaces: bool,
 }
 
 impl Stage {
@@ -74,15 +76,15 @@
                 time,
             } => {
                 self.disturb_router(router, time);
-                let (from, to) = (Place::Router(router), Place::Control(control));
+                let (from, to) = (Place::Router(router), self.control_place(control));
                 self.link(&[Path { from, to }], rule, time).await
             }
             Action::LinkControl { host, rule, time } => {
                 self.disturb_control(time);
                 let others = (0..self.fleet.control_count()).filter(|n| *n != host);
-                let one = Place::Control(host);
+                let one = self.control_place(host);
                 let both = others.flat_map(|n| {
-                    let other = Place::Control(n);
+                    let other = self.control_place(n);
                     [(one, other), (other, one)].map(|(from, to)| Path { from, to })
                 });
                 self.link(&both.collect::<Vec<_>>(), rule, time).await
@@ -132,9 +134,14 @@
     async fn kill_controls(&self, hosts: &[usize], down: Duration, wipe: bool) -> io::Result<()> {
         self.disturb_control(down);
         for host in hosts {
-            let mut control = self.fleet.control(*host);
-            control.kill()?;
-            if wipe && self.disturbed.lose_a_disk(self.book.now()) {
+            self.fleet.control(*host).kill()?;
+            if !wipe || !self.disturbed.lose_a_disk(self.book.now()) {
+                continue;
+            }
+            if self.replaces {
+                sleep(down).await;
+                self.fleet.replace(*host)?;
+            } else {
                 self.fleet.wipe(*host)?;
             }
         }
@@ -145,6 +152,10 @@
         Ok(())
     }
 
+    fn control_place(&self, control: usize) -> Place {
+        Place::Control(self.fleet.places.place(control))
+    }
+
     async fn stop_router(&self, host: usize) -> io::Result<()> {
         self.disturbed.planned(host, self.book.now());
         self.fleet.router(host).tell_to_stop()?;
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -23,6 +23,10 @@
 
 /// Plays a seed. Few clients: what is checked is what happens to them, not how many there can be.
 fn play(seed: u64) -> Vec<Finding> {
+    play_with(seed, false)
+}
+
+fn play_with(seed: u64, replaces: bool) -> Vec<Finding> {
     let folder = tempfile::tempdir().unwrap();
     let soak = Soak {
         seed,
@@ -33,6 +37,7 @@
             upstreams: 6,
         },
         clients: 2,
+        replaces,
         binary: binary(),
         block: 250 - (seed % 100) as u8,
         folder: folder.path().to_owned(),
@@ -61,6 +66,13 @@
     expect_that!(play(7), is_empty());
 }
 
+/// Guards against a control group that ends with its second loss, or whose members don't find each other
+/// any more: control hosts go for good and others come at new addresses, among all other trouble.
+#[googletest::test]
+fn seed_1001_control_hosts_are_replaced() {
+    expect_that!(play_with(1001, true), is_empty());
+}
+
 /// The same: upstreams crashed three times within a minute, and what was asked for all the while was
 /// taken for the cause.
 #[googletest::test]
