Give no vote to a learner that has just been lost

Read from the code, not seen: a learner that had caught up and then fell silent could still be promoted for the 2 s until its connection was given up. Beside a voter that is gone its vote is needed at once, even to commit that it has one, so two sound voters of three would have waited for it for ever.

A learner gets a vote only if it was heard within the last half second; the same holds for voters before the group grows. The test of learners that are not ready has the case, and fails on the code before. How long members are connected is a type of its own, in a file of its own.

--- a/src/coltsfootnotch/daemon/control/seeded/members.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/members.rs
@@ -20,6 +20,8 @@
 
 use coltsfootnotch_consensus::{MemberChange, MemberId, Membership, PeerStatus};
 
+use super::Contact;
+
 /// Most voters: seven bear the loss of three, and every change costs a message to each.
 pub const MAX_VOTERS: usize = 7;
 /// Fewest voters that the group shrinks to: three bear the loss of one.
@@ -37,45 +39,6 @@
 /// replacement takes.
 const GROW_AFTER: Duration = Duration::from_secs(30);
 
-/// Since when members are connected, or are not.
-///
-/// Every member keeps it, not only the leader: a new leader knows by it how long a voter has been gone,
-/// and does not wait anew.
-#[derive(Debug, Clone, Default)]
-pub struct Contact {
-    here_since: BTreeMap<MemberId, Duration>,
-    away_since: BTreeMap<MemberId, Duration>,
-}
-
-impl Contact {
-    /// Notes who is connected now.
-    pub fn note(&mut self, now: Duration, members: &Membership, connected: &BTreeSet<MemberId>) {
-        let is_here = |m: &MemberId| connected.contains(m);
-        self.here_since
-            .retain(|m, _| members.contains(m) && is_here(m));
-        self.away_since
-            .retain(|m, _| members.contains(m) && !is_here(m));
-        for member in members.all() {
-            let since = if is_here(member) {
-                &mut self.here_since
-            } else {
-                &mut self.away_since
-            };
-            since.entry(member.clone()).or_insert(now);
-        }
-    }
-
-    fn away_for(&self, now: Duration, member: &MemberId) -> Duration {
-        let since = self.away_since.get(member).copied().unwrap_or(now);
-        now.saturating_sub(since)
-    }
-
-    fn here_for(&self, now: Duration, member: &MemberId) -> Duration {
-        let since = self.here_since.get(member).copied().unwrap_or(now);
-        now.saturating_sub(since)
-    }
-}
-
 /// What the leader knows of the group and of those that could join it.
 #[derive(Debug, Clone, Copy)]
 pub struct GroupView<'a> {
@@ -193,11 +156,8 @@
     /// Whether every voter has just been heard and has caught up. One that is missing may be gone without
     /// having been silent for long enough to be replaced; the group must not grow beside it.
     fn has_all_voters(&self) -> bool {
-        let is_here = |m: &MemberId| {
-            let peer = self.peers.get(m);
-            let follows = peer.is_none_or(|p| p.caught_up && p.silent_for < HEARD_WITHIN);
-            follows && self.connected.contains(m)
-        };
+        // The leader is no peer of its own.
+        let is_here = |m| self.connected.contains(m) && self.peers.get(m).is_none_or(follows);
         self.members.voters.iter().all(is_here)
     }
 
@@ -231,12 +191,15 @@
             .max(self.contact.away_for(now, member))
     }
 
-    /// Learners that can get a vote now.
+    /// Learners that can get a vote now. One that has just been lost must not: beside a voter that is gone
+    /// its vote would be needed, and the group could not even commit that it has one.
     fn ready_learners(&self) -> impl Iterator<Item = &MemberId> {
-        let caught_up = |m: &&MemberId| self.peers.get(m).is_some_and(|peer| peer.caught_up);
         let learners = self.members.learners.keys();
-        learners
-            .filter(|m| self.connected.contains(m))
-            .filter(caught_up)
+        learners.filter(|m| self.connected.contains(*m) && self.peers.get(*m).is_some_and(follows))
     }
 }
+
+/// Whether a member has just been heard and lacks nothing.
+fn follows(peer: &PeerStatus) -> bool {
+    peer.caught_up && peer.silent_for < HEARD_WITHIN
+}
--- a/src/coltsfootnotch/daemon/control/seeded/mod.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/mod.rs
@@ -6,6 +6,7 @@
 //! Forwarding entries and upstreams are served here as well, since no sidecar stands between.
 
 mod call;
+mod contact;
 mod finding;
 mod followers;
 pub mod founding;
@@ -22,6 +23,7 @@
 
 pub(super) use self::call::Calls;
 pub use self::call::{Call, CallReply};
+pub use self::contact::Contact;
 pub use self::finding::Finding;
 pub(super) use self::followers::{Follower, Followers};
 use self::founding::SeededFounding;
@@ -60,7 +62,7 @@
     pub(super) book: UpstreamBook,
     /// When it is told next why there is no group yet.
     pub(super) waiting_due: Duration,
-    pub(super) contact: members::Contact,
+    pub(super) contact: Contact,
     pub(super) fleet_due: Duration,
     /// Upstreams that said no more than that they live, since entries were told.
     pub(super) alive: Vec<UpstreamSign>,
@@ -76,7 +78,7 @@
             calls: Calls::default(),
             book: UpstreamBook::default(),
             waiting_due: now + upkeep::SAY_WAITING_EVERY,
-            contact: members::Contact::default(),
+            contact: Contact::default(),
             fleet_due: now,
             alive: Vec::new(),
             alive_due: now,
--- a/tests/testsuite/control_fleet/host.rs
+++ b/tests/testsuite/control_fleet/host.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use coltsfootnotch::daemon::control::seeded::founding::{SeededFounding, Seen};
-use coltsfootnotch::daemon::control::seeded::members::{Contact, GroupView};
-use coltsfootnotch::daemon::control::seeded::{Finding, SeededHello, Seeds};
+use coltsfootnotch::daemon::control::seeded::members::GroupView;
+use coltsfootnotch::daemon::control::seeded::{Contact, Finding, SeededHello, Seeds};
 use coltsfootnotch_consensus::{Core, CoreConfig, LogIndex, MemberId, Membership, Recovered};
 use coltsfootnotch_types::HostName;
 use rand::rngs::StdRng;
--- a/tests/testsuite/seeded.rs
+++ b/tests/testsuite/seeded.rs
@@ -7,9 +7,9 @@
 use coltsfootnotch::daemon::control::founding::Founding;
 use coltsfootnotch::daemon::control::group_health::GroupHealth;
 use coltsfootnotch::daemon::control::packet::MemberHello;
-use coltsfootnotch::daemon::control::seeded::SeededHello;
 use coltsfootnotch::daemon::control::seeded::founding::{NotFounding, SeededFounding, Seen};
-use coltsfootnotch::daemon::control::seeded::members::{Contact, GroupView, MAX_VOTERS};
+use coltsfootnotch::daemon::control::seeded::members::{GroupView, MAX_VOTERS};
+use coltsfootnotch::daemon::control::seeded::{Contact, SeededHello};
 use coltsfootnotch_consensus::{
     Core, CoreConfig, DiskId, MemberChange, MemberId, Membership, PeerStatus, Recovered,
 };
@@ -312,6 +312,10 @@
     };
     group.peers.insert(newcomer, lacks);
     expect_that!(group.change(3_100), none(), "it lacks entries");
+    group.hears(&member("d", 4), 500);
+    expect_that!(group.change(3_200), none(), "it has just been lost");
+    group.hears(&member("d", 4), 0);
+    expect_that!(group.change(3_300), some(anything()));
 }
 
 /// Guards against a voter whose disk hangs and which is never replaced, since its connection is up.
