Keep what the soak saw of a control host that it replaces

The successor takes the number over now.

Beside it: settings are written in one place instead of three; the number of control hosts is asked where it is known instead of copied; a replaced host no longer waits its time without power twice; replace() returned a value that nobody used.

--- a/soak/src/controls.rs
+++ b/soak/src/controls.rs
@@ -45,6 +45,12 @@
         self.lock().by_number[number]
     }
 
+    /// How many control hosts run at a time.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.lock().by_number.len()
+    }
+
     /// Where all of them run now.
     #[must_use]
     pub fn places(&self) -> Vec<usize> {
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -176,13 +176,18 @@
         role: &'static str,
         first_start: bool,
     ) -> io::Result<Process> {
-        let name = name_of(place);
-        let settings = self.folder.join(format!("{name}.toml"));
-        std::fs::write(&settings, self.settings(place, first_start))?;
-        let log = self.folder.join(format!("{name}.log"));
+        let settings = self.write_settings(place, first_start)?;
+        let log = self.folder.join(format!("{}.log", name_of(place)));
         Process::start(&self.binary, role, settings, log)
     }
 
+    /// Writes the settings that a place has at its next start; where they are.
+    fn write_settings(&self, place: Place, first_start: bool) -> io::Result<PathBuf> {
+        let path = self.folder.join(format!("{}.toml", name_of(place)));
+        std::fs::write(&path, self.settings(place, first_start))?;
+        Ok(path)
+    }
+
     fn settings(&self, place: Place, first_start: bool) -> String {
         let ip = self.addresses.bound(place);
         let name = name_of(place);
@@ -238,31 +243,29 @@
     /// Returns an error when settings can't be written.
     pub fn end_first_start(&self) -> io::Result<()> {
         for n in 0..self.shape.controls {
-            let place = Place::Control(n);
-            let path = self.folder.join(format!("{}.toml", name_of(place)));
-            std::fs::write(path, self.settings(place, false))?;
+            self.write_settings(Place::Control(n), false)?;
         }
         Ok(())
     }
 
-    /// Starts an empty control host at a new place instead of one that does not run and never will again.
-    /// Routers hear of it at their next start; the other control hosts keep the seeds that they have.
-    /// Whether there was a place left.
+    /// Starts an empty control host at a new place instead of one that does not run and never will again;
+    /// the same one again where no place is left. Routers hear of it at their next start; the other control
+    /// hosts keep the seeds that they have.
     ///
     /// # Errors
     /// Returns an error when settings can't be written or the program can't be started.
-    pub fn replace(&self, control: usize) -> io::Result<bool> {
+    pub fn replace(&self, control: usize) -> io::Result<()> {
         let Some(place) = self.places.replace(control) else {
-            return Ok(false);
+            return self.control(control).start_again();
         };
-        let successor = self.start_process(Place::Control(place), "control", false)?;
-        *self.control(control) = successor;
+        let mut successor = self.start_process(Place::Control(place), "control", false)?;
+        let mut process = self.control(control);
+        successor.own_ends = process.own_ends;
+        *process = successor;
         for n in 0..self.shape.routers {
-            let router = Place::Router(n);
-            let path = self.folder.join(format!("{}.toml", name_of(router)));
-            std::fs::write(path, self.settings(router, false))?;
+            self.write_settings(Place::Router(n), false)?;
         }
-        Ok(true)
+        Ok(())
     }
 
     /// Takes the disk of a control host that does not run.
--- a/soak/src/operator.rs
+++ b/soak/src/operator.rs
@@ -38,7 +38,6 @@
     agent: ureq::Agent,
     addresses: Addresses,
     controls: Controls,
-    count: usize,
 }
 
 impl Calls {
@@ -53,7 +52,6 @@
         Self {
             agent,
             addresses,
-            count: controls.places().len(),
             controls,
         }
     }
@@ -64,7 +62,7 @@
 
     /// Posts to some control host; the status, zero where none came.
     pub async fn post(&self, path: &str, body: String) -> u16 {
-        self.post_at(rand::random_range(0..self.count), path, body)
+        self.post_at(rand::random_range(0..self.controls.count()), path, body)
             .await
     }
 
@@ -221,7 +219,8 @@
         let mut rng = StdRng::seed_from_u64(seed);
         loop {
             self.change().await;
-            self.read_back(rng.random_range(0..self.calls.count)).await;
+            self.read_back(rng.random_range(0..self.calls.controls.count()))
+                .await;
             let (from, to) = CHANGE_EVERY;
             sleep(Duration::from_millis(rng.random_range(from..to))).await;
         }
--- a/soak/src/stage.rs
+++ b/soak/src/stage.rs
@@ -133,21 +133,25 @@
 
     async fn kill_controls(&self, hosts: &[usize], down: Duration, wipe: bool) -> io::Result<()> {
         self.disturb_control(down);
+        let mut replaced = Vec::new();
         for host in hosts {
             self.fleet.control(*host).kill()?;
             if !wipe || !self.disturbed.lose_a_disk(self.book.now()) {
                 continue;
             }
             if self.replaces {
-                sleep(down).await;
-                self.fleet.replace(*host)?;
+                replaced.push(*host);
             } else {
                 self.fleet.wipe(*host)?;
             }
         }
         sleep(down).await;
         for host in hosts {
-            self.fleet.control(*host).start_again()?;
+            if replaced.contains(host) {
+                self.fleet.replace(*host)?;
+            } else {
+                self.fleet.control(*host).start_again()?;
+            }
         }
         Ok(())
     }
