Work out in one place who is connected to the leader

Cause: the daemon and the simulated control hosts each worked out which connected members keep a log and which belong to the first start; the daemon joined two maps that hold the same hellos, and did so on every member though only the leader uses the second set.

Founding lists the hellos that it has. No decision changes.

--- a/src/coltsfootnotch/daemon/control/founding.rs
+++ b/src/coltsfootnotch/daemon/control/founding.rs
@@ -14,6 +14,7 @@
 use coltsfootnotch_types::HostName;
 
 use super::packet::MemberHello;
+use super::seeded::SeededHello;
 
 /// How long the conditions must hold, so that hosts which were up before have sent a heartbeat: one
 /// that has a configuration in force shows that there was a group.
@@ -63,6 +64,12 @@
         self.others.get(host).map(|hello| &hello.member)
     }
 
+    /// The members on connected hosts that find each other, with what those say of themselves.
+    pub fn seeded_others(&self) -> impl Iterator<Item = (&MemberId, &SeededHello)> {
+        let others = self.others.values();
+        others.filter_map(|hello| Some((&hello.member, hello.seeded.as_ref()?)))
+    }
+
     /// What the member on `host` says of itself, while it is connected.
     pub fn hello_of(&self, host: &HostName) -> Option<&MemberHello> {
         self.others.get(host)
--- a/src/coltsfootnotch/daemon/control/seeded/members.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/members.rs
@@ -15,7 +15,7 @@
 //! number gains nothing by itself and costs its return, so the group waits longer, does it only while all
 //! others are connected, and never goes below [`MIN_VOTERS`].
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use coltsfootnotch_consensus::{MemberChange, MemberId, Membership, PeerStatus};
@@ -44,14 +44,9 @@
 pub struct GroupView<'a> {
     /// The members of the group.
     pub members: &'a Membership,
-    /// Members that are connected to the leader and the leader itself, whether they belong to the group
-    /// or not.
-    pub connected: &'a BTreeSet<MemberId>,
     /// What the leader's log knows of the other members.
     pub peers: &'a BTreeMap<MemberId, PeerStatus>,
-    /// Those of the connected members whose hosts belong to the first start of the fleet.
-    pub first_starters: &'a BTreeSet<MemberId>,
-    /// Since when members are connected, or are not.
+    /// Who is connected to the leader, and since when.
     pub contact: &'a Contact,
 }
 
@@ -104,7 +99,11 @@
         if self.members.learners.len() >= MAX_LEARNERS {
             return None;
         }
-        let newcomer = self.connected.iter().find(|m| !self.members.contains(m))?;
+        let newcomer = self
+            .contact
+            .connected()
+            .iter()
+            .find(|m| !self.members.contains(m))?;
         Some(MemberChange::Add {
             member: newcomer.clone(),
             replaces: None,
@@ -134,7 +133,7 @@
     /// Whether the learner is no newcomer in place of a voter that is about to leave: a group that grew
     /// by two of those would have two voters too many, gone for good, once the others leave.
     fn has_come_to_stay(&self, now: Duration, learner: &MemberId) -> bool {
-        let is_first_start = self.first_starters.contains(learner);
+        let is_first_start = self.contact.is_first_starter(learner);
         is_first_start || self.contact.here_for(now, learner) >= GROW_AFTER
     }
 
@@ -147,7 +146,7 @@
         let member = voters.iter().find(gone)?;
         let mut others = voters.iter().filter(|m| *m != member);
         others
-            .all(|m| self.connected.contains(m))
+            .all(|m| self.contact.connected().contains(m))
             .then(|| MemberChange::Remove {
                 member: member.clone(),
             })
@@ -157,7 +156,8 @@
     /// having been silent for long enough to be replaced; the group must not grow beside it.
     fn has_all_voters(&self) -> bool {
         // The leader is no peer of its own.
-        let is_here = |m| self.connected.contains(m) && self.peers.get(m).is_none_or(follows);
+        let is_here =
+            |m| self.contact.connected().contains(m) && self.peers.get(m).is_none_or(follows);
         self.members.voters.iter().all(is_here)
     }
 
@@ -178,7 +178,11 @@
 
     /// Whether the host of the member runs with another disk, so that the member can never return.
     fn has_other_disk(&self, member: &MemberId) -> bool {
-        let on_host = self.connected.iter().find(|m| m.host == member.host);
+        let on_host = self
+            .contact
+            .connected()
+            .iter()
+            .find(|m| m.host == member.host);
         on_host.is_some_and(|m| m != member)
     }
 
@@ -195,7 +199,9 @@
     /// its vote would be needed, and the group could not even commit that it has one.
     fn ready_learners(&self) -> impl Iterator<Item = &MemberId> {
         let learners = self.members.learners.keys();
-        learners.filter(|m| self.connected.contains(*m) && self.peers.get(*m).is_some_and(follows))
+        learners.filter(|m| {
+            self.contact.connected().contains(*m) && self.peers.get(*m).is_some_and(follows)
+        })
     }
 }
 
--- a/src/coltsfootnotch/daemon/control/seeded/upkeep.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/upkeep.rs
@@ -1,9 +1,8 @@
 //! What a control host that finds the others does by time, and with calls.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
-use coltsfootnotch_consensus::{MemberChange, MemberId};
+use coltsfootnotch_consensus::MemberChange;
 use coltsfootnotch_fabric::LinkId;
 use coltsfootnotch_forward::load::reporting_period;
 use coltsfootnotch_state::{ApplyConfig, BodyDigest, ConfigReply, Op, Reply};
@@ -13,7 +12,7 @@
 use super::followers::LeaseAsk;
 use super::founding::{NotFounding, Seen};
 use super::members::GroupView;
-use super::{Call, CallReply, SeededHello};
+use super::{Call, CallReply};
 use crate::core::{decode_reply, encode_op};
 use crate::daemon::control::daemon::ControlDaemon;
 use crate::daemon::control::packet::{Answer, Ask};
@@ -121,20 +120,18 @@
 
     fn change_members(&mut self, now: Duration) {
         let members = self.replica.core().status().members;
-        let connected = self.connected_members();
-        let first_starters = self.first_starters();
         let Some(seeded) = &mut self.seeded else {
             return;
         };
-        seeded.contact.note(now, &members, &connected);
+        let own = &self.founding.hello().member;
+        let others = self.founding.seeded_others();
+        seeded.contact.note(now, &members, own, others);
         if !self.replica.core().is_leader() {
             return;
         }
         let view = GroupView {
             members: &members,
-            connected: &connected,
             peers: &self.replica.core().peers(),
-            first_starters: &first_starters,
             contact: &seeded.contact,
         };
         let Some(change) = view.next_change(now) else {
@@ -146,27 +143,6 @@
         }
     }
 
-    /// The members on connected hosts that keep a log, and this one.
-    fn connected_members(&self) -> BTreeSet<MemberId> {
-        let own = self.founding.hello().member.clone();
-        let others = self.connected_keepers().map(|(member, _)| member.clone());
-        others.chain([own]).collect()
-    }
-
-    /// Those of them whose hosts belong to the first start of the fleet, this one aside.
-    fn first_starters(&self) -> BTreeSet<MemberId> {
-        let first = self
-            .connected_keepers()
-            .filter(|(_, hello)| hello.first_start);
-        first.map(|(member, _)| member.clone()).collect()
-    }
-
-    fn connected_keepers(&self) -> impl Iterator<Item = (&MemberId, &SeededHello)> {
-        let hosts = self.seeded.iter().flat_map(|s| s.finding.connected());
-        let keepers = hosts.filter(|(_, hello)| hello.keeps_log);
-        keepers.filter_map(|(host, hello)| Some((self.founding.member_on(host)?, hello)))
-    }
-
     fn log_change(&self, change: &MemberChange) {
         let (what, member, replaces) = match change {
             MemberChange::Add { member, replaces } => ("add", member, replaces.as_ref()),
--- a/tests/testsuite/control_fleet/host.rs
+++ b/tests/testsuite/control_fleet/host.rs
@@ -148,18 +148,15 @@
 
     pub(crate) fn change_members(&mut self, now: Duration) {
         let members = self.core.status().members;
-        let connected = self.connected_members();
-        self.contact.note(now, &members, &connected);
+        let others = self.heard.values().map(|h| (&h.member, &h.seeded));
+        let own = self.core.status().member;
+        self.contact.note(now, &members, &own, others);
         if !self.core.is_leader() {
             return;
         }
-        let first = self.heard.values().filter(|h| h.seeded.first_start);
-        let first_starters = first.map(|h| h.member.clone()).collect();
         let view = GroupView {
             members: &members,
-            connected: &connected,
             peers: &self.core.peers(),
-            first_starters: &first_starters,
             contact: &self.contact,
         };
         if let Some(change) = view.next_change(now) {
@@ -167,10 +164,4 @@
             let _refused = self.core.change_members(now, &change);
         }
     }
-
-    fn connected_members(&self) -> BTreeSet<MemberId> {
-        let keepers = self.heard.values().filter(|h| h.seeded.keeps_log);
-        let others = keepers.map(|h| h.member.clone());
-        others.chain([self.core.status().member]).collect()
-    }
 }
--- a/tests/testsuite/seeded.rs
+++ b/tests/testsuite/seeded.rs
@@ -213,12 +213,16 @@
     }
 
     fn change(&mut self, ms: u64) -> Option<MemberChange> {
-        self.contact.note(at(ms), &self.members, &self.connected);
+        let own = self.members.voters.first().expect("it has voters");
+        let others = self.connected.iter().filter(|m| *m != own);
+        let others: Vec<_> = others
+            .map(|m| (m, hello(0, self.first_starters.contains(m))))
+            .collect();
+        let others = others.iter().map(|(m, hello)| (*m, hello));
+        self.contact.note(at(ms), &self.members, own, others);
         let view = GroupView {
             members: &self.members,
-            connected: &self.connected,
             peers: &self.peers,
-            first_starters: &self.first_starters,
             contact: &self.contact,
         };
         view.next_change(at(ms))
