Part the tests of control groups by what they are about

Change: what the log wants done, and how members change, have files of their own; the loss is one function of the simulated fleet.

--- a/tests/testsuite/control_fleet/host.rs
+++ b/tests/testsuite/control_fleet/host.rs
@@ -7,7 +7,7 @@
 use coltsfootnotch::daemon::control::seeded::founding::{SeededFounding, Seen};
 use coltsfootnotch::daemon::control::seeded::members::GroupView;
 use coltsfootnotch::daemon::control::seeded::{Contact, Finding, SeededHello, Seeds};
-use coltsfootnotch_consensus::{Core, CoreConfig, LogIndex, MemberId, Membership, Recovered};
+use coltsfootnotch_consensus::{Core, CoreConfig, LogIndex, MemberId, Recovered};
 use coltsfootnotch_types::HostName;
 use rand::rngs::StdRng;
 
@@ -55,12 +55,14 @@
         self.run += 1;
     }
 
-    /// The group that this host founds now, if it does.
-    pub(crate) fn found(&mut self, now: Duration) -> Option<Membership> {
-        let keeps_log = self.keeps_log;
-        let founded = self.process.as_mut()?.found(now)?;
-        assert!(keeps_log, "a host without a disk can't found a group");
-        Some(founded)
+    /// Founds the group if it is this host's turn; whether it did.
+    pub(crate) fn found(&mut self, now: Duration) -> bool {
+        let founds = self.process.as_mut().is_some_and(|p| p.found(now));
+        assert!(
+            self.keeps_log || !founds,
+            "a host without a disk can't found a group"
+        );
+        founds
     }
 }
 
@@ -124,9 +126,9 @@
         self.applied.values().copied().max().unwrap_or(0)
     }
 
-    fn found(&mut self, now: Duration) -> Option<Membership> {
+    fn found(&mut self, now: Duration) -> bool {
         if !self.empty {
-            return None;
+            return false;
         }
         let own = self.hello();
         let own = Seen {
@@ -139,11 +141,13 @@
             empty: hello.empty,
             hello: &hello.seeded,
         });
-        let members = self.founding.due(now, own, others).ok()?;
+        let Ok(members) = self.founding.due(now, own, others) else {
+            return false;
+        };
         self.core
-            .found(now, members.voters.clone())
+            .found(now, members.voters)
             .expect("the log takes the same host for the founder");
-        Some(members)
+        true
     }
 
     pub(crate) fn change_members(&mut self, now: Duration) {
--- a/tests/testsuite/control_fleet/ordeal.rs
+++ b/tests/testsuite/control_fleet/ordeal.rs
@@ -154,7 +154,7 @@
 
     fn newcomer(&mut self, after_ms: u64) {
         let now = self.fleet.now_ms;
-        let here = (0..self.fleet.hosts.len()).filter(|p| self.fleet.hosts[*p].process.is_some());
+        let here = self.fleet.running().into_iter();
         let mut seeds: Vec<_> = here.map(|p| self.fleet.hosts[p].address).collect();
         seeds.shuffle(&mut self.fleet.rng);
         seeds.truncate(3);
@@ -167,9 +167,7 @@
     fn all_lose_power(&mut self) {
         let down = self.fleet.rng.random_range(200..1_000);
         self.tell(format!("all lose power for {down}"));
-        for place in self.running() {
-            self.fleet.power_off(place, down);
-        }
+        self.fleet.lose_disks(&[], true, down);
         // Everyone counts as lost until all have caught up, so no disk is lost meanwhile.
         for _ in 0..self.tolerance {
             self.lost_for(down);
@@ -186,21 +184,10 @@
         }
         let all = self.fleet.rng.random_bool(0.7);
         self.tell(format!("{wiped:?} lose their disks; all lose power: {all}"));
-        for place in self.running() {
-            if wiped.contains(&place) {
-                self.fleet.wipe(place, down);
-            } else if all {
-                self.fleet.power_off(place, down);
-            }
-        }
+        self.fleet.lose_disks(&wiped, all, down);
         self.run(down);
     }
 
-    fn running(&self) -> Vec<usize> {
-        let runs = |place: &usize| self.fleet.hosts[*place].process.is_some();
-        (0..self.fleet.hosts.len()).filter(runs).collect()
-    }
-
     fn lost_for(&mut self, ms: u64) {
         let until = self.fleet.now_ms + ms + CATCH_UP_MS;
         self.lost_until.push(until);
--- a/tests/testsuite/control_fleet/trouble.rs
+++ b/tests/testsuite/control_fleet/trouble.rs
@@ -36,6 +36,23 @@
         host.seeds.first_start = false;
     }
 
+    /// Hosts that run lose their disks, and with `all` the others their power; all are back after `down_ms`.
+    pub(crate) fn lose_disks(&mut self, wiped: &[usize], all: bool, down_ms: u64) {
+        for place in self.running() {
+            if wiped.contains(&place) {
+                self.wipe(place, down_ms);
+            } else if all {
+                self.power_off(place, down_ms);
+            }
+        }
+    }
+
+    /// The places of the hosts whose processes run.
+    pub(crate) fn running(&self) -> Vec<usize> {
+        let runs = |place: &usize| self.hosts[*place].process.is_some();
+        (0..self.hosts.len()).filter(runs).collect()
+    }
+
     /// The host is gone for good.
     pub(crate) fn lose_for_good(&mut self, place: usize) {
         self.power_off(place, 0);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,4 +14,5 @@
 mod orders_random;
 mod processes;
 mod seeded;
+mod seeded_members;
 mod trace;
--- a/tests/testsuite/member_runs.rs
+++ b/tests/testsuite/member_runs.rs
@@ -14,18 +14,11 @@
     (1..=3).map(address).collect()
 }
 
-/// All hosts lose power, and one of them its disk.
+/// All hosts lose power, and one of them its disk; returns when they start again.
 fn lose_a_disk_and_power(fleet: &mut Fleet, wiped: usize) {
-    for place in 0..fleet.hosts.len() {
-        if fleet.hosts[place].process.is_none() {
-            continue;
-        }
-        if place == wiped {
-            fleet.wipe(place, 600);
-        } else {
-            fleet.power_off(place, 600);
-        }
-    }
+    const DOWN_MS: u64 = 600;
+    fleet.lose_disks(&[wiped], true, DOWN_MS);
+    fleet.run(DOWN_MS);
 }
 
 /// The loss that the tests below add to a change of members, without the change.
@@ -35,7 +28,6 @@
         let mut fleet = Fleet::founded(wiped, 3);
         fleet.run(3_000);
         lose_a_disk_and_power(&mut fleet, wiped as usize);
-        fleet.run(600);
         expect_that!(fleet.accepts(RECOVERS_WITHIN_MS), eq(true), "{wiped} wiped");
     }
 }
@@ -59,7 +51,6 @@
                 fleet.run(newcomer_after_ms + CATCH_UP_MS);
                 let before = fleet.acknowledged;
                 lose_a_disk_and_power(&mut fleet, wiped);
-                fleet.run(600);
                 let case =
                     format!("{gone} gone, successor after {newcomer_after_ms} ms, {wiped} wiped");
                 expect_that!(fleet.accepts(RECOVERS_WITHIN_MS), eq(true), "{case}");
@@ -85,7 +76,6 @@
         fleet.power_off(restarted, 600);
         fleet.run(8_000);
         lose_a_disk_and_power(&mut fleet, newcomer);
-        fleet.run(600);
         expect_that!(fleet.accepts(RECOVERS_WITHIN_MS), eq(true), "seed {seed}");
     }
 }
@@ -125,7 +115,6 @@
     fleet.run(8_000);
     let newest = fleet.hosts.len() - 1;
     lose_a_disk_and_power(&mut fleet, newest);
-    fleet.run(600);
     expect_that!(
         fleet.accepts(RECOVERS_WITHIN_MS),
         eq(true),
