Allocate no streams in advance on connections without attempts

Cause: a connection allocates the state of every stream that its peer may open, 4,096 of them, about 340 KiB at each end.

Ruled out: buffers of the sockets and of TLS; with the limit at 4 the rest is about 50 KiB an end.

Change: only a sidecar, to which entries open a stream for each attempt, allows thousands of streams.

--- a/crates/fabric/src/endpoint.rs
+++ b/crates/fabric/src/endpoint.rs
@@ -21,8 +21,13 @@
 const IDLE_TIMEOUT: VarInt = VarInt::from_u32(2_000);
 /// Keep-alive interval; up to three may be lost within the idle timeout.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(500);
-/// Maximum concurrent streams per peer, which bounds the requests in progress between two hosts.
-const MAX_STREAMS: VarInt = VarInt::from_u32(4_096);
+/// Maximum concurrent streams that a peer may open for attempts, which bounds the requests in
+/// progress between two hosts.
+const ATTEMPT_STREAMS: VarInt = VarInt::from_u32(4_096);
+/// The same for processes that run no attempts: the control stream and a few to spare. A connection
+/// allocates some 70 bytes for each stream that its peer may open, so that with the limit for
+/// attempts a control host of hundreds of hosts needs most of its memory for streams never opened.
+const CONTROL_STREAMS: VarInt = VarInt::from_u32(4);
 /// Round-trip time assumed before one is measured.
 ///
 /// The first packet is retransmitted after three times this value. With quinn's default of 333 ms,
@@ -81,7 +86,7 @@
 }
 
 impl Endpoint {
-    /// Binds the address and starts accepting connections.
+    /// Binds the address and starts accepting connections. Peers can't open streams for attempts.
     ///
     /// # Errors
     /// Returns an error when the address can't be bound or the credentials can't be used.
@@ -92,7 +97,48 @@
         incarnation: Incarnation,
         handler: impl Fn(Event) + Send + Sync + 'static,
     ) -> Result<Self, EndpointError> {
-        let transport = Arc::new(transport());
+        let transport = transport(CONTROL_STREAMS);
+        Self::bind_with(
+            runtime,
+            address,
+            credentials,
+            incarnation,
+            handler,
+            transport,
+        )
+    }
+
+    /// Like [`bind`](Self::bind), for a process whose peers open streams for attempts.
+    ///
+    /// # Errors
+    /// Returns an error when the address can't be bound or the credentials can't be used.
+    pub fn bind_for_attempts(
+        runtime: &Handle,
+        address: SocketAddr,
+        credentials: &Credentials,
+        incarnation: Incarnation,
+        handler: impl Fn(Event) + Send + Sync + 'static,
+    ) -> Result<Self, EndpointError> {
+        let transport = transport(ATTEMPT_STREAMS);
+        Self::bind_with(
+            runtime,
+            address,
+            credentials,
+            incarnation,
+            handler,
+            transport,
+        )
+    }
+
+    fn bind_with(
+        runtime: &Handle,
+        address: SocketAddr,
+        credentials: &Credentials,
+        incarnation: Incarnation,
+        handler: impl Fn(Event) + Send + Sync + 'static,
+        transport: TransportConfig,
+    ) -> Result<Self, EndpointError> {
+        let transport = Arc::new(transport);
         let mut server = ServerConfig::with_crypto(Arc::new(credentials.server_config()?));
         server.transport_config(Arc::clone(&transport));
         let mut client = ClientConfig::new(Arc::new(credentials.client_config()?));
@@ -163,13 +209,13 @@
     }
 }
 
-fn transport() -> TransportConfig {
+fn transport(streams: VarInt) -> TransportConfig {
     let mut transport = TransportConfig::default();
     transport
         .max_idle_timeout(Some(IdleTimeout::from(IDLE_TIMEOUT)))
         .keep_alive_interval(Some(KEEP_ALIVE_INTERVAL))
         .initial_rtt(INITIAL_RTT)
-        .max_concurrent_bidi_streams(MAX_STREAMS)
+        .max_concurrent_bidi_streams(streams)
         .max_concurrent_uni_streams(0_u32.into());
     transport
 }
--- a/src/coltsfootnotch/daemon/sidecar/actor.rs
+++ b/src/coltsfootnotch/daemon/sidecar/actor.rs
@@ -124,7 +124,7 @@
     ) -> Result<(Self, Started), StartError> {
         let local_incarnation = cx.identity.incarnation;
         let handler = fabric_handler(&cx, &tx);
-        let endpoint = Endpoint::bind(
+        let endpoint = Endpoint::bind_for_attempts(
             &cx.runtime,
             cfg.fleet_address,
             &cfg.credentials,
