Limit the requests to an upstream that warms up

Cause: an upstream that has just started, or turned cold, has the shortest queue, so all entries send it what they have; it bears a stated number of requests a second until it is warm. The remaining warm-up was read from announcements and bounded nothing. An upstream that turned cold again without a restart was not even reported to the entries.

Change: each entry sends such an upstream one request per interval, which grows with the number of entries, from a first turn of its own. No entry asks another. A later warm-up counts as a change of the upstream.

--- a/crates/forward/src/config/service.rs
+++ b/crates/forward/src/config/service.rs
@@ -20,4 +20,6 @@
     pub max_connections: u32,
     /// Capacity of each upstream if they are model engines.
     pub engine: Option<Engine>,
+    /// Requests per second that an upstream takes while it warms up; zero if not limited.
+    pub warm_up_per_s: f64,
 }
--- a/crates/forward/src/load/mod.rs
+++ b/crates/forward/src/load/mod.rs
@@ -15,6 +15,7 @@
 mod upstream_health;
 mod upstream_load;
 mod upstream_loads;
+mod warm_up;
 
 pub use backlog_limit::BacklogLimit;
 pub use cached_segments::{CachedSegments, PromptSegment};
@@ -26,3 +27,4 @@
 pub use upstream_health::UpstreamHealth;
 pub use upstream_load::{SentRequest, UpstreamLoad};
 pub use upstream_loads::UpstreamLoads;
+pub use warm_up::{WarmUp, warm_up_interval};
--- a/crates/forward/src/load/upstream_load.rs
+++ b/crates/forward/src/load/upstream_load.rs
@@ -4,7 +4,7 @@
 
 use coltsfootnotch_wire::UpstreamUsage;
 
-use super::{BacklogLimit, CachedSegments, InFlight, Slowdown, UpstreamHealth};
+use super::{BacklogLimit, CachedSegments, InFlight, Slowdown, UpstreamHealth, WarmUp};
 
 /// The load of a request that was sent, until it finishes.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -40,6 +40,8 @@
     pub backlog: BacklogLimit,
     /// Prompt segments in its prefix cache.
     pub cached: CachedSegments,
+    /// Its warm-up after a start.
+    pub warm_up: WarmUp,
 }
 
 impl UpstreamLoad {
@@ -74,6 +76,7 @@
         self.local.waiting_tokens += sent.uncached_tokens;
         self.local.running += 1;
         self.local.held_tokens += sent.held_tokens;
+        self.warm_up.on_sent(sent.at);
     }
 
     /// Records the first event of a request.
--- a/crates/forward/src/place/mod.rs
+++ b/crates/forward/src/place/mod.rs
@@ -24,5 +24,6 @@
 pub use engine::place_engine;
 pub use plain::place_plain;
 pub use refusal::{Refusal, RefusalReason};
+pub use rendezvous::distance;
 pub use request::{PlacementRequest, PrefillRate, Prompt};
 pub use target::{Candidate, Placement};
--- a/crates/forward/src/place/rendezvous.rs
+++ b/crates/forward/src/place/rendezvous.rs
@@ -1,8 +1,15 @@
 //! Rendezvous hashing: an order of upstreams for each key that is the same at every entry.
 
-/// A number in 0..1 for a key and an upstream. The upstream with the least number is preferred;
+/// A number from 0 to 1 for a key and an upstream. The upstream with the least number is preferred;
 /// when one is lost, only its own keys move.
-pub(super) fn distance(key: u64, upstream: &str) -> f64 {
+///
+/// ```
+/// use coltsfootnotch_forward::place::distance;
+/// assert_eq!(distance(7, "spec-1"), distance(7, "spec-1"));
+/// assert_ne!(distance(7, "spec-1"), distance(7, "spec-2"));
+/// ```
+#[must_use]
+pub fn distance(key: u64, upstream: &str) -> f64 {
     let mut hash = mix(key);
     for chunk in upstream.as_bytes().chunks(8) {
         let mut block = [0; 8];
--- a/crates/forward/src/registry/upstream_registry.rs
+++ b/crates/forward/src/registry/upstream_registry.rs
@@ -218,7 +218,11 @@
     advances || (!goes_back && announcement.sequence > current.sequence)
 }
 
+/// Whether nothing but the sequence and the passing of the warm-up time differs.
 fn is_repeat(current: &Announcement, announcement: &Announcement) -> bool {
+    if announcement.warming > current.warming {
+        return false;
+    }
     let renumbered = Announcement {
         sequence: current.sequence,
         warming: current.warming,
--- a/crates/forward/tests/testsuite/config.rs
+++ b/crates/forward/tests/testsuite/config.rs
@@ -13,6 +13,7 @@
         name: name.into(),
         max_connections: 10,
         engine: None,
+        warm_up_per_s: 0.0,
     }
 }
 
--- a/crates/forward/tests/testsuite/main.rs
+++ b/crates/forward/tests/testsuite/main.rs
@@ -11,3 +11,4 @@
 mod retry;
 mod share;
 mod stalls;
+mod warm_up;
--- a/src/coltsfootnotch/daemon/forward/actor/maintenance.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/maintenance.rs
@@ -26,7 +26,7 @@
         if now < self.report_due {
             return;
         }
-        self.report_due = now + reporting_period(self.state.entries);
+        self.report_due = now + reporting_period(self.state.entries());
         self.reports += 1;
         let load = self.state.report();
         self.load_for_others.record(now, Local, load.clone());
--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -196,7 +196,12 @@
             boot_clock: BootClock,
             dialect: settings.dialect,
             times: settings.times,
-            state: State::new(domain, RetryBudget::new(settings.retries), lease),
+            state: State::new(
+                domain,
+                cx.identity.incarnation.0,
+                RetryBudget::new(settings.retries),
+                lease,
+            ),
             links,
             endpoint,
             config,
--- a/src/coltsfootnotch/daemon/forward/state.rs
+++ b/src/coltsfootnotch/daemon/forward/state.rs
@@ -5,11 +5,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coltsfootnotch_forward::config::{Engine, ForwardConfig};
+use coltsfootnotch_forward::config::{Engine, ForwardConfig, Service};
 use coltsfootnotch_forward::lease::ConfigLease;
-use coltsfootnotch_forward::load::UpstreamLoads;
+use coltsfootnotch_forward::load::{UpstreamLoads, warm_up_interval};
 use coltsfootnotch_forward::place::{
-    Candidate, Placement, PlacementRequest, PrefillRate, Refusal, place_engine, place_plain,
+    Candidate, Placement, PlacementRequest, PrefillRate, Refusal, distance, place_engine,
+    place_plain,
 };
 use coltsfootnotch_forward::registry::{Announcement, RegistryUpdate, Stage, UpstreamRegistry};
 use coltsfootnotch_forward::retry::{PoisonRequests, RetryBudget};
@@ -32,6 +33,10 @@
 /// Prefill rate of an engine in tokens per millisecond if the operator states no capacity.
 const DEFAULT_PREFILL_RATE: f64 = 25.0;
 
+/// Entries that an upstream that warms up is shared with before their number is known. After a loss
+/// of power all entries start at once, and each would send as much as the whole fleet may.
+const ASSUMED_ENTRIES: u32 = 200;
+
 /// Shortest target if no route states one.
 const DEFAULT_TARGET: Duration = Duration::from_millis(800);
 
@@ -44,27 +49,41 @@
     pub(super) retries: RetryBudget,
     pub(super) poison: PoisonRequests,
     pub(super) lease: ConfigLease,
-    pub(super) entries: u32,
+    /// Number of entries; none before the first totals of the fleet.
+    entries: Option<u32>,
+    /// Differs between entries; spreads their requests to an upstream that warms up.
+    entry_key: u64,
     /// Most engines of each service that were ready at once. The capacity that the operator states
     /// includes engines that are down at the moment.
     max_engines: HashMap<Arc<str>, usize>,
 }
 
 impl State {
-    pub(super) fn new(domain: Arc<str>, retries: RetryBudget, lease: ConfigLease) -> Self {
+    pub(super) fn new(
+        domain: Arc<str>,
+        entry_key: u64,
+        retries: RetryBudget,
+        lease: ConfigLease,
+    ) -> Self {
         Self {
             domain,
+            entry_key,
             registry: UpstreamRegistry::default(),
             loads: UpstreamLoads::default(),
             shares: FairShares::default(),
             retries,
             poison: PoisonRequests::default(),
             lease,
-            entries: 1,
+            entries: None,
             max_engines: HashMap::new(),
         }
     }
 
+    /// Number of entries that share limits; 1 until the first totals of the fleet.
+    pub(super) fn entries(&self) -> u32 {
+        self.entries.unwrap_or(1)
+    }
+
     /// Applies an announcement of an upstream.
     pub(super) fn on_announcement(
         &mut self,
@@ -76,9 +95,12 @@
             announcement.born_ms,
             announcement.service.clone(),
         );
+        let warming = announcement.warming;
         let update = self.registry.apply(now, announcement);
         if update != RegistryUpdate::Stale {
-            self.loads.entry(&id, born_ms);
+            let phase = distance(self.entry_key, &id);
+            let load = self.loads.entry(&id, born_ms);
+            load.warm_up.announce(now, warming, phase);
         }
         if update == RegistryUpdate::Changed {
             self.count_engines(service);
@@ -120,7 +142,7 @@
             None => self.place_plain(now, req),
         };
         let placement = placement.map_err(PlacementError::Refused)?;
-        if req.is_retry && !self.retries.try_acquire(now, &service.name, self.entries) {
+        if req.is_retry && !self.retries.try_acquire(now, &service.name, self.entries()) {
             return Err(PlacementError::NoRetryBudget);
         }
         if let Some(account) = req.account.as_ref().filter(|_| is_first) {
@@ -135,7 +157,7 @@
         req: &PlaceRequest,
         engine: &Engine,
     ) -> Result<Placement, Refusal> {
-        let service = &req.config.services()[req.service].name;
+        let service = &req.config.services()[req.service];
         // A retry was admitted before; refusing it for its account's share wastes the work done.
         let account = req.account.as_ref().filter(|_| !req.is_retry);
         if let Some(units) = req.config.units_per_s() {
@@ -143,7 +165,7 @@
         }
         let pressure = account.and_then(|account| self.shares.pressure(now, account));
         let fair_fraction = account.map_or(1.0, |account| self.shares.fair_fraction(now, account));
-        let prefill_rate = self.prefill_rate(&req.config, service);
+        let prefill_rate = self.prefill_rate(&req.config, &service.name);
         let request = PlacementRequest {
             prompt: &req.prompt,
             pressure,
@@ -161,9 +183,9 @@
             now,
             &request,
             prefill_rate,
-            self.candidates(service, Some(engine)),
+            self.candidates(now, service, Some(engine)),
         );
-        self.record_blocking(now, service, &placement);
+        self.record_blocking(now, &service.name, &placement);
         placement
     }
 
@@ -209,28 +231,35 @@
     }
 
     fn place_plain(&mut self, now: Duration, req: &PlaceRequest) -> Result<Placement, Refusal> {
-        let service = &req.config.services()[req.service].name;
-        let candidates = self.candidates(service, None);
+        let service = &req.config.services()[req.service];
+        let candidates = self.candidates(now, service, None);
         place_plain(now, &self.domain, &req.avoid, req.tie_breaker, candidates)
     }
 
+    /// The upstreams of the service to which this entry may send a request now.
     fn candidates<'a>(
         &'a self,
-        service: &'a str,
+        now: Duration,
+        service: &'a Service,
         engine: Option<&Engine>,
     ) -> impl Iterator<Item = Candidate<'a>> {
+        let entries = self.entries.unwrap_or(ASSUMED_ENTRIES);
+        let interval = warm_up_interval(service.warm_up_per_s, entries);
         let memory_tokens = engine.map_or(0, |e| e.memory_tokens);
         let slots = engine.map(|e| e.slots);
-        self.registry.ready(service).filter_map(move |upstream| {
-            let announcement = &upstream.announcement;
-            Some(Candidate {
-                id: &announcement.id,
-                domain: &announcement.domain,
-                slots: slots.unwrap_or(announcement.slots),
-                memory_tokens,
-                load: self.loads.get(&announcement.id, announcement.born_ms)?,
+        self.registry
+            .ready(&service.name)
+            .filter_map(move |upstream| {
+                let announcement = &upstream.announcement;
+                let load = self.loads.get(&announcement.id, announcement.born_ms)?;
+                load.warm_up.admits(now, interval).then(|| Candidate {
+                    id: &announcement.id,
+                    domain: &announcement.domain,
+                    slots: slots.unwrap_or(announcement.slots),
+                    memory_tokens,
+                    load,
+                })
             })
-        })
     }
 
     fn ticket(&mut self, now: Duration, req: &PlaceRequest, placement: Placement) -> Ticket {
@@ -252,7 +281,7 @@
         let capacity = service.engine.as_ref().map_or(0, cache_capacity);
         self.loads
             .record_segments(now, &placement.id, &req.prompt.shared, capacity);
-        let share = service.max_connections / self.entries.max(1);
+        let share = service.max_connections / self.entries();
         Ticket {
             upstream: placement.id,
             born_ms,
@@ -305,7 +334,7 @@
         load: &EntryLoadReport,
         config: Option<&ForwardConfig>,
     ) {
-        self.entries = entries.max(1);
+        self.entries = Some(entries.max(1));
         self.shares.apply_remote(now, load);
         for crash in &load.aborts {
             self.poison.record(now, *crash);
@@ -326,7 +355,7 @@
 
     /// This entry's demand relative to an even share of the demand at all entries.
     pub(super) fn load_ratio(&mut self, now: Duration) -> f64 {
-        self.shares.local_share(now) * f64::from(self.entries)
+        self.shares.local_share(now) * f64::from(self.entries())
     }
 
     /// Load at this entry, and its changes since the last report.
