Keep each subject at two homes, and more by demand

Cause: when the engines that had a prompt's shared segments cached were at their bound, the request went to any engine that looked nearly idle, for accounts within their share to the best of all. Reports are 200 to 400 ms old, so with 70 entries and 120 engines there always was one, and it prefilled 9,190 tokens instead of 2,890. Under load a quarter to a third of all prefilled tokens were repeated, which filled the engines, sent more requests elsewhere and evicted what was cached: a fleet that its load would not saturate stayed saturated. Besides, requests that wait behind others that their entry does not know of made every engine look slow, which counted as waits a second time.

Change: a prompt with shared segments goes to the engines that have it cached and to its subject's homes, the first two in an order by hash that all entries share, or is refused; only one that is cached nowhere may go elsewhere. A subject in high demand, estimated by each entry from its own requests and its share of the fleet's, has as many homes as it needs. Slowness beyond half as much again that all engines share does not count.

--- a/crates/forward/src/place/engine.rs
+++ b/crates/forward/src/place/engine.rs
@@ -3,8 +3,7 @@
 use std::time::Duration;
 
 use super::admission::{account_factor, is_above_share, is_admitted, wait_bound_ms};
-use super::rendezvous::distance;
-use super::shortlist::Shortlist;
+use super::shortlist::{Listed, Shortlist};
 use super::target::{Candidate, Placement};
 use super::{PlacementRequest, PrefillRate, Refusal, RefusalReason};
 use crate::load::SentRequest;
@@ -22,9 +21,16 @@
 /// charged at all, it spreads each subject over all engines.
 const MAX_REPEATED_PREFILL_SHARE: f64 = 0.75;
 
-/// Preference in milliseconds for the preferred engine of a prompt that is cached nowhere, so that
+/// Cost in milliseconds of each rank among the homes of a subject that is cached nowhere, so that
 /// entries which receive a new subject at the same time prefill it at one engine.
-const PREFERRED_ENGINE_MS: f64 = 80.0;
+const HOME_RANK_MS: f64 = 80.0;
+
+/// Slowness of most engines up to which it counts in full. When all look slower than that, requests
+/// waited behind others that their entry did not know of yet; counted as slowness, it makes idle
+/// engines look saturated.
+const PLAUSIBLE_SLOWNESS: f64 = 1.5;
+/// Greatest factor that is taken off the slowness of all engines for it.
+const MAX_COMMON_SLOWNESS: f64 = 2.0;
 
 /// Cost in milliseconds of another failure domain: network time and cross-domain traffic.
 const CROSS_DOMAIN_MS: f64 = 6.0;
@@ -49,54 +55,75 @@
         |c: &Candidate<'_>| !request.avoid.contains(c.id) && c.load.health().is_available(now);
     let usable: Vec<_> = candidates.into_iter().filter(usable).collect();
     let shortlist = Shortlist::new(request, prefill_rate, &usable);
-    let mut comparison = Comparison::new(now, request, prefill_rate, shortlist.max_cached);
-    shortlist.iter(request).for_each(|c| comparison.compare(c));
+    let fleet = FleetView {
+        prefill_rate,
+        common_slowness: common_slowness(now, &usable),
+        max_cached: shortlist.max_cached,
+    };
+    let mut comparison = Comparison::new(now, request, fleet);
+    shortlist
+        .preferred(request)
+        .for_each(|l| comparison.compare(&l));
+    if shortlist.is_bound() {
+        return comparison.finish(false);
+    }
+    if comparison.best.is_none() {
+        shortlist.sampled().for_each(|l| comparison.compare(&l));
+    }
     if comparison.best.is_none() && request.fair_fraction >= 1.0 {
         // An account within its share is refused only if all engines are saturated.
-        usable.iter().for_each(|c| comparison.compare(c));
+        shortlist.all().for_each(|l| comparison.compare(&l));
+    }
+    comparison.finish(true)
+}
+
+/// Factor of the engines' slowness that is due to late reports, at least 1.
+fn common_slowness(now: Duration, usable: &[Candidate<'_>]) -> f64 {
+    let mut factors: Vec<f64> = usable.iter().map(|c| c.load.slowness(now)).collect();
+    if factors.is_empty() {
+        return 1.0;
     }
-    comparison.finish()
+    let middle = factors.len() / 2;
+    let (_, median, _) = factors.select_nth_unstable_by(middle, f64::total_cmp);
+    (*median / PLAUSIBLE_SLOWNESS).clamp(1.0, MAX_COMMON_SLOWNESS)
+}
+
+/// What is the same for all engines that a request is compared at.
+#[derive(Clone, Copy)]
+struct FleetView {
+    prefill_rate: PrefillRate,
+    common_slowness: f64,
+    /// Most tokens of the request's shared segments that any engine has cached.
+    max_cached: u64,
 }
 
 /// The result of the comparison so far.
 struct Comparison<'a, 'b> {
     now: Duration,
     request: &'a PlacementRequest<'b>,
-    prefill_rate: PrefillRate,
+    fleet: FleetView,
     /// Multiple of the wait bound for the request's account.
     factor: f64,
-    max_cached: u64,
     best: Option<(f64, Placement)>,
     /// Excess over its bound of the least saturated engine.
     min_excess_ms: Option<f64>,
 }
 
 impl<'a, 'b> Comparison<'a, 'b> {
-    fn new(
-        now: Duration,
-        request: &'a PlacementRequest<'b>,
-        prefill_rate: PrefillRate,
-        max_cached: u64,
-    ) -> Self {
+    fn new(now: Duration, request: &'a PlacementRequest<'b>, fleet: FleetView) -> Self {
         Self {
             now,
             request,
-            prefill_rate,
+            fleet,
             factor: account_factor(request),
-            max_cached,
             best: None,
             min_excess_ms: None,
         }
     }
 
-    fn compare(&mut self, candidate: &Candidate<'_>) {
-        let estimate = Estimate::new(
-            self.now,
-            self.request,
-            self.prefill_rate,
-            self.max_cached,
-            candidate,
-        );
+    fn compare(&mut self, listed: &Listed<'_, '_>) {
+        let candidate = listed.candidate;
+        let estimate = Estimate::new(self.now, self.request, self.fleet, listed);
         let excess_ms = estimate.charged_wait_ms - estimate.bound_ms * self.factor;
         let min_excess = self.min_excess_ms.unwrap_or(f64::INFINITY);
         self.min_excess_ms = Some(min_excess.min(excess_ms));
@@ -118,9 +145,10 @@
         }
     }
 
-    fn finish(self) -> Result<Placement, Refusal> {
+    /// The result; `compared_all` tells whether any engine would have been taken.
+    fn finish(self, compared_all: bool) -> Result<Placement, Refusal> {
         let Some((_, placement)) = self.best else {
-            return Err(refusal(self.request, self.min_excess_ms, true));
+            return Err(refusal(self.request, self.min_excess_ms, compared_all));
         };
         if is_admitted(self.request, placement.wait, placement.bound) {
             return Ok(placement);
@@ -146,13 +174,18 @@
     fn new(
         now: Duration,
         request: &PlacementRequest<'_>,
-        prefill_rate: PrefillRate,
-        max_cached: u64,
-        candidate: &Candidate<'_>,
+        fleet: FleetView,
+        listed: &Listed<'_, '_>,
     ) -> Self {
+        let candidate = listed.candidate;
+        let FleetView {
+            prefill_rate,
+            max_cached,
+            ..
+        } = fleet;
         let load = candidate.load;
         let in_flight = load.in_flight();
-        let slowness = load.slowness(now);
+        let slowness = load.slowness(now) / fleet.common_slowness;
         let cached = load.cached.cached_prefix_tokens(&request.prompt.shared);
         let uncached = request.prompt.tokens.saturating_sub(cached);
         let to_ms = |tokens: u64| tokens as f64 / prefill_rate.tokens_per_ms;
@@ -164,8 +197,8 @@
         if candidate.domain != request.domain {
             cost += CROSS_DOMAIN_MS;
         }
-        if let Some(last) = request.prompt.shared.last().filter(|_| max_cached == 0) {
-            cost += distance(last.id, candidate.id) * PREFERRED_ENGINE_MS;
+        if let Some(rank) = listed.home_rank.filter(|_| max_cached == 0) {
+            cost += rank as f64 * HOME_RANK_MS;
         }
         let sent = SentRequest {
             uncached_tokens: uncached,
--- a/crates/forward/src/place/mod.rs
+++ b/crates/forward/src/place/mod.rs
@@ -4,9 +4,10 @@
 //! memory of one engine many times, and come in bursts beyond the engines' capacity. Spread evenly,
 //! every engine prefills every shared segment, and a burst makes every request late.
 //!
-//! A request goes to the engine with the earliest expected first event: its backlog plus the
-//! uncached part of the prompt, over its prefill rate. A subject thus stays where it is cached
-//! until that engine is too far behind. Engines process requests in order, so work beyond a bound
+//! A request goes to the engine with the earliest expected first event, among those that have its
+//! subject cached and the subject's homes: its backlog plus the uncached part of the prompt, over
+//! its prefill rate. When they are too far behind it is refused, since prefilling its shared
+//! segments elsewhere would take the time of three other requests. Engines process requests in order, so work beyond a bound
 //! makes all later requests late and is refused. The bound is the lesser of what leaves room for
 //! the shortest target and what the engine's streams tolerate
 //! ([`BacklogLimit`](crate::load::BacklogLimit)); it is higher for accounts below their fair share
--- a/crates/forward/src/place/request.rs
+++ b/crates/forward/src/place/request.rs
@@ -16,12 +16,23 @@
 }
 
 impl Prompt {
+    /// The last of its shared segments, which says what the prompt is about.
+    #[must_use]
+    pub fn subject(&self) -> Option<PromptSegment> {
+        self.shared.last().copied()
+    }
+
+    /// Tokens of its shared segments.
+    #[must_use]
+    pub fn shared_tokens(&self) -> u64 {
+        self.shared.iter().map(|p| u64::from(p.tokens)).sum()
+    }
+
     /// Service units of the request: prompt tokens that are not shared, plus twice the answer's
     /// tokens, which cost an engine about twice as much.
     #[must_use]
     pub fn service_units(&self) -> u64 {
-        let shared: u64 = self.shared.iter().map(|p| u64::from(p.tokens)).sum();
-        self.tokens.saturating_sub(shared) + 2 * self.output_tokens
+        self.tokens.saturating_sub(self.shared_tokens()) + 2 * self.output_tokens
     }
 
     /// Estimated longest time from the first event of the answer to its end.
@@ -61,6 +72,9 @@
     /// The shortest target of the service's routes for pauses of a stream, which limits the backlog
     /// of an engine. None where no route states one.
     pub shortest_gap: Option<Duration>,
+    /// Estimated requests per second about the prompt's subject at all entries; zero for a subject
+    /// that is not in high demand. See [`crate::load::SubjectDemand`].
+    pub subject_per_s: f64,
     /// The failure domain of this entry.
     pub domain: &'a str,
     /// Differs between requests; breaks ties.
--- a/crates/forward/src/place/shortlist.rs
+++ b/crates/forward/src/place/shortlist.rs
@@ -1,28 +1,46 @@
 //! Engines that are compared for a request.
 //!
-//! All entries place requests by reports that are 100 to 200 ms old. If each compares all engines,
+//! All entries place requests by reports that are 100 to 300 ms old. If each compares all engines,
 //! they all overfill the one that looked least loaded while others idle. Each request is therefore
-//! compared at a few engines only: those with the most cached segments of its prompt, and two
-//! chosen at random (power of two choices). No engine gets more than twice its even share between
-//! two reports, and a loaded engine still gets less.
+//! compared at a few engines only.
+//!
+//! A prompt with shared segments is compared at the homes of its subject, the first few engines in an
+//! order by hash that all entries share, and at engines that have it cached. If a busy home sends it
+//! to any engine that looks idle, that engine prefills all of its shared segments; under load most
+//! engines do so for most subjects, the copies evict each other, and the fleet prefills three times
+//! the tokens for each request. Two engines chosen at random (power of two choices) are compared for
+//! other prompts, and for a subject that is cached nowhere when its homes are saturated.
 
 use super::target::Candidate;
 use super::{PlacementRequest, PrefillRate};
 use crate::place::rendezvous::distance;
 
-/// Prefill time of cached segments, in milliseconds, from which the engines that cache them are
-/// always compared.
-const MIN_CACHED_MS: f64 = 3.0;
+/// Prefill time of shared segments, in milliseconds, from which a prompt is kept at the homes of its
+/// subject.
+const MIN_SHARED_MS: f64 = 3.0;
+
+/// Homes of a subject that is not in high demand. The second one balances the load of the first.
+const MIN_HOMES: usize = 2;
+
+/// Share of an engine's time that the requests about one subject may take at each of its homes.
+const MAX_HOME_SHARE: f64 = 0.5;
 
 /// The engines to compare for a request.
 pub(super) struct Shortlist<'a, 'b> {
     usable: &'b [Candidate<'a>],
     sampled: [usize; 2],
-    /// Index of the preferred engine for a subject that is cached nowhere.
-    preferred: Option<usize>,
+    /// Indices of the homes of the prompt's subject, the first one first. Empty for a prompt that is
+    /// not kept at homes.
+    homes: Vec<usize>,
     /// Most tokens of the request's shared segments that any engine has cached.
     pub(super) max_cached: u64,
-    includes_caching: bool,
+}
+
+/// An engine to compare.
+pub(super) struct Listed<'a, 'b> {
+    pub(super) candidate: &'b Candidate<'a>,
+    /// Its rank among the homes of the prompt's subject, from 0.
+    pub(super) home_rank: Option<usize>,
 }
 
 impl<'a, 'b> Shortlist<'a, 'b> {
@@ -31,44 +49,88 @@
         prefill_rate: PrefillRate,
         usable: &'b [Candidate<'a>],
     ) -> Self {
-        let cached_tokens =
-            |c: &Candidate<'_>| c.load.cached.cached_prefix_tokens(&request.prompt.shared);
-        let max_cached = usable.iter().map(cached_tokens).max().unwrap_or(0);
-        let subject = request.prompt.shared.last().filter(|_| max_cached == 0);
-        let preferred = subject.and_then(|subject| {
-            let rank = |c: &Candidate<'_>| distance(subject.id, c.id);
-            let closer = |a: &usize, b: &usize| rank(&usable[*a]).total_cmp(&rank(&usable[*b]));
-            (0..usable.len()).min_by(closer)
-        });
+        let shared = &request.prompt.shared;
+        let cached_tokens = |c: &Candidate<'_>| c.load.cached.cached_prefix_tokens(shared);
+        let to_ms = |tokens: u64| tokens as f64 / prefill_rate.tokens_per_ms;
+        let shared_tokens = request.prompt.shared_tokens();
+        let is_kept = to_ms(shared_tokens) >= MIN_SHARED_MS;
+        let own_ms = to_ms(request.prompt.tokens.saturating_sub(shared_tokens));
+        let count = home_count(request.subject_per_s, own_ms);
+        let subject = request.prompt.subject().filter(|_| is_kept);
         Self {
             sampled: sample_two(request.tie_breaker, usable.len()),
-            includes_caching: max_cached as f64 / prefill_rate.tokens_per_ms >= MIN_CACHED_MS,
+            homes: subject.map_or_else(Vec::new, |s| homes(s.id, count, usable)),
             usable,
-            preferred,
-            max_cached,
+            max_cached: usable.iter().map(cached_tokens).max().unwrap_or(0),
         }
     }
 
-    /// The engines to compare.
-    pub(super) fn iter(
+    /// Whether the prompt may only go to its homes and to engines that have most of it cached.
+    pub(super) fn is_bound(&self) -> bool {
+        !self.homes.is_empty() && self.max_cached > 0
+    }
+
+    /// The homes of the prompt's subject, and the engines that have most of it cached.
+    pub(super) fn preferred(
         &self,
         request: &PlacementRequest<'_>,
-    ) -> impl Iterator<Item = &'b Candidate<'a>> {
-        let is_listed = move |(index, candidate): &(usize, &Candidate<'_>)| {
-            let caches_most = || {
-                candidate
-                    .load
-                    .cached
-                    .cached_prefix_tokens(&request.prompt.shared)
-                    == self.max_cached
-            };
-            self.sampled.contains(index)
-                || self.preferred == Some(*index)
-                || self.includes_caching && caches_most()
+    ) -> impl Iterator<Item = Listed<'a, 'b>> {
+        let caches_most = |c: &Candidate<'_>| {
+            c.load.cached.cached_prefix_tokens(&request.prompt.shared) == self.max_cached
         };
+        let is_bound = self.is_bound();
         let all = self.usable.iter().enumerate();
-        all.filter(is_listed).map(|(_, candidate)| candidate)
+        all.filter_map(move |(index, candidate)| {
+            let home_rank = self.homes.iter().position(|home| *home == index);
+            let is_listed = home_rank.is_some() || is_bound && caches_most(candidate);
+            is_listed.then_some(Listed {
+                candidate,
+                home_rank,
+            })
+        })
+    }
+
+    /// Two engines chosen at random.
+    pub(super) fn sampled(&self) -> impl Iterator<Item = Listed<'a, 'b>> {
+        let sampled = self.sampled.iter().filter_map(|i| self.usable.get(*i));
+        sampled.map(Listed::without_rank)
+    }
+
+    /// All engines.
+    pub(super) fn all(&self) -> impl Iterator<Item = Listed<'a, 'b>> {
+        self.usable.iter().map(Listed::without_rank)
+    }
+}
+
+impl<'a, 'b> Listed<'a, 'b> {
+    fn without_rank(candidate: &'b Candidate<'a>) -> Self {
+        Self {
+            candidate,
+            home_rank: None,
+        }
+    }
+}
+
+/// Number of homes of a subject with `per_s` requests per second that each take `own_ms` of an
+/// engine's time.
+fn home_count(per_s: f64, own_ms: f64) -> usize {
+    let engines = per_s * own_ms / 1e3 / MAX_HOME_SHARE;
+    MIN_HOMES.max(engines.ceil() as usize)
+}
+
+/// Indices of the first `count` engines in the order of the subject.
+fn homes(subject: u64, count: usize, usable: &[Candidate<'_>]) -> Vec<usize> {
+    let all = usable.iter().enumerate();
+    let mut ranked: Vec<(f64, usize)> = all
+        .map(|(index, c)| (distance(subject, c.id), index))
+        .collect();
+    let by_distance = |a: &(f64, usize), b: &(f64, usize)| a.0.total_cmp(&b.0);
+    if count < ranked.len() {
+        ranked.select_nth_unstable_by(count, by_distance);
+        ranked.truncate(count);
     }
+    ranked.sort_unstable_by(by_distance);
+    ranked.into_iter().map(|(_, index)| index).collect()
 }
 
 /// Two different indices below `len`, or as many as there are.
--- a/crates/forward/tests/testsuite/engines.rs
+++ b/crates/forward/tests/testsuite/engines.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coltsfootnotch_forward::load::{SentRequest, UpstreamLoads};
+use coltsfootnotch_forward::load::{SentRequest, SubjectDemand, UpstreamLoads};
 use coltsfootnotch_forward::place::{
     Candidate, Placement, PlacementRequest, PrefillRate, Prompt, Refusal, place_engine,
 };
@@ -29,6 +29,7 @@
 pub(crate) struct Fleet {
     pub(crate) ids: Vec<Arc<str>>,
     pub(crate) loads: UpstreamLoads,
+    subjects: SubjectDemand,
     /// Factor by which each engine is slower than expected.
     pub(crate) slowness: Vec<f64>,
     free_at: Vec<Duration>,
@@ -55,6 +56,7 @@
             prefills_of_segment: HashMap::new(),
             ids,
             loads,
+            subjects: SubjectDemand::default(),
         }
     }
 
@@ -87,12 +89,17 @@
     ) -> Result<(usize, Duration), Refusal> {
         self.work(now);
         self.tie_breaker += 1;
+        let subject_per_s = prompt.subject().map_or(0.0, |subject| {
+            self.subjects.record(now, subject.id);
+            self.subjects.per_s(now, subject.id, 1.0)
+        });
         let request = PlacementRequest {
             prompt,
             pressure: pressure.into(),
             fair_fraction: 1.0,
             shortest_target: TARGET,
             shortest_gap: None,
+            subject_per_s,
             domain: "colombo",
             tie_breaker: self.tie_breaker,
             avoid: &[],
--- a/crates/forward/tests/testsuite/many_entries/fleet.rs
+++ b/crates/forward/tests/testsuite/many_entries/fleet.rs
@@ -1,9 +1,12 @@
-//! Simulated entries with delayed reports, and engines that prefill prompts in order.
+//! Simulated entries with delayed reports, and engines that prefill prompts in order and cache them.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
-use coltsfootnotch_forward::load::{FleetLoad, SentRequest, UpstreamLoads};
+use coltsfootnotch_forward::load::{
+    CachedSegments, FleetLoad, SentRequest, SubjectDemand, UpstreamLoads,
+};
 use coltsfootnotch_forward::place::{
     Candidate, PlacementRequest, PrefillRate, Prompt, place_engine,
 };
@@ -12,15 +15,12 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-/// Prefill rate of one engine.
-const PREFILL_RATE: PrefillRate = PrefillRate {
-    tokens_per_ms: 112.0,
-    base_ms: 35.0,
-};
+/// Time to the first event of a cached prompt, in milliseconds.
+const BASE_MS: f64 = 35.0;
 /// Shortest target of the service's routes.
 pub(super) const TARGET: Duration = Duration::from_millis(400);
-/// Time between two reports of an entry and two broadcasts of the control host.
-const PERIOD_MS: u64 = 100;
+/// Share of an engine's memory that entries take for its prefix cache.
+const CACHE_SHARE: f64 = 0.55;
 /// Duration of an answer after its first event.
 const ANSWER: Duration = Duration::from_millis(300);
 const DOMAIN: &str = "north";
@@ -35,9 +35,44 @@
     pub(super) units: u64,
 }
 
+/// What a simulated fleet consists of, and what its callers send.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Setup {
+    pub(super) entries: usize,
+    pub(super) engines: usize,
+    /// Prefill rate of one engine.
+    pub(super) tokens_per_ms: f64,
+    /// Part of what the engines prefill that the operator states as their capacity.
+    pub(super) stated_share: f64,
+    /// Memory of one engine, shared by running requests and cached prompts.
+    pub(super) memory_tokens: u64,
+    /// Time between two reports of an entry and two broadcasts of the control host.
+    pub(super) period_ms: u64,
+    /// Draws the prompt of a request of an account.
+    pub(super) prompt: fn(&mut StdRng, account: usize) -> Prompt,
+}
+
+/// A simulated engine.
+#[derive(Default)]
+struct Engine {
+    free_at: Duration,
+    /// Tokens of running requests.
+    held: u64,
+    cached: CachedSegments,
+}
+
+/// Tokens that all engines have prefilled.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Prefilled {
+    pub(super) all: u64,
+    /// Of shared segments that some engine had prefilled before.
+    pub(super) repeated: u64,
+}
+
 struct Running {
     entry: usize,
     engine: usize,
+    held: u64,
     sent: SentRequest,
     first_event_at: Duration,
     has_started: bool,
@@ -46,13 +81,17 @@
 struct Entry {
     loads: UpstreamLoads,
     shares: FairShares,
+    subjects: SubjectDemand,
 }
 
 /// Entries, engines, and the control host between the entries.
 pub(super) struct Fleet {
     entries: Vec<Entry>,
-    engines: Vec<Arc<str>>,
-    free_at: Vec<Duration>,
+    setup: Setup,
+    ids: Vec<Arc<str>>,
+    engines: Vec<Engine>,
+    seen: HashSet<u64>,
+    prefilled: Prefilled,
     idle: Duration,
     running: Vec<Running>,
     control: FleetLoad<usize>,
@@ -69,22 +108,31 @@
 }
 
 impl Fleet {
-    pub(super) fn new(entries: usize, engines: usize) -> Self {
-        let engines: Vec<Arc<str>> = (0..engines).map(|n| format!("engine-{n}").into()).collect();
-        let capacity = engines.len() as f64 * PREFILL_RATE.tokens_per_ms * 1e3;
+    pub(super) fn new(setup: Setup) -> Self {
+        let ids: Vec<Arc<str>> = (0..setup.engines)
+            .map(|n| format!("engine-{n}").into())
+            .collect();
+        let capacity = setup.engines as f64 * setup.tokens_per_ms * 1e3;
         let entry = || {
             let mut shares = FairShares::default();
-            shares.set_capacity(capacity);
+            shares.set_capacity(capacity * setup.stated_share);
             let mut loads = UpstreamLoads::default();
-            for id in &engines {
+            for id in &ids {
                 loads.entry(id, 1);
             }
-            Entry { loads, shares }
+            Entry {
+                loads,
+                shares,
+                subjects: SubjectDemand::default(),
+            }
         };
         Self {
-            entries: (0..entries).map(|_| entry()).collect(),
-            free_at: vec![Duration::ZERO; engines.len()],
-            engines,
+            entries: (0..setup.entries).map(|_| entry()).collect(),
+            engines: ids.iter().map(|_| Engine::default()).collect(),
+            setup,
+            ids,
+            seen: HashSet::new(),
+            prefilled: Prefilled::default(),
             idle: Duration::ZERO,
             running: Vec::new(),
             control: FleetLoad::default(),
@@ -94,9 +142,23 @@
         }
     }
 
+    pub(super) fn setup(&self) -> Setup {
+        self.setup
+    }
+
+    /// Changes what callers send; the numbers of entries and engines stay.
+    pub(super) fn set_up(&mut self, setup: Setup) {
+        self.setup = setup;
+    }
+
     /// Service units per second that the engines can prefill.
     pub(super) fn capacity(&self) -> f64 {
-        self.engines.len() as f64 * PREFILL_RATE.tokens_per_ms * 1e3
+        self.engines.len() as f64 * self.setup.tokens_per_ms * 1e3
+    }
+
+    /// Tokens prefilled in the last call of [`Fleet::simulate`].
+    pub(super) fn prefilled(&self) -> Prefilled {
+        self.prefilled
     }
 
     /// Simulates a load for a time. Returns the outcomes by account, and the share of the time that
@@ -104,18 +166,20 @@
     pub(super) fn simulate(&mut self, loads: &[Load], time: Duration) -> (Vec<Outcomes>, f64) {
         let mut outcomes = vec![Outcomes::default(); loads.len()];
         self.idle = Duration::ZERO;
+        self.prefilled = Prefilled::default();
         let end = self.now + time;
         while self.now < end {
             self.now += Duration::from_millis(1);
             self.work();
-            if self.now.as_millis().is_multiple_of(u128::from(PERIOD_MS)) {
+            let period = u128::from(self.setup.period_ms);
+            if self.now.as_millis().is_multiple_of(period) {
                 self.exchange_reports();
             }
-            for (load, outcomes) in loads.iter().zip(&mut outcomes) {
+            for (account, (load, outcomes)) in loads.iter().zip(&mut outcomes).enumerate() {
                 let mut due = load.per_s / 1e3;
                 while due > 0.0 {
                     if self.rng.random_bool(due.min(1.0)) {
-                        self.send_request(&load.account, outcomes);
+                        self.send_request(account, &load.account, outcomes);
                     }
                     due -= 1.0;
                 }
@@ -125,65 +189,98 @@
         (outcomes, self.idle.as_secs_f64() / all)
     }
 
-    fn send_request(&mut self, account: &Arc<str>, outcomes: &mut Outcomes) {
+    fn send_request(&mut self, index: usize, account: &Arc<str>, outcomes: &mut Outcomes) {
         let entry = self.rng.random_range(0..self.entries.len());
-        // Uncached tokens of three kinds of prompt.
-        let tokens = [543, 1_800, 1_800, 2_890, 2_890][self.rng.random_range(0..5)];
-        let prompt = Prompt {
-            tokens,
-            output_tokens: 0,
-            shared: Vec::new(),
-        };
+        let prompt = (self.setup.prompt)(&mut self.rng, index);
         let tie_breaker = self.rng.random();
-        let Entry { loads, shares } = &mut self.entries[entry];
+        let Entry {
+            loads,
+            shares,
+            subjects,
+        } = &mut self.entries[entry];
         let units = prompt.service_units();
         shares.record_requested(self.now, account, units);
         outcomes.requests += 1;
+        let subject_per_s = prompt.subject().map_or(0.0, |subject| {
+            subjects.record(self.now, subject.id);
+            subjects.per_s(self.now, subject.id, shares.local_share(self.now))
+        });
         let request = PlacementRequest {
             prompt: &prompt,
             pressure: shares.pressure(self.now, account),
             fair_fraction: shares.fair_fraction(self.now, account),
             shortest_target: TARGET,
             shortest_gap: None,
+            subject_per_s,
             domain: DOMAIN,
             tie_breaker,
             avoid: &[],
         };
-        let candidates = self.engines.iter().map(|id| Candidate {
+        let candidates = self.ids.iter().map(|id| Candidate {
             id,
             domain: DOMAIN,
             slots: 128,
-            memory_tokens: 694_599,
+            memory_tokens: self.setup.memory_tokens,
             load: loads.get(id, 1).expect("known engine"),
         });
-        let Ok(placed) = place_engine(self.now, &request, PREFILL_RATE, candidates) else {
+        let rate = PrefillRate {
+            tokens_per_ms: self.setup.tokens_per_ms,
+            base_ms: BASE_MS,
+        };
+        let Ok(placed) = place_engine(self.now, &request, rate, candidates) else {
             outcomes.refused += 1;
             return;
         };
         shares.record_admitted(self.now, account, units);
         outcomes.units += units;
         loads.entry(&placed.id, 1).on_sent(&placed.sent);
-        let engine = self.engines.iter().position(|id| *id == placed.id);
+        let believed_cache = (self.setup.memory_tokens as f64 * CACHE_SHARE) as u64;
+        loads.record_segments(self.now, &placed.id, &prompt.shared, believed_cache);
+        let engine = self.ids.iter().position(|id| *id == placed.id);
         let engine = engine.expect("known engine");
-        let reading = Duration::from_secs_f64(tokens as f64 / PREFILL_RATE.tokens_per_ms / 1e3);
-        self.free_at[engine] = self.free_at[engine].max(self.now) + reading;
-        let first_event_at = self.free_at[engine] + Duration::from_millis(35);
+        let first_event_at = self.prefill(engine, &prompt);
         outcomes.late += u32::from(first_event_at > self.now + TARGET);
         self.running.push(Running {
             entry,
             engine,
+            held: held_tokens(&prompt),
             sent: placed.sent,
             first_event_at,
             has_started: false,
         });
     }
 
+    /// Adds a prompt to the engine's queue. Returns the time of its first event.
+    fn prefill(&mut self, engine: usize, prompt: &Prompt) -> Duration {
+        let engine = &mut self.engines[engine];
+        let cached = engine.cached.cached_prefix_tokens(&prompt.shared);
+        let mut skipped = cached;
+        for segment in &prompt.shared {
+            let is_cached = skipped >= u64::from(segment.tokens);
+            skipped = skipped.saturating_sub(u64::from(segment.tokens));
+            let is_new = self.seen.insert(segment.id);
+            if !is_cached && !is_new {
+                self.prefilled.repeated += u64::from(segment.tokens);
+            }
+        }
+        let uncached = prompt.tokens - cached;
+        self.prefilled.all += uncached;
+        engine.held += held_tokens(prompt);
+        let capacity = self.setup.memory_tokens.saturating_sub(engine.held);
+        for segment in &prompt.shared {
+            engine.cached.record(self.now, *segment, capacity);
+        }
+        let reading = Duration::from_secs_f64(uncached as f64 / self.setup.tokens_per_ms / 1e3);
+        engine.free_at = engine.free_at.max(self.now) + reading;
+        engine.free_at + Duration::from_millis(BASE_MS as u64)
+    }
+
     fn work(&mut self) {
         let now = self.now;
-        let idle = self.free_at.iter().filter(|free| **free < now).count();
+        let idle = self.engines.iter().filter(|e| e.free_at < now).count();
         self.idle += Duration::from_millis(idle as u64);
         for run in &mut self.running {
-            let id = &self.engines[run.engine];
+            let id = &self.ids[run.engine];
             let load = self.entries[run.entry].loads.entry(id, 1);
             if !run.has_started && run.first_event_at <= now {
                 load.on_first_event(now, &run.sent);
@@ -192,6 +289,7 @@
             if run.has_started && run.first_event_at + ANSWER <= now {
                 load.on_finished(&run.sent, true);
                 load.on_succeeded(now);
+                self.engines[run.engine].held -= run.held;
             }
         }
         self.running
@@ -202,7 +300,8 @@
     fn exchange_reports(&mut self) {
         let now = self.now;
         for (entry, report) in self.entries.iter_mut().zip(self.in_transit.drain(..)) {
-            entry.loads.apply_remote(now, &report, |_| 0);
+            let believed_cache = (self.setup.memory_tokens as f64 * CACHE_SHARE) as u64;
+            entry.loads.apply_remote(now, &report, |_| believed_cache);
             entry.shares.apply_remote(now, &report);
         }
         for (n, entry) in self.entries.iter_mut().enumerate() {
@@ -222,3 +321,9 @@
         self.control.start_period(now);
     }
 }
+
+/// Tokens that a running request occupies besides its shared segments.
+fn held_tokens(prompt: &Prompt) -> u64 {
+    let shared: u64 = prompt.shared.iter().map(|s| u64::from(s.tokens)).sum();
+    prompt.tokens - shared + prompt.output_tokens
+}
--- a/crates/forward/tests/testsuite/many_entries/floods.rs
+++ b/crates/forward/tests/testsuite/many_entries/floods.rs
@@ -3,9 +3,33 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coltsfootnotch_forward::place::Prompt;
 use googletest::prelude::*;
+use rand::Rng;
+use rand::rngs::StdRng;
 
-use super::fleet::{Fleet, Load, Outcomes};
+use super::fleet::{Fleet, Load, Outcomes, Setup};
+
+/// A prompt of one of three kinds, without shared segments.
+fn prompt(rng: &mut StdRng, _account: usize) -> Prompt {
+    Prompt {
+        tokens: [543, 1_800, 1_800, 2_890, 2_890][rng.random_range(0..5)],
+        output_tokens: 0,
+        shared: Vec::new(),
+    }
+}
+
+fn fleet(entries: usize, engines: usize) -> Fleet {
+    Fleet::new(Setup {
+        entries,
+        engines,
+        tokens_per_ms: 112.0,
+        stated_share: 1.0,
+        memory_tokens: 694_599,
+        period_ms: 100,
+        prompt,
+    })
+}
 
 /// Mean service units of a request.
 const MEAN_UNITS: f64 = 1_984.0;
@@ -45,7 +69,7 @@
 /// ms old. With a bound on waits alone, all entries overfill the engines that look idle.
 #[googletest::test]
 fn entries_do_not_overfill_an_idle_engine_together() {
-    let mut fleet = Fleet::new(32, 40);
+    let mut fleet = fleet(32, 40);
     let loads = loads(&fleet, 13, 8.0, 17);
     fleet.simulate(&loads, Duration::from_secs(3));
     let (outcomes, idle) = fleet.simulate(&loads, Duration::from_secs(10));
@@ -60,7 +84,7 @@
 /// The same with 13 entries and 9 engines, where a single request weighs more.
 #[googletest::test]
 fn a_small_fleet_stays_busy_and_in_time() {
-    let mut fleet = Fleet::new(13, 9);
+    let mut fleet = fleet(13, 9);
     let loads = loads(&fleet, 7, 6.0, 9);
     fleet.simulate(&loads, Duration::from_secs(3));
     let (outcomes, idle) = fleet.simulate(&loads, Duration::from_secs(10));
@@ -76,7 +100,7 @@
 /// nothing.
 #[googletest::test]
 fn an_idle_fleet_is_filled_within_a_second() {
-    let mut fleet = Fleet::new(32, 40);
+    let mut fleet = fleet(32, 40);
     let loads = loads(&fleet, 13, 8.0, 17);
     fleet.simulate(&loads, Duration::from_millis(500));
     let (_, idle) = fleet.simulate(&loads, Duration::from_millis(1_500));
--- a/crates/forward/tests/testsuite/many_entries/mod.rs
+++ b/crates/forward/tests/testsuite/many_entries/mod.rs
@@ -2,3 +2,4 @@
 
 mod fleet;
 mod floods;
+mod subjects;
--- a/crates/forward/tests/testsuite/stalls.rs
+++ b/crates/forward/tests/testsuite/stalls.rs
@@ -139,6 +139,7 @@
             fair_fraction: 1.0,
             shortest_target: TARGET,
             shortest_gap: self.gap,
+            subject_per_s: 0.0,
             domain: DOMAIN,
             tie_breaker: self.rng.random(),
             avoid: &[],
--- a/src/coltsfootnotch/daemon/forward/state.rs
+++ b/src/coltsfootnotch/daemon/forward/state.rs
@@ -7,7 +7,7 @@
 
 use coltsfootnotch_forward::config::{Engine, ForwardConfig, Service};
 use coltsfootnotch_forward::lease::ConfigLease;
-use coltsfootnotch_forward::load::{UpstreamLoads, warm_up_interval};
+use coltsfootnotch_forward::load::{SubjectDemand, UpstreamLoads, warm_up_interval};
 use coltsfootnotch_forward::place::{
     Candidate, Placement, PlacementRequest, PrefillRate, Refusal, distance, place_engine,
     place_plain,
@@ -46,6 +46,7 @@
     pub(super) registry: UpstreamRegistry,
     pub(super) loads: UpstreamLoads,
     pub(super) shares: FairShares,
+    subjects: SubjectDemand,
     pub(super) retries: RetryBudget,
     pub(super) poison: PoisonRequests,
     pub(super) lease: ConfigLease,
@@ -71,6 +72,7 @@
             registry: UpstreamRegistry::default(),
             loads: UpstreamLoads::default(),
             shares: FairShares::default(),
+            subjects: SubjectDemand::default(),
             retries,
             poison: PoisonRequests::default(),
             lease,
@@ -166,6 +168,7 @@
         let pressure = account.and_then(|account| self.shares.pressure(now, account));
         let fair_fraction = account.map_or(1.0, |account| self.shares.fair_fraction(now, account));
         let prefill_rate = self.prefill_rate(&req.config, &service.name);
+        let subject_per_s = self.subject_per_s(now, req);
         let request = PlacementRequest {
             prompt: &req.prompt,
             pressure,
@@ -175,6 +178,7 @@
                 .shortest_target(req.service)
                 .unwrap_or(DEFAULT_TARGET),
             shortest_gap: req.config.shortest_gap(req.service),
+            subject_per_s,
             domain: &self.domain,
             tie_breaker: req.tie_breaker,
             avoid: &req.avoid,
@@ -189,6 +193,18 @@
         placement
     }
 
+    /// Records the request and estimates the fleet's demand for its subject.
+    fn subject_per_s(&mut self, now: Duration, req: &PlaceRequest) -> f64 {
+        let Some(subject) = req.prompt.subject() else {
+            return 0.0;
+        };
+        if req.avoid.is_empty() && !req.is_retry {
+            self.subjects.record(now, subject.id);
+        }
+        let local_share = self.shares.local_share(now);
+        self.subjects.per_s(now, subject.id, local_share)
+    }
+
     /// Records at which engines the limit of the backlog blocks requests or nearly does.
     fn record_blocking(
         &mut self,
