--- a/crates/forward/src/load/period.rs
+++ b/crates/forward/src/load/period.rs
@@ -7,7 +7,7 @@
 const MIN_PERIOD: Duration = Duration::from_millis(100);
 
 /// Interval per entry in a large fleet. A control host receives and sends one message per entry and
-/// period, some 50 microseconds each, so this keeps them below a twentieth of a core.
+/// period, some 50 microseconds each, so this keeps them below a tenth of a core.
 const PER_ENTRY: Duration = Duration::from_micros(1_400);
 
 /// Time between two reports of an entry, and between two broadcasts of a control host.
