Move the engines' prefill rates out of the state of a forwarding entry

What the stated capacity is shared by, and the rate that follows, is a type of its own now; is_bound of the shortlist, easily taken for the bound on waits, is named is_kept_at_homes.

--- a/crates/forward/src/place/engine.rs
+++ b/crates/forward/src/place/engine.rs
@@ -64,7 +64,7 @@
     shortlist
         .preferred(request)
         .for_each(|l| comparison.compare(&l));
-    if shortlist.is_bound() {
+    if shortlist.is_kept_at_homes() {
         return comparison.finish(false);
     }
     if comparison.best.is_none() {
--- a/crates/forward/src/place/shortlist.rs
+++ b/crates/forward/src/place/shortlist.rs
@@ -66,7 +66,7 @@
     }
 
     /// Whether the prompt may only go to its homes and to engines that have most of it cached.
-    pub(super) fn is_bound(&self) -> bool {
+    pub(super) fn is_kept_at_homes(&self) -> bool {
         !self.homes.is_empty() && self.max_cached > 0
     }
 
@@ -78,11 +78,11 @@
         let caches_most = |c: &Candidate<'_>| {
             c.load.cached.cached_prefix_tokens(&request.prompt.shared) == self.max_cached
         };
-        let is_bound = self.is_bound();
+        let is_kept_at_homes = self.is_kept_at_homes();
         let all = self.usable.iter().enumerate();
         all.filter_map(move |(index, candidate)| {
             let home_rank = self.homes.iter().position(|home| *home == index);
-            let is_listed = home_rank.is_some() || is_bound && caches_most(candidate);
+            let is_listed = home_rank.is_some() || is_kept_at_homes && caches_most(candidate);
             is_listed.then_some(Listed {
                 candidate,
                 home_rank,
--- a/src/coltsfootnotch/daemon/forward/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/mod.rs
@@ -15,6 +15,7 @@
 mod control_links;
 mod delivery;
 mod dialect;
+mod engine_rates;
 mod event_splitter;
 mod exchange;
 mod exchange_guard;
--- a/src/coltsfootnotch/daemon/forward/state.rs
+++ b/src/coltsfootnotch/daemon/forward/state.rs
@@ -1,6 +1,5 @@
 //! State that all requests share, and the placement of requests.
 
-use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,30 +8,20 @@
 use coltsfootnotch_forward::lease::ConfigLease;
 use coltsfootnotch_forward::load::{SubjectDemand, UpstreamLoads, warm_up_interval};
 use coltsfootnotch_forward::place::{
-    Candidate, Placement, PlacementRequest, PrefillRate, Refusal, distance, place_engine,
-    place_plain,
+    Candidate, Placement, PlacementRequest, Refusal, distance, place_engine, place_plain,
 };
 use coltsfootnotch_forward::registry::{Announcement, RegistryUpdate, Stage, UpstreamRegistry};
 use coltsfootnotch_forward::retry::{PoisonRequests, RetryBudget};
 use coltsfootnotch_forward::share::FairShares;
 use coltsfootnotch_wire::{AbortRecord, EntryLoadReport};
 
+use super::engine_rates::EngineRates;
 use super::messages::{Outcome, PlaceRequest, PlacementError, StreamPause, Ticket};
 
 /// Estimated share of an engine's memory that caches shared prompt segments. Running requests use
 /// the rest.
 const CACHE_SHARE: f64 = 0.55;
 
-/// Time to the first event of a fully cached prompt: the engine's overhead, the network, and the
-/// step in progress.
-const BASE_LATENCY_MS: f64 = 35.0;
-
-/// Ratio of an engine's prefill rate to its part of the capacity that the operator states, which
-/// also counts output tokens.
-const PREFILL_RATIO: f64 = 1.25;
-/// Prefill rate of an engine in tokens per millisecond if the operator states no capacity.
-const DEFAULT_PREFILL_RATE: f64 = 25.0;
-
 /// Entries that an upstream that warms up is shared with before their number is known. After a loss
 /// of power all entries start at once, and each would send as much as the whole fleet may.
 const ASSUMED_ENTRIES: u32 = 200;
@@ -54,9 +43,7 @@
     entries: Option<u32>,
     /// Differs between entries; spreads their requests to an upstream that warms up.
     entry_key: u64,
-    /// Most engines of each service that were ready at once. The capacity that the operator states
-    /// includes engines that are down at the moment.
-    max_engines: HashMap<Arc<str>, usize>,
+    engine_rates: EngineRates,
 }
 
 impl State {
@@ -77,7 +64,7 @@
             poison: PoisonRequests::default(),
             lease,
             entries: None,
-            max_engines: HashMap::new(),
+            engine_rates: EngineRates::default(),
         }
     }
 
@@ -112,8 +99,7 @@
 
     fn count_engines(&mut self, service: Arc<str>) {
         let engines = self.registry.ready(&service).count();
-        let most = self.max_engines.entry(service).or_default();
-        *most = engines.max(*most);
+        self.engine_rates.record_ready(service, engines);
     }
 
     /// Places a request at an upstream.
@@ -167,7 +153,7 @@
         }
         let pressure = account.and_then(|account| self.shares.pressure(now, account));
         let fair_fraction = account.map_or(1.0, |account| self.shares.fair_fraction(now, account));
-        let prefill_rate = self.prefill_rate(&req.config, &service.name);
+        let prefill_rate = self.engine_rates.prefill_rate(&req.config, &service.name);
         let subject_per_s = self.subject_per_s(now, req);
         let request = PlacementRequest {
             prompt: &req.prompt,
@@ -386,16 +372,6 @@
             cleared,
         }
     }
-
-    fn prefill_rate(&self, config: &ForwardConfig, service: &str) -> PrefillRate {
-        let engines = self.max_engines.get(service).copied().unwrap_or(0);
-        let stated = config.units_per_s();
-        let per_engine = stated.map(|units| units * PREFILL_RATIO / 1e3 / engines.max(1) as f64);
-        PrefillRate {
-            tokens_per_ms: per_engine.unwrap_or(DEFAULT_PREFILL_RATE).max(1.0),
-            base_ms: BASE_LATENCY_MS,
-        }
-    }
 }
 
 /// Digest of the upstream and the start time of its process, the same at every entry.
