Say once whether a request is placed for the first time

Found on reading the change again: the condition stood twice in the state of a forwarding entry, the model of the tests summed shared tokens that the prompt itself gives, and a line of a module's page was not wrapped.

--- a/crates/forward/src/place/mod.rs
+++ b/crates/forward/src/place/mod.rs
@@ -7,11 +7,12 @@
 //! A request goes to the engine with the earliest expected first event, among those that have its
 //! subject cached and the subject's homes: its backlog plus the uncached part of the prompt, over
 //! its prefill rate. When they are too far behind it is refused, since prefilling its shared
-//! segments elsewhere would take the time of three other requests. Engines process requests in order, so work beyond a bound
-//! makes all later requests late and is refused. The bound is the lesser of what leaves room for
-//! the shortest target and what the engine's streams tolerate
-//! ([`BacklogLimit`](crate::load::BacklogLimit)); it is higher for accounts below their fair share
-//! than for those above.
+//! segments elsewhere would take the time of three other requests.
+//!
+//! Engines process requests in order, so work beyond a bound makes all later requests late and is
+//! refused. The bound is the lesser of what leaves room for the shortest target and what the
+//! engine's streams tolerate ([`BacklogLimit`](crate::load::BacklogLimit)); it is higher for
+//! accounts below their fair share than for those above.
 
 mod admission;
 mod engine;
--- a/crates/forward/tests/testsuite/many_entries/fleet.rs
+++ b/crates/forward/tests/testsuite/many_entries/fleet.rs
@@ -324,6 +324,5 @@
 
 /// Tokens that a running request occupies besides its shared segments.
 fn held_tokens(prompt: &Prompt) -> u64 {
-    let shared: u64 = prompt.shared.iter().map(|s| u64::from(s.tokens)).sum();
-    prompt.tokens - shared + prompt.output_tokens
+    prompt.tokens - prompt.shared_tokens() + prompt.output_tokens
 }
--- a/src/coltsfootnotch/daemon/forward/messages.rs
+++ b/src/coltsfootnotch/daemon/forward/messages.rs
@@ -31,6 +31,13 @@
     pub(super) tie_breaker: u64,
 }
 
+impl PlaceRequest {
+    /// Whether the request has not been placed before.
+    pub(super) fn is_first(&self) -> bool {
+        self.avoid.is_empty() && !self.is_retry
+    }
+}
+
 /// The placement of a request.
 #[derive(Debug, Clone)]
 pub(super) struct Ticket {
--- a/src/coltsfootnotch/daemon/forward/state.rs
+++ b/src/coltsfootnotch/daemon/forward/state.rs
@@ -117,7 +117,7 @@
             return Err(PlacementError::PoisonRequest);
         }
         let service = &req.config.services()[req.service];
-        let is_first = req.avoid.is_empty() && !req.is_retry;
+        let is_first = req.is_first();
         if is_first {
             self.retries.on_request(now, &service.name);
         }
@@ -184,7 +184,7 @@
         let Some(subject) = req.prompt.subject() else {
             return 0.0;
         };
-        if req.avoid.is_empty() && !req.is_retry {
+        if req.is_first() {
             self.subjects.record(now, subject.id);
         }
         let local_share = self.shares.local_share(now);
