Evacuate failure domains on an operator's order

Ruled out: a field of the configuration (the next one that the operator puts would undo it); entries that ask for each request.

Control hosts send the evacuated domains, with the index of the last change, before the upstreams on a new connection and whenever they apply a change; so an entry with a lease has every order acknowledged before it asked for the lease. Entries leave those upstreams out where candidates are listed, and treat them as cold afterwards; sidecars take no work.

--- a/crates/forward/src/place/refusal.rs
+++ b/crates/forward/src/place/refusal.rs
@@ -10,6 +10,9 @@
     /// No upstream of the service accepts requests.
     #[display("no upstream")]
     NoUpstream,
+    /// All upstreams of the service are in evacuated failure domains.
+    #[display("all upstreams are in evacuated failure domains")]
+    Evacuated,
     /// Every upstream is saturated.
     #[display("all upstreams full")]
     Saturated,
--- a/crates/router/src/sidecar/attempts.rs
+++ b/crates/router/src/sidecar/attempts.rs
@@ -149,7 +149,7 @@
             }
             OpenCause::Resume { .. } => return Err(NotStartedReason::Duplicate),
         };
-        if self.draining {
+        if !self.accepts_work() {
             return Err(NotStartedReason::Leaving);
         }
         let reserved = pulled.and_then(|slot| self.if_still_usable(now, slot, &open.pool));
--- a/crates/router/src/sidecar/core.rs
+++ b/crates/router/src/sidecar/core.rs
@@ -37,6 +37,8 @@
     pub(super) crashes: CrashLog,
     pub(super) entries: EntryTable,
     pub(super) draining: bool,
+    /// Whether the failure domain of its host is evacuated.
+    pub(super) evacuated: bool,
     pub(super) actions: Vec<SidecarAction>,
 }
 
@@ -55,6 +57,7 @@
             crashes: CrashLog::new(cfg.host, cfg.incarnation),
             entries: EntryTable::default(),
             draining: false,
+            evacuated: false,
             actions: Vec::new(),
         }
     }
@@ -91,6 +94,20 @@
         self.draining = true;
     }
 
+    /// Sets whether the failure domain of its host is evacuated: the sidecar accepts no new work while
+    /// it is. Afterwards work returns at the ramp of an upstream that was down, since caches may be cold.
+    pub fn set_evacuated(&mut self, now: Duration, evacuated: bool) {
+        if self.evacuated && !evacuated {
+            self.upstreams.restart_ramps(now);
+        }
+        self.evacuated = evacuated;
+    }
+
+    /// Whether new work is accepted.
+    pub(super) fn accepts_work(&self) -> bool {
+        !self.draining && !self.evacuated
+    }
+
     /// Number of running attempts.
     #[must_use]
     pub fn running(&self) -> usize {
@@ -229,9 +246,9 @@
         }
     }
 
-    /// The pools with a live upstream that is not leaving; none while the sidecar drains.
+    /// The pools with a live upstream that is not leaving; none while the sidecar accepts no work.
     fn served(&self, now: Duration) -> Vec<PoolName> {
-        if self.draining {
+        if !self.accepts_work() {
             return Vec::new();
         }
         let pools = self.upstreams.pools(now).into_iter();
--- a/crates/router/src/sidecar/pulling.rs
+++ b/crates/router/src/sidecar/pulling.rs
@@ -15,7 +15,7 @@
     /// Reserves a free slot of a pool and sends a pull for it. Returns false if the pool has no
     /// free slot or no waiting work.
     pub(super) fn pull_one(&mut self, now: Duration, pool: &PoolName) -> bool {
-        if self.draining {
+        if !self.accepts_work() {
             return false;
         }
         let Some(upstream) = self.upstreams.with_most_free(now, pool) else {
--- a/crates/router/src/sidecar/upstreams.rs
+++ b/crates/router/src/sidecar/upstreams.rs
@@ -85,15 +85,19 @@
         self.usable(now).saturating_sub(held)
     }
 
+    /// Returns work gradually, as to an upstream that was down: its caches may be cold.
+    fn restart_ramp(&mut self, now: Duration) {
+        self.health = UpstreamHealth::new(now);
+        self.health.on_event(HealthEvent::Down, now);
+    }
+
     fn apply(&mut self, now: Duration, update: UpstreamUpdate) {
         self.live_until = update.live_until;
         if update.leaving && !self.leaving {
             self.health.on_event(HealthEvent::Leaving, now);
         }
         if !update.leaving && self.leaving {
-            // Its caches may be cold, so its work returns at the ramp of an upstream that was down.
-            self.health = UpstreamHealth::new(now);
-            self.health.on_event(HealthEvent::Down, now);
+            self.restart_ramp(now);
         }
         self.leaving = update.leaving;
         self.health.on_event(HealthEvent::Heartbeat, now);
@@ -200,6 +204,13 @@
         self.upstreams.iter()
     }
 
+    /// Returns work gradually to all upstreams, as to ones that were down.
+    pub fn restart_ramps(&mut self, now: Duration) {
+        for slots in self.upstreams.values_mut() {
+            slots.restart_ramp(now);
+        }
+    }
+
     /// Removes upstreams without a valid announcement, running request or reservation.
     pub fn remove_expired(&mut self, now: Duration) {
         self.upstreams.retain(|_, slots| {
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     Action, AttemptId, BodyDigest, CodecError, FencingNumber, IdempotencyKey, KeyDigest,
-    LedgerLimits, LogTime, Outcome, ProcessId,
+    LedgerLimits, LogTime, Outcome, ProcessId, SetEvacuation,
 };
 
 /// The version that [`Command::encode`] writes.
@@ -47,6 +47,8 @@
     Release(Release),
     /// Records that an engine has executed an order.
     OrderDone(OrderDone),
+    /// Starts or ends the evacuation of a failure domain.
+    SetEvacuation(SetEvacuation),
 }
 
 /// Puts the configuration `number` in force.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -1,5 +1,5 @@
-//! The replicated state machine: configuration, the ledger of at-most-once calls, leases with
-//! fencing numbers, and finished orders to engines.
+//! The replicated state machine: configuration, evacuated failure domains, the ledger of
+//! at-most-once calls, leases with fencing numbers, and finished orders to engines.
 //!
 //! A host proposes a [`Command`], the control group commits it at an index of its log, and every
 //! member calls [`StateMachine::apply`] in log order and gets the same [`Reply`]. The state machine
@@ -17,6 +17,7 @@
 mod digest;
 mod drift;
 mod error;
+mod evacuation;
 mod fence;
 mod finished_orders;
 mod key;
@@ -43,6 +44,7 @@
 pub use digest::{BodyDigest, KeyDigest};
 pub use drift::DriftBound;
 pub use error::{CodecError, SnapshotError};
+pub use evacuation::{EvacuationReply, Evacuations, SetEvacuation};
 pub use fence::{FenceCheck, FencingNumber};
 pub use finished_orders::{FinishedOrder, FinishedOrders};
 pub use key::{IdempotencyKey, KeyError};
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -1,8 +1,8 @@
 //! The replicated state machine.
 
 use crate::{
-    Command, ConfigState, FinishedOrders, Leases, Ledger, LogTime, Op, OrderDone, OrderReply,
-    Reply, SnapshotError, snapshot,
+    Command, ConfigState, Evacuations, FinishedOrders, Leases, Ledger, LogTime, Op, OrderDone,
+    OrderReply, Reply, SnapshotError, snapshot,
 };
 
 /// The state that the control group replicates.
@@ -26,6 +26,7 @@
     pub(crate) ledger: Ledger,
     pub(crate) leases: Leases,
     pub(crate) finished: FinishedOrders,
+    pub(crate) evacuations: Evacuations,
 }
 
 impl StateMachine {
@@ -75,6 +76,7 @@
             Op::Renew(req) => Reply::Lease(self.leases.renew(now, req)),
             Op::Release(req) => Reply::Lease(self.leases.release(req)),
             Op::OrderDone(done) => Reply::Order(self.order_done(done)),
+            Op::SetEvacuation(req) => Reply::Evacuation(self.evacuations.apply(index, req)),
         }
     }
 
@@ -128,6 +130,12 @@
         &self.finished
     }
 
+    /// The evacuated failure domains.
+    #[must_use]
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
     /// Encodes the state, with a header that contains a version and a checksum.
     #[must_use]
     pub fn snapshot(&self) -> Vec<u8> {
--- a/crates/state/src/reply.rs
+++ b/crates/state/src/reply.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{AttemptId, BodyDigest, FencingNumber, LogTime, Outcome, ProcessId};
+use crate::{AttemptId, BodyDigest, EvacuationReply, FencingNumber, LogTime, Outcome, ProcessId};
 
 /// The reply to a command.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,6 +26,8 @@
     Lease(LeaseReply),
     /// To `OrderDone`.
     Order(OrderReply),
+    /// To `SetEvacuation`.
+    Evacuation(EvacuationReply),
 }
 
 /// The reply to an `ApplyConfig`.
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -3,7 +3,7 @@
 //! A snapshot consists of a magic number, a version, the CRC-32 of the payload, and the payload.
 //! The payload has its own types, so that a change of the in-memory types cannot change the format.
 
-use coltsfootnotch_types::{AccountName, Incarnation, LeaseName, UpstreamName};
+use coltsfootnotch_types::{AccountName, DomainName, Incarnation, LeaseName, UpstreamName};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -17,9 +17,23 @@
 use record::RecordV1;
 
 const MAGIC: [u8; 4] = *b"CFst";
-const VERSION: u16 = 1;
+const VERSION: u16 = 2;
+/// The version without evacuations, which earlier programs wrote.
+const VERSION_1: u16 = 1;
 const HEADER_BYTES: usize = MAGIC.len() + size_of::<u16>() + size_of::<u32>();
 
+#[derive(Serialize, Deserialize)]
+struct StateV2 {
+    state: StateV1,
+    evacuations: EvacuationsV2,
+}
+
+#[derive(Default, Serialize, Deserialize)]
+struct EvacuationsV2 {
+    revision: u64,
+    domains: Vec<DomainName>,
+}
+
 #[derive(Serialize, Deserialize)]
 struct StateV1 {
     applied: u64,
@@ -66,7 +80,7 @@
 
 /// Encodes a snapshot of `machine`.
 pub(crate) fn write(machine: &StateMachine) -> Vec<u8> {
-    let state = StateV1::from(machine);
+    let state = StateV2::from(machine);
     let payload = postcard::to_stdvec(&state).expect("a state can be encoded");
     let mut bytes = Vec::with_capacity(HEADER_BYTES + payload.len());
     bytes.extend(MAGIC);
@@ -82,7 +96,7 @@
     let (version, rest) = rest.split_first_chunk().ok_or(SnapshotError::Header)?;
     let (crc, payload) = rest.split_first_chunk().ok_or(SnapshotError::Header)?;
     let version = u16::from_le_bytes(*version);
-    if version != VERSION {
+    if ![VERSION, VERSION_1].contains(&version) {
         return Err(SnapshotError::Version { found: version });
     }
     let expected = u32::from_le_bytes(*crc);
@@ -90,6 +104,12 @@
     if found != expected {
         return Err(SnapshotError::Checksum { found, expected });
     }
-    let state: StateV1 = postcard::from_bytes(payload)?;
+    let state = match version {
+        VERSION_1 => StateV2 {
+            state: postcard::from_bytes(payload)?,
+            evacuations: EvacuationsV2::default(),
+        },
+        _ => postcard::from_bytes(payload)?,
+    };
     StateMachine::try_from(state)
 }
--- a/crates/state/src/snapshot/convert.rs
+++ b/crates/state/src/snapshot/convert.rs
@@ -1,11 +1,24 @@
 //! Conversions between the in-memory state and its snapshot.
 
-use super::{AccountV1, ConfigV1, FinishedV1, LeaseV1, StateV1};
+use super::{AccountV1, ConfigV1, EvacuationsV2, FinishedV1, LeaseV1, StateV1, StateV2};
 use crate::{
-    AcceptedConfig, BodyDigest, BookingRecord, ConfigState, FinishedOrder, FinishedOrders, Lease,
-    Leases, Ledger, LedgerLimits, LogTime, SnapshotError, StateMachine,
+    AcceptedConfig, BodyDigest, BookingRecord, ConfigState, Evacuations, FinishedOrder,
+    FinishedOrders, Lease, Leases, Ledger, LedgerLimits, LogTime, SnapshotError, StateMachine,
 };
 
+impl From<&StateMachine> for StateV2 {
+    fn from(machine: &StateMachine) -> Self {
+        let evacuations = &machine.evacuations;
+        Self {
+            state: StateV1::from(machine),
+            evacuations: EvacuationsV2 {
+                revision: evacuations.revision,
+                domains: evacuations.domains.iter().cloned().collect(),
+            },
+        }
+    }
+}
+
 impl From<&StateMachine> for StateV1 {
     fn from(machine: &StateMachine) -> Self {
         let config = machine.config.in_force.as_ref();
@@ -58,11 +71,23 @@
     }
 }
 
-impl TryFrom<StateV1> for StateMachine {
+impl TryFrom<StateV2> for StateMachine {
     type Error = SnapshotError;
 
-    fn try_from(disk: StateV1) -> Result<Self, SnapshotError> {
+    fn try_from(disk: StateV2) -> Result<Self, SnapshotError> {
+        let StateV2 {
+            state: disk,
+            evacuations,
+        } = disk;
+        if evacuations.revision > disk.applied {
+            let what = "revision of the evacuations above the applied index";
+            return Err(SnapshotError::Inconsistent { what });
+        }
         Ok(Self {
+            evacuations: Evacuations {
+                revision: evacuations.revision,
+                domains: evacuations.domains.into_iter().collect(),
+            },
             applied: disk.applied,
             now: disk.now,
             config: config(disk.config, disk.history)?,
--- a/crates/state/tests/testsuite/format.rs
+++ b/crates/state/tests/testsuite/format.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use coltsfootnotch_state::prelude::*;
-use coltsfootnotch_state::{ApplyConfig, CodecError, Grant};
-use coltsfootnotch_types::LeaseName;
+use coltsfootnotch_state::{ApplyConfig, CodecError, Grant, SetEvacuation};
+use coltsfootnotch_types::{DomainName, LeaseName};
 use googletest::prelude::*;
 
 use crate::support::{Call, Log, answer, attempt, process};
@@ -32,6 +32,10 @@
             ttl: Duration::from_secs(10),
         }),
         Op::Expire,
+        Op::SetEvacuation(SetEvacuation {
+            domain: DomainName::new("colombo").expect("a valid name"),
+            evacuated: true,
+        }),
     ]
 }
 
--- a/crates/state/tests/testsuite/main.rs
+++ b/crates/state/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 
 mod bookings;
 mod configuration;
+mod evacuation;
 mod format;
 mod lease_runs;
 mod lease_simulation;
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -255,4 +255,12 @@
         /// The addresses.
         addresses: Vec<SocketAddr>,
     },
+    /// The failure domains whose upstreams get no requests. Sent on a connection before any
+    /// [`FromRelay::Lease`] response that was confirmed after the change.
+    Evacuations {
+        /// Log index of the last change; a lower one is out of date.
+        revision: u64,
+        /// All evacuated domains.
+        domains: Vec<DomainName>,
+    },
 }
--- a/src/bin/coltsfootnotch/cli.rs
+++ b/src/bin/coltsfootnotch/cli.rs
@@ -22,6 +22,7 @@
     let apply = commands::apply::cli();
     let check = commands::check::cli();
     let demo = commands::demo::cli();
+    let evacuate = commands::evacuate::cli();
     let explain = commands::explain::cli();
     let keys = commands::keys::cli();
     let load = commands::load::cli();
@@ -29,7 +30,7 @@
     let status = commands::status::cli();
     let trace = commands::trace::cli();
     construct!([
-        apply, check, demo, explain, keys, load, member, status, trace
+        apply, check, demo, evacuate, explain, keys, load, member, status, trace
     ])
     .to_options()
     .version(env!("CARGO_PKG_VERSION"))
--- a/src/bin/coltsfootnotch/commands/mod.rs
+++ b/src/bin/coltsfootnotch/commands/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod apply;
 pub(crate) mod check;
 pub(crate) mod demo;
+pub(crate) mod evacuate;
 pub(crate) mod explain;
 pub(crate) mod keys;
 pub(crate) mod load;
@@ -27,6 +28,8 @@
     Check(CheckOptions),
     /// `demo`.
     Demo(demo::Args),
+    /// `evacuate`.
+    Evacuate(evacuate::Args),
     /// `explain`.
     Explain(explain::Args),
     /// `keys`.
@@ -47,6 +50,7 @@
         Command::Apply(opts) => apply::exec(&opts),
         Command::Check(opts) => check::exec(&opts),
         Command::Demo(args) => demo::exec(&args),
+        Command::Evacuate(args) => evacuate::exec(&args),
         Command::Explain(args) => explain::exec(&args),
         Command::Keys(args) => keys::exec(&args),
         Command::Load(args) => load::exec(&args),
--- a/src/coltsfootnotch/daemon/control/config.rs
+++ b/src/coltsfootnotch/daemon/control/config.rs
@@ -1,5 +1,6 @@
 //! Configuration of a control daemon.
 
+use std::collections::BTreeSet;
 use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -42,6 +43,9 @@
     pub diskless: bool,
     /// Seeds for the discovery of other control hosts, if `members` is empty.
     pub seeds: Option<Seeds>,
+    /// Failure domains of the fleet, which operators may evacuate; if empty, those of all hosts in
+    /// the directory, and any with `seeds`.
+    pub domains: BTreeSet<DomainName>,
     /// Timeouts and size limits of the replicated log.
     pub core: CoreConfig,
     /// Timeouts of the failure detection of hosts.
@@ -80,6 +84,7 @@
             members,
             diskless: false,
             seeds: None,
+            domains: BTreeSet::new(),
             core,
             timing: Timing::DEFAULT,
             batch_ledger: true,
--- a/src/coltsfootnotch/daemon/control/daemon/from_hosts.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/from_hosts.rs
@@ -101,6 +101,7 @@
         id: u64,
         command: Vec<u8>,
     ) {
+        let is_valid = |op: &Op| self.is_valid(op);
         let Some(op) = decode_op(&command).ok().filter(is_valid) else {
             let reply = Err(ProposeError::BadCommand);
             return self.send_to_host(link, FromRelay::Proposed { id, reply });
@@ -119,6 +120,18 @@
         );
     }
 
+    /// Whether an operation is valid, where the state machine can't check it: it parses no manifests,
+    /// which every host would refuse, and knows no hosts.
+    fn is_valid(&self, op: &Op) -> bool {
+        match op {
+            Op::ApplyConfig(req) => {
+                Manifest::from_body(&req.body).is_ok_and(|manifest| manifest.number == req.number)
+            }
+            Op::SetEvacuation(req) => self.is_known_domain(&req.domain),
+            _ => true,
+        }
+    }
+
     pub(in crate::daemon::control) fn send_to_host(&self, link: LinkId, message: FromRelay) {
         if let Some(link) = self.links.get(link) {
             link.send_host(message);
@@ -135,14 +148,3 @@
         })
     }
 }
-
-/// Whether a configuration body is a manifest with the number of its request. The state machine doesn't
-/// parse bodies and accepts any, but every host refuses an invalid one.
-fn is_valid(op: &Op) -> bool {
-    match op {
-        Op::ApplyConfig(req) => {
-            Manifest::from_body(&req.body).is_ok_and(|manifest| manifest.number == req.number)
-        }
-        _ => true,
-    }
-}
--- a/src/coltsfootnotch/daemon/control/daemon/maintenance.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/maintenance.rs
@@ -6,7 +6,7 @@
 use coltsfootnotch_manifest::Digest;
 use coltsfootnotch_membership::{HostRecord, MemberEventKind, Presence};
 use coltsfootnotch_state::{LedgerLimits, Op};
-use coltsfootnotch_wire::Message;
+use coltsfootnotch_wire::{FromRelay, Message};
 
 use super::ControlDaemon;
 use crate::daemon::control::host_feed::Push;
@@ -86,9 +86,11 @@
         }
     }
 
-    /// Sends directory changes, totals and configurations to hosts.
+    /// Sends directory changes, totals, evacuations and configurations to hosts.
     fn update_hosts(&mut self, now: Duration) {
         let run = self.host.identity.incarnation;
+        let revision = self.evacuations.revision();
+        let evacuations = self.evacuations();
         let relay = &self.relay;
         for link in self.links.hosts_mut() {
             let Some(feed) = &mut link.host else {
@@ -96,7 +98,10 @@
             };
             let directory = feed.next_directory(now, run, &relay.directory);
             let totals = feed.next_totals(&relay.sums);
-            for message in directory.into_iter().chain(totals) {
+            let evacuations = feed
+                .needs_evacuations(revision)
+                .then(|| evacuations.clone());
+            for message in directory.into_iter().chain(totals).chain(evacuations) {
                 link.send_host(message);
             }
         }
@@ -142,6 +147,40 @@
         }
     }
 
+    /// Logs newly applied evacuations and sends them to hosts, before the reply to the operator.
+    pub(super) fn on_evacuations_applied(&mut self) {
+        let evacuations = self.replica.machine().evacuations();
+        let revision = evacuations.revision();
+        if revision == self.evacuations.revision() {
+            return;
+        }
+        let before = std::mem::replace(&mut self.evacuations, evacuations.clone());
+        let (old, new) = (before.domains(), self.evacuations.domains());
+        for (event, domains) in [
+            (&events::EVACUATION_STARTED, new.difference(old)),
+            (&events::EVACUATION_ENDED, old.difference(new)),
+        ] {
+            for domain in domains {
+                self.host
+                    .log(event, &[("domain", domain), ("revision", &revision)]);
+            }
+        }
+        self.host
+            .metrics
+            .gauge("evacuated_domains", &[])
+            .set(new.len() as f64);
+        self.broadcast_to_entries(&self.evacuations());
+    }
+
+    /// The evacuated domains, as they are sent to hosts.
+    pub(in crate::daemon::control) fn evacuations(&self) -> FromRelay {
+        let evacuations = self.replica.machine().evacuations();
+        FromRelay::Evacuations {
+            revision: evacuations.revision(),
+            domains: evacuations.domains().iter().cloned().collect(),
+        }
+    }
+
     /// Logs a newly applied configuration and sends it to hosts.
     pub(super) fn on_config_applied(&mut self, now: Duration) {
         if self.replica.machine().config().number() == self.config.number() {
--- a/src/coltsfootnotch/daemon/control/daemon/mod.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/mod.rs
@@ -14,7 +14,7 @@
 use coltsfootnotch_consensus::{Core, MemberId, Recovered, RoleKind, Term};
 use coltsfootnotch_fabric::{DialHandle, Endpoint, PeerId};
 use coltsfootnotch_membership::RelayId;
-use coltsfootnotch_state::StateMachine;
+use coltsfootnotch_state::{Evacuations, StateMachine};
 use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::HostRecord;
 
@@ -56,6 +56,10 @@
     pub(super) syncs: u64,
     /// The configuration in force, as it is sent to hosts.
     pub(super) config: ConfigPush,
+    /// The evacuated domains that were last sent to hosts.
+    pub(super) evacuations: Evacuations,
+    /// Failure domains of the fleet that the settings list; empty if they list none.
+    domains: BTreeSet<DomainName>,
     pub(super) endpoint: Endpoint,
     pub(super) disk: Disk,
     pub(super) links: Links,
@@ -110,6 +114,8 @@
             requests: RequestTable::default(),
             syncs: 0,
             config: ConfigPush::default(),
+            evacuations: Evacuations::default(),
+            domains: cfg.domains.clone(),
             address: local.map_or(cfg.address(), |m| m.address),
             endpoint,
             disk,
@@ -192,6 +198,7 @@
                 self.run_effect(now, effect);
             }
             self.on_config_applied(now);
+            self.on_evacuations_applied();
             self.respond_to_applied_reads(now);
         }
         Ok(self.next_step(now))
@@ -271,6 +278,19 @@
         is_control && *host != self.host.identity.host && !self.links.has_control(host)
     }
 
+    /// Whether the fleet has the failure domain: the settings list it, or a host of the directory is
+    /// in it. Settings that list no domains allow any.
+    pub(super) fn is_known_domain(&self, domain: &DomainName) -> bool {
+        let mut profiles = self
+            .relay
+            .directory
+            .hosts()
+            .filter_map(|h| h.profile.as_ref());
+        self.domains.contains(domain)
+            || profiles.any(|profile| profile.domain == *domain)
+            || self.domains.is_empty() && self.seeded.is_some()
+    }
+
     /// This host's record in the directory.
     fn local_record(&self) -> HostRecord {
         let identity = &self.host.identity;
--- a/src/coltsfootnotch/daemon/control/daemon/requests.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/requests.rs
@@ -10,6 +10,7 @@
 use crate::core::decode_op;
 use crate::daemon::control::packet::{LeaderRequest, LeaderResponse, MemberPacket};
 use crate::daemon::control::request_table::{Origin, RequestId, RequestState};
+use crate::util::events;
 
 impl ControlDaemon {
     /// Opens a request and dispatches it.
@@ -28,6 +29,10 @@
     /// Executes a request if this member leads, or forwards it to the leader. Without a known leader it
     /// keeps waiting.
     fn dispatch(&mut self, now: Duration, id: RequestId) {
+        if self.is_abandoned(id) {
+            self.requests.close(id);
+            return self.host.log(&events::CALL_ABANDONED, &[]);
+        }
         let Some(request) = self.requests.get(id) else {
             return;
         };
@@ -47,6 +52,16 @@
         }
     }
 
+    /// Whether the caller of an HTTP call left before the call was proposed. It has sent its order to
+    /// another host since, and may have withdrawn it there: proposed now, the order would come back.
+    fn is_abandoned(&self, id: RequestId) -> bool {
+        let origin = self.requests.get(id).map(|request| request.origin);
+        match (origin, &self.seeded) {
+            (Some(Origin::Call(call)), Some(seeded)) => seeded.calls.is_abandoned(call),
+            _ => false,
+        }
+    }
+
     /// Executes a request as the leader.
     fn execute(&mut self, now: Duration, id: RequestId, body: LeaderRequest) {
         match body {
--- a/src/coltsfootnotch/daemon/control/host_feed.rs
+++ b/src/coltsfootnotch/daemon/control/host_feed.rs
@@ -33,6 +33,8 @@
     last_batch: u64,
     sent_totals: BTreeMap<AccountName, ServiceUnits>,
     last_push: Option<(u64, Duration)>,
+    /// Revision of the evacuated domains that were last sent.
+    evacuations: u64,
 }
 
 impl HostFeed {
@@ -50,6 +52,7 @@
             last_batch: 0,
             sent_totals: BTreeMap::new(),
             last_push: None,
+            evacuations: 0,
         }
     }
 
@@ -130,6 +133,11 @@
         (!remote.is_empty()).then_some(FromRelay::Totals { remote })
     }
 
+    /// Whether the evacuated domains of this revision have to be sent; records that they were.
+    pub(super) fn needs_evacuations(&mut self, revision: u64) -> bool {
+        std::mem::replace(&mut self.evacuations, revision) < revision
+    }
+
     /// How to send the configuration `number` now, if it is due; records that it was sent.
     ///
     /// A host that doesn't report it in time may not have been able to apply the delta, and gets the full
--- a/src/coltsfootnotch/daemon/control/permissions.rs
+++ b/src/coltsfootnotch/daemon/control/permissions.rs
@@ -9,7 +9,7 @@
 /// can't write bookings.
 pub(super) fn is_permitted(role: Role, op: &Op) -> bool {
     match op {
-        Op::ApplyConfig(_) | Op::SetLimits(_) => role == Role::Operator,
+        Op::ApplyConfig(_) | Op::SetLimits(_) | Op::SetEvacuation(_) => role == Role::Operator,
         Op::Ledger(_) | Op::Batch(_) => role == Role::Entry,
         // Orders are sent to an engine by the sidecar on its host.
         Op::Grant(_) | Op::Renew(_) | Op::Release(_) | Op::OrderDone(_) => role == Role::Sidecar,
--- a/src/coltsfootnotch/daemon/control/seeded/call.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/call.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use coltsfootnotch_forward::registry::Announcement;
+use coltsfootnotch_types::DomainName;
 use coltsfootnotch_wire::ConfigBody;
 use tokio::sync::oneshot;
 
@@ -19,6 +20,13 @@
     },
     /// Reads the newest configuration, confirmed by a quorum.
     Read,
+    /// Starts or ends the evacuation of a failure domain.
+    Evacuate {
+        /// The domain.
+        domain: DomainName,
+        /// Whether its upstreams get no requests.
+        evacuated: bool,
+    },
     /// An announcement of an upstream.
     Announce(Announcement),
     /// An upstream has left.
@@ -37,6 +45,8 @@
     Done,
     /// The newest configuration, if there is one.
     Config(Option<ConfigBody>),
+    /// Nothing was done, since the failure domain is not known.
+    UnknownDomain,
     /// Nothing was done, since this host has no log; the control host at this fleet address has one.
     Redirect(SocketAddr),
     /// The outcome is unknown; the call may be retried at any control host.
@@ -57,6 +67,11 @@
         self.last
     }
 
+    /// Whether the caller has disconnected or got its reply.
+    pub(in crate::daemon::control) fn is_abandoned(&self, id: u64) -> bool {
+        self.waiting.get(&id).is_none_or(oneshot::Sender::is_closed)
+    }
+
     /// Sends the reply to a call, unless the caller has disconnected.
     pub(in crate::daemon::control) fn respond(&mut self, id: u64, reply: CallReply) {
         if let Some(tx) = self.waiting.remove(&id) {
--- a/src/coltsfootnotch/daemon/control/seeded/handlers.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/handlers.rs
@@ -5,7 +5,10 @@
 use coltsfootnotch_consensus::MemberChange;
 use coltsfootnotch_fabric::LinkId;
 use coltsfootnotch_forward::load::reporting_period;
-use coltsfootnotch_state::{ApplyConfig, BodyDigest, ConfigReply, Op, Reply};
+use coltsfootnotch_state::{
+    ApplyConfig, BodyDigest, ConfigReply, EvacuationReply, Op, Reply, SetEvacuation,
+};
+use coltsfootnotch_types::DomainName;
 use coltsfootnotch_wire::FromRelay;
 use tokio::sync::oneshot;
 
@@ -181,6 +184,7 @@
                 let _caller_waits = tx.send(CallReply::Done);
             }
             Call::Apply { number, body } => self.apply(now, number, body, tx),
+            Call::Evacuate { domain, evacuated } => self.evacuate(now, domain, evacuated, tx),
             Call::Read => self.submit_call(now, LeaderRequest::Read, tx),
         }
     }
@@ -217,6 +221,23 @@
         self.submit_call(now, body, tx);
     }
 
+    /// Always proposes the order, also if the domain is as ordered here: this host may not have applied
+    /// a later order yet.
+    fn evacuate(
+        &mut self,
+        now: Duration,
+        domain: DomainName,
+        evacuated: bool,
+        tx: oneshot::Sender<CallReply>,
+    ) {
+        if !self.is_known_domain(&domain) {
+            let _caller_waits = tx.send(CallReply::UnknownDomain);
+            return;
+        }
+        let op = Op::SetEvacuation(SetEvacuation { domain, evacuated });
+        self.submit_call(now, LeaderRequest::Propose(encode_op(&op)), tx);
+    }
+
     fn submit_call(&mut self, now: Duration, body: LeaderRequest, tx: oneshot::Sender<CallReply>) {
         let Some(seeded) = &mut self.seeded else {
             return;
@@ -228,7 +249,7 @@
     /// Sends the control group's response to a call.
     pub(in crate::daemon::control) fn finish_call(&mut self, id: u64, response: &LeaderResponse) {
         let reply = match response {
-            LeaderResponse::Proposed(Ok(bytes)) => reply_to_apply(bytes),
+            LeaderResponse::Proposed(Ok(bytes)) => reply_to_order(bytes),
             LeaderResponse::Proposed(Err(_))
             | LeaderResponse::NotLeader
             | LeaderResponse::Read(_)
@@ -288,11 +309,12 @@
     }
 }
 
-fn reply_to_apply(bytes: &[u8]) -> CallReply {
+fn reply_to_order(bytes: &[u8]) -> CallReply {
     match decode_reply(bytes) {
         Ok(Reply::Config(
             ConfigReply::Accepted { .. } | ConfigReply::Conflict { .. } | ConfigReply::Stale { .. },
-        )) => CallReply::Done,
+        ))
+        | Ok(Reply::Evacuation(EvacuationReply::Done { .. })) => CallReply::Done,
         Ok(_) => CallReply::Unknown,
         Err(e) => {
             log::error!("failed to decode the control group's reply: {e}");
--- a/src/coltsfootnotch/daemon/control/seeded/upstreams.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/upstreams.rs
@@ -138,6 +138,8 @@
         if !seeded.discovery.has_log() {
             return;
         }
+        // Before the upstreams, so that none of an evacuated domain gets a request.
+        self.send_to_host(link, self.evacuations());
         self.send_to_host(link, FromRelay::Upstreams(upstream_reports(seeded)));
         for (id, born_ms) in seeded.registry.departed() {
             let id = id.to_owned();
--- a/src/coltsfootnotch/daemon/entry/actor.rs
+++ b/src/coltsfootnotch/daemon/entry/actor.rs
@@ -344,7 +344,9 @@
                     self.on_ledger_reply(result);
                 }
             }
-            RelayEvent::ServiceApplied(_) | RelayEvent::Totals(_) => {}
+            RelayEvent::ServiceApplied(_)
+            | RelayEvent::Totals(_)
+            | RelayEvent::Evacuation { .. } => {}
         }
     }
 
--- a/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
@@ -6,6 +6,7 @@
 use coltsfootnotch_fabric::{Event, LinkId};
 use coltsfootnotch_forward::config::ForwardConfig;
 use coltsfootnotch_forward::registry::{Announcement, RegistryUpdate};
+use coltsfootnotch_types::DomainName;
 use coltsfootnotch_wire::{ConfigBody, FromRelay, Message, UpstreamRecord};
 
 use super::ForwardActor;
@@ -78,6 +79,9 @@
                 }
             }
             FromRelay::Config(body) => self.apply_config(&body),
+            FromRelay::Evacuations { revision, domains } => {
+                self.apply_evacuations(now, revision, &domains);
+            }
             FromRelay::ControlHosts { has_log, addresses } => {
                 self.links.add_reported(&self.endpoint, &addresses);
                 if !has_log {
@@ -117,6 +121,27 @@
         }
     }
 
+    fn apply_evacuations(&mut self, now: Duration, revision: u64, domains: &[DomainName]) {
+        let domains = domains.iter().map(|domain| domain.as_str().into());
+        let Some(change) = self.state.on_evacuations(now, revision, domains) else {
+            return;
+        };
+        for (event, domains) in [
+            (&events::EVACUATION_STARTED, change.started),
+            (&events::EVACUATION_ENDED, change.ended),
+        ] {
+            for domain in domains {
+                self.cx
+                    .log(event, &[("domain", &domain), ("revision", &revision)]);
+            }
+        }
+        let evacuated = self.state.evacuated.iter().count();
+        self.cx
+            .metrics
+            .gauge("evacuated_domains", &[])
+            .set(evacuated as f64);
+    }
+
     /// Puts a configuration in force if it is newer than the current one.
     fn apply_config(&mut self, body: &ConfigBody) {
         if body.number <= self.number {
--- a/src/coltsfootnotch/daemon/forward/state.rs
+++ b/src/coltsfootnotch/daemon/forward/state.rs
@@ -8,9 +8,12 @@
 use coltsfootnotch_forward::lease::ConfigLease;
 use coltsfootnotch_forward::load::{SubjectDemand, UpstreamLoads, warm_up_interval};
 use coltsfootnotch_forward::place::{
-    Candidate, Placement, PlacementRequest, Refusal, distance, place_engine, place_plain,
+    Candidate, Placement, PlacementRequest, Refusal, RefusalReason, distance, place_engine,
+    place_plain,
+};
+use coltsfootnotch_forward::registry::{
+    Announcement, EvacuatedDomains, EvacuationChange, RegistryUpdate, Stage, UpstreamRegistry,
 };
-use coltsfootnotch_forward::registry::{Announcement, RegistryUpdate, Stage, UpstreamRegistry};
 use coltsfootnotch_forward::retry::{PoisonRequests, RetryBudget};
 use coltsfootnotch_forward::share::FairShares;
 use coltsfootnotch_wire::{AbortRecord, EntryLoadReport};
@@ -26,6 +29,14 @@
 /// of power all entries start at once, and each would send as much as the whole fleet may.
 const ASSUMED_ENTRIES: u32 = 200;
 
+/// Time for which the upstreams of a domain count as cold after its evacuation ends. They may have
+/// lost their caches meanwhile, and their next announcements, one in each 1.2 s, say so late.
+const RETURN_WARM_UP: Duration = Duration::from_millis(2_500);
+
+/// `Retry-After` while all upstreams of a service are in evacuated domains. Operators end an
+/// evacuation in seconds at the earliest.
+const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Shortest target if no route states one.
 const DEFAULT_TARGET: Duration = Duration::from_millis(800);
 
@@ -33,6 +44,7 @@
 pub(super) struct State {
     pub(super) domain: Arc<str>,
     pub(super) registry: UpstreamRegistry,
+    pub(super) evacuated: EvacuatedDomains,
     pub(super) loads: UpstreamLoads,
     pub(super) shares: FairShares,
     subjects: SubjectDemand,
@@ -57,6 +69,7 @@
             domain,
             entry_key,
             registry: UpstreamRegistry::default(),
+            evacuated: EvacuatedDomains::default(),
             loads: UpstreamLoads::default(),
             shares: FairShares::default(),
             subjects: SubjectDemand::default(),
@@ -97,6 +110,30 @@
         update
     }
 
+    /// Applies a report of the evacuated domains; returns what it changed.
+    pub(super) fn on_evacuations(
+        &mut self,
+        now: Duration,
+        revision: u64,
+        domains: impl IntoIterator<Item = Arc<str>>,
+    ) -> Option<EvacuationChange> {
+        let change = self.evacuated.apply(revision, domains)?;
+        for upstream in self.registry.all() {
+            let Announcement {
+                id,
+                born_ms,
+                domain,
+                ..
+            } = &upstream.announcement;
+            if change.ended.contains(domain) {
+                let phase = distance(self.entry_key, id);
+                let load = self.loads.entry(id, *born_ms);
+                load.warm_up.announce(now, RETURN_WARM_UP, phase);
+            }
+        }
+        Some(change)
+    }
+
     fn count_engines(&mut self, service: Arc<str>) {
         let engines = self.registry.ready(&service).count();
         self.engine_rates.record_ready(service, engines);
@@ -129,7 +166,8 @@
             Some(engine) => self.place_engine(now, req, engine),
             None => self.place_plain(now, req),
         };
-        let placement = placement.map_err(PlacementError::Refused)?;
+        let placement = placement
+            .map_err(|refusal| PlacementError::Refused(self.explain(&service.name, refusal)))?;
         if req.is_retry && !self.retries.try_acquire(now, &service.name, self.entries()) {
             return Err(PlacementError::NoRetryBudget);
         }
@@ -139,6 +177,34 @@
         Ok(self.ticket(now, req, placement))
     }
 
+    /// Replaces the refusal for want of an upstream if there are some in evacuated domains.
+    fn explain(&self, service: &str, refusal: Refusal) -> Refusal {
+        let is_evacuated = refusal.reason == RefusalReason::NoUpstream
+            && self.registry.ready(service).next().is_some()
+            && self.available_share(service) == 0.0;
+        if !is_evacuated {
+            return refusal;
+        }
+        Refusal {
+            reason: RefusalReason::Evacuated,
+            retry_after: EVACUATED_RETRY_AFTER,
+            ..refusal
+        }
+    }
+
+    /// Share of the service's ready upstreams outside evacuated domains; 1 without any.
+    fn available_share(&self, service: &str) -> f64 {
+        if self.evacuated.is_empty() {
+            return 1.0;
+        }
+        let (mut ready, mut available) = (0, 0);
+        for upstream in self.registry.ready(service) {
+            ready += 1;
+            available += u32::from(!self.evacuated.contains(&upstream.announcement.domain));
+        }
+        f64::from(available) / f64::from(ready.max(1))
+    }
+
     fn place_engine(
         &mut self,
         now: Duration,
@@ -149,7 +215,8 @@
         // A retry was admitted before; refusing it for its account's share wastes the work done.
         let account = req.account.as_ref().filter(|_| !req.is_retry);
         if let Some(units) = req.config.units_per_s() {
-            self.shares.set_capacity(units);
+            let available = self.available_share(&service.name);
+            self.shares.set_capacity(units * available);
         }
         let pressure = account.and_then(|account| self.shares.pressure(now, account));
         let fair_fraction = account.map_or(1.0, |account| self.shares.fair_fraction(now, account));
@@ -251,6 +318,7 @@
         let slots = engine.map(|e| e.slots);
         self.registry
             .ready(&service.name)
+            .filter(|upstream| !self.evacuated.contains(&upstream.announcement.domain))
             .filter_map(move |upstream| {
                 let announcement = &upstream.announcement;
                 let load = self.loads.get(&announcement.id, announcement.born_ms)?;
@@ -276,6 +344,10 @@
             Stage::Ready,
             "no requests are placed at a leaving upstream"
         );
+        assert!(
+            !self.evacuated.contains(&announcement.domain),
+            "no requests are placed in an evacuated domain"
+        );
         let (born_ms, address) = (announcement.born_ms, announcement.address);
         self.loads
             .entry(&placement.id, born_ms)
--- a/src/coltsfootnotch/daemon/relay_client.rs
+++ b/src/coltsfootnotch/daemon/relay_client.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use coltsfootnotch_fabric::{DialHandle, Endpoint, LinkId, LinkTx, PeerId};
+use coltsfootnotch_forward::registry::EvacuatedDomains;
 use coltsfootnotch_manifest::{ConfigIndex, Manifest, ManifestDelta};
 use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::{
@@ -54,6 +55,11 @@
     },
     /// A newer configuration is in force.
     Config(ConfigUpdate),
+    /// Whether the failure domain of this host is evacuated.
+    Evacuation {
+        /// Whether it is.
+        evacuated: bool,
+    },
 }
 
 /// A configuration that came into force.
@@ -78,6 +84,7 @@
     directory: BTreeMap<HostName, HostRecord>,
     directory_version: (Option<Incarnation>, u64),
     config: Option<Arc<ConfigIndex>>,
+    evacuated: EvacuatedDomains,
     no_quorum_since: Option<Duration>,
     switched_at: Duration,
     next_id: u64,
@@ -103,6 +110,7 @@
             directory: BTreeMap::new(),
             directory_version: (None, 0),
             config: None,
+            evacuated: EvacuatedDomains::default(),
             no_quorum_since: None,
             switched_at: Duration::ZERO,
             next_id: 0,
@@ -229,6 +237,7 @@
                 None
             }
             FromRelay::Config(_) => None,
+            FromRelay::Evacuations { revision, domains } => self.on_evacuations(revision, &domains),
             // Responses to operators, and messages for forwarding entries.
             FromRelay::Status { .. }
             | FromRelay::Members { .. }
@@ -241,6 +250,13 @@
         }
     }
 
+    fn on_evacuations(&mut self, revision: u64, domains: &[DomainName]) -> Option<RelayEvent> {
+        let domains = domains.iter().map(|domain| domain.as_str().into());
+        self.evacuated.apply(revision, domains)?;
+        let evacuated = self.evacuated.contains(self.cx.identity.domain.as_str());
+        Some(RelayEvent::Evacuation { evacuated })
+    }
+
     /// Records since when the relay has been without a quorum.
     fn record_quorum(&mut self, error: Option<&ProposeError>) {
         if error == Some(&ProposeError::NoQuorum) {
--- a/src/coltsfootnotch/daemon/sidecar/actor.rs
+++ b/src/coltsfootnotch/daemon/sidecar/actor.rs
@@ -330,6 +330,9 @@
             }
             RelayEvent::ServiceApplied(seq) => self.reports.on_acknowledged(seq),
             RelayEvent::Proposed { id, reply } => self.orders.on_reply(self.cx.now(), id, &reply),
+            RelayEvent::Evacuation { evacuated } => {
+                self.core.set_evacuated(self.cx.now(), evacuated);
+            }
             RelayEvent::Hosts { .. } => {}
         }
     }
--- a/src/coltsfootnotch/ops/error.rs
+++ b/src/coltsfootnotch/ops/error.rs
@@ -115,6 +115,13 @@
         /// The hosts that do not have it in force.
         behind: Vec<HostName>,
     },
+    /// The control group refused an order to evacuate a failure domain.
+    #[display("the control group refused the evacuation: {reason}")]
+    #[from(skip)]
+    EvacuationRefused {
+        /// Why.
+        reason: &'static str,
+    },
     /// No log line names the request.
     #[display("no log line names the request {id}")]
     #[from(skip)]
@@ -142,9 +149,10 @@
     #[must_use]
     pub fn kind(&self) -> FailureKind {
         match self {
-            Self::Conflict { .. } | Self::Stale { .. } | Self::Refused { .. } => {
-                FailureKind::Refused
-            }
+            Self::Conflict { .. }
+            | Self::Stale { .. }
+            | Self::Refused { .. }
+            | Self::EvacuationRefused { .. } => FailureKind::Refused,
             Self::Behind { .. } => FailureKind::Unanswered,
             Self::Operator(e) if e.is_unanswered() => FailureKind::Unanswered,
             Self::Operator(OperatorError::Members(_)) => FailureKind::Refused,
@@ -166,6 +174,9 @@
             Self::Behind { .. } => {
                 Some("`coltsfootnotch status` shows what each host has in force")
             }
+            Self::EvacuationRefused { .. } => {
+                Some("`coltsfootnotch status` shows the failure domains and those evacuated")
+            }
             Self::NoRequest { .. } => Some(
                 "refusals and failures are always logged, answers one in 32; a host that was killed logged nothing",
             ),
--- a/src/coltsfootnotch/ops/fleet_status.rs
+++ b/src/coltsfootnotch/ops/fleet_status.rs
@@ -14,6 +14,9 @@
     pub group: MemberStatus,
     /// The configuration that it has applied.
     pub configuration: Option<ConfigStatus>,
+    /// Its evacuated failure domains.
+    #[serde(default)]
+    pub evacuated: Vec<DomainName>,
     /// The hosts of the fleet.
     pub hosts: Vec<HostStatus>,
     /// The pools that sidecars serve.
--- a/src/coltsfootnotch/ops/mod.rs
+++ b/src/coltsfootnotch/ops/mod.rs
@@ -5,6 +5,7 @@
 pub mod check;
 pub mod demo;
 pub mod error;
+pub mod evacuate;
 pub mod explain;
 pub mod fleet;
 pub mod fleet_status;
--- a/src/coltsfootnotch/ops/status.rs
+++ b/src/coltsfootnotch/ops/status.rs
@@ -63,6 +63,7 @@
 fn print(report: &Report<'_>, out: &mut impl Write) -> io::Result<()> {
     print_members(report, out)?;
     print_configuration(report.fleet, out)?;
+    print_evacuated(report.fleet, out)?;
     print_hosts(report.fleet, out)?;
     print_pools(report.fleet, out)?;
     print_accounts(report.fleet, out)
@@ -100,6 +101,13 @@
     }
 }
 
+fn print_evacuated(fleet: &FleetStatus, out: &mut impl Write) -> io::Result<()> {
+    for domain in &fleet.evacuated {
+        writeln!(out, "evacuated failure domain {domain}")?;
+    }
+    Ok(())
+}
+
 fn print_hosts(fleet: &FleetStatus, out: &mut impl Write) -> io::Result<()> {
     writeln!(
         out,
--- a/src/coltsfootnotch/util/events.rs
+++ b/src/coltsfootnotch/util/events.rs
@@ -98,6 +98,9 @@
     OVERLOADED = 79 Warn "this host is overloaded and sends callers to other hosts" => "if it repeats, check how the load balancer distributes callers";
     NOT_OVERLOADED = 80 Info "this host accepts callers again" => "nothing";
     BACKLOG_LIMIT_LOWERED = 81 Info "streams of an engine paused for a long time; its backlog limit was lowered" => "nothing unless it repeats for one engine and not the others: then that engine is slow";
+    EVACUATION_STARTED = 82 Info "a failure domain is evacuated; its upstreams get no new requests" => "nothing; the operator's order to end it makes its upstreams available again";
+    EVACUATION_ENDED = 83 Info "the evacuation of a failure domain has ended" => "nothing; its upstreams count as cold at first";
+    CALL_ABANDONED = 84 Info "an operator's call was dropped, since the caller left before it was proposed" => "nothing; the caller sends it again";
     MEMBERS_CHANGED = 90 Info "the members of the control group have changed" => "nothing; a voter that left permanently should disappear from the voters soon after";
     NO_LEADER = 91 Error "this member of the control group knows no leader" => "if fewer voters are connected than needed, start the missing ones again with their disks; otherwise check the connections between the voters";
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod control;
 mod control_fleet;
 mod demo;
+mod evacuations;
 mod limits;
 mod load;
 mod member_runs;
