Send configurations to entries as patches, from one control host

Cause: when a configuration was accepted, each control host sent it whole to each entry, and again with the answers to lease requests: with six control hosts and 36 entries 216 copies of up to 0.7 MB.

Ruled out: deltas of the decoded configuration, as hosts with sidecars get them (control hosts do not read the platform's format); compression alone (a change of one route would still cost some 60 KB).

Change: an entry gets a configuration from the control host that it has selected only, when that host applies it or with the answer to a lease request. It comes as a zstd frame with the body of the entry's configuration as prefix. The digest of the result is checked.

--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -152,7 +152,8 @@
     Lease {
         /// Request number, repeated in the response.
         id: u64,
-        /// Number of the configuration in force at the host; zero if it has none.
+        /// Number of the configuration in force at the host; zero if it has none or needs the whole
+        /// one again.
         current: u64,
     },
 }
@@ -243,10 +244,9 @@
     Lease {
         /// Number of the request.
         id: u64,
-        /// Number of the latest accepted configuration, at the time of the request or later.
+        /// Number of the latest accepted configuration, at the time of the request or later. A
+        /// [`FromRelay::ConfigPatch`] precedes the response to a host that has an older one.
         number: u64,
-        /// That configuration, if the host has an older one.
-        newer: Option<ConfigBody>,
     },
     /// Fleet addresses of the control hosts that have a replicated log.
     ControlHosts {
@@ -255,6 +255,18 @@
         /// The addresses.
         addresses: Vec<SocketAddr>,
     },
+    /// A newer configuration than the one in force at a forwarding entry, as a patch of that one.
+    ConfigPatch {
+        /// Number of the configuration that the patch was made from; zero for none, so that it holds
+        /// the whole.
+        base: u64,
+        /// Number of the resulting configuration.
+        number: u64,
+        /// SHA-256 of the resulting body.
+        digest: [u8; 32],
+        /// The patch, a zstd frame with the body of `base` as its prefix.
+        patch: Vec<u8>,
+    },
     /// The failure domains whose upstreams get no requests. Sent on a connection before any
     /// [`FromRelay::Lease`] response that was confirmed after the change.
     Evacuations {
--- a/src/coltsfootnotch/core/mod.rs
+++ b/src/coltsfootnotch/core/mod.rs
@@ -1,5 +1,6 @@
 //! Types shared by the daemons.
 
+pub mod config_patch;
 mod host_cx;
 mod proposal;
 mod refusal;
--- a/src/coltsfootnotch/daemon/control/daemon/maintenance.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/maintenance.rs
@@ -194,14 +194,15 @@
             &events::CONFIG_ACCEPTED,
             &[("number", &body.number), ("digest", &digest)],
         );
+        if self.seeded.is_some() {
+            self.patches.accept(body.clone());
+        }
         self.config.accept(body);
         if let Some(manifest) = self.config.manifest() {
             self.set_limits(now, manifest.ledger.keep_hours);
         }
         self.push_config(now);
-        if let Some(full) = self.config.full() {
-            self.broadcast_to_entries(&full);
-        }
+        self.push_config_to_entries(now);
     }
 
     /// Proposes the ledger limits of the manifest if this member leads and they have changed.
--- a/src/coltsfootnotch/daemon/control/daemon/mod.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/mod.rs
@@ -19,6 +19,7 @@
 use coltsfootnotch_wire::HostRecord;
 
 use super::bootstrap::Bootstrap;
+use super::config_patches::ConfigPatches;
 use super::config_push::ConfigPush;
 use super::disk::{Disk, DiskReport};
 use super::input::{Input, Stop};
@@ -56,6 +57,8 @@
     pub(super) syncs: u64,
     /// The configuration in force, as it is sent to hosts.
     pub(super) config: ConfigPush,
+    /// The configuration in force, as it is sent to forwarding entries.
+    pub(super) patches: ConfigPatches,
     /// The evacuated domains that were last sent to hosts.
     pub(super) evacuations: Evacuations,
     /// Failure domains of the fleet that the settings list; empty if they list none.
@@ -114,6 +117,7 @@
             requests: RequestTable::default(),
             syncs: 0,
             config: ConfigPush::default(),
+            patches: ConfigPatches::default(),
             evacuations: Evacuations::default(),
             domains: cfg.domains.clone(),
             address: local.map_or(cfg.address(), |m| m.address),
--- a/src/coltsfootnotch/daemon/control/mod.rs
+++ b/src/coltsfootnotch/daemon/control/mod.rs
@@ -20,6 +20,7 @@
 pub mod batcher;
 pub mod bootstrap;
 mod config;
+pub mod config_patches;
 pub mod config_push;
 mod daemon;
 mod disk;
--- a/src/coltsfootnotch/daemon/control/seeded/entries.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/entries.rs
@@ -8,6 +8,13 @@
 use coltsfootnotch_types::HostName;
 use coltsfootnotch_wire::{EntryLoadReport, FromRelay};
 
+/// Time after a query for which the entry counts as having this control host selected: two intervals of
+/// its queries.
+const SELECTED_FOR: Duration = Duration::from_secs(1);
+
+/// Time after which a configuration is sent again to an entry that still reports the earlier one.
+const RESEND_AFTER: Duration = Duration::from_secs(2);
+
 /// A query whether a configuration is the newest.
 #[derive(Debug, Clone, Copy)]
 pub(in crate::daemon::control) struct LeaseQuery {
@@ -22,6 +29,44 @@
     pub(in crate::daemon::control) host: HostName,
     /// The configuration that it last reported as in force; zero before its first query.
     pub(in crate::daemon::control) config: u64,
+    /// When it last queried this host; it queries only the control host that it has selected.
+    asked_at: Option<Duration>,
+    /// The configuration that was last sent to it.
+    sent: Option<SentConfig>,
+}
+
+/// A configuration that was sent to an entry, as a patch of the one with the number `from`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct SentConfig {
+    from: u64,
+    number: u64,
+    at: Duration,
+}
+
+impl ConnectedEntry {
+    /// Whether the entry has this control host selected.
+    fn is_selecting(&self, now: Duration) -> bool {
+        self.asked_at.is_some_and(|at| now < at + SELECTED_FOR)
+    }
+
+    /// Whether the configuration `number` has to be sent now; records that it was.
+    fn needs_config(&mut self, now: Duration, number: u64) -> bool {
+        if self.config >= number {
+            return false;
+        }
+        let from = self.config;
+        let is_sent = self.sent.is_some_and(|sent| {
+            (sent.from, sent.number) == (from, number) && now < sent.at + RESEND_AFTER
+        });
+        if !is_sent {
+            self.sent = Some(SentConfig {
+                from,
+                number,
+                at: now,
+            });
+        }
+        !is_sent
+    }
 }
 
 /// The connected forwarding entries.
@@ -41,7 +86,13 @@
 
 impl ConnectedEntries {
     pub(in crate::daemon::control) fn add(&mut self, link: LinkId, host: HostName) {
-        self.links.insert(link, ConnectedEntry { host, config: 0 });
+        let entry = ConnectedEntry {
+            host,
+            config: 0,
+            asked_at: None,
+            sent: None,
+        };
+        self.links.insert(link, entry);
     }
 
     pub(in crate::daemon::control) fn remove(&mut self, link: LinkId) {
@@ -96,10 +147,33 @@
         sent
     }
 
+    /// The entries that have this control host selected and need the configuration `number`, with the
+    /// one that each has; records that it was sent to them.
+    pub(in crate::daemon::control) fn take_needing_config(
+        &mut self,
+        now: Duration,
+        number: u64,
+    ) -> Vec<(LinkId, u64)> {
+        let links = self.links.iter_mut();
+        let selecting = links.filter(|(_, entry)| entry.is_selecting(now));
+        selecting
+            .filter_map(|(link, entry)| {
+                entry
+                    .needs_config(now, number)
+                    .then_some((*link, entry.config))
+            })
+            .collect()
+    }
+
     /// Queues a query; returns whether the caller has to start a read.
-    pub(in crate::daemon::control) fn queue_query(&mut self, query: LeaseQuery) -> bool {
+    pub(in crate::daemon::control) fn queue_query(
+        &mut self,
+        now: Duration,
+        query: LeaseQuery,
+    ) -> bool {
         if let Some(entry) = self.links.get_mut(&query.link) {
             entry.config = query.current;
+            entry.asked_at = Some(now);
         }
         self.queued.push(query);
         self.start_read()
--- a/src/coltsfootnotch/daemon/control/seeded/handlers.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/handlers.rs
@@ -279,7 +279,8 @@
         let Some(seeded) = &mut self.seeded else {
             return;
         };
-        if seeded.entries.queue_query(LeaseQuery { link, id, current }) {
+        let query = LeaseQuery { link, id, current };
+        if seeded.entries.queue_query(now, query) {
             self.submit(now, Origin::Leases, LeaderRequest::Read);
         }
     }
@@ -292,19 +293,33 @@
         let queries = seeded.entries.finish_read();
         let is_read_started = seeded.entries.start_read();
         if confirmed {
-            self.respond_to_leases(&queries);
+            self.respond_to_leases(now, &queries);
         }
         if is_read_started {
             self.submit(now, Origin::Leases, LeaderRequest::Read);
         }
     }
 
-    fn respond_to_leases(&self, queries: &[LeaseQuery]) {
+    fn respond_to_leases(&mut self, now: Duration, queries: &[LeaseQuery]) {
+        self.push_config_to_entries(now);
         let number = self.replica.machine().config().number();
         for req in queries {
-            let newer = (req.current < number).then(|| self.config_body()).flatten();
-            let id = req.id;
-            self.send_to_host(req.link, FromRelay::Lease { id, number, newer });
+            self.send_to_host(req.link, FromRelay::Lease { id: req.id, number });
+        }
+    }
+
+    /// Sends the configuration in force to the entries that have this host selected and an older one.
+    /// The others get it from the host that they have selected, or when they select another.
+    pub(in crate::daemon::control) fn push_config_to_entries(&mut self, now: Duration) {
+        let number = self.replica.machine().config().number();
+        let Some(seeded) = &mut self.seeded else {
+            return;
+        };
+        for (link, from) in seeded.entries.take_needing_config(now, number) {
+            let message = self.patches.message(from);
+            if let (Some(message), Some(link)) = (message, self.links.get(link)) {
+                link.send_host(message);
+            }
         }
     }
 }
--- a/src/coltsfootnotch/daemon/control/seeded/upstreams.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/upstreams.rs
@@ -129,7 +129,8 @@
         }
     }
 
-    /// Sends the current state to a newly connected entry.
+    /// Sends the current state to a newly connected entry. The configuration follows with the response to
+    /// its lease request: an entry is connected to all control hosts, and one copy is enough.
     pub(in crate::daemon::control) fn send_initial_state(&self, link: LinkId) {
         let Some(seeded) = &self.seeded else {
             return;
@@ -145,10 +146,6 @@
             let id = id.to_owned();
             self.send_to_host(link, FromRelay::UpstreamLeft { id, born_ms });
         }
-        // An entry ignores a number that is not higher than its own.
-        if let Some(config) = self.config_body() {
-            self.send_to_host(link, FromRelay::Config(config));
-        }
     }
 
     pub(in crate::daemon::control) fn broadcast_to_entries(&self, message: &FromRelay) {
--- a/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
@@ -6,10 +6,12 @@
 use coltsfootnotch_fabric::{Event, LinkId};
 use coltsfootnotch_forward::config::ForwardConfig;
 use coltsfootnotch_forward::registry::{Announcement, RegistryUpdate};
+use coltsfootnotch_state::BodyDigest;
 use coltsfootnotch_types::DomainName;
-use coltsfootnotch_wire::{ConfigBody, FromRelay, Message, UpstreamRecord};
+use coltsfootnotch_wire::{FromRelay, Message, UpstreamRecord};
 
 use super::ForwardActor;
+use crate::core::config_patch;
 use crate::util::events;
 
 impl ForwardActor {
@@ -69,16 +71,18 @@
                 self.state
                     .apply_remote(now, entries, &load, config.as_deref());
             }
-            FromRelay::Lease { id, number, newer } => {
-                if let Some(body) = newer {
-                    self.apply_config(&body);
-                }
+            FromRelay::Lease { id, number } => {
                 if let Some(sent_at) = self.links.on_lease_response(id) {
                     self.state.lease.renew(sent_at, number);
                     self.update_lease_state();
                 }
             }
-            FromRelay::Config(body) => self.apply_config(&body),
+            FromRelay::ConfigPatch {
+                base,
+                number,
+                digest,
+                patch,
+            } => self.apply_patch(base, number, &digest, &patch),
             FromRelay::Evacuations { revision, domains } => {
                 self.apply_evacuations(now, revision, &domains);
             }
@@ -92,6 +96,7 @@
             FromRelay::Directory { .. }
             | FromRelay::ServiceApplied { .. }
             | FromRelay::Totals { .. }
+            | FromRelay::Config(_)
             | FromRelay::ConfigDelta { .. }
             | FromRelay::ConfigConfirmed { .. }
             | FromRelay::Proposed { .. }
@@ -142,27 +147,59 @@
             .set(evacuated as f64);
     }
 
-    /// Puts a configuration in force if it is newer than the current one.
-    fn apply_config(&mut self, body: &ConfigBody) {
-        if body.number <= self.number {
+    /// Puts a configuration in force if it is newer than the current one. If the patch can't be
+    /// applied, the next lease request asks for the whole configuration.
+    fn apply_patch(&mut self, base: u64, number: u64, digest: &[u8; 32], patch: &[u8]) {
+        if number <= self.number {
             return;
         }
-        let config: ForwardConfig = match (self.dialect.decode_config)(&body.body) {
+        match self.patched_body(base, digest, patch) {
+            Ok(body) => {
+                self.needs_whole_config = false;
+                self.apply_config(number, body);
+            }
+            Err(reason) => {
+                self.needs_whole_config = true;
+                self.cx.log(
+                    &events::CONFIG_PATCH_REFUSED,
+                    &[("number", &number), ("base", &base), ("reason", &reason)],
+                );
+            }
+        }
+    }
+
+    fn patched_body(&self, base: u64, digest: &[u8; 32], patch: &[u8]) -> Result<Vec<u8>, String> {
+        let base_body = match base {
+            0 => &[][..],
+            base if base == self.number => &self.config_body,
+            _ => return Err(format!("configuration {} is in force", self.number)),
+        };
+        let body = config_patch::apply(base_body, patch).map_err(|e| e.to_string())?;
+        if BodyDigest::of(&body).0 == *digest {
+            Ok(body)
+        } else {
+            Err("the body has another digest".to_owned())
+        }
+    }
+
+    fn apply_config(&mut self, number: u64, body: Vec<u8>) {
+        let config: ForwardConfig = match (self.dialect.decode_config)(&body) {
             Ok(config) => config,
             Err(e) => {
                 self.cx.log(
                     &events::CONFIG_UNDECODABLE,
-                    &[("number", &body.number), ("error", &e)],
+                    &[("number", &number), ("error", &e)],
                 );
                 return;
             }
         };
         let previous = self.number;
-        self.number = body.number;
+        self.number = number;
+        self.config_body = body;
         self.config.send_replace(Some(Arc::new(config)));
         self.cx.log(
             &events::CONFIG_IN_FORCE,
-            &[("number", &body.number), ("before", &previous)],
+            &[("number", &number), ("before", &previous)],
         );
     }
 }
--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -116,6 +116,10 @@
     endpoint: Endpoint,
     config: watch::Sender<InForce>,
     number: u64,
+    /// Body of the configuration in force, which the next patch is made from.
+    config_body: Vec<u8>,
+    /// Whether the last patch could not be applied, so that the whole configuration is needed.
+    needs_whole_config: bool,
     pool: Arc<Pool>,
     connections: Arc<Connections>,
     ready: Arc<AtomicBool>,
@@ -206,6 +210,8 @@
             endpoint,
             config,
             number: 0,
+            config_body: Vec::new(),
+            needs_whole_config: false,
             pool,
             connections,
             ready: Arc::default(),
@@ -281,7 +287,12 @@
             self.cx.log(&events::PROCESS_PAUSED, &[]);
         }
         // The lease is measured by the clock that includes time while the host is suspended.
-        self.links.request_lease(self.boot_clock.now(), self.number);
+        let current = if self.needs_whole_config {
+            0
+        } else {
+            self.number
+        };
+        self.links.request_lease(self.boot_clock.now(), current);
         self.measure_scheduling_delay();
         self.report(now);
         self.expire_upstreams(now);
--- a/src/coltsfootnotch/daemon/relay_client.rs
+++ b/src/coltsfootnotch/daemon/relay_client.rs
@@ -246,6 +246,7 @@
             | FromRelay::UpstreamLeft { .. }
             | FromRelay::FleetLoad { .. }
             | FromRelay::Lease { .. }
+            | FromRelay::ConfigPatch { .. }
             | FromRelay::ControlHosts { .. } => None,
         }
     }
--- a/src/coltsfootnotch/util/events.rs
+++ b/src/coltsfootnotch/util/events.rs
@@ -60,6 +60,7 @@
     DAEMON_STOPPED = 4 Info "daemon stopped" => "nothing";
     CONFIG_UNDECODABLE = 5 Error "a configuration cannot be decoded and is rejected" => "compare the versions of the daemons; the previous configuration stays in force";
     SHUTDOWN_FORCED = 6 Warn "stopped with requests in progress" => "raise shutdown_ms if requests run longer";
+    CONFIG_PATCH_REFUSED = 7 Warn "a patch of the configuration could not be applied; the whole one is requested" => "nothing unless it repeats: then compare the versions of the daemons";
     LINK_UP = 10 Info "connection to a host is up" => "nothing";
     LINK_DOWN = 11 Warn "connection to a host is lost" => "if it is not restored, check that host and the network in between";
     MESSAGE_FORBIDDEN = 12 Error "a host sent a message that its role may not send" => "treat that host's key as compromised: see SECURITY.md";
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod bad_input;
 mod bootstrap_runs;
 mod commands;
+mod config_patches;
 mod connections;
 mod control;
 mod control_fleet;
