Run an entry's connections to control hosts on a thread of their own

Cause: on a crowded entry what control hosts send waited behind callers' requests. A message passes the tasks of the endpoint, the connection and the reader, each once a round of all ready tasks; with hundreds of callers on 0.063 of a core a round takes about a second.

Ruled out: priorities between tasks (the runtime has none); the actor on the thread as well (each placement would cost two switches).

Change: ForwardSettings::fleet_runtime; the platform's router gives a single-threaded runtime on its own thread. The actor takes messages of control hosts and placements in the order in which they arrive, so that a departure that has arrived binds every placement after it.

--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -149,7 +149,7 @@
     ) -> Result<Self, ForwardError> {
         let to_actor = tx.clone();
         let endpoint = Endpoint::bind(
-            &cx.runtime,
+            &settings.fleet_runtime,
             settings.fleet_address,
             &settings.credentials,
             cx.identity.incarnation,
--- a/src/coltsfootnotch/daemon/forward/config.rs
+++ b/src/coltsfootnotch/daemon/forward/config.rs
@@ -6,6 +6,8 @@
 use coltsfootnotch_fabric::Credentials;
 use coltsfootnotch_forward::retry::RetryLimit;
 
+use tokio::runtime::Handle;
+
 use super::Dialect;
 
 /// Times of a forwarding entry.
@@ -19,6 +21,10 @@
 
 /// Settings of a forwarding entry.
 pub struct ForwardSettings {
+    /// Runtime of the connections to control hosts. With one of its own, what control hosts send is
+    /// received however many callers' requests wait to be processed: a departed upstream, an evacuated
+    /// domain and a revoked key bind within seconds.
+    pub fleet_runtime: Handle,
     /// UDP address that the fleet endpoint binds to.
     pub fleet_address: SocketAddr,
     /// Address of the HTTP listener.
