Hand connections of a crowded entry over to its neighbours

Cause: the balancer sends all connections of a caller to one entry by hash. A flooding caller sends some 300 requests a second to one entry with 0.063 of a core, 20 times its even share.

Change: entries tell control hosts where and whether they take connections over; a control host sends each entry the ones of its domain. While its tasks wait for 40 ms or more and its load is twice its even share, an entry relays a share of its new connections to neighbours drawn at random, and closes kept ones after their response, by the same share; the share grows by half with a long delay and shrinks by a hundredth. It stays ready unless that is not enough. Bytes of the caller travel in frames, so that an entry that stops can ask the neighbour to end the connection after the response in progress.

--- a/crates/forward/tests/testsuite/overload.rs
+++ b/crates/forward/tests/testsuite/overload.rs
@@ -12,7 +12,7 @@
 fn is_overloaded_after(waits_ms: &[u64], load_ratio: f64) -> bool {
     let mut overload = Overload::default();
     for (n, waited) in waits_ms.iter().enumerate() {
-        overload.observe(at(100 * n as u64), at(*waited), load_ratio);
+        overload.observe(at(100 * n as u64), at(*waited), load_ratio, false);
     }
     overload.is_overloaded(at(100 * waits_ms.len() as u64))
 }
@@ -42,12 +42,12 @@
     };
     for n in 0..10 {
         let waited = wait(&overload, 3.0);
-        overload.observe(at(100 * n), waited, 12.0);
+        overload.observe(at(100 * n), waited, 12.0, false);
     }
     expect_that!(wait(&overload, 3.0), eq(at(5)));
     for n in 10..30 {
         let waited = wait(&overload, 0.2);
-        overload.observe(at(100 * n), waited, 0.2);
+        overload.observe(at(100 * n), waited, 0.2, false);
     }
     expect_that!(overload.refused_share(), eq(0.0));
 }
@@ -60,3 +60,41 @@
         eq(false)
     );
 }
+
+/// One caller opens hundreds of connections to one host, which can relay four times what it can serve.
+/// The host stays ready and refuses nothing; after the caller leaves, it serves everything again.
+#[googletest::test]
+fn a_host_hands_over_what_it_cannot_serve() {
+    let mut overload = Overload::default();
+    let wait = |overload: &Overload, sent: f64| {
+        let handed_over = sent * overload.handover_share();
+        let busy = handed_over / 4.0 + (sent - handed_over);
+        if busy > 1.0 { at(200) } else { at(5) }
+    };
+    for n in 0..50 {
+        let waited = wait(&overload, 3.0);
+        overload.observe(at(100 * n), waited, 12.0, true);
+        expect_that!(overload.is_overloaded(at(100 * n)), eq(false));
+        expect_that!(overload.refused_share(), eq(0.0));
+    }
+    expect_that!(overload.handover_share(), gt(0.6));
+    for n in 50..200 {
+        let waited = wait(&overload, 0.2);
+        overload.observe(at(100 * n), waited, 0.2, true);
+    }
+    expect_that!(overload.handover_share(), eq(0.0));
+}
+
+/// A caller sends more than a host can even relay, or all neighbours stop taking connections over: the
+/// host sends callers away as if it had no neighbours.
+#[googletest::test]
+fn a_host_that_cannot_hand_over_enough_is_overloaded() {
+    let mut overload = Overload::default();
+    for n in 0..10 {
+        overload.observe(at(100 * n), at(200), 12.0, true);
+    }
+    expect_that!(overload.is_overloaded(at(1_000)), eq(true));
+    expect_that!(overload.refused_share(), gt(0.0));
+    overload.observe(at(1_000), at(5), 12.0, false);
+    expect_that!(overload.handover_share(), eq(0.0));
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -42,7 +42,9 @@
             Self::FromRelay(_) | Self::Member(_) | Self::BetweenRelays(_) => role == Role::Control,
             Self::ToRelay(ToRelay::Heartbeat(heartbeat)) => heartbeat.record.role == role,
             Self::ToRelay(ToRelay::Service(_)) => role == Role::Sidecar,
-            Self::ToRelay(ToRelay::Load { .. } | ToRelay::Lease { .. }) => role == Role::Entry,
+            Self::ToRelay(
+                ToRelay::Load { .. } | ToRelay::Lease { .. } | ToRelay::Handover { .. },
+            ) => role == Role::Entry,
             // The control host checks which operations a role may propose.
             Self::ToRelay(ToRelay::Propose { .. }) => role != Role::Control,
             Self::ToRelay(ToRelay::AdmitMember { .. } | ToRelay::RemoveMember { .. }) => {
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -156,6 +156,15 @@
         /// one again.
         current: u64,
     },
+    /// States whether a forwarding entry takes connections over from its neighbours.
+    Handover {
+        /// Its failure domain.
+        domain: DomainName,
+        /// Its address for connections that are handed over.
+        address: SocketAddr,
+        /// Whether it takes them now.
+        accepts: bool,
+    },
 }
 
 /// From a control host to a host or an operator.
@@ -267,6 +276,11 @@
         /// The patch, a zstd frame with the body of `base` as its prefix.
         patch: Vec<u8>,
     },
+    /// The other forwarding entries of the receiver's failure domain that take connections over.
+    Neighbours {
+        /// Their addresses for connections that are handed over.
+        addresses: Vec<SocketAddr>,
+    },
     /// The failure domains whose upstreams get no requests. Sent on a connection before any
     /// [`FromRelay::Lease`] response that was confirmed after the change.
     Evacuations {
--- a/src/coltsfootnotch/daemon/control/daemon/from_hosts.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/from_hosts.rs
@@ -13,6 +13,7 @@
 use crate::daemon::control::packet::LeaderRequest;
 use crate::daemon::control::permissions::is_permitted;
 use crate::daemon::control::request_table::Origin;
+use crate::daemon::control::seeded::HandoverPoint;
 use crate::daemon::control::status;
 
 impl ControlDaemon {
@@ -43,6 +44,16 @@
                     seeded.entries.record_load(now, link, is_selected, load);
                 }
             }
+            ToRelay::Handover {
+                domain,
+                address,
+                accepts,
+            } => {
+                if let Some(seeded) = &mut self.seeded {
+                    let point = HandoverPoint { domain, address };
+                    seeded.entries.set_handover(link, point, accepts);
+                }
+            }
             ToRelay::Lease { id, current } => self.on_lease_query(now, link, id, current),
             ToRelay::RemoveMember { id, host } => {
                 self.submit(
--- a/src/coltsfootnotch/daemon/control/seeded/entries.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/entries.rs
@@ -1,11 +1,12 @@
 //! Forwarding entries that are connected to this control host.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use coltsfootnotch_fabric::LinkId;
 use coltsfootnotch_forward::load::FleetLoad;
-use coltsfootnotch_types::HostName;
+use coltsfootnotch_types::{DomainName, HostName};
 use coltsfootnotch_wire::{EntryLoadReport, FromRelay};
 
 /// Time after a query for which the entry counts as having this control host selected: two intervals of
@@ -33,6 +34,18 @@
     asked_at: Option<Duration>,
     /// The configuration that was last sent to it.
     sent: Option<SentConfig>,
+    /// Where it takes connections over from its neighbours.
+    handover: Option<HandoverPoint>,
+    accepts_handover: bool,
+    /// Version of the neighbours that were last sent to it; zero for none.
+    neighbours_sent: u64,
+}
+
+/// Where an entry takes connections over from the other entries of its failure domain.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(in crate::daemon::control) struct HandoverPoint {
+    pub(in crate::daemon::control) domain: DomainName,
+    pub(in crate::daemon::control) address: SocketAddr,
 }
 
 /// A configuration that was sent to an entry, as a patch of the one with the number `from`.
@@ -80,6 +93,8 @@
     /// Entries that subscribe to the load of the others.
     subscribers: BTreeSet<LinkId>,
     pub(in crate::daemon::control) fleet: FleetLoad<LinkId>,
+    /// Increases when an entry starts or stops taking connections over.
+    neighbours_version: u64,
     queued: Vec<LeaseQuery>,
     in_read: Option<Vec<LeaseQuery>>,
 }
@@ -91,12 +106,18 @@
             config: 0,
             asked_at: None,
             sent: None,
+            handover: None,
+            accepts_handover: false,
+            neighbours_sent: 0,
         };
         self.links.insert(link, entry);
     }
 
     pub(in crate::daemon::control) fn remove(&mut self, link: LinkId) {
-        self.links.remove(&link);
+        let removed = self.links.remove(&link);
+        if removed.is_some_and(|entry| entry.accepts_handover) {
+            self.neighbours_version += 1;
+        }
         self.subscribers.remove(&link);
         self.fleet.remove(&link);
     }
@@ -126,7 +147,8 @@
         }
     }
 
-    /// Sends each subscriber the load of the other entries by `send`, and starts a new period; returns the
+    /// Sends each subscriber the load of the other entries by `send`, and its neighbours if they have
+    /// changed, and starts a new period; returns the
     /// number of upstream loads sent.
     ///
     /// Builds one message at a time: all together take some 100 bytes for each pair of entry and upstream.
@@ -139,6 +161,9 @@
         let totals = self.fleet.totals(now);
         let mut sent = 0;
         for link in &self.subscribers {
+            if let Some(message) = neighbours(&mut self.links, *link, self.neighbours_version) {
+                send(*link, message);
+            }
             let load = self.fleet.excluding(now, &totals, link);
             sent += load.upstreams.len();
             send(*link, FromRelay::FleetLoad { entries, load });
@@ -165,6 +190,20 @@
             .collect()
     }
 
+    /// Records whether an entry takes connections over.
+    pub(in crate::daemon::control) fn set_handover(
+        &mut self,
+        link: LinkId,
+        point: HandoverPoint,
+        accepts: bool,
+    ) {
+        if let Some(entry) = self.links.get_mut(&link) {
+            entry.handover = Some(point);
+            entry.accepts_handover = accepts;
+            self.neighbours_version += 1;
+        }
+    }
+
     /// Queues a query; returns whether the caller has to start a read.
     pub(in crate::daemon::control) fn queue_query(
         &mut self,
@@ -193,3 +232,23 @@
         self.in_read.take().unwrap_or_default()
     }
 }
+
+/// The neighbours of an entry, if it doesn't have this version of them; records that it was sent.
+fn neighbours(
+    links: &mut BTreeMap<LinkId, ConnectedEntry>,
+    link: LinkId,
+    version: u64,
+) -> Option<FromRelay> {
+    let entry = links.get_mut(&link)?;
+    let domain = entry.handover.as_ref()?.domain.clone();
+    if std::mem::replace(&mut entry.neighbours_sent, version) == version {
+        return None;
+    }
+    let others = links
+        .iter()
+        .filter(|(other, entry)| **other != link && entry.accepts_handover);
+    let points = others.filter_map(|(_, entry)| entry.handover.as_ref());
+    let near = points.filter(|point| point.domain == domain);
+    let addresses = near.map(|point| point.address).collect();
+    Some(FromRelay::Neighbours { addresses })
+}
--- a/src/coltsfootnotch/daemon/control/seeded/mod.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/mod.rs
@@ -25,7 +25,7 @@
 pub use self::call::{Call, CallReply};
 pub use self::connectivity::Connectivity;
 pub use self::discovery::Discovery;
-pub(super) use self::entries::{ConnectedEntries, ConnectedEntry};
+pub(super) use self::entries::{ConnectedEntries, ConnectedEntry, HandoverPoint};
 
 /// Settings for the discovery of control hosts.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
@@ -20,6 +20,7 @@
             Event::Up { link, peer, tx, .. } => {
                 self.cx.log(&events::LINK_UP, &[("peer", &peer)]);
                 self.links.on_link_up(link, peer, tx);
+                self.links.send(link, self.handover_message());
                 self.log_if_selected(link);
             }
             Event::Down { link, peer } => {
@@ -86,6 +87,7 @@
             FromRelay::Evacuations { revision, domains } => {
                 self.apply_evacuations(now, revision, &domains);
             }
+            FromRelay::Neighbours { addresses } => self.handover.set_neighbours(addresses),
             FromRelay::ControlHosts { has_log, addresses } => {
                 self.links.add_reported(&self.endpoint, &addresses);
                 if !has_log {
--- a/src/coltsfootnotch/daemon/forward/actor/maintenance.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/maintenance.rs
@@ -1,5 +1,6 @@
 //! Periodic work of a forwarding entry: load reports, overload detection, and expiry of upstreams.
 
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use coltsfootnotch_forward::load::reporting_period;
@@ -58,7 +59,10 @@
     /// Handles a measured scheduling delay: updates whether the host is overloaded.
     pub(super) fn on_scheduling_delay(&mut self, now: Duration, waited: Duration) {
         let load_ratio = self.state.load_ratio(now);
-        self.overload.observe(now, waited, load_ratio);
+        let has_neighbours = self.handover.has_neighbours();
+        self.overload
+            .observe(now, waited, load_ratio, has_neighbours);
+        self.update_handover(waited);
         let overloaded = self.overload.is_overloaded(now);
         let refused = self.overload.refused_share();
         if overloaded != self.overload_flags.set(overloaded, refused) {
@@ -79,6 +83,44 @@
         }
     }
 
+    /// Sets the share of connections that is handed over, and logs when that starts or ends.
+    fn update_handover(&mut self, waited: Duration) {
+        let share = self.overload.handover_share();
+        self.handover.set_share(share);
+        let is_handing_over = share > 0.0;
+        if is_handing_over == std::mem::replace(&mut self.is_handing_over, is_handing_over) {
+            return;
+        }
+        let event = if is_handing_over {
+            &events::HANDOVER_STARTED
+        } else {
+            &events::HANDOVER_ENDED
+        };
+        let (waited_ms, connections) = (waited.as_millis(), self.connections.count());
+        self.cx.log(
+            event,
+            &[("waited_ms", &waited_ms), ("connections", &connections)],
+        );
+    }
+
+    /// Tells control hosts whether this entry takes connections over, if that has changed.
+    pub(super) fn report_handover(&mut self) {
+        let is_ready = self.ready.load(Ordering::Relaxed);
+        let accepts = is_ready && !self.is_handing_over;
+        if accepts != std::mem::replace(&mut self.accepts_handover, accepts) {
+            self.links.send_to_all(&self.handover_message());
+        }
+    }
+
+    /// Whether this entry takes connections over, as control hosts are told.
+    pub(super) fn handover_message(&self) -> ToRelay {
+        ToRelay::Handover {
+            domain: self.cx.identity.domain.clone(),
+            address: self.handover_address,
+            accepts: self.accepts_handover,
+        }
+    }
+
     /// Handles a pause of a stream, which may reduce the backlog limit of its upstream.
     pub(super) fn on_stream_pause(&mut self, now: Duration, pause: &StreamPause) {
         let Some(limit) = self.state.on_stream_pause(now, pause) else {
--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -4,6 +4,7 @@
 mod maintenance;
 mod shutdown;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -22,6 +23,8 @@
 
 use super::control_links::ControlLinks;
 use super::dialect::{Dialect, InForce};
+use super::handover::HandoverTargets;
+use super::listener::{Limits, accept_callers, accept_handed_over};
 use super::messages::{ForwardMsg, Outcome, PlaceRequest, PlacementError, Ticket};
 use super::overload_flags::OverloadFlags;
 use super::pool::Pool;
@@ -34,7 +37,7 @@
 use crate::util::connections::Connections;
 use crate::util::event_loop;
 use crate::util::events;
-use crate::util::http_server::{ServerLimits, serve_and_close};
+use crate::util::http_server::ServerLimits;
 use crate::util::line_budget::LineBudget;
 
 /// Time between two ticks of the actor, which handle lease requests, reports and expiry.
@@ -70,12 +73,15 @@
     draw: fn() -> f64,
     started: impl FnOnce(ForwardHandle),
 ) -> Result<(), ForwardError> {
-    let listener = TcpListener::bind(settings.http_address).await?;
+    let listeners = Listeners {
+        callers: TcpListener::bind(settings.http_address).await?,
+        handed_over: TcpListener::bind(settings.handover_address).await?,
+    };
     let mut outcome = Ok(());
     event_loop::drive(|stakker| {
         let actor = actor_new!(stakker, ForwardActor, ret_nop!());
         let (tx, guard) = Channel::new(stakker, fwd_to!([actor], input() as (ForwardMsg)));
-        match ForwardActor::build(cx, &settings, draw, listener, tx, guard) {
+        match ForwardActor::build(cx, &settings, draw, listeners, tx, guard) {
             Ok(built) => {
                 started(built.handle());
                 call!([actor], ForwardActor::init(built));
@@ -99,6 +105,12 @@
     Nobody,
 }
 
+/// The listening sockets of an entry.
+struct Listeners {
+    callers: TcpListener,
+    handed_over: TcpListener,
+}
+
 /// State of a graceful shutdown.
 #[derive(Debug, Clone, Copy)]
 struct Stopping {
@@ -124,12 +136,17 @@
     connections: Arc<Connections>,
     ready: Arc<AtomicBool>,
     stopping: Option<Stopping>,
-    server_task: tokio::task::JoinHandle<()>,
+    server_tasks: [tokio::task::JoinHandle<()>; 2],
     /// Whether the lease was valid at its last check; shared with the tasks of connections.
     lease_valid: Arc<AtomicBool>,
     pause_detector: Arc<PauseDetector>,
     overload: Overload,
     overload_flags: Arc<OverloadFlags>,
+    handover: Arc<HandoverTargets>,
+    handover_address: SocketAddr,
+    is_handing_over: bool,
+    /// Whether this entry takes connections over from its neighbours, as control hosts were told.
+    accepts_handover: bool,
     report_due: Duration,
     reports: u64,
     load_for_others: FleetLoad<Reporter>,
@@ -143,7 +160,7 @@
         cx: HostCx,
         settings: &ForwardSettings,
         draw: fn() -> f64,
-        listener: TcpListener,
+        listeners: Listeners,
         tx: Channel<ForwardMsg>,
         guard: ChannelGuard,
     ) -> Result<Self, ForwardError> {
@@ -164,6 +181,7 @@
         let pause_detector = Arc::<PauseDetector>::default();
         let lease_valid = Arc::<AtomicBool>::default();
         let overload_flags = Arc::<OverloadFlags>::default();
+        let handover = Arc::<HandoverTargets>::default();
         let gateway = Arc::new(Gateway {
             cx: cx.clone(),
             dialect: settings.dialect,
@@ -174,26 +192,30 @@
             lease_valid: Arc::clone(&lease_valid),
             pause_detector: Arc::clone(&pause_detector),
             overload: Arc::clone(&overload_flags),
+            handover: Arc::clone(&handover),
             connections: Arc::clone(&connections),
             close_threshold: settings.max_connections / 2,
             draw,
         });
-        let limits = ServerLimits {
-            connections: settings.max_connections,
-            header_bytes: HEADER_BYTES,
-            read_timeout: READ_TIMEOUT,
-        };
-        let handler = move |req, peer| Arc::clone(&gateway).handle(req, peer);
         let in_force = config.subscribe();
-        let read_timeout = move || {
+        let max_connections = settings.max_connections;
+        let limits: Limits = Arc::new(move || {
             let config = in_force.borrow();
-            config
-                .as_ref()
-                .map_or(READ_TIMEOUT, |c| c.bounds().read_timeout())
-        };
-        let open = Arc::clone(&connections);
-        let server = serve_and_close(listener, limits, read_timeout, open, handler);
-        let server_task = cx.runtime.spawn(server);
+            let read_timeout = config.as_ref().map(|c| c.bounds().read_timeout());
+            ServerLimits {
+                connections: max_connections,
+                header_bytes: HEADER_BYTES,
+                read_timeout: read_timeout.unwrap_or(READ_TIMEOUT),
+            }
+        });
+        let Listeners {
+            callers,
+            handed_over,
+        } = listeners;
+        let handed_over =
+            accept_handed_over(handed_over, Arc::clone(&limits), Arc::clone(&gateway));
+        let callers = accept_callers(callers, limits, gateway);
+        let server_tasks = [cx.runtime.spawn(callers), cx.runtime.spawn(handed_over)];
         let domain = cx.identity.domain.as_str().into();
         let lease = ConfigLease::new(settings.times.lease);
         Ok(Self {
@@ -216,11 +238,15 @@
             connections,
             ready: Arc::default(),
             stopping: None,
-            server_task,
+            server_tasks,
             lease_valid,
             pause_detector,
             overload: Overload::default(),
             overload_flags,
+            handover,
+            handover_address: settings.handover_address,
+            is_handing_over: false,
+            accepts_handover: false,
             report_due: Duration::ZERO,
             reports: 0,
             load_for_others: FleetLoad::default(),
@@ -297,6 +323,7 @@
         self.report(now);
         self.expire_upstreams(now);
         self.update_lease_state();
+        self.report_handover();
         self.continue_shutdown(cx, now);
     }
 
--- a/src/coltsfootnotch/daemon/forward/actor/shutdown.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/shutdown.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use stakker::CX;
+use tokio::task::JoinHandle;
 
 use super::{ForwardActor, STOP_MARGIN, Stopping};
 use crate::util::events;
@@ -36,7 +37,7 @@
         let elapsed = now.saturating_sub(stopping.since);
         if stopping.listening && elapsed >= STOP_LISTENING_AFTER {
             stopping.listening = false;
-            self.server_task.abort();
+            self.server_tasks.iter().for_each(JoinHandle::abort);
             self.connections.close();
         }
         let is_idle = !stopping.listening && self.connections.count() == 0;
--- a/src/coltsfootnotch/daemon/forward/config.rs
+++ b/src/coltsfootnotch/daemon/forward/config.rs
@@ -29,6 +29,9 @@
     pub fleet_address: SocketAddr,
     /// Address of the HTTP listener.
     pub http_address: SocketAddr,
+    /// Address at which neighbours hand callers' connections over, reachable from the hosts of the
+    /// failure domain.
+    pub handover_address: SocketAddr,
     /// Certificate and key of this host.
     pub credentials: Credentials,
     /// Fleet addresses of some control hosts.
--- a/src/coltsfootnotch/daemon/forward/control_links.rs
+++ b/src/coltsfootnotch/daemon/forward/control_links.rs
@@ -161,7 +161,14 @@
         }
     }
 
-    fn send(&self, link: LinkId, message: ToRelay) {
+    /// Sends a message to all control hosts.
+    pub(super) fn send_to_all(&self, message: &ToRelay) {
+        for link in self.links.keys() {
+            self.send(*link, message.clone());
+        }
+    }
+
+    pub(super) fn send(&self, link: LinkId, message: ToRelay) {
         let Some(Link { tx, .. }) = self.links.get(&link) else {
             return;
         };
--- /dev/null
+++ b/src/coltsfootnotch/daemon/forward/handover/handed_over.rs
@@ -0,0 +1,117 @@
+//! A connection that a neighbour has handed over, as this entry's server reads and writes it.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use bytes::{Buf, BytesMut};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+use super::frame::{HEADER_BYTES, Header};
+
+/// Bytes read from the socket at once.
+const READ_BYTES: usize = 8 * 1024;
+
+/// A connection that a neighbour has handed over: strips the frames from what it reads.
+pub(in crate::daemon::forward) struct HandedOver {
+    stream: TcpStream,
+    received: BytesMut,
+    /// Bytes of the current frame that are not read yet.
+    frame_left: usize,
+    close_requested: Arc<Notify>,
+}
+
+impl HandedOver {
+    pub(in crate::daemon::forward) fn new(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            received: BytesMut::new(),
+            frame_left: 0,
+            close_requested: Arc::default(),
+        }
+    }
+
+    /// Notified when the neighbour asks to close the connection after the response in progress.
+    pub(in crate::daemon::forward) fn close_requested(&self) -> Arc<Notify> {
+        Arc::clone(&self.close_requested)
+    }
+
+    /// Moves bytes of the caller to `buf`; returns whether there were any.
+    fn take_bytes(&mut self, buf: &mut ReadBuf<'_>) -> io::Result<bool> {
+        while self.frame_left == 0 {
+            let Some(header) = self.received.first_chunk::<HEADER_BYTES>() else {
+                return Ok(false);
+            };
+            let header = Header::decode(*header);
+            self.received.advance(HEADER_BYTES);
+            match header {
+                Some(Header::Data(len)) => self.frame_left = len,
+                Some(Header::Close) => self.close_requested.notify_one(),
+                None => return Err(io::ErrorKind::InvalidData.into()),
+            }
+        }
+        let len = self
+            .frame_left
+            .min(self.received.len())
+            .min(buf.remaining());
+        buf.put_slice(&self.received[..len]);
+        self.received.advance(len);
+        self.frame_left -= len;
+        Ok(len > 0)
+    }
+}
+
+impl AsyncRead for HandedOver {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        loop {
+            if this.take_bytes(buf)? {
+                return Poll::Ready(Ok(()));
+            }
+            let mut chunk = [0; READ_BYTES];
+            let mut read = ReadBuf::new(&mut chunk);
+            ready!(Pin::new(&mut this.stream).poll_read(cx, &mut read))?;
+            if read.filled().is_empty() {
+                return Poll::Ready(Ok(()));
+            }
+            this.received.extend_from_slice(read.filled());
+        }
+    }
+}
+
+impl AsyncWrite for HandedOver {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
@@ -0,0 +1,172 @@
+//! Connections that are handed over to a neighbour.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use googletest::prelude::*;
+use hyper::body::Incoming;
+use hyper::{Request, StatusCode};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{sleep, timeout};
+
+use super::super::handed_over::HandedOver;
+use super::{connect, relay};
+use crate::util::http_server::{AnyResponse, ServerLimits, full, read_body, serve_connection};
+
+const LIMITS: ServerLimits = ServerLimits {
+    connections: 10,
+    header_bytes: 16 * 1024,
+    read_timeout: Duration::from_secs(5),
+};
+/// Time within which what is expected happens.
+const WAIT: Duration = Duration::from_secs(5);
+
+/// A neighbour whose responses wait until they are released.
+#[derive(Default)]
+struct Neighbour {
+    release: Notify,
+    started: Notify,
+    /// Requests whose handler ended without a response.
+    cancelled: AtomicUsize,
+}
+
+/// Counts a handler that is dropped before it ends.
+struct Running<'a>(&'a Neighbour, bool);
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0
+            .cancelled
+            .fetch_add(usize::from(!self.1), Ordering::Relaxed);
+    }
+}
+
+async fn respond(neighbour: Arc<Neighbour>, req: Request<Incoming>) -> AnyResponse {
+    let mut running = Running(&neighbour, false);
+    let waits = req.uri().path() == "/wait";
+    let body = read_body(req.into_body(), 1 << 20, WAIT).await.unwrap();
+    neighbour.started.notify_one();
+    if waits {
+        neighbour.release.notified().await;
+    }
+    running.1 = true;
+    full(
+        StatusCode::OK,
+        "text/plain",
+        format!("{} bytes", body.len()),
+    )
+}
+
+/// Starts a neighbour and an entry that relays one connection to it; the sender makes the entry stop.
+async fn start(neighbour: &Arc<Neighbour>) -> (TcpStream, oneshot::Sender<()>) {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = TcpListener::bind(any).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let served = Arc::clone(neighbour);
+    tokio::spawn(async move {
+        let (stream, peer) = listener.accept().await.unwrap();
+        let stream = HandedOver::new(stream);
+        let requested = stream.close_requested();
+        let handler = move |req, _peer| respond(Arc::clone(&served), req);
+        serve_connection(stream, peer, LIMITS, requested.notified(), &handler).await;
+    });
+    let entry = TcpListener::bind(any).await.unwrap();
+    let entry_address = entry.local_addr().unwrap();
+    let (stop, stopped) = oneshot::channel();
+    tokio::spawn(async move {
+        let (caller, _) = entry.accept().await.unwrap();
+        let neighbour = connect(address).await.unwrap();
+        let closing = async {
+            if stopped.await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        };
+        relay(caller, neighbour, closing).await
+    });
+    let caller = TcpStream::connect(entry_address).await.unwrap();
+    (caller, stop)
+}
+
+async fn send(caller: &mut TcpStream, path: &str, body: usize) {
+    let head = format!("POST {path} HTTP/1.1\r\nHost: a\r\nContent-Length: {body}\r\n\r\n");
+    caller.write_all(head.as_bytes()).await.unwrap();
+    caller.write_all(&vec![b'x'; body]).await.unwrap();
+}
+
+/// Reads until the text ends with `end`, or to the end of the connection.
+async fn read_until(caller: &mut TcpStream, end: &str) -> String {
+    let mut text = String::new();
+    let mut chunk = [0; 1024];
+    while !text.ends_with(end) {
+        let read = timeout(WAIT, caller.read(&mut chunk)).await;
+        match read.expect("it answers in time") {
+            Ok(0) | Err(_) => break,
+            Ok(len) => text.push_str(std::str::from_utf8(&chunk[..len]).unwrap()),
+        }
+    }
+    text
+}
+
+/// Guards against bytes that are lost, added or changed between frames and reads.
+#[gtest]
+#[tokio::test]
+async fn requests_of_any_size_and_their_responses_pass_unchanged() {
+    let neighbour = Arc::<Neighbour>::default();
+    let (mut caller, _stop) = start(&neighbour).await;
+    for body in [0, 1, 5_000, 8_189, 8_192, 70_000, 300_000] {
+        send(&mut caller, "/now", body).await;
+        let end = format!("\r\n\r\n{body} bytes");
+        let text = read_until(&mut caller, &end).await;
+        expect_that!(text, starts_with("HTTP/1.1 200 OK"));
+        expect_that!(text, ends_with(end));
+    }
+}
+
+/// Guards against a planned stop that cuts off a request in progress at a neighbour.
+#[gtest]
+#[tokio::test]
+async fn an_entry_that_stops_lets_the_response_in_progress_end() {
+    let neighbour = Arc::<Neighbour>::default();
+    let (mut caller, stop) = start(&neighbour).await;
+    send(&mut caller, "/wait", 10).await;
+    neighbour.started.notified().await;
+    stop.send(()).unwrap();
+    sleep(Duration::from_millis(100)).await;
+    neighbour.release.notify_one();
+    let text = read_until(&mut caller, "to the end").await;
+    expect_that!(text, contains_substring("connection: close"));
+    expect_that!(text, ends_with("10 bytes"));
+}
+
+/// Guards against kept connections that keep an entry from stopping.
+#[gtest]
+#[tokio::test]
+async fn an_entry_that_stops_closes_idle_connections() {
+    let neighbour = Arc::<Neighbour>::default();
+    let (mut caller, stop) = start(&neighbour).await;
+    send(&mut caller, "/now", 10).await;
+    read_until(&mut caller, "10 bytes").await;
+    stop.send(()).unwrap();
+    expect_that!(read_until(&mut caller, "to the end").await, eq(""));
+}
+
+/// Guards against work at an upstream for a caller that has disconnected from the entry.
+#[gtest]
+#[tokio::test]
+async fn a_request_is_cancelled_when_its_caller_disconnects() {
+    let neighbour = Arc::<Neighbour>::default();
+    let (mut caller, _stop) = start(&neighbour).await;
+    send(&mut caller, "/wait", 10).await;
+    neighbour.started.notified().await;
+    drop(caller);
+    let is_cancelled = async {
+        while neighbour.cancelled.load(Ordering::Relaxed) == 0 {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    expect_that!(timeout(WAIT, is_cancelled).await, ok(anything()));
+}
--- /dev/null
+++ b/src/coltsfootnotch/daemon/forward/handover/targets.rs
@@ -0,0 +1,52 @@
+//! The neighbours that take connections over, and the share of connections that they take.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Mutex, PoisonError};
+
+const MILLION: f64 = 1e6;
+
+/// Neighbours and share, which the actor sets and the task that accepts connections reads.
+#[derive(Debug, Default)]
+pub(in crate::daemon::forward) struct HandoverTargets {
+    /// Share of new connections that is handed over, in millionths.
+    share: AtomicU32,
+    neighbours: Mutex<Vec<SocketAddr>>,
+}
+
+impl HandoverTargets {
+    /// Sets the share of new connections that is handed over.
+    pub(in crate::daemon::forward) fn set_share(&self, share: f64) {
+        let millionths = (share * MILLION) as u32;
+        self.share.store(millionths, Ordering::Relaxed);
+    }
+
+    /// Sets the neighbours that take connections over.
+    pub(in crate::daemon::forward) fn set_neighbours(&self, addresses: Vec<SocketAddr>) {
+        *self.lock() = addresses;
+    }
+
+    /// Whether a neighbour takes connections over.
+    pub(in crate::daemon::forward) fn has_neighbours(&self) -> bool {
+        !self.lock().is_empty()
+    }
+
+    /// Whether to hand a connection over, given a random number from 0 to 1.
+    pub(in crate::daemon::forward) fn should_hand_over(&self, random: f64) -> bool {
+        let share = self.share.load(Ordering::Relaxed);
+        share > 0 && random * MILLION < f64::from(share) && self.has_neighbours()
+    }
+
+    /// A neighbour chosen by a random number from 0 to 1.
+    pub(in crate::daemon::forward) fn pick(&self, random: f64) -> Option<SocketAddr> {
+        let neighbours = self.lock();
+        let index = (random * neighbours.len() as f64) as usize;
+        neighbours.get(index).copied()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<SocketAddr>> {
+        self.neighbours
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/src/coltsfootnotch/daemon/forward/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/mod.rs
@@ -20,6 +20,8 @@
 mod exchange;
 mod exchange_guard;
 mod handle;
+mod handover;
+mod listener;
 mod matched_request;
 mod messages;
 mod overload_flags;
--- a/src/coltsfootnotch/daemon/forward/server.rs
+++ b/src/coltsfootnotch/daemon/forward/server.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 
 use super::dialect::{Dialect, InForce};
+use super::handover::HandoverTargets;
 use super::matched_request::{MatchedRequest, digest};
 use super::messages::{ForwardMsg, RETRY_SOON};
 use super::overload_flags::OverloadFlags;
@@ -40,6 +41,8 @@
     pub(super) lease_valid: Arc<AtomicBool>,
     pub(super) pause_detector: Arc<PauseDetector>,
     pub(super) overload: Arc<OverloadFlags>,
+    /// Neighbours that take new connections over while the host is overloaded.
+    pub(super) handover: Arc<HandoverTargets>,
     pub(super) connections: Arc<Connections>,
     /// Number of connections above which each is closed after its response, so that idle ones don't
     /// use up the maximum and keep out new callers.
@@ -71,8 +74,7 @@
                 let req = Arc::new(req);
                 let mut response = self.run(&req).await;
                 self.count(&req, &response);
-                if self.overload.is_overloaded() || self.connections.count() > self.close_threshold
-                {
+                if self.should_close() {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
                 }
@@ -82,6 +84,14 @@
         }
     }
 
+    /// Whether to close the connection after this response: there are too many, or the caller is served
+    /// better through another host.
+    fn should_close(&self) -> bool {
+        self.overload.is_overloaded()
+            || self.connections.count() > self.close_threshold
+            || self.handover.should_hand_over((self.draw)())
+    }
+
     /// Matches a request to a route and account, and reads its body.
     async fn read(
         &self,
--- a/src/coltsfootnotch/daemon/relay_client.rs
+++ b/src/coltsfootnotch/daemon/relay_client.rs
@@ -247,6 +247,7 @@
             | FromRelay::FleetLoad { .. }
             | FromRelay::Lease { .. }
             | FromRelay::ConfigPatch { .. }
+            | FromRelay::Neighbours { .. }
             | FromRelay::ControlHosts { .. } => None,
         }
     }
--- a/src/coltsfootnotch/util/connections.rs
+++ b/src/coltsfootnotch/util/connections.rs
@@ -17,7 +17,7 @@
 
 /// An open connection, counted until it is dropped.
 #[derive(Debug)]
-pub(super) struct OpenConnection {
+pub struct OpenConnection {
     open: Arc<AtomicUsize>,
     closing: watch::Receiver<bool>,
 }
@@ -39,7 +39,9 @@
         self.open.load(Ordering::Acquire)
     }
 
-    pub(super) fn open(&self) -> OpenConnection {
+    /// Counts a connection until the returned value is dropped.
+    #[must_use]
+    pub fn open(&self) -> OpenConnection {
         self.open.fetch_add(1, Ordering::AcqRel);
         OpenConnection {
             open: Arc::clone(&self.open),
@@ -50,7 +52,7 @@
 
 impl OpenConnection {
     /// Completes when the server starts to close its connections.
-    pub(super) async fn closing(&self) {
+    pub async fn closing(&self) {
         let mut closing = self.closing.clone();
         if closing.wait_for(|closing| *closing).await.is_err() {
             // The sender was dropped without a signal, so this connection is never asked to close.
--- a/src/coltsfootnotch/util/http_server.rs
+++ b/src/coltsfootnotch/util/http_server.rs
@@ -22,6 +22,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 
@@ -71,7 +72,33 @@
     R: Future<Output = AnyResponse> + Send + 'static,
 {
     let handler = Arc::new(handler);
-    let permits = Arc::new(Semaphore::new(limits.connections));
+    let serve = |stream: TcpStream, peer, open: OpenConnection| {
+        let handler = Arc::clone(&handler);
+        let limits = ServerLimits {
+            read_timeout: read_timeout(),
+            ..limits
+        };
+        async move {
+            if prepare(&stream).is_ok() {
+                serve_connection(stream, peer, limits, open.closing(), &*handler).await;
+            }
+        }
+    };
+    accept_connections(listener, limits.connections, connections, serve).await;
+}
+
+/// Accepts connections and runs `serve` on each in a task of its own, until its own task is aborted.
+/// Connections beyond `max` are closed without a response.
+pub async fn accept_connections<F, R>(
+    listener: TcpListener,
+    max: usize,
+    connections: Arc<Connections>,
+    serve: F,
+) where
+    F: Fn(TcpStream, SocketAddr, OpenConnection) -> R,
+    R: Future<Output = ()> + Send + 'static,
+{
+    let permits = Arc::new(Semaphore::new(max));
     loop {
         let Ok((stream, peer)) = listener.accept().await else {
             // Out of file descriptors: retry once open connections have released some.
@@ -81,41 +108,39 @@
         let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
             continue;
         };
-        let handler = Arc::clone(&handler);
-        let open = connections.open();
-        let limits = ServerLimits {
-            read_timeout: read_timeout(),
-            ..limits
-        };
+        let serving = serve(stream, peer, connections.open());
         tokio::spawn(async move {
-            serve_connection(stream, peer, limits, open, handler).await;
+            serving.await;
             drop(permit);
         });
     }
 }
 
-async fn serve_connection<F, R>(
-    stream: TcpStream,
+/// Sets the options of an accepted connection.
+///
+/// # Errors
+/// Returns an error when the connection is closed already.
+pub fn prepare(stream: &TcpStream) -> std::io::Result<()> {
+    // Nagle's algorithm delays each token of a stream until the previous one is acknowledged.
+    stream.set_nodelay(true)?;
+    // The system's default is megabytes, and a writer is woken only once much of that is free. A
+    // slow reader then holds that much memory and appears to be stalled.
+    SockRef::from(stream).set_send_buffer_size(SEND_BUFFER)
+}
+
+/// Serves one connection until it is closed; once `closing` completes, closes it after the response in
+/// progress.
+pub async fn serve_connection<S, F, R>(
+    stream: S,
     peer: SocketAddr,
     limits: ServerLimits,
-    open: OpenConnection,
-    handler: Arc<F>,
+    closing: impl Future<Output = ()>,
+    handler: &F,
 ) where
-    F: Fn(Request<Incoming>, SocketAddr) -> R + Send + Sync + 'static,
-    R: Future<Output = AnyResponse> + Send + 'static,
+    S: AsyncRead + AsyncWrite + Unpin,
+    F: Fn(Request<Incoming>, SocketAddr) -> R,
+    R: Future<Output = AnyResponse>,
 {
-    // Nagle's algorithm delays each token of a stream until the previous one is acknowledged.
-    if stream.set_nodelay(true).is_err() {
-        return;
-    }
-    // The system's default is megabytes, and a writer is woken only once much of that is free. A
-    // slow reader then holds that much memory and appears to be stalled.
-    if SockRef::from(&stream)
-        .set_send_buffer_size(SEND_BUFFER)
-        .is_err()
-    {
-        return;
-    }
     let service = service_fn(move |req| {
         let response = handler(req, peer);
         async move { Ok::<_, Infallible>(response.await) }
@@ -130,7 +155,7 @@
     let is_closing = tokio::select! {
         // An error here is the peer's: it disconnected, or it sent invalid HTTP and got a 400.
         _ = connection.as_mut() => false,
-        () = open.closing() => true,
+        () = closing => true,
     };
     if is_closing {
         connection.as_mut().graceful_shutdown();
