--- a/src/coltsfootnotch/daemon/forward/actor/maintenance.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/maintenance.rs
@@ -20,6 +20,9 @@
 /// about each second, with delays of up to some seconds.
 const EXPIRY: Duration = Duration::from_secs(8);
 
+/// Interval of the lines that sum refusals by account.
+const REFUSED_INTERVAL: Duration = Duration::from_secs(2);
+
 impl ForwardActor {
     /// Reports the load of this entry to the selected control host, and less often to the others,
     /// which other entries may have selected.
@@ -46,6 +49,24 @@
         }
     }
 
+    /// Logs the refusals per account whose own lines were held back.
+    pub(super) fn log_refused_accounts(&mut self, now: Duration) {
+        if now < self.refused_due {
+            return;
+        }
+        self.refused_due = now + REFUSED_INTERVAL;
+        for count in self.refused_accounts.take() {
+            self.cx.log(
+                &events::REFUSALS_SUMMED,
+                &[
+                    ("account", &count.account),
+                    ("reason", &count.reason),
+                    ("refused", &count.refused),
+                ],
+            );
+        }
+    }
+
     /// Measures how long a task waits to be scheduled.
     pub(super) fn measure_scheduling_delay(&self) {
         let tx = self.tx.clone();
--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -28,6 +28,7 @@
 use super::messages::{ForwardMsg, Outcome, PlaceRequest, PlacementError, Ticket};
 use super::overload_flags::OverloadFlags;
 use super::pool::Pool;
+use super::refused_accounts::RefusedAccounts;
 use super::request_log::REFUSAL_LINES;
 use super::server::Gateway;
 use super::state::State;
@@ -147,6 +148,8 @@
     is_handing_over: bool,
     /// Whether this entry takes connections over from its neighbours, as control hosts were told.
     accepts_handover: bool,
+    refused_accounts: Arc<RefusedAccounts>,
+    refused_due: Duration,
     report_due: Duration,
     reports: u64,
     load_for_others: FleetLoad<Reporter>,
@@ -182,6 +185,7 @@
         let lease_valid = Arc::<AtomicBool>::default();
         let overload_flags = Arc::<OverloadFlags>::default();
         let handover = Arc::<HandoverTargets>::default();
+        let refused_accounts = Arc::<RefusedAccounts>::default();
         let gateway = Arc::new(Gateway {
             cx: cx.clone(),
             dialect: settings.dialect,
@@ -189,6 +193,7 @@
             tx: tx.clone(),
             pool: Arc::clone(&pool),
             refusals: LineBudget::new(REFUSAL_LINES),
+            refused_accounts: Arc::clone(&refused_accounts),
             lease_valid: Arc::clone(&lease_valid),
             pause_detector: Arc::clone(&pause_detector),
             overload: Arc::clone(&overload_flags),
@@ -247,6 +252,8 @@
             handover_address: settings.handover_address,
             is_handing_over: false,
             accepts_handover: false,
+            refused_accounts,
+            refused_due: Duration::ZERO,
             report_due: Duration::ZERO,
             reports: 0,
             load_for_others: FleetLoad::default(),
@@ -321,6 +328,7 @@
         self.links.request_lease(self.boot_clock.now(), current);
         self.measure_scheduling_delay();
         self.report(now);
+        self.log_refused_accounts(now);
         self.expire_upstreams(now);
         self.update_lease_state();
         self.report_handover();
--- a/src/coltsfootnotch/daemon/forward/messages.rs
+++ b/src/coltsfootnotch/daemon/forward/messages.rs
@@ -55,11 +55,22 @@
     pub(super) connections: usize,
 }
 
+/// What was known of an account's share when one of its requests was refused.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct AccountShare {
+    /// Usage relative to the fair share; above 1 it has more.
+    pub(super) pressure: f64,
+    /// Fraction of its demand within the fair share.
+    pub(super) fraction: f64,
+    /// Time since the usage at the other entries was received.
+    pub(super) age: Duration,
+}
+
 /// Why a request is not placed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) enum PlacementError {
-    /// No upstream can start it in time.
-    Refused(Refusal),
+    /// No upstream can start it in time. Shows its account's share if that is limited.
+    Refused(Refusal, Option<AccountShare>),
     /// The lease of the configuration has expired.
     NoLease,
     /// The retry budget is used up.
--- a/src/coltsfootnotch/daemon/forward/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/mod.rs
@@ -26,6 +26,7 @@
 mod messages;
 mod overload_flags;
 mod pool;
+mod refused_accounts;
 mod request_log;
 mod responses;
 mod server;
--- a/src/coltsfootnotch/daemon/forward/request_log.rs
+++ b/src/coltsfootnotch/daemon/forward/request_log.rs
@@ -20,7 +20,9 @@
 impl Gateway {
     pub(super) fn refuse(&self, req: &MatchedRequest, reason: PlacementError) -> AnyResponse {
         let (text, retry_after) = match reason {
-            PlacementError::Refused(refusal) => (refusal.reason.to_string(), refusal.retry_after),
+            PlacementError::Refused(refusal, _) => {
+                (refusal.reason.to_string(), refusal.retry_after)
+            }
             PlacementError::NoLease => (NOT_CONFIRMED.to_owned(), RETRY_SOON),
             PlacementError::NoRetryBudget => ("too much is sent again".to_owned(), RETRY_SOON),
             PlacementError::Stopping => ("this host is stopping".to_owned(), Duration::ZERO),
@@ -29,16 +31,49 @@
                 Duration::from_secs(10),
             ),
         };
-        let millis = retry_after.as_millis();
-        let fields: [Field<'_>; 2] = [("reason", &text), ("retry_after_ms", &millis)];
         if self.refusals.take(self.cx.now()) {
-            self.log(&events::REQUEST_REFUSED, req, &fields);
+            self.log_refusal(req, reason, &text, retry_after);
         } else {
             self.cx.metrics.count_event(&events::REQUEST_REFUSED);
+            self.refused_accounts.record(req.account.as_ref(), &text);
         }
         responses::not_run(&text, retry_after)
     }
 
+    /// Logs a refusal with what was known of its account's share.
+    fn log_refusal(
+        &self,
+        req: &MatchedRequest,
+        reason: PlacementError,
+        text: &str,
+        retry_after: Duration,
+    ) {
+        let millis = retry_after.as_millis();
+        let account = req.account.as_deref().unwrap_or("-");
+        let mut fields: Vec<Field<'_>> = vec![
+            ("reason", &text),
+            ("retry_after_ms", &millis),
+            ("account", &account),
+        ];
+        let share = match reason {
+            PlacementError::Refused(_, share) => share,
+            _ => None,
+        };
+        let share = share.map(|s| {
+            (
+                format!("{:.2}", s.pressure),
+                format!("{:.2}", s.fraction),
+                s.age.as_millis(),
+            )
+        });
+        if let Some((pressure, fraction, known_ms)) = &share {
+            fields.push(("share_used", pressure));
+            fields.push(("share_of_demand", fraction));
+            fields.push(("share_age_ms", known_ms));
+        }
+        self.log(&events::REQUEST_REFUSED, req, &fields);
+    }
+
     pub(super) fn count(&self, req: &MatchedRequest, response: &AnyResponse) {
         let class = match response.status().as_u16() {
             200..=299 => "served",
--- a/src/coltsfootnotch/daemon/forward/server.rs
+++ b/src/coltsfootnotch/daemon/forward/server.rs
@@ -18,6 +18,7 @@
 use super::messages::{ForwardMsg, RETRY_SOON};
 use super::overload_flags::OverloadFlags;
 use super::pool::Pool;
+use super::refused_accounts::RefusedAccounts;
 use super::responses;
 use crate::core::HostCx;
 use crate::util::boot_clock::BootClock;
@@ -37,6 +38,8 @@
     pub(super) pool: Arc<Pool>,
     /// Limits the refusals that are logged.
     pub(super) refusals: LineBudget,
+    /// The refusals beyond that limit.
+    pub(super) refused_accounts: Arc<RefusedAccounts>,
     /// Whether the lease of the configuration is valid.
     pub(super) lease_valid: Arc<AtomicBool>,
     pub(super) pause_detector: Arc<PauseDetector>,
--- a/src/coltsfootnotch/daemon/forward/state.rs
+++ b/src/coltsfootnotch/daemon/forward/state.rs
@@ -19,7 +19,7 @@
 use coltsfootnotch_wire::{AbortRecord, EntryLoadReport};
 
 use super::engine_rates::EngineRates;
-use super::messages::{Outcome, PlaceRequest, PlacementError, StreamPause, Ticket};
+use super::messages::{AccountShare, Outcome, PlaceRequest, PlacementError, StreamPause, Ticket};
 
 /// Estimated share of an engine's memory that caches shared prompt segments. Running requests use
 /// the rest.
@@ -53,6 +53,8 @@
     pub(super) lease: ConfigLease,
     /// Number of entries; none before the first totals of the fleet.
     entries: Option<u32>,
+    /// When the load of the other entries was last received.
+    remote_at: Duration,
     /// Differs between entries; spreads their requests to an upstream that warms up.
     entry_key: u64,
     engine_rates: EngineRates,
@@ -77,6 +79,7 @@
             poison: PoisonRequests::default(),
             lease,
             entries: None,
+            remote_at: Duration::ZERO,
             engine_rates: EngineRates::default(),
         }
     }
@@ -166,8 +169,7 @@
             Some(engine) => self.place_engine(now, req, engine),
             None => self.place_plain(now, req),
         };
-        let placement = placement
-            .map_err(|refusal| PlacementError::Refused(self.explain(&service.name, refusal)))?;
+        let placement = placement.map_err(|refusal| self.refused(now, req, refusal))?;
         if req.is_retry && !self.retries.try_acquire(now, &service.name, self.entries()) {
             return Err(PlacementError::NoRetryBudget);
         }
@@ -177,6 +179,20 @@
         Ok(self.ticket(now, req, placement))
     }
 
+    /// The error for a refused request, with the share of its account.
+    fn refused(&mut self, now: Duration, req: &PlaceRequest, refusal: Refusal) -> PlacementError {
+        let service = &req.config.services()[req.service].name;
+        let account = req.account.as_ref();
+        let share = account.and_then(|account| {
+            Some(AccountShare {
+                pressure: self.shares.pressure(now, account)?,
+                fraction: self.shares.fair_fraction(now, account),
+                age: now.saturating_sub(self.remote_at),
+            })
+        });
+        PlacementError::Refused(self.explain(service, refusal), share)
+    }
+
     /// Replaces the refusal for want of an upstream if there are some in evacuated domains.
     fn explain(&self, service: &str, refusal: Refusal) -> Refusal {
         let is_evacuated = refusal.reason == RefusalReason::NoUpstream
@@ -409,6 +425,7 @@
         config: Option<&ForwardConfig>,
     ) {
         self.entries = Some(entries.max(1));
+        self.remote_at = now;
         self.shares.apply_remote(now, load);
         for crash in &load.aborts {
             self.poison.record(now, *crash);
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -306,7 +306,7 @@
         while *attempts < self.req.route().max_attempts {
             let ticket = match self.gw.place(&self.req, &avoid, true).await {
                 Ok(ticket) => ticket,
-                Err(PlacementError::Refused(_)) if Instant::now() < resume_deadline => {
+                Err(PlacementError::Refused(..)) if Instant::now() < resume_deadline => {
                     tokio::time::sleep(RESUME_INTERVAL).await;
                     continue;
                 }
--- a/src/coltsfootnotch/util/events.rs
+++ b/src/coltsfootnotch/util/events.rs
@@ -104,6 +104,7 @@
     CALL_ABANDONED = 84 Info "an operator's call was dropped, since the caller left before it was proposed" => "nothing; the caller sends it again";
     HANDOVER_STARTED = 85 Warn "this host has more callers than it can serve and hands connections over to its neighbours" => "if it repeats, check how the load balancer distributes callers";
     HANDOVER_ENDED = 86 Info "this host serves all its connections again" => "nothing";
+    REFUSALS_SUMMED = 87 Info "requests of an account were refused and not logged one by one" => "as for CFN-0071";
     MEMBERS_CHANGED = 90 Info "the members of the control group have changed" => "nothing; a voter that left permanently should disappear from the voters soon after";
     NO_LEADER = 91 Error "this member of the control group knows no leader" => "if fewer voters are connected than needed, start the missing ones again with their disks; otherwise check the connections between the voters";
 }
