--- a/src/coltsfootnotch/daemon/forward/listener.rs
+++ b/src/coltsfootnotch/daemon/forward/listener.rs
@@ -55,8 +55,9 @@
             .metrics
             .counter("connections_handed_over", &[])
             .increment(1);
-        // A broken connection is the peer's; the caller sees its own connection close.
-        let _outcome = relay(stream, neighbour, open.closing()).await;
+        // A broken connection is the peer's; the caller sees its own connection close. Boxed, since its
+        // buffers would otherwise be part of the task of each connection that is served here.
+        let _outcome = Box::pin(relay(stream, neighbour, open.closing())).await;
         return;
     }
     let handler = move |req, peer| Arc::clone(&gw).handle(req, peer);
