Have engines copy cached segments that they lack from each other

Cause: 10 to 12% of what engines prefill are shared segments that another engine has cached: at a subject's second home, after a segment was displaced by the prompts' own tokens, and at engines that replace others. An engine prefills 6,300 tokens in 172 ms and copies them in 8.

Only for 30 ms of prefill or more, and only if the configuration states the size of a token and the link. In the estimate a copy takes its time; in the load it counts as prefilled.

--- a/crates/forward/src/config/service.rs
+++ b/crates/forward/src/config/service.rs
@@ -9,6 +9,9 @@
     pub slots: u32,
     /// Tokens of memory shared by running requests and cached prompts.
     pub memory_tokens: u64,
+    /// Tokens per millisecond at which it copies cached prompts from another engine of the service;
+    /// none if it can't.
+    pub copy_tokens_per_ms: Option<f64>,
 }
 
 /// A service.
--- a/crates/forward/src/place/engine.rs
+++ b/crates/forward/src/place/engine.rs
@@ -1,8 +1,10 @@
 //! Placement on model engines.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::admission::{account_factor, is_above_share, is_admitted, wait_bound_ms};
+use super::rendezvous::distance;
 use super::shortlist::{Listed, Shortlist};
 use super::target::{Candidate, Placement};
 use super::{PlacementRequest, PrefillRate, Refusal, RefusalReason};
@@ -60,6 +62,21 @@
         common_slowness: common_slowness(now, &usable),
         max_cached: shortlist.max_cached,
     };
+    let placement = compare_engines(now, request, fleet, &shortlist)?;
+    let copy_from = copy_source(request, prefill_rate, &usable, &placement.id).cloned();
+    Ok(Placement {
+        copy_from,
+        ..placement
+    })
+}
+
+/// Compares the homes of the prompt's subject, and other engines if none of them starts it in time.
+fn compare_engines(
+    now: Duration,
+    request: &PlacementRequest<'_>,
+    fleet: FleetView,
+    shortlist: &Shortlist<'_, '_>,
+) -> Result<Placement, Refusal> {
     let mut comparison = Comparison::new(now, request, fleet);
     shortlist
         .preferred(request)
@@ -77,6 +94,29 @@
     comparison.finish(true)
 }
 
+/// The engine from which `target` copies the shared segments of the prompt that it lacks: one that has
+/// most of them, in its own failure domain if there is one.
+fn copy_source<'a>(
+    request: &PlacementRequest<'_>,
+    prefill_rate: PrefillRate,
+    usable: &[Candidate<'a>],
+    target: &Arc<str>,
+) -> Option<&'a Arc<str>> {
+    let rate = request.copy_rate?;
+    let shared = &request.prompt.shared;
+    let cached = |c: &Candidate<'_>| c.load.cached.cached_prefix_tokens(shared);
+    // Named also if the target is believed to have as much: it may have displaced it since.
+    let target = usable.iter().find(|c| c.id == target)?;
+    let others = usable.iter().filter(|c| c.id != target.id);
+    let source = others.max_by(|a, b| {
+        let key = |c: &Candidate<'_>| (cached(c), c.domain == target.domain);
+        let tie = |c: &Candidate<'_>| distance(request.tie_breaker, c.id);
+        key(a).cmp(&key(b)).then_with(|| tie(a).total_cmp(&tie(b)))
+    })?;
+    rate.copy_ms(cached(source), prefill_rate)
+        .map(|_| source.id)
+}
+
 /// Factor of the engines' slowness that is due to late reports, at least 1.
 fn common_slowness(now: Duration, usable: &[Candidate<'_>]) -> f64 {
     let mut factors: Vec<f64> = usable.iter().map(|c| c.load.slowness(now)).collect();
@@ -137,6 +177,7 @@
         {
             let placement = Placement {
                 id: candidate.id.clone(),
+                copy_from: None,
                 sent: estimate.sent,
                 wait: Duration::from_secs_f64(estimate.wait_ms / 1e3),
                 bound: Duration::from_secs_f64(estimate.bound_ms / 1e3),
@@ -190,8 +231,15 @@
         let uncached = request.prompt.tokens.saturating_sub(cached);
         let to_ms = |tokens: u64| tokens as f64 / prefill_rate.tokens_per_ms;
         let queue_ms = to_ms(in_flight.waiting_tokens);
-        let repeated_ms = to_ms(max_cached - cached) * REPEATED_PREFILL_WEIGHT;
-        let expected_ms = queue_ms + prefill_rate.base_ms + to_ms(uncached);
+        let missing = max_cached - cached;
+        let copy_ms = request
+            .copy_rate
+            .and_then(|rate| rate.copy_ms(missing, prefill_rate));
+        let (prompt_ms, repeated_ms) = match copy_ms {
+            Some(copy_ms) => (to_ms(uncached.saturating_sub(missing)) + copy_ms, 0.0),
+            None => (to_ms(uncached), to_ms(missing) * REPEATED_PREFILL_WEIGHT),
+        };
+        let expected_ms = queue_ms + prefill_rate.base_ms + prompt_ms;
         let mut cost = expected_ms * slowness + repeated_ms;
         cost += load.health().failure_rate(now) * FAILURE_COST_MS;
         if candidate.domain != request.domain {
@@ -201,6 +249,7 @@
             cost += rank as f64 * HOME_RANK_MS;
         }
         let sent = SentRequest {
+            // Counts what is copied as prefilled: the source may have displaced it.
             uncached_tokens: uncached,
             held_tokens: uncached + request.prompt.output_tokens,
             expected_ms,
--- a/crates/forward/src/place/mod.rs
+++ b/crates/forward/src/place/mod.rs
@@ -6,7 +6,8 @@
 //!
 //! A request goes to the engine with the earliest expected first event, among those that have its
 //! subject cached and the subject's homes: its backlog plus the uncached part of the prompt, over
-//! its prefill rate. When they are too far behind it is refused, since prefilling its shared
+//! its prefill rate. When they are too far behind it goes to another engine that copies the shared
+//! segments from one of them. Where engines can't copy, it is refused, since prefilling its shared
 //! segments elsewhere would take the time of three other requests.
 //!
 //! Engines process requests in order, so work beyond a bound makes all later requests late and is
@@ -27,5 +28,5 @@
 pub use plain::place_plain;
 pub use refusal::{Refusal, RefusalReason};
 pub use rendezvous::distance;
-pub use request::{PlacementRequest, PrefillRate, Prompt};
+pub use request::{CopyRate, PlacementRequest, PrefillRate, Prompt};
 pub use target::{Candidate, Placement};
--- a/crates/forward/src/place/plain.rs
+++ b/crates/forward/src/place/plain.rs
@@ -76,6 +76,7 @@
     };
     Ok(Placement {
         id: id.clone(),
+        copy_from: None,
         sent: SentRequest {
             uncached_tokens: 0,
             held_tokens: 0,
--- a/crates/forward/src/place/request.rs
+++ b/crates/forward/src/place/request.rs
@@ -56,6 +56,30 @@
     pub base_ms: f64,
 }
 
+/// Time until an engine starts to copy a cached prompt, in milliseconds.
+const COPY_SETUP_MS: f64 = 5.0;
+
+/// Least prefill time worth a copy, in milliseconds. Copies wait for each other on the engines' links, so
+/// many small ones delay the large ones.
+const MIN_COPIED_MS: f64 = 30.0;
+
+/// How fast an engine copies cached prompts from another.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct CopyRate {
+    /// Prompt tokens per millisecond.
+    pub tokens_per_ms: f64,
+}
+
+impl CopyRate {
+    /// Time to copy `tokens`, in milliseconds; none if an engine had better prefill them.
+    #[must_use]
+    pub fn copy_ms(&self, tokens: u64, prefill_rate: PrefillRate) -> Option<f64> {
+        let tokens = tokens as f64;
+        let is_worthwhile = tokens / prefill_rate.tokens_per_ms >= MIN_COPIED_MS;
+        is_worthwhile.then(|| COPY_SETUP_MS + tokens / self.tokens_per_ms)
+    }
+}
+
 /// A request to be placed.
 #[derive(Debug, Clone, Copy)]
 pub struct PlacementRequest<'a> {
@@ -75,6 +99,8 @@
     /// Estimated requests per second about the prompt's subject at all entries; zero for a subject
     /// that is not in high demand. See [`crate::load::SubjectDemand`].
     pub subject_per_s: f64,
+    /// How fast engines copy cached prompts from each other; none if they can't.
+    pub copy_rate: Option<CopyRate>,
     /// The failure domain of this entry.
     pub domain: &'a str,
     /// Differs between requests; breaks ties.
--- a/crates/forward/src/place/target.rs
+++ b/crates/forward/src/place/target.rs
@@ -25,6 +25,8 @@
 pub struct Placement {
     /// Identity of the upstream.
     pub id: Arc<str>,
+    /// Another engine from which it copies the shared segments that it lacks.
+    pub copy_from: Option<Arc<str>>,
     /// The request's load at the upstream until it finishes.
     pub sent: SentRequest,
     /// Expected wait before the engine prefills it.
--- a/crates/forward/tests/testsuite/main.rs
+++ b/crates/forward/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod control_host;
+mod copies;
 mod engines;
 mod load;
 mod many_entries;
--- a/crates/forward/tests/testsuite/many_entries/fleet.rs
+++ b/crates/forward/tests/testsuite/many_entries/fleet.rs
@@ -8,7 +8,7 @@
     CachedSegments, FleetLoad, SentRequest, SubjectDemand, UpstreamLoads,
 };
 use coltsfootnotch_forward::place::{
-    Candidate, PlacementRequest, PrefillRate, Prompt, place_engine,
+    Candidate, CopyRate, PlacementRequest, PrefillRate, Prompt, place_engine,
 };
 use coltsfootnotch_forward::share::FairShares;
 use coltsfootnotch_wire::EntryLoadReport;
@@ -46,6 +46,8 @@
     pub(super) stated_share: f64,
     /// Memory of one engine, shared by running requests and cached prompts.
     pub(super) memory_tokens: u64,
+    /// Rate at which engines copy cached prompts from each other, if they can.
+    pub(super) copy_rate: Option<CopyRate>,
     /// Time between two reports of an entry and two broadcasts of the control host.
     pub(super) period_ms: u64,
     /// Draws the prompt of a request of an account.
@@ -193,6 +195,7 @@
         let entry = self.rng.random_range(0..self.entries.len());
         let prompt = (self.setup.prompt)(&mut self.rng, index);
         let tie_breaker = self.rng.random();
+        let rate = self.prefill_rate();
         let Entry {
             loads,
             shares,
@@ -212,6 +215,7 @@
             shortest_target: TARGET,
             shortest_gap: None,
             subject_per_s,
+            copy_rate: self.setup.copy_rate,
             domain: DOMAIN,
             tie_breaker,
             avoid: &[],
@@ -223,10 +227,6 @@
             memory_tokens: self.setup.memory_tokens,
             load: loads.get(id, 1).expect("known engine"),
         });
-        let rate = PrefillRate {
-            tokens_per_ms: self.setup.tokens_per_ms,
-            base_ms: BASE_MS,
-        };
         let Ok(placed) = place_engine(self.now, &request, rate, candidates) else {
             outcomes.refused += 1;
             return;
@@ -238,7 +238,9 @@
         loads.record_segments(self.now, &placed.id, &prompt.shared, believed_cache);
         let engine = self.ids.iter().position(|id| *id == placed.id);
         let engine = engine.expect("known engine");
-        let first_event_at = self.prefill(engine, &prompt);
+        let source = placed.copy_from.as_ref();
+        let source = source.and_then(|source| self.ids.iter().position(|id| id == source));
+        let first_event_at = self.prefill(engine, source, &prompt);
         outcomes.late += u32::from(first_event_at > self.now + TARGET);
         self.running.push(Running {
             entry,
@@ -250,10 +252,22 @@
         });
     }
 
-    /// Adds a prompt to the engine's queue. Returns the time of its first event.
-    fn prefill(&mut self, engine: usize, prompt: &Prompt) -> Duration {
+    fn prefill_rate(&self) -> PrefillRate {
+        PrefillRate {
+            tokens_per_ms: self.setup.tokens_per_ms,
+            base_ms: BASE_MS,
+        }
+    }
+
+    /// Adds a prompt to the engine's queue, which copies what `source` has cached of it. Returns the
+    /// time of its first event.
+    fn prefill(&mut self, engine: usize, source: Option<usize>, prompt: &Prompt) -> Duration {
+        let cached_at = |n: usize| self.engines[n].cached.cached_prefix_tokens(&prompt.shared);
+        let present = cached_at(engine);
+        let cached = source.map_or(present, |source| cached_at(source).max(present));
+        let rate = self.setup.copy_rate.filter(|_| cached > present);
+        let copy_ms = rate.and_then(|rate| rate.copy_ms(cached - present, self.prefill_rate()));
         let engine = &mut self.engines[engine];
-        let cached = engine.cached.cached_prefix_tokens(&prompt.shared);
         let mut skipped = cached;
         for segment in &prompt.shared {
             let is_cached = skipped >= u64::from(segment.tokens);
@@ -270,7 +284,8 @@
         for segment in &prompt.shared {
             engine.cached.record(self.now, *segment, capacity);
         }
-        let reading = Duration::from_secs_f64(uncached as f64 / self.setup.tokens_per_ms / 1e3);
+        let reading_ms = uncached as f64 / self.setup.tokens_per_ms + copy_ms.unwrap_or(0.0);
+        let reading = Duration::from_secs_f64(reading_ms / 1e3);
         engine.free_at = engine.free_at.max(self.now) + reading;
         engine.free_at + Duration::from_millis(BASE_MS as u64)
     }
--- a/crates/forward/tests/testsuite/many_entries/floods.rs
+++ b/crates/forward/tests/testsuite/many_entries/floods.rs
@@ -26,6 +26,7 @@
         tokens_per_ms: 112.0,
         stated_share: 1.0,
         memory_tokens: 694_599,
+        copy_rate: None,
         period_ms: 100,
         prompt,
     })
--- a/crates/forward/tests/testsuite/many_entries/subjects.rs
+++ b/crates/forward/tests/testsuite/many_entries/subjects.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use coltsfootnotch_forward::load::PromptSegment;
-use coltsfootnotch_forward::place::Prompt;
+use coltsfootnotch_forward::place::{CopyRate, Prompt};
 use googletest::prelude::*;
 use rand::Rng;
 use rand::rngs::StdRng;
@@ -72,6 +72,7 @@
         tokens_per_ms: 32.0,
         stated_share: 0.75,
         memory_tokens: 234_931,
+        copy_rate: None,
         period_ms: 100,
         prompt,
     })
@@ -152,3 +153,24 @@
     expect_that!(share(&outcomes, |o| o.refused), lt(0.2));
     expect_that!(repeated_share(&fleet), lt(0.1));
 }
+
+/// Engines that copy cached prompts at the speed of their link, 18 KB a token over 370 Gbit/s.
+const COPY_RATE: CopyRate = CopyRate {
+    tokens_per_ms: 2_500.0,
+};
+
+/// Six accounts send six times their usual, to engines that copy cached prompts from each other. The
+/// second home of a subject, and a home that has displaced it, then prefill nothing again.
+#[googletest::test]
+fn engines_copy_shared_segments_that_others_have_cached() {
+    let mut fleet = fleet();
+    let mut setup = fleet.setup();
+    setup.copy_rate = Some(COPY_RATE);
+    fleet.set_up(setup);
+    fleet.simulate(&loads(0, 1.0), Duration::from_secs(10));
+    let (outcomes, _) = fleet.simulate(&loads(6, 6.0), Duration::from_secs(6));
+    let others = &outcomes[6..];
+    expect_that!(repeated_share(&fleet), lt(0.02));
+    expect_that!(share(others, |o| o.refused), lt(0.1));
+    expect_that!(share(others, |o| o.late), lt(0.1));
+}
--- a/src/coltsfootnotch/daemon/forward/dialect.rs
+++ b/src/coltsfootnotch/daemon/forward/dialect.rs
@@ -1,5 +1,6 @@
 //! Format of requests, responses and configurations, as the user of this library defines it.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -44,6 +45,8 @@
     pub time_left: Duration,
     /// The only upstream that may run the request.
     pub upstream: &'a str,
+    /// The engine from which the upstream copies cached segments of the prompt.
+    pub copy_from: Option<SocketAddr>,
     /// The client account, if the request has a key.
     pub account: Option<&'a str>,
     /// The last event that the caller received, if the stream is resumed.
--- a/src/coltsfootnotch/daemon/forward/matched_request.rs
+++ b/src/coltsfootnotch/daemon/forward/matched_request.rs
@@ -67,6 +67,7 @@
             &UpstreamRequestHead {
                 time_left,
                 upstream: &ticket.upstream,
+                copy_from: ticket.copy_from,
                 account: self.account.as_deref(),
                 last_event: last_event.or(self.head.last_event),
             },
--- a/src/coltsfootnotch/daemon/forward/messages.rs
+++ b/src/coltsfootnotch/daemon/forward/messages.rs
@@ -47,6 +47,8 @@
     pub(super) born_ms: u64,
     /// Its HTTP address.
     pub(super) address: SocketAddr,
+    /// Address of the engine from which it copies cached segments of the prompt.
+    pub(super) copy_from: Option<SocketAddr>,
     /// The request's part of its load.
     pub(super) sent: SentRequest,
     /// Digest of the request's content.
--- a/src/coltsfootnotch/daemon/forward/state.rs
+++ b/src/coltsfootnotch/daemon/forward/state.rs
@@ -8,8 +8,8 @@
 use coltsfootnotch_forward::lease::ConfigLease;
 use coltsfootnotch_forward::load::{SubjectDemand, UpstreamLoads, warm_up_interval};
 use coltsfootnotch_forward::place::{
-    Candidate, Placement, PlacementRequest, Refusal, RefusalReason, distance, place_engine,
-    place_plain,
+    Candidate, CopyRate, Placement, PlacementRequest, Refusal, RefusalReason, distance,
+    place_engine, place_plain,
 };
 use coltsfootnotch_forward::registry::{
     Announcement, EvacuatedDomains, EvacuationChange, RegistryUpdate, Stage, UpstreamRegistry,
@@ -248,6 +248,9 @@
                 .unwrap_or(DEFAULT_TARGET),
             shortest_gap: req.config.shortest_gap(req.service),
             subject_per_s,
+            copy_rate: engine
+                .copy_tokens_per_ms
+                .map(|tokens_per_ms| CopyRate { tokens_per_ms }),
             domain: &self.domain,
             tie_breaker: req.tie_breaker,
             avoid: &req.avoid,
@@ -371,11 +374,15 @@
         let capacity = service.engine.as_ref().map_or(0, cache_capacity);
         self.loads
             .record_segments(now, &placement.id, &req.prompt.shared, capacity);
+        let source = placement.copy_from.as_deref();
+        let source = source.and_then(|id| self.registry.get(id));
+        let copy_from = source.map(|u| u.announcement.address);
         let share = service.max_connections / self.entries();
         Ticket {
             upstream: placement.id,
             born_ms,
             address,
+            copy_from,
             sent: placement.sent,
             content: req.content,
             connections: share.max(1) as usize,
