Follow the end of a flood when shares are drawn

The lines of refusals show it: wumi583's flood ends at 21 s; at 22, 23 and 24 s its usual requests are still refused 42, 34 and 27 times, at 0.91, 0.68 and 0.56 of its share, since its demand counts with a decay of 2 s (share_of_demand 0.16, 0.21, 0.26). Meanwhile gohu11's flood goes on.

Ruled out: that the larger of two floods gets less while both go on (the model: 397 and 428 thousand units at five times the demand); old reports (9 to 92 ms).

Change: the fraction of an account's demand that is let in goes by the lesser of its demand over 2 s and over 0.5 s. The level that all shares follow from goes by 2 s as before.

The test in share.rs fails on the code before (0.40 of the demand instead of all).

--- a/crates/forward/src/share/fair_shares.rs
+++ b/crates/forward/src/share/fair_shares.rs
@@ -11,6 +11,10 @@
 /// Decay time of usage; half of the window over which operators measure shares.
 pub(crate) const DECAY_TIME: Duration = Duration::from_millis(2_000);
 
+/// Decay time of the demand by which the end of a flood is noticed. By the demand over the whole
+/// window, an account that sends its usual again is refused for seconds as if it still flooded.
+const RECENT_TIME: Duration = Duration::from_millis(500);
+
 /// Refused share of the demand from which the fleet counts as saturated. Below it the refusals come
 /// from single saturated upstreams.
 const MIN_REFUSED_SHARE: f64 = 0.03;
@@ -28,12 +32,27 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct AccountTotals {
     demand: f64,
+    /// Demand that decays in [`RECENT_TIME`].
+    recent_demand: f64,
     admitted: f64,
     /// Of this entry alone, since its last report.
     unreported_demand: u64,
     unreported_admitted: u64,
 }
 
+impl AccountTotals {
+    fn add_demand(&mut self, units: u64) {
+        self.demand += units as f64;
+        self.recent_demand += units as f64;
+    }
+
+    /// The demand, or less if the account has sent less lately.
+    fn present_demand(&self) -> f64 {
+        let scale = DECAY_TIME.as_secs_f64() / RECENT_TIME.as_secs_f64();
+        self.demand.min(self.recent_demand * scale)
+    }
+}
+
 /// Recent demand and admitted service units of each account, over the whole fleet.
 ///
 /// ```
@@ -67,7 +86,7 @@
     pub fn record_requested(&mut self, now: Duration, account: &Arc<str>, units: u64) {
         self.decay(now);
         let used = self.by_account.entry(account.clone()).or_default();
-        used.demand += units as f64;
+        used.add_demand(units);
         used.unreported_demand += units;
         self.local_demand += units as f64;
     }
@@ -86,7 +105,7 @@
         for other in &report.accounts {
             let used = self.by_account.entry(other.account.as_str().into());
             let used = used.or_default();
-            used.demand += other.requested as f64;
+            used.add_demand(other.requested);
             used.admitted += other.admitted as f64;
         }
     }
@@ -150,7 +169,7 @@
         let level = self.level(now);
         let used = self.by_account.get(account);
         match (level, used) {
-            (Some(level), Some(used)) => (level / used.demand.max(MIN_UNITS)).min(1.0),
+            (Some(level), Some(used)) => (level / used.present_demand().max(MIN_UNITS)).min(1.0),
             _ => 1.0,
         }
     }
@@ -195,9 +214,11 @@
         }
         self.decayed_at = now;
         let remaining = decay(passed, DECAY_TIME);
+        let recent_remaining = decay(passed, RECENT_TIME);
         self.local_demand *= remaining;
         for used in self.by_account.values_mut() {
             used.demand *= remaining;
+            used.recent_demand *= recent_remaining;
             used.admitted *= remaining;
         }
         let is_used = |u: &AccountTotals| {
--- a/crates/forward/tests/testsuite/share.rs
+++ b/crates/forward/tests/testsuite/share.rs
@@ -90,3 +90,28 @@
         }
     }
 }
+
+/// Two accounts flood; then one of them sends its usual again while the other goes on. It was refused
+/// for three more seconds, at half of its share, and got less than half of what the other got.
+#[googletest::test]
+fn an_account_is_served_again_when_its_flood_ends() {
+    let (first, second): (Arc<str>, Arc<str>) = ("first".into(), "second".into());
+    let mut shares = FairShares::default();
+    shares.set_capacity(1_000_000.0);
+    let at = Duration::from_millis;
+    for ms in (0..3_000).step_by(50) {
+        for account in [&first, &second] {
+            shares.record_requested(at(ms), account, 100_000);
+            shares.record_admitted(at(ms), account, 25_000);
+        }
+    }
+    expect_that!(shares.fair_fraction(at(3_000), &first), lt(0.5));
+    for ms in (3_000..4_000).step_by(50) {
+        shares.record_requested(at(ms), &first, 5_000);
+        shares.record_admitted(at(ms), &first, 1_000);
+        shares.record_requested(at(ms), &second, 100_000);
+        shares.record_admitted(at(ms), &second, 40_000);
+    }
+    expect_that!(shares.fair_fraction(at(4_000), &first), eq(1.0));
+    expect_that!(shares.fair_fraction(at(4_000), &second), lt(0.5));
+}
