--- a/crates/consensus/src/config.rs
+++ b/crates/consensus/src/config.rs
@@ -32,7 +32,8 @@
     /// Entries kept in memory after a snapshot, so that a slightly lagging member can catch up from
     /// the log.
     pub keep_entries: u64,
-    /// Maximum bytes of those entries, which bounds memory when commands are large.
+    /// Maximum bytes of those entries. Otherwise 500 large commands stay in memory for a member that a
+    /// snapshot brings up to date as well.
     pub keep_bytes: usize,
     /// Bytes of snapshot data in one message.
     pub chunk_bytes: usize,
--- a/crates/decide/src/admit/drain.rs
+++ b/crates/decide/src/admit/drain.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-/// Weight of the newest sample in the moving average.
+/// Weight of the newest sample in the moving average, which follows a changed rate within about eight
+/// starts, while a burst of starts does not promise more than it can keep.
 const SMOOTHING: f64 = 1.0 / 8.0;
 
 /// Moving average of the time between two starts while requests wait.
--- a/crates/decide/src/retry/budget.rs
+++ b/crates/decide/src/retry/budget.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-/// Retries per success, which bounds the load that retries add during an outage.
+/// Retries per success. A tenth allows the retry of nearly every scattered failure, and adds at most a
+/// tenth of the load when everything fails.
 const RETRIES_PER_SUCCESS: f64 = 0.1;
 
 /// Time constant of the exponential decay. Longer than the detection of a failed upstream, so that
--- a/crates/decide/src/route/choose_upstream.rs
+++ b/crates/decide/src/route/choose_upstream.rs
@@ -8,7 +8,8 @@
 
 use super::{Candidate, PrefixKey, PrefixMap};
 
-/// Multiple of the mean load up to which an upstream is preferred for a cached prefix.
+/// Multiple of the mean load up to which an upstream is preferred for a cached prefix. At 1.25 work for
+/// one popular prefix spreads as soon as its holder is a quarter busier than the rest.
 const LOAD_BOUND: f64 = 1.25;
 
 /// Load up to which affinity always counts, so that a prefix is not spread over idle engines.
--- a/crates/forward/src/config/forward_config.rs
+++ b/crates/forward/src/config/forward_config.rs
@@ -29,6 +29,8 @@
 }
 
 impl Default for Bounds {
+    /// Headers of 16 KiB and bodies of 4 MiB hold every prompt that engines take; the times are those of
+    /// common HTTP servers.
     fn default() -> Self {
         Self {
             header_bytes: 16 * 1024,
--- a/crates/forward/src/load/fleet_load.rs
+++ b/crates/forward/src/load/fleet_load.rs
@@ -9,7 +9,7 @@
 };
 
 /// Age from which an entry's last report no longer counts: it has ended or is cut off. Reports come
-/// every 100 ms in a small fleet.
+/// every 100 ms in a small fleet, so many in a row were lost.
 const STALE_AFTER: Duration = Duration::from_secs(2);
 
 /// Events since the start of a period, per entry so that each receives only those of the others.
@@ -78,7 +78,8 @@
     }
 
     /// Totals of all entries but `receiver` in this period, given `totals` computed once for all
-    /// receivers: summing the others for each receiver is quadratic in the number of entries.
+    /// receivers: summing the others for each receiver is quadratic in the number of entries, and took
+    /// all the time of a control host of 300 entries and 2,700 engines.
     #[must_use]
     pub fn excluding(&self, now: Duration, totals: &Totals, receiver: &K) -> EntryLoadReport {
         let excluded = self.entries.get(receiver).filter(|e| is_live(now, e));
--- a/crates/forward/src/load/upstream_health.rs
+++ b/crates/forward/src/load/upstream_health.rs
@@ -8,7 +8,8 @@
 
 use super::slowdown::decay;
 
-/// First backoff after a failed connection.
+/// First backoff after a failed connection. Upstreams come back after some seconds; a try costs each
+/// entry one connection.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(400);
 /// Longest backoff: a recovered upstream is used again within it.
 const MAX_BACKOFF: Duration = Duration::from_millis(3_200);
--- a/crates/forward/src/overload.rs
+++ b/crates/forward/src/overload.rs
@@ -15,17 +15,20 @@
 use std::time::Duration;
 
 /// Scheduling delay of a task from which a host counts as busy; a host that keeps up has some
-/// milliseconds.
+/// milliseconds. At 40 ms a request that is scheduled five times is late by 200 ms.
 const LONG_DELAY: Duration = Duration::from_millis(40);
 /// How long it must be busy without a break; ignores single bursts.
 const MIN_BUSY: Duration = Duration::from_millis(500);
 /// Multiple of its even share from which a host is overloaded.
 const OVERLOAD_RATIO: f64 = 2.0;
 /// How long it is not ready. Balancers need two to three seconds per host to react, so callers see
-/// some five hosts in this time before they may return.
+/// some five hosts in this time before they may return. With less they alternate between the weakest
+/// few and never come to a strong one.
 const OVERLOAD_DURATION: Duration = Duration::from_secs(20);
 
-/// Steps by which the refused share grows with each long delay and shrinks with each short one.
+/// Steps by which the refused share grows with each long delay and shrinks with each short one. With a
+/// measurement each 100 ms a host at twice what it can read returns to short delays within a second, and
+/// reads everything again two seconds after its callers have left.
 const REFUSAL_INCREASE: f64 = 0.10;
 const REFUSAL_DECREASE: f64 = 0.05;
 /// Steps by which the share of connections that are handed over grows with each long delay and
--- a/crates/forward/src/retry/poison_requests.rs
+++ b/crates/forward/src/retry/poison_requests.rs
@@ -4,7 +4,7 @@
 //! content of requests whose upstream closed the connection; a content is refused after several
 //! upstreams crashed on it. A crash ends all requests that the upstream runs, so each run of an
 //! upstream counts once per content, and a success clears the content: popular requests run during
-//! crashes that they did not cause.
+//! crashes that they did not cause, and would be refused everywhere for a minute.
 
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
--- a/crates/forward/src/share/fair_shares.rs
+++ b/crates/forward/src/share/fair_shares.rs
@@ -8,7 +8,8 @@
 
 use crate::load::decay;
 
-/// Decay time of usage; half of the window over which operators measure shares.
+/// Decay time of usage; half of the window over which operators measure shares, so that an account's
+/// share follows its demand within the window and a single large request does not push it over.
 pub(crate) const DECAY_TIME: Duration = Duration::from_millis(2_000);
 
 /// Decay time of the demand by which the end of a flood is noticed. By the demand over the whole
@@ -20,7 +21,7 @@
 const MIN_REFUSED_SHARE: f64 = 0.03;
 
 /// Share of the stated capacity that counts as served even if less was. After an outage nothing was
-/// served, and a level of zero admits nothing.
+/// served, and a level of zero admits nothing; an engine that can't do it shows by its backlog.
 const MIN_SERVED_SHARE: f64 = 0.5;
 
 /// Interval at which the level is computed.
