Split the state of a forwarding entry by topic

Change: evacuations with the refusals that they cause, and backlog limits, in files of their own; nothing but visibility and imports differs.

--- a/src/coltsfootnotch/daemon/forward/state.rs
+++ b/src/coltsfootnotch/daemon/forward/state/mod.rs
@@ -1,5 +1,8 @@
 //! State that all requests share, and the placement of requests.
 
+mod backlog;
+mod evacuations;
+
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,18 +11,17 @@
 use coltsfootnotch_forward::lease::ConfigLease;
 use coltsfootnotch_forward::load::{SubjectDemand, UpstreamLoads, warm_up_interval};
 use coltsfootnotch_forward::place::{
-    Candidate, CopyRate, Placement, PlacementRequest, Refusal, RefusalReason, distance,
-    place_engine, place_plain,
+    Candidate, CopyRate, Placement, PlacementRequest, Refusal, distance, place_engine, place_plain,
 };
 use coltsfootnotch_forward::registry::{
-    Announcement, EvacuatedDomains, EvacuationChange, RegistryUpdate, Stage, UpstreamRegistry,
+    Announcement, EvacuatedDomains, RegistryUpdate, Stage, UpstreamRegistry,
 };
 use coltsfootnotch_forward::retry::{PoisonRequests, RetryBudget};
 use coltsfootnotch_forward::share::FairShares;
 use coltsfootnotch_wire::{AbortRecord, EntryLoadReport};
 
 use super::engine_rates::EngineRates;
-use super::messages::{AccountShare, Outcome, PlaceRequest, PlacementError, StreamPause, Ticket};
+use super::messages::{Outcome, PlaceRequest, PlacementError, Ticket};
 
 /// Estimated share of an engine's memory that caches shared prompt segments. Running requests use
 /// the rest.
@@ -29,14 +31,6 @@
 /// of power all entries start at once, and each would send as much as the whole fleet may.
 const ASSUMED_ENTRIES: u32 = 200;
 
-/// Time for which the upstreams of a domain count as cold after its evacuation ends. They may have
-/// lost their caches meanwhile, and their next announcements, one in each 1.2 s, say so late.
-const RETURN_WARM_UP: Duration = Duration::from_millis(2_500);
-
-/// `Retry-After` while all upstreams of a service are in evacuated domains. Operators end an
-/// evacuation in seconds at the earliest.
-const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// Shortest target if no route states one.
 const DEFAULT_TARGET: Duration = Duration::from_millis(800);
 
@@ -113,30 +107,6 @@
         update
     }
 
-    /// Applies a report of the evacuated domains; returns what it changed.
-    pub(super) fn on_evacuations(
-        &mut self,
-        now: Duration,
-        revision: u64,
-        domains: impl IntoIterator<Item = Arc<str>>,
-    ) -> Option<EvacuationChange> {
-        let change = self.evacuated.apply(revision, domains)?;
-        for upstream in self.registry.all() {
-            let Announcement {
-                id,
-                born_ms,
-                domain,
-                ..
-            } = &upstream.announcement;
-            if change.ended.contains(domain) {
-                let phase = distance(self.entry_key, id);
-                let load = self.loads.entry(id, *born_ms);
-                load.warm_up.announce(now, RETURN_WARM_UP, phase);
-            }
-        }
-        Some(change)
-    }
-
     fn count_engines(&mut self, service: Arc<str>) {
         let engines = self.registry.ready(&service).count();
         self.engine_rates.record_ready(service, engines);
@@ -179,48 +149,6 @@
         Ok(self.ticket(now, req, placement))
     }
 
-    /// The error for a refused request, with the share of its account.
-    fn refused(&mut self, now: Duration, req: &PlaceRequest, refusal: Refusal) -> PlacementError {
-        let service = &req.config.services()[req.service].name;
-        let account = req.account.as_ref();
-        let share = account.and_then(|account| {
-            Some(AccountShare {
-                pressure: self.shares.pressure(now, account)?,
-                fraction: self.shares.fair_fraction(now, account),
-                age: now.saturating_sub(self.remote_at),
-            })
-        });
-        PlacementError::Refused(self.explain(service, refusal), share)
-    }
-
-    /// Replaces the refusal for want of an upstream if there are some in evacuated domains.
-    fn explain(&self, service: &str, refusal: Refusal) -> Refusal {
-        let is_evacuated = refusal.reason == RefusalReason::NoUpstream
-            && self.registry.ready(service).next().is_some()
-            && self.available_share(service) == 0.0;
-        if !is_evacuated {
-            return refusal;
-        }
-        Refusal {
-            reason: RefusalReason::Evacuated,
-            retry_after: EVACUATED_RETRY_AFTER,
-            ..refusal
-        }
-    }
-
-    /// Share of the service's ready upstreams outside evacuated domains; 1 without any.
-    fn available_share(&self, service: &str) -> f64 {
-        if self.evacuated.is_empty() {
-            return 1.0;
-        }
-        let (mut ready, mut available) = (0, 0);
-        for upstream in self.registry.ready(service) {
-            ready += 1;
-            available += u32::from(!self.evacuated.contains(&upstream.announcement.domain));
-        }
-        f64::from(available) / f64::from(ready.max(1))
-    }
-
     fn place_engine(
         &mut self,
         now: Duration,
@@ -277,47 +205,6 @@
         self.subjects.per_s(now, subject.id, local_share)
     }
 
-    /// Records at which engines the limit of the backlog blocks requests or nearly does.
-    fn record_blocking(
-        &mut self,
-        now: Duration,
-        service: &str,
-        placement: &Result<Placement, Refusal>,
-    ) {
-        match placement {
-            Ok(placement) if placement.wait * 2 >= placement.bound => {
-                let born_ms = self
-                    .registry
-                    .get(&placement.id)
-                    .map(|u| u.announcement.born_ms);
-                let load = born_ms.and_then(|born| self.loads.get_mut(&placement.id, born));
-                load.into_iter()
-                    .for_each(|l| l.backlog.record_blocking(now));
-            }
-            Err(refused) if refused.is_saturated => {
-                for upstream in self.registry.ready(service) {
-                    let announcement = &upstream.announcement;
-                    let load = self.loads.get_mut(&announcement.id, announcement.born_ms);
-                    load.into_iter()
-                        .for_each(|l| l.backlog.record_blocking(now));
-                }
-            }
-            _ => {}
-        }
-    }
-
-    /// Handles a pause of a stream; returns the upstream's new backlog limit if the pause reduced
-    /// it.
-    pub(super) fn on_stream_pause(
-        &mut self,
-        now: Duration,
-        pause: &StreamPause,
-    ) -> Option<Duration> {
-        let load = self.loads.get_mut(&pause.upstream, pause.born_ms)?;
-        let is_cut = load.backlog.observe_pause(now, pause.time, pause.tolerated);
-        is_cut.then(|| load.backlog.get(pause.tolerated))
-    }
-
     fn place_plain(&mut self, now: Duration, req: &PlaceRequest) -> Result<Placement, Refusal> {
         let service = &req.config.services()[req.service];
         let candidates = self.candidates(now, service, None);
