--- a/crates/forward/src/place/mod.rs
+++ b/crates/forward/src/place/mod.rs
@@ -6,9 +6,10 @@
 //!
 //! A request goes to the engine with the earliest expected first event, among those that have its
 //! subject cached and the subject's homes: its backlog plus the uncached part of the prompt, over
-//! its prefill rate. When they are too far behind it goes to another engine that copies the shared
-//! segments from one of them. Where engines can't copy, it is refused, since prefilling its shared
-//! segments elsewhere would take the time of three other requests.
+//! its prefill rate. When they are too far behind it is refused: to prefill its shared segments
+//! elsewhere would take the time of three other requests, and copies of them elsewhere would
+//! displace each other. A home that lacks a segment copies it from an engine that has it, where
+//! engines can copy and that is faster than prefilling.
 //!
 //! Engines process requests in order, so work beyond a bound makes all later requests late and is
 //! refused. The bound is the lesser of what leaves room for the shortest target and what the
