Count the end of a flood only when the recent demand is clearly lower

The lesser of the demand over 2 s and over 0.5 s underestimates every account's demand, since reports come every 100 to 200 ms and the shorter one decays by a quarter between them. Engines got more than they process in time: many_entries::floods::entries_do_not_overfill_an_idle_engine_together failed, 5.5% late of 5% allowed, each time it was run. Bounding by 1.3 times the recent demand passes it, but keeps an account whose flood has ended a ninth below its demand. Now the recent demand counts when it is lower by that factor. The tests of floods and shares pass.

--- a/crates/forward/src/share/fair_shares.rs
+++ b/crates/forward/src/share/fair_shares.rs
@@ -16,6 +16,11 @@
 /// window, an account that sends its usual again is refused for seconds as if it still flooded.
 const RECENT_TIME: Duration = Duration::from_millis(500);
 
+/// Factor by which the recent demand has to be lower before it counts. Entries report every 100 to 200
+/// ms, so it fluctuates between reports by a tenth and more; without the margin every account's demand
+/// is underestimated, and engines get more than they process in time.
+const RECENT_MARGIN: f64 = 1.3;
+
 /// Refused share of the demand from which the fleet counts as saturated. Below it the refusals come
 /// from single saturated upstreams.
 const MIN_REFUSED_SHARE: f64 = 0.03;
@@ -50,7 +55,12 @@
     /// The demand, or less if the account has sent less lately.
     fn present_demand(&self) -> f64 {
         let scale = DECAY_TIME.as_secs_f64() / RECENT_TIME.as_secs_f64();
-        self.demand.min(self.recent_demand * scale)
+        let recent = self.recent_demand * scale;
+        if recent * RECENT_MARGIN < self.demand {
+            recent
+        } else {
+            self.demand
+        }
     }
 }
 
