--- a/src/coltsfootnotch/daemon/forward/dialect.rs
+++ b/src/coltsfootnotch/daemon/forward/dialect.rs
@@ -64,6 +64,10 @@
     pub not_run: bool,
     /// How long the upstream keeps the connection open while idle, if stated.
     pub keep_alive: Option<Duration>,
+    /// How long the upstream wants no further requests, if stated; counts in a refusal only.
+    pub retry_after: Option<Duration>,
+    /// Whether the upstream states that it is leaving.
+    pub is_leaving: bool,
 }
 
 /// Format of requests, responses and configurations.
--- a/src/coltsfootnotch/daemon/forward/exchange.rs
+++ b/src/coltsfootnotch/daemon/forward/exchange.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use hyper::Response;
 use hyper::body::Incoming;
+use hyper::{Response, StatusCode};
 use tokio::time::timeout_at;
 
 use super::dialect::ResponseHead;
@@ -12,6 +12,7 @@
 use super::messages::{Outcome, Ticket};
 use super::pool::Connection;
 use super::server::Gateway;
+use crate::util::events;
 
 /// A response whose headers were received.
 pub(super) struct UpstreamResponse {
@@ -34,9 +35,6 @@
     Lost,
 }
 
-/// Status of an upstream that is not the intended one, when its address was reused.
-const MISDIRECTED: u16 = 421;
-
 /// Sends a request and waits for the headers of its response until `deadline`.
 pub(super) async fn exchange(
     gw: &Gateway,
@@ -94,7 +92,8 @@
     guard: ExchangeGuard,
 ) -> ExchangeResult {
     let head = (gw.dialect.read_response)(response.headers());
-    if head.not_run || response.status().as_u16() == MISDIRECTED {
+    log_notices(gw, req, &ticket, response.status(), &head);
+    if head.not_run || response.status() == StatusCode::MISDIRECTED_REQUEST {
         guard.finish(Outcome::NotRun);
         return ExchangeResult::Rejected;
     }
@@ -115,6 +114,34 @@
     }))
 }
 
+/// Logs what an upstream asks for in its response.
+fn log_notices(
+    gw: &Gateway,
+    req: &MatchedRequest,
+    ticket: &Ticket,
+    status: StatusCode,
+    head: &ResponseHead,
+) {
+    let upstream = &ticket.upstream;
+    if let Some(time) = head.retry_after
+        && status == StatusCode::SERVICE_UNAVAILABLE
+    {
+        let time_ms = time.as_millis();
+        gw.log(
+            &events::UPSTREAM_BACKOFF_REQUESTED,
+            req,
+            &[("upstream", upstream), ("retry_after_ms", &time_ms)],
+        );
+    }
+    if head.is_leaving && status != StatusCode::MISDIRECTED_REQUEST {
+        gw.log(
+            &events::UPSTREAM_LEAVING,
+            req,
+            &[("upstream", upstream), ("stated_in", &"a response")],
+        );
+    }
+}
+
 /// Deadline for an upstream to start a response where a retry is possible: the route's target plus
 /// twice the expected time, since an engine under load is late and a retry costs as much as the
 /// first attempt, but at most `share` of the time left.
--- a/src/coltsfootnotch/util/events.rs
+++ b/src/coltsfootnotch/util/events.rs
@@ -107,6 +107,7 @@
     REFUSALS_SUMMED = 87 Info "requests of an account were refused and not logged one by one" => "as for CFN-0071";
     MEMBERS_CHANGED = 90 Info "the members of the control group have changed" => "nothing; a voter that left permanently should disappear from the voters soon after";
     NO_LEADER = 91 Error "this member of the control group knows no leader" => "if fewer voters are connected than needed, start the missing ones again with their disks; otherwise check the connections between the voters";
+    UPSTREAM_BACKOFF_REQUESTED = 92 Info "an upstream refused a request and asked for no more for a time" => "nothing unless it repeats; then check the load of the upstream named";
 }
 
 /// Finds an event by its code, ignoring case; the prefix `CFN-` is optional.
