Send no requests to an upstream for the time it asked for

Callers saw a tenth and more of their streamed requests refused while three of nine engines answered 503 with Retry-After 3: 13 entries sent them 400 requests in five seconds, 13 of them from one entry to one engine within a pause that it had asked that entry for.

Cause: an entry did not read Retry-After. A refused request left nothing behind but a lower count of running requests, so the upstream looked idle and was preferred, and the retries of what it refused used up their budget (136 refusals 'too much is sent again').

An entry now keeps, for each run of an upstream, until when it asked for no requests. The task that reads a response records it, every placement leaves the upstream out, and the task that sends a request checks once more, since it may have been placed before the response came; such a request is placed elsewhere. So all paths are covered by two checks: first attempts, retries, resumed streams. The record does not depend on the registry or on load, which announcements, silence and reports of other entries replace. When all upstreams have asked, callers are told when the first takes requests again.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`registry`] | which upstreams exist, from their announcements |
 //! | [`control_host`] | which control host is used |
 //! | [`lease`] | whether the configuration may still be served |
+//! | [`upstream_notices`] | which upstreams asked for no requests for a time |
 //! | [`load`] | what all entries together have sent to each upstream, and how fast it is |
 //! | [`share`] | which client accounts use more than their fair share |
 //! | [`place`] | which upstream a request goes to, or that it is refused |
@@ -29,6 +30,7 @@
 pub mod registry;
 pub mod retry;
 pub mod share;
+pub mod upstream_notices;
 
 /// The most commonly used types.
 pub mod prelude {
--- a/crates/forward/src/place/refusal.rs
+++ b/crates/forward/src/place/refusal.rs
@@ -13,6 +13,9 @@
     /// All upstreams of the service are in evacuated failure domains.
     #[display("all upstreams are in evacuated failure domains")]
     Evacuated,
+    /// All upstreams of the service asked for no requests for a time.
+    #[display("all upstreams asked for a pause")]
+    Backoff,
     /// Every upstream is saturated.
     #[display("all upstreams full")]
     Saturated,
--- a/crates/forward/tests/testsuite/main.rs
+++ b/crates/forward/tests/testsuite/main.rs
@@ -12,4 +12,5 @@
 mod retry;
 mod share;
 mod stalls;
+mod upstream_notices;
 mod warm_up;
--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -31,6 +31,7 @@
 use super::refused_accounts::RefusedAccounts;
 use super::request_log::REFUSAL_LINES;
 use super::server::Gateway;
+use super::shared_notices::SharedNotices;
 use super::state::State;
 use super::{ForwardHandle, ForwardSettings, Times};
 use crate::core::HostCx;
@@ -181,6 +182,7 @@
         links.dial(&endpoint);
         let (config, watched) = watch::channel(None);
         let (pool, connections) = (Arc::<Pool>::default(), Arc::<Connections>::default());
+        let notices = Arc::<SharedNotices>::default();
         let pause_detector = Arc::<PauseDetector>::default();
         let lease_valid = Arc::<AtomicBool>::default();
         let overload_flags = Arc::<OverloadFlags>::default();
@@ -192,6 +194,7 @@
             config: watched,
             tx: tx.clone(),
             pool: Arc::clone(&pool),
+            notices: Arc::clone(&notices),
             refusals: LineBudget::new(REFUSAL_LINES),
             refused_accounts: Arc::clone(&refused_accounts),
             lease_valid: Arc::clone(&lease_valid),
@@ -232,6 +235,7 @@
                 cx.identity.incarnation.0,
                 RetryBudget::new(settings.retries),
                 lease,
+                notices,
             ),
             links,
             endpoint,
@@ -330,6 +334,7 @@
         self.report(now);
         self.log_refused_accounts(now);
         self.expire_upstreams(now);
+        self.state.notices.lock().expire(now);
         self.update_lease_state();
         self.report_handover();
         self.continue_shutdown(cx, now);
--- a/src/coltsfootnotch/daemon/forward/attempts.rs
+++ b/src/coltsfootnotch/daemon/forward/attempts.rs
@@ -25,6 +25,8 @@
     Failed(AnyResponse),
     /// The request did not reach the upstream.
     Unreached,
+    /// The request was not sent, since the upstream accepts none now.
+    Withheld,
     /// The upstream received the request and did not run it.
     Rejected,
     /// The request may have run.
@@ -49,7 +51,7 @@
             match self.attempt(req, ticket, attempts + 1, may_retry).await {
                 AttemptResult::Done(response) => return response,
                 AttemptResult::Failed(response) => failure = Some(response),
-                AttemptResult::Unreached => continue,
+                AttemptResult::Unreached | AttemptResult::Withheld => continue,
                 AttemptResult::Rejected => {
                     reached += 1;
                     continue;
@@ -83,6 +85,7 @@
         let exchange_result = exchange(self, req, ticket, None, deadline).await;
         let result = match exchange_result {
             ExchangeResult::Unreached => AttemptResult::Unreached,
+            ExchangeResult::Withheld => AttemptResult::Withheld,
             ExchangeResult::Rejected => AttemptResult::Rejected,
             ExchangeResult::Lost => AttemptResult::Lost,
             ExchangeResult::Response(received) => {
@@ -93,6 +96,7 @@
             AttemptResult::Done(_) => "answered",
             AttemptResult::Failed(_) => "failed",
             AttemptResult::Unreached => "not reached",
+            AttemptResult::Withheld => "withheld",
             AttemptResult::Rejected => "rejected",
             AttemptResult::Lost => "lost",
         };
--- a/src/coltsfootnotch/daemon/forward/exchange.rs
+++ b/src/coltsfootnotch/daemon/forward/exchange.rs
@@ -29,6 +29,8 @@
     Response(Box<UpstreamResponse>),
     /// The request did not reach the upstream.
     Unreached,
+    /// The request was not sent: the upstream asked for none since it was placed.
+    Withheld,
     /// The upstream received the request and did not run it.
     Rejected,
     /// The request was sent and no valid response came; it may have run.
@@ -51,6 +53,10 @@
             guard.finish(Outcome::Unreachable);
             return ExchangeResult::Unreached;
         };
+        if !gw.accepts_requests(&ticket) {
+            guard.finish(Outcome::NotRun);
+            return ExchangeResult::Withheld;
+        }
         let request = req.upstream_request(&gw.dialect, &ticket, last_event);
         let sending = connection.sender.try_send_request(request);
         match timeout_at(deadline.into(), sending).await {
@@ -92,7 +98,7 @@
     guard: ExchangeGuard,
 ) -> ExchangeResult {
     let head = (gw.dialect.read_response)(response.headers());
-    log_notices(gw, req, &ticket, response.status(), &head);
+    gw.record_notices(req, &ticket, response.status(), &head);
     if head.not_run || response.status() == StatusCode::MISDIRECTED_REQUEST {
         guard.finish(Outcome::NotRun);
         return ExchangeResult::Rejected;
@@ -114,31 +120,46 @@
     }))
 }
 
-/// Logs what an upstream asks for in its response.
-fn log_notices(
-    gw: &Gateway,
-    req: &MatchedRequest,
-    ticket: &Ticket,
-    status: StatusCode,
-    head: &ResponseHead,
-) {
-    let upstream = &ticket.upstream;
-    if let Some(time) = head.retry_after
-        && status == StatusCode::SERVICE_UNAVAILABLE
-    {
-        let time_ms = time.as_millis();
-        gw.log(
-            &events::UPSTREAM_BACKOFF_REQUESTED,
-            req,
-            &[("upstream", upstream), ("retry_after_ms", &time_ms)],
-        );
+impl Gateway {
+    /// Whether the upstream still accepts requests from this entry.
+    fn accepts_requests(&self, ticket: &Ticket) -> bool {
+        let now = self.cx.now();
+        let notices = self.notices.lock();
+        notices.accepts(now, &ticket.upstream, ticket.born_ms)
     }
-    if head.is_leaving && status != StatusCode::MISDIRECTED_REQUEST {
-        gw.log(
-            &events::UPSTREAM_LEAVING,
-            req,
-            &[("upstream", upstream), ("stated_in", &"a response")],
-        );
+
+    /// Records and logs what an upstream asks for in its response.
+    fn record_notices(
+        &self,
+        req: &MatchedRequest,
+        ticket: &Ticket,
+        status: StatusCode,
+        head: &ResponseHead,
+    ) {
+        let upstream = &ticket.upstream;
+        if let Some(time) = head.retry_after
+            && status == StatusCode::SERVICE_UNAVAILABLE
+        {
+            let now = self.cx.now();
+            let mut notices = self.notices.lock();
+            let is_new = notices.request_backoff(now, upstream, ticket.born_ms, time);
+            drop(notices);
+            if is_new {
+                let time_ms = time.as_millis();
+                self.log(
+                    &events::UPSTREAM_BACKOFF_REQUESTED,
+                    req,
+                    &[("upstream", upstream), ("retry_after_ms", &time_ms)],
+                );
+            }
+        }
+        if head.is_leaving && status != StatusCode::MISDIRECTED_REQUEST {
+            self.log(
+                &events::UPSTREAM_LEAVING,
+                req,
+                &[("upstream", upstream), ("stated_in", &"a response")],
+            );
+        }
     }
 }
 
--- a/src/coltsfootnotch/daemon/forward/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/mod.rs
@@ -30,6 +30,7 @@
 mod request_log;
 mod responses;
 mod server;
+mod shared_notices;
 mod state;
 mod stream;
 
--- a/src/coltsfootnotch/daemon/forward/server.rs
+++ b/src/coltsfootnotch/daemon/forward/server.rs
@@ -20,6 +20,7 @@
 use super::pool::Pool;
 use super::refused_accounts::RefusedAccounts;
 use super::responses;
+use super::shared_notices::SharedNotices;
 use crate::core::HostCx;
 use crate::util::boot_clock::BootClock;
 use crate::util::connections::Connections;
@@ -36,6 +37,8 @@
     pub(super) config: watch::Receiver<InForce>,
     pub(super) tx: Channel<ForwardMsg>,
     pub(super) pool: Arc<Pool>,
+    /// What upstreams asked for in their responses.
+    pub(super) notices: Arc<SharedNotices>,
     /// Limits the refusals that are logged.
     pub(super) refusals: LineBudget,
     /// The refusals beyond that limit.
--- a/src/coltsfootnotch/daemon/forward/state/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/state/mod.rs
@@ -2,6 +2,7 @@
 
 mod backlog;
 mod evacuations;
+mod refusals;
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
@@ -18,10 +19,12 @@
 };
 use coltsfootnotch_forward::retry::{PoisonRequests, RetryBudget};
 use coltsfootnotch_forward::share::FairShares;
+use coltsfootnotch_forward::upstream_notices::UpstreamNotices;
 use coltsfootnotch_wire::{AbortRecord, EntryLoadReport};
 
 use super::engine_rates::EngineRates;
 use super::messages::{Outcome, PlaceRequest, PlacementError, Ticket};
+use super::shared_notices::SharedNotices;
 
 /// Estimated share of an engine's memory that caches shared prompt segments. Running requests use
 /// the rest.
@@ -39,6 +42,7 @@
     pub(super) domain: Arc<str>,
     pub(super) registry: UpstreamRegistry,
     pub(super) evacuated: EvacuatedDomains,
+    pub(super) notices: Arc<SharedNotices>,
     pub(super) loads: UpstreamLoads,
     pub(super) shares: FairShares,
     subjects: SubjectDemand,
@@ -60,12 +64,14 @@
         entry_key: u64,
         retries: RetryBudget,
         lease: ConfigLease,
+        notices: Arc<SharedNotices>,
     ) -> Self {
         Self {
             domain,
             entry_key,
             registry: UpstreamRegistry::default(),
             evacuated: EvacuatedDomains::default(),
+            notices,
             loads: UpstreamLoads::default(),
             shares: FairShares::default(),
             subjects: SubjectDemand::default(),
@@ -183,11 +189,12 @@
             tie_breaker: req.tie_breaker,
             avoid: &req.avoid,
         };
+        let notices = Arc::clone(&self.notices);
         let placement = place_engine(
             now,
             &request,
             prefill_rate,
-            self.candidates(now, service, Some(engine)),
+            self.candidates(now, service, Some(engine), &notices.lock()),
         );
         self.record_blocking(now, &service.name, &placement);
         placement
@@ -207,7 +214,8 @@
 
     fn place_plain(&mut self, now: Duration, req: &PlaceRequest) -> Result<Placement, Refusal> {
         let service = &req.config.services()[req.service];
-        let candidates = self.candidates(now, service, None);
+        let notices = self.notices.lock();
+        let candidates = self.candidates(now, service, None, &notices);
         place_plain(now, &self.domain, &req.avoid, req.tie_breaker, candidates)
     }
 
@@ -217,6 +225,7 @@
         now: Duration,
         service: &'a Service,
         engine: Option<&Engine>,
+        notices: &'a UpstreamNotices,
     ) -> impl Iterator<Item = Candidate<'a>> {
         let entries = self.entries.unwrap_or(ASSUMED_ENTRIES);
         let interval = warm_up_interval(service.warm_up_per_s, entries);
@@ -228,7 +237,9 @@
             .filter_map(move |upstream| {
                 let announcement = &upstream.announcement;
                 let load = self.loads.get(&announcement.id, announcement.born_ms)?;
-                load.warm_up.admits(now, interval).then(|| Candidate {
+                let accepts = notices.accepts(now, &announcement.id, announcement.born_ms)
+                    && load.warm_up.admits(now, interval);
+                accepts.then(|| Candidate {
                     id: &announcement.id,
                     domain: &announcement.domain,
                     slots: slots.unwrap_or(announcement.slots),
--- /dev/null
+++ b/src/coltsfootnotch/daemon/forward/state/refusals.rs
@@ -0,0 +1,69 @@
+//! Refusals of requests, with what callers and operators are told.
+
+use std::time::Duration;
+
+use coltsfootnotch_forward::place::{Refusal, RefusalReason};
+
+use super::State;
+use crate::daemon::forward::messages::{AccountShare, PlaceRequest, PlacementError};
+
+/// `Retry-After` while all upstreams of a service are in evacuated domains. Operators end an
+/// evacuation in seconds at the earliest.
+const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+impl State {
+    /// The error for a refused request, with the share of its account.
+    pub(super) fn refused(
+        &mut self,
+        now: Duration,
+        req: &PlaceRequest,
+        refusal: Refusal,
+    ) -> PlacementError {
+        let service = &req.config.services()[req.service].name;
+        let account = req.account.as_ref();
+        let share = account.and_then(|account| {
+            Some(AccountShare {
+                pressure: self.shares.pressure(now, account)?,
+                fraction: self.shares.fair_fraction(now, account),
+                age: now.saturating_sub(self.remote_at),
+            })
+        });
+        PlacementError::Refused(self.explain(now, service, refusal), share)
+    }
+
+    /// Replaces a refusal for want of an upstream if there are some which may not be used now.
+    fn explain(&self, now: Duration, service: &str, refusal: Refusal) -> Refusal {
+        if refusal.reason != RefusalReason::NoUpstream {
+            return refusal;
+        }
+        let is_announced = self.registry.ready(service).next().is_some();
+        if is_announced && self.available_share(service) == 0.0 {
+            return Refusal {
+                reason: RefusalReason::Evacuated,
+                retry_after: EVACUATED_RETRY_AFTER,
+                ..refusal
+            };
+        }
+        let Some(end) = self.first_backoff_end(now, service) else {
+            return refusal;
+        };
+        Refusal {
+            reason: RefusalReason::Backoff,
+            retry_after: end.saturating_sub(now),
+            ..refusal
+        }
+    }
+
+    /// When the first upstream of the service accepts requests again, if all of them asked for none
+    /// until a later time.
+    fn first_backoff_end(&self, now: Duration, service: &str) -> Option<Duration> {
+        let notices = self.notices.lock();
+        let available = self
+            .registry
+            .ready(service)
+            .map(|upstream| &upstream.announcement)
+            .filter(|announcement| !self.evacuated.contains(&announcement.domain));
+        let ends = available.map(|a| notices.backoff_end(now, &a.id, a.born_ms));
+        ends.collect::<Option<Vec<_>>>()?.into_iter().min()
+    }
+}
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -329,7 +329,9 @@
                     return Ok(*received);
                 }
                 ExchangeResult::Response(received) => received.guard.finish(Outcome::Failed),
-                ExchangeResult::Unreached | ExchangeResult::Rejected => continue,
+                ExchangeResult::Unreached | ExchangeResult::Withheld | ExchangeResult::Rejected => {
+                    continue;
+                }
                 ExchangeResult::Lost => {}
             }
             *attempts += 1;
