Send no requests to an upstream that states in a response that it leaves

Callers of an upstream that leaves may lose their requests with it, which DRAIN forbids from some time after its first response that says so.

The statement is kept beside the pauses that upstreams ask for, so it holds for all paths to an upstream, until the registry has lost the run for longer than a late announcement takes; a later run starts without it. A response with status 421 comes from another process at the address and states nothing about the upstream that was meant.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -10,7 +10,7 @@
 //! | [`registry`] | which upstreams exist, from their announcements |
 //! | [`control_host`] | which control host is used |
 //! | [`lease`] | whether the configuration may still be served |
-//! | [`upstream_notices`] | which upstreams asked for no requests for a time |
+//! | [`upstream_notices`] | which upstreams asked for no requests for a time, or leave |
 //! | [`load`] | what all entries together have sent to each upstream, and how fast it is |
 //! | [`share`] | which client accounts use more than their fair share |
 //! | [`place`] | which upstream a request goes to, or that it is refused |
--- a/crates/forward/tests/testsuite/upstream_notices.rs
+++ b/crates/forward/tests/testsuite/upstream_notices.rs
@@ -23,7 +23,7 @@
         notices.request_backoff(s(1.1), &id, BORN, s(0.5)),
         eq(false)
     );
-    notices.expire(s(3.9));
+    notices.expire(s(3.9), |_, _| false);
     expect_that!(notices.accepts(s(3.9), &id, BORN), eq(false));
     expect_that!(notices.backoff_end(s(3.9), &id, BORN), some(eq(s(4.0))));
     expect_that!(notices.accepts(s(4.0), &id, BORN), eq(true));
@@ -50,3 +50,30 @@
     notices.request_backoff(s(1.0), &id, BORN, Duration::MAX);
     expect_that!(notices.accepts(s(1e9), &id, BORN), eq(false));
 }
+
+/// Guards against a late announcement that brings a leaving upstream back.
+#[googletest::test]
+fn a_leaving_upstream_gets_no_requests_as_long_as_it_may_be_announced() {
+    let id: Arc<str> = "spec-1".into();
+    let mut notices = UpstreamNotices::default();
+    expect_that!(notices.mark_leaving(s(1.0), &id, BORN), eq(true));
+    expect_that!(notices.mark_leaving(s(2.0), &id, BORN), eq(false));
+    notices.expire(s(100.0), |_, born_ms| born_ms == BORN);
+    expect_that!(notices.accepts(s(100.0), &id, BORN), eq(false), "announced");
+    notices.expire(s(61.9), |_, _| false);
+    expect_that!(notices.accepts(s(61.9), &id, BORN), eq(false), "just lost");
+    notices.expire(s(62.0), |_, _| false);
+    expect_that!(notices.accepts(s(62.0), &id, BORN), eq(true), "forgotten");
+}
+
+/// An upstream that restarts under the same identity is not leaving.
+#[googletest::test]
+fn a_later_run_is_not_leaving() {
+    let id: Arc<str> = "spec-1".into();
+    let mut notices = UpstreamNotices::default();
+    notices.mark_leaving(s(1.0), &id, BORN);
+    expect_that!(notices.accepts(s(2.0), &id, BORN + 1), eq(true));
+    expect_that!(notices.mark_leaving(s(2.0), &id, BORN + 1), eq(true));
+    expect_that!(notices.mark_leaving(s(2.1), &id, BORN), eq(false), "late");
+    expect_that!(notices.accepts(s(2.2), &id, BORN + 1), eq(false));
+}
--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -334,7 +334,7 @@
         self.report(now);
         self.log_refused_accounts(now);
         self.expire_upstreams(now);
-        self.state.notices.lock().expire(now);
+        self.state.expire_notices(now);
         self.update_lease_state();
         self.report_handover();
         self.continue_shutdown(cx, now);
--- a/src/coltsfootnotch/daemon/forward/exchange.rs
+++ b/src/coltsfootnotch/daemon/forward/exchange.rs
@@ -153,12 +153,19 @@
                 );
             }
         }
+        // With this status another upstream responds, to which the address was assigned.
         if head.is_leaving && status != StatusCode::MISDIRECTED_REQUEST {
-            self.log(
-                &events::UPSTREAM_LEAVING,
-                req,
-                &[("upstream", upstream), ("stated_in", &"a response")],
-            );
+            let now = self.cx.now();
+            let mut notices = self.notices.lock();
+            let is_new = notices.mark_leaving(now, upstream, ticket.born_ms);
+            drop(notices);
+            if is_new {
+                self.log(
+                    &events::UPSTREAM_LEAVING,
+                    req,
+                    &[("upstream", upstream), ("stated_in", &"a response")],
+                );
+            }
         }
     }
 }
--- a/src/coltsfootnotch/daemon/forward/state/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/state/mod.rs
@@ -113,6 +113,15 @@
         update
     }
 
+    /// Removes notices of upstreams that hold no longer.
+    pub(super) fn expire_notices(&self, now: Duration) {
+        let is_known = |id: &str, born_ms: u64| {
+            let upstream = self.registry.get(id);
+            upstream.is_some_and(|u| u.announcement.born_ms == born_ms)
+        };
+        self.notices.lock().expire(now, is_known);
+    }
+
     fn count_engines(&mut self, service: Arc<str>) {
         let engines = self.registry.ready(&service).count();
         self.engine_rates.record_ready(service, engines);
--- a/src/coltsfootnotch/daemon/forward/state/refusals.rs
+++ b/src/coltsfootnotch/daemon/forward/state/refusals.rs
@@ -63,7 +63,8 @@
             .ready(service)
             .map(|upstream| &upstream.announcement)
             .filter(|announcement| !self.evacuated.contains(&announcement.domain));
-        let ends = available.map(|a| notices.backoff_end(now, &a.id, a.born_ms));
+        let staying = available.filter(|a| !notices.is_leaving(&a.id, a.born_ms));
+        let ends = staying.map(|a| notices.backoff_end(now, &a.id, a.born_ms));
         ends.collect::<Option<Vec<_>>>()?.into_iter().min()
     }
 }
