Evaluate no response to another request as this one's

A caller whose upstream repeated the refusal of an earlier request, just before its response on the same connection, was told that its own request had not run, or it was sent elsewhere as well, though it may have run: for what may not be repeated, a second run or a refusal that is not true.

Cause: the statement that a request did not run was read before the identity of the request that the response belongs to. Found while asking which responses may pause an upstream; a repeated Retry-After would have paused it once more, too. The identity comes first now, for all that a response says.

upstream_notices::a_repeated_refusal_of_another_request_is_not_this_one_s failed before (503 instead of 502, then 'no upstream' to all) and passes.

--- a/crates/forward/src/upstream_notices.rs
+++ b/crates/forward/src/upstream_notices.rs
@@ -47,7 +47,7 @@
 
 impl UpstreamNotices {
     /// Records that the upstream wants no requests for `time`. Returns whether it accepted requests
-    /// until now.
+    /// until now, and does not any more.
     pub fn request_backoff(
         &mut self,
         now: Duration,
@@ -60,7 +60,7 @@
             let until = now.saturating_add(time);
             notice.backoff_until = notice.backoff_until.max(until);
         }
-        accepted
+        accepted && !self.accepts(now, id, born_ms)
     }
 
     /// Records that the upstream is leaving. Returns whether it had not stated so before.
--- a/src/coltsfootnotch/daemon/forward/exchange.rs
+++ b/src/coltsfootnotch/daemon/forward/exchange.rs
@@ -98,16 +98,21 @@
     guard: ExchangeGuard,
 ) -> ExchangeResult {
     let head = (gw.dialect.read_response)(response.headers());
+    // A late or duplicate response to another request: this request's response can't be identified
+    // on this connection any more.
+    let is_mismatched = head.id.is_some() && head.id != req.head.id;
+    if is_mismatched {
+        guard.finish(Outcome::Failed);
+        return ExchangeResult::Lost;
+    }
     gw.record_notices(req, &ticket, response.status(), &head);
     if head.not_run || response.status() == StatusCode::MISDIRECTED_REQUEST {
         guard.finish(Outcome::NotRun);
         return ExchangeResult::Rejected;
     }
-    // A late or duplicate response to another request, or one that is not from an upstream: this
-    // request's response can't be identified on this connection any more.
-    let is_mismatched = head.id.is_some() && head.id != req.head.id;
+    // A response that is not from an upstream.
     let is_unmarked = response.status().is_success() && !head.has_upstream_mark;
-    if is_mismatched || is_unmarked {
+    if is_unmarked {
         guard.finish(Outcome::Failed);
         return ExchangeResult::Lost;
     }
