Simulate engines that refuse all requests and ask for pauses

No simulation had an engine that refuses requests, so none could show that it draws more of them than the others, nor that requests placed before a refusal are sent after it. The simulated fleet of many entries plays both: three of nine engines refuse all for nine seconds, and entries send up to 1.5 s late. No request reaches an engine in a pause that it asked for, and at half of the capacity under 2% are refused to callers. The other simulations draw the same random numbers as before.

--- a/crates/forward/tests/testsuite/many_entries/fleet.rs
+++ b/crates/forward/tests/testsuite/many_entries/fleet.rs
@@ -8,13 +8,16 @@
     CachedSegments, FleetLoad, SentRequest, SubjectDemand, UpstreamLoads,
 };
 use coltsfootnotch_forward::place::{
-    Candidate, CopyRate, PlacementRequest, PrefillRate, Prompt, place_engine,
+    Candidate, CopyRate, Placement, PlacementRequest, PrefillRate, Prompt, place_engine,
 };
 use coltsfootnotch_forward::share::FairShares;
+use coltsfootnotch_forward::upstream_notices::UpstreamNotices;
 use coltsfootnotch_wire::EntryLoadReport;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use super::refusals::{Refusals, Refused};
+
 /// Time to the first event of a cached prompt, in milliseconds.
 const BASE_MS: f64 = 35.0;
 /// Shortest target of the service's routes.
@@ -24,6 +27,8 @@
 /// Duration of an answer after its first event.
 const ANSWER: Duration = Duration::from_millis(300);
 const DOMAIN: &str = "north";
+/// The run of each engine.
+const RUN: u64 = 1;
 
 /// Outcomes of an account's requests.
 #[derive(Debug, Clone, Default)]
@@ -84,6 +89,18 @@
     loads: UpstreamLoads,
     shares: FairShares,
     subjects: SubjectDemand,
+    notices: UpstreamNotices,
+}
+
+/// A request that an entry is late to send.
+struct Unsent {
+    due: Duration,
+    entry: usize,
+    account: usize,
+    prompt: Prompt,
+    placed: Placement,
+    /// Engines that have refused it.
+    avoid: Vec<Arc<str>>,
 }
 
 /// Entries, engines, and the control host between the entries.
@@ -96,6 +113,9 @@
     prefilled: Prefilled,
     idle: Duration,
     running: Vec<Running>,
+    unsent: Vec<Unsent>,
+    refusals: Refusals,
+    send_delay: Duration,
     control: FleetLoad<usize>,
     /// Reports in transit to the entries.
     in_transit: Vec<EntryLoadReport>,
@@ -126,6 +146,7 @@
                 loads,
                 shares,
                 subjects: SubjectDemand::default(),
+                notices: UpstreamNotices::default(),
             }
         };
         Self {
@@ -137,6 +158,9 @@
             prefilled: Prefilled::default(),
             idle: Duration::ZERO,
             running: Vec::new(),
+            unsent: Vec::new(),
+            refusals: Refusals::new(setup.engines),
+            send_delay: Duration::ZERO,
             control: FleetLoad::default(),
             in_transit: Vec::new(),
             rng: StdRng::seed_from_u64(7),
@@ -153,6 +177,16 @@
         self.setup = setup;
     }
 
+    /// Refusals by engines.
+    pub(super) fn refusals(&mut self) -> &mut Refusals {
+        &mut self.refusals
+    }
+
+    /// Sets how late entries send a request after its placement, at most.
+    pub(super) fn set_send_delay(&mut self, delay: Duration) {
+        self.send_delay = delay;
+    }
+
     /// Service units per second that the engines can prefill.
     pub(super) fn capacity(&self) -> f64 {
         self.engines.len() as f64 * self.setup.tokens_per_ms * 1e3
@@ -173,6 +207,7 @@
         while self.now < end {
             self.now += Duration::from_millis(1);
             self.work();
+            self.send_due(&mut outcomes);
             let period = u128::from(self.setup.period_ms);
             if self.now.as_millis().is_multiple_of(period) {
                 self.exchange_reports();
@@ -194,58 +229,145 @@
     fn send_request(&mut self, index: usize, account: &Arc<str>, outcomes: &mut Outcomes) {
         let entry = self.rng.random_range(0..self.entries.len());
         let prompt = (self.setup.prompt)(&mut self.rng, index);
+        let units = prompt.service_units();
+        let shares = &mut self.entries[entry].shares;
+        shares.record_requested(self.now, account, units);
+        outcomes.requests += 1;
+        if let Some(subject) = prompt.subject() {
+            self.entries[entry].subjects.record(self.now, subject.id);
+        }
+        let Some(placed) = self.place(entry, Some(account), &prompt, &[]) else {
+            outcomes.refused += 1;
+            return;
+        };
+        let shares = &mut self.entries[entry].shares;
+        shares.record_admitted(self.now, account, units);
+        let delay = if self.send_delay.is_zero() {
+            Duration::ZERO
+        } else {
+            self.send_delay.mul_f64(self.rng.random())
+        };
+        let unsent = Unsent {
+            due: self.now + delay,
+            entry,
+            account: index,
+            prompt,
+            placed,
+            avoid: Vec::new(),
+        };
+        if delay.is_zero() {
+            self.send(unsent, outcomes);
+        } else {
+            self.unsent.push(unsent);
+        }
+    }
+
+    /// Places a request; `account` is given for its first placement only.
+    fn place(
+        &mut self,
+        entry: usize,
+        account: Option<&Arc<str>>,
+        prompt: &Prompt,
+        avoid: &[Arc<str>],
+    ) -> Option<Placement> {
+        let now = self.now;
         let tie_breaker = self.rng.random();
         let rate = self.prefill_rate();
         let Entry {
             loads,
             shares,
             subjects,
+            notices,
         } = &mut self.entries[entry];
-        let units = prompt.service_units();
-        shares.record_requested(self.now, account, units);
-        outcomes.requests += 1;
         let subject_per_s = prompt.subject().map_or(0.0, |subject| {
-            subjects.record(self.now, subject.id);
-            subjects.per_s(self.now, subject.id, shares.local_share(self.now))
+            subjects.per_s(now, subject.id, shares.local_share(now))
         });
         let request = PlacementRequest {
-            prompt: &prompt,
-            pressure: shares.pressure(self.now, account),
-            fair_fraction: shares.fair_fraction(self.now, account),
+            prompt,
+            pressure: account.and_then(|account| shares.pressure(now, account)),
+            fair_fraction: account.map_or(1.0, |account| shares.fair_fraction(now, account)),
             shortest_target: TARGET,
             shortest_gap: None,
             subject_per_s,
             copy_rate: self.setup.copy_rate,
             domain: DOMAIN,
             tie_breaker,
-            avoid: &[],
+            avoid,
         };
-        let candidates = self.ids.iter().map(|id| Candidate {
+        let candidates = self.ids.iter().filter(|id| notices.accepts(now, id, RUN));
+        let candidates = candidates.map(|id| Candidate {
             id,
             domain: DOMAIN,
             slots: 128,
             memory_tokens: self.setup.memory_tokens,
-            load: loads.get(id, 1).expect("known engine"),
+            load: loads.get(id, RUN).expect("known engine"),
         });
-        let Ok(placed) = place_engine(self.now, &request, rate, candidates) else {
-            outcomes.refused += 1;
-            return;
-        };
-        shares.record_admitted(self.now, account, units);
-        outcomes.units += units;
-        loads.entry(&placed.id, 1).on_sent(&placed.sent);
+        let placed = place_engine(now, &request, rate, candidates).ok()?;
+        loads.entry(&placed.id, RUN).on_sent(&placed.sent);
         let believed_cache = (self.setup.memory_tokens as f64 * CACHE_SHARE) as u64;
-        loads.record_segments(self.now, &placed.id, &prompt.shared, believed_cache);
-        let engine = self.ids.iter().position(|id| *id == placed.id);
-        let engine = engine.expect("known engine");
-        let source = placed.copy_from.as_ref();
-        let source = source.and_then(|source| self.ids.iter().position(|id| id == source));
-        let first_event_at = self.prefill(engine, source, &prompt);
-        outcomes.late += u32::from(first_event_at > self.now + TARGET);
+        loads.record_segments(now, &placed.id, &prompt.shared, believed_cache);
+        Some(placed)
+    }
+
+    /// Sends the requests that are due.
+    fn send_due(&mut self, outcomes: &mut [Outcomes]) {
+        let now = self.now;
+        let due: Vec<_> = self.unsent.extract_if(.., |u| u.due <= now).collect();
+        for unsent in due {
+            let account = unsent.account;
+            self.send(unsent, &mut outcomes[account]);
+        }
+    }
+
+    /// Sends a request to the engine where it was placed, and to others after refusals.
+    fn send(&mut self, mut unsent: Unsent, outcomes: &mut Outcomes) {
+        let now = self.now;
+        while let Some(refused) = self.refused_at(&unsent) {
+            let Entry { loads, notices, .. } = &mut self.entries[unsent.entry];
+            let id = &unsent.placed.id;
+            loads.entry(id, RUN).on_finished(&unsent.placed.sent, false);
+            if let Some(time) = refused.backoff {
+                notices.request_backoff(now, id, RUN, time);
+            }
+            unsent.avoid.push(id.clone());
+            let placed = self.place(unsent.entry, None, &unsent.prompt, &unsent.avoid);
+            let Some(placed) = placed else {
+                outcomes.refused += 1;
+                return;
+            };
+            unsent.placed = placed;
+        }
+        self.start(&unsent, outcomes);
+    }
+
+    /// The refusal of the engine, or of the entry if the engine asked for no requests meanwhile.
+    fn refused_at(&mut self, unsent: &Unsent) -> Option<Refused> {
+        let id = &unsent.placed.id;
+        let notices = &self.entries[unsent.entry].notices;
+        if !notices.accepts(self.now, id, RUN) {
+            return Some(Refused { backoff: None });
+        }
+        let engine = self.engine(id);
+        self.refusals.refuse(self.now, unsent.entry, engine)
+    }
+
+    fn engine(&self, id: &Arc<str>) -> usize {
+        let engine = self.ids.iter().position(|other| other == id);
+        engine.expect("known engine")
+    }
+
+    /// Has the engine run a request.
+    fn start(&mut self, unsent: &Unsent, outcomes: &mut Outcomes) {
+        let Unsent { prompt, placed, .. } = unsent;
+        outcomes.units += prompt.service_units();
+        let engine = self.engine(&placed.id);
+        let source = placed.copy_from.as_ref().map(|source| self.engine(source));
+        let first_event_at = self.prefill(engine, source, prompt);
+        outcomes.late += u32::from(first_event_at > placed.sent.at + TARGET);
         self.running.push(Running {
-            entry,
+            entry: unsent.entry,
             engine,
-            held: held_tokens(&prompt),
+            held: held_tokens(prompt),
             sent: placed.sent,
             first_event_at,
             has_started: false,
--- a/crates/forward/tests/testsuite/many_entries/mod.rs
+++ b/crates/forward/tests/testsuite/many_entries/mod.rs
@@ -2,4 +2,6 @@
 
 mod fleet;
 mod floods;
+mod refusals;
+mod shedding;
 mod subjects;
