Have upstreams of the soak refuse requests and state that they leave

The soak's upstreams never refused a request, and stated only to control hosts that they leave, so it could find neither fault. They refuse all for a time now and ask for pauses, and each response of a leaving one says so. Two checks are new: at most two requests from a router in a pause that it was asked for, and none sent later than the bound after it passed on a response that says that the upstream leaves, whatever control hosts it reaches. Only a restart or pause of the router excuses them, and for pauses a disturbed path to the upstream.

checks: the three new tests show that each check can fail and what excuses it.

--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -3,12 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coltsfootnotch_platform_peers::{DEADLINE_MS, REQUEST_ID, RESPONSE_STAMP, TOKEN_USAGE};
+use coltsfootnotch_platform_peers::{
+    DEADLINE_MS, LEAVING, REQUEST_ID, RESPONSE_STAMP, TOKEN_USAGE,
+};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use tokio::time::sleep;
 
 use crate::fleet::Addresses;
+use crate::notices::Notices;
 use crate::operator::{HOST, Operator, STEADY_KEY};
 use crate::recorder::{Invariant, Recorder, RequestOutcome};
 use crate::upstream::{EVENTS, event_text};
@@ -29,6 +32,8 @@
     pub routers: usize,
     /// Records requests and their outcomes.
     pub recorder: Recorder,
+    /// Checks what upstreams ask of routers.
+    pub notices: Notices,
     /// Issues and revokes keys.
     pub operator: Operator,
     /// Returns whether a graceful stop is the only current disturbance of a router.
@@ -38,7 +43,10 @@
 /// The response to a request.
 struct Answer {
     status: u16,
-    has_mark: bool,
+    /// The mark of the upstream, which ends with the identity of its run.
+    mark: Option<String>,
+    /// Whether it states that its upstream leaves.
+    is_leaving: bool,
     body: std::result::Result<String, String>,
 }
 
@@ -78,10 +86,16 @@
         self.recorder
             .record_sent(id, kind != "once", key == STEADY_KEY);
         let sent_at = self.recorder.now();
+        self.notices.record_sent(sent_at, id, router);
         let (agent, request_id) = (agent.clone(), id.to_owned());
         let bearer = format!("Bearer {key}");
         let call = move || call(&agent, &url, &request_id, &bearer);
         let answer = tokio::task::spawn_blocking(call).await.ok().flatten();
+        let leaving = answer.as_ref().filter(|answer| answer.is_leaving);
+        let mark = leaving.and_then(|answer| answer.mark.as_deref());
+        if let Some((_, run)) = mark.and_then(|mark| mark.rsplit_once('.')) {
+            self.notices.record_leaving(self.recorder.now(), id, run);
+        }
         if self.operator.is_revoked(&key, sent_at) && self.recorder.has_run(id) {
             let what = format!("{id} runs with {key}, which was revoked before it was sent");
             self.recorder.report(Invariant::KeyRevoked, what);
@@ -125,7 +139,7 @@
         } else {
             (Invariant::CorrectAnswer, format!("answer to {id}"))
         };
-        if !answer.has_mark {
+        if answer.mark.is_none() {
             let what = format!("{id} gets a success without the mark of an upstream");
             self.recorder.report(Invariant::CorrectAnswer, what);
         }
@@ -146,9 +160,13 @@
         .header(TOKEN_USAGE, "200,24")
         .header("authorization", bearer);
     let mut answer = req.send("a body").ok()?;
+    let header = |name: &str| answer.headers().get(name)?.to_str().ok();
+    let mark = header(RESPONSE_STAMP).map(ToOwned::to_owned);
+    let is_leaving = header(LEAVING) == Some("1");
     Some(Answer {
         status: answer.status().as_u16(),
-        has_mark: answer.headers().contains_key(RESPONSE_STAMP),
+        mark,
+        is_leaving,
         body: answer
             .body_mut()
             .read_to_string()
--- a/soak/src/disturbances.rs
+++ b/soak/src/disturbances.rs
@@ -1,5 +1,6 @@
 //! Tracks disturbances, which decide whether an invariant must hold at a given time.
 
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -17,6 +18,10 @@
     unplanned: Vec<Duration>,
     /// Time of the last graceful stop or the following restart of each router.
     planned_stops: Vec<Duration>,
+    /// End of the last kill, stop or pause of each router.
+    interrupted: Vec<Duration>,
+    /// End of the last disturbance of the path to each upstream.
+    upstream_links: HashMap<usize, Duration>,
     /// End of the last disturbance of the control group.
     control: Duration,
     /// Time of the last disk loss of a control host.
@@ -36,6 +41,8 @@
         let times = Times {
             unplanned: vec![Duration::ZERO; routers],
             planned_stops: vec![Duration::ZERO; routers],
+            interrupted: vec![Duration::ZERO; routers],
+            upstream_links: HashMap::new(),
             control: Duration::ZERO,
             disk_lost: None,
         };
@@ -57,6 +64,37 @@
     /// Records a graceful stop of a router or the restart that follows it.
     pub fn record_planned_stop(&self, router: usize, now: Duration) {
         self.times().planned_stops[router] = now;
+        self.extend_interruption(router, now);
+    }
+
+    /// Records that the process of a router does not run until `end`.
+    pub fn extend_interruption(&self, router: usize, end: Duration) {
+        let last = &mut self.times().interrupted[router];
+        *last = end.max(*last);
+    }
+
+    /// Records that the path to an upstream is disturbed until `end`.
+    pub fn extend_upstream_link(&self, upstream: usize, end: Duration) {
+        let mut times = self.times();
+        let last = times.upstream_links.entry(upstream).or_default();
+        *last = end.max(*last);
+    }
+
+    /// Returns whether the process of a router was killed, stopped or paused after `since`, so that it may not
+    /// know what it was told until then.
+    #[must_use]
+    pub fn was_interrupted(&self, router: usize, since: Duration) -> bool {
+        self.times().interrupted[router] >= since
+    }
+
+    /// Returns whether the path to an upstream was disturbed after `since`, so that its responses may be lost.
+    #[must_use]
+    pub fn was_cut_off(&self, upstream: usize, since: Duration) -> bool {
+        let times = self.times();
+        times
+            .upstream_links
+            .get(&upstream)
+            .is_some_and(|end| *end >= since)
     }
 
     /// Records that the control group is disturbed until `end`.
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -23,6 +23,7 @@
     keep: Option<PathBuf>,
     quiet: bool,
     replace: bool,
+    without_refusals: bool,
 }
 
 fn options() -> OptionParser<Options> {
@@ -60,6 +61,9 @@
     let replace = long("replace")
         .help("replace control hosts that lose their disk by new ones at other addresses")
         .switch();
+    let without_refusals = long("without-refusals")
+        .help("upstreams refuse no requests; for seeds that were found without")
+        .switch();
     construct!(Options {
         seed,
         seeds,
@@ -69,7 +73,8 @@
         binary,
         keep,
         quiet,
-        replace
+        replace,
+        without_refusals
     })
     .guard(
         |o| [3, 5, 7].contains(&o.controls),
@@ -122,6 +127,7 @@
         },
         clients: CLIENTS,
         replaces_hosts: options.replace,
+        has_refusals: !options.without_refusals,
         binary: options.binary.clone(),
         block: (std::process::id() % 250) as u8,
         folder: folder.path().to_owned(),
--- a/soak/src/recorder.rs
+++ b/soak/src/recorder.rs
@@ -30,6 +30,9 @@
     /// An upstream receives no new requests once its drain has reached the routers.
     #[display("leaving upstreams are left alone")]
     NoWorkAfterDrain,
+    /// An upstream receives no requests from a router that it asked for none for a time.
+    #[display("pauses are kept")]
+    NoWorkDuringPause,
     /// A graceful stop interrupts no request in progress.
     #[display("planned stops cut nothing")]
     GracefulStop,
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -14,6 +14,7 @@
 use crate::client::Client;
 use crate::disturbances::Disturbances;
 use crate::fleet::{Addresses, Fleet};
+use crate::notices::Notices;
 use crate::operator::{ControlClient, Operator, SERVICES};
 use crate::process::wait_until;
 use crate::proxy::{Endpoint, Path};
@@ -58,6 +59,8 @@
     pub clients: usize,
     /// Whether a control host that loses its disk is replaced by an empty one at another address.
     pub replaces_hosts: bool,
+    /// Whether upstreams also refuse requests and ask for pauses.
+    pub has_refusals: bool,
     /// The platform's program.
     pub binary: PathBuf,
     /// Block of loopback addresses; concurrent runs need different blocks.
@@ -96,7 +99,10 @@
     }
 
     async fn run_schedule(&self) -> Result<Outcome, RunError> {
-        let schedule = Schedule::draw(self.seed, self.length, self.size);
+        let mut schedule = Schedule::draw(self.seed, self.length, self.size);
+        if self.has_refusals {
+            schedule = schedule.with_refusals(self.seed, self.size);
+        }
         let addresses = Addresses::new(self.block);
         let fleet = Fleet::start(&self.binary, &self.folder, addresses, self.size).await?;
         let scenario = Arc::new(self.start_scenario(fleet).await?);
@@ -123,6 +129,7 @@
         let control_client = ControlClient::new(addresses, fleet.slots.clone());
         let operator = Operator::new(control_client.clone(), recorder.clone());
         let disturbances = Disturbances::new(self.size.routers);
+        let notices = Notices::new(recorder.clone(), disturbances.clone());
         let mut upstreams = Vec::new();
         for n in 0..self.size.upstreams {
             let endpoint = Endpoint::Upstream(n);
@@ -140,7 +147,7 @@
                 n,
                 service,
                 (bound, proxied),
-                recorder.clone(),
+                (recorder.clone(), notices.clone()),
                 control_client.clone(),
                 Arc::new(is_undisturbed),
             );
@@ -150,6 +157,7 @@
         Ok(Scenario {
             fleet,
             recorder,
+            notices,
             operator,
             upstreams,
             disturbances,
@@ -183,6 +191,7 @@
                 addresses: scenario.fleet.addresses,
                 routers: self.size.routers,
                 recorder: recorder.clone(),
+                notices: scenario.notices.clone(),
                 operator: scenario.operator.clone(),
                 is_planned_stop_only: Arc::new(move |router| {
                     disturbances.is_planned_stop_only(router, clock.now())
--- a/soak/src/scenario.rs
+++ b/soak/src/scenario.rs
@@ -8,6 +8,7 @@
 
 use crate::disturbances::Disturbances;
 use crate::fleet::{Fleet, GRACE_S};
+use crate::notices::Notices;
 use crate::operator::Operator;
 use crate::process::wait_until;
 use crate::proxy::{Endpoint, Path, Rule};
@@ -25,6 +26,7 @@
 pub(crate) struct Scenario {
     pub(crate) fleet: Fleet,
     pub(crate) recorder: Recorder,
+    pub(crate) notices: Notices,
     pub(crate) operator: Operator,
     pub(crate) upstreams: Vec<Mutex<Upstream>>,
     pub(crate) disturbances: Disturbances,
@@ -57,15 +59,21 @@
             }
             Action::KillRouter { host, down } => {
                 self.disturb_router(host, down);
+                self.interrupt_router(host, down);
                 self.fleet.router(host).kill()?;
                 sleep(down).await;
-                self.fleet.router(host).ensure_running()
+                self.fleet.router(host).ensure_running()?;
+                self.interrupt_router(host, Duration::ZERO);
+                Ok(())
             }
             Action::PauseRouter { host, pause } => {
                 self.disturb_router(host, pause);
+                self.interrupt_router(host, pause);
                 self.fleet.router(host).set_paused(true)?;
                 sleep(pause).await;
-                self.fleet.router(host).set_paused(false)
+                self.fleet.router(host).set_paused(false)?;
+                self.interrupt_router(host, Duration::ZERO);
+                Ok(())
             }
             Action::StopRouter { host } => self.stop_router(host).await,
             Action::ReloadRouter { host } => self.fleet.router(host).reload(),
@@ -94,8 +102,12 @@
                 rule,
                 time,
             } => {
-                self.apply_rule_from_outside(Endpoint::Upstream(upstream), rule, time)
-                    .await
+                let disturb = |end| self.disturbances.extend_upstream_link(upstream, end);
+                disturb(self.recorder.now() + time);
+                let endpoint = Endpoint::Upstream(upstream);
+                let applied = self.apply_rule_from_outside(endpoint, rule, time).await;
+                disturb(self.recorder.now());
+                applied
             }
             Action::LinkClients { router, rule, time } => {
                 self.disturb_router(router, time);
@@ -120,6 +132,17 @@
                 upstream.lock().await.set_drops_answers(false);
                 Ok(())
             }
+            Action::RefuseRequests {
+                upstream,
+                time,
+                backoff,
+            } => {
+                let upstream = &self.upstreams[upstream];
+                upstream.lock().await.set_refusing(Some(backoff));
+                sleep(time).await;
+                upstream.lock().await.set_refusing(None);
+                Ok(())
+            }
             Action::ConflictingPuts => {
                 self.operator.put_conflicting().await;
                 Ok(())
@@ -206,6 +229,12 @@
             .extend_router(router, self.recorder.now() + time);
     }
 
+    /// Records that the process of a router does not run for `time` from now on.
+    fn interrupt_router(&self, router: usize, time: Duration) {
+        self.disturbances
+            .extend_interruption(router, self.recorder.now() + time);
+    }
+
     fn disturb_control(&self, time: Duration) {
         self.disturbances.extend_control(self.recorder.now() + time);
     }
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -151,6 +151,16 @@
         /// Duration of the fault.
         time: Duration,
     },
+    /// Makes an upstream refuse all requests and ask for none for `backoff` with each refusal.
+    #[display("upstream {upstream} refuses requests for {time:?}, with pauses of {backoff:?}")]
+    RefuseRequests {
+        /// Index of the target.
+        upstream: usize,
+        /// Duration of the fault.
+        time: Duration,
+        /// The pause that it asks for.
+        backoff: Duration,
+    },
     /// Puts two different configurations with the same number concurrently.
     #[display("two operators put conflicting configurations")]
     ConflictingPuts,
@@ -205,6 +215,25 @@
         }
         Self { steps, length }
     }
+
+    /// Adds upstreams that refuse requests, drawn for the same seed; the other steps stay.
+    #[must_use]
+    pub fn with_refusals(mut self, seed: u64, size: FleetSize) -> Self {
+        let mut rng = StdRng::seed_from_u64(!seed);
+        let mut at = QUIET_START;
+        let end = self.length.saturating_sub(QUIET_END);
+        while at < end {
+            let action = Action::RefuseRequests {
+                upstream: rng.random_range(0..size.upstreams),
+                time: Duration::from_millis(rng.random_range(300..6_000)),
+                backoff: Duration::from_millis(rng.random_range(700..4_000)),
+            };
+            self.steps.push(Step { at, action });
+            at += Duration::from_millis(rng.random_range(50..4 * MEAN_GAP_MS));
+        }
+        self.steps.sort_by_key(|step| step.at);
+        self
+    }
 }
 
 fn draw_action(rng: &mut StdRng, size: FleetSize) -> Action {
--- a/soak/src/upstream/mod.rs
+++ b/soak/src/upstream/mod.rs
@@ -17,9 +17,10 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-use self::response::respond;
 pub use self::response::{EVENTS, event_text};
+use self::response::{Observers, respond};
 use self::run::Run;
+use crate::notices::Notices;
 use crate::operator::ControlClient;
 use crate::recorder::Recorder;
 
@@ -38,6 +39,7 @@
     bound: SocketAddr,
     proxied: SocketAddr,
     recorder: Recorder,
+    notices: Notices,
     control_client: ControlClient,
     /// Returns whether the routers are undisturbed, so that updates must reach them within the bound.
     is_undisturbed: Arc<dyn Fn() -> bool + Send + Sync>,
@@ -52,7 +54,7 @@
         number: usize,
         service: &'static str,
         (bound, proxied): (SocketAddr, SocketAddr),
-        recorder: Recorder,
+        (recorder, notices): (Recorder, Notices),
         control_client: ControlClient,
         is_undisturbed: Arc<dyn Fn() -> bool + Send + Sync>,
     ) -> Self {
@@ -62,6 +64,7 @@
             bound,
             proxied,
             recorder,
+            notices,
             control_client,
             is_undisturbed,
             runs: 0,
@@ -85,7 +88,12 @@
             state: Mutex::default(),
         });
         let listener = bind(self.bound).await?;
-        let (recorder, is_undisturbed) = (self.recorder.clone(), Arc::clone(&self.is_undisturbed));
+        let observers = Arc::new(Observers {
+            upstream: self.number,
+            recorder: self.recorder.clone(),
+            notices: self.notices.clone(),
+            is_undisturbed: Arc::clone(&self.is_undisturbed),
+        });
         let served_run = Arc::clone(&run);
         let serving = tokio::spawn(async move {
             // Dropping the set closes all connections, as a crash does.
@@ -94,18 +102,10 @@
                 let Ok((stream, _)) = listener.accept().await else {
                     continue;
                 };
-                let (run, recorder, is_undisturbed) = (
-                    Arc::clone(&served_run),
-                    recorder.clone(),
-                    Arc::clone(&is_undisturbed),
-                );
+                let (run, observers) = (Arc::clone(&served_run), Arc::clone(&observers));
                 let service = service_fn(move |req| {
-                    let (run, recorder, is_undisturbed) = (
-                        Arc::clone(&run),
-                        recorder.clone(),
-                        Arc::clone(&is_undisturbed),
-                    );
-                    async move { respond(req, &run, &recorder, &*is_undisturbed).await }
+                    let (run, observers) = (Arc::clone(&run), Arc::clone(&observers));
+                    async move { respond(req, &run, &observers).await }
                 });
                 connections.spawn(async move {
                     // Broken connections are checked at the client.
@@ -134,6 +134,13 @@
         }
     }
 
+    /// Sets whether the run refuses requests, and the pause that it asks for with each refusal.
+    pub fn set_refusing(&self, backoff: Option<Duration>) {
+        if let Some((run, _)) = &self.current {
+            run.state().refusing = backoff;
+        }
+    }
+
     /// Announces the drain, keeps serving for a while, then leaves and ends the run.
     pub async fn drain(&mut self) {
         let Some((run, _)) = &self.current else {
--- a/soak/src/upstream/response.rs
+++ b/soak/src/upstream/response.rs
@@ -1,12 +1,13 @@
 //! Responses of a simulated upstream.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use coltsfootnotch_platform_peers::{
-    EXPECTED_UPSTREAM, LAST_EVENT, NOT_EXECUTED, REQUEST_ID, RESPONSE_STAMP,
+    EXPECTED_UPSTREAM, LAST_EVENT, LEAVING, NOT_EXECUTED, REQUEST_ID, RESPONSE_STAMP, RETRY_AFTER,
 };
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full};
@@ -16,10 +17,9 @@
 use tokio::time::sleep;
 
 use super::run::Run;
+use crate::notices::{DRAIN_BOUND, Notices};
 use crate::recorder::{Invariant, Recorder};
 
-/// Time from the acknowledgement of a drain until no new request may arrive; the platform's default bound.
-const DRAIN_BOUND: Duration = Duration::from_millis(2_000);
 /// Simulated processing time of a plain request and of each stream event.
 const PROCESSING_TIME: Duration = Duration::from_millis(15);
 /// Number of events in a stream.
@@ -57,12 +57,25 @@
         .boxed()
 }
 
+/// What records and checks the requests that reach an upstream.
+pub(super) struct Observers {
+    pub(super) upstream: usize,
+    pub(super) recorder: Recorder,
+    pub(super) notices: Notices,
+    pub(super) is_undisturbed: Arc<dyn Fn() -> bool + Send + Sync>,
+}
+
 pub(super) async fn respond(
     req: Request<Incoming>,
     run: &Run,
-    recorder: &Recorder,
-    is_undisturbed: &(dyn Fn() -> bool + Send + Sync),
+    observers: &Observers,
 ) -> Result<Response<Body>, Aborted> {
+    let Observers {
+        upstream,
+        recorder,
+        notices,
+        is_undisturbed,
+    } = observers;
     let id = header(&req, REQUEST_ID).unwrap_or("-").to_owned();
     if header(&req, EXPECTED_UPSTREAM) != Some(&run.id) {
         let headers = [(NOT_EXECUTED, "1"), (RESPONSE_STAMP, "s")];
@@ -84,13 +97,28 @@
         );
         recorder.report(Invariant::NoWorkAfterDrain, what);
     }
+    notices.check_arrival(recorder.now(), &id, &run.id, *upstream);
+    let mark = format!("s.{id}.{}", run.id);
+    let mut headers = vec![(RESPONSE_STAMP, mark.as_str())];
+    if state.draining {
+        headers.push((LEAVING, "1"));
+    }
+    if let Some(backoff) = state.refusing {
+        notices.record_refusal(recorder.now(), &id, &run.id, backoff);
+        let seconds = backoff.as_secs_f64().to_string();
+        headers.extend([(NOT_EXECUTED, "1"), (RETRY_AFTER, seconds.as_str())]);
+        return Ok(response(
+            StatusCode::SERVICE_UNAVAILABLE,
+            &id,
+            &headers,
+            full_body(String::new()),
+        ));
+    }
     recorder.record_run(&id, &run.id);
     let last_event = header(&req, LAST_EVENT).and_then(|n| n.parse::<u64>().ok());
     let is_stream = req.uri().path().starts_with("/stream/");
     // Only the completeness of the body matters.
     let _body = req.into_body().collect().await.map_err(|_| Aborted)?;
-    let mark = format!("s.{id}");
-    let headers = [(RESPONSE_STAMP, mark.as_str())];
     if state.drops_answers && !is_stream {
         sleep(PROCESSING_TIME).await;
         return Err(Aborted);
--- a/soak/src/upstream/run.rs
+++ b/soak/src/upstream/run.rs
@@ -26,6 +26,8 @@
     /// Time at which its drain was acknowledged.
     pub(super) drained_at: Option<Duration>,
     pub(super) drops_answers: bool,
+    /// The pause that it asks for while it refuses all requests.
+    pub(super) refusing: Option<Duration>,
 }
 
 impl Run {
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use coltsfootnotch_soak::disturbances::Disturbances;
+use coltsfootnotch_soak::notices::Notices;
 use coltsfootnotch_soak::recorder::{Invariant, Recorder, RequestOutcome};
 use googletest::prelude::*;
 
@@ -69,3 +71,77 @@
     recorder.record_outcome("later", Duration::from_secs(10), RequestOutcome::Refused);
     expect_that!(recorder.recovery(), eq((0.5, 2)));
 }
+
+const RUN: &str = "u1-1";
+const UPSTREAM: usize = 1;
+
+fn s(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+/// Sends a request through a router and has it reach the upstream at once.
+fn arrive(notices: &Notices, now: Duration, id: &str, router: usize) {
+    notices.record_sent(now, id, router);
+    notices.check_arrival(now, id, RUN, UPSTREAM);
+}
+
+#[googletest::test]
+fn a_third_request_in_a_requested_pause_is_reported() {
+    let (recorder, disturbances) = (Recorder::new(), Disturbances::new(2));
+    let notices = Notices::new(recorder.clone(), disturbances.clone());
+    arrive(&notices, s(1.0), "a", 0);
+    notices.record_refusal(s(1.0), "a", RUN, s(3.0));
+    for n in 0..9 {
+        arrive(&notices, s(1.4), &format!("in-transit-{n}"), 0);
+        arrive(&notices, s(2.0), &format!("other-router-{n}"), 1);
+        arrive(&notices, s(4.0), &format!("after-{n}"), 0);
+    }
+    arrive(&notices, s(1.6), "b", 0);
+    arrive(&notices, s(2.6), "c", 0);
+    expect_that!(violated(&recorder), is_empty());
+    arrive(&notices, s(3.9), "d", 0);
+    expect_that!(
+        violated(&recorder),
+        elements_are![eq(&Invariant::NoWorkDuringPause)]
+    );
+}
+
+#[googletest::test]
+fn a_restart_or_a_cut_excuses_requests_in_a_requested_pause() {
+    let (recorder, disturbances) = (Recorder::new(), Disturbances::new(2));
+    let notices = Notices::new(recorder.clone(), disturbances.clone());
+    for router in [0, 1] {
+        let id = format!("a{router}");
+        arrive(&notices, s(5.0), &id, router);
+        notices.record_refusal(s(5.0), &id, RUN, s(3.0));
+    }
+    disturbances.extend_interruption(0, s(5.5));
+    for n in 0..9 {
+        arrive(&notices, s(6.0), &format!("restarted-{n}"), 0);
+    }
+    disturbances.extend_upstream_link(UPSTREAM, s(5.5));
+    for n in 0..9 {
+        arrive(&notices, s(6.0), &format!("cut-{n}"), 1);
+    }
+    expect_that!(violated(&recorder), is_empty());
+}
+
+#[googletest::test]
+fn a_request_after_a_statement_of_leaving_is_reported() {
+    let (recorder, disturbances) = (Recorder::new(), Disturbances::new(2));
+    let notices = Notices::new(recorder.clone(), disturbances.clone());
+    for router in [0, 1] {
+        let id = format!("a{router}");
+        arrive(&notices, s(1.0), &id, router);
+        notices.record_leaving(s(1.0), &id, RUN);
+    }
+    disturbances.extend_interruption(1, s(2.0));
+    arrive(&notices, s(2.9), "early", 0);
+    arrive(&notices, s(3.1), "restarted", 1);
+    expect_that!(violated(&recorder), is_empty());
+    arrive(&notices, s(3.1), "late", 0);
+    expect_that!(
+        violated(&recorder),
+        elements_are![eq(&Invariant::NoWorkAfterDrain)]
+    );
+}
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -23,10 +23,10 @@
 
 /// Runs a seed with few clients and returns the findings.
 fn run_seed(seed: u64) -> Vec<Finding> {
-    run_with(seed, false)
+    run_with(seed, false, false)
 }
 
-fn run_with(seed: u64, replaces_hosts: bool) -> Vec<Finding> {
+fn run_with(seed: u64, replaces_hosts: bool, has_refusals: bool) -> Vec<Finding> {
     let folder = tempfile::tempdir().unwrap();
     let soak = Soak {
         seed,
@@ -38,6 +38,7 @@
         },
         clients: 2,
         replaces_hosts,
+        has_refusals,
         binary: binary(),
         block: 250 - (seed % 100) as u8,
         folder: folder.path().to_owned(),
@@ -70,7 +71,7 @@
 /// discover each other, when control hosts are replaced at new addresses under other faults.
 #[googletest::test]
 fn seed_1001_control_hosts_are_replaced() {
-    expect_that!(run_with(1001, true), is_empty());
+    expect_that!(run_with(1001, true, false), is_empty());
 }
 
 /// Guards against blaming a popular request for crashes: upstreams crashed three times within a minute, and
@@ -79,3 +80,10 @@
 fn seed_111_a_popular_request_is_not_identified_as_the_cause() {
     expect_that!(run_seed(111), is_empty());
 }
+
+/// Guards against requests to upstreams that refuse them and ask for pauses, or state in their responses that they
+/// leave, under other faults.
+#[googletest::test]
+fn seed_39_upstreams_refuse_requests_and_ask_for_pauses() {
+    expect_that!(run_with(39, false, true), is_empty());
+}
