Start no requests at an upstream beside a sidecar in a pause it asked for

The sidecar counts no usable slots of the upstream until the end of the pause; every start is decided there, so requests that were pulled before are covered. Announcements and shorter pauses don't end it.

--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -17,7 +17,7 @@
 use crate::completion;
 use crate::engine_config::{EngineConfig, EngineStats};
 use crate::engine_orders;
-use crate::http::{DropConnection, Reply, Req, empty, error};
+use crate::http::{DropConnection, Reply, Req, empty, error, refusal};
 use crate::latency::Latency;
 use crate::prefix_cache::PrefixCache;
 use crate::server::{Crasher, Server};
@@ -37,6 +37,8 @@
     pub(crate) runs: HashMap<u64, u32>,
     slowdown: f64,
     leaving: bool,
+    /// The pause that it asks for while it refuses all requests.
+    refusing: Option<Duration>,
     unnamed_attempts: u64,
     load_samples: VecDeque<(Instant, Occupancy)>,
     rng: StdRng,
@@ -62,6 +64,7 @@
             runs: HashMap::new(),
             slowdown: 1.0,
             leaving: false,
+            refusing: None,
             unnamed_attempts: 0,
             load_samples: VecDeque::new(),
             rng: StdRng::seed_from_u64(cfg.seed),
@@ -85,6 +88,14 @@
         format!("unnamed-{}", state.unnamed_attempts)
     }
 
+    /// The refusal of a request, while the engine refuses all.
+    fn refusal(&self) -> Option<Reply> {
+        let mut state = self.lock();
+        let pause = state.refusing?;
+        state.stats.refused += 1;
+        Some(refusal(pause))
+    }
+
     pub(crate) fn latency(&self) -> Latency {
         let slowdown = self.lock().slowdown;
         Latency {
@@ -248,6 +259,11 @@
         self.engine.lock().leaving = leaving;
     }
 
+    /// Sets whether the engine refuses all requests, and the pause that it asks for with each refusal.
+    pub fn set_refusing(&self, pause: Option<Duration>) {
+        self.engine.lock().refusing = pause;
+    }
+
     /// Crashes the engine: connections drop, state is lost, and the port is closed for `down`.
     pub fn crash(&self, down: Duration) {
         self.engine.crash(&self.server.crasher(), down);
@@ -266,6 +282,9 @@
     let path = req.uri().path().to_owned();
     match (req.method(), path.as_str()) {
         (&Method::POST, "/v1/chat/completions") => {
+            if let Some(refusal) = engine.refusal() {
+                return Ok(refusal);
+            }
             completion::handle_completion(engine, crasher, req).await
         }
         (&Method::POST, "/v1/orders") => Ok(engine_orders::handle_order(&engine, req).await),
--- a/crates/fakes/src/engine_config.rs
+++ b/crates/fakes/src/engine_config.rs
@@ -108,6 +108,8 @@
     pub cache_hits: u64,
     /// Tokens produced.
     pub tokens: u64,
+    /// Refused requests.
+    pub refused: u64,
     /// Crashes.
     pub crashes: u64,
     /// Orders applied.
--- a/crates/fakes/src/http.rs
+++ b/crates/fakes/src/http.rs
@@ -2,12 +2,13 @@
 
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http_body_util::{BodyExt, Either, Full, Limited};
 use hyper::body::{Body, Frame, Incoming};
-use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use serde::Serialize;
 use tokio::sync::mpsc;
@@ -80,6 +81,18 @@
     json(status, &ErrorBody { error })
 }
 
+/// A response that refuses a request and asks for none for `pause`.
+pub(crate) fn refusal(pause: Duration) -> Reply {
+    let mut reply = error(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "the engine takes no requests now",
+    );
+    if let Ok(seconds) = HeaderValue::from_str(&pause.as_secs_f64().to_string()) {
+        reply.headers_mut().insert(RETRY_AFTER, seconds);
+    }
+    reply
+}
+
 /// A response that streams the events sent into the returned channel.
 pub(crate) fn events() -> (mpsc::Sender<Bytes>, Reply) {
     let (tx, rx) = mpsc::channel(STREAM_BUFFER);
--- a/crates/router/src/sidecar/attempts.rs
+++ b/crates/router/src/sidecar/attempts.rs
@@ -114,6 +114,18 @@
         }
     }
 
+    /// Records that an upstream wants no requests for `time`. Returns whether it took requests until now,
+    /// and does not any more.
+    pub fn on_backoff_requested(
+        &mut self,
+        now: Duration,
+        upstream: &UpstreamName,
+        time: Duration,
+    ) -> bool {
+        let slots = self.upstreams.get_mut(upstream);
+        slots.is_some_and(|slots| slots.request_backoff(now, time))
+    }
+
     /// Records the crash of an upstream that ran `suspects`, and reports it to all entries.
     pub fn on_upstream_crash(
         &mut self,
--- a/crates/router/src/sidecar/upstreams.rs
+++ b/crates/router/src/sidecar/upstreams.rs
@@ -42,6 +42,8 @@
     pub live_until: Duration,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// End of the time for which it asked for no requests.
+    backoff_until: Duration,
     /// Distinguishes its slots from earlier ones under the same name.
     pub generation: u64,
 }
@@ -58,19 +60,29 @@
             reserved: 0,
             live_until: update.live_until,
             leaving: update.leaving,
+            backoff_until: Duration::ZERO,
         }
     }
 
-    /// Usable slots, free or not; zero while it is leaving or its announcement has expired.
+    /// Usable slots, free or not; zero while it is leaving, wants no requests, or its announcement has
+    /// expired.
     #[must_use]
     pub fn usable(&self, now: Duration) -> u32 {
-        if self.leaving || self.live_until <= now {
+        if self.leaving || now < self.backoff_until || self.live_until <= now {
             return 0;
         }
         let share = self.health.share(now) * self.version.share(now);
         usable_slots(self.window.limit(), share)
     }
 
+    /// Records that it wants no requests for `time`. Returns whether it took requests until now, and does
+    /// not any more.
+    pub fn request_backoff(&mut self, now: Duration, time: Duration) -> bool {
+        let accepted = self.backoff_until <= now;
+        self.backoff_until = self.backoff_until.max(now.saturating_add(time));
+        accepted && now < self.backoff_until
+    }
+
     /// Starts the gradual rollout of another version that the upstream serves from now on, so that
     /// a bad version fails few requests before it is noticed.
     pub fn on_version_change(&mut self, now: Duration) {
--- a/src/coltsfootnotch/daemon/sidecar/actor.rs
+++ b/src/coltsfootnotch/daemon/sidecar/actor.rs
@@ -47,6 +47,10 @@
     FirstChunk {
         attempt: AttemptId,
     },
+    BackoffRequested {
+        attempt: AttemptId,
+        time: Duration,
+    },
     Progress {
         attempt: AttemptId,
         tokens: u64,
@@ -181,6 +185,9 @@
             }
             SidecarMsg::Announcement(announcement) => self.on_announcement(&announcement),
             SidecarMsg::FirstChunk { attempt } => self.on_first_chunk(attempt),
+            SidecarMsg::BackoffRequested { attempt, time } => {
+                self.on_backoff_requested(attempt, time);
+            }
             SidecarMsg::Progress {
                 attempt,
                 tokens,
--- a/src/coltsfootnotch/daemon/sidecar/attempts.rs
+++ b/src/coltsfootnotch/daemon/sidecar/attempts.rs
@@ -147,6 +147,23 @@
         self.core.on_first_chunk(self.cx.now(), attempt);
     }
 
+    /// Handles a refusal with which an upstream asks for no requests for a time.
+    pub(super) fn on_backoff_requested(&mut self, attempt: AttemptId, time: Duration) {
+        let Some(upstream) = self.core.upstream_of(attempt).cloned() else {
+            return;
+        };
+        if self
+            .core
+            .on_backoff_requested(self.cx.now(), &upstream, time)
+        {
+            let time_ms = time.as_millis();
+            self.cx.log(
+                &events::UPSTREAM_BACKOFF_REQUESTED,
+                &[("upstream", &upstream), ("retry_after_ms", &time_ms)],
+            );
+        }
+    }
+
     /// Handles the end of the upstream call of an attempt, which frees its slot.
     pub(super) fn on_attempt_finished(
         &mut self,
--- a/src/coltsfootnotch/daemon/sidecar/runner.rs
+++ b/src/coltsfootnotch/daemon/sidecar/runner.rs
@@ -134,6 +134,12 @@
                 })
                 .await;
             }
+            Some(ResponsePart::BackoffRequested(time)) => {
+                self.tx.send(SidecarMsg::BackoffRequested {
+                    attempt: self.attempt,
+                    time,
+                });
+            }
             Some(ResponsePart::Head {
                 status,
                 content_type,
--- a/src/coltsfootnotch/daemon/sidecar/upstream_call.rs
+++ b/src/coltsfootnotch/daemon/sidecar/upstream_call.rs
@@ -10,7 +10,8 @@
 use serde::Deserialize;
 use tokio::sync::mpsc;
 use ureq::Agent;
-use ureq::http::{Request, Response};
+use ureq::http::header::RETRY_AFTER;
+use ureq::http::{Request, Response, StatusCode};
 
 use super::sse::{EventKind, SseSplitter, TokenUsage};
 
@@ -30,6 +31,8 @@
     NotReached,
     /// Status and content type of the response.
     Head { status: u16, content_type: String },
+    /// The upstream refuses the request and wants no more for a time. Sent before the head.
+    BackoffRequested(Duration),
     /// A chunk of the body, and the number of tokens in it.
     Chunk { data: Vec<u8>, tokens: u64 },
     /// Token counts that the upstream reports.
@@ -172,6 +175,9 @@
     }
 
     fn send_head(&self, response: &Response<ureq::Body>) -> Result<(), ResponsePart> {
+        if let Some(time) = requested_backoff(response) {
+            self.send(ResponsePart::BackoffRequested(time))?;
+        }
         let content_type = response.headers().get("content-type");
         let content_type = content_type
             .and_then(|value| value.to_str().ok())
@@ -278,6 +284,16 @@
     let _response = agent.delete(uri).call();
 }
 
+/// How long the upstream wants no requests, if it refuses this one for that reason. `Retry-After` is given
+/// in seconds; a date is not read.
+fn requested_backoff(response: &Response<ureq::Body>) -> Option<Duration> {
+    if response.status() != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let seconds = response.headers().get(RETRY_AFTER)?.to_str().ok()?;
+    Duration::try_from_secs_f64(seconds.trim().parse().ok()?).ok()
+}
+
 fn is_event_stream(response: &Response<ureq::Body>) -> bool {
     let content_type = response.headers().get("content-type");
     let content_type = content_type.and_then(|value| value.to_str().ok());
--- a/tests/testsuite/processes.rs
+++ b/tests/testsuite/processes.rs
@@ -1,6 +1,7 @@
 //! Tests of whole fleets of `coltsfootnotchd` processes, which run from settings files, connect
 //! over the loopback interface and are stopped by signals.
 
+mod backoff;
 mod caller;
 mod configuration_log;
 mod control_loss;
