Relay nothing for a caller that has disconnected

Cause: a relay saw the end of a connection only after it had read all bytes ahead of it. On a crowded entry, which reads late and a part of a body at a time, the neighbour had the whole request long before the end came, and sent it. A relay now stops as soon as the caller has closed its side, whatever is still unread; a server without half-closed connections treats such a caller as gone as well.

--- a/src/coltsfootnotch/daemon/forward/handover/relay.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -50,11 +50,18 @@
     let mut close_requested = false;
     loop {
         tokio::select! {
-            len = caller.read(&mut request[HEADER_BYTES..]) => {
-                let len = len?;
-                if len == 0 {
+            ready = caller.ready(Interest::READABLE) => {
+                // Seen before the bytes ahead of it are read: a neighbour would run the request
+                // that they are part of for nobody.
+                if ready?.is_read_closed() {
                     return Ok(());
                 }
+                let len = match caller.try_read(&mut request[HEADER_BYTES..]) {
+                    Ok(0) => return Ok(()),
+                    Ok(len) => len,
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => continue,
+                    Err(e) => return Err(e),
+                };
                 request[..HEADER_BYTES].copy_from_slice(&Header::Data(len).encode());
                 neighbour.write_all(&request[..HEADER_BYTES + len]).await?;
             }
--- a/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
@@ -170,3 +170,26 @@
     };
     expect_that!(timeout(WAIT, is_cancelled).await, ok(anything()));
 }
+
+/// Guards against requests that are run for callers who have left. On a crowded entry a caller disconnects before its
+/// request is read; relayed in several reads, it reached the neighbour long before the end of the connection did.
+#[gtest]
+#[tokio::test]
+async fn nothing_is_relayed_for_a_caller_that_has_disconnected() {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let entry = TcpListener::bind(any).await.unwrap();
+    let neighbour = TcpListener::bind(any).await.unwrap();
+    let mut caller = TcpStream::connect(entry.local_addr().unwrap())
+        .await
+        .unwrap();
+    send(&mut caller, "/now", 30_000).await;
+    drop(caller);
+    let (caller, _) = entry.accept().await.unwrap();
+    let stream = connect(neighbour.local_addr().unwrap()).await.unwrap();
+    let relaying = relay(caller, stream, std::future::pending());
+    let (mut received, _) = neighbour.accept().await.unwrap();
+    let mut bytes = Vec::new();
+    let (relayed, read) = tokio::join!(relaying, received.read_to_end(&mut bytes));
+    expect_that!(relayed, ok(anything()));
+    expect_that!(read, ok(eq(&0)));
+}
