End the hand-over of connections when an entry stops

Cause: its entry had been told to stop a second before it got the request, and still handed connections over.

An entry that stops hands no more connections over, and asks the neighbours at once to close those it relays after the response in progress. Callers that come back to it are served, or refused, by itself.

--- a/src/coltsfootnotch/daemon/forward/actor/shutdown.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/shutdown.rs
@@ -28,6 +28,7 @@
             listening: true,
         });
         self.ready.store(false, Ordering::Relaxed);
+        self.handover.end();
     }
 
     pub(super) fn continue_shutdown(&mut self, cx: CX![], now: Duration) {
--- a/src/coltsfootnotch/daemon/forward/handover/targets.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/targets.rs
@@ -4,6 +4,8 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Mutex, PoisonError};
 
+use tokio::sync::watch;
+
 const MILLION: f64 = 1e6;
 
 /// Neighbours and share, which the actor sets and the task that accepts connections reads.
@@ -12,6 +14,8 @@
     /// Share of new connections that is handed over, in millionths.
     share: AtomicU32,
     neighbours: Mutex<Vec<SocketAddr>>,
+    /// Whether the entry stops.
+    ended: watch::Sender<bool>,
 }
 
 impl HandoverTargets {
@@ -21,6 +25,21 @@
         self.share.store(millionths, Ordering::Relaxed);
     }
 
+    /// Ends the hand-over since the entry stops. It refuses what it can't complete in time, which its
+    /// neighbours can't judge: they don't know when it exits.
+    pub(in crate::daemon::forward) fn end(&self) {
+        self.ended.send_replace(true);
+    }
+
+    /// Completes when the hand-over ends.
+    pub(in crate::daemon::forward) async fn ended(&self) {
+        let mut ended = self.ended.subscribe();
+        if ended.wait_for(|ended| *ended).await.is_err() {
+            // The sender is dropped with the entry, without a stop.
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Sets the neighbours that take connections over.
     pub(in crate::daemon::forward) fn set_neighbours(&self, addresses: Vec<SocketAddr>) {
         *self.lock() = addresses;
@@ -34,7 +53,10 @@
     /// Whether to hand a connection over, given a random number from 0 to 1.
     pub(in crate::daemon::forward) fn should_hand_over(&self, random: f64) -> bool {
         let share = self.share.load(Ordering::Relaxed);
-        share > 0 && random * MILLION < f64::from(share) && self.has_neighbours()
+        share > 0
+            && !*self.ended.borrow()
+            && random * MILLION < f64::from(share)
+            && self.has_neighbours()
     }
 
     /// A neighbour chosen by a random number from 0 to 1.
@@ -50,3 +72,7 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+#[cfg(test)]
+#[path = "targets_tests.rs"]
+mod tests;
--- a/src/coltsfootnotch/daemon/forward/listener.rs
+++ b/src/coltsfootnotch/daemon/forward/listener.rs
@@ -57,7 +57,7 @@
             .increment(1);
         // A broken connection is the peer's; the caller sees its own connection close. Boxed, since its
         // buffers would otherwise be part of the task of each connection that is served here.
-        let _outcome = Box::pin(relay(stream, neighbour, open.closing())).await;
+        let _outcome = Box::pin(relay(stream, neighbour, gw.handover.ended())).await;
         return;
     }
     let handler = move |req, peer| Arc::clone(&gw).handle(req, peer);
