Have the soak count only refusals that can reach their router

Trace: the path to the upstream was blocked from the moment it started.

A refusal of a request that was sent before the path's last disturbance ended is not counted; a later one is. The new check shows both.

--- a/soak/src/notices.rs
+++ b/soak/src/notices.rs
@@ -62,12 +62,25 @@
         self.observed().sent.insert(id.to_owned(), (router, now));
     }
 
-    /// Records that a run of an upstream refuses a request at `now` and asks for no more for `time`.
-    pub fn record_refusal(&self, now: Duration, id: &str, run: &str, time: Duration) {
+    /// Records that a run of the upstream with the given number refuses a request at `now` and asks for no more
+    /// for `time`.
+    pub fn record_refusal(
+        &self,
+        now: Duration,
+        id: &str,
+        run: &str,
+        upstream: usize,
+        time: Duration,
+    ) {
         let mut observed = self.observed();
-        let Some((router, _)) = observed.sent.get(id).copied() else {
+        let Some((router, sent_at)) = observed.sent.get(id).copied() else {
             return;
         };
+        // A blocked path delivers what it held up once it is open again. The router may have given up on the
+        // request and closed its connection, so that it never receives the refusal.
+        if self.disturbances.was_cut_off(upstream, sent_at) {
+            return;
+        }
         let new = Pause {
             asked_at: now,
             end: now,
--- a/soak/src/upstream/response.rs
+++ b/soak/src/upstream/response.rs
@@ -104,7 +104,7 @@
         headers.push((LEAVING, "1"));
     }
     if let Some(backoff) = state.refusing {
-        notices.record_refusal(recorder.now(), &id, &run.id, backoff);
+        notices.record_refusal(recorder.now(), &id, &run.id, *upstream, backoff);
         let seconds = backoff.as_secs_f64().to_string();
         headers.extend([(NOT_EXECUTED, "1"), (RETRY_AFTER, seconds.as_str())]);
         return Ok(response(
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -90,7 +90,7 @@
     let (recorder, disturbances) = (Recorder::new(), Disturbances::new(2));
     let notices = Notices::new(recorder.clone(), disturbances.clone());
     arrive(&notices, s(1.0), "a", 0);
-    notices.record_refusal(s(1.0), "a", RUN, s(3.0));
+    notices.record_refusal(s(1.0), "a", RUN, UPSTREAM, s(3.0));
     for n in 0..9 {
         arrive(&notices, s(1.4), &format!("in-transit-{n}"), 0);
         arrive(&notices, s(2.0), &format!("other-router-{n}"), 1);
@@ -113,7 +113,7 @@
     for router in [0, 1] {
         let id = format!("a{router}");
         arrive(&notices, s(5.0), &id, router);
-        notices.record_refusal(s(5.0), &id, RUN, s(3.0));
+        notices.record_refusal(s(5.0), &id, RUN, UPSTREAM, s(3.0));
     }
     disturbances.extend_interruption(0, s(5.5));
     for n in 0..9 {
@@ -126,6 +126,30 @@
     expect_that!(violated(&recorder), is_empty());
 }
 
+/// Guards against blaming a router for requests to an upstream whose refusal it never received: a blocked path held
+/// up a request until the router had given up on it, and delivered it afterwards.
+#[googletest::test]
+fn a_refusal_of_a_request_that_was_held_up_binds_no_router() {
+    let (recorder, disturbances) = (Recorder::new(), Disturbances::new(1));
+    let notices = Notices::new(recorder.clone(), disturbances.clone());
+    notices.record_sent(s(1.0), "held-up", 0);
+    disturbances.extend_upstream_link(UPSTREAM, s(2.0));
+    notices.check_arrival(s(2.1), "held-up", RUN, UPSTREAM);
+    notices.record_refusal(s(2.1), "held-up", RUN, UPSTREAM, s(3.0));
+    for n in 0..9 {
+        arrive(&notices, s(3.0), &format!("unaware-{n}"), 0);
+    }
+    expect_that!(violated(&recorder), is_empty());
+    notices.record_refusal(s(3.0), "unaware-0", RUN, UPSTREAM, s(3.0));
+    for n in 0..3 {
+        arrive(&notices, s(4.0), &format!("asked-{n}"), 0);
+    }
+    expect_that!(
+        violated(&recorder),
+        elements_are![eq(&Invariant::NoWorkDuringPause)]
+    );
+}
+
 #[googletest::test]
 fn a_request_after_a_statement_of_leaving_is_reported() {
     let (recorder, disturbances) = (Recorder::new(), Disturbances::new(2));
