Answer callers whose neighbour is gone before it has begun to respond

A caller that sees its connection closed by a host that runs can't tell what became of its request.

The relay now answers 502, which promises nothing, if the neighbour closed or broke its connection after bytes of the caller and before any of a response. A response that has begun ends as it did.

a_caller_whose_neighbour_is_gone_gets_a_failure failed before and passes.

--- a/src/coltsfootnotch/daemon/forward/handover/relay.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay.rs
@@ -33,17 +33,44 @@
     Ok(stream)
 }
 
+/// The response to a caller whose neighbour is gone before it has begun to respond.
+const LOST_RESPONSE: &[u8] = b"HTTP/1.1 502 Bad Gateway\r\nconnection: close\r\n\
+    content-type: text/plain; charset=utf-8\r\ncontent-length: 50\r\n\r\n\
+    the serving host is gone; the request may have run";
+
+/// Which end closed its connection or broke it.
+enum End {
+    Caller,
+    Neighbour,
+}
+
 /// Relays between a caller and the neighbour that serves it, until one of them closes its connection;
 /// both are closed then. Once `closing` completes, asks the neighbour to close the connection after the
-/// response in progress.
+/// response in progress. A caller whose neighbour is gone before it has begun to respond gets a failure.
 ///
 /// # Errors
-/// Returns an error when a connection breaks.
+/// Returns an error when that failure can't be sent.
 pub(in crate::daemon::forward) async fn relay(
     mut caller: TcpStream,
     mut neighbour: TcpStream,
     closing: impl Future<Output = ()>,
 ) -> io::Result<()> {
+    let mut awaits_response = false;
+    let end = relay_until_closed(&mut caller, &mut neighbour, closing, &mut awaits_response);
+    match end.await {
+        End::Neighbour if awaits_response => caller.write_all(LOST_RESPONSE).await,
+        End::Neighbour | End::Caller => Ok(()),
+    }
+}
+
+/// Relays in both directions; returns which end is closed. `awaits_response` tells whether bytes of the
+/// caller were relayed since the last bytes of the neighbour.
+async fn relay_until_closed(
+    caller: &mut TcpStream,
+    neighbour: &mut TcpStream,
+    closing: impl Future<Output = ()>,
+    awaits_response: &mut bool,
+) -> End {
     let mut request = [0; HEADER_BYTES + REQUEST_BYTES];
     let mut response = [0; RESPONSE_BYTES];
     let mut closing = std::pin::pin!(closing);
@@ -53,28 +80,38 @@
             ready = caller.ready(Interest::READABLE) => {
                 // Seen before the bytes ahead of it are read: a neighbour would run the request
                 // that they are part of for nobody.
-                if ready?.is_read_closed() {
-                    return Ok(());
+                if ready.is_ok_and(|ready| ready.is_read_closed()) {
+                    return End::Caller;
                 }
                 let len = match caller.try_read(&mut request[HEADER_BYTES..]) {
-                    Ok(0) => return Ok(()),
+                    Ok(0) => return End::Caller,
                     Ok(len) => len,
                     Err(e) if e.kind() == io::ErrorKind::WouldBlock => continue,
-                    Err(e) => return Err(e),
+                    Err(_) => return End::Caller,
                 };
+                *awaits_response = true;
                 request[..HEADER_BYTES].copy_from_slice(&Header::Data(len).encode());
-                neighbour.write_all(&request[..HEADER_BYTES + len]).await?;
+                let sent = neighbour.write_all(&request[..HEADER_BYTES + len]);
+                if sent.await.is_err() {
+                    return End::Neighbour;
+                }
             }
             len = neighbour.read(&mut response) => {
-                let len = len?;
-                if len == 0 {
-                    return Ok(());
+                let len = match len {
+                    // Closed, or broken as by a process that is killed.
+                    Ok(0) | Err(_) => return End::Neighbour,
+                    Ok(len) => len,
+                };
+                *awaits_response = false;
+                if caller.write_all(&response[..len]).await.is_err() {
+                    return End::Caller;
                 }
-                caller.write_all(&response[..len]).await?;
             }
             () = closing.as_mut(), if !close_requested => {
                 close_requested = true;
-                neighbour.write_all(&Header::Close.encode()).await?;
+                if neighbour.write_all(&Header::Close.encode()).await.is_err() {
+                    return End::Neighbour;
+                }
             }
         }
     }
--- a/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
@@ -193,3 +193,44 @@
     expect_that!(relayed, ok(anything()));
     expect_that!(read, ok(eq(&0)));
 }
+
+/// Relays the request of a caller to a neighbour that writes `response` and is gone; returns what the caller reads.
+async fn read_with_lost_neighbour(response: &str) -> String {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = TcpListener::bind(any).await.unwrap();
+    let entry = TcpListener::bind(any).await.unwrap();
+    let mut caller = TcpStream::connect(entry.local_addr().unwrap())
+        .await
+        .unwrap();
+    let (accepted, _) = entry.accept().await.unwrap();
+    let stream = connect(listener.local_addr().unwrap()).await.unwrap();
+    let (mut neighbour, _) = listener.accept().await.unwrap();
+    tokio::spawn(relay(accepted, stream, std::future::pending()));
+    send(&mut caller, "/now", 10).await;
+    let mut bytes = [0; 256];
+    let read = neighbour.read(&mut bytes).await;
+    expect_that!(read, ok(not(eq(&0))));
+    neighbour.write_all(response.as_bytes()).await.unwrap();
+    drop(neighbour);
+    read_until(&mut caller, "to the end").await
+}
+
+/// Guards against callers who get neither a response nor a failure: the neighbour that serves them is killed, which
+/// they saw as a closed connection of an entry that runs.
+#[gtest]
+#[tokio::test]
+async fn a_caller_whose_neighbour_is_gone_gets_a_failure() {
+    let text = read_with_lost_neighbour("").await;
+    expect_that!(text, starts_with("HTTP/1.1 502 Bad Gateway"));
+    let (head, body) = text.split_once("\r\n\r\n").unwrap_or_default();
+    let length = format!("content-length: {}", body.len());
+    expect_that!(head, ends_with(length));
+}
+
+/// Guards against a failure in the middle of a response.
+#[gtest]
+#[tokio::test]
+async fn a_response_that_has_begun_is_not_followed_by_a_failure() {
+    let begun = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf";
+    expect_that!(read_with_lost_neighbour(begun).await, eq(begun));
+}
