Write no failure of a lost neighbour into a response that has begun

Callers of a connection that was handed over read "HTTP/1.1 502 Bad Gateway" as a part of the body of a 200, when the neighbour was gone and they still sent their body or their next request; with a body as long as what was missing the response looked complete. A caller that sent the rest of a request that had been answered early read the failure as the response to its next request.

Cause: the relay took a response for not begun if bytes of the caller had passed since the last ones of the neighbour. Who sent last doesn't tell where the response is. Where messages can't be told apart (a change of protocol, contradicting lengths, a response to half a head) it says nothing.

On the code before, a_caller_that_sends_after_a_response_has_begun_gets_no_ failure_in_it failed in each of eight cases (lengths, chunks, no length, half a head; bodies and next requests), and a_caller_that_sends_the_rest_of_an_ answered_request_gets_no_failure failed. Other raw writes to callers were looked for: there are none, all other responses are written by hyper.

--- /dev/null
+++ b/src/coltsfootnotch/daemon/forward/handover/exchanges.rs
@@ -0,0 +1,79 @@
+//! The requests and responses of a relayed connection.
+
+use std::collections::VecDeque;
+
+use super::framing::{RequestHead, ResponseHead, request_head, response_head};
+use super::message_position::MessagePosition;
+
+/// Follows the requests and responses of a connection as their bytes pass, to tell whether a response
+/// of its own may be written to the caller: a neighbour can be gone at any byte, and bytes written
+/// into a response that has begun are taken for a part of it.
+#[derive(Debug, Default)]
+pub(super) struct Exchanges {
+    request: MessagePosition,
+    response: MessagePosition,
+    /// Requests with a complete head and without a complete response, the oldest first.
+    unanswered: VecDeque<RequestHead>,
+}
+
+impl Exchanges {
+    /// Follows bytes of the caller.
+    pub(super) fn pass_request_bytes(&mut self, mut bytes: &[u8]) {
+        while !bytes.is_empty() {
+            if self.request.is_after_head() {
+                self.request.pass_body(&mut bytes);
+                continue;
+            }
+            if self.request == MessagePosition::Between {
+                // Servers skip empty lines between requests.
+                let is_line_end = |b: &u8| matches!(b, b'\r' | b'\n');
+                let start = bytes.iter().position(|b| !is_line_end(b));
+                bytes = &bytes[start.unwrap_or(bytes.len())..];
+                if bytes.is_empty() {
+                    return;
+                }
+            }
+            let framing = |head: RequestHead| head.framing;
+            let head = self.request.pass_head(&mut bytes, request_head, framing);
+            self.unanswered.extend(head);
+        }
+    }
+
+    /// Follows bytes of the neighbour.
+    pub(super) fn pass_response_bytes(&mut self, mut bytes: &[u8]) {
+        while !bytes.is_empty() {
+            if self.response.is_after_head() {
+                self.response.pass_body(&mut bytes);
+                if self.response == MessagePosition::Between {
+                    self.unanswered.pop_front();
+                }
+                continue;
+            }
+            let Some(request) = self.unanswered.front() else {
+                // A response to a request whose head is not complete: which of the bytes that
+                // follow belong to which request can't be told.
+                self.response = MessagePosition::Unknown;
+                return;
+            };
+            let to_head = request.is_head;
+            let parse = |bytes: &[u8]| response_head(bytes, to_head);
+            let framing = |head: ResponseHead| head.framing;
+            let head = self.response.pass_head(&mut bytes, parse, framing);
+            let is_final = head.is_some_and(|head| !head.is_informational);
+            if is_final && self.response == MessagePosition::Between {
+                self.unanswered.pop_front();
+            }
+        }
+    }
+
+    /// Whether a request waits for its response, and nothing of that response has passed.
+    pub(super) fn awaits_response(&self) -> bool {
+        let has_request =
+            !self.unanswered.is_empty() || matches!(self.request, MessagePosition::Head(_));
+        has_request && self.response == MessagePosition::Between
+    }
+}
+
+#[cfg(test)]
+#[path = "exchanges_tests.rs"]
+mod tests;
--- a/src/coltsfootnotch/daemon/forward/handover/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/mod.rs
@@ -9,8 +9,11 @@
 //! neighbour to close the connection after the response in progress. The other way they travel as they
 //! are.
 
+mod exchanges;
 mod frame;
+mod framing;
 mod handed_over;
+mod message_position;
 mod relay;
 mod targets;
 
--- a/src/coltsfootnotch/daemon/forward/handover/relay.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay.rs
@@ -8,6 +8,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use super::exchanges::Exchanges;
 use super::frame::{HEADER_BYTES, Header};
 
 /// Timeout of the connection to a neighbour, which takes a millisecond within a failure domain. The
@@ -39,6 +40,7 @@
     the serving host is gone; the request may have run";
 
 /// Which end closed its connection or broke it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum End {
     Caller,
     Neighbour,
@@ -49,27 +51,27 @@
 /// response in progress. A caller whose neighbour is gone before it has begun to respond gets a failure.
 ///
 /// # Errors
-/// Returns an error when that failure can't be sent.
+/// Returns an error when the connection to the caller is broken by then.
 pub(in crate::daemon::forward) async fn relay(
     mut caller: TcpStream,
     mut neighbour: TcpStream,
     closing: impl Future<Output = ()>,
 ) -> io::Result<()> {
-    let mut awaits_response = false;
-    let end = relay_until_closed(&mut caller, &mut neighbour, closing, &mut awaits_response);
-    match end.await {
-        End::Neighbour if awaits_response => caller.write_all(LOST_RESPONSE).await,
-        End::Neighbour | End::Caller => Ok(()),
+    let mut exchanges = Exchanges::default();
+    let end = relay_until_closed(&mut caller, &mut neighbour, closing, &mut exchanges).await;
+    if end != End::Caller && exchanges.awaits_response() {
+        return caller.write_all(LOST_RESPONSE).await;
     }
+    Ok(())
 }
 
-/// Relays in both directions; returns which end is closed. `awaits_response` tells whether bytes of the
-/// caller were relayed since the last bytes of the neighbour.
+/// Relays in both directions; returns which end is closed, with the bytes that have passed in
+/// `exchanges`.
 async fn relay_until_closed(
     caller: &mut TcpStream,
     neighbour: &mut TcpStream,
     closing: impl Future<Output = ()>,
-    awaits_response: &mut bool,
+    exchanges: &mut Exchanges,
 ) -> End {
     let mut request = [0; HEADER_BYTES + REQUEST_BYTES];
     let mut response = [0; RESPONSE_BYTES];
@@ -89,7 +91,7 @@
                     Err(e) if e.kind() == io::ErrorKind::WouldBlock => continue,
                     Err(_) => return End::Caller,
                 };
-                *awaits_response = true;
+                exchanges.pass_request_bytes(&request[HEADER_BYTES..HEADER_BYTES + len]);
                 request[..HEADER_BYTES].copy_from_slice(&Header::Data(len).encode());
                 let sent = neighbour.write_all(&request[..HEADER_BYTES + len]);
                 if sent.await.is_err() {
@@ -102,7 +104,7 @@
                     Ok(0) | Err(_) => return End::Neighbour,
                     Ok(len) => len,
                 };
-                *awaits_response = false;
+                exchanges.pass_response_bytes(&response[..len]);
                 if caller.write_all(&response[..len]).await.is_err() {
                     return End::Caller;
                 }
--- a/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
@@ -14,7 +14,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::super::handed_over::HandedOver;
-use super::{connect, relay};
+use super::{HEADER_BYTES, connect, relay};
 use crate::util::http_server::{AnyResponse, ServerLimits, full, read_body, serve_connection};
 
 const LIMITS: ServerLimits = ServerLimits {
@@ -194,33 +194,64 @@
     expect_that!(read, ok(eq(&0)));
 }
 
-/// Relays the request of a caller to a neighbour that writes `response` and is gone; returns what the caller reads.
-async fn read_with_lost_neighbour(response: &str) -> String {
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let listener = TcpListener::bind(any).await.unwrap();
-    let entry = TcpListener::bind(any).await.unwrap();
-    let mut caller = TcpStream::connect(entry.local_addr().unwrap())
-        .await
-        .unwrap();
-    let (accepted, _) = entry.accept().await.unwrap();
-    let stream = connect(listener.local_addr().unwrap()).await.unwrap();
-    let (mut neighbour, _) = listener.accept().await.unwrap();
-    tokio::spawn(relay(accepted, stream, std::future::pending()));
-    send(&mut caller, "/now", 10).await;
-    let mut bytes = [0; 256];
-    let read = neighbour.read(&mut bytes).await;
-    expect_that!(read, ok(not(eq(&0))));
-    neighbour.write_all(response.as_bytes()).await.unwrap();
-    drop(neighbour);
-    read_until(&mut caller, "to the end").await
+/// A relayed connection: the test is its caller and its neighbour.
+struct Relayed {
+    caller: TcpStream,
+    neighbour: TcpStream,
 }
 
+impl Relayed {
+    async fn start() -> Self {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let listener = TcpListener::bind(any).await.unwrap();
+        let entry = TcpListener::bind(any).await.unwrap();
+        let caller = TcpStream::connect(entry.local_addr().unwrap())
+            .await
+            .unwrap();
+        let (accepted, _) = entry.accept().await.unwrap();
+        let stream = connect(listener.local_addr().unwrap()).await.unwrap();
+        let (neighbour, _) = listener.accept().await.unwrap();
+        tokio::spawn(relay(accepted, stream, std::future::pending()));
+        Self { caller, neighbour }
+    }
+
+    /// Sends bytes of the caller; returns once the neighbour has them.
+    async fn request(&mut self, bytes: &str) {
+        self.caller.write_all(bytes.as_bytes()).await.unwrap();
+        let mut received = vec![0; HEADER_BYTES + bytes.len()];
+        let read = timeout(WAIT, self.neighbour.read_exact(&mut received)).await;
+        expect_that!(read, ok(ok(anything())));
+    }
+
+    /// Sends bytes of the neighbour; returns once the caller has them.
+    async fn respond(&mut self, bytes: &str) {
+        self.neighbour.write_all(bytes.as_bytes()).await.unwrap();
+        let mut received = vec![0; bytes.len()];
+        let read = timeout(WAIT, self.caller.read_exact(&mut received)).await;
+        expect_that!(read, ok(ok(anything())));
+        expect_that!(std::str::from_utf8(&received), ok(eq(bytes)));
+    }
+
+    /// What the caller reads once the neighbour is gone.
+    async fn lose_neighbour(mut self) -> String {
+        drop(self.neighbour);
+        read_until(&mut self.caller, "to the end").await
+    }
+}
+
+const REQUEST: &str = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+/// The head of a request whose body of 5,000 bytes follows.
+const UPLOAD: &str = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n";
+const RESPONSE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody";
+
 /// Guards against callers who get neither a response nor a failure: the neighbour that serves them is killed, which
 /// they saw as a closed connection of an entry that runs.
 #[gtest]
 #[tokio::test]
 async fn a_caller_whose_neighbour_is_gone_gets_a_failure() {
-    let text = read_with_lost_neighbour("").await;
+    let mut relayed = Relayed::start().await;
+    relayed.request(REQUEST).await;
+    let text = relayed.lose_neighbour().await;
     expect_that!(text, starts_with("HTTP/1.1 502 Bad Gateway"));
     let (head, body) = text.split_once("\r\n\r\n").unwrap_or_default();
     let length = format!("content-length: {}", body.len());
@@ -231,6 +262,93 @@
 #[gtest]
 #[tokio::test]
 async fn a_response_that_has_begun_is_not_followed_by_a_failure() {
-    let begun = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf";
-    expect_that!(read_with_lost_neighbour(begun).await, eq(begun));
+    let begun = [
+        "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+        "HTTP/1.1 200 OK\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\ncontent-le",
+        "H",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n",
+    ];
+    for begun in begun {
+        let mut relayed = Relayed::start().await;
+        relayed.request(REQUEST).await;
+        relayed.respond(begun).await;
+        expect_that!(relayed.lose_neighbour().await, eq(""), "{begun:?}");
+    }
+}
+
+/// Guards against a failure in the middle of a response to a caller that still sends its body or its next request: the
+/// caller took it for a part of the response, which could then look complete.
+#[gtest]
+#[tokio::test]
+async fn a_caller_that_sends_after_a_response_has_begun_gets_no_failure_in_it() {
+    let begun = [
+        "HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\nfirst",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nfirst\r\n",
+        "HTTP/1.1 200 OK\r\n\r\nfirst",
+        "HTTP/1.1 200 OK\r\n",
+    ];
+    for begun in begun {
+        for (request, rest) in [(UPLOAD, &"x".repeat(100)), (REQUEST, &REQUEST.to_owned())] {
+            let mut relayed = Relayed::start().await;
+            relayed.request(request).await;
+            relayed.respond(begun).await;
+            relayed.request(rest).await;
+            expect_that!(relayed.lose_neighbour().await, eq(""), "{begun:?}");
+        }
+    }
+}
+
+/// Guards against a failure that no request waits for: the caller took it for the response to its next request.
+#[gtest]
+#[tokio::test]
+async fn a_caller_that_sends_the_rest_of_an_answered_request_gets_no_failure() {
+    let mut relayed = Relayed::start().await;
+    relayed.request(UPLOAD).await;
+    relayed.respond(RESPONSE).await;
+    relayed.request(&"x".repeat(100)).await;
+    expect_that!(relayed.lose_neighbour().await, eq(""));
+}
+
+/// Guards against callers of kept connections who get neither a response nor a failure.
+#[gtest]
+#[tokio::test]
+async fn a_caller_whose_neighbour_is_gone_between_responses_gets_a_failure() {
+    let answered = [
+        (REQUEST, RESPONSE),
+        (
+            "HEAD /a HTTP/1.1\r\nHost: a\r\n\r\n",
+            "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n",
+        ),
+        (REQUEST, "HTTP/1.1 204 No Content\r\n\r\n"),
+        (
+            REQUEST,
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        ),
+    ];
+    for (request, response) in answered {
+        let mut relayed = Relayed::start().await;
+        relayed.request(request).await;
+        relayed.respond(response).await;
+        relayed.request(UPLOAD).await;
+        let text = relayed.lose_neighbour().await;
+        expect_that!(
+            text,
+            starts_with("HTTP/1.1 502 Bad Gateway"),
+            "{response:?}"
+        );
+    }
+}
+
+/// Guards against an informational response that is taken for the response itself.
+#[gtest]
+#[tokio::test]
+async fn a_caller_whose_neighbour_is_gone_after_an_informational_response_gets_a_failure() {
+    let mut relayed = Relayed::start().await;
+    relayed.request(UPLOAD).await;
+    relayed.respond("HTTP/1.1 100 Continue\r\n\r\n").await;
+    relayed.request(&"x".repeat(100)).await;
+    let text = relayed.lose_neighbour().await;
+    expect_that!(text, starts_with("HTTP/1.1 502 Bad Gateway"));
 }
