Deliver the response of a neighbour that reads no more

Callers of a connection that was handed over got a 502, or a response with a 502 after it, instead of the response that their neighbour had written: one that responds before it has read the body, as a 413 or an entry that closes after its response, and closes its connection.

Cause: the relay ended when it could not write to the neighbour, with the response unread in its socket. It now reads what the neighbour has sent up to the end of its connection.

--- a/src/coltsfootnotch/daemon/forward/handover/relay.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay.rs
@@ -77,9 +77,11 @@
     let mut response = [0; RESPONSE_BYTES];
     let mut closing = std::pin::pin!(closing);
     let mut close_requested = false;
+    // A neighbour that reads no more may have responded before.
+    let mut neighbour_reads = true;
     loop {
         tokio::select! {
-            ready = caller.ready(Interest::READABLE) => {
+            ready = caller.ready(Interest::READABLE), if neighbour_reads => {
                 // Seen before the bytes ahead of it are read: a neighbour would run the request
                 // that they are part of for nobody.
                 if ready.is_ok_and(|ready| ready.is_read_closed()) {
@@ -94,9 +96,7 @@
                 exchanges.pass_request_bytes(&request[HEADER_BYTES..HEADER_BYTES + len]);
                 request[..HEADER_BYTES].copy_from_slice(&Header::Data(len).encode());
                 let sent = neighbour.write_all(&request[..HEADER_BYTES + len]);
-                if sent.await.is_err() {
-                    return End::Neighbour;
-                }
+                neighbour_reads = sent.await.is_ok();
             }
             len = neighbour.read(&mut response) => {
                 let len = match len {
@@ -111,9 +111,8 @@
             }
             () = closing.as_mut(), if !close_requested => {
                 close_requested = true;
-                if neighbour.write_all(&Header::Close.encode()).await.is_err() {
-                    return End::Neighbour;
-                }
+                let sent = neighbour.write_all(&Header::Close.encode()).await;
+                neighbour_reads &= sent.is_ok();
             }
         }
     }
--- a/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
@@ -352,3 +352,23 @@
     let text = relayed.lose_neighbour().await;
     expect_that!(text, starts_with("HTTP/1.1 502 Bad Gateway"));
 }
+
+/// Guards against responses that are lost: a neighbour responds to a request before it has read the body, and closes.
+#[gtest]
+#[tokio::test]
+async fn a_response_of_a_neighbour_that_reads_no_more_is_delivered() {
+    let response =
+        "HTTP/1.1 413 Content Too Large\r\nconnection: close\r\ncontent-length: 4\r\n\r\nlong";
+    for _ in 0..20 {
+        let mut relayed = Relayed::start().await;
+        relayed.request(UPLOAD).await;
+        // Both are there when the relay runs again.
+        let body = [b'x'; 5_000];
+        let sent = relayed.neighbour.try_write(response.as_bytes());
+        expect_that!(sent, ok(eq(&response.len())));
+        expect_that!(relayed.caller.try_write(&body), ok(eq(&body.len())));
+        relayed.neighbour.set_zero_linger().unwrap();
+        let text = relayed.lose_neighbour().await;
+        expect_that!(text, eq(response));
+    }
+}
