Reset the connection of a caller whose response breaks before its end

A response without a length ends with its connection. When the connection of a neighbour broke in the middle of one, the relay closed the caller's in order, so that the caller took what it had for the whole response. Now such a caller's connection is reset.

a_response_without_a_length_that_breaks_is_not_closed_in_order failed on the code before (the caller read an orderly end) and passes.

--- a/src/coltsfootnotch/daemon/forward/handover/exchanges.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/exchanges.rs
@@ -72,6 +72,11 @@
             !self.unanswered.is_empty() || matches!(self.request, MessagePosition::Head(_));
         has_request && self.response == MessagePosition::Between
     }
+
+    /// Whether a response has begun that ends with the connection.
+    pub(super) fn response_ends_with_connection(&self) -> bool {
+        self.response == MessagePosition::UntilClose
+    }
 }
 
 #[cfg(test)]
--- a/src/coltsfootnotch/daemon/forward/handover/relay.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay.rs
@@ -43,7 +43,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum End {
     Caller,
-    Neighbour,
+    NeighbourClosed,
+    NeighbourBroken,
 }
 
 /// Relays between a caller and the neighbour that serves it, until one of them closes its connection;
@@ -62,6 +63,10 @@
     if end != End::Caller && exchanges.awaits_response() {
         return caller.write_all(LOST_RESPONSE).await;
     }
+    if end == End::NeighbourBroken && exchanges.response_ends_with_connection() {
+        // An orderly close would make the response look complete.
+        return caller.set_zero_linger();
+    }
     Ok(())
 }
 
@@ -100,8 +105,9 @@
             }
             len = neighbour.read(&mut response) => {
                 let len = match len {
-                    // Closed, or broken as by a process that is killed.
-                    Ok(0) | Err(_) => return End::Neighbour,
+                    Ok(0) => return End::NeighbourClosed,
+                    // Broken, as by a process that is killed.
+                    Err(_) => return End::NeighbourBroken,
                     Ok(len) => len,
                 };
                 exchanges.pass_response_bytes(&response[..len]);
--- a/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
@@ -353,6 +353,20 @@
     expect_that!(text, starts_with("HTTP/1.1 502 Bad Gateway"));
 }
 
+/// Guards against a response that ends early and looks complete, since it ends with its connection.
+#[gtest]
+#[tokio::test]
+async fn a_response_without_a_length_that_breaks_is_not_closed_in_order() {
+    let mut relayed = Relayed::start().await;
+    relayed.request(REQUEST).await;
+    relayed.respond("HTTP/1.1 200 OK\r\n\r\nfirst").await;
+    relayed.neighbour.set_zero_linger().unwrap();
+    drop(relayed.neighbour);
+    let mut bytes = Vec::new();
+    let read = timeout(WAIT, relayed.caller.read_to_end(&mut bytes)).await;
+    expect_that!(read, ok(err(anything())));
+}
+
 /// Guards against responses that are lost: a neighbour responds to a request before it has read the body, and closes.
 #[gtest]
 #[tokio::test]
