Log what accounts asked for and got over the whole fleet

Refusals name their account, but no line tells what each account got, and what an overloaded host refuses unread is in no line at all.

--- a/crates/forward/src/load/fleet_load.rs
+++ b/crates/forward/src/load/fleet_load.rs
@@ -119,6 +119,11 @@
 }
 
 impl Totals {
+    /// Demand and admitted service units of each account.
+    pub fn accounts(&self) -> impl Iterator<Item = &AccountDemand> {
+        self.accounts.values()
+    }
+
     fn add(&mut self, entry: &Entry) {
         for used in entry.period.upstreams.values() {
             add_counters(upstream_entry(&mut self.upstreams, &used.id), used);
--- a/src/coltsfootnotch/daemon/control/seeded/entries.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/entries.rs
@@ -7,7 +7,9 @@
 use coltsfootnotch_fabric::LinkId;
 use coltsfootnotch_forward::load::FleetLoad;
 use coltsfootnotch_types::{DomainName, HostName};
-use coltsfootnotch_wire::{EntryLoadReport, FromRelay};
+use coltsfootnotch_wire::{AccountDemand, EntryLoadReport, FromRelay};
+
+use super::account_usage::AccountUsage;
 
 /// Time after a query for which the entry counts as having this control host selected: two intervals of
 /// its queries.
@@ -93,6 +95,7 @@
     /// Entries that subscribe to the load of the others.
     subscribers: BTreeSet<LinkId>,
     pub(in crate::daemon::control) fleet: FleetLoad<LinkId>,
+    usage: AccountUsage,
     /// Increases when an entry starts or stops taking connections over.
     neighbours_version: u64,
     queued: Vec<LeaseQuery>,
@@ -159,6 +162,7 @@
     ) -> usize {
         let entries = self.fleet.entries(now);
         let totals = self.fleet.totals(now);
+        self.usage.record(totals.accounts());
         let mut sent = 0;
         for link in &self.subscribers {
             if let Some(message) = neighbours(&mut self.links, *link, self.neighbours_version) {
@@ -172,6 +176,16 @@
         sent
     }
 
+    /// The accounts that got less than they asked for, at intervals and only at a control host that
+    /// entries have selected: the others get the same reports later.
+    pub(in crate::daemon::control) fn take_limited(&mut self, now: Duration) -> Vec<AccountDemand> {
+        let limited = self.usage.take_limited(now);
+        if self.subscribers.is_empty() {
+            return Vec::new();
+        }
+        limited
+    }
+
     /// The entries that have this control host selected and need the configuration `number`, with the
     /// one that each has; records that it was sent to them.
     pub(in crate::daemon::control) fn take_needing_config(
--- a/src/coltsfootnotch/daemon/control/seeded/handlers.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/handlers.rs
@@ -62,6 +62,25 @@
         let period = reporting_period(entries)
             .max(SEND_TIME_PER_LOAD * u32::try_from(sent).unwrap_or(u32::MAX));
         seeded.load_due = now + period;
+        self.log_limited_accounts(now);
+    }
+
+    fn log_limited_accounts(&mut self, now: Duration) {
+        let Some(seeded) = &mut self.seeded else {
+            return;
+        };
+        let entries = seeded.entries.fleet.entries(now);
+        for used in seeded.entries.take_limited(now) {
+            self.host.log(
+                &events::ACCOUNT_LIMITED,
+                &[
+                    ("account", &used.account),
+                    ("requested", &used.requested),
+                    ("admitted", &used.admitted),
+                    ("entries", &entries),
+                ],
+            );
+        }
     }
 
     fn dial_peers(&mut self, now: Duration) {
--- a/src/coltsfootnotch/daemon/control/seeded/mod.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/mod.rs
@@ -4,6 +4,7 @@
 //! of the seeds bootstraps the group once ([`bootstrap`]); after that the leader adds and replaces members
 //! automatically ([`members`]). Forwarding entries and upstreams connect directly, without sidecars.
 
+mod account_usage;
 pub mod bootstrap;
 mod call;
 mod connectivity;
--- a/src/coltsfootnotch/daemon/forward/server.rs
+++ b/src/coltsfootnotch/daemon/forward/server.rs
@@ -72,6 +72,8 @@
                 .metrics
                 .counter("requests_refused_unread", &[])
                 .increment(1);
+            self.refused_accounts
+                .record(None, "this host is overloaded");
             return responses::overloaded();
         }
         let received_at = Instant::now();
