Notice the beginning of a flood when shares are drawn

Callers of an account that floods were refused for seconds while others got several times as much: in six seconds in which it waited all through it got less than half of another flood. No entry is crowded for that.

Cause: the demand of an account counts over two seconds. When a flood begins, that demand is small for most of a second, so that all of it counts as within its share and fills the engines; the floods that are there already are refused meanwhile, and again with each new one. The end of a flood was noticed within half a second, its beginning was not. It is now, by the same recent demand and margin; eight mean requests at least count as a flood, since one large request beside the usual demand of its account is none.

Evidence: a model of many entries with floods that begin and end at any time, and the rule in its own words as the check.

--- a/crates/forward/src/place/admission.rs
+++ b/crates/forward/src/place/admission.rs
@@ -26,7 +26,7 @@
 /// Multiple of the engines' throughput that entries admit when nothing waits. Reports are one or
 /// two periods old; a greater gain makes load oscillate between idle and overfilled engines, a
 /// smaller one fills an idle fleet more slowly.
-const GAIN_WHEN_EMPTY: f64 = 1.5;
+const GAIN_WHEN_EMPTY: f64 = 1.4;
 
 /// Key of the admission draw, distinct from engine identities.
 const ADMISSION_KEY: &str = "admission";
--- a/crates/forward/src/share/fair_shares.rs
+++ b/crates/forward/src/share/fair_shares.rs
@@ -12,15 +12,24 @@
 /// share follows its demand within the window and a single large request does not push it over.
 pub(crate) const DECAY_TIME: Duration = Duration::from_millis(2_000);
 
-/// Decay time of the demand by which the end of a flood is noticed. By the demand over the whole
-/// window, an account that sends its usual again is refused for seconds as if it still flooded.
+/// Decay time of the demand by which the beginning and the end of a flood are noticed. By the demand
+/// over the whole window, an account that sends its usual again is refused for seconds as if it still
+/// flooded, and one that begins to flood gets several times its share at the cost of those that
+/// flooded before.
 const RECENT_TIME: Duration = Duration::from_millis(500);
 
-/// Factor by which the recent demand has to be lower before it counts. Entries report every 100 to 200
+/// Factor by which the recent demand has to differ before it counts. Entries report every 100 to 200
 /// ms, so it fluctuates between reports by a tenth and more; without the margin every account's demand
 /// is underestimated, and engines get more than they process in time.
 const RECENT_MARGIN: f64 = 1.3;
 
+/// Least recent demand that counts as the beginning of a flood, in mean requests. A single request is
+/// no flood, however large it is beside the usual demand of its account.
+const MIN_FLOOD_REQUESTS: f64 = 8.0;
+
+/// Part by which a request moves the mean size of requests.
+const MEAN_WEIGHT: f64 = 1.0 / 32.0;
+
 /// Refused share of the demand from which the fleet counts as saturated. Below it the refusals come
 /// from single saturated upstreams.
 const MIN_REFUSED_SHARE: f64 = 0.03;
@@ -52,11 +61,15 @@
         self.recent_demand += units as f64;
     }
 
-    /// The demand, or less if the account has sent less lately.
-    fn present_demand(&self) -> f64 {
+    /// The demand, or the recent one if the account has sent clearly less or more lately. `mean_units`
+    /// is the mean size of requests.
+    fn present_demand(&self, mean_units: f64) -> f64 {
         let scale = DECAY_TIME.as_secs_f64() / RECENT_TIME.as_secs_f64();
         let recent = self.recent_demand * scale;
-        if recent * RECENT_MARGIN < self.demand {
+        let has_ended = recent * RECENT_MARGIN < self.demand;
+        let has_begun = recent > self.demand * RECENT_MARGIN
+            && self.recent_demand > mean_units * MIN_FLOOD_REQUESTS;
+        if has_ended || has_begun {
             recent
         } else {
             self.demand
@@ -85,6 +98,8 @@
     by_account: BTreeMap<Arc<str>, AccountTotals>,
     /// Demand of all accounts at this entry.
     local_demand: f64,
+    /// Mean size of the requests at this entry, in service units.
+    mean_units: f64,
     decayed_at: Duration,
     /// Capacity stated by the operator, in service units per [`DECAY_TIME`].
     stated_capacity: f64,
@@ -100,6 +115,10 @@
         used.add_demand(units);
         used.unreported_demand += units;
         self.local_demand += units as f64;
+        if self.mean_units == 0.0 {
+            self.mean_units = units as f64;
+        }
+        self.mean_units += (units as f64 - self.mean_units) * MEAN_WEIGHT;
     }
 
     /// Records that a request of `units` service units is sent to an upstream.
@@ -180,7 +199,10 @@
         let level = self.level(now);
         let used = self.by_account.get(account);
         match (level, used) {
-            (Some(level), Some(used)) => (level / used.present_demand().max(MIN_UNITS)).min(1.0),
+            (Some(level), Some(used)) => {
+                let demand = used.present_demand(self.mean_units);
+                (level / demand.max(MIN_UNITS)).min(1.0)
+            }
             _ => 1.0,
         }
     }
--- a/crates/forward/tests/testsuite/many_entries/fleet.rs
+++ b/crates/forward/tests/testsuite/many_entries/fleet.rs
@@ -205,13 +205,7 @@
         self.prefilled = Prefilled::default();
         let end = self.now + time;
         while self.now < end {
-            self.now += Duration::from_millis(1);
-            self.work();
-            self.send_due(&mut outcomes);
-            let period = u128::from(self.setup.period_ms);
-            if self.now.as_millis().is_multiple_of(period) {
-                self.exchange_reports();
-            }
+            self.step(&mut outcomes);
             for (account, (load, outcomes)) in loads.iter().zip(&mut outcomes).enumerate() {
                 let mut due = load.per_s / 1e3;
                 while due > 0.0 {
@@ -226,9 +220,42 @@
         (outcomes, self.idle.as_secs_f64() / all)
     }
 
+    /// Simulates the next millisecond, without new requests.
+    pub(super) fn step(&mut self, outcomes: &mut [Outcomes]) {
+        self.now += Duration::from_millis(1);
+        self.work();
+        self.send_due(outcomes);
+        let period = u128::from(self.setup.period_ms);
+        if self.now.as_millis().is_multiple_of(period) {
+            self.exchange_reports();
+        }
+    }
+
+    pub(super) fn now(&self) -> Duration {
+        self.now
+    }
+
+    /// An entry's load relative to an even share of the load of all entries.
+    pub(super) fn load_ratio(&mut self, entry: usize) -> f64 {
+        let entries = self.entries.len() as f64;
+        self.entries[entry].shares.local_share(self.now) * entries
+    }
+
     fn send_request(&mut self, index: usize, account: &Arc<str>, outcomes: &mut Outcomes) {
         let entry = self.rng.random_range(0..self.entries.len());
         let prompt = (self.setup.prompt)(&mut self.rng, index);
+        self.receive(entry, index, account, prompt, outcomes);
+    }
+
+    /// Has an entry handle a request of the account with this index and name.
+    pub(super) fn receive(
+        &mut self,
+        entry: usize,
+        index: usize,
+        account: &Arc<str>,
+        prompt: Prompt,
+        outcomes: &mut Outcomes,
+    ) {
         let units = prompt.service_units();
         let shares = &mut self.entries[entry].shares;
         shares.record_requested(self.now, account, units);
--- a/crates/forward/tests/testsuite/many_entries/mod.rs
+++ b/crates/forward/tests/testsuite/many_entries/mod.rs
@@ -1,7 +1,10 @@
 //! Many entries and the same engines, in virtual time.
 
+mod crowds;
+mod fair_rule;
 mod fleet;
 mod floods;
+mod reader;
 mod refusals;
 mod shedding;
 mod subjects;
--- a/crates/forward/tests/testsuite/share.rs
+++ b/crates/forward/tests/testsuite/share.rs
@@ -115,3 +115,49 @@
     expect_that!(shares.fair_fraction(at(4_000), &first), eq(1.0));
     expect_that!(shares.fair_fraction(at(4_000), &second), lt(0.5));
 }
+
+/// Size of the requests of the floods below.
+const REQUEST_UNITS: u64 = 1_000;
+
+/// Records requests of an account, a quarter of which is admitted.
+fn flood(shares: &mut FairShares, now: Duration, account: &Arc<str>, requests: u64) {
+    for n in 0..requests {
+        shares.record_requested(now, account, REQUEST_UNITS);
+        if n % 4 == 0 {
+            shares.record_admitted(now, account, REQUEST_UNITS);
+        }
+    }
+}
+
+/// Guards against a new flood that gets several times its share until its demand over two seconds has grown.
+#[googletest::test]
+fn the_beginning_of_a_flood_is_noticed_within_a_quarter_of_a_second() {
+    let (first, second): (Arc<str>, Arc<str>) = ("first".into(), "second".into());
+    let mut shares = FairShares::default();
+    shares.set_capacity(500_000.0);
+    let at = Duration::from_millis;
+    for ms in (0..3_250).step_by(50) {
+        flood(&mut shares, at(ms), &first, 100);
+        let requests = if ms < 3_000 { 4 } else { 100 };
+        flood(&mut shares, at(ms), &second, requests);
+    }
+    // Of what it asks for now, its share is a quarter.
+    expect_that!(shares.fair_fraction(at(3_250), &second), lt(0.5));
+}
+
+/// Guards against an account that is taken for a flood for one large request.
+#[googletest::test]
+fn a_large_request_is_no_flood() {
+    let mut shares = FairShares::default();
+    shares.set_capacity(100_000.0);
+    let at = Duration::from_millis;
+    // Each account gets one request in 200 ms, ten in the two seconds over which shares are counted.
+    for ms in (0..3_000).step_by(200) {
+        for n in 0..30 {
+            flood(&mut shares, at(ms), &format!("flood-{n}").into(), 4);
+        }
+    }
+    let small: Arc<str> = "small".into();
+    shares.record_requested(at(3_000), &small, 7 * REQUEST_UNITS);
+    expect_that!(shares.fair_fraction(at(3_000), &small), eq(1.0));
+}
