Log neighbours that are gone before they respond

A caller that is handed over to a neighbour which is gone gets a 502, and no line says so: neither that there were any, nor whether the neighbour broke the connection, as a killed process does, or closed it in order.

No behaviour changes.

--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -45,6 +45,9 @@
 /// Time between two ticks of the actor, which handle lease requests, reports and expiry.
 const TICK: Duration = Duration::from_millis(100);
 
+/// Most lost neighbours logged per second: all connections handed over to a host break when it is killed.
+const LOST_NEIGHBOUR_LINES: u16 = 10;
+
 /// Part of the shutdown time that is reserved for the process to exit.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 
@@ -197,6 +200,7 @@
             notices: Arc::clone(&notices),
             refusals: LineBudget::new(REFUSAL_LINES),
             refused_accounts: Arc::clone(&refused_accounts),
+            lost_neighbours: LineBudget::new(LOST_NEIGHBOUR_LINES),
             lease_valid: Arc::clone(&lease_valid),
             pause_detector: Arc::clone(&pause_detector),
             overload: Arc::clone(&overload_flags),
--- a/src/coltsfootnotch/daemon/forward/handover/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/mod.rs
@@ -18,5 +18,5 @@
 mod targets;
 
 pub(super) use handed_over::HandedOver;
-pub(super) use relay::{connect, relay};
+pub(super) use relay::{LostNeighbour, connect, relay};
 pub(super) use targets::HandoverTargets;
--- a/src/coltsfootnotch/daemon/forward/handover/relay.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay.rs
@@ -47,9 +47,17 @@
     NeighbourBroken,
 }
 
+/// A neighbour that was gone while a caller waited for its response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(in crate::daemon::forward) struct LostNeighbour {
+    /// Whether its connection broke; otherwise it was closed in order.
+    pub(in crate::daemon::forward) is_broken: bool,
+}
+
 /// Relays between a caller and the neighbour that serves it, until one of them closes its connection;
 /// both are closed then. Once `closing` completes, asks the neighbour to close the connection after the
-/// response in progress. A caller whose neighbour is gone before it has begun to respond gets a failure.
+/// response in progress. A caller whose neighbour is gone before it has begun to respond gets a failure;
+/// returns what is known of that neighbour.
 ///
 /// # Errors
 /// Returns an error when the connection to the caller is broken by then.
@@ -57,17 +65,19 @@
     mut caller: TcpStream,
     mut neighbour: TcpStream,
     closing: impl Future<Output = ()>,
-) -> io::Result<()> {
+) -> io::Result<Option<LostNeighbour>> {
     let mut exchanges = Exchanges::default();
     let end = relay_until_closed(&mut caller, &mut neighbour, closing, &mut exchanges).await;
     if end != End::Caller && exchanges.awaits_response() {
-        return caller.write_all(LOST_RESPONSE).await;
+        caller.write_all(LOST_RESPONSE).await?;
+        let is_broken = end == End::NeighbourBroken;
+        return Ok(Some(LostNeighbour { is_broken }));
     }
     if end == End::NeighbourBroken && exchanges.response_ends_with_connection() {
         // An orderly close would make the response look complete.
-        return caller.set_zero_linger();
+        caller.set_zero_linger()?;
     }
-    Ok(())
+    Ok(None)
 }
 
 /// Relays in both directions; returns which end is closed, with the bytes that have passed in
--- a/src/coltsfootnotch/daemon/forward/listener.rs
+++ b/src/coltsfootnotch/daemon/forward/listener.rs
@@ -2,12 +2,14 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use tokio::net::{TcpListener, TcpStream};
 
-use super::handover::{HandedOver, connect, relay};
+use super::handover::{HandedOver, LostNeighbour, connect, relay};
 use super::server::Gateway;
 use crate::util::connections::OpenConnection;
+use crate::util::events;
 use crate::util::http_server::{ServerLimits, accept_connections, prepare, serve_connection};
 
 /// Neighbours tried before a connection is served here.
@@ -55,15 +57,43 @@
             .metrics
             .counter("connections_handed_over", &[])
             .increment(1);
-        // A broken connection is the peer's; the caller sees its own connection close. Boxed, since its
-        // buffers would otherwise be part of the task of each connection that is served here.
-        let _outcome = Box::pin(relay(stream, neighbour, gw.handover.ended())).await;
+        let started = Instant::now();
+        let address = neighbour.peer_addr().ok();
+        // Boxed, since its buffers would otherwise be part of the task of each connection that is served
+        // here. A broken connection to the caller is its own.
+        let relayed = Box::pin(relay(stream, neighbour, gw.handover.ended())).await;
+        if let Ok(Some(lost)) = relayed {
+            log_lost_neighbour(&gw, address, lost, started.elapsed());
+        }
         return;
     }
     let handler = move |req, peer| Arc::clone(&gw).handle(req, peer);
     serve_connection(stream, peer, limits, open.closing(), &handler).await;
 }
 
+fn log_lost_neighbour(
+    gw: &Gateway,
+    address: Option<SocketAddr>,
+    lost: LostNeighbour,
+    age: Duration,
+) {
+    if !gw.lost_neighbours.take(gw.cx.now()) {
+        gw.cx.metrics.count_event(&events::NEIGHBOUR_LOST);
+        return;
+    }
+    let address = address.map_or_else(|| "-".to_owned(), |address| address.to_string());
+    let how = if lost.is_broken { "broken" } else { "closed" };
+    let age_ms = age.as_millis();
+    gw.cx.log(
+        &events::NEIGHBOUR_LOST,
+        &[
+            ("neighbour", &address),
+            ("connection", &how),
+            ("age_ms", &age_ms),
+        ],
+    );
+}
+
 async fn connect_neighbour(gw: &Gateway) -> Option<TcpStream> {
     for _ in 0..HANDOVER_ATTEMPTS {
         let neighbour = gw.handover.pick((gw.draw)())?;
--- a/src/coltsfootnotch/daemon/forward/server.rs
+++ b/src/coltsfootnotch/daemon/forward/server.rs
@@ -43,6 +43,8 @@
     pub(super) refusals: LineBudget,
     /// The refusals beyond that limit.
     pub(super) refused_accounts: Arc<RefusedAccounts>,
+    /// Limits the lost neighbours that are logged.
+    pub(super) lost_neighbours: LineBudget,
     /// Whether the lease of the configuration is valid.
     pub(super) lease_valid: Arc<AtomicBool>,
     pub(super) pause_detector: Arc<PauseDetector>,
--- a/src/coltsfootnotch/util/events.rs
+++ b/src/coltsfootnotch/util/events.rs
@@ -106,6 +106,7 @@
     HANDOVER_ENDED = 86 Info "this host serves all its connections again" => "nothing";
     REFUSALS_SUMMED = 87 Info "requests of an account were refused and not logged one by one" => "as for CFN-0071";
     ACCOUNT_LIMITED = 88 Info "an account got less than it asked for" => "compare the units of the accounts that ask for more than they get: if one gets less than half of another, look at CFN-0071, CFN-0087 and CFN-0079 of the entries that its callers use";
+    NEIGHBOUR_LOST = 89 Warn "a neighbour was gone before it responded to a caller that was handed over to it" => "check the neighbour named; the caller got a 502";
     MEMBERS_CHANGED = 90 Info "the members of the control group have changed" => "nothing; a voter that left permanently should disappear from the voters soon after";
     NO_LEADER = 91 Error "this member of the control group knows no leader" => "if fewer voters are connected than needed, start the missing ones again with their disks; otherwise check the connections between the voters";
     UPSTREAM_BACKOFF_REQUESTED = 92 Info "an upstream refused a request and asked for no more for a time" => "nothing unless it repeats; then check the load of the upstream named";
