Notice neighbours that lose their power while callers are relayed to them

Cause: a host without power closes nothing, and relayed connections had neither probes nor a limit on unacknowledged bytes. Ruled out: a kill at that moment, a neighbour with too many connections.

Both ends of a relayed connection are now probed after a second of silence and broken after three without an acknowledgement.

--- a/src/coltsfootnotch/daemon/forward/handover/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/mod.rs
@@ -14,9 +14,11 @@
 mod framing;
 mod handed_over;
 mod message_position;
+mod probes;
 mod relay;
 mod targets;
 
 pub(super) use handed_over::HandedOver;
+pub(super) use probes::probe_peer;
 pub(super) use relay::{LostNeighbour, connect, relay};
 pub(super) use targets::HandoverTargets;
--- a/src/coltsfootnotch/daemon/forward/handover/relay.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay.rs
@@ -10,6 +10,7 @@
 
 use super::exchanges::Exchanges;
 use super::frame::{HEADER_BYTES, Header};
+use super::probes::probe_peer;
 
 /// Timeout of the connection to a neighbour, which takes a millisecond within a failure domain. The
 /// caller is served here after it.
@@ -31,6 +32,7 @@
         Err(_) => return Err(io::ErrorKind::TimedOut.into()),
     };
     stream.set_nodelay(true)?;
+    probe_peer(&stream)?;
     Ok(stream)
 }
 
--- a/src/coltsfootnotch/daemon/forward/listener.rs
+++ b/src/coltsfootnotch/daemon/forward/listener.rs
@@ -6,7 +6,7 @@
 
 use tokio::net::{TcpListener, TcpStream};
 
-use super::handover::{HandedOver, LostNeighbour, connect, relay};
+use super::handover::{HandedOver, LostNeighbour, connect, probe_peer, relay};
 use super::server::Gateway;
 use crate::util::connections::OpenConnection;
 use crate::util::events;
@@ -112,7 +112,7 @@
     limits: ServerLimits,
     gw: Arc<Gateway>,
 ) {
-    if prepare(&stream).is_err() {
+    if prepare(&stream).and_then(|()| probe_peer(&stream)).is_err() {
         return;
     }
     let stream = HandedOver::new(stream);
