Leave requests that cross the end of a relayed connection unread

A caller that sends its next request while the neighbour closes the idle connection got a 502, which says that it may have run. It had not, and a caller whose request is not read may send it again even if it may not be repeated.

Cause: which of the two the relay handled first was left to chance. The end of the neighbour now comes first, then its bytes, then those of the caller.

--- a/src/coltsfootnotch/daemon/forward/handover/relay.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay.rs
@@ -98,6 +98,26 @@
     let mut neighbour_reads = true;
     loop {
         tokio::select! {
+            // The neighbour's end comes before bytes of the caller: a request that crosses it has
+            // not been read, and its caller can tell that from a connection that is just closed.
+            biased;
+            () = closing.as_mut(), if !close_requested => {
+                close_requested = true;
+                let sent = neighbour.write_all(&Header::Close.encode()).await;
+                neighbour_reads &= sent.is_ok();
+            }
+            len = neighbour.read(&mut response) => {
+                let len = match len {
+                    Ok(0) => return End::NeighbourClosed,
+                    // Broken, as by a process that is killed.
+                    Err(_) => return End::NeighbourBroken,
+                    Ok(len) => len,
+                };
+                exchanges.pass_response_bytes(&response[..len]);
+                if caller.write_all(&response[..len]).await.is_err() {
+                    return End::Caller;
+                }
+            }
             ready = caller.ready(Interest::READABLE), if neighbour_reads => {
                 // Seen before the bytes ahead of it are read: a neighbour would run the request
                 // that they are part of for nobody.
@@ -115,23 +135,6 @@
                 let sent = neighbour.write_all(&request[..HEADER_BYTES + len]);
                 neighbour_reads = sent.await.is_ok();
             }
-            len = neighbour.read(&mut response) => {
-                let len = match len {
-                    Ok(0) => return End::NeighbourClosed,
-                    // Broken, as by a process that is killed.
-                    Err(_) => return End::NeighbourBroken,
-                    Ok(len) => len,
-                };
-                exchanges.pass_response_bytes(&response[..len]);
-                if caller.write_all(&response[..len]).await.is_err() {
-                    return End::Caller;
-                }
-            }
-            () = closing.as_mut(), if !close_requested => {
-                close_requested = true;
-                let sent = neighbour.write_all(&Header::Close.encode()).await;
-                neighbour_reads &= sent.is_ok();
-            }
         }
     }
 }
--- a/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
@@ -1,6 +1,6 @@
 //! Connections that are handed over to a neighbour.
 
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -8,6 +8,7 @@
 use googletest::prelude::*;
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, oneshot};
@@ -367,6 +368,24 @@
     expect_that!(read, ok(err(anything())));
 }
 
+/// Guards against a failure that may have run for a request that has not: it crossed the end of an idle connection, and
+/// a caller whose request is not read may send it again whatever it is.
+#[gtest]
+#[tokio::test]
+async fn a_request_that_crosses_the_end_of_an_idle_connection_is_not_answered() {
+    for _ in 0..20 {
+        let mut relayed = Relayed::start().await;
+        relayed.request(REQUEST).await;
+        relayed.respond(RESPONSE).await;
+        // Both are there when the relay runs again.
+        let closed = SockRef::from(&relayed.neighbour).shutdown(Shutdown::Write);
+        expect_that!(closed, ok(anything()));
+        let sent = relayed.caller.try_write(REQUEST.as_bytes());
+        expect_that!(sent, ok(eq(&REQUEST.len())));
+        expect_that!(relayed.lose_neighbour().await, eq(""));
+    }
+}
+
 /// Guards against responses that are lost: a neighbour responds to a request before it has read the body, and closes.
 #[gtest]
 #[tokio::test]
