--- a/crates/forward/src/load/fleet_load.rs
+++ b/crates/forward/src/load/fleet_load.rs
@@ -200,7 +200,19 @@
     total.succeeded += used.succeeded;
 }
 
-fn add_account(all: &mut BTreeMap<String, AccountDemand>, used: &AccountDemand) {
+/// Adds what an account asked for and got to the sums of all accounts.
+///
+/// ```
+/// use std::collections::BTreeMap;
+/// use coltsfootnotch_forward::load::add_account;
+/// use coltsfootnotch_wire::AccountDemand;
+/// let used = AccountDemand { account: "bistro".to_owned(), requested: 4, admitted: 3 };
+/// let mut all = BTreeMap::new();
+/// add_account(&mut all, &used);
+/// add_account(&mut all, &used);
+/// assert_eq!(all["bistro"].requested, 8);
+/// ```
+pub fn add_account(all: &mut BTreeMap<String, AccountDemand>, used: &AccountDemand) {
     let empty = || AccountDemand {
         account: used.account.clone(),
         requested: 0,
--- a/crates/forward/src/load/mod.rs
+++ b/crates/forward/src/load/mod.rs
@@ -20,7 +20,7 @@
 
 pub use backlog_limit::BacklogLimit;
 pub use cached_segments::{CachedSegments, PromptSegment};
-pub use fleet_load::{FleetLoad, Totals};
+pub use fleet_load::{FleetLoad, Totals, add_account};
 pub use in_flight::InFlight;
 pub use period::reporting_period;
 pub use slowdown::Slowdown;
--- a/src/coltsfootnotch/daemon/control/seeded/account_usage.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/account_usage.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use coltsfootnotch_forward::load::add_account;
 use coltsfootnotch_wire::AccountDemand;
 
 /// Interval of the log lines.
@@ -25,15 +26,7 @@
     /// Adds what accounts asked for and got in a period.
     pub(super) fn record<'a>(&mut self, accounts: impl Iterator<Item = &'a AccountDemand>) {
         for used in accounts {
-            let empty = || AccountDemand {
-                account: used.account.clone(),
-                requested: 0,
-                admitted: 0,
-            };
-            let sum = self.by_account.entry(used.account.clone());
-            let sum = sum.or_insert_with(empty);
-            sum.requested += used.requested;
-            sum.admitted += used.admitted;
+            add_account(&mut self.by_account, used);
         }
     }
 
