Test the check of the fairness rule itself

The model's check states the rule in its own words; without a test of its own it could pass whatever accounts get. Half of another's service is enough, less is found, and an account that doesn't wait for one second is left out.

--- a/crates/forward/tests/testsuite/many_entries/fair_rule.rs
+++ b/crates/forward/tests/testsuite/many_entries/fair_rule.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use googletest::prelude::*;
+
 /// Seconds over which an account is compared with the others.
 const WINDOW: usize = 6;
 /// Part of what it could have got that an account gets at least.
@@ -80,3 +82,30 @@
     }
     found
 }
+
+/// Six seconds in which an account asks for 100 units each and gets `got`, beside one that gets 80.
+fn beside_80(got: u64) -> [Vec<Second>; 2] {
+    let second = |got| Second {
+        asked: 100,
+        got,
+        waited: true,
+    };
+    [vec![second(got); WINDOW], vec![second(80); WINDOW]]
+}
+
+/// Guards against a check that passes whatever accounts get.
+#[googletest::test]
+fn an_account_that_waits_needs_half_of_what_another_gets() {
+    expect_that!(unfair(&beside_80(40), 0), is_empty());
+    expect_that!(unfair(&beside_80(39), 0).len(), eq(1));
+    let slack = 2;
+    expect_that!(unfair(&beside_80(39), slack), is_empty());
+}
+
+/// Guards against accounts that are served and count as waiting.
+#[googletest::test]
+fn an_account_that_does_not_wait_in_one_second_may_get_less() {
+    let mut seconds = beside_80(10);
+    seconds[0][3].waited = false;
+    expect_that!(unfair(&seconds, 0), is_empty());
+}
