Log responses that end with their upstream's connection

The framing is read from the head by one function for hyper's messages and those of relayed connections, which had their own copy. No response changes.

--- a/src/coltsfootnotch/daemon/forward/delivery.rs
+++ b/src/coltsfootnotch/daemon/forward/delivery.rs
@@ -14,6 +14,7 @@
 use super::matched_request::MatchedRequest;
 use super::messages::Outcome;
 use super::server::Gateway;
+use crate::util::events;
 use crate::util::http_server::AnyResponse;
 
 /// Longest response that is buffered, in bytes.
@@ -36,12 +37,14 @@
     req: &MatchedRequest,
     received: UpstreamResponse,
 ) -> DeliveryResult {
+    let ends_with_connection = received.ends_with_connection();
     let UpstreamResponse {
         response,
         head,
         connection,
         mut guard,
         ticket,
+        ..
     } = received;
     guard.on_first_event();
     let (parts, body) = response.into_parts();
@@ -54,6 +57,13 @@
         guard.finish(outcome);
         return DeliveryResult::Lost;
     };
+    if ends_with_connection {
+        gw.log_sample(
+            &events::RESPONSE_ENDED_WITH_CONNECTION,
+            req,
+            &[("upstream", &ticket.upstream), ("bytes", &body.len())],
+        );
+    }
     gw.pool.put(&ticket, connection, head.keep_alive);
     let failed = parts.status.is_server_error();
     guard.finish(if failed {
--- a/src/coltsfootnotch/daemon/forward/exchange.rs
+++ b/src/coltsfootnotch/daemon/forward/exchange.rs
@@ -12,6 +12,7 @@
 use super::messages::{Outcome, Ticket};
 use super::pool::Connection;
 use super::server::Gateway;
+use crate::util::body_framing::BodyFraming;
 use crate::util::events;
 
 /// A response whose headers were received.
@@ -21,6 +22,16 @@
     pub(super) connection: Connection,
     pub(super) guard: ExchangeGuard,
     pub(super) ticket: Ticket,
+    /// How its body ends; `None` if its headers contradict each other.
+    pub(super) framing: Option<BodyFraming>,
+}
+
+impl UpstreamResponse {
+    /// Whether the end of the body is that of the connection, which a crash of the upstream looks like as
+    /// well.
+    pub(super) fn ends_with_connection(&self) -> bool {
+        self.framing == Some(BodyFraming::UntilClose)
+    }
 }
 
 /// Result of an exchange.
@@ -116,7 +127,9 @@
         guard.finish(Outcome::Failed);
         return ExchangeResult::Lost;
     }
+    let framing = BodyFraming::of_response(&req.method, response.status(), response.headers());
     ExchangeResult::Response(Box::new(UpstreamResponse {
+        framing,
         response,
         head,
         connection,
--- a/src/coltsfootnotch/daemon/forward/handover/message_position.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/message_position.rs
@@ -1,6 +1,7 @@
 //! Where in a message the bytes that have passed end.
 
-use super::framing::{Framing, Head};
+use super::framing::Head;
+use crate::util::body_framing::BodyFraming;
 
 /// Most bytes of a head or of the line with a chunk's size; more are not followed.
 const MAX_BUFFERED: usize = 64 * 1024;
@@ -41,7 +42,7 @@
         &mut self,
         bytes: &mut &[u8],
         parse: impl Fn(&[u8]) -> Option<Head<T>>,
-        framing: impl Fn(T) -> Framing,
+        framing: impl Fn(T) -> BodyFraming,
     ) -> Option<T> {
         let mut head = match std::mem::take(self) {
             Between => Vec::new(),
@@ -78,12 +79,12 @@
         Some(stated)
     }
 
-    fn before_body(framing: Framing) -> Self {
+    fn before_body(framing: BodyFraming) -> Self {
         match framing {
-            Framing::Length(0) => Between,
-            Framing::Length(len) => Body(len),
-            Framing::Chunked => ChunkSize(Vec::new()),
-            Framing::UntilClose => UntilClose,
+            BodyFraming::Length(0) => Between,
+            BodyFraming::Length(len) => Body(len),
+            BodyFraming::Chunked => ChunkSize(Vec::new()),
+            BodyFraming::UntilClose => UntilClose,
         }
     }
 
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -17,7 +17,7 @@
 use super::matched_request::MatchedRequest;
 use super::messages::{ForwardMsg, Outcome, PlacementError, StreamPause, Ticket};
 use super::server::Gateway;
-use crate::util::events;
+use crate::util::events::{self, Field};
 use crate::util::http_server::{AnyResponse, BodyAborted};
 
 /// Chunks that are queued for a slow caller before backpressure reaches the upstream.
@@ -77,6 +77,7 @@
             OpenResult::Streaming(start(gw, req, source, first, attempts))
         }
         Next::End(rest) => {
+            log_end(gw, req, &source, rest.len());
             source.received.guard.on_first_event();
             let response = start_completed(gw, source, rest);
             OpenResult::Streaming(response)
@@ -116,6 +117,25 @@
     }
 }
 
+/// Logs the end of a stream that is that of its connection: always if the connection ended inside an
+/// event, otherwise for a sample of the streams.
+fn log_end(gw: &Gateway, req: &MatchedRequest, source: &Source, rest_len: usize) {
+    if !source.received.ends_with_connection() {
+        return;
+    }
+    let event = &events::RESPONSE_ENDED_WITH_CONNECTION;
+    let fields: [Field<'_>; 3] = [
+        ("upstream", &source.received.ticket.upstream),
+        ("events", &source.events.seen()),
+        ("rest_bytes", &rest_len),
+    ];
+    if rest_len > 0 {
+        gw.log(event, req, &fields);
+    } else {
+        gw.log_sample(event, req, &fields);
+    }
+}
+
 fn head(gw: &Gateway, source: &Source, body: StreamBody) -> AnyResponse {
     let mut response = Response::new(body.boxed());
     *response.status_mut() = source.received.response.status();
@@ -197,6 +217,7 @@
                     continue;
                 }
                 Next::End(rest) => {
+                    log_end(&self.gw, &self.req, &source, rest.len());
                     if !rest.is_empty() {
                         let _result = self.tx.send(Ok(rest)).await;
                     }
--- a/src/coltsfootnotch/util/events.rs
+++ b/src/coltsfootnotch/util/events.rs
@@ -110,6 +110,7 @@
     MEMBERS_CHANGED = 90 Info "the members of the control group have changed" => "nothing; a voter that left permanently should disappear from the voters soon after";
     NO_LEADER = 91 Error "this member of the control group knows no leader" => "if fewer voters are connected than needed, start the missing ones again with their disks; otherwise check the connections between the voters";
     UPSTREAM_BACKOFF_REQUESTED = 92 Info "an upstream refused a request and asked for no more for a time" => "nothing unless it repeats; then check the load of the upstream named";
+    RESPONSE_ENDED_WITH_CONNECTION = 93 Info "a response had neither a length nor chunks and ended with its upstream's connection" => "nothing; whether it was complete can't be known, so if a caller misses a part, look for CFN-0021 and the end of the upstream named at that time";
 }
 
 /// Finds an event by its code, ignoring case; the prefix `CFN-` is optional.
--- a/src/coltsfootnotch/util/mod.rs
+++ b/src/coltsfootnotch/util/mod.rs
@@ -1,5 +1,6 @@
 //! Utilities shared by daemons and commands.
 
+pub mod body_framing;
 pub mod boot_clock;
 pub mod connections;
 pub mod event_loop;
