Break off streams that end inside an event

What callers saw: the half event and the last chunk, so a short stream that looks complete.

Cause: an upstream's response with neither a length nor chunks ends with its connection, and a process that crashes closes its connections in order. The HTTP library reports the end of the body, and the entry took that for the end of the stream, wherever the stream was.

Change: such an end inside an event is that of a broken stream. It is resumed after its last whole event where the route allows it and otherwise broken off for the caller, like a stream that is reset; an end before the first event is tried elsewhere, or a 502. Blank lines, comments and bodies of another type than events don't count.

--- a/src/coltsfootnotch/daemon/forward/event_splitter.rs
+++ b/src/coltsfootnotch/daemon/forward/event_splitter.rs
@@ -31,6 +31,17 @@
         complete
     }
 
+    /// Whether a stream that ends now ends inside an event. Blank lines and comments between events belong
+    /// to none.
+    pub(super) fn is_inside_event(&self) -> bool {
+        let mut lines = self.rest.split_inclusive(|b| *b == b'\n');
+        lines.any(|line| {
+            let is_blank = line.iter().all(|b| matches!(b, b'\r' | b'\n'));
+            let is_comment = line.starts_with(b":") && line.ends_with(b"\n");
+            !is_blank && !is_comment
+        })
+    }
+
     /// Takes the bytes of an incomplete event.
     pub(super) fn take_rest(&mut self) -> Bytes {
         self.rest.split().freeze()
--- a/src/coltsfootnotch/daemon/forward/event_splitter_tests.rs
+++ b/src/coltsfootnotch/daemon/forward/event_splitter_tests.rs
@@ -35,3 +35,29 @@
     );
     expect_that!(events.last_id(), some(eq(8)));
 }
+
+/// Guards against a stream that is cut inside an event and taken for complete.
+#[googletest::test]
+fn a_stream_is_inside_an_event_after_any_part_of_one() {
+    let event = b"id: 1\r\ndata: a\r\n";
+    for len in 1..=event.len() {
+        let mut events = EventSplitter::default();
+        events.push(b"id: 0\n\n");
+        events.push(&event[..len]);
+        expect_true!(events.is_inside_event(), "after {len} bytes");
+    }
+}
+
+/// Guards against a whole stream that is taken for a cut one.
+#[googletest::test]
+fn a_stream_is_between_events_after_blank_lines_and_comments() {
+    for rest in ["", "\n", "\r\n", "\r", ": still here\n", ":\r\n: again\n"] {
+        let mut events = EventSplitter::default();
+        events.push(b"id: 1\ndata: a\n\n");
+        events.push(rest.as_bytes());
+        expect_false!(events.is_inside_event(), "after {rest:?}");
+    }
+    let mut events = EventSplitter::default();
+    events.push(b"id: 1\n\n: still he");
+    expect_true!(events.is_inside_event(), "a comment that is cut");
+}
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -9,6 +9,7 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::{Body, Frame};
+use hyper::header::CONTENT_TYPE;
 use tokio::sync::mpsc;
 use tokio::time::timeout_at;
 
@@ -36,6 +37,9 @@
 /// in it.
 const RESUME_INTERVAL: Duration = Duration::from_millis(60);
 
+/// Content type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Result of opening a stream.
 pub(super) enum OpenResult {
     /// The first event has come; a task forwards the rest.
@@ -76,13 +80,19 @@
             source.received.guard.on_first_event();
             OpenResult::Streaming(start(gw, req, source, first, attempts))
         }
+        Next::End(_) if source.is_empty(req) => {
+            log_end(gw, req, &source);
+            source.received.guard.finish(Outcome::Broken);
+            OpenResult::Lost
+        }
         Next::End(rest) => {
-            log_end(gw, req, &source, rest.len());
+            log_end(gw, req, &source);
             source.received.guard.on_first_event();
             let response = start_completed(gw, source, rest);
             OpenResult::Streaming(response)
         }
         Next::Broken => {
+            log_end(gw, req, &source);
             source.received.guard.finish(Outcome::Broken);
             OpenResult::Lost
         }
@@ -94,6 +104,29 @@
 }
 
 impl Source {
+    /// Whether the end of the stream is that of the upstream's connection.
+    fn ends_with_connection(&self) -> bool {
+        self.received.ends_with_connection()
+    }
+
+    /// Whether the body consists of events; upstreams need not state so.
+    fn has_events(&self) -> bool {
+        let content_type = self.received.response.headers().get(CONTENT_TYPE);
+        content_type.is_none_or(|value| value.as_bytes().starts_with(EVENT_STREAM))
+    }
+
+    /// Whether a stream that ends now was broken off: a crash of the upstream looks like the end of a
+    /// response that ends with its connection.
+    fn is_cut(&self) -> bool {
+        self.ends_with_connection() && self.has_events() && self.events.is_inside_event()
+    }
+
+    /// Whether a stream that ends now had no events. If the caller has received some before, that is
+    /// the rest of its stream.
+    fn is_empty(&self, req: &MatchedRequest) -> bool {
+        self.ends_with_connection() && self.has_events() && req.head.last_event.is_none()
+    }
+
     async fn next(&mut self, deadline: Instant) -> Next {
         loop {
             let body = self.received.response.body_mut();
@@ -101,6 +134,7 @@
                 return Next::Late;
             };
             match frame {
+                None if self.is_cut() => return Next::Broken,
                 None => return Next::End(self.events.take_rest()),
                 Some(Err(_)) => return Next::Broken,
                 Some(Ok(frame)) => {
@@ -117,19 +151,20 @@
     }
 }
 
-/// Logs the end of a stream that is that of its connection: always if the connection ended inside an
-/// event, otherwise for a sample of the streams.
-fn log_end(gw: &Gateway, req: &MatchedRequest, source: &Source, rest_len: usize) {
-    if !source.received.ends_with_connection() {
+/// Logs the end of a stream that ends with its connection: always if that is inside an event, otherwise for
+/// a sample of the streams.
+fn log_end(gw: &Gateway, req: &MatchedRequest, source: &Source) {
+    if !source.ends_with_connection() {
         return;
     }
     let event = &events::RESPONSE_ENDED_WITH_CONNECTION;
+    let is_inside_event = source.is_cut();
     let fields: [Field<'_>; 3] = [
         ("upstream", &source.received.ticket.upstream),
         ("events", &source.events.seen()),
-        ("rest_bytes", &rest_len),
+        ("inside_event", &is_inside_event),
     ];
-    if rest_len > 0 {
+    if is_inside_event {
         gw.log(event, req, &fields);
     } else {
         gw.log_sample(event, req, &fields);
@@ -217,14 +252,17 @@
                     continue;
                 }
                 Next::End(rest) => {
-                    log_end(&self.gw, &self.req, &source, rest.len());
+                    log_end(&self.gw, &self.req, &source);
                     if !rest.is_empty() {
                         let _result = self.tx.send(Ok(rest)).await;
                     }
                     self.record_longest_pause(longest);
                     return finish(&self.gw, source);
                 }
-                Next::Broken => Outcome::Broken,
+                Next::Broken => {
+                    log_end(&self.gw, &self.req, &source);
+                    Outcome::Broken
+                }
                 Next::Late if Instant::now() >= self.req.deadline => Outcome::Abandoned,
                 Next::Late => Outcome::Unreachable,
             };
