Let responses that end with their connection reach callers so

What callers saw: a length that counts half of a body, or a last chunk after a stream whose end nobody knows.

Cause: the entry took the end of an upstream's connection for the end of its response and framed the response anew, so that it stated more than is known. Class: the end of a connection taken for the end of a message.

Change: such a response reaches its caller with neither a length nor chunks and ends with the caller's connection. A close and a reset are all that tell it from one that was broken off, and the system closes the sockets of a process that is killed; so the socket is set to be reset when the response begins and to be closed once it is complete. hyper leaves out chunks for HTTP/1.0 only, so the socket corrects the version of that status line. A stream that began with chunks and went on at an upstream whose response ends with its connection keeps all its events and gets no last chunk.

--- a/src/coltsfootnotch/daemon/forward/delivery.rs
+++ b/src/coltsfootnotch/daemon/forward/delivery.rs
@@ -14,6 +14,7 @@
 use super::matched_request::MatchedRequest;
 use super::messages::Outcome;
 use super::server::Gateway;
+use crate::util::connection_io::EndsWithConnection;
 use crate::util::events;
 use crate::util::http_server::AnyResponse;
 
@@ -71,7 +72,10 @@
     } else {
         Outcome::Completed
     });
-    let response = forwarded_response(&gw.dialect, req, parts, body);
+    let mut response = forwarded_response(&gw.dialect, req, parts, body);
+    if ends_with_connection {
+        response.extensions_mut().insert(EndsWithConnection);
+    }
     if failed {
         DeliveryResult::Failure(response)
     } else {
--- a/src/coltsfootnotch/daemon/forward/handover/handed_over.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/handed_over.rs
@@ -11,6 +11,7 @@
 use tokio::sync::Notify;
 
 use super::frame::{HEADER_BYTES, Header};
+use crate::util::connection_io::ResetOnClose;
 
 /// Bytes read from the socket at once.
 const READ_BYTES: usize = 8 * 1024;
@@ -64,6 +65,12 @@
     }
 }
 
+impl ResetOnClose for HandedOver {
+    fn set_reset_on_close(&self, reset: bool) -> io::Result<()> {
+        self.stream.set_reset_on_close(reset)
+    }
+}
+
 impl AsyncRead for HandedOver {
     fn poll_read(
         self: Pin<&mut Self>,
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -18,6 +18,7 @@
 use super::matched_request::MatchedRequest;
 use super::messages::{ForwardMsg, Outcome, PlacementError, StreamPause, Ticket};
 use super::server::Gateway;
+use crate::util::connection_io::EndsWithConnection;
 use crate::util::events::{self, Field};
 use crate::util::http_server::{AnyResponse, BodyAborted};
 
@@ -173,6 +174,9 @@
 
 fn head(gw: &Gateway, source: &Source, body: StreamBody) -> AnyResponse {
     let mut response = Response::new(body.boxed());
+    if source.ends_with_connection() {
+        response.extensions_mut().insert(EndsWithConnection);
+    }
     *response.status_mut() = source.received.response.status();
     let mut headers = source.received.response.headers().clone();
     (gw.dialect.write_response)(&mut headers);
@@ -202,6 +206,7 @@
         gw: Arc::clone(gw),
         req: Arc::clone(req),
         tx,
+        is_framed: !source.ends_with_connection(),
     };
     tokio::spawn(forwarder.run(source, first, attempts));
     response
@@ -224,6 +229,8 @@
     gw: Arc<Gateway>,
     req: Arc<MatchedRequest>,
     tx: mpsc::Sender<Result<Bytes, BodyAborted>>,
+    /// Whether the end of the caller's response states that it is complete.
+    is_framed: bool,
 }
 
 impl Forwarder {
@@ -257,6 +264,9 @@
                         let _result = self.tx.send(Ok(rest)).await;
                     }
                     self.record_longest_pause(longest);
+                    if self.is_framed && source.ends_with_connection() {
+                        self.end_unconfirmed(&source).await;
+                    }
                     return finish(&self.gw, source);
                 }
                 Next::Broken => {
@@ -289,6 +299,16 @@
         }
     }
 
+    /// Ends a response whose first part was framed and whose last part ended with its connection: the
+    /// caller has all that came, and is not told that it is complete.
+    async fn end_unconfirmed(&self, source: &Source) {
+        let upstream = vec![source.received.ticket.upstream.clone()];
+        let reason = "whether it is complete is unknown";
+        self.log_broken_off(&upstream, &source.events, Outcome::Completed, reason);
+        // Fails if the caller has disconnected.
+        let _result = self.tx.send(Err(BodyAborted)).await;
+    }
+
     /// Records the longest pause of a completed stream.
     fn record_longest_pause(&self, longest: Duration) {
         let service = &self.req.config.services()[self.req.service].name;
--- /dev/null
+++ b/src/coltsfootnotch/util/connection_io.rs
@@ -0,0 +1,197 @@
+//! The socket of an HTTP server's connection, for responses that end with their connection.
+//!
+//! Such a response has neither a length nor chunks, so only the way in which the connection ends tells a
+//! complete body from one that was broken off: a close from a reset. The system closes the sockets of a
+//! process that is killed, so the socket is set to be reset when a response begins, and to be closed
+//! once it is complete.
+
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::Version;
+use hyper::body::{Body, Frame};
+use hyper::header::{CONNECTION, HeaderValue};
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use super::http_server::{AnyBody, AnyResponse, BodyAborted};
+
+/// Extension of a response that ends with its connection, since whether its body is complete is
+/// unknown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EndsWithConnection;
+
+/// A connection that can be reset in place of an orderly close.
+pub trait ResetOnClose {
+    /// Sets whether closing the connection, also by the end of the process, resets it.
+    ///
+    /// # Errors
+    /// Returns an error when the connection is closed already.
+    fn set_reset_on_close(&self, reset: bool) -> io::Result<()>;
+}
+
+impl ResetOnClose for TcpStream {
+    fn set_reset_on_close(&self, reset: bool) -> io::Result<()> {
+        SockRef::from(self).set_linger(reset.then_some(Duration::ZERO))
+    }
+}
+
+/// What the service of a connection tells its socket of the next response.
+#[derive(Debug, Default)]
+pub(super) struct NextResponse {
+    ends_with_connection: AtomicBool,
+    /// Whether its status line is written with the version of HTTP/1.0 and has to be corrected.
+    has_old_version: AtomicBool,
+}
+
+impl NextResponse {
+    /// Prepares a response to a request with `version`: one that ends with its connection gets neither a
+    /// length nor chunks.
+    pub(super) fn prepare(&self, response: AnyResponse, version: Version) -> AnyResponse {
+        let is_marked = response.extensions().get::<EndsWithConnection>().is_some();
+        let ends_with_connection = is_marked;
+        self.ends_with_connection
+            .store(ends_with_connection, Ordering::Release);
+        if !is_marked {
+            return response;
+        }
+        let mut response = response.map(|body| UnsizedBody(body).boxed());
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+        if version != Version::HTTP_10 {
+            // With this version hyper adds no chunks.
+            *response.version_mut() = Version::HTTP_10;
+            self.has_old_version.store(true, Ordering::Release);
+        }
+        response
+    }
+}
+
+/// A body that conceals its length.
+struct UnsizedBody(AnyBody);
+
+impl Body for UnsizedBody {
+    type Data = Bytes;
+    type Error = BodyAborted;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
+        Pin::new(&mut self.0).poll_frame(cx)
+    }
+}
+
+/// The version in a status line as hyper writes it, and as it is sent.
+const OLD_VERSION: &[u8] = b"HTTP/1.0 ";
+const VERSION: &[u8] = b"HTTP/1.1 ";
+
+/// The socket of a connection.
+pub(super) struct ConnectionIo<S> {
+    stream: S,
+    next: Arc<NextResponse>,
+    /// What is left of the corrected version of the current status line.
+    version: &'static [u8],
+    resets_on_close: bool,
+}
+
+impl<S: ResetOnClose> ConnectionIo<S> {
+    pub(super) fn new(stream: S, next: Arc<NextResponse>) -> Self {
+        Self {
+            stream,
+            next,
+            version: &[],
+            resets_on_close: false,
+        }
+    }
+
+    /// Prepares the socket for `bytes`, which may begin a response.
+    fn before_write(&mut self, bytes: &[u8]) {
+        if self.next.has_old_version.swap(false, Ordering::AcqRel) && bytes.starts_with(OLD_VERSION)
+        {
+            self.version = VERSION;
+        }
+        if self.next.ends_with_connection.load(Ordering::Acquire) && !self.resets_on_close {
+            self.set_reset_on_close(true);
+        }
+    }
+
+    fn set_reset_on_close(&mut self, reset: bool) {
+        self.resets_on_close = reset;
+        if let Err(e) = self.stream.set_reset_on_close(reset) {
+            // The caller has closed its connection, and reads no end.
+            log::debug!("the end of a connection can't be set: {e}");
+        }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for ConnectionIo<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl<S: AsyncWrite + ResetOnClose + Unpin> AsyncWrite for ConnectionIo<S> {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        this.before_write(buf);
+        let stream = Pin::new(&mut this.stream);
+        if this.version.is_empty() {
+            return stream.poll_write(cx, buf);
+        }
+        // Both versions have the same length, so what is written counts as the bytes of `buf`.
+        let len = this.version.len().min(buf.len());
+        let written = ready!(stream.poll_write(cx, &this.version[..len]))?;
+        this.version = &this.version[written..];
+        Poll::Ready(Ok(written))
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let first = bufs.iter().find(|buf| !buf.is_empty());
+        let first = first.map_or(&[][..], |buf| &**buf);
+        self.before_write(first);
+        if self.version.is_empty() {
+            return Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        }
+        self.poll_write(cx, first)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    /// Called once the last response is complete, and not after one that was broken off.
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.resets_on_close {
+            self.set_reset_on_close(false);
+        }
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+#[cfg(test)]
+#[path = "connection_io_tests.rs"]
+mod tests;
--- a/src/coltsfootnotch/util/http_server.rs
+++ b/src/coltsfootnotch/util/http_server.rs
@@ -26,6 +26,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 
+use super::connection_io::{ConnectionIo, NextResponse, ResetOnClose};
 use super::connections::{Connections, OpenConnection};
 
 /// A body can't be completed; the connection is closed so that the body is not taken for complete.
@@ -137,20 +138,24 @@
     closing: impl Future<Output = ()>,
     handler: &F,
 ) where
-    S: AsyncRead + AsyncWrite + Unpin,
+    S: AsyncRead + AsyncWrite + ResetOnClose + Unpin,
     F: Fn(Request<Incoming>, SocketAddr) -> R,
     R: Future<Output = AnyResponse>,
 {
-    let service = service_fn(move |req| {
+    let next = Arc::new(NextResponse::default());
+    let io = ConnectionIo::new(stream, Arc::clone(&next));
+    let service = service_fn(move |req: Request<Incoming>| {
+        let version = req.version();
         let response = handler(req, peer);
-        async move { Ok::<_, Infallible>(response.await) }
+        let next = Arc::clone(&next);
+        async move { Ok::<_, Infallible>(next.prepare(response.await, version)) }
     });
     let mut connection = pin!(
         http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(limits.read_timeout)
             .max_buf_size(limits.header_bytes.max(MIN_BUFFER))
-            .serve_connection(TokioIo::new(stream), service)
+            .serve_connection(TokioIo::new(io), service)
     );
     let is_closing = tokio::select! {
         // An error here is the peer's: it disconnected, or it sent invalid HTTP and got a 400.
--- a/src/coltsfootnotch/util/mod.rs
+++ b/src/coltsfootnotch/util/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod body_framing;
 pub mod boot_clock;
+pub mod connection_io;
 pub mod connections;
 pub mod event_loop;
 pub mod events;
