Reset the connections of HTTP/1.0 callers whose streams break off

What callers saw: a caller with HTTP/1.0, which knows no chunks, got an orderly end of a stream that had broken off, and took it for complete.

Cause: the abort closed the connection, which is how such a response ends.

Change: a response without a length to HTTP/1.0 counts as one that ends with its connection, so its socket is reset unless it is completed.

--- a/src/coltsfootnotch/util/connection_io.rs
+++ b/src/coltsfootnotch/util/connection_io.rs
@@ -53,10 +53,11 @@
 
 impl NextResponse {
     /// Prepares a response to a request with `version`: one that ends with its connection gets neither a
-    /// length nor chunks.
+    /// length nor chunks. Without a length, those to HTTP/1.0, which has no chunks, end with it as well.
     pub(super) fn prepare(&self, response: AnyResponse, version: Version) -> AnyResponse {
         let is_marked = response.extensions().get::<EndsWithConnection>().is_some();
-        let ends_with_connection = is_marked;
+        let is_unsized = response.body().size_hint().exact().is_none();
+        let ends_with_connection = is_marked || (is_unsized && version == Version::HTTP_10);
         self.ends_with_connection
             .store(ends_with_connection, Ordering::Release);
         if !is_marked {
