Deliver what came before a break before the connection is closed

What callers saw: a connection that is closed with none, or only some, of the events that had come, if the break followed them at once.

Cause: the HTTP library drops what it has buffered when a body is aborted, the head of the response included.

Change: the abort of a body without a length waits until the socket has been given all bytes.

--- a/src/coltsfootnotch/util/connection_io.rs
+++ b/src/coltsfootnotch/util/connection_io.rs
@@ -21,6 +21,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use super::abort_after_flush::{AbortAfterFlush, FlushSignal};
 use super::http_server::{AnyBody, AnyResponse, BodyAborted};
 
 /// Extension of a response that ends with its connection, since whether its body is complete is
@@ -49,21 +50,26 @@
     ends_with_connection: AtomicBool,
     /// Whether its status line is written with the version of HTTP/1.0 and has to be corrected.
     has_old_version: AtomicBool,
+    flush: Arc<FlushSignal>,
 }
 
 impl NextResponse {
     /// Prepares a response to a request with `version`: one that ends with its connection gets neither a
     /// length nor chunks. Without a length, those to HTTP/1.0, which has no chunks, end with it as well.
-    pub(super) fn prepare(&self, response: AnyResponse, version: Version) -> AnyResponse {
+    pub(super) fn prepare(&self, mut response: AnyResponse, version: Version) -> AnyResponse {
         let is_marked = response.extensions().get::<EndsWithConnection>().is_some();
         let is_unsized = response.body().size_hint().exact().is_none();
         let ends_with_connection = is_marked || (is_unsized && version == Version::HTTP_10);
         self.ends_with_connection
             .store(ends_with_connection, Ordering::Release);
+        if is_unsized {
+            let flush = Arc::clone(&self.flush);
+            response = response.map(|body| AbortAfterFlush::new(body, flush).boxed());
+        }
         if !is_marked {
             return response;
         }
-        let mut response = response.map(|body| UnsizedBody(body).boxed());
+        response = response.map(|body| UnsizedBody(body).boxed());
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
         if version != Version::HTTP_10 {
@@ -181,7 +187,9 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        self.next.flush.on_flushed();
+        Poll::Ready(Ok(()))
     }
 
     /// Called once the last response is complete, and not after one that was broken off.
--- a/src/coltsfootnotch/util/connection_io_tests.rs
+++ b/src/coltsfootnotch/util/connection_io_tests.rs
@@ -1,5 +1,6 @@
 //! Responses that end with their connection.
 
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -7,13 +8,15 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use bytes::Bytes;
 use googletest::prelude::*;
-use hyper::body::Incoming;
-use hyper::{Request, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming};
+use hyper::{Request, Response, StatusCode};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream, ReadBuf};
 
 use super::{EndsWithConnection, ResetOnClose};
-use crate::util::http_server::{AnyResponse, ServerLimits, full, serve_connection};
+use crate::util::http_server::{AnyResponse, BodyAborted, ServerLimits, full, serve_connection};
 
 const LIMITS: ServerLimits = ServerLimits {
     connections: 1,
@@ -62,10 +65,34 @@
     }
 }
 
-/// Responds to `/framed`, and to others with a response that ends with its connection.
+/// A body of several parts, which may be broken off.
+struct Parts(VecDeque<std::result::Result<&'static str, BodyAborted>>);
+
+impl Body for Parts {
+    type Data = Bytes;
+    type Error = BodyAborted;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
+    ) -> Poll<Option<std::result::Result<Frame<Bytes>, BodyAborted>>> {
+        let part = self.0.pop_front();
+        let data = |text: &'static str| Frame::data(Bytes::from_static(text.as_bytes()));
+        Poll::Ready(part.map(|part| part.map(data)))
+    }
+}
+
+fn broken_off() -> AnyResponse {
+    Response::new(Parts([Ok("one"), Err(BodyAborted)].into()).boxed())
+}
+
+/// Responds to `/framed`, to `/until-close` and, with a body that can't be completed, to `/broken`, the last
+/// two with a response that ends with its connection.
 async fn respond(req: Request<Incoming>, _peer: SocketAddr) -> AnyResponse {
     let mut response = match req.uri().path() {
         "/framed" => return full(StatusCode::OK, "text/plain", "framed"),
+        "/stream" => return broken_off(),
+        "/broken" => broken_off(),
         _ => full(StatusCode::OK, "text/plain", "HTTP/1.0 is old"),
     };
     response.extensions_mut().insert(EndsWithConnection);
@@ -143,6 +170,16 @@
     }
 }
 
+/// Guards against a body that was broken off and ends like a complete one.
+#[gtest]
+#[tokio::test]
+async fn a_response_that_ends_with_its_connection_and_is_broken_off_is_reset() {
+    let requests = "GET /broken HTTP/1.1\r\nHost: a\r\n\r\n";
+    let (received, resets) = exchange(4096, requests).await;
+    expect_that!(received, ends_with("\r\n\r\none"));
+    expect_that!(resets, eq(&[true]));
+}
+
 /// Guards against a connection that is reset after responses which state their end.
 #[gtest]
 #[tokio::test]
@@ -151,4 +188,8 @@
     let (received, resets) = exchange(4096, requests).await;
     expect_that!(received, ends_with("framed"));
     expect_that!(resets, is_empty());
+    let requests = "GET /stream HTTP/1.1\r\nHost: a\r\n\r\n";
+    let (received, resets) = exchange(4096, requests).await;
+    expect_that!(received, ends_with("3\r\none\r\n"));
+    expect_that!(resets, is_empty());
 }
--- a/src/coltsfootnotch/util/mod.rs
+++ b/src/coltsfootnotch/util/mod.rs
@@ -1,5 +1,6 @@
 //! Utilities shared by daemons and commands.
 
+mod abort_after_flush;
 pub mod body_framing;
 pub mod boot_clock;
 pub mod connection_io;
