Reset callers whose relay ends in the middle of a response without a length

What callers saw: an entry that relays their connection to a neighbour is killed, its system closes the connection in order, and a response that ends with its connection looks complete.

Cause: the reset was set only after the neighbour's connection had broken.

Change: the caller's socket is set to be reset as soon as such a response, or one that can't be followed, begins to pass, and to be closed once the neighbour has closed its own in order.

A new test, whose relay ends in the middle of such a response, failed before and passes now; two more show that an orderly end stays one, and that a neighbour's response without framing passes as it is.

--- a/src/coltsfootnotch/daemon/forward/handover/exchanges.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/exchanges.rs
@@ -73,9 +73,12 @@
         has_request && self.response == MessagePosition::Between
     }
 
-    /// Whether a response has begun that ends with the connection.
-    pub(super) fn response_ends_with_connection(&self) -> bool {
-        self.response == MessagePosition::UntilClose
+    /// Whether a response has begun that ends with the connection, as one may that can't be followed.
+    pub(super) fn response_may_end_with_connection(&self) -> bool {
+        matches!(
+            self.response,
+            MessagePosition::UntilClose | MessagePosition::Unknown
+        )
     }
 }
 
--- a/src/coltsfootnotch/daemon/forward/handover/relay.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay.rs
@@ -11,6 +11,7 @@
 use super::exchanges::Exchanges;
 use super::frame::{HEADER_BYTES, Header};
 use super::probes::probe_peer;
+use crate::util::connection_io::ResetOnClose;
 
 /// Timeout of the connection to a neighbour, which takes a millisecond within a failure domain. The
 /// caller is served here after it.
@@ -75,9 +76,8 @@
         let is_broken = end == End::NeighbourBroken;
         return Ok(Some(LostNeighbour { is_broken }));
     }
-    if end == End::NeighbourBroken && exchanges.response_ends_with_connection() {
-        // An orderly close would make the response look complete.
-        caller.set_zero_linger()?;
+    if end == End::NeighbourClosed && exchanges.response_may_end_with_connection() {
+        caller.set_reset_on_close(false)?;
     }
     Ok(None)
 }
@@ -94,6 +94,7 @@
     let mut response = [0; RESPONSE_BYTES];
     let mut closing = std::pin::pin!(closing);
     let mut close_requested = false;
+    let mut resets_caller = false;
     // A neighbour that reads no more may have responded before.
     let mut neighbour_reads = true;
     loop {
@@ -114,6 +115,13 @@
                     Ok(len) => len,
                 };
                 exchanges.pass_response_bytes(&response[..len]);
+                if exchanges.response_may_end_with_connection() && !resets_caller {
+                    // An orderly close, as by the end of this process, would make it look complete.
+                    if caller.set_reset_on_close(true).is_err() {
+                        return End::Caller;
+                    }
+                    resets_caller = true;
+                }
                 if caller.write_all(&response[..len]).await.is_err() {
                     return End::Caller;
                 }
--- a/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
@@ -12,10 +12,12 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, oneshot};
+use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
 use super::super::handed_over::HandedOver;
 use super::{HEADER_BYTES, connect, relay};
+use crate::util::connection_io::EndsWithConnection;
 use crate::util::http_server::{AnyResponse, ServerLimits, full, read_body, serve_connection};
 
 const LIMITS: ServerLimits = ServerLimits {
@@ -49,17 +51,22 @@
 async fn respond(neighbour: Arc<Neighbour>, req: Request<Incoming>) -> AnyResponse {
     let mut running = Running(&neighbour, false);
     let waits = req.uri().path() == "/wait";
+    let ends_with_connection = req.uri().path() == "/until-close";
     let body = read_body(req.into_body(), 1 << 20, WAIT).await.unwrap();
     neighbour.started.notify_one();
     if waits {
         neighbour.release.notified().await;
     }
     running.1 = true;
-    full(
+    let mut response = full(
         StatusCode::OK,
         "text/plain",
         format!("{} bytes", body.len()),
-    )
+    );
+    if ends_with_connection {
+        response.extensions_mut().insert(EndsWithConnection);
+    }
+    response
 }
 
 /// Starts a neighbour and an entry that relays one connection to it; the sender makes the entry stop.
@@ -199,6 +206,7 @@
 struct Relayed {
     caller: TcpStream,
     neighbour: TcpStream,
+    entry: AbortHandle,
 }
 
 impl Relayed {
@@ -212,8 +220,12 @@
         let (accepted, _) = entry.accept().await.unwrap();
         let stream = connect(listener.local_addr().unwrap()).await.unwrap();
         let (neighbour, _) = listener.accept().await.unwrap();
-        tokio::spawn(relay(accepted, stream, std::future::pending()));
-        Self { caller, neighbour }
+        let relaying = tokio::spawn(relay(accepted, stream, std::future::pending()));
+        Self {
+            caller,
+            neighbour,
+            entry: relaying.abort_handle(),
+        }
     }
 
     /// Sends bytes of the caller; returns once the neighbour has them.
@@ -368,6 +380,51 @@
     expect_that!(read, ok(err(anything())));
 }
 
+/// Guards against a response that looks complete since the entry that relays it was killed: its system closes its
+/// connections.
+#[gtest]
+#[tokio::test]
+async fn a_response_without_a_length_is_reset_when_its_entry_ends() {
+    for begun in ["HTTP/1.1 200 OK\r\n\r\nfirst", "not a response\r\n\r\n"] {
+        let mut relayed = Relayed::start().await;
+        relayed.request(REQUEST).await;
+        relayed.respond(begun).await;
+        relayed.entry.abort();
+        let mut bytes = Vec::new();
+        let read = timeout(WAIT, relayed.caller.read_to_end(&mut bytes)).await;
+        expect_that!(read, ok(err(anything())), "{begun:?}");
+    }
+}
+
+/// Guards against a complete response that looks broken off.
+#[gtest]
+#[tokio::test]
+async fn a_response_without_a_length_that_ends_in_order_is_closed_in_order() {
+    let mut relayed = Relayed::start().await;
+    relayed.request(REQUEST).await;
+    relayed.respond("HTTP/1.1 200 OK\r\n\r\nfirst").await;
+    drop(relayed.neighbour);
+    let mut bytes = Vec::new();
+    let read = timeout(WAIT, relayed.caller.read_to_end(&mut bytes)).await;
+    expect_that!(read, ok(ok(eq(&0))));
+}
+
+/// Guards against a response that ends with its connection and gets a length at the neighbour that serves it.
+#[gtest]
+#[tokio::test]
+async fn a_response_that_ends_with_its_connection_passes_a_neighbour_as_it_is() {
+    let neighbour = Arc::<Neighbour>::default();
+    let (mut caller, _stop) = start(&neighbour).await;
+    send(&mut caller, "/until-close", 10).await;
+    let mut text = String::new();
+    let read = timeout(WAIT, caller.read_to_string(&mut text)).await;
+    expect_that!(read, ok(ok(anything())));
+    expect_that!(text, starts_with("HTTP/1.1 200 OK\r\n"));
+    expect_that!(text, ends_with("\r\n\r\n10 bytes"));
+    expect_that!(text, not(contains_substring("content-length")));
+    expect_that!(text, not(contains_substring("transfer-encoding")));
+}
+
 /// Guards against a failure that may have run for a request that has not: it crossed the end of an idle connection, and
 /// a caller whose request is not read may send it again whatever it is.
 #[gtest]
