Don't keep upstream connections that ended with their response

Cause: a response that ends with its connection leaves a connection that the pool took for idle until the library noticed its end; a request that got it was sent once more on another.

Change: such connections are dropped.

--- a/src/coltsfootnotch/daemon/forward/delivery.rs
+++ b/src/coltsfootnotch/daemon/forward/delivery.rs
@@ -65,7 +65,9 @@
             &[("upstream", &ticket.upstream), ("bytes", &body.len())],
         );
     }
-    gw.pool.put(&ticket, connection, head.keep_alive);
+    if !ends_with_connection {
+        gw.pool.put(&ticket, connection, head.keep_alive);
+    }
     let failed = parts.status.is_server_error();
     guard.finish(if failed {
         Outcome::Failed
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -213,6 +213,7 @@
 }
 
 fn finish(gw: &Gateway, source: Source) {
+    let ends_with_connection = source.ends_with_connection();
     let UpstreamResponse {
         connection,
         head,
@@ -220,7 +221,9 @@
         ticket,
         ..
     } = source.received;
-    gw.pool.put(&ticket, connection, head.keep_alive);
+    if !ends_with_connection {
+        gw.pool.put(&ticket, connection, head.keep_alive);
+    }
     guard.finish(Outcome::Completed);
 }
 
