Don't record half an answer as a whole one

What callers saw: a booking's answer that was cut short by the end of the service's connection, framed as complete; and the same half answer again for each later call with its idempotency key.

Cause: a sidecar reported a response as done at any end of its body, and the entry framed and recorded what it had. The same class as in the forwarding entry: the end of a connection taken for the end of a message.

Change: the head of a response tells the entry whether its end is that of the connection. Then the caller's response ends with its connection as well, and the ledger records the answer with that, so that a replay states no more. Streams were right: their last event tells their end.

--- a/crates/fakes/src/http.rs
+++ b/crates/fakes/src/http.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, Either, Full, Limited};
 use hyper::body::{Body, Frame, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Version};
 use serde::Serialize;
 use tokio::sync::mpsc;
 
@@ -102,6 +102,19 @@
     (tx, reply)
 }
 
+/// The first `share` of a response with `value` as JSON, which has neither a length nor chunks and ends with
+/// its connection.
+pub(crate) fn json_without_length(status: StatusCode, value: &impl Serialize, share: f64) -> Reply {
+    let mut body = serde_json::to_vec(value).unwrap_or_default();
+    body.truncate((body.len() as f64 * share) as usize);
+    let (tx, rx) = mpsc::channel(1);
+    // The channel has capacity for the only chunk.
+    let _sent = tx.try_send(Bytes::from(body));
+    let mut reply = json(status, &()).map(|_| Either::Right(EventBody(rx)));
+    *reply.version_mut() = Version::HTTP_10;
+    reply
+}
+
 /// Reads a body, or returns an error response.
 pub(crate) async fn read_body(body: Incoming) -> Result<Bytes, Reply> {
     match Limited::new(body, MAX_BODY_BYTES).collect().await {
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -34,7 +34,7 @@
 pub use engine::EngineHandle;
 pub use engine_config::{EngineConfig, EngineStats};
 pub use order_book::OrderStore;
-pub use order_config::{OrderConfig, OrderStats};
+pub use order_config::{AnswerEnd, OrderConfig, OrderStats};
 pub use order_service::OrderHandle;
 
 /// A prompt that contains this text crashes the engine that runs it.
--- a/crates/fakes/src/order_config.rs
+++ b/crates/fakes/src/order_config.rs
@@ -22,6 +22,8 @@
     pub fail_before: f64,
     /// Probability that a call fails with status 500 after a booking.
     pub fail_after: f64,
+    /// How the responses to bookings end.
+    pub answer_end: AnswerEnd,
     /// The bookings, shared by the replicas of a service.
     pub store: OrderStore,
     /// Seed for the faults.
@@ -42,6 +44,7 @@
             lose_answer: 0.0,
             fail_before: 0.0,
             fail_after: 0.0,
+            answer_end: AnswerEnd::Stated,
             store: OrderStore::default(),
             seed: 1,
             announce: None,
@@ -49,6 +52,17 @@
     }
 }
 
+/// How the responses of a fake order service end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerEnd {
+    /// After their length.
+    Stated,
+    /// With their connection, of which nothing else tells the end.
+    Connection,
+    /// The same after half of their bytes, as in a crash.
+    HalfThenConnection,
+}
+
 /// Counters of a fake order service since it started.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct OrderStats {
--- a/crates/fakes/src/order_service.rs
+++ b/crates/fakes/src/order_service.rs
@@ -17,9 +17,11 @@
 use tokio::time::sleep;
 
 use crate::announcer::Announcer;
-use crate::http::{DropConnection, Reply, Req, empty, error, header, json, read_body};
+use crate::http::{
+    DropConnection, Reply, Req, empty, error, header, json, json_without_length, read_body,
+};
 use crate::order_book::OrderBook;
-use crate::order_config::{OrderConfig, OrderStats};
+use crate::order_config::{AnswerEnd, OrderConfig, OrderStats};
 use crate::server::Server;
 use crate::slots::Slots;
 
@@ -232,7 +234,12 @@
         let message = "the service failed after it had booked";
         return Ok(error(StatusCode::INTERNAL_SERVER_ERROR, message));
     }
-    Ok(json(StatusCode::CREATED, &booking))
+    let status = StatusCode::CREATED;
+    Ok(match cfg.answer_end {
+        AnswerEnd::Stated => json(status, &booking),
+        AnswerEnd::Connection => json_without_length(status, &booking, 1.0),
+        AnswerEnd::HalfThenConnection => json_without_length(status, &booking, 0.5),
+    })
 }
 
 fn read_or_replace(book: &mut OrderBook, method: &Method, path: &str, body: &[u8]) -> Reply {
--- a/crates/wire/src/attempt.rs
+++ b/crates/wire/src/attempt.rs
@@ -178,6 +178,9 @@
         status: u16,
         /// Content type of the response.
         content_type: String,
+        /// Whether the end of the body is that of the upstream's connection, so that it is unknown
+        /// whether the body is complete.
+        ends_with_connection: bool,
     },
     /// A chunk of the response body.
     Chunk {
--- a/src/coltsfootnotch/daemon/entry/attempt_task.rs
+++ b/src/coltsfootnotch/daemon/entry/attempt_task.rs
@@ -139,8 +139,12 @@
             AttemptReply::Head {
                 status,
                 content_type,
+                ends_with_connection,
                 ..
-            } => self.on_head(status, content_type).await,
+            } => {
+                self.on_head(status, content_type, ends_with_connection);
+                Step::Continue
+            }
             AttemptReply::Chunk { seq, data, .. } => self.on_chunk(seq, data).await,
             AttemptReply::Done { chunks, usage, .. } if chunks == self.next_seq => {
                 self.on_done(usage).await
@@ -176,13 +180,13 @@
         })
     }
 
-    async fn on_head(&mut self, status: u16, content_type: String) -> Step {
+    fn on_head(&mut self, status: u16, content_type: String, ends_with_connection: bool) {
         if self.next_seq > 0 || self.collected.status != 0 {
-            return Step::Continue;
+            return;
         }
         self.collected.status = status;
         self.collected.content_type = content_type;
-        Step::Continue
+        self.collected.ends_with_connection = ends_with_connection;
     }
 
     async fn on_chunk(&mut self, seq: u64, data: Vec<u8>) -> Step {
@@ -219,6 +223,7 @@
         self.deliver(ResponsePart::Head {
             status,
             content_type,
+            ends_with_connection: self.collected.ends_with_connection,
         })
         .await
     }
--- a/src/coltsfootnotch/daemon/entry/attempts.rs
+++ b/src/coltsfootnotch/daemon/entry/attempts.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use coltsfootnotch_chart::RequestEvent;
 use coltsfootnotch_decide::retry::{FailedAttempt, may_retry};
-use coltsfootnotch_state::{ClosedBy, Outcome, ProcessId, RecordedBody};
+use coltsfootnotch_state::{ClosedBy, Outcome, ProcessId};
 use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::{
     AttemptId, FailReason, NotStartedReason, OpenAttempt, OpenCause, Run, ToSidecar, Usage,
@@ -312,23 +312,7 @@
     }
 
     pub(super) fn finish_replayed(&mut self, request: u64, outcome: Outcome) {
-        let content_type = outcome
-            .headers
-            .into_iter()
-            .find(|(name, _)| name == "content-type");
-        let content_type = content_type.map_or(String::new(), |(_, value)| value);
-        let body = match outcome.body {
-            RecordedBody::Whole(body) => body,
-            RecordedBody::Digest { digest, len } => {
-                format!("{{\"recorded\":{{\"sha256\":\"{digest}\",\"bytes\":{len}}}}}").into_bytes()
-            }
-        };
-        let response = CollectedResponse {
-            status: outcome.status,
-            content_type,
-            body,
-        };
-        self.finish_with_response(request, &response);
+        self.finish_with_response(request, &outcome.into());
     }
 
     pub(super) fn finish_with_response(&mut self, request: u64, response: &CollectedResponse) {
@@ -339,6 +323,7 @@
         let head = ResponsePart::Head {
             status: response.status,
             content_type,
+            ends_with_connection: response.ends_with_connection,
         };
         let chunk = ResponsePart::Chunk(Bytes::copy_from_slice(&response.body));
         for part in [head, chunk, ResponsePart::End] {
--- a/src/coltsfootnotch/daemon/entry/client_request.rs
+++ b/src/coltsfootnotch/daemon/entry/client_request.rs
@@ -21,6 +21,8 @@
         status: u16,
         /// Content type.
         content_type: String,
+        /// Whether the response ends with its connection, since whether it is complete is unknown.
+        ends_with_connection: bool,
     },
     /// A chunk of the body.
     Chunk(Bytes),
--- a/src/coltsfootnotch/daemon/entry/ledger_ops.rs
+++ b/src/coltsfootnotch/daemon/entry/ledger_ops.rs
@@ -1,8 +1,7 @@
 //! The ledger writes of an entry for a non-repeatable call.
 
 use coltsfootnotch_state::{
-    AttemptId as LedgerAttempt, Close, ClosedBy, LedgerOp, LedgerWrite, Outcome, ProcessId,
-    RecordedBody, Resolve,
+    AttemptId as LedgerAttempt, Close, ClosedBy, LedgerOp, LedgerWrite, ProcessId, Resolve,
 };
 use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::AttemptId;
@@ -72,7 +71,7 @@
 ) -> LedgerOp {
     let resolve = Resolve {
         attempt: to_ledger_attempt(attempt),
-        outcome: outcome_of(response),
+        outcome: response.into(),
     };
     LedgerOp {
         account: account.clone(),
@@ -81,16 +80,6 @@
     }
 }
 
-fn outcome_of(response: &CollectedResponse) -> Outcome {
-    let headers = vec![("content-type".to_owned(), response.content_type.clone())];
-    let body = RecordedBody::Whole(response.body.clone());
-    Outcome {
-        status: response.status,
-        headers,
-        body,
-    }
-}
-
 /// Records the response of an attempt.
 pub(super) fn outcome(
     account: &AccountName,
@@ -98,7 +87,7 @@
     attempt: AttemptId,
     response: &CollectedResponse,
 ) -> LedgerOp {
-    let write = LedgerWrite::Outcome(to_ledger_attempt(attempt), outcome_of(response));
+    let write = LedgerWrite::Outcome(to_ledger_attempt(attempt), response.into());
     LedgerOp {
         account: account.clone(),
         key: key.key.digest,
--- a/src/coltsfootnotch/daemon/entry/request_handler.rs
+++ b/src/coltsfootnotch/daemon/entry/request_handler.rs
@@ -24,6 +24,7 @@
 use super::response_body::ResponseBody;
 use super::{ClientRequest, LedgerKey, ResponsePart};
 use crate::core::{HostCx, Refusal, RefusalKind};
+use crate::util::connection_io::EndsWithConnection;
 use crate::util::http_server::{AnyResponse, full, read_body};
 
 /// Path of chat completions, at the entry and at the engines.
@@ -164,9 +165,14 @@
             Some(ResponsePart::Head {
                 status,
                 content_type,
+                ends_with_connection,
             }) => {
                 let body = ResponseBody::new(response_rx, guard);
-                Ok(response_with_body(status, &content_type, stream, body))
+                let mut response = response_with_body(status, &content_type, stream, body);
+                if ends_with_connection {
+                    response.extensions_mut().insert(EndsWithConnection);
+                }
+                Ok(response)
             }
             Some(ResponsePart::Failed(refusal)) => {
                 guard.disarm();
--- a/src/coltsfootnotch/daemon/entry/unresolved.rs
+++ b/src/coltsfootnotch/daemon/entry/unresolved.rs
@@ -238,9 +238,11 @@
             ResponsePart::Head {
                 status,
                 content_type,
+                ends_with_connection,
             } => {
                 response.status = status;
                 response.content_type = content_type;
+                response.ends_with_connection = ends_with_connection;
             }
             ResponsePart::Chunk(chunk) => response.body.extend_from_slice(&chunk),
             ResponsePart::End => return Some(response),
--- a/src/coltsfootnotch/daemon/forward/exchange.rs
+++ b/src/coltsfootnotch/daemon/forward/exchange.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use hyper::body::Incoming;
-use hyper::{Response, StatusCode};
+use hyper::{Method, Response, StatusCode};
 use tokio::time::timeout_at;
 
 use super::dialect::ResponseHead;
@@ -127,7 +127,8 @@
         guard.finish(Outcome::Failed);
         return ExchangeResult::Lost;
     }
-    let framing = BodyFraming::of_response(&req.method, response.status(), response.headers());
+    let to_head = req.method == Method::HEAD;
+    let framing = BodyFraming::of_response(to_head, response.status(), response.headers());
     ExchangeResult::Response(Box::new(UpstreamResponse {
         framing,
         response,
--- a/src/coltsfootnotch/daemon/sidecar/runner.rs
+++ b/src/coltsfootnotch/daemon/sidecar/runner.rs
@@ -71,6 +71,14 @@
     pub(super) state: RunnerState,
 }
 
+/// The head of the upstream's response.
+#[derive(Clone)]
+struct ResponseHead {
+    status: u16,
+    content_type: String,
+    ends_with_connection: bool,
+}
+
 /// Mutable state of a [`Runner`].
 #[derive(Default)]
 pub(super) struct RunnerState {
@@ -78,7 +86,7 @@
     buffered: VecDeque<(u64, Vec<u8>)>,
     buffered_bytes: usize,
     next_seq: u64,
-    head: Option<(u16, String)>,
+    head: Option<ResponseHead>,
     usage: Usage,
     reported_tokens: u64,
     disconnected_at: Option<Instant>,
@@ -143,8 +151,13 @@
             Some(ResponsePart::Head {
                 status,
                 content_type,
+                ends_with_connection,
             }) => {
-                self.state.head = Some((status, content_type));
+                self.state.head = Some(ResponseHead {
+                    status,
+                    content_type,
+                    ends_with_connection,
+                });
                 self.send_start().await;
             }
             Some(ResponsePart::Chunk { data, tokens }) => self.on_chunk(data, tokens).await,
@@ -227,7 +240,7 @@
     }
 
     async fn send_start(&mut self) {
-        let Some((status, content_type)) = self.state.head.clone() else {
+        let Some(head) = self.state.head.clone() else {
             return;
         };
         let attempt = self.attempt;
@@ -236,8 +249,9 @@
             .await;
         self.send(&AttemptReply::Head {
             attempt,
-            status,
-            content_type,
+            status: head.status,
+            content_type: head.content_type,
+            ends_with_connection: head.ends_with_connection,
         })
         .await;
     }
--- a/src/coltsfootnotch/daemon/sidecar/upstream_call.rs
+++ b/src/coltsfootnotch/daemon/sidecar/upstream_call.rs
@@ -13,6 +13,8 @@
 use ureq::http::header::RETRY_AFTER;
 use ureq::http::{Request, Response, StatusCode};
 
+use crate::util::body_framing::BodyFraming;
+
 use super::sse::{EventKind, SseSplitter, TokenUsage};
 
 /// Time to connect; the upstream is on the same host or close to it.
@@ -29,8 +31,12 @@
 pub(super) enum ResponsePart {
     /// Nothing was sent, since the connection to the upstream failed.
     NotReached,
-    /// Status and content type of the response.
-    Head { status: u16, content_type: String },
+    /// Status and content type of the response, and whether its end is that of the connection.
+    Head {
+        status: u16,
+        content_type: String,
+        ends_with_connection: bool,
+    },
     /// The upstream refuses the request and wants no more for a time. Sent before the head.
     BackoffRequested(Duration),
     /// A chunk of the body, and the number of tokens in it.
@@ -174,7 +180,11 @@
         self.parts.blocking_send(part).map_err(cancelled)
     }
 
-    fn send_head(&self, response: &Response<ureq::Body>) -> Result<(), ResponsePart> {
+    fn send_head(
+        &self,
+        response: &Response<ureq::Body>,
+        ends_with_connection: bool,
+    ) -> Result<(), ResponsePart> {
         if let Some(time) = requested_backoff(response) {
             self.send(ResponsePart::BackoffRequested(time))?;
         }
@@ -186,6 +196,7 @@
         self.send(ResponsePart::Head {
             status,
             content_type: content_type.to_owned(),
+            ends_with_connection,
         })
     }
 
@@ -198,7 +209,8 @@
         &self,
         response: Response<ureq::Body>,
     ) -> Result<ResponsePart, ResponsePart> {
-        self.send_head(&response)?;
+        // The last event tells whether the stream is complete.
+        self.send_head(&response, false)?;
         let mut reader = response.into_body().into_reader();
         let mut splitter = SseSplitter::default();
         let mut has_done_event = false;
@@ -231,6 +243,14 @@
         }
     }
 
+    /// Whether the end of the body is that of the connection, which a crash of the upstream looks like as
+    /// well.
+    fn ends_with_connection(&self, response: &Response<ureq::Body>) -> bool {
+        let to_head = self.call.method == "HEAD";
+        let framing = BodyFraming::of_response(to_head, response.status(), response.headers());
+        framing == Some(BodyFraming::UntilClose)
+    }
+
     fn forward_body(&self, response: Response<ureq::Body>) -> ResponsePart {
         self.try_forward_body(response).unwrap_or_else(|part| part)
     }
@@ -239,7 +259,7 @@
         &self,
         response: Response<ureq::Body>,
     ) -> Result<ResponsePart, ResponsePart> {
-        self.send_head(&response)?;
+        self.send_head(&response, self.ends_with_connection(&response))?;
         let mut reader = response.into_body().into_reader();
         let mut body = Vec::new();
         let mut buf = [0; READ_BYTES];
--- a/src/coltsfootnotch/util/body_framing.rs
+++ b/src/coltsfootnotch/util/body_framing.rs
@@ -1,6 +1,6 @@
 //! How the end of an HTTP/1 message body is found, from the head of the message.
 
-use hyper::{HeaderMap, Method, StatusCode};
+use hyper::{HeaderMap, StatusCode};
 
 /// How the body of a message ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -60,29 +60,28 @@
 }
 
 impl BodyFraming {
-    /// The framing of the response to a request with `method`. `None` if the headers contradict each
-    /// other, or if other messages than HTTP follow.
+    /// The framing of a response; `to_head` tells whether it responds to a HEAD request. `None` if the
+    /// headers contradict each other, or if other messages than HTTP follow.
     ///
     /// ```
     /// use coltsfootnotch::util::body_framing::BodyFraming;
-    /// use hyper::{HeaderMap, Method, StatusCode};
+    /// use hyper::{HeaderMap, StatusCode};
     /// let no_headers = HeaderMap::new();
-    /// let framing = |method, status| BodyFraming::of_response(&method, status, &no_headers);
-    /// assert_eq!(framing(Method::GET, StatusCode::OK), Some(BodyFraming::UntilClose));
-    /// assert_eq!(framing(Method::HEAD, StatusCode::OK), Some(BodyFraming::Length(0)));
-    /// assert_eq!(framing(Method::GET, StatusCode::NO_CONTENT), Some(BodyFraming::Length(0)));
+    /// let framing = |to_head, status| BodyFraming::of_response(to_head, status, &no_headers);
+    /// assert_eq!(framing(false, StatusCode::OK), Some(BodyFraming::UntilClose));
+    /// assert_eq!(framing(true, StatusCode::OK), Some(BodyFraming::Length(0)));
+    /// assert_eq!(framing(false, StatusCode::NO_CONTENT), Some(BodyFraming::Length(0)));
     /// ```
     #[must_use]
-    pub fn of_response(method: &Method, status: StatusCode, headers: &HeaderMap) -> Option<Self> {
+    pub fn of_response(to_head: bool, status: StatusCode, headers: &HeaderMap) -> Option<Self> {
         let stated = StatedFraming::from_values(|name| {
             let values = headers.get_all(name).iter();
             values.map(|value| value.to_str().unwrap_or_default().trim())
         });
-        Self::of_stated_response(method == Method::HEAD, status.as_u16(), stated)
+        Self::of_stated_response(to_head, status.as_u16(), stated)
     }
 
-    /// The framing of a response whose headers state `stated`; `to_head` tells whether it responds to a
-    /// HEAD request.
+    /// The same for a response whose headers state `stated`.
     pub(crate) fn of_stated_response(
         to_head: bool,
         status: u16,
--- a/tests/testsuite/processes.rs
+++ b/tests/testsuite/processes.rs
@@ -4,6 +4,7 @@
 mod backoff;
 mod caller;
 mod configuration_log;
+mod connection_ends;
 mod control_loss;
 mod daemon;
 mod example;
--- a/tests/testsuite/processes/caller.rs
+++ b/tests/testsuite/processes/caller.rs
@@ -128,15 +128,34 @@
     /// Books with an idempotency key. Returns the status, which is 0 if the connection broke, and
     /// the body.
     pub(crate) fn book(&self, key: &str) -> (u16, Value) {
+        parse_response(self.send_booking(key))
+    }
+
+    fn send_booking(&self, key: &str) -> Option<Response<Body>> {
         let url = format!("http://{}/{}/orders", self.entry, self.service);
         let req = self.agent.post(url).header("authorization", self.bearer());
         let req = req.header("idempotency-key", key);
         let body = json!({ "pigment": "RAL 7035", "litres": 1 });
-        parse_response(
-            req.content_type("application/json")
-                .send(body.to_string())
-                .ok(),
-        )
+        req.content_type("application/json")
+            .send(body.to_string())
+            .ok()
+    }
+
+    /// Books with an idempotency key. Returns the status, the text of the body and whether the response states
+    /// its end, by a length or chunks.
+    pub(crate) fn book_unparsed(&self, key: &str) -> (u16, String, bool) {
+        let Some(response) = self.send_booking(key) else {
+            return (0, String::new(), false);
+        };
+        let status = response.status().as_u16();
+        let headers = response.headers();
+        let states_end =
+            headers.contains_key("content-length") || headers.contains_key("transfer-encoding");
+        let mut text = String::new();
+        match response.into_body().into_reader().read_to_string(&mut text) {
+            Ok(_) => (status, text, states_end),
+            Err(_) => (0, text, states_end),
+        }
     }
 
     /// Books with an idempotency key and retries until the booking is acknowledged or the timeout
