Take JSON that was cut short for a broken answer

What callers saw: half a JSON document, where another upstream or a rereading has the whole one; a ledger replays what it recorded first.

Cause: of a body that ends with its connection nobody states the end. JSON does so itself, and nothing looked.

Change: such a body whose content type is JSON and which ends inside its document counts as broken: an idempotent request is tried elsewhere, another one gets a 502, and a booking is resolved by rereading. Only bodies without a length are parsed. Other types show nothing and are delivered as they came.

Weighed and left out: taking a refused connection to the upstream for evidence that its last response was cut. An upstream may end right after a whole one, which would then be withheld, and the probe delays each end.

--- a/src/coltsfootnotch/daemon/forward/delivery.rs
+++ b/src/coltsfootnotch/daemon/forward/delivery.rs
@@ -5,6 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 use tokio::time::timeout_at;
@@ -12,10 +13,11 @@
 use super::dialect::Dialect;
 use super::exchange::UpstreamResponse;
 use super::matched_request::MatchedRequest;
-use super::messages::Outcome;
+use super::messages::{Outcome, Ticket};
 use super::server::Gateway;
 use crate::util::connection_io::EndsWithConnection;
-use crate::util::events;
+use crate::util::cut_body::is_cut;
+use crate::util::events::{self, Field};
 use crate::util::http_server::AnyResponse;
 
 /// Longest response that is buffered, in bytes.
@@ -27,7 +29,7 @@
     Complete(AnyResponse),
     /// The complete response, with a server error as status.
     Failure(AnyResponse),
-    /// The connection broke, the response is too long or the deadline passed.
+    /// The connection broke, the body was cut short, the response is too long or the deadline passed.
     Lost,
 }
 
@@ -59,11 +61,12 @@
         return DeliveryResult::Lost;
     };
     if ends_with_connection {
-        gw.log_sample(
-            &events::RESPONSE_ENDED_WITH_CONNECTION,
-            req,
-            &[("upstream", &ticket.upstream), ("bytes", &body.len())],
-        );
+        let is_cut = is_cut(content_type(&parts), &body);
+        log_end(gw, req, &ticket, body.len(), is_cut);
+        if is_cut {
+            guard.finish(Outcome::Broken);
+            return DeliveryResult::Lost;
+        }
     }
     if !ends_with_connection {
         gw.pool.put(&ticket, connection, head.keep_alive);
@@ -85,6 +88,28 @@
     }
 }
 
+fn content_type(parts: &Parts) -> &str {
+    let value = parts.headers.get(CONTENT_TYPE);
+    value
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+}
+
+/// Logs the end of a body that ends with its connection: always if it was cut, otherwise for a sample.
+fn log_end(gw: &Gateway, req: &MatchedRequest, ticket: &Ticket, bytes: usize, is_cut: bool) {
+    let event = &events::RESPONSE_ENDED_WITH_CONNECTION;
+    let fields: [Field<'_>; 3] = [
+        ("upstream", &ticket.upstream),
+        ("bytes", &bytes),
+        ("cut", &is_cut),
+    ];
+    if is_cut {
+        gw.log(event, req, &fields);
+    } else {
+        gw.log_sample(event, req, &fields);
+    }
+}
+
 async fn read_to_end(mut body: Incoming, deadline: Instant) -> Option<Bytes> {
     let mut buffered = BytesMut::new();
     loop {
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -159,13 +159,13 @@
         return;
     }
     let event = &events::RESPONSE_ENDED_WITH_CONNECTION;
-    let is_inside_event = source.is_cut();
+    let is_cut = source.is_cut();
     let fields: [Field<'_>; 3] = [
         ("upstream", &source.received.ticket.upstream),
         ("events", &source.events.seen()),
-        ("inside_event", &is_inside_event),
+        ("cut", &is_cut),
     ];
-    if is_inside_event {
+    if is_cut {
         gw.log(event, req, &fields);
     } else {
         gw.log_sample(event, req, &fields);
--- a/src/coltsfootnotch/daemon/sidecar/upstream_call.rs
+++ b/src/coltsfootnotch/daemon/sidecar/upstream_call.rs
@@ -14,6 +14,7 @@
 use ureq::http::{Request, Response, StatusCode};
 
 use crate::util::body_framing::BodyFraming;
+use crate::util::cut_body::is_cut;
 
 use super::sse::{EventKind, SseSplitter, TokenUsage};
 
@@ -188,14 +189,10 @@
         if let Some(time) = requested_backoff(response) {
             self.send(ResponsePart::BackoffRequested(time))?;
         }
-        let content_type = response.headers().get("content-type");
-        let content_type = content_type
-            .and_then(|value| value.to_str().ok())
-            .unwrap_or_default();
         let status = response.status().as_u16();
         self.send(ResponsePart::Head {
             status,
-            content_type: content_type.to_owned(),
+            content_type: content_type(response).to_owned(),
             ends_with_connection,
         })
     }
@@ -259,7 +256,9 @@
         &self,
         response: Response<ureq::Body>,
     ) -> Result<ResponsePart, ResponsePart> {
-        self.send_head(&response, self.ends_with_connection(&response))?;
+        let ends_with_connection = self.ends_with_connection(&response);
+        self.send_head(&response, ends_with_connection)?;
+        let content_type = content_type(&response).to_owned();
         let mut reader = response.into_body().into_reader();
         let mut body = Vec::new();
         let mut buf = [0; READ_BYTES];
@@ -273,6 +272,9 @@
                 return Err(ResponsePart::Failed(FailReason::UpstreamAborted));
             }
         }
+        if ends_with_connection && is_cut(&content_type, &body) {
+            return Err(ResponsePart::Failed(FailReason::UpstreamAborted));
+        }
         if let Ok(CompleteResponse { usage: Some(usage) }) = serde_json::from_slice(&body) {
             self.send(ResponsePart::Usage(usage))?;
         }
@@ -315,7 +317,12 @@
 }
 
 fn is_event_stream(response: &Response<ureq::Body>) -> bool {
-    let content_type = response.headers().get("content-type");
-    let content_type = content_type.and_then(|value| value.to_str().ok());
-    content_type.is_some_and(|text| text.starts_with("text/event-stream"))
+    content_type(response).starts_with("text/event-stream")
+}
+
+fn content_type(response: &Response<ureq::Body>) -> &str {
+    let value = response.headers().get("content-type");
+    value
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
 }
--- a/src/coltsfootnotch/util/mod.rs
+++ b/src/coltsfootnotch/util/mod.rs
@@ -5,6 +5,7 @@
 pub mod boot_clock;
 pub mod connection_io;
 pub mod connections;
+pub mod cut_body;
 pub mod event_loop;
 pub mod events;
 pub mod http_server;
--- a/tests/testsuite/processes/connection_ends.rs
+++ b/tests/testsuite/processes/connection_ends.rs
@@ -38,6 +38,19 @@
     }
 }
 
+/// Guards against half an answer that is all that a caller ever gets, although the service can be reread.
+#[test]
+fn an_answer_that_shows_that_it_was_cut_is_reread() {
+    let fleet = fleet_with(AnswerEnd::HalfThenConnection);
+    let caller = fleet.caller(0);
+    for key in ["key-a", "key-b"] {
+        let answer = caller.book_until_acknowledged(key).unwrap();
+        assert_that!(answer.is_object(), eq(true), "{answer:?}");
+        assert_that!(caller.book(key), eq(&(200, answer)));
+        assert_that!(fleet.services[0].bookings().get(key), some(eq(&1)));
+    }
+}
+
 /// Guards against a whole answer that is withheld since its end is that of its connection.
 #[test]
 fn a_whole_answer_that_ends_with_its_connection_is_delivered_and_replayed() {
