Don't resume streams inside an event that was forwarded in part

What callers saw: a part of a long event with the next events of another upstream joined to it; and, of a stream whose lines end with a carriage return, nothing until the stream had ended, which then counted as cut.

Cause: an event of more than a mebibyte is forwarded in parts. Its number was noted with the first part, so a stream that broke inside it was resumed after it. Events were split at two kinds of blank lines of the three that the format allows.

Change: a stream that breaks inside such an event is broken off; a blank line ends an event whatever its line ends are. Each byte is searched once, where the whole buffer was searched with each chunk.

--- a/src/coltsfootnotch/daemon/forward/event_splitter.rs
+++ b/src/coltsfootnotch/daemon/forward/event_splitter.rs
@@ -6,8 +6,10 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Longest event that is buffered, in bytes. A longer one is forwarded in chunks.
+/// Longest event that is buffered, in bytes. A longer one is forwarded in parts.
 const MAX_EVENT: usize = 1 << 20;
+/// Bytes at the end of a part that are kept back: a blank line may go on after them.
+const MAX_BLANK_LINE: usize = 4;
 
 /// Buffers a stream up to the end of an event.
 #[derive(Debug, Default)]
@@ -15,17 +17,22 @@
     rest: BytesMut,
     last_id: Option<u64>,
     seen: u64,
+    /// Whether a part of the current event has been returned.
+    is_partly_returned: bool,
 }
 
 impl EventSplitter {
     /// Adds bytes; returns all events that are complete now.
     pub(super) fn push(&mut self, bytes: &[u8]) -> Bytes {
+        let scanned = self.rest.len();
         self.rest.extend_from_slice(bytes);
-        let end = match last_blank_line(&self.rest) {
+        let blank_line = last_blank_line(&self.rest, scanned);
+        let end = match blank_line {
             Some(end) => end,
-            None if self.rest.len() > MAX_EVENT => self.rest.len(),
+            None if self.rest.len() > MAX_EVENT => self.rest.len() - MAX_BLANK_LINE,
             None => return Bytes::new(),
         };
+        self.is_partly_returned = blank_line.is_none();
         let complete = self.rest.split_to(end).freeze();
         self.record_ids(&complete);
         complete
@@ -34,12 +41,19 @@
     /// Whether a stream that ends now ends inside an event. Blank lines and comments between events belong
     /// to none.
     pub(super) fn is_inside_event(&self) -> bool {
-        let mut lines = self.rest.split_inclusive(|b| *b == b'\n');
-        lines.any(|line| {
-            let is_blank = line.iter().all(|b| matches!(b, b'\r' | b'\n'));
-            let is_comment = line.starts_with(b":") && line.ends_with(b"\n");
+        let mut lines = self.rest.split_inclusive(is_line_end);
+        let is_in_line_of_event = lines.any(|line| {
+            let is_blank = line.iter().all(is_line_end);
+            let is_comment = line.starts_with(b":") && line.last().is_some_and(is_line_end);
             !is_blank && !is_comment
-        })
+        });
+        self.is_partly_returned || is_in_line_of_event
+    }
+
+    /// Whether a part of an event was returned whose rest has not come yet. Another upstream can't go on
+    /// inside an event.
+    pub(super) fn is_partly_returned(&self) -> bool {
+        self.is_partly_returned
     }
 
     /// Takes the bytes of an incomplete event.
@@ -63,7 +77,7 @@
     }
 
     fn record_ids(&mut self, events: &[u8]) {
-        for line in events.split(|b| *b == b'\n') {
+        for line in events.split(is_line_end) {
             let Some(value) = line.strip_prefix(b"id:") else {
                 continue;
             };
@@ -76,17 +90,22 @@
     }
 }
 
-/// The end of the last complete event.
-fn last_blank_line(bytes: &[u8]) -> Option<usize> {
-    let lf = bytes
-        .windows(2)
-        .rposition(|w| w == b"\n\n")
-        .map(|at| at + 2);
-    let crlf = bytes
-        .windows(4)
-        .rposition(|w| w == b"\r\n\r\n")
-        .map(|at| at + 4);
-    lf.max(crlf)
+fn is_line_end(byte: &u8) -> bool {
+    matches!(byte, b'\r' | b'\n')
+}
+
+/// The end of the last complete event, if it is after `scanned` bytes.
+fn last_blank_line(bytes: &[u8], scanned: usize) -> Option<usize> {
+    (scanned + 1..=bytes.len()).rev().find(|end| {
+        let line = without_line_end(&bytes[..*end]);
+        line.is_some_and(|line| line.last().is_some_and(is_line_end))
+    })
+}
+
+/// A line without its end, which is a carriage return, a line feed or both.
+fn without_line_end(line: &[u8]) -> Option<&[u8]> {
+    let line_ends = [&b"\r\n"[..], b"\n", b"\r"];
+    line_ends.iter().find_map(|end| line.strip_suffix(*end))
 }
 
 #[cfg(test)]
--- a/src/coltsfootnotch/daemon/forward/event_splitter_tests.rs
+++ b/src/coltsfootnotch/daemon/forward/event_splitter_tests.rs
@@ -2,7 +2,7 @@
 
 use googletest::prelude::*;
 
-use super::EventSplitter;
+use super::{EventSplitter, MAX_EVENT};
 
 #[googletest::test]
 fn an_incomplete_event_is_buffered() {
@@ -61,3 +61,42 @@
     events.push(b"id: 1\n\n: still he");
     expect_true!(events.is_inside_event(), "a comment that is cut");
 }
+
+/// Guards against an event whose first part is joined to the next event of another upstream.
+#[googletest::test]
+fn a_long_event_that_is_returned_in_parts_is_not_complete() {
+    let long = format!("id: 2\r\ndata: {}", "x".repeat(MAX_EVENT));
+    // A line feed that follows a carriage return belongs to the same line end.
+    for (end, complete_after) in [("\n\n", 2), ("\r\n\r\n", 3), ("\r\r", 2)] {
+        for cut in 0..complete_after {
+            let mut events = EventSplitter::default();
+            events.push(b"id: 1\n\n");
+            let mut returned = events.push(long.as_bytes()).to_vec();
+            returned.extend(events.push(&end.as_bytes()[..cut]));
+            expect_true!(events.is_partly_returned(), "{cut} of {end:?}");
+            expect_true!(events.is_inside_event(), "{cut} of {end:?}");
+            returned.extend(events.push(&end.as_bytes()[cut..]));
+            expect_false!(events.is_partly_returned(), "{cut} of {end:?}");
+            expect_false!(events.is_inside_event(), "{cut} of {end:?}");
+            returned.extend(events.take_rest());
+            expect_true!(returned == format!("{long}{end}").as_bytes());
+        }
+    }
+}
+
+/// Guards against streams that stall or count as cut, since their lines end in another way.
+#[googletest::test]
+fn events_end_with_a_blank_line_of_any_kind() {
+    for line_end in ["\n", "\r\n", "\r"] {
+        let stream = ["id: 1", "data: a", "", "id: 2", "data: b", "", ""].join(line_end);
+        for cut in 0..stream.len() {
+            let mut events = EventSplitter::default();
+            let mut returned = events.push(&stream.as_bytes()[..cut]).to_vec();
+            returned.extend(events.push(&stream.as_bytes()[cut..]));
+            expect_that!(events.last_id(), some(eq(2)), "{line_end:?} cut at {cut}");
+            expect_false!(events.is_inside_event(), "{line_end:?} cut at {cut}");
+            returned.extend(events.take_rest());
+            expect_that!(returned, eq(stream.as_bytes()), "{line_end:?} cut at {cut}");
+        }
+    }
+}
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -383,6 +383,9 @@
         if !self.req.kind().is_idempotent() {
             return Err("the route's streams can't be resumed");
         }
+        if events.is_partly_returned() {
+            return Err("a part of an event was forwarded");
+        }
         let last_event = Some(events.last_id().ok_or("its events have no numbers")?);
         let resume_deadline = Instant::now() + RESUME_TIMEOUT;
         while *attempts < self.req.route().max_attempts {
