Tell resets from ends in responses that sidecars and load callers read

What callers saw: in the product's own fleet, half an answer whose upstream's connection was reset, ending in order.

Cause: the HTTP client of sidecars takes a reset for the end of a response with neither a length nor chunks, as it does an orderly close. Found by the soak, whose callers use the same client and could not tell a killed router from an end.

Change: the client's connections report a reset as an error that the library hands on. The callers of coltsfootnotch load use it as well, and count an answer that shows that it was cut as truncated.

--- a/src/coltsfootnotch/daemon/sidecar/upstream_call.rs
+++ b/src/coltsfootnotch/daemon/sidecar/upstream_call.rs
@@ -15,6 +15,7 @@
 
 use crate::util::body_framing::BodyFraming;
 use crate::util::cut_body::is_cut;
+use crate::util::http_client::agent;
 
 use super::sse::{EventKind, SseSplitter, TokenUsage};
 
@@ -102,7 +103,7 @@
 }
 
 fn build_agent(max_idle: usize) -> Agent {
-    Agent::config_builder()
+    let config = Agent::config_builder()
         .http_status_as_error(false)
         .timeout_connect(Some(CONNECT_TIMEOUT))
         .timeout_per_read(Some(READ_TIMEOUT))
@@ -111,8 +112,8 @@
         .output_buffer_size(BUFFER_BYTES)
         .max_idle_connections_per_host(max_idle)
         .max_idle_age(MAX_IDLE_AGE)
-        .build()
-        .into()
+        .build();
+    agent(config)
 }
 
 #[derive(Deserialize)]
--- a/src/coltsfootnotch/ops/load/client.rs
+++ b/src/coltsfootnotch/ops/load/client.rs
@@ -9,6 +9,9 @@
 use ureq::http::Response;
 use ureq::{Agent, Body};
 
+use crate::util::cut_body::is_cut;
+use crate::util::http_client::agent;
+
 /// Timeout of one request.
 const TIMEOUT: Duration = Duration::from_secs(30);
 /// Upper bound on `Retry-After`, so that callers retry within a short run.
@@ -89,14 +92,13 @@
 
 impl Client {
     pub(super) fn new(address: SocketAddr, key: Option<String>) -> Self {
-        let agent = Agent::config_builder()
+        let config = Agent::config_builder()
             .http_status_as_error(false)
             .timeout_global(Some(TIMEOUT))
             .no_delay(true)
-            .build()
-            .into();
+            .build();
         Self {
-            agent,
+            agent: agent(config),
             address,
             key,
         }
@@ -123,7 +125,7 @@
         }
     }
 
-    /// Calls a plain service; any 2xx answer counts as complete.
+    /// Calls a plain service; a 2xx answer counts as complete unless its body shows that it was cut short.
     pub(super) fn call(
         &self,
         method: &str,
@@ -151,10 +153,14 @@
         if !response.status().is_success() {
             return Answer::Failed(failure(response));
         }
-        response
-            .body_mut()
-            .read_to_string()
-            .map_or(Answer::Truncated, Answer::Complete)
+        let content_type = response.headers().get("content-type").cloned();
+        let content_type = content_type.as_ref().and_then(|value| value.to_str().ok());
+        match response.body_mut().read_to_string() {
+            Ok(text) if !is_cut(content_type.unwrap_or_default(), text.as_bytes()) => {
+                Answer::Complete(text)
+            }
+            _ => Answer::Truncated,
+        }
     }
 }
 
--- a/src/coltsfootnotch/util/mod.rs
+++ b/src/coltsfootnotch/util/mod.rs
@@ -8,6 +8,7 @@
 pub mod cut_body;
 pub mod event_loop;
 pub mod events;
+pub mod http_client;
 pub mod http_server;
 pub mod json_log;
 pub mod line_budget;
