Let the soak's upstreams state no end of their responses

Change: upstreams do so for a time, drawn for the seed without changing its other steps; a third of these responses is cut inside a part and a third between two. Callers check that such a response is not framed as complete and that a stream is not cut inside an event; a whole one must be whole. A proxy whose connection breaks resets both of its sides at once. Callers tell a reset from an end by the product's client.

--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coltsfootnotch::util::http_client::agent;
 use coltsfootnotch_platform_peers::{
     DEADLINE_MS, LEAVING, REQUEST_ID, RESPONSE_STAMP, TOKEN_USAGE,
 };
@@ -14,7 +15,7 @@
 use crate::notices::Notices;
 use crate::operator::{HOST, Operator, STEADY_KEY};
 use crate::recorder::{Invariant, Recorder, RequestOutcome};
-use crate::upstream::{EVENTS, event_text};
+use crate::upstream::{EVENTS, answer_text, event_text};
 
 /// Timeout of a request.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
@@ -47,6 +48,8 @@
     mark: Option<String>,
     /// Whether it states that its upstream leaves.
     is_leaving: bool,
+    /// Whether it states its end, by a length or chunks.
+    states_end: bool,
     body: std::result::Result<String, String>,
 }
 
@@ -55,12 +58,12 @@
     /// router until a request is cut or refused.
     pub async fn run(self, seed: u64) {
         let mut rng = StdRng::seed_from_u64(seed);
-        let agent: ureq::Agent = ureq::Agent::config_builder()
+        let config = ureq::Agent::config_builder()
             .http_status_as_error(false)
             .timeout_global(Some(REQUEST_TIMEOUT))
             .max_idle_age(Duration::from_secs(12))
-            .build()
-            .into();
+            .build();
+        let agent = agent(config);
         let mut router = self.number % self.routers;
         for n in 0_u64.. {
             let id = format!("c{}-{n}", self.number);
@@ -104,6 +107,7 @@
         if outcome == RequestOutcome::Cut
             && (self.is_planned_stop_only)(router)
             && self.recorder.has_run(id)
+            && !self.recorder.is_cut(id)
         {
             let took = self.recorder.now().saturating_sub(sent_at);
             // A request close to its timeout wasn't cut by the stop.
@@ -137,20 +141,35 @@
             let events = (1..=EVENTS).map(|n| event_text(id, n)).collect();
             (Invariant::StreamOrder, events)
         } else {
-            (Invariant::CorrectAnswer, format!("answer to {id}"))
+            (Invariant::CorrectAnswer, answer_text(id))
         };
         if answer.mark.is_none() {
             let what = format!("{id} gets a success without the mark of an upstream");
             self.recorder.report(Invariant::CorrectAnswer, what);
         }
+        // Where an upstream doesn't state the end of its response, neither may the router.
+        if !answer.states_end && self.recorder.is_cut(id) && is_unstated_part(kind, body, &expected)
+        {
+            return RequestOutcome::Cut;
+        }
         if *body != expected {
-            self.recorder
-                .report(invariant, format!("{id} gets {body:?}"));
+            let (states_end, is_cut) = (answer.states_end, self.recorder.is_cut(id));
+            let what = format!(
+                "{id} gets {body:?}; states its end: {states_end}, cut by an upstream: {is_cut}"
+            );
+            self.recorder.report(invariant, what);
         }
         RequestOutcome::Served
     }
 }
 
+/// Whether a body that ends with its connection may be a part of `expected`: any part of a plain answer, and
+/// whole events of a stream.
+fn is_unstated_part(kind: &str, body: &str, expected: &str) -> bool {
+    let is_part = expected.starts_with(body) && body.len() < expected.len();
+    is_part && (kind != "stream" || body.ends_with("\n\n"))
+}
+
 fn call(agent: &ureq::Agent, url: &str, id: &str, bearer: &str) -> Option<Answer> {
     let req = agent
         .post(url)
@@ -163,10 +182,12 @@
     let header = |name: &str| answer.headers().get(name)?.to_str().ok();
     let mark = header(RESPONSE_STAMP).map(ToOwned::to_owned);
     let is_leaving = header(LEAVING) == Some("1");
+    let states_end = header("content-length").is_some() || header("transfer-encoding").is_some();
     Some(Answer {
         status: answer.status().as_u16(),
         mark,
         is_leaving,
+        states_end,
         body: answer
             .body_mut()
             .read_to_string()
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -24,6 +24,7 @@
     quiet: bool,
     replace: bool,
     without_refusals: bool,
+    with_framing: bool,
 }
 
 fn options() -> OptionParser<Options> {
@@ -64,6 +65,9 @@
     let without_refusals = long("without-refusals")
         .help("upstreams refuse no requests; for seeds that were found without")
         .switch();
+    let with_framing = long("with-framing")
+        .help("all responses state their end; for seeds that were found so")
+        .switch();
     construct!(Options {
         seed,
         seeds,
@@ -74,7 +78,8 @@
         keep,
         quiet,
         replace,
-        without_refusals
+        without_refusals,
+        with_framing
     })
     .guard(
         |o| [3, 5, 7].contains(&o.controls),
@@ -128,6 +133,7 @@
         clients: CLIENTS,
         replaces_hosts: options.replace,
         has_refusals: !options.without_refusals,
+        omits_framing: !options.with_framing,
         binary: options.binary.clone(),
         block: (std::process::id() % 250) as u8,
         folder: folder.path().to_owned(),
--- a/soak/src/proxy/tcp.rs
+++ b/soak/src/proxy/tcp.rs
@@ -6,7 +6,7 @@
 
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
@@ -35,14 +35,14 @@
     Ok(())
 }
 
-async fn forward_connection(client: TcpStream, target: SocketAddr, path: Path, rules: Rules) {
+async fn forward_connection(mut client: TcpStream, target: SocketAddr, path: Path, rules: Rules) {
     while rules.get(path).delay(true).is_none() {
         if rules.get(path) == Rule::Reset {
             return reset(&client);
         }
         sleep(POLL_INTERVAL).await;
     }
-    let Ok(server) = TcpStream::connect(target).await else {
+    let Ok(mut server) = TcpStream::connect(target).await else {
         return reset(&client);
     };
     if client
@@ -52,43 +52,53 @@
     {
         return reset(&client);
     }
-    let (client_read, client_write) = client.into_split();
-    let (server_read, server_write) = server.into_split();
+    let (client_read, client_write) = client.split();
+    let (server_read, server_write) = server.split();
     let forward = copy(client_read, server_write, path, true, &rules);
     let backward = copy(server_read, client_write, path, false, &rules);
-    // `copy` propagates the end of its direction; the connection is closed once both have ended.
-    tokio::join!(forward, backward);
+    // `copy` propagates the end of its direction; the connection is closed once both have ended, and reset
+    // once one is broken.
+    if tokio::try_join!(forward, backward).is_err() {
+        reset(&client);
+        reset(&server);
+    }
 }
 
-/// Copies one direction and propagates how it ends: end of file as a shutdown, an error as a reset.
+/// A direction is broken: its connection is to be reset.
+struct Broken;
+
+/// Copies one direction and propagates the end of file as a shutdown.
+///
+/// # Errors
+/// Returns an error when a connection or the rule breaks it.
 async fn copy(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
     path: Path,
     forward: bool,
     rules: &Rules,
-) {
+) -> Result<(), Broken> {
     let mut buf = vec![0; BUFFER_SIZE];
     loop {
         let read = tokio::select! {
             read = from.read(&mut buf) => read,
-            () = wait_for_reset(path, rules) => return reset(to.as_ref()),
+            () = wait_for_reset(path, rules) => return Err(Broken),
         };
         let n = match read {
             Ok(n) => n,
-            Err(_) => return reset(to.as_ref()),
+            Err(_) => return Err(Broken),
         };
         match wait_until_forwarded(path, forward, rules).await {
             Some(delay) => sleep(delay).await,
-            None => return reset(to.as_ref()),
+            None => return Err(Broken),
         }
         if n == 0 {
             // Fails if the other side has already closed the connection.
             let _ignored = to.shutdown().await;
-            return;
+            return Ok(());
         }
         if to.write_all(&buf[..n]).await.is_err() {
-            return reset(from.as_ref());
+            return Err(Broken);
         }
     }
 }
--- a/soak/src/recorder.rs
+++ b/soak/src/recorder.rs
@@ -76,6 +76,8 @@
     must_serve: bool,
     runs: u32,
     refused: bool,
+    /// Whether an upstream has cut its response short.
+    is_cut: bool,
 }
 
 /// Counts of a run.
@@ -199,6 +201,20 @@
         }
     }
 
+    /// Records that an upstream cuts its response to a request short.
+    pub fn record_cut(&self, id: &str) {
+        if let Some(request) = self.observations().requests.get_mut(id) {
+            request.is_cut = true;
+        }
+    }
+
+    /// Returns whether an upstream has cut its response to the request short.
+    #[must_use]
+    pub fn is_cut(&self, id: &str) -> bool {
+        let observations = self.observations();
+        observations.requests.get(id).is_some_and(|r| r.is_cut)
+    }
+
     /// Returns whether any upstream has started to run the request.
     #[must_use]
     pub fn has_run(&self, id: &str) -> bool {
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -61,6 +61,8 @@
     pub replaces_hosts: bool,
     /// Whether upstreams also refuse requests and ask for pauses.
     pub has_refusals: bool,
+    /// Whether upstreams also send responses that end with their connection.
+    pub omits_framing: bool,
     /// The platform's program.
     pub binary: PathBuf,
     /// Block of loopback addresses; concurrent runs need different blocks.
@@ -103,6 +105,9 @@
         if self.has_refusals {
             schedule = schedule.with_refusals(self.seed, self.size);
         }
+        if self.omits_framing {
+            schedule = schedule.with_omitted_framing(self.seed, self.size);
+        }
         let addresses = Addresses::new(self.block);
         let fleet = Fleet::start(&self.binary, &self.folder, addresses, self.size).await?;
         let scenario = Arc::new(self.start_scenario(fleet).await?);
--- a/soak/src/scenario.rs
+++ b/soak/src/scenario.rs
@@ -143,6 +143,13 @@
                 upstream.lock().await.set_refusing(None);
                 Ok(())
             }
+            Action::OmitFraming { upstream, time } => {
+                let upstream = &self.upstreams[upstream];
+                upstream.lock().await.set_omits_framing(true);
+                sleep(time).await;
+                upstream.lock().await.set_omits_framing(false);
+                Ok(())
+            }
             Action::ConflictingPuts => {
                 self.operator.put_conflicting().await;
                 Ok(())
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -161,6 +161,14 @@
         /// The pause that it asks for.
         backoff: Duration,
     },
+    /// Makes an upstream send responses with neither a length nor chunks, and cut some of them short.
+    #[display("upstream {upstream} states no end of its responses for {time:?}")]
+    OmitFraming {
+        /// Index of the target.
+        upstream: usize,
+        /// Duration of the fault.
+        time: Duration,
+    },
     /// Puts two different configurations with the same number concurrently.
     #[display("two operators put conflicting configurations")]
     ConflictingPuts,
@@ -234,6 +242,25 @@
         self.steps.sort_by_key(|step| step.at);
         self
     }
+
+    /// Adds upstreams whose responses end with their connection, drawn for the same seed; the other steps
+    /// stay.
+    #[must_use]
+    pub fn with_omitted_framing(mut self, seed: u64, size: FleetSize) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed.rotate_left(32));
+        let mut at = QUIET_START;
+        let end = self.length.saturating_sub(QUIET_END);
+        while at < end {
+            let action = Action::OmitFraming {
+                upstream: rng.random_range(0..size.upstreams),
+                time: Duration::from_millis(rng.random_range(300..6_000)),
+            };
+            self.steps.push(Step { at, action });
+            at += Duration::from_millis(rng.random_range(50..4 * MEAN_GAP_MS));
+        }
+        self.steps.sort_by_key(|step| step.at);
+        self
+    }
 }
 
 fn draw_action(rng: &mut StdRng, size: FleetSize) -> Action {
--- a/soak/src/upstream/mod.rs
+++ b/soak/src/upstream/mod.rs
@@ -17,7 +17,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-pub use self::response::{EVENTS, event_text};
+pub use self::response::{EVENTS, answer_text, event_text};
 use self::response::{Observers, respond};
 use self::run::Run;
 use crate::notices::Notices;
@@ -141,6 +141,13 @@
         }
     }
 
+    /// Sets whether the run's responses have neither a length nor chunks; some of them are cut short then.
+    pub fn set_omits_framing(&self, omits: bool) {
+        if let Some((run, _)) = &self.current {
+            run.state().omits_framing = omits;
+        }
+    }
+
     /// Announces the drain, keeps serving for a while, then leaves and ends the run.
     pub async fn drain(&mut self) {
         let Some((run, _)) = &self.current else {
--- a/soak/src/upstream/response.rs
+++ b/soak/src/upstream/response.rs
@@ -12,7 +12,7 @@
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Frame, Incoming};
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Version};
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
@@ -123,30 +123,97 @@
         sleep(PROCESSING_TIME).await;
         return Err(Aborted);
     }
+    let first = last_event.unwrap_or(0) + 1;
+    let parts: Vec<String> = if is_stream {
+        (first..=EVENTS).map(|n| event_text(&id, n)).collect()
+    } else {
+        vec![answer_text(&id)]
+    };
+    if state.omits_framing {
+        let body = unframed_body(parts, &id, recorder);
+        let mut response = response(StatusCode::OK, &id, &headers, body);
+        // With this version the response gets neither a length nor chunks.
+        *response.version_mut() = Version::HTTP_10;
+        return Ok(response);
+    }
     if is_stream {
-        return Ok(response(
-            StatusCode::OK,
-            &id,
-            &headers,
-            stream_body(id.clone(), last_event),
-        ));
+        return Ok(response(StatusCode::OK, &id, &headers, stream_body(parts)));
     }
     sleep(PROCESSING_TIME).await;
     Ok(response(
         StatusCode::OK,
         &id,
         &headers,
-        full_body(format!("answer to {id}")),
+        full_body(parts.concat()),
     ))
 }
 
-fn stream_body(id: String, after: Option<u64>) -> Body {
+/// A body that ends with its connection. It is cut short inside a part for a third of the requests, and
+/// between two parts for another third.
+fn unframed_body(mut parts: Vec<String>, id: &str, recorder: &Recorder) -> Body {
+    let whole = parts.concat().len();
+    let sum: usize = id.bytes().map(usize::from).sum();
+    if sum % 3 < 2 {
+        parts.truncate(parts.len().div_ceil(2));
+    }
+    if sum.is_multiple_of(3)
+        && let Some(last) = parts.last_mut()
+    {
+        last.truncate(last.len() / 2);
+    }
+    let body = UnframedBody {
+        events: stream_body(parts),
+        left: whole,
+        id: id.to_owned(),
+        recorder: recorder.clone(),
+    };
+    body.boxed()
+}
+
+/// A body that is recorded as cut unless all of it is sent.
+struct UnframedBody {
+    events: Body,
+    /// Bytes that have not been sent.
+    left: usize,
+    id: String,
+    recorder: Recorder,
+}
+
+impl hyper::body::Body for UnframedBody {
+    type Data = Bytes;
+    type Error = Aborted;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
+        let frame = std::task::ready!(Pin::new(&mut self.events).poll_frame(cx));
+        if let Some(Ok(frame)) = &frame {
+            self.left -= frame.data_ref().map_or(0, Bytes::len);
+        }
+        if frame.is_none() && self.left > 0 {
+            // Before the caller sees the end.
+            self.recorder.record_cut(&self.id);
+        }
+        Poll::Ready(frame)
+    }
+}
+
+impl Drop for UnframedBody {
+    fn drop(&mut self) {
+        if self.left > 0 {
+            self.recorder.record_cut(&self.id);
+        }
+    }
+}
+
+fn stream_body(parts: Vec<String>) -> Body {
     let (tx, rx) = mpsc::channel(4);
     tokio::spawn(async move {
-        for n in after.unwrap_or(0) + 1..=EVENTS {
+        for part in parts {
             sleep(PROCESSING_TIME).await;
             // Fails once the router has closed the connection.
-            if tx.send(event_text(&id, n)).await.is_err() {
+            if tx.send(part).await.is_err() {
                 return;
             }
         }
@@ -154,6 +221,12 @@
     EventBody { events: rx }.boxed()
 }
 
+/// Returns the text of the plain answer to request `id`.
+#[must_use]
+pub fn answer_text(id: &str) -> String {
+    format!("answer to {id}")
+}
+
 /// Response body that yields events as they are produced.
 struct EventBody {
     events: mpsc::Receiver<String>,
--- a/soak/src/upstream/run.rs
+++ b/soak/src/upstream/run.rs
@@ -26,6 +26,8 @@
     /// Time at which its drain was acknowledged.
     pub(super) drained_at: Option<Duration>,
     pub(super) drops_answers: bool,
+    /// Whether its responses have neither a length nor chunks.
+    pub(super) omits_framing: bool,
     /// The pause that it asks for while it refuses all requests.
     pub(super) refusing: Option<Duration>,
 }
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -23,12 +23,13 @@
 
 /// Runs a seed with few clients and returns the findings.
 fn run_seed(seed: u64) -> Vec<Finding> {
-    run_with(seed, false, false)
+    run_with(seed, |_| ())
 }
 
-fn run_with(seed: u64, replaces_hosts: bool, has_refusals: bool) -> Vec<Finding> {
+/// Runs a seed with options that `set` changes.
+fn run_with(seed: u64, set: impl FnOnce(&mut Soak)) -> Vec<Finding> {
     let folder = tempfile::tempdir().unwrap();
-    let soak = Soak {
+    let mut soak = Soak {
         seed,
         length: Duration::from_secs(30),
         size: FleetSize {
@@ -37,13 +38,15 @@
             upstreams: 6,
         },
         clients: 2,
-        replaces_hosts,
-        has_refusals,
+        replaces_hosts: false,
+        has_refusals: false,
+        omits_framing: false,
         binary: binary(),
         block: 250 - (seed % 100) as u8,
         folder: folder.path().to_owned(),
         prints_steps: false,
     };
+    set(&mut soak);
     let runtime = tokio::runtime::Runtime::new().unwrap();
     let outcome = runtime.block_on(soak.run()).unwrap();
     expect_that!(outcome.counts.served, gt(100));
@@ -71,7 +74,10 @@
 /// discover each other, when control hosts are replaced at new addresses under other faults.
 #[googletest::test]
 fn seed_1001_control_hosts_are_replaced() {
-    expect_that!(run_with(1001, true, false), is_empty());
+    expect_that!(
+        run_with(1001, |soak| soak.replaces_hosts = true),
+        is_empty()
+    );
 }
 
 /// Guards against blaming a popular request for crashes: upstreams crashed three times within a minute, and
@@ -85,5 +91,12 @@
 /// leave, under other faults.
 #[googletest::test]
 fn seed_39_upstreams_refuse_requests_and_ask_for_pauses() {
-    expect_that!(run_with(39, false, true), is_empty());
+    expect_that!(run_with(39, |soak| soak.has_refusals = true), is_empty());
+}
+
+/// Guards against responses without a length or chunks that are framed as complete, of upstreams that cut some of
+/// them short, under other faults.
+#[googletest::test]
+fn seed_45_upstreams_state_no_end_of_their_responses() {
+    expect_that!(run_with(45, |soak| soak.omits_framing = true), is_empty());
 }
