Log the ends of streams and bodies in one place

The two paths that read a response to its end each had their own copy of which ends are logged. No behaviour changes; the tests of responses that end with their connection pass.

--- a/src/coltsfootnotch/daemon/forward/delivery.rs
+++ b/src/coltsfootnotch/daemon/forward/delivery.rs
@@ -13,11 +13,10 @@
 use super::dialect::Dialect;
 use super::exchange::UpstreamResponse;
 use super::matched_request::MatchedRequest;
-use super::messages::{Outcome, Ticket};
+use super::messages::Outcome;
 use super::server::Gateway;
 use crate::util::connection_io::EndsWithConnection;
 use crate::util::cut_body::is_cut;
-use crate::util::events::{self, Field};
 use crate::util::http_server::AnyResponse;
 
 /// Longest response that is buffered, in bytes.
@@ -62,13 +61,12 @@
     };
     if ends_with_connection {
         let is_cut = is_cut(content_type(&parts), &body);
-        log_end(gw, req, &ticket, body.len(), is_cut);
+        gw.log_end_with_connection(req, &ticket, ("bytes", &body.len()), is_cut);
         if is_cut {
             guard.finish(Outcome::Broken);
             return DeliveryResult::Lost;
         }
-    }
-    if !ends_with_connection {
+    } else {
         gw.pool.put(&ticket, connection, head.keep_alive);
     }
     let failed = parts.status.is_server_error();
@@ -95,21 +93,6 @@
         .unwrap_or_default()
 }
 
-/// Logs the end of a body that ends with its connection: always if it was cut, otherwise for a sample.
-fn log_end(gw: &Gateway, req: &MatchedRequest, ticket: &Ticket, bytes: usize, is_cut: bool) {
-    let event = &events::RESPONSE_ENDED_WITH_CONNECTION;
-    let fields: [Field<'_>; 3] = [
-        ("upstream", &ticket.upstream),
-        ("bytes", &bytes),
-        ("cut", &is_cut),
-    ];
-    if is_cut {
-        gw.log(event, req, &fields);
-    } else {
-        gw.log_sample(event, req, &fields);
-    }
-}
-
 async fn read_to_end(mut body: Incoming, deadline: Instant) -> Option<Bytes> {
     let mut buffered = BytesMut::new();
     loop {
--- a/src/coltsfootnotch/daemon/forward/request_log.rs
+++ b/src/coltsfootnotch/daemon/forward/request_log.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::matched_request::MatchedRequest;
-use super::messages::{PlacementError, RETRY_SOON};
+use super::messages::{PlacementError, RETRY_SOON, Ticket};
 use super::responses;
 use super::server::{Gateway, NOT_CONFIRMED};
 use crate::util::events::{self, EventDef, Field};
@@ -107,6 +107,28 @@
         self.cx.log(event, &all);
     }
 
+    /// Logs the end of a response that ends with its upstream's connection: always if it was cut short,
+    /// otherwise for the sampled requests. `received` tells how much came.
+    pub(super) fn log_end_with_connection(
+        &self,
+        req: &MatchedRequest,
+        ticket: &Ticket,
+        received: Field<'_>,
+        is_cut: bool,
+    ) {
+        let event = &events::RESPONSE_ENDED_WITH_CONNECTION;
+        let fields = [
+            ("upstream", &ticket.upstream as _),
+            received,
+            ("cut", &is_cut),
+        ];
+        if is_cut {
+            self.log(event, req, &fields);
+        } else {
+            self.log_sample(event, req, &fields);
+        }
+    }
+
     pub(super) fn log_sample(&self, event: &EventDef, req: &MatchedRequest, fields: &[Field<'_>]) {
         if is_sampled(req.id()) {
             self.log(event, req, fields);
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -19,7 +19,7 @@
 use super::messages::{ForwardMsg, Outcome, PlacementError, StreamPause, Ticket};
 use super::server::Gateway;
 use crate::util::connection_io::EndsWithConnection;
-use crate::util::events::{self, Field};
+use crate::util::events;
 use crate::util::http_server::{AnyResponse, BodyAborted};
 
 /// Chunks that are queued for a slow caller before backpressure reaches the upstream.
@@ -81,7 +81,7 @@
             source.received.guard.on_first_event();
             OpenResult::Streaming(start(gw, req, source, first, attempts))
         }
-        Next::End(_) if source.is_empty(req) => {
+        Next::End(_) if source.must_have_events(req) => {
             log_end(gw, req, &source);
             source.received.guard.finish(Outcome::Broken);
             OpenResult::Lost
@@ -122,9 +122,9 @@
         self.ends_with_connection() && self.has_events() && self.events.is_inside_event()
     }
 
-    /// Whether a stream that ends now had no events. If the caller has received some before, that is
-    /// the rest of its stream.
-    fn is_empty(&self, req: &MatchedRequest) -> bool {
+    /// Whether an end before the first event is a break, as that of a crash. A caller that resumes its stream
+    /// may have all events.
+    fn must_have_events(&self, req: &MatchedRequest) -> bool {
         self.ends_with_connection() && self.has_events() && req.head.last_event.is_none()
     }
 
@@ -152,23 +152,12 @@
     }
 }
 
-/// Logs the end of a stream that ends with its connection: always if that is inside an event, otherwise for
-/// a sample of the streams.
+/// Logs the end of a stream that ends with its connection.
 fn log_end(gw: &Gateway, req: &MatchedRequest, source: &Source) {
-    if !source.ends_with_connection() {
-        return;
-    }
-    let event = &events::RESPONSE_ENDED_WITH_CONNECTION;
-    let is_cut = source.is_cut();
-    let fields: [Field<'_>; 3] = [
-        ("upstream", &source.received.ticket.upstream),
-        ("events", &source.events.seen()),
-        ("cut", &is_cut),
-    ];
-    if is_cut {
-        gw.log(event, req, &fields);
-    } else {
-        gw.log_sample(event, req, &fields);
+    if source.ends_with_connection() {
+        let events = source.events.seen();
+        let ticket = &source.received.ticket;
+        gw.log_end_with_connection(req, ticket, ("events", &events), source.is_cut());
     }
 }
 
