--- a/src/coltsfootnotch/daemon/forward/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/mod.rs
@@ -33,6 +33,7 @@
 mod shared_notices;
 mod state;
 mod stream;
+mod stream_source;
 
 pub use actor::run;
 pub use config::{ForwardSettings, Times};
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -9,15 +9,14 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::{Body, Frame};
-use hyper::header::CONTENT_TYPE;
 use tokio::sync::mpsc;
-use tokio::time::timeout_at;
 
 use super::event_splitter::EventSplitter;
 use super::exchange::{ExchangeResult, UpstreamResponse, attempt_deadline, exchange};
 use super::matched_request::MatchedRequest;
 use super::messages::{ForwardMsg, Outcome, PlacementError, StreamPause, Ticket};
 use super::server::Gateway;
+use super::stream_source::{Next, StreamSource};
 use crate::util::connection_io::EndsWithConnection;
 use crate::util::events;
 use crate::util::http_server::{AnyResponse, BodyAborted};
@@ -38,9 +37,6 @@
 /// in it.
 const RESUME_INTERVAL: Duration = Duration::from_millis(60);
 
-/// Content type of a stream of events.
-const EVENT_STREAM: &[u8] = b"text/event-stream";
-
 /// Result of opening a stream.
 pub(super) enum OpenResult {
     /// The first event has come; a task forwards the rest.
@@ -49,20 +45,6 @@
     Lost,
 }
 
-/// A stream of one upstream.
-struct Source {
-    received: UpstreamResponse,
-    events: EventSplitter,
-}
-
-/// Result of waiting for the next events of a stream.
-enum Next {
-    Events(Bytes),
-    End(Bytes),
-    Broken,
-    Late,
-}
-
 /// Waits for the first event, then spawns a task that forwards the stream. `attempts` is the number
 /// of upstreams that the request was sent to, including this one.
 pub(super) async fn open(
@@ -72,7 +54,7 @@
     deadline: Instant,
     attempts: u32,
 ) -> OpenResult {
-    let mut source = Source {
+    let mut source = StreamSource {
         received,
         events: EventSplitter::default(),
     };
@@ -82,18 +64,18 @@
             OpenResult::Streaming(start(gw, req, source, first, attempts))
         }
         Next::End(_) if source.must_have_events(req) => {
-            log_end(gw, req, &source);
+            source.log_end(gw, req);
             source.received.guard.finish(Outcome::Broken);
             OpenResult::Lost
         }
         Next::End(rest) => {
-            log_end(gw, req, &source);
+            source.log_end(gw, req);
             source.received.guard.on_first_event();
             let response = start_completed(gw, source, rest);
             OpenResult::Streaming(response)
         }
         Next::Broken => {
-            log_end(gw, req, &source);
+            source.log_end(gw, req);
             source.received.guard.finish(Outcome::Broken);
             OpenResult::Lost
         }
@@ -104,64 +86,7 @@
     }
 }
 
-impl Source {
-    /// Whether the end of the stream is that of the upstream's connection.
-    fn ends_with_connection(&self) -> bool {
-        self.received.ends_with_connection()
-    }
-
-    /// Whether the body consists of events; upstreams need not state so.
-    fn has_events(&self) -> bool {
-        let content_type = self.received.response.headers().get(CONTENT_TYPE);
-        content_type.is_none_or(|value| value.as_bytes().starts_with(EVENT_STREAM))
-    }
-
-    /// Whether a stream that ends now was broken off: a crash of the upstream looks like the end of a
-    /// response that ends with its connection.
-    fn is_cut(&self) -> bool {
-        self.ends_with_connection() && self.has_events() && self.events.is_inside_event()
-    }
-
-    /// Whether an end before the first event is a break, as that of a crash. A caller that resumes its stream
-    /// may have all events.
-    fn must_have_events(&self, req: &MatchedRequest) -> bool {
-        self.ends_with_connection() && self.has_events() && req.head.last_event.is_none()
-    }
-
-    async fn next(&mut self, deadline: Instant) -> Next {
-        loop {
-            let body = self.received.response.body_mut();
-            let Ok(frame) = timeout_at(deadline.into(), body.frame()).await else {
-                return Next::Late;
-            };
-            match frame {
-                None if self.is_cut() => return Next::Broken,
-                None => return Next::End(self.events.take_rest()),
-                Some(Err(_)) => return Next::Broken,
-                Some(Ok(frame)) => {
-                    let Some(data) = frame.data_ref() else {
-                        continue;
-                    };
-                    let complete = self.events.push(data);
-                    if !complete.is_empty() {
-                        return Next::Events(complete);
-                    }
-                }
-            }
-        }
-    }
-}
-
-/// Logs the end of a stream that ends with its connection.
-fn log_end(gw: &Gateway, req: &MatchedRequest, source: &Source) {
-    if source.ends_with_connection() {
-        let events = source.events.seen();
-        let ticket = &source.received.ticket;
-        gw.log_end_with_connection(req, ticket, ("events", &events), source.is_cut());
-    }
-}
-
-fn head(gw: &Gateway, source: &Source, body: StreamBody) -> AnyResponse {
+fn head(gw: &Gateway, source: &StreamSource, body: StreamBody) -> AnyResponse {
     let mut response = Response::new(body.boxed());
     if source.ends_with_connection() {
         response.extensions_mut().insert(EndsWithConnection);
@@ -173,7 +98,7 @@
     response
 }
 
-fn start_completed(gw: &Gateway, source: Source, rest: Bytes) -> AnyResponse {
+fn start_completed(gw: &Gateway, source: StreamSource, rest: Bytes) -> AnyResponse {
     let (tx, rx) = mpsc::channel(1);
     // The channel has capacity for the only chunk.
     let _sent = tx.try_send(Ok(rest));
@@ -185,7 +110,7 @@
 fn start(
     gw: &Arc<Gateway>,
     req: &Arc<MatchedRequest>,
-    source: Source,
+    source: StreamSource,
     first: Bytes,
     attempts: u32,
 ) -> AnyResponse {
@@ -201,7 +126,7 @@
     response
 }
 
-fn finish(gw: &Gateway, source: Source) {
+fn finish(gw: &Gateway, source: StreamSource) {
     let ends_with_connection = source.ends_with_connection();
     let UpstreamResponse {
         connection,
@@ -226,7 +151,7 @@
 }
 
 impl Forwarder {
-    async fn run(self, mut source: Source, first: Bytes, mut attempts: u32) {
+    async fn run(self, mut source: StreamSource, first: Bytes, mut attempts: u32) {
         if self.tx.send(Ok(first)).await.is_err() {
             return;
         }
@@ -251,7 +176,7 @@
                     continue;
                 }
                 Next::End(rest) => {
-                    log_end(&self.gw, &self.req, &source);
+                    source.log_end(&self.gw, &self.req);
                     if !rest.is_empty() {
                         let _result = self.tx.send(Ok(rest)).await;
                     }
@@ -262,7 +187,7 @@
                     return finish(&self.gw, source);
                 }
                 Next::Broken => {
-                    log_end(&self.gw, &self.req, &source);
+                    source.log_end(&self.gw, &self.req);
                     Outcome::Broken
                 }
                 Next::Late if Instant::now() >= self.req.deadline => Outcome::Abandoned,
@@ -286,14 +211,14 @@
                     return;
                 }
             };
-            source = Source { received, events };
+            source = StreamSource { received, events };
             source.received.guard.on_first_event();
         }
     }
 
     /// Ends a response whose first part was framed and whose last part ended with its connection: the
     /// caller has all that came, and is not told that it is complete.
-    async fn end_unconfirmed(&self, source: &Source) {
+    async fn end_unconfirmed(&self, source: &StreamSource) {
         let upstream = vec![source.received.ticket.upstream.clone()];
         let reason = "whether it is complete is unknown";
         self.log_broken_off(&upstream, &source.events, Outcome::Completed, reason);
--- a/src/coltsfootnotch/util/connection_io.rs
+++ b/src/coltsfootnotch/util/connection_io.rs
@@ -8,21 +8,15 @@
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::Version;
-use hyper::body::{Body, Frame};
-use hyper::header::{CONNECTION, HeaderValue};
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-use super::abort_after_flush::{AbortAfterFlush, FlushSignal};
-use super::http_server::{AnyBody, AnyResponse, BodyAborted};
+use super::next_response::NextResponse;
 
 /// Extension of a response that ends with its connection, since whether its body is complete is
 /// unknown.
@@ -44,58 +38,6 @@
     }
 }
 
-/// What the service of a connection tells its socket of the next response.
-#[derive(Debug, Default)]
-pub(super) struct NextResponse {
-    ends_with_connection: AtomicBool,
-    /// Whether its status line is written with the version of HTTP/1.0 and has to be corrected.
-    has_old_version: AtomicBool,
-    flush: Arc<FlushSignal>,
-}
-
-impl NextResponse {
-    /// Prepares a response to a request with `version`: one that ends with its connection gets neither a
-    /// length nor chunks. Without a length, those to HTTP/1.0, which has no chunks, end with it as well.
-    pub(super) fn prepare(&self, mut response: AnyResponse, version: Version) -> AnyResponse {
-        let is_marked = response.extensions().get::<EndsWithConnection>().is_some();
-        let is_unsized = response.body().size_hint().exact().is_none();
-        let ends_with_connection = is_marked || (is_unsized && version == Version::HTTP_10);
-        self.ends_with_connection
-            .store(ends_with_connection, Ordering::Release);
-        if is_unsized {
-            let flush = Arc::clone(&self.flush);
-            response = response.map(|body| AbortAfterFlush::new(body, flush).boxed());
-        }
-        if !is_marked {
-            return response;
-        }
-        response = response.map(|body| UnsizedBody(body).boxed());
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
-        if version != Version::HTTP_10 {
-            // With this version hyper adds no chunks.
-            *response.version_mut() = Version::HTTP_10;
-            self.has_old_version.store(true, Ordering::Release);
-        }
-        response
-    }
-}
-
-/// A body that conceals its length.
-struct UnsizedBody(AnyBody);
-
-impl Body for UnsizedBody {
-    type Data = Bytes;
-    type Error = BodyAborted;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
-        Pin::new(&mut self.0).poll_frame(cx)
-    }
-}
-
 /// The version in a status line as hyper writes it, and as it is sent.
 const OLD_VERSION: &[u8] = b"HTTP/1.0 ";
 const VERSION: &[u8] = b"HTTP/1.1 ";
--- a/src/coltsfootnotch/util/http_server.rs
+++ b/src/coltsfootnotch/util/http_server.rs
@@ -26,8 +26,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 
-use super::connection_io::{ConnectionIo, NextResponse, ResetOnClose};
+use super::connection_io::{ConnectionIo, ResetOnClose};
 use super::connections::{Connections, OpenConnection};
+use super::next_response::NextResponse;
 
 /// A body can't be completed; the connection is closed so that the body is not taken for complete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
--- a/src/coltsfootnotch/util/mod.rs
+++ b/src/coltsfootnotch/util/mod.rs
@@ -13,6 +13,8 @@
 pub mod json_log;
 pub mod line_budget;
 pub mod metrics;
+mod next_response;
 mod print_causes;
+mod unsized_body;
 
 pub use print_causes::print_causes;
