--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -107,7 +107,8 @@
         if outcome == RequestOutcome::Cut
             && (self.is_planned_stop_only)(router)
             && self.recorder.has_run(id)
-            && !self.recorder.is_cut(id)
+            // A stream that ends so after its first part was framed is not stated to be complete.
+            && !self.recorder.is_unstated(id)
         {
             let took = self.recorder.now().saturating_sub(sent_at);
             // A request close to its timeout wasn't cut by the stop.
--- a/soak/src/recorder.rs
+++ b/soak/src/recorder.rs
@@ -78,6 +78,8 @@
     refused: bool,
     /// Whether an upstream has cut its response short.
     is_cut: bool,
+    /// Whether an upstream has sent a response without stating its end.
+    is_unstated: bool,
 }
 
 /// Counts of a run.
@@ -201,6 +203,20 @@
         }
     }
 
+    /// Records that an upstream sends a response to a request without stating its end.
+    pub fn record_unstated(&self, id: &str) {
+        if let Some(request) = self.observations().requests.get_mut(id) {
+            request.is_unstated = true;
+        }
+    }
+
+    /// Returns whether an upstream has sent a response to the request without stating its end.
+    #[must_use]
+    pub fn is_unstated(&self, id: &str) -> bool {
+        let observations = self.observations();
+        observations.requests.get(id).is_some_and(|r| r.is_unstated)
+    }
+
     /// Records that an upstream cuts its response to a request short.
     pub fn record_cut(&self, id: &str) {
         if let Some(request) = self.observations().requests.get_mut(id) {
--- a/soak/src/upstream/response.rs
+++ b/soak/src/upstream/response.rs
@@ -151,6 +151,7 @@
 /// A body that ends with its connection. It is cut short inside a part for a third of the requests, and
 /// between two parts for another third.
 fn unframed_body(mut parts: Vec<String>, id: &str, recorder: &Recorder) -> Body {
+    recorder.record_unstated(id);
     let whole = parts.concat().len();
     let sum: usize = id.bytes().map(usize::from).sum();
     if sum % 3 < 2 {
