Log the version of an upstream's software, and streams that callers resume

Logs could not tell whether a stream goes on at another version since its entry resumed it there, since its caller did, or since another run took an address over. Nothing is decided by it yet.

--- a/crates/forward/src/registry/announcement.rs
+++ b/crates/forward/src/registry/announcement.rs
@@ -28,6 +28,8 @@
     pub sequence: u64,
     /// Name of its service.
     pub service: Arc<str>,
+    /// Version of its software; empty if it announced none.
+    pub version: Arc<str>,
     /// Address for requests.
     pub address: SocketAddr,
     /// Its failure domain.
@@ -67,6 +69,7 @@
             born_ms: announcement.born_ms,
             sequence: announcement.sequence,
             service: announcement.service.to_string(),
+            version: announcement.version.to_string(),
             address: announcement.address,
             domain: announcement.domain.to_string(),
             slots: announcement.slots,
@@ -83,6 +86,7 @@
             born_ms: message.born_ms,
             sequence: message.sequence,
             service: message.service.into(),
+            version: message.version.into(),
             address: message.address,
             domain: message.domain.into(),
             slots: message.slots,
--- a/crates/forward/src/registry/upstream_registry.rs
+++ b/crates/forward/src/registry/upstream_registry.rs
@@ -46,6 +46,7 @@
 ///     born_ms: 5,
 ///     sequence: 1,
 ///     service: "spec".into(),
+///     version: "v1".into(),
 ///     address: "127.0.0.1:80".parse()?,
 ///     domain: "colombo".into(),
 ///     slots: 64,
--- a/crates/forward/tests/testsuite/registry.rs
+++ b/crates/forward/tests/testsuite/registry.rs
@@ -15,6 +15,7 @@
         born_ms,
         sequence,
         service: "spec".into(),
+        version: "v1".into(),
         address: SocketAddr::from(([127, 0, 0, 1], port)),
         domain: "colombo".into(),
         slots: 4,
--- a/crates/forward/tests/testsuite/warm_up.rs
+++ b/crates/forward/tests/testsuite/warm_up.rs
@@ -99,6 +99,7 @@
         born_ms: 5,
         sequence,
         service: "spec".into(),
+        version: "v1".into(),
         address: ([127, 0, 0, 1], 80).into(),
         domain: "colombo".into(),
         slots: 64,
--- a/crates/wire/src/upstream.rs
+++ b/crates/wire/src/upstream.rs
@@ -26,6 +26,8 @@
     pub sequence: u64,
     /// The service that it belongs to.
     pub service: String,
+    /// Version of its software; empty if it announced none.
+    pub version: String,
     /// Address for requests.
     pub address: SocketAddr,
     /// Its failure domain.
--- a/src/coltsfootnotch/daemon/control/seeded/upstreams.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/upstreams.rs
@@ -165,6 +165,7 @@
             &[
                 ("upstream", &report.id),
                 ("service", &report.service),
+                ("version", &report.version),
                 ("address", &report.address),
                 ("born_ms", &report.born_ms),
                 ("sequence", &report.sequence),
--- a/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
@@ -120,6 +120,7 @@
                     &[
                         ("upstream", &announcement.id),
                         ("service", &announcement.service),
+                        ("version", &announcement.version),
                         ("sequence", &announcement.sequence),
                         ("stage", &format!("{:?}", announcement.stage)),
                     ],
--- a/src/coltsfootnotch/daemon/forward/attempts.rs
+++ b/src/coltsfootnotch/daemon/forward/attempts.rs
@@ -46,6 +46,9 @@
                 Err(_) if attempts > 0 => return failure.unwrap_or_else(responses::lost),
                 Err(reason) => return self.refuse(req, reason),
             };
+            if req.resumes_stream() {
+                self.log_taken_up(req, &ticket);
+            }
             avoid.push(ticket.upstream.clone());
             let may_retry = req.kind().is_idempotent() && attempts + 1 < req.route().max_attempts;
             match self.attempt(req, ticket, attempts + 1, may_retry).await {
--- a/src/coltsfootnotch/daemon/forward/dialect.rs
+++ b/src/coltsfootnotch/daemon/forward/dialect.rs
@@ -36,6 +36,8 @@
     pub prompt: Prompt,
     /// The last event that the caller received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// The attempt that brought the first event, if it resumes a stream.
+    pub resumes: Option<String>,
 }
 
 /// Fields of the headers of a request that is forwarded to an upstream.
--- a/src/coltsfootnotch/daemon/forward/matched_request.rs
+++ b/src/coltsfootnotch/daemon/forward/matched_request.rs
@@ -48,6 +48,12 @@
         self.route().kind
     }
 
+    /// Whether the caller resumes a stream that began with an earlier request.
+    pub(super) fn resumes_stream(&self) -> bool {
+        let is_resumed = self.head.last_event.is_some() || self.head.resumes.is_some();
+        self.kind().is_stream() && is_resumed
+    }
+
     /// The caller's identity of the request, for log lines.
     pub(super) fn id(&self) -> &str {
         self.head.id.as_deref().unwrap_or("-")
--- a/src/coltsfootnotch/daemon/forward/messages.rs
+++ b/src/coltsfootnotch/daemon/forward/messages.rs
@@ -45,6 +45,8 @@
     pub(super) upstream: Arc<str>,
     /// Start time of its process, in milliseconds by its own clock.
     pub(super) born_ms: u64,
+    /// Version of its software.
+    pub(super) version: Arc<str>,
     /// Its HTTP address.
     pub(super) address: SocketAddr,
     /// Address of the engine from which it copies cached segments of the prompt.
--- a/src/coltsfootnotch/daemon/forward/request_log.rs
+++ b/src/coltsfootnotch/daemon/forward/request_log.rs
@@ -107,6 +107,22 @@
         self.cx.log(event, &all);
     }
 
+    /// Logs where a stream that its caller resumes goes on.
+    pub(super) fn log_taken_up(&self, req: &MatchedRequest, ticket: &Ticket) {
+        let began_with = req.head.resumes.as_deref().unwrap_or("-");
+        let last_event = req.head.last_event.unwrap_or(0);
+        self.log(
+            &events::STREAM_TAKEN_UP,
+            req,
+            &[
+                ("began_with", &began_with),
+                ("last_event", &last_event),
+                ("upstream", &ticket.upstream),
+                ("version", &ticket.version),
+            ],
+        );
+    }
+
     /// Logs the end of a response that ends with its upstream's connection: always if it was cut short,
     /// otherwise for the sampled requests. `received` tells how much came.
     pub(super) fn log_end_with_connection(
--- a/src/coltsfootnotch/daemon/forward/state/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/state/mod.rs
@@ -275,6 +275,7 @@
             "no requests are placed in an evacuated domain"
         );
         let (born_ms, address) = (announcement.born_ms, announcement.address);
+        let version = announcement.version.clone();
         self.loads
             .entry(&placement.id, born_ms)
             .on_sent(&placement.sent);
@@ -288,6 +289,7 @@
         Ticket {
             upstream: placement.id,
             born_ms,
+            version,
             address,
             copy_from,
             sent: placement.sent,
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -194,6 +194,7 @@
                 Next::Late => Outcome::Unreachable,
             };
             let failed = vec![source.received.ticket.upstream.clone()];
+            let began_at = source.received.ticket.version.clone();
             let mut events = source.events;
             events.drop_rest();
             source.received.guard.finish(outcome);
@@ -201,7 +202,8 @@
             let resumed = if outcome == Outcome::Abandoned {
                 Err("no time is left")
             } else {
-                self.resume(&mut attempts, &events, failed.clone()).await
+                self.resume(&mut attempts, &events, failed.clone(), &began_at)
+                    .await
             };
             let received = match resumed {
                 Ok(received) => received,
@@ -293,6 +295,7 @@
         attempts: &mut u32,
         events: &EventSplitter,
         mut avoid: Vec<Arc<str>>,
+        began_at: &str,
     ) -> Result<UpstreamResponse, &'static str> {
         if !self.req.kind().is_idempotent() {
             return Err("the route's streams can't be resumed");
@@ -322,6 +325,8 @@
                         &self.req,
                         &[
                             ("upstream", &received.ticket.upstream),
+                            ("version", &received.ticket.version),
+                            ("began_at", &began_at),
                             ("events", &events.seen()),
                         ],
                     );
