Resume broken streams at the version that began them

Callers saw: a stream whose upstream broke off went on with events of another version of the upstreams' software. Cause: an entry that resumes a stream placed it like any retry; neither its upstreams nor its tickets had a version. Why it works: a ticket states the service and version of its upstream, a stream is resumed with the origin of the ticket that began it, only upstreams of that origin are candidates, and the placement asserts it. Without another upstream of the origin the stream is broken off at once.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`lease`] | whether the configuration may still be served |
 //! | [`upstream_notices`] | which upstreams asked for no requests for a time, or leave |
 //! | [`load`] | what all entries together have sent to each upstream, and how fast it is |
+//! | [`streams`] | which upstreams may go on with a stream that another one began |
 //! | [`share`] | which client accounts use more than their fair share |
 //! | [`place`] | which upstream a request goes to, or that it is refused |
 //! | [`pause_detector`] | whether requests have waited through a pause of the process |
@@ -30,6 +31,7 @@
 pub mod registry;
 pub mod retry;
 pub mod share;
+pub mod streams;
 pub mod upstream_notices;
 
 /// The most commonly used types.
@@ -41,4 +43,5 @@
     pub use crate::registry::{Announcement, Stage, Upstream, UpstreamRegistry};
     pub use crate::retry::{PoisonRequests, RetryBudget};
     pub use crate::share::FairShares;
+    pub use crate::streams::StreamOrigin;
 }
--- a/crates/forward/src/place/refusal.rs
+++ b/crates/forward/src/place/refusal.rs
@@ -16,6 +16,9 @@
     /// All upstreams of the service asked for no requests for a time.
     #[display("all upstreams asked for a pause")]
     Backoff,
+    /// No other upstream runs the version that began the stream to go on with.
+    #[display("no other upstream runs the version that began the stream")]
+    VersionGone,
     /// Every upstream is saturated.
     #[display("all upstreams full")]
     Saturated,
--- a/src/coltsfootnotch/daemon/forward/attempts.rs
+++ b/src/coltsfootnotch/daemon/forward/attempts.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use coltsfootnotch_forward::streams::StreamOrigin;
 use tokio::sync::oneshot;
 
 use super::delivery::{DeliveryResult, read_response};
@@ -41,7 +42,7 @@
         let (mut reached, mut attempts) = (0, 0);
         let mut failure = None;
         loop {
-            let ticket = match self.place(req, &avoid, reached > 0).await {
+            let ticket = match self.place(req, &avoid, reached > 0, None).await {
                 Ok(ticket) => ticket,
                 Err(_) if attempts > 0 => return failure.unwrap_or_else(responses::lost),
                 Err(reason) => return self.refuse(req, reason),
@@ -132,12 +133,13 @@
         }
     }
 
-    /// Has the actor place a request.
+    /// Has the actor place a request; one that resumes a stream, at an upstream of its `origin`.
     pub(super) async fn place(
         &self,
         req: &MatchedRequest,
         avoid: &[Arc<str>],
         is_retry: bool,
+        origin: Option<&StreamOrigin>,
     ) -> Result<Ticket, PlacementError> {
         let (tx, rx) = oneshot::channel();
         let place = PlaceRequest {
@@ -145,6 +147,7 @@
             service: req.service,
             account: req.account.clone(),
             prompt: Arc::clone(&req.prompt),
+            origin: origin.cloned(),
             avoid: avoid.to_vec(),
             is_retry,
             content: req.content,
--- a/src/coltsfootnotch/daemon/forward/messages.rs
+++ b/src/coltsfootnotch/daemon/forward/messages.rs
@@ -8,6 +8,8 @@
 use coltsfootnotch_forward::config::ForwardConfig;
 use coltsfootnotch_forward::load::SentRequest;
 use coltsfootnotch_forward::place::{Prompt, Refusal};
+use coltsfootnotch_forward::registry::Announcement;
+use coltsfootnotch_forward::streams::StreamOrigin;
 use tokio::sync::oneshot;
 
 /// Request to the actor for the placement of a caller's request.
@@ -21,6 +23,8 @@
     pub(super) account: Option<Arc<str>>,
     /// Its prompt.
     pub(super) prompt: Arc<Prompt>,
+    /// The origin of the stream that it resumes; only upstreams of the same may go on with it.
+    pub(super) origin: Option<StreamOrigin>,
     /// Upstreams at which it has failed.
     pub(super) avoid: Vec<Arc<str>>,
     /// Whether it reached an upstream before, so that it needs a retry from the budget.
@@ -32,6 +36,12 @@
 }
 
 impl PlaceRequest {
+    /// Whether the upstream runs the version that began the stream to resume, if any.
+    pub(super) fn may_go_to(&self, upstream: &Announcement) -> bool {
+        let origin = self.origin.as_ref();
+        origin.is_none_or(|origin| origin.matches(upstream))
+    }
+
     /// Whether the request has not been placed before.
     pub(super) fn is_first(&self) -> bool {
         self.avoid.is_empty() && !self.is_retry
@@ -45,8 +55,8 @@
     pub(super) upstream: Arc<str>,
     /// Start time of its process, in milliseconds by its own clock.
     pub(super) born_ms: u64,
-    /// Version of its software.
-    pub(super) version: Arc<str>,
+    /// The service and version of the upstream.
+    pub(super) origin: StreamOrigin,
     /// Its HTTP address.
     pub(super) address: SocketAddr,
     /// Address of the engine from which it copies cached segments of the prompt.
--- a/src/coltsfootnotch/daemon/forward/request_log.rs
+++ b/src/coltsfootnotch/daemon/forward/request_log.rs
@@ -118,7 +118,7 @@
                 ("began_with", &began_with),
                 ("last_event", &last_event),
                 ("upstream", &ticket.upstream),
-                ("version", &ticket.version),
+                ("version", &ticket.origin.version),
             ],
         );
     }
--- a/src/coltsfootnotch/daemon/forward/state/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/state/mod.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coltsfootnotch_forward::config::{Engine, ForwardConfig, Service};
+use coltsfootnotch_forward::config::{Engine, ForwardConfig};
 use coltsfootnotch_forward::lease::ConfigLease;
 use coltsfootnotch_forward::load::{SubjectDemand, UpstreamLoads, warm_up_interval};
 use coltsfootnotch_forward::place::{
@@ -19,6 +19,7 @@
 };
 use coltsfootnotch_forward::retry::{PoisonRequests, RetryBudget};
 use coltsfootnotch_forward::share::FairShares;
+use coltsfootnotch_forward::streams::StreamOrigin;
 use coltsfootnotch_forward::upstream_notices::UpstreamNotices;
 use coltsfootnotch_wire::{AbortRecord, EntryLoadReport};
 
@@ -203,7 +204,7 @@
             now,
             &request,
             prefill_rate,
-            self.candidates(now, service, Some(engine), &notices.lock()),
+            self.candidates(now, req, Some(engine), &notices.lock()),
         );
         self.record_blocking(now, &service.name, &placement);
         placement
@@ -222,20 +223,20 @@
     }
 
     fn place_plain(&mut self, now: Duration, req: &PlaceRequest) -> Result<Placement, Refusal> {
-        let service = &req.config.services()[req.service];
         let notices = self.notices.lock();
-        let candidates = self.candidates(now, service, None, &notices);
+        let candidates = self.candidates(now, req, None, &notices);
         place_plain(now, &self.domain, &req.avoid, req.tie_breaker, candidates)
     }
 
-    /// The upstreams of the service to which this entry may send a request now.
+    /// The upstreams to which this entry may send a request now.
     fn candidates<'a>(
         &'a self,
         now: Duration,
-        service: &'a Service,
+        req: &'a PlaceRequest,
         engine: Option<&Engine>,
         notices: &'a UpstreamNotices,
     ) -> impl Iterator<Item = Candidate<'a>> {
+        let service = &req.config.services()[req.service];
         let entries = self.entries.unwrap_or(ASSUMED_ENTRIES);
         let interval = warm_up_interval(service.warm_up_per_s, entries);
         let memory_tokens = engine.map_or(0, |e| e.memory_tokens);
@@ -243,6 +244,7 @@
         self.registry
             .ready(&service.name)
             .filter(|upstream| !self.evacuated.contains(&upstream.announcement.domain))
+            .filter(|upstream| req.may_go_to(&upstream.announcement))
             .filter_map(move |upstream| {
                 let announcement = &upstream.announcement;
                 let load = self.loads.get(&announcement.id, announcement.born_ms)?;
@@ -275,7 +277,11 @@
             "no requests are placed in an evacuated domain"
         );
         let (born_ms, address) = (announcement.born_ms, announcement.address);
-        let version = announcement.version.clone();
+        let origin = StreamOrigin::from(announcement);
+        assert!(
+            req.origin.as_ref().is_none_or(|began| *began == origin),
+            "a stream goes on at the version that began it"
+        );
         self.loads
             .entry(&placement.id, born_ms)
             .on_sent(&placement.sent);
@@ -289,7 +295,7 @@
         Ticket {
             upstream: placement.id,
             born_ms,
-            version,
+            origin,
             address,
             copy_from,
             sent: placement.sent,
--- a/src/coltsfootnotch/daemon/forward/state/refusals.rs
+++ b/src/coltsfootnotch/daemon/forward/state/refusals.rs
@@ -28,14 +28,24 @@
                 age: now.saturating_sub(self.remote_at),
             })
         });
-        PlacementError::Refused(self.explain(now, service, refusal), share)
+        PlacementError::Refused(self.explain(now, service, req, refusal), share)
     }
 
     /// Replaces a refusal for want of an upstream if there are some which may not be used now.
-    fn explain(&self, now: Duration, service: &str, refusal: Refusal) -> Refusal {
+    fn explain(
+        &self,
+        now: Duration,
+        service: &str,
+        req: &PlaceRequest,
+        refusal: Refusal,
+    ) -> Refusal {
         if refusal.reason != RefusalReason::NoUpstream {
             return refusal;
         }
+        if req.origin.is_some() && !self.has_untried(service, req) {
+            let reason = RefusalReason::VersionGone;
+            return Refusal { reason, ..refusal };
+        }
         let is_announced = self.registry.ready(service).next().is_some();
         if is_announced && self.available_share(service) == 0.0 {
             return Refusal {
@@ -54,6 +64,15 @@
         }
     }
 
+    /// Whether an upstream that has not been tried runs the version that began the stream to resume.
+    fn has_untried(&self, service: &str, req: &PlaceRequest) -> bool {
+        let mut ready = self.registry.ready(service);
+        ready.any(|upstream| {
+            let announcement = &upstream.announcement;
+            req.may_go_to(announcement) && !req.avoid.contains(&announcement.id)
+        })
+    }
+
     /// When the first upstream of the service accepts requests again, if all of them asked for none
     /// until a later time.
     fn first_backoff_end(&self, now: Duration, service: &str) -> Option<Duration> {
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -6,6 +6,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use coltsfootnotch_forward::place::RefusalReason;
+use coltsfootnotch_forward::streams::StreamOrigin;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::{Body, Frame};
@@ -194,7 +196,7 @@
                 Next::Late => Outcome::Unreachable,
             };
             let failed = vec![source.received.ticket.upstream.clone()];
-            let began_at = source.received.ticket.version.clone();
+            let origin = source.received.ticket.origin.clone();
             let mut events = source.events;
             events.drop_rest();
             source.received.guard.finish(outcome);
@@ -202,7 +204,7 @@
             let resumed = if outcome == Outcome::Abandoned {
                 Err("no time is left")
             } else {
-                self.resume(&mut attempts, &events, failed.clone(), &began_at)
+                self.resume(&mut attempts, &events, failed.clone(), &origin)
                     .await
             };
             let received = match resumed {
@@ -286,7 +288,7 @@
         );
     }
 
-    /// Resumes the stream at another upstream, after the last event that was forwarded.
+    /// Resumes the stream at another upstream of its origin, after the last event that was forwarded.
     ///
     /// # Errors
     /// Returns the reason, for the log, if no upstream resumes it.
@@ -295,7 +297,7 @@
         attempts: &mut u32,
         events: &EventSplitter,
         mut avoid: Vec<Arc<str>>,
-        began_at: &str,
+        origin: &StreamOrigin,
     ) -> Result<UpstreamResponse, &'static str> {
         if !self.req.kind().is_idempotent() {
             return Err("the route's streams can't be resumed");
@@ -306,9 +308,12 @@
         let last_event = Some(events.last_id().ok_or("its events have no numbers")?);
         let resume_deadline = Instant::now() + RESUME_TIMEOUT;
         while *attempts < self.req.route().max_attempts {
-            let ticket = match self.gw.place(&self.req, &avoid, true).await {
+            let ticket = match self.gw.place(&self.req, &avoid, true, Some(origin)).await {
                 Ok(ticket) => ticket,
-                Err(PlacementError::Refused(..)) if Instant::now() < resume_deadline => {
+                Err(PlacementError::Refused(refusal, _))
+                    if refusal.reason != RefusalReason::VersionGone
+                        && Instant::now() < resume_deadline =>
+                {
                     tokio::time::sleep(RESUME_INTERVAL).await;
                     continue;
                 }
@@ -325,8 +330,7 @@
                         &self.req,
                         &[
                             ("upstream", &received.ticket.upstream),
-                            ("version", &received.ticket.version),
-                            ("began_at", &began_at),
+                            ("version", &received.ticket.origin.version),
                             ("events", &events.seen()),
                         ],
                     );
