Let streams that callers resume go on at the version that began them

Cause: a request that resumes a stream was placed like a new one. The request that began it is named in it, and was not read; what an entry knew of a stream ended with the entry. Why it works: an entry records the service and version with each placement, before any event can have come, and reports it with its load to all control hosts (to the selected one at each report). An entry that doesn't know a stream asks all control hosts. If none knows it, it goes on only while this entry can know that its service has one version: the control host lists all upstreams, announcements are current, and no other version was there for a minute. Otherwise it is refused at once and has not run. Resumed streams may wait a second for room, half again as much backlog, and go to any engine of their version, since a refusal loses what their callers have. Cost: some 10 bytes for each stream and control host.

--- a/crates/forward/src/place/admission.rs
+++ b/crates/forward/src/place/admission.rs
@@ -14,6 +14,9 @@
 /// are late, so a new flood fills engines beyond the bound; with the same bound a small account is
 /// refused as well.
 const FAR_BELOW_FACTOR: f64 = 1.5;
+/// Multiple of that for a request that resumes a stream: its version may have few upstreams left, while new
+/// streams may begin at any.
+const RESUMED_FACTOR: f64 = 1.5;
 /// Pressure up to which an account counts as far below its share.
 const FAR_BELOW_PRESSURE: f64 = 0.5;
 /// Pressure up to which an account counts as below its share, and from which as above it. The gap
@@ -42,14 +45,19 @@
 
 /// Multiple of the wait bound for the request's account.
 pub(super) fn account_factor(request: &PlacementRequest<'_>) -> f64 {
+    let unlimited = if request.is_resumed {
+        RESUMED_FACTOR
+    } else {
+        1.0
+    };
     let Some(pressure) = request.pressure else {
-        return 1.0;
+        return unlimited;
     };
     let (from, to) = SHARE_BAND;
     let below_ratio = ((from - pressure) / (from - FAR_BELOW_PRESSURE)).clamp(0.0, 1.0);
     let below_factor = 1.0 + (FAR_BELOW_FACTOR - 1.0) * below_ratio;
     let above_factor = (to / pressure.max(to)).powi(ABOVE_POWER);
-    below_factor * above_factor
+    below_factor.max(unlimited) * above_factor
 }
 
 /// Whether the account is above its fair share.
--- a/crates/forward/src/place/engine.rs
+++ b/crates/forward/src/place/engine.rs
@@ -82,14 +82,14 @@
     shortlist
         .preferred(request)
         .for_each(|l| comparison.compare(&l));
-    if shortlist.is_kept_at_homes() {
+    if shortlist.is_kept_at_homes() && !request.is_resumed {
         return comparison.finish(false);
     }
     if comparison.best.is_none() {
         shortlist.sampled().for_each(|l| comparison.compare(&l));
     }
-    if comparison.best.is_none() && request.fair_fraction >= 1.0 {
-        // An account within its share is refused only if all engines are saturated.
+    if comparison.best.is_none() && (request.is_resumed || request.fair_fraction >= 1.0) {
+        // A resumed stream, or one of an account within its share, is refused only if all engines are saturated.
         shortlist.all().for_each(|l| comparison.compare(&l));
     }
     comparison.finish(true)
--- a/crates/forward/src/place/request.rs
+++ b/crates/forward/src/place/request.rs
@@ -99,6 +99,9 @@
     /// Estimated requests per second about the prompt's subject at all entries; zero for a subject
     /// that is not in high demand. See [`crate::load::SubjectDemand`].
     pub subject_per_s: f64,
+    /// Whether the request resumes a stream. Losing it loses what its caller has of the stream, so it may
+    /// wait longer and prefill its prompt anywhere.
+    pub is_resumed: bool,
     /// How fast engines copy cached prompts from each other; none if they can't.
     pub copy_rate: Option<CopyRate>,
     /// The failure domain of this entry.
--- a/crates/forward/src/registry/upstream_registry.rs
+++ b/crates/forward/src/registry/upstream_registry.rs
@@ -22,6 +22,9 @@
 /// received within this time count as late ones of the departed run.
 const MAX_ANNOUNCEMENT_DELAY: Duration = Duration::from_secs(5);
 
+/// Time after the first announcement from which the registry has all upstreams.
+const COMPLETE_AFTER: Duration = Duration::from_secs(3);
+
 /// Most upstreams in the registry; bounds its memory against forged identities.
 const MAX_UPSTREAMS: usize = 8_192;
 
@@ -62,6 +65,10 @@
 pub struct UpstreamRegistry {
     by_id: BTreeMap<Arc<str>, Upstream>,
     departures: BTreeMap<Arc<str>, Departure>,
+    /// Versions of runs that are in the registry no more, by service, and when they were last.
+    past_versions: BTreeMap<Arc<str>, BTreeMap<Arc<str>, Duration>>,
+    /// When the first announcement was received.
+    first_heard: Option<Duration>,
 }
 
 /// The departure of an upstream; without a start time if no run was named.
@@ -93,6 +100,10 @@
             }
             _ => RegistryUpdate::Changed,
         };
+        if let Some(previous) = current.map(|c| c.announcement.clone()) {
+            self.record_past_version(now, &previous);
+        }
+        self.first_heard.get_or_insert(now);
         self.retire_earlier_at_address(&announcement);
         let upstream = Upstream {
             announcement,
@@ -175,6 +186,9 @@
     pub fn expire(&mut self, now: Duration, silence: Duration) -> Vec<Announcement> {
         self.departures
             .retain(|_, left| now.saturating_sub(left.at) < DEPARTURE_RETENTION);
+        for versions in self.past_versions.values_mut() {
+            versions.retain(|_, last| now.saturating_sub(*last) < DEPARTURE_RETENTION);
+        }
         let mut silent = Vec::new();
         self.by_id.retain(|_, u| {
             let idle = now.saturating_sub(u.last_seen);
@@ -186,9 +200,43 @@
             }
             idle < silence
         });
+        for announcement in &silent {
+            self.record_past_version(now, announcement);
+        }
         silent
     }
 
+    /// Whether announcements have been received for so long that no upstream is missing: one announces itself
+    /// about each second, sometimes seconds late.
+    #[must_use]
+    pub fn is_complete(&self, now: Duration) -> bool {
+        let heard_for = self.first_heard.map(|first| now.saturating_sub(first));
+        heard_for.is_some_and(|time| time >= COMPLETE_AFTER)
+    }
+
+    /// The version of the service's upstreams, if all that were announced lately have the same.
+    #[must_use]
+    pub fn sole_version(&self, service: &str) -> Option<Arc<str>> {
+        let of_service = |u: &&Upstream| &*u.announcement.service == service;
+        let present = self.by_id.values().filter(of_service);
+        let present = present.map(|u| &u.announcement.version);
+        let past = self.past_versions.get(service).into_iter();
+        let past = past.flat_map(BTreeMap::keys);
+        let mut versions: Vec<_> = present.chain(past).collect();
+        versions.sort_unstable();
+        versions.dedup();
+        match versions[..] {
+            [version] => Some(version.clone()),
+            _ => None,
+        }
+    }
+
+    fn record_past_version(&mut self, now: Duration, announcement: &Announcement) {
+        let versions = self.past_versions.entry(announcement.service.clone());
+        let versions = versions.or_default();
+        versions.insert(announcement.version.clone(), now);
+    }
+
     fn has_later_run_at_address(&self, announcement: &Announcement) -> bool {
         let same_address = |u: &&Upstream| {
             u.announcement.address == announcement.address && u.announcement.id != announcement.id
--- a/crates/forward/src/streams/origin.rs
+++ b/crates/forward/src/streams/origin.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use coltsfootnotch_wire::{BegunStreams, StreamOriginRecord};
+
 use crate::registry::Announcement;
 
 /// The service and version of the upstream that began a stream. Only upstreams of the same may go on
@@ -12,7 +14,7 @@
 /// let origin = StreamOrigin::new("spec", "v1");
 /// assert_ne!(origin, StreamOrigin::new("spec", "v2"));
 /// ```
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct StreamOrigin {
     /// The service.
     pub service: Arc<str>,
@@ -45,3 +47,24 @@
         }
     }
 }
+
+impl From<&BegunStreams> for StreamOrigin {
+    fn from(begun: &BegunStreams) -> Self {
+        Self::new(begun.service.as_str(), begun.version.as_str())
+    }
+}
+
+impl From<&StreamOrigin> for StreamOriginRecord {
+    fn from(origin: &StreamOrigin) -> Self {
+        Self {
+            service: origin.service.to_string(),
+            version: origin.version.to_string(),
+        }
+    }
+}
+
+impl From<StreamOriginRecord> for StreamOrigin {
+    fn from(record: StreamOriginRecord) -> Self {
+        Self::new(record.service, record.version)
+    }
+}
--- a/crates/forward/tests/testsuite/copies.rs
+++ b/crates/forward/tests/testsuite/copies.rs
@@ -47,6 +47,7 @@
         shortest_target: Duration::from_millis(400),
         shortest_gap: None,
         subject_per_s: 0.0,
+        is_resumed: false,
         copy_rate,
         domain: "colombo",
         tie_breaker: 5,
--- a/crates/forward/tests/testsuite/engines.rs
+++ b/crates/forward/tests/testsuite/engines.rs
@@ -100,6 +100,7 @@
             shortest_target: TARGET,
             shortest_gap: None,
             subject_per_s,
+            is_resumed: false,
             copy_rate: None,
             domain: "colombo",
             tie_breaker: self.tie_breaker,
--- a/crates/forward/tests/testsuite/main.rs
+++ b/crates/forward/tests/testsuite/main.rs
@@ -12,5 +12,6 @@
 mod retry;
 mod share;
 mod stalls;
+mod streams;
 mod upstream_notices;
 mod warm_up;
--- a/crates/forward/tests/testsuite/many_entries/fleet.rs
+++ b/crates/forward/tests/testsuite/many_entries/fleet.rs
@@ -316,6 +316,7 @@
             shortest_target: TARGET,
             shortest_gap: None,
             subject_per_s,
+            is_resumed: false,
             copy_rate: self.setup.copy_rate,
             domain: DOMAIN,
             tie_breaker,
--- a/crates/forward/tests/testsuite/stalls.rs
+++ b/crates/forward/tests/testsuite/stalls.rs
@@ -140,6 +140,7 @@
             shortest_target: TARGET,
             shortest_gap: self.gap,
             subject_per_s: 0.0,
+            is_resumed: false,
             copy_rate: None,
             domain: DOMAIN,
             tie_breaker: self.rng.random(),
--- /dev/null
+++ b/crates/forward/tests/testsuite/streams.rs
@@ -0,0 +1,196 @@
+//! Where streams began, and which upstreams may go on with them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootnotch_forward::load::{PromptSegment, UpstreamLoads};
+use coltsfootnotch_forward::place::{
+    Candidate, PlacementRequest, PrefillRate, Prompt, place_engine,
+};
+use coltsfootnotch_forward::registry::{Announcement, Stage, UpstreamRegistry};
+use coltsfootnotch_forward::streams::{StreamOrigin, StreamOrigins, group_streams};
+use googletest::prelude::*;
+use proptest::prelude::{prop_assert, proptest};
+
+fn at(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn announcement(id: &str, born_ms: u64, sequence: u64, version: &str) -> Announcement {
+    Announcement {
+        id: id.into(),
+        born_ms,
+        sequence,
+        service: "spec".into(),
+        version: version.into(),
+        address: ([127, 0, 0, 1], u16::from(id.as_bytes()[0])).into(),
+        domain: "colombo".into(),
+        slots: 64,
+        stage: Stage::Ready,
+        warming: Duration::ZERO,
+    }
+}
+
+fn sole_version(registry: &UpstreamRegistry, service: &str) -> Option<String> {
+    registry
+        .sole_version(service)
+        .map(|version| version.to_string())
+}
+
+/// Guards against origins that are forgotten while callers still wait for their streams, and against a
+/// table that only grows.
+#[gtest]
+fn an_origin_is_kept_for_as_long_as_callers_wait() {
+    let mut origins = StreamOrigins::default();
+    let origin = StreamOrigin::new("spec", "v1");
+    for second in 0..200 {
+        origins.record(at(second), second, &origin);
+        for earlier in second.saturating_sub(29)..=second {
+            expect_that!(
+                origins.get(earlier),
+                some(eq(&origin)),
+                "{earlier} at {second}"
+            );
+        }
+        if second > 60 {
+            expect_that!(origins.get(second - 61), none());
+        }
+    }
+}
+
+/// Guards against a retry at another version that is taken for the origin of what an earlier attempt began:
+/// the last attempt before the first event counts.
+#[gtest]
+fn the_last_report_of_a_stream_counts() {
+    let mut origins = StreamOrigins::default();
+    let (one, two) = (
+        StreamOrigin::new("spec", "v1"),
+        StreamOrigin::new("spec", "v2"),
+    );
+    origins.record_report(at(1), &group_streams([(7, one.clone())]));
+    origins.record_report(at(1), &group_streams([(7, two.clone()), (8, one.clone())]));
+    expect_that!(origins.get(7), some(eq(&two)));
+    expect_that!(origins.get(8), some(eq(&one)));
+}
+
+proptest! {
+    /// A lookup at the hosts that are left after any of them were killed gives the origin or nothing.
+    #[test]
+    fn no_lookup_gives_another_origin(
+        streams in proptest::collection::vec((0_u64..40, 0_usize..3, 0_usize..4), 1..200),
+    ) {
+        let versions = ["v1", "v2", "v3"].map(|version| StreamOrigin::new("spec", version));
+        let mut hosts = vec![StreamOrigins::default(); 3];
+        let mut began = std::collections::HashMap::new();
+        for (n, (stream, version, killed)) in streams.into_iter().enumerate() {
+            let origin = began.entry(stream).or_insert_with(|| versions[version].clone()).clone();
+            let now = Duration::from_millis(100 * n as u64);
+            hosts.iter_mut().for_each(|host| {
+                host.record_report(now, &group_streams([(stream, origin.clone())]));
+            });
+            if let Some(host) = hosts.get_mut(killed) {
+                *host = StreamOrigins::default();
+            }
+            for (stream, origin) in &began {
+                let found: Vec<_> = hosts.iter().filter_map(|host| host.get(*stream)).collect();
+                prop_assert!(found.iter().all(|known| *known == origin));
+            }
+        }
+    }
+}
+
+/// Guards against streams of an unknown version that go on at another one since theirs has just left, was
+/// lost or was replaced.
+#[gtest]
+fn a_version_counts_for_a_time_after_its_last_upstream() {
+    let mut registry = UpstreamRegistry::default();
+    expect_that!(sole_version(&registry, "spec"), none());
+    registry.apply(at(0), announcement("a", 1, 1, "v1"));
+    expect_that!(sole_version(&registry, "spec"), some(eq("v1")));
+    expect_that!(sole_version(&registry, "other"), none());
+    registry.apply(at(1), announcement("a", 2, 1, "v2"));
+    expect_that!(sole_version(&registry, "spec"), none(), "replaced");
+    registry.expire(at(62), at(100));
+    expect_that!(sole_version(&registry, "spec"), some(eq("v2")));
+    registry.apply(at(62), announcement("b", 3, 1, "v3"));
+    registry.mark_left(at(63), "a", None);
+    expect_that!(sole_version(&registry, "spec"), none(), "left");
+    registry.apply(at(110), announcement("b", 3, 2, "v3"));
+    registry.expire(at(124), at(100));
+    expect_that!(sole_version(&registry, "spec"), some(eq("v3")));
+    registry.expire(at(300), at(8));
+    expect_that!(registry.get("b"), none(), "silent");
+    registry.apply(at(301), announcement("c", 4, 1, "v4"));
+    expect_that!(sole_version(&registry, "spec"), none(), "silent lately");
+}
+
+/// Guards against a host that has just started and takes the first version it hears of for the only one.
+#[gtest]
+fn a_registry_is_complete_only_after_some_announcement_intervals() {
+    let mut registry = UpstreamRegistry::default();
+    expect_that!(registry.is_complete(at(9)), eq(false));
+    registry.apply(at(9), announcement("a", 1, 1, "v1"));
+    expect_that!(registry.is_complete(at(10)), eq(false));
+    expect_that!(registry.is_complete(at(12)), eq(true));
+}
+
+/// Guards against resumed streams that are lost at the homes of their subject, or behind new ones, while their
+/// version has few upstreams left.
+#[gtest]
+fn a_resumed_stream_waits_longer_and_goes_to_any_engine() {
+    let ids: Vec<Arc<str>> = (0..6).map(|n| format!("engine-{n}").into()).collect();
+    let mut loads = UpstreamLoads::default();
+    let subject = PromptSegment {
+        id: 5,
+        tokens: 6_000,
+    };
+    let prompt = Prompt {
+        tokens: 6_500,
+        output_tokens: 50,
+        shared: vec![subject],
+    };
+    let place = |loads: &UpstreamLoads, is_resumed| {
+        let request = PlacementRequest {
+            prompt: &prompt,
+            pressure: None,
+            fair_fraction: 1.0,
+            shortest_target: Duration::from_millis(400),
+            shortest_gap: None,
+            subject_per_s: 0.0,
+            is_resumed,
+            copy_rate: None,
+            domain: "colombo",
+            tie_breaker: 5,
+            avoid: &[],
+        };
+        let rate = PrefillRate {
+            tokens_per_ms: 36.7,
+            base_ms: 20.0,
+        };
+        let candidates = ids.iter().map(|id| Candidate {
+            id,
+            domain: "colombo",
+            slots: 64,
+            memory_tokens: 235_664,
+            load: loads.get(id, 1).unwrap(),
+        });
+        place_engine(at(1), &request, rate, candidates)
+    };
+    ids.iter().for_each(|id| {
+        loads.entry(id, 1);
+    });
+    loads.record_segments(at(1), &ids[0], &prompt.shared, 200_000);
+    let mut taken = [0, 0];
+    while let Ok(placed) = place(&loads, false) {
+        loads.entry(&placed.id, 1).on_sent(&placed.sent);
+        loads.record_segments(at(1), &placed.id, &prompt.shared, 200_000);
+        taken[0] += 1;
+    }
+    while let Ok(placed) = place(&loads, true) {
+        loads.entry(&placed.id, 1).on_sent(&placed.sent);
+        loads.record_segments(at(1), &placed.id, &prompt.shared, 200_000);
+        taken[1] += 1;
+    }
+    expect_that!(taken[0], gt(0));
+    expect_that!(taken[1], ge(taken[0] / 2), "{taken:?}");
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -30,8 +30,8 @@
     ConfigBody, FromRelay, Heartbeat, MembersError, ProposeError, ServiceBatch, ToRelay,
 };
 pub use upstream::{
-    AbortRecord, AccountDemand, EntryLoadReport, SegmentRecord, UpstreamKeepAlive, UpstreamRecord,
-    UpstreamStage, UpstreamUsage,
+    AbortRecord, AccountDemand, BegunStreams, EntryLoadReport, SegmentRecord, StreamOriginRecord,
+    UpstreamKeepAlive, UpstreamRecord, UpstreamStage, UpstreamUsage,
 };
 
 /// Commonly used messages.
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -43,7 +43,10 @@
             Self::ToRelay(ToRelay::Heartbeat(heartbeat)) => heartbeat.record.role == role,
             Self::ToRelay(ToRelay::Service(_)) => role == Role::Sidecar,
             Self::ToRelay(
-                ToRelay::Load { .. } | ToRelay::Lease { .. } | ToRelay::Handover { .. },
+                ToRelay::Load { .. }
+                | ToRelay::FindStream { .. }
+                | ToRelay::Lease { .. }
+                | ToRelay::Handover { .. },
             ) => role == Role::Entry,
             // The control host checks which operations a role may propose.
             Self::ToRelay(ToRelay::Propose { .. }) => role != Role::Control,
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -6,7 +6,10 @@
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
-use crate::{EntryLoadReport, HostRecord, UpstreamKeepAlive, UpstreamRecord};
+use crate::{
+    BegunStreams, EntryLoadReport, HostRecord, StreamOriginRecord, UpstreamKeepAlive,
+    UpstreamRecord,
+};
 
 /// Periodic report that a host is alive, with its directory record.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -147,6 +150,15 @@
         is_selected: bool,
         /// The report.
         load: EntryLoadReport,
+        /// Streams that the entry has begun since its last report to this control host.
+        streams: Vec<BegunStreams>,
+    },
+    /// Asks where a stream that its caller resumes began.
+    FindStream {
+        /// Request number, repeated in the response.
+        id: u64,
+        /// Digest of the stream's identity.
+        stream: u64,
     },
     /// Requests the number of the latest configuration, confirmed by a quorum.
     Lease {
@@ -248,6 +260,15 @@
         entries: u32,
         /// Sum of their reports, without the receiver's.
         load: EntryLoadReport,
+        /// Whether the sender knows all upstreams: it was not started just now while others may have served.
+        lists_all_upstreams: bool,
+    },
+    /// Response to [`ToRelay::FindStream`].
+    StreamFound {
+        /// Number of the request.
+        id: u64,
+        /// Where the stream began; none if it is not known here.
+        origin: Option<StreamOriginRecord>,
     },
     /// Response to [`ToRelay::Lease`]; not sent while there is no quorum.
     Lease {
--- a/crates/wire/src/upstream.rs
+++ b/crates/wire/src/upstream.rs
@@ -117,3 +117,23 @@
     /// Digests of contents that crashed an upstream, of which a request has succeeded since.
     pub cleared: Vec<u64>,
 }
+
+/// The service and version of the upstream that began a stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamOriginRecord {
+    /// The service.
+    pub service: String,
+    /// Version of the upstream's software; empty if it announced none.
+    pub version: String,
+}
+
+/// Streams that began at upstreams of one service and version.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BegunStreams {
+    /// The service.
+    pub service: String,
+    /// Version of the upstreams' software; empty if they announced none.
+    pub version: String,
+    /// Digests of the streams' identities.
+    pub streams: Vec<u64>,
+}
--- a/src/coltsfootnotch/daemon/control/daemon/from_hosts.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/from_hosts.rs
@@ -39,11 +39,17 @@
                 let body = LeaderRequest::Admit { host, replaces };
                 self.submit(now, Origin::Members(link, id), body);
             }
-            ToRelay::Load { is_selected, load } => {
+            ToRelay::Load {
+                is_selected,
+                load,
+                streams,
+            } => {
                 if let Some(seeded) = &mut self.seeded {
                     seeded.entries.record_load(now, link, is_selected, load);
+                    seeded.origins.record_report(now, &streams);
                 }
             }
+            ToRelay::FindStream { id, stream } => self.find_stream(link, id, stream),
             ToRelay::Handover {
                 domain,
                 address,
--- a/src/coltsfootnotch/daemon/control/daemon/mod.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/mod.rs
@@ -106,7 +106,7 @@
         let seeded = cfg.seeds.as_ref();
         let seeded = seeded.map(|seeds| {
             let discovery = Discovery::new(cfg.address(), !cfg.diskless, seeds, saved_addresses);
-            Seeded::new(now, discovery)
+            Seeded::new(now, discovery, seeds.first_start && hello.empty)
         });
         let local = cfg.members.iter().find(|m| m.host == me);
         let dials = cfg.peers(&me).map(|m| dial(&endpoint, m)).collect();
--- a/src/coltsfootnotch/daemon/control/seeded/entries.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/entries.rs
@@ -158,6 +158,7 @@
     pub(in crate::daemon::control) fn send_fleet_load(
         &mut self,
         now: Duration,
+        lists_all_upstreams: bool,
         send: impl Fn(LinkId, FromRelay),
     ) -> usize {
         let entries = self.fleet.entries(now);
@@ -170,7 +171,12 @@
             }
             let load = self.fleet.excluding(now, &totals, link);
             sent += load.upstreams.len();
-            send(*link, FromRelay::FleetLoad { entries, load });
+            let message = FromRelay::FleetLoad {
+                entries,
+                load,
+                lists_all_upstreams,
+            };
+            send(*link, message);
         }
         self.fleet.start_period(now);
         sent
--- a/src/coltsfootnotch/daemon/control/seeded/handlers.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/handlers.rs
@@ -9,7 +9,7 @@
     ApplyConfig, BodyDigest, ConfigReply, EvacuationReply, Op, Reply, SetEvacuation,
 };
 use coltsfootnotch_types::DomainName;
-use coltsfootnotch_wire::FromRelay;
+use coltsfootnotch_wire::{FromRelay, StreamOriginRecord};
 use tokio::sync::oneshot;
 
 use super::bootstrap::{BootstrapBlocked, ObservedHost};
@@ -57,7 +57,10 @@
                 link.send_host(message);
             }
         };
-        let sent = seeded.entries.send_fleet_load(now, send);
+        let lists_all_upstreams = seeded.lists_all_upstreams(now);
+        let sent = seeded
+            .entries
+            .send_fleet_load(now, lists_all_upstreams, send);
         let entries = seeded.entries.fleet.entries(now);
         let period = reporting_period(entries)
             .max(SEND_TIME_PER_LOAD * u32::try_from(sent).unwrap_or(u32::MAX));
@@ -304,6 +307,15 @@
         }
     }
 
+    /// Handles an entry's query where a stream began.
+    pub(in crate::daemon::control) fn find_stream(&self, link: LinkId, id: u64, stream: u64) {
+        let Some(seeded) = &self.seeded else {
+            return;
+        };
+        let origin = seeded.origins.get(stream).map(StreamOriginRecord::from);
+        self.send_to_host(link, FromRelay::StreamFound { id, origin });
+    }
+
     /// Finishes the read for lease queries; they are only answered if it is `confirmed`.
     pub(in crate::daemon::control) fn finish_lease_read(&mut self, now: Duration, confirmed: bool) {
         let Some(seeded) = &mut self.seeded else {
--- a/src/coltsfootnotch/daemon/control/seeded/mod.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/mod.rs
@@ -18,6 +18,7 @@
 use std::time::Duration;
 
 use coltsfootnotch_forward::registry::UpstreamRegistry;
+use coltsfootnotch_forward::streams::StreamOrigins;
 use coltsfootnotch_wire::{FromRelay, UpstreamKeepAlive};
 use serde::{Deserialize, Serialize};
 
@@ -60,6 +61,10 @@
     pub(super) entries: ConnectedEntries,
     pub(super) calls: Calls,
     pub(super) registry: UpstreamRegistry,
+    /// Whether the fleet starts for the first time, so that no upstream can have served before.
+    is_first_start: bool,
+    /// Where the streams of all entries began.
+    pub(super) origins: StreamOrigins,
     /// Time of the next log line on the missing group.
     pub(super) no_group_log_due: Duration,
     pub(super) connectivity: Connectivity,
@@ -70,13 +75,15 @@
 }
 
 impl Seeded {
-    pub(super) fn new(now: Duration, discovery: Discovery) -> Self {
+    pub(super) fn new(now: Duration, discovery: Discovery, is_first_start: bool) -> Self {
         Self {
             discovery,
             bootstrap: SeededBootstrap::default(),
             entries: ConnectedEntries::default(),
             calls: Calls::default(),
             registry: UpstreamRegistry::default(),
+            is_first_start,
+            origins: StreamOrigins::default(),
             no_group_log_due: now + handlers::NO_GROUP_LOG_INTERVAL,
             connectivity: Connectivity::default(),
             load_due: now,
@@ -85,6 +92,11 @@
         }
     }
 
+    /// Whether no upstream that may have served is missing in the registry.
+    pub(super) fn lists_all_upstreams(&self, now: Duration) -> bool {
+        self.is_first_start || self.registry.is_complete(now)
+    }
+
     /// Addresses of the control hosts that have a log, for forwarding entries.
     pub(super) fn control_hosts(&self) -> FromRelay {
         FromRelay::ControlHosts {
--- a/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
@@ -6,6 +6,7 @@
 use coltsfootnotch_fabric::{Event, LinkId};
 use coltsfootnotch_forward::config::ForwardConfig;
 use coltsfootnotch_forward::registry::{Announcement, RegistryUpdate};
+use coltsfootnotch_forward::streams::StreamOrigin;
 use coltsfootnotch_state::BodyDigest;
 use coltsfootnotch_types::DomainName;
 use coltsfootnotch_wire::{FromRelay, Message, UpstreamRecord};
@@ -67,11 +68,19 @@
                 self.state.registry.mark_left(now, &id, born_ms);
                 self.cx.log(&events::UPSTREAM_LEAVING, &[("upstream", &id)]);
             }
-            FromRelay::FleetLoad { entries, load } => {
+            FromRelay::FleetLoad {
+                entries,
+                load,
+                lists_all_upstreams,
+            } => {
+                self.lists_all_upstreams = lists_all_upstreams;
                 let config = self.config.borrow().clone();
                 self.state
                     .apply_remote(now, entries, &load, config.as_deref());
             }
+            FromRelay::StreamFound { id, origin } => {
+                self.on_stream_found(now, link, id, origin.map(StreamOrigin::from));
+            }
             FromRelay::Lease { id, number } => {
                 if let Some(sent_at) = self.links.on_lease_response(id) {
                     self.state.lease.renew(sent_at, number);
--- a/src/coltsfootnotch/daemon/forward/actor/maintenance.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/maintenance.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use coltsfootnotch_forward::load::reporting_period;
+use coltsfootnotch_forward::streams::group_streams;
 use coltsfootnotch_wire::ToRelay;
 
 use super::ForwardActor;
@@ -20,6 +21,9 @@
 /// about each second, with delays of up to some seconds.
 const EXPIRY: Duration = Duration::from_secs(8);
 
+/// Time without any announcement after which those known may be out of date.
+pub(super) const UPDATES_CURRENT_FOR: Duration = Duration::from_secs(2);
+
 /// Interval of the lines that sum refusals by account.
 const REFUSED_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -33,10 +37,13 @@
         self.report_due = now + reporting_period(self.state.entries());
         self.reports += 1;
         let load = self.state.report();
+        let begun = self.state.take_begun_streams();
         self.load_for_others.record(now, Local, load.clone());
+        self.begun_for_others.extend(begun.iter().cloned());
         self.links.send_to_selected(ToRelay::Load {
             is_selected: true,
             load,
+            streams: group_streams(begun),
         });
         if self.reports.is_multiple_of(REPORTS_PER_BROADCAST) {
             let totals = self.load_for_others.totals(now);
@@ -45,6 +52,7 @@
             self.links.send_to_others(&ToRelay::Load {
                 is_selected: false,
                 load,
+                streams: group_streams(self.begun_for_others.drain(..)),
             });
         }
     }
@@ -160,7 +168,7 @@
 
     /// Removes expired upstreams, unless no control host has sent announcements recently.
     pub(super) fn expire_upstreams(&mut self, now: Duration) {
-        let has_updates = now.saturating_sub(self.last_upstream_update) < EXPIRY / 4;
+        let has_updates = now.saturating_sub(self.last_upstream_update) < UPDATES_CURRENT_FOR;
         if !has_updates {
             return;
         }
--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -3,6 +3,8 @@
 mod control_messages;
 mod maintenance;
 mod shutdown;
+mod stream_lookups;
+mod streams;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,12 +17,14 @@
 use coltsfootnotch_forward::overload::Overload;
 use coltsfootnotch_forward::pause_detector::PauseDetector;
 use coltsfootnotch_forward::retry::RetryBudget;
+use coltsfootnotch_forward::streams::StreamOrigin;
 use derive_more::{Display, Error, From};
 use stakker::sync::{Channel, ChannelGuard};
 use stakker::{CX, StopCause, actor_new, after, call, fwd_to, ret_nop, stop};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use self::stream_lookups::StreamLookups;
 use super::control_links::ControlLinks;
 use super::dialect::{Dialect, InForce};
 use super::handover::HandoverTargets;
@@ -158,6 +162,11 @@
     reports: u64,
     load_for_others: FleetLoad<Reporter>,
     last_upstream_update: Duration,
+    /// Whether the selected control host knows all upstreams, by its last message.
+    lists_all_upstreams: bool,
+    lookups: StreamLookups,
+    /// Streams begun since the last report to the control hosts that are not selected.
+    begun_for_others: Vec<(u64, StreamOrigin)>,
     tx: Channel<ForwardMsg>,
     _guard: ChannelGuard,
 }
@@ -266,6 +275,9 @@
             reports: 0,
             load_for_others: FleetLoad::default(),
             last_upstream_update: Duration::ZERO,
+            lists_all_upstreams: false,
+            lookups: StreamLookups::default(),
+            begun_for_others: Vec::new(),
             tx,
             _guard: guard,
             cx,
@@ -297,6 +309,7 @@
                         .on_finished(now, &ticket, false, Outcome::Abandoned);
                 }
             }
+            ForwardMsg::FindOrigin(req, tx) => self.find_origin(now, req, tx),
             ForwardMsg::FirstEvent(ticket) => self.state.on_first_event(now, &ticket),
             ForwardMsg::Finished {
                 ticket,
@@ -335,6 +348,7 @@
         };
         self.links.request_lease(self.boot_clock.now(), current);
         self.measure_scheduling_delay();
+        self.expire_lookups(now);
         self.report(now);
         self.log_refused_accounts(now);
         self.expire_upstreams(now);
--- /dev/null
+++ b/src/coltsfootnotch/daemon/forward/actor/stream_lookups.rs
@@ -0,0 +1,93 @@
+//! Lookups of the origins of streams that began at other entries, or before this one was started.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use coltsfootnotch_fabric::LinkId;
+use coltsfootnotch_forward::streams::StreamOrigin;
+use tokio::sync::oneshot;
+
+use crate::daemon::forward::messages::FindOrigin;
+
+/// Time after which control hosts that have not responded count as not knowing the stream. Its caller gives up
+/// after two seconds.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// A lookup that control hosts have not answered yet.
+struct Lookup {
+    req: FindOrigin,
+    tx: oneshot::Sender<Option<StreamOrigin>>,
+    /// The control hosts that have not responded.
+    waiting: BTreeSet<LinkId>,
+    deadline: Duration,
+}
+
+/// A lookup that has ended.
+pub(super) struct FinishedLookup {
+    pub(super) req: FindOrigin,
+    pub(super) tx: oneshot::Sender<Option<StreamOrigin>>,
+    /// The origin, if a control host knows it.
+    pub(super) origin: Option<StreamOrigin>,
+}
+
+/// The lookups in progress.
+#[derive(Default)]
+pub(super) struct StreamLookups {
+    pending: BTreeMap<u64, Lookup>,
+    last_id: u64,
+}
+
+impl StreamLookups {
+    /// Starts a lookup at the control hosts of `links`; returns its number.
+    pub(super) fn start(
+        &mut self,
+        now: Duration,
+        req: FindOrigin,
+        tx: oneshot::Sender<Option<StreamOrigin>>,
+        links: impl IntoIterator<Item = LinkId>,
+    ) -> u64 {
+        self.last_id += 1;
+        let lookup = Lookup {
+            req,
+            tx,
+            waiting: links.into_iter().collect(),
+            deadline: now + LOOKUP_TIMEOUT,
+        };
+        self.pending.insert(self.last_id, lookup);
+        self.last_id
+    }
+
+    /// Handles the response of a control host; returns the lookup if that ends it.
+    pub(super) fn on_response(
+        &mut self,
+        link: LinkId,
+        id: u64,
+        origin: Option<StreamOrigin>,
+    ) -> Option<FinishedLookup> {
+        let lookup = self.pending.get_mut(&id)?;
+        lookup.waiting.remove(&link);
+        if origin.is_none() && !lookup.waiting.is_empty() {
+            return None;
+        }
+        let lookup = self.pending.remove(&id)?;
+        Some(lookup.finish(origin))
+    }
+
+    /// Ends the lookups whose time is over.
+    pub(super) fn expire(&mut self, now: Duration) -> Vec<FinishedLookup> {
+        let expired = self
+            .pending
+            .extract_if(.., |_, lookup| now >= lookup.deadline);
+        expired.map(|(_, lookup)| lookup.finish(None)).collect()
+    }
+}
+
+impl Lookup {
+    fn finish(self, origin: Option<StreamOrigin>) -> FinishedLookup {
+        FinishedLookup {
+            req: self.req,
+            tx: self.tx,
+            origin,
+        }
+    }
+}
--- a/src/coltsfootnotch/daemon/forward/control_links.rs
+++ b/src/coltsfootnotch/daemon/forward/control_links.rs
@@ -115,6 +115,11 @@
         Some((link, &self.links.get(&link)?.peer))
     }
 
+    /// All connections.
+    pub(super) fn ids(&self) -> impl Iterator<Item = LinkId> {
+        self.links.keys().copied()
+    }
+
     pub(super) fn count(&self) -> usize {
         self.links.len()
     }
--- a/src/coltsfootnotch/daemon/forward/matched_request.rs
+++ b/src/coltsfootnotch/daemon/forward/matched_request.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use coltsfootnotch_forward::config::{ForwardConfig, Route, RouteKind};
 use coltsfootnotch_forward::place::Prompt;
+use coltsfootnotch_forward::streams::StreamOrigin;
 use http_body_util::Full;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, Uri};
@@ -33,6 +34,10 @@
     pub(super) prompt: Arc<Prompt>,
     /// Digest of the content, the same when the caller sends the request again.
     pub(super) content: u64,
+    /// The origin of the stream that its caller resumes.
+    pub(super) origin: Option<StreamOrigin>,
+    /// Digest of the identity of its stream, if its caller may resume it: that of the request that began it.
+    pub(super) stream: Option<u64>,
     /// Deadline by the caller's or the route's timeout.
     pub(super) deadline: Instant,
     /// When its headers were received.
@@ -100,3 +105,11 @@
     body[body.len() - sample..].hash(&mut hasher);
     hasher.finish()
 }
+
+/// Digest of the identity of a stream: the account and the id of the request that began it.
+pub(super) fn stream_digest(account: Option<&str>, began_with: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    account.hash(&mut hasher);
+    began_with.hash(&mut hasher);
+    hasher.finish()
+}
--- a/src/coltsfootnotch/daemon/forward/messages.rs
+++ b/src/coltsfootnotch/daemon/forward/messages.rs
@@ -31,6 +31,8 @@
     pub(super) is_retry: bool,
     /// Digest of its content.
     pub(super) content: u64,
+    /// Digest of the identity of its stream, if its caller may resume it.
+    pub(super) stream: Option<u64>,
     /// Differs between requests; breaks ties.
     pub(super) tie_breaker: u64,
 }
@@ -48,6 +50,15 @@
     }
 }
 
+/// Request to the actor for the origin of a stream that its caller resumes.
+#[derive(Debug, Clone)]
+pub(super) struct FindOrigin {
+    /// Digest of the stream's identity, if the caller names the request that began it.
+    pub(super) stream: Option<u64>,
+    /// The service that the request is for.
+    pub(super) service: Arc<str>,
+}
+
 /// The placement of a request.
 #[derive(Debug, Clone)]
 pub(super) struct Ticket {
@@ -89,6 +100,8 @@
     NoLease,
     /// The retry budget is used up.
     NoRetryBudget,
+    /// The version that began the stream to resume is not known, and there are several.
+    UnknownOrigin,
     /// Requests with this content have crashed upstreams.
     PoisonRequest,
     /// The process stops before the response could be complete.
@@ -132,6 +145,7 @@
         Box<PlaceRequest>,
         oneshot::Sender<Result<Ticket, PlacementError>>,
     ),
+    FindOrigin(FindOrigin, oneshot::Sender<Option<StreamOrigin>>),
     /// The first event of a response has come.
     FirstEvent(Ticket),
     /// An exchange has ended.
--- a/src/coltsfootnotch/daemon/forward/server.rs
+++ b/src/coltsfootnotch/daemon/forward/server.rs
@@ -14,7 +14,7 @@
 
 use super::dialect::{Dialect, InForce};
 use super::handover::HandoverTargets;
-use super::matched_request::{MatchedRequest, digest};
+use super::matched_request::{MatchedRequest, digest, stream_digest};
 use super::messages::{ForwardMsg, RETRY_SOON};
 use super::overload_flags::OverloadFlags;
 use super::pool::Pool;
@@ -81,8 +81,7 @@
         let received_at = Instant::now();
         match self.read(req, received_at).await {
             Ok(req) => {
-                let req = Arc::new(req);
-                let mut response = self.run(&req).await;
+                let (req, mut response) = self.respond(req).await;
                 self.count(&req, &response);
                 if self.should_close() {
                     let close = HeaderValue::from_static("close");
@@ -94,6 +93,20 @@
         }
     }
 
+    /// Has the request run, where the stream that it resumes may go on.
+    async fn respond(
+        self: &Arc<Self>,
+        mut req: MatchedRequest,
+    ) -> (Arc<MatchedRequest>, AnyResponse) {
+        let pinned = self.pin_to_origin(&mut req).await;
+        let req = Arc::new(req);
+        let response = match pinned {
+            Ok(()) => self.run(&req).await,
+            Err(reason) => self.refuse(&req, reason),
+        };
+        (req, response)
+    }
+
     /// Whether to close the connection after this response: there are too many, or the caller is served
     /// better through another host.
     fn should_close(&self) -> bool {
@@ -142,6 +155,11 @@
             .map_err(|status| responses::failure(status, "the body can't be read"))?;
         let content = digest(&parts, account.as_deref(), &body);
         let prompt = Arc::new(std::mem::take(&mut head.prompt));
+        let began_with = head.resumes.as_deref().or(head.id.as_deref());
+        let is_resumable = route.kind.is_stream() && route.kind.is_idempotent();
+        let stream = began_with
+            .filter(|_| is_resumable)
+            .map(|id| stream_digest(account.as_deref(), id));
         Ok(MatchedRequest {
             method: parts.method,
             uri: parts.uri,
@@ -154,6 +172,8 @@
             account,
             prompt,
             content,
+            origin: None,
+            stream,
             deadline,
             received_at,
         })
--- a/src/coltsfootnotch/daemon/forward/state/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/state/mod.rs
@@ -19,7 +19,7 @@
 };
 use coltsfootnotch_forward::retry::{PoisonRequests, RetryBudget};
 use coltsfootnotch_forward::share::FairShares;
-use coltsfootnotch_forward::streams::StreamOrigin;
+use coltsfootnotch_forward::streams::{StreamOrigin, StreamOrigins};
 use coltsfootnotch_forward::upstream_notices::UpstreamNotices;
 use coltsfootnotch_wire::{AbortRecord, EntryLoadReport};
 
@@ -49,6 +49,10 @@
     subjects: SubjectDemand,
     pub(super) retries: RetryBudget,
     pub(super) poison: PoisonRequests,
+    /// Where streams began, at this entry or as control hosts reported.
+    origins: StreamOrigins,
+    /// Streams begun since the last report.
+    begun: Vec<(u64, StreamOrigin)>,
     pub(super) lease: ConfigLease,
     /// Number of entries; none before the first totals of the fleet.
     entries: Option<u32>,
@@ -78,6 +82,8 @@
             subjects: SubjectDemand::default(),
             retries,
             poison: PoisonRequests::default(),
+            origins: StreamOrigins::default(),
+            begun: Vec::new(),
             lease,
             entries: None,
             remote_at: Duration::ZERO,
@@ -192,6 +198,7 @@
                 .unwrap_or(DEFAULT_TARGET),
             shortest_gap: req.config.shortest_gap(req.service),
             subject_per_s,
+            is_resumed: req.origin.is_some(),
             copy_rate: engine
                 .copy_tokens_per_ms
                 .map(|tokens_per_ms| CopyRate { tokens_per_ms }),
@@ -291,6 +298,9 @@
         let source = placement.copy_from.as_deref();
         let source = source.and_then(|id| self.registry.get(id));
         let copy_from = source.map(|u| u.announcement.address);
+        if let Some(stream) = req.stream {
+            self.record_stream(now, stream, &origin);
+        }
         let share = service.max_connections / self.entries();
         Ticket {
             upstream: placement.id,
@@ -304,6 +314,22 @@
         }
     }
 
+    /// Records where a stream begins or goes on, before any of its events can have come.
+    fn record_stream(&mut self, now: Duration, stream: u64, origin: &StreamOrigin) {
+        self.origins.record(now, stream, origin);
+        self.begun.push((stream, origin.clone()));
+    }
+
+    /// Where a stream began, if this entry knows.
+    pub(super) fn origin(&self, stream: u64) -> Option<&StreamOrigin> {
+        self.origins.get(stream)
+    }
+
+    /// The streams begun since the last report.
+    pub(super) fn take_begun_streams(&mut self) -> Vec<(u64, StreamOrigin)> {
+        std::mem::take(&mut self.begun)
+    }
+
     /// Handles the first event of a response.
     pub(super) fn on_first_event(&mut self, now: Duration, ticket: &Ticket) {
         if let Some(load) = self.loads.get_mut(&ticket.upstream, ticket.born_ms) {
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -6,13 +6,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use coltsfootnotch_forward::place::RefusalReason;
 use coltsfootnotch_forward::streams::StreamOrigin;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::{Body, Frame};
 use tokio::sync::mpsc;
 
+use super::attempts::RESUME_TIMEOUT;
 use super::event_splitter::EventSplitter;
 use super::exchange::{ExchangeResult, UpstreamResponse, attempt_deadline, exchange};
 use super::matched_request::MatchedRequest;
@@ -32,13 +32,6 @@
 /// The same for routes without a target.
 const DEFAULT_MAX_PAUSE: Duration = Duration::from_secs(2);
 
-/// Time for finding an upstream that resumes a stream; callers give up after two seconds without an
-/// event.
-const RESUME_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Time between two placements of a stream to resume; an engine prefills about three queued prompts
-/// in it.
-const RESUME_INTERVAL: Duration = Duration::from_millis(60);
-
 /// Result of opening a stream.
 pub(super) enum OpenResult {
     /// The first event has come; a task forwards the rest.
@@ -306,17 +299,14 @@
             return Err("a part of an event was forwarded");
         }
         let last_event = Some(events.last_id().ok_or("its events have no numbers")?);
-        let resume_deadline = Instant::now() + RESUME_TIMEOUT;
+        let wait_until = Instant::now() + RESUME_TIMEOUT;
         while *attempts < self.req.route().max_attempts {
-            let ticket = match self.gw.place(&self.req, &avoid, true, Some(origin)).await {
+            let placed = self
+                .gw
+                .place_resumed(&self.req, &avoid, true, origin, wait_until)
+                .await;
+            let ticket = match placed {
                 Ok(ticket) => ticket,
-                Err(PlacementError::Refused(refusal, _))
-                    if refusal.reason != RefusalReason::VersionGone
-                        && Instant::now() < resume_deadline =>
-                {
-                    tokio::time::sleep(RESUME_INTERVAL).await;
-                    continue;
-                }
                 Err(PlacementError::NoRetryBudget) => return Err("too much is sent again"),
                 Err(_) => return Err("no upstream can go on in time"),
             };
--- a/src/coltsfootnotch/daemon/relay_client.rs
+++ b/src/coltsfootnotch/daemon/relay_client.rs
@@ -245,6 +245,7 @@
             | FromRelay::UpstreamsAlive(_)
             | FromRelay::UpstreamLeft { .. }
             | FromRelay::FleetLoad { .. }
+            | FromRelay::StreamFound { .. }
             | FromRelay::Lease { .. }
             | FromRelay::ConfigPatch { .. }
             | FromRelay::Neighbours { .. }
