Don't resume streams at upstreams that broke off and have not announced themselves since

Callers would see: a stream that goes on at its own upstream after that was started again, under its identity and at its address, with another version: until the new run has announced itself, it is taken for the old one. Cause: a request is addressed to an identity, which may outlive its run. Why it works: an entry that saw a connection break marks the run as suspect until its next announcement; while a service has several versions, resumed streams go to no suspect. An entry without a connection that broke can't know; that remains.

--- a/crates/forward/src/registry/upstream.rs
+++ b/crates/forward/src/registry/upstream.rs
@@ -11,4 +11,6 @@
     pub announcement: Announcement,
     /// When it was received.
     pub last_seen: Duration,
+    /// Whether a connection to it broke since then, so that another run may be there already.
+    pub is_suspect: bool,
 }
--- a/src/coltsfootnotch/daemon/forward/state/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/state/mod.rs
@@ -244,6 +244,9 @@
         notices: &'a UpstreamNotices,
     ) -> impl Iterator<Item = Candidate<'a>> {
         let service = &req.config.services()[req.service];
+        // A run of another version may have taken the place of a suspect, unnoticed.
+        let avoids_suspects =
+            req.origin.is_some() && self.registry.sole_version(&service.name).is_none();
         let entries = self.entries.unwrap_or(ASSUMED_ENTRIES);
         let interval = warm_up_interval(service.warm_up_per_s, entries);
         let memory_tokens = engine.map_or(0, |e| e.memory_tokens);
@@ -252,6 +255,7 @@
             .ready(&service.name)
             .filter(|upstream| !self.evacuated.contains(&upstream.announcement.domain))
             .filter(|upstream| req.may_go_to(&upstream.announcement))
+            .filter(move |upstream| !avoids_suspects || !upstream.is_suspect)
             .filter_map(move |upstream| {
                 let announcement = &upstream.announcement;
                 let load = self.loads.get(&announcement.id, announcement.born_ms)?;
@@ -345,6 +349,9 @@
         has_started: bool,
         outcome: Outcome,
     ) {
+        if matches!(outcome, Outcome::Broken | Outcome::Unreachable) {
+            self.registry.mark_suspect(&ticket.upstream, ticket.born_ms);
+        }
         if outcome == Outcome::Broken {
             let (content, run) = (ticket.content, run_digest(ticket));
             self.poison.record_local(now, AbortRecord { content, run });
