--- a/crates/forward/src/retry/poison_requests.rs
+++ b/crates/forward/src/retry/poison_requests.rs
@@ -88,6 +88,13 @@
         self.by_content.remove(&content);
     }
 
+    /// Number of crashed runs that count against the content, up to the number for a refusal.
+    #[must_use]
+    pub fn crashed_runs(&self, content: u64) -> usize {
+        let crashes = self.by_content.get(&content);
+        crashes.map_or(0, |crashes| crashes.runs.len())
+    }
+
     /// Whether requests with the content are refused.
     #[must_use]
     pub fn is_refused(&self, now: Duration, content: u64) -> bool {
--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -52,6 +52,9 @@
 /// Most lost neighbours logged per second: all connections handed over to a host break when it is killed.
 const LOST_NEIGHBOUR_LINES: u16 = 10;
 
+/// Most requests broken off that are logged per second: a crash ends all that an upstream ran.
+const BROKEN_OFF_LINES: u16 = 10;
+
 /// Part of the shutdown time that is reserved for the process to exit.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 
@@ -158,6 +161,7 @@
     accepts_handover: bool,
     refused_accounts: Arc<RefusedAccounts>,
     refused_due: Duration,
+    broken_off_lines: LineBudget,
     report_due: Duration,
     reports: u64,
     load_for_others: FleetLoad<Reporter>,
@@ -271,6 +275,7 @@
             accepts_handover: false,
             refused_accounts,
             refused_due: Duration::ZERO,
+            broken_off_lines: LineBudget::new(BROKEN_OFF_LINES),
             report_due: Duration::ZERO,
             reports: 0,
             load_for_others: FleetLoad::default(),
@@ -315,7 +320,7 @@
                 ticket,
                 has_started,
                 outcome,
-            } => self.state.on_finished(now, &ticket, has_started, outcome),
+            } => self.on_finished(now, &ticket, has_started, outcome),
             ForwardMsg::StreamPause(pause) => self.on_stream_pause(now, &pause),
             ForwardMsg::SchedulingDelay(delay) => self.on_scheduling_delay(now, delay),
             ForwardMsg::Seeds(seeds) => self.links.set_seeds(&self.endpoint, &seeds),
@@ -323,6 +328,32 @@
         }
     }
 
+    /// Handles the end of an exchange.
+    fn on_finished(&mut self, now: Duration, ticket: &Ticket, has_started: bool, outcome: Outcome) {
+        self.state.on_finished(now, ticket, has_started, outcome);
+        let is_suspect = outcome == Outcome::Broken && !has_started;
+        if is_suspect && self.broken_off_lines.take(now) {
+            self.log_broken_off(ticket);
+        }
+    }
+
+    fn log_broken_off(&self, ticket: &Ticket) {
+        let content = format!("{:016x}", ticket.content);
+        let crashed_runs = self.state.poison.crashed_runs(ticket.content);
+        let segments = ticket.prompt.shared.iter();
+        let segments: Vec<String> = segments.map(|s| format!("{:x}", s.id)).collect();
+        let segments = segments.join(",");
+        self.cx.log(
+            &events::UPSTREAM_BROKE_OFF,
+            &[
+                ("upstream", &ticket.upstream),
+                ("content", &content),
+                ("crashed_runs", &crashed_runs),
+                ("segments", &segments),
+            ],
+        );
+    }
+
     fn place(&mut self, now: Duration, req: &PlaceRequest) -> Result<Ticket, PlacementError> {
         if let Some(stopping) = self.stopping {
             let end = stopping.since + self.times.shutdown.saturating_sub(STOP_MARGIN);
--- a/src/coltsfootnotch/daemon/forward/messages.rs
+++ b/src/coltsfootnotch/daemon/forward/messages.rs
@@ -76,6 +76,8 @@
     pub(super) sent: SentRequest,
     /// Digest of the request's content.
     pub(super) content: u64,
+    /// The request's prompt.
+    pub(super) prompt: Arc<Prompt>,
     /// Most idle connections that this entry keeps to it.
     pub(super) connections: usize,
 }
--- a/src/coltsfootnotch/daemon/forward/state/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/state/mod.rs
@@ -314,6 +314,7 @@
             copy_from,
             sent: placement.sent,
             content: req.content,
+            prompt: Arc::clone(&req.prompt),
             connections: share.max(1) as usize,
         }
     }
--- a/src/coltsfootnotch/util/events.rs
+++ b/src/coltsfootnotch/util/events.rs
@@ -112,6 +112,7 @@
     UPSTREAM_BACKOFF_REQUESTED = 92 Info "an upstream refused a request and asked for no more for a time" => "nothing unless it repeats; then check the load of the upstream named";
     RESPONSE_ENDED_WITH_CONNECTION = 93 Info "a response had neither a length nor chunks and ended with its upstream's connection" => "nothing; whether it was complete can't be known, so if a caller misses a part, look for CFN-0021 and the end of the upstream named at that time";
     STREAM_TAKEN_UP = 94 Info "a caller resumes a stream that began with an earlier request" => "nothing; the versions of both requests' upstreams have to be the same";
+    UPSTREAM_BROKE_OFF = 95 Warn "an upstream broke off a request before it began to answer" => "check the upstream; if several break off requests that share a segment, its caller should be asked about it";
 }
 
 /// Finds an event by its code, ignoring case; the prefix `CFN-` is optional.
