Refuse prompts with a segment that crashes upstreams

Callers saw: one engine after the other ended, and sound requests failed with them: requests with one segment of their prompts in common crashed each engine that began to answer them, 17 requests after the fifth crash, 28 engines in all. Cause: a request that crashes upstreams was recognised by its path, account and body; no two of these are alike. Why it works: entries report the segments of requests that had no event when their upstream ended, and the answers of segments under suspicion. Control hosts decide for all: a segment is refused after three separate crashes (with an answer of its service between them) that no other segment explains. Segments that were in the same crashes are refused only together. One that was answered lately needs six. All entries refuse what a control host lists, and report it back, so that it outlives either.

--- a/crates/forward/src/load/fleet_load.rs
+++ b/crates/forward/src/load/fleet_load.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use coltsfootnotch_wire::{
-    AbortRecord, AccountDemand, EntryLoadReport, SegmentRecord, UpstreamUsage,
+    AbortRecord, AccountDemand, CrashSuspects, EntryLoadReport, SegmentGroup, SegmentRecord,
+    UpstreamUsage,
 };
 
 /// Age from which an entry's last report no longer counts: it has ended or is cut off. Reports come
@@ -20,6 +21,11 @@
     segments: Vec<SegmentRecord>,
     aborts: Vec<AbortRecord>,
     cleared: Vec<u64>,
+    crash_suspects: Vec<CrashSuspects>,
+    answered_services: Vec<String>,
+    answered_segments: Vec<u64>,
+    sound_segments: Vec<u64>,
+    refused_segments: Vec<SegmentGroup>,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -88,6 +94,11 @@
         let segments = others.iter().flat_map(|e| &e.period.segments);
         let aborts = others.iter().flat_map(|e| &e.period.aborts);
         let cleared = others.iter().flat_map(|e| &e.period.cleared);
+        let suspects = others.iter().flat_map(|e| &e.period.crash_suspects);
+        let services = others.iter().flat_map(|e| &e.period.answered_services);
+        let answered = others.iter().flat_map(|e| &e.period.answered_segments);
+        let sound = others.iter().flat_map(|e| &e.period.sound_segments);
+        let refused = others.iter().flat_map(|e| &e.period.refused_segments);
         let (upstreams, accounts) = totals.subtract_entry(excluded);
         EntryLoadReport {
             upstreams,
@@ -95,6 +106,11 @@
             segments: segments.cloned().collect(),
             aborts: aborts.copied().collect(),
             cleared: cleared.copied().collect(),
+            crash_suspects: suspects.cloned().collect(),
+            answered_services: services.cloned().collect(),
+            answered_segments: answered.copied().collect(),
+            sound_segments: sound.copied().collect(),
+            refused_segments: refused.cloned().collect(),
         }
     }
 
@@ -234,5 +250,12 @@
         self.segments.extend(load.segments.iter().cloned());
         self.aborts.extend(&load.aborts);
         self.cleared.extend(&load.cleared);
+        self.crash_suspects
+            .extend(load.crash_suspects.iter().cloned());
+        self.answered_services
+            .extend(load.answered_services.iter().cloned());
+        self.answered_segments.extend(&load.answered_segments);
+        self.sound_segments.extend(&load.sound_segments);
+        self.refused_segments.clone_from(&load.refused_segments);
     }
 }
--- a/crates/forward/src/retry/mod.rs
+++ b/crates/forward/src/retry/mod.rs
@@ -3,8 +3,12 @@
 //! When upstreams fail, unlimited retries multiply the load while capacity is lowest, and a request
 //! that crashes its upstream takes down one after the other if it is resent.
 
+mod crash_evidence;
 mod poison_requests;
+mod refused_segments;
 mod retry_budget;
 
+pub use crash_evidence::CrashEvidence;
 pub use poison_requests::PoisonRequests;
+pub use refused_segments::RefusedSegments;
 pub use retry_budget::{RetryBudget, RetryLimit};
--- a/crates/forward/tests/testsuite/main.rs
+++ b/crates/forward/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod config;
 mod control_host;
 mod copies;
+mod crashing_segments;
 mod engines;
 mod load;
 mod many_entries;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -30,8 +30,9 @@
     ConfigBody, FromRelay, Heartbeat, MembersError, ProposeError, ServiceBatch, ToRelay,
 };
 pub use upstream::{
-    AbortRecord, AccountDemand, BegunStreams, EntryLoadReport, SegmentRecord, StreamOriginRecord,
-    UpstreamKeepAlive, UpstreamRecord, UpstreamStage, UpstreamUsage,
+    AbortRecord, AccountDemand, BegunStreams, CrashSuspects, EntryLoadReport, SegmentGroup,
+    SegmentRecord, SegmentReport, StreamOriginRecord, UpstreamKeepAlive, UpstreamRecord,
+    UpstreamStage, UpstreamUsage,
 };
 
 /// Commonly used messages.
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -7,8 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    BegunStreams, EntryLoadReport, HostRecord, StreamOriginRecord, UpstreamKeepAlive,
-    UpstreamRecord,
+    BegunStreams, EntryLoadReport, HostRecord, SegmentReport, StreamOriginRecord,
+    UpstreamKeepAlive, UpstreamRecord,
 };
 
 /// Periodic report that a host is alive, with its directory record.
@@ -149,7 +149,7 @@
         /// other entries.
         is_selected: bool,
         /// The report.
-        load: EntryLoadReport,
+        load: Box<EntryLoadReport>,
         /// Streams that the entry has begun since its last report to this control host.
         streams: Vec<BegunStreams>,
     },
@@ -259,9 +259,11 @@
         /// Number of entries with a recent report, including the receiver.
         entries: u32,
         /// Sum of their reports, without the receiver's.
-        load: EntryLoadReport,
+        load: Box<EntryLoadReport>,
         /// Whether the sender knows all upstreams: it was not started just now while others may have served.
         lists_all_upstreams: bool,
+        /// Segments that crash upstreams.
+        segments: SegmentReport,
     },
     /// Response to [`ToRelay::FindStream`].
     StreamFound {
--- a/crates/wire/src/upstream.rs
+++ b/crates/wire/src/upstream.rs
@@ -103,6 +103,39 @@
     pub run: u64,
 }
 
+/// Shared prompt segments of a request that an upstream had not begun to answer when its run ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashSuspects {
+    /// Digest of the upstream and its start time.
+    pub run: u64,
+    /// Digest of its address, which later runs may have as well.
+    pub upstream: u64,
+    /// Its service.
+    pub service: String,
+    /// The segments.
+    pub segments: Vec<u64>,
+}
+
+/// Segments that are refused in requests that have all of them.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SegmentGroup {
+    /// The segments.
+    pub segments: Vec<u64>,
+    /// Time since the last crash that counts against them, in milliseconds.
+    pub crash_age_ms: u64,
+}
+
+/// What a control host knows of segments that crash upstreams.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SegmentReport {
+    /// Segments under suspicion since the last report; entries report their answers.
+    pub suspected: Vec<u64>,
+    /// Segments of requests that were answered since the last report, of those under suspicion.
+    pub cleared: Vec<u64>,
+    /// All groups to refuse.
+    pub refused: Vec<SegmentGroup>,
+}
+
 /// Load that one or several entries have sent to upstreams.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EntryLoadReport {
@@ -116,6 +149,16 @@
     pub aborts: Vec<AbortRecord>,
     /// Digests of contents that crashed an upstream, of which a request has succeeded since.
     pub cleared: Vec<u64>,
+    /// Segments that were in flight when upstreams ended, since the last report.
+    pub crash_suspects: Vec<CrashSuspects>,
+    /// Services with prompts of which an answer began since the last report.
+    pub answered_services: Vec<String>,
+    /// Segments under suspicion of which a request was answered since the last report.
+    pub answered_segments: Vec<u64>,
+    /// Segments that came under suspicion and of which a request was answered lately, before that.
+    pub sound_segments: Vec<u64>,
+    /// Segments that the entry refuses.
+    pub refused_segments: Vec<SegmentGroup>,
 }
 
 /// The service and version of the upstream that began a stream.
--- a/src/coltsfootnotch/daemon/control/daemon/from_hosts.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/from_hosts.rs
@@ -45,7 +45,7 @@
                 streams,
             } => {
                 if let Some(seeded) = &mut self.seeded {
-                    seeded.entries.record_load(now, link, is_selected, load);
+                    seeded.on_load(now, link, is_selected, *load);
                     seeded.origins.record_report(now, &streams);
                 }
             }
--- a/src/coltsfootnotch/daemon/control/seeded/entries.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/entries.rs
@@ -7,7 +7,7 @@
 use coltsfootnotch_fabric::LinkId;
 use coltsfootnotch_forward::load::FleetLoad;
 use coltsfootnotch_types::{DomainName, HostName};
-use coltsfootnotch_wire::{AccountDemand, EntryLoadReport, FromRelay};
+use coltsfootnotch_wire::{AccountDemand, EntryLoadReport, FromRelay, SegmentReport};
 
 use super::account_usage::AccountUsage;
 
@@ -159,6 +159,7 @@
         &mut self,
         now: Duration,
         lists_all_upstreams: bool,
+        segments: &SegmentReport,
         send: impl Fn(LinkId, FromRelay),
     ) -> usize {
         let entries = self.fleet.entries(now);
@@ -169,12 +170,13 @@
             if let Some(message) = neighbours(&mut self.links, *link, self.neighbours_version) {
                 send(*link, message);
             }
-            let load = self.fleet.excluding(now, &totals, link);
+            let load = without_evidence(self.fleet.excluding(now, &totals, link));
             sent += load.upstreams.len();
             let message = FromRelay::FleetLoad {
                 entries,
-                load,
+                load: Box::new(load),
                 lists_all_upstreams,
+                segments: segments.clone(),
             };
             send(*link, message);
         }
@@ -253,6 +255,18 @@
     }
 }
 
+/// A report for entries, which get the conclusions from the evidence on segments only.
+fn without_evidence(load: EntryLoadReport) -> EntryLoadReport {
+    EntryLoadReport {
+        crash_suspects: Vec::new(),
+        answered_services: Vec::new(),
+        answered_segments: Vec::new(),
+        sound_segments: Vec::new(),
+        refused_segments: Vec::new(),
+        ..load
+    }
+}
+
 /// The neighbours of an entry, if it doesn't have this version of them; records that it was sent.
 fn neighbours(
     links: &mut BTreeMap<LinkId, ConnectedEntry>,
--- a/src/coltsfootnotch/daemon/control/seeded/handlers.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/handlers.rs
@@ -58,9 +58,12 @@
             }
         };
         let lists_all_upstreams = seeded.lists_all_upstreams(now);
+        let segments = seeded
+            .evidence
+            .take_report(now, reporting_period(seeded.entries.fleet.entries(now)));
         let sent = seeded
             .entries
-            .send_fleet_load(now, lists_all_upstreams, send);
+            .send_fleet_load(now, lists_all_upstreams, &segments, send);
         let entries = seeded.entries.fleet.entries(now);
         let period = reporting_period(entries)
             .max(SEND_TIME_PER_LOAD * u32::try_from(sent).unwrap_or(u32::MAX));
--- a/src/coltsfootnotch/daemon/control/seeded/mod.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/mod.rs
@@ -17,9 +17,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use coltsfootnotch_fabric::LinkId;
+use coltsfootnotch_forward::load::reporting_period;
 use coltsfootnotch_forward::registry::UpstreamRegistry;
+use coltsfootnotch_forward::retry::CrashEvidence;
 use coltsfootnotch_forward::streams::StreamOrigins;
-use coltsfootnotch_wire::{FromRelay, UpstreamKeepAlive};
+use coltsfootnotch_wire::{EntryLoadReport, FromRelay, UpstreamKeepAlive};
 use serde::{Deserialize, Serialize};
 
 use self::bootstrap::SeededBootstrap;
@@ -63,6 +66,8 @@
     pub(super) registry: UpstreamRegistry,
     /// Whether the fleet starts for the first time, so that no upstream can have served before.
     is_first_start: bool,
+    /// Prompt segments that crash upstreams.
+    pub(super) evidence: CrashEvidence,
     /// Where the streams of all entries began.
     pub(super) origins: StreamOrigins,
     /// Time of the next log line on the missing group.
@@ -83,6 +88,7 @@
             calls: Calls::default(),
             registry: UpstreamRegistry::default(),
             is_first_start,
+            evidence: CrashEvidence::default(),
             origins: StreamOrigins::default(),
             no_group_log_due: now + handlers::NO_GROUP_LOG_INTERVAL,
             connectivity: Connectivity::default(),
@@ -92,6 +98,19 @@
         }
     }
 
+    /// Handles a load report of an entry.
+    pub(super) fn on_load(
+        &mut self,
+        now: Duration,
+        link: LinkId,
+        is_selected: bool,
+        load: EntryLoadReport,
+    ) {
+        let period = reporting_period(self.entries.fleet.entries(now));
+        self.evidence.on_report(now, period, &load);
+        self.entries.record_load(now, link, is_selected, load);
+    }
+
     /// Whether no upstream that may have served is missing in the registry.
     pub(super) fn lists_all_upstreams(&self, now: Duration) -> bool {
         self.is_first_start || self.registry.is_complete(now)
--- a/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
@@ -9,7 +9,7 @@
 use coltsfootnotch_forward::streams::StreamOrigin;
 use coltsfootnotch_state::BodyDigest;
 use coltsfootnotch_types::DomainName;
-use coltsfootnotch_wire::{FromRelay, Message, UpstreamRecord};
+use coltsfootnotch_wire::{FromRelay, Message, SegmentReport, UpstreamRecord};
 
 use super::ForwardActor;
 use crate::core::config_patch;
@@ -72,7 +72,9 @@
                 entries,
                 load,
                 lists_all_upstreams,
+                segments,
             } => {
+                self.apply_segments(now, &segments);
                 self.lists_all_upstreams = lists_all_upstreams;
                 let config = self.config.borrow().clone();
                 self.state
@@ -116,6 +118,15 @@
         }
     }
 
+    fn apply_segments(&mut self, now: Duration, report: &SegmentReport) {
+        for group in self.state.segments.apply(now, report) {
+            let segments: Vec<String> = group.iter().map(|id| format!("{id:x}")).collect();
+            let segments = segments.join(",");
+            self.cx
+                .log(&events::SEGMENTS_REFUSED, &[("segments", &segments)]);
+        }
+    }
+
     fn apply_announcements(&mut self, now: Duration, records: Vec<UpstreamRecord>) {
         if !records.is_empty() {
             self.last_upstream_update = now;
--- a/src/coltsfootnotch/daemon/forward/actor/maintenance.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/maintenance.rs
@@ -36,13 +36,13 @@
         }
         self.report_due = now + reporting_period(self.state.entries());
         self.reports += 1;
-        let load = self.state.report();
+        let load = self.state.report(now);
         let begun = self.state.take_begun_streams();
         self.load_for_others.record(now, Local, load.clone());
         self.begun_for_others.extend(begun.iter().cloned());
         self.links.send_to_selected(ToRelay::Load {
             is_selected: true,
-            load,
+            load: Box::new(load),
             streams: group_streams(begun),
         });
         if self.reports.is_multiple_of(REPORTS_PER_BROADCAST) {
@@ -51,7 +51,7 @@
             self.load_for_others.start_period(now);
             self.links.send_to_others(&ToRelay::Load {
                 is_selected: false,
-                load,
+                load: Box::new(load),
                 streams: group_streams(self.begun_for_others.drain(..)),
             });
         }
--- a/src/coltsfootnotch/daemon/forward/attempts.rs
+++ b/src/coltsfootnotch/daemon/forward/attempts.rs
@@ -228,6 +228,7 @@
             prompt: Arc::clone(&req.prompt),
             origin: origin.cloned(),
             avoid: avoid.to_vec(),
+            is_stream: req.kind().is_stream(),
             is_retry,
             content: req.content,
             stream: req.stream,
--- a/src/coltsfootnotch/daemon/forward/messages.rs
+++ b/src/coltsfootnotch/daemon/forward/messages.rs
@@ -27,6 +27,8 @@
     pub(super) origin: Option<StreamOrigin>,
     /// Upstreams at which it has failed.
     pub(super) avoid: Vec<Arc<str>>,
+    /// Whether its answer is a stream of events.
+    pub(super) is_stream: bool,
     /// Whether it reached an upstream before, so that it needs a retry from the budget.
     pub(super) is_retry: bool,
     /// Digest of its content.
@@ -78,6 +80,8 @@
     pub(super) content: u64,
     /// The request's prompt.
     pub(super) prompt: Arc<Prompt>,
+    /// Whether its answer is a stream of events.
+    pub(super) is_stream: bool,
     /// Most idle connections that this entry keeps to it.
     pub(super) connections: usize,
 }
@@ -106,6 +110,8 @@
     UnknownOrigin,
     /// Requests with this content have crashed upstreams.
     PoisonRequest,
+    /// Requests with these prompt segments have crashed upstreams.
+    PoisonSegment,
     /// The process stops before the response could be complete.
     Stopping,
 }
--- a/src/coltsfootnotch/daemon/forward/request_log.rs
+++ b/src/coltsfootnotch/daemon/forward/request_log.rs
@@ -17,6 +17,10 @@
 /// part of a small share of a core in a flood of refusals.
 pub(super) const REFUSAL_LINES: u16 = 50;
 
+/// `Retry-After` of requests that crash upstreams. They are refused for minutes; a caller that repeats one
+/// meanwhile only gets the same answer.
+const POISON_RETRY_AFTER: Duration = Duration::from_secs(10);
+
 impl Gateway {
     pub(super) fn refuse(&self, req: &MatchedRequest, reason: PlacementError) -> AnyResponse {
         let (text, retry_after) = match reason {
@@ -32,7 +36,11 @@
             ),
             PlacementError::PoisonRequest => (
                 "the request has crashed upstreams".to_owned(),
-                Duration::from_secs(10),
+                POISON_RETRY_AFTER,
+            ),
+            PlacementError::PoisonSegment => (
+                "a segment of its prompt has crashed upstreams".to_owned(),
+                POISON_RETRY_AFTER,
             ),
         };
         if self.refusals.take(self.cx.now()) {
--- a/src/coltsfootnotch/daemon/forward/state/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/state/mod.rs
@@ -17,11 +17,11 @@
 use coltsfootnotch_forward::registry::{
     Announcement, EvacuatedDomains, RegistryUpdate, Stage, UpstreamRegistry,
 };
-use coltsfootnotch_forward::retry::{PoisonRequests, RetryBudget};
+use coltsfootnotch_forward::retry::{PoisonRequests, RefusedSegments, RetryBudget};
 use coltsfootnotch_forward::share::FairShares;
 use coltsfootnotch_forward::streams::{StreamOrigin, StreamOrigins};
 use coltsfootnotch_forward::upstream_notices::UpstreamNotices;
-use coltsfootnotch_wire::{AbortRecord, EntryLoadReport};
+use coltsfootnotch_wire::{AbortRecord, CrashSuspects, EntryLoadReport};
 
 use super::engine_rates::EngineRates;
 use super::messages::{Outcome, PlaceRequest, PlacementError, Ticket};
@@ -49,6 +49,7 @@
     subjects: SubjectDemand,
     pub(super) retries: RetryBudget,
     pub(super) poison: PoisonRequests,
+    pub(super) segments: RefusedSegments,
     /// Where streams began, at this entry or as control hosts reported.
     origins: StreamOrigins,
     /// Streams begun since the last report.
@@ -82,6 +83,7 @@
             subjects: SubjectDemand::default(),
             retries,
             poison: PoisonRequests::default(),
+            segments: RefusedSegments::default(),
             origins: StreamOrigins::default(),
             begun: Vec::new(),
             lease,
@@ -148,6 +150,9 @@
         if self.poison.is_refused(now, req.content) {
             return Err(PlacementError::PoisonRequest);
         }
+        if self.segments.is_refused(now, &req.prompt.shared) {
+            return Err(PlacementError::PoisonSegment);
+        }
         let service = &req.config.services()[req.service];
         let is_first = req.is_first();
         if is_first {
@@ -315,6 +320,7 @@
             sent: placement.sent,
             content: req.content,
             prompt: Arc::clone(&req.prompt),
+            is_stream: req.is_stream,
             connections: share.max(1) as usize,
         }
     }
@@ -337,11 +343,20 @@
 
     /// Handles the first event of a response.
     pub(super) fn on_first_event(&mut self, now: Duration, ticket: &Ticket) {
+        if ticket.is_stream {
+            self.on_answer(now, ticket);
+        }
         if let Some(load) = self.loads.get_mut(&ticket.upstream, ticket.born_ms) {
             load.on_first_event(now, &ticket.sent);
         }
     }
 
+    /// Handles the begin of an answer, or its end.
+    fn on_answer(&mut self, now: Duration, ticket: &Ticket) {
+        let service = &ticket.origin.service;
+        self.segments.on_answer(now, service, &ticket.prompt.shared);
+    }
+
     /// Handles the end of an exchange.
     pub(super) fn on_finished(
         &mut self,
@@ -350,15 +365,21 @@
         has_started: bool,
         outcome: Outcome,
     ) {
+        // Only the first event of a stream is a part of its answer.
+        let has_answered = has_started && ticket.is_stream;
         if matches!(outcome, Outcome::Broken | Outcome::Unreachable) {
             self.registry.mark_suspect(&ticket.upstream, ticket.born_ms);
         }
+        if outcome == Outcome::Broken && !has_answered {
+            self.segments.record_crash(crash_suspects(ticket));
+        }
         if outcome == Outcome::Broken {
             let (content, run) = (ticket.content, run_digest(ticket));
             self.poison.record_local(now, AbortRecord { content, run });
         }
         if outcome == Outcome::Completed {
             self.poison.record_local_success(ticket.content);
+            self.on_answer(now, ticket);
         }
         let Some(load) = self.loads.get_mut(&ticket.upstream, ticket.born_ms) else {
             return;
@@ -406,16 +427,31 @@
     }
 
     /// Load at this entry, and its changes since the last report.
-    pub(super) fn report(&mut self) -> EntryLoadReport {
+    pub(super) fn report(&mut self, now: Duration) -> EntryLoadReport {
         let (upstreams, segments) = self.loads.report();
         let (aborts, cleared) = self.poison.report();
-        EntryLoadReport {
+        let mut report = EntryLoadReport {
             upstreams,
             accounts: self.shares.report(),
             segments,
             aborts,
             cleared,
-        }
+            ..EntryLoadReport::default()
+        };
+        self.segments.report(now, &mut report);
+        report
+    }
+}
+
+/// The shared segments of a request during which its upstream ended.
+fn crash_suspects(ticket: &Ticket) -> CrashSuspects {
+    let mut hasher = DefaultHasher::new();
+    ticket.address.hash(&mut hasher);
+    CrashSuspects {
+        run: run_digest(ticket),
+        upstream: hasher.finish(),
+        service: ticket.origin.service.to_string(),
+        segments: ticket.prompt.shared.iter().map(|s| s.id).collect(),
     }
 }
 
--- a/src/coltsfootnotch/util/events.rs
+++ b/src/coltsfootnotch/util/events.rs
@@ -113,6 +113,7 @@
     RESPONSE_ENDED_WITH_CONNECTION = 93 Info "a response had neither a length nor chunks and ended with its upstream's connection" => "nothing; whether it was complete can't be known, so if a caller misses a part, look for CFN-0021 and the end of the upstream named at that time";
     STREAM_TAKEN_UP = 94 Info "a caller resumes a stream that began with an earlier request" => "nothing; the versions of both requests' upstreams have to be the same";
     UPSTREAM_BROKE_OFF = 95 Warn "an upstream broke off a request before it began to answer" => "check the upstream; if several break off requests that share a segment, its caller should be asked about it";
+    SEGMENTS_REFUSED = 96 Error "requests with prompt segments that crash upstreams are refused" => "find whose prompts have all of the segments named; they are accepted again ten minutes after the last crash, or after this host and the control hosts were restarted at once";
 }
 
 /// Finds an event by its code, ignoring case; the prefix `CFN-` is optional.
