Judge crashes however seldom a control host sends reports

Callers would see: in a fleet so large that a control host sends a report each two seconds or less, a segment that crashes upstreams is never refused. Cause: crashes were judged for four report periods after the last one only, and reports to entries are further apart than that when there are many of them and of upstreams. Evidence: the new test, which failed before (no group refused) and passes. Why it works: crashes are judged until all that were reported have settled.

--- a/crates/forward/src/retry/crash_evidence.rs
+++ b/crates/forward/src/retry/crash_evidence.rs
@@ -92,6 +92,8 @@
     last_answer: HashMap<String, Duration>,
     identified: Vec<Identified>,
     last_crash: Option<Duration>,
+    /// Crashes reported until then have been judged.
+    judged_until: Duration,
     newly_suspected: BTreeSet<u64>,
     newly_cleared: BTreeSet<u64>,
 }
@@ -120,11 +122,11 @@
     /// What entries are told each `period`: what has changed since the last call, and all groups of segments to
     /// refuse.
     pub fn take_report(&mut self, now: Duration, period: Duration) -> SegmentReport {
-        let separation = period * SEPARATION_PERIODS;
-        let is_recent = |at: Duration| now.saturating_sub(at) <= separation * 2;
-        if self.last_crash.is_some_and(is_recent) {
-            // Crashes that not all entries may have reported yet are left out.
-            self.identify(now, now.saturating_sub(separation));
+        // Crashes that not all entries may have reported yet are left out.
+        let settled = now.saturating_sub(period * SEPARATION_PERIODS);
+        if self.last_crash.is_some_and(|at| at > self.judged_until) {
+            self.identify(now, settled);
+            self.judged_until = settled;
         }
         let identified = self.identified.iter();
         let current = identified.filter(|g| is_refused_since(now, g.last_crash));
--- a/crates/forward/tests/testsuite/crashing_segments.rs
+++ b/crates/forward/tests/testsuite/crashing_segments.rs
@@ -391,3 +391,26 @@
         .and_then(|text| text.parse().ok());
     set.unwrap_or(40)
 }
+
+/// Guards against crashes that are never judged, since a control host with many entries sends reports seldom.
+#[gtest]
+fn crashes_are_judged_however_seldom_reports_are_sent() {
+    let period = Duration::from_millis(500);
+    let mut evidence = CrashEvidence::default();
+    for run in 0..4 {
+        let crash = CrashSuspects {
+            run,
+            upstream: run,
+            service: "spec".to_owned(),
+            segments: vec![7],
+        };
+        let report = EntryLoadReport {
+            answered_services: vec!["spec".to_owned()],
+            crash_suspects: vec![crash],
+            ..EntryLoadReport::default()
+        };
+        evidence.on_report(Duration::from_secs(2 * run), period, &report);
+    }
+    let report = evidence.take_report(Duration::from_secs(12), period);
+    expect_that!(report.refused.len(), eq(1));
+}
