Refuse prompts whose prefix crashes engines behind sidecars

Callers saw nothing yet: found beside the segments that crash upstreams, in the other home of decisions. Cause: entries of sidecars know a request that crashes engines by its account and content; prompts with a common prefix, of which no two are alike, are never known. Why it works: attempts state the prefix of their prompt, sidecars report those that had no chunk when an engine crashed, and each entry judges them with the same evidence as control hosts do, by the answers that it completes itself.

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -12,9 +12,9 @@
     EntryAction, EntryCore, NewRequest, PoolQueue, PoolView, QueuedRequest, SidecarView,
 };
 pub use sidecar::{
-    CrashLog, DispatchLog, PULL_TIMEOUT, PullTable, RemainingWait, Reservation, RunOutcome,
-    SidecarAction, SidecarConfig, SidecarCore, UpstreamSlots, UpstreamTable, UpstreamUpdate,
-    WaitTable,
+    CrashLog, DispatchLog, InFlightRequests, PULL_TIMEOUT, PullTable, RemainingWait, Reservation,
+    RunOutcome, SidecarAction, SidecarConfig, SidecarCore, UpstreamSlots, UpstreamTable,
+    UpstreamUpdate, WaitTable,
 };
 
 /// The types that a daemon needs to drive the cores.
--- a/crates/router/src/sidecar/attempts.rs
+++ b/crates/router/src/sidecar/attempts.rs
@@ -11,7 +11,7 @@
 };
 
 use super::runs::Run;
-use super::{RunOutcome, SidecarCore, UpstreamSlots};
+use super::{InFlightRequests, RunOutcome, SidecarCore, UpstreamSlots};
 
 impl SidecarCore {
     /// Decides whether an attempt starts, and on which upstream.
@@ -126,17 +126,18 @@
         slots.is_some_and(|slots| slots.request_backoff(now, time))
     }
 
-    /// Records the crash of an upstream that ran `suspects`, and reports it to all entries.
+    /// Records the crash of an upstream that ran `requests`, and reports it to all entries.
     pub fn on_upstream_crash(
         &mut self,
         now: Duration,
         upstream: &UpstreamName,
-        suspects: Vec<ContentKey>,
+        requests: InFlightRequests,
     ) {
-        if let Some(slots) = self.upstreams.get_mut(upstream) {
+        let pool = self.upstreams.get_mut(upstream).map(|slots| {
             slots.health.on_event(HealthEvent::Down, now);
-        }
-        let report = self.crashes.record(now, upstream, suspects);
+            slots.pool.clone()
+        });
+        let report = self.crashes.record(now, upstream, pool, requests);
         self.broadcast(&FromSidecar::Crashed(report));
     }
 
--- a/crates/router/src/sidecar/core.rs
+++ b/crates/router/src/sidecar/core.rs
@@ -4,12 +4,14 @@
 
 use coltsfootnotch_decide::fair::{Backlog, ChoicePolicy, FairLedger};
 use coltsfootnotch_types::prelude::*;
-use coltsfootnotch_wire::{AccountWait, AttemptId, ContentKey, FromSidecar, ToSidecar};
+use coltsfootnotch_wire::{AccountWait, AttemptId, FromSidecar, ToSidecar};
 
 use super::entry_updates::{EntryTable, Slots};
 use super::runs::Runs;
 use super::wait_table::RemainingWait;
-use super::{CrashLog, DispatchLog, PullTable, SidecarAction, UpstreamTable, WaitTable};
+use super::{
+    CrashLog, DispatchLog, InFlightRequests, PullTable, SidecarAction, UpstreamTable, WaitTable,
+};
 
 /// Configuration of a sidecar core.
 #[derive(Debug, Clone)]
@@ -120,10 +122,10 @@
         self.runs.get(attempt).map(|run| &run.upstream)
     }
 
-    /// Content keys of the requests that an upstream runs.
+    /// The requests that an upstream runs.
     #[must_use]
-    pub fn running_content_keys(&self, upstream: &UpstreamName) -> Vec<ContentKey> {
-        self.runs.content_keys_on(upstream)
+    pub fn running_requests(&self, upstream: &UpstreamName) -> InFlightRequests {
+        self.runs.requests_on(upstream)
     }
 
     /// Registers a newly connected entry: sends it the recent crashes, and the free slots with the
--- a/crates/router/src/sidecar/crash_log.rs
+++ b/crates/router/src/sidecar/crash_log.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use coltsfootnotch_types::prelude::*;
-use coltsfootnotch_wire::{ContentKey, CrashRef, UpstreamCrash};
+use coltsfootnotch_wire::{CrashRef, UpstreamCrash};
 
+use super::InFlightRequests;
 use super::action::millis_since;
 
 /// How long a crash is reported to entries that connect; they keep it no longer.
@@ -39,7 +40,8 @@
         &mut self,
         now: Duration,
         upstream: &UpstreamName,
-        suspects: Vec<ContentKey>,
+        pool: Option<PoolName>,
+        requests: InFlightRequests,
     ) -> UpstreamCrash {
         self.recorded += 1;
         let crash = CrashRef {
@@ -50,7 +52,9 @@
         let report = UpstreamCrash {
             crash,
             upstream: upstream.clone(),
-            suspects,
+            pool,
+            suspects: requests.keys,
+            prefixes: requests.prefixes,
             age_ms: 0,
         };
         self.recent.push_back((now, report.clone()));
--- a/crates/router/src/sidecar/runs.rs
+++ b/crates/router/src/sidecar/runs.rs
@@ -7,6 +7,8 @@
 use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::{AttemptId, ContentKey, CrashRef, OpenAttempt};
 
+use super::InFlightRequests;
+
 /// A running attempt.
 #[derive(Debug)]
 pub(super) struct Run {
@@ -14,6 +16,7 @@
     /// The upstream's generation of slots in which it runs.
     pub(super) generation: u64,
     pub(super) key: ContentKey,
+    pub(super) prefix: u64,
     pub(super) suspected_of: Vec<CrashRef>,
     pub(super) charge: RunCharge,
     pub(super) started: Duration,
@@ -36,6 +39,7 @@
             upstream,
             generation,
             key,
+            prefix: open.prefix,
             suspected_of: open.suspected_of.clone(),
             charge,
             started: now,
@@ -85,9 +89,13 @@
         self.runs.len()
     }
 
-    /// Content keys of the attempts that run on an upstream.
-    pub(super) fn content_keys_on(&self, upstream: &UpstreamName) -> Vec<ContentKey> {
-        let on_upstream = self.runs.values().filter(|run| run.upstream == *upstream);
-        on_upstream.map(|run| run.key.clone()).collect()
+    /// The requests whose attempts run on an upstream.
+    pub(super) fn requests_on(&self, upstream: &UpstreamName) -> InFlightRequests {
+        let on_upstream = || self.runs.values().filter(|run| run.upstream == *upstream);
+        let unanswered = on_upstream().filter(|run| run.tokens.is_none() && run.prefix != 0);
+        InFlightRequests {
+            keys: on_upstream().map(|run| run.key.clone()).collect(),
+            prefixes: unanswered.map(|run| run.prefix).collect(),
+        }
     }
 }
--- a/crates/router/tests/late_binding/sim/attempts.rs
+++ b/crates/router/tests/late_binding/sim/attempts.rs
@@ -279,6 +279,7 @@
             pool: waiting.pool.clone(),
             sidecar,
             content,
+            prefix: 0,
             repeatable: waiting.repeatable,
             suspected_of: if suspect { vec![crash] } else { Vec::new() },
             estimate: waiting.estimate,
--- a/crates/router/tests/late_binding/sim/faults.rs
+++ b/crates/router/tests/late_binding/sim/faults.rs
@@ -101,10 +101,10 @@
             }
             10 => {
                 let name = self.sidecars[s].engine.name.clone();
-                let suspects = self.sidecars[s].core.running_content_keys(&name);
+                let requests = self.sidecars[s].core.running_requests(&name);
                 self.sidecars[s]
                     .core
-                    .on_upstream_crash(now, &name, suspects);
+                    .on_upstream_crash(now, &name, requests);
             }
             _ => self.sidecars[s].has_relay = !self.sidecars[s].has_relay,
         }
--- a/crates/wire/src/attempt.rs
+++ b/crates/wire/src/attempt.rs
@@ -86,6 +86,8 @@
     pub sidecar: Incarnation,
     /// SHA-256 of method, path and body; identifies requests that crash upstreams.
     pub content: [u8; 32],
+    /// Digest of the prompt's prefix, which may crash upstreams in any request; zero without a prompt.
+    pub prefix: u64,
     /// Whether it may be retried on another upstream.
     pub repeatable: bool,
     /// Crashes that the content is suspected of. Suspects never run together on an upstream, so
--- a/crates/wire/src/crash.rs
+++ b/crates/wire/src/crash.rs
@@ -30,8 +30,12 @@
     pub crash: CrashRef,
     /// The upstream.
     pub upstream: UpstreamName,
+    /// Its pool; none if it has not announced itself lately.
+    pub pool: Option<PoolName>,
     /// Requests that were in flight.
     pub suspects: Vec<ContentKey>,
+    /// Digests of the prompts' prefixes of those that had no chunk of an answer.
+    pub prefixes: Vec<u64>,
     /// Time since the crash, in milliseconds; an age, since hosts share no clock.
     pub age_ms: u64,
 }
--- a/examples/embed_late_binding.rs
+++ b/examples/embed_late_binding.rs
@@ -199,6 +199,7 @@
         pool: queued.pool.clone(),
         sidecar,
         content: [0; 32],
+        prefix: 0,
         repeatable: queued.repeatable,
         suspected_of: vec![],
         estimate: queued.estimate,
--- a/src/coltsfootnotch/daemon/entry/attempts.rs
+++ b/src/coltsfootnotch/daemon/entry/attempts.rs
@@ -81,6 +81,7 @@
             pool: req.pool.clone(),
             sidecar: chosen.sidecar,
             content: req.content,
+            prefix: req.prefix,
             repeatable: req.ledger_key.is_none(),
             suspected_of: self.suspects.suspected_of(now, req),
             estimate: req.estimate,
@@ -120,6 +121,15 @@
         };
     }
 
+    /// Records that the prefix of the request's prompt crashed no upstream.
+    fn on_answered(&mut self, chosen: &ChosenSlot) {
+        let now = self.cx.now();
+        if let Some(active) = self.requests.get_mut(chosen.queued.request) {
+            let req = &active.req;
+            self.suspects.on_answer(now, &req.pool, req.prefix);
+        }
+    }
+
     /// Handles the result of an attempt; a result of any but the running attempt is ignored.
     pub(super) fn on_attempt_ended(&mut self, attempt: AttemptId, result: AttemptResult) {
         let Some(chosen) = self.requests.running(attempt).cloned() else {
@@ -135,6 +145,7 @@
                 collected,
                 first_chunk_at,
             } => {
+                self.on_answered(&chosen);
                 self.on_done(&chosen, usage, collected, first_chunk_at);
             }
             AttemptResult::Failed {
--- a/src/coltsfootnotch/daemon/sidecar/actor.rs
+++ b/src/coltsfootnotch/daemon/sidecar/actor.rs
@@ -6,12 +6,12 @@
 
 use coltsfootnotch_chart::{Charts, UpstreamEvent};
 use coltsfootnotch_fabric::{AttemptStream, Endpoint, Event, LinkId, LinkTx, PeerId};
-use coltsfootnotch_router::{RunOutcome, SidecarConfig as CoreConfig, SidecarCore};
+use coltsfootnotch_router::{
+    InFlightRequests, RunOutcome, SidecarConfig as CoreConfig, SidecarCore,
+};
 use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::announce::Announcement;
-use coltsfootnotch_wire::{
-    AttemptId, ContentKey, HostRecord, Message, OpenAttempt, ServedPool, Usage,
-};
+use coltsfootnotch_wire::{AttemptId, HostRecord, Message, OpenAttempt, ServedPool, Usage};
 use stakker::sync::{Channel, ChannelGuard};
 use stakker::{CX, after, call, fwd_to, stop};
 
@@ -64,7 +64,7 @@
     ProbeFinished {
         upstream: UpstreamName,
         crashed: bool,
-        suspects: Vec<ContentKey>,
+        requests: InFlightRequests,
     },
     /// The task of the attempt has exited, so the attempt can't be resumed.
     RunnerExited {
@@ -198,9 +198,9 @@
             SidecarMsg::ProbeFinished {
                 upstream,
                 crashed,
-                suspects,
+                requests,
             } => {
-                self.on_probe_finished(&upstream, crashed, suspects);
+                self.on_probe_finished(&upstream, crashed, requests);
             }
             SidecarMsg::AttemptFinished {
                 attempt,
--- a/src/coltsfootnotch/daemon/sidecar/attempts.rs
+++ b/src/coltsfootnotch/daemon/sidecar/attempts.rs
@@ -7,11 +7,11 @@
 
 use coltsfootnotch_chart::UpstreamEvent;
 use coltsfootnotch_fabric::{AttemptStream, PeerId, write_frame};
-use coltsfootnotch_router::{RunOutcome, SidecarAction};
+use coltsfootnotch_router::{InFlightRequests, RunOutcome, SidecarAction};
 use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::{
-    AttemptId, AttemptReply, ContentKey, FailReason, Message, NotStartedReason, OpenAttempt,
-    OpenCause, ToRelay, Usage,
+    AttemptId, AttemptReply, FailReason, Message, NotStartedReason, OpenAttempt, OpenCause,
+    ToRelay, Usage,
 };
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
@@ -215,7 +215,7 @@
         if !self.probing.insert(upstream.clone()) {
             return;
         }
-        let suspects = self.core.running_content_keys(upstream);
+        let requests = self.core.running_requests(upstream);
         let (tx, upstream) = (self.tx.clone(), upstream.clone());
         self.cx.runtime.spawn(async move {
             let connected = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
@@ -223,7 +223,7 @@
             tx.send(SidecarMsg::ProbeFinished {
                 upstream,
                 crashed,
-                suspects,
+                requests,
             });
         });
     }
@@ -233,18 +233,18 @@
         &mut self,
         upstream: &UpstreamName,
         crashed: bool,
-        suspects: Vec<ContentKey>,
+        requests: InFlightRequests,
     ) {
         self.probing.remove(upstream);
         if crashed {
-            let count = suspects.len();
+            let count = requests.keys.len();
             self.cx.log(
                 &events::UPSTREAM_CRASHED,
                 &[("upstream", upstream), ("in_flight", &count)],
             );
             self.mark_unreachable(upstream, UpstreamEvent::Crashed);
             self.core
-                .on_upstream_crash(self.cx.now(), upstream, suspects);
+                .on_upstream_crash(self.cx.now(), upstream, requests);
         }
     }
 
--- a/tests/testsuite/processes.rs
+++ b/tests/testsuite/processes.rs
@@ -6,6 +6,7 @@
 mod configuration_log;
 mod connection_ends;
 mod control_loss;
+mod crashing_prefix;
 mod daemon;
 mod example;
 mod fleet;
