--- a/src/coltsfootnotch/core/refusal.rs
+++ b/src/coltsfootnotch/core/refusal.rs
@@ -63,7 +63,7 @@
     #[display("the entry host is not ready")]
     NotReady,
     /// Requests with this content have crashed upstreams.
-    #[display("requests with this content have crashed upstreams")]
+    #[display("requests with this content or prefix have crashed upstreams")]
     Crashing,
     /// The upstream aborted the response.
     #[display("the upstream broke off")]
