--- a/src/coltsfootnotch/daemon/forward/attempts.rs
+++ b/src/coltsfootnotch/daemon/forward/attempts.rs
@@ -1,17 +1,17 @@
 //! Attempts of a request, at one upstream after another.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use coltsfootnotch_forward::place::RefusalReason;
 use coltsfootnotch_forward::streams::StreamOrigin;
 use tokio::sync::oneshot;
 
 use super::delivery::{DeliveryResult, read_response};
 use super::exchange::{ExchangeResult, UpstreamResponse, attempt_deadline, exchange};
 use super::matched_request::MatchedRequest;
-use super::messages::{FindOrigin, ForwardMsg, PlaceRequest, PlacementError, Ticket};
+use super::messages::{ForwardMsg, PlaceRequest, PlacementError, Ticket};
 use super::responses;
+use super::resumption::RESUME_TIMEOUT;
 use super::server::Gateway;
 use super::stream::{OpenResult, open};
 use crate::util::events::{self, Field};
@@ -20,13 +20,6 @@
 /// Share of the time left that an attempt may take where a retry is possible.
 const ATTEMPT_TIME_SHARE: f64 = 0.5;
 
-/// Time for finding an upstream that resumes a stream; callers give up after two seconds without an
-/// event.
-pub(super) const RESUME_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Time between two placements of a stream to resume; an engine prefills about three queued prompts
-/// in it.
-const RESUME_INTERVAL: Duration = Duration::from_millis(60);
-
 /// Outcome of an attempt at one upstream.
 enum AttemptResult {
     Done(AnyResponse),
@@ -145,73 +138,6 @@
         }
     }
 
-    /// Limits a request that resumes a stream to the version that began it, and to its service.
-    ///
-    /// # Errors
-    /// Returns an error if the version is not known or the route doesn't lead to its service any more.
-    pub(super) async fn pin_to_origin(
-        &self,
-        req: &mut MatchedRequest,
-    ) -> Result<(), PlacementError> {
-        if !req.resumes_stream() {
-            return Ok(());
-        }
-        let find = FindOrigin {
-            stream: req.stream.filter(|_| req.head.resumes.is_some()),
-            service: req.config.services()[req.service].name.clone(),
-        };
-        let (tx, rx) = oneshot::channel();
-        self.tx.send(ForwardMsg::FindOrigin(find, tx));
-        // The actor stops only with the process.
-        let origin = rx.await.unwrap_or(None);
-        let origin = origin.ok_or(PlacementError::UnknownOrigin)?;
-        let services = req.config.services();
-        let mut allowed = req.route().services.iter().filter(|s| s.weight > 0);
-        let began_at = allowed.find(|s| services[s.service].name == origin.service);
-        req.service = began_at.ok_or(PlacementError::UnknownOrigin)?.service;
-        req.origin = Some(origin);
-        Ok(())
-    }
-
-    /// Has the actor place a request. One that resumes a stream is placed again for some time while all
-    /// upstreams of its version are full: what was delivered of the stream is lost with a refusal.
-    async fn place_or_wait(
-        &self,
-        req: &MatchedRequest,
-        avoid: &[Arc<str>],
-        is_retry: bool,
-        wait_until: Instant,
-    ) -> Result<Ticket, PlacementError> {
-        match &req.origin {
-            None => self.place(req, avoid, is_retry, None).await,
-            Some(origin) => {
-                self.place_resumed(req, avoid, is_retry, origin, wait_until)
-                    .await
-            }
-        }
-    }
-
-    /// Has the actor place a request that resumes a stream, again and again until `wait_until` while all
-    /// upstreams of its origin are full.
-    pub(super) async fn place_resumed(
-        &self,
-        req: &MatchedRequest,
-        avoid: &[Arc<str>],
-        is_retry: bool,
-        origin: &StreamOrigin,
-        wait_until: Instant,
-    ) -> Result<Ticket, PlacementError> {
-        loop {
-            let placed = self.place(req, avoid, is_retry, Some(origin)).await;
-            let is_full = matches!(placed, Err(PlacementError::Refused(refusal, _))
-                if refusal.reason != RefusalReason::VersionGone);
-            if !is_full || Instant::now() >= wait_until {
-                return placed;
-            }
-            tokio::time::sleep(RESUME_INTERVAL).await;
-        }
-    }
-
     /// Has the actor place a request; one that resumes a stream, at an upstream of its `origin`.
     pub(super) async fn place(
         &self,
--- a/src/coltsfootnotch/daemon/forward/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/mod.rs
@@ -29,6 +29,7 @@
 mod refused_accounts;
 mod request_log;
 mod responses;
+mod resumption;
 mod server;
 mod shared_notices;
 mod state;
--- /dev/null
+++ b/src/coltsfootnotch/daemon/forward/resumption.rs
@@ -0,0 +1,88 @@
+//! Requests that resume a stream: at the version that began it, and not refused while there may be room.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use coltsfootnotch_forward::place::RefusalReason;
+use coltsfootnotch_forward::streams::StreamOrigin;
+use tokio::sync::oneshot;
+
+use super::matched_request::MatchedRequest;
+use super::messages::{FindOrigin, ForwardMsg, PlacementError, Ticket};
+use super::server::Gateway;
+
+/// Time for finding an upstream that resumes a stream; callers give up after two seconds without an
+/// event.
+pub(super) const RESUME_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time between two placements of a stream to resume; an engine prefills about three queued prompts
+/// in it.
+const RESUME_INTERVAL: Duration = Duration::from_millis(60);
+
+impl Gateway {
+    /// Limits a request that resumes a stream to the version that began it, and to its service.
+    ///
+    /// # Errors
+    /// Returns an error if the version is not known or the route doesn't lead to its service any more.
+    pub(super) async fn pin_to_origin(
+        &self,
+        req: &mut MatchedRequest,
+    ) -> Result<(), PlacementError> {
+        if !req.resumes_stream() {
+            return Ok(());
+        }
+        let find = FindOrigin {
+            stream: req.stream.filter(|_| req.head.resumes.is_some()),
+            service: req.config.services()[req.service].name.clone(),
+        };
+        let (tx, rx) = oneshot::channel();
+        self.tx.send(ForwardMsg::FindOrigin(find, tx));
+        // The actor stops only with the process.
+        let origin = rx.await.unwrap_or(None);
+        let origin = origin.ok_or(PlacementError::UnknownOrigin)?;
+        let services = req.config.services();
+        let mut allowed = req.route().services.iter().filter(|s| s.weight > 0);
+        let began_at = allowed.find(|s| services[s.service].name == origin.service);
+        req.service = began_at.ok_or(PlacementError::UnknownOrigin)?.service;
+        req.origin = Some(origin);
+        Ok(())
+    }
+
+    /// Has the actor place a request. One that resumes a stream is placed again for some time while all
+    /// upstreams of its version are full: what was delivered of the stream is lost with a refusal.
+    pub(super) async fn place_or_wait(
+        &self,
+        req: &MatchedRequest,
+        avoid: &[Arc<str>],
+        is_retry: bool,
+        wait_until: Instant,
+    ) -> Result<Ticket, PlacementError> {
+        match &req.origin {
+            None => self.place(req, avoid, is_retry, None).await,
+            Some(origin) => {
+                self.place_resumed(req, avoid, is_retry, origin, wait_until)
+                    .await
+            }
+        }
+    }
+
+    /// Has the actor place a request that resumes a stream, again and again until `wait_until` while all
+    /// upstreams of its origin are full.
+    pub(super) async fn place_resumed(
+        &self,
+        req: &MatchedRequest,
+        avoid: &[Arc<str>],
+        is_retry: bool,
+        origin: &StreamOrigin,
+        wait_until: Instant,
+    ) -> Result<Ticket, PlacementError> {
+        loop {
+            let placed = self.place(req, avoid, is_retry, Some(origin)).await;
+            let is_full = matches!(placed, Err(PlacementError::Refused(refusal, _))
+                if refusal.reason != RefusalReason::VersionGone);
+            if !is_full || Instant::now() >= wait_until {
+                return placed;
+            }
+            tokio::time::sleep(RESUME_INTERVAL).await;
+        }
+    }
+}
--- a/src/coltsfootnotch/daemon/forward/state/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/state/mod.rs
@@ -1,8 +1,10 @@
 //! State that all requests share, and the placement of requests.
 
 mod backlog;
+mod crashes;
 mod evacuations;
 mod refusals;
+mod streams;
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
@@ -325,22 +327,6 @@
         }
     }
 
-    /// Records where a stream begins or goes on, before any of its events can have come.
-    fn record_stream(&mut self, now: Duration, stream: u64, origin: &StreamOrigin) {
-        self.origins.record(now, stream, origin);
-        self.begun.push((stream, origin.clone()));
-    }
-
-    /// Where a stream began, if this entry knows.
-    pub(super) fn origin(&self, stream: u64) -> Option<&StreamOrigin> {
-        self.origins.get(stream)
-    }
-
-    /// The streams begun since the last report.
-    pub(super) fn take_begun_streams(&mut self) -> Vec<(u64, StreamOrigin)> {
-        std::mem::take(&mut self.begun)
-    }
-
     /// Handles the first event of a response.
     pub(super) fn on_first_event(&mut self, now: Duration, ticket: &Ticket) {
         if ticket.is_stream {
@@ -351,12 +337,6 @@
         }
     }
 
-    /// Handles the begin of an answer, or its end.
-    fn on_answer(&mut self, now: Duration, ticket: &Ticket) {
-        let service = &ticket.origin.service;
-        self.segments.on_answer(now, service, &ticket.prompt.shared);
-    }
-
     /// Handles the end of an exchange.
     pub(super) fn on_finished(
         &mut self,
@@ -371,7 +351,7 @@
             self.registry.mark_suspect(&ticket.upstream, ticket.born_ms);
         }
         if outcome == Outcome::Broken && !has_answered {
-            self.segments.record_crash(crash_suspects(ticket));
+            self.segments.record_crash(CrashSuspects::from(ticket));
         }
         if outcome == Outcome::Broken {
             let (content, run) = (ticket.content, run_digest(ticket));
@@ -443,18 +423,6 @@
     }
 }
 
-/// The shared segments of a request during which its upstream ended.
-fn crash_suspects(ticket: &Ticket) -> CrashSuspects {
-    let mut hasher = DefaultHasher::new();
-    ticket.address.hash(&mut hasher);
-    CrashSuspects {
-        run: run_digest(ticket),
-        upstream: hasher.finish(),
-        service: ticket.origin.service.to_string(),
-        segments: ticket.prompt.shared.iter().map(|s| s.id).collect(),
-    }
-}
-
 /// Digest of the upstream and the start time of its process, the same at every entry.
 fn run_digest(ticket: &Ticket) -> u64 {
     let mut hasher = DefaultHasher::new();
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -12,11 +12,11 @@
 use hyper::body::{Body, Frame};
 use tokio::sync::mpsc;
 
-use super::attempts::RESUME_TIMEOUT;
 use super::event_splitter::EventSplitter;
 use super::exchange::{ExchangeResult, UpstreamResponse, attempt_deadline, exchange};
 use super::matched_request::MatchedRequest;
 use super::messages::{ForwardMsg, Outcome, PlacementError, StreamPause, Ticket};
+use super::resumption::RESUME_TIMEOUT;
 use super::server::Gateway;
 use super::stream_source::{Next, StreamSource};
 use crate::util::connection_io::EndsWithConnection;
--- a/tests/testsuite/processes/crashing_prefix.rs
+++ b/tests/testsuite/processes/crashing_prefix.rs
@@ -23,7 +23,7 @@
 fn plan() -> Plan {
     let engine = |n| EngineConfig {
         down_after_crash: Duration::from_millis(300),
-        ..EngineConfig::new(&format!("spec-llm-{n}"), "spec-llm")
+        ..EngineConfig::new(format!("spec-llm-{n}"), "spec-llm")
     };
     Plan {
         entries: 1,
