--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -139,7 +139,8 @@
             Err(_) => return RequestOutcome::Cut,
         };
         let (invariant, expected) = if kind == "stream" {
-            let events = (1..=EVENTS).map(|n| event_text(id, n)).collect();
+            let version = version_of_first_event(body);
+            let events = (1..=EVENTS).map(|n| event_text(id, version, n)).collect();
             (Invariant::StreamOrder, events)
         } else {
             (Invariant::CorrectAnswer, answer_text(id))
@@ -164,6 +165,13 @@
     }
 }
 
+/// The version that wrote the first event of a stream; all others have to be of the same.
+fn version_of_first_event(body: &str) -> &str {
+    let data = body.lines().find_map(|line| line.strip_prefix("data: "));
+    let version = data.and_then(|data| data.split(' ').nth(1));
+    version.unwrap_or_default()
+}
+
 /// Whether a body that ends with its connection may be a part of `expected`: any part of a plain answer, and
 /// whole events of a stream.
 fn is_unstated_part(kind: &str, body: &str, expected: &str) -> bool {
--- a/soak/src/upstream/mod.rs
+++ b/soak/src/upstream/mod.rs
@@ -28,6 +28,8 @@
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(400);
 /// Time for which a draining upstream keeps serving before it leaves.
 const DRAIN_TIME: Duration = Duration::from_millis(3_000);
+/// Versions of the software, which successive runs of an upstream have in turn.
+const VERSIONS: [&str; 2] = ["v1", "v2"];
 /// Announced number of concurrent requests.
 const CONCURRENCY: u32 = 32;
 
@@ -82,6 +84,7 @@
         let run = Arc::new(Run {
             id: format!("u{}-{}", self.number, self.runs),
             service: self.service,
+            version: VERSIONS[(self.number + self.runs as usize) % VERSIONS.len()],
             address: self.proxied,
             born_ms: since_epoch.map_err(io::Error::other)?.as_millis() as u64,
             sequence: AtomicU64::new(0),
--- a/soak/src/upstream/response.rs
+++ b/soak/src/upstream/response.rs
@@ -125,7 +125,9 @@
     }
     let first = last_event.unwrap_or(0) + 1;
     let parts: Vec<String> = if is_stream {
-        (first..=EVENTS).map(|n| event_text(&id, n)).collect()
+        (first..=EVENTS)
+            .map(|n| event_text(&id, run.version, n))
+            .collect()
     } else {
         vec![answer_text(&id)]
     };
@@ -246,8 +248,8 @@
     }
 }
 
-/// Returns the text of event `n` of the stream for request `id`.
+/// Returns the text of event `n` of the stream for request `id`, as upstreams of the version write it.
 #[must_use]
-pub fn event_text(id: &str, n: u64) -> String {
-    format!("id: {n}\ndata: {id} {n}\n\n")
+pub fn event_text(id: &str, version: &str, n: u64) -> String {
+    format!("id: {n}\ndata: {id} {version} {n}\n\n")
 }
--- a/soak/src/upstream/run.rs
+++ b/soak/src/upstream/run.rs
@@ -14,6 +14,8 @@
 pub(super) struct Run {
     pub(super) id: String,
     pub(super) service: &'static str,
+    /// Version of its software, which is in each of its events.
+    pub(super) version: &'static str,
     pub(super) address: SocketAddr,
     pub(super) born_ms: u64,
     pub(super) sequence: AtomicU64,
@@ -40,6 +42,7 @@
     pub(super) fn description(&self) -> UpstreamReport<'_> {
         UpstreamReport {
             service: self.service,
+            version: self.version,
             address: self.address,
             domain: "north",
             slots: CONCURRENCY,
