Let crashes count against a segment for ten minutes after the last one

Cause: a crash counted as long as its segment had no answer. Evidence: the new test (four crashes fifteen minutes apart) failed before. Why it works: a suspicion begins anew with a crash ten minutes after the one before; requests with a bad segment that come each five minutes are still known after the third crash, which the test checks as well.

--- a/crates/forward/src/retry/crash_evidence.rs
+++ b/crates/forward/src/retry/crash_evidence.rs
@@ -35,8 +35,11 @@
 
 /// Time for which an answer makes a segment unlikely to be a cause.
 const ANSWERED_FOR: Duration = Duration::from_secs(60);
-/// Time for which a crash counts against a segment that is not refused.
-const SUSPECT_FOR: Duration = Duration::from_secs(60);
+/// Time after the last crash for which crashes count against a segment.
+const SUSPECT_FOR: Duration = Duration::from_secs(600);
+/// Time for which a segment is refused after its last crash. Bounded, so that one that is sound again, as after
+/// an upgrade of the upstreams, is accepted.
+const REFUSED_FOR: Duration = Duration::from_secs(600);
 /// Time after a clearance in which entries may still report the segment as refused.
 const REPORT_DELAY: Duration = Duration::from_secs(5);
 
@@ -207,9 +210,8 @@
     /// Looks for segments that explain the crashes reported until `settled` and that nothing else does.
     fn identify(&mut self, now: Duration, settled: Duration) {
         let suspicions = self.by_segment.iter();
-        let current = |s: &Suspicion| now.saturating_sub(s.last) < SUSPECT_FOR;
         let causes = suspicions.filter(|(segment, s)| {
-            current(s) && s.separate_until(settled) >= self.crashes_needed(now, **segment, s)
+            s.separate_until(settled) >= self.crashes_needed(now, **segment, s)
         });
         let causes: Vec<_> = causes
             .filter(|(_, s)| !self.is_explained(s, settled))
@@ -259,6 +261,9 @@
         separation: Duration,
         last_answer: Option<Duration>,
     ) {
+        if now.saturating_sub(self.last) >= SUSPECT_FOR {
+            *self = Self::default();
+        }
         if self.runs.len() >= MAX_RUNS || self.runs.contains_key(&suspects.run) {
             return;
         }
@@ -284,10 +289,6 @@
     }
 }
 
-/// Time for which a segment is refused after its last crash. Bounded, so that one that is sound again, as after
-/// an upgrade of the upstreams, is accepted.
-const REFUSED_FOR: Duration = Duration::from_secs(600);
-
 /// Whether a group with this last crash is refused.
 pub(super) fn is_refused_since(now: Duration, last_crash: Duration) -> bool {
     now.saturating_sub(last_crash) < REFUSED_FOR
--- a/crates/forward/tests/testsuite/crashing_segments.rs
+++ b/crates/forward/tests/testsuite/crashing_segments.rs
@@ -395,12 +395,26 @@
 /// Guards against crashes that are never judged, since a control host with many entries sends reports seldom.
 #[gtest]
 fn crashes_are_judged_however_seldom_reports_are_sent() {
+    expect_that!(refused_after_crashes_each(Duration::from_secs(2)), eq(1));
+}
+
+/// Guards against a rare segment that is refused for crashes of many hours, and against one in rare requests that
+/// crashes upstreams for ever.
+#[gtest]
+fn crashes_count_for_some_minutes() {
+    expect_that!(refused_after_crashes_each(Duration::from_secs(300)), eq(1));
+    expect_that!(refused_after_crashes_each(Duration::from_secs(900)), eq(0));
+}
+
+/// Number of groups that are refused after four crashes beside answers at an interval.
+fn refused_after_crashes_each(interval: Duration) -> usize {
     let period = Duration::from_millis(500);
     let mut evidence = CrashEvidence::default();
     for run in 0..4 {
+        let now = interval * run;
         let crash = CrashSuspects {
-            run,
-            upstream: run,
+            run: run.into(),
+            upstream: run.into(),
             service: "spec".to_owned(),
             segments: vec![7],
         };
@@ -409,8 +423,8 @@
             crash_suspects: vec![crash],
             ..EntryLoadReport::default()
         };
-        evidence.on_report(Duration::from_secs(2 * run), period, &report);
+        evidence.on_report(now, period, &report);
     }
-    let report = evidence.take_report(Duration::from_secs(12), period);
-    expect_that!(report.refused.len(), eq(1));
+    let end = interval * 3 + period * 12;
+    evidence.take_report(end, period).refused.len()
 }
