--- a/crates/forward/src/place/admission.rs
+++ b/crates/forward/src/place/admission.rs
@@ -45,19 +45,19 @@
 
 /// Multiple of the wait bound for the request's account.
 pub(super) fn account_factor(request: &PlacementRequest<'_>) -> f64 {
-    let unlimited = if request.is_resumed {
+    let least = if request.is_resumed {
         RESUMED_FACTOR
     } else {
         1.0
     };
     let Some(pressure) = request.pressure else {
-        return unlimited;
+        return least;
     };
     let (from, to) = SHARE_BAND;
     let below_ratio = ((from - pressure) / (from - FAR_BELOW_PRESSURE)).clamp(0.0, 1.0);
     let below_factor = 1.0 + (FAR_BELOW_FACTOR - 1.0) * below_ratio;
     let above_factor = (to / pressure.max(to)).powi(ABOVE_POWER);
-    below_factor.max(unlimited) * above_factor
+    below_factor.max(least) * above_factor
 }
 
 /// Whether the account is above its fair share.
--- a/crates/forward/src/registry/upstream.rs
+++ b/crates/forward/src/registry/upstream.rs
@@ -12,5 +12,5 @@
     /// When it was received.
     pub last_seen: Duration,
     /// Whether a connection to it broke since then, so that another run may be there already.
-    pub is_suspect: bool,
+    pub may_have_restarted: bool,
 }
--- a/crates/forward/src/registry/upstream_registry.rs
+++ b/crates/forward/src/registry/upstream_registry.rs
@@ -108,7 +108,7 @@
         let upstream = Upstream {
             announcement,
             last_seen: now,
-            is_suspect: false,
+            may_have_restarted: false,
         };
         self.by_id
             .insert(upstream.announcement.id.clone(), upstream);
@@ -125,15 +125,15 @@
         if is_current_run && sequence > current.announcement.sequence {
             current.announcement.sequence = sequence;
             current.last_seen = now;
-            current.is_suspect = false;
+            current.may_have_restarted = false;
         }
     }
 
     /// Records that a connection to a run broke: it may have crashed, and another run may have its identity and
     /// address. Its next announcement ends the suspicion.
-    pub fn mark_suspect(&mut self, id: &str, born_ms: u64) {
+    pub fn mark_broken(&mut self, id: &str, born_ms: u64) {
         if let Some(current) = self.by_id.get_mut(id) {
-            current.is_suspect |= current.announcement.born_ms == born_ms;
+            current.may_have_restarted |= current.announcement.born_ms == born_ms;
         }
     }
 
--- a/src/coltsfootnotch/daemon/forward/state/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/state/mod.rs
@@ -251,8 +251,8 @@
         notices: &'a UpstreamNotices,
     ) -> impl Iterator<Item = Candidate<'a>> {
         let service = &req.config.services()[req.service];
-        // A run of another version may have taken the place of a suspect, unnoticed.
-        let avoids_suspects =
+        // A run of another version may have taken the place of one that broke off, unnoticed.
+        let avoids_restarted =
             req.origin.is_some() && self.registry.sole_version(&service.name).is_none();
         let entries = self.entries.unwrap_or(ASSUMED_ENTRIES);
         let interval = warm_up_interval(service.warm_up_per_s, entries);
@@ -262,7 +262,7 @@
             .ready(&service.name)
             .filter(|upstream| !self.evacuated.contains(&upstream.announcement.domain))
             .filter(|upstream| req.may_go_to(&upstream.announcement))
-            .filter(move |upstream| !avoids_suspects || !upstream.is_suspect)
+            .filter(move |upstream| !avoids_restarted || !upstream.may_have_restarted)
             .filter_map(move |upstream| {
                 let announcement = &upstream.announcement;
                 let load = self.loads.get(&announcement.id, announcement.born_ms)?;
@@ -348,7 +348,7 @@
         // Only the first event of a stream is a part of its answer.
         let has_answered = has_started && ticket.is_stream;
         if matches!(outcome, Outcome::Broken | Outcome::Unreachable) {
-            self.registry.mark_suspect(&ticket.upstream, ticket.born_ms);
+            self.registry.mark_broken(&ticket.upstream, ticket.born_ms);
         }
         if outcome == Outcome::Broken && !has_answered {
             self.segments.record_crash(CrashSuspects::from(ticket));
