--- a/src/coltsfootnotch/daemon/forward/resumption.rs
+++ b/src/coltsfootnotch/daemon/forward/resumption.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use coltsfootnotch_forward::place::RefusalReason;
+use coltsfootnotch_forward::place::{Refusal, RefusalReason};
 use coltsfootnotch_forward::streams::StreamOrigin;
 use tokio::sync::oneshot;
 
 use super::matched_request::MatchedRequest;
-use super::messages::{FindOrigin, ForwardMsg, PlacementError, Ticket};
+use super::messages::{FindOrigin, ForwardMsg, PlacementError, RETRY_SOON, Ticket};
 use super::server::Gateway;
 
 /// Time for finding an upstream that resumes a stream; callers give up after two seconds without an
@@ -18,6 +18,16 @@
 /// in it.
 const RESUME_INTERVAL: Duration = Duration::from_millis(60);
 
+/// Error for a stream whose route doesn't lead to its service any more.
+const VERSION_GONE: PlacementError = PlacementError::Refused(
+    Refusal {
+        reason: RefusalReason::VersionGone,
+        retry_after: RETRY_SOON,
+        is_saturated: false,
+    },
+    None,
+);
+
 impl Gateway {
     /// Limits a request that resumes a stream to the version that began it, and to its service.
     ///
@@ -42,7 +52,7 @@
         let services = req.config.services();
         let mut allowed = req.route().services.iter().filter(|s| s.weight > 0);
         let began_at = allowed.find(|s| services[s.service].name == origin.service);
-        req.service = began_at.ok_or(PlacementError::UnknownOrigin)?.service;
+        req.service = began_at.ok_or(VERSION_GONE)?.service;
         req.origin = Some(origin);
         Ok(())
     }
