Keep the resumption of streams out of the space of each connection

Cause of the growth, as read: an open connection holds the space of the largest future of a request, which had grown by the lookup and the waiting of resumed streams. Why it works: both are boxed, and allocated for requests that resume a stream only.

--- a/src/coltsfootnotch/daemon/forward/resumption.rs
+++ b/src/coltsfootnotch/daemon/forward/resumption.rs
@@ -37,9 +37,6 @@
         &self,
         req: &mut MatchedRequest,
     ) -> Result<(), PlacementError> {
-        if !req.resumes_stream() {
-            return Ok(());
-        }
         let find = FindOrigin {
             stream: req.stream.filter(|_| req.head.resumes.is_some()),
             service: req.config.services()[req.service].name.clone(),
@@ -68,9 +65,9 @@
     ) -> Result<Ticket, PlacementError> {
         match &req.origin {
             None => self.place(req, avoid, is_retry, None).await,
+            // Boxed, as each open connection holds the space of a request's future.
             Some(origin) => {
-                self.place_resumed(req, avoid, is_retry, origin, wait_until)
-                    .await
+                Box::pin(self.place_resumed(req, avoid, is_retry, origin, wait_until)).await
             }
         }
     }
--- a/src/coltsfootnotch/daemon/forward/server.rs
+++ b/src/coltsfootnotch/daemon/forward/server.rs
@@ -80,8 +80,18 @@
         }
         let received_at = Instant::now();
         match self.read(req, received_at).await {
-            Ok(req) => {
-                let (req, mut response) = self.respond(req).await;
+            Ok(mut req) => {
+                // Boxed, as each open connection holds the space of a request's future.
+                let pinned = if req.resumes_stream() {
+                    Box::pin(self.pin_to_origin(&mut req)).await
+                } else {
+                    Ok(())
+                };
+                let req = Arc::new(req);
+                let mut response = match pinned {
+                    Ok(()) => self.run(&req).await,
+                    Err(reason) => self.refuse(&req, reason),
+                };
                 self.count(&req, &response);
                 if self.should_close() {
                     let close = HeaderValue::from_static("close");
@@ -93,20 +103,6 @@
         }
     }
 
-    /// Has the request run, where the stream that it resumes may go on.
-    async fn respond(
-        self: &Arc<Self>,
-        mut req: MatchedRequest,
-    ) -> (Arc<MatchedRequest>, AnyResponse) {
-        let pinned = self.pin_to_origin(&mut req).await;
-        let req = Arc::new(req);
-        let response = match pinned {
-            Ok(()) => self.run(&req).await,
-            Err(reason) => self.refuse(&req, reason),
-        };
-        (req, response)
-    }
-
     /// Whether to close the connection after this response: there are too many, or the caller is served
     /// better through another host.
     fn should_close(&self) -> bool {
