Bound the memory and sockets that an entry holds for its callers

Cause: nothing bounded what an entry holds. Callers that read their streams or answers slowly, or send their bodies slowly, filled queues counted in chunks and buffers that connections keep; relayed connections take two descriptors and counted as one.

Change: one account of bytes and sockets for connections, bodies, responses, connections to upstreams and the configuration, limited by memory_mb and max_fds. From 0.4 of a limit on connections are closed after their response, from 0.8 on requests are refused before their bodies are read, at the limit new connections are closed. An account may hold as much as is free. Streams queue 16 KiB for their caller instead of 16 chunks, so that the upstream's own connection holds them back; whole answers are handed to their connection in slices. While handing over alone takes more time than a host has, a share of new connections is closed unread. Refusals say whether engines, the homes of the prompt or the account's share decided, and are counted by reason.

Ruled out: a bound on connections alone (a stream with events of 32 KB takes forty times an idle connection); the process's own size (the allocator returns memory late).

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`config`] | which route and client account a request belongs to, and whether a configuration is valid |
 //! | [`registry`] | which upstreams exist, from their announcements |
 //! | [`control_host`] | which control host is used |
+//! | [`held`] | how much memory and how many sockets may be held for callers, and for each account |
 //! | [`lease`] | whether the configuration may still be served |
 //! | [`upstream_notices`] | which upstreams asked for no requests for a time, or leave |
 //! | [`load`] | what all entries together have sent to each upstream, and how fast it is |
@@ -23,6 +24,7 @@
 
 pub mod config;
 pub mod control_host;
+pub mod held;
 pub mod lease;
 pub mod load;
 pub mod overload;
--- a/crates/forward/src/place/admission.rs
+++ b/crates/forward/src/place/admission.rs
@@ -60,12 +60,6 @@
     below_factor.max(least) * above_factor
 }
 
-/// Whether the account is above its fair share.
-pub(super) fn is_above_share(request: &PlacementRequest<'_>) -> bool {
-    let (_, above) = SHARE_BAND;
-    request.fair_fraction < 1.0 || request.pressure.is_some_and(|p| p >= above)
-}
-
 /// Whether a request of an account above its fair share is admitted at an engine where `wait` of at
 /// most `bound` is ahead of it. The probability follows the account's share: at a full bound as
 /// much is admitted as the engines serve.
--- a/crates/forward/src/place/engine.rs
+++ b/crates/forward/src/place/engine.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::admission::{account_factor, is_above_share, is_admitted, wait_bound_ms};
+use super::admission::{account_factor, is_admitted, wait_bound_ms};
 use super::rendezvous::distance;
 use super::shortlist::{Listed, Shortlist};
 use super::target::{Candidate, Placement};
@@ -146,8 +146,18 @@
     /// Multiple of the wait bound for the request's account.
     factor: f64,
     best: Option<(f64, Placement)>,
-    /// Excess over its bound of the least saturated engine.
-    min_excess_ms: Option<f64>,
+    /// The least saturated engine.
+    least: Option<LeastSaturated>,
+}
+
+/// The least saturated engine that a request was compared at.
+#[derive(Debug, Clone, Copy)]
+struct LeastSaturated {
+    /// Excess of its wait over the account's bound.
+    excess_ms: f64,
+    wait_ms: f64,
+    /// Bound for an account within its fair share.
+    bound_ms: f64,
 }
 
 impl<'a, 'b> Comparison<'a, 'b> {
@@ -158,7 +168,7 @@
             fleet,
             factor: account_factor(request),
             best: None,
-            min_excess_ms: None,
+            least: None,
         }
     }
 
@@ -166,8 +176,13 @@
         let candidate = listed.candidate;
         let estimate = Estimate::new(self.now, self.request, self.fleet, listed);
         let excess_ms = estimate.charged_wait_ms - estimate.bound_ms * self.factor;
-        let min_excess = self.min_excess_ms.unwrap_or(f64::INFINITY);
-        self.min_excess_ms = Some(min_excess.min(excess_ms));
+        if self.least.is_none_or(|least| excess_ms < least.excess_ms) {
+            self.least = Some(LeastSaturated {
+                excess_ms,
+                wait_ms: estimate.charged_wait_ms,
+                bound_ms: estimate.bound_ms,
+            });
+        }
         if excess_ms > 0.0 || !has_capacity(candidate, estimate.sent.held_tokens) {
             return;
         }
@@ -190,12 +205,20 @@
     /// The result; `compared_all` tells whether any engine would have been taken.
     fn finish(self, compared_all: bool) -> Result<Placement, Refusal> {
         let Some((_, placement)) = self.best else {
-            return Err(refusal(self.request, self.min_excess_ms, compared_all));
+            let is_within = |least: LeastSaturated| least.wait_ms <= least.bound_ms;
+            let reason = match self.least {
+                None => RefusalReason::NoUpstream,
+                Some(least) if self.factor < 1.0 && is_within(least) => RefusalReason::OverShare,
+                Some(_) if compared_all => RefusalReason::Saturated,
+                Some(_) => RefusalReason::HomesSaturated,
+            };
+            return Err(refusal(self.request, reason, self.least, compared_all));
         };
         if is_admitted(self.request, placement.wait, placement.bound) {
             return Ok(placement);
         }
-        Err(refusal(self.request, self.min_excess_ms, false))
+        let reason = RefusalReason::OverShare;
+        Err(refusal(self.request, reason, self.least, false))
     }
 }
 
@@ -279,21 +302,19 @@
 
 fn refusal(
     request: &PlacementRequest<'_>,
-    min_excess_ms: Option<f64>,
+    reason: RefusalReason,
+    least: Option<LeastSaturated>,
     is_saturated: bool,
 ) -> Refusal {
-    let reason = match min_excess_ms {
-        None => RefusalReason::NoUpstream,
-        Some(_) if is_above_share(request) => RefusalReason::OverShare,
-        Some(_) => RefusalReason::Saturated,
-    };
-    let excess = min_excess_ms.unwrap_or(0.0).max(0.0);
-    let mut retry_after = MIN_RETRY_AFTER + Duration::from_secs_f64(excess / 1e3);
+    let excess_ms = least.map_or(0.0, |least| least.excess_ms.max(0.0));
+    let mut retry_after = MIN_RETRY_AFTER + Duration::from_secs_f64(excess_ms / 1e3);
     let pressure = request.pressure.unwrap_or(0.0);
     retry_after = retry_after.max(FairShares::recovery_time(pressure));
+    let time = |ms: f64| Duration::from_secs_f64(ms.max(0.0) / 1e3);
     Refusal {
         reason,
         retry_after,
-        is_saturated: is_saturated && min_excess_ms.is_some(),
+        is_saturated: is_saturated && least.is_some(),
+        wait: least.map(|least| (time(least.wait_ms), time(least.bound_ms))),
     }
 }
--- a/crates/forward/src/place/plain.rs
+++ b/crates/forward/src/place/plain.rs
@@ -72,6 +72,7 @@
             reason,
             retry_after: RETRY_AFTER,
             is_saturated: has_candidates,
+            wait: None,
         });
     };
     Ok(Placement {
--- a/crates/forward/src/place/refusal.rs
+++ b/crates/forward/src/place/refusal.rs
@@ -22,7 +22,11 @@
     /// Every upstream is saturated.
     #[display("all upstreams full")]
     Saturated,
-    /// As before, and the client account is above its fair share.
+    /// The engines that keep the subject of the prompt are saturated; others were not compared.
+    #[display("all upstreams that keep its prompt full")]
+    HomesSaturated,
+    /// An upstream would start it in time for an account within its fair share, and the client account is
+    /// above its own.
     #[display("account over its share")]
     OverShare,
 }
@@ -36,4 +40,6 @@
     pub retry_after: Duration,
     /// Whether every upstream compared is saturated.
     pub is_saturated: bool,
+    /// Wait at the least saturated upstream compared, and its limit for an account within its fair share.
+    pub wait: Option<(Duration, Duration)>,
 }
--- a/crates/forward/tests/testsuite/main.rs
+++ b/crates/forward/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod copies;
 mod crashing_segments;
 mod engines;
+mod held;
 mod load;
 mod many_entries;
 mod overload;
--- a/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
@@ -13,6 +13,7 @@
 
 use super::ForwardActor;
 use crate::core::config_patch;
+use crate::daemon::forward::costs::CONFIG_FACTOR;
 use crate::util::events;
 
 impl ForwardActor {
@@ -218,6 +219,7 @@
         };
         let previous = self.number;
         self.number = number;
+        self.config_hold.resize(body.len() as u64 * CONFIG_FACTOR);
         self.config_body = body;
         self.config.send_replace(Some(Arc::new(config)));
         self.cx.log(
--- a/src/coltsfootnotch/daemon/forward/actor/maintenance.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/maintenance.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use coltsfootnotch_forward::held::{HeldKind, Load};
 use coltsfootnotch_forward::load::reporting_period;
 use coltsfootnotch_forward::streams::group_streams;
 use coltsfootnotch_wire::ToRelay;
@@ -75,6 +76,30 @@
         }
     }
 
+    /// Publishes what is held for callers, and logs when new requests start or stop to be refused for it.
+    pub(super) fn observe_held(&mut self) {
+        let metrics = &self.cx.metrics;
+        for kind in HeldKind::ALL {
+            let bytes = self.held.bytes_of(kind) as f64;
+            metrics
+                .gauge("held_bytes", &[("kind", kind.name())])
+                .set(bytes);
+        }
+        let (bytes, sockets) = (self.held.memory_bytes(), self.held.sockets());
+        metrics.gauge("held_sockets", &[]).set(sockets as f64);
+        let is_full = self.held.load() >= Load::Refusing;
+        if is_full == std::mem::replace(&mut self.is_full, is_full) {
+            return;
+        }
+        let event = if is_full {
+            &events::HOST_FULL
+        } else {
+            &events::HOST_NOT_FULL
+        };
+        self.cx
+            .log(event, &[("held_bytes", &bytes), ("sockets", &sockets)]);
+    }
+
     /// Measures how long a task waits to be scheduled.
     pub(super) fn measure_scheduling_delay(&self) {
         let tx = self.tx.clone();
@@ -135,7 +160,8 @@
     /// Tells control hosts whether this entry takes connections over, if that has changed.
     pub(super) fn report_handover(&mut self) {
         let is_ready = self.ready.load(Ordering::Relaxed);
-        let accepts = is_ready && !self.is_handing_over;
+        let has_room = self.held.load() == Load::Normal;
+        let accepts = is_ready && !self.is_handing_over && has_room;
         if accepts != std::mem::replace(&mut self.accepts_handover, accepts) {
             self.links.send_to_all(&self.handover_message());
         }
--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use coltsfootnotch_fabric::Endpoint;
+use coltsfootnotch_forward::held::{HeldKind, HeldResources, Hold};
 use coltsfootnotch_forward::lease::ConfigLease;
 use coltsfootnotch_forward::load::FleetLoad;
 use coltsfootnotch_forward::overload::Overload;
@@ -43,7 +44,7 @@
 use crate::util::connections::Connections;
 use crate::util::event_loop;
 use crate::util::events;
-use crate::util::http_server::ServerLimits;
+use crate::util::http_server::ConnectionLimits;
 use crate::util::line_budget::LineBudget;
 
 /// Time between two ticks of the actor, which handle lease requests, reports and expiry.
@@ -63,6 +64,9 @@
 /// Most bytes of a request line and headers; a configuration may set a lower limit.
 const HEADER_BYTES: usize = 64 * 1024;
 
+/// Bytes that a connection buffers beyond the headers that the configuration allows.
+const HEADER_MARGIN: usize = 8 * 1024;
+
 /// Error from starting a forwarding entry.
 #[derive(Debug, Display, Error, From)]
 pub enum ForwardError {
@@ -146,6 +150,11 @@
     needs_whole_config: bool,
     pool: Arc<Pool>,
     connections: Arc<Connections>,
+    held: Arc<HeldResources>,
+    /// The memory of the configuration in force.
+    config_hold: Hold,
+    /// Whether new requests are refused for what is held already.
+    is_full: bool,
     ready: Arc<AtomicBool>,
     stopping: Option<Stopping>,
     server_tasks: [tokio::task::JoinHandle<()>; 2],
@@ -197,7 +206,9 @@
         let mut links = ControlLinks::new(&settings.seeds);
         links.dial(&endpoint);
         let (config, watched) = watch::channel(None);
-        let (pool, connections) = (Arc::<Pool>::default(), Arc::<Connections>::default());
+        let held = HeldResources::new(settings.limits);
+        let pool = Arc::new(Pool::new(Arc::clone(&held)));
+        let connections = Arc::<Connections>::default();
         let notices = Arc::<SharedNotices>::default();
         let pause_detector = Arc::<PauseDetector>::default();
         let lease_valid = Arc::<AtomicBool>::default();
@@ -218,28 +229,30 @@
             pause_detector: Arc::clone(&pause_detector),
             overload: Arc::clone(&overload_flags),
             handover: Arc::clone(&handover),
-            connections: Arc::clone(&connections),
-            close_threshold: settings.max_connections / 2,
+            held: Arc::clone(&held),
             draw,
         });
         let in_force = config.subscribe();
-        let max_connections = settings.max_connections;
         let limits: Limits = Arc::new(move || {
             let config = in_force.borrow();
-            let read_timeout = config.as_ref().map(|c| c.bounds().read_timeout());
-            ServerLimits {
-                connections: max_connections,
-                header_bytes: HEADER_BYTES,
-                read_timeout: read_timeout.unwrap_or(READ_TIMEOUT),
+            let bounds = config.as_ref().map(|c| c.bounds());
+            let header_bytes = bounds.map_or(HEADER_BYTES, |b| b.header_bytes + HEADER_MARGIN);
+            ConnectionLimits {
+                header_bytes: header_bytes.min(HEADER_BYTES),
+                read_timeout: bounds.map_or(READ_TIMEOUT, |b| b.read_timeout()),
             }
         });
         let Listeners {
             callers,
             handed_over,
         } = listeners;
-        let handed_over =
-            accept_handed_over(handed_over, Arc::clone(&limits), Arc::clone(&gateway));
-        let callers = accept_callers(callers, limits, gateway);
+        let handed_over = accept_handed_over(
+            handed_over,
+            &connections,
+            Arc::clone(&limits),
+            Arc::clone(&gateway),
+        );
+        let callers = accept_callers(callers, &connections, limits, gateway);
         let server_tasks = [cx.runtime.spawn(callers), cx.runtime.spawn(handed_over)];
         let domain = cx.identity.domain.as_str().into();
         let lease = ConfigLease::new(settings.times.lease);
@@ -262,6 +275,9 @@
             needs_whole_config: false,
             pool,
             connections,
+            config_hold: held.hold(HeldKind::Configuration, None, 0, 0),
+            held,
+            is_full: false,
             ready: Arc::default(),
             stopping: None,
             server_tasks,
@@ -384,6 +400,7 @@
         self.log_refused_accounts(now);
         self.expire_upstreams(now);
         self.state.expire_notices(now);
+        self.observe_held();
         self.update_lease_state();
         self.report_handover();
         self.continue_shutdown(cx, now);
@@ -405,7 +422,8 @@
                 .log(event, &[("config", &number), ("control_hosts", &links)]);
         }
         let overloaded = self.overload_flags.is_overloaded();
-        let ready = is_valid && self.number > 0 && self.stopping.is_none() && !overloaded;
+        let accepts = !overloaded && !self.is_full;
+        let ready = is_valid && self.number > 0 && self.stopping.is_none() && accepts;
         self.ready.store(ready, Ordering::Relaxed);
     }
 
--- a/src/coltsfootnotch/daemon/forward/config.rs
+++ b/src/coltsfootnotch/daemon/forward/config.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use coltsfootnotch_fabric::Credentials;
+use coltsfootnotch_forward::held::HostLimits;
 use coltsfootnotch_forward::retry::RetryLimit;
-
 use tokio::runtime::Handle;
 
 use super::Dialect;
@@ -36,8 +36,8 @@
     pub credentials: Credentials,
     /// Fleet addresses of some control hosts.
     pub seeds: Vec<SocketAddr>,
-    /// Most HTTP connections of clients.
-    pub max_connections: usize,
+    /// Memory and sockets that may be held for callers.
+    pub limits: HostLimits,
     /// Lease and shutdown times.
     pub times: Times,
     /// The operator's limit on retries.
--- a/src/coltsfootnotch/daemon/forward/delivery.rs
+++ b/src/coltsfootnotch/daemon/forward/delivery.rs
@@ -1,17 +1,19 @@
 //! Delivery of responses other than streams: complete, or not at all.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full};
+use coltsfootnotch_forward::held::{HeldKind, Hold};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
-use tokio::time::timeout_at;
+use tokio::time::{sleep, timeout_at};
 
 use super::dialect::Dialect;
 use super::exchange::UpstreamResponse;
+use super::held_chunk::{HeldChunk, WholeBody};
 use super::matched_request::MatchedRequest;
 use super::messages::Outcome;
 use super::server::Gateway;
@@ -22,6 +24,13 @@
 /// Longest response that is buffered, in bytes.
 const MAX_BUFFERED: usize = 8 << 20;
 
+/// Part of a response that is read whatever its account holds, in bytes. The memory that no new request may
+/// take is for it; most responses are shorter.
+const SMALL_BYTES: u64 = 64 * 1024;
+
+/// Time between two checks whether there is room for more of a longer response.
+const ROOM_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Result of reading a response.
 pub(super) enum DeliveryResult {
     /// The complete response.
@@ -50,7 +59,8 @@
     } = received;
     guard.on_first_event();
     let (parts, body) = response.into_parts();
-    let Some(body) = read_to_end(body, req.deadline).await else {
+    let mut hold = gw.held.hold(HeldKind::Response, req.account.as_ref(), 0, 0);
+    let Some(body) = read_to_end(body, req.deadline, &mut hold).await else {
         let outcome = if Instant::now() >= req.deadline {
             Outcome::Abandoned
         } else {
@@ -75,6 +85,7 @@
     } else {
         Outcome::Completed
     });
+    let body = HeldChunk::new(body, hold, None);
     let mut response = forwarded_response(&gw.dialect, req, parts, body);
     if ends_with_connection {
         response.extensions_mut().insert(EndsWithConnection);
@@ -93,14 +104,21 @@
         .unwrap_or_default()
 }
 
-async fn read_to_end(mut body: Incoming, deadline: Instant) -> Option<Bytes> {
+/// Reads a response, which `hold` grows by. A long one is read only while its account has room: until then
+/// its upstream's connection holds it back.
+async fn read_to_end(mut body: Incoming, deadline: Instant, hold: &mut Hold) -> Option<Bytes> {
     let mut buffered = BytesMut::new();
     loop {
         let frame = timeout_at(deadline.into(), body.frame()).await.ok()?;
         match frame {
             None => return Some(buffered.freeze()),
             Some(Err(_)) => return None,
-            Some(Ok(frame)) => buffered.extend_from_slice(frame.data_ref().map_or(&[], |d| &d[..])),
+            Some(Ok(frame)) => {
+                let data = frame.data_ref().map_or(&[][..], |d| &d[..]);
+                let room = wait_for_room(hold, data.len() as u64);
+                timeout_at(deadline.into(), room).await.ok()?;
+                buffered.extend_from_slice(data);
+            }
         }
         if buffered.len() > MAX_BUFFERED {
             return None;
@@ -108,11 +126,21 @@
     }
 }
 
+async fn wait_for_room(hold: &mut Hold, bytes: u64) {
+    if hold.bytes() + bytes <= SMALL_BYTES {
+        hold.resize(hold.bytes() + bytes);
+        return;
+    }
+    while !hold.try_grow(bytes) {
+        sleep(ROOM_INTERVAL).await;
+    }
+}
+
 fn forwarded_response(
     dialect: &Dialect,
     req: &MatchedRequest,
     mut parts: Parts,
-    body: Bytes,
+    body: HeldChunk,
 ) -> AnyResponse {
     (dialect.write_response)(&mut parts.headers);
     if implies_not_run(parts.status) && !req.kind().is_idempotent() {
@@ -120,7 +148,7 @@
         parts.status = StatusCode::BAD_GATEWAY;
         (dialect.remove_upstream_mark)(&mut parts.headers);
     }
-    let body = Full::new(body).map_err(|never| match never {});
+    let body = WholeBody(body).map_err(|never| match never {});
     Response::from_parts(parts, body.boxed())
 }
 
--- a/src/coltsfootnotch/daemon/forward/handover/relay.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay.rs
@@ -58,8 +58,8 @@
 }
 
 /// Relays between a caller and the neighbour that serves it, until one of them closes its connection;
-/// both are closed then. Once `closing` completes, asks the neighbour to close the connection after the
-/// response in progress. A caller whose neighbour is gone before it has begun to respond gets a failure;
+/// both are closed then. Once `closing` completes, or the first bytes of the caller have passed if
+/// `is_single`, asks the neighbour to close the connection after the response in progress. A caller whose neighbour is gone before it has begun to respond gets a failure;
 /// returns what is known of that neighbour.
 ///
 /// # Errors
@@ -68,9 +68,11 @@
     mut caller: TcpStream,
     mut neighbour: TcpStream,
     closing: impl Future<Output = ()>,
+    is_single: bool,
 ) -> io::Result<Option<LostNeighbour>> {
     let mut exchanges = Exchanges::default();
-    let end = relay_until_closed(&mut caller, &mut neighbour, closing, &mut exchanges).await;
+    let ends = (&mut caller, &mut neighbour);
+    let end = relay_until_closed(ends, closing, is_single, &mut exchanges).await;
     if end != End::Caller && exchanges.awaits_response() {
         caller.write_all(LOST_RESPONSE).await?;
         let is_broken = end == End::NeighbourBroken;
@@ -85,9 +87,9 @@
 /// Relays in both directions; returns which end is closed, with the bytes that have passed in
 /// `exchanges`.
 async fn relay_until_closed(
-    caller: &mut TcpStream,
-    neighbour: &mut TcpStream,
+    (caller, neighbour): (&mut TcpStream, &mut TcpStream),
     closing: impl Future<Output = ()>,
+    is_single: bool,
     exchanges: &mut Exchanges,
 ) -> End {
     let mut request = [0; HEADER_BYTES + REQUEST_BYTES];
@@ -142,6 +144,11 @@
                 request[..HEADER_BYTES].copy_from_slice(&Header::Data(len).encode());
                 let sent = neighbour.write_all(&request[..HEADER_BYTES + len]);
                 neighbour_reads = sent.await.is_ok();
+                if is_single && !close_requested {
+                    close_requested = true;
+                    let sent = neighbour.write_all(&Header::Close.encode()).await;
+                    neighbour_reads &= sent.is_ok();
+                }
             }
         }
     }
--- a/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
@@ -18,10 +18,9 @@
 use super::super::handed_over::HandedOver;
 use super::{HEADER_BYTES, connect, relay};
 use crate::util::connection_io::EndsWithConnection;
-use crate::util::http_server::{AnyResponse, ServerLimits, full, read_body, serve_connection};
+use crate::util::http_server::{AnyResponse, ConnectionLimits, full, read_body, serve_connection};
 
-const LIMITS: ServerLimits = ServerLimits {
-    connections: 10,
+const LIMITS: ConnectionLimits = ConnectionLimits {
     header_bytes: 16 * 1024,
     read_timeout: Duration::from_secs(5),
 };
@@ -71,6 +70,14 @@
 
 /// Starts a neighbour and an entry that relays one connection to it; the sender makes the entry stop.
 async fn start(neighbour: &Arc<Neighbour>) -> (TcpStream, oneshot::Sender<()>) {
+    start_relay(neighbour, false).await
+}
+
+/// The same; `is_single` tells whether the connection is relayed for one request.
+async fn start_relay(
+    neighbour: &Arc<Neighbour>,
+    is_single: bool,
+) -> (TcpStream, oneshot::Sender<()>) {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let listener = TcpListener::bind(any).await.unwrap();
     let address = listener.local_addr().unwrap();
@@ -93,7 +100,7 @@
                 std::future::pending::<()>().await;
             }
         };
-        relay(caller, neighbour, closing).await
+        relay(caller, neighbour, closing, is_single).await
     });
     let caller = TcpStream::connect(entry_address).await.unwrap();
     (caller, stop)
@@ -162,6 +169,17 @@
     expect_that!(read_until(&mut caller, "to the end").await, eq(""));
 }
 
+/// Guards against idle relayed connections that use up the sockets of a crowded entry.
+#[gtest]
+#[tokio::test]
+async fn a_connection_that_is_relayed_for_one_request_is_closed_after_its_response() {
+    let neighbour = Arc::<Neighbour>::default();
+    let (mut caller, _stop) = start_relay(&neighbour, true).await;
+    send(&mut caller, "/now", 10).await;
+    let text = read_until(&mut caller, "to the end").await;
+    expect_that!(text, ends_with("10 bytes"));
+}
+
 /// Guards against work at an upstream for a caller that has disconnected from the entry.
 #[gtest]
 #[tokio::test]
@@ -194,7 +212,7 @@
     drop(caller);
     let (caller, _) = entry.accept().await.unwrap();
     let stream = connect(neighbour.local_addr().unwrap()).await.unwrap();
-    let relaying = relay(caller, stream, std::future::pending());
+    let relaying = relay(caller, stream, std::future::pending(), false);
     let (mut received, _) = neighbour.accept().await.unwrap();
     let mut bytes = Vec::new();
     let (relayed, read) = tokio::join!(relaying, received.read_to_end(&mut bytes));
@@ -220,7 +238,7 @@
         let (accepted, _) = entry.accept().await.unwrap();
         let stream = connect(listener.local_addr().unwrap()).await.unwrap();
         let (neighbour, _) = listener.accept().await.unwrap();
-        let relaying = tokio::spawn(relay(accepted, stream, std::future::pending()));
+        let relaying = tokio::spawn(relay(accepted, stream, std::future::pending(), false));
         Self {
             caller,
             neighbour,
--- a/src/coltsfootnotch/daemon/forward/handover/targets.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/targets.rs
@@ -53,10 +53,12 @@
     /// Whether to hand a connection over, given a random number from 0 to 1.
     pub(in crate::daemon::forward) fn should_hand_over(&self, random: f64) -> bool {
         let share = self.share.load(Ordering::Relaxed);
-        share > 0
-            && !*self.ended.borrow()
-            && random * MILLION < f64::from(share)
-            && self.has_neighbours()
+        share > 0 && random * MILLION < f64::from(share) && self.can_hand_over()
+    }
+
+    /// Whether connections may be handed over at all.
+    pub(in crate::daemon::forward) fn can_hand_over(&self) -> bool {
+        !*self.ended.borrow() && self.has_neighbours()
     }
 
     /// A neighbour chosen by a random number from 0 to 1.
--- a/src/coltsfootnotch/daemon/forward/listener.rs
+++ b/src/coltsfootnotch/daemon/forward/listener.rs
@@ -4,64 +4,114 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use coltsfootnotch_forward::held::{HeldKind, Hold, Load};
 use tokio::net::{TcpListener, TcpStream};
 
+use super::costs::{CONNECTION_BYTES, RELAY_BYTES};
 use super::handover::{HandedOver, LostNeighbour, connect, probe_peer, relay};
 use super::server::Gateway;
-use crate::util::connections::OpenConnection;
+use crate::util::connections::{Connections, OpenConnection};
 use crate::util::events;
-use crate::util::http_server::{ServerLimits, accept_connections, prepare, serve_connection};
+use crate::util::http_server::{ConnectionLimits, accept_connections, prepare, serve_connection};
 
 /// Neighbours tried before a connection is served here.
 const HANDOVER_ATTEMPTS: usize = 2;
 
 /// Timeouts and size limits of connections; read when a connection is accepted, since they change with
 /// the configuration.
-pub(super) type Limits = Arc<dyn Fn() -> ServerLimits + Send + Sync>;
+pub(super) type Limits = Arc<dyn Fn() -> ConnectionLimits + Send + Sync>;
 
 /// Accepts connections of callers until its task is aborted.
-pub(super) async fn accept_callers(listener: TcpListener, limits: Limits, gw: Arc<Gateway>) {
-    let max = limits().connections;
-    let open = Arc::clone(&gw.connections);
-    accept_connections(listener, max, open, move |stream, peer, open| {
-        serve_caller(stream, peer, open, limits(), Arc::clone(&gw))
-    })
-    .await;
+pub(super) fn accept_callers(
+    listener: TcpListener,
+    connections: &Arc<Connections>,
+    limits: Limits,
+    gw: Arc<Gateway>,
+) -> impl Future<Output = ()> + use<> {
+    let admitting = Arc::clone(&gw);
+    let admit = move || admit(&admitting);
+    let connections = Arc::clone(connections);
+    accept_connections(
+        listener,
+        admit,
+        connections,
+        move |stream, peer, open, hold| {
+            serve_caller(stream, peer, open, hold, limits(), Arc::clone(&gw))
+        },
+    )
+}
+
+/// Memory and socket of a new connection; none if no more connections may be held.
+fn admit(gw: &Gateway) -> Option<Hold> {
+    if gw.held.load() >= Load::Full {
+        count_closed_unread(gw);
+        return None;
+    }
+    Some(
+        gw.held
+            .hold(HeldKind::Connection, None, CONNECTION_BYTES, 1),
+    )
 }
 
 /// Accepts connections that neighbours hand over, until its task is aborted. They are served here in any
 /// case, so that a connection is handed over at most once.
-pub(super) async fn accept_handed_over(listener: TcpListener, limits: Limits, gw: Arc<Gateway>) {
-    let max = limits().connections;
-    let open = Arc::clone(&gw.connections);
-    accept_connections(listener, max, open, move |stream, peer, open| {
-        serve_handed_over(stream, peer, open, limits(), Arc::clone(&gw))
-    })
-    .await;
+pub(super) fn accept_handed_over(
+    listener: TcpListener,
+    connections: &Arc<Connections>,
+    limits: Limits,
+    gw: Arc<Gateway>,
+) -> impl Future<Output = ()> + use<> {
+    let admitting = Arc::clone(&gw);
+    let admit = move || admit(&admitting);
+    let connections = Arc::clone(connections);
+    accept_connections(
+        listener,
+        admit,
+        connections,
+        move |stream, peer, open, hold| {
+            serve_handed_over(stream, peer, open, hold, limits(), Arc::clone(&gw))
+        },
+    )
+}
+
+fn count_closed_unread(gw: &Gateway) {
+    let metrics = &gw.cx.metrics;
+    metrics
+        .counter("connections_closed_unread", &[])
+        .increment(1);
 }
 
 async fn serve_caller(
     stream: TcpStream,
     peer: SocketAddr,
     open: OpenConnection,
-    limits: ServerLimits,
+    mut hold: Hold,
+    limits: ConnectionLimits,
     gw: Arc<Gateway>,
 ) {
     if prepare(&stream).is_err() {
         return;
     }
-    if gw.handover.should_hand_over((gw.draw)())
-        && let Some(neighbour) = connect_neighbour(&gw).await
-    {
+    let hands_over = should_hand_over(&gw);
+    if hands_over && gw.overload.should_refuse((gw.draw)()) {
+        // Even handing over takes more time than this host has. Closed unread, the caller may reach another
+        // host at once; a response would take longer than handing over.
+        count_closed_unread(&gw);
+        return;
+    }
+    if hands_over && let Some(neighbour) = connect_neighbour(&gw).await {
         gw.cx
             .metrics
             .counter("connections_handed_over", &[])
             .increment(1);
+        hold.resize(RELAY_BYTES);
+        hold.add_sockets(1);
+        let is_single = gw.held.load() >= Load::Crowded;
         let started = Instant::now();
         let address = neighbour.peer_addr().ok();
         // Boxed, since its buffers would otherwise be part of the task of each connection that is served
         // here. A broken connection to the caller is its own.
-        let relayed = Box::pin(relay(stream, neighbour, gw.handover.ended())).await;
+        let relayed = Box::pin(relay(stream, neighbour, gw.handover.ended(), is_single)).await;
         if let Ok(Some(lost)) = relayed {
             log_lost_neighbour(&gw, address, lost, started.elapsed());
         }
@@ -71,6 +121,19 @@
     serve_connection(stream, peer, limits, open.closing(), &handler).await;
 }
 
+/// Whether to hand a new connection over: this host has more callers than it can serve, or holds nearly as
+/// much for them as it may.
+fn should_hand_over(gw: &Gateway) -> bool {
+    // A relayed connection takes more sockets than a refusal, and less memory than a served one.
+    if gw.held.load() >= Load::Refusing {
+        return false;
+    }
+    if gw.held.memory_load() >= Load::Crowded {
+        return gw.handover.can_hand_over();
+    }
+    gw.handover.should_hand_over((gw.draw)())
+}
+
 fn log_lost_neighbour(
     gw: &Gateway,
     address: Option<SocketAddr>,
@@ -109,7 +172,8 @@
     stream: TcpStream,
     peer: SocketAddr,
     open: OpenConnection,
-    limits: ServerLimits,
+    _hold: Hold,
+    limits: ConnectionLimits,
     gw: Arc<Gateway>,
 ) {
     if prepare(&stream).and_then(|()| probe_peer(&stream)).is_err() {
--- a/src/coltsfootnotch/daemon/forward/matched_request.rs
+++ b/src/coltsfootnotch/daemon/forward/matched_request.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use coltsfootnotch_forward::config::{ForwardConfig, Route, RouteKind};
+use coltsfootnotch_forward::held::Hold;
 use coltsfootnotch_forward::place::Prompt;
 use coltsfootnotch_forward::streams::StreamOrigin;
 use http_body_util::Full;
@@ -42,6 +43,8 @@
     pub(super) deadline: Instant,
     /// When its headers were received.
     pub(super) received_at: Instant,
+    /// The memory that it takes.
+    pub(super) _hold: Hold,
 }
 
 impl MatchedRequest {
--- a/src/coltsfootnotch/daemon/forward/pool.rs
+++ b/src/coltsfootnotch/daemon/forward/pool.rs
@@ -7,12 +7,14 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use coltsfootnotch_forward::held::{HeldKind, HeldResources, Hold, Load};
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use super::costs::UPSTREAM_BYTES;
 use super::messages::Ticket;
 
 /// Timeout of a new connection. Connecting takes some milliseconds within a region; an unreachable
@@ -26,6 +28,9 @@
 /// request that crosses its close is unknown, and such a request may not be repeatable.
 const KEEP_ALIVE_SHARE: f64 = 0.6;
 
+/// Most bytes of a response that its connection buffers; bounds its headers as well.
+const READ_BYTES: usize = 64 * 1024;
+
 /// Most idle connections to one upstream.
 const MAX_IDLE: usize = 64;
 
@@ -36,6 +41,7 @@
     task: AbortHandle,
     /// Whether it was used before.
     pub(super) reused: bool,
+    _hold: Hold,
 }
 
 impl Drop for Connection {
@@ -53,12 +59,20 @@
 
 /// Idle connections by address, upstream and start time of its process. If an address is reassigned
 /// to another upstream, connections to the previous one are not reused.
-#[derive(Default)]
 pub(super) struct Pool {
     idle: Mutex<HashMap<Key, Vec<Idle>>>,
+    held: Arc<HeldResources>,
 }
 
 impl Pool {
+    /// An empty pool, whose connections count in `held`.
+    pub(super) fn new(held: Arc<HeldResources>) -> Self {
+        Self {
+            idle: Mutex::default(),
+            held,
+        }
+    }
+
     /// Returns the most recently used idle connection to the upstream, or a new one.
     ///
     /// # Errors
@@ -67,7 +81,8 @@
         if let Some(connection) = self.take_idle(ticket) {
             return Ok(connection);
         }
-        connect(ticket.address).await
+        let hold = self.held.hold(HeldKind::Upstream, None, UPSTREAM_BYTES, 1);
+        connect(ticket.address, hold).await
     }
 
     fn take_idle(&self, ticket: &Ticket) -> Option<Connection> {
@@ -92,7 +107,7 @@
         connection: Connection,
         keep_alive: Option<Duration>,
     ) {
-        if connection.sender.is_closed() {
+        if connection.sender.is_closed() || self.held.load() >= Load::Crowded {
             return;
         }
         let keep_alive = keep_alive
@@ -124,14 +139,16 @@
     (ticket.address, ticket.upstream.clone(), ticket.born_ms)
 }
 
-async fn connect(address: SocketAddr) -> io::Result<Connection> {
+async fn connect(address: SocketAddr, hold: Hold) -> io::Result<Connection> {
     let connecting = TcpStream::connect(address);
     let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
         Ok(stream) => stream?,
         Err(_) => return Err(io::ErrorKind::TimedOut.into()),
     };
     stream.set_nodelay(true)?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(READ_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(io::Error::other)?;
     // The sender returns connection errors to the pending request.
@@ -140,5 +157,6 @@
         sender,
         task: task.abort_handle(),
         reused: false,
+        _hold: hold,
     })
 }
--- a/src/coltsfootnotch/daemon/forward/request_log.rs
+++ b/src/coltsfootnotch/daemon/forward/request_log.rs
@@ -43,6 +43,11 @@
                 POISON_RETRY_AFTER,
             ),
         };
+        let service = &req.config.services()[req.service].name;
+        self.cx
+            .metrics
+            .counter("refusals", &[("service", &**service), ("reason", &text)])
+            .increment(1);
         if self.refusals.take(self.cx.now()) {
             self.log_refusal(req, reason, &text, retry_after);
         } else {
@@ -67,10 +72,15 @@
             ("retry_after_ms", &millis),
             ("account", &account),
         ];
-        let share = match reason {
-            PlacementError::Refused(_, share) => share,
-            _ => None,
+        let (share, wait) = match reason {
+            PlacementError::Refused(refusal, share) => (share, refusal.wait),
+            _ => (None, None),
         };
+        let wait = wait.map(|(wait, bound)| (wait.as_millis(), bound.as_millis()));
+        if let Some((wait_ms, bound_ms)) = &wait {
+            fields.push(("wait_ms", wait_ms));
+            fields.push(("wait_bound_ms", bound_ms));
+        }
         let share = share.map(|s| {
             (
                 format!("{:.2}", s.pressure),
--- a/src/coltsfootnotch/daemon/forward/responses.rs
+++ b/src/coltsfootnotch/daemon/forward/responses.rs
@@ -40,6 +40,18 @@
     response
 }
 
+/// Reason for refusals while as much is held for callers, or for those of the account, as the host may hold.
+pub(super) const FULL: &str = "this host holds too much for its callers";
+
+/// The host has no memory or sockets to spare. The connection is closed, so that the caller reconnects
+/// through the load balancer and reaches another host.
+pub(super) fn full_host() -> AnyResponse {
+    let mut response = not_run(FULL, Duration::ZERO);
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    response
+}
+
 /// No complete response came; the request may have run.
 pub(super) fn lost() -> AnyResponse {
     failure(
--- a/src/coltsfootnotch/daemon/forward/resumption.rs
+++ b/src/coltsfootnotch/daemon/forward/resumption.rs
@@ -24,6 +24,7 @@
         reason: RefusalReason::VersionGone,
         retry_after: RETRY_SOON,
         is_saturated: false,
+        wait: None,
     },
     None,
 );
--- a/src/coltsfootnotch/daemon/forward/server.rs
+++ b/src/coltsfootnotch/daemon/forward/server.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
 
+use coltsfootnotch_forward::held::{HeldKind, HeldResources, Load};
 use coltsfootnotch_forward::pause_detector::PauseDetector;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderValue};
@@ -12,6 +13,7 @@
 use stakker::sync::Channel;
 use tokio::sync::watch;
 
+use super::costs::REQUEST_BYTES;
 use super::dialect::{Dialect, InForce};
 use super::handover::HandoverTargets;
 use super::matched_request::{MatchedRequest, digest, stream_digest};
@@ -19,12 +21,12 @@
 use super::overload_flags::OverloadFlags;
 use super::pool::Pool;
 use super::refused_accounts::RefusedAccounts;
+use super::request_body::{BodyError, read_body};
 use super::responses;
 use super::shared_notices::SharedNotices;
 use crate::core::HostCx;
 use crate::util::boot_clock::BootClock;
-use crate::util::connections::Connections;
-use crate::util::http_server::{AnyResponse, read_body};
+use crate::util::http_server::AnyResponse;
 use crate::util::line_budget::LineBudget;
 
 /// Reason for refusals while the host is disconnected from the control group.
@@ -51,10 +53,8 @@
     pub(super) overload: Arc<OverloadFlags>,
     /// Neighbours that take new connections over while the host is overloaded.
     pub(super) handover: Arc<HandoverTargets>,
-    pub(super) connections: Arc<Connections>,
-    /// Number of connections above which each is closed after its response, so that idle ones don't
-    /// use up the maximum and keep out new callers.
-    pub(super) close_threshold: usize,
+    /// Memory and sockets that are held for callers.
+    pub(super) held: Arc<HeldResources>,
     /// Returns a random number from 0 to 1.
     pub(super) draw: fn() -> f64,
 }
@@ -78,6 +78,9 @@
                 .record(None, "this host is overloaded");
             return responses::overloaded();
         }
+        if self.held.load() >= Load::Refusing {
+            return self.refuse_unread(None);
+        }
         let received_at = Instant::now();
         match self.read(req, received_at).await {
             Ok(mut req) => {
@@ -107,7 +110,7 @@
     /// better through another host.
     fn should_close(&self) -> bool {
         self.overload.is_overloaded()
-            || self.connections.count() > self.close_threshold
+            || self.held.load() >= Load::Crowded
             || self.handover.should_hand_over((self.draw)())
     }
 
@@ -125,7 +128,8 @@
             ));
         };
         let (parts, body) = req.into_parts();
-        if head_bytes(&parts) > config.bounds().header_bytes {
+        let head_bytes = head_bytes(&parts);
+        if head_bytes > config.bounds().header_bytes {
             let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
             return Err(responses::failure(status, "the headers are too large"));
         }
@@ -146,9 +150,17 @@
         let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
         let deadline = received_at + timeout;
         let bounds = config.bounds();
-        let body = read_body(body, bounds.body_bytes, timeout)
+        let head_bytes = head_bytes as u64 + REQUEST_BYTES;
+        let mut hold = self
+            .held
+            .try_hold(HeldKind::Request, account.as_ref(), head_bytes)
+            .ok_or_else(|| self.refuse_unread(account.as_ref()))?;
+        let body = read_body(body, bounds.body_bytes, timeout, &mut hold)
             .await
-            .map_err(|status| responses::failure(status, "the body can't be read"))?;
+            .map_err(|e| match e {
+                BodyError::Status(status) => responses::failure(status, "the body can't be read"),
+                BodyError::NoRoom => self.refuse_unread(account.as_ref()),
+            })?;
         let content = digest(&parts, account.as_deref(), &body);
         let prompt = Arc::new(std::mem::take(&mut head.prompt));
         let began_with = head.resumes.as_deref().or(head.id.as_deref());
@@ -172,9 +184,21 @@
             stream,
             deadline,
             received_at,
+            _hold: hold,
         })
     }
 
+    /// Refuses a request whose body was not read: this host holds as much as it may, or as much for the
+    /// account as it may.
+    fn refuse_unread(&self, account: Option<&Arc<str>>) -> AnyResponse {
+        self.cx
+            .metrics
+            .counter("requests_refused_unread", &[])
+            .increment(1);
+        self.refused_accounts.record(account, responses::FULL);
+        responses::full_host()
+    }
+
     /// The response for a route or key that the configuration lacks. Without a valid lease the
     /// request is refused as not run instead, since a newer configuration may have the route or
     /// key.
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -1,17 +1,14 @@
 //! Delivery of a stream, event by event, resumed at other upstreams when one fails.
 
-use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use coltsfootnotch_forward::streams::StreamOrigin;
 use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::body::{Body, Frame};
-use tokio::sync::mpsc;
 
+use super::event_queue::{EventBody, EventSender, event_queue};
 use super::event_splitter::EventSplitter;
 use super::exchange::{ExchangeResult, UpstreamResponse, attempt_deadline, exchange};
 use super::matched_request::MatchedRequest;
@@ -21,10 +18,7 @@
 use super::stream_source::{Next, StreamSource};
 use crate::util::connection_io::EndsWithConnection;
 use crate::util::events;
-use crate::util::http_server::{AnyResponse, BodyAborted};
-
-/// Chunks that are queued for a slow caller before backpressure reaches the upstream.
-const MAX_QUEUED_CHUNKS: usize = 16;
+use crate::util::http_server::AnyResponse;
 
 /// Pause after which a stream is resumed at another upstream, as a multiple of the route's target.
 /// Engines under load exceed the target and still continue.
@@ -66,7 +60,7 @@
         Next::End(rest) => {
             source.log_end(gw, req);
             source.received.guard.on_first_event();
-            let response = start_completed(gw, source, rest);
+            let response = start_completed(gw, req, source, rest);
             OpenResult::Streaming(response)
         }
         Next::Broken => {
@@ -81,7 +75,7 @@
     }
 }
 
-fn head(gw: &Gateway, source: &StreamSource, body: StreamBody) -> AnyResponse {
+fn head(gw: &Gateway, source: &StreamSource, body: EventBody) -> AnyResponse {
     let mut response = Response::new(body.boxed());
     if source.ends_with_connection() {
         response.extensions_mut().insert(EndsWithConnection);
@@ -93,11 +87,18 @@
     response
 }
 
-fn start_completed(gw: &Gateway, source: StreamSource, rest: Bytes) -> AnyResponse {
-    let (tx, rx) = mpsc::channel(1);
-    // The channel has capacity for the only chunk.
-    let _sent = tx.try_send(Ok(rest));
-    let response = head(gw, &source, StreamBody { chunks: rx });
+fn start_completed(
+    gw: &Gateway,
+    req: &MatchedRequest,
+    source: StreamSource,
+    rest: Bytes,
+) -> AnyResponse {
+    let (tx, body) = event_queue(Arc::clone(&gw.held), req.account.clone());
+    let response = head(gw, &source, body);
+    if !rest.is_empty() {
+        // Its caller may leave meanwhile.
+        tokio::spawn(async move { tx.send(rest).await });
+    }
     finish(gw, source);
     response
 }
@@ -109,8 +110,8 @@
     first: Bytes,
     attempts: u32,
 ) -> AnyResponse {
-    let (tx, rx) = mpsc::channel(MAX_QUEUED_CHUNKS);
-    let response = head(gw, &source, StreamBody { chunks: rx });
+    let (tx, body) = event_queue(Arc::clone(&gw.held), req.account.clone());
+    let response = head(gw, &source, body);
     let forwarder = Forwarder {
         gw: Arc::clone(gw),
         req: Arc::clone(req),
@@ -140,14 +141,14 @@
 struct Forwarder {
     gw: Arc<Gateway>,
     req: Arc<MatchedRequest>,
-    tx: mpsc::Sender<Result<Bytes, BodyAborted>>,
+    tx: EventSender,
     /// Whether the end of the caller's response states that it is complete.
     is_framed: bool,
 }
 
 impl Forwarder {
     async fn run(self, mut source: StreamSource, first: Bytes, mut attempts: u32) {
-        if self.tx.send(Ok(first)).await.is_err() {
+        if self.tx.send(first).await.is_err() {
             return;
         }
         let mut longest = Duration::ZERO;
@@ -165,7 +166,7 @@
                     let pause = wait_start.elapsed();
                     longest = longest.max(pause);
                     self.report_pause(&source.received.ticket, pause);
-                    if self.tx.send(Ok(events)).await.is_err() {
+                    if self.tx.send(events).await.is_err() {
                         return;
                     }
                     continue;
@@ -173,11 +174,11 @@
                 Next::End(rest) => {
                     source.log_end(&self.gw, &self.req);
                     if !rest.is_empty() {
-                        let _result = self.tx.send(Ok(rest)).await;
+                        let _result = self.tx.send(rest).await;
                     }
                     self.record_longest_pause(longest);
                     if self.is_framed && source.ends_with_connection() {
-                        self.end_unconfirmed(&source).await;
+                        self.end_unconfirmed(&source);
                     }
                     return finish(&self.gw, source);
                 }
@@ -204,7 +205,8 @@
                 Ok(received) => received,
                 Err(reason) => {
                     self.log_broken_off(&failed, &events, outcome, reason);
-                    let _result = self.tx.send(Err(BodyAborted)).await;
+                    // Fails if the caller has left.
+                    let _result = self.tx.abort();
                     return;
                 }
             };
@@ -215,12 +217,12 @@
 
     /// Ends a response whose first part was framed and whose last part ended with its connection: the
     /// caller has all that came, and is not told that it is complete.
-    async fn end_unconfirmed(&self, source: &StreamSource) {
+    fn end_unconfirmed(&self, source: &StreamSource) {
         let upstream = vec![source.received.ticket.upstream.clone()];
         let reason = "whether it is complete is unknown";
         self.log_broken_off(&upstream, &source.events, Outcome::Completed, reason);
         // Fails if the caller has disconnected.
-        let _result = self.tx.send(Err(BodyAborted)).await;
+        let _result = self.tx.abort();
     }
 
     /// Records the longest pause of a completed stream.
@@ -337,21 +339,3 @@
         Err("all attempts are used up")
     }
 }
-
-/// Response body of a stream.
-struct StreamBody {
-    chunks: mpsc::Receiver<Result<Bytes, BodyAborted>>,
-}
-
-impl Body for StreamBody {
-    type Data = Bytes;
-    type Error = BodyAborted;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
-        let chunk = std::task::ready!(self.chunks.poll_recv(cx));
-        Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data)))
-    }
-}
--- a/src/coltsfootnotch/util/connection_io_tests.rs
+++ b/src/coltsfootnotch/util/connection_io_tests.rs
@@ -16,10 +16,11 @@
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream, ReadBuf};
 
 use super::{EndsWithConnection, ResetOnClose};
-use crate::util::http_server::{AnyResponse, BodyAborted, ServerLimits, full, serve_connection};
+use crate::util::http_server::{
+    AnyResponse, BodyAborted, ConnectionLimits, full, serve_connection,
+};
 
-const LIMITS: ServerLimits = ServerLimits {
-    connections: 1,
+const LIMITS: ConnectionLimits = ConnectionLimits {
     header_bytes: 16 * 1024,
     read_timeout: Duration::from_secs(5),
 };
--- a/src/coltsfootnotch/util/events.rs
+++ b/src/coltsfootnotch/util/events.rs
@@ -114,6 +114,8 @@
     STREAM_TAKEN_UP = 94 Info "a caller resumes a stream that began with an earlier request" => "nothing; the versions of both requests' upstreams have to be the same";
     UPSTREAM_BROKE_OFF = 95 Warn "an upstream broke off a request before it began to answer" => "check the upstream; if several break off requests that share a segment, its caller should be asked about it";
     SEGMENTS_REFUSED = 96 Error "requests with prompt segments that crash upstreams are refused" => "find whose prompts have all of the segments named; they are accepted again ten minutes after the last crash, or after this host and the control hosts were restarted at once";
+    HOST_FULL = 97 Warn "this host holds nearly as much for its callers as it may and refuses requests" => "see the metrics held_bytes and held_sockets for what it holds; callers that read or send slowly, or more callers than its memory and sockets allow for";
+    HOST_NOT_FULL = 98 Info "this host has room for requests again" => "nothing";
 }
 
 /// Finds an event by its code, ignoring case; the prefix `CFN-` is optional.
--- a/src/coltsfootnotch/util/http_server.rs
+++ b/src/coltsfootnotch/util/http_server.rs
@@ -51,6 +51,15 @@
     pub read_timeout: Duration,
 }
 
+/// Limits of one connection.
+#[derive(Debug, Clone, Copy)]
+pub struct ConnectionLimits {
+    /// Maximum size of the request line and headers, in bytes.
+    pub header_bytes: usize,
+    /// Maximum time to receive the headers.
+    pub read_timeout: Duration,
+}
+
 /// Serves connections until its task is aborted.
 pub async fn serve<F, R>(listener: TcpListener, limits: ServerLimits, handler: F)
 where
@@ -74,47 +83,45 @@
     R: Future<Output = AnyResponse> + Send + 'static,
 {
     let handler = Arc::new(handler);
-    let serve = |stream: TcpStream, peer, open: OpenConnection| {
+    let permits = Arc::new(Semaphore::new(limits.connections));
+    let admit = || Arc::clone(&permits).try_acquire_owned().ok();
+    let serve = |stream: TcpStream, peer, open: OpenConnection, permit| {
         let handler = Arc::clone(&handler);
-        let limits = ServerLimits {
+        let limits = ConnectionLimits {
+            header_bytes: limits.header_bytes,
             read_timeout: read_timeout(),
-            ..limits
         };
         async move {
             if prepare(&stream).is_ok() {
                 serve_connection(stream, peer, limits, open.closing(), &*handler).await;
             }
+            drop(permit);
         }
     };
-    accept_connections(listener, limits.connections, connections, serve).await;
+    accept_connections(listener, admit, connections, serve).await;
 }
 
-/// Accepts connections and runs `serve` on each in a task of its own, until its own task is aborted.
-/// Connections beyond `max` are closed without a response.
-pub async fn accept_connections<F, R>(
+/// Accepts connections and runs `serve` on each in a task of its own, with its permit, until its own task
+/// is aborted. Connections that `admit` gives no permit are closed without a response.
+pub async fn accept_connections<P, F, R>(
     listener: TcpListener,
-    max: usize,
+    admit: impl Fn() -> Option<P>,
     connections: Arc<Connections>,
     serve: F,
 ) where
-    F: Fn(TcpStream, SocketAddr, OpenConnection) -> R,
+    F: Fn(TcpStream, SocketAddr, OpenConnection, P) -> R,
     R: Future<Output = ()> + Send + 'static,
 {
-    let permits = Arc::new(Semaphore::new(max));
     loop {
         let Ok((stream, peer)) = listener.accept().await else {
             // Out of file descriptors: retry once open connections have released some.
             tokio::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
-        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+        let Some(permit) = admit() else {
             continue;
         };
-        let serving = serve(stream, peer, connections.open());
-        tokio::spawn(async move {
-            serving.await;
-            drop(permit);
-        });
+        tokio::spawn(serve(stream, peer, connections.open(), permit));
     }
 }
 
@@ -135,7 +142,7 @@
 pub async fn serve_connection<S, F, R>(
     stream: S,
     peer: SocketAddr,
-    limits: ServerLimits,
+    limits: ConnectionLimits,
     closing: impl Future<Output = ()>,
     handler: &F,
 ) where
@@ -147,7 +154,8 @@
     let io = ConnectionIo::new(stream, Arc::clone(&next));
     let service = service_fn(move |req: Request<Incoming>| {
         let version = req.version();
-        let response = handler(req, peer);
+        // Boxed, as each open connection holds the space of a request's future.
+        let response = Box::pin(handler(req, peer));
         let next = Arc::clone(&next);
         async move { Ok::<_, Infallible>(next.prepare(response.await, version)) }
     });
