Have requests wait for an engine with room while their target can be met

Cause: a prompt may go to the few engines that keep its subject. `priority` was read from the configuration and decided nothing.

Change: a waiting line in each entry. A request waits until the time that leaves its target reachable and is placed again with each change of the engines' load; one whose turn can't come in time is refused at once. Turns go by the account's priority, the route's, the account that has least of its share, and the longest wait; each eighth round begins with the longest wait. An account takes no more places than are free. Accounts above their share don't wait.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`held`] | how much memory and how many sockets may be held for callers, and for each account |
 //! | [`lease`] | whether the configuration may still be served |
 //! | [`upstream_notices`] | which upstreams asked for no requests for a time, or leave |
+//! | [`line`] | which requests wait for an engine with room, how long, and in which order |
 //! | [`load`] | what all entries together have sent to each upstream, and how fast it is |
 //! | [`streams`] | which upstreams may go on with a stream that another one began |
 //! | [`share`] | which client accounts use more than their fair share |
@@ -26,6 +27,7 @@
 pub mod control_host;
 pub mod held;
 pub mod lease;
+pub mod line;
 pub mod load;
 pub mod overload;
 pub mod pause_detector;
--- a/crates/forward/tests/testsuite/main.rs
+++ b/crates/forward/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod crashing_segments;
 mod engines;
 mod held;
+mod line;
 mod load;
 mod many_entries;
 mod overload;
--- a/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
@@ -80,6 +80,7 @@
                 let config = self.config.borrow().clone();
                 self.state
                     .apply_remote(now, entries, &load, config.as_deref());
+                self.place_waiting(now);
             }
             FromRelay::StreamFound { id, origin } => {
                 self.on_stream_found(now, link, id, origin.map(StreamOrigin::from));
--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -5,6 +5,7 @@
 mod shutdown;
 mod stream_lookups;
 mod streams;
+mod waits;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -14,6 +15,7 @@
 use coltsfootnotch_fabric::Endpoint;
 use coltsfootnotch_forward::held::{HeldKind, HeldResources, Hold};
 use coltsfootnotch_forward::lease::ConfigLease;
+use coltsfootnotch_forward::line::WaitingLine;
 use coltsfootnotch_forward::load::FleetLoad;
 use coltsfootnotch_forward::overload::Overload;
 use coltsfootnotch_forward::pause_detector::PauseDetector;
@@ -26,6 +28,7 @@
 use tokio::sync::watch;
 
 use self::stream_lookups::StreamLookups;
+use self::waits::WaitingRequest;
 use super::control_links::ControlLinks;
 use super::dialect::{Dialect, InForce};
 use super::handover::HandoverTargets;
@@ -178,6 +181,9 @@
     /// Whether the selected control host knows all upstreams, by its last message.
     lists_all_upstreams: bool,
     lookups: StreamLookups,
+    /// Requests that wait for an engine with room, and when they are placed again at the earliest.
+    line: WaitingLine<WaitingRequest>,
+    line_due: Duration,
     /// Streams begun since the last report to the control hosts that are not selected.
     begun_for_others: Vec<(u64, StreamOrigin)>,
     tx: Channel<ForwardMsg>,
@@ -298,6 +304,8 @@
             last_upstream_update: Duration::ZERO,
             lists_all_upstreams: false,
             lookups: StreamLookups::default(),
+            line: WaitingLine::default(),
+            line_due: Duration::ZERO,
             begun_for_others: Vec::new(),
             tx,
             _guard: guard,
@@ -322,21 +330,20 @@
         let now = self.cx.now();
         match msg {
             ForwardMsg::Fabric(event) => self.on_fabric_event(now, event),
-            ForwardMsg::Place(req, tx) => {
-                let placement = self.place(now, &req);
-                // The caller may have disconnected meanwhile: release the placement.
-                if let Err(Ok(ticket)) = tx.send(placement) {
-                    self.state
-                        .on_finished(now, &ticket, false, Outcome::Abandoned);
-                }
-            }
+            ForwardMsg::Place(req, tx) => self.place_or_wait(now, req, tx),
             ForwardMsg::FindOrigin(req, tx) => self.find_origin(now, req, tx),
-            ForwardMsg::FirstEvent(ticket) => self.state.on_first_event(now, &ticket),
+            ForwardMsg::FirstEvent(ticket) => {
+                self.state.on_first_event(now, &ticket);
+                self.place_waiting(now);
+            }
             ForwardMsg::Finished {
                 ticket,
                 has_started,
                 outcome,
-            } => self.on_finished(now, &ticket, has_started, outcome),
+            } => {
+                self.on_finished(now, &ticket, has_started, outcome);
+                self.place_waiting(now);
+            }
             ForwardMsg::StreamPause(pause) => self.on_stream_pause(now, &pause),
             ForwardMsg::SchedulingDelay(delay) => self.on_scheduling_delay(now, delay),
             ForwardMsg::Seeds(seeds) => self.links.set_seeds(&self.endpoint, &seeds),
@@ -396,6 +403,7 @@
         self.links.request_lease(self.boot_clock.now(), current);
         self.measure_scheduling_delay();
         self.expire_lookups(now);
+        self.place_waiting(now);
         self.report(now);
         self.log_refused_accounts(now);
         self.expire_upstreams(now);
--- a/src/coltsfootnotch/daemon/forward/attempts.rs
+++ b/src/coltsfootnotch/daemon/forward/attempts.rs
@@ -151,6 +151,8 @@
             config: Arc::clone(&req.config),
             service: req.service,
             account: req.account.clone(),
+            account_priority: req.account_priority,
+            route_priority: req.route().priority,
             prompt: Arc::clone(&req.prompt),
             origin: origin.cloned(),
             avoid: avoid.to_vec(),
@@ -159,6 +161,8 @@
             content: req.content,
             stream: req.stream,
             tie_breaker: ((self.draw)() * u64::MAX as f64) as u64,
+            target_left: req.target_left(),
+            has_waited: false,
         };
         self.tx.send(ForwardMsg::Place(Box::new(place), tx));
         // The actor stops only with the process.
--- a/src/coltsfootnotch/daemon/forward/matched_request.rs
+++ b/src/coltsfootnotch/daemon/forward/matched_request.rs
@@ -2,7 +2,7 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use coltsfootnotch_forward::config::{ForwardConfig, Route, RouteKind};
@@ -32,6 +32,8 @@
     pub(super) route: usize,
     pub(super) service: usize,
     pub(super) account: Option<Arc<str>>,
+    /// Priority of its account, if it has one.
+    pub(super) account_priority: Option<u32>,
     pub(super) prompt: Arc<Prompt>,
     /// Digest of the content, the same when the caller sends the request again.
     pub(super) content: u64,
@@ -62,6 +64,12 @@
         self.kind().is_stream() && is_resumed
     }
 
+    /// Time left of its route's target, if it has one.
+    pub(super) fn target_left(&self) -> Option<Duration> {
+        let target = self.route().target?;
+        Some(target.saturating_sub(self.received_at.elapsed()))
+    }
+
     /// The caller's identity of the request, for log lines.
     pub(super) fn id(&self) -> &str {
         self.head.id.as_deref().unwrap_or("-")
--- a/src/coltsfootnotch/daemon/forward/messages.rs
+++ b/src/coltsfootnotch/daemon/forward/messages.rs
@@ -6,6 +6,7 @@
 
 use coltsfootnotch_fabric::Event;
 use coltsfootnotch_forward::config::ForwardConfig;
+use coltsfootnotch_forward::line::Priority;
 use coltsfootnotch_forward::load::SentRequest;
 use coltsfootnotch_forward::place::{Prompt, Refusal};
 use coltsfootnotch_forward::registry::Announcement;
@@ -21,6 +22,10 @@
     pub(super) service: usize,
     /// Its client account; requests with one are refused without a valid lease.
     pub(super) account: Option<Arc<str>>,
+    /// Priority of its account, if it has one.
+    pub(super) account_priority: Option<u32>,
+    /// Priority of its route.
+    pub(super) route_priority: u32,
     /// Its prompt.
     pub(super) prompt: Arc<Prompt>,
     /// The origin of the stream that it resumes; only upstreams of the same may go on with it.
@@ -37,6 +42,10 @@
     pub(super) stream: Option<u64>,
     /// Differs between requests; breaks ties.
     pub(super) tie_breaker: u64,
+    /// Time left of its route's target when it was sent to the actor, if it has one.
+    pub(super) target_left: Option<Duration>,
+    /// Whether it has waited, so that its account's demand is counted already.
+    pub(super) has_waited: bool,
 }
 
 impl PlaceRequest {
@@ -50,6 +59,19 @@
     pub(super) fn is_first(&self) -> bool {
         self.avoid.is_empty() && !self.is_retry
     }
+
+    /// Whether the request is not counted in its account's demand yet.
+    pub(super) fn is_new(&self) -> bool {
+        self.is_first() && !self.has_waited
+    }
+
+    /// Its urgency.
+    pub(super) fn priority(&self) -> Priority {
+        Priority {
+            account: self.account_priority.unwrap_or(self.route_priority),
+            route: self.route_priority,
+        }
+    }
 }
 
 /// Request to the actor for the origin of a stream that its caller resumes.
--- a/src/coltsfootnotch/daemon/forward/server.rs
+++ b/src/coltsfootnotch/daemon/forward/server.rs
@@ -139,7 +139,9 @@
             return Err(self.unmatched(StatusCode::NOT_FOUND, "no route"));
         };
         let (index, route) = (matched.index, matched.route);
-        let account = match head.key.as_deref().and_then(|key| config.account(key)) {
+        let found = head.key.as_deref().and_then(|key| config.account(key));
+        let account_priority = found.and_then(|account| account.priority);
+        let account = match found {
             Some(account) => Some(account.name.clone()),
             None if config.needs_keys() && !route.public => {
                 return Err(self.unmatched(StatusCode::UNAUTHORIZED, "the key is not known"));
@@ -178,6 +180,7 @@
             route: index,
             service,
             account,
+            account_priority,
             prompt,
             content,
             origin: None,
--- a/src/coltsfootnotch/daemon/forward/state/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/state/mod.rs
@@ -157,11 +157,12 @@
         }
         let service = &req.config.services()[req.service];
         let is_first = req.is_first();
-        if is_first {
+        let is_new = req.is_new();
+        if is_new {
             self.retries.on_request(now, &service.name);
         }
         let units = req.prompt.service_units();
-        if let Some(account) = req.account.as_ref().filter(|_| is_first) {
+        if let Some(account) = req.account.as_ref().filter(|_| is_new) {
             self.shares.record_requested(now, account, units);
         }
         let placement = match &service.engine {
@@ -229,7 +230,7 @@
         let Some(subject) = req.prompt.subject() else {
             return 0.0;
         };
-        if req.is_first() {
+        if req.is_new() {
             self.subjects.record(now, subject.id);
         }
         let local_share = self.shares.local_share(now);
--- a/src/coltsfootnotch/daemon/forward/state/refusals.rs
+++ b/src/coltsfootnotch/daemon/forward/state/refusals.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use coltsfootnotch_forward::line::{Patience, may_wait};
 use coltsfootnotch_forward::place::{Refusal, RefusalReason};
 
 use super::State;
@@ -31,6 +32,32 @@
         PlacementError::Refused(self.explain(now, service, req, refusal), share)
     }
 
+    /// How long a refused request waits for an engine with room; none if it is refused for good. One that
+    /// reached an upstream before has no time left, and one that resumes a stream is placed again anyway.
+    pub(in crate::daemon::forward) fn wait(
+        &self,
+        req: &PlaceRequest,
+        refusal: &Refusal,
+        share: Option<&AccountShare>,
+    ) -> Option<Duration> {
+        if !req.is_first() || req.origin.is_some() {
+            return None;
+        }
+        if share.is_some_and(|share| !may_wait(share.pressure, share.fraction)) {
+            return None;
+        }
+        let service = &req.config.services()[req.service].name;
+        let rate = self.engine_rates.prefill_rate(&req.config, service);
+        let shared = req.prompt.shared_tokens();
+        let own_tokens = req.prompt.tokens.saturating_sub(shared);
+        let own_ms = rate.base_ms + own_tokens as f64 / rate.tokens_per_ms;
+        let patience = Patience {
+            target_left: req.target_left?,
+            own_time: Duration::from_secs_f64(own_ms / 1e3),
+        };
+        patience.wait(refusal)
+    }
+
     /// Replaces a refusal for want of an upstream if there are some which may not be used now.
     fn explain(
         &self,
