Place at most eight waiting requests in a round, and let the soak's clients be slow

A placement takes a millisecond on the weakest entries; with 64 waiting requests each round would take longer than the time between two rounds.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -17,6 +17,8 @@
 const READINESS_PORT: u16 = 8_780;
 const OPERATOR_PORT: u16 = 8_785;
 
+/// Memory that each process is told, in megabytes.
+pub const MEMORY_MB: u64 = 64;
 /// Grace period of a graceful stop, in seconds.
 pub const GRACE_S: f64 = 6.0;
 /// Time within which a revoked key must stop working, in milliseconds.
@@ -209,6 +211,7 @@
             http_address: at(CLIENT_PORT),
             readiness_address: at(READINESS_PORT),
             control_address: at(OPERATOR_PORT),
+            memory_mb: MEMORY_MB,
             grace_s: GRACE_S,
             revoke_ms: REVOKE_MS,
         }
@@ -278,6 +281,14 @@
         }
     }
 
+    /// Returns the routers that use more memory than they are told, with what they use in megabytes.
+    pub fn routers_over_memory(&self) -> Vec<(String, u64)> {
+        let routers = 0..self.size.routers;
+        let used = routers.filter_map(|n| Some((Endpoint::Router(n), self.router(n).memory_mb()?)));
+        let over = used.filter(|(_, mb)| *mb > MEMORY_MB);
+        over.map(|(host, mb)| (name_of(host), mb)).collect()
+    }
+
     /// Returns the processes that exited unexpectedly, with the number of exits.
     pub fn unexpected_exits(&self) -> Vec<(String, u32)> {
         let controls = (0..self.size.controls)
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod run;
 mod scenario;
 pub mod schedule;
+pub mod slow_client;
 pub mod upstream;
 
 /// Types for running a soak.
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -25,6 +25,7 @@
     replace: bool,
     without_refusals: bool,
     with_framing: bool,
+    without_slow_clients: bool,
 }
 
 fn options() -> OptionParser<Options> {
@@ -68,6 +69,9 @@
     let with_framing = long("with-framing")
         .help("all responses state their end; for seeds that were found so")
         .switch();
+    let without_slow_clients = long("without-slow-clients")
+        .help("no clients that send slowly or don't read; for seeds that were found without")
+        .switch();
     construct!(Options {
         seed,
         seeds,
@@ -79,7 +83,8 @@
         quiet,
         replace,
         without_refusals,
-        with_framing
+        with_framing,
+        without_slow_clients
     })
     .guard(
         |o| [3, 5, 7].contains(&o.controls),
@@ -134,6 +139,7 @@
         replaces_hosts: options.replace,
         has_refusals: !options.without_refusals,
         omits_framing: !options.with_framing,
+        has_slow_clients: !options.without_slow_clients,
         binary: options.binary.clone(),
         block: (std::process::id() % 250) as u8,
         folder: folder.path().to_owned(),
--- a/soak/src/operator.rs
+++ b/soak/src/operator.rs
@@ -22,6 +22,10 @@
 pub const SERVICES: [&str; 2] = ["desk", "writer"];
 /// Name of the client account whose keys change.
 const ACCOUNT: &str = "group";
+/// The account of clients that are slow.
+const SLOW_ACCOUNT: &str = "slow";
+/// The key of clients that are slow.
+pub const SLOW_KEY: &str = "key-slow";
 /// The key that is never revoked.
 pub const STEADY_KEY: &str = "key-steady";
 
@@ -288,7 +292,7 @@
         routes: &routes,
         plain_services: &[plain],
         engine_services: &[engine],
-        accounts: &[(ACCOUNT, keys)],
+        accounts: &[(ACCOUNT, keys), (SLOW_ACCOUNT, vec![SLOW_KEY.to_owned()])],
     }
     .to_json()
 }
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -50,6 +50,18 @@
         Ok(process)
     }
 
+    /// Returns the resident memory in megabytes; none while the process isn't running.
+    #[must_use]
+    pub fn memory_mb(&self) -> Option<u64> {
+        let child = self.child.as_ref()?;
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).ok()?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmRSS:"))?;
+        let kb: u64 = line.split_whitespace().next()?.parse().ok()?;
+        Some(kb / 1_000)
+    }
+
     /// Starts the process if it isn't running.
     ///
     /// # Errors
--- a/soak/src/recorder.rs
+++ b/soak/src/recorder.rs
@@ -39,6 +39,9 @@
     /// Requests are served again after the last fault.
     #[display("recovery")]
     Recovery,
+    /// A router holds no more than its memory.
+    #[display("routers stay within their memory")]
+    WithinMemory,
     /// No process exits without a signal.
     #[display("no process ends by itself")]
     NoUnexpectedExit,
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -1,5 +1,6 @@
 //! Runs a schedule against a fleet and evaluates the result.
 
+use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path as FilePath, PathBuf};
@@ -18,15 +19,18 @@
 use crate::operator::{ControlClient, Operator, SERVICES};
 use crate::process::wait_until;
 use crate::proxy::{Endpoint, Path};
-use crate::recorder::{Counts, Finding, Recorder};
+use crate::recorder::{Counts, Finding, Invariant, Recorder};
 use crate::scenario::Scenario;
 use crate::schedule::{FleetSize, Schedule};
+use crate::slow_client::{SLOW_CLIENTS, SlowClient};
 use crate::upstream::Upstream;
 
 /// Time limit for the fleet to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Final part of the run, in which requests must be served again.
 const RECOVERY_WINDOW: Duration = Duration::from_secs(4);
+/// Time between two checks of the routers' memory.
+const MEMORY_INTERVAL: Duration = Duration::from_millis(200);
 /// Port of all upstreams.
 const UPSTREAM_PORT: u16 = 9_000;
 
@@ -63,6 +67,8 @@
     pub has_refusals: bool,
     /// Whether upstreams also send responses that end with their connection.
     pub omits_framing: bool,
+    /// Whether some clients send slowly or don't read.
+    pub has_slow_clients: bool,
     /// The platform's program.
     pub binary: PathBuf,
     /// Block of loopback addresses; concurrent runs need different blocks.
@@ -184,6 +190,19 @@
         Ok(())
     }
 
+    fn start_slow_clients(&self, scenario: &Arc<Scenario>, tasks: &mut JoinSet<()>) {
+        for number in 0..self.size.routers * SLOW_CLIENTS {
+            let client = SlowClient {
+                number,
+                addresses: scenario.fleet.addresses,
+                routers: self.size.routers,
+                recorder: scenario.recorder.clone(),
+            };
+            tasks.spawn(client.run(!self.seed ^ (number as u64 + 1)));
+        }
+        tasks.spawn(watch_memory(Arc::clone(scenario)));
+    }
+
     fn start_clients(&self, scenario: &Arc<Scenario>) -> JoinSet<()> {
         let mut tasks = JoinSet::new();
         let recorder = scenario.recorder.with_recovery_from(
@@ -204,11 +223,28 @@
             };
             tasks.spawn(client.run(self.seed ^ (number as u64 + 1)));
         }
+        if self.has_slow_clients {
+            self.start_slow_clients(scenario, &mut tasks);
+        }
         tasks.spawn(scenario.operator.clone().run(self.seed));
         tasks
     }
 }
 
+/// Checks the memory of the routers until its task is aborted; reports each excess once.
+async fn watch_memory(scenario: Arc<Scenario>) {
+    let mut reported = HashSet::new();
+    loop {
+        for (router, mb) in scenario.fleet.routers_over_memory() {
+            let what = format!("{router} uses {mb} MB");
+            if reported.insert(router) {
+                scenario.recorder.report(Invariant::WithinMemory, what);
+            }
+        }
+        sleep(MEMORY_INTERVAL).await;
+    }
+}
+
 fn is_router_ready(at: SocketAddr) -> bool {
     let url = format!(
         "http://{at}{}",
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -41,6 +41,7 @@
         replaces_hosts: false,
         has_refusals: false,
         omits_framing: false,
+        has_slow_clients: false,
         binary: binary(),
         block: 250 - (seed % 100) as u8,
         folder: folder.path().to_owned(),
@@ -100,3 +101,13 @@
 fn seed_45_upstreams_state_no_end_of_their_responses() {
     expect_that!(run_with(45, |soak| soak.omits_framing = true), is_empty());
 }
+
+/// Guards against routers that go over their memory, or refuse sound clients, for what they hold for slow ones, under
+/// other faults.
+#[googletest::test]
+fn seed_51_slow_clients_leave_room_for_others() {
+    expect_that!(
+        run_with(51, |soak| soak.has_slow_clients = true),
+        is_empty()
+    );
+}
--- a/src/coltsfootnotch/daemon/forward/actor/waits.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/waits.rs
@@ -11,6 +11,10 @@
 /// Least time between two rounds of placements of the requests that wait.
 const ROUND_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Most requests placed again in a round, besides those whose time is over. A placement takes some tens of
+/// microseconds of a core, a millisecond on the weakest hosts.
+const MAX_PLACED: usize = 8;
+
 /// A request that waits, and where its placement is sent.
 pub(super) struct WaitingRequest {
     req: Box<PlaceRequest>,
@@ -62,11 +66,17 @@
             let pressure = account.and_then(|account| shares.pressure(now, account));
             pressure.unwrap_or(0.0)
         });
+        let mut placed_again = 0;
         for waiting in turns {
             // The caller has left.
             if waiting.item.tx.is_closed() {
                 continue;
             }
+            if placed_again >= MAX_PLACED && now < waiting.until {
+                self.line.put_back(waiting);
+                continue;
+            }
+            placed_again += 1;
             let placed = self.place(now, &waiting.item.req);
             let is_refused = matches!(placed, Err(PlacementError::Refused(..)));
             if is_refused && now < waiting.until {
