--- a/src/coltsfootnotch/daemon/forward/costs.rs
+++ b/src/coltsfootnotch/daemon/forward/costs.rs
@@ -8,6 +8,6 @@
 /// A connection to an upstream.
 pub(super) const UPSTREAM_BYTES: u64 = 12 * 1024;
 /// A request in progress, besides its headers and body: its tasks and what is decided for it.
-pub(super) const REQUEST_BYTES: u64 = 10 * 1024;
+pub(super) const REQUEST_BYTES: u64 = 19 * 1024;
 /// Multiple of a configuration's size that it takes with its decoded form.
 pub(super) const CONFIG_FACTOR: u64 = 4;
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -198,8 +198,8 @@
             let resumed = if outcome == Outcome::Abandoned {
                 Err("no time is left")
             } else {
-                self.resume(&mut attempts, &events, failed.clone(), &origin)
-                    .await
+                // Boxed, as each stream holds the space of its task.
+                Box::pin(self.resume(&mut attempts, &events, failed.clone(), &origin)).await
             };
             let received = match resumed {
                 Ok(received) => received,
