Record a configuration as sent only once there is a message for it

Cause: a read of the log for an entry's lease can finish between the application of a configuration and its patches. The entry was recorded as having been sent it, and got it two seconds later; until then it refused requests with keys.

Change: the configuration sent is the newest that has patches, and counts as sent only with a message.

The order of the two steps is read in the code, not in a log line.

--- a/src/coltsfootnotch/daemon/control/config_patches.rs
+++ b/src/coltsfootnotch/daemon/control/config_patches.rs
@@ -41,6 +41,11 @@
         self.body = Some(body);
     }
 
+    /// The number of the configuration that entries can be sent; zero before the first.
+    pub fn number(&self) -> u64 {
+        self.body.as_ref().map_or(0, |body| body.number)
+    }
+
     /// The message that brings an entry with configuration `from` up to date; without that base it
     /// holds the whole configuration. None if there is no configuration or `from` is not older.
     pub fn message(&mut self, from: u64) -> Option<FromRelay> {
--- a/src/coltsfootnotch/daemon/control/seeded/entries.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/entries.rs
@@ -64,23 +64,21 @@
         self.asked_at.is_some_and(|at| now < at + SELECTED_FOR)
     }
 
-    /// Whether the configuration `number` has to be sent now; records that it was.
-    fn needs_config(&mut self, now: Duration, number: u64) -> bool {
-        if self.config >= number {
-            return false;
-        }
-        let from = self.config;
+    /// Whether the configuration `number` has to be sent now.
+    fn needs_config(&self, now: Duration, number: u64) -> bool {
         let is_sent = self.sent.is_some_and(|sent| {
-            (sent.from, sent.number) == (from, number) && now < sent.at + RESEND_AFTER
+            (sent.from, sent.number) == (self.config, number) && now < sent.at + RESEND_AFTER
+        });
+        self.config < number && !is_sent
+    }
+
+    /// Records that the configuration `number` is sent.
+    fn record_sent(&mut self, now: Duration, number: u64) {
+        self.sent = Some(SentConfig {
+            from: self.config,
+            number,
+            at: now,
         });
-        if !is_sent {
-            self.sent = Some(SentConfig {
-                from,
-                number,
-                at: now,
-            });
-        }
-        !is_sent
     }
 }
 
@@ -194,20 +192,22 @@
         limited
     }
 
-    /// The entries that have this control host selected and need the configuration `number`, with the
-    /// one that each has; records that it was sent to them.
+    /// The entries that have this control host selected and need the configuration `number`, each with
+    /// what `message` returns for the one that it has; records that it was sent to them.
     pub(in crate::daemon::control) fn take_needing_config(
         &mut self,
         now: Duration,
         number: u64,
-    ) -> Vec<(LinkId, u64)> {
+        mut message: impl FnMut(u64) -> Option<FromRelay>,
+    ) -> Vec<(LinkId, FromRelay)> {
         let links = self.links.iter_mut();
-        let selecting = links.filter(|(_, entry)| entry.is_selecting(now));
-        selecting
+        let needing =
+            links.filter(|(_, entry)| entry.is_selecting(now) && entry.needs_config(now, number));
+        needing
             .filter_map(|(link, entry)| {
-                entry
-                    .needs_config(now, number)
-                    .then_some((*link, entry.config))
+                let message = message(entry.config)?;
+                entry.record_sent(now, number);
+                Some((*link, message))
             })
             .collect()
     }
@@ -286,3 +286,7 @@
     let addresses = near.map(|point| point.address).collect();
     Some(FromRelay::Neighbours { addresses })
 }
+
+#[cfg(test)]
+#[path = "entries_tests.rs"]
+mod tests;
--- a/src/coltsfootnotch/daemon/control/seeded/handlers.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/handlers.rs
@@ -345,13 +345,17 @@
     /// Sends the configuration in force to the entries that have this host selected and an older one.
     /// The others get it from the host that they have selected, or when they select another.
     pub(in crate::daemon::control) fn push_config_to_entries(&mut self, now: Duration) {
-        let number = self.replica.machine().config().number();
+        // The log may hold a newer one that is not applied here yet; it is sent once it is.
+        let number = self.patches.number();
         let Some(seeded) = &mut self.seeded else {
             return;
         };
-        for (link, from) in seeded.entries.take_needing_config(now, number) {
-            let message = self.patches.message(from);
-            if let (Some(message), Some(link)) = (message, self.links.get(link)) {
+        let patches = &mut self.patches;
+        let messages = seeded
+            .entries
+            .take_needing_config(now, number, |from| patches.message(from));
+        for (link, message) in messages {
+            if let Some(link) = self.links.get(link) {
                 link.send_host(message);
             }
         }
