--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -32,7 +32,7 @@
 use super::control_links::ControlLinks;
 use super::dialect::{Dialect, InForce};
 use super::handover::HandoverTargets;
-use super::listener::{Limits, accept_callers, accept_handed_over};
+use super::listener::{Acceptor, Limits};
 use super::messages::{ForwardMsg, Outcome, PlaceRequest, PlacementError, Ticket};
 use super::overload_flags::OverloadFlags;
 use super::pool::Pool;
@@ -252,13 +252,13 @@
             callers,
             handed_over,
         } = listeners;
-        let handed_over = accept_handed_over(
-            handed_over,
-            &connections,
-            Arc::clone(&limits),
-            Arc::clone(&gateway),
-        );
-        let callers = accept_callers(callers, &connections, limits, gateway);
+        let acceptor = Acceptor {
+            connections: Arc::clone(&connections),
+            limits,
+            gw: gateway,
+        };
+        let handed_over = acceptor.clone().accept_handed_over(handed_over);
+        let callers = acceptor.accept_callers(callers);
         let server_tasks = [cx.runtime.spawn(callers), cx.runtime.spawn(handed_over)];
         let domain = cx.identity.domain.as_str().into();
         let lease = ConfigLease::new(settings.times.lease);
--- a/src/coltsfootnotch/daemon/forward/listener.rs
+++ b/src/coltsfootnotch/daemon/forward/listener.rs
@@ -21,24 +21,33 @@
 /// the configuration.
 pub(super) type Limits = Arc<dyn Fn() -> ConnectionLimits + Send + Sync>;
 
-/// Accepts connections of callers until its task is aborted.
-pub(super) fn accept_callers(
-    listener: TcpListener,
-    connections: &Arc<Connections>,
-    limits: Limits,
-    gw: Arc<Gateway>,
-) -> impl Future<Output = ()> + use<> {
-    let admitting = Arc::clone(&gw);
-    let admit = move || admit(&admitting);
-    let connections = Arc::clone(connections);
-    accept_connections(
-        listener,
-        admit,
-        connections,
-        move |stream, peer, open, hold| {
+/// What the tasks that accept connections share.
+#[derive(Clone)]
+pub(super) struct Acceptor {
+    pub(super) connections: Arc<Connections>,
+    pub(super) limits: Limits,
+    pub(super) gw: Arc<Gateway>,
+}
+
+impl Acceptor {
+    /// Accepts connections of callers until its task is aborted.
+    pub(super) async fn accept_callers(self, listener: TcpListener) {
+        let Self { limits, gw, .. } = self.clone();
+        let serve = move |stream, peer, open, hold| {
             serve_caller(stream, peer, open, hold, limits(), Arc::clone(&gw))
-        },
-    )
+        };
+        accept_connections(listener, || admit(&self.gw), self.connections, serve).await;
+    }
+
+    /// Accepts connections that neighbours hand over, until its task is aborted. They are served here in any
+    /// case, so that a connection is handed over at most once.
+    pub(super) async fn accept_handed_over(self, listener: TcpListener) {
+        let Self { limits, gw, .. } = self.clone();
+        let serve = move |stream, peer, open, hold| {
+            serve_handed_over(stream, peer, open, hold, limits(), Arc::clone(&gw))
+        };
+        accept_connections(listener, || admit(&self.gw), self.connections, serve).await;
+    }
 }
 
 /// Memory and socket of a new connection; none if no more connections may be held.
@@ -53,27 +62,6 @@
     )
 }
 
-/// Accepts connections that neighbours hand over, until its task is aborted. They are served here in any
-/// case, so that a connection is handed over at most once.
-pub(super) fn accept_handed_over(
-    listener: TcpListener,
-    connections: &Arc<Connections>,
-    limits: Limits,
-    gw: Arc<Gateway>,
-) -> impl Future<Output = ()> + use<> {
-    let admitting = Arc::clone(&gw);
-    let admit = move || admit(&admitting);
-    let connections = Arc::clone(connections);
-    accept_connections(
-        listener,
-        admit,
-        connections,
-        move |stream, peer, open, hold| {
-            serve_handed_over(stream, peer, open, hold, limits(), Arc::clone(&gw))
-        },
-    )
-}
-
 fn count_closed_unread(gw: &Gateway) {
     let metrics = &gw.cx.metrics;
     metrics
--- a/src/coltsfootnotch/daemon/forward/pool.rs
+++ b/src/coltsfootnotch/daemon/forward/pool.rs
@@ -107,7 +107,7 @@
         connection: Connection,
         keep_alive: Option<Duration>,
     ) {
-        if connection.sender.is_closed() || self.held.load() >= Load::Crowded {
+        if connection.sender.is_closed() || self.held.load() >= Load::Refusing {
             return;
         }
         let keep_alive = keep_alive
