Return to shares of what was served, and to the earlier limits of engines

More requests are in time, but of accounts above their share; the others' are later (docs/design/fair-shares.md).

--- a/crates/forward/src/load/backlog_limit.rs
+++ b/crates/forward/src/load/backlog_limit.rs
@@ -17,9 +17,8 @@
 /// Greatest limit, as a share of the tolerated pause.
 const MAX_SHARE: f64 = 10.0;
 
-/// Share of the tolerated pause from which the limit is cut, before pauses become too long. Engines that
-/// prefill a chunk in each step pause for a constant time however much waits, which is no reason for a cut.
-const CUT_THRESHOLD: f64 = 0.85;
+/// Share of the tolerated pause from which the limit is cut, before pauses become too long.
+const CUT_THRESHOLD: f64 = 0.65;
 /// Multiple of the tolerated pause from which prefill is not the cause: the engine crashed, hangs,
 /// or is cut off.
 const OUTAGE_THRESHOLD: f64 = 4.0;
--- a/crates/forward/src/place/engine.rs
+++ b/crates/forward/src/place/engine.rs
@@ -82,7 +82,7 @@
     shortlist
         .preferred(request)
         .for_each(|l| comparison.compare(&l));
-    if !shortlist.may_leave_homes() && !request.is_resumed {
+    if shortlist.is_kept_at_homes() && !request.is_resumed {
         return comparison.finish(false);
     }
     if comparison.best.is_none() {
--- a/crates/forward/src/place/shortlist.rs
+++ b/crates/forward/src/place/shortlist.rs
@@ -25,11 +25,6 @@
 /// Share of an engine's time that the requests about one subject may take at each of its homes.
 const MAX_HOME_SHARE: f64 = 0.5;
 
-/// Prefill time of shared segments, relative to that of the prompt's own tokens, up to which another engine may
-/// prefill them again when the homes are saturated. A short prompt is otherwise refused for the sake of a few
-/// milliseconds while most engines have room.
-const MAX_REPEATED_SHARE: f64 = 0.5;
-
 /// The engines to compare for a request.
 pub(super) struct Shortlist<'a, 'b> {
     usable: &'b [Candidate<'a>],
@@ -37,8 +32,6 @@
     /// Indices of the homes of the prompt's subject, the first one first. Empty for a prompt that is
     /// not kept at homes.
     homes: Vec<usize>,
-    /// Whether other engines may prefill the shared segments as well.
-    may_spread: bool,
     /// Most tokens of the request's shared segments that any engine has cached.
     pub(super) max_cached: u64,
 }
@@ -67,8 +60,6 @@
         Self {
             sampled: sample_two(request.tie_breaker, usable.len()),
             homes: subject.map_or_else(Vec::new, |s| homes(s.id, count, usable)),
-            may_spread: request.fair_fraction >= 1.0
-                && to_ms(shared_tokens) <= own_ms * MAX_REPEATED_SHARE,
             usable,
             max_cached: usable.iter().map(cached_tokens).max().unwrap_or(0),
         }
@@ -79,11 +70,6 @@
         !self.homes.is_empty() && self.max_cached > 0
     }
 
-    /// Whether other engines are compared when its homes are saturated.
-    pub(super) fn may_leave_homes(&self) -> bool {
-        self.may_spread || !self.is_kept_at_homes()
-    }
-
     /// The homes of the prompt's subject, and the engines that have most of it cached.
     pub(super) fn preferred(
         &self,
--- a/crates/forward/src/share/fair_shares.rs
+++ b/crates/forward/src/share/fair_shares.rs
@@ -34,10 +34,9 @@
 /// from single saturated upstreams.
 const MIN_REFUSED_SHARE: f64 = 0.03;
 
-/// Share of the stated capacity that counts as served even if less was. Requests are refused at single
-/// engines while others are idle; shares of what was served would then be shares of too little, and stay so.
-/// An engine that can't do its part shows by its backlog.
-const MIN_SERVED_SHARE: f64 = 0.8;
+/// Share of the stated capacity that counts as served even if less was. After an outage nothing was
+/// served, and a level of zero admits nothing; an engine that can't do it shows by its backlog.
+const MIN_SERVED_SHARE: f64 = 0.5;
 
 /// Interval at which the level is computed.
 const LEVEL_INTERVAL: Duration = Duration::from_millis(50);
