Keep prompts of new subjects at their homes, and let them leave saturated homes of an idle fleet

Cause: a prompt whose subject nobody had read was compared at every engine that had its first segment, which most engines of a large fleet have. All entries chose the first of them by name: a few engines had seconds of prompts waiting while others had none. With reports seconds old the rest of a second's requests followed. And a request whose two homes were full waited there or was refused beside hundreds of idle engines.

Change: only engines that have all shared segments count as holders of a subject; of engines with the same cost each request prefers another one; while the mean wait is under 0.15 of the bound, prompts of accounts within their share leave saturated homes for one of two engines chosen at random.

--- a/crates/forward/src/place/engine.rs
+++ b/crates/forward/src/place/engine.rs
@@ -38,6 +38,10 @@
 /// Cost in milliseconds of another failure domain: network time and cross-domain traffic.
 const CROSS_DOMAIN_MS: f64 = 6.0;
 
+/// Mean wait at all engines, as a share of the bound, up to which a prompt may leave its saturated homes.
+/// Under more load engines would displace each other's subjects by copies.
+const MAX_IDLE_FILL: f64 = 0.15;
+
 /// Cost in milliseconds of a failure, by which an upstream's failure rate is weighted.
 const FAILURE_COST_MS: f64 = 1_500.0;
 
@@ -62,6 +66,8 @@
         prefill_rate,
         common_slowness: common_slowness(now, &usable),
         max_cached: shortlist.max_cached,
+        expected_cached: shortlist.expected_cached,
+        is_subject_cached: shortlist.is_subject_cached,
     };
     let placement = compare_engines(now, request, fleet, &shortlist)?;
     let copy_from = copy_source(request, prefill_rate, &usable, &placement.id).cloned();
@@ -82,7 +88,11 @@
     shortlist
         .preferred(request)
         .for_each(|l| comparison.compare(&l));
-    if shortlist.is_kept_at_homes() && !request.is_resumed {
+    let is_limited_to_homes = shortlist.is_kept_at_homes() && !request.is_resumed;
+    if is_limited_to_homes {
+        if comparison.best.is_none() && may_leave_homes(now, request, fleet, shortlist) {
+            shortlist.sampled().for_each(|l| comparison.compare(&l));
+        }
         return comparison.finish(false);
     }
     if comparison.best.is_none() {
@@ -95,6 +105,26 @@
     comparison.finish(true)
 }
 
+/// Whether a prompt whose homes are saturated may go to other engines: most of them are idle, and its account is
+/// within its share.
+fn may_leave_homes(
+    now: Duration,
+    request: &PlacementRequest<'_>,
+    fleet: FleetView,
+    shortlist: &Shortlist<'_, '_>,
+) -> bool {
+    if request.fair_fraction < 1.0 {
+        return false;
+    }
+    let (mut fill, mut engines) = (0.0, 0.0);
+    for listed in shortlist.all() {
+        let estimate = Estimate::new(now, request, fleet, &listed);
+        fill += (estimate.wait_ms / estimate.bound_ms.max(1.0)).min(1.0);
+        engines += 1.0;
+    }
+    fill <= engines * MAX_IDLE_FILL
+}
+
 /// The engine from which `target` copies the shared segments of the prompt that it lacks: one that has
 /// most of them, in its own failure domain if there is one.
 fn copy_source<'a>(
@@ -136,6 +166,10 @@
     common_slowness: f64,
     /// Most tokens of the request's shared segments that any engine has cached.
     max_cached: u64,
+    /// Tokens of them that the engines to which the prompt belongs are expected to have.
+    expected_cached: u64,
+    /// Whether some engine has all of them cached.
+    is_subject_cached: bool,
 }
 
 /// The result of the comparison so far.
@@ -145,7 +179,8 @@
     fleet: FleetView,
     /// Multiple of the wait bound for the request's account.
     factor: f64,
-    best: Option<(f64, Placement)>,
+    /// The best placement with its cost and tie-breaker.
+    best: Option<((f64, f64), Placement)>,
     /// The least saturated engine.
     least: Option<LeastSaturated>,
 }
@@ -186,11 +221,12 @@
         if excess_ms > 0.0 || !has_capacity(candidate, estimate.sent.held_tokens) {
             return;
         }
-        if self
-            .best
-            .as_ref()
-            .is_none_or(|(cost, _)| estimate.cost < *cost)
-        {
+        // Of equal engines each request prefers another one: entries that all choose the first overfill it.
+        let order = (
+            estimate.cost,
+            distance(self.request.tie_breaker, candidate.id),
+        );
+        if self.best.as_ref().is_none_or(|(best, _)| order < *best) {
             let placement = Placement {
                 id: candidate.id.clone(),
                 copy_from: None,
@@ -198,7 +234,7 @@
                 wait: Duration::from_secs_f64(estimate.wait_ms / 1e3),
                 bound: Duration::from_secs_f64(estimate.bound_ms / 1e3),
             };
-            self.best = Some((estimate.cost, placement));
+            self.best = Some((order, placement));
         }
     }
 
@@ -246,6 +282,8 @@
         let FleetView {
             prefill_rate,
             max_cached,
+            expected_cached,
+            is_subject_cached,
             ..
         } = fleet;
         let load = candidate.load;
@@ -261,7 +299,10 @@
             .and_then(|rate| rate.copy_ms(missing, prefill_rate));
         let (prompt_ms, repeated_ms) = match copy_ms {
             Some(copy_ms) => (to_ms(uncached.saturating_sub(missing)) + copy_ms, 0.0),
-            None => (to_ms(uncached), to_ms(missing) * REPEATED_PREFILL_WEIGHT),
+            None => {
+                let repeated = expected_cached.saturating_sub(cached);
+                (to_ms(uncached), to_ms(repeated) * REPEATED_PREFILL_WEIGHT)
+            }
         };
         let expected_ms = queue_ms + prefill_rate.base_ms + prompt_ms;
         let mut cost = expected_ms * slowness + repeated_ms;
@@ -269,7 +310,7 @@
         if candidate.domain != request.domain {
             cost += CROSS_DOMAIN_MS;
         }
-        if let Some(rank) = listed.home_rank.filter(|_| max_cached == 0) {
+        if let Some(rank) = listed.home_rank.filter(|_| !is_subject_cached) {
             cost += rank as f64 * HOME_RANK_MS;
         }
         let sent = SentRequest {
--- a/crates/forward/src/place/shortlist.rs
+++ b/crates/forward/src/place/shortlist.rs
@@ -34,6 +34,10 @@
     homes: Vec<usize>,
     /// Most tokens of the request's shared segments that any engine has cached.
     pub(super) max_cached: u64,
+    /// Tokens of them that the engines to which the prompt belongs are expected to have.
+    pub(super) expected_cached: u64,
+    /// Whether some engine has all of them cached.
+    pub(super) is_subject_cached: bool,
 }
 
 /// An engine to compare.
@@ -57,32 +61,44 @@
         let own_ms = to_ms(request.prompt.tokens.saturating_sub(shared_tokens));
         let count = home_count(request.subject_per_s, own_ms);
         let subject = request.prompt.subject().filter(|_| is_kept);
+        let homes = subject.map_or_else(Vec::new, |s| homes(s.id, count, usable));
+        let max_cached = usable.iter().map(cached_tokens).max().unwrap_or(0);
+        let is_subject_cached = max_cached == shared_tokens;
+        let at_homes = homes.iter().map(|home| cached_tokens(&usable[*home]));
+        let expected_cached = if is_subject_cached {
+            max_cached
+        } else {
+            at_homes.max().unwrap_or(max_cached)
+        };
         Self {
             sampled: sample_two(request.tie_breaker, usable.len()),
-            homes: subject.map_or_else(Vec::new, |s| homes(s.id, count, usable)),
+            homes,
             usable,
-            max_cached: usable.iter().map(cached_tokens).max().unwrap_or(0),
+            max_cached,
+            expected_cached,
+            is_subject_cached,
         }
     }
 
-    /// Whether the prompt may only go to its homes and to engines that have most of it cached.
+    /// Whether the prompt goes to its homes and to engines that have all of its shared segments cached,
+    /// while these have room.
     pub(super) fn is_kept_at_homes(&self) -> bool {
-        !self.homes.is_empty() && self.max_cached > 0
+        !self.homes.is_empty() && self.is_subject_cached
     }
 
-    /// The homes of the prompt's subject, and the engines that have most of it cached.
+    /// The homes of the prompt's subject, and the engines that have all of its shared segments cached.
     pub(super) fn preferred(
         &self,
         request: &PlacementRequest<'_>,
     ) -> impl Iterator<Item = Listed<'a, 'b>> {
-        let caches_most = |c: &Candidate<'_>| {
+        let caches_subject = |c: &Candidate<'_>| {
             c.load.cached.cached_prefix_tokens(&request.prompt.shared) == self.max_cached
         };
         let is_kept_at_homes = self.is_kept_at_homes();
         let all = self.usable.iter().enumerate();
         all.filter_map(move |(index, candidate)| {
             let home_rank = self.homes.iter().position(|home| *home == index);
-            let is_listed = home_rank.is_some() || is_kept_at_homes && caches_most(candidate);
+            let is_listed = home_rank.is_some() || is_kept_at_homes && caches_subject(candidate);
             is_listed.then_some(Listed {
                 candidate,
                 home_rank,
--- a/crates/forward/tests/testsuite/many_entries/crowds.rs
+++ b/crates/forward/tests/testsuite/many_entries/crowds.rs
@@ -10,7 +10,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::fair_rule::{Second, Unfair, unfair};
-use super::fleet::{Fleet, Outcomes, Setup};
+use super::fleet::{Fleet, Outcomes, Setup, TARGET};
 use super::reader::{Read, Reader, Unread};
 
 const DOMAINS: usize = 3;
@@ -88,6 +88,7 @@
             stated_share: 0.9,
             memory_tokens: 300_000,
             copy_rate: None,
+            target: TARGET,
             period_ms: 100,
             prompt: |_, _| unreachable!("prompts are drawn here"),
         });
--- a/crates/forward/tests/testsuite/many_entries/fleet.rs
+++ b/crates/forward/tests/testsuite/many_entries/fleet.rs
@@ -20,7 +20,7 @@
 
 /// Time to the first event of a cached prompt, in milliseconds.
 const BASE_MS: f64 = 35.0;
-/// Shortest target of the service's routes.
+/// Shortest target of the routes of most services.
 pub(super) const TARGET: Duration = Duration::from_millis(400);
 /// Share of an engine's memory that entries take for its prefix cache.
 const CACHE_SHARE: f64 = 0.55;
@@ -53,6 +53,8 @@
     pub(super) memory_tokens: u64,
     /// Rate at which engines copy cached prompts from each other, if they can.
     pub(super) copy_rate: Option<CopyRate>,
+    /// Shortest target of the service's routes.
+    pub(super) target: Duration,
     /// Time between two reports of an entry and two broadcasts of the control host.
     pub(super) period_ms: u64,
     /// Draws the prompt of a request of an account.
@@ -63,6 +65,8 @@
 #[derive(Default)]
 struct Engine {
     free_at: Duration,
+    /// Tokens that it has prefilled.
+    prefilled: u64,
     /// Tokens of running requests.
     held: u64,
     cached: CachedSegments,
@@ -231,6 +235,13 @@
         }
     }
 
+    /// Tokens that the busiest engine has prefilled, relative to the mean.
+    pub(super) fn most_prefilled(&self) -> f64 {
+        let engines = self.engines.iter().map(|engine| engine.prefilled);
+        let (most, all) = engines.fold((0, 0), |(most, all), n| (n.max(most), all + n));
+        most as f64 * self.engines.len() as f64 / all as f64
+    }
+
     pub(super) fn now(&self) -> Duration {
         self.now
     }
@@ -313,7 +324,7 @@
             prompt,
             pressure: account.and_then(|account| shares.pressure(now, account)),
             fair_fraction: account.map_or(1.0, |account| shares.fair_fraction(now, account)),
-            shortest_target: TARGET,
+            shortest_target: self.setup.target,
             shortest_gap: None,
             subject_per_s,
             is_resumed: false,
@@ -391,7 +402,7 @@
         let engine = self.engine(&placed.id);
         let source = placed.copy_from.as_ref().map(|source| self.engine(source));
         let first_event_at = self.prefill(engine, source, prompt);
-        outcomes.late += u32::from(first_event_at > placed.sent.at + TARGET);
+        outcomes.late += u32::from(first_event_at > placed.sent.at + self.setup.target);
         self.running.push(Running {
             entry: unsent.entry,
             engine,
@@ -429,6 +440,7 @@
         }
         let uncached = prompt.tokens - cached;
         self.prefilled.all += uncached;
+        engine.prefilled += uncached;
         engine.held += held_tokens(prompt);
         let capacity = self.setup.memory_tokens.saturating_sub(engine.held);
         for segment in &prompt.shared {
@@ -445,13 +457,18 @@
         let idle = self.engines.iter().filter(|e| e.free_at < now).count();
         self.idle += Duration::from_millis(idle as u64);
         for run in &mut self.running {
+            let starts = !run.has_started && run.first_event_at <= now;
+            let ends = (run.has_started || starts) && run.first_event_at + ANSWER <= now;
+            if !starts && !ends {
+                continue;
+            }
             let id = &self.ids[run.engine];
             let load = self.entries[run.entry].loads.entry(id, 1);
-            if !run.has_started && run.first_event_at <= now {
+            if starts {
                 load.on_first_event(now, &run.sent);
                 run.has_started = true;
             }
-            if run.has_started && run.first_event_at + ANSWER <= now {
+            if ends {
                 load.on_finished(&run.sent, true);
                 load.on_succeeded(now);
                 self.engines[run.engine].held -= run.held;
--- a/crates/forward/tests/testsuite/many_entries/floods.rs
+++ b/crates/forward/tests/testsuite/many_entries/floods.rs
@@ -8,7 +8,7 @@
 use rand::Rng;
 use rand::rngs::StdRng;
 
-use super::fleet::{Fleet, Load, Outcomes, Setup};
+use super::fleet::{Fleet, Load, Outcomes, Setup, TARGET};
 
 /// A prompt of one of three kinds, without shared segments.
 fn prompt(rng: &mut StdRng, _account: usize) -> Prompt {
@@ -27,6 +27,7 @@
         stated_share: 1.0,
         memory_tokens: 694_599,
         copy_rate: None,
+        target: TARGET,
         period_ms: 100,
         prompt,
     })
--- a/crates/forward/tests/testsuite/many_entries/hard_load.rs
+++ b/crates/forward/tests/testsuite/many_entries/hard_load.rs
@@ -10,7 +10,7 @@
 use rand::Rng;
 use rand::rngs::StdRng;
 
-use super::fleet::{Fleet, Load, Outcomes, Setup};
+use super::fleet::{Fleet, Load, Outcomes, Setup, TARGET};
 
 const ACCOUNTS: usize = 30;
 const FLOODS: usize = 8;
@@ -61,6 +61,7 @@
         copy_rate: Some(CopyRate {
             tokens_per_ms: 137.0,
         }),
+        target: TARGET,
         period_ms: 100,
         prompt,
     })
--- a/crates/forward/tests/testsuite/many_entries/mod.rs
+++ b/crates/forward/tests/testsuite/many_entries/mod.rs
@@ -9,3 +9,4 @@
 mod refusals;
 mod shedding;
 mod subjects;
+mod whole_fleet;
--- a/crates/forward/tests/testsuite/many_entries/shedding.rs
+++ b/crates/forward/tests/testsuite/many_entries/shedding.rs
@@ -7,7 +7,7 @@
 use googletest::prelude::*;
 use rand::rngs::StdRng;
 
-use super::fleet::{Fleet, Load, Setup};
+use super::fleet::{Fleet, Load, Setup, TARGET};
 
 const ENTRIES: u32 = 13;
 const ENGINES: usize = 9;
@@ -36,6 +36,7 @@
         stated_share: 1.0,
         memory_tokens: 235_664,
         copy_rate: None,
+        target: TARGET,
         period_ms: 100,
         prompt,
     })
--- a/crates/forward/tests/testsuite/many_entries/subjects.rs
+++ b/crates/forward/tests/testsuite/many_entries/subjects.rs
@@ -9,7 +9,7 @@
 use rand::Rng;
 use rand::rngs::StdRng;
 
-use super::fleet::{Fleet, Load, Outcomes, Setup};
+use super::fleet::{Fleet, Load, Outcomes, Setup, TARGET};
 
 const ACCOUNTS: usize = 60;
 /// Subjects of each account.
@@ -73,6 +73,7 @@
         stated_share: 0.75,
         memory_tokens: 234_931,
         copy_rate: None,
+        target: TARGET,
         period_ms: 100,
         prompt,
     })
