--- a/crates/forward/tests/testsuite/main.rs
+++ b/crates/forward/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod place;
 mod registry;
 mod retry;
+mod saturated_homes;
 mod share;
 mod stalls;
 mod streams;
