--- a/crates/forward/src/control_host.rs
+++ b/crates/forward/src/control_host.rs
@@ -1,56 +1,69 @@
-//! Choice of the control host that answers a forwarding entry and aggregates the reports of all
-//! entries.
+//! Choice of the control host that answers a forwarding entry and sums its reports.
 //!
-//! Entries with different control hosts see each other's load half a second late and overfill the
-//! same engines. All entries therefore use the first host by name that is connected and able to
-//! answer, whatever the order of connections. One that does not answer is replaced by the next by
-//! name.
+//! If all entries of a large fleet use the same host, it spends all of its time on them and their
+//! reports become old. Entries therefore spread over the hosts: each ranks them by a hash that
+//! differs between entries, those of its own failure domain first, which keeps most traffic inside
+//! the domain. A host that does not answer is replaced by the next in the order; when it is back,
+//! its entries return to it.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use crate::place::distance;
+
+/// Rank of a control host at an entry; the least one is preferred.
+type Rank = (bool, u64, Arc<str>);
+
 /// The connected control hosts and the one in use. `K` identifies a connection.
 ///
 /// ```
 /// use coltsfootnotch_forward::control_host::ControlHostSelector;
-/// let mut selector = ControlHostSelector::default();
-/// selector.add_link("b", 1);
-/// selector.add_link("a", 2);
-/// assert_eq!(selector.selected(), Some(2));
+/// let mut selector = ControlHostSelector::new("colombo", 7);
+/// selector.add_link("a", "gampaha", 1);
+/// selector.add_link("b", "colombo", 2);
+/// assert_eq!(selector.selected(), Some(2), "of its own failure domain");
 /// selector.on_timeout();
-/// assert_eq!(selector.selected(), Some(1), "the next by name");
+/// assert_eq!(selector.selected(), Some(1), "the next");
 /// ```
 #[derive(Debug, Clone)]
 pub struct ControlHostSelector<K> {
-    links: BTreeMap<K, Arc<str>>,
+    domain: Arc<str>,
+    key: u64,
+    links: BTreeMap<K, Rank>,
     selected: Option<K>,
 }
 
-impl<K> Default for ControlHostSelector<K> {
-    fn default() -> Self {
+impl<K: Copy + Ord> ControlHostSelector<K> {
+    /// Creates the selector of an entry in `domain`, without connections; `key` differs between entries.
+    #[must_use]
+    pub fn new(domain: &str, key: u64) -> Self {
         Self {
+            domain: domain.into(),
+            key,
             links: BTreeMap::new(),
             selected: None,
         }
     }
-}
 
-impl<K: Copy + Ord> ControlHostSelector<K> {
-    /// Adds the connection to a control host. Returns whether the host in use changed.
-    pub fn add_link(&mut self, host: &str, link: K) -> bool {
-        self.links.insert(link, host.into());
-        let is_earlier = match self.selected.and_then(|link| self.links.get(&link)) {
-            Some(selected) => host < &**selected,
-            None => true,
-        };
-        if is_earlier {
+    /// Adds the connection to a control host in `domain`, unless it is known. Returns whether the host in
+    /// use changed.
+    pub fn add_link(&mut self, host: &str, domain: &str, link: K) -> bool {
+        if self.links.contains_key(&link) {
+            return false;
+        }
+        // Positive numbers have the order of their bits.
+        let order = distance(self.key, host).to_bits();
+        let rank = (domain != &*self.domain, order, Arc::from(host));
+        let selected = self.selected.and_then(|link| self.links.get(&link));
+        let is_preferred = selected.is_none_or(|selected| rank < *selected);
+        self.links.insert(link, rank);
+        if is_preferred {
             self.selected = Some(link);
         }
-        is_earlier
+        is_preferred
     }
 
-    /// Removes a connection that was closed or whose host cannot answer. Returns whether the host
-    /// in use changed.
+    /// Removes a connection that was closed. Returns whether the host in use changed.
     pub fn remove_link(&mut self, link: K) -> bool {
         self.links.remove(&link);
         let was_selected = self.selected == Some(link);
@@ -60,18 +73,15 @@
         was_selected
     }
 
-    /// The host in use did not answer: changes to the next by name, after the last to the first.
+    /// The host in use did not answer: changes to the next in the order, after the last to the first.
     pub fn on_timeout(&mut self) {
         let Some(timed_out) = self.selected else {
             return;
         };
-        let name = |link: K| self.links.get(&link).map(|host| (&**host, link));
-        let later = self
-            .links
-            .keys()
-            .copied()
-            .filter(|k| name(*k) > name(timed_out));
-        let next = later.min_by_key(|k| name(*k));
+        let rank = |link: K| self.links.get(&link).map(|rank| (rank, link));
+        let links = self.links.keys().copied();
+        let later = links.filter(|link| rank(*link) > rank(timed_out));
+        let next = later.min_by_key(|link| rank(*link));
         self.selected = next.or_else(|| self.first());
     }
 
@@ -81,14 +91,8 @@
         self.selected
     }
 
-    /// The connections to the other hosts.
-    pub fn others(&self) -> impl Iterator<Item = K> {
-        let links = self.links.keys().copied();
-        links.filter(|link| self.selected != Some(*link))
-    }
-
     fn first(&self) -> Option<K> {
-        let first = self.links.iter().min_by_key(|(link, host)| (*host, *link));
+        let first = self.links.iter().min_by_key(|(link, rank)| (*rank, *link));
         first.map(|(link, _)| *link)
     }
 }
--- a/crates/forward/src/load/in_flight.rs
+++ b/crates/forward/src/load/in_flight.rs
@@ -15,6 +15,19 @@
     pub held_tokens: u64,
 }
 
+impl InFlight {
+    /// A row of a report with these requests and no counters.
+    pub(super) fn usage<N>(self, id: N) -> UpstreamUsage<N> {
+        let usage: UpstreamUsage<()> = UpstreamUsage {
+            waiting_tokens: self.waiting_tokens,
+            running: self.running,
+            held_tokens: self.held_tokens,
+            ..UpstreamUsage::default()
+        };
+        usage.with_id(id)
+    }
+}
+
 impl AddAssign for InFlight {
     fn add_assign(&mut self, other: Self) {
         self.waiting_tokens += other.waiting_tokens;
@@ -23,8 +36,8 @@
     }
 }
 
-impl From<&UpstreamUsage> for InFlight {
-    fn from(usage: &UpstreamUsage) -> Self {
+impl<N> From<&UpstreamUsage<N>> for InFlight {
+    fn from(usage: &UpstreamUsage<N>) -> Self {
         Self {
             waiting_tokens: usage.waiting_tokens,
             running: usage.running,
--- a/crates/forward/src/load/mod.rs
+++ b/crates/forward/src/load/mod.rs
@@ -3,13 +3,21 @@
 //! Many entries send to the same few upstreams, and a model engine prefills prompts in order. An
 //! entry that knows only its own requests overfills engines that others have just filled, and finds
 //! slow or failing upstreams late. Each entry therefore reports its requests about ten times per
-//! second; control hosts sum the reports. The view of the others is up to two reporting periods and
-//! two transits old (some 200 ms).
+//! second to one control host. Control hosts sum the reports of their entries ([`FleetLoad`]), send
+//! the sums to each other, and the totals to their entries ([`LoadFeed`]), which subtract what they
+//! reported themselves ([`OwnReports`]). The view of the others is up to three periods and three
+//! transits old (some 300 ms, 150 ms on average).
 
 mod backlog_limit;
 mod cached_segments;
+mod entry_count;
 mod fleet_load;
 mod in_flight;
+mod load_decoder;
+mod load_encoder;
+mod load_feed;
+mod name_numbers;
+mod own_reports;
 mod period;
 mod slowdown;
 mod subject_demand;
@@ -20,8 +28,13 @@
 
 pub use backlog_limit::BacklogLimit;
 pub use cached_segments::{CachedSegments, PromptSegment};
-pub use fleet_load::{FleetLoad, Totals, add_account};
+pub use entry_count::EntryCount;
+pub use fleet_load::{FleetLoad, add_account};
 pub use in_flight::InFlight;
+pub use load_decoder::LoadDecoder;
+pub use load_encoder::LoadEncoder;
+pub use load_feed::LoadFeed;
+pub use own_reports::OwnReports;
 pub use period::reporting_period;
 pub use slowdown::Slowdown;
 pub(crate) use slowdown::decay;
--- a/crates/forward/src/retry/crash_evidence.rs
+++ b/crates/forward/src/retry/crash_evidence.rs
@@ -16,7 +16,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
-use coltsfootnotch_wire::{CrashSuspects, EntryLoadReport, SegmentGroup, SegmentReport};
+use coltsfootnotch_wire::{CrashReport, CrashSuspects, SegmentGroup, SegmentReport};
 
 /// Separate crashes from which a segment is refused.
 const MIN_CRASHES: usize = 3;
@@ -71,12 +71,12 @@
 /// ```
 /// use std::time::Duration;
 /// use coltsfootnotch_forward::retry::CrashEvidence;
-/// use coltsfootnotch_wire::{CrashSuspects, EntryLoadReport};
+/// use coltsfootnotch_wire::{CrashReport, CrashSuspects};
 /// let mut evidence = CrashEvidence::default();
 /// for run in 0..3 {
 ///     let now = Duration::from_secs(run);
 ///     let crash = CrashSuspects { run, upstream: run, service: "spec".into(), segments: vec![7] };
-///     let report = EntryLoadReport {
+///     let report = CrashReport {
 ///         answered_services: vec!["spec".into()],
 ///         crash_suspects: vec![crash],
 ///         ..Default::default()
@@ -102,8 +102,9 @@
 }
 
 impl CrashEvidence {
-    /// Records an entry's report, one of which comes each `period`.
-    pub fn on_report(&mut self, now: Duration, period: Duration, report: &EntryLoadReport) {
+    /// Records a report of an entry, or of the entries of another control host. What an entry knows is
+    /// reported within `period`.
+    pub fn on_report(&mut self, now: Duration, period: Duration, report: &CrashReport) {
         for service in &report.answered_services {
             self.last_answer.insert(service.clone(), now);
         }
--- a/crates/forward/src/retry/refused_segments.rs
+++ b/crates/forward/src/retry/refused_segments.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coltsfootnotch_wire::{CrashSuspects, EntryLoadReport, SegmentGroup, SegmentReport};
+use coltsfootnotch_wire::{CrashReport, CrashSuspects, SegmentGroup, SegmentReport};
 
 use super::crash_evidence::{is_refused_since, segment_group};
 use crate::load::PromptSegment;
@@ -109,17 +109,18 @@
         }
     }
 
-    /// Adds to a report what was recorded since the last one, and all groups refused.
-    pub fn report(&mut self, now: Duration, report: &mut EntryLoadReport) {
-        report.crash_suspects = std::mem::take(&mut self.suspects);
+    /// What was recorded since the last report, and all groups refused.
+    pub fn report(&mut self, now: Duration) -> CrashReport {
         let services = std::mem::take(&mut self.answered_services).into_iter();
-        report.answered_services = services.map(|service| service.to_string()).collect();
-        report.answered_segments = std::mem::take(&mut self.answered).into_iter().collect();
-        report.sound_segments = std::mem::take(&mut self.sound).into_iter().collect();
         let groups = self.groups.iter();
-        report.refused_segments = groups
-            .map(|g| segment_group(now, &g.segments, g.last_crash))
-            .collect();
+        let groups = groups.map(|g| segment_group(now, &g.segments, g.last_crash));
+        CrashReport {
+            crash_suspects: std::mem::take(&mut self.suspects),
+            answered_services: services.map(|service| service.to_string()).collect(),
+            answered_segments: std::mem::take(&mut self.answered).into_iter().collect(),
+            sound_segments: std::mem::take(&mut self.sound).into_iter().collect(),
+            refused_segments: groups.collect(),
+        }
     }
 
     fn watch(&mut self, now: Duration, suspected: &[u64]) {
--- a/crates/forward/tests/testsuite/crashing_segments.rs
+++ b/crates/forward/tests/testsuite/crashing_segments.rs
@@ -6,7 +6,7 @@
 
 use coltsfootnotch_forward::load::PromptSegment;
 use coltsfootnotch_forward::retry::{CrashEvidence, RefusedSegments};
-use coltsfootnotch_wire::{CrashSuspects, EntryLoadReport, SegmentReport};
+use coltsfootnotch_wire::{CrashReport, CrashSuspects, SegmentReport};
 use googletest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -321,8 +321,7 @@
         }
         let period = Duration::from_millis(REPORT_MS);
         for entry in &mut self.entries {
-            let mut report = EntryLoadReport::default();
-            entry.report(now, &mut report);
+            let report = entry.report(now);
             self.evidence.on_report(now, period, &report);
         }
         let report = self.evidence.take_report(now, period);
@@ -418,10 +417,10 @@
             service: "spec".to_owned(),
             segments: vec![7],
         };
-        let report = EntryLoadReport {
+        let report = CrashReport {
             answered_services: vec!["spec".to_owned()],
             crash_suspects: vec![crash],
-            ..EntryLoadReport::default()
+            ..CrashReport::default()
         };
         evidence.on_report(now, period, &report);
     }
--- a/crates/forward/tests/testsuite/many_entries/fleet.rs
+++ b/crates/forward/tests/testsuite/many_entries/fleet.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use coltsfootnotch_forward::load::{
-    CachedSegments, FleetLoad, SentRequest, SubjectDemand, UpstreamLoads,
+    CachedSegments, FleetLoad, OwnReports, SentRequest, SubjectDemand, UpstreamLoads,
 };
 use coltsfootnotch_forward::place::{
     Candidate, CopyRate, Placement, PlacementRequest, PrefillRate, Prompt, place_engine,
@@ -94,6 +94,9 @@
     shares: FairShares,
     subjects: SubjectDemand,
     notices: UpstreamNotices,
+    reports: OwnReports,
+    /// Number of its last report.
+    reported: u64,
 }
 
 /// A request that an entry is late to send.
@@ -121,8 +124,8 @@
     refusals: Refusals,
     send_delay: Duration,
     control: FleetLoad<usize>,
-    /// Reports in transit to the entries.
-    in_transit: Vec<EntryLoadReport>,
+    /// Totals in transit to the entries, and the number of the last report of each that they include.
+    in_transit: Option<(EntryLoadReport, Vec<u64>)>,
     rng: StdRng,
     now: Duration,
 }
@@ -151,6 +154,8 @@
                 shares,
                 subjects: SubjectDemand::default(),
                 notices: UpstreamNotices::default(),
+                reports: OwnReports::default(),
+                reported: 0,
             }
         };
         Self {
@@ -166,7 +171,7 @@
             refusals: Refusals::new(setup.engines),
             send_delay: Duration::ZERO,
             control: FleetLoad::default(),
-            in_transit: Vec::new(),
+            in_transit: None,
             rng: StdRng::seed_from_u64(7),
             now: Duration::ZERO,
         }
@@ -316,6 +321,7 @@
             shares,
             subjects,
             notices,
+            ..
         } = &mut self.entries[entry];
         let subject_per_s = prompt.subject().map_or(0.0, |subject| {
             subjects.per_s(now, subject.id, shares.local_share(now))
@@ -481,10 +487,13 @@
     /// Exchanges reports: they reach the control host now, and the other entries a period later.
     fn exchange_reports(&mut self) {
         let now = self.now;
-        for (entry, report) in self.entries.iter_mut().zip(self.in_transit.drain(..)) {
-            let believed_cache = (self.setup.memory_tokens as f64 * CACHE_SHARE) as u64;
-            entry.loads.apply_remote(now, &report, |_| believed_cache);
-            entry.shares.apply_remote(now, &report);
+        let believed_cache = (self.setup.memory_tokens as f64 * CACHE_SHARE) as u64;
+        if let Some((totals, included)) = self.in_transit.take() {
+            for (entry, included) in self.entries.iter_mut().zip(included) {
+                let others = entry.reports.subtract(included, totals.clone());
+                entry.loads.apply_remote(now, &others, |_| believed_cache);
+                entry.shares.apply_remote(now, &others);
+            }
         }
         for (n, entry) in self.entries.iter_mut().enumerate() {
             let (upstreams, segments) = entry.loads.report();
@@ -495,12 +504,11 @@
                 accounts,
                 ..EntryLoadReport::default()
             };
-            self.control.record(now, n, report);
+            entry.reported = entry.reports.record(now, &report);
+            self.control.record(now, n, 1, report);
         }
-        let totals = self.control.totals(now);
-        let reports = (0..self.entries.len()).map(|n| self.control.excluding(now, &totals, &n));
-        self.in_transit = reports.collect();
-        self.control.start_period(now);
+        let included = self.entries.iter().map(|entry| entry.reported).collect();
+        self.in_transit = Some((self.control.take_totals(now), included));
     }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -30,9 +30,9 @@
     ConfigBody, FromRelay, Heartbeat, MembersError, ProposeError, ServiceBatch, ToRelay,
 };
 pub use upstream::{
-    AbortRecord, AccountDemand, BegunStreams, CrashSuspects, EntryLoadReport, SegmentGroup,
-    SegmentRecord, SegmentReport, StreamOriginRecord, UpstreamKeepAlive, UpstreamRecord,
-    UpstreamStage, UpstreamUsage,
+    AbortRecord, AccountDemand, BegunStreams, CrashReport, CrashSuspects, EntryLoadReport,
+    LoadChanges, SegmentGroup, SegmentRecord, SegmentReport, StreamOriginRecord, UpstreamKeepAlive,
+    UpstreamRecord, UpstreamStage, UpstreamUsage,
 };
 
 /// Commonly used messages.
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -44,6 +44,7 @@
             Self::ToRelay(ToRelay::Service(_)) => role == Role::Sidecar,
             Self::ToRelay(
                 ToRelay::Load { .. }
+                | ToRelay::LoadElsewhere
                 | ToRelay::FindStream { .. }
                 | ToRelay::Lease { .. }
                 | ToRelay::Handover { .. },
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -143,16 +143,18 @@
         /// The host.
         host: HostName,
     },
-    /// Reports the load that a forwarding entry has sent to upstreams since its last report.
+    /// Reports the load that a forwarding entry has sent to upstreams since its last report, to the one
+    /// control host that it has selected. The host sends it the load of all entries.
     Load {
-        /// Whether the entry has selected this control host, which then sends it the load of the
-        /// other entries.
-        is_selected: bool,
+        /// Number of the report, from 1.
+        number: u64,
         /// The report.
         load: Box<EntryLoadReport>,
-        /// Streams that the entry has begun since its last report to this control host.
+        /// Streams that the entry has begun since its last report.
         streams: Vec<BegunStreams>,
     },
+    /// The entry reports its load to another control host from now on.
+    LoadElsewhere,
     /// Asks where a stream that its caller resumes began.
     FindStream {
         /// Request number, repeated in the response.
@@ -254,12 +256,16 @@
         /// Start time of the process that left, if announced, in milliseconds since the Unix epoch.
         born_ms: Option<u64>,
     },
-    /// Load that all other forwarding entries have sent to upstreams.
+    /// Load that all forwarding entries have sent to upstreams.
     FleetLoad {
         /// Number of entries with a recent report, including the receiver.
         entries: u32,
-        /// Sum of their reports, without the receiver's.
-        load: Box<EntryLoadReport>,
+        /// Number of the receiver's last report that the load includes; zero for none.
+        included: u64,
+        /// Interval at which the sender wants reports, in milliseconds.
+        period_ms: u32,
+        /// Sum of the entries' reports: an encoded [`LoadChanges`](crate::LoadChanges).
+        load: Vec<u8>,
         /// Whether the sender knows all upstreams: it was not started just now while others may have served.
         lists_all_upstreams: bool,
         /// Segments that crash upstreams.
@@ -284,6 +290,8 @@
     ControlHosts {
         /// Whether the sender is one of them; if not, the message is a redirect.
         has_log: bool,
+        /// Failure domain of the sender.
+        domain: DomainName,
         /// The addresses.
         addresses: Vec<SocketAddr>,
     },
--- a/crates/wire/src/upstream.rs
+++ b/crates/wire/src/upstream.rs
@@ -51,11 +51,11 @@
     pub sequence: u64,
 }
 
-/// Requests of entries at one upstream, and its recent performance.
+/// Requests of entries at one upstream, and its recent performance. `N` names the upstream.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct UpstreamUsage {
+pub struct UpstreamUsage<N = String> {
     /// The upstream.
-    pub id: String,
+    pub id: N,
     /// Prompt tokens of requests that have no first event yet.
     pub waiting_tokens: u64,
     /// Requests in flight.
@@ -72,22 +72,49 @@
     pub succeeded: u32,
 }
 
-/// Service of a client account since the last report, in service units.
+impl<N> UpstreamUsage<N> {
+    /// The same usage with another name of the upstream.
+    ///
+    /// ```
+    /// use coltsfootnotch_wire::UpstreamUsage;
+    /// let used = UpstreamUsage { id: 7_u32, running: 3, ..Default::default() };
+    /// assert_eq!(used.with_id("spec-1").running, 3);
+    /// ```
+    pub fn with_id<M>(&self, id: M) -> UpstreamUsage<M> {
+        UpstreamUsage {
+            id,
+            waiting_tokens: self.waiting_tokens,
+            running: self.running,
+            held_tokens: self.held_tokens,
+            elapsed_ms: self.elapsed_ms,
+            expected_ms: self.expected_ms,
+            failed: self.failed,
+            succeeded: self.succeeded,
+        }
+    }
+
+    /// Whether nothing is in flight and nothing was counted.
+    pub fn is_unused(&self) -> bool {
+        self.with_id(()) == UpstreamUsage::default()
+    }
+}
+
+/// Service of a client account since the last report, in service units. `N` names the account.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AccountDemand {
+pub struct AccountDemand<N = String> {
     /// The account.
-    pub account: String,
+    pub account: N,
     /// Service that its requests asked for.
     pub requested: u64,
     /// Service of the requests that were sent to upstreams.
     pub admitted: u64,
 }
 
-/// A prompt segment that an upstream has cached.
+/// A prompt segment that an upstream has cached. `N` names the upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SegmentRecord {
+pub struct SegmentRecord<N = String> {
     /// The upstream.
-    pub upstream: String,
+    pub upstream: N,
     /// Digest of the segment.
     pub segment: u64,
     /// Its length in tokens.
@@ -149,15 +176,46 @@
     pub aborts: Vec<AbortRecord>,
     /// Digests of contents that crashed an upstream, of which a request has succeeded since.
     pub cleared: Vec<u64>,
-    /// Segments that were in flight when upstreams ended, since the last report.
+    /// Segments that crash upstreams.
+    pub crashes: CrashReport,
+}
+
+/// Load of all entries, as the changes since the sender's previous message on the connection.
+///
+/// Upstreams and accounts have numbers in place of names, and only rows that have changed are sent: with names
+/// and all rows, a control host of a large fleet sends ten times the bytes.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadChanges {
+    /// Whether this holds all rows and names, and replaces what was received before.
+    pub is_whole: bool,
+    /// Names of upstreams that were not sent before.
+    pub upstream_names: Vec<(u32, String)>,
+    /// Names of client accounts that were not sent before.
+    pub account_names: Vec<(u32, String)>,
+    /// Upstreams whose requests in flight have changed or that have counters.
+    pub upstreams: Vec<UpstreamUsage<u32>>,
+    /// By client account, since the last message.
+    pub accounts: Vec<AccountDemand<u32>>,
+    /// Prompt segments that upstreams have cached since the last message.
+    pub segments: Vec<SegmentRecord<u32>>,
+    /// Requests during which an upstream closed the connection, since the last message.
+    pub aborts: Vec<AbortRecord>,
+    /// Digests of contents that crashed an upstream, of which a request has succeeded since.
+    pub cleared: Vec<u64>,
+}
+
+/// What entries know of segments that crash upstreams, since their last report.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// Segments that were in flight when upstreams ended.
     pub crash_suspects: Vec<CrashSuspects>,
-    /// Services with prompts of which an answer began since the last report.
+    /// Services with prompts of which an answer began.
     pub answered_services: Vec<String>,
-    /// Segments under suspicion of which a request was answered since the last report.
+    /// Segments under suspicion of which a request was answered.
     pub answered_segments: Vec<u64>,
     /// Segments that came under suspicion and of which a request was answered lately, before that.
     pub sound_segments: Vec<u64>,
-    /// Segments that the entry refuses.
+    /// Segments that entries refuse.
     pub refused_segments: Vec<SegmentGroup>,
 }
 
--- a/src/coltsfootnotch/daemon/control/daemon/connections.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/connections.rs
@@ -65,8 +65,11 @@
                 seeded.discovery.remove_host(now, &peer.host);
             }
         }
+        let is_connected = self.links.has_control(&peer.host);
         if let Some(seeded) = &mut self.seeded {
             seeded.entries.remove(link);
+            seeded.load.remove_entry(link);
+            seeded.load.remove_member(link, &peer.host, is_connected);
         }
         for request in self.requests.forwarded_over(link) {
             if let Some((request, response)) = self.requests.abort(request) {
--- a/src/coltsfootnotch/daemon/control/daemon/from_hosts.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/from_hosts.rs
@@ -40,13 +40,17 @@
                 self.submit(now, Origin::Members(link, id), body);
             }
             ToRelay::Load {
-                is_selected,
+                number,
                 load,
                 streams,
             } => {
                 if let Some(seeded) = &mut self.seeded {
-                    seeded.on_load(now, link, is_selected, *load);
-                    seeded.origins.record_report(now, &streams);
+                    seeded.on_load(now, link, number, *load, streams);
+                }
+            }
+            ToRelay::LoadElsewhere => {
+                if let Some(seeded) = &mut self.seeded {
+                    seeded.load.remove_entry(link);
                 }
             }
             ToRelay::FindStream { id, stream } => self.find_stream(link, id, stream),
--- a/src/coltsfootnotch/daemon/control/daemon/from_members.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/from_members.rs
@@ -7,7 +7,7 @@
 
 use super::ControlDaemon;
 use crate::daemon::control::packet::{
-    LeaderRequest, LeaderResponse, MemberHello, MemberPacket, RelayPacket,
+    LeaderRequest, LeaderResponse, LoadPart, MemberHello, MemberPacket, RelayPacket,
 };
 use crate::daemon::control::request_table::{Origin, RequestId};
 
@@ -44,6 +44,7 @@
             MemberPacket::UpstreamLeft { id, born_ms } => {
                 self.record_upstream_left(now, &id, born_ms);
             }
+            MemberPacket::Load(part) => self.on_load_part(now, link, peer, &part),
             MemberPacket::Request { id, body } => self.on_member_request(now, link, id, body),
             MemberPacket::Response { id, response } => {
                 let request = RequestId(id);
@@ -54,12 +55,27 @@
         }
     }
 
+    /// Handles the load of another control host's entries.
+    fn on_load_part(&mut self, now: Duration, link: LinkId, peer: &PeerId, part: &LoadPart) {
+        let Ok(changes) = postcard::from_bytes(&part.load) else {
+            return self.log_forbidden(peer, "load");
+        };
+        let Some(seeded) = &mut self.seeded else {
+            return;
+        };
+        seeded.record_crashes(now, &part.crashes);
+        seeded.origins.record_report(now, &part.streams);
+        seeded
+            .load
+            .record_part(now, link, &peer.host, part.entries, changes);
+    }
+
     fn on_hello(&mut self, now: Duration, hello: MemberHello) {
         let host = hello.member.host.clone();
         if let (Some(seeded), Some(seeded_hello)) = (&mut self.seeded, hello.seeded.clone())
             && seeded.discovery.record_hello(now, &host, seeded_hello)
         {
-            let message = seeded.control_hosts();
+            let message = seeded.control_hosts(&self.host.identity.domain);
             self.broadcast_to_entries(&message);
             self.broadcast_hello();
         }
--- a/src/coltsfootnotch/daemon/control/daemon/mod.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/mod.rs
@@ -106,7 +106,7 @@
         let seeded = cfg.seeds.as_ref();
         let seeded = seeded.map(|seeds| {
             let discovery = Discovery::new(cfg.address(), !cfg.diskless, seeds, saved_addresses);
-            Seeded::new(now, discovery, seeds.first_start && hello.empty)
+            Seeded::new(now, me.clone(), discovery, seeds.first_start && hello.empty)
         });
         let local = cfg.members.iter().find(|m| m.host == me);
         let dials = cfg.peers(&me).map(|m| dial(&endpoint, m)).collect();
@@ -169,7 +169,7 @@
         if now >= self.maintenance_due {
             self.maintain(now);
         }
-        self.send_fleet_load(now);
+        self.exchange_load(now);
         self.run_effects(now)
     }
 
--- a/src/coltsfootnotch/daemon/control/packet.rs
+++ b/src/coltsfootnotch/daemon/control/packet.rs
@@ -7,7 +7,7 @@
 use coltsfootnotch_consensus::{MemberId, Message};
 use coltsfootnotch_membership::{SummaryDelta, SumsDelta};
 use coltsfootnotch_types::HostName;
-use coltsfootnotch_wire::{MembersError, ProposeError};
+use coltsfootnotch_wire::{BegunStreams, CrashReport, MembersError, ProposeError};
 use serde::{Deserialize, Serialize};
 
 use super::seeded::SeededHello;
@@ -38,6 +38,8 @@
         /// Start time of the run that left, if reported, in Unix milliseconds.
         born_ms: Option<u64>,
     },
+    /// Load of the entries that report to the sender.
+    Load(LoadPart),
     /// The response to a `Request`.
     Response {
         /// Number of the request.
@@ -47,6 +49,19 @@
     },
 }
 
+/// Load of the entries that report to one control host, since its last packet on the connection.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct LoadPart {
+    /// Number of the entries.
+    pub entries: u32,
+    /// Sum of their reports: an encoded [`LoadChanges`](coltsfootnotch_wire::LoadChanges).
+    pub load: Vec<u8>,
+    /// What they know of segments that crash upstreams.
+    pub crashes: CrashReport,
+    /// Streams that they have begun.
+    pub streams: Vec<BegunStreams>,
+}
+
 /// Identity and state of a member, for the bootstrap of a group and the admission of new members.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberHello {
--- a/src/coltsfootnotch/daemon/control/seeded/entries.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/entries.rs
@@ -1,15 +1,12 @@
 //! Forwarding entries that are connected to this control host.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use coltsfootnotch_fabric::LinkId;
-use coltsfootnotch_forward::load::FleetLoad;
 use coltsfootnotch_types::{DomainName, HostName};
-use coltsfootnotch_wire::{AccountDemand, EntryLoadReport, FromRelay, SegmentReport};
-
-use super::account_usage::AccountUsage;
+use coltsfootnotch_wire::FromRelay;
 
 /// Time after a query for which the entry counts as having this control host selected: two intervals of
 /// its queries.
@@ -90,12 +87,8 @@
 #[derive(Default)]
 pub(in crate::daemon::control) struct ConnectedEntries {
     links: BTreeMap<LinkId, ConnectedEntry>,
-    /// Entries that subscribe to the load of the others.
-    subscribers: BTreeSet<LinkId>,
-    pub(in crate::daemon::control) fleet: FleetLoad<LinkId>,
-    usage: AccountUsage,
-    /// Increases when an entry starts or stops taking connections over.
-    neighbours_version: u64,
+    /// By failure domain; increases when an entry of it starts or stops taking connections over.
+    neighbours_versions: BTreeMap<DomainName, u64>,
     queued: Vec<LeaseQuery>,
     in_read: Option<Vec<LeaseQuery>>,
 }
@@ -116,11 +109,14 @@
 
     pub(in crate::daemon::control) fn remove(&mut self, link: LinkId) {
         let removed = self.links.remove(&link);
-        if removed.is_some_and(|entry| entry.accepts_handover) {
-            self.neighbours_version += 1;
+        let accepting = removed.filter(|entry| entry.accepts_handover);
+        if let Some(point) = accepting.and_then(|entry| entry.handover) {
+            self.increase_neighbours_version(&point.domain);
         }
-        self.subscribers.remove(&link);
-        self.fleet.remove(&link);
+    }
+
+    fn increase_neighbours_version(&mut self, domain: &DomainName) {
+        *self.neighbours_versions.entry(domain.clone()).or_default() += 1;
     }
 
     /// All connected entries.
@@ -133,65 +129,6 @@
         self.links.values()
     }
 
-    pub(in crate::daemon::control) fn record_load(
-        &mut self,
-        now: Duration,
-        link: LinkId,
-        is_selected: bool,
-        load: EntryLoadReport,
-    ) {
-        self.fleet.record(now, link, load);
-        if is_selected {
-            self.subscribers.insert(link);
-        } else {
-            self.subscribers.remove(&link);
-        }
-    }
-
-    /// Sends each subscriber the load of the other entries by `send`, and its neighbours if they have
-    /// changed, and starts a new period; returns the
-    /// number of upstream loads sent.
-    ///
-    /// Builds one message at a time: all together take some 100 bytes for each pair of entry and upstream.
-    pub(in crate::daemon::control) fn send_fleet_load(
-        &mut self,
-        now: Duration,
-        lists_all_upstreams: bool,
-        segments: &SegmentReport,
-        send: impl Fn(LinkId, FromRelay),
-    ) -> usize {
-        let entries = self.fleet.entries(now);
-        let totals = self.fleet.totals(now);
-        self.usage.record(totals.accounts());
-        let mut sent = 0;
-        for link in &self.subscribers {
-            if let Some(message) = neighbours(&mut self.links, *link, self.neighbours_version) {
-                send(*link, message);
-            }
-            let load = without_evidence(self.fleet.excluding(now, &totals, link));
-            sent += load.upstreams.len();
-            let message = FromRelay::FleetLoad {
-                entries,
-                load: Box::new(load),
-                lists_all_upstreams,
-                segments: segments.clone(),
-            };
-            send(*link, message);
-        }
-        self.fleet.start_period(now);
-        sent
-    }
-
-    /// The accounts that got less than they asked for, at intervals and only at a control host that
-    /// entries have selected: the others get the same reports later.
-    pub(in crate::daemon::control) fn take_limited(&mut self, now: Duration) -> Vec<AccountDemand> {
-        let limited = self.usage.take_limited(now);
-        if self.subscribers.is_empty() {
-            return Vec::new();
-        }
-        limited
-    }
-
     /// The entries that have this control host selected and need the configuration `number`, each with
     /// what `message` returns for the one that it has; records that it was sent to them.
     pub(in crate::daemon::control) fn take_needing_config(
@@ -219,13 +156,39 @@
         point: HandoverPoint,
         accepts: bool,
     ) {
-        if let Some(entry) = self.links.get_mut(&link) {
-            entry.handover = Some(point);
-            entry.accepts_handover = accepts;
-            self.neighbours_version += 1;
+        let Some(entry) = self.links.get_mut(&link) else {
+            return;
+        };
+        let is_same = entry.accepts_handover == accepts && entry.handover.as_ref() == Some(&point);
+        let domain = point.domain.clone();
+        entry.handover = Some(point);
+        let accepted = std::mem::replace(&mut entry.accepts_handover, accepts);
+        if !is_same && (accepts || accepted) {
+            self.increase_neighbours_version(&domain);
         }
     }
 
+    /// The neighbours of an entry, if it doesn't have the current ones; records that they were sent.
+    pub(in crate::daemon::control) fn take_neighbours(
+        &mut self,
+        link: LinkId,
+    ) -> Option<FromRelay> {
+        let entry = self.links.get_mut(&link)?;
+        let domain = entry.handover.as_ref()?.domain.clone();
+        let version = self.neighbours_versions.get(&domain).copied().unwrap_or(0);
+        if std::mem::replace(&mut entry.neighbours_sent, version) == version {
+            return None;
+        }
+        let others = self
+            .links
+            .iter()
+            .filter(|(other, entry)| **other != link && entry.accepts_handover);
+        let points = others.filter_map(|(_, entry)| entry.handover.as_ref());
+        let near = points.filter(|point| point.domain == domain);
+        let addresses = near.map(|point| point.address).collect();
+        Some(FromRelay::Neighbours { addresses })
+    }
+
     /// Queues a query; returns whether the caller has to start a read.
     pub(in crate::daemon::control) fn queue_query(
         &mut self,
@@ -255,38 +218,6 @@
     }
 }
 
-/// A report for entries, which get the conclusions from the evidence on segments only.
-fn without_evidence(load: EntryLoadReport) -> EntryLoadReport {
-    EntryLoadReport {
-        crash_suspects: Vec::new(),
-        answered_services: Vec::new(),
-        answered_segments: Vec::new(),
-        sound_segments: Vec::new(),
-        refused_segments: Vec::new(),
-        ..load
-    }
-}
-
-/// The neighbours of an entry, if it doesn't have this version of them; records that it was sent.
-fn neighbours(
-    links: &mut BTreeMap<LinkId, ConnectedEntry>,
-    link: LinkId,
-    version: u64,
-) -> Option<FromRelay> {
-    let entry = links.get_mut(&link)?;
-    let domain = entry.handover.as_ref()?.domain.clone();
-    if std::mem::replace(&mut entry.neighbours_sent, version) == version {
-        return None;
-    }
-    let others = links
-        .iter()
-        .filter(|(other, entry)| **other != link && entry.accepts_handover);
-    let points = others.filter_map(|(_, entry)| entry.handover.as_ref());
-    let near = points.filter(|point| point.domain == domain);
-    let addresses = near.map(|point| point.address).collect();
-    Some(FromRelay::Neighbours { addresses })
-}
-
 #[cfg(test)]
 #[path = "entries_tests.rs"]
 mod tests;
--- a/src/coltsfootnotch/daemon/control/seeded/handlers.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/handlers.rs
@@ -4,7 +4,6 @@
 
 use coltsfootnotch_consensus::MemberChange;
 use coltsfootnotch_fabric::LinkId;
-use coltsfootnotch_forward::load::reporting_period;
 use coltsfootnotch_state::{
     ApplyConfig, BodyDigest, ConfigReply, EvacuationReply, Op, Reply, SetEvacuation,
 };
@@ -14,19 +13,15 @@
 
 use super::bootstrap::{BootstrapBlocked, ObservedHost};
 use super::entries::LeaseQuery;
+use super::load_exchange::Round;
 use super::members::GroupView;
 use super::{Call, CallReply};
 use crate::core::{decode_reply, encode_op};
 use crate::daemon::control::daemon::ControlDaemon;
-use crate::daemon::control::packet::{LeaderRequest, LeaderResponse};
+use crate::daemon::control::packet::{LeaderRequest, LeaderResponse, MemberPacket};
 use crate::daemon::control::request_table::Origin;
 use crate::util::events;
 
-/// Minimum interval of load rounds per upstream load sent. Each takes some 25 bytes and a microsecond, so a
-/// control host spends at most 2.3 MB/s and a tenth of a core on them; in a very large fleet updates are
-/// less frequent.
-const SEND_TIME_PER_LOAD: Duration = Duration::from_micros(11);
-
 /// Interval of log lines while there is no group. A starting fleet has one within a second.
 pub(super) const NO_GROUP_LOG_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -43,8 +38,8 @@
         self.send_alive(now);
     }
 
-    /// Sends the load of the fleet to entries, if it is due.
-    pub(in crate::daemon::control) fn send_fleet_load(&mut self, now: Duration) {
+    /// Exchanges the load of the fleet with the other control hosts and the entries, if that is due.
+    pub(in crate::daemon::control) fn exchange_load(&mut self, now: Duration) {
         let Some(seeded) = &mut self.seeded else {
             return;
         };
@@ -57,26 +52,45 @@
                 link.send_host(message);
             }
         };
-        let lists_all_upstreams = seeded.lists_all_upstreams(now);
-        let segments = seeded
-            .evidence
-            .take_report(now, reporting_period(seeded.entries.fleet.entries(now)));
-        let sent = seeded
-            .entries
-            .send_fleet_load(now, lists_all_upstreams, &segments, send);
-        let entries = seeded.entries.fleet.entries(now);
-        let period = reporting_period(entries)
-            .max(SEND_TIME_PER_LOAD * u32::try_from(sent).unwrap_or(u32::MAX));
-        seeded.load_due = now + period;
+        let send_part = |link, part| {
+            if let Some(link) = links.get(link) {
+                link.send_member(&MemberPacket::Load(part));
+            }
+        };
+        for link in seeded.load.subscribers().collect::<Vec<_>>() {
+            if let Some(message) = seeded.entries.take_neighbours(link) {
+                send(link, message);
+            }
+        }
+        let period = seeded.evidence_period();
+        let round = Round {
+            lists_all_upstreams: seeded.lists_all_upstreams(now),
+            segments: &seeded.evidence.take_report(now, period),
+        };
+        let next = seeded
+            .load
+            .run_round(now, &round, &links.control_ids(), send_part, send);
+        seeded.load_due = now + next;
+        let reporting = seeded.load.subscribers().count() as f64;
+        let metrics = &self.host.metrics;
+        metrics.gauge("entries_reporting", &[]).set(reporting);
+        let entries = f64::from(seeded.load.entries(now));
+        metrics.gauge("fleet_entries", &[]).set(entries);
         self.log_limited_accounts(now);
     }
 
+    /// Logs the accounts that got less than they asked for. All control hosts have the same totals, so only
+    /// the leader logs them.
     fn log_limited_accounts(&mut self, now: Duration) {
+        let is_leader = self.replica.core().is_leader();
         let Some(seeded) = &mut self.seeded else {
             return;
         };
-        let entries = seeded.entries.fleet.entries(now);
-        for used in seeded.entries.take_limited(now) {
+        let entries = seeded.load.entries(now);
+        for used in seeded.load.take_limited(now) {
+            if !is_leader {
+                continue;
+            }
             self.host.log(
                 &events::ACCOUNT_LIMITED,
                 &[
--- a/src/coltsfootnotch/daemon/control/seeded/mod.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/mod.rs
@@ -11,6 +11,7 @@
 mod discovery;
 mod entries;
 mod handlers;
+mod load_exchange;
 pub mod members;
 mod upstreams;
 
@@ -18,11 +19,13 @@
 use std::time::Duration;
 
 use coltsfootnotch_fabric::LinkId;
-use coltsfootnotch_forward::load::reporting_period;
 use coltsfootnotch_forward::registry::UpstreamRegistry;
 use coltsfootnotch_forward::retry::CrashEvidence;
 use coltsfootnotch_forward::streams::StreamOrigins;
-use coltsfootnotch_wire::{EntryLoadReport, FromRelay, UpstreamKeepAlive};
+use coltsfootnotch_types::{DomainName, HostName};
+use coltsfootnotch_wire::{
+    BegunStreams, CrashReport, EntryLoadReport, FromRelay, UpstreamKeepAlive,
+};
 use serde::{Deserialize, Serialize};
 
 use self::bootstrap::SeededBootstrap;
@@ -31,6 +34,7 @@
 pub use self::connectivity::Connectivity;
 pub use self::discovery::Discovery;
 pub(super) use self::entries::{ConnectedEntries, ConnectedEntry, HandoverPoint};
+use self::load_exchange::LoadExchange;
 
 /// Settings for the discovery of control hosts.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -62,6 +66,7 @@
     pub(super) discovery: Discovery,
     pub(super) bootstrap: SeededBootstrap,
     pub(super) entries: ConnectedEntries,
+    pub(super) load: LoadExchange,
     pub(super) calls: Calls,
     pub(super) registry: UpstreamRegistry,
     /// Whether the fleet starts for the first time, so that no upstream can have served before.
@@ -80,11 +85,17 @@
 }
 
 impl Seeded {
-    pub(super) fn new(now: Duration, discovery: Discovery, is_first_start: bool) -> Self {
+    pub(super) fn new(
+        now: Duration,
+        host: HostName,
+        discovery: Discovery,
+        is_first_start: bool,
+    ) -> Self {
         Self {
             discovery,
             bootstrap: SeededBootstrap::default(),
             entries: ConnectedEntries::default(),
+            load: LoadExchange::new(host),
             calls: Calls::default(),
             registry: UpstreamRegistry::default(),
             is_first_start,
@@ -103,12 +114,25 @@
         &mut self,
         now: Duration,
         link: LinkId,
-        is_selected: bool,
+        number: u64,
         load: EntryLoadReport,
+        streams: Vec<BegunStreams>,
     ) {
-        let period = reporting_period(self.entries.fleet.entries(now));
-        self.evidence.on_report(now, period, &load);
-        self.entries.record_load(now, link, is_selected, load);
+        self.record_crashes(now, &load.crashes);
+        self.origins.record_report(now, &streams);
+        self.load.record(now, link, number, load, streams);
+    }
+
+    /// Records what entries know of segments that crash upstreams.
+    pub(super) fn record_crashes(&mut self, now: Duration, crashes: &CrashReport) {
+        let period = self.evidence_period();
+        self.evidence.on_report(now, period, crashes);
+    }
+
+    /// Time within which all control hosts receive what an entry knows: that until its report, and until
+    /// the round of the control host that it reports to.
+    fn evidence_period(&self) -> Duration {
+        self.load.period() * 2
     }
 
     /// Whether no upstream that may have served is missing in the registry.
@@ -117,8 +141,9 @@
     }
 
     /// Addresses of the control hosts that have a log, for forwarding entries.
-    pub(super) fn control_hosts(&self) -> FromRelay {
+    pub(super) fn control_hosts(&self, domain: &DomainName) -> FromRelay {
         FromRelay::ControlHosts {
+            domain: domain.clone(),
             has_log: self.discovery.has_log(),
             addresses: self.discovery.log_hosts(),
         }
--- a/src/coltsfootnotch/daemon/control/seeded/upstreams.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/upstreams.rs
@@ -135,7 +135,7 @@
         let Some(seeded) = &self.seeded else {
             return;
         };
-        self.send_to_host(link, seeded.control_hosts());
+        self.send_to_host(link, seeded.control_hosts(&self.host.identity.domain));
         if !seeded.discovery.has_log() {
             return;
         }
--- a/src/coltsfootnotch/daemon/entry/crash_suspects.rs
+++ b/src/coltsfootnotch/daemon/entry/crash_suspects.rs
@@ -10,9 +10,7 @@
 use coltsfootnotch_forward::load::PromptSegment;
 use coltsfootnotch_forward::retry::{CrashEvidence, RefusedSegments};
 use coltsfootnotch_types::prelude::*;
-use coltsfootnotch_wire::{
-    ContentKey, CrashRef, CrashSuspects as PrefixSuspects, EntryLoadReport, UpstreamCrash,
-};
+use coltsfootnotch_wire::{ContentKey, CrashRef, CrashSuspects as PrefixSuspects, UpstreamCrash};
 
 use super::ClientRequest;
 
@@ -97,8 +95,7 @@
 
     pub(super) fn tick(&mut self, now: Duration) {
         self.tracker.remove_expired(now);
-        let mut report = EntryLoadReport::default();
-        self.prefixes.report(now, &mut report);
+        let report = self.prefixes.report(now);
         self.evidence.on_report(now, REPORT_TIME, &report);
         let conclusions = self.evidence.take_report(now, REPORT_TIME);
         self.prefixes.apply(now, &conclusions);
--- a/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
@@ -5,6 +5,7 @@
 
 use coltsfootnotch_fabric::{Event, LinkId};
 use coltsfootnotch_forward::config::ForwardConfig;
+use coltsfootnotch_forward::load::LoadDecoder;
 use coltsfootnotch_forward::registry::{Announcement, RegistryUpdate};
 use coltsfootnotch_forward::streams::StreamOrigin;
 use coltsfootnotch_state::BodyDigest;
@@ -23,7 +24,6 @@
                 self.cx.log(&events::LINK_UP, &[("peer", &peer)]);
                 self.links.on_link_up(link, peer, tx);
                 self.links.send(link, self.handover_message());
-                self.log_if_selected(link);
             }
             Event::Down { link, peer } => {
                 self.cx.log(&events::LINK_DOWN, &[("peer", &peer)]);
@@ -71,16 +71,18 @@
             }
             FromRelay::FleetLoad {
                 entries,
+                included,
+                period_ms,
                 load,
                 lists_all_upstreams,
                 segments,
             } => {
                 self.apply_segments(now, &segments);
-                self.lists_all_upstreams = lists_all_upstreams;
-                let config = self.config.borrow().clone();
-                self.state
-                    .apply_remote(now, entries, &load, config.as_deref());
-                self.place_waiting(now);
+                if self.links.reports_to(link) {
+                    self.lists_all_upstreams = lists_all_upstreams;
+                    self.report_period = Duration::from_millis(period_ms.into());
+                    self.apply_fleet_load(now, link, entries, included, &load);
+                }
             }
             FromRelay::StreamFound { id, origin } => {
                 self.on_stream_found(now, link, id, origin.map(StreamOrigin::from));
@@ -101,10 +103,14 @@
                 self.apply_evacuations(now, revision, &domains);
             }
             FromRelay::Neighbours { addresses } => self.handover.set_neighbours(addresses),
-            FromRelay::ControlHosts { has_log, addresses } => {
+            FromRelay::ControlHosts {
+                has_log,
+                domain,
+                addresses,
+            } => {
                 self.links.add_reported(&self.endpoint, &addresses);
-                if !has_log {
-                    self.links.exclude(link);
+                if has_log && self.links.add_log_host(link, domain.as_str()) {
+                    self.log_if_selected(link);
                 }
             }
             // Messages for hosts of other roles.
@@ -120,6 +126,46 @@
         }
     }
 
+    /// Applies the load of all entries, less that of this one.
+    fn apply_fleet_load(
+        &mut self,
+        now: Duration,
+        link: LinkId,
+        entries: u32,
+        included: u64,
+        load: &[u8],
+    ) {
+        let changes = match postcard::from_bytes(load) {
+            Ok(changes) => changes,
+            Err(e) => {
+                log::error!("the load of the fleet can't be decoded: {e}");
+                return;
+            }
+        };
+        // The numbers of another control host mean other upstreams.
+        if self.decodes_from.replace(link) != Some(link) {
+            self.decoder = LoadDecoder::default();
+        }
+        let Some(totals) = self.decoder.apply(changes) else {
+            return;
+        };
+        let previous = self.own_reports.included_at();
+        let others = self.own_reports.subtract(included, totals);
+        if let Some(at) = self
+            .own_reports
+            .included_at()
+            .filter(|at| Some(*at) != previous)
+        {
+            let round_trip = now.saturating_sub(at).as_secs_f64();
+            let histogram = self.cx.metrics.histogram("load_round_trip_seconds", &[]);
+            histogram.record(round_trip);
+        }
+        let config = self.config.borrow().clone();
+        self.state
+            .apply_remote(now, entries, &others, config.as_deref());
+        self.place_waiting(now);
+    }
+
     fn apply_segments(&mut self, now: Duration, report: &SegmentReport) {
         for group in self.state.segments.apply(now, report) {
             let segments: Vec<String> = group.iter().map(|id| format!("{id:x}")).collect();
--- a/src/coltsfootnotch/daemon/forward/actor/maintenance.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/maintenance.rs
@@ -4,19 +4,17 @@
 use std::time::{Duration, Instant};
 
 use coltsfootnotch_forward::held::{HeldKind, Load};
-use coltsfootnotch_forward::load::reporting_period;
-use coltsfootnotch_forward::streams::group_streams;
+use coltsfootnotch_forward::streams::{StreamOrigin, group_streams};
 use coltsfootnotch_wire::ToRelay;
 
 use super::ForwardActor;
 use super::ForwardMsg;
-use super::Reporter::{Local, Nobody};
 use crate::daemon::forward::messages::StreamPause;
 use crate::util::events;
 
-/// Number of reports to the selected control host per report to the others. Entries select the same
-/// one unless they are disconnected from it; those that select another get reports less often.
-const REPORTS_PER_BROADCAST: u64 = 5;
+/// Time for which streams count as begun lately: until a control host that does not pass them on has been
+/// replaced, which takes two timeouts of a lease request.
+const BEGUN_LATELY: Duration = Duration::from_secs(2);
 
 /// Time without an announcement after which an upstream expires. Upstreams announce themselves
 /// about each second, with delays of up to some seconds.
@@ -25,37 +23,59 @@
 /// Time without any announcement after which those known may be out of date.
 pub(super) const UPDATES_CURRENT_FOR: Duration = Duration::from_secs(2);
 
+/// Age from which the load of the other entries counts as old. It comes ten times a second.
+const OLD_LOAD_AGE: Duration = Duration::from_secs(1);
+
 /// Interval of the lines that sum refusals by account.
 const REFUSED_INTERVAL: Duration = Duration::from_secs(2);
 
 impl ForwardActor {
-    /// Reports the load of this entry to the selected control host, and less often to the others,
-    /// which other entries may have selected.
+    /// Reports the load of this entry to the selected control host.
     pub(super) fn report(&mut self, now: Duration) {
         if now < self.report_due {
             return;
         }
-        self.report_due = now + reporting_period(self.state.entries());
-        self.reports += 1;
+        self.report_due = now + self.report_period;
         let load = self.state.report(now);
-        let begun = self.state.take_begun_streams();
-        self.load_for_others.record(now, Local, load.clone());
-        self.begun_for_others.extend(begun.iter().cloned());
-        self.links.send_to_selected(ToRelay::Load {
-            is_selected: true,
+        let begun = self.take_begun_streams(now);
+        let number = self.own_reports.record(now, &load);
+        self.links.send_load(ToRelay::Load {
+            number,
             load: Box::new(load),
             streams: group_streams(begun),
         });
-        if self.reports.is_multiple_of(REPORTS_PER_BROADCAST) {
-            let totals = self.load_for_others.totals(now);
-            let load = self.load_for_others.excluding(now, &totals, &Nobody);
-            self.load_for_others.start_period(now);
-            self.links.send_to_others(&ToRelay::Load {
-                is_selected: false,
-                load: Box::new(load),
-                streams: group_streams(self.begun_for_others.drain(..)),
-            });
+    }
+
+    /// The streams begun since the last report, or lately if that went to another control host.
+    fn take_begun_streams(&mut self, now: Duration) -> Vec<(u64, StreamOrigin)> {
+        let begun = self.state.take_begun_streams();
+        let is_old = |at: &Duration| now.saturating_sub(*at) >= BEGUN_LATELY;
+        while self
+            .begun_lately
+            .pop_front_if(|(at, ..)| is_old(at))
+            .is_some()
+        {}
+        let added = begun.iter().cloned();
+        self.begun_lately
+            .extend(added.map(|(stream, origin)| (now, stream, origin)));
+        if !self.links.changes_receiver() {
+            return begun;
+        }
+        let lately = self.begun_lately.iter();
+        lately
+            .map(|(_, stream, origin)| (*stream, origin.clone()))
+            .collect()
+    }
+
+    /// Logs when what this entry knows of the others has become old.
+    pub(super) fn check_load_age(&mut self, now: Duration) {
+        let age = now.saturating_sub(self.state.load_received_at());
+        let is_old = age >= OLD_LOAD_AGE;
+        if is_old && !std::mem::replace(&mut self.is_load_old, is_old) {
+            let age_ms = age.as_millis();
+            self.cx.log(&events::LOAD_OLD, &[("age_ms", &age_ms)]);
         }
+        self.is_load_old = is_old;
     }
 
     /// Logs the refusals per account whose own lines were held back.
--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -7,16 +7,18 @@
 mod streams;
 mod waits;
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use coltsfootnotch_fabric::Endpoint;
+use coltsfootnotch_fabric::{Endpoint, LinkId};
+use coltsfootnotch_forward::control_host::ControlHostSelector;
 use coltsfootnotch_forward::held::{HeldKind, HeldResources, Hold};
 use coltsfootnotch_forward::lease::ConfigLease;
 use coltsfootnotch_forward::line::WaitingLine;
-use coltsfootnotch_forward::load::FleetLoad;
+use coltsfootnotch_forward::load::{LoadDecoder, OwnReports, reporting_period};
 use coltsfootnotch_forward::overload::Overload;
 use coltsfootnotch_forward::pause_detector::PauseDetector;
 use coltsfootnotch_forward::retry::RetryBudget;
@@ -116,14 +118,6 @@
     outcome
 }
 
-/// Key of the load that is summed up for the control hosts that are not selected. Only the local
-/// entry reports; `Nobody` excludes no report from the sum.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-enum Reporter {
-    Local,
-    Nobody,
-}
-
 /// The listening sockets of an entry.
 struct Listeners {
     callers: TcpListener,
@@ -175,8 +169,14 @@
     refused_due: Duration,
     broken_off_lines: LineBudget,
     report_due: Duration,
-    reports: u64,
-    load_for_others: FleetLoad<Reporter>,
+    /// Interval of reports that the selected control host asks for.
+    report_period: Duration,
+    own_reports: OwnReports,
+    /// Whether the load of the other entries is old, as logged.
+    is_load_old: bool,
+    decoder: LoadDecoder,
+    /// The control host whose messages the decoder has.
+    decodes_from: Option<LinkId>,
     last_upstream_update: Duration,
     /// Whether the selected control host knows all upstreams, by its last message.
     lists_all_upstreams: bool,
@@ -184,8 +184,9 @@
     /// Requests that wait for an engine with room, and when they are placed again at the earliest.
     line: WaitingLine<WaitingRequest>,
     line_due: Duration,
-    /// Streams begun since the last report to the control hosts that are not selected.
-    begun_for_others: Vec<(u64, StreamOrigin)>,
+    /// Streams begun lately, which are reported again when another control host is selected: the one before
+    /// may not have passed them on.
+    begun_lately: VecDeque<(Duration, u64, StreamOrigin)>,
     tx: Channel<ForwardMsg>,
     _guard: ChannelGuard,
 }
@@ -209,7 +210,9 @@
                 to_actor.send(ForwardMsg::Fabric(event));
             },
         )?;
-        let mut links = ControlLinks::new(&settings.seeds);
+        let incarnation = cx.identity.incarnation.0;
+        let selector = ControlHostSelector::new(cx.identity.domain.as_str(), incarnation);
+        let mut links = ControlLinks::new(&settings.seeds, selector);
         links.dial(&endpoint);
         let (config, watched) = watch::channel(None);
         let held = HeldResources::new(settings.limits);
@@ -299,14 +302,17 @@
             refused_due: Duration::ZERO,
             broken_off_lines: LineBudget::new(BROKEN_OFF_LINES),
             report_due: Duration::ZERO,
-            reports: 0,
-            load_for_others: FleetLoad::default(),
+            report_period: reporting_period(1),
+            own_reports: OwnReports::default(),
+            is_load_old: false,
+            decoder: LoadDecoder::default(),
+            decodes_from: None,
             last_upstream_update: Duration::ZERO,
             lists_all_upstreams: false,
             lookups: StreamLookups::default(),
             line: WaitingLine::default(),
             line_due: Duration::ZERO,
-            begun_for_others: Vec::new(),
+            begun_lately: VecDeque::new(),
             tx,
             _guard: guard,
             cx,
@@ -405,6 +411,7 @@
         self.expire_lookups(now);
         self.place_waiting(now);
         self.report(now);
+        self.check_load_age(now);
         self.log_refused_accounts(now);
         self.expire_upstreams(now);
         self.state.expire_notices(now);
--- a/src/coltsfootnotch/daemon/forward/control_links.rs
+++ b/src/coltsfootnotch/daemon/forward/control_links.rs
@@ -43,19 +43,22 @@
     reported: BTreeSet<SocketAddr>,
     links: BTreeMap<LinkId, Link>,
     selector: ControlHostSelector<LinkId>,
+    /// The control host that got the last load report.
+    reports_to: Option<LinkId>,
     pending: Option<PendingRequest>,
     request_due: Duration,
     last_id: u64,
 }
 
 impl ControlLinks {
-    pub(super) fn new(seeds: &[SocketAddr]) -> Self {
+    pub(super) fn new(seeds: &[SocketAddr], selector: ControlHostSelector<LinkId>) -> Self {
         Self {
             dialer: ControlDialer::default(),
             seeds: seeds.iter().copied().collect(),
             reported: BTreeSet::new(),
             links: BTreeMap::new(),
-            selector: ControlHostSelector::default(),
+            selector,
+            reports_to: None,
             pending: None,
             request_due: Duration::ZERO,
             last_id: 0,
@@ -83,9 +86,6 @@
     }
 
     pub(super) fn on_link_up(&mut self, link: LinkId, peer: PeerId, tx: LinkTx) {
-        if self.selector.add_link(peer.host.as_str(), link) {
-            self.reset_request();
-        }
         self.links.insert(link, Link { tx, peer });
     }
 
@@ -96,11 +96,17 @@
         }
     }
 
-    /// Excludes a control host from selection, since it has no replicated log.
-    pub(super) fn exclude(&mut self, link: LinkId) {
-        if self.selector.remove_link(link) {
+    /// Adds a control host that has a replicated log to those that can be selected. Returns whether it is
+    /// selected now.
+    pub(super) fn add_log_host(&mut self, link: LinkId, domain: &str) -> bool {
+        let Some(Link { peer, .. }) = self.links.get(&link) else {
+            return false;
+        };
+        let is_selected = self.selector.add_link(peer.host.as_str(), domain, link);
+        if is_selected {
             self.reset_request();
         }
+        is_selected
     }
 
     /// Drops the pending request, so that the newly selected control host gets one immediately.
@@ -115,6 +121,11 @@
         Some((link, &self.links.get(&link)?.peer))
     }
 
+    /// Whether the control host got the last load report, so that it sends the load of the fleet.
+    pub(super) fn reports_to(&self, link: LinkId) -> bool {
+        self.reports_to == Some(link)
+    }
+
     /// All connections.
     pub(super) fn ids(&self) -> impl Iterator<Item = LinkId> {
         self.links.keys().copied()
@@ -152,18 +163,22 @@
         Some(pending.sent_at)
     }
 
-    /// Sends a message to the selected control host.
-    pub(super) fn send_to_selected(&self, message: ToRelay) {
-        if let Some(link) = self.selector.selected() {
-            self.send(link, message);
+    /// Sends a load report to the selected control host. The one that got the last report is told if it is
+    /// another one.
+    pub(super) fn send_load(&mut self, message: ToRelay) {
+        let Some(link) = self.selector.selected() else {
+            return;
+        };
+        let previous = self.reports_to.replace(link);
+        if let Some(previous) = previous.filter(|previous| *previous != link) {
+            self.send(previous, ToRelay::LoadElsewhere);
         }
+        self.send(link, message);
     }
 
-    /// Sends a message to the other control hosts that have a replicated log.
-    pub(super) fn send_to_others(&self, message: &ToRelay) {
-        for link in self.selector.others() {
-            self.send(link, message.clone());
-        }
+    /// Whether the next load report goes to another control host than the last one.
+    pub(super) fn changes_receiver(&self) -> bool {
+        self.selector.selected() != self.reports_to
     }
 
     /// Sends a message to all control hosts.
--- a/src/coltsfootnotch/daemon/forward/state/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/state/mod.rs
@@ -12,7 +12,7 @@
 
 use coltsfootnotch_forward::config::{Engine, ForwardConfig};
 use coltsfootnotch_forward::lease::ConfigLease;
-use coltsfootnotch_forward::load::{SubjectDemand, UpstreamLoads, warm_up_interval};
+use coltsfootnotch_forward::load::{EntryCount, SubjectDemand, UpstreamLoads, warm_up_interval};
 use coltsfootnotch_forward::place::{
     Candidate, CopyRate, Placement, PlacementRequest, Refusal, distance, place_engine, place_plain,
 };
@@ -57,8 +57,7 @@
     /// Streams begun since the last report.
     begun: Vec<(u64, StreamOrigin)>,
     pub(super) lease: ConfigLease,
-    /// Number of entries; none before the first totals of the fleet.
-    entries: Option<u32>,
+    entries: EntryCount,
     /// When the load of the other entries was last received.
     remote_at: Duration,
     /// Differs between entries; spreads their requests to an upstream that warms up.
@@ -89,15 +88,20 @@
             origins: StreamOrigins::default(),
             begun: Vec::new(),
             lease,
-            entries: None,
+            entries: EntryCount::default(),
             remote_at: Duration::ZERO,
             engine_rates: EngineRates::default(),
         }
     }
 
+    /// When the load of the other entries was last received; zero for never.
+    pub(super) fn load_received_at(&self) -> Duration {
+        self.remote_at
+    }
+
     /// Number of entries that share limits; 1 until the first totals of the fleet.
     pub(super) fn entries(&self) -> u32 {
-        self.entries.unwrap_or(1)
+        self.entries.sharing().unwrap_or(1)
     }
 
     /// Applies an announcement of an upstream.
@@ -255,7 +259,7 @@
         // A run of another version may have taken the place of one that broke off, unnoticed.
         let avoids_restarted =
             req.origin.is_some() && self.registry.sole_version(&service.name).is_none();
-        let entries = self.entries.unwrap_or(ASSUMED_ENTRIES);
+        let entries = self.entries.sharing().unwrap_or(ASSUMED_ENTRIES);
         let interval = warm_up_interval(service.warm_up_per_s, entries);
         let memory_tokens = engine.map_or(0, |e| e.memory_tokens);
         let slots = engine.map(|e| e.slots);
@@ -382,7 +386,7 @@
         load: &EntryLoadReport,
         config: Option<&ForwardConfig>,
     ) {
-        self.entries = Some(entries.max(1));
+        self.entries.record(now, entries);
         self.remote_at = now;
         self.shares.apply_remote(now, load);
         for crash in &load.aborts {
@@ -404,23 +408,21 @@
 
     /// This entry's demand relative to an even share of the demand at all entries.
     pub(super) fn load_ratio(&mut self, now: Duration) -> f64 {
-        self.shares.local_share(now) * f64::from(self.entries())
+        self.shares.local_share(now) * f64::from(self.entries.current().unwrap_or(1))
     }
 
     /// Load at this entry, and its changes since the last report.
     pub(super) fn report(&mut self, now: Duration) -> EntryLoadReport {
         let (upstreams, segments) = self.loads.report();
         let (aborts, cleared) = self.poison.report();
-        let mut report = EntryLoadReport {
+        EntryLoadReport {
             upstreams,
             accounts: self.shares.report(),
             segments,
             aborts,
             cleared,
-            ..EntryLoadReport::default()
-        };
-        self.segments.report(now, &mut report);
-        report
+            crashes: self.segments.report(now),
+        }
     }
 }
 
--- a/src/coltsfootnotch/util/events.rs
+++ b/src/coltsfootnotch/util/events.rs
@@ -116,6 +116,7 @@
     SEGMENTS_REFUSED = 96 Error "requests with prompt segments that crash upstreams are refused" => "find whose prompts have all of the segments named; they are accepted again ten minutes after the last crash, or after this host and the control hosts were restarted at once";
     HOST_FULL = 97 Warn "this host holds nearly as much for its callers as it may and refuses requests" => "see the metrics held_bytes and held_sockets for what it holds; callers that read or send slowly, or more callers than its memory and sockets allow for";
     HOST_NOT_FULL = 98 Info "this host has room for requests again" => "nothing";
+    LOAD_OLD = 99 Warn "the load of the other entries is more than a second old" => "look at the control host that CFN-0077 names last: whether it runs, and how many entries report to it (metric entries_reporting)";
 }
 
 /// Finds an event by its code, ignoring case; the prefix `CFN-` is optional.
