Use no retry slack and warm no upstream up before the number of entries is known

Cause: an entry that has no totals yet took itself for the only one, and shared an upstream that warms up with an assumed 200 entries. After a loss of power all entries start at once: of 361 each had the whole slack, and together they would send 1.8 times what an upstream that warms up may get.

Change: without the number there is no slack, and nothing is sent to an upstream that warms up. The totals come within some hundred milliseconds of the first connection to a control host.

Measured in a test of 12, 361 and 722 entries that do not know their number: all retries together stay within the ratio of the requests.

--- a/crates/forward/src/retry/retry_budget.rs
+++ b/crates/forward/src/retry/retry_budget.rs
@@ -39,8 +39,9 @@
 /// let limit = RetryLimit { ratio: 0.2, slack: 30.0, window: Duration::from_secs(10) };
 /// let mut budget = RetryBudget::new(limit);
 /// let now = Duration::from_secs(1);
-/// assert!(budget.try_acquire(now, "orders", 10));
-/// let more = (0..10).filter(|_| budget.try_acquire(now, "orders", 10)).count();
+/// assert!(!budget.try_acquire(now, "orders", None), "the number of entries is not known yet");
+/// assert!(budget.try_acquire(now, "orders", Some(10)));
+/// let more = (0..10).filter(|_| budget.try_acquire(now, "orders", Some(10))).count();
 /// assert_eq!(more, 1, "a tenth of the slack, less the margin");
 /// ```
 #[derive(Debug, Clone)]
@@ -65,13 +66,14 @@
     }
 
     /// Takes one retry from the budget, if it has one; `entries` is the number of entries that
-    /// share the limit.
-    pub fn try_acquire(&mut self, now: Duration, service: &str, entries: u32) -> bool {
+    /// share the limit. While it is not known, as after a loss of power, there is no slack: all entries
+    /// start at once, and each would use all of it.
+    pub fn try_acquire(&mut self, now: Duration, service: &str, entries: Option<u32>) -> bool {
         self.bucket(now, service);
         let buckets = &self.by_service[service];
         let requests: u32 = buckets.iter().map(|(_, p)| p.requests).sum();
         let retries: u32 = buckets.iter().map(|(_, p)| p.retries).sum();
-        let slack = self.limit.slack / f64::from(entries.max(1));
+        let slack = entries.map_or(0.0, |n| self.limit.slack / f64::from(n.max(1)));
         let allowed = (f64::from(requests) * self.limit.ratio + slack) * USED_SHARE;
         if f64::from(retries + 1) > allowed {
             return false;
--- a/crates/forward/tests/testsuite/retry.rs
+++ b/crates/forward/tests/testsuite/retry.rs
@@ -29,7 +29,7 @@
             let now = Duration::from_millis(at);
             entries[entry].on_request(now, "spec");
             requests.push(at);
-            if entries[entry].try_acquire(now, "spec", 12) {
+            if entries[entry].try_acquire(now, "spec", Some(12)) {
                 retries.push(at);
             }
         }
@@ -43,6 +43,22 @@
     }
 }
 
+/// Guards against a fleet that spends its slack once for each entry after a loss of power, when no entry knows how many
+/// there are.
+#[googletest::test]
+fn entries_that_do_not_know_their_number_keep_the_limit_together() {
+    let now = Duration::from_secs(1);
+    for entries in [12, 361, 722] {
+        let mut fleet: Vec<_> = (0..entries).map(|_| RetryBudget::new(LIMIT)).collect();
+        let mut retries = 0;
+        for budget in &mut fleet {
+            budget.on_request(now, "spec");
+            retries += u32::from(budget.try_acquire(now, "spec", None));
+        }
+        expect_that!(f64::from(retries), le(f64::from(entries) * LIMIT.ratio));
+    }
+}
+
 /// A caller resends a request that crashes its upstreams at different entries: after the third
 /// crash every entry refuses it, but not requests that ran beside it.
 #[googletest::test]
--- a/src/coltsfootnotch/daemon/forward/state/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/state/mod.rs
@@ -33,9 +33,9 @@
 /// the rest.
 const CACHE_SHARE: f64 = 0.55;
 
-/// Entries that an upstream that warms up is shared with before their number is known. After a loss
-/// of power all entries start at once, and each would send as much as the whole fleet may.
-const ASSUMED_ENTRIES: u32 = 200;
+/// Entries that an upstream that warms up is shared with before their number is known: as many as there can be.
+/// After a loss of power all entries start at once, and each would send as much as the whole fleet may.
+const UNKNOWN_ENTRIES: u32 = u32::MAX;
 
 /// Shortest target if no route states one.
 const DEFAULT_TARGET: Duration = Duration::from_millis(800);
@@ -174,7 +174,8 @@
             None => self.place_plain(now, req),
         };
         let placement = placement.map_err(|refusal| self.refused(now, req, refusal))?;
-        if req.is_retry && !self.retries.try_acquire(now, &service.name, self.entries()) {
+        let entries = self.entries.sharing();
+        if req.is_retry && !self.retries.try_acquire(now, &service.name, entries) {
             return Err(PlacementError::NoRetryBudget);
         }
         if let Some(account) = req.account.as_ref().filter(|_| is_first) {
@@ -259,7 +260,7 @@
         // A run of another version may have taken the place of one that broke off, unnoticed.
         let avoids_restarted =
             req.origin.is_some() && self.registry.sole_version(&service.name).is_none();
-        let entries = self.entries.sharing().unwrap_or(ASSUMED_ENTRIES);
+        let entries = self.entries.sharing().unwrap_or(UNKNOWN_ENTRIES);
         let interval = warm_up_interval(service.warm_up_per_s, entries);
         let memory_tokens = engine.map_or(0, |e| e.memory_tokens);
         let slots = engine.map(|e| e.slots);
