Have requests wait for the first configuration and upstreams after a start

Cause: a router without a configuration refused at once, and so did one that knew no upstream yet. After a loss of power all routers start at the same time, callers come back once, and upstreams announce themselves over two seconds.

Change: a request waits up to a second for the first configuration. In the first four seconds of a router one that finds no upstream waits while its target can be met, and is placed with the first announcements.

--- a/crates/forward/src/line/patience.rs
+++ b/crates/forward/src/line/patience.rs
@@ -34,6 +34,21 @@
 }
 
 impl Patience {
+    /// How long a request waits that can begin at once as soon as there is an upstream.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use coltsfootnotch_forward::line::Patience;
+    /// let ms = Duration::from_millis;
+    /// let patience = Patience { target_left: ms(600), own_time: ms(110) };
+    /// assert_eq!(patience.longest_wait(), Some(ms(490)));
+    /// ```
+    #[must_use]
+    pub fn longest_wait(&self) -> Option<Duration> {
+        let time = self.target_left.checked_sub(self.own_time)?;
+        (time >= MIN_WAIT).then_some(time)
+    }
+
     /// How long a request that was refused for `refusal` waits; none if it is refused for good.
     ///
     /// ```
--- a/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
@@ -53,7 +53,10 @@
 
     fn on_control_message(&mut self, now: Duration, link: LinkId, message: FromRelay) {
         match message {
-            FromRelay::Upstreams(records) => self.apply_announcements(now, records),
+            FromRelay::Upstreams(records) => {
+                self.apply_announcements(now, records);
+                self.place_waiting(now);
+            }
             FromRelay::UpstreamsAlive(refreshes) => {
                 self.last_upstream_update = now;
                 for refresh in refreshes {
--- a/src/coltsfootnotch/daemon/forward/actor/waits.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/waits.rs
@@ -34,7 +34,7 @@
         let placed = self.place(now, &req);
         let wait = match &placed {
             Err(PlacementError::Refused(refusal, share)) => {
-                self.state.wait(&req, refusal, share.as_ref())
+                self.state.wait(now, &req, refusal, share.as_ref())
             }
             _ => None,
         };
--- a/src/coltsfootnotch/daemon/forward/server.rs
+++ b/src/coltsfootnotch/daemon/forward/server.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use coltsfootnotch_forward::held::{HeldKind, HeldResources, Load};
 use coltsfootnotch_forward::pause_detector::PauseDetector;
@@ -12,6 +12,7 @@
 use hyper::{Request, StatusCode};
 use stakker::sync::Channel;
 use tokio::sync::watch;
+use tokio::time::timeout;
 
 use super::costs::REQUEST_BYTES;
 use super::dialect::{Dialect, InForce};
@@ -29,6 +30,10 @@
 use crate::util::http_server::AnyResponse;
 use crate::util::line_budget::LineBudget;
 
+/// Time for which requests wait for the first configuration after a start. It comes within some hundred
+/// milliseconds, and a caller that is refused meanwhile finds other hosts starting as well.
+const FIRST_CONFIG_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Reason for refusals while the host is disconnected from the control group.
 pub(super) const NOT_CONFIRMED: &str = "the configuration is not confirmed";
 
@@ -114,14 +119,30 @@
             || self.handover.should_hand_over((self.draw)())
     }
 
+    /// The configuration in force, which is waited for after a start.
+    async fn current_config(&self) -> InForce {
+        let config = self.config.borrow().clone();
+        if config.is_some() {
+            return config;
+        }
+        // Boxed, as each open connection holds the space of a request's future.
+        Box::pin(self.first_config()).await
+    }
+
+    async fn first_config(&self) -> InForce {
+        let mut watched = self.config.clone();
+        let first = watched.wait_for(Option::is_some);
+        let config = timeout(FIRST_CONFIG_TIMEOUT, first).await.ok()?.ok()?;
+        config.clone()
+    }
+
     /// Matches a request to a route and account, and reads its body.
     async fn read(
         &self,
         req: Request<Incoming>,
         received_at: Instant,
     ) -> Result<MatchedRequest, AnyResponse> {
-        let config = self.config.borrow().clone();
-        let Some(config) = config else {
+        let Some(config) = self.current_config().await else {
             return Err(responses::not_run(
                 "no configuration is in force yet",
                 RETRY_SOON,
--- a/src/coltsfootnotch/daemon/forward/state/refusals.rs
+++ b/src/coltsfootnotch/daemon/forward/state/refusals.rs
@@ -12,6 +12,10 @@
 /// evacuation in seconds at the earliest.
 const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Time after the start of this host from which it knows the upstreams. After a loss of power control hosts learn
+/// them from announcements, of which each upstream sends one in about two seconds.
+const UPSTREAMS_KNOWN_AFTER: Duration = Duration::from_secs(4);
+
 impl State {
     /// The error for a refused request, with the share of its account.
     pub(super) fn refused(
@@ -36,6 +40,7 @@
     /// reached an upstream before has no time left, and one that resumes a stream is placed again anyway.
     pub(in crate::daemon::forward) fn wait(
         &self,
+        now: Duration,
         req: &PlaceRequest,
         refusal: &Refusal,
         share: Option<&AccountShare>,
@@ -55,7 +60,13 @@
             target_left: req.target_left?,
             own_time: Duration::from_secs_f64(own_ms / 1e3),
         };
-        patience.wait(refusal)
+        let may_know_few =
+            refusal.reason == RefusalReason::NoUpstream && now < UPSTREAMS_KNOWN_AFTER;
+        if may_know_few {
+            patience.longest_wait()
+        } else {
+            patience.wait(refusal)
+        }
     }
 
     /// Replaces a refusal for want of an upstream if there are some which may not be used now.
