Return to the preferred control host after timeouts

Cause: during an election no control host answers, so each entry goes on to the next one every 400 ms and stays at the one that answers first, mostly outside its failure domain.

Change: five seconds after the last timeout an entry selects its preferred control host again; if that does not answer, it costs one timeout.

--- a/crates/forward/src/control_host.rs
+++ b/crates/forward/src/control_host.rs
@@ -3,8 +3,9 @@
 //! If all entries of a large fleet use the same host, it spends all of its time on them and their
 //! reports become old. Entries therefore spread over the hosts: each ranks them by a hash that
 //! differs between entries, those of its own failure domain first, which keeps most traffic inside
-//! the domain. A host that does not answer is replaced by the next in the order; when it is back,
-//! its entries return to it.
+//! the domain. A host that does not answer is replaced by the next in the order. Its entries return to
+//! it when it connects again, and try it again after a while: no host answers during an election,
+//! which would otherwise leave all entries at other hosts, outside their domains.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -85,6 +86,12 @@
         self.selected = next.or_else(|| self.first());
     }
 
+    /// Changes to the first host in the order. Returns whether another one was in use.
+    pub fn return_to_first(&mut self) -> bool {
+        let first = self.first();
+        std::mem::replace(&mut self.selected, first) != first
+    }
+
     /// The connection to the host in use.
     #[must_use]
     pub fn selected(&self) -> Option<K> {
--- a/crates/forward/tests/testsuite/control_host.rs
+++ b/crates/forward/tests/testsuite/control_host.rs
@@ -82,6 +82,18 @@
     expect_that!(seen, eq(&(0..10).collect::<Vec<_>>()), "each once");
 }
 
+/// Guards against entries that stay outside their domains after an election, during which no control host answers.
+#[googletest::test]
+fn entries_return_to_their_first_hosts_after_timeouts_at_all() {
+    for mut selector in entries() {
+        let first = selector.selected();
+        (0..4).for_each(|_| selector.on_timeout());
+        expect_that!(selector.return_to_first(), eq(true));
+        expect_that!(selector.selected(), eq(first));
+        expect_that!(selector.return_to_first(), eq(false));
+    }
+}
+
 /// A restarted host connects again before its old connection is closed.
 #[googletest::test]
 fn two_connections_to_one_host_are_distinct() {
--- a/src/coltsfootnotch/daemon/forward/control_links.rs
+++ b/src/coltsfootnotch/daemon/forward/control_links.rs
@@ -17,6 +17,10 @@
 /// milliseconds, and longer during an election.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time after the last timeout after which the preferred control host is selected again. If it still does not
+/// answer, that costs a timeout.
+const RETURN_AFTER: Duration = Duration::from_secs(5);
+
 /// Number of addresses reported by control hosts above which they are cleared.
 const MAX_REPORTED: usize = 64;
 
@@ -47,6 +51,8 @@
     reports_to: Option<LinkId>,
     pending: Option<PendingRequest>,
     request_due: Duration,
+    /// When the preferred control host is selected again; none if no other was selected since.
+    return_due: Option<Duration>,
     last_id: u64,
 }
 
@@ -61,6 +67,7 @@
             reports_to: None,
             pending: None,
             request_due: Duration::ZERO,
+            return_due: None,
             last_id: 0,
         }
     }
@@ -141,6 +148,10 @@
             && now >= pending.sent_at + REQUEST_TIMEOUT
         {
             self.selector.on_timeout();
+            self.return_due = Some(now + RETURN_AFTER);
+            self.reset_request();
+        }
+        if self.return_due.take_if(|due| now >= *due).is_some() && self.selector.return_to_first() {
             self.reset_request();
         }
         if self.pending.is_some() || now < self.request_due {
