Share the sums of load, and say once what is cached of a prompt and what is its own

Cause: the reports that an entry subtracts were added up by copies of what control hosts use, three fields of a placement stood in two structs, a prompt's own tokens were worked out in three places, and a check of idle engines estimated whole placements for a wait and its bound.

Behaviour stays.

--- a/crates/forward/src/held/hold.rs
+++ b/crates/forward/src/held/hold.rs
@@ -19,22 +19,16 @@
         held: Arc<HeldResources>,
         kind: HeldKind,
         account: Option<Arc<str>>,
-        sockets: u64,
     ) -> Self {
         Self {
             held,
             kind,
             account,
             bytes: 0,
-            sockets,
+            sockets: 0,
         }
     }
 
-    pub(super) fn with_bytes(mut self, bytes: u64) -> Self {
-        self.bytes = bytes;
-        self
-    }
-
     /// Bytes that it holds.
     #[must_use]
     pub fn bytes(&self) -> u64 {
--- a/crates/forward/src/held/resources.rs
+++ b/crates/forward/src/held/resources.rs
@@ -129,10 +129,10 @@
         bytes: u64,
         sockets: u64,
     ) -> Hold {
-        let hold = Hold::empty(Arc::clone(self), kind, account.cloned(), sockets);
-        self.sockets.fetch_add(sockets, Ordering::Relaxed);
-        self.add_bytes(kind, account, bytes);
-        hold.with_bytes(bytes)
+        let mut hold = Hold::empty(Arc::clone(self), kind, account.cloned());
+        hold.add_sockets(sockets);
+        hold.resize(bytes);
+        hold
     }
 
     /// Holds `bytes` for the account if it has them free; see [`HeldResources::has_room`].
--- a/crates/forward/src/line/patience.rs
+++ b/crates/forward/src/line/patience.rs
@@ -75,10 +75,7 @@
         );
         let (wait, bound) = refusal.wait.filter(|_| is_full)?;
         // An engine with room has up to the bound ahead of the request.
-        let time = self
-            .target_left
-            .checked_sub(self.own_time)?
-            .checked_sub(bound)?;
+        let time = self.longest_wait()?.checked_sub(bound)?;
         let excess = wait.saturating_sub(bound);
         (time >= MIN_WAIT.max(excess)).then_some(time)
     }
--- a/crates/forward/src/load/fleet_load.rs
+++ b/crates/forward/src/load/fleet_load.rs
@@ -7,6 +7,8 @@
 
 use coltsfootnotch_wire::{AccountDemand, CrashReport, EntryLoadReport, UpstreamUsage};
 
+use super::sums::{add_account, add_counters, add_in_flight};
+
 /// Age from which a sender's last report no longer counts: it has ended or is cut off. Reports come
 /// every 100 ms, so many in a row were lost.
 const STALE_AFTER: Duration = Duration::from_secs(2);
@@ -48,7 +50,7 @@
     /// Records a report of `entries` entries.
     pub fn record(&mut self, now: Duration, from: K, entries: u32, load: EntryLoadReport) {
         for used in &load.upstreams {
-            add_counters(upstream_entry(&mut self.upstreams, &used.id), used);
+            add_counters(&mut self.upstreams, used);
         }
         for used in &load.accounts {
             add_account(&mut self.accounts, used);
@@ -83,10 +85,7 @@
         self.senders.retain(|_, sender| is_live(now, sender));
         let mut upstreams = mem::take(&mut self.upstreams);
         for used in self.senders.values().flat_map(|sender| &sender.in_flight) {
-            let total = upstream_entry(&mut upstreams, &used.id);
-            total.waiting_tokens += used.waiting_tokens;
-            total.running += used.running;
-            total.held_tokens += used.held_tokens;
+            add_in_flight(&mut upstreams, used);
         }
         EntryLoadReport {
             upstreams: upstreams.into_values().collect(),
@@ -100,24 +99,6 @@
     now.saturating_sub(sender.at) < STALE_AFTER
 }
 
-fn upstream_entry<'a>(
-    all: &'a mut BTreeMap<String, UpstreamUsage>,
-    id: &str,
-) -> &'a mut UpstreamUsage {
-    let empty = || UpstreamUsage {
-        id: id.to_owned(),
-        ..UpstreamUsage::default()
-    };
-    all.entry(id.to_owned()).or_insert_with(empty)
-}
-
-fn add_counters(total: &mut UpstreamUsage, used: &UpstreamUsage) {
-    total.elapsed_ms += used.elapsed_ms;
-    total.expected_ms += used.expected_ms;
-    total.failed += used.failed;
-    total.succeeded += used.succeeded;
-}
-
 /// Adds a report on crashes. Services and refused groups are the same in most reports, and count once.
 fn add_crashes(total: &mut CrashReport, report: CrashReport) {
     total.crash_suspects.extend(report.crash_suspects);
@@ -139,26 +120,3 @@
         }
     }
 }
-
-/// Adds what an account asked for and got to the sums of all accounts.
-///
-/// ```
-/// use std::collections::BTreeMap;
-/// use coltsfootnotch_forward::load::add_account;
-/// use coltsfootnotch_wire::AccountDemand;
-/// let used = AccountDemand { account: "bistro".to_owned(), requested: 4, admitted: 3 };
-/// let mut all = BTreeMap::new();
-/// add_account(&mut all, &used);
-/// add_account(&mut all, &used);
-/// assert_eq!(all["bistro"].requested, 8);
-/// ```
-pub fn add_account(all: &mut BTreeMap<String, AccountDemand>, used: &AccountDemand) {
-    let empty = || AccountDemand {
-        account: used.account.clone(),
-        requested: 0,
-        admitted: 0,
-    };
-    let total = all.entry(used.account.clone()).or_insert_with(empty);
-    total.requested += used.requested;
-    total.admitted += used.admitted;
-}
--- a/crates/forward/src/load/own_reports.rs
+++ b/crates/forward/src/load/own_reports.rs
@@ -1,11 +1,11 @@
 //! The reports of an entry that the totals it receives include.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use coltsfootnotch_wire::{AccountDemand, EntryLoadReport, UpstreamUsage};
 
-use super::add_account;
+use super::sums::{add_account, add_counters, add_in_flight};
 
 /// Most reports kept without being included in totals, some seconds of them.
 const MAX_REPORTS: usize = 64;
@@ -70,14 +70,14 @@
     /// The totals of the other entries: `totals` without the reports up to the number `included`, whose
     /// counters were not subtracted before. Zero stands for no report.
     pub fn subtract(&mut self, included: u64, totals: EntryLoadReport) -> EntryLoadReport {
-        let mut counters = BTreeMap::<String, UpstreamUsage>::new();
-        let mut accounts = BTreeMap::<String, AccountDemand>::new();
+        let mut own = BTreeMap::new();
+        let mut accounts = BTreeMap::new();
         let mut cleared = BTreeSet::<u64>::new();
         while let Some(pending) = self.pending.pop_front_if(|p| p.number <= included) {
             let report = pending.report;
             self.included_at = Some(pending.at);
             for used in &report.upstreams {
-                add_counters(&mut counters, used);
+                add_counters(&mut own, used);
             }
             for used in &report.accounts {
                 add_account(&mut accounts, used);
@@ -89,13 +89,16 @@
             self.included = EntryLoadReport::default();
             self.included_at = None;
         }
-        let in_flight = self.included.upstreams.iter();
-        let in_flight: HashMap<&str, &UpstreamUsage> =
-            in_flight.map(|used| (&*used.id, used)).collect();
-        let upstreams = totals.upstreams.into_iter().map(|total| {
-            let own = in_flight.get(&*total.id).copied();
-            subtract_counters(subtract_in_flight(total, own), &counters)
-        });
+        for used in &self.included.upstreams {
+            add_in_flight(&mut own, used);
+        }
+        let upstreams = totals
+            .upstreams
+            .into_iter()
+            .map(|total| match own.get(&total.id) {
+                Some(own) => subtract_usage(total, own),
+                None => total,
+            });
         let others = totals.accounts.into_iter().map(|total| {
             let own = accounts.get(&total.account);
             AccountDemand {
@@ -124,35 +127,16 @@
     }
 }
 
-fn add_counters(all: &mut BTreeMap<String, UpstreamUsage>, used: &UpstreamUsage) {
-    let total = all.entry(used.id.clone()).or_default();
-    total.elapsed_ms += used.elapsed_ms;
-    total.expected_ms += used.expected_ms;
-    total.failed += used.failed;
-    total.succeeded += used.succeeded;
-}
-
-fn subtract_in_flight(total: UpstreamUsage, own: Option<&UpstreamUsage>) -> UpstreamUsage {
-    let Some(own) = own else {
-        return total;
-    };
+/// What is left of `total` without `own`. Totals of another control host may lack some of it for a moment.
+fn subtract_usage(total: UpstreamUsage, own: &UpstreamUsage) -> UpstreamUsage {
     UpstreamUsage {
         waiting_tokens: total.waiting_tokens.saturating_sub(own.waiting_tokens),
         running: total.running.saturating_sub(own.running),
         held_tokens: total.held_tokens.saturating_sub(own.held_tokens),
-        ..total
-    }
-}
-
-fn subtract_counters(total: UpstreamUsage, own: &BTreeMap<String, UpstreamUsage>) -> UpstreamUsage {
-    let Some(own) = own.get(&total.id) else {
-        return total;
-    };
-    UpstreamUsage {
         elapsed_ms: total.elapsed_ms.saturating_sub(own.elapsed_ms),
         expected_ms: total.expected_ms.saturating_sub(own.expected_ms),
         failed: total.failed.saturating_sub(own.failed),
         succeeded: total.succeeded.saturating_sub(own.succeeded),
-        ..total
+        id: total.id,
     }
 }
--- a/crates/forward/src/place/engine.rs
+++ b/crates/forward/src/place/engine.rs
@@ -5,10 +5,10 @@
 
 use super::admission::{account_factor, is_admitted, wait_bound_ms};
 use super::rendezvous::distance;
-use super::shortlist::{Listed, Shortlist};
+use super::shortlist::{Listed, SharedCache, Shortlist};
 use super::target::{Candidate, Placement};
 use super::{PlacementRequest, PrefillRate, Refusal, RefusalReason};
-use crate::load::SentRequest;
+use crate::load::{SentRequest, UpstreamLoad};
 use crate::share::FairShares;
 
 /// Share of an engine's memory for running requests. Cached segments need the rest, and answers can
@@ -65,9 +65,7 @@
     let fleet = FleetView {
         prefill_rate,
         common_slowness: common_slowness(now, &usable),
-        max_cached: shortlist.max_cached,
-        expected_cached: shortlist.expected_cached,
-        is_subject_cached: shortlist.is_subject_cached,
+        cache: shortlist.cache,
     };
     let placement = compare_engines(now, request, fleet, &shortlist)?;
     let copy_from = copy_source(request, prefill_rate, &usable, &placement.id).cloned();
@@ -118,8 +116,9 @@
     }
     let (mut fill, mut engines) = (0.0, 0.0);
     for listed in shortlist.all() {
-        let estimate = Estimate::new(now, request, fleet, &listed);
-        fill += (estimate.wait_ms / estimate.bound_ms.max(1.0)).min(1.0);
+        let load = listed.candidate.load;
+        let wait_ms = fleet.queue_ms(load) * fleet.slowness(now, load);
+        fill += (wait_ms / wait_bound_ms(request, load).max(1.0)).min(1.0);
         engines += 1.0;
     }
     fill <= engines * MAX_IDLE_FILL
@@ -164,12 +163,24 @@
 struct FleetView {
     prefill_rate: PrefillRate,
     common_slowness: f64,
-    /// Most tokens of the request's shared segments that any engine has cached.
-    max_cached: u64,
-    /// Tokens of them that the engines to which the prompt belongs are expected to have.
-    expected_cached: u64,
-    /// Whether some engine has all of them cached.
-    is_subject_cached: bool,
+    cache: SharedCache,
+}
+
+impl FleetView {
+    /// Time that an engine takes for `tokens` of a prompt.
+    fn prefill_ms(&self, tokens: u64) -> f64 {
+        tokens as f64 / self.prefill_rate.tokens_per_ms
+    }
+
+    /// Time that a healthy engine takes for what waits at this one.
+    fn queue_ms(&self, load: &UpstreamLoad) -> f64 {
+        self.prefill_ms(load.in_flight().waiting_tokens)
+    }
+
+    /// Slowness of an engine beyond that of all.
+    fn slowness(&self, now: Duration, load: &UpstreamLoad) -> f64 {
+        load.slowness(now) / self.common_slowness
+    }
 }
 
 /// The result of the comparison so far.
@@ -281,26 +292,23 @@
         let candidate = listed.candidate;
         let FleetView {
             prefill_rate,
-            max_cached,
-            expected_cached,
-            is_subject_cached,
+            cache,
             ..
         } = fleet;
         let load = candidate.load;
-        let in_flight = load.in_flight();
-        let slowness = load.slowness(now) / fleet.common_slowness;
+        let slowness = fleet.slowness(now, load);
         let cached = load.cached.cached_prefix_tokens(&request.prompt.shared);
         let uncached = request.prompt.tokens.saturating_sub(cached);
-        let to_ms = |tokens: u64| tokens as f64 / prefill_rate.tokens_per_ms;
-        let queue_ms = to_ms(in_flight.waiting_tokens);
-        let missing = max_cached - cached;
+        let to_ms = |tokens| fleet.prefill_ms(tokens);
+        let queue_ms = fleet.queue_ms(load);
+        let missing = cache.most - cached;
         let copy_ms = request
             .copy_rate
             .and_then(|rate| rate.copy_ms(missing, prefill_rate));
         let (prompt_ms, repeated_ms) = match copy_ms {
             Some(copy_ms) => (to_ms(uncached.saturating_sub(missing)) + copy_ms, 0.0),
             None => {
-                let repeated = expected_cached.saturating_sub(cached);
+                let repeated = cache.expected.saturating_sub(cached);
                 (to_ms(uncached), to_ms(repeated) * REPEATED_PREFILL_WEIGHT)
             }
         };
@@ -310,7 +318,7 @@
         if candidate.domain != request.domain {
             cost += CROSS_DOMAIN_MS;
         }
-        if let Some(rank) = listed.home_rank.filter(|_| !is_subject_cached) {
+        if let Some(rank) = listed.home_rank.filter(|_| !cache.has_subject) {
             cost += rank as f64 * HOME_RANK_MS;
         }
         let sent = SentRequest {
--- a/crates/forward/src/place/mod.rs
+++ b/crates/forward/src/place/mod.rs
@@ -9,7 +9,8 @@
 //! its prefill rate. When they are too far behind it is refused: to prefill its shared segments
 //! elsewhere would take the time of three other requests, and copies of them elsewhere would
 //! displace each other. Only while most engines are idle it goes elsewhere, since no entry of a large
-//! fleet sees enough requests about a subject to give it more homes. A home that lacks a segment copies it from an engine that has it, where
+//! fleet sees enough requests about a subject to give it more homes. A home that lacks a segment
+//! copies it from an engine that has it, where
 //! engines can copy and that is faster than prefilling.
 //!
 //! Engines process requests in order, so work beyond a bound makes all later requests late and is
--- a/crates/forward/src/place/request.rs
+++ b/crates/forward/src/place/request.rs
@@ -28,11 +28,17 @@
         self.shared.iter().map(|p| u64::from(p.tokens)).sum()
     }
 
+    /// Its tokens that are not of shared segments.
+    #[must_use]
+    pub fn own_tokens(&self) -> u64 {
+        self.tokens.saturating_sub(self.shared_tokens())
+    }
+
     /// Service units of the request: prompt tokens that are not shared, plus twice the answer's
     /// tokens, which cost an engine about twice as much.
     #[must_use]
     pub fn service_units(&self) -> u64 {
-        self.tokens.saturating_sub(self.shared_tokens()) + 2 * self.output_tokens
+        self.own_tokens() + 2 * self.output_tokens
     }
 
     /// Estimated longest time from the first event of the answer to its end.
--- a/crates/forward/src/place/shortlist.rs
+++ b/crates/forward/src/place/shortlist.rs
@@ -32,12 +32,18 @@
     /// Indices of the homes of the prompt's subject, the first one first. Empty for a prompt that is
     /// not kept at homes.
     homes: Vec<usize>,
-    /// Most tokens of the request's shared segments that any engine has cached.
-    pub(super) max_cached: u64,
-    /// Tokens of them that the engines to which the prompt belongs are expected to have.
-    pub(super) expected_cached: u64,
-    /// Whether some engine has all of them cached.
-    pub(super) is_subject_cached: bool,
+    pub(super) cache: SharedCache,
+}
+
+/// What engines have cached of a prompt's shared segments.
+#[derive(Clone, Copy)]
+pub(super) struct SharedCache {
+    /// Most tokens that any engine has.
+    pub(super) most: u64,
+    /// Tokens that the engines to which the prompt belongs are expected to have.
+    pub(super) expected: u64,
+    /// Whether some engine has all segments.
+    pub(super) has_subject: bool,
 }
 
 /// An engine to compare.
@@ -58,32 +64,34 @@
         let to_ms = |tokens: u64| tokens as f64 / prefill_rate.tokens_per_ms;
         let shared_tokens = request.prompt.shared_tokens();
         let is_kept = to_ms(shared_tokens) >= MIN_SHARED_MS;
-        let own_ms = to_ms(request.prompt.tokens.saturating_sub(shared_tokens));
+        let own_ms = to_ms(request.prompt.own_tokens());
         let count = home_count(request.subject_per_s, own_ms);
         let subject = request.prompt.subject().filter(|_| is_kept);
         let homes = subject.map_or_else(Vec::new, |s| homes(s.id, count, usable));
-        let max_cached = usable.iter().map(cached_tokens).max().unwrap_or(0);
-        let is_subject_cached = max_cached == shared_tokens;
+        let most = usable.iter().map(cached_tokens).max().unwrap_or(0);
+        let has_subject = most == shared_tokens;
         let at_homes = homes.iter().map(|home| cached_tokens(&usable[*home]));
-        let expected_cached = if is_subject_cached {
-            max_cached
+        let expected = if has_subject {
+            most
         } else {
-            at_homes.max().unwrap_or(max_cached)
+            at_homes.max().unwrap_or(most)
         };
         Self {
             sampled: sample_two(request.tie_breaker, usable.len()),
             homes,
             usable,
-            max_cached,
-            expected_cached,
-            is_subject_cached,
+            cache: SharedCache {
+                most,
+                expected,
+                has_subject,
+            },
         }
     }
 
     /// Whether the prompt goes to its homes and to engines that have all of its shared segments cached,
     /// while these have room.
     pub(super) fn is_kept_at_homes(&self) -> bool {
-        !self.homes.is_empty() && self.is_subject_cached
+        !self.homes.is_empty() && self.cache.has_subject
     }
 
     /// The homes of the prompt's subject, and the engines that have all of its shared segments cached.
@@ -92,7 +100,7 @@
         request: &PlacementRequest<'_>,
     ) -> impl Iterator<Item = Listed<'a, 'b>> {
         let caches_subject = |c: &Candidate<'_>| {
-            c.load.cached.cached_prefix_tokens(&request.prompt.shared) == self.max_cached
+            c.load.cached.cached_prefix_tokens(&request.prompt.shared) == self.cache.most
         };
         let is_kept_at_homes = self.is_kept_at_homes();
         let all = self.usable.iter().enumerate();
--- a/src/coltsfootnotch/daemon/control/seeded/handlers.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/handlers.rs
@@ -57,7 +57,7 @@
                 link.send_member(&MemberPacket::Load(part));
             }
         };
-        for link in seeded.load.subscribers().collect::<Vec<_>>() {
+        for link in seeded.load.subscribers() {
             if let Some(message) = seeded.entries.take_neighbours(link) {
                 send(link, message);
             }
@@ -86,11 +86,12 @@
         let Some(seeded) = &mut self.seeded else {
             return;
         };
+        let limited = seeded.load.take_limited(now);
+        if !is_leader {
+            return;
+        }
         let entries = seeded.load.entries(now);
-        for used in seeded.load.take_limited(now) {
-            if !is_leader {
-                continue;
-            }
+        for used in limited {
             self.host.log(
                 &events::ACCOUNT_LIMITED,
                 &[
--- a/src/coltsfootnotch/daemon/forward/actor/maintenance.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/maintenance.rs
@@ -71,7 +71,7 @@
     pub(super) fn check_load_age(&mut self, now: Duration) {
         let age = now.saturating_sub(self.state.load_received_at());
         let is_old = age >= OLD_LOAD_AGE;
-        if is_old && !std::mem::replace(&mut self.is_load_old, is_old) {
+        if is_old && !self.is_load_old {
             let age_ms = age.as_millis();
             self.cx.log(&events::LOAD_OLD, &[("age_ms", &age_ms)]);
         }
--- a/src/coltsfootnotch/daemon/forward/state/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/state/mod.rs
@@ -99,11 +99,6 @@
         self.remote_at
     }
 
-    /// Number of entries that share limits; 1 until the first totals of the fleet.
-    pub(super) fn entries(&self) -> u32 {
-        self.entries.sharing().unwrap_or(1)
-    }
-
     /// Applies an announcement of an upstream.
     pub(super) fn on_announcement(
         &mut self,
@@ -318,7 +313,7 @@
         if let Some(stream) = req.stream {
             self.record_stream(now, stream, &origin);
         }
-        let share = service.max_connections / self.entries();
+        let share = service.max_connections / self.entries.sharing().unwrap_or(1);
         Ticket {
             upstream: placement.id,
             born_ms,
--- a/src/coltsfootnotch/daemon/forward/state/refusals.rs
+++ b/src/coltsfootnotch/daemon/forward/state/refusals.rs
@@ -53,9 +53,7 @@
         }
         let service = &req.config.services()[req.service].name;
         let rate = self.engine_rates.prefill_rate(&req.config, service);
-        let shared = req.prompt.shared_tokens();
-        let own_tokens = req.prompt.tokens.saturating_sub(shared);
-        let own_ms = rate.base_ms + own_tokens as f64 / rate.tokens_per_ms;
+        let own_ms = rate.base_ms + req.prompt.own_tokens() as f64 / rate.tokens_per_ms;
         let patience = Patience {
             target_left: req.target_left?,
             own_time: Duration::from_secs_f64(own_ms / 1e3),
