Log when a stopping host closes its connections, and which had bytes unread

Cause: nothing tells an operator how far the event loop of a stopping entry is behind, nor whether the connections that it closes had anything unread, so that the hypotheses on requests lost at a stop can't be told apart.

Measured: no behaviour changes; formatter, linter and the tests of connections and events pass.

--- a/src/coltsfootnotch/daemon/forward/actor/shutdown.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/shutdown.rs
@@ -38,6 +38,12 @@
         let elapsed = now.saturating_sub(stopping.since);
         if stopping.listening && elapsed >= STOP_LISTENING_AFTER {
             stopping.listening = false;
+            let connections = self.connections.count();
+            let late_ms = (elapsed - STOP_LISTENING_AFTER).as_millis();
+            self.cx.log(
+                &events::CONNECTIONS_CLOSING,
+                &[("connections", &connections), ("late_ms", &late_ms)],
+            );
             self.server_tasks.iter().for_each(JoinHandle::abort);
             self.connections.close();
         }
@@ -49,6 +55,13 @@
                 .log(&events::SHUTDOWN_FORCED, &[("connections", &in_progress)]);
         }
         if is_idle || is_forced {
+            let closed_unread = self.connections.closed_unread();
+            if closed_unread > 0 {
+                self.cx.log(
+                    &events::CONNECTIONS_CLOSED_UNREAD,
+                    &[("connections", &closed_unread)],
+                );
+            }
             self.end(cx);
         }
     }
--- a/src/coltsfootnotch/daemon/forward/handover/handed_over.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/handed_over.rs
@@ -11,7 +11,7 @@
 use tokio::sync::Notify;
 
 use super::frame::{HEADER_BYTES, Header};
-use crate::util::connection_io::ResetOnClose;
+use crate::util::connection_io::ServerSocket;
 
 /// Bytes read from the socket at once.
 const READ_BYTES: usize = 8 * 1024;
@@ -65,10 +65,14 @@
     }
 }
 
-impl ResetOnClose for HandedOver {
+impl ServerSocket for HandedOver {
     fn set_reset_on_close(&self, reset: bool) -> io::Result<()> {
         self.stream.set_reset_on_close(reset)
     }
+
+    fn has_unread(&self) -> bool {
+        self.frame_left > 0 || self.stream.has_unread()
+    }
 }
 
 impl AsyncRead for HandedOver {
--- a/src/coltsfootnotch/daemon/forward/handover/relay.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay.rs
@@ -11,7 +11,7 @@
 use super::exchanges::Exchanges;
 use super::frame::{HEADER_BYTES, Header};
 use super::probes::probe_peer;
-use crate::util::connection_io::ResetOnClose;
+use crate::util::connection_io::ServerSocket;
 
 /// Timeout of the connection to a neighbour, which takes a millisecond within a failure domain. The
 /// caller is served here after it.
--- a/src/coltsfootnotch/daemon/forward/listener.rs
+++ b/src/coltsfootnotch/daemon/forward/listener.rs
@@ -106,7 +106,8 @@
         return;
     }
     let handler = move |req, peer| Arc::clone(&gw).handle(req, peer);
-    serve_connection(stream, peer, limits, open.closing(), &handler).await;
+    let is_unread = serve_connection(stream, peer, limits, open.closing(), &handler).await;
+    open.count_if_unread(is_unread);
 }
 
 /// Whether to hand a new connection over: this host has more callers than it can serve, or holds nearly as
@@ -176,5 +177,6 @@
         }
     };
     let handler = move |req, peer| Arc::clone(&gw).handle(req, peer);
-    serve_connection(stream, peer, limits, closing, &handler).await;
+    let is_unread = serve_connection(stream, peer, limits, closing, &handler).await;
+    open.count_if_unread(is_unread);
 }
--- a/src/coltsfootnotch/util/connection_io.rs
+++ b/src/coltsfootnotch/util/connection_io.rs
@@ -6,6 +6,7 @@
 //! once it is complete.
 
 use std::io::{self, IoSlice};
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -23,19 +24,28 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct EndsWithConnection;
 
-/// A connection that can be reset in place of an orderly close.
-pub trait ResetOnClose {
+/// The socket of a connection, as far as its close is concerned.
+pub trait ServerSocket {
     /// Sets whether closing the connection, also by the end of the process, resets it.
     ///
     /// # Errors
     /// Returns an error when the connection is closed already.
     fn set_reset_on_close(&self, reset: bool) -> io::Result<()>;
+
+    /// Whether bytes have arrived that are not read yet; asks the system rather than the runtime, which
+    /// learns of them in its next turn only.
+    fn has_unread(&self) -> bool;
 }
 
-impl ResetOnClose for TcpStream {
+impl ServerSocket for TcpStream {
     fn set_reset_on_close(&self, reset: bool) -> io::Result<()> {
         SockRef::from(self).set_linger(reset.then_some(Duration::ZERO))
     }
+
+    fn has_unread(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        SockRef::from(self).peek(&mut byte).is_ok_and(|len| len > 0)
+    }
 }
 
 /// The version in a status line as hyper writes it, and as it is sent.
@@ -51,7 +61,7 @@
     resets_on_close: bool,
 }
 
-impl<S: ResetOnClose> ConnectionIo<S> {
+impl<S: ServerSocket> ConnectionIo<S> {
     pub(super) fn new(stream: S, next: Arc<NextResponse>) -> Self {
         Self {
             stream,
@@ -91,7 +101,7 @@
     }
 }
 
-impl<S: AsyncWrite + ResetOnClose + Unpin> AsyncWrite for ConnectionIo<S> {
+impl<S: AsyncWrite + ServerSocket + Unpin> AsyncWrite for ConnectionIo<S> {
     fn poll_write(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -139,6 +149,9 @@
         if self.resets_on_close {
             self.set_reset_on_close(false);
         }
+        if self.stream.has_unread() {
+            self.next.is_closed_unread.store(true, Ordering::Release);
+        }
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
--- a/src/coltsfootnotch/util/connection_io_tests.rs
+++ b/src/coltsfootnotch/util/connection_io_tests.rs
@@ -15,7 +15,7 @@
 use hyper::{Request, Response, StatusCode};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream, ReadBuf};
 
-use super::{EndsWithConnection, ResetOnClose};
+use super::{EndsWithConnection, ServerSocket};
 use crate::util::http_server::{
     AnyResponse, BodyAborted, ConnectionLimits, full, serve_connection,
 };
@@ -31,11 +31,15 @@
     resets: Arc<Mutex<Vec<bool>>>,
 }
 
-impl ResetOnClose for Pipe {
+impl ServerSocket for Pipe {
     fn set_reset_on_close(&self, reset: bool) -> io::Result<()> {
         self.resets.lock().unwrap().push(reset);
         Ok(())
     }
+
+    fn has_unread(&self) -> bool {
+        false
+    }
 }
 
 impl AsyncRead for Pipe {
--- a/src/coltsfootnotch/util/connections.rs
+++ b/src/coltsfootnotch/util/connections.rs
@@ -12,6 +12,7 @@
 #[derive(Debug, Default)]
 pub struct Connections {
     open: Arc<AtomicUsize>,
+    closed_unread: Arc<AtomicUsize>,
     closing: watch::Sender<bool>,
 }
 
@@ -19,6 +20,7 @@
 #[derive(Debug)]
 pub struct OpenConnection {
     open: Arc<AtomicUsize>,
+    closed_unread: Arc<AtomicUsize>,
     closing: watch::Receiver<bool>,
 }
 
@@ -39,18 +41,31 @@
         self.open.load(Ordering::Acquire)
     }
 
+    /// Number of connections that were closed with bytes of their peers unread.
+    #[must_use]
+    pub fn closed_unread(&self) -> usize {
+        self.closed_unread.load(Ordering::Acquire)
+    }
+
     /// Counts a connection until the returned value is dropped.
     #[must_use]
     pub fn open(&self) -> OpenConnection {
         self.open.fetch_add(1, Ordering::AcqRel);
         OpenConnection {
             open: Arc::clone(&self.open),
+            closed_unread: Arc::clone(&self.closed_unread),
             closing: self.closing.subscribe(),
         }
     }
 }
 
 impl OpenConnection {
+    /// Counts the connection among those that were closed with bytes of their peers unread, if so.
+    pub fn count_if_unread(&self, is_unread: bool) {
+        let count = usize::from(is_unread);
+        self.closed_unread.fetch_add(count, Ordering::AcqRel);
+    }
+
     /// Completes when the server starts to close its connections.
     pub async fn closing(&self) {
         let mut closing = self.closing.clone();
--- a/src/coltsfootnotch/util/events.rs
+++ b/src/coltsfootnotch/util/events.rs
@@ -61,6 +61,8 @@
     CONFIG_UNDECODABLE = 5 Error "a configuration cannot be decoded and is rejected" => "compare the versions of the daemons; the previous configuration stays in force";
     SHUTDOWN_FORCED = 6 Warn "stopped with requests in progress" => "raise shutdown_ms if requests run longer";
     CONFIG_PATCH_REFUSED = 7 Warn "a patch of the configuration could not be applied; the whole one is requested" => "nothing unless it repeats: then compare the versions of the daemons";
+    CONNECTIONS_CLOSING = 8 Info "a stopping host accepts no more connections and closes those without a request" => "nothing; late_ms tells how far its event loop is behind";
+    CONNECTIONS_CLOSED_UNREAD = 9 Warn "connections were closed with bytes of their callers unread" => "callers may have got no response to a whole request: compare late_ms of CFN-0008, and report it with the lines of the stop";
     LINK_UP = 10 Info "connection to a host is up" => "nothing";
     LINK_DOWN = 11 Warn "connection to a host is lost" => "if it is not restored, check that host and the network in between";
     MESSAGE_FORBIDDEN = 12 Error "a host sent a message that its role may not send" => "treat that host's key as compromised: see SECURITY.md";
--- a/src/coltsfootnotch/util/http_server.rs
+++ b/src/coltsfootnotch/util/http_server.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -26,7 +27,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 
-use super::connection_io::{ConnectionIo, ResetOnClose};
+use super::connection_io::{ConnectionIo, ServerSocket};
 use super::connections::{Connections, OpenConnection};
 use super::next_response::NextResponse;
 
@@ -93,7 +94,9 @@
         };
         async move {
             if prepare(&stream).is_ok() {
-                serve_connection(stream, peer, limits, open.closing(), &*handler).await;
+                let closing = open.closing();
+                let is_unread = serve_connection(stream, peer, limits, closing, &*handler).await;
+                open.count_if_unread(is_unread);
             }
             drop(permit);
         }
@@ -138,20 +141,22 @@
 }
 
 /// Serves one connection until it is closed; once `closing` completes, closes it after the response in
-/// progress.
+/// progress. Returns whether it was closed with bytes of its peer unread.
 pub async fn serve_connection<S, F, R>(
     stream: S,
     peer: SocketAddr,
     limits: ConnectionLimits,
     closing: impl Future<Output = ()>,
     handler: &F,
-) where
-    S: AsyncRead + AsyncWrite + ResetOnClose + Unpin,
+) -> bool
+where
+    S: AsyncRead + AsyncWrite + ServerSocket + Unpin,
     F: Fn(Request<Incoming>, SocketAddr) -> R,
     R: Future<Output = AnyResponse>,
 {
     let next = Arc::new(NextResponse::default());
     let io = ConnectionIo::new(stream, Arc::clone(&next));
+    let closed = Arc::clone(&next);
     let service = service_fn(move |req: Request<Incoming>| {
         let version = req.version();
         // Boxed, as each open connection holds the space of a request's future.
@@ -175,6 +180,7 @@
         connection.as_mut().graceful_shutdown();
         let _outcome = connection.await;
     }
+    closed.is_closed_unread.load(Ordering::Acquire)
 }
 
 /// Size of the socket's send buffer, in bytes.
--- a/src/coltsfootnotch/util/next_response.rs
+++ b/src/coltsfootnotch/util/next_response.rs
@@ -1,4 +1,4 @@
-//! What the service of a connection tells its socket of the next response.
+//! What the service of a connection and its socket tell each other.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -13,13 +13,16 @@
 use super::http_server::AnyResponse;
 use super::unsized_body::UnsizedBody;
 
-/// What the service of a connection tells its socket of the next response.
+/// What the service of a connection tells its socket of the next response, and the socket the service of
+/// its close.
 #[derive(Debug, Default)]
 pub(super) struct NextResponse {
     pub(super) ends_with_connection: AtomicBool,
     /// Whether its status line is written with the version of HTTP/1.0 and has to be corrected.
     pub(super) has_old_version: AtomicBool,
     pub(super) flush: Arc<FlushSignal>,
+    /// Whether the connection was closed in order with bytes of the caller unread.
+    pub(super) is_closed_unread: AtomicBool,
 }
 
 impl NextResponse {
