Answer requests that have arrived when a host closes its connections

Cause: a connection that is told to close was closed by the HTTP library as soon as it had no request in progress. What is in its socket by then is unknown to the library and to the runtime until its next turn, which is a quarter of a second away on a host whose event loop is late. The listener was dropped with connections in its queue.

What callers saw: an orderly end of a kept connection with no response, 0.25 s after a whole request, from a host that had been told to stop 2.7 s before; a reset if their connection had not been accepted.

Change: a connection that is told to close is served on for 100 ms, in which the runtime learns what has arrived; its next response says that it is the last. A request of which a part is there has a second to become whole. A listener first accepts what the system has in its queue, and an entry ends only once its listeners have. The aborted task of the listener is gone with it.

Why it works: the timer of the 100 ms fires in a turn of the runtime that has asked the system for what is readable, and the connection is polled before its timer, so that a request that was in the socket when the close began is in progress before the connection counts as idle.

--- a/src/coltsfootnotch/daemon/forward/actor/shutdown.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/shutdown.rs
@@ -44,10 +44,10 @@
                 &events::CONNECTIONS_CLOSING,
                 &[("connections", &connections), ("late_ms", &late_ms)],
             );
-            self.server_tasks.iter().for_each(JoinHandle::abort);
             self.connections.close();
         }
-        let is_idle = !stopping.listening && self.connections.count() == 0;
+        let has_accepted_all = self.server_tasks.iter().all(JoinHandle::is_finished);
+        let is_idle = has_accepted_all && self.connections.count() == 0;
         let is_forced = elapsed + STOP_MARGIN >= self.times.shutdown;
         if is_forced && !is_idle {
             let in_progress = self.connections.count();
--- a/src/coltsfootnotch/util/connection_io.rs
+++ b/src/coltsfootnotch/util/connection_io.rs
@@ -73,6 +73,9 @@
 
     /// Prepares the socket for `bytes`, which may begin a response.
     fn before_write(&mut self, bytes: &[u8]) {
+        self.next
+            .has_partial_request
+            .store(false, Ordering::Release);
         if self.next.has_old_version.swap(false, Ordering::AcqRel) && bytes.starts_with(OLD_VERSION)
         {
             self.version = VERSION;
@@ -97,7 +100,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let filled = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        if buf.filled().len() > filled {
+            self.next.has_partial_request.store(true, Ordering::Release);
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/src/coltsfootnotch/util/connections.rs
+++ b/src/coltsfootnotch/util/connections.rs
@@ -25,11 +25,17 @@
 }
 
 impl Connections {
-    /// Starts to close the connections: idle ones at once, others after their current response.
+    /// Starts to close the connections: idle ones within a moment, others after their current response.
+    /// Listeners end once they have accepted what waits in their queues.
     pub fn close(&self) {
         self.closing.send_replace(true);
     }
 
+    /// Completes when the connections start to close.
+    pub async fn closing(&self) {
+        wait_for_close(self.closing.subscribe()).await;
+    }
+
     /// Number of open connections.
     ///
     /// ```
@@ -68,11 +74,14 @@
 
     /// Completes when the server starts to close its connections.
     pub async fn closing(&self) {
-        let mut closing = self.closing.clone();
-        if closing.wait_for(|closing| *closing).await.is_err() {
-            // The sender was dropped without a signal, so this connection is never asked to close.
-            std::future::pending::<()>().await;
-        }
+        wait_for_close(self.closing.clone()).await;
+    }
+}
+
+async fn wait_for_close(mut closing: watch::Receiver<bool>) {
+    if closing.wait_for(|closing| *closing).await.is_err() {
+        // The sender was dropped without a signal, so nothing is ever asked to close.
+        std::future::pending::<()>().await;
     }
 }
 
--- a/src/coltsfootnotch/util/http_server.rs
+++ b/src/coltsfootnotch/util/http_server.rs
@@ -5,11 +5,13 @@
 //! returned is dropped, which cancels the request.
 
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{Future, poll_fn};
+use std::io;
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,13 +21,14 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::service::{HttpService, service_fn};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
+use tokio::time::timeout;
 
 use super::connection_io::{ConnectionIo, ServerSocket};
 use super::connections::{Connections, OpenConnection};
@@ -104,8 +107,9 @@
     accept_connections(listener, admit, connections, serve).await;
 }
 
-/// Accepts connections and runs `serve` on each in a task of its own, with its permit, until its own task
-/// is aborted. Connections that `admit` gives no permit are closed without a response.
+/// Accepts connections and runs `serve` on each in a task of its own, with its permit, until `connections`
+/// are told to close; those in the queue by then are accepted as well. Connections that `admit` gives no
+/// permit are closed without a response.
 pub async fn accept_connections<P, F, R>(
     listener: TcpListener,
     admit: impl Fn() -> Option<P>,
@@ -115,16 +119,44 @@
     F: Fn(TcpStream, SocketAddr, OpenConnection, P) -> R,
     R: Future<Output = ()> + Send + 'static,
 {
+    let start = |stream, peer| {
+        if let Some(permit) = admit() {
+            tokio::spawn(serve(stream, peer, connections.open(), permit));
+        }
+    };
+    let mut closing = pin!(connections.closing());
     loop {
-        let Ok((stream, peer)) = listener.accept().await else {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = closing.as_mut() => break,
+        };
+        let Ok((stream, peer)) = accepted else {
             // Out of file descriptors: retry once open connections have released some.
             tokio::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
-        let Some(permit) = admit() else {
-            continue;
+        start(stream, peer);
+    }
+    // The system resets what is left in the queue, though requests may have been sent on it.
+    if let Err(e) = accept_queued(listener, start) {
+        log::warn!("connections are left in the queue of a listener: {e}");
+    }
+}
+
+/// Accepts all connections in the queue of a listener and closes it. The system is asked, since the runtime
+/// learns of new connections in its next turn only.
+fn accept_queued(listener: TcpListener, start: impl Fn(TcpStream, SocketAddr)) -> io::Result<()> {
+    let listener = listener.into_std()?;
+    loop {
+        let (stream, peer) = match listener.accept() {
+            Ok(accepted) => accepted,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            // The caller has disconnected.
+            Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => continue,
+            Err(e) => return Err(e),
         };
-        tokio::spawn(serve(stream, peer, connections.open(), permit));
+        stream.set_nonblocking(true)?;
+        start(TcpStream::from_std(stream)?, peer);
     }
 }
 
@@ -140,8 +172,15 @@
     SockRef::from(stream).set_send_buffer_size(SEND_BUFFER)
 }
 
-/// Serves one connection until it is closed; once `closing` completes, closes it after the response in
-/// progress. Returns whether it was closed with bytes of its peer unread.
+/// Time for which a connection is served on once it is told to close. The runtime learns only in its next
+/// turn what has arrived, and a caller that keeps the connection may have a request on its way.
+pub(crate) const CLOSE_LINGER: Duration = Duration::from_millis(100);
+
+/// Time for the rest of a request of which a part has arrived when its connection is closed.
+pub(crate) const PARTIAL_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Serves one connection until it is closed. Once `closing` completes, closes it after the response in
+/// progress or to a request that has arrived. Returns whether it was closed with bytes of its peer unread.
 pub async fn serve_connection<S, F, R>(
     stream: S,
     peer: SocketAddr,
@@ -156,8 +195,8 @@
 {
     let next = Arc::new(NextResponse::default());
     let io = ConnectionIo::new(stream, Arc::clone(&next));
-    let closed = Arc::clone(&next);
-    let service = service_fn(move |req: Request<Incoming>| {
+    let service = service_fn(|req: Request<Incoming>| {
+        next.has_partial_request.store(false, Ordering::Release);
         let version = req.version();
         // Boxed, as each open connection holds the space of a request's future.
         let response = Box::pin(handler(req, peer));
@@ -177,10 +216,42 @@
         () = closing => true,
     };
     if is_closing {
+        // Boxed, as each open connection holds the space of its timers.
+        Box::pin(close(connection, &next)).await;
+    }
+    next.is_closed_unread.load(Ordering::Acquire)
+}
+
+/// Closes a connection once no request is in progress or on its way.
+async fn close<S, H>(
+    mut connection: Pin<&mut http1::Connection<TokioIo<ConnectionIo<S>>, H>>,
+    next: &NextResponse,
+) where
+    S: AsyncRead + AsyncWrite + ServerSocket + Unpin,
+    H: HttpService<Incoming, ResBody = AnyBody, Error = Infallible>,
+{
+    next.is_last.store(true, Ordering::Release);
+    let is_partial = || next.has_partial_request.load(Ordering::Acquire);
+    let is_over = serve_while(connection.as_mut(), CLOSE_LINGER, || true).await
+        || serve_while(connection.as_mut(), PARTIAL_REQUEST_TIMEOUT, is_partial).await;
+    if !is_over {
         connection.as_mut().graceful_shutdown();
         let _outcome = connection.await;
     }
-    closed.is_closed_unread.load(Ordering::Acquire)
+}
+
+/// Serves a connection for `time` at most, while `is_awaited`; returns whether it is over.
+async fn serve_while<C: Future>(
+    mut connection: Pin<&mut C>,
+    time: Duration,
+    is_awaited: impl Fn() -> bool,
+) -> bool {
+    let served = poll_fn(|cx| match connection.as_mut().poll(cx) {
+        Poll::Ready(_) => Poll::Ready(true),
+        Poll::Pending if is_awaited() => Poll::Pending,
+        Poll::Pending => Poll::Ready(false),
+    });
+    timeout(time, served).await.unwrap_or(false)
 }
 
 /// Size of the socket's send buffer, in bytes.
--- a/src/coltsfootnotch/util/next_response.rs
+++ b/src/coltsfootnotch/util/next_response.rs
@@ -21,6 +21,10 @@
     /// Whether its status line is written with the version of HTTP/1.0 and has to be corrected.
     pub(super) has_old_version: AtomicBool,
     pub(super) flush: Arc<FlushSignal>,
+    /// Whether the connection is closed after the response.
+    pub(super) is_last: AtomicBool,
+    /// Whether bytes were received since the last request or response: a part of a request's head.
+    pub(super) has_partial_request: AtomicBool,
     /// Whether the connection was closed in order with bytes of the caller unread.
     pub(super) is_closed_unread: AtomicBool,
 }
@@ -38,12 +42,14 @@
             let flush = Arc::clone(&self.flush);
             response = response.map(|body| AbortAfterFlush::new(body, flush).boxed());
         }
+        if is_marked || self.is_last.load(Ordering::Acquire) {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
         if !is_marked {
             return response;
         }
         response = response.map(|body| UnsizedBody(body).boxed());
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
         if version != Version::HTTP_10 {
             // With this version hyper adds no chunks.
             *response.version_mut() = Version::HTTP_10;
