Refuse a request that arrives as its relayed connection ends

Cause: a relay whose neighbour had closed its end closed the caller's connection, too, whatever the caller had sent since. A neighbour that stops, or that closes after its response, does so while the next request is in the socket of the entry.

What callers saw: a connection that is reset with no response to a whole request.

--- a/src/coltsfootnotch/daemon/forward/handover/exchanges.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/exchanges.rs
@@ -73,6 +73,18 @@
         has_request && self.response == MessagePosition::Between
     }
 
+    /// Whether no request or response is in progress.
+    pub(super) fn is_idle(&self) -> bool {
+        self.unanswered.is_empty()
+            && self.request == MessagePosition::Between
+            && self.response == MessagePosition::Between
+    }
+
+    /// Whether a complete request waits for its response.
+    pub(super) fn has_complete_request(&self) -> bool {
+        !self.unanswered.is_empty() && self.request == MessagePosition::Between
+    }
+
     /// Whether a response has begun that ends with the connection, as one may that can't be followed.
     pub(super) fn response_may_end_with_connection(&self) -> bool {
         matches!(
--- a/src/coltsfootnotch/daemon/forward/handover/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/mod.rs
@@ -20,5 +20,5 @@
 
 pub(super) use handed_over::HandedOver;
 pub(super) use probes::probe_peer;
-pub(super) use relay::{LostNeighbour, connect, relay};
+pub(super) use relay::{RelayEnd, connect, relay};
 pub(super) use targets::HandoverTargets;
--- a/src/coltsfootnotch/daemon/forward/handover/relay.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay.rs
@@ -12,6 +12,7 @@
 use super::frame::{HEADER_BYTES, Header};
 use super::probes::probe_peer;
 use crate::util::connection_io::ServerSocket;
+use crate::util::http_server::{CLOSE_LINGER, PARTIAL_REQUEST_TIMEOUT};
 
 /// Timeout of the connection to a neighbour, which takes a millisecond within a failure domain. The
 /// caller is served here after it.
@@ -42,6 +43,11 @@
     content-type: text/plain; charset=utf-8\r\ncontent-length: 50\r\n\r\n\
     the serving host is gone; the request may have run";
 
+/// The response to a caller whose neighbour is gone before any byte of the request was passed on.
+const NOT_RUN_RESPONSE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\n\
+    retry-after: 0\r\ncontent-type: text/plain; charset=utf-8\r\ncontent-length: 50\r\n\r\n\
+    the serving host is gone; the request did not run\n";
+
 /// Which end closed its connection or broke it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum End {
@@ -50,17 +56,25 @@
     NeighbourBroken,
 }
 
-/// A neighbour that was gone while a caller waited for its response.
+/// How a relayed connection ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(in crate::daemon::forward) struct LostNeighbour {
-    /// Whether its connection broke; otherwise it was closed in order.
-    pub(in crate::daemon::forward) is_broken: bool,
+pub(in crate::daemon::forward) enum RelayEnd {
+    /// Without a request that waited for its response.
+    Closed,
+    /// The neighbour was gone as the caller's next request arrived, which was refused as not run.
+    Refused,
+    /// The neighbour was gone while the caller waited for a response, and the caller got a failure.
+    NeighbourLost {
+        /// Whether its connection broke; otherwise it was closed in order.
+        is_broken: bool,
+    },
 }
 
 /// Relays between a caller and the neighbour that serves it, until one of them closes its connection;
 /// both are closed then. Once `closing` completes, or the first bytes of the caller have passed if
-/// `is_single`, asks the neighbour to close the connection after the response in progress. A caller whose neighbour is gone before it has begun to respond gets a failure;
-/// returns what is known of that neighbour.
+/// `is_single`, asks the neighbour to close the connection after the response in progress. A caller whose
+/// neighbour is gone before it has begun to respond gets a failure, or a refusal if the request was not
+/// passed on.
 ///
 /// # Errors
 /// Returns an error when the connection to the caller is broken by then.
@@ -69,19 +83,52 @@
     mut neighbour: TcpStream,
     closing: impl Future<Output = ()>,
     is_single: bool,
-) -> io::Result<Option<LostNeighbour>> {
+) -> io::Result<RelayEnd> {
     let mut exchanges = Exchanges::default();
     let ends = (&mut caller, &mut neighbour);
     let end = relay_until_closed(ends, closing, is_single, &mut exchanges).await;
-    if end != End::Caller && exchanges.awaits_response() {
+    if end == End::Caller {
+        return Ok(RelayEnd::Closed);
+    }
+    if exchanges.awaits_response() {
         caller.write_all(LOST_RESPONSE).await?;
         let is_broken = end == End::NeighbourBroken;
-        return Ok(Some(LostNeighbour { is_broken }));
+        return Ok(RelayEnd::NeighbourLost { is_broken });
+    }
+    if exchanges.is_idle() && refuse_next_request(&mut caller, &mut exchanges).await? {
+        return Ok(RelayEnd::Refused);
     }
     if end == End::NeighbourClosed && exchanges.response_may_end_with_connection() {
         caller.set_reset_on_close(false)?;
     }
-    Ok(None)
+    Ok(RelayEnd::Closed)
+}
+
+/// Refuses the request that a caller has sent as the neighbour's connection ended, or sends within a moment;
+/// returns whether there was one.
+async fn refuse_next_request(
+    caller: &mut TcpStream,
+    exchanges: &mut Exchanges,
+) -> io::Result<bool> {
+    let mut buf = vec![0; REQUEST_BYTES];
+    let mut time = CLOSE_LINGER;
+    // Closed with a part of the request unread, the connection would be reset and the response lost.
+    while !exchanges.has_complete_request() {
+        let len = match timeout(time, caller.read(&mut buf)).await {
+            Ok(len) => len?,
+            Err(_) => break,
+        };
+        if len == 0 {
+            return Ok(false);
+        }
+        exchanges.pass_request_bytes(&buf[..len]);
+        time = PARTIAL_REQUEST_TIMEOUT;
+    }
+    if exchanges.is_idle() {
+        return Ok(false);
+    }
+    caller.write_all(NOT_RUN_RESPONSE).await?;
+    Ok(true)
 }
 
 /// Relays in both directions; returns which end is closed, with the bytes that have passed in
--- a/src/coltsfootnotch/daemon/forward/listener.rs
+++ b/src/coltsfootnotch/daemon/forward/listener.rs
@@ -8,7 +8,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::costs::{CONNECTION_BYTES, RELAY_BYTES};
-use super::handover::{HandedOver, LostNeighbour, connect, probe_peer, relay};
+use super::handover::{HandedOver, RelayEnd, connect, probe_peer, relay};
 use super::server::Gateway;
 use crate::util::connections::{Connections, OpenConnection};
 use crate::util::events;
@@ -30,7 +30,7 @@
 }
 
 impl Acceptor {
-    /// Accepts connections of callers until its task is aborted.
+    /// Accepts connections of callers until the connections are told to close.
     pub(super) async fn accept_callers(self, listener: TcpListener) {
         let Self { limits, gw, .. } = self.clone();
         let serve = move |stream, peer, open, hold| {
@@ -39,8 +39,8 @@
         accept_connections(listener, || admit(&self.gw), self.connections, serve).await;
     }
 
-    /// Accepts connections that neighbours hand over, until its task is aborted. They are served here in any
-    /// case, so that a connection is handed over at most once.
+    /// Accepts connections that neighbours hand over, until the connections are told to close. They are served
+    /// here in any case, so that a connection is handed over at most once.
     pub(super) async fn accept_handed_over(self, listener: TcpListener) {
         let Self { limits, gw, .. } = self.clone();
         let serve = move |stream, peer, open, hold| {
@@ -100,8 +100,17 @@
         // Boxed, since its buffers would otherwise be part of the task of each connection that is served
         // here. A broken connection to the caller is its own.
         let relayed = Box::pin(relay(stream, neighbour, gw.handover.ended(), is_single)).await;
-        if let Ok(Some(lost)) = relayed {
-            log_lost_neighbour(&gw, address, lost, started.elapsed());
+        match relayed {
+            Ok(RelayEnd::NeighbourLost { is_broken }) => {
+                log_lost_neighbour(&gw, address, is_broken, started.elapsed());
+            }
+            Ok(RelayEnd::Refused) => {
+                let metrics = &gw.cx.metrics;
+                metrics
+                    .counter("relayed_requests_refused", &[])
+                    .increment(1);
+            }
+            Ok(RelayEnd::Closed) | Err(_) => {}
         }
         return;
     }
@@ -123,18 +132,13 @@
     gw.handover.should_hand_over((gw.draw)())
 }
 
-fn log_lost_neighbour(
-    gw: &Gateway,
-    address: Option<SocketAddr>,
-    lost: LostNeighbour,
-    age: Duration,
-) {
+fn log_lost_neighbour(gw: &Gateway, address: Option<SocketAddr>, is_broken: bool, age: Duration) {
     if !gw.lost_neighbours.take(gw.cx.now()) {
         gw.cx.metrics.count_event(&events::NEIGHBOUR_LOST);
         return;
     }
     let address = address.map_or_else(|| "-".to_owned(), |address| address.to_string());
-    let how = if lost.is_broken { "broken" } else { "closed" };
+    let how = if is_broken { "broken" } else { "closed" };
     let age_ms = age.as_millis();
     gw.cx.log(
         &events::NEIGHBOUR_LOST,
