Ask callers of a stopping host to leave with each response

Cause: a stopping entry served kept connections as ever for 2.6 s and then closed all that were idle, while their callers could be sending the next request.

What callers saw: connections that end as they reuse them, which costs each of them another attempt.

Change: responses of an entry that stops say connection: close, so that its callers have gone elsewhere by then.

Measured: a_stopping_router_asks_its_callers_to_leave failed before and passes.

--- a/src/coltsfootnotch/daemon/forward/handover/targets.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/targets.rs
@@ -58,7 +58,12 @@
 
     /// Whether connections may be handed over at all.
     pub(in crate::daemon::forward) fn can_hand_over(&self) -> bool {
-        !*self.ended.borrow() && self.has_neighbours()
+        !self.has_ended() && self.has_neighbours()
+    }
+
+    /// Whether the entry stops.
+    pub(in crate::daemon::forward) fn has_ended(&self) -> bool {
+        *self.ended.borrow()
     }
 
     /// A neighbour chosen by a random number from 0 to 1.
--- a/src/coltsfootnotch/daemon/forward/server.rs
+++ b/src/coltsfootnotch/daemon/forward/server.rs
@@ -111,10 +111,11 @@
         }
     }
 
-    /// Whether to close the connection after this response: there are too many, or the caller is served
-    /// better through another host.
+    /// Whether to close the connection after this response: there are too many, the caller is served better
+    /// through another host, or this one stops and would otherwise close it while the caller may reuse it.
     fn should_close(&self) -> bool {
-        self.overload.is_overloaded()
+        self.handover.has_ended()
+            || self.overload.is_overloaded()
             || self.held.load() >= Load::Crowded
             || self.handover.should_hand_over((self.draw)())
     }
