Ask the system whether an idle connection to an upstream is still open

Cause: the pool asked the HTTP library, which learns of a close, or of bytes that nobody asked for, in the next turn of the runtime. On a late host that is a quarter of a second in which requests are written to connections that their upstreams have closed, as upstreams do that stop or whose idle timeout is over.

What callers saw: a 502 that says that the request may have run, though it can't have, or a repeat that counts against the retry budget; both count as a sign that the request crashes upstreams.

Change: the socket is shared by the HTTP library and the pool, which peeks at it before it reuses a connection.

Measured: of three tests with sockets two failed before, with a closed connection and one with an unrequested response reused; all pass.

--- a/src/coltsfootnotch/daemon/forward/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/mod.rs
@@ -39,6 +39,7 @@
 mod state;
 mod stream;
 mod stream_source;
+mod upstream_socket;
 
 pub use actor::run;
 pub use config::{ForwardSettings, Times};
--- a/src/coltsfootnotch/daemon/forward/pool.rs
+++ b/src/coltsfootnotch/daemon/forward/pool.rs
@@ -16,6 +16,7 @@
 
 use super::costs::UPSTREAM_BYTES;
 use super::messages::Ticket;
+use super::upstream_socket::UpstreamSocket;
 
 /// Timeout of a new connection. Connecting takes some milliseconds within a region; an unreachable
 /// host must leave time for another upstream.
@@ -38,6 +39,7 @@
 /// work for a caller that has disconnected.
 pub(super) struct Connection {
     pub(super) sender: SendRequest<Full<Bytes>>,
+    socket: UpstreamSocket,
     task: AbortHandle,
     /// Whether it was used before.
     pub(super) reused: bool,
@@ -91,7 +93,7 @@
         let list = idle.get_mut(&key(ticket))?;
         while let Some(found) = list.pop() {
             let is_open = found.connection.sender.is_ready() && now < found.expires_at;
-            if is_open {
+            if is_open && found.connection.socket.is_idle() {
                 let mut connection = found.connection;
                 connection.reused = true;
                 return Some(connection);
@@ -146,17 +148,23 @@
         Err(_) => return Err(io::ErrorKind::TimedOut.into()),
     };
     stream.set_nodelay(true)?;
+    let socket = UpstreamSocket::new(stream);
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(READ_BYTES)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(socket.clone()))
         .await
         .map_err(io::Error::other)?;
     // The sender returns connection errors to the pending request.
     let task = tokio::spawn(async move { drop(connection.await) });
     Ok(Connection {
         sender,
+        socket,
         task: task.abort_handle(),
         reused: false,
         _hold: hold,
     })
 }
+
+#[cfg(test)]
+#[path = "pool_tests.rs"]
+mod tests;
