Check in the soak that a stopping router leaves no request unread

A router that is told to stop closes idle connections without reading what has arrived on them. The soak missed this: its check of planned stops counts only requests that an upstream has run.

Eight callers now keep a connection each, without a proxy, to a router that is told to stop, and send a request as soon as the last one is answered. While the stop is the only disturbance, a connection that ends with no response more than 200 ms after a whole request was sent on it, and not near the timeout, is a finding; refused connections and those that ended before the request was sent are not. All that end so are counted ("unread at a stop") without a verdict: a request can arrive between a server's last read and its close. `--without-kept-callers` leaves the callers out. The check of requests that upstreams have run is as before.

--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -18,7 +18,7 @@
 use crate::upstream::{EVENTS, answer_text, event_text};
 
 /// Timeout of a request.
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
+pub const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
 /// Range of the pause between two requests of a client, in milliseconds.
 const PAUSE_MS: (u64, u64) = (5, 60);
 
@@ -111,8 +111,7 @@
             && !self.recorder.is_unstated(id)
         {
             let took = self.recorder.now().saturating_sub(sent_at);
-            // A request close to its timeout wasn't cut by the stop.
-            if took < REQUEST_TIMEOUT * 7 / 10 {
+            if !is_near_timeout(took) {
                 let what = format!("{id} is cut by router {router} after {took:?}");
                 self.recorder.report(Invariant::GracefulStop, what);
             }
@@ -165,6 +164,12 @@
     }
 }
 
+/// Whether a request that ended after `took` may have reached its timeout instead of being cut by a stop.
+#[must_use]
+pub fn is_near_timeout(took: Duration) -> bool {
+    took >= REQUEST_TIMEOUT * 7 / 10
+}
+
 /// The version that wrote the first event of a stream; all others have to be of the same.
 fn version_of_first_event(body: &str) -> &str {
     let data = body.lines().find_map(|line| line.strip_prefix("data: "));
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -89,6 +89,12 @@
         SocketAddr::new(self.proxy_ip(Endpoint::Router(router)), CLIENT_PORT)
     }
 
+    /// Returns the address at which a router is called without its proxy.
+    #[must_use]
+    pub fn direct_address(self, router: usize) -> SocketAddr {
+        SocketAddr::new(self.bind_ip(Endpoint::Router(router)), CLIENT_PORT)
+    }
+
     /// Returns the address of a router's readiness probe, which bypasses the proxy.
     #[must_use]
     pub fn readiness_address(self, router: usize) -> SocketAddr {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod control_slots;
 pub mod disturbances;
 pub mod fleet;
+pub mod kept_caller;
 pub mod notices;
 pub mod operator;
 pub mod process;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -26,6 +26,7 @@
     without_refusals: bool,
     with_framing: bool,
     without_slow_clients: bool,
+    without_kept_callers: bool,
 }
 
 fn options() -> OptionParser<Options> {
@@ -72,6 +73,9 @@
     let without_slow_clients = long("without-slow-clients")
         .help("no clients that send slowly or don't read; for seeds that were found without")
         .switch();
+    let without_kept_callers = long("without-kept-callers")
+        .help("no callers on kept connections while a router stops; for seeds that were found without")
+        .switch();
     construct!(Options {
         seed,
         seeds,
@@ -84,7 +88,8 @@
         replace,
         without_refusals,
         with_framing,
-        without_slow_clients
+        without_slow_clients,
+        without_kept_callers
     })
     .guard(
         |o| [3, 5, 7].contains(&o.controls),
@@ -140,6 +145,7 @@
         has_refusals: !options.without_refusals,
         omits_framing: !options.with_framing,
         has_slow_clients: !options.without_slow_clients,
+        has_kept_callers: !options.without_kept_callers,
         binary: options.binary.clone(),
         block: (std::process::id() % 250) as u8,
         folder: folder.path().to_owned(),
@@ -152,12 +158,13 @@
     let outcome = runtime.block_on(soak.run())?;
     let counts = outcome.counts;
     println!(
-        "seed {seed}: {} steps, {} served, {} refused, {} failed, {} cut, {} changes, {} read back, {:.3} served at the end, {} findings",
+        "seed {seed}: {} steps, {} served, {} refused, {} failed, {} cut, {} unread at a stop, {} changes, {} read back, {:.3} served at the end, {} findings",
         outcome.steps,
         counts.served,
         counts.refused,
         counts.failed,
         counts.cut,
+        counts.unread,
         counts.accepted,
         counts.read_back,
         outcome.recovered,
--- a/soak/src/recorder.rs
+++ b/soak/src/recorder.rs
@@ -6,6 +6,11 @@
 
 use derive_more::Display;
 
+use crate::client::is_near_timeout;
+
+/// Time within which a request and the close of its connection may cross on their way.
+const CROSSING_TIME: Duration = Duration::from_millis(200);
+
 /// An invariant of the fleet that the soak checks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display)]
 pub enum Invariant {
@@ -33,7 +38,7 @@
     /// An upstream receives no requests from a router that it asked for none for a time.
     #[display("pauses are kept")]
     NoWorkDuringPause,
-    /// A graceful stop interrupts no request in progress.
+    /// A graceful stop interrupts no request in progress, and leaves none unread for long.
     #[display("planned stops cut nothing")]
     GracefulStop,
     /// Requests are served again after the last fault.
@@ -96,6 +101,8 @@
     pub failed: u64,
     /// Requests whose connection failed or was cut.
     pub cut: u64,
+    /// Requests on kept connections that a stopping router closed without a response after they had been sent.
+    pub unread: u64,
     /// Accepted configurations.
     pub accepted: u64,
     /// Configuration reads.
@@ -272,6 +279,17 @@
         }
     }
 
+    /// Records that a router that was being stopped, and not disturbed otherwise, closed a kept connection without a
+    /// response, `waited` after a whole request was sent on it. It may arrive between the last read and the close of
+    /// any server, so only one that had time to be read violates the invariant.
+    pub fn record_unread(&self, router: usize, waited: Duration) {
+        self.observations().counts.unread += 1;
+        if waited > CROSSING_TIME && !is_near_timeout(waited) {
+            let what = format!("router {router} closes a connection {waited:?} after a request");
+            self.report(Invariant::GracefulStop, what);
+        }
+    }
+
     /// Counts an accepted configuration.
     pub fn record_accepted(&self) {
         self.observations().counts.accepted += 1;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -69,6 +69,8 @@
     pub omits_framing: bool,
     /// Whether some clients send slowly or don't read.
     pub has_slow_clients: bool,
+    /// Whether routers that are stopped are called on kept connections meanwhile.
+    pub has_kept_callers: bool,
     /// The platform's program.
     pub binary: PathBuf,
     /// Block of loopback addresses; concurrent runs need different blocks.
@@ -173,6 +175,7 @@
             upstreams,
             disturbances,
             replaces_hosts: self.replaces_hosts,
+            has_kept_callers: self.has_kept_callers,
         })
     }
 
--- a/soak/src/scenario.rs
+++ b/soak/src/scenario.rs
@@ -8,6 +8,7 @@
 
 use crate::disturbances::Disturbances;
 use crate::fleet::{Fleet, GRACE_S};
+use crate::kept_caller::{KEPT_CALLERS, call_until_closed};
 use crate::notices::Notices;
 use crate::operator::Operator;
 use crate::process::wait_until;
@@ -32,6 +33,8 @@
     pub(crate) disturbances: Disturbances,
     /// Whether a control host that loses its disk is replaced by another.
     pub(crate) replaces_hosts: bool,
+    /// Whether routers that are stopped are called on kept connections meanwhile.
+    pub(crate) has_kept_callers: bool,
 }
 
 impl Scenario {
@@ -193,6 +196,9 @@
     async fn stop_router(&self, host: usize) -> io::Result<()> {
         self.disturbances
             .record_planned_stop(host, self.recorder.now());
+        if self.has_kept_callers {
+            self.start_kept_callers(host);
+        }
         self.fleet.router(host).request_stop()?;
         let within = Duration::from_secs_f64(GRACE_S);
         let ended = wait_until(within, || {
@@ -209,6 +215,21 @@
         Ok(())
     }
 
+    fn start_kept_callers(&self, router: usize) {
+        let address = self.fleet.addresses.direct_address(router);
+        for _ in 0..KEPT_CALLERS {
+            let (recorder, disturbances) = (self.recorder.clone(), self.disturbances.clone());
+            tokio::task::spawn_blocking(move || {
+                let waited = call_until_closed(address);
+                if let Some(waited) = waited
+                    && disturbances.is_planned_stop_only(router, recorder.now())
+                {
+                    recorder.record_unread(router, waited);
+                }
+            });
+        }
+    }
+
     async fn apply_rule_from_outside(
         &self,
         to: Endpoint,
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -1,8 +1,12 @@
 //! The recorder reports violated invariants.
 
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::thread::sleep;
 use std::time::Duration;
 
 use coltsfootnotch_soak::disturbances::Disturbances;
+use coltsfootnotch_soak::kept_caller::call_until_closed;
 use coltsfootnotch_soak::notices::Notices;
 use coltsfootnotch_soak::recorder::{Invariant, Recorder, RequestOutcome};
 use googletest::prelude::*;
@@ -169,3 +173,55 @@
         elements_are![eq(&Invariant::NoWorkAfterDrain)]
     );
 }
+
+#[googletest::test]
+fn a_request_that_is_left_unread_at_a_stop_is_reported() {
+    let recorder = Recorder::new();
+    for waited in [0.0, 0.2, 2.1, 3.0] {
+        recorder.record_unread(0, s(waited));
+    }
+    expect_that!(violated(&recorder), is_empty());
+    recorder.record_unread(0, s(0.25));
+    recorder.record_unread(0, s(2.0));
+    expect_that!(
+        violated(&recorder),
+        elements_are![eq(&Invariant::GracefulStop), eq(&Invariant::GracefulStop)]
+    );
+    expect_that!(recorder.counts().unread, eq(6));
+}
+
+const RESPONSE: &[u8] = b"HTTP/1.1 401 Unauthorized\r\nContent-Length: 2\r\n\r\nno";
+const LAST_RESPONSE: &[u8] =
+    b"HTTP/1.1 401 Unauthorized\r\ncontent-length: 2\r\nconnection: close\r\n\r\nno";
+
+/// Starts a server that sends one of the responses to each request, and closes its connection `unread` after them.
+fn serve(responses: &'static [&'static [u8]], unread: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        for response in responses {
+            let _n = stream.read(&mut [0; 4_096]).unwrap();
+            stream.write_all(response).unwrap();
+        }
+        sleep(unread);
+    });
+    address
+}
+
+/// Guards against a check that takes no notice of a request which a router leaves in its socket, or that blames a
+/// router for a connection that never served a request, was refused, or was stated to end.
+#[googletest::test]
+fn kept_callers_tell_requests_that_are_left_unread() {
+    let unread = s(0.3);
+    let waited = call_until_closed(serve(&[RESPONSE, RESPONSE], unread));
+    expect_that!(waited, some(ge(s(0.2))));
+    expect_that!(call_until_closed(serve(&[], unread)), none());
+    expect_that!(call_until_closed(serve(&[LAST_RESPONSE], unread)), none());
+    let cut = serve(&[RESPONSE, b"HTTP/1.1 401"], unread);
+    expect_that!(call_until_closed(cut), none());
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let refused = listener.local_addr().unwrap();
+    drop(listener);
+    expect_that!(call_until_closed(refused), none());
+}
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -42,6 +42,7 @@
         has_refusals: false,
         omits_framing: false,
         has_slow_clients: false,
+        has_kept_callers: false,
         binary: binary(),
         block: 250 - (seed % 100) as u8,
         folder: folder.path().to_owned(),
@@ -111,3 +112,13 @@
         is_empty()
     );
 }
+
+/// Guards against routers that leave requests on kept connections unread when they stop, three times in this seed,
+/// under other faults.
+#[googletest::test]
+fn seed_9004_kept_connections_are_served_until_they_close() {
+    expect_that!(
+        run_with(9004, |soak| soak.has_kept_callers = true),
+        is_empty()
+    );
+}
