Have the soak's kept callers come back on another connection while a router stops

Cause: responses of a stopping router ask callers to leave, so that these callers ended before connections were closed.

Change: a caller that was asked to leave connects again until the router accepts no more; a first request that is left unread counts as well, since the queue of a listener is accepted before it is closed. The stand-in of the check closes its listener, and its case of a first request without a response is a finding now.

--- a/soak/src/kept_caller.rs
+++ b/soak/src/kept_caller.rs
@@ -11,35 +11,45 @@
 /// Number of callers of a router that is told to stop.
 pub const KEPT_CALLERS: usize = 8;
 
-/// Sends requests without a key, which the router answers itself, on one connection until it ends. Returns the time
-/// from a whole request to the end of its connection with no byte of a response; `None` if the connection was refused,
-/// ended by its first request or between two, or if its end had arrived by the time the request was sent.
+/// Sends requests without a key, which the router answers itself, on connections that are kept until a response asks to
+/// leave, one after the other until the router accepts none. Returns the time from a whole request to the end of its
+/// connection with no byte of a response; `None` if there was none such, or if the end had arrived by the time the request
+/// was sent.
 ///
 /// The router is called without a proxy: a request is in its socket, or refused by it, when the call that sends it
 /// returns, and an end that it sent before has arrived by then.
 ///
 /// ```
-/// use coltsfootnotch_soak::kept_caller::call_until_closed;
-/// assert_eq!(call_until_closed("127.0.0.1:1".parse().unwrap()), None);
+/// use coltsfootnotch_soak::kept_caller::call_until_refused;
+/// assert_eq!(call_until_refused("127.0.0.1:1".parse().unwrap()), None);
 /// ```
 #[must_use]
-pub fn call_until_closed(router: SocketAddr) -> Option<Duration> {
-    let mut stream = TcpStream::connect(router).ok()?;
-    stream.set_nodelay(true).ok()?;
-    stream.set_read_timeout(Some(REQUEST_TIMEOUT)).ok()?;
+pub fn call_until_refused(router: SocketAddr) -> Option<Duration> {
+    loop {
+        let stream = TcpStream::connect(router).ok()?;
+        if let Some(waited) = call_until_last(stream).ok()? {
+            return Some(waited);
+        }
+    }
+}
+
+/// Sends requests on a connection until a response asks to leave, or one is left without a response: then returns how long
+/// that one waited.
+fn call_until_last(mut stream: TcpStream) -> Result<Option<Duration>> {
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(REQUEST_TIMEOUT))?;
     let request =
         format!("POST /once/x HTTP/1.1\r\nhost: {HOST}\r\ncontent-length: 6\r\n\r\na body");
-    let mut is_kept = false;
     loop {
-        stream.write_all(request.as_bytes()).ok()?;
+        stream.write_all(request.as_bytes())?;
         let sent = Instant::now();
-        if !is_open(&stream).ok()? {
-            return None;
+        if !is_open(&stream)? {
+            return Err(ErrorKind::ConnectionAborted.into());
         }
-        match read_response(&stream).ok()? {
-            Response::None => return is_kept.then(|| sent.elapsed()),
-            Response::Last => return None,
-            Response::Whole => is_kept = true,
+        match read_response(&stream)? {
+            Response::None => return Ok(Some(sent.elapsed())),
+            Response::Last => return Ok(None),
+            Response::Whole => {}
         }
     }
 }
--- a/soak/src/scenario.rs
+++ b/soak/src/scenario.rs
@@ -8,7 +8,7 @@
 
 use crate::disturbances::Disturbances;
 use crate::fleet::{Fleet, GRACE_S};
-use crate::kept_caller::{KEPT_CALLERS, call_until_closed};
+use crate::kept_caller::{KEPT_CALLERS, call_until_refused};
 use crate::notices::Notices;
 use crate::operator::Operator;
 use crate::process::wait_until;
@@ -220,7 +220,7 @@
         for _ in 0..KEPT_CALLERS {
             let (recorder, disturbances) = (self.recorder.clone(), self.disturbances.clone());
             tokio::task::spawn_blocking(move || {
-                let waited = call_until_closed(address);
+                let waited = call_until_refused(address);
                 if let Some(waited) = waited
                     && disturbances.is_planned_stop_only(router, recorder.now())
                 {
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use coltsfootnotch_soak::disturbances::Disturbances;
-use coltsfootnotch_soak::kept_caller::call_until_closed;
+use coltsfootnotch_soak::kept_caller::call_until_refused;
 use coltsfootnotch_soak::notices::Notices;
 use coltsfootnotch_soak::recorder::{Invariant, Recorder, RequestOutcome};
 use googletest::prelude::*;
@@ -200,6 +200,7 @@
     let address = listener.local_addr().unwrap();
     std::thread::spawn(move || {
         let (mut stream, _) = listener.accept().unwrap();
+        drop(listener);
         for response in responses {
             let _n = stream.read(&mut [0; 4_096]).unwrap();
             stream.write_all(response).unwrap();
@@ -210,18 +211,18 @@
 }
 
 /// Guards against a check that takes no notice of a request which a router leaves in its socket, or that blames a
-/// router for a connection that never served a request, was refused, or was stated to end.
+/// router for a connection that was refused or stated to end.
 #[googletest::test]
 fn kept_callers_tell_requests_that_are_left_unread() {
     let unread = s(0.3);
-    let waited = call_until_closed(serve(&[RESPONSE, RESPONSE], unread));
+    let waited = call_until_refused(serve(&[RESPONSE, RESPONSE], unread));
     expect_that!(waited, some(ge(s(0.2))));
-    expect_that!(call_until_closed(serve(&[], unread)), none());
-    expect_that!(call_until_closed(serve(&[LAST_RESPONSE], unread)), none());
+    expect_that!(call_until_refused(serve(&[], unread)), some(ge(s(0.2))));
+    expect_that!(call_until_refused(serve(&[LAST_RESPONSE], unread)), none());
     let cut = serve(&[RESPONSE, b"HTTP/1.1 401"], unread);
-    expect_that!(call_until_closed(cut), none());
+    expect_that!(call_until_refused(cut), none());
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let refused = listener.local_addr().unwrap();
     drop(listener);
-    expect_that!(call_until_closed(refused), none());
+    expect_that!(call_until_refused(refused), none());
 }
