--- a/crates/forward/src/retry/retry_budget.rs
+++ b/crates/forward/src/retry/retry_budget.rs
@@ -8,10 +8,6 @@
 /// entries is known with a delay.
 const USED_SHARE: f64 = 0.7;
 
-/// Part of its budget that an entry uses in the first window after its start. It doesn't know what its
-/// predecessor has spent in that window, and a fleet that restarts would spend it twice.
-const NEW_ENTRY_SHARE: f64 = 0.25;
-
 /// Length of the buckets of a window.
 const BUCKET: Duration = Duration::from_millis(500);
 
@@ -41,8 +37,8 @@
 /// use std::time::Duration;
 /// use coltsfootnotch_forward::retry::{RetryLimit, RetryBudget};
 /// let limit = RetryLimit { ratio: 0.2, slack: 30.0, window: Duration::from_secs(10) };
-/// let mut budget = RetryBudget::new(limit, Duration::ZERO);
-/// let now = Duration::from_secs(11);
+/// let mut budget = RetryBudget::new(limit);
+/// let now = Duration::from_secs(1);
 /// assert!(!budget.try_acquire(now, "orders", None), "the number of entries is not known yet");
 /// assert!(budget.try_acquire(now, "orders", Some(10)));
 /// let more = (0..10).filter(|_| budget.try_acquire(now, "orders", Some(10))).count();
@@ -51,18 +47,15 @@
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
     limit: RetryLimit,
-    /// When the entry was started.
-    started: Duration,
     by_service: HashMap<Arc<str>, VecDeque<(u64, Bucket)>>,
 }
 
 impl RetryBudget {
-    /// An unused budget of an entry that was started at `started`.
+    /// An unused budget.
     #[must_use]
-    pub fn new(limit: RetryLimit, started: Duration) -> Self {
+    pub fn new(limit: RetryLimit) -> Self {
         Self {
             limit,
-            started,
             by_service: HashMap::new(),
         }
     }
@@ -81,9 +74,7 @@
         let requests: u32 = buckets.iter().map(|(_, p)| p.requests).sum();
         let retries: u32 = buckets.iter().map(|(_, p)| p.retries).sum();
         let slack = entries.map_or(0.0, |n| self.limit.slack / f64::from(n.max(1)));
-        let is_new = now < self.started + self.limit.window;
-        let share = if is_new { NEW_ENTRY_SHARE } else { 1.0 };
-        let allowed = (f64::from(requests) * self.limit.ratio + slack) * USED_SHARE * share;
+        let allowed = (f64::from(requests) * self.limit.ratio + slack) * USED_SHARE;
         if f64::from(retries + 1) > allowed {
             return false;
         }
--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -272,7 +272,7 @@
             state: State::new(
                 domain,
                 cx.identity.incarnation.0,
-                RetryBudget::new(settings.retries, cx.now()),
+                RetryBudget::new(settings.retries),
                 lease,
                 notices,
             ),
