--- a/src/coltsfootnotch/daemon/forward/handover/relay.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay.rs
@@ -59,7 +59,7 @@
 /// How a relayed connection ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(in crate::daemon::forward) enum RelayEnd {
-    /// Without a request that waited for its response.
+    /// With nobody who waited for a response.
     Closed,
     /// The neighbour was gone as the caller's next request arrived, which was refused as not run.
     Refused,
--- a/src/coltsfootnotch/daemon/forward/pool.rs
+++ b/src/coltsfootnotch/daemon/forward/pool.rs
@@ -16,7 +16,7 @@
 
 use super::costs::UPSTREAM_BYTES;
 use super::messages::Ticket;
-use super::upstream_socket::UpstreamSocket;
+use super::upstream_socket::{SocketProbe, UpstreamSocket};
 
 /// Timeout of a new connection. Connecting takes some milliseconds within a region; an unreachable
 /// host must leave time for another upstream.
@@ -39,7 +39,7 @@
 /// work for a caller that has disconnected.
 pub(super) struct Connection {
     pub(super) sender: SendRequest<Full<Bytes>>,
-    socket: UpstreamSocket,
+    probe: SocketProbe,
     task: AbortHandle,
     /// Whether it was used before.
     pub(super) reused: bool,
@@ -93,7 +93,7 @@
         let list = idle.get_mut(&key(ticket))?;
         while let Some(found) = list.pop() {
             let is_open = found.connection.sender.is_ready() && now < found.expires_at;
-            if is_open && found.connection.socket.is_idle() {
+            if is_open && found.connection.probe.is_idle() {
                 let mut connection = found.connection;
                 connection.reused = true;
                 return Some(connection);
@@ -149,16 +149,17 @@
     };
     stream.set_nodelay(true)?;
     let socket = UpstreamSocket::new(stream);
+    let probe = socket.probe();
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(READ_BYTES)
-        .handshake(TokioIo::new(socket.clone()))
+        .handshake(TokioIo::new(socket))
         .await
         .map_err(io::Error::other)?;
     // The sender returns connection errors to the pending request.
     let task = tokio::spawn(async move { drop(connection.await) });
     Ok(Connection {
         sender,
-        socket,
+        probe,
         task: task.abort_handle(),
         reused: false,
         _hold: hold,
