--- a/src/coltsfootnotch/util/http_server.rs
+++ b/src/coltsfootnotch/util/http_server.rs
@@ -187,16 +187,17 @@
     SockRef::from(stream).set_send_buffer_size(SEND_BUFFER)
 }
 
-/// Time for which a connection is served on once it is told to close. The runtime learns only in its next
-/// turn what has arrived, and a caller that keeps the connection may have a request on its way.
+/// Time for which an idle connection is kept once it is told to close: the caller may have a request on its
+/// way, and the runtime learns of one that has arrived in its next turn only.
 pub(crate) const CLOSE_LINGER: Duration = Duration::from_millis(100);
 
-/// Time for the rest of a request of which a part has arrived on a kept connection that is closed. A new
-/// connection has its usual time for the first request then.
+/// Time for the rest of a request of which a part has arrived on a kept connection that is told to close. A
+/// part of the first request on a new connection has the usual read timeout.
 pub(crate) const PARTIAL_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Serves one connection until it is closed. Once `closing` completes, closes it after the response in
-/// progress or to a request that has arrived. Returns whether it was closed with bytes of its peer unread.
+/// Serves one connection until it is closed. Once `closing` completes, closes it after the current response,
+/// or the response to a request that has arrived. Returns whether it was told to close and was closed with
+/// bytes of its peer unread.
 pub async fn serve_connection<S, F, R>(
     stream: S,
     peer: SocketAddr,
