Count the upstream at which a stream goes on as an attempt

Cause: a resumption that got the head of a response didn't count, so only attempts that failed at once did. A stream that broke again and again went on at one upstream after the other, whatever its route's max_attempts.

Callers saw nothing of it; upstreams got a request of one client attempt more often than its route allows, as around a failure in which upstreams break streams off or pause one after the other.

Evidence: four upstreams that each break a stream off after one event, a route with max_attempts 2. Before, the first stream reached 3 upstreams; now none of six reaches more than 2. The same for requests that upstreams break off, which was right before.

Upstreams that ended meanwhile count as well, since the entry can't tell one that ended from one that broke off.

--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -317,6 +317,7 @@
             let exchange_result = exchange(&self.gw, &self.req, ticket, last_event, deadline).await;
             match exchange_result {
                 ExchangeResult::Response(received) if received.response.status().is_success() => {
+                    *attempts += 1;
                     self.gw.log(
                         &events::STREAM_RESUMED,
                         &self.req,
