Keep evidence on requests that crash upstreams across restarts

Cause: crashes of a content were reported once and kept by the entries alone. An entry that was started again, or that had another control host selected while the report came, never learned of them; crashes reported to a control host that ended, or while none was selected, reached nobody. Each such entry let the request crash three upstreams more, and all entries did when a minute had passed.

Callers got 502 for requests whose upstream the request took down with it.

Change: hosts report the contents that they refuse with each load report, control hosts keep and pass on what they know, and crashes reported within two seconds are reported again to a newly selected control host, those of prompt segments as well. A success that one host has missed is told again instead of being undone. Ages end before the refusal does, so that hosts don't keep each other's refusals alive. A content that was refused before is refused again after one crash in place of three.

Five tests of the decisions alone.

--- a/crates/forward/src/load/fleet_load.rs
+++ b/crates/forward/src/load/fleet_load.rs
@@ -5,7 +5,9 @@
 use std::mem;
 use std::time::Duration;
 
-use coltsfootnotch_wire::{AccountDemand, CrashReport, EntryLoadReport, UpstreamUsage};
+use coltsfootnotch_wire::{
+    AccountDemand, CrashReport, EntryLoadReport, RefusedContent, UpstreamUsage,
+};
 
 use super::sums::{add_account, add_counters, add_in_flight};
 
@@ -31,6 +33,8 @@
     senders: HashMap<K, LastReport>,
     upstreams: BTreeMap<String, UpstreamUsage>,
     accounts: BTreeMap<String, AccountDemand>,
+    /// Ages of the last crashes of the contents that are refused, in milliseconds.
+    refused: BTreeMap<u64, u64>,
     /// The parts of the reports that are lists of events.
     events: EntryLoadReport,
 }
@@ -41,6 +45,7 @@
             senders: HashMap::new(),
             upstreams: BTreeMap::new(),
             accounts: BTreeMap::new(),
+            refused: BTreeMap::new(),
             events: EntryLoadReport::default(),
         }
     }
@@ -58,6 +63,14 @@
         self.events.segments.extend(load.segments);
         self.events.aborts.extend(load.aborts);
         self.events.cleared.extend(load.cleared);
+        for RefusedContent {
+            content,
+            crash_age_ms,
+        } in load.refused
+        {
+            let age = self.refused.entry(content).or_insert(crash_age_ms);
+            *age = crash_age_ms.min(*age);
+        }
         add_crashes(&mut self.events.crashes, load.crashes);
         let report = LastReport {
             at: now,
@@ -87,7 +100,13 @@
         for used in self.senders.values().flat_map(|sender| &sender.in_flight) {
             add_in_flight(&mut upstreams, used);
         }
+        let refused = mem::take(&mut self.refused).into_iter();
+        let refused = refused.map(|(content, crash_age_ms)| RefusedContent {
+            content,
+            crash_age_ms,
+        });
         EntryLoadReport {
+            refused: refused.collect(),
             upstreams: upstreams.into_values().collect(),
             accounts: mem::take(&mut self.accounts).into_values().collect(),
             ..mem::take(&mut self.events)
--- a/crates/forward/src/load/load_decoder.rs
+++ b/crates/forward/src/load/load_decoder.rs
@@ -68,6 +68,7 @@
             segments: segments.collect(),
             aborts: changes.aborts,
             cleared: changes.cleared,
+            refused: changes.refused,
             ..EntryLoadReport::default()
         })
     }
--- a/crates/forward/src/load/load_encoder.rs
+++ b/crates/forward/src/load/load_encoder.rs
@@ -65,6 +65,7 @@
             account_names: self.accounts.since(known.1),
             aborts: totals.aborts.clone(),
             cleared: totals.cleared.clone(),
+            refused: totals.refused.clone(),
         }
     }
 
--- a/crates/forward/src/retry/mod.rs
+++ b/crates/forward/src/retry/mod.rs
@@ -7,6 +7,7 @@
 mod poison_requests;
 mod refused_segments;
 mod retry_budget;
+mod unconfirmed;
 
 pub use crash_evidence::CrashEvidence;
 pub use poison_requests::PoisonRequests;
--- a/crates/forward/src/retry/refused_segments.rs
+++ b/crates/forward/src/retry/refused_segments.rs
@@ -7,6 +7,7 @@
 use coltsfootnotch_wire::{CrashReport, CrashSuspects, SegmentGroup, SegmentReport};
 
 use super::crash_evidence::{is_refused_since, segment_group};
+use super::unconfirmed::Unconfirmed;
 use crate::load::PromptSegment;
 
 /// Time for which the first answer of a segment under suspicion is reported.
@@ -58,7 +59,7 @@
     recent_since: Duration,
     /// Segments that came under suspicion and were answered lately.
     sound: BTreeSet<u64>,
-    suspects: Vec<CrashSuspects>,
+    suspects: Unconfirmed<CrashSuspects>,
 }
 
 impl RefusedSegments {
@@ -109,13 +110,19 @@
         }
     }
 
+    /// Has crashes that were reported lately reported again, to another control host: the one before may not
+    /// have passed them on.
+    pub fn repeat_reports(&mut self, now: Duration) {
+        self.suspects.repeat(now);
+    }
+
     /// What was recorded since the last report, and all groups refused.
     pub fn report(&mut self, now: Duration) -> CrashReport {
         let services = std::mem::take(&mut self.answered_services).into_iter();
         let groups = self.groups.iter();
         let groups = groups.map(|g| segment_group(now, &g.segments, g.last_crash));
         CrashReport {
-            crash_suspects: std::mem::take(&mut self.suspects),
+            crash_suspects: self.suspects.take(now),
             answered_services: services.map(|service| service.to_string()).collect(),
             answered_segments: std::mem::take(&mut self.answered).into_iter().collect(),
             sound_segments: std::mem::take(&mut self.sound).into_iter().collect(),
--- a/crates/forward/tests/testsuite/retry.rs
+++ b/crates/forward/tests/testsuite/retry.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use coltsfootnotch_forward::retry::{PoisonRequests, RetryBudget, RetryLimit};
-use coltsfootnotch_wire::AbortRecord;
+use coltsfootnotch_wire::{AbortRecord, EntryLoadReport};
 use googletest::prelude::*;
 use proptest::prelude::{prop_assert, proptest};
 
@@ -76,7 +76,7 @@
                 run,
             },
         );
-        let (reported, _) = entries[entry].report();
+        let (reported, _) = entries[entry].report(now);
         for (other, poison) in entries.iter_mut().enumerate().filter(|(n, _)| *n != entry) {
             let _ = other;
             reported.iter().for_each(|crash| poison.record(now, *crash));
@@ -114,13 +114,122 @@
         local.record_local(now, crash);
         remote.record(now, crash);
         if run % 2 == 1 {
-            local.record_local_success(7);
-            let (_, cleared) = local.report();
+            local.record_local_success(now, 7);
+            let (_, cleared) = local.report(now);
             cleared
                 .iter()
-                .for_each(|content| remote.record_success(*content));
+                .for_each(|content| remote.record_success(now, *content));
         }
         expect_that!(local.is_refused(now, 7), eq(false));
         expect_that!(remote.is_refused(now, 7), eq(false));
     }
 }
+
+/// Guards against a restarted host that lets a content crash as many upstreams again: it learns what the others
+/// refuse from their next report.
+#[googletest::test]
+fn a_host_that_has_restarted_refuses_what_the_others_refuse() {
+    let now = Duration::from_secs(5);
+    let mut other = PoisonRequests::default();
+    for run in 0..3 {
+        other.record_local(now, AbortRecord { content: 7, run });
+    }
+    let _reported_before_the_restart = other.report(now);
+    let later = now + Duration::from_secs(10);
+    let report = EntryLoadReport {
+        refused: other.refused(later),
+        ..EntryLoadReport::default()
+    };
+    let mut restarted = PoisonRequests::default();
+    // Its own clock has just started.
+    let started = Duration::from_secs(1);
+    restarted.apply_remote(started, &report);
+    expect_that!(restarted.is_refused(started, 7), eq(true));
+    expect_that!(restarted.refused(started).len(), eq(1));
+    expect_that!(
+        restarted.is_refused(started + Duration::from_secs(50), 7),
+        eq(false)
+    );
+}
+
+/// Guards against two hosts that keep each other's refusals alive for ever, by the time that reports take.
+#[googletest::test]
+fn a_refusal_that_hosts_report_to_each_other_ends() {
+    let mut hosts = [PoisonRequests::default(), PoisonRequests::default()];
+    for run in 0..3 {
+        hosts[0].record_local(Duration::from_secs(1), AbortRecord { content: 7, run });
+    }
+    let mut now = Duration::from_secs(1);
+    while now < Duration::from_secs(63) {
+        let reports = hosts.each_ref().map(|host| host.refused(now));
+        now += Duration::from_millis(400);
+        for (host, refused) in hosts.iter_mut().zip(reports.into_iter().rev()) {
+            let report = EntryLoadReport {
+                refused,
+                ..EntryLoadReport::default()
+            };
+            host.apply_remote(now, &report);
+        }
+    }
+    for host in &hosts {
+        expect_that!(host.is_refused(now, 7), eq(false));
+    }
+}
+
+/// Guards against a host that missed a success and has every other one refuse a sound content again.
+#[googletest::test]
+fn a_content_that_succeeded_stays_cleared_when_one_host_missed_that() {
+    let now = Duration::from_secs(5);
+    let (mut entry, mut missed) = (PoisonRequests::default(), PoisonRequests::default());
+    for run in 0..3 {
+        entry.record_local(now, AbortRecord { content: 7, run });
+        missed.record(now, AbortRecord { content: 7, run });
+    }
+    entry.record_local_success(now, 7);
+    let _lost = entry.report(now);
+    let later = now + Duration::from_secs(10);
+    let refused = EntryLoadReport {
+        refused: missed.refused(later),
+        ..EntryLoadReport::default()
+    };
+    entry.apply_remote(later, &refused);
+    expect_that!(entry.is_refused(later, 7), eq(false));
+    let (_, cleared) = entry.report(later);
+    missed.apply_remote(
+        later,
+        &EntryLoadReport {
+            cleared,
+            ..EntryLoadReport::default()
+        },
+    );
+    expect_that!(missed.is_refused(later, 7), eq(false));
+}
+
+/// Guards against a content that crashes three upstreams more each time that its refusal has expired.
+#[googletest::test]
+fn a_content_that_was_refused_is_refused_again_after_one_more_crash() {
+    let mut poison = PoisonRequests::default();
+    for run in 0..3 {
+        poison.record(Duration::from_secs(5), AbortRecord { content: 7, run });
+    }
+    let later = Duration::from_secs(66);
+    expect_that!(poison.is_refused(later, 7), eq(false));
+    poison.record(later, AbortRecord { content: 7, run: 9 });
+    expect_that!(poison.is_refused(later, 7), eq(true));
+}
+
+/// Guards against crashes that are lost with the control host that got the report: they go to the next one too.
+#[googletest::test]
+fn crashes_reported_lately_are_reported_again_to_another_control_host() {
+    let now = Duration::from_secs(5);
+    let mut poison = PoisonRequests::default();
+    poison.record_local(now, AbortRecord { content: 7, run: 1 });
+    expect_that!(poison.report(now).0.len(), eq(1));
+    expect_that!(poison.report(now).0, is_empty());
+    let later = now + Duration::from_millis(900);
+    poison.repeat_reports(later);
+    expect_that!(poison.report(later).0.len(), eq(1));
+    let much_later = later + Duration::from_secs(3);
+    poison.repeat_reports(much_later);
+    expect_that!(poison.report(much_later).0, is_empty());
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -31,8 +31,8 @@
 };
 pub use upstream::{
     AbortRecord, AccountDemand, BegunStreams, CrashReport, CrashSuspects, EntryLoadReport,
-    LoadChanges, SegmentGroup, SegmentRecord, SegmentReport, StreamOriginRecord, UpstreamKeepAlive,
-    UpstreamRecord, UpstreamStage, UpstreamUsage,
+    LoadChanges, RefusedContent, SegmentGroup, SegmentRecord, SegmentReport, StreamOriginRecord,
+    UpstreamKeepAlive, UpstreamRecord, UpstreamStage, UpstreamUsage,
 };
 
 /// Commonly used messages.
--- a/crates/wire/src/upstream.rs
+++ b/crates/wire/src/upstream.rs
@@ -130,6 +130,15 @@
     pub run: u64,
 }
 
+/// A content whose requests are refused, since it crashed several upstreams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct RefusedContent {
+    /// Digest of the content.
+    pub content: u64,
+    /// Time since the last crash that counts against it, in milliseconds.
+    pub crash_age_ms: u64,
+}
+
 /// Shared prompt segments of a request that an upstream had not begun to answer when its run ended.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashSuspects {
@@ -176,6 +185,8 @@
     pub aborts: Vec<AbortRecord>,
     /// Digests of contents that crashed an upstream, of which a request has succeeded since.
     pub cleared: Vec<u64>,
+    /// All contents that are refused.
+    pub refused: Vec<RefusedContent>,
     /// Segments that crash upstreams.
     pub crashes: CrashReport,
 }
@@ -202,6 +213,8 @@
     pub aborts: Vec<AbortRecord>,
     /// Digests of contents that crashed an upstream, of which a request has succeeded since.
     pub cleared: Vec<u64>,
+    /// All contents that are refused.
+    pub refused: Vec<RefusedContent>,
 }
 
 /// What entries know of segments that crash upstreams, since their last report.
--- a/src/coltsfootnotch/daemon/control/seeded/load_exchange.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/load_exchange.rs
@@ -9,6 +9,7 @@
 
 use coltsfootnotch_fabric::LinkId;
 use coltsfootnotch_forward::load::{FleetLoad, LoadDecoder, LoadFeed, reporting_period};
+use coltsfootnotch_forward::retry::PoisonRequests;
 use coltsfootnotch_types::HostName;
 use coltsfootnotch_wire::{
     AccountDemand, BegunStreams, CrashReport, EntryLoadReport, FromRelay, LoadChanges,
@@ -49,6 +50,8 @@
     /// Entries in the part that was last sent to other control hosts.
     entries_sent: u32,
     usage: AccountUsage,
+    /// Contents that crash upstreams. Kept here as well, so that they outlive the entries that saw the crashes.
+    poison: PoisonRequests,
 }
 
 impl LoadExchange {
@@ -64,6 +67,7 @@
             streams: Vec::new(),
             entries_sent: 0,
             usage: AccountUsage::default(),
+            poison: PoisonRequests::default(),
         }
     }
 
@@ -147,7 +151,8 @@
         let crashes = std::mem::take(&mut local.crashes);
         let mut sent = self.send_part(entries, &local, &crashes, members, send_part);
         self.parts.record(now, self.host.clone(), entries, local);
-        let totals = self.parts.take_totals(now);
+        let mut totals = self.parts.take_totals(now);
+        self.add_refused(now, &mut totals);
         self.usage.record(totals.accounts.iter());
         let entries = self.parts.entries(now);
         let period = self.period();
@@ -170,6 +175,14 @@
         period.mul_f64(ROUND_SHARE).max(send_time)
     }
 
+    /// Adds the contents that are refused by what this host knows, and what entries have missed of successes.
+    fn add_refused(&mut self, now: Duration, totals: &mut EntryLoadReport) {
+        self.poison.apply_remote(now, totals);
+        let (_, cleared) = self.poison.report(now);
+        totals.cleared.extend(cleared);
+        totals.refused = self.poison.refused(now);
+    }
+
     /// Sends this host's part to the other control hosts, unless it has no entries. Returns the bytes sent.
     fn send_part(
         &mut self,
--- a/src/coltsfootnotch/daemon/forward/actor/maintenance.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/maintenance.rs
@@ -36,6 +36,10 @@
             return;
         }
         self.report_due = now + self.report_period;
+        // A report without a receiver is lost.
+        if self.links.selected().is_none() || self.links.changes_receiver() {
+            self.state.repeat_crash_reports(now);
+        }
         let load = self.state.report(now);
         let begun = self.take_begun_streams(now);
         let number = self.own_reports.record(now, &load);
--- a/src/coltsfootnotch/daemon/forward/state/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/state/mod.rs
@@ -359,7 +359,7 @@
             self.poison.record_local(now, AbortRecord { content, run });
         }
         if outcome == Outcome::Completed {
-            self.poison.record_local_success(ticket.content);
+            self.poison.record_local_success(now, ticket.content);
             self.on_answer(now, ticket);
         }
         let Some(load) = self.loads.get_mut(&ticket.upstream, ticket.born_ms) else {
@@ -385,12 +385,7 @@
         self.entries.record(now, entries);
         self.remote_at = now;
         self.shares.apply_remote(now, load);
-        for crash in &load.aborts {
-            self.poison.record(now, *crash);
-        }
-        for content in &load.cleared {
-            self.poison.record_success(*content);
-        }
+        self.poison.apply_remote(now, load);
         let registry = &self.registry;
         let capacity = |upstream: &str| {
             let service = registry.get(upstream).map(|u| &u.announcement.service);
@@ -407,16 +402,23 @@
         self.shares.local_share(now) * f64::from(self.entries.current().unwrap_or(1))
     }
 
+    /// Has evidence of crashes that was reported lately reported again, to another control host.
+    pub(super) fn repeat_crash_reports(&mut self, now: Duration) {
+        self.poison.repeat_reports(now);
+        self.segments.repeat_reports(now);
+    }
+
     /// Load at this entry, and its changes since the last report.
     pub(super) fn report(&mut self, now: Duration) -> EntryLoadReport {
         let (upstreams, segments) = self.loads.report();
-        let (aborts, cleared) = self.poison.report();
+        let (aborts, cleared) = self.poison.report(now);
         EntryLoadReport {
             upstreams,
             accounts: self.shares.report(),
             segments,
             aborts,
             cleared,
+            refused: self.poison.refused(now),
             crashes: self.segments.report(now),
         }
     }
