Have a stopping control host pass on what it has acknowledged

Cause: an announcement or leave call is acknowledged as its broadcast is queued, and a control host that is told to stop closed its connections at once, with what was queued. The other hosts never learned that the upstream drains or has left.

What callers saw: requests that are sent to an upstream later than it may get any, and fail as it ends.

Change: a host that has been told to stop acknowledges no announcements and leave calls, so that upstreams call another one, and stays connected for 0.3 s after the last that it did acknowledge, within the 2 s of its stop.

--- a/src/coltsfootnotch/daemon/control/daemon/mod.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/mod.rs
@@ -6,6 +6,7 @@
 mod group_status;
 mod maintenance;
 mod requests;
+mod stop;
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -35,9 +36,6 @@
 use crate::daemon::control_dialer::ControlDialer;
 use crate::util::events;
 
-/// Longest time that a graceful stop waits for the leadership transfer.
-const STOP_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Whether the daemon continues after an input.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum NextStep {
@@ -77,6 +75,8 @@
     /// Time of the next log line on a missing leader; none while a leader is known.
     no_leader_log_due: Option<Duration>,
     stop_deadline: Option<Duration>,
+    /// When what was acknowledged to upstreams has arrived at the entries.
+    passed_on_at: Duration,
     maintenance_due: Duration,
     heartbeat_due: Duration,
     expire_due: Duration,
@@ -131,6 +131,7 @@
             leader: None,
             no_leader_log_due: None,
             stop_deadline: None,
+            passed_on_at: Duration::ZERO,
             maintenance_due: now,
             heartbeat_due: now,
             expire_due: now,
@@ -175,7 +176,10 @@
 
     /// When [`ControlDaemon::tick`] is due, in time since the start.
     pub(super) fn next_due(&self) -> Duration {
-        let due = self.replica.core().next_due().min(self.maintenance_due);
+        let mut due = self.replica.core().next_due().min(self.maintenance_due);
+        if self.is_stopping() && self.passed_on_at > self.host.now() {
+            due = due.min(self.passed_on_at);
+        }
         self.seeded.as_ref().map_or(due, |s| due.min(s.load_due))
     }
 
@@ -208,13 +212,6 @@
         Ok(self.next_step(now))
     }
 
-    fn next_step(&self, now: Duration) -> NextStep {
-        match self.stop_deadline {
-            Some(by) if now >= by || !self.replica.core().is_leader() => NextStep::Stop,
-            _ => NextStep::Continue,
-        }
-    }
-
     fn run_effect(&mut self, now: Duration, effect: Effect) {
         match effect {
             Effect::Send(to, msg) => self.send_log(&to, msg),
@@ -244,16 +241,6 @@
         self.retry_waiting(now);
     }
 
-    fn start_stop(&mut self, now: Duration) {
-        if self.stop_deadline.is_some() {
-            return;
-        }
-        self.host.log(&events::SHUTDOWN_STARTED, &[]);
-        self.stop_deadline = Some(now + STOP_TIMEOUT);
-        // Without a successor this member leads until it stops, and the others then elect a leader.
-        let _ = self.replica.core_mut().transfer(now, None);
-    }
-
     pub(super) fn broadcast_hello(&self) {
         let hello = self.local_hello();
         self.links.broadcast_to_members(&MemberPacket::Hello(hello));
--- a/src/coltsfootnotch/daemon/control/seeded/handlers.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/handlers.rs
@@ -215,12 +215,18 @@
             return;
         }
         match call {
+            // This host may end before what it acknowledges is passed on.
+            Call::Announce(_) | Call::Leave { .. } if self.is_stopping() => {
+                let _caller_waits = tx.send(CallReply::Unknown);
+            }
             Call::Announce(announcement) => {
                 self.on_announcement(now, announcement);
+                self.on_acknowledged(now);
                 let _caller_waits = tx.send(CallReply::Done);
             }
             Call::Leave { id, born_ms } => {
                 self.on_upstream_left(now, &id, born_ms);
+                self.on_acknowledged(now);
                 let _caller_waits = tx.send(CallReply::Done);
             }
             Call::Apply { number, body } => self.apply(now, number, body, tx),
