Count requests that are placed at upstreams, retries apart

Cause: no log line or metric tells how many requests an entry sends again. Refusals for want of retry budget are counted, retries that were allowed are not, so whether the entries of a fleet exceed the operators' limit can be seen only at the upstreams.

What callers saw: nothing. It is what the reports of repeats beyond the limit could not be checked against.

Change: cfn_placements{service,retry}.

--- a/src/coltsfootnotch/daemon/forward/attempts.rs
+++ b/src/coltsfootnotch/daemon/forward/attempts.rs
@@ -166,6 +166,17 @@
         };
         self.tx.send(ForwardMsg::Place(Box::new(place), tx));
         // The actor stops only with the process.
-        rx.await.unwrap_or(Err(PlacementError::NoLease))
+        let placed = rx.await.unwrap_or(Err(PlacementError::NoLease));
+        if placed.is_ok() {
+            self.count_placement(req, is_retry);
+        }
+        placed
+    }
+
+    fn count_placement(&self, req: &MatchedRequest, is_retry: bool) {
+        let service = &req.config.services()[req.service].name;
+        let retry = if is_retry { "true" } else { "false" };
+        let labels = [("service", &**service), ("retry", retry)];
+        self.cx.metrics.counter("placements", &labels).increment(1);
     }
 }
