Bound what is read of an upstream that becomes no response

Callers beside 12 upstreams that sent interim (1xx) heads without end waited, and got 503 "this host stood still" beside zeros of a chunk's size without end: the HTTP library reads both within one turn of the connection's task for as long as bytes come, on the one thread of the router, and has no limit for either.

The socket of an upstream reads at most 16 KiB in a turn and 128 KiB without a complete part of a response. Beyond that the connection is closed; an idempotent request goes to another upstream, others get 502. Bytes that are no HTTP count as a failure of the upstream, no longer as its crash with the request as suspect: a request was refused as one that crashes upstreams after two such answers.

--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -39,7 +39,7 @@
 use super::overload_flags::OverloadFlags;
 use super::pool::Pool;
 use super::refused_accounts::RefusedAccounts;
-use super::request_log::REFUSAL_LINES;
+use super::request_log::{NO_RESPONSE_LINES, REFUSAL_LINES};
 use super::server::Gateway;
 use super::shared_notices::SharedNotices;
 use super::state::State;
@@ -233,6 +233,7 @@
             refusals: LineBudget::new(REFUSAL_LINES),
             refused_accounts: Arc::clone(&refused_accounts),
             lost_neighbours: LineBudget::new(LOST_NEIGHBOUR_LINES),
+            no_responses: LineBudget::new(NO_RESPONSE_LINES),
             lease_valid: Arc::clone(&lease_valid),
             pause_detector: Arc::clone(&pause_detector),
             overload: Arc::clone(&overload_flags),
--- a/src/coltsfootnotch/daemon/forward/delivery.rs
+++ b/src/coltsfootnotch/daemon/forward/delivery.rs
@@ -12,10 +12,11 @@
 use tokio::time::{sleep, timeout_at};
 
 use super::dialect::Dialect;
-use super::exchange::UpstreamResponse;
+use super::exchange::{UpstreamResponse, is_invalid};
 use super::held_chunk::{HeldChunk, WholeBody};
 use super::matched_request::MatchedRequest;
 use super::messages::Outcome;
+use super::pool::Connection;
 use super::server::Gateway;
 use crate::util::connection_io::EndsWithConnection;
 use crate::util::cut_body::is_cut;
@@ -60,14 +61,15 @@
     guard.on_first_event();
     let (parts, body) = response.into_parts();
     let mut hold = gw.held.hold(HeldKind::Response, req.account.as_ref(), 0, 0);
-    let Some(body) = read_to_end(body, req.deadline, &mut hold).await else {
-        let outcome = if Instant::now() >= req.deadline {
-            Outcome::Abandoned
-        } else {
-            Outcome::Broken
-        };
-        guard.finish(outcome);
-        return DeliveryResult::Lost;
+    let body = match read_to_end(body, &connection, req.deadline, &mut hold).await {
+        Ok(body) => body,
+        Err(reason) => {
+            if reason == Unread::Invalid {
+                gw.log_no_response(req, &ticket, "body", connection.bytes_without_end());
+            }
+            guard.finish(reason.outcome());
+            return DeliveryResult::Lost;
+        }
     };
     if ends_with_connection {
         let is_cut = is_cut(content_type(&parts), &body);
@@ -104,24 +106,55 @@
         .unwrap_or_default()
 }
 
+/// Why a response was not read to its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Unread {
+    /// The deadline passed.
+    Late,
+    /// The connection broke.
+    Broken,
+    /// What came is no body.
+    Invalid,
+    /// The response is longer than may be buffered.
+    TooLong,
+}
+
+impl Unread {
+    fn outcome(self) -> Outcome {
+        match self {
+            Self::Late => Outcome::Abandoned,
+            Self::Broken => Outcome::Broken,
+            Self::Invalid | Self::TooLong => Outcome::Failed,
+        }
+    }
+}
+
 /// Reads a response, which `hold` grows by. A long one is read only while its account has room: until then
 /// its upstream's connection holds it back.
-async fn read_to_end(mut body: Incoming, deadline: Instant, hold: &mut Hold) -> Option<Bytes> {
+async fn read_to_end(
+    mut body: Incoming,
+    connection: &Connection,
+    deadline: Instant,
+    hold: &mut Hold,
+) -> Result<Bytes, Unread> {
     let mut buffered = BytesMut::new();
     loop {
-        let frame = timeout_at(deadline.into(), body.frame()).await.ok()?;
-        match frame {
-            None => return Some(buffered.freeze()),
-            Some(Err(_)) => return None,
+        let frame = timeout_at(deadline.into(), body.frame());
+        match frame.await.map_err(|_| Unread::Late)? {
+            None => return Ok(buffered.freeze()),
+            Some(Err(e)) if is_invalid(&e) => return Err(Unread::Invalid),
+            Some(Err(_)) => return Err(Unread::Broken),
             Some(Ok(frame)) => {
+                connection.on_progress();
                 let data = frame.data_ref().map_or(&[][..], |d| &d[..]);
                 let room = wait_for_room(hold, data.len() as u64);
-                timeout_at(deadline.into(), room).await.ok()?;
+                let room = timeout_at(deadline.into(), room);
+                room.await.map_err(|_| Unread::Late)?;
                 buffered.extend_from_slice(data);
             }
         }
         if buffered.len() > MAX_BUFFERED {
-            return None;
+            return Err(Unread::TooLong);
         }
     }
 }
--- a/src/coltsfootnotch/daemon/forward/exchange.rs
+++ b/src/coltsfootnotch/daemon/forward/exchange.rs
@@ -1,5 +1,7 @@
 //! One exchange with one upstream, up to the headers of its response.
 
+use std::error::Error;
+use std::io;
 use std::time::{Duration, Instant};
 
 use hyper::body::Incoming;
@@ -69,6 +71,7 @@
             return ExchangeResult::Withheld;
         }
         let request = req.upstream_request(&gw.dialect, &ticket, last_event);
+        connection.on_progress();
         let sending = connection.sender.try_send_request(request);
         match timeout_at(deadline.into(), sending).await {
             Err(_) => {
@@ -87,13 +90,19 @@
                 }
                 let (outcome, exchange_result) = if unsent {
                     (Outcome::Unreachable, ExchangeResult::Unreached)
+                } else if is_invalid(e.error()) {
+                    gw.log_no_response(req, &ticket, "head", connection.bytes_without_end());
+                    (Outcome::Failed, ExchangeResult::Lost)
                 } else {
                     (Outcome::Broken, ExchangeResult::Lost)
                 };
                 guard.finish(outcome);
                 return exchange_result;
             }
-            Ok(Ok(response)) => return classify(gw, req, ticket, response, connection, guard),
+            Ok(Ok(response)) => {
+                connection.on_progress();
+                return classify(gw, req, ticket, response, connection, guard);
+            }
         }
     }
     guard.finish(Outcome::Unreachable);
@@ -139,6 +148,19 @@
     }))
 }
 
+/// Whether what the upstream sent is no HTTP, or more of it than may become no part of a response. Such an
+/// upstream has failed; that of a connection which broke may have crashed.
+pub(super) fn is_invalid(error: &hyper::Error) -> bool {
+    let cause = error.source().and_then(|e| e.downcast_ref::<io::Error>());
+    let is_invalid = |e: &io::Error| {
+        matches!(
+            e.kind(),
+            io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput
+        )
+    };
+    error.is_parse() || cause.is_some_and(is_invalid)
+}
+
 impl Gateway {
     /// Whether the upstream still accepts requests from this entry.
     fn accepts_requests(&self, ticket: &Ticket) -> bool {
--- a/src/coltsfootnotch/daemon/forward/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/mod.rs
@@ -29,6 +29,7 @@
 mod messages;
 mod overload_flags;
 mod pool;
+mod read_limit;
 mod refused_accounts;
 mod request_body;
 mod request_log;
--- a/src/coltsfootnotch/daemon/forward/pool.rs
+++ b/src/coltsfootnotch/daemon/forward/pool.rs
@@ -1,8 +1,10 @@
 //! Pool of idle connections to upstreams.
 
 use std::collections::HashMap;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -16,6 +18,7 @@
 
 use super::costs::UPSTREAM_BYTES;
 use super::messages::Ticket;
+use super::read_limit::ReadLimit;
 use super::upstream_socket::{SocketProbe, UpstreamSocket};
 
 /// Timeout of a new connection. Connecting takes some milliseconds within a region; an unreachable
@@ -40,12 +43,25 @@
 pub(super) struct Connection {
     pub(super) sender: SendRequest<Full<Bytes>>,
     probe: SocketProbe,
+    limit: Arc<ReadLimit>,
     task: AbortHandle,
     /// Whether it was used before.
     pub(super) reused: bool,
     _hold: Hold,
 }
 
+impl Connection {
+    /// Notes that a request is sent, or that a part of its response is complete.
+    pub(super) fn on_progress(&self) {
+        self.limit.on_progress();
+    }
+
+    /// The bytes that came and are no part of a response, if there were too many.
+    pub(super) fn bytes_without_end(&self) -> Option<u64> {
+        self.limit.exceeded_by()
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
@@ -148,7 +164,8 @@
         Err(_) => return Err(io::ErrorKind::TimedOut.into()),
     };
     stream.set_nodelay(true)?;
-    let socket = UpstreamSocket::new(stream);
+    let limit = Arc::<ReadLimit>::default();
+    let socket = UpstreamSocket::new(stream, Arc::clone(&limit));
     let probe = socket.probe();
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(READ_BYTES)
@@ -156,10 +173,21 @@
         .await
         .map_err(io::Error::other)?;
     // The sender returns connection errors to the pending request.
-    let task = tokio::spawn(async move { drop(connection.await) });
+    let turns = Arc::clone(&limit);
+    let task = tokio::spawn(async move {
+        let mut connection = pin!(connection);
+        drop(
+            poll_fn(|cx| {
+                turns.begin_turn();
+                connection.as_mut().poll(cx)
+            })
+            .await,
+        );
+    });
     Ok(Connection {
         sender,
         probe,
+        limit,
         task: task.abort_handle(),
         reused: false,
         _hold: hold,
--- a/src/coltsfootnotch/daemon/forward/request_log.rs
+++ b/src/coltsfootnotch/daemon/forward/request_log.rs
@@ -17,6 +17,9 @@
 /// part of a small share of a core in a flood of refusals.
 pub(super) const REFUSAL_LINES: u16 = 50;
 
+/// Most responses without end logged per second; an upstream that sends them does so for each request.
+pub(super) const NO_RESPONSE_LINES: u16 = 10;
+
 /// `Retry-After` of requests that crash upstreams. They are refused for minutes; a caller that repeats one
 /// meanwhile only gets the same answer.
 const POISON_RETRY_AFTER: Duration = Duration::from_secs(10);
@@ -129,6 +132,33 @@
         self.cx.log(event, &all);
     }
 
+    /// Logs and counts bytes of an upstream that become no response: the `part` of the response at which they
+    /// came, and how many if a limit of bytes was reached.
+    pub(super) fn log_no_response(
+        &self,
+        req: &MatchedRequest,
+        ticket: &Ticket,
+        part: &'static str,
+        bytes: Option<u64>,
+    ) {
+        let service = &req.config.services()[req.service].name;
+        let labels = [("service", &**service), ("part", part)];
+        self.cx
+            .metrics
+            .counter("responses_without_end", &labels)
+            .increment(1);
+        if !self.no_responses.take(self.cx.now()) {
+            return;
+        }
+        let bytes = bytes.map_or_else(|| "-".to_owned(), |bytes| bytes.to_string());
+        let fields: [Field<'_>; 3] = [
+            ("upstream", &ticket.upstream),
+            ("part", &part),
+            ("bytes", &bytes),
+        ];
+        self.log(&events::RESPONSE_WITHOUT_END, req, &fields);
+    }
+
     /// Logs where a stream that its caller resumes goes on.
     pub(super) fn log_taken_up(&self, req: &MatchedRequest, ticket: &Ticket) {
         let began_with = req.head.resumes.as_deref().unwrap_or("-");
--- a/src/coltsfootnotch/daemon/forward/server.rs
+++ b/src/coltsfootnotch/daemon/forward/server.rs
@@ -52,6 +52,8 @@
     pub(super) refused_accounts: Arc<RefusedAccounts>,
     /// Limits the lost neighbours that are logged.
     pub(super) lost_neighbours: LineBudget,
+    /// Limits the responses without end that are logged.
+    pub(super) no_responses: LineBudget,
     /// Whether the lease of the configuration is valid.
     pub(super) lease_valid: Arc<AtomicBool>,
     pub(super) pause_detector: Arc<PauseDetector>,
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -68,6 +68,11 @@
             source.received.guard.finish(Outcome::Broken);
             OpenResult::Lost
         }
+        Next::Invalid => {
+            source.log_invalid(gw, req);
+            source.received.guard.finish(Outcome::Failed);
+            OpenResult::Lost
+        }
         Next::Late => {
             source.received.guard.finish(Outcome::Unreachable);
             OpenResult::Lost
@@ -186,6 +191,10 @@
                     source.log_end(&self.gw, &self.req);
                     Outcome::Broken
                 }
+                Next::Invalid => {
+                    source.log_invalid(&self.gw, &self.req);
+                    Outcome::Failed
+                }
                 Next::Late if Instant::now() >= self.req.deadline => Outcome::Abandoned,
                 Next::Late => Outcome::Unreachable,
             };
--- a/src/coltsfootnotch/daemon/forward/stream_source.rs
+++ b/src/coltsfootnotch/daemon/forward/stream_source.rs
@@ -8,7 +8,7 @@
 use tokio::time::timeout_at;
 
 use super::event_splitter::EventSplitter;
-use super::exchange::UpstreamResponse;
+use super::exchange::{UpstreamResponse, is_invalid};
 use super::matched_request::MatchedRequest;
 use super::server::Gateway;
 
@@ -29,6 +29,8 @@
     End(Bytes),
     /// The connection broke, or ended inside an event.
     Broken,
+    /// What came is no body.
+    Invalid,
     /// Nothing came until the deadline.
     Late,
 }
@@ -70,8 +72,10 @@
             match frame {
                 None if self.is_cut() => return Next::Broken,
                 None => return Next::End(self.events.take_rest()),
+                Some(Err(e)) if is_invalid(&e) => return Next::Invalid,
                 Some(Err(_)) => return Next::Broken,
                 Some(Ok(frame)) => {
+                    self.received.connection.on_progress();
                     let Some(data) = frame.data_ref() else {
                         continue;
                     };
@@ -84,6 +88,12 @@
         }
     }
 
+    /// Logs that what came is no stream.
+    pub(super) fn log_invalid(&self, gw: &Gateway, req: &MatchedRequest) {
+        let bytes = self.received.connection.bytes_without_end();
+        gw.log_no_response(req, &self.received.ticket, "stream", bytes);
+    }
+
     /// Logs the end of the stream if it ends with its connection.
     pub(super) fn log_end(&self, gw: &Gateway, req: &MatchedRequest) {
         if self.ends_with_connection() {
--- a/src/coltsfootnotch/daemon/forward/upstream_socket.rs
+++ b/src/coltsfootnotch/daemon/forward/upstream_socket.rs
@@ -4,31 +4,40 @@
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use super::read_limit::{ReadAllowance, ReadLimit};
+
 /// The socket of a connection to an upstream, which the HTTP library owns and the pool looks at.
 #[derive(Debug)]
-pub(super) struct UpstreamSocket(Arc<Mutex<TcpStream>>);
+pub(super) struct UpstreamSocket {
+    stream: Arc<Mutex<TcpStream>>,
+    limit: Arc<ReadLimit>,
+}
 
 /// Looks at the socket of a connection; doesn't keep it open.
 #[derive(Debug)]
 pub(super) struct SocketProbe(Weak<Mutex<TcpStream>>);
 
 impl UpstreamSocket {
-    pub(super) fn new(stream: TcpStream) -> Self {
-        Self(Arc::new(Mutex::new(stream)))
+    /// The socket of a new connection, which reads no more than `limit` allows.
+    pub(super) fn new(stream: TcpStream, limit: Arc<ReadLimit>) -> Self {
+        Self {
+            stream: Arc::new(Mutex::new(stream)),
+            limit,
+        }
     }
 
     pub(super) fn probe(&self) -> SocketProbe {
-        SocketProbe(Arc::downgrade(&self.0))
+        SocketProbe(Arc::downgrade(&self.stream))
     }
 
     fn lock(&self) -> MutexGuard<'_, TcpStream> {
-        lock(&self.0)
+        lock(&self.stream)
     }
 }
 
@@ -56,7 +65,23 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.lock()).poll_read(cx, buf)
+        let allowed = match self.limit.allowance() {
+            ReadAllowance::Bytes(bytes) => bytes.min(buf.remaining()),
+            ReadAllowance::NextTurn => {
+                cx.waker().wake_by_ref();
+                return Poll::Pending;
+            }
+            ReadAllowance::Exceeded => {
+                let text = "the upstream sends bytes that are no response";
+                return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, text)));
+            }
+        };
+        let mut part = ReadBuf::new(buf.initialize_unfilled_to(allowed));
+        ready!(Pin::new(&mut *self.lock()).poll_read(cx, &mut part))?;
+        let read = part.filled().len();
+        buf.advance(read);
+        self.limit.on_read(read);
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/src/coltsfootnotch/util/events.rs
+++ b/src/coltsfootnotch/util/events.rs
@@ -119,6 +119,7 @@
     HOST_FULL = 97 Warn "this host holds nearly as much for its callers as it may and refuses requests" => "see the metrics held_bytes and held_sockets for what it holds; callers that read or send slowly, or more callers than its memory and sockets allow for";
     HOST_NOT_FULL = 98 Info "this host has room for requests again" => "nothing";
     LOAD_OLD = 99 Warn "the load of the other entries is more than a second old" => "look at the control host that CFN-0077 names last: whether it runs, and how many entries report to it (metric entries_reporting)";
+    RESPONSE_WITHOUT_END = 104 Warn "an upstream sends bytes that become no response; its connection was closed" => "check the upstream named: what it sends, and INTERFACE.md for what it may send";
 }
 
 /// Finds an event by its code, ignoring case; the prefix `CFN-` is optional.
