Leave room for requests beside responses without end

A response could grow as far as its account's share went, and waited for more with all of it held until the route's timeout. Since the responses of an account may hold as much as a new request of it may, none was left. One that finds no room for 100 to 400 ms is given up, so that others can be completed; that is no failure of its upstream. A response whose stated length is above 8 MiB is given up at once, not after 8 MiB, and counts as a failure of the upstream.

An upstream that has sent a part of a head when the attempt ends has failed and isn't unreachable: it took new connections, and leaving it out altogether left no upstream for sound callers.

--- a/crates/forward/src/held/hold.rs
+++ b/crates/forward/src/held/hold.rs
@@ -65,6 +65,17 @@
         has_room
     }
 
+    /// Holds `bytes` more of a long response; see [`HeldResources::has_room_for_response`].
+    #[must_use]
+    pub fn try_grow_response(&mut self, bytes: u64) -> bool {
+        let account = self.account.as_deref();
+        let has_room = self.held.has_room_for_response(account, bytes);
+        if has_room {
+            self.resize(self.bytes + bytes);
+        }
+        has_room
+    }
+
     /// Holds further sockets.
     pub fn add_sockets(&mut self, sockets: u64) {
         self.held.add_sockets(sockets);
--- a/crates/forward/src/held/limits.rs
+++ b/crates/forward/src/held/limits.rs
@@ -14,6 +14,14 @@
 /// Share of a limit from which new requests are refused. The rest is for the answers of those accepted.
 const REFUSED_SHARE: f64 = 0.8;
 
+/// Share of the memory to which long responses may grow in all, and those of one account. What is left when both
+/// are reached has room for new requests, also of that account, which may hold as much as is free.
+const RESPONSES_SHARE: f64 = 0.55;
+const ACCOUNT_RESPONSES_SHARE: f64 = 0.28;
+
+/// Share of the memory that long responses leave to new requests, also to those of their own account.
+const RESERVED_SHARE: f64 = 0.05;
+
 /// What a host may hold for its callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HostLimits {
@@ -40,6 +48,21 @@
         }
     }
 
+    /// Memory to which the long responses of an account may grow, in bytes.
+    pub(super) fn account_response_bytes(&self) -> u64 {
+        (self.memory_bytes as f64 * ACCOUNT_RESPONSES_SHARE) as u64
+    }
+
+    /// Memory to which all responses may grow, in bytes.
+    pub(super) fn response_bytes(&self) -> u64 {
+        (self.memory_bytes as f64 * RESPONSES_SHARE) as u64
+    }
+
+    /// Memory that long responses leave free, in bytes.
+    pub(super) fn reserved_bytes(&self) -> u64 {
+        (self.memory_bytes as f64 * RESERVED_SHARE) as u64
+    }
+
     /// How far the memory is used by `bytes`.
     pub(super) fn memory_load(&self, bytes: u64) -> Load {
         Load::of(bytes, self.memory_bytes)
--- a/crates/forward/src/held/mod.rs
+++ b/crates/forward/src/held/mod.rs
@@ -8,7 +8,8 @@
 //! connections are closed.
 //!
 //! The callers of one account share what is left with the others: an account may hold as much as is
-//! still free, so that slow callers of one account never take the room of all.
+//! still free, so that slow callers of one account never take the room of all. Long responses leave a
+//! part of that free for new requests.
 
 mod hold;
 mod limits;
--- a/crates/forward/src/held/resources.rs
+++ b/crates/forward/src/held/resources.rs
@@ -157,6 +157,19 @@
         of_account.saturating_add(bytes) <= free
     }
 
+    /// Whether a long response of an account may hold `bytes` more. It leaves more free than
+    /// [`HeldResources::has_room`]: an upstream that sends without end would otherwise take the room of
+    /// new requests.
+    #[must_use]
+    pub fn has_room_for_response(&self, account: Option<&str>, bytes: u64) -> bool {
+        let responses = self.bytes_of(HeldKind::Response).saturating_add(bytes);
+        let of_account = self.bytes_of_account(account.unwrap_or_default());
+        let with_reserve = bytes.saturating_add(self.limits.reserved_bytes());
+        responses <= self.limits.response_bytes()
+            && of_account.saturating_add(bytes) <= self.limits.account_response_bytes()
+            && self.has_room(account, with_reserve)
+    }
+
     pub(super) fn add_bytes(&self, kind: HeldKind, account: Option<&Arc<str>>, bytes: u64) {
         self.memory_bytes.fetch_add(bytes, Ordering::Relaxed);
         self.by_kind[kind as usize].fetch_add(bytes, Ordering::Relaxed);
--- a/crates/forward/tests/testsuite/held.rs
+++ b/crates/forward/tests/testsuite/held.rs
@@ -29,6 +29,42 @@
     expect_that!(bodies(&held, "sound", 1, 10_000).len(), eq(1));
 }
 
+/// Responses of an account, each a byte list that grows as far as there is room.
+fn responses(held: &Arc<HeldResources>, account: &str, count: usize) -> Vec<Hold> {
+    let account: Arc<str> = account.into();
+    let mut holds: Vec<_> = (0..count)
+        .map(|_| held.hold(HeldKind::Response, Some(&account), 0, 0))
+        .collect();
+    for _ in 0..1_000 {
+        for hold in &mut holds {
+            let _has_grown = hold.try_grow_response(1_000);
+        }
+    }
+    holds
+}
+
+/// Guards against responses without end that take the room of new requests, of their own account and of others.
+#[googletest::test]
+fn responses_without_end_leave_room_for_requests() {
+    let held = HeldResources::new(LIMITS);
+    let endless: Vec<_> = (0..6)
+        .map(|n| responses(&held, &format!("account-{n}"), 12))
+        .collect();
+    expect_that!(held.load(), lt(Load::Refusing));
+    for account in ["account-0", "account-5", "sound"] {
+        expect_that!(bodies(&held, account, 8, 10_000).len(), eq(8), "{account}");
+    }
+    drop(endless);
+    expect_that!(held.memory_bytes(), eq(0));
+}
+
+/// Guards against responses that are given no room while there is plenty.
+#[googletest::test]
+fn a_response_may_take_a_quarter_of_the_memory() {
+    let held = HeldResources::new(LIMITS);
+    expect_that!(responses(&held, "one", 1)[0].bytes(), ge(250_000));
+}
+
 /// Guards against a host that accepts connections until it has no socket for those to upstreams.
 #[googletest::test]
 fn a_flood_of_connections_is_refused_before_sockets_run_out() {
--- a/src/coltsfootnotch/daemon/forward/delivery.rs
+++ b/src/coltsfootnotch/daemon/forward/delivery.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use coltsfootnotch_forward::held::{HeldKind, Hold};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::CONTENT_TYPE;
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
@@ -29,6 +29,11 @@
 /// take is for it; most responses are shorter.
 const SMALL_BYTES: u64 = 64 * 1024;
 
+/// Longest time for which a longer response waits for room, and the share of it that each waits at least. Responses
+/// that all wait hold the room which one of them needs, so some are given up, not all at the same time.
+const ROOM_TIMEOUT: Duration = Duration::from_millis(400);
+const MIN_ROOM_TIMEOUT: f64 = 0.25;
+
 /// Time between two checks whether there is room for more of a longer response.
 const ROOM_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -61,11 +66,21 @@
     guard.on_first_event();
     let (parts, body) = response.into_parts();
     let mut hold = gw.held.hold(HeldKind::Response, req.account.as_ref(), 0, 0);
-    let body = match read_to_end(body, &connection, req.deadline, &mut hold).await {
+    let reading = BodyReading {
+        connection: &connection,
+        deadline: req.deadline,
+        draw: gw.draw,
+    };
+    let body = match reading.read_to_end(body, &mut hold).await {
         Ok(body) => body,
         Err(reason) => {
-            if reason == Unread::Invalid {
-                gw.log_no_response(req, &ticket, "body", connection.bytes_without_end());
+            match reason {
+                Unread::Invalid => {
+                    gw.log_no_response(req, &ticket, "body", connection.bytes_without_end());
+                }
+                Unread::TooLong(bytes) => gw.log_no_response(req, &ticket, "body", Some(bytes)),
+                Unread::NoRoom => gw.count_no_room(req),
+                Unread::Late | Unread::Broken => {}
             }
             guard.finish(reason.outcome());
             return DeliveryResult::Lost;
@@ -115,57 +130,78 @@
     Broken,
     /// What came is no body.
     Invalid,
-    /// The response is longer than may be buffered.
-    TooLong,
+    /// The response is longer than may be buffered: what it states, or what came, in bytes.
+    TooLong(u64),
+    /// This host has no room for it.
+    NoRoom,
 }
 
 impl Unread {
     fn outcome(self) -> Outcome {
         match self {
-            Self::Late => Outcome::Abandoned,
+            // What this host lacks is no failure of the upstream.
+            Self::Late | Self::NoRoom => Outcome::Abandoned,
             Self::Broken => Outcome::Broken,
-            Self::Invalid | Self::TooLong => Outcome::Failed,
+            Self::Invalid | Self::TooLong(_) => Outcome::Failed,
         }
     }
 }
 
-/// Reads a response, which `hold` grows by. A long one is read only while its account has room: until then
-/// its upstream's connection holds it back.
-async fn read_to_end(
-    mut body: Incoming,
-    connection: &Connection,
+/// What the reading of a response needs.
+struct BodyReading<'a> {
+    connection: &'a Connection,
     deadline: Instant,
-    hold: &mut Hold,
-) -> Result<Bytes, Unread> {
-    let mut buffered = BytesMut::new();
-    loop {
-        let frame = timeout_at(deadline.into(), body.frame());
-        match frame.await.map_err(|_| Unread::Late)? {
-            None => return Ok(buffered.freeze()),
-            Some(Err(e)) if is_invalid(&e) => return Err(Unread::Invalid),
-            Some(Err(_)) => return Err(Unread::Broken),
-            Some(Ok(frame)) => {
-                connection.on_progress();
-                let data = frame.data_ref().map_or(&[][..], |d| &d[..]);
-                let room = wait_for_room(hold, data.len() as u64);
-                let room = timeout_at(deadline.into(), room);
-                room.await.map_err(|_| Unread::Late)?;
-                buffered.extend_from_slice(data);
-            }
+    draw: fn() -> f64,
+}
+
+impl BodyReading<'_> {
+    /// Reads a response, which `hold` grows by. A long one is read only while there is room: until then its
+    /// upstream's connection holds it back, for [`ROOM_TIMEOUT`].
+    async fn read_to_end(&self, mut body: Incoming, hold: &mut Hold) -> Result<Bytes, Unread> {
+        let stated = body.size_hint().lower();
+        if stated > MAX_BUFFERED as u64 {
+            return Err(Unread::TooLong(stated));
         }
-        if buffered.len() > MAX_BUFFERED {
-            return Err(Unread::TooLong);
+        let mut buffered = BytesMut::new();
+        loop {
+            let frame = timeout_at(self.deadline.into(), body.frame());
+            match frame.await.map_err(|_| Unread::Late)? {
+                None => return Ok(buffered.freeze()),
+                Some(Err(e)) if is_invalid(&e) => return Err(Unread::Invalid),
+                Some(Err(_)) => return Err(Unread::Broken),
+                Some(Ok(frame)) => {
+                    self.connection.on_progress();
+                    let data = frame.data_ref().map_or(&[][..], |d| &d[..]);
+                    self.wait_for_room(hold, data.len() as u64).await?;
+                    buffered.extend_from_slice(data);
+                }
+            }
+            if buffered.len() > MAX_BUFFERED {
+                return Err(Unread::TooLong(buffered.len() as u64));
+            }
         }
     }
-}
 
-async fn wait_for_room(hold: &mut Hold, bytes: u64) {
-    if hold.bytes() + bytes <= SMALL_BYTES {
-        hold.resize(hold.bytes() + bytes);
-        return;
-    }
-    while !hold.try_grow(bytes) {
-        sleep(ROOM_INTERVAL).await;
+    async fn wait_for_room(&self, hold: &mut Hold, bytes: u64) -> Result<(), Unread> {
+        if hold.bytes() + bytes <= SMALL_BYTES {
+            hold.resize(hold.bytes() + bytes);
+            return Ok(());
+        }
+        if hold.try_grow_response(bytes) {
+            return Ok(());
+        }
+        let share = MIN_ROOM_TIMEOUT + (1.0 - MIN_ROOM_TIMEOUT) * (self.draw)();
+        let give_up_at = Instant::now() + ROOM_TIMEOUT.mul_f64(share);
+        while !hold.try_grow_response(bytes) {
+            if Instant::now() >= self.deadline {
+                return Err(Unread::Late);
+            }
+            if Instant::now() >= give_up_at {
+                return Err(Unread::NoRoom);
+            }
+            sleep(ROOM_INTERVAL).await;
+        }
+        Ok(())
     }
 }
 
--- a/src/coltsfootnotch/daemon/forward/exchange.rs
+++ b/src/coltsfootnotch/daemon/forward/exchange.rs
@@ -75,8 +75,14 @@
         let sending = connection.sender.try_send_request(request);
         match timeout_at(deadline.into(), sending).await {
             Err(_) => {
+                let bytes = connection.bytes_without_progress();
+                if bytes > 0 {
+                    gw.log_no_response(req, &ticket, "head", Some(bytes));
+                }
                 let outcome = if Instant::now() >= req.deadline {
                     Outcome::Abandoned
+                } else if bytes > 0 {
+                    Outcome::Failed
                 } else {
                     Outcome::Unreachable
                 };
--- a/src/coltsfootnotch/daemon/forward/pool.rs
+++ b/src/coltsfootnotch/daemon/forward/pool.rs
@@ -56,6 +56,11 @@
         self.limit.on_progress();
     }
 
+    /// The bytes that came since the request was sent or a part of its response was complete.
+    pub(super) fn bytes_without_progress(&self) -> u64 {
+        self.limit.without_progress()
+    }
+
     /// The bytes that came and are no part of a response, if there were too many.
     pub(super) fn bytes_without_end(&self) -> Option<u64> {
         self.limit.exceeded_by()
--- a/src/coltsfootnotch/daemon/forward/read_limit.rs
+++ b/src/coltsfootnotch/daemon/forward/read_limit.rs
@@ -9,7 +9,7 @@
 
 /// Most bytes that are read in one turn of the connection's task. Parsing more keeps the tasks of other callers
 /// waiting on a host with one thread.
-const TURN_BYTES: u64 = 16 * 1024;
+pub(super) const TURN_BYTES: u64 = 16 * 1024;
 
 /// What a connection may read now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -65,7 +65,12 @@
     /// The bytes that came and are no part of a response, if they exceeded the limit.
     pub(super) fn exceeded_by(&self) -> Option<u64> {
         let is_exceeded = self.is_exceeded.load(Ordering::Relaxed);
-        is_exceeded.then(|| self.without_progress.load(Ordering::Relaxed))
+        is_exceeded.then(|| self.without_progress())
+    }
+
+    /// The bytes that came since the last complete part of a response.
+    pub(super) fn without_progress(&self) -> u64 {
+        self.without_progress.load(Ordering::Relaxed)
     }
 }
 
--- a/src/coltsfootnotch/daemon/forward/request_log.rs
+++ b/src/coltsfootnotch/daemon/forward/request_log.rs
@@ -159,6 +159,16 @@
         self.log(&events::RESPONSE_WITHOUT_END, req, &fields);
     }
 
+    /// Counts a response that was given up, since this host has no room for it.
+    pub(super) fn count_no_room(&self, req: &MatchedRequest) {
+        let service = &req.config.services()[req.service].name;
+        let counter = self
+            .cx
+            .metrics
+            .counter("responses_without_room", &[("service", &**service)]);
+        counter.increment(1);
+    }
+
     /// Logs where a stream that its caller resumes goes on.
     pub(super) fn log_taken_up(&self, req: &MatchedRequest, ticket: &Ticket) {
         let began_with = req.head.resumes.as_deref().unwrap_or("-");
--- a/src/coltsfootnotch/daemon/forward/upstream_socket.rs
+++ b/src/coltsfootnotch/daemon/forward/upstream_socket.rs
@@ -10,7 +10,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-use super::read_limit::{ReadAllowance, ReadLimit};
+use super::read_limit::{ReadAllowance, ReadLimit, TURN_BYTES};
 
 /// The socket of a connection to an upstream, which the HTTP library owns and the pool looks at.
 #[derive(Debug)]
@@ -66,7 +66,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let allowed = match self.limit.allowance() {
-            ReadAllowance::Bytes(bytes) => bytes.min(buf.remaining()),
+            ReadAllowance::Bytes(bytes) => bytes,
             ReadAllowance::NextTurn => {
                 cx.waker().wake_by_ref();
                 return Poll::Pending;
@@ -76,11 +76,17 @@
                 return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, text)));
             }
         };
-        let mut part = ReadBuf::new(buf.initialize_unfilled_to(allowed));
-        ready!(Pin::new(&mut *self.lock()).poll_read(cx, &mut part))?;
-        let read = part.filled().len();
-        buf.advance(read);
-        self.limit.on_read(read);
+        let before = buf.filled().len();
+        if buf.remaining() <= allowed {
+            ready!(Pin::new(&mut *self.lock()).poll_read(cx, buf))?;
+        } else {
+            // Initialising a part of `buf` instead would take its memory before anything comes.
+            let mut part = [MaybeUninit::uninit(); TURN_BYTES as usize];
+            let mut part = ReadBuf::uninit(&mut part[..allowed]);
+            ready!(Pin::new(&mut *self.lock()).poll_read(cx, &mut part))?;
+            buf.put_slice(part.filled());
+        }
+        self.limit.on_read(buf.filled().len() - before);
         Poll::Ready(Ok(()))
     }
 }
