Respond to requests that arrive behind a response as its connection ends

Cause: the HTTP library reads a request that is sent without waiting for the end of the response before it along with what comes before, and drops what it has buffered once that response ends the connection: at a stop, after a response that says `connection: close`, and after a stream that began before the stop.

Seen by callers: an orderly end with no response to a whole request that had arrived, up to the length of a stream before.

Evidence: five tests of `util::http_server` failed on the code before (a request behind a stream that began before the stop, the same with a body, a request right after such a stream, requests behind a last response, a request that arrives during the last response of a stopping server); `an_unread_body_is_not_taken_for_requests` passed before and guards the change.

Change: `util/connection.rs` takes the socket and the bytes left unserved back from the library. Where no response has said that the connection ends, as after a stream that began before a stop, they are served, and the caller has the usual moment for its next request; else each request is refused with 503 as not run, for a second at most. What follows a body that was left unread is discarded and never taken for a request: `RequestBody` tells the connection whether its body was read to the end. Such a body no longer resets the response that comes before it was read.

--- a/src/coltsfootnotch/daemon/entry/request_handler.rs
+++ b/src/coltsfootnotch/daemon/entry/request_handler.rs
@@ -11,7 +11,6 @@
 use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::{Call, Run};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
@@ -26,6 +25,7 @@
 use crate::core::{HostCx, Refusal, RefusalKind};
 use crate::util::connection_io::EndsWithConnection;
 use crate::util::http_server::{AnyResponse, full, read_body};
+use crate::util::request_body::RequestBody;
 
 /// Path of chat completions, at the entry and at the engines.
 const CHAT_PATH: &str = "/v1/chat/completions";
@@ -101,7 +101,7 @@
     /// Handles one request.
     pub(super) async fn handle(
         self: Arc<Self>,
-        req: Request<Incoming>,
+        req: Request<RequestBody>,
         _: SocketAddr,
     ) -> AnyResponse {
         let request = self.next_request_number.fetch_add(1, Ordering::Relaxed);
@@ -118,7 +118,7 @@
 
     async fn try_handle(
         self: &Arc<Self>,
-        req: Request<Incoming>,
+        req: Request<RequestBody>,
         request: u64,
         id: &str,
     ) -> Result<AnyResponse, Refusal> {
--- a/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
@@ -6,7 +6,6 @@
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
-use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -18,6 +17,7 @@
 use super::{CLOSE_LINGER, HEADER_BYTES, PARTIAL_REQUEST_TIMEOUT, connect, relay};
 use crate::util::connection_io::EndsWithConnection;
 use crate::util::http_server::{AnyResponse, ConnectionLimits, full, read_body, serve_connection};
+use crate::util::request_body::RequestBody;
 
 const LIMITS: ConnectionLimits = ConnectionLimits {
     header_bytes: 16 * 1024,
@@ -46,7 +46,7 @@
     }
 }
 
-async fn respond(neighbour: Arc<Neighbour>, req: Request<Incoming>) -> AnyResponse {
+async fn respond(neighbour: Arc<Neighbour>, req: Request<RequestBody>) -> AnyResponse {
     let mut running = Running(&neighbour, false);
     let waits = req.uri().path() == "/wait";
     let ends_with_connection = req.uri().path() == "/until-close";
--- a/src/coltsfootnotch/daemon/forward/request_body.rs
+++ b/src/coltsfootnotch/daemon/forward/request_body.rs
@@ -6,9 +6,11 @@
 use coltsfootnotch_forward::held::Hold;
 use http_body_util::BodyExt;
 use hyper::StatusCode;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use tokio::time::timeout;
 
+use crate::util::request_body::RequestBody;
+
 /// Why a body was not read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum BodyError {
@@ -24,7 +26,7 @@
 /// # Errors
 /// Returns an error if the body is too long, broken or not complete within `time`, or if there is no room.
 pub(super) async fn read_body(
-    body: Incoming,
+    body: RequestBody,
     limit: usize,
     time: Duration,
     hold: &mut Hold,
@@ -35,7 +37,7 @@
 }
 
 async fn read_to_end(
-    mut body: Incoming,
+    mut body: RequestBody,
     limit: usize,
     hold: &mut Hold,
 ) -> Result<Bytes, BodyError> {
--- a/src/coltsfootnotch/daemon/forward/server.rs
+++ b/src/coltsfootnotch/daemon/forward/server.rs
@@ -7,7 +7,6 @@
 
 use coltsfootnotch_forward::held::{HeldKind, HeldResources, Load};
 use coltsfootnotch_forward::pause_detector::PauseDetector;
-use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::{Request, StatusCode};
 use stakker::sync::Channel;
@@ -29,6 +28,7 @@
 use crate::util::boot_clock::BootClock;
 use crate::util::http_server::AnyResponse;
 use crate::util::line_budget::LineBudget;
+use crate::util::request_body::RequestBody;
 
 /// Time for which requests wait for the first configuration after a start. It comes within some hundred
 /// milliseconds, and a caller that is refused meanwhile finds other hosts starting as well.
@@ -68,7 +68,7 @@
     /// Handles one request.
     pub(super) async fn handle(
         self: Arc<Self>,
-        req: Request<Incoming>,
+        req: Request<RequestBody>,
         _peer: SocketAddr,
     ) -> AnyResponse {
         if self.pause_detector.should_refuse(BootClock.now()) {
@@ -141,7 +141,7 @@
     /// Matches a request to a route and account, and reads its body.
     async fn read(
         &self,
-        req: Request<Incoming>,
+        req: Request<RequestBody>,
         received_at: Instant,
     ) -> Result<MatchedRequest, AnyResponse> {
         let Some(config) = self.current_config().await else {
--- a/src/coltsfootnotch/daemon/sidecar/announce_endpoint.rs
+++ b/src/coltsfootnotch/daemon/sidecar/announce_endpoint.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use coltsfootnotch_wire::announce::{Announcement, AnnouncementBody};
-use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
 use stakker::sync::Channel;
 
@@ -12,6 +11,7 @@
 use crate::core::HostCx;
 use crate::util::events;
 use crate::util::http_server::{AnyResponse, TEXT, full, read_body};
+use crate::util::request_body::RequestBody;
 
 const PATH: &str = "/v1/announce";
 /// Maximum size of an announcement in bytes; allows a thousand cache events.
@@ -23,7 +23,7 @@
 pub(super) async fn handle_request(
     cx: HostCx,
     tx: Channel<SidecarMsg>,
-    req: Request<Incoming>,
+    req: Request<RequestBody>,
     from: SocketAddr,
 ) -> AnyResponse {
     if req.uri().path() != PATH {
--- /dev/null
+++ b/src/coltsfootnotch/util/connection.rs
@@ -0,0 +1,251 @@
+//! One connection of an HTTP server, from its first request to its end.
+//!
+//! A caller may send a request without waiting for the end of the response before it. The HTTP library reads such
+//! a request with what comes before, and drops it where it ends the connection. What it leaves is served or
+//! refused here, so that each request that has arrived gets a response.
+
+use std::convert::Infallible;
+use std::future::{Future, poll_fn};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::task::Poll;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
+use hyper::server::conn::http1;
+use hyper::service::{HttpService, service_fn};
+use hyper::{Request, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::time::timeout;
+
+use super::connection_io::{ConnectionIo, ServerSocket};
+use super::connection_state::ConnectionState;
+use super::http_server::{AnyBody, AnyResponse, ConnectionLimits, TEXT, full, read_body};
+use super::request_body::RequestBody;
+
+/// Time for which an idle connection is kept once it is told to close: the caller may have a request on its
+/// way, and the runtime learns of one that has arrived in its next turn only.
+pub(crate) const CLOSE_LINGER: Duration = Duration::from_millis(100);
+
+/// Time for the rest of a request of which a part has arrived on a kept connection that is told to close. A
+/// part of the first request on a new connection has the usual read timeout.
+pub(crate) const PARTIAL_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time in which requests behind a last response are refused, and a body that was left unread is discarded.
+const REST_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Longest body of a request that is refused behind a last response, and most bytes of a body left unread that
+/// are discarded. A connection that is closed with more unread is reset, which may lose its last response.
+const MAX_DISCARDED: usize = 256 * 1024;
+
+/// Minimum buffer size that hyper accepts, in bytes.
+const MIN_BUFFER: usize = 8192;
+
+type Connection<S, H> = http1::Connection<TokioIo<ConnectionIo<S>>, H>;
+
+/// Serves one connection until it is closed. Once `closing` completes, closes it after the current response,
+/// or the response to a request that has arrived. Requests behind a response that is the last one are refused
+/// as not run. Returns whether it was told to close and was closed with bytes of its peer unread.
+pub async fn serve_connection<S, F, R>(
+    stream: S,
+    peer: SocketAddr,
+    limits: ConnectionLimits,
+    closing: impl Future<Output = ()>,
+    handler: &F,
+) -> bool
+where
+    S: AsyncRead + AsyncWrite + ServerSocket + Unpin,
+    F: Fn(Request<RequestBody>, SocketAddr) -> R,
+    R: Future<Output = AnyResponse>,
+{
+    let state = Arc::new(ConnectionState::default());
+    let io = ConnectionIo::new(stream, Arc::clone(&state));
+    let service = service_fn(|req: Request<Incoming>| {
+        let version = req.version();
+        state.begin_request(version, req.headers());
+        let req = req.map(|body| RequestBody::new(body, Arc::clone(&state)));
+        let state = Arc::clone(&state);
+        // Boxed, as each open connection holds the space of a request's future.
+        Box::pin(async move {
+            let response = if state.is_refusing.load(Ordering::Acquire) {
+                refuse(req).await
+            } else {
+                handler(req, peer).await
+            };
+            Ok::<_, Infallible>(state.prepare(response, version))
+        })
+    });
+    let mut connection = start(io, service, limits);
+    let ended = tokio::select! {
+        ended = run(&mut connection) => Some(ended),
+        () = closing => None,
+    };
+    let is_closing = ended.is_none();
+    let ended = match ended {
+        Some(ended) => ended,
+        // Boxed, as each open connection holds the space of its timers.
+        None => Box::pin(close(&mut connection, &state)).await,
+    };
+    if ended.is_ok() {
+        let parts = connection.into_parts();
+        let io = parts.io.into_inner();
+        Box::pin(end(
+            io,
+            parts.read_buf,
+            parts.service,
+            limits,
+            &state,
+            is_closing,
+        ))
+        .await;
+    }
+    state.is_closed_unread.load(Ordering::Acquire)
+}
+
+fn start<S, H>(io: ConnectionIo<S>, service: H, limits: ConnectionLimits) -> Connection<S, H>
+where
+    S: AsyncRead + AsyncWrite + ServerSocket + Unpin,
+    H: HttpService<Incoming, ResBody = AnyBody, Error = Infallible>,
+{
+    http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.read_timeout)
+        .max_buf_size(limits.header_bytes.max(MIN_BUFFER))
+        .serve_connection(TokioIo::new(io), service)
+}
+
+/// Serves a connection until the HTTP library ends it, and leaves its socket open.
+async fn run<S, H>(connection: &mut Connection<S, H>) -> hyper::Result<()>
+where
+    S: AsyncRead + AsyncWrite + ServerSocket + Unpin,
+    H: HttpService<Incoming, ResBody = AnyBody, Error = Infallible> + Unpin,
+    H::Future: Unpin,
+{
+    poll_fn(|cx| connection.poll_without_shutdown(cx)).await
+}
+
+/// Ends a connection once no request is in progress or on its way.
+async fn close<S, H>(
+    connection: &mut Connection<S, H>,
+    state: &ConnectionState,
+) -> hyper::Result<()>
+where
+    S: AsyncRead + AsyncWrite + ServerSocket + Unpin,
+    H: HttpService<Incoming, ResBody = AnyBody, Error = Infallible> + Unpin,
+    H::Future: Unpin,
+{
+    state.has_written.store(false, Ordering::Release);
+    state.is_closing.store(true, Ordering::Release);
+    if let Some(ended) = serve_while_awaited(connection, state).await {
+        return ended;
+    }
+    Pin::new(&mut *connection).graceful_shutdown();
+    run(connection).await
+}
+
+/// Serves a connection for [`CLOSE_LINGER`], and on while the rest of a request is awaited; none if it has not
+/// ended by then.
+async fn serve_while_awaited<S, H>(
+    connection: &mut Connection<S, H>,
+    state: &ConnectionState,
+) -> Option<hyper::Result<()>>
+where
+    S: AsyncRead + AsyncWrite + ServerSocket + Unpin,
+    H: HttpService<Incoming, ResBody = AnyBody, Error = Infallible> + Unpin,
+    H::Future: Unpin,
+{
+    if let Ok(ended) = timeout(CLOSE_LINGER, run(connection)).await {
+        return Some(ended);
+    }
+    let served = poll_fn(|cx| match connection.poll_without_shutdown(cx) {
+        Poll::Ready(ended) => Poll::Ready(Some(ended)),
+        Poll::Pending if state.expects_rest.load(Ordering::Acquire) => Poll::Pending,
+        Poll::Pending => Poll::Ready(None),
+    });
+    let served = timeout(PARTIAL_REQUEST_TIMEOUT, served).await;
+    served.unwrap_or_default()
+}
+
+/// Ends a connection that the HTTP library has left with `read_buf` unserved: responds to the requests behind
+/// the last one served, and closes the socket. Requests are refused, unless the connection was told to close and
+/// no response has said yet that it would be.
+async fn end<S, H>(
+    mut io: ConnectionIo<S>,
+    mut read_buf: Bytes,
+    mut service: H,
+    limits: ConnectionLimits,
+    state: &ConnectionState,
+    is_closing: bool,
+) where
+    S: AsyncRead + AsyncWrite + ServerSocket + Unpin,
+    H: HttpService<Incoming, ResBody = AnyBody, Error = Infallible> + Unpin,
+    H::Future: Unpin,
+{
+    let deadline = Instant::now() + REST_TIMEOUT;
+    loop {
+        io.put_back(read_buf);
+        let is_refusing = !is_closing || state.has_said_close.load(Ordering::Acquire);
+        let has_responded = state.has_written.swap(false, Ordering::AcqRel);
+        // The caller of a response that did not say so may send its next request.
+        let may_go_on = io.has_unread() || (has_responded && !is_refusing);
+        let can_go_on = state.can_find_next_request() && Instant::now() < deadline;
+        if !may_go_on || !can_go_on {
+            break;
+        }
+        state.is_refusing.store(is_refusing, Ordering::Release);
+        state.is_closing.store(true, Ordering::Release);
+        state.has_begun.store(false, Ordering::Release);
+        let mut connection = start(io, service, limits);
+        let ended = match serve_while_awaited(&mut connection, state).await {
+            Some(ended) => ended,
+            None if state.has_begun.load(Ordering::Acquire) => run(&mut connection).await,
+            // What has arrived is no whole request.
+            None => Ok(()),
+        };
+        let parts = connection.into_parts();
+        (io, read_buf, service) = (parts.io.into_inner(), parts.read_buf, parts.service);
+        if ended.is_err() {
+            // The socket is dropped as it is: a response that was broken off has no orderly end.
+            return;
+        }
+    }
+    let is_unread = io.has_unread();
+    if io.shutdown().await.is_ok() && is_unread {
+        // Boxed, since few connections need its buffer.
+        let discarded = Box::pin(discard(&mut io));
+        let _rest = timeout(REST_TIMEOUT, discarded).await;
+    }
+}
+
+/// Reads what the peer sends until it closes the connection: while bytes are unread, the system resets a
+/// connection that is closed, and the peer may lose the last response.
+async fn discard<S: AsyncRead + Unpin>(io: &mut S) {
+    let mut buf = [0; 4096];
+    let mut discarded = 0;
+    while discarded < MAX_DISCARDED {
+        match io.read(&mut buf).await {
+            Ok(0) | Err(_) => return,
+            Ok(len) => discarded += len,
+        }
+    }
+}
+
+/// Refuses a request that came behind the last response, whose sender can't tell otherwise whether it ran.
+async fn refuse(req: Request<RequestBody>) -> AnyResponse {
+    // The next request begins after the body.
+    let body = read_body(req.into_body(), MAX_DISCARDED, REST_TIMEOUT).await;
+    if let Err(status) = body {
+        log::debug!("the body of a refused request is left unread: {status}");
+    }
+    let text = "the connection is closing; the request did not run\n";
+    let mut response = full(StatusCode::SERVICE_UNAVAILABLE, TEXT, text);
+    let headers = response.headers_mut();
+    headers.insert(RETRY_AFTER, HeaderValue::from_static("0"));
+    headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
--- a/src/coltsfootnotch/util/connection_io.rs
+++ b/src/coltsfootnotch/util/connection_io.rs
@@ -13,6 +13,7 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use bytes::Bytes;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -56,6 +57,8 @@
 pub(super) struct ConnectionIo<S> {
     stream: S,
     state: Arc<ConnectionState>,
+    /// Bytes that were read before and are to be read again.
+    put_back: Bytes,
     /// What is left of the corrected version of the current status line.
     version: &'static [u8],
     resets_on_close: bool,
@@ -66,14 +69,30 @@
         Self {
             stream,
             state,
+            put_back: Bytes::new(),
             version: &[],
             resets_on_close: false,
         }
     }
 
+    /// Has bytes that were read already read again.
+    pub(super) fn put_back(&mut self, bytes: Bytes) {
+        debug_assert!(
+            self.put_back.is_empty(),
+            "all bytes put back were read again"
+        );
+        self.put_back = bytes;
+    }
+
+    /// Whether bytes of the peer are not read yet.
+    pub(super) fn has_unread(&self) -> bool {
+        !self.put_back.is_empty() || self.stream.has_unread()
+    }
+
     /// Prepares the socket for `bytes`, which may begin a response.
     fn before_write(&mut self, bytes: &[u8]) {
         self.state.expects_rest.store(false, Ordering::Release);
+        self.state.has_written.store(true, Ordering::Release);
         if self.state.has_old_version.swap(false, Ordering::AcqRel)
             && bytes.starts_with(OLD_VERSION)
         {
@@ -100,7 +119,13 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let filled = buf.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf)?;
+        let read = if self.put_back.is_empty() {
+            Pin::new(&mut self.stream).poll_read(cx, buf)?
+        } else {
+            let len = self.put_back.len().min(buf.remaining());
+            buf.put_slice(&self.put_back.split_to(len));
+            Poll::Ready(())
+        };
         let is_closing = self.state.is_closing.load(Ordering::Acquire);
         let has_more = match read {
             Poll::Ready(()) => buf.filled().len() > filled,
@@ -162,7 +187,7 @@
             self.set_reset_on_close(false);
         }
         let is_closing = self.state.is_closing.load(Ordering::Acquire);
-        if is_closing && self.stream.has_unread() {
+        if is_closing && self.has_unread() {
             self.state.is_closed_unread.store(true, Ordering::Release);
         }
         Pin::new(&mut self.stream).poll_shutdown(cx)
--- a/src/coltsfootnotch/util/connection_io_tests.rs
+++ b/src/coltsfootnotch/util/connection_io_tests.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use googletest::prelude::*;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Frame, Incoming};
+use hyper::body::{Body, Frame};
 use hyper::{Request, Response, StatusCode};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream, ReadBuf};
 
@@ -19,6 +19,7 @@
 use crate::util::http_server::{
     AnyResponse, BodyAborted, ConnectionLimits, full, serve_connection,
 };
+use crate::util::request_body::RequestBody;
 
 const LIMITS: ConnectionLimits = ConnectionLimits {
     header_bytes: 16 * 1024,
@@ -93,7 +94,7 @@
 
 /// Responds to `/framed`, to `/until-close` and, with a body that can't be completed, to `/broken`, the last
 /// two with a response that ends with its connection.
-async fn respond(req: Request<Incoming>, _peer: SocketAddr) -> AnyResponse {
+async fn respond(req: Request<RequestBody>, _peer: SocketAddr) -> AnyResponse {
     let mut response = match req.uri().path() {
         "/framed" => return full(StatusCode::OK, "text/plain", "framed"),
         "/stream" => return broken_off(),
--- a/src/coltsfootnotch/util/connection_state.rs
+++ b/src/coltsfootnotch/util/connection_state.rs
@@ -6,7 +6,7 @@
 use http_body_util::BodyExt;
 use hyper::Version;
 use hyper::body::Body;
-use hyper::header::{CONNECTION, HeaderValue};
+use hyper::header::{CONNECTION, HeaderMap, HeaderValue};
 
 use super::abort_after_flush::{AbortAfterFlush, FlushSignal};
 use super::connection_io::EndsWithConnection;
@@ -25,11 +25,35 @@
     pub(super) is_closing: AtomicBool,
     /// Whether bytes have arrived since the last request began or was answered, as of a part of a head.
     pub(super) expects_rest: AtomicBool,
+    /// Whether a request has begun since the flag was last cleared.
+    pub(super) has_begun: AtomicBool,
+    /// Whether bytes were written since the flag was last cleared.
+    pub(super) has_written: AtomicBool,
+    /// Whether the last response said that the connection is closed after it, or its request asked for that.
+    pub(super) has_said_close: AtomicBool,
+    /// Whether a part of the last request's body was left unread, so that no request can be found behind it.
+    pub(super) has_body_left: AtomicBool,
+    /// Whether requests are refused: they came behind the last response.
+    pub(super) is_refusing: AtomicBool,
     /// Whether the connection was told to close, and was closed in order with bytes unread.
     pub(super) is_closed_unread: AtomicBool,
 }
 
 impl ConnectionState {
+    /// Takes note of a request that begins.
+    pub(super) fn begin_request(&self, version: Version, headers: &HeaderMap) {
+        self.expects_rest.store(false, Ordering::Release);
+        self.has_begun.store(true, Ordering::Release);
+        let is_last = version != Version::HTTP_11 || says_close(headers);
+        self.has_said_close.store(is_last, Ordering::Release);
+    }
+
+    /// Whether the next request begins where the bytes end that were served, and can be responded to.
+    pub(super) fn can_find_next_request(&self) -> bool {
+        !self.has_body_left.load(Ordering::Acquire)
+            && !self.ends_with_connection.load(Ordering::Acquire)
+    }
+
     /// Prepares a response to a request with `version`: one that ends with its connection gets neither a
     /// length nor chunks. Without a length, those to HTTP/1.0, which has no chunks, end with it as well.
     pub(super) fn prepare(&self, mut response: AnyResponse, version: Version) -> AnyResponse {
@@ -46,6 +70,10 @@
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
+        let is_last = self.has_said_close.load(Ordering::Acquire)
+            || ends_with_connection
+            || says_close(response.headers());
+        self.has_said_close.store(is_last, Ordering::Release);
         if !is_marked {
             return response;
         }
@@ -58,3 +86,10 @@
         response
     }
 }
+
+/// Whether the headers say that the connection is closed after this message.
+fn says_close(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(CONNECTION).iter();
+    let mut options = values.flat_map(|value| value.as_bytes().split(|b| *b == b','));
+    options.any(|option| option.trim_ascii().eq_ignore_ascii_case(b"close"))
+}
--- a/src/coltsfootnotch/util/http_server.rs
+++ b/src/coltsfootnotch/util/http_server.rs
@@ -4,14 +4,11 @@
 //! or quickly. When the peer closes its connection, the handler's future or the body that it
 //! returned is dropped, which cancels the request.
 
-use std::convert::Infallible;
-use std::future::{Future, poll_fn};
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::{Pin, pin};
+use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
-use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -19,20 +16,16 @@
 use http_body_util::Full;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::{HttpService, service_fn};
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
-use super::connection_io::{ConnectionIo, ServerSocket};
-use super::connection_state::ConnectionState;
+pub use super::connection::serve_connection;
+pub(crate) use super::connection::{CLOSE_LINGER, PARTIAL_REQUEST_TIMEOUT};
 use super::connections::{Connections, OpenConnection};
+use super::request_body::RequestBody;
 
 /// A body can't be completed; the connection is closed so that the body is not taken for complete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
@@ -67,7 +60,7 @@
 /// Serves connections until its task is aborted.
 pub async fn serve<F, R>(listener: TcpListener, limits: ServerLimits, handler: F)
 where
-    F: Fn(Request<Incoming>, SocketAddr) -> R + Send + Sync + 'static,
+    F: Fn(Request<RequestBody>, SocketAddr) -> R + Send + Sync + 'static,
     R: Future<Output = AnyResponse> + Send + 'static,
 {
     let read_timeout = move || limits.read_timeout;
@@ -83,7 +76,7 @@
     connections: Arc<Connections>,
     handler: F,
 ) where
-    F: Fn(Request<Incoming>, SocketAddr) -> R + Send + Sync + 'static,
+    F: Fn(Request<RequestBody>, SocketAddr) -> R + Send + Sync + 'static,
     R: Future<Output = AnyResponse> + Send + 'static,
 {
     let handler = Arc::new(handler);
@@ -187,96 +180,9 @@
     SockRef::from(stream).set_send_buffer_size(SEND_BUFFER)
 }
 
-/// Time for which an idle connection is kept once it is told to close: the caller may have a request on its
-/// way, and the runtime learns of one that has arrived in its next turn only.
-pub(crate) const CLOSE_LINGER: Duration = Duration::from_millis(100);
-
-/// Time for the rest of a request of which a part has arrived on a kept connection that is told to close. A
-/// part of the first request on a new connection has the usual read timeout.
-pub(crate) const PARTIAL_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// Serves one connection until it is closed. Once `closing` completes, closes it after the current response,
-/// or the response to a request that has arrived. Returns whether it was told to close and was closed with
-/// bytes of its peer unread.
-pub async fn serve_connection<S, F, R>(
-    stream: S,
-    peer: SocketAddr,
-    limits: ConnectionLimits,
-    closing: impl Future<Output = ()>,
-    handler: &F,
-) -> bool
-where
-    S: AsyncRead + AsyncWrite + ServerSocket + Unpin,
-    F: Fn(Request<Incoming>, SocketAddr) -> R,
-    R: Future<Output = AnyResponse>,
-{
-    let state = Arc::new(ConnectionState::default());
-    let io = ConnectionIo::new(stream, Arc::clone(&state));
-    let service = service_fn(|req: Request<Incoming>| {
-        state.expects_rest.store(false, Ordering::Release);
-        let version = req.version();
-        // Boxed, as each open connection holds the space of a request's future.
-        let response = Box::pin(handler(req, peer));
-        let state = Arc::clone(&state);
-        async move { Ok::<_, Infallible>(state.prepare(response.await, version)) }
-    });
-    let mut connection = pin!(
-        http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(limits.read_timeout)
-            .max_buf_size(limits.header_bytes.max(MIN_BUFFER))
-            .serve_connection(TokioIo::new(io), service)
-    );
-    let is_closing = tokio::select! {
-        // An error here is the peer's: it disconnected, or it sent invalid HTTP and got a 400.
-        _ = connection.as_mut() => false,
-        () = closing => true,
-    };
-    if is_closing {
-        // Boxed, as each open connection holds the space of its timers.
-        Box::pin(close(connection, &state)).await;
-    }
-    state.is_closed_unread.load(Ordering::Acquire)
-}
-
-/// Closes a connection once no request is in progress or on its way.
-async fn close<S, H>(
-    mut connection: Pin<&mut http1::Connection<TokioIo<ConnectionIo<S>>, H>>,
-    state: &ConnectionState,
-) where
-    S: AsyncRead + AsyncWrite + ServerSocket + Unpin,
-    H: HttpService<Incoming, ResBody = AnyBody, Error = Infallible>,
-{
-    state.is_closing.store(true, Ordering::Release);
-    let expects_rest = || state.expects_rest.load(Ordering::Acquire);
-    let is_over = timeout(CLOSE_LINGER, connection.as_mut()).await.is_ok()
-        || serve_while(connection.as_mut(), PARTIAL_REQUEST_TIMEOUT, expects_rest).await;
-    if !is_over {
-        connection.as_mut().graceful_shutdown();
-        let _outcome = connection.await;
-    }
-}
-
-/// Serves a connection for `time` at most, while `is_awaited`; returns whether it is over.
-async fn serve_while<C: Future>(
-    mut connection: Pin<&mut C>,
-    time: Duration,
-    is_awaited: impl Fn() -> bool,
-) -> bool {
-    let served = poll_fn(|cx| match connection.as_mut().poll(cx) {
-        Poll::Ready(_) => Poll::Ready(true),
-        Poll::Pending if is_awaited() => Poll::Pending,
-        Poll::Pending => Poll::Ready(false),
-    });
-    timeout(time, served).await.unwrap_or(false)
-}
-
 /// Size of the socket's send buffer, in bytes.
 const SEND_BUFFER: usize = 64 * 1024;
 
-/// Minimum buffer size that hyper accepts, in bytes.
-const MIN_BUFFER: usize = 8192;
-
 /// Content type of a plain-text body.
 pub const TEXT: &str = "text/plain; charset=utf-8";
 
@@ -299,7 +205,7 @@
 /// Returns the status to respond with: 413 for a larger body, 408 on a timeout, 400 for a broken
 /// body.
 pub async fn read_body(
-    body: Incoming,
+    body: RequestBody,
     limit: usize,
     timeout: Duration,
 ) -> Result<Bytes, StatusCode> {
--- a/src/coltsfootnotch/util/http_server_tests.rs
+++ b/src/coltsfootnotch/util/http_server_tests.rs
@@ -2,8 +2,13 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
 
 use googletest::prelude::*;
+use hyper::body::{Body, Frame};
+use hyper::header::{CONNECTION, HeaderValue};
+use tokio::sync::Notify;
 
 use super::*;
 
@@ -25,6 +30,55 @@
 struct Server {
     address: SocketAddr,
     connections: Arc<Connections>,
+    /// Ends the streams.
+    release: Arc<Notify>,
+}
+
+/// A body of one part, which comes once it is released.
+struct Released(Option<Pin<Box<dyn Future<Output = ()> + Send + Sync>>>);
+
+impl Body for Released {
+    type Data = Bytes;
+    type Error = BodyAborted;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<std::result::Result<Frame<Bytes>, BodyAborted>>> {
+        let Some(end) = &mut self.0 else {
+            return Poll::Ready(None);
+        };
+        ready!(end.as_mut().poll(cx));
+        self.0 = None;
+        Poll::Ready(Some(Ok(Frame::data(Bytes::from_static(BODY.as_bytes())))))
+    }
+}
+
+/// Responds to `/stream` with a body that is complete once it is released, to `/leave` with a response that
+/// says that it is the last one, and to `/read` once the body of the request is read. Other bodies are left
+/// unread.
+async fn respond(req: Request<RequestBody>, release: Arc<Notify>) -> AnyResponse {
+    let path = req.uri().path().to_owned();
+    if path == "/read" {
+        let read = read_body(req.into_body(), 1 << 20, WAIT).await;
+        return full(
+            StatusCode::OK,
+            TEXT,
+            format!("{} bytes, {BODY}", read.unwrap().len()),
+        );
+    }
+    let mut response = match path.as_str() {
+        "/stream" => {
+            let end = Box::pin(async move { release.notified().await });
+            return Response::new(Released(Some(end)).boxed());
+        }
+        _ => full(StatusCode::OK, TEXT, BODY),
+    };
+    if path == "/leave" {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
 }
 
 impl Server {
@@ -32,18 +86,23 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let connections = Arc::<Connections>::default();
+        let release = Arc::<Notify>::default();
         tokio::spawn(serve_and_close(
             listener,
             LIMITS,
             || LIMITS.read_timeout,
             Arc::clone(&connections),
-            |_, _| async { full(StatusCode::OK, TEXT, BODY) },
+            {
+                let release = Arc::clone(&release);
+                move |req, _| respond(req, Arc::clone(&release))
+            },
         ));
         // The server's first turn.
         sleep(DELIVERY).await;
         Self {
             address,
             connections,
+            release,
         }
     }
 
@@ -65,12 +124,32 @@
         std::thread::sleep(DELIVERY);
     }
 
+    /// Reads to the end of the connection; an error is appended to what was received before.
+    async fn read_to_end(&mut self) -> String {
+        let started = Instant::now();
+        let mut text = String::new();
+        let mut buf = [0; 1024];
+        while started.elapsed() < WAIT {
+            match self.0.read(&mut buf) {
+                Ok(0) => return text,
+                Ok(len) => text.push_str(&String::from_utf8_lossy(&buf[..len])),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => sleep(DELIVERY).await,
+                Err(e) => return format!("{text} {e}"),
+            }
+        }
+        format!("{text} and no end")
+    }
+
     /// Reads to the end of a response or of the connection.
     async fn read(&mut self) -> String {
+        self.read_until(BODY).await
+    }
+
+    async fn read_until(&mut self, end: &str) -> String {
         let started = Instant::now();
         let mut received = Vec::new();
         let mut buf = [0; 1024];
-        while started.elapsed() < WAIT && !received.ends_with(BODY.as_bytes()) {
+        while started.elapsed() < WAIT && !received.ends_with(end.as_bytes()) {
             match self.0.read(&mut buf) {
                 Ok(0) => break,
                 Ok(len) => received.extend_from_slice(&buf[..len]),
@@ -179,3 +258,124 @@
     expect_that!(server.connections.pending(), eq(0));
     expect_that!(TcpStream::connect(server.address), err(anything()));
 }
+
+const STREAM: &[u8] = b"GET /stream HTTP/1.1\r\nhost: a\r\n\r\n";
+const LEAVE: &[u8] = b"GET /leave HTTP/1.1\r\nhost: a\r\n\r\n";
+
+const LAST_CHUNK: &str = "\r\n0\r\n\r\n";
+
+/// Time that a stream takes beyond all that is waited for while a connection without one is closed.
+const STREAM_TIME: Duration = Duration::from_millis(1_300);
+
+/// The statuses of the responses in what a caller has received.
+fn statuses(received: &str) -> Vec<&str> {
+    let lines = received.split("HTTP/1.1 ").skip(1);
+    lines.map(|line| &line[..3]).collect()
+}
+
+/// Guards against a stop that leaves a request unanswered which its caller has sent behind a stream that began before.
+#[gtest]
+#[tokio::test]
+async fn a_request_behind_a_stream_that_began_before_the_stop_is_answered() {
+    let server = Server::start().await;
+    let mut caller = server.connect();
+    caller.send(STREAM);
+    sleep(DELIVERY).await;
+    caller.send(REQUEST);
+    sleep(DELIVERY).await;
+    server.connections.close();
+    sleep(STREAM_TIME).await;
+    server.release.notify_one();
+    let received = caller.read_to_end().await;
+    expect_that!(statuses(&received), elements_are![eq(&"200"), eq(&"200")]);
+    expect_that!(received.as_str(), is_last_response());
+}
+
+/// Guards against a stop that closes a connection right after a stream, as its caller reuses it.
+#[gtest]
+#[tokio::test]
+async fn a_request_after_a_stream_that_began_before_the_stop_is_answered() {
+    let server = Server::start().await;
+    let mut caller = server.connect();
+    caller.send(STREAM);
+    sleep(DELIVERY).await;
+    server.connections.close();
+    sleep(CLOSE_LINGER * 2).await;
+    server.release.notify_one();
+    let stream = caller.read_until(LAST_CHUNK).await;
+    expect_that!(stream, ends_with(LAST_CHUNK));
+    caller.send(REQUEST);
+    expect_that!(caller.read().await.as_str(), is_last_response());
+}
+
+/// Guards against a request that is read behind the last response, and gets neither an answer nor a refusal.
+#[gtest]
+#[tokio::test]
+async fn requests_behind_a_last_response_are_refused_as_not_run() {
+    let server = Server::start().await;
+    let mut caller = server.connect();
+    caller.send(&[LEAVE, REQUEST, REQUEST].concat());
+    let received = caller.read_to_end().await;
+    expect_that!(
+        statuses(&received),
+        elements_are![eq(&"200"), eq(&"503"), eq(&"503")]
+    );
+    expect_that!(received, contains_substring("retry-after: 0"));
+    expect_that!(received, ends_with("the request did not run\n"));
+}
+
+/// Guards against the same for a request that arrives while the last response of a stopping server is in progress.
+#[gtest]
+#[tokio::test]
+async fn a_request_that_arrives_during_the_last_response_is_refused_as_not_run() {
+    let server = Server::start().await;
+    let mut caller = server.connect();
+    sleep(DELIVERY).await;
+    server.connections.close();
+    caller.send(STREAM);
+    sleep(CLOSE_LINGER * 2).await;
+    let post = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 6\r\n\r\na body";
+    caller.send(&[REQUEST, post].concat());
+    sleep(DELIVERY).await;
+    server.release.notify_one();
+    let received = caller.read_to_end().await;
+    expect_that!(
+        statuses(&received),
+        elements_are![eq(&"200"), eq(&"503"), eq(&"503")]
+    );
+}
+
+/// Guards against a body that is taken for requests: its handler has left it unread.
+#[gtest]
+#[tokio::test]
+async fn an_unread_body_is_not_taken_for_requests() {
+    let server = Server::start().await;
+    let mut caller = server.connect();
+    let body = REQUEST.repeat(1_000);
+    let head = format!(
+        "POST /leave HTTP/1.1\r\nhost: a\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    caller.send(&[head.as_bytes(), &body].concat());
+    let received = caller.read_to_end().await;
+    expect_that!(statuses(&received), elements_are![eq(&"200")]);
+    expect_that!(received, ends_with(BODY));
+}
+
+/// Guards against a request that is cut apart behind such a stream: its body is read and answered as well.
+#[gtest]
+#[tokio::test]
+async fn a_request_with_a_body_behind_a_stream_is_answered_at_a_stop() {
+    let server = Server::start().await;
+    let mut caller = server.connect();
+    caller.send(STREAM);
+    sleep(DELIVERY).await;
+    let post = b"POST /read HTTP/1.1\r\nhost: a\r\ncontent-length: 6\r\n\r\na body";
+    caller.send(post);
+    server.connections.close();
+    sleep(STREAM_TIME).await;
+    server.release.notify_one();
+    let received = caller.read_to_end().await;
+    expect_that!(statuses(&received), elements_are![eq(&"200"), eq(&"200")]);
+    expect_that!(received, ends_with("6 bytes, a whole response"));
+}
--- a/src/coltsfootnotch/util/mod.rs
+++ b/src/coltsfootnotch/util/mod.rs
@@ -3,6 +3,7 @@
 mod abort_after_flush;
 pub mod body_framing;
 pub mod boot_clock;
+mod connection;
 pub mod connection_io;
 mod connection_state;
 pub mod connections;
@@ -15,6 +16,7 @@
 pub mod line_budget;
 pub mod metrics;
 mod print_causes;
+pub mod request_body;
 mod unsized_body;
 
 pub use print_causes::print_causes;
--- /dev/null
+++ b/src/coltsfootnotch/util/request_body.rs
@@ -0,0 +1,50 @@
+//! The body of a request, which tells its connection once it has been read.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+
+use super::connection_state::ConnectionState;
+
+/// The body of a request, which tells its connection once it has been read: bytes that follow a body that was
+/// left unread are not the next request.
+pub struct RequestBody {
+    body: Incoming,
+    state: Arc<ConnectionState>,
+}
+
+impl RequestBody {
+    pub(super) fn new(body: Incoming, state: Arc<ConnectionState>) -> Self {
+        let has_body_left = !body.is_end_stream();
+        state.has_body_left.store(has_body_left, Ordering::Release);
+        Self { body, state }
+    }
+}
+
+impl Body for RequestBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if frame.is_none() {
+            self.state.has_body_left.store(false, Ordering::Release);
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
