Tell callers what the forced end of a stop cuts off

Cause: when the time of a stop was over the process ended with requests in progress, and the system closed their connections in order.

Seen by callers: an orderly end with no response, for a request that may have run as for one that can't have.

Change: 300 ms before the end of a stop, connections are cut: a request that was not sent to an upstream is refused with 503 as not run, one that was gets a 502 that says that it may have run, and a response without a length that has begun is broken off and its connection reset. Relays do the same: a caller that waits gets the 502, and a response that has begun is reset. Handlers record in `RequestProgress` whether the request may have run. The entry with a ledger records it as it hands a request to its actor, so its requests that wait for an attempt get the 502 as well. Requests that can't be done 300 ms earlier than so far are refused by a stopping entry.

--- a/src/coltsfootnotch/daemon/entry/actor.rs
+++ b/src/coltsfootnotch/daemon/entry/actor.rs
@@ -358,6 +358,9 @@
         if self.lifecycle.is_stopping() && self.requests.len() == 0 {
             self.client_connections.close();
         }
+        if self.lifecycle.should_cut() {
+            self.client_connections.cut();
+        }
         // A connection counts until its caller has received the whole response, and the listener until its
         // queue is accepted.
         let in_progress = self.requests.len().max(self.client_connections.pending());
--- a/src/coltsfootnotch/daemon/entry/request_handler.rs
+++ b/src/coltsfootnotch/daemon/entry/request_handler.rs
@@ -132,6 +132,7 @@
             }
         };
         let (parts, body) = req.into_parts();
+        let progress = body.progress();
         let account = authenticate(&config, &parts.headers)?;
         if parts.method == Method::GET && parts.uri.path() == "/v1/models" {
             return Ok(list_models(&config));
@@ -155,6 +156,8 @@
             id: id.to_owned(),
             tx,
         };
+        // The actor alone knows when it is sent to an upstream.
+        progress.set_may_have_run(true);
         if !self.tx.send(EntryMsg::Request(Box::new(client_request))) {
             guard.disarm();
             return Err(Refusal::not_run(RefusalKind::NotReady));
--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -64,6 +64,10 @@
 /// Part of the shutdown time that is reserved for the process to exit.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 
+/// Part of the shutdown time before [`STOP_MARGIN`] in which requests that are still in progress are cut off:
+/// their callers read a response of some hundred bytes, also beside as many others as a host holds.
+const CUT_TIME: Duration = Duration::from_millis(300);
+
 /// Timeout for reading a caller's headers until a configuration is in force.
 const READ_TIMEOUT: Duration = Duration::from_secs(15);
 /// Most bytes of a request line and headers; a configuration may set a lower limit.
@@ -129,6 +133,8 @@
 struct Stopping {
     since: Duration,
     listening: bool,
+    /// Whether the requests in progress are told to end.
+    is_cutting: bool,
 }
 
 struct ForwardActor {
@@ -384,7 +390,8 @@
 
     fn place(&mut self, now: Duration, req: &PlaceRequest) -> Result<Ticket, PlacementError> {
         if let Some(stopping) = self.stopping {
-            let end = stopping.since + self.times.shutdown.saturating_sub(STOP_MARGIN);
+            let time = self.times.shutdown.saturating_sub(STOP_MARGIN + CUT_TIME);
+            let end = stopping.since + time;
             if now + req.prompt.max_answer_time() > end {
                 return Err(PlacementError::Stopping);
             }
--- a/src/coltsfootnotch/daemon/forward/attempts.rs
+++ b/src/coltsfootnotch/daemon/forward/attempts.rs
@@ -91,6 +91,8 @@
             req.deadline
         };
         let upstream = ticket.upstream.clone();
+        // Told before anything is written, since the caller may be cut off at any moment from then on.
+        req.progress.set_may_have_run(true);
         let exchange_result = exchange(self, req, ticket, None, deadline).await;
         let result = match exchange_result {
             ExchangeResult::Unreached => AttemptResult::Unreached,
@@ -101,6 +103,10 @@
                 self.deliver(req, *received, deadline, attempts).await
             }
         };
+        if let AttemptResult::Unreached | AttemptResult::Withheld | AttemptResult::Rejected = result
+        {
+            req.progress.set_may_have_run(attempts > 1);
+        }
         let outcome = match &result {
             AttemptResult::Done(_) => "answered",
             AttemptResult::Failed(_) => "failed",
--- a/src/coltsfootnotch/daemon/forward/handover/exchanges.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/exchanges.rs
@@ -88,6 +88,11 @@
             && self.response == MessagePosition::Between
     }
 
+    /// Whether a response has begun and is not complete.
+    pub(super) fn is_response_in_progress(&self) -> bool {
+        self.response != MessagePosition::Between
+    }
+
     /// Whether a complete request waits for its response.
     pub(super) fn has_complete_request(&self) -> bool {
         !self.unanswered.is_empty() && self.request == MessagePosition::Between
--- a/src/coltsfootnotch/daemon/forward/handover/relay.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay.rs
@@ -54,6 +54,8 @@
     Caller,
     NeighbourClosed,
     NeighbourBroken,
+    /// The process ends.
+    Cut,
 }
 
 /// How a relayed connection ended.
@@ -74,27 +76,38 @@
 /// both are closed then. Once `closing` completes, or the first bytes of the caller have passed if
 /// `is_single`, asks the neighbour to close the connection after the response in progress. A caller whose
 /// neighbour is gone before it has begun to respond gets a failure, or a refusal if the request was not
-/// passed on.
+/// passed on. Once `cutting` completes, as shortly before the end of the process, the caller of a request gets the
+/// same failure, and a response that has begun is broken off.
 ///
 /// # Errors
 /// Returns an error when the connection to the caller is broken by then.
 pub(in crate::daemon::forward) async fn relay(
     mut caller: TcpStream,
     mut neighbour: TcpStream,
-    closing: impl Future<Output = ()>,
+    (closing, cutting): (impl Future<Output = ()>, impl Future<Output = ()>),
     is_single: bool,
 ) -> io::Result<RelayEnd> {
     let mut exchanges = Exchanges::default();
     let ends = (&mut caller, &mut neighbour);
-    let end = relay_until_closed(ends, closing, is_single, &mut exchanges).await;
+    let relaying = relay_until_closed(ends, closing, is_single, &mut exchanges);
+    let end = tokio::select! {
+        end = relaying => end,
+        () = cutting => End::Cut,
+    };
     if end == End::Caller {
         return Ok(RelayEnd::Closed);
     }
     if exchanges.awaits_response() {
         caller.write_all(LOST_RESPONSE).await?;
+        if end == End::Cut {
+            return Ok(RelayEnd::Closed);
+        }
         let is_broken = end == End::NeighbourBroken;
         return Ok(RelayEnd::NeighbourLost { is_broken });
     }
+    if end == End::Cut && exchanges.is_response_in_progress() {
+        caller.set_reset_on_close(true)?;
+    }
     if exchanges.expects_request() && refuse_next_request(&mut caller, &mut exchanges).await? {
         return Ok(RelayEnd::Refused);
     }
--- a/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
@@ -1,5 +1,6 @@
 //! Connections that are handed over to a neighbour.
 
+use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -77,6 +78,15 @@
     neighbour: &Arc<Neighbour>,
     is_single: bool,
 ) -> (TcpStream, oneshot::Sender<()>) {
+    let (caller, stop, _cut) = start_relay_to_cut(neighbour, is_single).await;
+    (caller, stop)
+}
+
+/// The same, with a sender that ends the relay since the entry's process does.
+async fn start_relay_to_cut(
+    neighbour: &Arc<Neighbour>,
+    is_single: bool,
+) -> (TcpStream, oneshot::Sender<()>, oneshot::Sender<()>) {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let listener = TcpListener::bind(any).await.unwrap();
     let address = listener.local_addr().unwrap();
@@ -86,23 +96,29 @@
         let stream = HandedOver::new(stream);
         let requested = stream.close_requested();
         let handler = move |req, _peer| respond(Arc::clone(&served), req);
-        serve_connection(stream, peer, LIMITS, requested.notified(), &handler).await;
+        let signals = (requested.notified(), pending());
+        serve_connection(stream, peer, LIMITS, signals, &handler).await;
     });
     let entry = TcpListener::bind(any).await.unwrap();
     let entry_address = entry.local_addr().unwrap();
     let (stop, stopped) = oneshot::channel();
+    let (cut_sender, cut) = oneshot::channel();
     tokio::spawn(async move {
         let (caller, _) = entry.accept().await.unwrap();
         let neighbour = connect(address).await.unwrap();
-        let closing = async {
-            if stopped.await.is_err() {
-                std::future::pending::<()>().await;
-            }
-        };
-        relay(caller, neighbour, closing, is_single).await
+        let closing = wait_for(stopped);
+        let signals = (closing, wait_for(cut));
+        relay(caller, neighbour, signals, is_single).await
     });
     let caller = TcpStream::connect(entry_address).await.unwrap();
-    (caller, stop)
+    (caller, stop, cut_sender)
+}
+
+/// Completes with the signal, and never if its sender is dropped.
+async fn wait_for(signal: oneshot::Receiver<()>) {
+    if signal.await.is_err() {
+        pending::<()>().await;
+    }
 }
 
 async fn send(caller: &mut TcpStream, path: &str, body: usize) {
@@ -211,7 +227,7 @@
     drop(caller);
     let (caller, _) = entry.accept().await.unwrap();
     let stream = connect(neighbour.local_addr().unwrap()).await.unwrap();
-    let relaying = relay(caller, stream, std::future::pending(), false);
+    let relaying = relay(caller, stream, (pending(), pending()), false);
     let (mut received, _) = neighbour.accept().await.unwrap();
     let mut bytes = Vec::new();
     let (relayed, read) = tokio::join!(relaying, received.read_to_end(&mut bytes));
@@ -237,7 +253,7 @@
         let (accepted, _) = entry.accept().await.unwrap();
         let stream = connect(listener.local_addr().unwrap()).await.unwrap();
         let (neighbour, _) = listener.accept().await.unwrap();
-        let relaying = tokio::spawn(relay(accepted, stream, std::future::pending(), false));
+        let relaying = tokio::spawn(relay(accepted, stream, (pending(), pending()), false));
         Self {
             caller,
             neighbour,
@@ -535,3 +551,17 @@
         expect_that!(text, eq(response));
     }
 }
+
+/// Guards against callers of a relayed connection that get no response as the process of the relay ends.
+#[gtest]
+#[tokio::test]
+async fn a_relayed_request_that_is_cut_off_may_have_run() {
+    let neighbour = Arc::<Neighbour>::default();
+    let (mut caller, _stop, cut) = start_relay_to_cut(&neighbour, false).await;
+    send(&mut caller, "/wait", 6).await;
+    neighbour.started.notified().await;
+    cut.send(()).unwrap();
+    let text = read_until(&mut caller, "the request may have run").await;
+    expect_that!(text, starts_with("HTTP/1.1 502 Bad Gateway"));
+    expect_that!(text, ends_with("the request may have run"));
+}
--- a/src/coltsfootnotch/daemon/forward/matched_request.rs
+++ b/src/coltsfootnotch/daemon/forward/matched_request.rs
@@ -15,6 +15,7 @@
 
 use super::dialect::{Dialect, RequestHead, UpstreamRequestHead};
 use super::messages::Ticket;
+use crate::util::request_body::RequestProgress;
 
 /// Bytes at each end of a body that its digest covers. The digest is computed for every request,
 /// also for those refused in a flood, and bodies have tens of kilobytes. Bodies with the same ends
@@ -45,6 +46,8 @@
     pub(super) deadline: Instant,
     /// When its headers were received.
     pub(super) received_at: Instant,
+    /// Where its caller's connection is told how far it has come.
+    pub(super) progress: RequestProgress,
     /// The memory that it takes.
     pub(super) _hold: Hold,
 }
--- a/src/coltsfootnotch/daemon/forward/server.rs
+++ b/src/coltsfootnotch/daemon/forward/server.rs
@@ -151,6 +151,7 @@
             ));
         };
         let (parts, body) = req.into_parts();
+        let progress = body.progress();
         let head_bytes = head_bytes(&parts);
         if head_bytes > config.bounds().header_bytes {
             let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
@@ -210,6 +211,7 @@
             stream,
             deadline,
             received_at,
+            progress,
             _hold: hold,
         })
     }
--- a/src/coltsfootnotch/daemon/lifecycle.rs
+++ b/src/coltsfootnotch/daemon/lifecycle.rs
@@ -12,6 +12,10 @@
 use crate::core::HostCx;
 use crate::util::events;
 
+/// Part of the shutdown time in which the requests that are still in progress are cut off: their callers read a
+/// response of some hundred bytes, also beside as many others as a host holds.
+const CUT_TIME: Duration = Duration::from_millis(300);
+
 /// State of a daemon's life cycle; owned by its actor.
 #[derive(Debug)]
 pub struct Lifecycle {
@@ -66,6 +70,15 @@
         self.stop_at.is_some()
     }
 
+    /// Whether the requests that are still in progress have to be cut off, so that their callers learn of it before
+    /// the daemon stops.
+    #[must_use]
+    pub fn should_cut(&self) -> bool {
+        let now = self.cx.now();
+        self.stop_at
+            .is_some_and(|stop_at| now + CUT_TIME >= stop_at)
+    }
+
     /// Finishes a graceful shutdown if no request is in progress or its timeout has passed; returns
     /// whether the daemon has to stop now.
     pub fn try_finish(&mut self, in_progress: usize) -> bool {
--- a/src/coltsfootnotch/util/abort_after_flush.rs
+++ b/src/coltsfootnotch/util/abort_after_flush.rs
@@ -1,12 +1,14 @@
 //! Aborts a response body only once what came before has been written.
 
 use std::pin::Pin;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, Waker};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 
+use super::connection_state::ConnectionState;
 use super::http_server::{AnyBody, BodyAborted};
 
 /// Tells a body when all of its connection's bytes have been written.
@@ -47,22 +49,27 @@
     }
 }
 
-/// A body whose abort waits until the data before it has been written: the HTTP library drops what it has
+/// A body that is aborted if it is not complete when its connection is cut, and whose abort waits until the data before it has been written: the HTTP library drops what it has
 /// buffered when a body is aborted, which may be the whole response so far.
 pub(super) struct AbortAfterFlush {
     body: AnyBody,
-    flush: Arc<FlushSignal>,
+    state: Arc<ConnectionState>,
     aborted: Option<BodyAborted>,
 }
 
 impl AbortAfterFlush {
-    pub(super) fn new(body: AnyBody, flush: Arc<FlushSignal>) -> Self {
+    pub(super) fn new(body: AnyBody, state: Arc<ConnectionState>) -> Self {
         Self {
             body,
-            flush,
+            state,
             aborted: None,
         }
     }
+
+    fn on_end(&self) {
+        let is_unfinished = &self.state.is_body_unfinished;
+        is_unfinished.store(false, Ordering::Release);
+    }
 }
 
 impl Body for AbortAfterFlush {
@@ -74,17 +81,28 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
         if self.aborted.is_none() {
-            match std::task::ready!(Pin::new(&mut self.body).poll_frame(cx)) {
-                Some(Err(e)) => self.aborted = Some(e),
-                frame => return Poll::Ready(frame),
+            match Pin::new(&mut self.body).poll_frame(cx) {
+                Poll::Ready(Some(Err(e))) => self.aborted = Some(e),
+                Poll::Pending if self.state.is_cut.load(Ordering::Acquire) => {
+                    self.aborted = Some(BodyAborted);
+                }
+                Poll::Ready(None) => {
+                    self.on_end();
+                    return Poll::Ready(None);
+                }
+                frame => return frame,
             }
         }
-        std::task::ready!(self.flush.poll_flushed(cx));
+        std::task::ready!(self.state.flush.poll_flushed(cx));
         Poll::Ready(self.aborted.take().map(Err))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        let has_ended = self.body.is_end_stream();
+        if has_ended {
+            self.on_end();
+        }
+        has_ended
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/src/coltsfootnotch/util/connection.rs
+++ b/src/coltsfootnotch/util/connection.rs
@@ -7,7 +7,7 @@
 use std::convert::Infallible;
 use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::task::Poll;
@@ -50,12 +50,13 @@
 
 /// Serves one connection until it is closed. Once `closing` completes, closes it after the current response,
 /// or the response to a request that has arrived. Requests behind a response that is the last one are refused
-/// as not run. Returns whether it was told to close and was closed with bytes of its peer unread.
+/// as not run. Once `cutting` completes as well, ends the request in progress: its caller is told whether it may
+/// have run, and a response that has begun is broken off. Returns whether it was told to close and was closed with bytes of its peer unread.
 pub async fn serve_connection<S, F, R>(
     stream: S,
     peer: SocketAddr,
     limits: ConnectionLimits,
-    closing: impl Future<Output = ()>,
+    (closing, cutting): (impl Future<Output = ()>, impl Future<Output = ()>),
     handler: &F,
 ) -> bool
 where
@@ -72,10 +73,11 @@
         let state = Arc::clone(&state);
         // Boxed, as each open connection holds the space of a request's future.
         Box::pin(async move {
-            let response = if state.is_refusing.load(Ordering::Acquire) {
+            let response = if state.should_refuse() {
                 refuse(req).await
             } else {
-                handler(req, peer).await
+                let handled = pin!(handler(req, peer));
+                until_cut(handled, &state).await
             };
             Ok::<_, Infallible>(state.prepare(response, version))
         })
@@ -89,20 +91,10 @@
     let ended = match ended {
         Some(ended) => ended,
         // Boxed, as each open connection holds the space of its timers.
-        None => Box::pin(close(&mut connection, &state)).await,
+        None => Box::pin(close_or_cut(&mut connection, &state, cutting)).await,
     };
     if ended.is_ok() {
-        let parts = connection.into_parts();
-        let io = parts.io.into_inner();
-        Box::pin(end(
-            io,
-            parts.read_buf,
-            parts.service,
-            limits,
-            &state,
-            is_closing,
-        ))
-        .await;
+        end(connection, limits, &state, is_closing).await;
     }
     state.is_closed_unread.load(Ordering::Acquire)
 }
@@ -129,6 +121,53 @@
     poll_fn(|cx| connection.poll_without_shutdown(cx)).await
 }
 
+/// Ends a connection once no request is in progress or on its way, or ends what is in progress.
+async fn close_or_cut<S, H>(
+    connection: &mut Connection<S, H>,
+    state: &ConnectionState,
+    cutting: impl Future<Output = ()>,
+) -> hyper::Result<()>
+where
+    S: AsyncRead + AsyncWrite + ServerSocket + Unpin,
+    H: HttpService<Incoming, ResBody = AnyBody, Error = Infallible> + Unpin,
+    H::Future: Unpin,
+{
+    tokio::select! {
+        ended = close(connection, state) => return ended,
+        () = cutting => {}
+    }
+    state.is_closing.store(true, Ordering::Release);
+    state.is_cut.store(true, Ordering::Release);
+    // The request and the response body see the flag as they are polled.
+    if let Some(ended) = serve_while_awaited(connection, state).await {
+        return ended;
+    }
+    Pin::new(&mut *connection).graceful_shutdown();
+    run(connection).await
+}
+
+/// Runs a handler; one that is not done when its connection is cut is dropped, and the response tells whether the
+/// request may have run.
+async fn until_cut(
+    mut handled: Pin<&mut impl Future<Output = AnyResponse>>,
+    state: &ConnectionState,
+) -> AnyResponse {
+    poll_fn(|cx| match handled.as_mut().poll(cx) {
+        Poll::Pending if state.is_cut.load(Ordering::Acquire) => Poll::Ready(cut_off(state)),
+        polled => polled,
+    })
+    .await
+}
+
+/// The response to a request that the end of the process cuts off.
+fn cut_off(state: &ConnectionState) -> AnyResponse {
+    if !state.may_have_run.load(Ordering::Acquire) {
+        return not_run("this host has stopped; the request did not run\n");
+    }
+    let text = "this host has stopped; the request may have run\n";
+    full(StatusCode::BAD_GATEWAY, TEXT, text)
+}
+
 /// Ends a connection once no request is in progress or on its way.
 async fn close<S, H>(
     connection: &mut Connection<S, H>,
@@ -174,7 +213,26 @@
 /// Ends a connection that the HTTP library has left with `read_buf` unserved: responds to the requests behind
 /// the last one served, and closes the socket. Requests are refused, unless the connection was told to close and
 /// no response has said yet that it would be.
-async fn end<S, H>(
+///
+/// No `async fn`, since each open connection would hold the space of what is moved here.
+fn end<S, H>(
+    connection: Connection<S, H>,
+    limits: ConnectionLimits,
+    state: &ConnectionState,
+    is_closing: bool,
+) -> Pin<Box<impl Future<Output = ()>>>
+where
+    S: AsyncRead + AsyncWrite + ServerSocket + Unpin,
+    H: HttpService<Incoming, ResBody = AnyBody, Error = Infallible> + Unpin,
+    H::Future: Unpin,
+{
+    let parts = connection.into_parts();
+    let io = parts.io.into_inner();
+    let rest = respond_to_rest(io, parts.read_buf, parts.service, limits, state, is_closing);
+    Box::pin(rest)
+}
+
+async fn respond_to_rest<S, H>(
     mut io: ConnectionIo<S>,
     mut read_buf: Bytes,
     mut service: H,
@@ -242,7 +300,11 @@
     if let Err(status) = body {
         log::debug!("the body of a refused request is left unread: {status}");
     }
-    let text = "the connection is closing; the request did not run\n";
+    not_run("the connection is closing; the request did not run\n")
+}
+
+/// A refusal after which the connection is closed.
+fn not_run(text: &'static str) -> AnyResponse {
     let mut response = full(StatusCode::SERVICE_UNAVAILABLE, TEXT, text);
     let headers = response.headers_mut();
     headers.insert(RETRY_AFTER, HeaderValue::from_static("0"));
--- a/src/coltsfootnotch/util/connection_state.rs
+++ b/src/coltsfootnotch/util/connection_state.rs
@@ -20,7 +20,7 @@
     pub(super) ends_with_connection: AtomicBool,
     /// Whether the status line of the next response is written with the version of HTTP/1.0 and has to be corrected.
     pub(super) has_old_version: AtomicBool,
-    pub(super) flush: Arc<FlushSignal>,
+    pub(super) flush: FlushSignal,
     /// Whether the connection is to be closed after the next response.
     pub(super) is_closing: AtomicBool,
     /// Whether bytes have arrived since the last request began or was answered, as of a part of a head.
@@ -35,6 +35,12 @@
     pub(super) has_body_left: AtomicBool,
     /// Whether requests are refused: they came behind the last response.
     pub(super) is_refusing: AtomicBool,
+    /// Whether what is in progress ends now, since the process does.
+    pub(super) is_cut: AtomicBool,
+    /// Whether the request in progress may have run.
+    pub(super) may_have_run: AtomicBool,
+    /// Whether a response without a stated length is in progress.
+    pub(super) is_body_unfinished: AtomicBool,
     /// Whether the connection was told to close, and was closed in order with bytes unread.
     pub(super) is_closed_unread: AtomicBool,
 }
@@ -44,10 +50,22 @@
     pub(super) fn begin_request(&self, version: Version, headers: &HeaderMap) {
         self.expects_rest.store(false, Ordering::Release);
         self.has_begun.store(true, Ordering::Release);
+        self.may_have_run.store(false, Ordering::Release);
         let is_last = version != Version::HTTP_11 || says_close(headers);
         self.has_said_close.store(is_last, Ordering::Release);
     }
 
+    /// Whether a request that begins now is refused.
+    pub(super) fn should_refuse(&self) -> bool {
+        self.is_refusing.load(Ordering::Acquire) || self.is_cut.load(Ordering::Acquire)
+    }
+
+    /// Whether a response is cut off, so that the connection has to be reset: closed in order, it might be taken
+    /// for a complete one.
+    pub(super) fn is_cut_off(&self) -> bool {
+        self.is_cut.load(Ordering::Acquire) && self.is_body_unfinished.load(Ordering::Acquire)
+    }
+
     /// Whether the next request begins where the bytes end that were served, and can be responded to.
     pub(super) fn can_find_next_request(&self) -> bool {
         !self.has_body_left.load(Ordering::Acquire)
@@ -56,15 +74,20 @@
 
     /// Prepares a response to a request with `version`: one that ends with its connection gets neither a
     /// length nor chunks. Without a length, those to HTTP/1.0, which has no chunks, end with it as well.
-    pub(super) fn prepare(&self, mut response: AnyResponse, version: Version) -> AnyResponse {
+    pub(super) fn prepare(
+        self: &Arc<Self>,
+        mut response: AnyResponse,
+        version: Version,
+    ) -> AnyResponse {
         let is_marked = response.extensions().get::<EndsWithConnection>().is_some();
         let is_unsized = response.body().size_hint().exact().is_none();
         let ends_with_connection = is_marked || (is_unsized && version == Version::HTTP_10);
         self.ends_with_connection
             .store(ends_with_connection, Ordering::Release);
         if is_unsized {
-            let flush = Arc::clone(&self.flush);
-            response = response.map(|body| AbortAfterFlush::new(body, flush).boxed());
+            self.is_body_unfinished.store(true, Ordering::Release);
+            let state = Arc::clone(self);
+            response = response.map(|body| AbortAfterFlush::new(body, state).boxed());
         }
         if is_marked || self.is_closing.load(Ordering::Acquire) {
             let close = HeaderValue::from_static("close");
--- a/src/coltsfootnotch/util/connections.rs
+++ b/src/coltsfootnotch/util/connections.rs
@@ -15,6 +15,7 @@
     listening: Arc<AtomicUsize>,
     closed_unread: Arc<AtomicUsize>,
     closing: watch::Sender<bool>,
+    cutting: watch::Sender<bool>,
 }
 
 /// An open connection, counted until it is dropped.
@@ -23,6 +24,7 @@
     open: Arc<AtomicUsize>,
     closed_unread: Arc<AtomicUsize>,
     closing: watch::Receiver<bool>,
+    cutting: watch::Receiver<bool>,
 }
 
 /// A listener that accepts connections, counted until it is dropped.
@@ -38,9 +40,16 @@
         self.closing.send_replace(true);
     }
 
+    /// Closes the connections and ends the requests on them, as shortly before the end of the process: their
+    /// callers are told whether they may have run, and responses that have begun are broken off.
+    pub fn cut(&self) {
+        self.close();
+        self.cutting.send_replace(true);
+    }
+
     /// Completes when the connections start to close.
     pub async fn closing(&self) {
-        wait_for_close(self.closing.subscribe()).await;
+        wait_for(self.closing.subscribe()).await;
     }
 
     /// Number of open connections.
@@ -85,6 +94,7 @@
             open: Arc::clone(&self.open),
             closed_unread: Arc::clone(&self.closed_unread),
             closing: self.closing.subscribe(),
+            cutting: self.cutting.subscribe(),
         }
     }
 }
@@ -98,13 +108,18 @@
 
     /// Completes when the server starts to close its connections.
     pub async fn closing(&self) {
-        wait_for_close(self.closing.clone()).await;
+        wait_for(self.closing.clone()).await;
+    }
+
+    /// Completes when the requests in progress end.
+    pub async fn cutting(&self) {
+        wait_for(self.cutting.clone()).await;
     }
 }
 
-async fn wait_for_close(mut closing: watch::Receiver<bool>) {
-    if closing.wait_for(|closing| *closing).await.is_err() {
-        // The sender was dropped without a signal, so nothing is ever asked to close.
+async fn wait_for(mut signal: watch::Receiver<bool>) {
+    if signal.wait_for(|is_given| *is_given).await.is_err() {
+        // The sender was dropped without a signal, so it is never given.
         std::future::pending::<()>().await;
     }
 }
--- a/src/coltsfootnotch/util/http_server.rs
+++ b/src/coltsfootnotch/util/http_server.rs
@@ -90,8 +90,8 @@
         };
         async move {
             if prepare(&stream).is_ok() {
-                let closing = open.closing();
-                let is_unread = serve_connection(stream, peer, limits, closing, &*handler).await;
+                let signals = (open.closing(), open.cutting());
+                let is_unread = serve_connection(stream, peer, limits, signals, &*handler).await;
                 open.count_if_unread(is_unread);
             }
             drop(permit);
--- a/src/coltsfootnotch/util/http_server_tests.rs
+++ b/src/coltsfootnotch/util/http_server_tests.rs
@@ -55,7 +55,7 @@
 }
 
 /// Responds to `/stream` with a body that is complete once it is released, to `/leave` with a response that
-/// says that it is the last one, and to `/read` once the body of the request is read. Other bodies are left
+/// says that it is the last one, never to `/wait`, nor to `/sent`, which may have run, and to `/read` once the body of the request is read. Other bodies are left
 /// unread.
 async fn respond(req: Request<RequestBody>, release: Arc<Notify>) -> AnyResponse {
     let path = req.uri().path().to_owned();
@@ -67,6 +67,10 @@
             format!("{} bytes, {BODY}", read.unwrap().len()),
         );
     }
+    if path == "/wait" || path == "/sent" {
+        req.body().progress().set_may_have_run(path == "/sent");
+        return std::future::pending().await;
+    }
     let mut response = match path.as_str() {
         "/stream" => {
             let end = Box::pin(async move { release.notified().await });
@@ -379,3 +383,52 @@
     expect_that!(statuses(&received), elements_are![eq(&"200"), eq(&"200")]);
     expect_that!(received, ends_with("6 bytes, a whole response"));
 }
+
+/// Guards against requests that get no response as the process ends, though they are sure not to have run.
+#[gtest]
+#[tokio::test]
+async fn a_request_that_is_cut_off_before_it_was_sent_on_is_refused_as_not_run() {
+    let server = Server::start().await;
+    let mut caller = server.connect();
+    caller.send(b"GET /wait HTTP/1.1\r\nhost: a\r\n\r\n");
+    sleep(DELIVERY).await;
+    server.connections.close();
+    sleep(CLOSE_LINGER * 2).await;
+    server.connections.cut();
+    let received = caller.read_to_end().await;
+    expect_that!(statuses(&received), elements_are![eq(&"503")]);
+    expect_that!(received, contains_substring("retry-after: 0"));
+    expect_that!(received, ends_with("the request did not run\n"));
+    expect_that!(server.connections.pending(), eq(0));
+}
+
+/// Guards against requests that get no response as the process ends, or one that promises that they did not run.
+#[gtest]
+#[tokio::test]
+async fn a_request_that_is_cut_off_after_it_was_sent_on_may_have_run() {
+    let server = Server::start().await;
+    let mut caller = server.connect();
+    caller.send(b"GET /sent HTTP/1.1\r\nhost: a\r\n\r\n");
+    sleep(DELIVERY).await;
+    server.connections.cut();
+    let received = caller.read_to_end().await;
+    expect_that!(statuses(&received), elements_are![eq(&"502")]);
+    expect_that!(received, contains_substring("connection: close"));
+    expect_that!(received, ends_with("the request may have run\n"));
+}
+
+/// Guards against a stream that is cut off as the process ends, and whose connection is closed in order.
+#[gtest]
+#[tokio::test]
+async fn a_stream_that_is_cut_off_is_reset() {
+    let server = Server::start().await;
+    let mut caller = server.connect();
+    caller.send(STREAM);
+    sleep(DELIVERY).await;
+    server.connections.close();
+    sleep(CLOSE_LINGER * 2).await;
+    server.connections.cut();
+    let received = caller.read_to_end().await;
+    expect_that!(received, contains_substring("Connection reset by peer"));
+    expect_that!(server.connections.pending(), eq(0));
+}
--- a/src/coltsfootnotch/util/request_body.rs
+++ b/src/coltsfootnotch/util/request_body.rs
@@ -25,6 +25,25 @@
     }
 }
 
+/// Where a handler records how far its request has come, in case the process ends first.
+#[derive(Clone)]
+pub struct RequestProgress(Arc<ConnectionState>);
+
+impl RequestProgress {
+    /// Sets whether the request may have run, which its caller is told if it is cut off.
+    pub fn set_may_have_run(&self, may_have_run: bool) {
+        self.0.may_have_run.store(may_have_run, Ordering::Release);
+    }
+}
+
+impl RequestBody {
+    /// Where to record how far the request has come.
+    #[must_use]
+    pub fn progress(&self) -> RequestProgress {
+        RequestProgress(Arc::clone(&self.state))
+    }
+}
+
 impl Body for RequestBody {
     type Data = Bytes;
     type Error = hyper::Error;
