Refuse connections that get no permit instead of closing them

Cause: a connection that an entry had no permit for, as one that holds as much as it may or that is too busy to hand it over, was dropped as it was accepted.

Seen by callers: a reset, or an orderly end with no response; neither tells whether the request ran.

Evidence: without the call of `refuse_connection` both new tests of `util::http_server` failed: a request of 80 kB on a connection beyond the limit ("Connection reset by peer"), and one beyond those that are waited for (no response).

The responses of a closing connection move to a file of their own, and a refused request's body is read without being kept.

--- a/src/coltsfootnotch/daemon/forward/listener.rs
+++ b/src/coltsfootnotch/daemon/forward/listener.rs
@@ -6,6 +6,7 @@
 
 use coltsfootnotch_forward::held::{HeldKind, Hold, Load};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
 
 use super::costs::{CONNECTION_BYTES, RELAY_BYTES};
 use super::handover::{HandedOver, RelayEnd, connect, probe_peer, relay};
@@ -13,6 +14,7 @@
 use crate::util::connections::{Connections, OpenConnection};
 use crate::util::events;
 use crate::util::http_server::{ConnectionLimits, accept_connections, prepare, serve_connection};
+use crate::util::refused_connection::{MAX_WAITED_FOR, refuse_connection};
 
 /// Neighbours tried before a connection is served here.
 const HANDOVER_ATTEMPTS: usize = 2;
@@ -33,8 +35,18 @@
     /// Accepts connections of callers until the connections are told to close.
     pub(super) async fn accept_callers(self, listener: TcpListener) {
         let Self { limits, gw, .. } = self.clone();
+        let refusals = Arc::new(Semaphore::new(MAX_WAITED_FOR));
         let serve = move |stream, peer, open, hold| {
-            serve_caller(stream, peer, open, hold, limits(), Arc::clone(&gw))
+            let refusals = Arc::clone(&refusals);
+            serve_caller(
+                stream,
+                peer,
+                open,
+                hold,
+                limits(),
+                Arc::clone(&gw),
+                refusals,
+            )
         };
         accept_connections(listener, || admit(&self.gw), self.connections, serve).await;
     }
@@ -76,15 +88,17 @@
     mut hold: Hold,
     limits: ConnectionLimits,
     gw: Arc<Gateway>,
+    refusals: Arc<Semaphore>,
 ) {
     if prepare(&stream).is_err() {
         return;
     }
     let hands_over = should_hand_over(&gw);
     if hands_over && gw.overload.should_refuse((gw.draw)()) {
-        // Even handing over takes more time than this host has. Closed unread, the caller may reach another
-        // host at once; a response would take longer than handing over.
+        // Even handing over takes more time than this host has, and a fixed refusal takes less: with it the
+        // caller knows that it may reach another host at once.
         count_closed_unread(&gw);
+        refuse_connection(stream, &refusals).await;
         return;
     }
     if hands_over && let Some(neighbour) = connect_neighbour(&gw).await {
--- a/src/coltsfootnotch/util/connection.rs
+++ b/src/coltsfootnotch/util/connection.rs
@@ -14,18 +14,18 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use hyper::Request;
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::{HttpService, service_fn};
-use hyper::{Request, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::time::timeout;
 
+use super::closing_responses::{refuse, until_cut};
 use super::connection_io::{ConnectionIo, ServerSocket};
 use super::connection_state::ConnectionState;
-use super::http_server::{AnyBody, AnyResponse, ConnectionLimits, TEXT, full, read_body};
+use super::http_server::{AnyBody, AnyResponse, ConnectionLimits};
 use super::request_body::RequestBody;
 
 /// Time for which an idle connection is kept once it is told to close: the caller may have a request on its
@@ -39,8 +39,8 @@
 /// Time in which requests behind a last response are refused, and a body that was left unread is discarded.
 const REST_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Longest body of a request that is refused behind a last response, and most bytes of a body left unread that
-/// are discarded. A connection that is closed with more unread is reset, which may lose its last response.
+/// Most bytes of a body left unread that are discarded. A connection that is closed with more unread is reset,
+/// which may lose its last response.
 const MAX_DISCARDED: usize = 256 * 1024;
 
 /// Minimum buffer size that hyper accepts, in bytes.
@@ -146,28 +146,6 @@
     run(connection).await
 }
 
-/// Runs a handler; one that is not done when its connection is cut is dropped, and the response tells whether the
-/// request may have run.
-async fn until_cut(
-    mut handled: Pin<&mut impl Future<Output = AnyResponse>>,
-    state: &ConnectionState,
-) -> AnyResponse {
-    poll_fn(|cx| match handled.as_mut().poll(cx) {
-        Poll::Pending if state.is_cut.load(Ordering::Acquire) => Poll::Ready(cut_off(state)),
-        polled => polled,
-    })
-    .await
-}
-
-/// The response to a request that the end of the process cuts off.
-fn cut_off(state: &ConnectionState) -> AnyResponse {
-    if !state.may_have_run.load(Ordering::Acquire) {
-        return not_run("this host has stopped; the request did not run\n");
-    }
-    let text = "this host has stopped; the request may have run\n";
-    full(StatusCode::BAD_GATEWAY, TEXT, text)
-}
-
 /// Ends a connection once no request is in progress or on its way.
 async fn close<S, H>(
     connection: &mut Connection<S, H>,
@@ -282,7 +260,7 @@
 
 /// Reads what the peer sends until it closes the connection: while bytes are unread, the system resets a
 /// connection that is closed, and the peer may lose the last response.
-async fn discard<S: AsyncRead + Unpin>(io: &mut S) {
+pub(super) async fn discard<S: AsyncRead + Unpin>(io: &mut S) {
     let mut buf = [0; 4096];
     let mut discarded = 0;
     while discarded < MAX_DISCARDED {
@@ -292,22 +270,3 @@
         }
     }
 }
-
-/// Refuses a request that came behind the last response, whose sender can't tell otherwise whether it ran.
-async fn refuse(req: Request<RequestBody>) -> AnyResponse {
-    // The next request begins after the body.
-    let body = read_body(req.into_body(), MAX_DISCARDED, REST_TIMEOUT).await;
-    if let Err(status) = body {
-        log::debug!("the body of a refused request is left unread: {status}");
-    }
-    not_run("the connection is closing; the request did not run\n")
-}
-
-/// A refusal after which the connection is closed.
-fn not_run(text: &'static str) -> AnyResponse {
-    let mut response = full(StatusCode::SERVICE_UNAVAILABLE, TEXT, text);
-    let headers = response.headers_mut();
-    headers.insert(RETRY_AFTER, HeaderValue::from_static("0"));
-    headers.insert(CONNECTION, HeaderValue::from_static("close"));
-    response
-}
--- a/src/coltsfootnotch/util/http_server.rs
+++ b/src/coltsfootnotch/util/http_server.rs
@@ -25,6 +25,7 @@
 pub use super::connection::serve_connection;
 pub(crate) use super::connection::{CLOSE_LINGER, PARTIAL_REQUEST_TIMEOUT};
 use super::connections::{Connections, OpenConnection};
+use super::refused_connection::{MAX_WAITED_FOR, refuse_connection};
 use super::request_body::RequestBody;
 
 /// A body can't be completed; the connection is closed so that the body is not taken for complete.
@@ -40,7 +41,7 @@
 /// Limits of a server.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerLimits {
-    /// Maximum number of open connections; further ones are closed without a response.
+    /// Maximum number of open connections; further ones are refused.
     pub connections: usize,
     /// Maximum size of the request line and headers, in bytes.
     pub header_bytes: usize,
@@ -102,7 +103,7 @@
 
 /// Accepts connections and runs `serve` on each in a task of its own, with its permit, until `connections`
 /// are told to close; those in the queue by then are accepted as well. Connections that `admit` gives no
-/// permit are closed without a response.
+/// permit are refused without being parsed.
 pub async fn accept_connections<P, F, R>(
     listener: TcpListener,
     admit: impl Fn() -> Option<P>,
@@ -113,9 +114,12 @@
     R: Future<Output = ()> + Send + 'static,
 {
     let _counted = connections.listen();
+    let refusals = Arc::new(Semaphore::new(MAX_WAITED_FOR));
     let start = |stream, peer| {
-        if let Some(permit) = admit() {
-            tokio::spawn(serve(stream, peer, connections.open(), permit));
+        let open = connections.open();
+        match admit() {
+            Some(permit) => drop(tokio::spawn(serve(stream, peer, open, permit))),
+            None => refuse(stream, open, Arc::clone(&refusals)),
         }
     };
     let mut closing = pin!(connections.closing());
@@ -137,6 +141,14 @@
     }
 }
 
+/// Refuses a connection, which is counted as open until it is closed.
+fn refuse(stream: TcpStream, open: OpenConnection, refusals: Arc<Semaphore>) {
+    tokio::spawn(async move {
+        refuse_connection(stream, &refusals).await;
+        drop(open);
+    });
+}
+
 /// Accepts all connections in the queue of a listener and closes it. The system is asked, since the runtime
 /// learns of new connections in its next turn only.
 ///
--- a/src/coltsfootnotch/util/http_server_tests.rs
+++ b/src/coltsfootnotch/util/http_server_tests.rs
@@ -432,3 +432,42 @@
     expect_that!(received, contains_substring("Connection reset by peer"));
     expect_that!(server.connections.pending(), eq(0));
 }
+
+/// Guards against connections beyond the limit that are closed with their request unread.
+#[gtest]
+#[tokio::test]
+async fn a_connection_beyond_the_limit_is_refused_as_not_run() {
+    let server = Server::start().await;
+    let kept: Vec<Caller> = (0..LIMITS.connections).map(|_| server.connect()).collect();
+    sleep(DELIVERY).await;
+    let mut caller = server.connect();
+    let body = vec![b'x'; 40_000];
+    let head = format!(
+        "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: {}\r\n\r\n",
+        body.len() * 2
+    );
+    caller.send(&[head.as_bytes(), &body].concat());
+    sleep(DELIVERY * 4).await;
+    caller.send(&body);
+    let received = caller.read_to_end().await;
+    expect_that!(statuses(&received), elements_are![eq(&"503")]);
+    expect_that!(received, contains_substring("retry-after: 0"));
+    expect_that!(received, ends_with("the request did not run.\r\n"));
+    drop(kept);
+}
+
+/// Guards against the same for more connections than are waited for at a time.
+#[gtest]
+#[tokio::test]
+async fn a_request_beyond_those_waited_for_is_refused_as_it_has_arrived() {
+    let server = Server::start().await;
+    let held = LIMITS.connections + MAX_WAITED_FOR;
+    let held: Vec<Caller> = (0..held).map(|_| server.connect()).collect();
+    sleep(DELIVERY * 4).await;
+    let mut caller = server.connect();
+    caller.send(REQUEST);
+    let received = caller.read_to_end().await;
+    expect_that!(statuses(&received), elements_are![eq(&"503")]);
+    expect_that!(received, ends_with("the request did not run.\r\n"));
+    drop(held);
+}
--- a/src/coltsfootnotch/util/mod.rs
+++ b/src/coltsfootnotch/util/mod.rs
@@ -3,6 +3,7 @@
 mod abort_after_flush;
 pub mod body_framing;
 pub mod boot_clock;
+mod closing_responses;
 mod connection;
 pub mod connection_io;
 mod connection_state;
@@ -16,6 +17,7 @@
 pub mod line_budget;
 pub mod metrics;
 mod print_causes;
+pub(crate) mod refused_connection;
 pub mod request_body;
 mod unsized_body;
 
