--- a/src/coltsfootnotch/daemon/forward/handover/relay.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay.rs
@@ -84,7 +84,8 @@
 pub(in crate::daemon::forward) async fn relay(
     mut caller: TcpStream,
     mut neighbour: TcpStream,
-    (closing, cutting): (impl Future<Output = ()>, impl Future<Output = ()>),
+    closing: impl Future<Output = ()>,
+    cutting: impl Future<Output = ()>,
     is_single: bool,
 ) -> io::Result<RelayEnd> {
     let mut exchanges = Exchanges::default();
--- a/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
@@ -96,8 +96,8 @@
         let stream = HandedOver::new(stream);
         let requested = stream.close_requested();
         let handler = move |req, _peer| respond(Arc::clone(&served), req);
-        let signals = (requested.notified(), pending());
-        serve_connection(stream, peer, LIMITS, signals, &handler).await;
+        let closing = requested.notified();
+        serve_connection(stream, peer, LIMITS, closing, pending(), &handler).await;
     });
     let entry = TcpListener::bind(any).await.unwrap();
     let entry_address = entry.local_addr().unwrap();
@@ -107,8 +107,7 @@
         let (caller, _) = entry.accept().await.unwrap();
         let neighbour = connect(address).await.unwrap();
         let closing = wait_for(stopped);
-        let signals = (closing, wait_for(cut));
-        relay(caller, neighbour, signals, is_single).await
+        relay(caller, neighbour, closing, wait_for(cut), is_single).await
     });
     let caller = TcpStream::connect(entry_address).await.unwrap();
     (caller, stop, cut_sender)
@@ -227,7 +226,7 @@
     drop(caller);
     let (caller, _) = entry.accept().await.unwrap();
     let stream = connect(neighbour.local_addr().unwrap()).await.unwrap();
-    let relaying = relay(caller, stream, (pending(), pending()), false);
+    let relaying = relay(caller, stream, pending(), pending(), false);
     let (mut received, _) = neighbour.accept().await.unwrap();
     let mut bytes = Vec::new();
     let (relayed, read) = tokio::join!(relaying, received.read_to_end(&mut bytes));
@@ -253,7 +252,7 @@
         let (accepted, _) = entry.accept().await.unwrap();
         let stream = connect(listener.local_addr().unwrap()).await.unwrap();
         let (neighbour, _) = listener.accept().await.unwrap();
-        let relaying = tokio::spawn(relay(accepted, stream, (pending(), pending()), false));
+        let relaying = tokio::spawn(relay(accepted, stream, pending(), pending(), false));
         Self {
             caller,
             neighbour,
--- a/src/coltsfootnotch/daemon/forward/listener.rs
+++ b/src/coltsfootnotch/daemon/forward/listener.rs
@@ -111,10 +111,10 @@
         let is_single = gw.held.load() >= Load::Crowded;
         let started = Instant::now();
         let address = neighbour.peer_addr().ok();
-        let signals = (gw.handover.ended(), open.cutting());
+        let (closing, cutting) = (gw.handover.ended(), open.cutting());
         // Boxed, since its buffers would otherwise be part of the task of each connection that is served
         // here. A broken connection to the caller is its own.
-        let relayed = Box::pin(relay(stream, neighbour, signals, is_single)).await;
+        let relayed = Box::pin(relay(stream, neighbour, closing, cutting, is_single)).await;
         match relayed {
             Ok(RelayEnd::NeighbourLost { is_broken }) => {
                 log_lost_neighbour(&gw, address, is_broken, started.elapsed());
@@ -130,8 +130,8 @@
         return;
     }
     let handler = move |req, peer| Arc::clone(&gw).handle(req, peer);
-    let signals = (open.closing(), open.cutting());
-    let is_unread = serve_connection(stream, peer, limits, signals, &handler).await;
+    let (closing, cutting) = (open.closing(), open.cutting());
+    let is_unread = serve_connection(stream, peer, limits, closing, cutting, &handler).await;
     open.count_if_unread(is_unread);
 }
 
@@ -197,7 +197,7 @@
         }
     };
     let handler = move |req, peer| Arc::clone(&gw).handle(req, peer);
-    let signals = (closing, open.cutting());
-    let is_unread = serve_connection(stream, peer, limits, signals, &handler).await;
+    let cutting = open.cutting();
+    let is_unread = serve_connection(stream, peer, limits, closing, cutting, &handler).await;
     open.count_if_unread(is_unread);
 }
--- a/src/coltsfootnotch/util/connection.rs
+++ b/src/coltsfootnotch/util/connection.rs
@@ -56,7 +56,8 @@
     stream: S,
     peer: SocketAddr,
     limits: ConnectionLimits,
-    (closing, cutting): (impl Future<Output = ()>, impl Future<Output = ()>),
+    closing: impl Future<Output = ()>,
+    cutting: impl Future<Output = ()>,
     handler: &F,
 ) -> bool
 where
--- a/src/coltsfootnotch/util/http_server.rs
+++ b/src/coltsfootnotch/util/http_server.rs
@@ -91,8 +91,9 @@
         };
         async move {
             if prepare(&stream).is_ok() {
-                let signals = (open.closing(), open.cutting());
-                let is_unread = serve_connection(stream, peer, limits, signals, &*handler).await;
+                let (closing, cutting) = (open.closing(), open.cutting());
+                let served = serve_connection(stream, peer, limits, closing, cutting, &*handler);
+                let is_unread = served.await;
                 open.count_if_unread(is_unread);
             }
             drop(permit);
