--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -68,6 +68,11 @@
             source.received.guard.finish(Outcome::Broken);
             OpenResult::Lost
         }
+        Next::Invalid => {
+            source.log_invalid(gw, req);
+            source.received.guard.finish(Outcome::Failed);
+            OpenResult::Lost
+        }
         Next::Late => {
             source.received.guard.finish(Outcome::Unreachable);
             OpenResult::Lost
@@ -186,6 +191,10 @@
                     source.log_end(&self.gw, &self.req);
                     Outcome::Broken
                 }
+                Next::Invalid => {
+                    source.log_invalid(&self.gw, &self.req);
+                    Outcome::Failed
+                }
                 Next::Late if Instant::now() >= self.req.deadline => Outcome::Abandoned,
                 Next::Late => Outcome::Unreachable,
             };
@@ -317,6 +326,7 @@
             let exchange_result = exchange(&self.gw, &self.req, ticket, last_event, deadline).await;
             match exchange_result {
                 ExchangeResult::Response(received) if received.response.status().is_success() => {
+                    *attempts += 1;
                     self.gw.log(
                         &events::STREAM_RESUMED,
                         &self.req,
--- a/src/coltsfootnotch/util/connection_io_tests.rs
+++ b/src/coltsfootnotch/util/connection_io_tests.rs
@@ -1,6 +1,7 @@
 //! Responses that end with their connection.
 
 use std::collections::VecDeque;
+use std::future::pending;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -11,7 +12,7 @@
 use bytes::Bytes;
 use googletest::prelude::*;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Frame, Incoming};
+use hyper::body::{Body, Frame};
 use hyper::{Request, Response, StatusCode};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream, ReadBuf};
 
@@ -19,6 +20,7 @@
 use crate::util::http_server::{
     AnyResponse, BodyAborted, ConnectionLimits, full, serve_connection,
 };
+use crate::util::request_body::RequestBody;
 
 const LIMITS: ConnectionLimits = ConnectionLimits {
     header_bytes: 16 * 1024,
@@ -93,7 +95,7 @@
 
 /// Responds to `/framed`, to `/until-close` and, with a body that can't be completed, to `/broken`, the last
 /// two with a response that ends with its connection.
-async fn respond(req: Request<Incoming>, _peer: SocketAddr) -> AnyResponse {
+async fn respond(req: Request<RequestBody>, _peer: SocketAddr) -> AnyResponse {
     let mut response = match req.uri().path() {
         "/framed" => return full(StatusCode::OK, "text/plain", "framed"),
         "/stream" => return broken_off(),
@@ -115,7 +117,7 @@
     };
     let peer = SocketAddr::from(([127, 0, 0, 1], 1));
     let serving = tokio::spawn(async move {
-        serve_connection(pipe, peer, LIMITS, std::future::pending(), &respond).await;
+        serve_connection(pipe, peer, LIMITS, (pending(), pending()), &respond).await;
     });
     let mut received = String::new();
     let (mut reader, mut writer) = tokio::io::split(&mut caller);
