Wait for events of a stream, not for comments

A stream whose upstream sent comments or blank lines and no event was begun at once with 200 and went on until the route's timeout: a blank line ended what counted as an event, and each one started the longest pause anew.

Comments and blank lines are passed on within a stream, and don't extend the wait for its next event. Before the first event up to 16 KiB of them are kept; a stream with more, or with none in time, is lost and goes to another upstream. What is buffered of a long event is held for the account, and passed on in parts where there is no room.

An event without end that comes fast is passed on in parts until the route's timeout, as before.

--- a/src/coltsfootnotch/daemon/forward/delivery.rs
+++ b/src/coltsfootnotch/daemon/forward/delivery.rs
@@ -27,7 +27,7 @@
 
 /// Part of a response that is read whatever its account holds, in bytes. The memory that no new request may
 /// take is for it; most responses are shorter.
-const SMALL_BYTES: u64 = 64 * 1024;
+pub(super) const SMALL_BYTES: u64 = 64 * 1024;
 
 /// Longest time for which a longer response waits for room, and the share of it that each waits at least. Responses
 /// that all wait hold the room which one of them needs, so some are given up, not all at the same time.
--- a/src/coltsfootnotch/daemon/forward/event_splitter.rs
+++ b/src/coltsfootnotch/daemon/forward/event_splitter.rs
@@ -38,16 +38,24 @@
         complete
     }
 
+    /// Takes what came of an incomplete event, but for the bytes that its end may begin with.
+    pub(super) fn take_part(&mut self) -> Bytes {
+        self.is_partly_returned = true;
+        let end = self.rest.len().saturating_sub(MAX_BLANK_LINE);
+        let part = self.rest.split_to(end).freeze();
+        self.record_ids(&part);
+        part
+    }
+
+    /// Bytes of an incomplete event.
+    pub(super) fn rest_len(&self) -> usize {
+        self.rest.len()
+    }
+
     /// Whether a stream that ends now ends inside an event. Blank lines and comments between events belong
     /// to none.
     pub(super) fn is_inside_event(&self) -> bool {
-        let mut lines = self.rest.split_inclusive(is_line_end);
-        let is_in_line_of_event = lines.any(|line| {
-            let is_blank = line.iter().all(is_line_end);
-            let is_comment = line.starts_with(b":") && line.last().is_some_and(is_line_end);
-            !is_blank && !is_comment
-        });
-        self.is_partly_returned || is_in_line_of_event
+        self.is_partly_returned || has_line_of_event(&self.rest)
     }
 
     /// Whether a part of an event was returned whose rest has not come yet. Another upstream can't go on
@@ -90,6 +98,16 @@
     }
 }
 
+/// Whether a line belongs to an event: blank lines and comments belong to none.
+pub(super) fn has_line_of_event(bytes: &[u8]) -> bool {
+    let mut lines = bytes.split_inclusive(is_line_end);
+    lines.any(|line| {
+        let is_blank = line.iter().all(is_line_end);
+        let is_comment = line.starts_with(b":") && line.last().is_some_and(is_line_end);
+        !is_blank && !is_comment
+    })
+}
+
 fn is_line_end(byte: &u8) -> bool {
     matches!(byte, b'\r' | b'\n')
 }
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use coltsfootnotch_forward::streams::StreamOrigin;
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -26,6 +26,9 @@
 /// The same for routes without a target.
 const DEFAULT_MAX_PAUSE: Duration = Duration::from_secs(2);
 
+/// Most bytes of comments that are kept until the first event.
+const MAX_COMMENTS: usize = 16 * 1024;
+
 /// Result of opening a stream.
 pub(super) enum OpenResult {
     /// The first event has come; a task forwards the rest.
@@ -43,12 +46,22 @@
     deadline: Instant,
     attempts: u32,
 ) -> OpenResult {
-    let mut source = StreamSource {
-        received,
-        events: EventSplitter::default(),
+    let account = req.account.as_ref();
+    let mut source = StreamSource::new(received, EventSplitter::default(), &gw.held, account);
+    // Comments before the first event.
+    let mut comments = BytesMut::new();
+    let next = loop {
+        match source.next(deadline).await {
+            Next::Comments(more) if comments.len() + more.len() > MAX_COMMENTS => {
+                break Next::Invalid;
+            }
+            Next::Comments(more) => comments.extend_from_slice(&more),
+            next => break next,
+        }
     };
-    match source.next(deadline).await {
+    match next {
         Next::Events(first) => {
+            let first = joined(comments, first);
             source.received.guard.on_first_event();
             OpenResult::Streaming(start(gw, req, source, first, attempts))
         }
@@ -58,6 +71,7 @@
             OpenResult::Lost
         }
         Next::End(rest) => {
+            let rest = joined(comments, rest);
             source.log_end(gw, req);
             source.received.guard.on_first_event();
             let response = start_completed(gw, req, source, rest);
@@ -68,18 +82,27 @@
             source.received.guard.finish(Outcome::Broken);
             OpenResult::Lost
         }
-        Next::Invalid => {
-            source.log_invalid(gw, req);
-            source.received.guard.finish(Outcome::Failed);
+        Next::Late if !source.has_bytes_without_event() => {
+            source.received.guard.finish(Outcome::Unreachable);
             OpenResult::Lost
         }
-        Next::Late => {
-            source.received.guard.finish(Outcome::Unreachable);
+        Next::Late | Next::Invalid | Next::Comments(_) => {
+            source.log_invalid(gw, req);
+            source.received.guard.finish(Outcome::Failed);
             OpenResult::Lost
         }
     }
 }
 
+/// Comments and what came after them.
+fn joined(mut comments: BytesMut, rest: Bytes) -> Bytes {
+    if comments.is_empty() {
+        return rest;
+    }
+    comments.extend_from_slice(&rest);
+    comments.freeze()
+}
+
 fn head(gw: &Gateway, source: &StreamSource, body: EventBody) -> AnyResponse {
     let mut response = Response::new(body.boxed());
     if source.ends_with_connection() {
@@ -157,9 +180,9 @@
             return;
         }
         let mut longest = Duration::ZERO;
+        let mut deadline = self.next_event_deadline();
+        let mut wait_start = Instant::now();
         loop {
-            let deadline = self.next_event_deadline();
-            let wait_start = Instant::now();
             let next = tokio::select! {
                 // The caller has disconnected: dropping the source closes the upstream's
                 // connection.
@@ -174,6 +197,17 @@
                     if self.tx.send(events).await.is_err() {
                         return;
                     }
+                    deadline = self.next_event_deadline();
+                    wait_start = Instant::now();
+                    continue;
+                }
+                Next::Comments(comments) => {
+                    let sent_at = Instant::now();
+                    if self.tx.send(comments).await.is_err() {
+                        return;
+                    }
+                    // Comments don't extend the wait for an event; a slow caller does.
+                    deadline = (deadline + sent_at.elapsed()).min(self.req.deadline);
                     continue;
                 }
                 Next::End(rest) => {
@@ -196,6 +230,10 @@
                     Outcome::Failed
                 }
                 Next::Late if Instant::now() >= self.req.deadline => Outcome::Abandoned,
+                Next::Late if source.has_bytes_without_event() => {
+                    source.log_invalid(&self.gw, &self.req);
+                    Outcome::Failed
+                }
                 Next::Late => Outcome::Unreachable,
             };
             let failed = vec![source.received.ticket.upstream.clone()];
@@ -219,8 +257,11 @@
                     return;
                 }
             };
-            source = StreamSource { received, events };
+            let account = self.req.account.as_ref();
+            source = StreamSource::new(received, events, &self.gw.held, account);
             source.received.guard.on_first_event();
+            deadline = self.next_event_deadline();
+            wait_start = Instant::now();
         }
     }
 
--- a/src/coltsfootnotch/daemon/forward/stream_source.rs
+++ b/src/coltsfootnotch/daemon/forward/stream_source.rs
@@ -1,13 +1,16 @@
 //! A stream of events as one upstream sends it.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use bytes::Bytes;
+use coltsfootnotch_forward::held::{HeldKind, HeldResources, Hold};
 use http_body_util::BodyExt;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use tokio::time::timeout_at;
 
-use super::event_splitter::EventSplitter;
+use super::delivery::SMALL_BYTES;
+use super::event_splitter::{EventSplitter, has_line_of_event};
 use super::exchange::{UpstreamResponse, is_invalid};
 use super::matched_request::MatchedRequest;
 use super::server::Gateway;
@@ -19,12 +22,18 @@
 pub(super) struct StreamSource {
     pub(super) received: UpstreamResponse,
     pub(super) events: EventSplitter,
+    /// Bytes of the body since the last event.
+    since_event: u64,
+    /// Counts what is buffered of a long event.
+    hold: Hold,
 }
 
 /// Result of waiting for the next events of a stream.
 pub(super) enum Next {
     /// Whole events, or a part of a long one.
     Events(Bytes),
+    /// Comments and blank lines, which are no events.
+    Comments(Bytes),
     /// The end, with what came after the last event.
     End(Bytes),
     /// The connection broke, or ended inside an event.
@@ -36,6 +45,27 @@
 }
 
 impl StreamSource {
+    /// The stream that a response begins, after `events` of earlier responses. What is buffered is held for
+    /// `account`.
+    pub(super) fn new(
+        received: UpstreamResponse,
+        events: EventSplitter,
+        held: &Arc<HeldResources>,
+        account: Option<&Arc<str>>,
+    ) -> Self {
+        Self {
+            received,
+            events,
+            since_event: 0,
+            hold: held.hold(HeldKind::Response, account, 0, 0),
+        }
+    }
+
+    /// Whether bytes came since the last event.
+    pub(super) fn has_bytes_without_event(&self) -> bool {
+        self.since_event > 0
+    }
+
     /// Whether the end of the stream is that of the upstream's connection.
     pub(super) fn ends_with_connection(&self) -> bool {
         self.received.ends_with_connection()
@@ -79,19 +109,48 @@
                     let Some(data) = frame.data_ref() else {
                         continue;
                     };
+                    self.since_event += data.len() as u64;
+                    let was_inside_event = self.events.is_partly_returned();
                     let complete = self.events.push(data);
-                    if !complete.is_empty() {
-                        return Next::Events(complete);
+                    let next = self.next_of(complete, was_inside_event);
+                    self.hold_rest();
+                    if let Some(next) = next {
+                        return next;
                     }
                 }
             }
         }
     }
 
+    /// What complete events and comments are to their caller, and a part of an event that there is no room for.
+    fn next_of(&mut self, complete: Bytes, was_inside_event: bool) -> Option<Next> {
+        if complete.is_empty() {
+            let has_room = self.has_room_for_rest();
+            return (!has_room).then(|| Next::Events(self.events.take_part()));
+        }
+        let is_comment = !was_inside_event && self.has_events() && !has_line_of_event(&complete);
+        if is_comment {
+            return Some(Next::Comments(complete));
+        }
+        self.since_event = 0;
+        Some(Next::Events(complete))
+    }
+
+    fn has_room_for_rest(&mut self) -> bool {
+        let rest = self.events.rest_len() as u64;
+        let more = rest.saturating_sub(self.hold.bytes());
+        rest <= SMALL_BYTES || self.hold.try_grow_response(more)
+    }
+
+    fn hold_rest(&mut self) {
+        self.hold.resize(self.events.rest_len() as u64);
+    }
+
     /// Logs that what came is no stream.
     pub(super) fn log_invalid(&self, gw: &Gateway, req: &MatchedRequest) {
         let bytes = self.received.connection.bytes_without_end();
-        gw.log_no_response(req, &self.received.ticket, "stream", bytes);
+        let bytes = bytes.unwrap_or(self.since_event);
+        gw.log_no_response(req, &self.received.ticket, "stream", Some(bytes));
     }
 
     /// Logs the end of the stream if it ends with its connection.
