Let the last report of a stopping entry leave before it ends

Cause: an entry that stops closed its connections to control hosts in the turn in which it made its last report, or without one if none was due. What upstreams crashed on in the last moments of a stop was known to nobody.

What callers saw: the request crashed three upstreams more at the entries that got it next.

Change: as its last request has ended, or its time has, a stopping entry reports once more and ends in the next tick, 0.1 s later and within the margin of a forced end.

Evidence: twelve requests of one content that crash their upstreams 0.3 s after the entry has stopped listening.

--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -135,6 +135,8 @@
     listening: bool,
     /// Whether the requests in progress are told to end.
     is_cutting: bool,
+    /// Whether the last report was sent.
+    has_reported: bool,
 }
 
 struct ForwardActor {
--- a/src/coltsfootnotch/daemon/forward/actor/shutdown.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/shutdown.rs
@@ -26,6 +26,7 @@
             since: now,
             listening: true,
             is_cutting: false,
+            has_reported: false,
         });
         self.ready.store(false, Ordering::Relaxed);
         self.handover.end();
@@ -52,6 +53,13 @@
         }
         let is_idle = !stopping.listening && self.connections.pending() == 0;
         let is_forced = elapsed + STOP_MARGIN >= self.times.shutdown;
+        if (is_idle || is_forced) && !stopping.has_reported {
+            // The connections stay open for another tick, in which the report leaves.
+            stopping.has_reported = true;
+            self.report_due = now;
+            self.report(now);
+            return;
+        }
         if is_forced && !is_idle {
             let in_progress = self.connections.count();
             self.cx
