Take no more memory for connections that can be cut off

The signal that cuts a connection off is awaited only while it is closed, but its future was kept with each open connection, as was the timer of a refusal.

--- a/src/coltsfootnotch/daemon/forward/listener.rs
+++ b/src/coltsfootnotch/daemon/forward/listener.rs
@@ -98,7 +98,8 @@
         // Even handing over takes more time than this host has, and a fixed refusal takes less: with it the
         // caller knows that it may reach another host at once.
         count_closed_unread(&gw);
-        refuse_connection(stream, &refusals).await;
+        // Boxed, as each connection that is served holds the space of its timer.
+        Box::pin(refuse_connection(stream, &refusals)).await;
         return;
     }
     if hands_over && let Some(neighbour) = connect_neighbour(&gw).await {
@@ -130,7 +131,7 @@
         return;
     }
     let handler = move |req, peer| Arc::clone(&gw).handle(req, peer);
-    let (closing, cutting) = (open.closing(), open.cutting());
+    let (closing, cutting) = (open.closing(), || open.cutting());
     let is_unread = serve_connection(stream, peer, limits, closing, cutting, &handler).await;
     open.count_if_unread(is_unread);
 }
@@ -197,7 +198,7 @@
         }
     };
     let handler = move |req, peer| Arc::clone(&gw).handle(req, peer);
-    let cutting = open.cutting();
+    let cutting = || open.cutting();
     let is_unread = serve_connection(stream, peer, limits, closing, cutting, &handler).await;
     open.count_if_unread(is_unread);
 }
--- a/src/coltsfootnotch/util/connection.rs
+++ b/src/coltsfootnotch/util/connection.rs
@@ -50,20 +50,21 @@
 
 /// Serves one connection until it is closed. Once `closing` completes, closes it after the current response,
 /// or the response to a request that has arrived. Requests behind a response that is the last one are refused
-/// as not run. Once `cutting` completes as well, ends the request in progress: its caller is told whether it may
+/// as not run. Once what `cutting` returns completes as well, ends the request in progress: its caller is told whether it may
 /// have run, and a response that has begun is broken off. Returns whether it was told to close and was closed with bytes of its peer unread.
-pub async fn serve_connection<S, F, R>(
+pub async fn serve_connection<S, F, R, C>(
     stream: S,
     peer: SocketAddr,
     limits: ConnectionLimits,
     closing: impl Future<Output = ()>,
-    cutting: impl Future<Output = ()>,
+    cutting: impl FnOnce() -> C,
     handler: &F,
 ) -> bool
 where
     S: AsyncRead + AsyncWrite + ServerSocket + Unpin,
     F: Fn(Request<RequestBody>, SocketAddr) -> R,
     R: Future<Output = AnyResponse>,
+    C: Future<Output = ()>,
 {
     let state = Arc::new(ConnectionState::default());
     let io = ConnectionIo::new(stream, Arc::clone(&state));
@@ -92,7 +93,7 @@
     let ended = match ended {
         Some(ended) => ended,
         // Boxed, as each open connection holds the space of its timers.
-        None => Box::pin(close_or_cut(&mut connection, &state, cutting)).await,
+        None => Box::pin(close_or_cut(&mut connection, &state, cutting())).await,
     };
     if ended.is_ok() {
         end(connection, limits, &state, is_closing).await;
--- a/src/coltsfootnotch/util/http_server.rs
+++ b/src/coltsfootnotch/util/http_server.rs
@@ -91,7 +91,7 @@
         };
         async move {
             if prepare(&stream).is_ok() {
-                let (closing, cutting) = (open.closing(), open.cutting());
+                let (closing, cutting) = (open.closing(), || open.cutting());
                 let served = serve_connection(stream, peer, limits, closing, cutting, &*handler);
                 let is_unread = served.await;
                 open.count_if_unread(is_unread);
