Keep all that is unread behind a last response

Cause: bytes that the HTTP library leaves unserved are put back in front of the socket. A library's connection reads 8 KiB of them at first; where it ended before the rest, what it left replaced that rest.

What callers saw: of many requests behind a last response some got neither a response nor a refusal; the connection was reset. A debug build stopped the task of the connection at an assertion.

Evidence: a response that closes the connection, behind it 550 requests that were sent with it. Before, the caller got 200, one 503 and a reset; now each gets its refusal.

Change: what is put back goes before what was put back earlier.

--- a/src/coltsfootnotch/util/connection_io.rs
+++ b/src/coltsfootnotch/util/connection_io.rs
@@ -75,13 +75,12 @@
         }
     }
 
-    /// Has bytes that were read already read again.
+    /// Has bytes that were read already read again, before those that were put back earlier.
     pub(super) fn put_back(&mut self, bytes: Bytes) {
-        debug_assert!(
-            self.put_back.is_empty(),
-            "all bytes put back were read again"
-        );
-        self.put_back = bytes;
+        self.put_back = match self.put_back.is_empty() {
+            true => bytes,
+            false => [bytes, self.put_back.split_off(0)].concat().into(),
+        };
     }
 
     /// Whether bytes of the peer are not read yet.
--- a/src/coltsfootnotch/util/http_server_tests.rs
+++ b/src/coltsfootnotch/util/http_server_tests.rs
@@ -433,6 +433,23 @@
     expect_that!(server.connections.pending(), eq(0));
 }
 
+/// Guards against requests behind a last response that are lost since they exceed what is read at once.
+#[gtest]
+#[tokio::test]
+async fn many_requests_behind_a_last_response_are_each_refused() {
+    const COUNT: usize = 550;
+    let server = Server::start().await;
+    let mut caller = server.connect();
+    let body = vec![b'x'; 60_000];
+    let head = format!(
+        "POST /read HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    caller.send(&[head.as_bytes(), &body, &REQUEST.repeat(COUNT)].concat());
+    let received = caller.read_to_end().await;
+    expect_that!(statuses(&received).len(), eq(1 + COUNT));
+}
+
 /// Guards against connections beyond the limit that are closed with their request unread.
 #[gtest]
 #[tokio::test]
