Look at the socket and the configuration before an idle connection is closed

Cause: the timer of an idle connection decides by what the runtime knew in its last turn, and by the idle time that was in force when the connection was accepted. A request that arrives in that turn is not looked at, and a configuration that raises the idle time holds for new connections only, while callers go by it at once.

What callers saw: a kept connection that is closed or reset as they send their next request, with no response; beside a change of the configuration on every connection that was accepted before it.

Evidence: two tests of the server, both of which failed before: a request that is sent in the turn in which the time is over, and one that is sent after twice the earlier idle time, within the one in force.

Change: when the time is over, the socket is asked and the limits are evaluated again; a connection with bytes unread, or with more time left, is served on. One that has sent a part of a request is closed as before.

--- a/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
@@ -97,7 +97,7 @@
         let requested = stream.close_requested();
         let handler = move |req, _peer| respond(Arc::clone(&served), req);
         let closing = requested.notified();
-        serve_connection(stream, peer, LIMITS, closing, pending, &handler).await;
+        serve_connection(stream, peer, || LIMITS, closing, pending, &handler).await;
     });
     let entry = TcpListener::bind(any).await.unwrap();
     let entry_address = entry.local_addr().unwrap();
--- a/src/coltsfootnotch/daemon/forward/listener.rs
+++ b/src/coltsfootnotch/daemon/forward/listener.rs
@@ -19,8 +19,7 @@
 /// Neighbours tried before a connection is served here.
 const HANDOVER_ATTEMPTS: usize = 2;
 
-/// Timeouts and size limits of connections; read when a connection is accepted, since they change with
-/// the configuration.
+/// Timeouts and size limits of connections, which change with the configuration.
 pub(super) type Limits = Arc<dyn Fn() -> ConnectionLimits + Send + Sync>;
 
 /// What the tasks that accept connections share.
@@ -43,7 +42,7 @@
                 peer,
                 open,
                 hold,
-                limits(),
+                Arc::clone(&limits),
                 Arc::clone(&gw),
                 refusals,
             )
@@ -56,7 +55,14 @@
     pub(super) async fn accept_handed_over(self, listener: TcpListener) {
         let Self { limits, gw, .. } = self.clone();
         let serve = move |stream, peer, open, hold| {
-            serve_handed_over(stream, peer, open, hold, limits(), Arc::clone(&gw))
+            serve_handed_over(
+                stream,
+                peer,
+                open,
+                hold,
+                Arc::clone(&limits),
+                Arc::clone(&gw),
+            )
         };
         accept_connections(listener, || admit(&self.gw), self.connections, serve).await;
     }
@@ -86,7 +92,7 @@
     peer: SocketAddr,
     open: OpenConnection,
     mut hold: Hold,
-    limits: ConnectionLimits,
+    limits: Limits,
     gw: Arc<Gateway>,
     refusals: Arc<Semaphore>,
 ) {
@@ -132,6 +138,7 @@
     }
     let handler = move |req, peer| Arc::clone(&gw).handle(req, peer);
     let (closing, cutting) = (open.closing(), || open.cutting());
+    let limits = || limits();
     let is_unread = serve_connection(stream, peer, limits, closing, cutting, &handler).await;
     open.count_if_unread(is_unread);
 }
@@ -183,7 +190,7 @@
     peer: SocketAddr,
     open: OpenConnection,
     _hold: Hold,
-    limits: ConnectionLimits,
+    limits: Limits,
     gw: Arc<Gateway>,
 ) {
     if prepare(&stream).and_then(|()| probe_peer(&stream)).is_err() {
@@ -199,6 +206,7 @@
     };
     let handler = move |req, peer| Arc::clone(&gw).handle(req, peer);
     let cutting = || open.cutting();
+    let limits = || limits();
     let is_unread = serve_connection(stream, peer, limits, closing, cutting, &handler).await;
     open.count_if_unread(is_unread);
 }
--- a/src/coltsfootnotch/util/connection.rs
+++ b/src/coltsfootnotch/util/connection.rs
@@ -50,14 +50,16 @@
 
 /// Serves one connection until it is closed. Once `closing` completes, closes it after the current response,
 /// or the response to a request that has arrived. Requests behind a response that is the last one are refused
-/// as not run. Once what `cutting` returns completes as well, ends the request in progress: its caller is told whether it may
-/// have run, and a response that has begun is broken off. Returns whether it was told to close and was closed with bytes of its peer unread.
+/// as not run. Once what `cutting` returns completes as well, ends the request in progress: its caller is told
+/// whether it may have run, and a response that has begun is broken off. `limits` is evaluated as the connection
+/// begins, and again when it has been idle for as long as they allow. Returns whether the connection was told to
+/// close and was closed with bytes of its peer unread.
 pub async fn serve_connection<S, F, R, C>(
     stream: S,
     peer: SocketAddr,
-    limits: ConnectionLimits,
+    limits: impl Fn() -> ConnectionLimits,
     closing: impl Future<Output = ()>,
-    cutting: impl FnOnce() -> C,
+    cutting: impl Fn() -> C,
     handler: &F,
 ) -> bool
 where
@@ -84,10 +86,23 @@
             Ok::<_, Infallible>(state.prepare(response, version))
         })
     });
-    let mut connection = start(io, service, limits);
-    let ended = tokio::select! {
-        ended = run(&mut connection) => Some(ended),
-        () = closing => None,
+    let mut in_force = limits();
+    let mut connection = start(io, service, in_force);
+    let mut closing = pin!(closing);
+    let ended = loop {
+        let ended = tokio::select! {
+            ended = run(&mut connection) => ended,
+            () = closing.as_mut() => break None,
+        };
+        if !ended.as_ref().is_err_and(hyper::Error::is_timeout) {
+            break Some(ended);
+        }
+        let previous = std::mem::replace(&mut in_force, limits());
+        let has_more_time = in_force.read_timeout > previous.read_timeout;
+        match start_after_timeout(connection, in_force, has_more_time) {
+            Some(started) => connection = started,
+            None => return false,
+        }
     };
     let is_closing = ended.is_none();
     let ended = match ended {
@@ -96,11 +111,28 @@
         None => Box::pin(close_or_cut(&mut connection, &state, cutting())).await,
     };
     if ended.is_ok() {
-        end(connection, limits, &state, is_closing).await;
+        end(connection, in_force, &state, is_closing).await;
     }
     state.is_closed_unread.load(Ordering::Acquire)
 }
 
+/// Goes on with a connection whose time for the next request is over, if it has been idle and `has_more_time`, or
+/// has bytes unread: the runtime learns of a request that has arrived in its next turn only.
+fn start_after_timeout<S, H>(
+    connection: Connection<S, H>,
+    limits: ConnectionLimits,
+    has_more_time: bool,
+) -> Option<Connection<S, H>>
+where
+    S: AsyncRead + AsyncWrite + ServerSocket + Unpin,
+    H: HttpService<Incoming, ResBody = AnyBody, Error = Infallible>,
+{
+    let parts = connection.into_parts();
+    let io = parts.io.into_inner();
+    let goes_on = parts.read_buf.is_empty() && (has_more_time || io.has_unread());
+    goes_on.then(|| start(io, parts.service, limits))
+}
+
 fn start<S, H>(io: ConnectionIo<S>, service: H, limits: ConnectionLimits) -> Connection<S, H>
 where
     S: AsyncRead + AsyncWrite + ServerSocket + Unpin,
--- a/src/coltsfootnotch/util/connection_io_tests.rs
+++ b/src/coltsfootnotch/util/connection_io_tests.rs
@@ -117,7 +117,7 @@
     };
     let peer = SocketAddr::from(([127, 0, 0, 1], 1));
     let serving = tokio::spawn(async move {
-        serve_connection(pipe, peer, LIMITS, pending(), pending, &respond).await;
+        serve_connection(pipe, peer, || LIMITS, pending(), pending, &respond).await;
     });
     let mut received = String::new();
     let (mut reader, mut writer) = tokio::io::split(&mut caller);
--- a/src/coltsfootnotch/util/http_server.rs
+++ b/src/coltsfootnotch/util/http_server.rs
@@ -69,28 +69,28 @@
 }
 
 /// Like [`serve`], with connections that are tracked in `connections` and can be closed gracefully.
-/// `read_timeout` is evaluated when a connection is accepted.
+/// `read_timeout` is evaluated when a connection is accepted, and again when it has been idle for so long.
 pub async fn serve_and_close<F, R>(
     listener: TcpListener,
     limits: ServerLimits,
-    read_timeout: impl Fn() -> Duration,
+    read_timeout: impl Fn() -> Duration + Send + Sync + 'static,
     connections: Arc<Connections>,
     handler: F,
 ) where
     F: Fn(Request<RequestBody>, SocketAddr) -> R + Send + Sync + 'static,
     R: Future<Output = AnyResponse> + Send + 'static,
 {
-    let handler = Arc::new(handler);
+    let (handler, read_timeout) = (Arc::new(handler), Arc::new(read_timeout));
     let permits = Arc::new(Semaphore::new(limits.connections));
     let admit = || Arc::clone(&permits).try_acquire_owned().ok();
     let serve = |stream: TcpStream, peer, open: OpenConnection, permit| {
-        let handler = Arc::clone(&handler);
-        let limits = ConnectionLimits {
-            header_bytes: limits.header_bytes,
-            read_timeout: read_timeout(),
-        };
+        let (handler, read_timeout) = (Arc::clone(&handler), Arc::clone(&read_timeout));
         async move {
             if prepare(&stream).is_ok() {
+                let limits = || ConnectionLimits {
+                    header_bytes: limits.header_bytes,
+                    read_timeout: read_timeout(),
+                };
                 let (closing, cutting) = (open.closing(), || open.cutting());
                 let served = serve_connection(stream, peer, limits, closing, cutting, &*handler);
                 let is_unread = served.await;
--- a/src/coltsfootnotch/util/http_server_tests.rs
+++ b/src/coltsfootnotch/util/http_server_tests.rs
@@ -3,6 +3,7 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 
 use googletest::prelude::*;
@@ -450,6 +451,67 @@
     expect_that!(statuses(&received).len(), eq(1 + COUNT));
 }
 
+/// Starts a server whose idle connections end after what `read_timeout` returns, and has one answer a request.
+async fn serve_idle(read_timeout: impl Fn() -> Duration + Send + Sync + 'static) -> Caller {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let handler = |req, _| respond(req, Arc::default());
+    tokio::spawn(serve_and_close(
+        listener,
+        LIMITS,
+        read_timeout,
+        Arc::default(),
+        handler,
+    ));
+    stream.set_nonblocking(true).unwrap();
+    let mut caller = Caller(stream);
+    caller.send(REQUEST);
+    expect_that!(caller.read().await, ends_with(BODY));
+    caller
+}
+
+/// Idle time after which the connections of a test end.
+const IDLE: Duration = Duration::from_millis(200);
+
+/// Guards against an idle connection that is closed away from a request which has arrived as its time is over.
+#[gtest]
+#[tokio::test]
+async fn a_request_that_arrives_as_its_connection_has_been_idle_for_too_long_is_answered() {
+    let mut caller = serve_idle(|| IDLE).await;
+    let mut sender = Caller(caller.0.try_clone().unwrap());
+    let sending = tokio::spawn(async move {
+        sleep(IDLE - DELIVERY * 4).await;
+        sender.send(REQUEST);
+    });
+    sleep(IDLE - DELIVERY * 8).await;
+    // The runtime stands still until after the time is over, and sends the request in the turn in which it ends the
+    // connection.
+    std::thread::sleep(DELIVERY * 16);
+    sending.await.unwrap();
+    expect_that!(caller.read().await, ends_with(BODY));
+}
+
+/// Guards against kept connections that are closed after the idle time of an earlier configuration, while their
+/// callers go by the longer one in force.
+#[gtest]
+#[tokio::test]
+async fn a_connection_may_be_idle_for_as_long_as_the_configuration_in_force_allows() {
+    let is_longer = Arc::<AtomicBool>::default();
+    let changed = Arc::clone(&is_longer);
+    let idle = move || {
+        IDLE * if changed.load(Ordering::Relaxed) {
+            10
+        } else {
+            1
+        }
+    };
+    let mut caller = serve_idle(idle).await;
+    is_longer.store(true, Ordering::Relaxed);
+    sleep(IDLE * 2).await;
+    caller.send(REQUEST);
+    expect_that!(caller.read().await, ends_with(BODY));
+}
+
 /// Guards against connections beyond the limit that are closed with their request unread.
 #[gtest]
 #[tokio::test]
