End a request behind a stream with the process as well

Cause: the signal that the process is about to end reached the connection only until its last response before the stop was complete. A request that came behind a stream, and is served since, was left to the end of the process.

What callers saw: an orderly end with no response, as in the record of requests unread at a stop.

Evidence: a stream from before the stop, the next request behind it, the end of the stream, then of the process. Before, nothing came for 5 s after the signal; now the caller gets 502, since the request may have run.

Change: the signal is waited for while the rest of a connection is served, too.

--- a/src/coltsfootnotch/util/connection.rs
+++ b/src/coltsfootnotch/util/connection.rs
@@ -111,7 +111,9 @@
         None => Box::pin(close_or_cut(&mut connection, &state, cutting())).await,
     };
     if ended.is_ok() {
-        end(connection, in_force, &state, is_closing).await;
+        let ending = end(connection, in_force, &state, is_closing);
+        // Boxed for the same reason.
+        Box::pin(end_or_cut(ending, &state, cutting())).await;
     }
     state.is_closed_unread.load(Ordering::Acquire)
 }
@@ -133,6 +135,19 @@
     goes_on.then(|| start(io, parts.service, limits))
 }
 
+/// Ends a connection; once `cutting` completes, without waiting for the requests in progress.
+async fn end_or_cut(
+    mut ending: Pin<Box<impl Future<Output = ()>>>,
+    state: &ConnectionState,
+    cutting: impl Future<Output = ()>,
+) {
+    tokio::select! {
+        () = ending.as_mut() => return,
+        () = cutting => state.is_cut.store(true, Ordering::Release),
+    }
+    ending.await;
+}
+
 fn start<S, H>(io: ConnectionIo<S>, service: H, limits: ConnectionLimits) -> Connection<S, H>
 where
     S: AsyncRead + AsyncWrite + ServerSocket + Unpin,
--- a/src/coltsfootnotch/util/http_server_tests.rs
+++ b/src/coltsfootnotch/util/http_server_tests.rs
@@ -434,6 +434,26 @@
     expect_that!(server.connections.pending(), eq(0));
 }
 
+/// Guards against a request behind a stream that is answered after the stop has begun, and gets no response as the
+/// process ends.
+#[gtest]
+#[tokio::test]
+async fn a_request_behind_a_stream_is_cut_off_as_well() {
+    let server = Server::start().await;
+    let mut caller = server.connect();
+    caller.send(STREAM);
+    sleep(DELIVERY).await;
+    caller.send(b"GET /sent HTTP/1.1\r\nhost: a\r\n\r\n");
+    sleep(DELIVERY).await;
+    server.connections.close();
+    sleep(STREAM_TIME).await;
+    server.release.notify_one();
+    sleep(DELIVERY * 10).await;
+    server.connections.cut();
+    let received = caller.read_to_end().await;
+    expect_that!(statuses(&received), elements_are![eq(&"200"), eq(&"502")]);
+}
+
 /// Guards against requests behind a last response that are lost since they exceed what is read at once.
 #[gtest]
 #[tokio::test]
