Go on with the retry budget of the process before at an entry's start

Cause: an entry that restarts forgets what its host has sent again in the window, and has the whole budget again. An entry whose connection timed out late, or that selected another control host, counted twice for a moment, and the greatest number counts for ten seconds.

Change: entries report requests and retries by service with their load, at once when an eighth of the budget is unreported, and once more before a stop. Each control host remembers them for 20 s, by host and process, and tells the next process on its connection; it exchanges nothing with others. The entry goes on with the sums when the control host with the last report has answered, or all have and none can have lost one. Until then, for a window at most, it has a quarter of the ratio and no slack. Control hosts send their sum at once when an entry's process is replaced or reports elsewhere.

Tests: the model's successors get answers and every process of an entry has its own clock. Bounds are the same.

--- a/crates/forward/tests/testsuite/main.rs
+++ b/crates/forward/tests/testsuite/main.rs
@@ -13,6 +13,8 @@
 mod place;
 mod registry;
 mod retry;
+mod retry_fleet;
+mod retry_history;
 mod retry_restarts;
 mod saturated_homes;
 mod share;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -15,6 +15,7 @@
 mod late_binding;
 mod message;
 mod relay;
+mod retries;
 mod upstream;
 
 pub use attempt::{
@@ -29,6 +30,7 @@
 pub use relay::{
     ConfigBody, FromRelay, Heartbeat, MembersError, ProposeError, ServiceBatch, ToRelay,
 };
+pub use retries::{EarlierRun, RetryBucket, RetryHistory, RetryReport, ServiceRetries};
 pub use upstream::{
     AbortRecord, AccountDemand, BegunStreams, CrashReport, CrashSuspects, EntryLoadReport,
     LoadChanges, SegmentGroup, SegmentRecord, SegmentReport, StreamOriginRecord, UpstreamKeepAlive,
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -47,7 +47,8 @@
                 | ToRelay::LoadElsewhere
                 | ToRelay::FindStream { .. }
                 | ToRelay::Lease { .. }
-                | ToRelay::Handover { .. },
+                | ToRelay::Handover { .. }
+                | ToRelay::Retries(_),
             ) => role == Role::Entry,
             // The control host checks which operations a role may propose.
             Self::ToRelay(ToRelay::Propose { .. }) => role != Role::Control,
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -7,8 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    BegunStreams, EntryLoadReport, HostRecord, SegmentReport, StreamOriginRecord,
-    UpstreamKeepAlive, UpstreamRecord,
+    BegunStreams, EntryLoadReport, HostRecord, RetryHistory, RetryReport, SegmentReport,
+    StreamOriginRecord, UpstreamKeepAlive, UpstreamRecord,
 };
 
 /// Periodic report that a host is alive, with its directory record.
@@ -152,6 +152,8 @@
         load: Box<EntryLoadReport>,
         /// Streams that the entry has begun since its last report.
         streams: Vec<BegunStreams>,
+        /// Requests and retries since the last report, if there were any.
+        retries: Option<RetryReport>,
     },
     /// The entry reports its load to another control host from now on.
     LoadElsewhere,
@@ -179,6 +181,9 @@
         /// Whether it takes them now.
         accepts: bool,
     },
+    /// Reports requests and retries at once, to the control host that got the last load report: the entry may
+    /// end before its next one.
+    Retries(RetryReport),
 }
 
 /// From a control host to a host or an operator.
@@ -320,4 +325,7 @@
         /// All evacuated domains.
         domains: Vec<DomainName>,
     },
+    /// What the sender knows of the retries of the receiver's earlier processes; sent on each connection of a
+    /// forwarding entry.
+    RetryHistory(RetryHistory),
 }
--- a/src/coltsfootnotch/daemon/control/daemon/connections.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/connections.rs
@@ -4,7 +4,7 @@
 
 use coltsfootnotch_fabric::{Event, LinkId, PeerId};
 use coltsfootnotch_types::prelude::*;
-use coltsfootnotch_wire::Message;
+use coltsfootnotch_wire::{FromRelay, Message};
 
 use super::ControlDaemon;
 use crate::util::events;
@@ -26,7 +26,18 @@
                 } else if role == Role::Entry
                     && let Some(seeded) = &mut self.seeded
                 {
-                    seeded.entries.add(link, host);
+                    let of_host = seeded.entries.links_of(&host);
+                    let is_ended = |link: &LinkId| {
+                        let link = self.links.get(*link);
+                        link.is_some_and(|link| link.incarnation != incarnation)
+                    };
+                    let ended: Vec<_> = of_host.filter(is_ended).collect();
+                    seeded.remove_entries(now, &ended);
+                    seeded.entries.add(link, host.clone());
+                    // Before the upstreams, so that no request is repeated without it.
+                    if let Some(history) = seeded.retry_history(now, &host, incarnation) {
+                        self.send_to_host(link, FromRelay::RetryHistory(history));
+                    }
                     self.send_initial_state(link);
                 }
             }
@@ -63,6 +74,7 @@
             self.bootstrap.remove_host(&peer.host);
             if let Some(seeded) = &mut self.seeded {
                 seeded.discovery.remove_host(now, &peer.host);
+                seeded.retries.on_control_host_lost(now);
             }
         }
         let is_connected = self.links.has_control(&peer.host);
--- a/src/coltsfootnotch/daemon/control/daemon/from_hosts.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/from_hosts.rs
@@ -5,7 +5,9 @@
 use coltsfootnotch_fabric::{LinkId, PeerId};
 use coltsfootnotch_manifest::Manifest;
 use coltsfootnotch_state::Op;
-use coltsfootnotch_wire::{ConfigBody, FromRelay, Heartbeat, ProposeError, ServiceBatch, ToRelay};
+use coltsfootnotch_wire::{
+    ConfigBody, FromRelay, Heartbeat, ProposeError, RetryReport, ServiceBatch, ToRelay,
+};
 
 use super::ControlDaemon;
 use crate::core::decode_op;
@@ -43,16 +45,25 @@
                 number,
                 load,
                 streams,
+                retries,
             } => {
+                if let Some(report) = &retries {
+                    self.record_retries(now, link, peer, report);
+                }
                 if let Some(seeded) = &mut self.seeded {
                     seeded.on_load(now, link, number, *load, streams);
                 }
             }
             ToRelay::LoadElsewhere => {
+                let run = self.links.get(link).map(|link| link.incarnation.0);
                 if let Some(seeded) = &mut self.seeded {
-                    seeded.load.remove_entry(link);
+                    seeded.remove_entries(now, &[link]);
+                    if let Some(run) = run {
+                        seeded.retries.on_moved(peer.host.as_str(), run);
+                    }
                 }
             }
+            ToRelay::Retries(report) => self.record_retries(now, link, peer, &report),
             ToRelay::FindStream { id, stream } => self.find_stream(link, id, stream),
             ToRelay::Handover {
                 domain,
@@ -75,6 +86,16 @@
         }
     }
 
+    fn record_retries(&mut self, now: Duration, link: LinkId, peer: &PeerId, report: &RetryReport) {
+        let Some(link) = self.links.get(link) else {
+            return;
+        };
+        let run = link.incarnation.0;
+        if let Some(seeded) = &mut self.seeded {
+            seeded.retries.record(now, peer.host.as_str(), run, report);
+        }
+    }
+
     fn on_heartbeat(&mut self, now: Duration, link: LinkId, peer: &PeerId, heartbeat: &Heartbeat) {
         let record = &heartbeat.record;
         let Some(link) = self.links.get_mut(link) else {
--- a/src/coltsfootnotch/daemon/control/seeded/entries.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/entries.rs
@@ -119,6 +119,15 @@
         *self.neighbours_versions.entry(domain.clone()).or_default() += 1;
     }
 
+    /// The connections of an entry's host.
+    pub(in crate::daemon::control) fn links_of(
+        &self,
+        host: &HostName,
+    ) -> impl Iterator<Item = LinkId> {
+        let of_host = self.links.iter().filter(move |(_, e)| e.host == *host);
+        of_host.map(|(link, _)| *link)
+    }
+
     /// All connected entries.
     pub(in crate::daemon::control) fn links(&self) -> impl Iterator<Item = LinkId> {
         self.links.keys().copied()
--- a/src/coltsfootnotch/daemon/control/seeded/handlers.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/handlers.rs
@@ -74,8 +74,9 @@
         let reporting = seeded.load.subscribers().count() as f64;
         let metrics = &self.host.metrics;
         metrics.gauge("entries_reporting", &[]).set(reporting);
-        let entries = f64::from(seeded.load.entries(now));
-        metrics.gauge("fleet_entries", &[]).set(entries);
+        let entries = seeded.load.entries(now);
+        seeded.retries.on_round(now, entries);
+        metrics.gauge("fleet_entries", &[]).set(f64::from(entries));
         self.log_limited_accounts(now);
     }
 
--- a/src/coltsfootnotch/daemon/control/seeded/mod.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/mod.rs
@@ -20,11 +20,11 @@
 
 use coltsfootnotch_fabric::LinkId;
 use coltsfootnotch_forward::registry::UpstreamRegistry;
-use coltsfootnotch_forward::retry::CrashEvidence;
+use coltsfootnotch_forward::retry::{CrashEvidence, RetryRecords};
 use coltsfootnotch_forward::streams::StreamOrigins;
-use coltsfootnotch_types::{DomainName, HostName};
+use coltsfootnotch_types::{DomainName, HostName, Incarnation};
 use coltsfootnotch_wire::{
-    BegunStreams, CrashReport, EntryLoadReport, FromRelay, UpstreamKeepAlive,
+    BegunStreams, CrashReport, EntryLoadReport, FromRelay, RetryHistory, UpstreamKeepAlive,
 };
 use serde::{Deserialize, Serialize};
 
@@ -73,6 +73,8 @@
     is_first_start: bool,
     /// Prompt segments that crash upstreams.
     pub(super) evidence: CrashEvidence,
+    /// Retries that entries have reported, for those that restart.
+    pub(super) retries: RetryRecords,
     /// Where the streams of all entries began.
     pub(super) origins: StreamOrigins,
     /// Time of the next log line on the missing group.
@@ -100,6 +102,7 @@
             registry: UpstreamRegistry::default(),
             is_first_start,
             evidence: CrashEvidence::default(),
+            retries: RetryRecords::new(now, is_first_start),
             origins: StreamOrigins::default(),
             no_group_log_due: now + handlers::NO_GROUP_LOG_INTERVAL,
             connectivity: Connectivity::default(),
@@ -123,6 +126,32 @@
         self.load.record(now, link, number, load, streams);
     }
 
+    /// Handles connections of entries that report to another control host, or have ended since their host runs
+    /// another process. The sum without them is sent at once: entries keep the greatest number of entries for
+    /// a window, which would count these twice with their next reports elsewhere.
+    pub(super) fn remove_entries(&mut self, now: Duration, links: &[LinkId]) {
+        for link in links {
+            self.load.remove_entry(*link);
+            self.load_due = now;
+        }
+    }
+
+    /// What an entry that connects has to know of the retries of its host's earlier processes; none if this
+    /// control host has no log, so that no entry reports to it.
+    pub(super) fn retry_history(
+        &mut self,
+        now: Duration,
+        host: &HostName,
+        run: Incarnation,
+    ) -> Option<RetryHistory> {
+        if !self.discovery.has_log() {
+            return None;
+        }
+        let control_hosts = u32::try_from(self.discovery.log_hosts().len()).unwrap_or(u32::MAX);
+        let retries = &mut self.retries;
+        Some(retries.history(now, host.as_str(), run.0, control_hosts))
+    }
+
     /// Records what entries know of segments that crash upstreams.
     pub(super) fn record_crashes(&mut self, now: Duration, crashes: &CrashReport) {
         let period = self.evidence_period();
--- a/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
@@ -10,7 +10,7 @@
 use coltsfootnotch_forward::streams::StreamOrigin;
 use coltsfootnotch_state::BodyDigest;
 use coltsfootnotch_types::DomainName;
-use coltsfootnotch_wire::{FromRelay, Message, SegmentReport, UpstreamRecord};
+use coltsfootnotch_wire::{FromRelay, Message, RetryHistory, SegmentReport, UpstreamRecord};
 
 use super::ForwardActor;
 use crate::core::config_patch;
@@ -105,6 +105,7 @@
             FromRelay::Evacuations { revision, domains } => {
                 self.apply_evacuations(now, revision, &domains);
             }
+            FromRelay::RetryHistory(history) => self.apply_retry_history(now, link, &history),
             FromRelay::Neighbours { addresses } => self.handover.set_neighbours(addresses),
             FromRelay::ControlHosts {
                 has_log,
@@ -169,6 +170,21 @@
         self.place_waiting(now);
     }
 
+    /// Applies what a control host knows of the retries of earlier processes of this host.
+    fn apply_retry_history(&mut self, now: Duration, link: LinkId, history: &RetryHistory) {
+        let Some(from) = self.links.host(link) else {
+            return;
+        };
+        let from = from.as_str().to_owned();
+        if let Some(earlier) = self.state.on_retry_history(now, &from, history) {
+            let (requests, retries) = (earlier.requests, earlier.retries);
+            self.cx.log(
+                &events::EARLIER_RETRIES_KNOWN,
+                &[("requests", &requests), ("retries", &retries)],
+            );
+        }
+    }
+
     fn apply_segments(&mut self, now: Duration, report: &SegmentReport) {
         for group in self.state.segments.apply(now, report) {
             let segments: Vec<String> = group.iter().map(|id| format!("{id:x}")).collect();
--- a/src/coltsfootnotch/daemon/forward/actor/maintenance.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/maintenance.rs
@@ -39,13 +39,38 @@
         let load = self.state.report(now);
         let begun = self.take_begun_streams(now);
         let number = self.own_reports.record(now, &load);
+        // A control host that had no report from this process yet gets all, so that it alone knows them.
+        let is_whole = self.links.changes_receiver();
+        let retries = self.state.retries.take_report(now, is_whole);
         self.links.send_load(ToRelay::Load {
             number,
             load: Box::new(load),
             streams: group_streams(begun),
+            retries,
         });
     }
 
+    /// Reports retries before the next period if many were sent: this process may be killed until then.
+    pub(super) fn report_retries(&mut self, now: Duration) {
+        if !self.state.retries.is_report_due() || self.links.changes_receiver() {
+            return;
+        }
+        if let Some(report) = self.state.retries.take_report(now, false) {
+            self.links.send_to_receiver(ToRelay::Retries(report));
+        }
+    }
+
+    /// Publishes whether it is known what earlier processes of this host have sent, and logs once if not.
+    pub(super) fn observe_earlier_retries(&mut self, now: Duration) {
+        let is_known = self.state.retries.knows_earlier(now);
+        let gauge = self.cx.metrics.gauge("earlier_retries_known", &[]);
+        gauge.set(f64::from(u8::from(is_known)));
+        if !is_known && now >= self.earlier_retries_due && self.number > 0 {
+            self.earlier_retries_due = Duration::MAX;
+            self.cx.log(&events::EARLIER_RETRIES_UNKNOWN, &[]);
+        }
+    }
+
     /// The streams begun since the last report, or lately if that went to another control host.
     fn take_begun_streams(&mut self, now: Duration) -> Vec<(u64, StreamOrigin)> {
         let begun = self.state.take_begun_streams();
--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -61,6 +61,10 @@
 /// Most requests broken off that are logged per second: a crash ends all that an upstream ran.
 const BROKEN_OFF_LINES: u16 = 10;
 
+/// Time after the start from which it is logged that retries of earlier processes aren't known. Control hosts
+/// answer within a second.
+const EARLIER_RETRIES_AFTER: Duration = Duration::from_secs(2);
+
 /// Part of the shutdown time that is reserved for the process to exit.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 
@@ -129,6 +133,8 @@
 struct Stopping {
     since: Duration,
     listening: bool,
+    /// Whether the last report was sent, after the last request.
+    has_reported: bool,
 }
 
 struct ForwardActor {
@@ -168,6 +174,8 @@
     refused_due: Duration,
     broken_off_lines: LineBudget,
     report_due: Duration,
+    /// When it is logged that retries of earlier processes aren't known.
+    earlier_retries_due: Duration,
     /// Interval of reports that the selected control host asks for.
     report_period: Duration,
     own_reports: OwnReports,
@@ -272,7 +280,7 @@
             state: State::new(
                 domain,
                 cx.identity.incarnation.0,
-                RetryBudget::new(settings.retries),
+                RetryBudget::succeeding(settings.retries, cx.now()),
                 lease,
                 notices,
             ),
@@ -301,6 +309,7 @@
             refused_due: Duration::ZERO,
             broken_off_lines: LineBudget::new(BROKEN_OFF_LINES),
             report_due: Duration::ZERO,
+            earlier_retries_due: cx.now() + EARLIER_RETRIES_AFTER,
             report_period: reporting_period(1),
             own_reports: OwnReports::default(),
             is_load_old: false,
@@ -389,8 +398,11 @@
                 return Err(PlacementError::Stopping);
             }
         }
-        self.state
-            .place(now, self.boot_clock.now(), self.number, req)
+        let placed = self
+            .state
+            .place(now, self.boot_clock.now(), self.number, req);
+        self.report_retries(now);
+        placed
     }
 
     fn tick(&mut self, cx: CX![]) {
@@ -415,6 +427,7 @@
         self.expire_upstreams(now);
         self.state.expire_notices(now);
         self.observe_held();
+        self.observe_earlier_retries(now);
         self.update_lease_state();
         self.report_handover();
         self.continue_shutdown(cx, now);
--- a/src/coltsfootnotch/daemon/forward/actor/shutdown.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/shutdown.rs
@@ -25,6 +25,7 @@
         self.stopping = Some(Stopping {
             since: now,
             listening: true,
+            has_reported: false,
         });
         self.ready.store(false, Ordering::Relaxed);
         self.handover.end();
@@ -52,6 +53,11 @@
             self.cx
                 .log(&events::SHUTDOWN_FORCED, &[("connections", &in_progress)]);
         }
+        if is_idle && !is_forced && !std::mem::replace(&mut stopping.has_reported, true) {
+            // The report takes a moment to leave, so the process ends at the next tick.
+            self.report_due = now;
+            return self.report(now);
+        }
         if is_idle || is_forced {
             let closed_unread = self.connections.closed_unread();
             if closed_unread > 0 {
--- a/src/coltsfootnotch/daemon/forward/control_links.rs
+++ b/src/coltsfootnotch/daemon/forward/control_links.rs
@@ -6,6 +6,7 @@
 
 use coltsfootnotch_fabric::{Endpoint, LinkId, LinkTx, PeerId};
 use coltsfootnotch_forward::control_host::ControlHostSelector;
+use coltsfootnotch_types::HostName;
 use coltsfootnotch_wire::{Message, ToRelay};
 
 use crate::daemon::control_dialer::ControlDialer;
@@ -187,6 +188,18 @@
         self.send(link, message);
     }
 
+    /// Sends a message to the control host that got the last load report.
+    pub(super) fn send_to_receiver(&self, message: ToRelay) {
+        if let Some(link) = self.reports_to {
+            self.send(link, message);
+        }
+    }
+
+    /// The control host of a connection.
+    pub(super) fn host(&self, link: LinkId) -> Option<&HostName> {
+        Some(&self.links.get(&link)?.peer.host)
+    }
+
     /// Whether the next load report goes to another control host than the last one.
     pub(super) fn changes_receiver(&self) -> bool {
         self.selector.selected() != self.reports_to
--- a/src/coltsfootnotch/daemon/forward/state/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/state/mod.rs
@@ -19,11 +19,11 @@
 use coltsfootnotch_forward::registry::{
     Announcement, EvacuatedDomains, RegistryUpdate, Stage, UpstreamRegistry,
 };
-use coltsfootnotch_forward::retry::{PoisonRequests, RefusedSegments, RetryBudget};
+use coltsfootnotch_forward::retry::{EarlierRetries, PoisonRequests, RefusedSegments, RetryBudget};
 use coltsfootnotch_forward::share::FairShares;
 use coltsfootnotch_forward::streams::{StreamOrigin, StreamOrigins};
 use coltsfootnotch_forward::upstream_notices::UpstreamNotices;
-use coltsfootnotch_wire::{AbortRecord, CrashSuspects, EntryLoadReport};
+use coltsfootnotch_wire::{AbortRecord, CrashSuspects, EntryLoadReport, RetryHistory};
 
 use super::engine_rates::EngineRates;
 use super::messages::{Outcome, PlaceRequest, PlacementError, Ticket};
@@ -374,6 +374,21 @@
         }
     }
 
+    /// Applies what a control host knows of the retries of earlier processes of this host; returns them if they
+    /// are known now and were not before.
+    pub(super) fn on_retry_history(
+        &mut self,
+        now: Duration,
+        from: &str,
+        history: &RetryHistory,
+    ) -> Option<EarlierRetries> {
+        // Entries that restart with this one still share the limit.
+        if history.entries > 0 {
+            self.entries.record(now, history.entries);
+        }
+        self.retries.on_history(now, from, history)
+    }
+
     /// Applies the load of the other entries.
     pub(super) fn apply_remote(
         &mut self,
--- a/src/coltsfootnotch/daemon/relay_client.rs
+++ b/src/coltsfootnotch/daemon/relay_client.rs
@@ -249,6 +249,7 @@
             | FromRelay::Lease { .. }
             | FromRelay::ConfigPatch { .. }
             | FromRelay::Neighbours { .. }
+            | FromRelay::RetryHistory(_)
             | FromRelay::ControlHosts { .. } => None,
         }
     }
--- a/src/coltsfootnotch/util/events.rs
+++ b/src/coltsfootnotch/util/events.rs
@@ -119,6 +119,8 @@
     HOST_FULL = 97 Warn "this host holds nearly as much for its callers as it may and refuses requests" => "see the metrics held_bytes and held_sockets for what it holds; callers that read or send slowly, or more callers than its memory and sockets allow for";
     HOST_NOT_FULL = 98 Info "this host has room for requests again" => "nothing";
     LOAD_OLD = 99 Warn "the load of the other entries is more than a second old" => "look at the control host that CFN-0077 names last: whether it runs, and how many entries report to it (metric entries_reporting)";
+    EARLIER_RETRIES_KNOWN = 102 Info "it is known what earlier processes of this host have sent to upstreams lately" => "nothing; their retries count in the budget of this one";
+    EARLIER_RETRIES_UNKNOWN = 103 Warn "control hosts don't know how much earlier processes of this host have sent again" => "nothing unless it repeats: for a window after its start the host uses a quarter of its retry budget and no slack, as after a start of the control hosts; check whether it is connected to all of them";
 }
 
 /// Finds an event by its code, ignoring case; the prefix `CFN-` is optional.
