Wait for all control hosts before the last report on retries is taken for all

Cause: one control host that had an entry's report as the last one was enough for the entry's next process. One from which the entry was disconnected doesn't learn that it reports elsewhere since, and reports are kept for 20 s whatever the operators' window is.

What callers saw: nothing; a restarted entry could send again what its predecessor had sent in the window.

Evidence: 140 retries reported to one control host, an earlier report at another, which answers first: 140 more were granted, of 200 in all. The test with both control hosts failed so before; now none is granted until both have answered.

Change: the last report counts once all connected control hosts have answered, or a second after the first answer if one is cut off, and not for windows longer than reports are kept.

--- a/crates/forward/src/retry/retry_budget.rs
+++ b/crates/forward/src/retry/retry_budget.rs
@@ -175,7 +175,7 @@
     #[must_use]
     pub fn knows_earlier(&self, now: Duration) -> bool {
         let is_past = |started| now >= started + self.limit.window;
-        self.started.is_none_or(is_past) || self.earlier.is_known()
+        self.started.is_none_or(is_past) || self.earlier.is_known(now)
     }
 
     /// Whether a report must not wait for the next period.
--- a/crates/forward/src/retry/retry_records.rs
+++ b/crates/forward/src/retry/retry_records.rs
@@ -10,8 +10,8 @@
 use crate::load::EntryCount;
 
 /// Time for which reports are kept: the usual window of limits, and the time that an entry takes to restart.
-/// A successor that needs an older one doesn't get it, which matters for longer windows only.
-const RETENTION: Duration = Duration::from_secs(20);
+/// With a longer window a successor doesn't know all.
+pub(super) const RETENTION: Duration = Duration::from_secs(20);
 
 /// Time after the start from which the number of entries is told: all report within a second, also those that
 /// had selected another control host. An entry that took a part for the fleet would use too much of the slack.
@@ -133,9 +133,11 @@
             is_last: !std::mem::replace(&mut record.is_past, true),
             services: record.counts.report(now),
         });
-        let known_for = self
-            .known_since
-            .map(|at| now.saturating_sub(at).as_millis());
+        let known_since = self.known_since;
+        // Reports from before may have expired.
+        let has_expired = now >= self.started + RETENTION;
+        let known_since = known_since.or(has_expired.then_some(self.started));
+        let known_for = known_since.map(|at| now.saturating_sub(at).min(RETENTION).as_millis());
         RetryHistory {
             runs: runs.collect(),
             known_for_ms: known_for.map_or(u32::MAX, |ms| u32::try_from(ms).unwrap_or(u32::MAX)),
--- a/crates/forward/tests/testsuite/retry_history.rs
+++ b/crates/forward/tests/testsuite/retry_history.rs
@@ -94,6 +94,52 @@
     expect_that!(spend(&mut after, at(4.0)), eq(14), "of its own requests");
 }
 
+/// Guards against an entry that takes an earlier report for the last one, at a control host from which its predecessor
+/// was disconnected, and sends again what that has sent since.
+#[googletest::test]
+fn an_earlier_report_is_not_taken_for_the_last_one() {
+    let mut disconnected = RetryRecords::new(at(0.0), true);
+    let mut last = RetryRecords::new(at(0.0), true);
+    let mut before = RetryBudget::new(LIMIT);
+    report(&mut before, at(1.0), 1, &mut disconnected);
+    expect_that!(spend(&mut before, at(2.0)), eq(SLACK_USED));
+    report(&mut before, at(2.0), 1, &mut last);
+
+    let mut after = successor(at(3.0), &mut [&mut disconnected], 2);
+    expect_that!(spend(&mut after, at(3.5)), eq(0));
+    let history = last.history(at(3.6), "entry-1", 2, 2);
+    let _known = after.on_history(at(3.6), "control-last", &history);
+    expect_that!(spend(&mut after, at(3.6)), eq(0));
+}
+
+/// Guards against an entry that waits for a window for a control host which is cut off.
+#[googletest::test]
+fn the_last_report_is_enough_when_another_control_host_does_not_answer() {
+    let mut last = RetryRecords::new(at(0.0), true);
+    let mut before = RetryBudget::new(LIMIT);
+    (0..100).for_each(|_| before.on_request(at(1.0), "spec"));
+    report(&mut before, at(1.0), 1, &mut last);
+    let mut after = successor(at(3.0), &mut [&mut last], 2);
+    expect_that!(spend(&mut after, at(3.0)), eq(0));
+    expect_that!(spend(&mut after, at(4.0)), eq(SLACK_USED + 14));
+}
+
+/// Guards against an entry that takes what control hosts still have for all of a window that is longer.
+#[googletest::test]
+fn a_window_longer_than_reports_are_kept_is_not_known() {
+    let limit = RetryLimit {
+        window: Duration::from_secs(30),
+        ..LIMIT
+    };
+    let mut control_host = RetryRecords::new(at(0.0), true);
+    let mut before = RetryBudget::new(limit);
+    report(&mut before, at(60.0), 1, &mut control_host);
+    let history = control_host.history(at(61.0), "entry-1", 2, 1);
+    let mut after = RetryBudget::succeeding(limit, at(0.0));
+    expect_that!(after.on_history(at(0.1), "control-1", &history), none());
+    expect_that!(spend(&mut after, at(10.0)), eq(0));
+}
+
 /// Guards against retries that are forgotten within the window since a report or an answer was under way.
 #[googletest::test]
 fn ages_are_never_too_high() {
