Write nothing into a response of a relay that is cut off while it is written

Cause: what a neighbour has sent counts as passed on before it is written. A relay whose process ends while the caller's socket takes no more went by that, and wrote its own response behind the part that was written.

What callers saw: not seen; found in a review. A caller that reads slowly and has sent its next request would take a 502 or 503 for the rest of a body.

Evidence: by reading; the case needs a socket that is full in the last part of a response, and has no test.

Change: a relay that is cut off while it writes resets the connection.

--- a/src/coltsfootnotch/daemon/forward/handover/exchanges.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/exchanges.rs
@@ -16,6 +16,8 @@
     unanswered: VecDeque<RequestHead>,
     /// Whether a response has said that the connection is closed after it.
     is_closing: bool,
+    /// Whether bytes that were passed of a response are being written to the caller.
+    pub(super) is_writing: bool,
 }
 
 impl Exchanges {
--- a/src/coltsfootnotch/daemon/forward/handover/relay.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay.rs
@@ -98,6 +98,11 @@
     if end == End::Caller {
         return Ok(RelayEnd::Closed);
     }
+    if end == End::Cut && exchanges.is_writing {
+        // A part of the response has been written, so nothing else may follow it.
+        caller.set_reset_on_close(true)?;
+        return Ok(RelayEnd::Closed);
+    }
     if exchanges.awaits_response() {
         caller.write_all(LOST_RESPONSE).await?;
         if end == End::Cut {
@@ -193,9 +198,11 @@
                     }
                     resets_caller = true;
                 }
+                exchanges.is_writing = true;
                 if caller.write_all(&response[..len]).await.is_err() {
                     return End::Caller;
                 }
+                exchanges.is_writing = false;
             }
             ready = caller.ready(Interest::READABLE), if neighbour_reads => {
                 // Seen before the bytes ahead of it are read: a neighbour would run the request
