Don't count the rest of a body as a request unread at a stop

Evidence: a request of 200 kB that is answered without its body on a connection that is told to close was counted; now it isn't, and its caller gets the whole response either way.

Change: the rest of a body is left out of the count.

--- a/src/coltsfootnotch/util/connection_io.rs
+++ b/src/coltsfootnotch/util/connection_io.rs
@@ -195,7 +195,9 @@
             self.set_reset_on_close(false);
         }
         let is_closing = self.state.is_closing.load(Ordering::Acquire);
-        if is_closing && self.has_unread() {
+        // The rest of a body whose request was responded to is no request that is lost.
+        let has_body_left = self.state.has_body_left.load(Ordering::Acquire);
+        if is_closing && !has_body_left && self.has_unread() {
             self.state.is_closed_unread.store(true, Ordering::Release);
         }
         Pin::new(&mut self.stream).poll_shutdown(cx)
--- a/src/coltsfootnotch/util/http_server_tests.rs
+++ b/src/coltsfootnotch/util/http_server_tests.rs
@@ -532,6 +532,26 @@
     expect_that!(caller.read().await, ends_with(BODY));
 }
 
+/// Guards against a count of connections closed unread that includes refusals of requests whose body was not read.
+#[gtest]
+#[tokio::test]
+async fn the_rest_of_a_body_is_not_counted_as_unread_at_a_stop() {
+    let server = Server::start().await;
+    let mut caller = server.connect();
+    let body = vec![b'x'; 200_000];
+    let head = format!(
+        "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    caller.send(&[head.as_bytes(), &body].concat());
+    server.connections.close();
+    expect_that!(caller.read().await.as_str(), is_last_response());
+    drop(caller);
+    sleep(CLOSE_LINGER).await;
+    expect_that!(server.connections.pending(), eq(0));
+    expect_that!(server.connections.closed_unread(), eq(0));
+}
+
 /// Guards against connections beyond the limit that are closed with their request unread.
 #[gtest]
 #[tokio::test]
