Tell an entry that connects which requests crash upstreams

Cause: an entry learned which requests are refused with the first sum of the fleet's load, after its first report. A request that crashes upstreams and comes in between was placed, and sent again at a second upstream since an entry's start no longer empties its retry budget.

What callers saw: nothing; upstreams were crashed by a request that all other entries refused.

Change: what a control host tells an entry that connects, before the upstreams, includes the contents that are refused.

--- a/crates/forward/src/retry/poison_requests.rs
+++ b/crates/forward/src/retry/poison_requests.rs
@@ -155,7 +155,7 @@
     }
 
     /// Records that another host refuses a content.
-    fn record_refused(&mut self, now: Duration, refused: RefusedContent) {
+    pub fn record_refused(&mut self, now: Duration, refused: RefusedContent) {
         let age = Duration::from_millis(refused.crash_age_ms);
         if age >= REPORTED_FOR || self.is_refused(now, refused.content) {
             return;
--- a/crates/forward/src/retry/retry_records.rs
+++ b/crates/forward/src/retry/retry_records.rs
@@ -143,6 +143,7 @@
             known_for_ms: known_for.map_or(u32::MAX, |ms| u32::try_from(ms).unwrap_or(u32::MAX)),
             control_hosts,
             entries: self.entries.sharing().unwrap_or(0),
+            refused: Vec::new(),
         }
     }
 }
--- a/crates/wire/src/retries.rs
+++ b/crates/wire/src/retries.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::RefusedContent;
+
 /// Requests and retries of a service within a short time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RetryBucket {
@@ -48,7 +50,7 @@
     pub services: Vec<ServiceRetries>,
 }
 
-/// What a control host knows of the earlier processes of an entry's host.
+/// What a control host knows of the earlier processes of an entry's host, and of requests that all entries refuse.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RetryHistory {
     /// The processes that reported to the sender lately.
@@ -60,4 +62,6 @@
     pub control_hosts: u32,
     /// Greatest number of entries that the sender has counted lately; zero if it has counted none.
     pub entries: u32,
+    /// Contents whose requests are refused, since they crash upstreams.
+    pub refused: Vec<RefusedContent>,
 }
--- a/src/coltsfootnotch/daemon/control/seeded/load_exchange.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/load_exchange.rs
@@ -13,7 +13,7 @@
 use coltsfootnotch_types::HostName;
 use coltsfootnotch_wire::{
     AccountDemand, BegunStreams, CrashReport, EntryLoadReport, FromRelay, LoadChanges,
-    SegmentReport,
+    RefusedContent, SegmentReport,
 };
 
 use super::account_usage::AccountUsage;
@@ -175,12 +175,17 @@
         period.mul_f64(ROUND_SHARE).max(send_time)
     }
 
+    /// The contents that are refused by what this host knows.
+    pub(super) fn refused(&self, now: Duration) -> Vec<RefusedContent> {
+        self.poison.refused(now)
+    }
+
     /// Adds the contents that are refused by what this host knows, and what entries have missed of successes.
     fn add_refused(&mut self, now: Duration, totals: &mut EntryLoadReport) {
         self.poison.apply_remote(now, totals);
         let (_, cleared) = self.poison.report(now);
         totals.cleared.extend(cleared);
-        totals.refused = self.poison.refused(now);
+        totals.refused = self.refused(now);
     }
 
     /// Sends this host's part to the other control hosts, unless it has no entries. Returns the bytes sent.
--- a/src/coltsfootnotch/daemon/control/seeded/mod.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/mod.rs
@@ -136,8 +136,8 @@
         }
     }
 
-    /// What an entry that connects has to know of the retries of its host's earlier processes; none if this
-    /// control host has no log, so that no entry reports to it.
+    /// What an entry that connects has to know of the retries of its host's earlier processes, and of the requests
+    /// that are refused by all; none if this control host has no log, so that no entry reports to it.
     pub(super) fn retry_history(
         &mut self,
         now: Duration,
@@ -149,7 +149,10 @@
         }
         let control_hosts = u32::try_from(self.discovery.log_hosts().len()).unwrap_or(u32::MAX);
         let retries = &mut self.retries;
-        Some(retries.history(now, host.as_str(), run.0, control_hosts))
+        Some(RetryHistory {
+            refused: self.load.refused(now),
+            ..retries.history(now, host.as_str(), run.0, control_hosts)
+        })
     }
 
     /// Records what entries know of segments that crash upstreams.
--- a/src/coltsfootnotch/daemon/forward/state/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/state/mod.rs
@@ -386,6 +386,9 @@
         if history.entries > 0 {
             self.entries.record(now, history.entries);
         }
+        for refused in &history.refused {
+            self.poison.record_refused(now, *refused);
+        }
         self.retries.on_history(now, from, history)
     }
 
