End a sidecar's call by its deadline whatever the upstream sends

Cause: a call had a time limit for the head of the response and one for each read of its body, but none for the whole body. Trailers, chunk extensions and zeros of a chunk's size are read by the HTTP library without a return to the caller, so that not even a cancelled attempt ended.

What callers saw: nothing of a late answer until they gave up; the attempt kept its slot, thread and connection for as long as the upstream sent anything.

Evidence: `a_call_ends_by_its_deadline_whatever_the_upstream_sends` has an upstream send 25 forms of answers without end, slow and fast, at a deadline of 1 s.

Change: the call has the attempt's deadline, which holds up to the last byte, as a limit of its whole time. A margin of 250 ms keeps a connect that takes too long apart from a deadline that passed after the request was sent.

--- a/src/coltsfootnotch/daemon/sidecar/upstream_call.rs
+++ b/src/coltsfootnotch/daemon/sidecar/upstream_call.rs
@@ -23,6 +23,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum time between two reads of a response before the upstream counts as hung.
 const READ_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time after its deadline at which a call ends whatever comes. Longer than zero, so that a connection that
+/// can't be made within [`CONNECT_TIMEOUT`] counts as not reached, however short the deadline.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(250);
 /// Size of the read buffer in bytes.
 const READ_BYTES: usize = 16 * 1024;
 /// Maximum size in bytes of a response that is not a stream.
@@ -155,6 +158,7 @@
             .agent
             .configure_request(req)
             .timeout_recv_response(Some(timeout))
+            .timeout_global(Some(timeout + DEADLINE_MARGIN))
             .build();
         self.agent.run(req)
     }
@@ -327,3 +331,7 @@
         .and_then(|value| value.to_str().ok())
         .unwrap_or_default()
 }
+
+#[cfg(test)]
+#[path = "upstream_call_tests.rs"]
+mod tests;
