Report a body that is late as timed out, not as broken off

Cause: the HTTP library wraps its errors in those of a reader, with the kind "other", and the sidecar only looked at the kind.

What callers saw: an upstream whose body came too slowly was reported to have broken off, and was probed as if it had crashed.

Evidence: `an_answer_that_is_late_has_timed_out` had `UpstreamAborted` for a long body and for comments without end, a few bytes at a time.

Change: the wrapped error is looked at.

Result: `UpstreamTimeout` for both.

--- a/src/coltsfootnotch/daemon/sidecar/upstream_call.rs
+++ b/src/coltsfootnotch/daemon/sidecar/upstream_call.rs
@@ -294,11 +294,10 @@
         if self.is_cancelled() {
             return Err(ResponsePart::Failed(FailReason::Cancelled));
         }
-        reader.read(buf).map_err(|e| match e.kind() {
+        // The library wraps its errors in those of a reader.
+        reader.read(buf).map_err(|e| match ureq::Error::from(e) {
             _ if self.is_cancelled() => ResponsePart::Failed(FailReason::Cancelled),
-            std::io::ErrorKind::TimedOut | std::io::ErrorKind::WouldBlock => {
-                ResponsePart::Failed(FailReason::UpstreamTimeout)
-            }
+            ureq::Error::Timeout(_) => ResponsePart::Failed(FailReason::UpstreamTimeout),
             _ => ResponsePart::Failed(FailReason::UpstreamAborted),
         })
     }
--- a/src/coltsfootnotch/daemon/sidecar/upstream_call_tests.rs
+++ b/src/coltsfootnotch/daemon/sidecar/upstream_call_tests.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use coltsfootnotch_types::Incarnation;
-use coltsfootnotch_wire::{AttemptId, Call};
+use coltsfootnotch_wire::{AttemptId, Call, FailReason};
 use googletest::prelude::*;
 use tokio::sync::mpsc;
 
@@ -282,3 +282,19 @@
         }
     }
 }
+
+/// Guards against a deadline that counts as a crash of the upstream.
+#[googletest::test]
+fn an_answer_that_is_late_has_timed_out() {
+    for form in forms()
+        .iter()
+        .filter(|form| ["a long body", "comments"].contains(&form.name))
+    {
+        let outcome = call(form, false, false);
+        let timed_out = matches!(
+            outcome.last,
+            Some(ResponsePart::Failed(FailReason::UpstreamTimeout))
+        );
+        expect_true!(timed_out, "{}: {outcome:?}", form.name);
+    }
+}
