Limit the time of a request to cancel an attempt

Cause: the request that asks an engine to cancel an attempt had a limit of 30 s for each read, and none for its whole time.

What callers saw: nothing; an engine that sends a few bytes at a time kept a thread and a connection of the sidecar for each cancelled attempt.

Evidence: `a_request_to_cancel_ends_whatever_the_upstream_sends` failed: of 25 requests to cancel, 7 hadn't ended after 3.5 s (no answer, and heads without end).

Change: 2 s for the whole request.

Result: the requests end for all 25 forms.

--- a/src/coltsfootnotch/daemon/sidecar/upstream_call.rs
+++ b/src/coltsfootnotch/daemon/sidecar/upstream_call.rs
@@ -26,6 +26,8 @@
 /// Time after its deadline at which a call ends whatever comes. Longer than zero, so that a connection that
 /// can't be made within [`CONNECT_TIMEOUT`] counts as not reached, however short the deadline.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(250);
+/// Time for the whole answer to a request to cancel an attempt.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Size of the read buffer in bytes.
 const READ_BYTES: usize = 16 * 1024;
 /// Maximum size in bytes of a response that is not a stream.
@@ -307,7 +309,9 @@
 pub(super) fn cancel(agent: &Agent, address: SocketAddr, attempt: AttemptId) {
     let uri = format!("http://{address}/v1/attempts/{attempt}");
     // An unreachable engine no longer runs the attempt.
-    let _response = agent.delete(uri).call();
+    let request = agent.delete(uri).config();
+    let request = request.timeout_global(Some(CANCEL_TIMEOUT)).build();
+    let _response = request.call();
 }
 
 /// How long the upstream wants no requests, if it refuses this one for that reason. `Retry-After` is given
--- a/src/coltsfootnotch/daemon/sidecar/upstream_call_tests.rs
+++ b/src/coltsfootnotch/daemon/sidecar/upstream_call_tests.rs
@@ -13,7 +13,7 @@
 use googletest::prelude::*;
 use tokio::sync::mpsc;
 
-use super::{Clients, ResponsePart, UpstreamCall};
+use super::{Clients, ResponsePart, UpstreamCall, cancel};
 
 /// Deadline of the attempts that end by it.
 const DEADLINE: Duration = Duration::from_secs(1);
@@ -298,3 +298,24 @@
         expect_true!(timed_out, "{}: {outcome:?}", form.name);
     }
 }
+
+/// Guards against threads that wait without end for the answer to a request to cancel an attempt.
+#[googletest::test]
+fn a_request_to_cancel_ends_whatever_the_upstream_sends() {
+    let forms = forms();
+    thread::scope(|scope| {
+        for form in &forms {
+            scope.spawn(move || {
+                let upstream = Upstream::start(form, false);
+                let address = upstream.address;
+                let (tx, ended) = std_mpsc::channel();
+                thread::spawn(move || {
+                    cancel(&Clients::new().for_call(true), address, attempt());
+                    tx.send(())
+                });
+                let ended = ended.recv_timeout(super::CANCEL_TIMEOUT + SLACK);
+                assert!(ended.is_ok(), "{}", form.name);
+            });
+        }
+    });
+}
