End a cancelled call while it waits for its upstream

Cause: a call looked at its cancellation between two reads of the body only. The HTTP library reads a head, trailers and a chunk's size without a return, and nothing looked at it there.

What callers saw: nothing at first; each cancelled attempt at an upstream that sends no complete head kept a thread and a connection of the sidecar until its deadline, and before the deadline held for bodies, without end.

Evidence: `a_cancelled_call_ends_soon_whatever_the_upstream_sends` cancels calls with a deadline of 60 s after 0.3 s.

--- a/src/coltsfootnotch/daemon/sidecar/upstream_call.rs
+++ b/src/coltsfootnotch/daemon/sidecar/upstream_call.rs
@@ -14,6 +14,7 @@
 use ureq::http::{Request, Response, StatusCode};
 
 use crate::util::body_framing::BodyFraming;
+use crate::util::call_cancellation::with_cancellation;
 use crate::util::cut_body::is_cut;
 use crate::util::http_client::agent;
 
@@ -129,12 +130,11 @@
 impl UpstreamCall {
     /// Makes the call and sends the parts of the response; returns once it has finished.
     pub(super) fn run(self) {
-        let result = self.send_request();
-        let last = match result {
+        let last = with_cancellation(&self.cancelled, || match self.send_request() {
             Ok(response) if is_event_stream(&response) => self.forward_stream(response),
             Ok(response) => self.forward_body(response),
             Err(e) => self.classify(&e),
-        };
+        });
         // The receiver is dropped if the attempt was abandoned.
         let _sent = self.parts.blocking_send(last);
     }
--- a/src/coltsfootnotch/daemon/sidecar/upstream_call_tests.rs
+++ b/src/coltsfootnotch/daemon/sidecar/upstream_call_tests.rs
@@ -299,6 +299,17 @@
     }
 }
 
+/// Guards against a cancelled call whose thread and connection last on.
+#[googletest::test]
+fn a_cancelled_call_ends_soon_whatever_the_upstream_sends() {
+    for is_fast in [false, true] {
+        for (name, outcome) in call_all(is_fast, true) {
+            println!("cancelled, fast {is_fast}, {name}: {outcome:?}");
+            expect_true!(outcome.is_in_time(), "fast {is_fast}, {name}: {outcome:?}");
+        }
+    }
+}
+
 /// Guards against threads that wait without end for the answer to a request to cancel an attempt.
 #[googletest::test]
 fn a_request_to_cancel_ends_whatever_the_upstream_sends() {
--- a/src/coltsfootnotch/util/http_client.rs
+++ b/src/coltsfootnotch/util/http_client.rs
@@ -1,4 +1,4 @@
-//! HTTP clients that tell a reset connection from the end of a response.
+//! HTTP clients that tell a reset connection from the end of a response, and whose calls can be cancelled.
 //!
 //! The library takes a reset for the end of a response with neither a length nor chunks, as it does an
 //! orderly close.
@@ -13,7 +13,10 @@
     Buffers, ConnectionDetails, Connector, DefaultConnector, NextTimeout, Transport,
 };
 
-/// Creates a client whose responses that end with their connection fail if it is reset.
+use super::call_cancellation;
+
+/// Creates a client whose responses that end with their connection fail if it is reset, and whose calls end soon
+/// once they are cancelled.
 ///
 /// ```
 /// use coltsfootnotch::util::http_client::agent;
@@ -57,7 +60,7 @@
     }
 
     fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
-        self.0.await_input(timeout).map_err(|e| match e {
+        call_cancellation::await_input(&mut self.0, timeout).map_err(|e| match e {
             Error::Io(e) if is_taken_for_end(e.kind()) => Error::Io(io::Error::other(e)),
             e => e,
         })
--- a/src/coltsfootnotch/util/mod.rs
+++ b/src/coltsfootnotch/util/mod.rs
@@ -3,6 +3,7 @@
 mod abort_after_flush;
 pub mod body_framing;
 pub mod boot_clock;
+pub mod call_cancellation;
 mod closing_responses;
 mod connection;
 pub mod connection_io;
