End the call of an attempt that has ended at once

Cause: the task of an attempt kept the channel from its call, unread, while it waited for the entry to acknowledge the response. A call that had a part to pass on waited there, where it doesn't look at its cancellation.

What callers saw: nothing; the thread of a cancelled attempt at a fast upstream, its connection and up to 32 parts of the response stayed for up to 5 s after the attempt.

Evidence: `an_attempt_that_has_ended_takes_no_more_parts` failed: the channel hadn't closed 1.5 s after the cancellation.

Change: the task closes and empties the channel once the attempt has ended.

Result: the test passes.

--- a/src/coltsfootnotch/daemon/sidecar/runner.rs
+++ b/src/coltsfootnotch/daemon/sidecar/runner.rs
@@ -108,6 +108,7 @@
                 () = tokio::time::sleep_until(abandon_at) => self.cancel().await,
             }
         }
+        self.discard_parts();
         let finished = SidecarMsg::AttemptFinished {
             attempt: self.attempt,
             usage: self.state.usage,
@@ -124,6 +125,12 @@
         });
     }
 
+    /// Discards what the call still has of the response, so that it doesn't wait to pass it on.
+    fn discard_parts(&mut self) {
+        self.parts.close();
+        while self.parts.try_recv().is_ok() {}
+    }
+
     /// Time at which the attempt is abandoned: [`RESUME_WINDOW`] after the entry disconnected, and
     /// never while it is connected.
     fn abandon_at(&self) -> Instant {
