Test orders and other calls beside answers without end

An order to an engine has a limit of its whole time and doesn't read a body, and calls share no more than a pool of connections. Neither had a test with engines that send bytes without end.

`an_order_ends_by_its_timeout_whatever_the_engine_sends` sends orders to engines that answer with the 25 forms, slow and fast; `calls_beside_answers_without_end_are_answered` makes calls to a sound upstream beside 25 others of the same sidecar.

The upstream of these tests moves to a file that both use.

--- a/src/coltsfootnotch/daemon/sidecar/mod.rs
+++ b/src/coltsfootnotch/daemon/sidecar/mod.rs
@@ -9,6 +9,9 @@
 mod announcement_handlers;
 mod attempts;
 mod config;
+#[cfg(test)]
+#[path = "endless_upstream_tests.rs"]
+mod endless_upstream;
 mod handle;
 pub mod orders;
 mod runner;
--- a/src/coltsfootnotch/daemon/sidecar/orders/call.rs
+++ b/src/coltsfootnotch/daemon/sidecar/orders/call.rs
@@ -67,3 +67,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "call_tests.rs"]
+mod tests;
--- a/src/coltsfootnotch/daemon/sidecar/upstream_call_tests.rs
+++ b/src/coltsfootnotch/daemon/sidecar/upstream_call_tests.rs
@@ -1,7 +1,7 @@
 //! Calls to upstreams that send bytes without end.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc as std_mpsc;
@@ -14,6 +14,7 @@
 use tokio::sync::mpsc;
 
 use super::{Clients, ResponsePart, UpstreamCall, cancel};
+use crate::daemon::sidecar::endless_upstream::{Form, Upstream, forms};
 
 /// Deadline of the attempts that end by it.
 const DEADLINE: Duration = Duration::from_secs(1);
@@ -23,150 +24,10 @@
 const CANCEL_AFTER: Duration = Duration::from_millis(300);
 /// Time in which the thread and the connection of an attempt end after it, on a busy machine.
 const SLACK: Duration = Duration::from_millis(1500);
-/// Size in bytes and interval of what a slow upstream sends.
-const SLOW_BYTES: usize = 4;
-const SLOW_INTERVAL: Duration = Duration::from_millis(20);
-/// Size in bytes of what a fast upstream sends in one write.
-const FAST_BYTES: usize = 64 * 1024;
 /// Calls of fast upstreams that run at once.
 const FAST_AT_ONCE: usize = 4;
-
-const STREAM: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n";
-const BODY: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n";
-
-/// What an upstream sends: a beginning, and what follows it without end.
-struct Form {
-    name: &'static str,
-    start: String,
-    repeated: &'static str,
-}
-
-/// Every form of an answer without end.
-fn forms() -> Vec<Form> {
-    let form = |name, start: &[&str], repeated| Form {
-        name,
-        start: start.concat(),
-        repeated,
-    };
-    let chunked = "transfer-encoding: chunked\r\n\r\n";
-    vec![
-        form("nothing", &[], ""),
-        form("no HTTP", &[], "x"),
-        form("blank lines", &[], "\r\n"),
-        form("a status line", &["HTTP/1.1 200 "], "O"),
-        form("header lines", &["HTTP/1.1 200 OK\r\n"], "x-a: b\r\n"),
-        form("a header value", &["HTTP/1.1 200 OK\r\nx-a: "], "b"),
-        form("interim heads", &[], "HTTP/1.1 103 Early Hints\r\n\r\n"),
-        form("100 heads", &[], "HTTP/1.1 100 Continue\r\n\r\n"),
-        form(
-            "a longer body than stated",
-            &[BODY, "content-length: 5\r\n\r\n"],
-            "x",
-        ),
-        form(
-            "a long body",
-            &[BODY, "content-length: 99999999999\r\n\r\n"],
-            "x",
-        ),
-        form("a body without length", &[BODY, "\r\n"], "x"),
-        form("chunks", &[BODY, chunked], "1\r\nx\r\n"),
-        form("a chunk", &[BODY, chunked, "fffffffff\r\n"], "x"),
-        form("zeros of a chunk size", &[BODY, chunked], "0"),
-        form("a chunk extension", &[BODY, chunked, "1;"], "a"),
-        form("trailers", &[BODY, chunked, "0\r\n"], "x-a: b\r\n"),
-        form("a trailer", &[BODY, chunked, "0\r\nx-a: "], "b"),
-        form("events", &[STREAM, "\r\n"], "data: {\"choices\":[{}]}\n\n"),
-        form("comments", &[STREAM, "\r\n"], ":\n\n"),
-        form("comment lines", &[STREAM, "\r\n"], ":\n"),
-        form("empty events", &[STREAM, "\r\n"], "\n"),
-        form("an event", &[STREAM, "\r\ndata: "], "x"),
-        form(
-            "events after the last",
-            &[STREAM, "\r\ndata: [DONE]\n\n"],
-            "data: x\n\n",
-        ),
-        form("chunked events", &[STREAM, chunked], "3\r\n:\n\n\r\n"),
-        form(
-            "trailers of a stream",
-            &[STREAM, chunked, "0\r\n"],
-            "x-a: b\r\n",
-        ),
-    ]
-}
-
-/// An upstream that answers each connection with one form, until it is dropped.
-struct Upstream {
-    address: SocketAddr,
-    /// Gets the time at which the caller has closed a connection.
-    closed: std_mpsc::Receiver<Instant>,
-    stops: Arc<AtomicBool>,
-}
-
-impl Upstream {
-    fn start(form: &Form, is_fast: bool) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        let stops = Arc::new(AtomicBool::new(false));
-        let (tx, closed) = std_mpsc::channel();
-        let (start, repeated) = (form.start.clone(), form.repeated);
-        let serving_stops = Arc::clone(&stops);
-        thread::spawn(move || {
-            let (mut connection, _) = listener.accept().unwrap();
-            let len = connection.read(&mut [0; 4096]).unwrap_or_default();
-            if len > 0 && send_endlessly(&mut connection, &start, repeated, is_fast, &serving_stops)
-            {
-                // Nobody waits for it any more after the end of the test.
-                let _received = tx.send(Instant::now());
-            }
-        });
-        Self {
-            address,
-            closed,
-            stops,
-        }
-    }
-}
-
-impl Drop for Upstream {
-    fn drop(&mut self) {
-        self.stops.store(true, Ordering::Relaxed);
-    }
-}
-
-/// Sends until the caller closes the connection, and returns whether it did before `stops` was set.
-fn send_endlessly(
-    connection: &mut TcpStream,
-    start: &str,
-    repeated: &str,
-    is_fast: bool,
-    stops: &AtomicBool,
-) -> bool {
-    connection.set_write_timeout(Some(SLOW_INTERVAL)).unwrap();
-    connection.set_read_timeout(Some(SLOW_INTERVAL)).unwrap();
-    let mut is_sent = connection.write_all(start.as_bytes()).is_ok();
-    let block = repeated.repeat(FAST_BYTES / repeated.len().max(1));
-    let mut rest = block.as_bytes();
-    while is_sent && !stops.load(Ordering::Relaxed) {
-        if rest.is_empty() {
-            rest = block.as_bytes();
-        }
-        let len = if is_fast {
-            rest.len()
-        } else {
-            rest.len().min(SLOW_BYTES)
-        };
-        match connection.write(&rest[..len]) {
-            Ok(len) => rest = &rest[len..],
-            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
-            Err(_) => is_sent = false,
-        }
-        if !is_fast || block.is_empty() {
-            // The end of the caller's bytes tells of an end that no write shows yet.
-            is_sent = is_sent && !matches!(connection.read(&mut [0; 64]), Ok(0));
-        }
-    }
-    !stops.load(Ordering::Relaxed)
-}
+/// Calls to a sound upstream beside others.
+const SOUND_CALLS: usize = 16;
 
 /// How a call ended.
 #[derive(Debug)]
@@ -184,14 +45,15 @@
     }
 }
 
-/// Makes a call to an upstream that answers with the form, and cancels it if `is_cancelled`.
-fn call(form: &Form, is_fast: bool, is_cancelled: bool) -> Outcome {
-    let upstream = Upstream::start(form, is_fast);
-    let (tx, mut parts) = mpsc::channel(32);
-    let cancelled = Arc::new(AtomicBool::new(false));
-    let call = UpstreamCall {
-        agent: Clients::new().for_call(true),
-        address: upstream.address,
+fn call_to(
+    address: SocketAddr,
+    clients: &Clients,
+    deadline: Duration,
+    parts: mpsc::Sender<ResponsePart>,
+) -> UpstreamCall {
+    UpstreamCall {
+        agent: clients.for_call(true),
+        address,
         attempt: attempt(),
         call: Call {
             method: "POST".into(),
@@ -201,15 +63,24 @@
             body: b"{}".to_vec(),
             stream: true,
         },
-        deadline: if is_cancelled {
-            LONG_DEADLINE
-        } else {
-            DEADLINE
-        },
-        cancelled: Arc::clone(&cancelled),
-        parts: tx,
+        deadline,
+        cancelled: Arc::new(AtomicBool::new(false)),
+        parts,
         resume_from: 0,
+    }
+}
+
+/// Makes a call to an upstream that answers with the form, and cancels it if `is_cancelled`.
+fn call(form: &Form, is_fast: bool, is_cancelled: bool) -> Outcome {
+    let upstream = Upstream::start(form, is_fast);
+    let (tx, mut parts) = mpsc::channel(32);
+    let deadline = if is_cancelled {
+        LONG_DEADLINE
+    } else {
+        DEADLINE
     };
+    let call = call_to(upstream.address, &Clients::new(), deadline, tx);
+    let cancelled = Arc::clone(&call.cancelled);
     let started = Instant::now();
     let (ended_tx, ended) = std_mpsc::channel();
     thread::spawn(move || {
@@ -330,3 +201,51 @@
         }
     });
 }
+
+/// Sends a complete answer to each of `count` connections.
+fn serve_soundly(count: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for connection in listener.incoming().take(count) {
+            let mut connection = connection.unwrap();
+            let len = connection.read(&mut [0; 4096]).unwrap();
+            assert_that!(len, gt(0));
+            let answer = b"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 2\r\n\r\nok";
+            connection.write_all(answer).unwrap();
+        }
+    });
+    address
+}
+
+/// Guards against calls that wait for, or fail with, those to upstreams that send bytes without end.
+#[googletest::test]
+fn calls_beside_answers_without_end_are_answered() {
+    let clients = Clients::new();
+    let sound = serve_soundly(SOUND_CALLS);
+    for is_fast in [false, true] {
+        let upstreams: Vec<_> = forms()
+            .iter()
+            .map(|form| Upstream::start(form, is_fast))
+            .collect();
+        for upstream in &upstreams {
+            let (tx, mut parts) = mpsc::channel(32);
+            let call = call_to(upstream.address, &clients, DEADLINE, tx);
+            thread::spawn(move || call.run());
+            thread::spawn(move || while parts.blocking_recv().is_some() {});
+        }
+        for _ in 0..SOUND_CALLS / 2 {
+            let started = Instant::now();
+            let (tx, mut parts) = mpsc::channel(32);
+            call_to(sound, &clients, LONG_DEADLINE, tx).run();
+            let mut last = None;
+            while let Some(part) = parts.blocking_recv() {
+                last = Some(part);
+            }
+            let elapsed = started.elapsed();
+            println!("beside, fast {is_fast}: {elapsed:?}");
+            expect_true!(matches!(last, Some(ResponsePart::Done)), "{last:?}");
+            expect_that!(elapsed, le(SLACK), "fast {is_fast}");
+        }
+    }
+}
