--- a/src/coltsfootnotch/daemon/sidecar/upstream_call.rs
+++ b/src/coltsfootnotch/daemon/sidecar/upstream_call.rs
@@ -14,6 +14,7 @@
 use ureq::http::{Request, Response, StatusCode};
 
 use crate::util::body_framing::BodyFraming;
+use crate::util::call_cancellation::with_cancellation;
 use crate::util::cut_body::is_cut;
 use crate::util::http_client::agent;
 
@@ -23,6 +24,11 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum time between two reads of a response before the upstream counts as hung.
 const READ_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time after its deadline at which a call ends whatever comes. Longer than zero, so that a connection that
+/// can't be made within [`CONNECT_TIMEOUT`] counts as not reached, however short the deadline.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(250);
+/// Time for the whole answer to a request to cancel an attempt.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Size of the read buffer in bytes.
 const READ_BYTES: usize = 16 * 1024;
 /// Maximum size in bytes of a response that is not a stream.
@@ -124,12 +130,11 @@
 impl UpstreamCall {
     /// Makes the call and sends the parts of the response; returns once it has finished.
     pub(super) fn run(self) {
-        let result = self.send_request();
-        let last = match result {
+        let last = with_cancellation(&self.cancelled, || match self.send_request() {
             Ok(response) if is_event_stream(&response) => self.forward_stream(response),
             Ok(response) => self.forward_body(response),
             Err(e) => self.classify(&e),
-        };
+        });
         // The receiver is dropped if the attempt was abandoned.
         let _sent = self.parts.blocking_send(last);
     }
@@ -155,6 +160,7 @@
             .agent
             .configure_request(req)
             .timeout_recv_response(Some(timeout))
+            .timeout_global(Some(timeout + DEADLINE_MARGIN))
             .build();
         self.agent.run(req)
     }
@@ -290,11 +296,10 @@
         if self.is_cancelled() {
             return Err(ResponsePart::Failed(FailReason::Cancelled));
         }
-        reader.read(buf).map_err(|e| match e.kind() {
+        // The library wraps its errors in those of a reader.
+        reader.read(buf).map_err(|e| match ureq::Error::from(e) {
             _ if self.is_cancelled() => ResponsePart::Failed(FailReason::Cancelled),
-            std::io::ErrorKind::TimedOut | std::io::ErrorKind::WouldBlock => {
-                ResponsePart::Failed(FailReason::UpstreamTimeout)
-            }
+            ureq::Error::Timeout(_) => ResponsePart::Failed(FailReason::UpstreamTimeout),
             _ => ResponsePart::Failed(FailReason::UpstreamAborted),
         })
     }
@@ -304,7 +309,9 @@
 pub(super) fn cancel(agent: &Agent, address: SocketAddr, attempt: AttemptId) {
     let uri = format!("http://{address}/v1/attempts/{attempt}");
     // An unreachable engine no longer runs the attempt.
-    let _response = agent.delete(uri).call();
+    let request = agent.delete(uri).config();
+    let request = request.timeout_global(Some(CANCEL_TIMEOUT)).build();
+    let _response = request.call();
 }
 
 /// How long the upstream wants no requests, if it refuses this one for that reason. `Retry-After` is given
@@ -327,3 +334,7 @@
         .and_then(|value| value.to_str().ok())
         .unwrap_or_default()
 }
+
+#[cfg(test)]
+#[path = "upstream_call_tests.rs"]
+mod tests;
