Name the end of what is in progress an abort, and say what an account's requests are left

The same module called three things a cut: a body that is short, the end of a process, and a response that is broken off. The second is an abort now. The share of memory for an account's long responses follows from what its requests are left; the figure is the same. No behaviour changes.

--- a/crates/forward/src/held/limits.rs
+++ b/crates/forward/src/held/limits.rs
@@ -14,10 +14,16 @@
 /// Share of a limit from which new requests are refused. The rest is for the answers of those accepted.
 const REFUSED_SHARE: f64 = 0.8;
 
-/// Share of the memory to which long responses may grow in all, and those of one account. What is left when both
-/// are reached has room for new requests, also of that account, which may hold as much as is free.
+/// Share of the memory to which long responses may grow in all.
 const RESPONSES_SHARE: f64 = 0.55;
-const ACCOUNT_RESPONSES_SHARE: f64 = 0.28;
+
+/// Share of the memory that is left to new requests of an account when long responses, its own as well, have
+/// grown as far as they may: a body of 4 MiB on a host with 50 MB for its callers.
+const ACCOUNT_REQUESTS_SHARE: f64 = 0.085;
+
+/// Share of the memory to which the long responses of one account may grow. An account may hold as much as is free,
+/// so what its requests take counts twice.
+const ACCOUNT_RESPONSES_SHARE: f64 = 1.0 - RESPONSES_SHARE - 2.0 * ACCOUNT_REQUESTS_SHARE;
 
 /// Share of the memory that long responses leave to new requests, also to those of their own account.
 const RESERVED_SHARE: f64 = 0.05;
--- a/src/coltsfootnotch/daemon/entry/actor.rs
+++ b/src/coltsfootnotch/daemon/entry/actor.rs
@@ -358,8 +358,8 @@
         if self.lifecycle.is_stopping() && self.requests.len() == 0 {
             self.client_connections.close();
         }
-        if self.lifecycle.should_cut() {
-            self.client_connections.cut();
+        if self.lifecycle.should_abort() {
+            self.client_connections.abort();
         }
         // A connection counts until its caller has received the whole response, and the listener until its
         // queue is accepted.
--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -68,9 +68,9 @@
 /// Part of the shutdown time that is reserved for the process to exit.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 
-/// Part of the shutdown time before [`STOP_MARGIN`] in which requests that are still in progress are cut off:
+/// Part of the shutdown time before [`STOP_MARGIN`] in which requests that are still in progress are aborted:
 /// their callers read a response of some hundred bytes, also beside as many others as a host holds.
-const CUT_TIME: Duration = Duration::from_millis(300);
+const ABORT_TIME: Duration = Duration::from_millis(300);
 
 /// Timeout for reading a caller's headers until a configuration is in force.
 const READ_TIMEOUT: Duration = Duration::from_secs(15);
@@ -138,7 +138,7 @@
     since: Duration,
     listening: bool,
     /// Whether the requests in progress are told to end.
-    is_cutting: bool,
+    is_aborting: bool,
     /// Whether the last report was sent.
     has_reported: bool,
 }
@@ -400,7 +400,7 @@
 
     fn place(&mut self, now: Duration, req: &PlaceRequest) -> Result<Ticket, PlacementError> {
         if let Some(stopping) = self.stopping {
-            let time = self.times.shutdown.saturating_sub(STOP_MARGIN + CUT_TIME);
+            let time = self.times.shutdown.saturating_sub(STOP_MARGIN + ABORT_TIME);
             let end = stopping.since + time;
             if now + req.prompt.max_answer_time() > end {
                 return Err(PlacementError::Stopping);
--- a/src/coltsfootnotch/daemon/forward/actor/shutdown.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/shutdown.rs
@@ -5,7 +5,7 @@
 
 use stakker::CX;
 
-use super::{CUT_TIME, ForwardActor, STOP_MARGIN, Stopping};
+use super::{ABORT_TIME, ForwardActor, STOP_MARGIN, Stopping};
 use crate::util::events;
 
 /// Time after the stop signal for which new connections are accepted. Load balancers probe each
@@ -25,7 +25,7 @@
         self.stopping = Some(Stopping {
             since: now,
             listening: true,
-            is_cutting: false,
+            is_aborting: false,
             has_reported: false,
         });
         self.ready.store(false, Ordering::Relaxed);
@@ -47,9 +47,9 @@
             );
             self.connections.close();
         }
-        if !stopping.is_cutting && elapsed + STOP_MARGIN + CUT_TIME >= self.times.shutdown {
-            stopping.is_cutting = true;
-            self.connections.cut();
+        if !stopping.is_aborting && elapsed + STOP_MARGIN + ABORT_TIME >= self.times.shutdown {
+            stopping.is_aborting = true;
+            self.connections.abort();
         }
         let is_idle = !stopping.listening && self.connections.pending() == 0;
         let is_forced = elapsed + STOP_MARGIN >= self.times.shutdown;
--- a/src/coltsfootnotch/daemon/forward/handover/relay.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay.rs
@@ -55,7 +55,7 @@
     NeighbourClosed,
     NeighbourBroken,
     /// The process ends.
-    Cut,
+    Aborted,
 }
 
 /// How a relayed connection ended.
@@ -76,7 +76,7 @@
 /// both are closed then. Once `closing` completes, or the first bytes of the caller have passed if
 /// `is_single`, asks the neighbour to close the connection after the response in progress. A caller whose
 /// neighbour is gone before it has begun to respond gets a failure, or a refusal if the request was not
-/// passed on. Once `cutting` completes, as shortly before the end of the process, the caller of a request gets the
+/// passed on. Once `aborting` completes, as shortly before the end of the process, the caller of a request gets the
 /// same failure, and a response that has begun is broken off.
 ///
 /// # Errors
@@ -85,7 +85,7 @@
     mut caller: TcpStream,
     mut neighbour: TcpStream,
     closing: impl Future<Output = ()>,
-    cutting: impl Future<Output = ()>,
+    aborting: impl Future<Output = ()>,
     is_single: bool,
 ) -> io::Result<RelayEnd> {
     let mut exchanges = Exchanges::default();
@@ -93,25 +93,25 @@
     let relaying = relay_until_closed(ends, closing, is_single, &mut exchanges);
     let end = tokio::select! {
         end = relaying => end,
-        () = cutting => End::Cut,
+        () = aborting => End::Aborted,
     };
     if end == End::Caller {
         return Ok(RelayEnd::Closed);
     }
-    if end == End::Cut && exchanges.is_writing {
+    if end == End::Aborted && exchanges.is_writing {
         // A part of the response has been written, so nothing else may follow it.
         caller.set_reset_on_close(true)?;
         return Ok(RelayEnd::Closed);
     }
     if exchanges.awaits_response() {
         caller.write_all(LOST_RESPONSE).await?;
-        if end == End::Cut {
+        if end == End::Aborted {
             return Ok(RelayEnd::Closed);
         }
         let is_broken = end == End::NeighbourBroken;
         return Ok(RelayEnd::NeighbourLost { is_broken });
     }
-    if end == End::Cut && exchanges.is_response_in_progress() {
+    if end == End::Aborted && exchanges.is_response_in_progress() {
         caller.set_reset_on_close(true)?;
     }
     if exchanges.expects_request() && refuse_next_request(&mut caller, &mut exchanges).await? {
--- a/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
@@ -78,12 +78,12 @@
     neighbour: &Arc<Neighbour>,
     is_single: bool,
 ) -> (TcpStream, oneshot::Sender<()>) {
-    let (caller, stop, _cut) = start_relay_to_cut(neighbour, is_single).await;
+    let (caller, stop, _abort) = start_relay_to_abort(neighbour, is_single).await;
     (caller, stop)
 }
 
 /// The same, with a sender that ends the relay since the entry's process does.
-async fn start_relay_to_cut(
+async fn start_relay_to_abort(
     neighbour: &Arc<Neighbour>,
     is_single: bool,
 ) -> (TcpStream, oneshot::Sender<()>, oneshot::Sender<()>) {
@@ -102,15 +102,15 @@
     let entry = TcpListener::bind(any).await.unwrap();
     let entry_address = entry.local_addr().unwrap();
     let (stop, stopped) = oneshot::channel();
-    let (cut_sender, cut) = oneshot::channel();
+    let (abort_sender, abort) = oneshot::channel();
     tokio::spawn(async move {
         let (caller, _) = entry.accept().await.unwrap();
         let neighbour = connect(address).await.unwrap();
         let closing = wait_for(stopped);
-        relay(caller, neighbour, closing, wait_for(cut), is_single).await
+        relay(caller, neighbour, closing, wait_for(abort), is_single).await
     });
     let caller = TcpStream::connect(entry_address).await.unwrap();
-    (caller, stop, cut_sender)
+    (caller, stop, abort_sender)
 }
 
 /// Completes with the signal, and never if its sender is dropped.
@@ -556,10 +556,10 @@
 #[tokio::test]
 async fn a_relayed_request_that_is_cut_off_may_have_run() {
     let neighbour = Arc::<Neighbour>::default();
-    let (mut caller, _stop, cut) = start_relay_to_cut(&neighbour, false).await;
+    let (mut caller, _stop, abort) = start_relay_to_abort(&neighbour, false).await;
     send(&mut caller, "/wait", 6).await;
     neighbour.started.notified().await;
-    cut.send(()).unwrap();
+    abort.send(()).unwrap();
     let text = read_until(&mut caller, "the request may have run").await;
     expect_that!(text, starts_with("HTTP/1.1 502 Bad Gateway"));
     expect_that!(text, ends_with("the request may have run"));
--- a/src/coltsfootnotch/daemon/forward/listener.rs
+++ b/src/coltsfootnotch/daemon/forward/listener.rs
@@ -118,10 +118,10 @@
         let is_single = gw.held.load() >= Load::Crowded;
         let started = Instant::now();
         let address = neighbour.peer_addr().ok();
-        let (closing, cutting) = (gw.handover.ended(), open.cutting());
+        let (closing, aborting) = (gw.handover.ended(), open.aborting());
         // Boxed, since its buffers would otherwise be part of the task of each connection that is served
         // here. A broken connection to the caller is its own.
-        let relayed = Box::pin(relay(stream, neighbour, closing, cutting, is_single)).await;
+        let relayed = Box::pin(relay(stream, neighbour, closing, aborting, is_single)).await;
         match relayed {
             Ok(RelayEnd::NeighbourLost { is_broken }) => {
                 log_lost_neighbour(&gw, address, is_broken, started.elapsed());
@@ -137,9 +137,9 @@
         return;
     }
     let handler = move |req, peer| Arc::clone(&gw).handle(req, peer);
-    let (closing, cutting) = (open.closing(), || open.cutting());
+    let (closing, aborting) = (open.closing(), || open.aborting());
     let limits = || limits();
-    let is_unread = serve_connection(stream, peer, limits, closing, cutting, &handler).await;
+    let is_unread = serve_connection(stream, peer, limits, closing, aborting, &handler).await;
     open.count_if_unread(is_unread);
 }
 
@@ -205,8 +205,8 @@
         }
     };
     let handler = move |req, peer| Arc::clone(&gw).handle(req, peer);
-    let cutting = || open.cutting();
+    let aborting = || open.aborting();
     let limits = || limits();
-    let is_unread = serve_connection(stream, peer, limits, closing, cutting, &handler).await;
+    let is_unread = serve_connection(stream, peer, limits, closing, aborting, &handler).await;
     open.count_if_unread(is_unread);
 }
--- a/src/coltsfootnotch/daemon/lifecycle.rs
+++ b/src/coltsfootnotch/daemon/lifecycle.rs
@@ -12,9 +12,9 @@
 use crate::core::HostCx;
 use crate::util::events;
 
-/// Part of the shutdown time in which the requests that are still in progress are cut off: their callers read a
+/// Part of the shutdown time in which the requests that are still in progress are aborted: their callers read a
 /// response of some hundred bytes, also beside as many others as a host holds.
-const CUT_TIME: Duration = Duration::from_millis(300);
+const ABORT_TIME: Duration = Duration::from_millis(300);
 
 /// State of a daemon's life cycle; owned by its actor.
 #[derive(Debug)]
@@ -73,10 +73,10 @@
     /// Whether the requests that are still in progress have to be cut off, so that their callers learn of it before
     /// the daemon stops.
     #[must_use]
-    pub fn should_cut(&self) -> bool {
+    pub fn should_abort(&self) -> bool {
         let now = self.cx.now();
         self.stop_at
-            .is_some_and(|stop_at| now + CUT_TIME >= stop_at)
+            .is_some_and(|stop_at| now + ABORT_TIME >= stop_at)
     }
 
     /// Finishes a graceful shutdown if no request is in progress or its timeout has passed; returns
--- a/src/coltsfootnotch/util/abort_after_flush.rs
+++ b/src/coltsfootnotch/util/abort_after_flush.rs
@@ -49,8 +49,9 @@
     }
 }
 
-/// A body that is aborted if it is not complete when its connection is cut, and whose abort waits until the data before it has been written: the HTTP library drops what it has
-/// buffered when a body is aborted, which may be the whole response so far.
+/// A body that is aborted if it is not complete when its connection is, and whose abort waits until the data before
+/// it has been written: the HTTP library drops what it has buffered when a body is aborted, which may be the whole
+/// response so far.
 pub(super) struct AbortAfterFlush {
     body: AnyBody,
     state: Arc<ConnectionState>,
@@ -83,7 +84,7 @@
         if self.aborted.is_none() {
             match Pin::new(&mut self.body).poll_frame(cx) {
                 Poll::Ready(Some(Err(e))) => self.aborted = Some(e),
-                Poll::Pending if self.state.is_cut.load(Ordering::Acquire) => {
+                Poll::Pending if self.state.is_aborting.load(Ordering::Acquire) => {
                     self.aborted = Some(BodyAborted);
                 }
                 Poll::Ready(None) => {
--- a/src/coltsfootnotch/util/closing_responses.rs
+++ b/src/coltsfootnotch/util/closing_responses.rs
@@ -22,21 +22,21 @@
 /// Time for the rest of the body of a request that is refused.
 const BODY_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Runs a handler; one that is not done when its connection is cut is dropped, and the response tells whether the
+/// Runs a handler; one that is not done when its connection is aborted is dropped, and the response tells whether the
 /// request may have run.
-pub(super) async fn until_cut(
+pub(super) async fn until_aborted(
     mut handled: Pin<&mut impl Future<Output = AnyResponse>>,
     state: &ConnectionState,
 ) -> AnyResponse {
     poll_fn(|cx| match handled.as_mut().poll(cx) {
-        Poll::Pending if state.is_cut.load(Ordering::Acquire) => Poll::Ready(cut_off(state)),
+        Poll::Pending if state.is_aborting.load(Ordering::Acquire) => Poll::Ready(aborted(state)),
         polled => polled,
     })
     .await
 }
 
 /// The response to a request that the end of the process cuts off.
-fn cut_off(state: &ConnectionState) -> AnyResponse {
+fn aborted(state: &ConnectionState) -> AnyResponse {
     if !state.may_have_run.load(Ordering::Acquire) {
         return not_run("this host has stopped; the request did not run\n");
     }
--- a/src/coltsfootnotch/util/connection.rs
+++ b/src/coltsfootnotch/util/connection.rs
@@ -22,7 +22,7 @@
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::time::timeout;
 
-use super::closing_responses::{refuse, until_cut};
+use super::closing_responses::{refuse, until_aborted};
 use super::connection_io::{ConnectionIo, ServerSocket};
 use super::connection_state::ConnectionState;
 use super::http_server::{AnyBody, AnyResponse, ConnectionLimits};
@@ -50,7 +50,7 @@
 
 /// Serves one connection until it is closed. Once `closing` completes, closes it after the current response,
 /// or the response to a request that has arrived. Requests behind a response that is the last one are refused
-/// as not run. Once what `cutting` returns completes as well, ends the request in progress: its caller is told
+/// as not run. Once what `aborting` returns completes as well, ends the request in progress: its caller is told
 /// whether it may have run, and a response that has begun is broken off. `limits` is evaluated as the connection
 /// begins, and again when it has been idle for as long as they allow. Returns whether the connection was told to
 /// close and was closed with bytes of its peer unread.
@@ -59,7 +59,7 @@
     peer: SocketAddr,
     limits: impl Fn() -> ConnectionLimits,
     closing: impl Future<Output = ()>,
-    cutting: impl Fn() -> C,
+    aborting: impl Fn() -> C,
     handler: &F,
 ) -> bool
 where
@@ -81,7 +81,7 @@
                 refuse(req).await
             } else {
                 let handled = pin!(handler(req, peer));
-                until_cut(handled, &state).await
+                until_aborted(handled, &state).await
             };
             Ok::<_, Infallible>(state.prepare(response, version))
         })
@@ -108,12 +108,12 @@
     let ended = match ended {
         Some(ended) => ended,
         // Boxed, as each open connection holds the space of its timers.
-        None => Box::pin(close_or_cut(&mut connection, &state, cutting())).await,
+        None => Box::pin(close_or_abort(&mut connection, &state, aborting())).await,
     };
     if ended.is_ok() {
         let ending = end(connection, in_force, &state, is_closing);
         // Boxed for the same reason.
-        Box::pin(end_or_cut(ending, &state, cutting())).await;
+        Box::pin(end_or_abort(ending, &state, aborting())).await;
     }
     state.is_closed_unread.load(Ordering::Acquire)
 }
@@ -135,15 +135,15 @@
     goes_on.then(|| start(io, parts.service, limits))
 }
 
-/// Ends a connection; once `cutting` completes, without waiting for the requests in progress.
-async fn end_or_cut(
+/// Ends a connection; once `aborting` completes, without waiting for the requests in progress.
+async fn end_or_abort(
     mut ending: Pin<Box<impl Future<Output = ()>>>,
     state: &ConnectionState,
-    cutting: impl Future<Output = ()>,
+    aborting: impl Future<Output = ()>,
 ) {
     tokio::select! {
         () = ending.as_mut() => return,
-        () = cutting => state.is_cut.store(true, Ordering::Release),
+        () = aborting => state.is_aborting.store(true, Ordering::Release),
     }
     ending.await;
 }
@@ -171,10 +171,10 @@
 }
 
 /// Ends a connection once no request is in progress or on its way, or ends what is in progress.
-async fn close_or_cut<S, H>(
+async fn close_or_abort<S, H>(
     connection: &mut Connection<S, H>,
     state: &ConnectionState,
-    cutting: impl Future<Output = ()>,
+    aborting: impl Future<Output = ()>,
 ) -> hyper::Result<()>
 where
     S: AsyncRead + AsyncWrite + ServerSocket + Unpin,
@@ -183,10 +183,10 @@
 {
     tokio::select! {
         ended = close(connection, state) => return ended,
-        () = cutting => {}
+        () = aborting => {}
     }
     state.is_closing.store(true, Ordering::Release);
-    state.is_cut.store(true, Ordering::Release);
+    state.is_aborting.store(true, Ordering::Release);
     // The request and the response body see the flag as they are polled.
     if let Some(ended) = serve_while_awaited(connection, state).await {
         return ended;
--- a/src/coltsfootnotch/util/connection_io.rs
+++ b/src/coltsfootnotch/util/connection_io.rs
@@ -100,12 +100,12 @@
         if self.state.ends_with_connection.load(Ordering::Acquire) && !self.resets_on_close {
             self.set_reset_on_close(true);
         }
-        self.reset_if_cut_off();
+        self.reset_if_aborted();
     }
 
     /// Has the connection reset if a response was cut off.
-    fn reset_if_cut_off(&mut self) {
-        if !self.resets_on_close && self.state.is_cut_off() {
+    fn reset_if_aborted(&mut self) {
+        if !self.resets_on_close && self.state.is_response_aborted() {
             self.set_reset_on_close(true);
         }
     }
@@ -183,7 +183,7 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.reset_if_cut_off();
+        self.reset_if_aborted();
         ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
         self.state.flush.on_flushed();
         Poll::Ready(Ok(()))
--- a/src/coltsfootnotch/util/connection_state.rs
+++ b/src/coltsfootnotch/util/connection_state.rs
@@ -36,7 +36,7 @@
     /// Whether requests are refused: they came behind the last response.
     pub(super) is_refusing: AtomicBool,
     /// Whether what is in progress ends now, since the process does.
-    pub(super) is_cut: AtomicBool,
+    pub(super) is_aborting: AtomicBool,
     /// Whether the request in progress may have run.
     pub(super) may_have_run: AtomicBool,
     /// Whether a response without a stated length is in progress.
@@ -57,13 +57,13 @@
 
     /// Whether a request that begins now is refused.
     pub(super) fn should_refuse(&self) -> bool {
-        self.is_refusing.load(Ordering::Acquire) || self.is_cut.load(Ordering::Acquire)
+        self.is_refusing.load(Ordering::Acquire) || self.is_aborting.load(Ordering::Acquire)
     }
 
-    /// Whether a response is cut off, so that the connection has to be reset: closed in order, it might be taken
+    /// Whether a response is aborted, so that the connection has to be reset: closed in order, it might be taken
     /// for a complete one.
-    pub(super) fn is_cut_off(&self) -> bool {
-        self.is_cut.load(Ordering::Acquire) && self.is_body_unfinished.load(Ordering::Acquire)
+    pub(super) fn is_response_aborted(&self) -> bool {
+        self.is_aborting.load(Ordering::Acquire) && self.is_body_unfinished.load(Ordering::Acquire)
     }
 
     /// Whether the next request begins where the bytes end that were served, and can be responded to.
--- a/src/coltsfootnotch/util/connections.rs
+++ b/src/coltsfootnotch/util/connections.rs
@@ -15,7 +15,7 @@
     listening: Arc<AtomicUsize>,
     closed_unread: Arc<AtomicUsize>,
     closing: watch::Sender<bool>,
-    cutting: watch::Sender<bool>,
+    aborting: watch::Sender<bool>,
 }
 
 /// An open connection, counted until it is dropped.
@@ -24,7 +24,7 @@
     open: Arc<AtomicUsize>,
     closed_unread: Arc<AtomicUsize>,
     closing: watch::Receiver<bool>,
-    cutting: watch::Receiver<bool>,
+    aborting: watch::Receiver<bool>,
 }
 
 /// A listener that accepts connections, counted until it is dropped.
@@ -42,9 +42,9 @@
 
     /// Closes the connections and ends the requests on them, as shortly before the end of the process: their
     /// callers are told whether they may have run, and responses that have begun are broken off.
-    pub fn cut(&self) {
+    pub fn abort(&self) {
         self.close();
-        self.cutting.send_replace(true);
+        self.aborting.send_replace(true);
     }
 
     /// Completes when the connections start to close.
@@ -94,7 +94,7 @@
             open: Arc::clone(&self.open),
             closed_unread: Arc::clone(&self.closed_unread),
             closing: self.closing.subscribe(),
-            cutting: self.cutting.subscribe(),
+            aborting: self.aborting.subscribe(),
         }
     }
 }
@@ -112,8 +112,8 @@
     }
 
     /// Completes when the requests in progress end.
-    pub async fn cutting(&self) {
-        wait_for(self.cutting.clone()).await;
+    pub async fn aborting(&self) {
+        wait_for(self.aborting.clone()).await;
     }
 }
 
--- a/src/coltsfootnotch/util/http_server.rs
+++ b/src/coltsfootnotch/util/http_server.rs
@@ -91,8 +91,8 @@
                     header_bytes: limits.header_bytes,
                     read_timeout: read_timeout(),
                 };
-                let (closing, cutting) = (open.closing(), || open.cutting());
-                let served = serve_connection(stream, peer, limits, closing, cutting, &*handler);
+                let (closing, aborting) = (open.closing(), || open.aborting());
+                let served = serve_connection(stream, peer, limits, closing, aborting, &*handler);
                 let is_unread = served.await;
                 open.count_if_unread(is_unread);
             }
--- a/src/coltsfootnotch/util/http_server_tests.rs
+++ b/src/coltsfootnotch/util/http_server_tests.rs
@@ -55,9 +55,9 @@
     }
 }
 
-/// Responds to `/stream` with a body that is complete once it is released, to `/leave` with a response that
-/// says that it is the last one, never to `/wait`, nor to `/sent`, which may have run, and to `/read` once the body of the request is read. Other bodies are left
-/// unread.
+/// Responds to `/stream` with a body that is complete once it is released, to `/leave` with a response that says that
+/// it is the last one, to `/read` once the body of the request is read, and never to `/wait` nor to `/sent`, which may
+/// have run. Other bodies are left unread.
 async fn respond(req: Request<RequestBody>, release: Arc<Notify>) -> AnyResponse {
     let path = req.uri().path().to_owned();
     if path == "/read" {
@@ -395,7 +395,7 @@
     sleep(DELIVERY).await;
     server.connections.close();
     sleep(CLOSE_LINGER * 2).await;
-    server.connections.cut();
+    server.connections.abort();
     let received = caller.read_to_end().await;
     expect_that!(statuses(&received), elements_are![eq(&"503")]);
     expect_that!(received, contains_substring("retry-after: 0"));
@@ -411,7 +411,7 @@
     let mut caller = server.connect();
     caller.send(b"GET /sent HTTP/1.1\r\nhost: a\r\n\r\n");
     sleep(DELIVERY).await;
-    server.connections.cut();
+    server.connections.abort();
     let received = caller.read_to_end().await;
     expect_that!(statuses(&received), elements_are![eq(&"502")]);
     expect_that!(received, contains_substring("connection: close"));
@@ -428,7 +428,7 @@
     sleep(DELIVERY).await;
     server.connections.close();
     sleep(CLOSE_LINGER * 2).await;
-    server.connections.cut();
+    server.connections.abort();
     let received = caller.read_to_end().await;
     expect_that!(received, contains_substring("Connection reset by peer"));
     expect_that!(server.connections.pending(), eq(0));
@@ -449,7 +449,7 @@
     sleep(STREAM_TIME).await;
     server.release.notify_one();
     sleep(DELIVERY * 10).await;
-    server.connections.cut();
+    server.connections.abort();
     let received = caller.read_to_end().await;
     expect_that!(statuses(&received), elements_are![eq(&"200"), eq(&"502")]);
 }
