--- a/src/coltsfootnotch/daemon/lifecycle.rs
+++ b/src/coltsfootnotch/daemon/lifecycle.rs
@@ -70,7 +70,7 @@
         self.stop_at.is_some()
     }
 
-    /// Whether the requests that are still in progress have to be cut off, so that their callers learn of it before
+    /// Whether the requests that are still in progress have to be aborted, so that their callers learn of it before
     /// the daemon stops.
     #[must_use]
     pub fn should_abort(&self) -> bool {
--- a/src/coltsfootnotch/util/connection_io.rs
+++ b/src/coltsfootnotch/util/connection_io.rs
@@ -103,7 +103,7 @@
         self.reset_if_aborted();
     }
 
-    /// Has the connection reset if a response was cut off.
+    /// Has the connection reset if a response was aborted.
     fn reset_if_aborted(&mut self) {
         if !self.resets_on_close && self.state.is_response_aborted() {
             self.set_reset_on_close(true);
--- a/src/coltsfootnotch/util/request_body.rs
+++ b/src/coltsfootnotch/util/request_body.rs
@@ -23,6 +23,12 @@
         state.has_body_left.store(has_body_left, Ordering::Release);
         Self { body, state }
     }
+
+    /// Where to record how far the request has come.
+    #[must_use]
+    pub fn progress(&self) -> RequestProgress {
+        RequestProgress(Arc::clone(&self.state))
+    }
 }
 
 /// Where a handler records how far its request has come, in case the process ends first.
@@ -30,20 +36,12 @@
 pub struct RequestProgress(Arc<ConnectionState>);
 
 impl RequestProgress {
-    /// Sets whether the request may have run, which its caller is told if it is cut off.
+    /// Sets whether the request may have run, which its caller is told if it is aborted.
     pub fn set_may_have_run(&self, may_have_run: bool) {
         self.0.may_have_run.store(may_have_run, Ordering::Release);
     }
 }
 
-impl RequestBody {
-    /// Where to record how far the request has come.
-    #[must_use]
-    pub fn progress(&self) -> RequestProgress {
-        RequestProgress(Arc::clone(&self.state))
-    }
-}
-
 impl Body for RequestBody {
     type Data = Bytes;
     type Error = hyper::Error;
