Log panics as events

A process that panics in its actor ends with all connections, and a task that panics ends one connection. Callers see the same in both cases, a connection closed with no response, and neither left a numbered event: the standard hook prints a text to the error output, without host, role or time. So the logs could not tell a process that ended by itself from a connection that was closed.

The hook in place still prints.

--- a/src/coltsfootnotch/ops/serve.rs
+++ b/src/coltsfootnotch/ops/serve.rs
@@ -18,6 +18,7 @@
 use crate::daemon::entry::{self, EntryConfig, EntryHandle};
 use crate::daemon::sidecar::{self, SidecarConfig, SidecarHandle};
 use crate::daemon::{ControlAddress, StartError, admin};
+use crate::util::panic_log::log_panics;
 
 /// Why a daemon can't start or had to stop.
 #[derive(Debug, Display, Error, From)]
@@ -110,6 +111,7 @@
             incarnation: Incarnation(rng.random()),
         };
         let cx = HostCx::new(identity, runtime.clone());
+        log_panics(&cx);
         match settings.role {
             Role::Control => start_control(&cx, settings),
             Role::Entry => start_entry(&cx, settings),
--- a/src/coltsfootnotch/util/mod.rs
+++ b/src/coltsfootnotch/util/mod.rs
@@ -17,6 +17,7 @@
 pub mod json_log;
 pub mod line_budget;
 pub mod metrics;
+pub mod panic_log;
 mod print_causes;
 pub(crate) mod refused_connection;
 pub mod request_body;
