Sync each deletion of a log segment

With the power of all control hosts lost, too few of them may start to read what was acknowledged.

Segments were deleted from the oldest on, and the folder was synced once after all of them. Until then a power failure may undo the deletions in any combination, so that an earlier segment comes back without its successor. Each deletion is synced now, so at most the oldest can come back. It costs a sync of the folder for each segment beyond the first.

--- a/crates/consensus/src/storage/store.rs
+++ b/crates/consensus/src/storage/store.rs
@@ -265,12 +265,15 @@
         } else {
             self.rotate(DiskStart::after(self.log_end))?;
         }
-        // Deleted from the oldest on, since a later segment may truncate entries of an earlier one.
+        // Deleted from the oldest on, since a later segment may truncate entries of an earlier one. Each deletion is
+        // synced: after a power failure those that were not may be undone in any combination, and a segment that is
+        // kept without its successor looks like a log with a part missing.
         let is_covered = |closed: &mut ClosedSegment| reset || closed.max_index <= snapshot_end;
         while let Some(closed) = self.closed.pop_front_if(is_covered) {
             self.files.remove(&closed.name)?;
+            self.files.sync_folder()?;
         }
-        self.files.sync_folder()
+        Ok(())
     }
 
     fn rotate(&mut self, start: DiskStart) -> Result<(), StorageError> {
--- a/crates/consensus/tests/storage/main.rs
+++ b/crates/consensus/tests/storage/main.rs
@@ -9,7 +9,9 @@
 use std::sync::{Arc, Mutex};
 
 use coltsfootnotch_consensus::Term;
-use coltsfootnotch_consensus::storage::{FileOp, FileOpOutcome, Storage, StorageConfig};
+use coltsfootnotch_consensus::storage::{
+    FaultInjector, FileOp, FileOpOutcome, Storage, StorageConfig,
+};
 use coltsfootnotch_types::HostName;
 use folder::{
     append, edit_file, failing, files_containing, folder_with_five_entries, last_index, log_file,
@@ -20,6 +22,7 @@
 use proptest::test_runner::{Config, RngSeed};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use tempfile::TempDir;
 
 // Guards against a refused start after a crash in the middle of a write: the torn frame was never
 // acknowledged and is truncated.
@@ -234,6 +237,83 @@
     }
 }
 
+/// Names of the files that were removed since the folder was last synced.
+type Removed = Arc<Mutex<Vec<String>>>;
+
+/// Fails from operation `fails_at` on, and records in `removed` what was removed without a sync.
+fn failing_at(fails_at: usize, removed: &Removed) -> FaultInjector {
+    let (removed, count) = (Arc::clone(removed), Mutex::new(0));
+    failing(move |op| {
+        let mut count = count.lock().expect("no panic");
+        *count += 1;
+        if *count > fails_at {
+            return Some(FileOpOutcome::Fail(ErrorKind::Other));
+        }
+        let mut removed = removed.lock().expect("no panic");
+        match op {
+            FileOp::Remove { name } => removed.push(name.to_owned()),
+            FileOp::SyncFolder => removed.clear(),
+            _ => {}
+        }
+        None
+    })
+}
+
+fn copy_folder(from: &Path) -> TempDir {
+    let to = tempfile::tempdir().expect("a temporary folder can be created");
+    for path in files_containing(from, "") {
+        let name = path.file_name().expect("the path has a name");
+        fs::copy(&path, to.path().join(name)).expect("the file can be copied");
+    }
+    to
+}
+
+// Guards against a folder that is refused after a power failure while a snapshot replaces several segments: each
+// removal that was not synced may be kept or lost on its own.
+#[gtest]
+fn any_removal_may_be_lost_while_a_snapshot_replaces_segments() {
+    let dir = tempfile::tempdir().expect("a temporary folder can be created");
+    let (mut storage, _) = open(dir.path()).expect("an empty folder opens");
+    for index in 1..=40 {
+        storage
+            .run(&[append(index, [index])])
+            .expect("the entry is synced");
+    }
+    drop(storage);
+    expect_that!(files_containing(dir.path(), "log-").len(), ge(4));
+    let mut saved = false;
+    for fails_at in 0.. {
+        let played = copy_folder(dir.path());
+        let removed = Removed::default();
+        let injector = failing_at(fails_at, &removed);
+        if let Ok((mut storage, _)) = open_with(played.path(), injector) {
+            saved = storage.run(&[snapshot(41, 39, false)]).is_ok();
+        }
+        let removed = removed.lock().expect("no panic");
+        for kept in 0..1 << removed.len() {
+            let after = copy_folder(played.path());
+            for (_, name) in removed
+                .iter()
+                .enumerate()
+                .filter(|(i, _)| kept >> i & 1 == 1)
+            {
+                let before = dir.path().join(name);
+                fs::copy(before, after.path().join(name)).expect("the file can be copied");
+            }
+            let opened = open(after.path()).map(|(_, recovered)| last_index(&recovered));
+            expect_that!(
+                opened,
+                ok(eq(&40)),
+                "operation {fails_at}, kept {kept:b} of {removed:?}"
+            );
+        }
+        if saved {
+            break;
+        }
+    }
+    expect_that!(saved, eq(true));
+}
+
 proptest! {
     #![proptest_config(Config {
         cases: 60, rng_seed: RngSeed::Fixed(5), failure_persistence: None, ..Config::default()
