Stop resuming a stream whose caller has left

Callers that left shortly after their stream broke had it resumed all the same: up to a second later, as soon as another upstream had room, their request was sent there, and it worked on it until the stream had a first event again.

Cause: Forwarder::run waits for the caller's departure while it waits for events, but not while it resumes, that is while it places the stream again, connects, and waits for a response head.

Evidence: the test with two engines, on the code without the fix: 7 streams were worked on for 1.84 to 1.87 s after their callers had left (the other engine reads prompts for 2 s), and 4 reached the other engine 0.71 to 0.79 s after their callers had left (it had no room until then).

Change: the resumption is dropped as the caller leaves, which closes the connection to the upstream and releases the placement.

--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -246,7 +246,13 @@
                 Err("no time is left")
             } else {
                 // Boxed, as each stream holds the space of its task.
-                Box::pin(self.resume(&mut attempts, &events, failed.clone(), &origin)).await
+                let resuming = self.resume(&mut attempts, &events, failed.clone(), &origin);
+                let mut resuming = Box::pin(resuming);
+                tokio::select! {
+                    // Dropping the attempt closes the upstream's connection.
+                    () = self.tx.closed() => return,
+                    resumed = resuming.as_mut() => resumed,
+                }
             };
             let received = match resumed {
                 Ok(received) => received,
