Answer a request whose handler panics

A panic in the handler of a request ends the task of its connection, so its caller sees an orderly end with no response, and so does one whose request was not sent on yet: it can't tell whether it ran.

The panic is caught where the handler is polled. Its caller gets 502, or 503 if the request was not sent on, and the connection is closed after it. 502 responses to requests that the end of the process cuts off now say as well that the connection is closed.

--- a/src/coltsfootnotch/util/closing_responses.rs
+++ b/src/coltsfootnotch/util/closing_responses.rs
@@ -1,6 +1,7 @@
 //! Responses to requests whose connection is closed before they are handled.
 
 use std::future::{Future, poll_fn};
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::pin::Pin;
 use std::sync::atomic::Ordering;
 use std::task::Poll;
@@ -23,25 +24,36 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Runs a handler; one that is not done when its connection is aborted is dropped, and the response tells whether the
-/// request may have run.
+/// request may have run. So does that of a handler that panics, whose connection would otherwise end with no response.
 pub(super) async fn until_aborted(
     mut handled: Pin<&mut impl Future<Output = AnyResponse>>,
     state: &ConnectionState,
 ) -> AnyResponse {
-    poll_fn(|cx| match handled.as_mut().poll(cx) {
-        Poll::Pending if state.is_aborting.load(Ordering::Acquire) => Poll::Ready(aborted(state)),
-        polled => polled,
+    poll_fn(|cx| {
+        // A handler that has panicked is not polled again.
+        let polled = AssertUnwindSafe(|| handled.as_mut().poll(cx));
+        let Ok(polled) = catch_unwind(polled) else {
+            log::error!("the handler of a request has panicked");
+            return Poll::Ready(cut_off("this host has failed", state));
+        };
+        if polled.is_pending() && state.is_aborting.load(Ordering::Acquire) {
+            return Poll::Ready(cut_off("this host has stopped", state));
+        }
+        polled
     })
     .await
 }
 
-/// The response to a request that the end of the process cuts off.
-fn aborted(state: &ConnectionState) -> AnyResponse {
+/// The response to a request whose handler ends early for `reason`.
+fn cut_off(reason: &str, state: &ConnectionState) -> AnyResponse {
     if !state.may_have_run.load(Ordering::Acquire) {
-        return not_run("this host has stopped; the request did not run\n");
+        return not_run(format!("{reason}; the request did not run\n"));
     }
-    let text = "this host has stopped; the request may have run\n";
-    full(StatusCode::BAD_GATEWAY, TEXT, text)
+    let text = format!("{reason}; the request may have run\n");
+    let mut response = full(StatusCode::BAD_GATEWAY, TEXT, text);
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    response
 }
 
 /// Refuses a request that came behind the last response, whose sender can't tell otherwise whether it ran.
@@ -68,7 +80,7 @@
 }
 
 /// A refusal after which the connection is closed.
-fn not_run(text: &'static str) -> AnyResponse {
+fn not_run(text: impl Into<Bytes>) -> AnyResponse {
     let mut response = full(StatusCode::SERVICE_UNAVAILABLE, TEXT, text);
     let headers = response.headers_mut();
     headers.insert(RETRY_AFTER, HeaderValue::from_static("0"));
--- a/src/coltsfootnotch/util/http_server_tests.rs
+++ b/src/coltsfootnotch/util/http_server_tests.rs
@@ -57,7 +57,7 @@
 
 /// Responds to `/stream` with a body that is complete once it is released, to `/leave` with a response that says that
 /// it is the last one, to `/read` once the body of the request is read, and never to `/wait` nor to `/sent`, which may
-/// have run. Other bodies are left unread.
+/// have run, nor to `/panic`, where the handler panics. Other bodies are left unread.
 async fn respond(req: Request<RequestBody>, release: Arc<Notify>) -> AnyResponse {
     let path = req.uri().path().to_owned();
     if path == "/read" {
@@ -68,8 +68,9 @@
             format!("{} bytes, {BODY}", read.unwrap().len()),
         );
     }
-    if path == "/wait" || path == "/sent" {
-        req.body().progress().set_may_have_run(path == "/sent");
+    if path == "/wait" || path == "/sent" || path == "/panic" {
+        req.body().progress().set_may_have_run(path != "/wait");
+        assert!(path != "/panic", "a handler that fails");
         return std::future::pending().await;
     }
     let mut response = match path.as_str() {
@@ -590,3 +591,16 @@
     expect_that!(received, ends_with("the request did not run.\r\n"));
     drop(held);
 }
+
+/// Guards against a request that gets no response since its handler has panicked.
+#[gtest]
+#[tokio::test]
+async fn a_request_whose_handler_panics_is_answered() {
+    let server = Server::start().await;
+    let mut caller = server.connect();
+    caller.send(b"GET /panic HTTP/1.1\r\nhost: a\r\n\r\n");
+    let received = caller.read_to_end().await;
+    expect_that!(statuses(&received), elements_are![eq(&"502")]);
+    expect_that!(received, contains_substring("connection: close"));
+    expect_that!(received, ends_with("the request may have run\n"));
+}
