Wait for the rest of a body before its connection is closed

A request that is refused before its body was read may have the rest of it on its way. The connection was closed in order unless bytes were in its socket at that moment, or after 256 KiB of them; bytes that arrive later reset it, and the caller may lose the response: one that writes gets an error before it has read. The response also did not say that the connection would be closed, so that callers used it again.

The rest of a body is discarded whether or not any of it has arrived, up to 4 MiB, within the second that was there before. A response whose request has a body of over 4 KiB left unread says that the connection is closed; the HTTP library discards shorter ones, and goes on.

Of a body that arrives in parts after the response the caller now reads a response that says close, in place of one that did not.

--- a/src/coltsfootnotch/util/connection.rs
+++ b/src/coltsfootnotch/util/connection.rs
@@ -39,9 +39,12 @@
 /// Time in which requests behind a last response are refused, and a body that was left unread is discarded.
 const REST_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Most bytes of a body left unread that are discarded. A connection that is closed with more unread is reset,
-/// which may lose its last response.
-const MAX_DISCARDED: usize = 256 * 1024;
+/// Most bytes of a body left unread that are discarded: the longest body that is allowed without a limit in the
+/// configuration. A connection that is closed with more unread is reset, which may lose its last response.
+const MAX_DISCARDED: usize = 4 * 1024 * 1024;
+
+/// Bytes that are discarded by one read.
+const DISCARD_BYTES: usize = 16 * 1024;
 
 /// Minimum buffer size that hyper accepts, in bytes.
 const MIN_BUFFER: usize = 8192;
@@ -299,8 +302,9 @@
             return;
         }
     }
-    let is_unread = io.has_unread();
-    if io.shutdown().await.is_ok() && is_unread {
+    // What is left of a body may not have arrived yet.
+    let has_rest = io.has_unread() || state.has_body_left.load(Ordering::Acquire);
+    if io.shutdown().await.is_ok() && has_rest {
         // Boxed, since few connections need its buffer.
         let discarded = Box::pin(discard(&mut io));
         let _rest = timeout(REST_TIMEOUT, discarded).await;
@@ -310,7 +314,7 @@
 /// Reads what the peer sends until it closes the connection: while bytes are unread, the system resets a
 /// connection that is closed, and the peer may lose the last response.
 pub(super) async fn discard<S: AsyncRead + Unpin>(io: &mut S) {
-    let mut buf = [0; 4096];
+    let mut buf = [0; DISCARD_BYTES];
     let mut discarded = 0;
     while discarded < MAX_DISCARDED {
         match io.read(&mut buf).await {
--- a/src/coltsfootnotch/util/connection_state.rs
+++ b/src/coltsfootnotch/util/connection_state.rs
@@ -33,6 +33,8 @@
     pub(super) has_said_close: AtomicBool,
     /// Whether a part of the last request's body was left unread, so that no request can be found behind it.
     pub(super) has_body_left: AtomicBool,
+    /// Whether the last request's body is too long, if left unread, for the connection to be used again.
+    pub(super) is_body_long: AtomicBool,
     /// Whether requests are refused: they came behind the last response.
     pub(super) is_refusing: AtomicBool,
     /// Whether what is in progress ends now, since the process does.
@@ -89,7 +91,9 @@
             let state = Arc::clone(self);
             response = response.map(|body| AbortAfterFlush::new(body, state).boxed());
         }
-        if is_marked || self.is_closing.load(Ordering::Acquire) {
+        let is_left_unread =
+            self.has_body_left.load(Ordering::Acquire) && self.is_body_long.load(Ordering::Acquire);
+        if is_marked || is_left_unread || self.is_closing.load(Ordering::Acquire) {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
--- a/src/coltsfootnotch/util/http_server_tests.rs
+++ b/src/coltsfootnotch/util/http_server_tests.rs
@@ -604,3 +604,46 @@
     expect_that!(received, contains_substring("connection: close"));
     expect_that!(received, ends_with("the request may have run\n"));
 }
+
+/// Guards against a response that its caller can't read: the system resets a connection that is closed while the rest
+/// of a body is on its way.
+#[gtest]
+#[tokio::test]
+async fn a_response_is_not_lost_with_the_rest_of_a_body_that_arrives_after_it() {
+    let server = Server::start().await;
+    let mut caller = server.connect();
+    let part = vec![b'x'; 20_000];
+    let head = format!(
+        "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: {}\r\n\r\n",
+        part.len() * 4
+    );
+    caller.send(&[head.as_bytes(), &part].concat());
+    for _ in 0..3 {
+        sleep(DELIVERY * 4).await;
+        caller.send(&part);
+    }
+    let received = caller.read_to_end().await;
+    expect_that!(received, starts_with("HTTP/1.1 200 OK\r\n"));
+    expect_that!(received.as_str(), is_last_response());
+}
+
+/// Guards against the same for a body longer than a caller's socket holds.
+#[gtest]
+#[tokio::test]
+async fn a_response_is_not_lost_with_the_rest_of_a_long_body() {
+    const LEN: usize = 4 << 20;
+    let server = Server::start().await;
+    let stream = TcpStream::connect(server.address).unwrap();
+    let sending = tokio::task::spawn_blocking(move || {
+        let mut stream = stream;
+        let head = format!("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: {LEN}\r\n\r\n");
+        stream.write_all(head.as_bytes()).unwrap();
+        let sent = stream.write_all(&vec![b'x'; LEN]);
+        let mut received = String::new();
+        let read = stream.read_to_string(&mut received);
+        (sent.is_ok(), read.is_ok(), received)
+    });
+    let (is_sent, is_read, received) = sending.await.unwrap();
+    expect_that!((is_sent, is_read), eq((true, true)));
+    expect_that!(received.as_str(), is_last_response());
+}
--- a/src/coltsfootnotch/util/request_body.rs
+++ b/src/coltsfootnotch/util/request_body.rs
@@ -17,10 +17,17 @@
     state: Arc<ConnectionState>,
 }
 
+/// Longest body that the HTTP library discards if its handler leaves it unread, in bytes. It mostly arrives with the
+/// headers; behind a longer one the library closes the connection.
+const MAX_SHORT_BODY: u64 = 4 * 1024;
+
 impl RequestBody {
     pub(super) fn new(body: Incoming, state: Arc<ConnectionState>) -> Self {
         let has_body_left = !body.is_end_stream();
+        let stated = body.size_hint().exact();
+        let is_long = stated.is_none_or(|len| len > MAX_SHORT_BODY);
         state.has_body_left.store(has_body_left, Ordering::Release);
+        state.is_body_long.store(is_long, Ordering::Release);
         Self { body, state }
     }
 
