End a stream as complete only when its forwarder says so

A stream whose forwarding task ended early, as by a panic, was framed as complete: its body took the loss of the sender for the end. Its caller could not tell that events were missing.

The end is a message of its own; a sender that is dropped without one breaks the response off, which also replaces the message for that.

The test of a dropped sender got the end of a complete body before.

--- a/src/coltsfootnotch/daemon/forward/event_queue.rs
+++ b/src/coltsfootnotch/daemon/forward/event_queue.rs
@@ -38,9 +38,17 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct CallerLeft;
 
-/// The end of the queue that events are added to.
+/// What a queue holds.
+enum Queued {
+    Events(HeldChunk),
+    /// The response is complete.
+    End,
+}
+
+/// The end of the queue that events are added to. Dropped without an end, as by a task that panics, it ends the
+/// response as broken off.
 pub(super) struct EventSender {
-    tx: mpsc::UnboundedSender<Result<HeldChunk, BodyAborted>>,
+    tx: mpsc::UnboundedSender<Queued>,
     /// Room in the queue, in bytes.
     room: Arc<Semaphore>,
     held: Arc<HeldResources>,
@@ -63,15 +71,15 @@
             () = self.tx.closed() => return Err(CallerLeft),
         };
         let chunk = HeldChunk::new(events, hold, place.ok());
-        self.tx.send(Ok(chunk)).map_err(|_| CallerLeft)
+        self.tx.send(Queued::Events(chunk)).map_err(|_| CallerLeft)
     }
 
-    /// Ends the response as broken off.
+    /// Ends the response as complete.
     ///
     /// # Errors
     /// Returns an error if the caller has left.
-    pub(super) fn abort(&self) -> Result<(), CallerLeft> {
-        self.tx.send(Err(BodyAborted)).map_err(|_| CallerLeft)
+    pub(super) fn end(self) -> Result<(), CallerLeft> {
+        self.tx.send(Queued::End).map_err(|_| CallerLeft)
     }
 
     /// Completes when the caller leaves.
@@ -82,7 +90,7 @@
 
 /// Response body of a stream.
 pub(super) struct EventBody {
-    rx: mpsc::UnboundedReceiver<Result<HeldChunk, BodyAborted>>,
+    rx: mpsc::UnboundedReceiver<Queued>,
     /// What is left of the events that are being written.
     current: Option<HeldChunk>,
 }
@@ -98,9 +106,9 @@
         let mut chunk = match self.current.take() {
             Some(chunk) => chunk,
             None => match ready!(self.rx.poll_recv(cx)) {
-                Some(Ok(chunk)) => chunk,
-                Some(Err(e)) => return Poll::Ready(Some(Err(e))),
-                None => return Poll::Ready(None),
+                Some(Queued::Events(chunk)) => chunk,
+                Some(Queued::End) => return Poll::Ready(None),
+                None => return Poll::Ready(Some(Err(BodyAborted))),
             },
         };
         let bytes = chunk.take();
--- a/src/coltsfootnotch/daemon/forward/event_queue_tests.rs
+++ b/src/coltsfootnotch/daemon/forward/event_queue_tests.rs
@@ -54,3 +54,17 @@
     expect_that!(held.memory_bytes(), eq(0));
     expect_that!(tx.send(event()).await, err(eq(CallerLeft)));
 }
+
+/// Guards against a stream that looks complete although the task that forwards it has ended early, as by a panic.
+#[googletest::test]
+#[tokio::test]
+async fn a_stream_whose_sender_is_lost_is_broken_off() {
+    let (_held, tx, mut body) = queue();
+    expect_that!(tx.send(Bytes::from_static(b"a")).await, ok(eq(())));
+    drop(tx);
+    expect_that!(body.frame().await.unwrap().is_ok(), eq(true));
+    expect_that!(
+        body.frame().await.map(|frame| frame.is_err()),
+        some(eq(true))
+    );
+}
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -123,10 +123,13 @@
 ) -> AnyResponse {
     let (tx, body) = event_queue(Arc::clone(&gw.held), req.account.clone());
     let response = head(gw, &source, body);
-    if !rest.is_empty() {
-        // Its caller may leave meanwhile.
-        tokio::spawn(async move { tx.send(rest).await });
-    }
+    tokio::spawn(async move {
+        if !rest.is_empty() {
+            tx.send(rest).await?;
+        }
+        // Its caller may have left.
+        tx.end()
+    });
     finish(gw, source);
     response
 }
@@ -217,7 +220,10 @@
                     }
                     self.record_longest_pause(longest);
                     if self.is_framed && source.ends_with_connection() {
-                        self.end_unconfirmed(&source);
+                        self.log_unconfirmed(&source);
+                    } else {
+                        // Fails if the caller has left.
+                        let _result = self.tx.end();
                     }
                     return finish(&self.gw, source);
                 }
@@ -251,9 +257,8 @@
             let received = match resumed {
                 Ok(received) => received,
                 Err(reason) => {
+                    // The response ends as broken off.
                     self.log_broken_off(&failed, &events, outcome, reason);
-                    // Fails if the caller has left.
-                    let _result = self.tx.abort();
                     return;
                 }
             };
@@ -265,14 +270,12 @@
         }
     }
 
-    /// Ends a response whose first part was framed and whose last part ended with its connection: the
+    /// Logs a response whose first part was framed and whose last part ended with its connection: the
     /// caller has all that came, and is not told that it is complete.
-    fn end_unconfirmed(&self, source: &StreamSource) {
+    fn log_unconfirmed(&self, source: &StreamSource) {
         let upstream = vec![source.received.ticket.upstream.clone()];
         let reason = "whether it is complete is unknown";
         self.log_broken_off(&upstream, &source.events, Outcome::Completed, reason);
-        // Fails if the caller has disconnected.
-        let _result = self.tx.abort();
     }
 
     /// Records the longest pause of a completed stream.
