Frame responses by what their callers get

An upstream that stated both a length and chunks had its length passed on, though the chunks count. A caller got the first bytes of a stream as a complete one, waited for bytes that never come, or, in builds with assertions, saw its connection reset: the HTTP library trusts a length that it is given. The same held for a stream that is resumed elsewhere: its caller got as many bytes as its first upstream had stated, framed as complete, with the rest of the events missing.

The length is passed on only where it frames the upstream's response, and with no stream, which the caller gets in chunks.

--- a/src/coltsfootnotch/daemon/forward/exchange.rs
+++ b/src/coltsfootnotch/daemon/forward/exchange.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
 use hyper::{Method, Response, StatusCode};
 use tokio::time::timeout_at;
 
@@ -119,7 +120,7 @@
     gw: &Gateway,
     req: &MatchedRequest,
     ticket: Ticket,
-    response: Response<Incoming>,
+    mut response: Response<Incoming>,
     connection: Connection,
     guard: ExchangeGuard,
 ) -> ExchangeResult {
@@ -144,6 +145,10 @@
     }
     let to_head = req.method == Method::HEAD;
     let framing = BodyFraming::of_response(to_head, response.status(), response.headers());
+    if !matches!(framing, Some(BodyFraming::Length(_))) {
+        // A length beside another framing doesn't count, and the caller's response would be framed by it.
+        response.headers_mut().remove(CONTENT_LENGTH);
+    }
     ExchangeResult::Response(Box::new(UpstreamResponse {
         framing,
         response,
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -7,6 +7,7 @@
 use coltsfootnotch_forward::streams::StreamOrigin;
 use http_body_util::BodyExt;
 use hyper::Response;
+use hyper::header::CONTENT_LENGTH;
 
 use super::event_queue::{EventBody, EventSender, event_queue};
 use super::event_splitter::EventSplitter;
@@ -111,6 +112,8 @@
     *response.status_mut() = source.received.response.status();
     let mut headers = source.received.response.headers().clone();
     (gw.dialect.write_response)(&mut headers);
+    // What another upstream goes on with may be longer or shorter.
+    headers.remove(CONTENT_LENGTH);
     *response.headers_mut() = headers;
     response
 }
