--- a/src/coltsfootnotch/util/http_server_tests.rs
+++ b/src/coltsfootnotch/util/http_server_tests.rs
@@ -57,7 +57,7 @@
 
 /// Responds to `/stream` with a body that is complete once it is released, to `/leave` with a response that says that
 /// it is the last one, to `/read` once the body of the request is read, and never to `/wait` nor to `/sent`, which may
-/// have run. Other bodies are left unread.
+/// have run, nor to `/panic`, where the handler panics. Other bodies are left unread.
 async fn respond(req: Request<RequestBody>, release: Arc<Notify>) -> AnyResponse {
     let path = req.uri().path().to_owned();
     if path == "/read" {
@@ -68,8 +68,9 @@
             format!("{} bytes, {BODY}", read.unwrap().len()),
         );
     }
-    if path == "/wait" || path == "/sent" {
-        req.body().progress().set_may_have_run(path == "/sent");
+    if path == "/wait" || path == "/sent" || path == "/panic" {
+        req.body().progress().set_may_have_run(path != "/wait");
+        assert!(path != "/panic", "a handler that fails");
         return std::future::pending().await;
     }
     let mut response = match path.as_str() {
@@ -590,3 +591,59 @@
     expect_that!(received, ends_with("the request did not run.\r\n"));
     drop(held);
 }
+
+/// Guards against a request that gets no response since its handler has panicked.
+#[gtest]
+#[tokio::test]
+async fn a_request_whose_handler_panics_is_answered() {
+    let server = Server::start().await;
+    let mut caller = server.connect();
+    caller.send(b"GET /panic HTTP/1.1\r\nhost: a\r\n\r\n");
+    let received = caller.read_to_end().await;
+    expect_that!(statuses(&received), elements_are![eq(&"502")]);
+    expect_that!(received, contains_substring("connection: close"));
+    expect_that!(received, ends_with("the request may have run\n"));
+}
+
+/// Guards against a response that its caller can't read: the system resets a connection that is closed while the rest
+/// of a body is on its way.
+#[gtest]
+#[tokio::test]
+async fn a_response_is_not_lost_with_the_rest_of_a_body_that_arrives_after_it() {
+    let server = Server::start().await;
+    let mut caller = server.connect();
+    let part = vec![b'x'; 20_000];
+    let head = format!(
+        "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: {}\r\n\r\n",
+        part.len() * 4
+    );
+    caller.send(&[head.as_bytes(), &part].concat());
+    for _ in 0..3 {
+        sleep(DELIVERY * 4).await;
+        caller.send(&part);
+    }
+    let received = caller.read_to_end().await;
+    expect_that!(received, starts_with("HTTP/1.1 200 OK\r\n"));
+    expect_that!(received.as_str(), is_last_response());
+}
+
+/// Guards against the same for a body longer than a caller's socket holds.
+#[gtest]
+#[tokio::test]
+async fn a_response_is_not_lost_with_the_rest_of_a_long_body() {
+    const LEN: usize = 4 << 20;
+    let server = Server::start().await;
+    let stream = TcpStream::connect(server.address).unwrap();
+    let sending = tokio::task::spawn_blocking(move || {
+        let mut stream = stream;
+        let head = format!("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: {LEN}\r\n\r\n");
+        stream.write_all(head.as_bytes()).unwrap();
+        let sent = stream.write_all(&vec![b'x'; LEN]);
+        let mut received = String::new();
+        let read = stream.read_to_string(&mut received);
+        (sent.is_ok(), read.is_ok(), received)
+    });
+    let (is_sent, is_read, received) = sending.await.unwrap();
+    expect_that!((is_sent, is_read), eq((true, true)));
+    expect_that!(received.as_str(), is_last_response());
+}
