Say what a panic ends, and log it once

A handler's panic is answered now, so that an event of a panic no longer means that its request got no response. The process's hook logs the panic with its place, so the line beside the response told nothing more.

--- a/src/coltsfootnotch/util/closing_responses.rs
+++ b/src/coltsfootnotch/util/closing_responses.rs
@@ -30,10 +30,9 @@
     state: &ConnectionState,
 ) -> AnyResponse {
     poll_fn(|cx| {
-        // A handler that has panicked is not polled again.
+        // A handler that has panicked is not polled again. The panic is logged by the process's hook.
         let polled = AssertUnwindSafe(|| handled.as_mut().poll(cx));
         let Ok(polled) = catch_unwind(polled) else {
-            log::error!("the handler of a request has panicked");
             return Poll::Ready(cut_off("this host has failed", state));
         };
         if polled.is_pending() && state.is_aborting.load(Ordering::Acquire) {
--- a/src/coltsfootnotch/util/events.rs
+++ b/src/coltsfootnotch/util/events.rs
@@ -122,7 +122,7 @@
     EARLIER_RETRIES_KNOWN = 102 Info "it is known what earlier processes of this host have sent to upstreams lately" => "nothing; their retries count in the budget of this one";
     EARLIER_RETRIES_UNKNOWN = 103 Warn "control hosts don't know how much earlier processes of this host have sent again" => "nothing unless it repeats: for a window after its start the host uses a quarter of its retry budget and no slack, as after a start of the control hosts; check whether it is connected to all of them";
     RESPONSE_WITHOUT_END = 104 Warn "an upstream sends bytes that become no response; its connection was closed" => "check the upstream named: what it sends, and INTERFACE.md for what it may send";
-    PANICKED = 105 Error "a task or the process ended with a panic; what it had in progress got no response" => "report it with place and reason; if CFN-0001 follows, the whole process ended";
+    PANICKED = 105 Error "a panic ended a request, a connection or the process" => "report it with place and reason; if CFN-0001 follows, the process ended, and what it had in progress got no response";
 }
 
 /// Finds an event by its code, ignoring case; the prefix `CFN-` is optional.
--- a/src/coltsfootnotch/util/panic_log.rs
+++ b/src/coltsfootnotch/util/panic_log.rs
@@ -1,7 +1,7 @@
 //! Logs panics as numbered events.
 //!
-//! A panic ends the connection whose task it is in, or the process if an actor panics. Callers see the same in both
-//! cases: a connection that is closed with no response.
+//! A panic in the handler of a request ends that request, one elsewhere in its task the connection, and one in an actor
+//! the process, with all that it has in progress.
 
 use std::panic;
 use std::thread;
