Keep no configurations for requests in progress

A router could be killed for its memory beside changes of a large configuration, and all that it had in progress got no response: each request held the whole configuration that it was matched by until it ended, and a caller that sent its body slowly did as well. Only the one in force was counted as held, so no limit noticed it.

A request keeps its route and the services of its configuration, a few hundred bytes that all requests of a configuration share.

--- a/crates/forward/src/config/forward_config.rs
+++ b/crates/forward/src/config/forward_config.rs
@@ -4,7 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Account, ConfigDraft, Problem, ProblemKind, Route, RouteDraft, Service, ServiceShare};
+use super::{
+    Account, ConfigDraft, Problem, ProblemKind, Route, RouteDraft, Service, ServiceConfig,
+    ServiceShare,
+};
 
 /// Limits on the size of a request and on the time to receive it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,26 +44,13 @@
     }
 }
 
-/// The route that a request matches.
-#[derive(Debug, Clone, Copy)]
-pub struct RouteMatch<'a> {
-    /// Its index in the configuration.
-    pub index: usize,
-    /// The route.
-    pub route: &'a Route,
-}
-
 /// A validated configuration.
 #[derive(Debug, Clone)]
 pub struct ForwardConfig {
-    number: u64,
-    routes: Vec<Route>,
-    services: Vec<Service>,
+    routes: Vec<Arc<Route>>,
+    services: Arc<ServiceConfig>,
     accounts: Vec<Account>,
     bounds: Bounds,
-    units_per_s: Option<f64>,
-    shortest_target: Vec<Option<Duration>>,
-    shortest_gap: Vec<Option<Duration>>,
     by_host: HashMap<Arc<str>, HashMap<Arc<str>, usize>>,
     by_key: HashMap<String, usize>,
 }
@@ -69,18 +59,24 @@
     /// Its number.
     #[must_use]
     pub fn number(&self) -> u64 {
-        self.number
+        self.services.number()
     }
 
     /// Its routes.
     #[must_use]
-    pub fn routes(&self) -> &[Route] {
+    pub fn routes(&self) -> &[Arc<Route>] {
         &self.routes
     }
 
     /// Its services.
     #[must_use]
     pub fn services(&self) -> &[Service] {
+        self.services.services()
+    }
+
+    /// The part of it that requests in progress keep.
+    #[must_use]
+    pub fn service_config(&self) -> &Arc<ServiceConfig> {
         &self.services
     }
 
@@ -99,20 +95,7 @@
     /// Service units per second of all engines together, if the operator states them.
     #[must_use]
     pub fn units_per_s(&self) -> Option<f64> {
-        self.units_per_s
-    }
-
-    /// The shortest target among the stream routes of the service with this index.
-    #[must_use]
-    pub fn shortest_target(&self, service: usize) -> Option<Duration> {
-        self.shortest_target[service]
-    }
-
-    /// The shortest target for pauses between events among the stream routes of the service with
-    /// this index; none where no route states one.
-    #[must_use]
-    pub fn shortest_gap(&self, service: usize) -> Option<Duration> {
-        self.shortest_gap[service]
+        self.services.units_per_s()
     }
 
     /// Whether requests to routes that are not public need a key.
@@ -126,14 +109,12 @@
     /// Looks up each slash of the path from the right, so the time depends on the path and not on
     /// the number of routes.
     #[must_use]
-    pub fn route(&self, host: &str, path: &str) -> Option<RouteMatch<'_>> {
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let host = host.to_ascii_lowercase();
         let prefixes = self.by_host.get(host.as_str())?;
         let ends = path.char_indices().rev().filter(|(_, c)| *c == '/');
         let mut found = ends.filter_map(|(at, _)| prefixes.get(&path[..=at]));
-        let index = *found.next()?;
-        let route = &self.routes[index];
-        Some(RouteMatch { index, route })
+        Some(&self.routes[*found.next()?])
     }
 
     /// The client account that holds `key`.
@@ -145,7 +126,7 @@
     /// The service with the name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Service> {
-        self.services.iter().find(|s| &*s.name == name)
+        self.services.service(name)
     }
 }
 
@@ -178,48 +159,23 @@
                     ProblemKind::DuplicateRoute { first },
                 ));
             }
-            routes.push(route);
+            routes.push(Arc::new(route));
         }
         if !problems.is_empty() {
             return Err(problems);
         }
-        let all = 0..draft.services.len();
-        let shortest_target = all
-            .clone()
-            .map(|s| shortest_of_streams(&routes, s, |r| r.target));
-        let shortest_target = shortest_target.collect();
-        let shortest_gap = all
-            .map(|s| shortest_of_streams(&routes, s, |r| r.gap))
-            .collect();
+        let services = ServiceConfig::new(draft.number, draft.services, draft.units_per_s, &routes);
         Ok(Self {
-            number: draft.number,
             routes,
-            services: draft.services,
+            services: Arc::new(services),
             accounts: draft.accounts,
             bounds: draft.bounds,
-            units_per_s: draft.units_per_s,
-            shortest_target,
-            shortest_gap,
             by_host,
             by_key,
         })
     }
 }
 
-/// Shortest time that the stream routes to a service state; zero counts as not stated.
-fn shortest_of_streams(
-    routes: &[Route],
-    service: usize,
-    stated: impl Fn(&Route) -> Option<Duration>,
-) -> Option<Duration> {
-    let streams = routes.iter().filter(|route| {
-        let has_service = route.services.iter().any(|s| s.service == service);
-        has_service && route.kind.is_stream()
-    });
-    let stated = streams.filter_map(stated);
-    stated.filter(|time| !time.is_zero()).min()
-}
-
 fn index_names<'a>(
     list: &str,
     names: impl Iterator<Item = &'a Arc<str>>,
--- a/crates/forward/src/config/mod.rs
+++ b/crates/forward/src/config/mod.rs
@@ -10,10 +10,12 @@
 mod problem;
 mod route;
 mod service;
+mod service_config;
 
 pub use account::Account;
 pub use draft::{ConfigDraft, RouteDraft, ShareDraft};
-pub use forward_config::{Bounds, ForwardConfig, RouteMatch};
+pub use forward_config::{Bounds, ForwardConfig};
 pub use problem::{Problem, ProblemKind};
 pub use route::{Route, RouteKind, ServiceShare};
 pub use service::{Engine, Service};
+pub use service_config::ServiceConfig;
--- a/crates/forward/tests/testsuite/config.rs
+++ b/crates/forward/tests/testsuite/config.rs
@@ -17,6 +17,15 @@
     }
 }
 
+/// Index of the route that a request matches.
+fn found_index(config: &ForwardConfig, host: &str, path: &str) -> Option<usize> {
+    let found = config.route(host, path)?;
+    config
+        .routes()
+        .iter()
+        .position(|route| Arc::ptr_eq(route, found))
+}
+
 fn route(host: &str, prefix: &str, services: &[(&str, u32)]) -> RouteDraft {
     RouteDraft {
         name: format!("{host}{prefix}"),
@@ -90,7 +99,7 @@
         route("b.example", "/x/", &[("spec", 1)]),
     ]))
     .unwrap();
-    let found = |host: &str, path: &str| config.route(host, path).map(|m| m.index);
+    let found = |host: &str, path: &str| found_index(&config, host, path);
     expect_that!(found("a.example", "/x/y/z"), some(eq(2)));
     expect_that!(found("A.Example", "/x/yy"), some(eq(1)));
     expect_that!(
@@ -107,8 +116,8 @@
     let routes = (0..10_000).map(|n| route("a.example", &format!("/p{n}/"), &[("desk", 1)]));
     let config = ForwardConfig::try_from(draft(routes.collect())).unwrap();
     for n in (0..10_000).step_by(97) {
-        let found = config.route("a.example", &format!("/p{n}/rest"));
-        expect_that!(found.map(|m| m.index), some(eq(n)));
+        let found = found_index(&config, "a.example", &format!("/p{n}/rest"));
+        expect_that!(found, some(eq(n)));
     }
 }
 
@@ -158,6 +167,7 @@
         calls,
     ];
     let config = ForwardConfig::try_from(draft(routes)).unwrap();
-    expect_that!(config.shortest_gap(1), eq(gap(300)));
-    expect_that!(config.shortest_gap(0), none());
+    let services = config.service_config();
+    expect_that!(services.shortest_gap(1), eq(gap(300)));
+    expect_that!(services.shortest_gap(0), none());
 }
--- a/src/coltsfootnotch/daemon/forward/engine_rates.rs
+++ b/src/coltsfootnotch/daemon/forward/engine_rates.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use coltsfootnotch_forward::config::ForwardConfig;
+use coltsfootnotch_forward::config::ServiceConfig;
 use coltsfootnotch_forward::place::PrefillRate;
 
 /// Time to the first event of a fully cached prompt: the engine's overhead, the network, and the
@@ -32,7 +32,7 @@
     }
 
     /// Prefill rate of a healthy engine of the service.
-    pub(super) fn prefill_rate(&self, config: &ForwardConfig, service: &str) -> PrefillRate {
+    pub(super) fn prefill_rate(&self, config: &ServiceConfig, service: &str) -> PrefillRate {
         let engines = self.max_ready.get(service).copied().unwrap_or(0);
         let stated = config.units_per_s();
         let per_engine = stated.map(|units| units * PREFILL_RATIO / 1e3 / engines.max(1) as f64);
--- a/src/coltsfootnotch/daemon/forward/matched_request.rs
+++ b/src/coltsfootnotch/daemon/forward/matched_request.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use coltsfootnotch_forward::config::{ForwardConfig, Route, RouteKind};
+use coltsfootnotch_forward::config::{Route, RouteKind, ServiceConfig};
 use coltsfootnotch_forward::held::Hold;
 use coltsfootnotch_forward::place::Prompt;
 use coltsfootnotch_forward::streams::StreamOrigin;
@@ -29,8 +29,10 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
     pub(super) head: RequestHead,
-    pub(super) config: Arc<ForwardConfig>,
-    pub(super) route: usize,
+    /// The services of the configuration that it was matched by.
+    pub(super) config: Arc<ServiceConfig>,
+    pub(super) route: Arc<Route>,
+    /// Index of its service.
     pub(super) service: usize,
     pub(super) account: Option<Arc<str>>,
     /// Priority of its account, if it has one.
@@ -54,7 +56,7 @@
 
 impl MatchedRequest {
     pub(super) fn route(&self) -> &Route {
-        &self.config.routes()[self.route]
+        &self.route
     }
 
     pub(super) fn kind(&self) -> RouteKind {
--- a/src/coltsfootnotch/daemon/forward/messages.rs
+++ b/src/coltsfootnotch/daemon/forward/messages.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use coltsfootnotch_fabric::Event;
-use coltsfootnotch_forward::config::ForwardConfig;
+use coltsfootnotch_forward::config::ServiceConfig;
 use coltsfootnotch_forward::line::Priority;
 use coltsfootnotch_forward::load::SentRequest;
 use coltsfootnotch_forward::place::{Prompt, Refusal};
@@ -17,7 +17,7 @@
 #[derive(Debug)]
 pub(super) struct PlaceRequest {
     /// The configuration that it was matched with.
-    pub(super) config: Arc<ForwardConfig>,
+    pub(super) config: Arc<ServiceConfig>,
     /// Index of its service in the configuration.
     pub(super) service: usize,
     /// Its client account; requests with one are refused without a valid lease.
--- a/src/coltsfootnotch/daemon/forward/server.rs
+++ b/src/coltsfootnotch/daemon/forward/server.rs
@@ -160,11 +160,10 @@
             return Err(responses::failure(status, "the headers are too large"));
         }
         let mut head = (self.dialect.read_request)(&parts.headers);
-        let matched = config.route(host_of(&parts), parts.uri.path());
-        let Some(matched) = matched else {
+        let route = config.route(host_of(&parts), parts.uri.path()).cloned();
+        let Some(route) = route else {
             return Err(self.unmatched(StatusCode::NOT_FOUND, "no route"));
         };
-        let (index, route) = (matched.index, matched.route);
         let found = head.key.as_deref().and_then(|key| config.account(key));
         let account_priority = found.and_then(|account| account.priority);
         let account = match found {
@@ -178,6 +177,9 @@
         let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
         let deadline = received_at + timeout;
         let bounds = config.bounds();
+        let services = Arc::clone(config.service_config());
+        // Callers may take long to send a body, and whole configurations are large.
+        drop(config);
         let head_bytes = head_bytes as u64 + REQUEST_BYTES;
         let mut hold = self
             .held
@@ -202,8 +204,8 @@
             headers: parts.headers,
             body,
             head,
-            config,
-            route: index,
+            config: services,
+            route,
             service,
             account,
             account_priority,
