End work for callers that leave with more sent than their request

A caller that had sent bytes behind its request, be it another request or an empty line, could leave without any notice: its request was handled to its end, its stream went on, and the request behind was handled afterwards. The same held for a caller that left while the body of its request was not being read, as before the first configuration.

Cause: the HTTP library watches for the end of a connection only while its own buffer is empty and the body has been read.

Change: while a request is handled and the library does not read, the socket of the connection reads up to 8 KiB ahead, and fails once the peer has closed. What is read ahead is passed on in order.

Callers that have sent more than 8 KiB behind a request that is handled are still noticed late.

--- a/src/coltsfootnotch/util/connection.rs
+++ b/src/coltsfootnotch/util/connection.rs
@@ -319,3 +319,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "departure_tests.rs"]
+mod departure_tests;
--- a/src/coltsfootnotch/util/connection_io.rs
+++ b/src/coltsfootnotch/util/connection_io.rs
@@ -53,12 +53,21 @@
 const OLD_VERSION: &[u8] = b"HTTP/1.0 ";
 const VERSION: &[u8] = b"HTTP/1.1 ";
 
+/// Most bytes behind a request that are read before the HTTP library asks for them. The departure of a caller that
+/// has sent more is noticed once they are read.
+const MAX_READ_AHEAD: usize = 8 * 1024;
+
+/// Bytes that are read ahead at once.
+const READ_AHEAD_BYTES: usize = 2 * 1024;
+
 /// The socket of a connection.
 pub(super) struct ConnectionIo<S> {
     stream: S,
     state: Arc<ConnectionState>,
     /// Bytes that were read before and are to be read again.
     put_back: Bytes,
+    /// Whether the HTTP library waits for bytes of the peer, and so notices that it closes the connection.
+    is_reading: bool,
     /// What is left of the corrected version of the current status line.
     version: &'static [u8],
     resets_on_close: bool,
@@ -70,6 +79,7 @@
             stream,
             state,
             put_back: Bytes::new(),
+            is_reading: false,
             version: &[],
             resets_on_close: false,
         }
@@ -119,6 +129,29 @@
     }
 }
 
+impl<S: AsyncRead + ServerSocket + Unpin> ConnectionIo<S> {
+    /// Fails once the peer has closed the connection while its request is handled. The HTTP library doesn't notice
+    /// that while it has bytes behind the request, or while the request's body is not read.
+    fn check_departure(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
+        while !self.is_reading && self.state.is_handling() && self.put_back.len() < MAX_READ_AHEAD {
+            let mut buf = [MaybeUninit::uninit(); READ_AHEAD_BYTES];
+            let mut buf = ReadBuf::uninit(&mut buf);
+            match Pin::new(&mut self.stream).poll_read(cx, &mut buf)? {
+                Poll::Pending => break,
+                Poll::Ready(()) if buf.filled().is_empty() => {
+                    return Err(io::ErrorKind::ConnectionAborted.into());
+                }
+                Poll::Ready(()) => {
+                    self.put_back = [&self.put_back, buf.filled()].concat().into();
+                    // The library may want to read them by now.
+                    cx.waker().wake_by_ref();
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
 impl<S: AsyncRead + ServerSocket + Unpin> AsyncRead for ConnectionIo<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -133,6 +166,7 @@
             buf.put_slice(&self.put_back.split_to(len));
             Poll::Ready(())
         };
+        self.is_reading = read.is_pending();
         let is_closing = self.state.is_closing.load(Ordering::Acquire);
         let has_more = match read {
             Poll::Ready(()) => buf.filled().len() > filled,
@@ -145,7 +179,7 @@
     }
 }
 
-impl<S: AsyncWrite + ServerSocket + Unpin> AsyncWrite for ConnectionIo<S> {
+impl<S: AsyncRead + AsyncWrite + ServerSocket + Unpin> AsyncWrite for ConnectionIo<S> {
     fn poll_write(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -153,14 +187,17 @@
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
         this.before_write(buf);
-        let stream = Pin::new(&mut this.stream);
-        if this.version.is_empty() {
-            return stream.poll_write(cx, buf);
-        }
         // Both versions have the same length, so what is written counts as the bytes of `buf`.
         let len = this.version.len().min(buf.len());
-        let written = ready!(stream.poll_write(cx, &this.version[..len]))?;
-        this.version = &this.version[written..];
+        let bytes = match len {
+            0 => buf,
+            len => &this.version[..len],
+        };
+        let Poll::Ready(written) = Pin::new(&mut this.stream).poll_write(cx, bytes)? else {
+            this.check_departure(cx)?;
+            return Poll::Pending;
+        };
+        this.version = &this.version[written.min(len)..];
         Poll::Ready(Ok(written))
     }
 
@@ -172,10 +209,14 @@
         let first = bufs.iter().find(|buf| !buf.is_empty());
         let first = first.map_or(&[][..], |buf| &**buf);
         self.before_write(first);
-        if self.version.is_empty() {
-            return Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        if !self.version.is_empty() {
+            return self.poll_write(cx, first);
+        }
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        if written.is_pending() {
+            self.check_departure(cx)?;
         }
-        self.poll_write(cx, first)
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -186,6 +227,9 @@
         self.reset_if_aborted();
         ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
         self.state.flush.on_flushed();
+        self.check_departure(cx)?;
+        // Set again by the next turn if the HTTP library still waits.
+        self.is_reading = false;
         Poll::Ready(Ok(()))
     }
 
--- a/src/coltsfootnotch/util/connection_state.rs
+++ b/src/coltsfootnotch/util/connection_state.rs
@@ -37,6 +37,8 @@
     pub(super) is_refusing: AtomicBool,
     /// Whether what is in progress ends now, since the process does.
     pub(super) is_aborting: AtomicBool,
+    /// Whether the handler of a request is running.
+    pub(super) has_handler: AtomicBool,
     /// Whether the request in progress may have run.
     pub(super) may_have_run: AtomicBool,
     /// Whether a response without a stated length is in progress.
@@ -51,10 +53,16 @@
         self.expects_rest.store(false, Ordering::Release);
         self.has_begun.store(true, Ordering::Release);
         self.may_have_run.store(false, Ordering::Release);
+        self.has_handler.store(true, Ordering::Release);
         let is_last = version != Version::HTTP_11 || says_close(headers);
         self.has_said_close.store(is_last, Ordering::Release);
     }
 
+    /// Whether a request is being handled, or its response is being made.
+    pub(super) fn is_handling(&self) -> bool {
+        self.has_handler.load(Ordering::Acquire) || self.is_body_unfinished.load(Ordering::Acquire)
+    }
+
     /// Whether a request that begins now is refused.
     pub(super) fn should_refuse(&self) -> bool {
         self.is_refusing.load(Ordering::Acquire) || self.is_aborting.load(Ordering::Acquire)
@@ -79,6 +87,7 @@
         mut response: AnyResponse,
         version: Version,
     ) -> AnyResponse {
+        self.has_handler.store(false, Ordering::Release);
         let is_marked = response.extensions().get::<EndsWithConnection>().is_some();
         let is_unsized = response.body().size_hint().exact().is_none();
         let ends_with_connection = is_marked || (is_unsized && version == Version::HTTP_10);
