Notice callers that leave while a relay waits for its neighbour to read

An entry that had handed a connection over did not notice that its caller had left while it was writing to the neighbour: the neighbour learnt of it only once it had read what was sent before.

Cause: the relay watches its caller between two writes, not during one.

Evidence: the test with a neighbour that doesn't read failed on the code without the fix for each of the three departures (close, reset, shutdown): the relay still ran 0.5 s later. That of a caller which doesn't read passed for all three.

Change: both writes end as soon as the caller has closed its connection.

Result: both tests pass.

--- a/src/coltsfootnotch/daemon/forward/handover/relay.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay.rs
@@ -18,6 +18,9 @@
 /// caller is served here after it.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Completes once the peer has closed its connection, whatever is unread: no peer sends urgent data.
+const READ_CLOSED: Interest = Interest::PRIORITY;
+
 /// Bytes of the caller that are read at once; most requests fit.
 const REQUEST_BYTES: usize = 8 * 1024;
 /// Bytes of the neighbour that are read at once; most events of streams fit.
@@ -180,8 +183,10 @@
             biased;
             () = closing.as_mut(), if !close_requested => {
                 close_requested = true;
-                let sent = neighbour.write_all(&Header::Close.encode()).await;
-                neighbour_reads &= sent.is_ok();
+                match write_to(neighbour, &Header::Close.encode(), caller).await {
+                    Some(is_written) => neighbour_reads &= is_written,
+                    None => return End::Caller,
+                }
             }
             len = neighbour.read(&mut response) => {
                 let len = match len {
@@ -199,7 +204,13 @@
                     resets_caller = true;
                 }
                 exchanges.is_writing = true;
-                if caller.write_all(&response[..len]).await.is_err() {
+                let (reads, mut writes) = caller.split();
+                let is_written = tokio::select! {
+                    biased;
+                    written = writes.write_all(&response[..len]) => written.is_ok(),
+                    _ = reads.ready(READ_CLOSED) => false,
+                };
+                if !is_written {
                     return End::Caller;
                 }
                 exchanges.is_writing = false;
@@ -218,18 +229,36 @@
                 };
                 exchanges.pass_request_bytes(&request[HEADER_BYTES..HEADER_BYTES + len]);
                 request[..HEADER_BYTES].copy_from_slice(&Header::Data(len).encode());
-                let sent = neighbour.write_all(&request[..HEADER_BYTES + len]);
-                neighbour_reads = sent.await.is_ok();
+                match write_to(neighbour, &request[..HEADER_BYTES + len], caller).await {
+                    Some(is_written) => neighbour_reads = is_written,
+                    None => return End::Caller,
+                }
                 if is_single && !close_requested {
                     close_requested = true;
-                    let sent = neighbour.write_all(&Header::Close.encode()).await;
-                    neighbour_reads &= sent.is_ok();
+                    match write_to(neighbour, &Header::Close.encode(), caller).await {
+                        Some(is_written) => neighbour_reads &= is_written,
+                        None => return End::Caller,
+                    }
                 }
             }
         }
     }
 }
 
+/// Writes bytes to the neighbour; returns whether they were written, and none if the caller has closed its
+/// connection first.
+async fn write_to(neighbour: &mut TcpStream, bytes: &[u8], caller: &TcpStream) -> Option<bool> {
+    tokio::select! {
+        biased;
+        written = neighbour.write_all(bytes) => Some(written.is_ok()),
+        _ = caller.ready(READ_CLOSED) => None,
+    }
+}
+
 #[cfg(test)]
 #[path = "relay_tests.rs"]
 mod tests;
+
+#[cfg(test)]
+#[path = "relay_departure_tests.rs"]
+mod departure_tests;
