Read short bodies of refused requests, so that their connections go on

A request that is refused before its body is read, as on an unknown route, left it to the HTTP library, which discards what its one buffer has by then. With the body a moment behind the headers, or longer than that, the library closed the connection in order, though the response didn't say so, and a request behind it got no response.

A body of up to 16 KiB, with a length or in chunks, is read for up to 100 ms before the response is sent, unless its caller waits to be asked for it. Behind a longer or later one the response says that the connection is closed.

--- a/src/coltsfootnotch/util/connection.rs
+++ b/src/coltsfootnotch/util/connection.rs
@@ -16,6 +16,7 @@
 use bytes::Bytes;
 use hyper::Request;
 use hyper::body::Incoming;
+use hyper::header::EXPECT;
 use hyper::server::conn::http1;
 use hyper::service::{HttpService, service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -26,7 +27,7 @@
 use super::connection_io::{ConnectionIo, ServerSocket};
 use super::connection_state::ConnectionState;
 use super::http_server::{AnyBody, AnyResponse, ConnectionLimits};
-use super::request_body::RequestBody;
+use super::request_body::{RequestBody, discard_short_body};
 
 /// Time for which an idle connection is kept once it is told to close: the caller may have a request on its
 /// way, and the runtime learns of one that has arrived in its next turn only.
@@ -75,6 +76,8 @@
     let io = ConnectionIo::new(stream, Arc::clone(&state));
     let service = service_fn(|req: Request<Incoming>| {
         let version = req.version();
+        // Such a caller sends its body only once it is asked to, by a read of it.
+        let awaits_continue = req.headers().contains_key(EXPECT);
         state.begin_request(version, req.headers());
         let req = req.map(|body| RequestBody::new(body, Arc::clone(&state)));
         let state = Arc::clone(&state);
@@ -86,6 +89,9 @@
                 let handled = pin!(handler(req, peer));
                 until_aborted(handled, &state).await
             };
+            if !awaits_continue {
+                discard_short_body(&state).await;
+            }
             Ok::<_, Infallible>(state.prepare(response, version))
         })
     });
--- a/src/coltsfootnotch/util/connection_state.rs
+++ b/src/coltsfootnotch/util/connection_state.rs
@@ -1,11 +1,11 @@
 //! What the service of a connection and its socket tell each other.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use http_body_util::BodyExt;
 use hyper::Version;
-use hyper::body::Body;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderMap, HeaderValue};
 
 use super::abort_after_flush::{AbortAfterFlush, FlushSignal};
@@ -33,8 +33,8 @@
     pub(super) has_said_close: AtomicBool,
     /// Whether a part of the last request's body was left unread, so that no request can be found behind it.
     pub(super) has_body_left: AtomicBool,
-    /// Whether the last request's body is too long, if left unread, for the connection to be used again.
-    pub(super) is_body_long: AtomicBool,
+    /// What its handler left of the last request's body.
+    left_body: Mutex<Option<Incoming>>,
     /// Whether requests are refused: they came behind the last response.
     pub(super) is_refusing: AtomicBool,
     /// Whether what is in progress ends now, since the process does.
@@ -68,6 +68,13 @@
         self.is_aborting.load(Ordering::Acquire) && self.is_body_unfinished.load(Ordering::Acquire)
     }
 
+    /// What its handler left of the last request's body.
+    pub(super) fn left_body(&self) -> MutexGuard<'_, Option<Incoming>> {
+        self.left_body
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether the next request begins where the bytes end that were served, and can be responded to.
     pub(super) fn can_find_next_request(&self) -> bool {
         !self.has_body_left.load(Ordering::Acquire)
@@ -91,9 +98,8 @@
             let state = Arc::clone(self);
             response = response.map(|body| AbortAfterFlush::new(body, state).boxed());
         }
-        let is_left_unread =
-            self.has_body_left.load(Ordering::Acquire) && self.is_body_long.load(Ordering::Acquire);
-        if is_marked || is_left_unread || self.is_closing.load(Ordering::Acquire) {
+        let is_closing = self.is_closing.load(Ordering::Acquire);
+        if is_marked || is_closing || self.has_body_left.load(Ordering::Acquire) {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
--- a/src/coltsfootnotch/util/http_server_tests.rs
+++ b/src/coltsfootnotch/util/http_server_tests.rs
@@ -647,3 +647,39 @@
     expect_that!((is_sent, is_read), eq((true, true)));
     expect_that!(received.as_str(), is_last_response());
 }
+
+/// Guards against a request that gets no response since the body of the one before was left unread.
+#[gtest]
+#[tokio::test]
+async fn a_request_behind_a_short_body_that_is_left_unread_is_answered() {
+    let server = Server::start().await;
+    let body = [b'x'; 12_000];
+    for (framing, end) in [
+        ("content-length: 12000\r\n\r\n", ""),
+        (
+            "transfer-encoding: chunked\r\n\r\n2ee0\r\n",
+            "\r\n0\r\n\r\n",
+        ),
+    ] {
+        let mut caller = server.connect();
+        let head = format!("POST / HTTP/1.1\r\nhost: a\r\n{framing}");
+        caller.send(&[head.as_bytes(), &body, end.as_bytes(), LEAVE].concat());
+        let received = caller.read_to_end().await;
+        expect_that!(statuses(&received), elements_are![eq(&"200"), eq(&"200")]);
+    }
+}
+
+/// Guards against a kept connection that is closed while its caller goes on with it: the body arrives after the headers,
+/// and the response comes first.
+#[gtest]
+#[tokio::test]
+async fn a_connection_can_be_used_after_a_short_body_that_is_left_unread() {
+    let server = Server::start().await;
+    let mut caller = server.connect();
+    caller.send(b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 2000\r\n\r\n");
+    sleep(DELIVERY).await;
+    caller.send(&[b'x'; 2000]);
+    expect_that!(caller.read().await, ends_with(BODY));
+    caller.send(REQUEST);
+    expect_that!(caller.read().await, ends_with(BODY));
+}
--- a/src/coltsfootnotch/util/request_body.rs
+++ b/src/coltsfootnotch/util/request_body.rs
@@ -4,31 +4,36 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::time::timeout;
 
 use super::connection_state::ConnectionState;
 
 /// The body of a request, which tells its connection once it has been read: bytes that follow a body that was
 /// left unread are not the next request.
 pub struct RequestBody {
-    body: Incoming,
+    /// None once it is dropped.
+    body: Option<Incoming>,
     state: Arc<ConnectionState>,
 }
 
-/// Longest body that the HTTP library discards if its handler leaves it unread, in bytes. It mostly arrives with the
-/// headers; behind a longer one the library closes the connection.
-const MAX_SHORT_BODY: u64 = 4 * 1024;
+/// Longest body that is read though its handler has left it unread, in bytes, and the time for it: the connection can be
+/// used again then, and the requests behind it are found. Most such bodies have arrived with the headers.
+const MAX_DISCARDED_BODY: u64 = 16 * 1024;
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
 
 impl RequestBody {
     pub(super) fn new(body: Incoming, state: Arc<ConnectionState>) -> Self {
         let has_body_left = !body.is_end_stream();
-        let stated = body.size_hint().exact();
-        let is_long = stated.is_none_or(|len| len > MAX_SHORT_BODY);
         state.has_body_left.store(has_body_left, Ordering::Release);
-        state.is_body_long.store(is_long, Ordering::Release);
-        Self { body, state }
+        Self {
+            body: Some(body),
+            state,
+        }
     }
 
     /// Where to record how far the request has come.
@@ -57,7 +62,10 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        let Some(body) = &mut self.body else {
+            return Poll::Ready(None);
+        };
+        let frame = ready!(Pin::new(body).poll_frame(cx));
         if frame.is_none() {
             self.state.has_body_left.store(false, Ordering::Release);
         }
@@ -65,10 +73,46 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.body.as_ref().is_none_or(Body::is_end_stream)
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        self.body
+            .as_ref()
+            .map_or_else(SizeHint::new, Body::size_hint)
+    }
+}
+
+impl Drop for RequestBody {
+    fn drop(&mut self) {
+        if self.state.has_body_left.load(Ordering::Acquire) {
+            *self.state.left_body() = self.body.take();
+        }
+    }
+}
+
+/// Reads a short body that the handler of the request has left unread.
+pub(super) async fn discard_short_body(state: &ConnectionState) {
+    let Some(mut body) = state.left_body().take() else {
+        return;
+    };
+    if body.size_hint().lower() > MAX_DISCARDED_BODY {
+        return;
+    }
+    let to_end = async {
+        let mut discarded = 0;
+        while discarded <= MAX_DISCARDED_BODY {
+            match body.frame().await {
+                Some(Ok(frame)) => {
+                    discarded += frame.data_ref().map_or(0, |data| data.len() as u64)
+                }
+                Some(Err(_)) => return false,
+                None => return true,
+            }
+        }
+        false
+    };
+    if timeout(DISCARD_TIMEOUT, to_end).await.unwrap_or(false) {
+        state.has_body_left.store(false, Ordering::Release);
     }
 }
