Let a stopping sidecar end after its last replies

A sidecar that stops reports attempts that it has not started, and ended as soon as no attempt ran, though such a report might not have left. Its entry took the request for one that may have run: the caller got 502 for 503, and one that may not be repeated was lost.

Replies on their way count as in progress until their entry has them, or its connection ends, within the time of the shutdown.

--- a/src/coltsfootnotch/daemon/sidecar/actor.rs
+++ b/src/coltsfootnotch/daemon/sidecar/actor.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use coltsfootnotch_chart::{Charts, UpstreamEvent};
@@ -83,6 +84,8 @@
     pub(super) core: SidecarCore,
     pub(super) upstreams: UpstreamTable,
     pub(super) attempts: HashMap<AttemptId, RunnerHandle>,
+    /// Shared by the replies about attempts that don't run, until their entry has received them.
+    pub(super) replies_in_progress: Arc<()>,
     pub(super) entries: BTreeMap<HostName, (LinkId, LinkTx)>,
     pub(super) relay: RelayClient,
     pub(super) reports: ServiceReports,
@@ -155,6 +158,7 @@
             }),
             upstreams: UpstreamTable::new(charts.upstream),
             attempts: HashMap::new(),
+            replies_in_progress: Arc::default(),
             entries: BTreeMap::new(),
             relay: RelayClient::new(cx.clone(), cfg.control.clone()),
             reports: ServiceReports::default(),
@@ -357,13 +361,14 @@
             .send_heartbeat(now, |config| HostRecord { config, ..record });
     }
 
-    /// Stops the actor once leases are released and every attempt has finished, with its response
-    /// acknowledged by the entry.
+    /// Stops the actor once leases are released and every attempt has finished, with its response, or the reply
+    /// that it was not started, acknowledged by the entry.
     fn stop_if_drained(&mut self, stakker: CX![]) {
         if self.orders.is_releasing(self.cx.now()) {
             return;
         }
-        if self.lifecycle.try_finish(self.attempts.len()) {
+        let replies = Arc::strong_count(&self.replies_in_progress) - 1;
+        if self.lifecycle.try_finish(self.attempts.len() + replies) {
             self.endpoint.close();
             stop!(stakker);
         }
--- a/src/coltsfootnotch/daemon/sidecar/attempts.rs
+++ b/src/coltsfootnotch/daemon/sidecar/attempts.rs
@@ -78,10 +78,12 @@
     }
 
     fn reply(&self, reply: AttemptReply, mut stream: AttemptStream) {
+        let in_progress = Arc::clone(&self.replies_in_progress);
         self.cx.runtime.spawn(async move {
             if write_frame(&mut stream.send, &reply).await.is_ok() && stream.send.finish().is_ok() {
                 let _acknowledged = stream.send.stopped().await;
             }
+            drop(in_progress);
         });
     }
 
--- a/src/coltsfootnotch/daemon/sidecar/mod.rs
+++ b/src/coltsfootnotch/daemon/sidecar/mod.rs
@@ -18,6 +18,9 @@
 mod service_reports;
 mod sockets;
 mod sse;
+#[cfg(test)]
+#[path = "stop_tests.rs"]
+mod stop;
 mod upstream_call;
 mod upstream_table;
 
