Bound the sizes that requests state

One request that states 2^64 - 1 prompt tokens ended the router of its machine with all requests in progress there. The number was added to the backlog of an engine with arithmetic that wraps in release builds, so the sum fell below its parts, and the actor that owns all requests panicked when one of the others began ("a request leaves the backlog once"). The most output tokens wrapped the tokens held, and the service units, in the same way. Debug builds panicked on the sum itself.

A request that states more prompt and answer tokens than the memory of an engine of its service is refused at once. It went to an idle engine before, and to the next after that. The refusal is a 503: the protocol has such a request rejected as if the engine were full, it has not run, and another service of its route or the next configuration may serve it. It gets no 413, which ends all retries. It doesn't wait for a place, isn't placed again as the resumption of a stream, and doesn't count as demand of its account, whose other requests were refused for it.

--- a/crates/forward/src/place/engine.rs
+++ b/crates/forward/src/place/engine.rs
@@ -298,7 +298,7 @@
         let load = candidate.load;
         let slowness = fleet.slowness(now, load);
         let cached = load.cached.cached_prefix_tokens(&request.prompt.shared);
-        let uncached = request.prompt.tokens.saturating_sub(cached);
+        let uncached = u64::from(request.prompt.tokens).saturating_sub(cached);
         let to_ms = |tokens| fleet.prefill_ms(tokens);
         let queue_ms = fleet.queue_ms(load);
         let missing = cache.most - cached;
@@ -324,7 +324,7 @@
         let sent = SentRequest {
             // Counts what is copied as prefilled: the source may have displaced it.
             uncached_tokens: uncached,
-            held_tokens: uncached + request.prompt.output_tokens,
+            held_tokens: uncached + u64::from(request.prompt.output_tokens),
             expected_ms,
             at: now,
         };
@@ -340,8 +340,9 @@
     }
 }
 
-/// Whether the engine has a slot and memory for the request. A request larger than the memory fits
-/// an idle engine only, which decides itself.
+/// Whether the engine has a slot and memory for the request. A request larger than [`MEMORY_SHARE`] fits an idle
+/// engine only, which decides itself; one larger than the memory is refused before, see
+/// [`Engine::can_hold`](crate::config::Engine::can_hold).
 fn has_capacity(candidate: &Candidate<'_>, tokens: u64) -> bool {
     let in_flight = candidate.load.in_flight();
     let capacity = (candidate.memory_tokens as f64 * MEMORY_SHARE) as u64;
--- a/crates/forward/src/place/refusal.rs
+++ b/crates/forward/src/place/refusal.rs
@@ -19,6 +19,9 @@
     /// No other upstream runs the version that began the stream to go on with.
     #[display("no other upstream runs the version that began the stream")]
     VersionGone,
+    /// No engine of the service has memory for it, even when idle.
+    #[display("larger than the memory of an upstream")]
+    TooLarge,
     /// Every upstream is saturated.
     #[display("all upstreams full")]
     Saturated,
@@ -31,6 +34,10 @@
     OverShare,
 }
 
+/// Delay after which a request larger than an engine's memory may be retried. Only another configuration, or another
+/// service of its route, can serve it.
+const TOO_LARGE_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Refusal of a request, which has not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Refusal {
@@ -43,3 +50,16 @@
     /// Wait at the least saturated upstream compared, and its limit for an account within its fair share.
     pub wait: Option<(Duration, Duration)>,
 }
+
+impl Refusal {
+    /// Refusal of a request that no engine of the service has memory for.
+    #[must_use]
+    pub fn too_large() -> Self {
+        Self {
+            reason: RefusalReason::TooLarge,
+            retry_after: TOO_LARGE_RETRY_AFTER,
+            is_saturated: false,
+            wait: None,
+        }
+    }
+}
--- a/crates/forward/src/place/request.rs
+++ b/crates/forward/src/place/request.rs
@@ -5,12 +5,21 @@
 use crate::load::PromptSegment;
 
 /// A prompt as described by the caller.
+///
+/// Its sizes are of 32 bits, far beyond the memory of any engine, so that the sums over all requests in progress
+/// fit 64 bits whatever callers state.
+///
+/// ```
+/// use coltsfootnotch_forward::place::Prompt;
+/// let prompt = Prompt { tokens: u32::MAX, output_tokens: 2, shared: Vec::new() };
+/// assert_eq!(prompt.memory_tokens(), 4_294_967_297);
+/// ```
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Prompt {
     /// All its tokens.
-    pub tokens: u64,
+    pub tokens: u32,
     /// Most tokens of the answer.
-    pub output_tokens: u64,
+    pub output_tokens: u32,
     /// Its segments in order, except the last, which is unique to the request.
     pub shared: Vec<PromptSegment>,
 }
@@ -28,24 +37,29 @@
         self.shared.iter().map(|p| u64::from(p.tokens)).sum()
     }
 
+    /// Most tokens of an engine's memory that it occupies with its answer.
+    #[must_use]
+    pub fn memory_tokens(&self) -> u64 {
+        u64::from(self.tokens) + u64::from(self.output_tokens)
+    }
+
     /// Its tokens that are not of shared segments.
     #[must_use]
     pub fn own_tokens(&self) -> u64 {
-        self.tokens.saturating_sub(self.shared_tokens())
+        u64::from(self.tokens).saturating_sub(self.shared_tokens())
     }
 
     /// Service units of the request: prompt tokens that are not shared, plus twice the answer's
     /// tokens, which cost an engine about twice as much.
     #[must_use]
     pub fn service_units(&self) -> u64 {
-        self.own_tokens() + 2 * self.output_tokens
+        self.own_tokens() + 2 * u64::from(self.output_tokens)
     }
 
     /// Estimated longest time from the first event of the answer to its end.
     #[must_use]
     pub fn max_answer_time(&self) -> Duration {
-        let tokens = u32::try_from(self.output_tokens).unwrap_or(u32::MAX);
-        TIME_PER_TOKEN.saturating_mul(tokens)
+        TIME_PER_TOKEN * self.output_tokens
     }
 }
 
--- a/crates/forward/tests/testsuite/copies.rs
+++ b/crates/forward/tests/testsuite/copies.rs
@@ -21,7 +21,7 @@
 /// A draft whose shared segments take 174 ms to prefill, or a question, whose take 14 ms.
 fn prompt(shared_tokens: u32) -> Prompt {
     Prompt {
-        tokens: u64::from(shared_tokens) + 1_000,
+        tokens: shared_tokens + 1_000,
         output_tokens: 50,
         shared: vec![PromptSegment {
             id: 7,
--- a/crates/forward/tests/testsuite/many_entries/crowds.rs
+++ b/crates/forward/tests/testsuite/many_entries/crowds.rs
@@ -16,7 +16,7 @@
 const DOMAINS: usize = 3;
 const SECONDS: usize = 14;
 /// Prompts of the three kinds of requests.
-const TOKENS: [u64; 3] = [543, 1_800, 2_890];
+const TOKENS: [u32; 3] = [543, 1_800, 2_890];
 const MEAN_UNITS: f64 = 1_744.0;
 /// Interval of the entries' measurements of their delay.
 const OBSERVE_MS: u64 = 100;
@@ -121,7 +121,7 @@
                 self.read(entry);
             }
         }
-        unfair(&self.seconds, TOKENS[2])
+        unfair(&self.seconds, TOKENS[2].into())
     }
 
     fn second(&mut self, account: usize) -> &mut Second {
--- a/crates/forward/tests/testsuite/many_entries/fleet.rs
+++ b/crates/forward/tests/testsuite/many_entries/fleet.rs
@@ -444,7 +444,7 @@
                 self.prefilled.repeated += u64::from(segment.tokens);
             }
         }
-        let uncached = prompt.tokens - cached;
+        let uncached = u64::from(prompt.tokens) - cached;
         self.prefilled.all += uncached;
         engine.prefilled += uncached;
         engine.held += held_tokens(prompt);
@@ -514,5 +514,5 @@
 
 /// Tokens that a running request occupies besides its shared segments.
 fn held_tokens(prompt: &Prompt) -> u64 {
-    prompt.tokens - prompt.shared_tokens() + prompt.output_tokens
+    prompt.memory_tokens() - prompt.shared_tokens()
 }
--- a/crates/forward/tests/testsuite/many_entries/shedding.rs
+++ b/crates/forward/tests/testsuite/many_entries/shedding.rs
@@ -22,7 +22,7 @@
 
 fn prompt(_rng: &mut StdRng, _account: usize) -> Prompt {
     Prompt {
-        tokens: u64::from(UNITS),
+        tokens: UNITS,
         output_tokens: 0,
         shared: Vec::new(),
     }
--- a/crates/forward/tests/testsuite/many_entries/whole_fleet.rs
+++ b/crates/forward/tests/testsuite/many_entries/whole_fleet.rs
@@ -29,17 +29,17 @@
     let own: f64 = rng.random_range(0.3..2.0);
     match rng.random_range(0..1_360) {
         0..518 => Prompt {
-            tokens: 6_300 + (2_890.0 * own) as u64,
+            tokens: 6_300 + (2_890.0 * own) as u32,
             output_tokens: 56,
             shared: segments(subject % 4, 100_000 + subject, [2_520, 3_780]),
         },
         518..1_073 => Prompt {
-            tokens: 568 + (1_800.0 * own) as u64,
+            tokens: 568 + (1_800.0 * own) as u32,
             output_tokens: 24,
             shared: segments(1_000 + subject % 32, 200_000 + subject, [341, 227]),
         },
         _ => Prompt {
-            tokens: 172 + (543.0 * own) as u64,
+            tokens: 172 + (543.0 * own) as u32,
             output_tokens: 280,
             shared: segments(2_000 + subject % 160, 300_000 + subject, [103, 69]),
         },
--- a/crates/forward/tests/testsuite/stalls.rs
+++ b/crates/forward/tests/testsuite/stalls.rs
@@ -18,7 +18,7 @@
 const GAP: Duration = Duration::from_millis(300);
 const TOKENS_PER_EVENT: u32 = 8;
 /// Tokens of prompts, equally likely.
-const PROMPT_TOKENS: [u64; 8] = [600, 600, 1_800, 1_800, 4_600, 4_600, 15_800, 30_000];
+const PROMPT_TOKENS: [u32; 8] = [600, 600, 1_800, 1_800, 4_600, 4_600, 15_800, 30_000];
 const PROMPTS_PER_BURST: u32 = 3;
 const ANSWER_TOKENS: u32 = 240;
 
@@ -110,7 +110,7 @@
         self.outcomes = Outcomes::default();
         let end = self.now + time;
         let all = self.engines.len() as f64 * self.kind.tokens_per_ms;
-        let mean = PROMPT_TOKENS.iter().sum::<u64>() as f64 / PROMPT_TOKENS.len() as f64;
+        let mean = f64::from(PROMPT_TOKENS.iter().sum::<u32>()) / PROMPT_TOKENS.len() as f64;
         let burst_rate = utilization * all / (f64::from(PROMPTS_PER_BURST) * mean);
         while self.now < end {
             self.now += Duration::from_millis(1);
@@ -126,7 +126,7 @@
         let tokens = PROMPT_TOKENS[self.rng.random_range(0..PROMPT_TOKENS.len())];
         let prompt = Prompt {
             tokens,
-            output_tokens: u64::from(ANSWER_TOKENS),
+            output_tokens: ANSWER_TOKENS,
             shared: Vec::new(),
         };
         let prefill_rate = PrefillRate {
--- a/src/coltsfootnotch/daemon/forward/resumption.rs
+++ b/src/coltsfootnotch/daemon/forward/resumption.rs
@@ -86,7 +86,7 @@
         loop {
             let placed = self.place(req, avoid, is_retry, Some(origin)).await;
             let is_full = matches!(placed, Err(PlacementError::Refused(refusal, _))
-                if refusal.reason != RefusalReason::VersionGone);
+                if !matches!(refusal.reason, RefusalReason::VersionGone | RefusalReason::TooLarge));
             if !is_full || Instant::now() >= wait_until {
                 return placed;
             }
--- a/src/coltsfootnotch/daemon/forward/state/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/state/mod.rs
@@ -155,6 +155,14 @@
             return Err(PlacementError::PoisonSegment);
         }
         let service = &req.config.services()[req.service];
+        if service
+            .engine
+            .as_ref()
+            .is_some_and(|e| !e.can_hold(&req.prompt))
+        {
+            // Its size isn't recorded as demand, by which the other requests of its account are refused.
+            return Err(PlacementError::Refused(Refusal::too_large(), None));
+        }
         let is_first = req.is_first();
         let is_new = req.is_new();
         if is_new {
