--- a/src/coltsfootnotch/daemon/forward/exchange.rs
+++ b/src/coltsfootnotch/daemon/forward/exchange.rs
@@ -17,6 +17,10 @@
 use crate::util::body_framing::BodyFraming;
 use crate::util::events;
 
+/// Longest time for which an upstream gets no requests because it asked for none. One that asks for longer is tried
+/// again after it: the time may be a mistake, and callers are told of it.
+const MAX_BACKOFF: Duration = Duration::from_secs(30);
+
 /// A response whose headers were received.
 pub(super) struct UpstreamResponse {
     pub(super) response: Response<Incoming>,
@@ -188,6 +192,7 @@
             && status == StatusCode::SERVICE_UNAVAILABLE
         {
             let now = self.cx.now();
+            let time = time.min(MAX_BACKOFF);
             let mut notices = self.notices.lock();
             let is_new = notices.request_backoff(now, upstream, ticket.born_ms, time);
             drop(notices);
--- a/src/coltsfootnotch/daemon/forward/pool.rs
+++ b/src/coltsfootnotch/daemon/forward/pool.rs
@@ -28,6 +28,10 @@
 /// Keep-alive time of an idle connection if the upstream states none.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 
+/// Longest time for which an idle connection is kept. What is used no more for so long holds a socket and memory here
+/// and at the upstream, whatever that states.
+const MAX_KEEP_ALIVE: Duration = Duration::from_secs(60);
+
 /// Share of the keep-alive time for which a connection is reused. Whether the upstream read a
 /// request that crosses its close is unknown, and such a request may not be repeatable.
 const KEEP_ALIVE_SHARE: f64 = 0.6;
@@ -135,6 +139,7 @@
         }
         let keep_alive = keep_alive
             .unwrap_or(DEFAULT_KEEP_ALIVE)
+            .min(MAX_KEEP_ALIVE)
             .mul_f64(KEEP_ALIVE_SHARE);
         let expires_at = Instant::now() + keep_alive;
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
