--- a/src/coltsfootnotch/util/request_body.rs
+++ b/src/coltsfootnotch/util/request_body.rs
@@ -104,7 +104,7 @@
         while discarded <= MAX_DISCARDED_BODY {
             match body.frame().await {
                 Some(Ok(frame)) => {
-                    discarded += frame.data_ref().map_or(0, |data| data.len() as u64)
+                    discarded += frame.data_ref().map_or(0, |data| data.len() as u64);
                 }
                 Some(Err(_)) => return false,
                 None => return true,
