Don't place a request whose caller has left

A request that waits in the queue of the actor while its caller leaves was placed all the same: the placement was released at once, the retry that it took from the budget was not. No test: the time in which a message waits there is not under a test's control. The line of waiting requests checks the same already.

--- a/src/coltsfootnotch/daemon/forward/actor/waits.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/waits.rs
@@ -31,6 +31,10 @@
         mut req: Box<PlaceRequest>,
         tx: PlacementSender,
     ) {
+        // The caller has left; a placement would take a retry from the budget.
+        if tx.is_closed() {
+            return;
+        }
         let placed = self.place(now, &req);
         let wait = match &placed {
             Err(PlacementError::Refused(refusal, share)) => {
