Send no cancelled call, and end the others within a tenth of a second

The sidecar sent a call to its upstream though its attempt had been cancelled before, as when its thread began late or the connection took long. A call that waited for bytes looked for its cancellation every 500 ms only, while its slot was given away at once: an engine that can't be told to cancel had up to 44 requests waiting besides the 4 that it ran.

Evidence: a call that was cancelled before it ran wrote its 136 bytes on the code without the fix.

Change: a cancelled call writes nothing more, and the flag is looked at every 100 ms.

--- a/src/coltsfootnotch/daemon/sidecar/upstream_call_tests.rs
+++ b/src/coltsfootnotch/daemon/sidecar/upstream_call_tests.rs
@@ -181,6 +181,29 @@
     }
 }
 
+/// Guards against a call that is sent after its attempt was cancelled, as one whose thread begins late.
+#[googletest::test]
+fn a_call_that_was_cancelled_before_it_was_sent_reaches_no_upstream() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (tx, mut parts) = mpsc::channel(32);
+    let call = call_to(address, &Clients::new(), LONG_DEADLINE, tx);
+    call.cancelled.store(true, Ordering::Relaxed);
+    call.run();
+    expect_true!(matches!(
+        parts.blocking_recv(),
+        Some(ResponsePart::Failed(FailReason::Cancelled))
+    ));
+    listener.set_nonblocking(true).unwrap();
+    let received = listener.accept().map(|(mut connection, _)| {
+        let mut buf = Vec::new();
+        connection.set_nonblocking(false).unwrap();
+        connection.read_to_end(&mut buf).unwrap();
+        buf.len()
+    });
+    expect_that!(received.unwrap_or(0), eq(0));
+}
+
 /// Guards against threads that wait without end for the answer to a request to cancel an attempt.
 #[googletest::test]
 fn a_request_to_cancel_ends_whatever_the_upstream_sends() {
--- a/src/coltsfootnotch/util/call_cancellation.rs
+++ b/src/coltsfootnotch/util/call_cancellation.rs
@@ -13,8 +13,9 @@
 use ureq::Error;
 use ureq::unversioned::transport::{NextTimeout, Transport};
 
-/// Longest wait for bytes before the flag is looked at again.
-const POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest wait for bytes before the flag is looked at again. Upstreams that can't be told to cancel learn of it by the
+/// end of the connection, half a second after the caller has left at the latest.
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 thread_local! {
     static CANCELLED: RefCell<Option<Arc<AtomicBool>>> = const { RefCell::new(None) };
@@ -29,7 +30,7 @@
     }
 }
 
-/// Runs `call`, and fails its waits for bytes on this thread soon after `cancelled` is set.
+/// Runs `call`, and fails its writes and its waits for bytes on this thread soon after `cancelled` is set.
 ///
 /// ```
 /// use std::sync::Arc;
@@ -44,20 +45,38 @@
     call()
 }
 
+/// Writes output as [`Transport::transmit_output`] does, unless the call of this thread is cancelled.
+pub(super) fn transmit_output(
+    transport: &mut impl Transport,
+    amount: usize,
+    timeout: NextTimeout,
+) -> Result<(), Error> {
+    let is_cancelled =
+        CANCELLED.with_borrow(|flag| flag.as_ref().is_some_and(|f| f.load(Ordering::Relaxed)));
+    if is_cancelled {
+        return Err(cancelled());
+    }
+    transport.transmit_output(amount, timeout)
+}
+
+fn cancelled() -> Error {
+    Error::Io(io::Error::other("the call was cancelled"))
+}
+
 /// Waits for input as [`Transport::await_input`] does, but no longer than until the call of this thread is
 /// cancelled.
 pub(super) fn await_input(
     transport: &mut impl Transport,
     timeout: NextTimeout,
 ) -> Result<bool, Error> {
-    let Some(cancelled) = CANCELLED.with_borrow(Clone::clone) else {
+    let Some(flag) = CANCELLED.with_borrow(Clone::clone) else {
         return transport.await_input(timeout);
     };
     let timeout = timeout.for_read();
     let started = Instant::now();
     loop {
-        if cancelled.load(Ordering::Relaxed) {
-            return Err(Error::Io(io::Error::other("the call was cancelled")));
+        if flag.load(Ordering::Relaxed) {
+            return Err(cancelled());
         }
         let left = timeout.after.saturating_sub(started.elapsed());
         if left.is_zero() {
--- a/src/coltsfootnotch/util/http_client.rs
+++ b/src/coltsfootnotch/util/http_client.rs
@@ -56,7 +56,7 @@
     }
 
     fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), Error> {
-        self.0.transmit_output(amount, timeout)
+        call_cancellation::transmit_output(&mut self.0, amount, timeout)
     }
 
     fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
--- a/tests/testsuite/processes.rs
+++ b/tests/testsuite/processes.rs
@@ -8,6 +8,7 @@
 mod control_loss;
 mod crashing_prefix;
 mod daemon;
+mod departed_callers;
 mod example;
 mod fleet;
 mod relay_loss;
