Cancel attempts whose entry has dropped their stream

An attempt went on at its engine for up to five seconds after its caller had left, for nobody. Callers that leave within some milliseconds met it most.

Cause: the message that cancels an attempt and the attempt itself come on streams of their own, and may overtake each other. One for an attempt that the sidecar doesn't know yet was dropped, and the attempt was started then. The entry had dropped its end of the attempt's stream, which the sidecar took for a lost connection, or noticed only with the first event.

Evidence: with callers that leave after 0 to 20 ms, the process test failed in 6 of 8 runs on the code without the fix: 1 to 4 of 60 requests were at work at the engine 0.5 s after the last caller had left.

Change: an attempt is cancelled when its stream is stopped over a connection that is not lost. The loss of a connection leaves it the same time to be resumed as before.

Result: the test passed in 5 of 5 runs, as did processes::resume, sidecar_loss, shutdown, connection_ends and relay_loss in one run each, at a load of 24 to 32.

--- a/crates/fabric/src/frames.rs
+++ b/crates/fabric/src/frames.rs
@@ -20,6 +20,14 @@
     Write(WriteError),
 }
 
+impl FrameError {
+    /// Whether the peer has dropped its end of the stream, over a connection that is not lost.
+    #[must_use]
+    pub fn is_stopped(&self) -> bool {
+        matches!(self, Self::Write(WriteError::Stopped(_)))
+    }
+}
+
 /// Reads one frame, checking its size before buffering the body.
 ///
 /// # Errors
--- a/crates/fabric/src/link.rs
+++ b/crates/fabric/src/link.rs
@@ -1,5 +1,7 @@
 //! The sending half of a connection.
 
+use std::future::pending;
+
 use coltsfootnotch_wire::{CodecError, Message, encode};
 use quinn::{Connection, ConnectionError, RecvStream, SendStream};
 use tokio::sync::mpsc;
@@ -13,6 +15,15 @@
     pub recv: RecvStream,
 }
 
+impl AttemptStream {
+    /// Completes when the peer has dropped its end of the stream. The loss of the connection is not reported here.
+    pub async fn stopped(&mut self) {
+        if !matches!(self.send.stopped().await, Ok(Some(_))) {
+            pending().await
+        }
+    }
+}
+
 /// Maximum number of control frames queued per connection, which bounds memory use.
 ///
 /// The connection to a peer that reads too slowly is closed; the full state is resent when it
--- a/src/coltsfootnotch/daemon/sidecar/runner.rs
+++ b/src/coltsfootnotch/daemon/sidecar/runner.rs
@@ -2,6 +2,7 @@
 //! an entry that lost its connection.
 
 use std::collections::VecDeque;
+use std::future::pending;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -105,6 +106,8 @@
                 part = self.parts.recv() => self.on_part(part).await,
                 Some(request) = self.resume_requests.recv() => self.resume(request).await,
                 () = self.handle.cancel_notify.notified() => self.cancel().await,
+                // The message that cancels the attempt may have come before the attempt.
+                () = stopped(&mut self.stream) => self.cancel().await,
                 () = tokio::time::sleep_until(abandon_at) => self.cancel().await,
             }
         }
@@ -269,7 +272,10 @@
         let Some(stream) = &mut self.stream else {
             return;
         };
-        if write_frame(&mut stream.send, reply).await.is_err() {
+        if let Err(e) = write_frame(&mut stream.send, reply).await {
+            if e.is_stopped() {
+                self.handle.cancel();
+            }
             self.stream = None;
             self.state.disconnected_at = Some(Instant::now());
         }
@@ -333,6 +339,14 @@
     }
 }
 
+/// Completes when the entry has dropped the stream, as when its caller has left.
+async fn stopped(stream: &mut Option<AttemptStream>) {
+    match stream {
+        Some(stream) => stream.stopped().await,
+        None => pending().await,
+    }
+}
+
 impl RunnerState {
     /// Buffers a chunk, and drops the oldest ones beyond [`MAX_BUFFERED_BYTES`].
     fn buffer_chunk(&mut self, seq: u64, data: Vec<u8>) {
