Read the numbers of configurations without wrapping them

Each was accepted, and did harm far from where it is stated:

- `max_header_bytes` of 2^64 - 1 wraps with the margin that is added to it.
Debug builds end each connection of callers; release builds accept 8 KB of headers at most.
- A `cold_per_s` whose interval is too long for a duration counted as no limit at all, and one slightly greater overflowed the clock in the actor that owns all requests.

--- a/crates/forward/src/load/warm_up.rs
+++ b/crates/forward/src/load/warm_up.rs
@@ -11,6 +11,9 @@
 /// and the number of entries is known with a delay.
 const USED_SHARE: f64 = 0.6;
 
+/// Longest interval, far longer than a warm-up. It can be added to a clock, whatever rate is stated.
+const MAX_INTERVAL: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// Interval at which each of `entries` entries may send to an upstream that takes `per_s` requests
 /// per second while it warms up. None without a stated rate, which means no limit.
 ///
@@ -26,7 +29,9 @@
         return None;
     }
     let seconds = f64::from(entries.max(1)) / (per_s * USED_SHARE);
-    Duration::try_from_secs_f64(seconds).ok()
+    Some(Duration::from_secs_f64(
+        seconds.min(MAX_INTERVAL.as_secs_f64()),
+    ))
 }
 
 /// The warm-up of one upstream, as seen by one entry.
@@ -64,7 +69,7 @@
             self.phase = phase;
             self.last_sent = None;
         }
-        self.until = self.until.max(now + remaining);
+        self.until = self.until.max(now.saturating_add(remaining));
     }
 
     /// Records that a request was sent.
--- a/crates/forward/tests/testsuite/warm_up.rs
+++ b/crates/forward/tests/testsuite/warm_up.rs
@@ -114,3 +114,23 @@
     let cold = registry.apply(at(4_800), announcement(4, at(2_000)));
     expect_that!(cold, eq(RegistryUpdate::Changed));
 }
+
+/// Guards against a stated rate whose interval is no duration, or none that a clock can be added to: the first counted
+/// as no limit, the second ended the process.
+#[googletest::test]
+fn any_stated_rate_has_an_interval() {
+    let now = Duration::from_secs(1);
+    for entries in [1, 300, u32::MAX] {
+        for per_s in [1e-300, 1e-12, 4e-10, 1e-9, 1.0, 1e300] {
+            let interval = warm_up_interval(per_s, entries);
+            expect_that!(interval, some(anything()), "{per_s} for {entries} entries");
+            let mut warm_up = WarmUp::default();
+            warm_up.announce(now, Duration::from_secs(3_000), 1.0);
+            let _is_due = warm_up.admits(now, interval);
+            warm_up.on_sent(now);
+            let is_due = f64::from(entries) / per_s <= 1_000.0;
+            let is_admitted = warm_up.admits(now + Duration::from_secs(2_999), interval);
+            expect_that!(is_admitted, eq(is_due), "{per_s} for {entries} entries");
+        }
+    }
+}
--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -259,9 +259,9 @@
         let limits: Limits = Arc::new(move || {
             let config = in_force.borrow();
             let bounds = config.as_ref().map(|c| c.bounds());
-            let header_bytes = bounds.map_or(HEADER_BYTES, |b| b.header_bytes + HEADER_MARGIN);
+            let header_bytes = bounds.map_or(HEADER_BYTES, |b| b.header_bytes.min(HEADER_BYTES));
             ConnectionLimits {
-                header_bytes: header_bytes.min(HEADER_BYTES),
+                header_bytes: (header_bytes + HEADER_MARGIN).min(HEADER_BYTES),
                 read_timeout: bounds.map_or(READ_TIMEOUT, |b| b.read_timeout()),
             }
         });
