Sum what other hosts report without wrapping

Reports of load come from other hosts, and their sums wrapped: in debug builds the control host or entry ended, in release builds a busy upstream looked idle to all entries, and the number of entries, by which limits are divided, could be any. The sums saturate now. Elsewhere a sum of stated numbers is exact in a wider type:

- The limit on the queue of a plain upstream is three times its slots, which an announcement states: 1,431,655,766 of them wrapped to 2, so that it seemed full; in debug builds the entry ended.
- A count of earlier retries of 2^32 - 1 wrapped to none, which permits any number of further ones.
- A great number of entries stretched the period of load reports to weeks.
It is 30 seconds at most, also as a control host tells it.

Before: the five tests of `stated_numbers` failed ("attempt to multiply with overflow", "attempt to add with overflow", a period of 6,012,954 s); now they pass.

--- a/crates/forward/src/load/fleet_load.rs
+++ b/crates/forward/src/load/fleet_load.rs
@@ -90,7 +90,7 @@
     #[must_use]
     pub fn entries(&self, now: Duration) -> u32 {
         let live = self.senders.values().filter(|sender| is_live(now, sender));
-        live.map(|sender| sender.entries).sum()
+        live.fold(0, |sum: u32, sender| sum.saturating_add(sender.entries))
     }
 
     /// Totals of all senders; the counters start anew.
--- a/crates/forward/src/load/in_flight.rs
+++ b/crates/forward/src/load/in_flight.rs
@@ -28,11 +28,12 @@
     }
 }
 
+/// Saturates, since other hosts report a part of what is added.
 impl AddAssign for InFlight {
     fn add_assign(&mut self, other: Self) {
-        self.waiting_tokens += other.waiting_tokens;
-        self.running += other.running;
-        self.held_tokens += other.held_tokens;
+        self.waiting_tokens = self.waiting_tokens.saturating_add(other.waiting_tokens);
+        self.running = self.running.saturating_add(other.running);
+        self.held_tokens = self.held_tokens.saturating_add(other.held_tokens);
     }
 }
 
--- a/crates/forward/src/load/period.rs
+++ b/crates/forward/src/load/period.rs
@@ -10,6 +10,9 @@
 /// period, some 50 microseconds each, so this keeps them below a tenth of a core.
 const PER_ENTRY: Duration = Duration::from_micros(1_400);
 
+/// Longest interval, whatever the number of entries is said to be.
+const MAX_PERIOD: Duration = Duration::from_secs(30);
+
 /// Time between two reports of an entry, and between two broadcasts of a control host.
 ///
 /// ```
@@ -20,5 +23,7 @@
 /// ```
 #[must_use]
 pub fn reporting_period(entries: u32) -> Duration {
-    MIN_PERIOD.max(PER_ENTRY.saturating_mul(entries))
+    PER_ENTRY
+        .saturating_mul(entries)
+        .clamp(MIN_PERIOD, MAX_PERIOD)
 }
--- a/crates/forward/src/load/sums.rs
+++ b/crates/forward/src/load/sums.rs
@@ -1,4 +1,6 @@
 //! Sums of load by upstream and by account.
+//!
+//! The sums saturate: their parts come from other hosts, and a sum that wraps would make a busy upstream look idle.
 
 use std::collections::BTreeMap;
 
@@ -7,18 +9,18 @@
 /// Adds requests in flight to the sums of their upstream.
 pub(super) fn add_in_flight(all: &mut BTreeMap<String, UpstreamUsage>, used: &UpstreamUsage) {
     let total = upstream(all, &used.id);
-    total.waiting_tokens += used.waiting_tokens;
-    total.running += used.running;
-    total.held_tokens += used.held_tokens;
+    total.waiting_tokens = total.waiting_tokens.saturating_add(used.waiting_tokens);
+    total.running = total.running.saturating_add(used.running);
+    total.held_tokens = total.held_tokens.saturating_add(used.held_tokens);
 }
 
 /// Adds counters to the sums of their upstream.
 pub(super) fn add_counters(all: &mut BTreeMap<String, UpstreamUsage>, used: &UpstreamUsage) {
     let total = upstream(all, &used.id);
-    total.elapsed_ms += used.elapsed_ms;
-    total.expected_ms += used.expected_ms;
-    total.failed += used.failed;
-    total.succeeded += used.succeeded;
+    total.elapsed_ms = total.elapsed_ms.saturating_add(used.elapsed_ms);
+    total.expected_ms = total.expected_ms.saturating_add(used.expected_ms);
+    total.failed = total.failed.saturating_add(used.failed);
+    total.succeeded = total.succeeded.saturating_add(used.succeeded);
 }
 
 fn upstream<'a>(all: &'a mut BTreeMap<String, UpstreamUsage>, id: &str) -> &'a mut UpstreamUsage {
@@ -49,6 +51,6 @@
         admitted: 0,
     };
     let total = all.entry(used.account.clone()).or_insert_with(empty);
-    total.requested += used.requested;
-    total.admitted += used.admitted;
+    total.requested = total.requested.saturating_add(used.requested);
+    total.admitted = total.admitted.saturating_add(used.admitted);
 }
--- a/crates/forward/src/place/engine.rs
+++ b/crates/forward/src/place/engine.rs
@@ -347,7 +347,7 @@
     let in_flight = candidate.load.in_flight();
     let capacity = (candidate.memory_tokens as f64 * MEMORY_SHARE) as u64;
     in_flight.running < candidate.slots
-        && (in_flight.running == 0 || in_flight.held_tokens + tokens <= capacity)
+        && (in_flight.running == 0 || in_flight.held_tokens.saturating_add(tokens) <= capacity)
 }
 
 fn refusal(
--- a/crates/forward/src/place/plain.rs
+++ b/crates/forward/src/place/plain.rs
@@ -49,7 +49,8 @@
         }
         has_candidates = true;
         let running = candidate.load.in_flight().running;
-        if running >= candidate.slots.max(1) * (1 + QUEUE_PER_SLOT) {
+        let limit = u64::from(candidate.slots.max(1)) * u64::from(1 + QUEUE_PER_SLOT);
+        if u64::from(running) >= limit {
             continue;
         }
         let mut cost = f64::from(running) * candidate.load.slowness(now);
--- a/crates/forward/src/retry/retry_budget.rs
+++ b/crates/forward/src/retry/retry_budget.rs
@@ -138,7 +138,7 @@
         let share = if is_known { 1.0 } else { UNKNOWN_SHARE };
         let slack = entries.map_or(0.0, |n| self.limit.slack / f64::from(n.max(1)));
         let allowed = (f64::from(sent.requests) * self.limit.ratio + slack) * USED_SHARE * share;
-        if f64::from(sent.retries + 1) > allowed {
+        if f64::from(sent.retries) + 1.0 > allowed {
             return false;
         }
         let retry = RetrySum {
--- a/crates/forward/tests/testsuite/main.rs
+++ b/crates/forward/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod saturated_homes;
 mod share;
 mod stalls;
+mod stated_numbers;
 mod streams;
 mod upstream_notices;
 mod warm_up;
--- a/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
@@ -5,7 +5,7 @@
 
 use coltsfootnotch_fabric::{Event, LinkId};
 use coltsfootnotch_forward::config::ForwardConfig;
-use coltsfootnotch_forward::load::LoadDecoder;
+use coltsfootnotch_forward::load::{LoadDecoder, reporting_period};
 use coltsfootnotch_forward::registry::{Announcement, RegistryUpdate};
 use coltsfootnotch_forward::streams::StreamOrigin;
 use coltsfootnotch_state::BodyDigest;
@@ -83,7 +83,8 @@
                 self.apply_segments(now, &segments);
                 if self.links.reports_to(link) {
                     self.lists_all_upstreams = lists_all_upstreams;
-                    self.report_period = Duration::from_millis(period_ms.into());
+                    let period = Duration::from_millis(period_ms.into());
+                    self.report_period = period.min(reporting_period(u32::MAX));
                     self.apply_fleet_load(now, link, entries, included, &load);
                 }
             }
