--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -7,6 +7,7 @@
 use coltsfootnotch_forward::streams::StreamOrigin;
 use http_body_util::BodyExt;
 use hyper::Response;
+use hyper::header::CONTENT_LENGTH;
 
 use super::event_queue::{EventBody, EventSender, event_queue};
 use super::event_splitter::EventSplitter;
@@ -111,6 +112,8 @@
     *response.status_mut() = source.received.response.status();
     let mut headers = source.received.response.headers().clone();
     (gw.dialect.write_response)(&mut headers);
+    // What another upstream goes on with may be longer or shorter.
+    headers.remove(CONTENT_LENGTH);
     *response.headers_mut() = headers;
     response
 }
@@ -123,10 +126,13 @@
 ) -> AnyResponse {
     let (tx, body) = event_queue(Arc::clone(&gw.held), req.account.clone());
     let response = head(gw, &source, body);
-    if !rest.is_empty() {
-        // Its caller may leave meanwhile.
-        tokio::spawn(async move { tx.send(rest).await });
-    }
+    tokio::spawn(async move {
+        if !rest.is_empty() {
+            tx.send(rest).await?;
+        }
+        // Its caller may have left.
+        tx.end()
+    });
     finish(gw, source);
     response
 }
@@ -217,7 +223,10 @@
                     }
                     self.record_longest_pause(longest);
                     if self.is_framed && source.ends_with_connection() {
-                        self.end_unconfirmed(&source);
+                        self.log_unconfirmed(&source);
+                    } else {
+                        // Fails if the caller has left.
+                        let _result = self.tx.end();
                     }
                     return finish(&self.gw, source);
                 }
@@ -246,14 +255,19 @@
                 Err("no time is left")
             } else {
                 // Boxed, as each stream holds the space of its task.
-                Box::pin(self.resume(&mut attempts, &events, failed.clone(), &origin)).await
+                let resuming = self.resume(&mut attempts, &events, failed.clone(), &origin);
+                let mut resuming = Box::pin(resuming);
+                tokio::select! {
+                    // Dropping the attempt closes the upstream's connection.
+                    () = self.tx.closed() => return,
+                    resumed = resuming.as_mut() => resumed,
+                }
             };
             let received = match resumed {
                 Ok(received) => received,
                 Err(reason) => {
+                    // The response ends as broken off.
                     self.log_broken_off(&failed, &events, outcome, reason);
-                    // Fails if the caller has left.
-                    let _result = self.tx.abort();
                     return;
                 }
             };
@@ -265,14 +279,12 @@
         }
     }
 
-    /// Ends a response whose first part was framed and whose last part ended with its connection: the
+    /// Logs a response whose first part was framed and whose last part ended with its connection: the
     /// caller has all that came, and is not told that it is complete.
-    fn end_unconfirmed(&self, source: &StreamSource) {
+    fn log_unconfirmed(&self, source: &StreamSource) {
         let upstream = vec![source.received.ticket.upstream.clone()];
         let reason = "whether it is complete is unknown";
         self.log_broken_off(&upstream, &source.events, Outcome::Completed, reason);
-        // Fails if the caller has disconnected.
-        let _result = self.tx.abort();
     }
 
     /// Records the longest pause of a completed stream.
