Send no request whose deadline has passed

A request reached an upstream after its deadline, with a time of 0 ms, when connections to other upstreams had taken what was left: connecting, and the choice of another upstream after one that wasn't reached or that rejected the request, looked at no deadline.

Change: connecting ends with the deadline, nothing is sent after that of the attempt, and no other upstream is tried with less than 5 ms left. A request that has reached no upstream by then is refused as not run.

--- a/src/coltsfootnotch/daemon/forward/attempts.rs
+++ b/src/coltsfootnotch/daemon/forward/attempts.rs
@@ -1,7 +1,7 @@
 //! Attempts of a request, at one upstream after another.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use coltsfootnotch_forward::streams::StreamOrigin;
 use tokio::sync::oneshot;
@@ -9,7 +9,7 @@
 use super::delivery::{DeliveryResult, read_response};
 use super::exchange::{ExchangeResult, UpstreamResponse, attempt_deadline, exchange};
 use super::matched_request::MatchedRequest;
-use super::messages::{ForwardMsg, PlaceRequest, PlacementError, Ticket};
+use super::messages::{ForwardMsg, PlaceRequest, PlacementError, RETRY_SOON, Ticket};
 use super::responses;
 use super::resumption::RESUME_TIMEOUT;
 use super::server::Gateway;
@@ -20,6 +20,9 @@
 /// Share of the time left that an attempt may take where a retry is possible.
 const ATTEMPT_TIME_SHARE: f64 = 0.5;
 
+/// Least time left in which another upstream is tried. No upstream responds within it.
+const MIN_RETRY_TIME: Duration = Duration::from_millis(5);
+
 /// Outcome of an attempt at one upstream.
 enum AttemptResult {
     Done(AnyResponse),
@@ -44,6 +47,14 @@
         let mut failure = None;
         let wait_until = Instant::now() + RESUME_TIMEOUT;
         loop {
+            // Its time may have passed while upstreams were connected to, or rejected it.
+            if !avoid.is_empty() && Instant::now() + MIN_RETRY_TIME >= req.deadline {
+                return match failure {
+                    Some(response) => response,
+                    None if attempts > 0 => responses::deadline_exceeded(),
+                    None => responses::not_run("the time is over", RETRY_SOON),
+                };
+            }
             let ticket = match self
                 .place_or_wait(req, &avoid, reached > 0, wait_until)
                 .await
--- a/src/coltsfootnotch/daemon/forward/exchange.rs
+++ b/src/coltsfootnotch/daemon/forward/exchange.rs
@@ -62,10 +62,15 @@
     // A pooled connection may have been closed before the request is written: retry once on
     // another.
     for _ in 0..2 {
-        let Ok(mut connection) = gw.pool.get(&ticket).await else {
-            guard.finish(Outcome::Unreachable);
+        let connecting = timeout_at(req.deadline.into(), gw.pool.get(&ticket));
+        let Ok(Ok(mut connection)) = connecting.await else {
+            guard.finish(unsent(req));
             return ExchangeResult::Unreached;
         };
+        if Instant::now() >= deadline {
+            guard.finish(unsent(req));
+            return ExchangeResult::Unreached;
+        }
         if !gw.accepts_requests(&ticket) {
             guard.finish(Outcome::NotRun);
             return ExchangeResult::Withheld;
@@ -115,6 +120,15 @@
     ExchangeResult::Unreached
 }
 
+/// The outcome of a request that was not sent in time.
+fn unsent(req: &MatchedRequest) -> Outcome {
+    if Instant::now() >= req.deadline {
+        Outcome::Abandoned
+    } else {
+        Outcome::Unreachable
+    }
+}
+
 fn classify(
     gw: &Gateway,
     req: &MatchedRequest,
