Let no request wait for an upstream beyond its deadline

A caller that gave less time than its route's target waited in line for the whole target, and a stream was placed again for a second, whatever was left: a request with 400 ms was refused after 1.78 s.

Evidence: the test with a target of 1.8 s, on the code without the fix.

Change: both waits end with the deadline.

Result: the test passes.

--- a/src/coltsfootnotch/daemon/forward/matched_request.rs
+++ b/src/coltsfootnotch/daemon/forward/matched_request.rs
@@ -67,10 +67,11 @@
         self.kind().is_stream() && is_resumed
     }
 
-    /// Time left of its route's target, if it has one.
+    /// Time left of its route's target, if it has one; no more than until its deadline.
     pub(super) fn target_left(&self) -> Option<Duration> {
         let target = self.route().target?;
-        Some(target.saturating_sub(self.received_at.elapsed()))
+        let ends = (self.received_at + target).min(self.deadline);
+        Some(ends.saturating_duration_since(Instant::now()))
     }
 
     /// The caller's identity of the request, for log lines.
--- a/src/coltsfootnotch/daemon/forward/resumption.rs
+++ b/src/coltsfootnotch/daemon/forward/resumption.rs
@@ -87,7 +87,7 @@
             let placed = self.place(req, avoid, is_retry, Some(origin)).await;
             let is_full = matches!(placed, Err(PlacementError::Refused(refusal, _))
                 if refusal.reason != RefusalReason::VersionGone);
-            if !is_full || Instant::now() >= wait_until {
+            if !is_full || Instant::now() >= wait_until.min(req.deadline) {
                 return placed;
             }
             tokio::time::sleep(RESUME_INTERVAL).await;
