--- a/crates/fabric/src/link.rs
+++ b/crates/fabric/src/link.rs
@@ -19,7 +19,7 @@
     /// Completes when the peer has dropped its end of the stream. The loss of the connection is not reported here.
     pub async fn stopped(&mut self) {
         if !matches!(self.send.stopped().await, Ok(Some(_))) {
-            pending().await
+            pending::<()>().await;
         }
     }
 }
--- a/src/coltsfootnotch/daemon/forward/handover/relay_departure_tests.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay_departure_tests.rs
@@ -26,7 +26,7 @@
 /// Bytes that a caller sends to a neighbour that doesn't read: more than those buffers hold, less than this one.
 const SENT_BYTES: usize = 300 * 1024;
 
-fn set_buffers(socket: SockRef<'_>, bytes: usize) {
+fn set_buffers(socket: &SockRef<'_>, bytes: usize) {
     socket.set_recv_buffer_size(bytes).unwrap();
     socket.set_send_buffer_size(bytes).unwrap();
 }
@@ -44,13 +44,13 @@
         let listener = TcpListener::bind(any).await.unwrap();
         let entry = TcpListener::bind(any).await.unwrap();
         let address = entry.local_addr().unwrap();
-        set_buffers(SockRef::from(&entry), CALLER_BUFFER);
-        set_buffers(SockRef::from(&listener), BUFFER);
+        set_buffers(&SockRef::from(&entry), CALLER_BUFFER);
+        set_buffers(&SockRef::from(&listener), BUFFER);
         let caller = TcpStream::connect(address).await.unwrap();
-        set_buffers(SockRef::from(&caller), BUFFER);
+        set_buffers(&SockRef::from(&caller), BUFFER);
         let (accepted, _) = entry.accept().await.unwrap();
         let stream = connect(listener.local_addr().unwrap()).await.unwrap();
-        set_buffers(SockRef::from(&stream), BUFFER);
+        set_buffers(&SockRef::from(&stream), BUFFER);
         let (neighbour, _) = listener.accept().await.unwrap();
         let relaying = tokio::spawn(async move {
             let _end = relay(accepted, stream, pending(), pending(), false).await;
