--- a/src/coltsfootnotch/daemon/forward/resumption.rs
+++ b/src/coltsfootnotch/daemon/forward/resumption.rs
@@ -86,7 +86,7 @@
         loop {
             let placed = self.place(req, avoid, is_retry, Some(origin)).await;
             let may_pass = placed.as_ref().is_err_and(PlacementError::may_pass);
-            if !may_pass || Instant::now() >= wait_until {
+            if !may_pass || Instant::now() >= wait_until.min(req.deadline) {
                 return placed;
             }
             tokio::time::sleep(RESUME_INTERVAL).await;
