Count the usage that engines state without wrapping

A sidecar charges accounts for the tokens that an engine states at the end of a response. 2^64 - 1 of them made the service of the account, in steps per weight, wrap below zero: in debug builds the actor that owns all attempts of the host ended, in release builds the account was served before all others. Totals that relays send had the same effect.

The tokens of one response are bounded where its events are decoded, at 2^24, which is more than an engine's memory holds, and sums of service saturate.

--- a/crates/decide/src/fair/spread_limit.rs
+++ b/crates/decide/src/fair/spread_limit.rs
@@ -32,8 +32,14 @@
     fn is_lowest_outlier(&self) -> bool {
         let mut up = self.order.iter().map(|(key, _)| key.0);
         let mut down = self.order.iter().rev().map(|(key, _)| key.0);
-        let gap_below = up.next().zip(up.next()).map_or(0, |(a, b)| b - a);
-        let gap_above = down.next().zip(down.next()).map_or(0, |(a, b)| a - b);
+        let gap_below = up
+            .next()
+            .zip(up.next())
+            .map_or(0, |(a, b)| b.saturating_sub(a));
+        let gap_above = down
+            .next()
+            .zip(down.next())
+            .map_or(0, |(a, b)| a.saturating_sub(b));
         gap_below > gap_above
     }
 }
--- a/crates/decide/src/fair/virtual_service.rs
+++ b/crates/decide/src/fair/virtual_service.rs
@@ -1,29 +1,17 @@
 //! Service per unit of weight, in fixed point.
 
+use std::iter::Sum;
+use std::ops::{Add, AddAssign, Sub, SubAssign};
+
 use coltsfootnotch_types::{ServiceUnits, Weight};
-use derive_more::{Add, AddAssign, Display, Sub, SubAssign, Sum};
+use derive_more::Display;
 
 /// Service per unit of weight, in steps of one ten-thousandth of a unit.
 ///
 /// Signed, because a settlement refunds service. At weight 1 it holds up to 9 * 10^14 units: at ten
 /// million tokens per second, nearly three years of service to one account.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Display,
-    Add,
-    AddAssign,
-    Sub,
-    SubAssign,
-    Sum,
-)]
+/// Beyond that sums saturate.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
 pub struct VirtualService(pub i64);
 
 impl VirtualService {
@@ -58,3 +46,37 @@
         ServiceUnits(u64::try_from(whole).unwrap_or(0))
     }
 }
+
+impl Add for VirtualService {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
+impl AddAssign for VirtualService {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
+
+impl Sub for VirtualService {
+    type Output = Self;
+
+    fn sub(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+}
+
+impl SubAssign for VirtualService {
+    fn sub_assign(&mut self, other: Self) {
+        *self = *self - other;
+    }
+}
+
+impl Sum for VirtualService {
+    fn sum<I: Iterator<Item = Self>>(parts: I) -> Self {
+        parts.fold(Self::ZERO, Add::add)
+    }
+}
--- a/crates/types/src/service.rs
+++ b/crates/types/src/service.rs
@@ -1,11 +1,20 @@
 //! Units of service, and weights of client accounts.
 
-use derive_more::{Add, AddAssign, Display, Error, Sum};
+use std::iter::Sum;
+use std::ops::{Add, AddAssign};
+
+use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
 /// Amount of service: prompt and generated tokens, each weighted by its cost for an engine.
 ///
-/// A call of a plain service counts as the cost stated in its manifest.
+/// A call of a plain service counts as the cost stated in its manifest. Sums saturate, since engines and other hosts
+/// state what is added.
+///
+/// ```
+/// use coltsfootnotch_types::ServiceUnits;
+/// assert_eq!(ServiceUnits(u64::MAX) + ServiceUnits(5), ServiceUnits(u64::MAX));
+/// ```
 #[derive(
     Debug,
     Clone,
@@ -17,14 +26,31 @@
     Ord,
     Hash,
     Display,
-    Add,
-    AddAssign,
-    Sum,
     Serialize,
     Deserialize,
 )]
 pub struct ServiceUnits(pub u64);
 
+impl Add for ServiceUnits {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
+impl AddAssign for ServiceUnits {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
+
+impl Sum for ServiceUnits {
+    fn sum<I: Iterator<Item = Self>>(units: I) -> Self {
+        units.fold(Self(0), Add::add)
+    }
+}
+
 /// Error for a number that is not a valid weight.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 #[display("a weight of {found} is not between 1 and {}", Weight::MAX)]
--- a/src/coltsfootnotch/daemon/sidecar/sse.rs
+++ b/src/coltsfootnotch/daemon/sidecar/sse.rs
@@ -1,6 +1,6 @@
 //! Splits and classifies the server-sent events of an engine.
 
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
 
 /// Maximum size of an event in bytes; a longer one fails the response.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
@@ -25,15 +25,23 @@
     choices: Vec<serde_json::Value>,
 }
 
-/// Token counts that an engine reports.
+/// Most tokens of a prompt or an answer that are counted, more than the memory of an engine holds. A number beyond is
+/// a mistake, for which the account of the request would be charged.
+const MAX_TOKENS: u64 = 1 << 24;
+
+/// Token counts that an engine reports, each at most [`MAX_TOKENS`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 pub(super) struct TokenUsage {
-    #[serde(default)]
+    #[serde(default, deserialize_with = "token_count")]
     pub(super) prompt_tokens: u64,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "token_count")]
     pub(super) completion_tokens: u64,
 }
 
+fn token_count<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+    Ok(u64::deserialize(deserializer)?.min(MAX_TOKENS))
+}
+
 /// Classification of an event.
 #[derive(Debug, PartialEq, Eq)]
 pub(super) enum EventKind {
--- a/src/coltsfootnotch/daemon/sidecar/sse_tests.rs
+++ b/src/coltsfootnotch/daemon/sidecar/sse_tests.rs
@@ -4,7 +4,7 @@
 
 use googletest::prelude::*;
 
-use super::{MAX_EVENT_BYTES, SseSplitter};
+use super::{EventKind, MAX_EVENT_BYTES, SseEvent, SseSplitter, TokenUsage};
 
 /// Time to split 1 MiB, far above what a pass over it takes on a busy machine in a debug build.
 const SPLIT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -50,3 +50,18 @@
         expect_true!(splitter.is_empty());
     }
 }
+
+/// Guards against a stated number of tokens that wraps what is added to it, or charges an account for ages.
+#[googletest::test]
+fn the_tokens_that_an_engine_states_are_bounded() {
+    let usage =
+        r#"{"prompt_tokens":18446744073709551615,"completion_tokens":18446744073709551615}"#;
+    let event = SseEvent {
+        bytes: format!("data: {{\"choices\":[],\"usage\":{usage}}}\n\n").into_bytes(),
+    };
+    let bounded = TokenUsage {
+        prompt_tokens: 1 << 24,
+        completion_tokens: 1 << 24,
+    };
+    expect_that!(event.kind(), eq(&EventKind::Usage(bounded)));
+}
