Listen to a silent upstream until another one goes on with its stream

Callers saw streams of a resumable route cut 0.6 s after the last event, or 1.0 s with two upstreams that both fall silent, although their upstream went on after 1.4 s. Routes whose streams can't be resumed delivered them whole.

Cause: after four target pauses without an event the forwarder closed the connection of the upstream and only then looked for another one, for at most a second. With no other upstream, none that is not silent too, no retry budget, all attempts used, or beside a stop, nothing was left.

Evidence, on the code without the change: of platform's silences tests 6 of 7 fail; in each of the ten cells of the matrix (one and two upstreams; beside nothing, SIGTERM 0.2 s later, SIGHUP, twelve configurations, sent 1.5 s after a SIGTERM) /write/middle is cut and the other seven routes are whole.

Looking for another upstream and giving up the present one are two decisions now. `Takeover`, without I/O, decides when to search, in growing intervals up to a second, and who is closed; `StreamTakeover` runs it. The silent upstream is listened to while another is sought and asked. The first that brings an event goes on, and the other's connection is closed at once. Once the other's response has begun, the silent one is given up after 250 ms, since a request may run from then on and may run at two upstreams for 400 ms at most. What ends a silent stream is its connection, its caller, its time or the end of a stop. An attempt that is dropped since the first upstream goes on counts as an attempt, and is no failure of the upstream. A caller who leaves ends all.

An upstream whose stream falls silent gets new requests only while there is no other, until something comes from it. Before it was out of use for 0.4 to 3.2 s also where it was the only one. Nothing for three seconds counts as a hang.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -14,7 +14,7 @@
 //! | [`upstream_notices`] | which upstreams asked for no requests for a time, or leave |
 //! | [`line`] | which requests wait for an engine with room, how long, and in which order |
 //! | [`load`] | what all entries together have sent to each upstream, and how fast it is |
-//! | [`streams`] | which upstreams may go on with a stream that another one began |
+//! | [`streams`] | which upstreams may go on with a stream that another one began, and when |
 //! | [`share`] | which client accounts use more than their fair share |
 //! | [`place`] | which upstream a request goes to, or that it is refused |
 //! | [`pause_detector`] | whether requests have waited through a pause of the process |
--- a/crates/forward/src/load/upstream_health.rs
+++ b/crates/forward/src/load/upstream_health.rs
@@ -15,6 +15,8 @@
 const MAX_BACKOFF: Duration = Duration::from_millis(3_200);
 /// Decay time of outcomes.
 const DECAY_TIME: Duration = Duration::from_secs(3);
+/// Time after which an upstream counts as hung if nothing has come from it: longer than a sound one is silent.
+const HANG_TIMEOUT: Duration = Duration::from_secs(3);
 /// Successes that count as observed before any: one failure alone makes a rate of a sixth.
 const PRIOR_SUCCESSES: f64 = 5.0;
 
@@ -32,6 +34,9 @@
 pub struct UpstreamHealth {
     backoff_until: Duration,
     unreachable_count: u32,
+    silent_since: Option<Duration>,
+    silent_until: Duration,
+    silent_count: u32,
     failed: f64,
     succeeded: f64,
     updated_at: Duration,
@@ -40,9 +45,41 @@
 impl UpstreamHealth {
     /// Records a failed connection, or an answer that never started.
     pub fn on_unreachable(&mut self, now: Duration) {
-        let backoff = INITIAL_BACKOFF * 2_u32.saturating_pow(self.unreachable_count.min(8));
+        let until = now + backoff(self.unreachable_count);
         self.unreachable_count += 1;
-        self.backoff_until = self.backoff_until.max(now + backoff.min(MAX_BACKOFF));
+        self.backoff_until = self.backoff_until.max(until);
+    }
+
+    /// Records that nothing came from the upstream for long on an open connection. It gets no requests for a time
+    /// while there are others, and none at all once it has been silent for longer than a sound one is.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use coltsfootnotch_forward::load::UpstreamHealth;
+    /// let mut health = UpstreamHealth::default();
+    /// health.on_silent(Duration::ZERO);
+    /// assert!(health.is_silent(Duration::from_millis(100)));
+    /// assert!(health.is_available(Duration::from_millis(100)));
+    /// health.on_progress();
+    /// assert!(!health.is_silent(Duration::from_millis(100)));
+    /// ```
+    pub fn on_silent(&mut self, now: Duration) {
+        if now >= self.silent_until + MAX_BACKOFF {
+            self.on_progress();
+        }
+        let since = *self.silent_since.get_or_insert(now);
+        self.silent_until = self.silent_until.max(now + backoff(self.silent_count));
+        self.silent_count += 1;
+        if now >= since + HANG_TIMEOUT {
+            self.backoff_until = self.backoff_until.max(self.silent_until);
+        }
+    }
+
+    /// Records that something came from the upstream.
+    pub fn on_progress(&mut self) {
+        self.silent_since = None;
+        self.silent_until = Duration::ZERO;
+        self.silent_count = 0;
     }
 
     /// Records outcomes of requests of this entry or of others.
@@ -69,4 +106,15 @@
     pub fn is_available(&self, now: Duration) -> bool {
         now >= self.backoff_until
     }
+
+    /// Whether nothing came from it lately; requests are sent to others while there are any.
+    #[must_use]
+    pub fn is_silent(&self, now: Duration) -> bool {
+        now < self.silent_until
+    }
+}
+
+/// Backoff after this many earlier failures.
+fn backoff(count: u32) -> Duration {
+    (INITIAL_BACKOFF * 2_u32.saturating_pow(count.min(8))).min(MAX_BACKOFF)
 }
--- a/crates/forward/src/load/upstream_load.rs
+++ b/crates/forward/src/load/upstream_load.rs
@@ -82,6 +82,7 @@
     /// Records the first event of a request.
     pub fn on_first_event(&mut self, now: Duration, sent: &SentRequest) {
         self.leave_backlog(sent);
+        self.health.on_progress();
         let elapsed_ms = now.saturating_sub(sent.at).as_secs_f64() * 1e3;
         self.slowdown.observe(now, elapsed_ms, sent.expected_ms);
         self.since_report.elapsed_ms += elapsed_ms;
@@ -123,6 +124,16 @@
         self.on_failed(now);
     }
 
+    /// Records that an answer that had begun made no event for long.
+    pub fn on_silent(&mut self, now: Duration) {
+        self.health.on_silent(now);
+    }
+
+    /// Records that an answer that had begun goes on.
+    pub fn on_progress(&mut self) {
+        self.health.on_progress();
+    }
+
     /// Applies the totals of the other entries.
     pub fn apply_remote(&mut self, now: Duration, report: &UpstreamUsage) {
         self.remote = InFlight::from(report);
--- a/crates/forward/src/place/engine.rs
+++ b/crates/forward/src/place/engine.rs
@@ -6,7 +6,7 @@
 use super::admission::{account_factor, is_admitted, wait_bound_ms};
 use super::rendezvous::distance;
 use super::shortlist::{Listed, SharedCache, Shortlist};
-use super::target::{Candidate, Placement};
+use super::target::{Candidate, Placement, usable};
 use super::{PlacementRequest, PrefillRate, Refusal, RefusalReason};
 use crate::load::{SentRequest, UpstreamLoad};
 use crate::share::FairShares;
@@ -58,9 +58,7 @@
     prefill_rate: PrefillRate,
     candidates: impl IntoIterator<Item = Candidate<'a>>,
 ) -> Result<Placement, Refusal> {
-    let usable =
-        |c: &Candidate<'_>| !request.avoid.contains(c.id) && c.load.health().is_available(now);
-    let usable: Vec<_> = candidates.into_iter().filter(usable).collect();
+    let usable = usable(now, request.avoid, candidates);
     let shortlist = Shortlist::new(request, prefill_rate, &usable);
     let fleet = FleetView {
         prefill_rate,
--- a/crates/forward/src/place/plain.rs
+++ b/crates/forward/src/place/plain.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::rendezvous::distance;
-use super::target::{Candidate, Placement};
+use super::target::{Candidate, Placement, usable};
 use super::{Refusal, RefusalReason};
 use crate::load::SentRequest;
 
@@ -41,13 +41,10 @@
     candidates: impl IntoIterator<Item = Candidate<'a>>,
 ) -> Result<Placement, Refusal> {
     let mut best: Option<(f64, &Arc<str>)> = None;
-    let mut has_candidates = false;
-    for candidate in candidates {
+    let candidates = usable(now, avoid, candidates);
+    let has_candidates = !candidates.is_empty();
+    for candidate in &candidates {
         let health = candidate.load.health();
-        if avoid.contains(candidate.id) || !health.is_available(now) {
-            continue;
-        }
-        has_candidates = true;
         let running = candidate.load.in_flight().running;
         if running >= candidate.slots.max(1) * (1 + QUEUE_PER_SLOT) {
             continue;
--- a/crates/forward/src/place/target.rs
+++ b/crates/forward/src/place/target.rs
@@ -20,6 +20,23 @@
     pub load: &'a UpstreamLoad,
 }
 
+/// The candidates that a request may go to, but for those in `avoid`. Upstreams that are silent are among them only
+/// if there are no others: a silence may be a hang, or end in a moment.
+pub(super) fn usable<'a>(
+    now: Duration,
+    avoid: &[Arc<str>],
+    candidates: impl IntoIterator<Item = Candidate<'a>>,
+) -> Vec<Candidate<'a>> {
+    let candidates = candidates.into_iter();
+    let mut usable: Vec<_> = candidates
+        .filter(|c| !avoid.contains(c.id) && c.load.health().is_available(now))
+        .collect();
+    if usable.iter().any(|c| !c.load.health().is_silent(now)) {
+        usable.retain(|c| !c.load.health().is_silent(now));
+    }
+    usable
+}
+
 /// The upstream chosen for a request.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Placement {
--- a/crates/forward/src/streams/mod.rs
+++ b/crates/forward/src/streams/mod.rs
@@ -1,7 +1,9 @@
-//! Which upstreams may go on with a stream that another one began.
+//! Which upstreams may go on with a stream that another one began, and when.
 
 mod origin;
 mod origins;
+mod takeover;
 
 pub use origin::StreamOrigin;
 pub use origins::{StreamOrigins, group_streams};
+pub use takeover::{Takeover, TakeoverRefusal, TakeoverStep};
--- a/crates/forward/tests/testsuite/main.rs
+++ b/crates/forward/tests/testsuite/main.rs
@@ -20,5 +20,6 @@
 mod share;
 mod stalls;
 mod streams;
+mod takeover;
 mod upstream_notices;
 mod warm_up;
--- a/src/coltsfootnotch/daemon/forward/event_splitter.rs
+++ b/src/coltsfootnotch/daemon/forward/event_splitter.rs
@@ -69,9 +69,13 @@
         self.rest.split().freeze()
     }
 
-    /// Drops the bytes of an incomplete event.
-    pub(super) fn drop_rest(&mut self) {
-        self.rest.clear();
+    /// A splitter for the response of another upstream that goes on after the last complete event.
+    pub(super) fn after_last_event(&self) -> Self {
+        Self {
+            last_id: self.last_id,
+            seen: self.seen,
+            ..Self::default()
+        }
     }
 
     /// The identity of the last complete event.
--- a/src/coltsfootnotch/daemon/forward/event_splitter_tests.rs
+++ b/src/coltsfootnotch/daemon/forward/event_splitter_tests.rs
@@ -25,15 +25,22 @@
 }
 
 #[googletest::test]
-fn an_incomplete_event_can_be_dropped_before_the_stream_is_resumed() {
+fn another_response_goes_on_after_the_last_complete_event() {
     let mut events = EventSplitter::default();
     events.push(b"id: 7\ndata: a\n\nid: 8\ndat");
-    events.drop_rest();
+    let mut other = events.after_last_event();
+    expect_that!(other.last_id(), some(eq(7)));
     expect_that!(
-        &events.push(b"id: 8\ndata: b\n\n")[..],
+        &other.push(b"id: 8\ndata: b\n\n")[..],
         eq(b"id: 8\ndata: b\n\n")
     );
-    expect_that!(events.last_id(), some(eq(8)));
+    expect_that!(other.last_id(), some(eq(8)));
+    expect_that!(other.seen(), eq(2));
+    expect_that!(
+        &events.push(b"a: c\n\n")[..],
+        eq(b"id: 8\ndata: c\n\n"),
+        "the first response may go on as well"
+    );
 }
 
 /// Guards against a stream that is cut inside an event and taken for complete.
--- a/src/coltsfootnotch/daemon/forward/messages.rs
+++ b/src/coltsfootnotch/daemon/forward/messages.rs
@@ -149,6 +149,8 @@
     Failed,
     /// Connecting failed, or no response started in time.
     Unreachable,
+    /// A response that had started made no event for long, and another upstream went on with it.
+    Silent,
     /// The connection broke.
     Broken,
     /// The caller disconnected, or its deadline passed.
@@ -168,6 +170,17 @@
     pub(super) tolerated: Duration,
 }
 
+/// A silence of a stream after which another upstream is sought for it.
+#[derive(Debug, Clone)]
+pub(super) struct StreamSilence {
+    /// The upstream.
+    pub(super) upstream: Arc<str>,
+    /// Start time of its process, in milliseconds by its own clock.
+    pub(super) born_ms: u64,
+    /// Whether the upstream goes on.
+    pub(super) is_over: bool,
+}
+
 /// A message to the actor.
 pub(super) enum ForwardMsg {
     Fabric(Event),
@@ -186,6 +199,8 @@
     },
     /// A stream continues after a pause.
     StreamPause(StreamPause),
+    /// A stream's upstream is silent, or no longer.
+    StreamSilence(StreamSilence),
     /// The delay until the runtime scheduled a task.
     SchedulingDelay(Duration),
     /// The settings have changed to these seeds.
--- a/src/coltsfootnotch/daemon/forward/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/mod.rs
@@ -40,6 +40,7 @@
 mod state;
 mod stream;
 mod stream_source;
+mod takeover;
 mod upstream_socket;
 
 pub use actor::run;
--- a/src/coltsfootnotch/daemon/forward/state/backlog.rs
+++ b/src/coltsfootnotch/daemon/forward/state/backlog.rs
@@ -1,11 +1,11 @@
-//! Backlog limits of engines, which requests and pauses of streams change.
+//! Backlog limits and silences of upstreams, which requests and pauses of streams change.
 
 use std::time::Duration;
 
 use coltsfootnotch_forward::place::{Placement, Refusal};
 
 use super::State;
-use crate::daemon::forward::messages::StreamPause;
+use crate::daemon::forward::messages::{StreamPause, StreamSilence};
 
 impl State {
     /// Records at which engines the limit of the backlog blocks requests or nearly does.
@@ -48,4 +48,20 @@
         let is_cut = load.backlog.observe_pause(now, pause.time, pause.tolerated);
         is_cut.then(|| load.backlog.get(pause.tolerated))
     }
+
+    /// Handles a silence of a stream, or its end.
+    pub(in crate::daemon::forward) fn on_stream_silence(
+        &mut self,
+        now: Duration,
+        silence: &StreamSilence,
+    ) {
+        let Some(load) = self.loads.get_mut(&silence.upstream, silence.born_ms) else {
+            return;
+        };
+        if silence.is_over {
+            load.on_progress();
+        } else {
+            load.on_silent(now);
+        }
+    }
 }
--- a/src/coltsfootnotch/daemon/forward/state/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/state/mod.rs
@@ -348,7 +348,10 @@
     ) {
         // Only the first event of a stream is a part of its answer.
         let has_answered = has_started && ticket.is_stream;
-        if matches!(outcome, Outcome::Broken | Outcome::Unreachable) {
+        if matches!(
+            outcome,
+            Outcome::Broken | Outcome::Unreachable | Outcome::Silent
+        ) {
             self.registry.mark_broken(&ticket.upstream, ticket.born_ms);
         }
         if outcome == Outcome::Broken && !has_answered {
@@ -368,7 +371,8 @@
         load.on_finished(&ticket.sent, has_started);
         match outcome {
             Outcome::Completed => load.on_succeeded(now),
-            Outcome::Failed | Outcome::Broken => load.on_failed(now),
+            // The silence itself was reported as it began.
+            Outcome::Failed | Outcome::Broken | Outcome::Silent => load.on_failed(now),
             Outcome::Unreachable => load.on_unreachable(now),
             Outcome::NotRun | Outcome::Abandoned => {}
         }
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -4,23 +4,22 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use coltsfootnotch_forward::streams::StreamOrigin;
 use http_body_util::BodyExt;
 use hyper::Response;
 
 use super::event_queue::{EventBody, EventSender, event_queue};
 use super::event_splitter::EventSplitter;
-use super::exchange::{ExchangeResult, UpstreamResponse, attempt_deadline, exchange};
+use super::exchange::UpstreamResponse;
 use super::matched_request::MatchedRequest;
-use super::messages::{ForwardMsg, Outcome, PlacementError, StreamPause, Ticket};
-use super::resumption::RESUME_TIMEOUT;
+use super::messages::{ForwardMsg, Outcome, StreamPause, Ticket};
 use super::server::Gateway;
 use super::stream_source::{Next, StreamSource};
+use super::takeover::{StreamTakeover, TakeoverResult};
 use crate::util::connection_io::EndsWithConnection;
 use crate::util::events;
 use crate::util::http_server::AnyResponse;
 
-/// Pause after which a stream is resumed at another upstream, as a multiple of the route's target.
+/// Pause after which another upstream is sought for a stream, as a multiple of the route's target.
 /// Engines under load exceed the target and still continue.
 const PAUSE_FACTOR: u32 = 4;
 /// The same for routes without a target.
@@ -166,10 +165,10 @@
 }
 
 /// Forwards a stream to the caller.
-struct Forwarder {
-    gw: Arc<Gateway>,
-    req: Arc<MatchedRequest>,
-    tx: EventSender,
+pub(super) struct Forwarder {
+    pub(super) gw: Arc<Gateway>,
+    pub(super) req: Arc<MatchedRequest>,
+    pub(super) tx: EventSender,
     /// Whether the end of the caller's response states that it is complete.
     is_framed: bool,
 }
@@ -182,14 +181,19 @@
         let mut longest = Duration::ZERO;
         let mut deadline = self.next_event_deadline();
         let mut wait_start = Instant::now();
+        // What a takeover ended with.
+        let mut taken_over = None;
         loop {
-            let next = tokio::select! {
-                // The caller has disconnected: dropping the source closes the upstream's
-                // connection.
-                () = self.tx.closed() => return,
-                next = source.next(deadline) => next,
+            let next = match taken_over.take() {
+                Some(next) => next,
+                None => tokio::select! {
+                    // The caller has disconnected: dropping the source closes the upstream's
+                    // connection.
+                    () = self.tx.closed() => return,
+                    next = source.next(deadline) => next,
+                },
             };
-            let outcome = match next {
+            let takeover = match next {
                 Next::Events(events) => {
                     let pause = wait_start.elapsed();
                     longest = longest.max(pause);
@@ -223,45 +227,30 @@
                 }
                 Next::Broken => {
                     source.log_end(&self.gw, &self.req);
-                    Outcome::Broken
+                    StreamTakeover::of_lost(&self, source, attempts, Outcome::Broken)
                 }
                 Next::Invalid => {
                     source.log_invalid(&self.gw, &self.req);
-                    Outcome::Failed
+                    StreamTakeover::of_lost(&self, source, attempts, Outcome::Failed)
                 }
-                Next::Late if Instant::now() >= self.req.deadline => Outcome::Abandoned,
-                Next::Late if source.has_bytes_without_event() => {
-                    source.log_invalid(&self.gw, &self.req);
-                    Outcome::Failed
-                }
-                Next::Late => Outcome::Unreachable,
-            };
-            let failed = vec![source.received.ticket.upstream.clone()];
-            let origin = source.received.ticket.origin.clone();
-            let mut events = source.events;
-            events.drop_rest();
-            source.received.guard.finish(outcome);
-            drop(source.received.connection);
-            let resumed = if outcome == Outcome::Abandoned {
-                Err("no time is left")
-            } else {
-                // Boxed, as each stream holds the space of its task.
-                Box::pin(self.resume(&mut attempts, &events, failed.clone(), &origin)).await
+                Next::Late => StreamTakeover::of_silent(&self, source, attempts),
             };
-            let received = match resumed {
-                Ok(received) => received,
-                Err(reason) => {
-                    self.log_broken_off(&failed, &events, outcome, reason);
-                    // Fails if the caller has left.
-                    let _result = self.tx.abort();
-                    return;
+            // Boxed, as each stream holds the space of its task.
+            let result;
+            (attempts, result) = Box::pin(takeover.run()).await;
+            match result {
+                TakeoverResult::Continued(present, next) => {
+                    source = present;
+                    taken_over = Some(next);
                 }
-            };
-            let account = self.req.account.as_ref();
-            source = StreamSource::new(received, events, &self.gw.held, account);
-            source.received.guard.on_first_event();
-            deadline = self.next_event_deadline();
-            wait_start = Instant::now();
+                TakeoverResult::Resumed(other, next) => {
+                    source = other;
+                    taken_over = next;
+                    deadline = self.next_event_deadline();
+                    wait_start = Instant::now();
+                }
+                TakeoverResult::GivenUp | TakeoverResult::CallerLeft => return,
+            }
         }
     }
 
@@ -312,7 +301,7 @@
         (Instant::now() + max_pause).min(self.req.deadline)
     }
 
-    fn log_broken_off(
+    pub(super) fn log_broken_off(
         &self,
         failed: &[Arc<str>],
         events: &EventSplitter,
@@ -332,61 +321,4 @@
             ],
         );
     }
-
-    /// Resumes the stream at another upstream of its origin, after the last event that was forwarded.
-    ///
-    /// # Errors
-    /// Returns the reason, for the log, if no upstream resumes it.
-    async fn resume(
-        &self,
-        attempts: &mut u32,
-        events: &EventSplitter,
-        mut avoid: Vec<Arc<str>>,
-        origin: &StreamOrigin,
-    ) -> Result<UpstreamResponse, &'static str> {
-        if !self.req.kind().is_idempotent() {
-            return Err("the route's streams can't be resumed");
-        }
-        if events.is_partly_returned() {
-            return Err("a part of an event was forwarded");
-        }
-        let last_event = Some(events.last_id().ok_or("its events have no numbers")?);
-        let wait_until = Instant::now() + RESUME_TIMEOUT;
-        while *attempts < self.req.route().max_attempts {
-            let placed = self
-                .gw
-                .place_resumed(&self.req, &avoid, true, origin, wait_until)
-                .await;
-            let ticket = match placed {
-                Ok(ticket) => ticket,
-                Err(PlacementError::NoRetryBudget) => return Err("too much is sent again"),
-                Err(_) => return Err("no upstream can go on in time"),
-            };
-            let deadline = attempt_deadline(&self.req, &ticket, 1.0);
-            avoid.push(ticket.upstream.clone());
-            let exchange_result = exchange(&self.gw, &self.req, ticket, last_event, deadline).await;
-            match exchange_result {
-                ExchangeResult::Response(received) if received.response.status().is_success() => {
-                    *attempts += 1;
-                    self.gw.log(
-                        &events::STREAM_RESUMED,
-                        &self.req,
-                        &[
-                            ("upstream", &received.ticket.upstream),
-                            ("version", &received.ticket.origin.version),
-                            ("events", &events.seen()),
-                        ],
-                    );
-                    return Ok(*received);
-                }
-                ExchangeResult::Response(received) => received.guard.finish(Outcome::Failed),
-                ExchangeResult::Unreached | ExchangeResult::Withheld | ExchangeResult::Rejected => {
-                    continue;
-                }
-                ExchangeResult::Lost => {}
-            }
-            *attempts += 1;
-        }
-        Err("all attempts are used up")
-    }
 }
--- /dev/null
+++ b/src/coltsfootnotch/daemon/forward/takeover.rs
@@ -0,0 +1,359 @@
+//! Takeover of a stream by another upstream, while the one before is listened to.
+
+use std::future::{Future, pending};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use coltsfootnotch_forward::place::RefusalReason;
+use coltsfootnotch_forward::streams::{StreamOrigin, Takeover, TakeoverRefusal, TakeoverStep};
+use tokio::time::sleep;
+
+use super::event_splitter::EventSplitter;
+use super::exchange::{ExchangeResult, attempt_deadline, exchange};
+use super::messages::{ForwardMsg, Outcome, PlacementError, StreamSilence, Ticket};
+use super::stream::Forwarder;
+use super::stream_source::{Next, StreamSource};
+use crate::util::events;
+
+/// How a takeover ended.
+pub(super) enum TakeoverResult {
+    /// The upstream that was silent goes on with this.
+    Continued(StreamSource, Next),
+    /// Another upstream has taken over, with its first events if they have come.
+    Resumed(StreamSource, Option<Next>),
+    /// No upstream goes on, and the response was aborted.
+    GivenUp,
+    /// The caller has left.
+    CallerLeft,
+}
+
+/// What became of the search for an upstream.
+enum Found {
+    Placed(Result<Ticket, PlacementError>),
+    Ended(ExchangeResult),
+}
+
+type Search = Pin<Box<dyn Future<Output = Found> + Send>>;
+
+/// A takeover in progress. Dropping it closes the connections of all upstreams.
+pub(super) struct StreamTakeover<'a> {
+    forwarder: &'a Forwarder,
+    decision: Takeover,
+    began_at: Instant,
+    /// The upstream that was silent, until it is lost.
+    present: Option<StreamSource>,
+    /// How it was lost.
+    outcome: Outcome,
+    /// The events that were forwarded.
+    events: EventSplitter,
+    origin: StreamOrigin,
+    avoid: Vec<Arc<str>>,
+    search: Option<Search>,
+    /// The upstream whose response has begun.
+    other: Option<StreamSource>,
+}
+
+/// Why no other upstream can go on after `events`, if none can.
+fn obstacle(forwarder: &Forwarder, events: &EventSplitter) -> Option<&'static str> {
+    if !forwarder.req.kind().is_idempotent() {
+        return Some("the route's streams can't be resumed");
+    }
+    if events.is_partly_returned() {
+        return Some("a part of an event was forwarded");
+    }
+    events
+        .last_id()
+        .is_none()
+        .then_some("its events have no numbers")
+}
+
+impl<'a> StreamTakeover<'a> {
+    /// The takeover of a stream whose upstream is silent, after `attempts` at upstreams.
+    pub(super) fn of_silent(forwarder: &'a Forwarder, source: StreamSource, attempts: u32) -> Self {
+        let takeover = Self::new(forwarder, source, attempts);
+        if Instant::now() < forwarder.req.deadline {
+            takeover.report_silence(false);
+        }
+        takeover
+    }
+
+    /// The takeover of a stream whose upstream was lost, after `attempts` at upstreams.
+    pub(super) fn of_lost(
+        forwarder: &'a Forwarder,
+        source: StreamSource,
+        attempts: u32,
+        outcome: Outcome,
+    ) -> Self {
+        let mut takeover = Self::new(forwarder, source, attempts);
+        takeover.lose_present(outcome);
+        takeover
+    }
+
+    fn new(forwarder: &'a Forwarder, source: StreamSource, attempts: u32) -> Self {
+        let events = source.events.after_last_event();
+        let max_attempts = forwarder.req.route().max_attempts;
+        let decision = match obstacle(forwarder, &source.events) {
+            Some(reason) => Takeover::impossible(attempts, reason),
+            None => Takeover::new(Duration::ZERO, attempts, max_attempts),
+        };
+        Self {
+            forwarder,
+            decision,
+            began_at: Instant::now(),
+            events,
+            origin: source.received.ticket.origin.clone(),
+            avoid: vec![source.received.ticket.upstream.clone()],
+            present: Some(source),
+            outcome: Outcome::Silent,
+            search: None,
+            other: None,
+        }
+    }
+
+    /// Runs until an upstream goes on, or none can. Returns the number of attempts as well.
+    pub(super) async fn run(mut self) -> (u32, TakeoverResult) {
+        let result = self.run_until_result().await;
+        (self.decision.attempts(), result)
+    }
+
+    async fn run_until_result(&mut self) -> TakeoverResult {
+        loop {
+            let until = match self.decision.step(self.began_at.elapsed()) {
+                TakeoverStep::Search => {
+                    self.search = Some(self.place());
+                    None
+                }
+                TakeoverStep::Wait(until) => until,
+                TakeoverStep::Switch => return self.switch(None),
+                TakeoverStep::GiveUp(reason) => return self.give_up(reason),
+            };
+            if let Some(result) = self.wait(until).await {
+                return result;
+            }
+        }
+    }
+
+    /// Waits for the next event of either upstream or of the search, until then if a time is given. The upstream
+    /// that was silent comes first if both have an event.
+    async fn wait(&mut self, until: Option<Duration>) -> Option<TakeoverResult> {
+        let deadline = self.forwarder.req.deadline;
+        let wait = until.map(|until| until.saturating_sub(self.began_at.elapsed()));
+        tokio::select! {
+            biased;
+            () = self.forwarder.tx.closed() => Some(TakeoverResult::CallerLeft),
+            next = next_of(&mut self.present, deadline) => self.on_present(next).await,
+            next = next_of(&mut self.other, deadline) => self.on_other(next),
+            found = found(&mut self.search) => {
+                self.search = None;
+                self.on_found(found);
+                None
+            }
+            () = sleep_for(wait) => None,
+        }
+    }
+
+    async fn on_present(&mut self, next: Next) -> Option<TakeoverResult> {
+        let source = self.present.as_ref()?;
+        let (gw, req) = (&self.forwarder.gw, &self.forwarder.req);
+        match next {
+            Next::Events(_) | Next::End(_) => {
+                self.report_silence(true);
+                let source = self.present.take()?;
+                return Some(TakeoverResult::Continued(source, next));
+            }
+            Next::Comments(comments) => {
+                let sent = self.forwarder.tx.send(comments).await;
+                return sent.is_err().then_some(TakeoverResult::CallerLeft);
+            }
+            Next::Broken => {
+                source.log_end(gw, req);
+                self.lose_present(Outcome::Broken);
+            }
+            Next::Invalid => {
+                source.log_invalid(gw, req);
+                self.lose_present(Outcome::Failed);
+            }
+            Next::Late => {
+                self.finish_present(Outcome::Abandoned);
+                return Some(self.give_up("no time is left"));
+            }
+        }
+        None
+    }
+
+    fn on_other(&mut self, next: Next) -> Option<TakeoverResult> {
+        let source = self.other.as_ref()?;
+        let (gw, req) = (&self.forwarder.gw, &self.forwarder.req);
+        let is_whole = !source.ends_with_connection();
+        let outcome = match next {
+            // They show no progress of the stream.
+            Next::Comments(_) => return None,
+            Next::Events(_) => return Some(self.switch(Some(next))),
+            Next::End(_) if is_whole => return Some(self.switch(Some(next))),
+            Next::End(_) | Next::Broken => {
+                source.log_end(gw, req);
+                Outcome::Broken
+            }
+            Next::Invalid => {
+                source.log_invalid(gw, req);
+                Outcome::Failed
+            }
+            Next::Late => Outcome::Abandoned,
+        };
+        self.other.take()?.received.guard.finish(outcome);
+        self.decision.on_answer_lost(self.began_at.elapsed());
+        None
+    }
+
+    fn on_found(&mut self, found: Found) {
+        let now = self.began_at.elapsed();
+        match found {
+            Found::Placed(Ok(ticket)) => {
+                self.decision.on_found();
+                self.avoid.push(ticket.upstream.clone());
+                self.search = Some(self.ask(ticket));
+            }
+            Found::Placed(Err(e)) => self.decision.on_refused(now, e.into()),
+            Found::Ended(ExchangeResult::Response(received))
+                if received.response.status().is_success() =>
+            {
+                let account = self.forwarder.req.account.as_ref();
+                let held = &self.forwarder.gw.held;
+                let events = self.events.after_last_event();
+                self.other = Some(StreamSource::new(*received, events, held, account));
+                self.decision.on_answered(now);
+            }
+            Found::Ended(ExchangeResult::Response(received)) => {
+                received.guard.finish(Outcome::Failed);
+                self.decision.on_failed(now, true);
+            }
+            Found::Ended(ExchangeResult::Lost) => self.decision.on_failed(now, true),
+            Found::Ended(
+                ExchangeResult::Unreached | ExchangeResult::Withheld | ExchangeResult::Rejected,
+            ) => self.decision.on_failed(now, false),
+        }
+    }
+
+    /// Has the actor place the stream at another upstream of its origin.
+    fn place(&self) -> Search {
+        let gw = Arc::clone(&self.forwarder.gw);
+        let req = Arc::clone(&self.forwarder.req);
+        let (avoid, origin) = (self.avoid.clone(), self.origin.clone());
+        Box::pin(async move { Found::Placed(gw.place(&req, &avoid, true, Some(&origin)).await) })
+    }
+
+    /// Sends the request from the last event that was forwarded on.
+    fn ask(&self, ticket: Ticket) -> Search {
+        let gw = Arc::clone(&self.forwarder.gw);
+        let req = Arc::clone(&self.forwarder.req);
+        let last_event = self.events.last_id();
+        let deadline = attempt_deadline(&req, &ticket, 1.0);
+        Box::pin(
+            async move { Found::Ended(exchange(&gw, &req, ticket, last_event, deadline).await) },
+        )
+    }
+
+    /// Closes the connection of the upstream that was silent, for the one whose response has begun.
+    fn switch(&mut self, next: Option<Next>) -> TakeoverResult {
+        if let Some(present) = &self.present {
+            let outcome = if present.has_bytes_without_event() {
+                present.log_invalid(&self.forwarder.gw, &self.forwarder.req);
+                Outcome::Failed
+            } else {
+                Outcome::Silent
+            };
+            self.finish_present(outcome);
+        }
+        let mut source = self.other.take().expect("another upstream has answered");
+        source.received.guard.on_first_event();
+        self.forwarder.gw.log(
+            &events::STREAM_RESUMED,
+            &self.forwarder.req,
+            &[
+                ("upstream", &source.received.ticket.upstream),
+                ("version", &source.received.ticket.origin.version),
+                ("events", &self.events.seen()),
+            ],
+        );
+        TakeoverResult::Resumed(source, next)
+    }
+
+    /// Logs why no upstream goes on, and aborts the response.
+    fn give_up(&self, reason: &'static str) -> TakeoverResult {
+        let last = &self.avoid[..1];
+        self.forwarder
+            .log_broken_off(last, &self.events, self.outcome, reason);
+        // Fails if the caller has left.
+        let _result = self.forwarder.tx.abort();
+        TakeoverResult::GivenUp
+    }
+
+    fn lose_present(&mut self, outcome: Outcome) {
+        self.finish_present(outcome);
+        self.decision.on_present_lost(self.began_at.elapsed());
+    }
+
+    fn finish_present(&mut self, outcome: Outcome) {
+        if let Some(source) = self.present.take() {
+            source.received.guard.finish(outcome);
+        }
+        self.outcome = outcome;
+    }
+
+    /// Reports the silence of the present upstream to the actor, or its end.
+    fn report_silence(&self, is_over: bool) {
+        if let Some(source) = &self.present {
+            let ticket = &source.received.ticket;
+            let silence = StreamSilence {
+                upstream: ticket.upstream.clone(),
+                born_ms: ticket.born_ms,
+                is_over,
+            };
+            self.forwarder
+                .gw
+                .tx
+                .send(ForwardMsg::StreamSilence(silence));
+        }
+    }
+}
+
+impl From<PlacementError> for TakeoverRefusal {
+    fn from(error: PlacementError) -> Self {
+        match error {
+            PlacementError::Refused(refusal, _) if refusal.reason == RefusalReason::VersionGone => {
+                Self::Unavailable("no other upstream has its version")
+            }
+            PlacementError::Refused(..) => Self::Full("no upstream can go on in time"),
+            PlacementError::NoRetryBudget => Self::Unavailable("too much is sent again"),
+            PlacementError::NoLease | PlacementError::UnknownOrigin => {
+                Self::Unavailable("no upstream can go on in time")
+            }
+            PlacementError::Stopping => Self::Never("this host is stopping"),
+            PlacementError::PoisonRequest | PlacementError::PoisonSegment => {
+                Self::Never("it has crashed upstreams")
+            }
+        }
+    }
+}
+
+async fn next_of(source: &mut Option<StreamSource>, deadline: Instant) -> Next {
+    match source {
+        Some(source) => source.next(deadline).await,
+        None => pending().await,
+    }
+}
+
+async fn found(search: &mut Option<Search>) -> Found {
+    match search {
+        Some(search) => search.await,
+        None => pending().await,
+    }
+}
+
+async fn sleep_for(time: Option<Duration>) {
+    match time {
+        Some(time) => sleep(time).await,
+        None => pending().await,
+    }
+}
