--- a/crates/forward/tests/testsuite/main.rs
+++ b/crates/forward/tests/testsuite/main.rs
@@ -21,5 +21,6 @@
 mod stalls;
 mod stated_numbers;
 mod streams;
+mod takeover;
 mod upstream_notices;
 mod warm_up;
