--- a/soak/src/scenario.rs
+++ b/soak/src/scenario.rs
@@ -202,7 +202,12 @@
         self.fleet.router(host).request_stop()?;
         let within = Duration::from_secs_f64(GRACE_S);
         let ended = wait_until(within, || {
-            !self.fleet.router(host).is_running().unwrap_or(true)
+            let mut router = self.fleet.router(host);
+            // Reloads of the settings overlap the stop.
+            if let Err(e) = router.reload() {
+                eprintln!("failed to have a router reload its settings: {e}");
+            }
+            !router.is_running().unwrap_or(true)
         });
         if !ended.await {
             // The grace period is over: kill as the platform does, which may cut requests in progress.
