End a call whose response is late at its deadline, however short that is

An upstream went on with a call for up to a second after its deadline, if that was shorter than the second that a connection may take: the longer of both was the limit for the head of the response as well.

Evidence: a call with 100 ms to an upstream that is silent ended after 1.008 s on the code without the fix.

Change: the head has the deadline. Connecting has its second as before, so that what was not reached counts as not run, and so has the whole call.

--- a/src/coltsfootnotch/daemon/sidecar/upstream_call.rs
+++ b/src/coltsfootnotch/daemon/sidecar/upstream_call.rs
@@ -154,13 +154,12 @@
         if self.resume_from > 0 {
             builder = builder.header("x-resume-from", self.resume_from);
         }
-        let timeout = self.deadline.max(CONNECT_TIMEOUT);
         let req = builder.body(self.call.body.clone())?;
         let req = self
             .agent
             .configure_request(req)
-            .timeout_recv_response(Some(timeout))
-            .timeout_global(Some(timeout + DEADLINE_MARGIN))
+            .timeout_recv_response(Some(self.deadline))
+            .timeout_global(Some(self.deadline.max(CONNECT_TIMEOUT) + DEADLINE_MARGIN))
             .build();
         self.agent.run(req)
     }
--- a/src/coltsfootnotch/daemon/sidecar/upstream_call_tests.rs
+++ b/src/coltsfootnotch/daemon/sidecar/upstream_call_tests.rs
@@ -18,6 +18,8 @@
 
 /// Deadline of the attempts that end by it.
 const DEADLINE: Duration = Duration::from_secs(1);
+/// A deadline shorter than the time that a connection may take.
+const SHORT_DEADLINE: Duration = Duration::from_millis(100);
 /// Deadline of the attempts that are cancelled.
 const LONG_DEADLINE: Duration = Duration::from_secs(60);
 /// Time from the start of a call to its cancellation.
@@ -154,6 +156,33 @@
     }
 }
 
+/// Guards against work that outlives a deadline which is shorter than a connection may take.
+#[googletest::test]
+fn a_call_with_a_short_deadline_ends_soon_after_it() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (tx, mut parts) = mpsc::channel(32);
+    let started = Instant::now();
+    call_to(address, &Clients::new(), SHORT_DEADLINE, tx).run();
+    expect_that!(started.elapsed(), le(SHORT_DEADLINE * 7));
+    expect_true!(matches!(
+        parts.blocking_recv(),
+        Some(ResponsePart::Failed(FailReason::UpstreamTimeout))
+    ));
+}
+
+/// Bytes that were received on the next connection in the queue of a listener, if there is one.
+fn bytes_received(listener: &TcpListener) -> usize {
+    listener.set_nonblocking(true).unwrap();
+    let received = listener.accept().map(|(mut connection, _)| {
+        let mut buf = Vec::new();
+        connection.set_nonblocking(false).unwrap();
+        connection.read_to_end(&mut buf).unwrap();
+        buf.len()
+    });
+    received.unwrap_or(0)
+}
+
 /// Guards against a deadline that counts as a crash of the upstream.
 #[googletest::test]
 fn an_answer_that_is_late_has_timed_out() {
@@ -194,14 +223,7 @@
         parts.blocking_recv(),
         Some(ResponsePart::Failed(FailReason::Cancelled))
     ));
-    listener.set_nonblocking(true).unwrap();
-    let received = listener.accept().map(|(mut connection, _)| {
-        let mut buf = Vec::new();
-        connection.set_nonblocking(false).unwrap();
-        connection.read_to_end(&mut buf).unwrap();
-        buf.len()
-    });
-    expect_that!(received.unwrap_or(0), eq(0));
+    expect_that!(bytes_received(&listener), eq(0));
 }
 
 /// Guards against threads that wait without end for the answer to a request to cancel an attempt.
