--- a/src/coltsfootnotch/daemon/forward/exchange.rs
+++ b/src/coltsfootnotch/daemon/forward/exchange.rs
@@ -18,6 +18,10 @@
 use crate::util::body_framing::BodyFraming;
 use crate::util::events;
 
+/// Longest time for which an upstream gets no requests because it asked for none. One that asks for longer is tried
+/// again after it: the time may be a mistake, and callers are told of it.
+const MAX_BACKOFF: Duration = Duration::from_secs(30);
+
 /// A response whose headers were received.
 pub(super) struct UpstreamResponse {
     pub(super) response: Response<Incoming>,
@@ -63,10 +67,15 @@
     // A pooled connection may have been closed before the request is written: retry once on
     // another.
     for _ in 0..2 {
-        let Ok(mut connection) = gw.pool.get(&ticket).await else {
-            guard.finish(Outcome::Unreachable);
+        let connecting = timeout_at(req.deadline.into(), gw.pool.get(&ticket));
+        let Ok(Ok(mut connection)) = connecting.await else {
+            guard.finish(unsent(req));
             return ExchangeResult::Unreached;
         };
+        if Instant::now() >= deadline {
+            guard.finish(unsent(req));
+            return ExchangeResult::Unreached;
+        }
         if !gw.accepts_requests(&ticket) {
             guard.finish(Outcome::NotRun);
             return ExchangeResult::Withheld;
@@ -116,6 +125,15 @@
     ExchangeResult::Unreached
 }
 
+/// The outcome of a request that was not sent in time.
+fn unsent(req: &MatchedRequest) -> Outcome {
+    if Instant::now() >= req.deadline {
+        Outcome::Abandoned
+    } else {
+        Outcome::Unreachable
+    }
+}
+
 fn classify(
     gw: &Gateway,
     req: &MatchedRequest,
@@ -193,6 +211,7 @@
             && status == StatusCode::SERVICE_UNAVAILABLE
         {
             let now = self.cx.now();
+            let time = time.min(MAX_BACKOFF);
             let mut notices = self.notices.lock();
             let is_new = notices.request_backoff(now, upstream, ticket.born_ms, time);
             drop(notices);
