Go on with streams whose upstream falls silent inside an event

A stream was cut after four target pauses if its upstream had sent a part of an event before it fell silent: any byte since the last event counted as sending what is no stream. Only bytes of the second half of the pause do now.

--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -244,7 +244,8 @@
                 }
                 // It is not silent: what it sends is no stream.
                 Next::Late
-                    if source.has_bytes_without_event() && Instant::now() < self.req.deadline =>
+                    if source.has_sent_without_event(self.max_pause() / 2)
+                        && Instant::now() < self.req.deadline =>
                 {
                     source.log_invalid(&self.gw, &self.req);
                     StreamTakeover::of_lost(&self, source, attempts, Outcome::Failed)
@@ -307,12 +308,13 @@
         if !self.req.kind().is_idempotent() {
             return self.req.deadline;
         }
-        let max_pause = self
-            .req
-            .route()
-            .gap
-            .map_or(DEFAULT_MAX_PAUSE, |gap| gap * PAUSE_FACTOR);
-        (Instant::now() + max_pause).min(self.req.deadline)
+        (Instant::now() + self.max_pause()).min(self.req.deadline)
+    }
+
+    /// Pause after which another upstream is sought.
+    pub(super) fn max_pause(&self) -> Duration {
+        let gap = self.req.route().gap;
+        gap.map_or(DEFAULT_MAX_PAUSE, |gap| gap * PAUSE_FACTOR)
     }
 
     pub(super) fn log_broken_off(
--- a/src/coltsfootnotch/daemon/forward/stream_source.rs
+++ b/src/coltsfootnotch/daemon/forward/stream_source.rs
@@ -1,7 +1,7 @@
 //! A stream of events as one upstream sends it.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use coltsfootnotch_forward::held::{HeldKind, HeldResources, Hold};
@@ -22,8 +22,9 @@
 pub(super) struct StreamSource {
     pub(super) received: UpstreamResponse,
     pub(super) events: EventSplitter,
-    /// Bytes of the body since the last event.
+    /// Bytes of the body since the last event, and when the last of them came.
     since_event: u64,
+    last_bytes_at: Instant,
     /// Counts what is buffered of a long event.
     hold: Hold,
 }
@@ -57,6 +58,7 @@
             received,
             events,
             since_event: 0,
+            last_bytes_at: Instant::now(),
             hold: held.hold(HeldKind::Response, account, 0, 0),
         }
     }
@@ -66,6 +68,11 @@
         self.since_event > 0
     }
 
+    /// Whether bytes that are no event have come within `time`. An upstream that sends such bytes is not silent.
+    pub(super) fn has_sent_without_event(&self, time: Duration) -> bool {
+        self.since_event > 0 && self.last_bytes_at.elapsed() < time
+    }
+
     /// Whether the end of the stream is that of the upstream's connection.
     pub(super) fn ends_with_connection(&self) -> bool {
         self.received.ends_with_connection()
@@ -110,6 +117,7 @@
                         continue;
                     };
                     self.since_event += data.len() as u64;
+                    self.last_bytes_at = Instant::now();
                     let was_inside_event = self.events.is_partly_returned();
                     let complete = self.events.push(data);
                     let next = self.next_of(complete, was_inside_event);
--- a/src/coltsfootnotch/daemon/forward/takeover.rs
+++ b/src/coltsfootnotch/daemon/forward/takeover.rs
@@ -257,7 +257,7 @@
     /// Closes the connection of the upstream that was silent, for the one whose response has begun.
     fn switch(&mut self, next: Option<Next>) -> TakeoverResult {
         if let Some(present) = &self.present {
-            let outcome = if present.has_bytes_without_event() {
+            let outcome = if present.has_sent_without_event(self.forwarder.max_pause()) {
                 present.log_invalid(&self.forwarder.gw, &self.forwarder.req);
                 Outcome::Failed
             } else {
