Give up a late upstream only for another one that takes its request

Callers of idempotent routes and of streams with a short target got 502 from a service of one upstream that was silent for 1.4 s before its response, with 150 ms as target and 9 s as timeout. Meanwhile others of that service got 503 "no upstream", since one late response took it out of use for 0.4 to 3.2 s.

Cause: an attempt ended at the route's target plus twice the expected time, or at half of the time left, whether or not another upstream could be had, and its outcome was that of a connection that can't be opened.

An upstream that sends bytes which are no head or no event is not silent and is given up as before. Nothing for long on an open connection is `Outcome::Silent` now, which lets others go first and refuses nothing; `Unreachable` is left to connections that can't be opened.

--- a/crates/forward/src/load/upstream_health.rs
+++ b/crates/forward/src/load/upstream_health.rs
@@ -43,7 +43,7 @@
 }
 
 impl UpstreamHealth {
-    /// Records a failed connection, or an answer that never started.
+    /// Records a failed connection.
     pub fn on_unreachable(&mut self, now: Duration) {
         let until = now + backoff(self.unreachable_count);
         self.unreachable_count += 1;
--- a/crates/forward/src/load/upstream_load.rs
+++ b/crates/forward/src/load/upstream_load.rs
@@ -109,6 +109,7 @@
     /// Records a success.
     pub fn on_succeeded(&mut self, now: Duration) {
         self.health.on_ended(now, 0, 1);
+        self.health.on_progress();
         self.since_report.succeeded += 1;
     }
 
@@ -118,18 +119,18 @@
         self.since_report.failed += 1;
     }
 
-    /// Records a failed connection, or an answer that never started.
+    /// Records a failed connection.
     pub fn on_unreachable(&mut self, now: Duration) {
         self.health.on_unreachable(now);
         self.on_failed(now);
     }
 
-    /// Records that an answer that had begun made no event for long.
+    /// Records that nothing came for long of an answer.
     pub fn on_silent(&mut self, now: Duration) {
         self.health.on_silent(now);
     }
 
-    /// Records that an answer that had begun goes on.
+    /// Records that an answer goes on.
     pub fn on_progress(&mut self) {
         self.health.on_progress();
     }
--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -366,7 +366,7 @@
                 self.place_waiting(now);
             }
             ForwardMsg::StreamPause(pause) => self.on_stream_pause(now, &pause),
-            ForwardMsg::StreamSilence(silence) => self.state.on_stream_silence(now, &silence),
+            ForwardMsg::Silence(silence) => self.state.on_silence(now, &silence),
             ForwardMsg::SchedulingDelay(delay) => self.on_scheduling_delay(now, delay),
             ForwardMsg::Seeds(seeds) => self.links.set_seeds(&self.endpoint, &seeds),
             ForwardMsg::Stop => self.start_shutdown(now),
--- a/src/coltsfootnotch/daemon/forward/attempts.rs
+++ b/src/coltsfootnotch/daemon/forward/attempts.rs
@@ -10,6 +10,7 @@
 use super::exchange::{ExchangeResult, UpstreamResponse, attempt_deadline, exchange};
 use super::matched_request::MatchedRequest;
 use super::messages::{ForwardMsg, PlaceRequest, PlacementError, Ticket};
+use super::replacement::Replacement;
 use super::responses;
 use super::resumption::RESUME_TIMEOUT;
 use super::server::Gateway;
@@ -43,11 +44,17 @@
         let (mut reached, mut attempts) = (0, 0);
         let mut failure = None;
         let wait_until = Instant::now() + RESUME_TIMEOUT;
+        // The upstream that was found while the one before was late.
+        let mut found = None;
         loop {
-            let ticket = match self
-                .place_or_wait(req, &avoid, reached > 0, wait_until)
-                .await
-            {
+            let placed = match found.take() {
+                Some(ticket) => Ok(ticket),
+                None => {
+                    self.place_or_wait(req, &avoid, reached > 0, wait_until)
+                        .await
+                }
+            };
+            let ticket = match placed {
                 Ok(ticket) => ticket,
                 Err(_) if attempts > 0 => return failure.unwrap_or_else(responses::lost),
                 Err(reason) => return self.refuse(req, reason),
@@ -57,7 +64,14 @@
             }
             avoid.push(ticket.upstream.clone());
             let may_retry = req.kind().is_idempotent() && attempts + 1 < req.route().max_attempts;
-            match self.attempt(req, ticket, attempts + 1, may_retry).await {
+            let mut replacement = may_retry.then(|| {
+                let late_at = attempt_deadline(req, &ticket, ATTEMPT_TIME_SHARE);
+                Replacement::new(self, req, &avoid, &ticket, late_at)
+            });
+            let attempt = self.attempt(req, ticket, attempts + 1, replacement.as_mut());
+            let result = attempt.await;
+            found = replacement.and_then(|mut r| r.take());
+            match result {
                 AttemptResult::Done(response) => return response,
                 AttemptResult::Failed(response) => failure = Some(response),
                 AttemptResult::Unreached | AttemptResult::Withheld => continue,
@@ -69,6 +83,9 @@
             }
             reached += 1;
             attempts += 1;
+            if found.is_some() {
+                continue;
+            }
             if Instant::now() >= req.deadline {
                 return failure.unwrap_or_else(responses::deadline_exceeded);
             }
@@ -83,24 +100,20 @@
         req: &Arc<MatchedRequest>,
         ticket: Ticket,
         attempts: u32,
-        may_retry: bool,
+        mut replacement: Option<&mut Replacement<'_>>,
     ) -> AttemptResult {
-        let deadline = if may_retry {
-            attempt_deadline(req, &ticket, ATTEMPT_TIME_SHARE)
-        } else {
-            req.deadline
-        };
         let upstream = ticket.upstream.clone();
         // Told before anything is written, since the caller may be cut off at any moment from then on.
         req.progress.set_may_have_run(true);
-        let exchange_result = exchange(self, req, ticket, None, deadline).await;
+        let sought = replacement.as_deref_mut();
+        let exchange_result = exchange(self, req, ticket, None, req.deadline, sought).await;
         let result = match exchange_result {
             ExchangeResult::Unreached => AttemptResult::Unreached,
             ExchangeResult::Withheld => AttemptResult::Withheld,
             ExchangeResult::Rejected => AttemptResult::Rejected,
             ExchangeResult::Lost => AttemptResult::Lost,
             ExchangeResult::Response(received) => {
-                self.deliver(req, *received, deadline, attempts).await
+                self.deliver(req, *received, replacement, attempts).await
             }
         };
         if let AttemptResult::Unreached | AttemptResult::Withheld | AttemptResult::Rejected = result
@@ -127,12 +140,12 @@
         self: &Arc<Self>,
         req: &Arc<MatchedRequest>,
         received: UpstreamResponse,
-        deadline: Instant,
+        replacement: Option<&mut Replacement<'_>>,
         attempts: u32,
     ) -> AttemptResult {
         let is_stream = req.kind().is_stream() && received.response.status().is_success();
         if is_stream {
-            return match open(self, req, received, deadline, attempts).await {
+            return match open(self, req, received, replacement, attempts).await {
                 OpenResult::Streaming(response) => AttemptResult::Done(response),
                 OpenResult::Lost => AttemptResult::Lost,
             };
--- a/src/coltsfootnotch/daemon/forward/exchange.rs
+++ b/src/coltsfootnotch/daemon/forward/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::error::Error;
 use std::io;
+use std::pin::pin;
 use std::time::{Duration, Instant};
 
 use hyper::body::Incoming;
@@ -13,6 +14,7 @@
 use super::matched_request::MatchedRequest;
 use super::messages::{Outcome, Ticket};
 use super::pool::Connection;
+use super::replacement::{Replacement, found, late};
 use super::server::Gateway;
 use crate::util::body_framing::BodyFraming;
 use crate::util::events;
@@ -50,13 +52,15 @@
     Lost,
 }
 
-/// Sends a request and waits for the headers of its response until `deadline`.
+/// Sends a request and waits for the headers of its response until `deadline`, or until a replacement for the upstream
+/// is found.
 pub(super) async fn exchange(
     gw: &Gateway,
     req: &MatchedRequest,
     ticket: Ticket,
     last_event: Option<u64>,
     deadline: Instant,
+    mut replacement: Option<&mut Replacement<'_>>,
 ) -> ExchangeResult {
     let guard = ExchangeGuard::new(gw.tx.clone(), ticket.clone());
     // A pooled connection may have been closed before the request is written: retry once on
@@ -73,8 +77,24 @@
         let request = req.upstream_request(&gw.dialect, &ticket, last_event);
         connection.on_progress();
         let sending = connection.sender.try_send_request(request);
-        match timeout_at(deadline.into(), sending).await {
-            Err(_) => {
+        let mut sending = pin!(timeout_at(deadline.into(), sending));
+        let mut late_at = replacement.as_ref().map(|r| r.late_at());
+        let sent = loop {
+            tokio::select! {
+                biased;
+                sent = &mut sending => break sent.ok(),
+                () = found(&mut replacement) => break None,
+                () = late(late_at) => {
+                    late_at = None;
+                    // It is not silent: what it sends is no head.
+                    if connection.bytes_without_progress() > 0 {
+                        break None;
+                    }
+                }
+            }
+        };
+        match sent {
+            None => {
                 let bytes = connection.bytes_without_progress();
                 if bytes > 0 {
                     gw.log_no_response(req, &ticket, "head", Some(bytes));
@@ -84,12 +104,12 @@
                 } else if bytes > 0 {
                     Outcome::Failed
                 } else {
-                    Outcome::Unreachable
+                    Outcome::Silent
                 };
                 guard.finish(outcome);
                 return ExchangeResult::Lost;
             }
-            Ok(Err(mut e)) => {
+            Some(Err(mut e)) => {
                 let unsent = e.take_message().is_some();
                 if unsent && connection.reused {
                     continue;
@@ -105,7 +125,7 @@
                 guard.finish(outcome);
                 return exchange_result;
             }
-            Ok(Ok(response)) => {
+            Some(Ok(response)) => {
                 connection.on_progress();
                 return classify(gw, req, ticket, response, connection, guard);
             }
@@ -217,7 +237,7 @@
     }
 }
 
-/// Deadline for an upstream to start a response where a retry is possible: the route's target plus
+/// When an upstream is late to start a response where a retry is possible: after the route's target plus
 /// twice the expected time, since an engine under load is late and a retry costs as much as the
 /// first attempt, but at most `share` of the time left.
 pub(super) fn attempt_deadline(req: &MatchedRequest, ticket: &Ticket, share: f64) -> Instant {
--- a/src/coltsfootnotch/daemon/forward/messages.rs
+++ b/src/coltsfootnotch/daemon/forward/messages.rs
@@ -147,9 +147,9 @@
     NotRun,
     /// The upstream responded with a failure.
     Failed,
-    /// Connecting failed, or no response started in time.
+    /// Connecting failed.
     Unreachable,
-    /// A response that had started made no event for long, and another upstream went on with it.
+    /// Nothing came for long on an open connection, and the upstream was given up.
     Silent,
     /// The connection broke.
     Broken,
@@ -170,9 +170,9 @@
     pub(super) tolerated: Duration,
 }
 
-/// A silence of a stream after which another upstream is sought for it.
+/// A silence after which another upstream is sought for a request.
 #[derive(Debug, Clone)]
-pub(super) struct StreamSilence {
+pub(super) struct Silence {
     /// The upstream.
     pub(super) upstream: Arc<str>,
     /// Start time of its process, in milliseconds by its own clock.
@@ -199,8 +199,8 @@
     },
     /// A stream continues after a pause.
     StreamPause(StreamPause),
-    /// A stream's upstream is silent, or no longer.
-    StreamSilence(StreamSilence),
+    /// A request's upstream is silent, or no longer.
+    Silence(Silence),
     /// The delay until the runtime scheduled a task.
     SchedulingDelay(Duration),
     /// The settings have changed to these seeds.
--- a/src/coltsfootnotch/daemon/forward/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/mod.rs
@@ -31,6 +31,7 @@
 mod pool;
 mod read_limit;
 mod refused_accounts;
+mod replacement;
 mod request_body;
 mod request_log;
 mod responses;
--- a/src/coltsfootnotch/daemon/forward/state/backlog.rs
+++ b/src/coltsfootnotch/daemon/forward/state/backlog.rs
@@ -5,7 +5,7 @@
 use coltsfootnotch_forward::place::{Placement, Refusal};
 
 use super::State;
-use crate::daemon::forward::messages::{StreamPause, StreamSilence};
+use crate::daemon::forward::messages::{Silence, StreamPause};
 
 impl State {
     /// Records at which engines the limit of the backlog blocks requests or nearly does.
@@ -49,12 +49,8 @@
         is_cut.then(|| load.backlog.get(pause.tolerated))
     }
 
-    /// Handles a silence of a stream, or its end.
-    pub(in crate::daemon::forward) fn on_stream_silence(
-        &mut self,
-        now: Duration,
-        silence: &StreamSilence,
-    ) {
+    /// Handles a silence of an upstream, or its end.
+    pub(in crate::daemon::forward) fn on_silence(&mut self, now: Duration, silence: &Silence) {
         let Some(load) = self.loads.get_mut(&silence.upstream, silence.born_ms) else {
             return;
         };
--- a/src/coltsfootnotch/daemon/forward/state/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/state/mod.rs
@@ -371,8 +371,14 @@
         load.on_finished(&ticket.sent, has_started);
         match outcome {
             Outcome::Completed => load.on_succeeded(now),
-            // The silence itself was reported as it began.
-            Outcome::Failed | Outcome::Broken | Outcome::Silent => load.on_failed(now),
+            Outcome::Failed | Outcome::Broken => load.on_failed(now),
+            Outcome::Silent => {
+                load.on_failed(now);
+                // That of a stream which had begun was reported at once.
+                if !has_started {
+                    load.on_silent(now);
+                }
+            }
             Outcome::Unreachable => load.on_unreachable(now),
             Outcome::NotRun | Outcome::Abandoned => {}
         }
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -12,6 +12,7 @@
 use super::exchange::UpstreamResponse;
 use super::matched_request::MatchedRequest;
 use super::messages::{ForwardMsg, Outcome, StreamPause, Ticket};
+use super::replacement::{Replacement, found, late};
 use super::server::Gateway;
 use super::stream_source::{Next, StreamSource};
 use super::takeover::{StreamTakeover, TakeoverResult};
@@ -36,21 +37,36 @@
     Lost,
 }
 
-/// Waits for the first event, then spawns a task that forwards the stream. `attempts` is the number
+/// Waits for the first event, or until a replacement for the upstream is found, then spawns a task that forwards the
+/// stream. `attempts` is the number
 /// of upstreams that the request was sent to, including this one.
 pub(super) async fn open(
     gw: &Arc<Gateway>,
     req: &Arc<MatchedRequest>,
     received: UpstreamResponse,
-    deadline: Instant,
+    mut replacement: Option<&mut Replacement<'_>>,
     attempts: u32,
 ) -> OpenResult {
     let account = req.account.as_ref();
     let mut source = StreamSource::new(received, EventSplitter::default(), &gw.held, account);
     // Comments before the first event.
     let mut comments = BytesMut::new();
+    let mut replacement_due = replacement.as_ref().map(|r| r.late_at());
     let next = loop {
-        match source.next(deadline).await {
+        let next = tokio::select! {
+            biased;
+            next = source.next(req.deadline) => next,
+            () = found(&mut replacement) => Next::Late,
+            () = late(replacement_due) => {
+                replacement_due = None;
+                // It is not silent: what it sends is no stream.
+                if source.has_bytes_without_event() {
+                    break Next::Late;
+                }
+                continue;
+            }
+        };
+        match next {
             Next::Comments(more) if comments.len() + more.len() > MAX_COMMENTS => {
                 break Next::Invalid;
             }
@@ -82,7 +98,12 @@
             OpenResult::Lost
         }
         Next::Late if !source.has_bytes_without_event() => {
-            source.received.guard.finish(Outcome::Unreachable);
+            let outcome = if Instant::now() >= req.deadline {
+                Outcome::Abandoned
+            } else {
+                Outcome::Silent
+            };
+            source.received.guard.finish(outcome);
             OpenResult::Lost
         }
         Next::Late | Next::Invalid | Next::Comments(_) => {
--- a/src/coltsfootnotch/daemon/forward/takeover.rs
+++ b/src/coltsfootnotch/daemon/forward/takeover.rs
@@ -11,7 +11,7 @@
 
 use super::event_splitter::EventSplitter;
 use super::exchange::{ExchangeResult, attempt_deadline, exchange};
-use super::messages::{ForwardMsg, Outcome, PlacementError, StreamSilence, Ticket};
+use super::messages::{ForwardMsg, Outcome, PlacementError, Silence, Ticket};
 use super::stream::Forwarder;
 use super::stream_source::{Next, StreamSource};
 use crate::util::events;
@@ -249,9 +249,9 @@
         let req = Arc::clone(&self.forwarder.req);
         let last_event = self.events.last_id();
         let deadline = attempt_deadline(&req, &ticket, 1.0);
-        Box::pin(
-            async move { Found::Ended(exchange(&gw, &req, ticket, last_event, deadline).await) },
-        )
+        Box::pin(async move {
+            Found::Ended(exchange(&gw, &req, ticket, last_event, deadline, None).await)
+        })
     }
 
     /// Closes the connection of the upstream that was silent, for the one whose response has begun.
@@ -305,15 +305,12 @@
     fn report_silence(&self, is_over: bool) {
         if let Some(source) = &self.present {
             let ticket = &source.received.ticket;
-            let silence = StreamSilence {
+            let silence = Silence {
                 upstream: ticket.upstream.clone(),
                 born_ms: ticket.born_ms,
                 is_over,
             };
-            self.forwarder
-                .gw
-                .tx
-                .send(ForwardMsg::StreamSilence(silence));
+            self.forwarder.gw.tx.send(ForwardMsg::Silence(silence));
         }
     }
 }
