Take no bytes behind a broken body for requests

Callers of a request whose chunked body is broken got a second response, for bytes inside that body that look like a request.

Cause: what a handler has left of a body is read since, so that the connection goes on. A body that has failed gives no end but nothing more when it is read again, which was taken for its end; what the HTTP library had not consumed was then searched for requests behind the last response.

Evidence: bytes_behind_a_broken_body_are_not_taken_for_requests failed with the statuses 400 and 503, of 400 expected, beside a stop and without one.

Change: a body that has failed is not kept, so its rest stays left unread.

--- a/src/coltsfootnotch/util/http_server_tests.rs
+++ b/src/coltsfootnotch/util/http_server_tests.rs
@@ -61,12 +61,14 @@
 async fn respond(req: Request<RequestBody>, release: Arc<Notify>) -> AnyResponse {
     let path = req.uri().path().to_owned();
     if path == "/read" {
-        let read = read_body(req.into_body(), 1 << 20, WAIT).await;
-        return full(
-            StatusCode::OK,
-            TEXT,
-            format!("{} bytes, {BODY}", read.unwrap().len()),
-        );
+        return match read_body(req.into_body(), 1 << 20, WAIT).await {
+            Ok(body) => full(
+                StatusCode::OK,
+                TEXT,
+                format!("{} bytes, {BODY}", body.len()),
+            ),
+            Err(status) => full(status, TEXT, BODY),
+        };
     }
     if path == "/wait" || path == "/sent" || path == "/panic" {
         req.body().progress().set_may_have_run(path != "/wait");
@@ -683,3 +685,22 @@
     caller.send(REQUEST);
     expect_that!(caller.read().await, ends_with(BODY));
 }
+
+/// Guards against bytes behind a body with an invalid chunk that are taken for requests: nothing tells where it ends.
+#[gtest]
+#[tokio::test]
+async fn bytes_behind_a_broken_body_are_not_taken_for_requests() {
+    let server = Server::start().await;
+    let head = b"POST /read HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n1\r\nx\r\n-";
+    for is_closing in [false, true] {
+        let mut caller = server.connect();
+        sleep(DELIVERY).await;
+        caller.send(&[head, LEAVE].concat());
+        if is_closing {
+            server.connections.close();
+        }
+        let received = caller.read_to_end().await;
+        expect_that!(statuses(&received), elements_are![eq(&"400")]);
+        expect_that!(received, contains_substring("connection: close"));
+    }
+}
--- a/src/coltsfootnotch/util/request_body.rs
+++ b/src/coltsfootnotch/util/request_body.rs
@@ -16,7 +16,7 @@
 /// The body of a request, which tells its connection once it has been read: bytes that follow a body that was
 /// left unread are not the next request.
 pub struct RequestBody {
-    /// None once it is dropped.
+    /// None once it is dropped, or broken: nothing tells where a broken one ends.
     body: Option<Incoming>,
     state: Arc<ConnectionState>,
 }
@@ -66,8 +66,10 @@
             return Poll::Ready(None);
         };
         let frame = ready!(Pin::new(body).poll_frame(cx));
-        if frame.is_none() {
-            self.state.has_body_left.store(false, Ordering::Release);
+        match &frame {
+            Some(Ok(_)) => {}
+            Some(Err(_)) => self.body = None,
+            None => self.state.has_body_left.store(false, Ordering::Release),
         }
         Poll::Ready(frame)
     }
