End connections whose caller was not asked for its body

A connection stayed open for good after a request with Expect: 100-continue was answered before its body was read, as refusals are, though the response said that it is closed. It stayed after its caller had left, too, with its socket and its place among the connections.

Cause: what a handler leaves of a body is kept to be read later, and that of such a caller was kept and not read. While something keeps a body and does not read it, the HTTP library reads nothing of the connection, and doesn't end it.

Evidence: a_connection_ends_after_a_body_that_was_not_asked_for failed: no end in 5 s, and one connection was left after the caller had closed it.

Change: what is not read is dropped.

--- a/src/coltsfootnotch/util/connection.rs
+++ b/src/coltsfootnotch/util/connection.rs
@@ -89,9 +89,7 @@
                 let handled = pin!(handler(req, peer));
                 until_aborted(handled, &state).await
             };
-            if !awaits_continue {
-                discard_left_body(&state).await;
-            }
+            discard_left_body(&state, awaits_continue).await;
             Ok::<_, Infallible>(state.prepare(response, version))
         })
     });
--- a/src/coltsfootnotch/util/http_server_tests.rs
+++ b/src/coltsfootnotch/util/http_server_tests.rs
@@ -704,3 +704,19 @@
         expect_that!(received, contains_substring("connection: close"));
     }
 }
+
+/// Guards against a connection that stays open for good after a refusal: its caller sends the body only once it is asked
+/// to, and nothing is read of the connection while something keeps the body.
+#[gtest]
+#[tokio::test]
+async fn a_connection_ends_after_a_body_that_was_not_asked_for() {
+    let server = Server::start().await;
+    let mut caller = server.connect();
+    caller.send(b"POST / HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\ncontent-length: 6\r\n\r\n");
+    let received = caller.read_to_end().await;
+    expect_that!(statuses(&received), elements_are![eq(&"200")]);
+    expect_that!(received.as_str(), is_last_response());
+    drop(caller);
+    sleep(DELIVERY * 4).await;
+    expect_that!(server.connections.count(), eq(0));
+}
--- a/src/coltsfootnotch/util/request_body.rs
+++ b/src/coltsfootnotch/util/request_body.rs
@@ -93,12 +93,13 @@
     }
 }
 
-/// Reads what the handler of a request has left unread of its body, unless that is long or late.
-pub(super) async fn discard_left_body(state: &ConnectionState) {
+/// Reads what the handler of a request has left unread of its body, unless that is long or late, or its caller awaits
+/// being asked for it. While what is left is kept and not read, the connection neither goes on nor ends.
+pub(super) async fn discard_left_body(state: &ConnectionState, awaits_continue: bool) {
     let Some(mut body) = state.left_body().take() else {
         return;
     };
-    if body.size_hint().lower() > MAX_DISCARDED_BODY {
+    if awaits_continue || body.size_hint().lower() > MAX_DISCARDED_BODY {
         return;
     }
     let to_end = async {
