Seek no upstream for a stream beyond its deadline

A stream whose upstream broke off shortly before its deadline ended up to a second after it, if the others had no room: its caller waited for that time, and placements took from the retry budget for a request that could not be sent any more. The same went on at a stream whose caller reads slowly: a comment of the silent upstream that there was no room for stopped the whole takeover, so that both upstreams went on running the stream until the caller had read.

Cause: a takeover ends at the deadline only while it listens to an upstream, and waits for its caller within a step.

Evidence: no_upstream_is_sought_beyond_the_deadline_of_a_stream failed with 2.24 s of a deadline of 1.5 s. The other fault was found by reading; it has no test.

Change: the deadline ends the search as well. A comment waits beside the search and the other upstream, and the silent one is not read meanwhile.

--- a/src/coltsfootnotch/daemon/forward/takeover.rs
+++ b/src/coltsfootnotch/daemon/forward/takeover.rs
@@ -5,9 +5,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use coltsfootnotch_forward::place::RefusalReason;
 use coltsfootnotch_forward::streams::{StreamOrigin, Takeover, TakeoverRefusal, TakeoverStep};
-use tokio::time::sleep;
+use tokio::time::{sleep, sleep_until};
 
 use super::event_splitter::EventSplitter;
 use super::exchange::{ExchangeResult, attempt_deadline, exchange};
@@ -43,6 +44,9 @@
     began_at: Instant,
     /// The upstream that was silent, until it is lost.
     present: Option<StreamSource>,
+    /// Comments of it that its caller has no room for yet. Nothing more is read of it until then, while the search goes
+    /// on: no upstream may run the stream beside another for as long as its caller is slow.
+    comments: Option<Bytes>,
     /// How it was lost.
     outcome: Outcome,
     /// The events that were forwarded.
@@ -105,6 +109,7 @@
             origin: source.received.ticket.origin.clone(),
             avoid: vec![source.received.ticket.upstream.clone()],
             present: Some(source),
+            comments: None,
             outcome: Outcome::Silent,
             search: None,
             other: None,
@@ -139,11 +144,17 @@
     async fn wait(&mut self, until: Option<Duration>) -> Option<TakeoverResult> {
         let deadline = self.forwarder.req.deadline;
         let wait = until.map(|until| until.saturating_sub(self.began_at.elapsed()));
+        let comments = self.comments.clone();
         tokio::select! {
             biased;
             () = self.forwarder.tx.closed() => Some(TakeoverResult::CallerLeft),
-            next = next_of(&mut self.present, deadline) => self.on_present(next).await,
+            sent = self.forwarder.tx.send(comments.unwrap_or_default()), if self.comments.is_some() => {
+                self.comments = None;
+                sent.is_err().then_some(TakeoverResult::CallerLeft)
+            }
+            next = next_of(&mut self.present, deadline), if self.comments.is_none() => self.on_present(next),
             next = next_of(&mut self.other, deadline) => self.on_other(next),
+            () = sleep_until(deadline.into()) => Some(self.on_deadline()),
             found = found(&mut self.search) => {
                 self.search = None;
                 self.on_found(found);
@@ -153,7 +164,7 @@
         }
     }
 
-    async fn on_present(&mut self, next: Next) -> Option<TakeoverResult> {
+    fn on_present(&mut self, next: Next) -> Option<TakeoverResult> {
         let source = self.present.as_ref()?;
         let (gw, req) = (&self.forwarder.gw, &self.forwarder.req);
         match next {
@@ -162,10 +173,7 @@
                 let source = self.present.take()?;
                 return Some(TakeoverResult::Continued(source, next));
             }
-            Next::Comments(comments) => {
-                let sent = self.forwarder.tx.send(comments).await;
-                return sent.is_err().then_some(TakeoverResult::CallerLeft);
-            }
+            Next::Comments(comments) => self.comments = Some(comments),
             Next::Broken => {
                 source.log_end(gw, req);
                 self.lose_present(Outcome::Broken);
@@ -174,14 +182,18 @@
                 source.log_invalid(gw, req);
                 self.lose_present(Outcome::Failed);
             }
-            Next::Late => {
-                self.finish_present(Outcome::Abandoned);
-                return Some(self.give_up("no time is left"));
-            }
+            Next::Late => return Some(self.on_deadline()),
         }
         None
     }
 
+    fn on_deadline(&mut self) -> TakeoverResult {
+        if self.present.is_some() {
+            self.finish_present(Outcome::Abandoned);
+        }
+        self.give_up("no time is left")
+    }
+
     fn on_other(&mut self, next: Next) -> Option<TakeoverResult> {
         let source = self.other.as_ref()?;
         let (gw, req) = (&self.forwarder.gw, &self.forwarder.req);
