--- a/src/coltsfootnotch/util/request_body.rs
+++ b/src/coltsfootnotch/util/request_body.rs
@@ -16,7 +16,7 @@
 /// The body of a request, which tells its connection once it has been read: bytes that follow a body that was
 /// left unread are not the next request.
 pub struct RequestBody {
-    /// None once it is dropped.
+    /// None once it is dropped, or broken: nothing tells where a broken one ends.
     body: Option<Incoming>,
     state: Arc<ConnectionState>,
 }
@@ -66,8 +66,10 @@
             return Poll::Ready(None);
         };
         let frame = ready!(Pin::new(body).poll_frame(cx));
-        if frame.is_none() {
-            self.state.has_body_left.store(false, Ordering::Release);
+        match &frame {
+            Some(Ok(_)) => {}
+            Some(Err(_)) => self.body = None,
+            None => self.state.has_body_left.store(false, Ordering::Release),
         }
         Poll::Ready(frame)
     }
@@ -91,12 +93,13 @@
     }
 }
 
-/// Reads what the handler of a request has left unread of its body, unless that is long or late.
-pub(super) async fn discard_left_body(state: &ConnectionState) {
+/// Reads what the handler of a request has left unread of its body, unless that is long or late, or its caller awaits
+/// being asked for it. While what is left is kept and not read, the connection neither goes on nor ends.
+pub(super) async fn discard_left_body(state: &ConnectionState, awaits_continue: bool) {
     let Some(mut body) = state.left_body().take() else {
         return;
     };
-    if body.size_hint().lower() > MAX_DISCARDED_BODY {
+    if awaits_continue || body.size_hint().lower() > MAX_DISCARDED_BODY {
         return;
     }
     let to_end = async {
