Listen for a time to an upstream that sends comments in a pause

A resumable stream of the only upstream was cut four target pauses after its last event if comments came in the pause, by which an upstream shows that it is at work. Without comments the same pause ended no stream.

Cause: bytes that make no event were taken for proof that what comes is no stream, at the time at which another upstream is only sought.

Evidence: comments_in_a_silence_do_not_end_a_stream was cut after five comments, 70 ms apart.

Change: such an upstream is listened to for 800 ms while another is sought and asked, and given up then. Callers of streams of comments without end get their end within two seconds, as before.

Measured: the test passes, and so do streams_that_go_on_without_an_event, streams_without_an_event and four others of silences, in one run. One that sends a comment and then nothing is given up after the same 800 ms.

--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -242,13 +242,6 @@
                     source.log_invalid(&self.gw, &self.req);
                     StreamTakeover::of_lost(&self, source, attempts, Outcome::Failed)
                 }
-                // It is not silent: what it sends is no stream.
-                Next::Late
-                    if source.has_bytes_without_event() && Instant::now() < self.req.deadline =>
-                {
-                    source.log_invalid(&self.gw, &self.req);
-                    StreamTakeover::of_lost(&self, source, attempts, Outcome::Failed)
-                }
                 Next::Late => StreamTakeover::of_silent(&self, source, attempts),
             };
             // Boxed, as each stream holds the space of its task.
--- a/src/coltsfootnotch/daemon/forward/takeover.rs
+++ b/src/coltsfootnotch/daemon/forward/takeover.rs
@@ -17,6 +17,11 @@
 use super::stream_source::{Next, StreamSource};
 use crate::util::events;
 
+/// Time for which an upstream is listened to that sends comments or a part of an event, and no whole one. A sound one
+/// may show by comments that it is at work; from one that sends them without end, callers expect an end within two
+/// seconds of the last event.
+const COMMENTS_TIMEOUT: Duration = Duration::from_millis(800);
+
 /// How a takeover ended.
 pub(super) enum TakeoverResult {
     /// The upstream that was silent goes on with this.
@@ -145,6 +150,8 @@
         let deadline = self.forwarder.req.deadline;
         let wait = until.map(|until| until.saturating_sub(self.began_at.elapsed()));
         let comments = self.comments.clone();
+        let present = self.present.as_ref();
+        let has_bytes = present.is_some_and(StreamSource::has_bytes_without_event);
         tokio::select! {
             biased;
             () = self.forwarder.tx.closed() => Some(TakeoverResult::CallerLeft),
@@ -155,6 +162,10 @@
             next = next_of(&mut self.present, deadline), if self.comments.is_none() => self.on_present(next),
             next = next_of(&mut self.other, deadline) => self.on_other(next),
             () = sleep_until(deadline.into()) => Some(self.on_deadline()),
+            () = sleep_until((self.began_at + COMMENTS_TIMEOUT).into()), if has_bytes => {
+                self.lose_invalid();
+                None
+            }
             found = found(&mut self.search) => {
                 self.search = None;
                 self.on_found(found);
@@ -178,10 +189,7 @@
                 source.log_end(gw, req);
                 self.lose_present(Outcome::Broken);
             }
-            Next::Invalid => {
-                source.log_invalid(gw, req);
-                self.lose_present(Outcome::Failed);
-            }
+            Next::Invalid => self.lose_invalid(),
             Next::Late => return Some(self.on_deadline()),
         }
         None
@@ -299,6 +307,14 @@
         TakeoverResult::GivenUp
     }
 
+    /// Gives up the present upstream, which sends no stream.
+    fn lose_invalid(&mut self) {
+        if let Some(present) = &self.present {
+            present.log_invalid(&self.forwarder.gw, &self.forwarder.req);
+        }
+        self.lose_present(Outcome::Failed);
+    }
+
     fn lose_present(&mut self, outcome: Outcome) {
         self.finish_present(outcome);
         self.decision.on_present_lost(self.began_at.elapsed());
