--- a/soak/src/scenario.rs
+++ b/soak/src/scenario.rs
@@ -203,8 +203,10 @@
         let within = Duration::from_secs_f64(GRACE_S);
         let ended = wait_until(within, || {
             let mut router = self.fleet.router(host);
-            // Reloads of the settings overlap the stop.
-            if let Err(e) = router.reload() {
+            // Reloads of the settings overlap the stop; another stop may have started the next process already.
+            if router.is_stop_requested()
+                && let Err(e) = router.reload()
+            {
                 eprintln!("failed to have a router reload its settings: {e}");
             }
             !router.is_running().unwrap_or(true)
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -262,14 +262,6 @@
                     source.log_invalid(&self.gw, &self.req);
                     StreamTakeover::of_lost(&self, source, attempts, Outcome::Failed)
                 }
-                // It is not silent: what it sends is no stream.
-                Next::Late
-                    if source.has_sent_without_event(self.max_pause() / 2)
-                        && Instant::now() < self.req.deadline =>
-                {
-                    source.log_invalid(&self.gw, &self.req);
-                    StreamTakeover::of_lost(&self, source, attempts, Outcome::Failed)
-                }
                 Next::Late => StreamTakeover::of_silent(&self, source, attempts),
             };
             // Boxed, as each stream holds the space of its task.
@@ -332,7 +324,7 @@
     }
 
     /// Pause after which another upstream is sought.
-    pub(super) fn max_pause(&self) -> Duration {
+    fn max_pause(&self) -> Duration {
         let gap = self.req.route().gap;
         gap.map_or(DEFAULT_MAX_PAUSE, |gap| gap * PAUSE_FACTOR)
     }
--- a/src/coltsfootnotch/daemon/forward/takeover.rs
+++ b/src/coltsfootnotch/daemon/forward/takeover.rs
@@ -13,10 +13,18 @@
 use super::event_splitter::EventSplitter;
 use super::exchange::{ExchangeResult, attempt_deadline, exchange};
 use super::messages::{ForwardMsg, Outcome, PlacementError, Silence, Ticket};
+use super::replacement::late;
 use super::stream::Forwarder;
 use super::stream_source::{Next, StreamSource};
 use crate::util::events;
 
+/// Time for which an upstream is listened to that sends comments or a part of an event, and no whole one. A sound one
+/// may show by comments that it is at work; from one that sends them without end, callers expect an end within two
+/// seconds of the last event.
+const COMMENTS_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time without any byte after which such an upstream counts as silent again.
+const COMMENTS_PAUSE: Duration = Duration::from_millis(400);
+
 /// How a takeover ended.
 pub(super) enum TakeoverResult {
     /// The upstream that was silent goes on with this.
@@ -47,6 +55,8 @@
     /// Comments of it that its caller has no room for yet. Nothing more is read of it until then, while the search goes
     /// on: no upstream may run the stream beside another for as long as its caller is slow.
     comments: Option<Bytes>,
+    /// Since when it sends comments or a part of an event, if it does.
+    sending_since: Option<Instant>,
     /// How it was lost.
     outcome: Outcome,
     /// The events that were forwarded.
@@ -108,6 +118,9 @@
             events,
             origin: source.received.ticket.origin.clone(),
             avoid: vec![source.received.ticket.upstream.clone()],
+            sending_since: source
+                .has_sent_without_event(COMMENTS_PAUSE)
+                .then(Instant::now),
             present: Some(source),
             comments: None,
             outcome: Outcome::Silent,
@@ -145,6 +158,8 @@
         let deadline = self.forwarder.req.deadline;
         let wait = until.map(|until| until.saturating_sub(self.began_at.elapsed()));
         let comments = self.comments.clone();
+        let sending_since = self.sending_since.filter(|_| self.present.is_some());
+        let sent_long = sending_since.map(|since| since + COMMENTS_TIMEOUT);
         tokio::select! {
             biased;
             () = self.forwarder.tx.closed() => Some(TakeoverResult::CallerLeft),
@@ -155,6 +170,10 @@
             next = next_of(&mut self.present, deadline), if self.comments.is_none() => self.on_present(next),
             next = next_of(&mut self.other, deadline) => self.on_other(next),
             () = sleep_until(deadline.into()) => Some(self.on_deadline()),
+            () = late(sent_long) => {
+                self.on_sent_long();
+                None
+            }
             found = found(&mut self.search) => {
                 self.search = None;
                 self.on_found(found);
@@ -173,15 +192,15 @@
                 let source = self.present.take()?;
                 return Some(TakeoverResult::Continued(source, next));
             }
-            Next::Comments(comments) => self.comments = Some(comments),
+            Next::Comments(comments) => {
+                self.comments = Some(comments);
+                self.sending_since.get_or_insert_with(Instant::now);
+            }
             Next::Broken => {
                 source.log_end(gw, req);
                 self.lose_present(Outcome::Broken);
             }
-            Next::Invalid => {
-                source.log_invalid(gw, req);
-                self.lose_present(Outcome::Failed);
-            }
+            Next::Invalid => self.lose_invalid(),
             Next::Late => return Some(self.on_deadline()),
         }
         None
@@ -269,7 +288,7 @@
     /// Closes the connection of the upstream that was silent, for the one whose response has begun.
     fn switch(&mut self, next: Option<Next>) -> TakeoverResult {
         if let Some(present) = &self.present {
-            let outcome = if present.has_sent_without_event(self.forwarder.max_pause()) {
+            let outcome = if present.has_sent_without_event(COMMENTS_PAUSE) {
                 present.log_invalid(&self.forwarder.gw, &self.forwarder.req);
                 Outcome::Failed
             } else {
@@ -299,6 +318,23 @@
         TakeoverResult::GivenUp
     }
 
+    /// Gives up the present upstream if it still sends what makes no event.
+    fn on_sent_long(&mut self) {
+        self.sending_since = None;
+        let present = self.present.as_ref();
+        if present.is_some_and(|source| source.has_sent_without_event(COMMENTS_PAUSE)) {
+            self.lose_invalid();
+        }
+    }
+
+    /// Gives up the present upstream, which sends no stream.
+    fn lose_invalid(&mut self) {
+        if let Some(present) = &self.present {
+            present.log_invalid(&self.forwarder.gw, &self.forwarder.req);
+        }
+        self.lose_present(Outcome::Failed);
+    }
+
     fn lose_present(&mut self, outcome: Outcome) {
         self.finish_present(outcome);
         self.decision.on_present_lost(self.began_at.elapsed());
