Split the search of a takeover from the takeover

What is searched and asked is a type of its own, which knows the stream's origin and the upstreams that it was sent to; the takeover decides when. No behaviour changes.

--- a/src/coltsfootnotch/daemon/forward/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/mod.rs
@@ -42,6 +42,7 @@
 mod stream;
 mod stream_source;
 mod takeover;
+mod takeover_search;
 mod upstream_socket;
 
 pub use actor::run;
--- a/src/coltsfootnotch/daemon/forward/takeover.rs
+++ b/src/coltsfootnotch/daemon/forward/takeover.rs
@@ -1,21 +1,19 @@
 //! Takeover of a stream by another upstream, while the one before is listened to.
 
-use std::future::{Future, pending};
-use std::pin::Pin;
-use std::sync::Arc;
+use std::future::pending;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use coltsfootnotch_forward::place::RefusalReason;
-use coltsfootnotch_forward::streams::{StreamOrigin, Takeover, TakeoverRefusal, TakeoverStep};
+use coltsfootnotch_forward::streams::{Takeover, TakeoverStep};
 use tokio::time::{sleep, sleep_until};
 
 use super::event_splitter::EventSplitter;
-use super::exchange::{ExchangeResult, attempt_deadline, exchange};
-use super::messages::{ForwardMsg, Outcome, PlacementError, Silence, Ticket};
+use super::exchange::ExchangeResult;
+use super::messages::{ForwardMsg, Outcome, Silence};
 use super::replacement::late;
 use super::stream::Forwarder;
 use super::stream_source::{Next, StreamSource};
+use super::takeover_search::{Found, TakeoverSearch};
 use crate::util::events;
 
 /// Time for which an upstream is listened to that sends comments or a part of an event, and no whole one. A sound one
@@ -37,14 +35,6 @@
     CallerLeft,
 }
 
-/// What became of the search for an upstream.
-enum Found {
-    Placed(Result<Ticket, PlacementError>),
-    Ended(ExchangeResult),
-}
-
-type Search = Pin<Box<dyn Future<Output = Found> + Send>>;
-
 /// A takeover in progress. Dropping it closes the connections of all upstreams.
 pub(super) struct StreamTakeover<'a> {
     forwarder: &'a Forwarder,
@@ -61,27 +51,11 @@
     outcome: Outcome,
     /// The events that were forwarded.
     events: EventSplitter,
-    origin: StreamOrigin,
-    avoid: Vec<Arc<str>>,
-    search: Option<Search>,
+    search: TakeoverSearch,
     /// The upstream whose response has begun.
     other: Option<StreamSource>,
 }
 
-/// Why no other upstream can go on after `events`, if none can.
-fn obstacle(forwarder: &Forwarder, events: &EventSplitter) -> Option<&'static str> {
-    if !forwarder.req.kind().is_idempotent() {
-        return Some("the route's streams can't be resumed");
-    }
-    if events.is_partly_returned() {
-        return Some("a part of an event was forwarded");
-    }
-    events
-        .last_id()
-        .is_none()
-        .then_some("its events have no numbers")
-}
-
 impl<'a> StreamTakeover<'a> {
     /// The takeover of a stream whose upstream is silent, after `attempts` at upstreams.
     pub(super) fn of_silent(forwarder: &'a Forwarder, source: StreamSource, attempts: u32) -> Self {
@@ -107,7 +81,8 @@
     fn new(forwarder: &'a Forwarder, source: StreamSource, attempts: u32) -> Self {
         let events = source.events.after_last_event();
         let max_attempts = forwarder.req.route().max_attempts;
-        let decision = match obstacle(forwarder, &source.events) {
+        let search = TakeoverSearch::new(&forwarder.gw, &forwarder.req, &source);
+        let decision = match TakeoverSearch::obstacle(&forwarder.req, &source) {
             Some(reason) => Takeover::impossible(attempts, reason),
             None => Takeover::new(Duration::ZERO, attempts, max_attempts),
         };
@@ -116,15 +91,13 @@
             decision,
             began_at: Instant::now(),
             events,
-            origin: source.received.ticket.origin.clone(),
-            avoid: vec![source.received.ticket.upstream.clone()],
+            search,
             sending_since: source
                 .has_sent_without_event(COMMENTS_PAUSE)
                 .then(Instant::now),
             present: Some(source),
             comments: None,
             outcome: Outcome::Silent,
-            search: None,
             other: None,
         }
     }
@@ -139,7 +112,7 @@
         loop {
             let until = match self.decision.step(self.began_at.elapsed()) {
                 TakeoverStep::Search => {
-                    self.search = Some(self.place());
+                    self.search.place();
                     None
                 }
                 TakeoverStep::Wait(until) => until,
@@ -174,8 +147,7 @@
                 self.on_sent_long();
                 None
             }
-            found = found(&mut self.search) => {
-                self.search = None;
+            found = self.search.next() => {
                 self.on_found(found);
                 None
             }
@@ -242,8 +214,7 @@
         match found {
             Found::Placed(Ok(ticket)) => {
                 self.decision.on_found();
-                self.avoid.push(ticket.upstream.clone());
-                self.search = Some(self.ask(ticket));
+                self.search.ask(ticket);
             }
             Found::Placed(Err(e)) => self.decision.on_refused(now, e.into()),
             Found::Ended(ExchangeResult::Response(received))
@@ -266,25 +237,6 @@
         }
     }
 
-    /// Has the actor place the stream at another upstream of its origin.
-    fn place(&self) -> Search {
-        let gw = Arc::clone(&self.forwarder.gw);
-        let req = Arc::clone(&self.forwarder.req);
-        let (avoid, origin) = (self.avoid.clone(), self.origin.clone());
-        Box::pin(async move { Found::Placed(gw.place(&req, &avoid, true, Some(&origin)).await) })
-    }
-
-    /// Sends the request from the last event that was forwarded on.
-    fn ask(&self, ticket: Ticket) -> Search {
-        let gw = Arc::clone(&self.forwarder.gw);
-        let req = Arc::clone(&self.forwarder.req);
-        let last_event = self.events.last_id();
-        let deadline = attempt_deadline(&req, &ticket, 1.0);
-        Box::pin(async move {
-            Found::Ended(exchange(&gw, &req, ticket, last_event, deadline, None).await)
-        })
-    }
-
     /// Closes the connection of the upstream that was silent, for the one whose response has begun.
     fn switch(&mut self, next: Option<Next>) -> TakeoverResult {
         if let Some(present) = &self.present {
@@ -312,9 +264,8 @@
 
     /// Logs why no upstream goes on. The response ends as broken off, since its sender is dropped.
     fn give_up(&self, reason: &'static str) -> TakeoverResult {
-        let last = &self.avoid[..1];
         self.forwarder
-            .log_broken_off(last, &self.events, self.outcome, reason);
+            .log_broken_off(self.search.before(), &self.events, self.outcome, reason);
         TakeoverResult::GivenUp
     }
 
@@ -361,28 +312,6 @@
     }
 }
 
-impl From<PlacementError> for TakeoverRefusal {
-    fn from(error: PlacementError) -> Self {
-        match error {
-            PlacementError::Refused(refusal, _) if refusal.reason == RefusalReason::VersionGone => {
-                Self::Unavailable("no other upstream has its version")
-            }
-            PlacementError::Refused(refusal, _) if refusal.reason == RefusalReason::TooLarge => {
-                Self::Never("larger than the memory of an upstream")
-            }
-            PlacementError::Refused(..) => Self::Full("no upstream can go on in time"),
-            // Passes as a configuration that is known comes in force.
-            PlacementError::NoLease => Self::Full("the configuration is not confirmed"),
-            PlacementError::NoRetryBudget => Self::Unavailable("too much is sent again"),
-            PlacementError::UnknownOrigin => Self::Unavailable("no upstream can go on in time"),
-            PlacementError::Stopping => Self::Never("this host is stopping"),
-            PlacementError::PoisonRequest | PlacementError::PoisonSegment => {
-                Self::Never("it has crashed upstreams")
-            }
-        }
-    }
-}
-
 async fn next_of(source: &mut Option<StreamSource>, deadline: Instant) -> Next {
     match source {
         Some(source) => source.next(deadline).await,
@@ -390,13 +319,6 @@
     }
 }
 
-async fn found(search: &mut Option<Search>) -> Found {
-    match search {
-        Some(search) => search.await,
-        None => pending().await,
-    }
-}
-
 async fn sleep_for(time: Option<Duration>) {
     match time {
         Some(time) => sleep(time).await,
