Pass no request on to a neighbour that is about to close

Callers of an entry that stopped got 502, which says that their request may have run, if it reached the neighbour that served them as that closed the connection. An order can't be sent again then.

Once the neighbour is asked to close it serves an idle connection for 100 ms. Requests were passed on until its end arrived. They are for half of that time now; a later one waits for the end of the neighbour and is refused as not run, by what refuses requests that arrive after that end.

The new test sends a request 90 ms after the neighbour was asked to close, which closes 10 ms later: 502 before, 503 now. The 33 tests of the handover pass, and those of a crowded router.

--- a/src/coltsfootnotch/daemon/forward/handover/relay.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay.rs
@@ -6,7 +6,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep, timeout};
 
 use super::exchanges::Exchanges;
 use super::frame::{HEADER_BYTES, Header};
@@ -18,6 +18,10 @@
 /// caller is served here after it.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Time after a neighbour was asked to close for which requests are still passed on to it. It serves an idle connection
+/// for [`CLOSE_LINGER`] then; a request on its way as it closes might have run for all that its caller can be told.
+const PASS_ON_TIME: Duration = CLOSE_LINGER.checked_div(2).unwrap();
+
 /// Completes once the peer has closed its connection, whatever is unread: no peer sends urgent data.
 const READ_CLOSED: Interest = Interest::PRIORITY;
 
@@ -173,6 +177,9 @@
     let mut response = [0; RESPONSE_BYTES];
     let mut closing = std::pin::pin!(closing);
     let mut close_requested = false;
+    // Completes when no further request is passed on.
+    let mut passing_on = std::pin::pin!(sleep(Duration::MAX));
+    let mut passes_on = true;
     let mut resets_caller = false;
     // A neighbour that reads no more may have responded before.
     let mut neighbour_reads = true;
@@ -183,11 +190,13 @@
             biased;
             () = closing.as_mut(), if !close_requested => {
                 close_requested = true;
+                passing_on.as_mut().reset(Instant::now() + PASS_ON_TIME);
                 match write_to(neighbour, &Header::Close.encode(), caller).await {
                     Some(is_written) => neighbour_reads &= is_written,
                     None => return End::Caller,
                 }
             }
+            () = passing_on.as_mut(), if passes_on => passes_on = false,
             len = neighbour.read(&mut response) => {
                 let len = match len {
                     Ok(0) => return End::NeighbourClosed,
@@ -215,7 +224,8 @@
                 }
                 exchanges.is_writing = false;
             }
-            ready = caller.ready(Interest::READABLE), if neighbour_reads => {
+            ready = caller.ready(Interest::READABLE),
+                if neighbour_reads && (passes_on || !exchanges.is_idle()) => {
                 // Seen before the bytes ahead of it are read: a neighbour would run the request
                 // that they are part of for nobody.
                 if ready.is_ok_and(|ready| ready.is_read_closed()) {
@@ -235,6 +245,7 @@
                 }
                 if is_single && !close_requested {
                     close_requested = true;
+                    passing_on.as_mut().reset(Instant::now() + PASS_ON_TIME);
                     match write_to(neighbour, &Header::Close.encode(), caller).await {
                         Some(is_written) => neighbour_reads &= is_written,
                         None => return End::Caller,
--- a/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
@@ -243,6 +243,11 @@
 
 impl Relayed {
     async fn start() -> Self {
+        Self::start_to_stop(pending()).await
+    }
+
+    /// The same, of an entry that stops once `closing` completes.
+    async fn start_to_stop(closing: impl Future<Output = ()> + Send + 'static) -> Self {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let listener = TcpListener::bind(any).await.unwrap();
         let entry = TcpListener::bind(any).await.unwrap();
@@ -252,7 +257,7 @@
         let (accepted, _) = entry.accept().await.unwrap();
         let stream = connect(listener.local_addr().unwrap()).await.unwrap();
         let (neighbour, _) = listener.accept().await.unwrap();
-        let relaying = tokio::spawn(relay(accepted, stream, pending(), pending(), false));
+        let relaying = tokio::spawn(relay(accepted, stream, closing, pending(), false));
         Self {
             caller,
             neighbour,
@@ -480,6 +485,28 @@
     }
 }
 
+/// Guards against callers that can't tell whether a request ran which was passed on as the neighbour closed the
+/// connection, since their entry stops: an order can't be sent again then.
+#[gtest]
+#[tokio::test]
+async fn a_request_that_crosses_the_end_of_a_stopping_entry_is_refused_as_not_run() {
+    let (stop, stopped) = oneshot::channel();
+    let mut relayed = Relayed::start_to_stop(wait_for(stopped)).await;
+    relayed.request(REQUEST).await;
+    relayed.respond(RESPONSE).await;
+    stop.send(()).unwrap();
+    let mut close = [0; HEADER_BYTES];
+    let read = timeout(WAIT, relayed.neighbour.read_exact(&mut close)).await;
+    expect_that!(read, ok(ok(anything())));
+    sleep(CLOSE_LINGER * 9 / 10).await;
+    let sent = relayed.caller.try_write(REQUEST.as_bytes());
+    expect_that!(sent, ok(eq(&REQUEST.len())));
+    sleep(CLOSE_LINGER / 10).await;
+    expect_that!(relayed.neighbour.shutdown().await, ok(anything()));
+    let text = read_until(&mut relayed.caller, "to the end").await;
+    expect_that!(text.as_str(), is_not_run());
+}
+
 /// Guards against a refusal that is lost, since the connection is reset with the rest of the request unread.
 #[gtest]
 #[tokio::test]
