--- a/crates/forward/src/config/service_config.rs
+++ b/crates/forward/src/config/service_config.rs
@@ -9,6 +9,30 @@
 ///
 /// A request refers to these and to its route. It keeps no more of the configuration that it was matched by: beside
 /// changes of one with many routes, streams of some seconds would keep dozens of them in memory.
+///
+/// ```
+/// use coltsfootnotch_forward::config::{Bounds, ConfigDraft, ForwardConfig, Service};
+/// let service = Service {
+///     name: "desk".into(),
+///     max_connections: 128,
+///     engine: None,
+///     warm_up_per_s: 0.0,
+/// };
+/// let draft = ConfigDraft {
+///     number: 3,
+///     routes: Vec::new(),
+///     services: vec![service],
+///     accounts: Vec::new(),
+///     bounds: Bounds::default(),
+///     units_per_s: None,
+/// };
+/// let config = ForwardConfig::try_from(draft).map_err(|problems| format!("{problems:?}"))?;
+/// let services = config.service_config().clone();
+/// drop(config);
+/// assert_eq!(services.number(), 3);
+/// assert!(services.service("desk").is_some());
+/// # Ok::<(), String>(())
+/// ```
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServiceConfig {
     number: u64,
