--- a/crates/forward/src/load/upstream_load.rs
+++ b/crates/forward/src/load/upstream_load.rs
@@ -82,6 +82,7 @@
     /// Records the first event of a request.
     pub fn on_first_event(&mut self, now: Duration, sent: &SentRequest) {
         self.leave_backlog(sent);
+        self.health.on_progress();
         let elapsed_ms = now.saturating_sub(sent.at).as_secs_f64() * 1e3;
         self.slowdown.observe(now, elapsed_ms, sent.expected_ms);
         self.since_report.elapsed_ms += elapsed_ms;
@@ -108,6 +109,7 @@
     /// Records a success.
     pub fn on_succeeded(&mut self, now: Duration) {
         self.health.on_ended(now, 0, 1);
+        self.health.on_progress();
         self.since_report.succeeded += 1;
     }
 
@@ -117,12 +119,22 @@
         self.since_report.failed += 1;
     }
 
-    /// Records a failed connection, or an answer that never started.
+    /// Records a failed connection.
     pub fn on_unreachable(&mut self, now: Duration) {
         self.health.on_unreachable(now);
         self.on_failed(now);
     }
 
+    /// Records that nothing came for long of an answer.
+    pub fn on_silent(&mut self, now: Duration) {
+        self.health.on_silent(now);
+    }
+
+    /// Records that an answer goes on.
+    pub fn on_progress(&mut self) {
+        self.health.on_progress();
+    }
+
     /// Applies the totals of the other entries.
     pub fn apply_remote(&mut self, now: Duration, report: &UpstreamUsage) {
         self.remote = InFlight::from(report);
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -121,6 +121,12 @@
         self.signal(Signal::HUP)
     }
 
+    /// Whether the running process was told to stop.
+    #[must_use]
+    pub fn is_stop_requested(&self) -> bool {
+        self.is_stop_requested
+    }
+
     /// Sends the signal to stop gracefully.
     ///
     /// # Errors
--- a/src/coltsfootnotch/daemon/forward/messages.rs
+++ b/src/coltsfootnotch/daemon/forward/messages.rs
@@ -147,8 +147,10 @@
     NotRun,
     /// The upstream responded with a failure.
     Failed,
-    /// Connecting failed, or no response started in time.
+    /// Connecting failed.
     Unreachable,
+    /// Nothing came for long on an open connection, and the upstream was given up.
+    Silent,
     /// The connection broke.
     Broken,
     /// The caller disconnected, or its deadline passed.
@@ -168,6 +170,17 @@
     pub(super) tolerated: Duration,
 }
 
+/// A silence after which another upstream is sought for a request.
+#[derive(Debug, Clone)]
+pub(super) struct Silence {
+    /// The upstream.
+    pub(super) upstream: Arc<str>,
+    /// Start time of its process, in milliseconds by its own clock.
+    pub(super) born_ms: u64,
+    /// Whether the upstream goes on.
+    pub(super) is_over: bool,
+}
+
 /// A message to the actor.
 pub(super) enum ForwardMsg {
     Fabric(Event),
@@ -186,6 +199,8 @@
     },
     /// A stream continues after a pause.
     StreamPause(StreamPause),
+    /// A request's upstream is silent, or no longer.
+    Silence(Silence),
     /// The delay until the runtime scheduled a task.
     SchedulingDelay(Duration),
     /// The settings have changed to these seeds.
--- a/src/coltsfootnotch/daemon/forward/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/mod.rs
@@ -31,6 +31,7 @@
 mod pool;
 mod read_limit;
 mod refused_accounts;
+mod replacement;
 mod request_body;
 mod request_log;
 mod responses;
@@ -40,6 +41,7 @@
 mod state;
 mod stream;
 mod stream_source;
+mod takeover;
 mod upstream_socket;
 
 pub use actor::run;
--- a/src/coltsfootnotch/daemon/forward/state/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/state/mod.rs
@@ -356,7 +356,10 @@
     ) {
         // Only the first event of a stream is a part of its answer.
         let has_answered = has_started && ticket.is_stream;
-        if matches!(outcome, Outcome::Broken | Outcome::Unreachable) {
+        if matches!(
+            outcome,
+            Outcome::Broken | Outcome::Unreachable | Outcome::Silent
+        ) {
             self.registry.mark_broken(&ticket.upstream, ticket.born_ms);
         }
         if outcome == Outcome::Broken && !has_answered {
@@ -377,6 +380,13 @@
         match outcome {
             Outcome::Completed => load.on_succeeded(now),
             Outcome::Failed | Outcome::Broken => load.on_failed(now),
+            Outcome::Silent => {
+                load.on_failed(now);
+                // That of a stream which had begun was reported at once.
+                if !has_started {
+                    load.on_silent(now);
+                }
+            }
             Outcome::Unreachable => load.on_unreachable(now),
             Outcome::NotRun | Outcome::Abandoned => {}
         }
