Search for upstreams of silent streams and of late requests by one piece of code

Cause: the takeover of a stream and the replacement of a late upstream each had the same growing interval and built the same report of a silence; whether a refusal may pass was decided in three places, each a list of its own.

Change: SearchInterval serves both searches, Silence::of makes the report, and what a refusal means is decided once, by TakeoverRefusal. A report that was not sent yet is kept in place of a flag and the parts that it is made of. Behaviour stays.

--- a/crates/forward/src/streams/mod.rs
+++ b/crates/forward/src/streams/mod.rs
@@ -2,8 +2,10 @@
 
 mod origin;
 mod origins;
+mod search_interval;
 mod takeover;
 
 pub use origin::StreamOrigin;
 pub use origins::{StreamOrigins, group_streams};
+pub use search_interval::SearchInterval;
 pub use takeover::{Takeover, TakeoverRefusal, TakeoverStep};
--- a/crates/forward/src/streams/takeover.rs
+++ b/crates/forward/src/streams/takeover.rs
@@ -6,12 +6,8 @@
 
 use std::time::Duration;
 
-/// Time between two searches while the present upstream is lost, and after the first one that found none while it
-/// is silent; an engine prefills about three queued prompts in it.
-const MIN_INTERVAL: Duration = Duration::from_millis(60);
-/// Longest time between two searches while the present upstream is silent. All streams of an upstream fall silent
-/// together and search at the same time.
-const MAX_INTERVAL: Duration = Duration::from_millis(960);
+use super::SearchInterval;
+use super::search_interval::MIN_INTERVAL;
 
 /// Time for finding an upstream after the present one was lost; callers give up after two seconds without an event.
 const LOST_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -80,7 +76,7 @@
 #[derive(Debug, Clone)]
 pub struct Takeover {
     phase: Phase,
-    interval: Duration,
+    interval: SearchInterval,
     attempts: u32,
     max_attempts: u32,
     /// Why the stream can't be taken over, if it can't.
@@ -95,7 +91,7 @@
     pub fn new(now: Duration, attempts: u32, max_attempts: u32) -> Self {
         Self {
             phase: Phase::Due(now),
-            interval: MIN_INTERVAL,
+            interval: SearchInterval::default(),
             attempts,
             max_attempts,
             impossible: None,
@@ -148,7 +144,7 @@
                 Phase::Due(now + MIN_INTERVAL)
             }
             (TakeoverRefusal::Full(_) | TakeoverRefusal::Unavailable(_), None) => {
-                Phase::Due(now + self.next_interval())
+                Phase::Due(now + self.interval.next_interval())
             }
             (
                 TakeoverRefusal::Full(reason)
@@ -205,14 +201,8 @@
     fn search_again(&mut self, now: Duration) {
         let wait = match self.lost_until {
             Some(_) => Duration::ZERO,
-            None => self.next_interval(),
+            None => self.interval.next_interval(),
         };
         self.phase = Phase::Due(now + wait);
     }
-
-    fn next_interval(&mut self) -> Duration {
-        let interval = self.interval;
-        self.interval = (interval * 2).min(MAX_INTERVAL);
-        interval
-    }
 }
--- a/src/coltsfootnotch/daemon/forward/messages.rs
+++ b/src/coltsfootnotch/daemon/forward/messages.rs
@@ -181,6 +181,17 @@
     pub(super) is_over: bool,
 }
 
+impl Silence {
+    /// The silence of the upstream of `ticket`, or its end.
+    pub(super) fn of(ticket: &Ticket, is_over: bool) -> Self {
+        Self {
+            upstream: ticket.upstream.clone(),
+            born_ms: ticket.born_ms,
+            is_over,
+        }
+    }
+}
+
 /// A message to the actor.
 pub(super) enum ForwardMsg {
     Fabric(Event),
--- a/src/coltsfootnotch/daemon/forward/replacement.rs
+++ b/src/coltsfootnotch/daemon/forward/replacement.rs
@@ -2,19 +2,15 @@
 
 use std::future::pending;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
+use coltsfootnotch_forward::streams::{SearchInterval, TakeoverRefusal};
 use tokio::time::sleep_until;
 
 use super::matched_request::MatchedRequest;
-use super::messages::{ForwardMsg, PlacementError, Silence, Ticket};
+use super::messages::{ForwardMsg, Silence, Ticket};
 use super::server::Gateway;
 
-/// Time between the first two placements, which doubles with each.
-const FIRST_INTERVAL: Duration = Duration::from_millis(60);
-/// Longest time between two placements: all requests at a late upstream are placed again at the same time.
-const MAX_INTERVAL: Duration = Duration::from_millis(960);
-
 /// Where a request goes on if its upstream stays late. The upstream is given up only once another one is found: it may
 /// be silent for a moment and still respond in time.
 pub(super) struct Replacement<'a> {
@@ -22,12 +18,12 @@
     req: &'a MatchedRequest,
     /// The upstreams that it was sent to, the last one being late.
     avoid: &'a [Arc<str>],
-    late: (Arc<str>, u64),
+    /// The silence of that one, until it is reported.
+    unreported: Option<Silence>,
     late_at: Instant,
     /// When another upstream is sought next.
     due: Instant,
-    interval: Duration,
-    is_reported: bool,
+    interval: SearchInterval,
     found: Option<Ticket>,
 }
 
@@ -44,11 +40,10 @@
             gw,
             req,
             avoid,
-            late: (ticket.upstream.clone(), ticket.born_ms),
+            unreported: Some(Silence::of(ticket, false)),
             late_at: from,
             due: from,
-            interval: FIRST_INTERVAL,
-            is_reported: false,
+            interval: SearchInterval::default(),
             found: None,
         }
     }
@@ -73,19 +68,14 @@
     async fn search(&mut self) {
         loop {
             sleep_until(self.due.into()).await;
-            self.due = Instant::now() + self.interval;
-            self.interval = (self.interval * 2).min(MAX_INTERVAL);
+            self.due = Instant::now() + self.interval.next_interval();
             let origin = self.req.origin.as_ref();
             match self.gw.place(self.req, self.avoid, true, origin).await {
                 Ok(ticket) => {
                     self.found = Some(ticket);
                     return;
                 }
-                Err(
-                    PlacementError::Stopping
-                    | PlacementError::PoisonRequest
-                    | PlacementError::PoisonSegment,
-                ) => return pending().await,
+                Err(e) if matches!(e.into(), TakeoverRefusal::Never(_)) => return pending().await,
                 Err(_) => self.report(),
             }
         }
@@ -93,13 +83,8 @@
 
     /// Reports once that the upstream is late and still listened to. If it is given up, its exchange tells so.
     fn report(&mut self) {
-        if !std::mem::replace(&mut self.is_reported, true) {
-            let (upstream, born_ms) = self.late.clone();
-            self.gw.tx.send(ForwardMsg::Silence(Silence {
-                upstream,
-                born_ms,
-                is_over: false,
-            }));
+        if let Some(silence) = self.unreported.take() {
+            self.gw.tx.send(ForwardMsg::Silence(silence));
         }
     }
 }
--- a/src/coltsfootnotch/daemon/forward/resumption.rs
+++ b/src/coltsfootnotch/daemon/forward/resumption.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use coltsfootnotch_forward::place::{Refusal, RefusalReason};
-use coltsfootnotch_forward::streams::StreamOrigin;
+use coltsfootnotch_forward::streams::{StreamOrigin, TakeoverRefusal};
 use tokio::sync::oneshot;
 
 use super::matched_request::MatchedRequest;
@@ -98,18 +98,7 @@
     /// Whether a stream that is refused for this may be placed a moment later. A lease is invalid from the time at
     /// which a newer configuration is known until it is in force, which is most of what ends one.
     fn may_pass(&self) -> bool {
-        match self {
-            Self::Refused(refusal, _) => !matches!(
-                refusal.reason,
-                RefusalReason::VersionGone | RefusalReason::TooLarge
-            ),
-            Self::NoLease => true,
-            Self::NoRetryBudget
-            | Self::UnknownOrigin
-            | Self::PoisonRequest
-            | Self::PoisonSegment
-            | Self::Stopping => false,
-        }
+        matches!(TakeoverRefusal::from(*self), TakeoverRefusal::Full(_))
     }
 }
 
--- a/src/coltsfootnotch/daemon/forward/takeover.rs
+++ b/src/coltsfootnotch/daemon/forward/takeover.rs
@@ -301,12 +301,7 @@
     /// Reports the silence of the present upstream to the actor, or its end.
     fn report_silence(&self, is_over: bool) {
         if let Some(source) = &self.present {
-            let ticket = &source.received.ticket;
-            let silence = Silence {
-                upstream: ticket.upstream.clone(),
-                born_ms: ticket.born_ms,
-                is_over,
-            };
+            let silence = Silence::of(&source.received.ticket, is_over);
             self.forwarder.gw.tx.send(ForwardMsg::Silence(silence));
         }
     }
