Give up no late upstream before another one has begun to respond

Callers of idempotent routes and of streams that can be resumed got 502, 500 or nothing for as long as the other upstream hung, although their upstream would have responded 1.4 s after the request. Callers of a stream that was lost got it cut when the upstream that took it over was late.

Cause: a late upstream was closed as soon as its request was granted a place at another one, before that had connected, taken or answered it. An upstream that was asked to go on with a stream was closed at the route's target plus twice the expected time, whether or not the one before was still there. It is the cause of streams that were cut in a silence, before the first event.

Change: `Replacement` places the request, sends it, and is found only as the head of a response that is no failure has come; until then the late upstream is listened to. It uses the decision and the search of a stream's takeover, so that attempts are counted in one place. An upstream that is asked is replaced in the same way if it is late. What is in progress as the late one fails is waited for. A silence is reported when it begins, not when the upstream is given up.

--- a/crates/forward/src/streams/takeover.rs
+++ b/crates/forward/src/streams/takeover.rs
@@ -115,6 +115,23 @@
         self.attempts + u32::from(self.phase == Phase::Asked)
     }
 
+    /// Counts further upstreams that the request to the one that was found was passed on to, as it was late.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use coltsfootnotch_forward::streams::{Takeover, TakeoverStep};
+    /// let mut takeover = Takeover::new(Duration::ZERO, 1, 3);
+    /// assert_eq!(takeover.step(Duration::ZERO), TakeoverStep::Search);
+    /// takeover.on_found();
+    /// takeover.add_attempts(1);
+    /// takeover.on_failed(Duration::ZERO, true);
+    /// // No fourth upstream is sought.
+    /// assert_eq!(takeover.step(Duration::from_secs(1)), TakeoverStep::Wait(None));
+    /// ```
+    pub fn add_attempts(&mut self, attempts: u32) {
+        self.attempts += attempts;
+    }
+
     /// Decides what to do next. A search counts as begun.
     pub fn step(&mut self, now: Duration) -> TakeoverStep {
         if let (Phase::Due(_), true) = (self.phase, self.attempts >= self.max_attempts) {
--- a/src/coltsfootnotch/daemon/forward/attempts.rs
+++ b/src/coltsfootnotch/daemon/forward/attempts.rs
@@ -8,14 +8,14 @@
 
 use super::delivery::{DeliveryResult, read_response};
 use super::exchange::{ExchangeResult, UpstreamResponse, attempt_deadline, exchange};
-use super::exchange_guard::ExchangeGuard;
 use super::matched_request::MatchedRequest;
-use super::messages::{ForwardMsg, Outcome, PlaceRequest, PlacementError, RETRY_SOON, Ticket};
+use super::messages::{ForwardMsg, PlaceRequest, PlacementError, RETRY_SOON, Ticket};
 use super::replacement::Replacement;
 use super::responses;
 use super::resumption::RESUME_TIMEOUT;
 use super::server::Gateway;
 use super::stream::{OpenResult, open};
+use super::takeover_search::TakeoverSearch;
 use crate::util::events::{self, Field};
 use crate::util::http_server::AnyResponse;
 
@@ -40,6 +40,23 @@
     Lost,
 }
 
+/// An attempt that begins.
+enum Begun {
+    /// The request is sent to the upstream.
+    Placed(Ticket),
+    /// The response of the upstream, which replaced the one before, has begun.
+    Answered(Box<UpstreamResponse>),
+}
+
+impl Begun {
+    fn ticket(&self) -> &Ticket {
+        match self {
+            Self::Placed(ticket) => ticket,
+            Self::Answered(received) => &received.ticket,
+        }
+    }
+}
+
 impl Gateway {
     /// Sends a request to upstreams until one responds or no retry is allowed.
     pub(super) async fn run(self: &Arc<Self>, req: &Arc<MatchedRequest>) -> AnyResponse {
@@ -48,55 +65,66 @@
         let (mut reached, mut attempts) = (0, 0);
         let mut failure = None;
         let wait_until = Instant::now() + RESUME_TIMEOUT;
-        // The upstream that was found while the one before was late.
+        // The response of an upstream that replaced the one before.
         let mut found = None;
         loop {
-            // Its time may have passed while upstreams were connected to, or rejected it.
-            if !avoid.is_empty() && Instant::now() + MIN_RETRY_TIME >= req.deadline {
-                self.release(found.take());
-                return match failure {
-                    Some(response) => response,
-                    None if attempts > 0 => responses::deadline_exceeded(),
-                    None => responses::not_run("the time is over", RETRY_SOON),
-                };
-            }
-            let placed = match found.take() {
-                Some(ticket) => Ok(ticket),
+            let begun = match found.take() {
+                Some(received) => Begun::Answered(received),
+                // Its time may have passed while upstreams were connected to, or rejected it.
+                None if !avoid.is_empty() && Instant::now() + MIN_RETRY_TIME >= req.deadline => {
+                    return match failure {
+                        Some(response) => response,
+                        None if attempts > 0 => responses::deadline_exceeded(),
+                        None => responses::not_run("the time is over", RETRY_SOON),
+                    };
+                }
                 None => {
-                    self.place_or_wait(req, &avoid, reached > 0, wait_until)
-                        .await
+                    let placed = self.place_or_wait(req, &avoid, reached > 0, wait_until);
+                    match placed.await {
+                        Ok(ticket) => {
+                            avoid.push(ticket.upstream.clone());
+                            Begun::Placed(ticket)
+                        }
+                        Err(_) if attempts > 0 => return failure.unwrap_or_else(responses::lost),
+                        Err(reason) => return self.refuse(req, reason),
+                    }
                 }
             };
-            let ticket = match placed {
-                Ok(ticket) => ticket,
-                Err(_) if attempts > 0 => return failure.unwrap_or_else(responses::lost),
-                Err(reason) => return self.refuse(req, reason),
-            };
             if req.resumes_stream() {
-                self.log_taken_up(req, &ticket);
+                self.log_taken_up(req, begun.ticket());
             }
-            avoid.push(ticket.upstream.clone());
             let may_retry = req.kind().is_idempotent() && attempts + 1 < req.route().max_attempts;
             let mut replacement = may_retry.then(|| {
-                let late_at = attempt_deadline(req, &ticket, ATTEMPT_TIME_SHARE);
-                Replacement::new(self, req, &avoid, &ticket, late_at)
+                let late_at = attempt_deadline(req, begun.ticket(), ATTEMPT_TIME_SHARE);
+                let search = TakeoverSearch::of_request(self, req, &avoid);
+                Replacement::new(self, search, begun.ticket(), attempts + 1, late_at)
             });
-            let attempt = self.attempt(req, ticket, attempts + 1, replacement.as_mut());
+            let attempt = self.attempt(req, begun, attempts + 1, replacement.as_mut());
             let result = attempt.await;
-            found = replacement.and_then(|mut r| r.take());
+            let has_run = matches!(result, AttemptResult::Failed(_) | AttemptResult::Lost);
+            let has_reached = has_run || matches!(result, AttemptResult::Rejected);
             match result {
                 AttemptResult::Done(response) => return response,
                 AttemptResult::Failed(response) => failure = Some(response),
-                AttemptResult::Unreached | AttemptResult::Withheld => continue,
-                AttemptResult::Rejected => {
-                    reached += 1;
-                    continue;
-                }
-                AttemptResult::Lost => {}
+                AttemptResult::Unreached
+                | AttemptResult::Withheld
+                | AttemptResult::Rejected
+                | AttemptResult::Lost => {}
             }
-            reached += 1;
-            attempts += 1;
-            if found.is_some() {
+            reached += u32::from(has_reached);
+            attempts += u32::from(has_run);
+            if let Some(replacement) = replacement {
+                // Boxed, as each open connection holds the space of a request's future.
+                let replaced = Box::pin(replacement.finish()).await;
+                avoid = replaced.avoid;
+                reached += replaced.attempts;
+                // That of the response counts as it ends.
+                attempts += replaced.attempts - u32::from(replaced.found.is_some());
+                found = replaced.found;
+            }
+            req.progress
+                .set_may_have_run(attempts > 0 || found.is_some());
+            if found.is_some() || !has_run {
                 continue;
             }
             if Instant::now() >= req.deadline {
@@ -108,25 +136,21 @@
         }
     }
 
-    /// Gives up a place to which the request is not sent.
-    fn release(&self, ticket: Option<Ticket>) {
-        if let Some(ticket) = ticket {
-            ExchangeGuard::new(self.tx.clone(), ticket).finish(Outcome::NotRun);
-        }
-    }
-
     async fn attempt(
         self: &Arc<Self>,
         req: &Arc<MatchedRequest>,
-        ticket: Ticket,
+        begun: Begun,
         attempts: u32,
-        mut replacement: Option<&mut Replacement<'_>>,
+        mut replacement: Option<&mut Replacement>,
     ) -> AttemptResult {
-        let upstream = ticket.upstream.clone();
+        let upstream = begun.ticket().upstream.clone();
         // Told before anything is written, since the caller may be cut off at any moment from then on.
         req.progress.set_may_have_run(true);
         let sought = replacement.as_deref_mut();
-        let exchange_result = exchange(self, req, ticket, None, req.deadline, sought).await;
+        let exchange_result = match begun {
+            Begun::Placed(ticket) => exchange(self, req, ticket, None, req.deadline, sought).await,
+            Begun::Answered(received) => ExchangeResult::Response(received),
+        };
         let result = match exchange_result {
             ExchangeResult::Unreached => AttemptResult::Unreached,
             ExchangeResult::Withheld => AttemptResult::Withheld,
@@ -136,10 +160,6 @@
                 self.deliver(req, *received, replacement, attempts).await
             }
         };
-        if let AttemptResult::Unreached | AttemptResult::Withheld | AttemptResult::Rejected = result
-        {
-            req.progress.set_may_have_run(attempts > 1);
-        }
         let outcome = match &result {
             AttemptResult::Done(_) => "answered",
             AttemptResult::Failed(_) => "failed",
@@ -160,7 +180,7 @@
         self: &Arc<Self>,
         req: &Arc<MatchedRequest>,
         received: UpstreamResponse,
-        replacement: Option<&mut Replacement<'_>>,
+        replacement: Option<&mut Replacement>,
         attempts: u32,
     ) -> AttemptResult {
         let is_stream = req.kind().is_stream() && received.response.status().is_success();
--- a/src/coltsfootnotch/daemon/forward/exchange.rs
+++ b/src/coltsfootnotch/daemon/forward/exchange.rs
@@ -15,7 +15,7 @@
 use super::matched_request::MatchedRequest;
 use super::messages::{Outcome, Ticket};
 use super::pool::Connection;
-use super::replacement::{Replacement, found, late};
+use super::replacement::{Replacement, found, late, report_silence};
 use super::server::Gateway;
 use crate::util::body_framing::BodyFraming;
 use crate::util::events;
@@ -57,15 +57,15 @@
     Lost,
 }
 
-/// Sends a request and waits for the headers of its response until `deadline`, or until a replacement for the upstream
-/// is found.
+/// Sends a request and waits for the headers of its response until `deadline`, or until the response of a replacement
+/// for the upstream has begun.
 pub(super) async fn exchange(
     gw: &Gateway,
     req: &MatchedRequest,
     ticket: Ticket,
     last_event: Option<u64>,
     deadline: Instant,
-    mut replacement: Option<&mut Replacement<'_>>,
+    mut replacement: Option<&mut Replacement>,
 ) -> ExchangeResult {
     let guard = ExchangeGuard::new(gw.tx.clone(), ticket.clone());
     // A pooled connection may have been closed before the request is written: retry once on
@@ -88,18 +88,19 @@
         connection.on_progress();
         let sending = connection.sender.try_send_request(request);
         let mut sending = pin!(timeout_at(deadline.into(), sending));
-        let mut late_at = replacement.as_ref().map(|r| r.late_at());
+        let mut due = replacement.as_ref().map(|r| r.late_at());
         let sent = loop {
             tokio::select! {
                 biased;
                 sent = &mut sending => break sent.ok(),
                 () = found(&mut replacement) => break None,
-                () = late(late_at) => {
-                    late_at = None;
+                () = late(due) => {
+                    due = None;
                     // It is not silent: what it sends is no head.
                     if connection.bytes_without_progress() > 0 {
                         break None;
                     }
+                    report_silence(&mut replacement);
                 }
             }
         };
--- a/src/coltsfootnotch/daemon/forward/messages.rs
+++ b/src/coltsfootnotch/daemon/forward/messages.rs
@@ -104,6 +104,8 @@
     pub(super) prompt: Arc<Prompt>,
     /// Whether its answer is a stream of events.
     pub(super) is_stream: bool,
+    /// Digest of the identity of its stream, if its caller may resume it.
+    pub(super) stream: Option<u64>,
     /// Most idle connections that this entry keeps to it.
     pub(super) connections: usize,
 }
--- a/src/coltsfootnotch/daemon/forward/pool_tests.rs
+++ b/src/coltsfootnotch/daemon/forward/pool_tests.rs
@@ -42,6 +42,7 @@
             content: 0,
             prompt: Arc::new(Prompt::default()),
             is_stream: false,
+            stream: None,
             connections: 8,
         };
         Self { listener, ticket }
--- a/src/coltsfootnotch/daemon/forward/replacement.rs
+++ b/src/coltsfootnotch/daemon/forward/replacement.rs
@@ -1,49 +1,58 @@
-//! Search for an upstream that replaces one which is late with its response.
+//! Replacement of an upstream that is late with its response.
 
-use std::future::pending;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use coltsfootnotch_forward::streams::{SearchInterval, TakeoverRefusal};
+use coltsfootnotch_forward::streams::{Takeover, TakeoverStep};
+use hyper::StatusCode;
 use tokio::time::sleep_until;
 
-use super::matched_request::MatchedRequest;
+use super::exchange::UpstreamResponse;
 use super::messages::{ForwardMsg, Silence, Ticket};
 use super::server::Gateway;
+use super::takeover_search::{Found, TakeoverSearch, sleep_for};
 
-/// Where a request goes on if its upstream stays late. The upstream is given up only once another one is found: it may
-/// be silent for a moment and still respond in time.
-pub(super) struct Replacement<'a> {
-    gw: &'a Gateway,
-    req: &'a MatchedRequest,
-    /// The upstreams that it was sent to, the last one being late.
-    avoid: &'a [Arc<str>],
-    /// The silence of that one, until it is reported.
+/// Where a request goes on if its upstream stays late. The upstream is given up only once the response of another one
+/// has begun: it may be silent for a moment and still respond in time, and the other one may not.
+pub(super) struct Replacement {
+    gw: Arc<Gateway>,
+    decision: Takeover,
+    search: TakeoverSearch,
+    /// The silence of the upstream, until it is reported.
     unreported: Option<Silence>,
     late_at: Instant,
-    /// When another upstream is sought next.
-    due: Instant,
-    interval: SearchInterval,
-    found: Option<Ticket>,
+    /// Number of upstreams that the request was sent to before the search, the late one included.
+    attempts: u32,
+    found: Option<Box<UpstreamResponse>>,
 }
 
-impl<'a> Replacement<'a> {
-    /// A search that begins at `from` if the upstream of `ticket` has not responded.
+/// What a replacement leaves when the attempt that it was for has ended.
+pub(super) struct Replaced {
+    /// The response that has begun.
+    pub(super) found: Option<Box<UpstreamResponse>>,
+    /// Number of upstreams that the search sent the request to and that may have run it, that of `found` included.
+    pub(super) attempts: u32,
+    /// The upstreams that the request was sent to.
+    pub(super) avoid: Vec<Arc<str>>,
+}
+
+impl Replacement {
+    /// Has `search` find another upstream if that of `ticket` has not responded by `late_at`. The request was sent to
+    /// `attempts` upstreams, this one the last of them.
     pub(super) fn new(
-        gw: &'a Gateway,
-        req: &'a MatchedRequest,
-        avoid: &'a [Arc<str>],
+        gw: &Arc<Gateway>,
+        search: TakeoverSearch,
         ticket: &Ticket,
-        from: Instant,
+        attempts: u32,
+        late_at: Instant,
     ) -> Self {
         Self {
-            gw,
-            req,
-            avoid,
+            gw: Arc::clone(gw),
+            decision: Takeover::new(Duration::ZERO, attempts, search.max_attempts()),
+            search,
             unreported: Some(Silence::of(ticket, false)),
-            late_at: from,
-            due: from,
-            interval: SearchInterval::default(),
+            late_at,
+            attempts,
             found: None,
         }
     }
@@ -53,54 +62,82 @@
         self.late_at
     }
 
-    /// The upstream that was found.
-    pub(super) fn take(&mut self) -> Option<Ticket> {
-        self.found.take()
-    }
-
-    /// Completes when another upstream is found. May be dropped and called again.
+    /// Completes when the response of another upstream has begun. May be dropped and called again.
     pub(super) async fn found(&mut self) {
-        sleep_until(self.due.into()).await;
+        sleep_until(self.late_at.into()).await;
         // Boxed, as each open connection holds the space of a request's future.
         Box::pin(self.search()).await;
     }
 
     async fn search(&mut self) {
-        loop {
-            sleep_until(self.due.into()).await;
-            self.due = Instant::now() + self.interval.next_interval();
-            let origin = self.req.origin.as_ref();
-            match self.gw.place(self.req, self.avoid, true, origin).await {
-                Ok(ticket) => {
-                    self.found = Some(ticket);
-                    return;
+        while self.found.is_none() {
+            let until = match self.decision.step(self.late_at.elapsed()) {
+                TakeoverStep::Search => {
+                    self.search.place();
+                    None
                 }
-                Err(e) if matches!(e.into(), TakeoverRefusal::Never(_)) => return pending().await,
-                Err(_) => self.report(),
+                TakeoverStep::Wait(until) => until,
+                TakeoverStep::Switch | TakeoverStep::GiveUp(_) => {
+                    unreachable!("the late upstream is not lost")
+                }
+            };
+            let wait = until.map(|until| until.saturating_sub(self.late_at.elapsed()));
+            tokio::select! {
+                biased;
+                found = self.search.next() => self.on_found(found),
+                () = sleep_for(wait) => {}
             }
         }
     }
 
-    /// Reports once that the upstream is late and still listened to. If it is given up, its exchange tells so.
-    fn report(&mut self) {
+    fn on_found(&mut self, found: Found) {
+        let now = self.late_at.elapsed();
+        let is_response = |status: StatusCode| !status.is_server_error();
+        let decision = &mut self.decision;
+        self.found = self.search.advance(decision, now, found, is_response);
+    }
+
+    /// Reports once that the upstream is silent and still listened to.
+    pub(super) fn report_silence(&mut self) {
         if let Some(silence) = self.unreported.take() {
             self.gw.tx.send(ForwardMsg::Silence(silence));
         }
     }
+
+    /// Ends the search, as the upstream has failed. What is in progress is waited for, as another upstream may have
+    /// the request.
+    pub(super) async fn finish(mut self) -> Replaced {
+        while self.found.is_none() && self.search.is_in_progress() {
+            let found = self.search.next().await;
+            self.on_found(found);
+        }
+        Replaced {
+            found: self.found,
+            attempts: self.decision.attempts() - self.attempts,
+            avoid: self.search.into_avoided(),
+        }
+    }
 }
 
-/// Completes when an upstream is late, if that is at any time.
+/// Completes at a time, if there is one.
 pub(super) async fn late(at: Option<Instant>) {
     match at {
         Some(at) => sleep_until(at.into()).await,
-        None => pending().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Reports that a late upstream is silent.
+pub(super) fn report_silence(replacement: &mut Option<&mut Replacement>) {
+    if let Some(replacement) = replacement {
+        replacement.report_silence();
     }
 }
 
-/// Completes when a replacement is found, if one is sought.
-pub(super) async fn found(replacement: &mut Option<&mut Replacement<'_>>) {
+/// Completes when the response of a replacement has begun, if one is sought.
+pub(super) async fn found(replacement: &mut Option<&mut Replacement>) {
     match replacement {
         Some(replacement) => replacement.found().await,
-        None => pending().await,
+        None => std::future::pending().await,
     }
 }
--- a/src/coltsfootnotch/daemon/forward/state/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/state/mod.rs
@@ -332,6 +332,7 @@
             content: req.content,
             prompt: Arc::clone(&req.prompt),
             is_stream: req.is_stream,
+            stream: req.stream,
             connections: share.max(1) as usize,
         }
     }
@@ -341,6 +342,9 @@
         if ticket.is_stream {
             self.on_answer(now, ticket);
         }
+        if let Some(stream) = ticket.stream {
+            self.record_origin(now, stream, &ticket.origin);
+        }
         if let Some(load) = self.loads.get_mut(&ticket.upstream, ticket.born_ms) {
             load.on_first_event(now, &ticket.sent);
         }
@@ -379,14 +383,8 @@
         load.on_finished(&ticket.sent, has_started);
         match outcome {
             Outcome::Completed => load.on_succeeded(now),
-            Outcome::Failed | Outcome::Broken => load.on_failed(now),
-            Outcome::Silent => {
-                load.on_failed(now);
-                // That of a stream which had begun was reported at once.
-                if !has_started {
-                    load.on_silent(now);
-                }
-            }
+            // A silence is reported as it begins.
+            Outcome::Failed | Outcome::Broken | Outcome::Silent => load.on_failed(now),
             Outcome::Unreachable => load.on_unreachable(now),
             Outcome::NotRun | Outcome::Abandoned => {}
         }
--- a/src/coltsfootnotch/daemon/forward/state/streams.rs
+++ b/src/coltsfootnotch/daemon/forward/state/streams.rs
@@ -13,6 +13,14 @@
         self.begun.push((stream, origin.clone()));
     }
 
+    /// Records where a stream has its first event from, if that is not where it was placed last: of a late upstream and
+    /// another one that was asked as well, either may bring it.
+    pub(super) fn record_origin(&mut self, now: Duration, stream: u64, origin: &StreamOrigin) {
+        if self.origins.get(stream) != Some(origin) {
+            self.record_stream(now, stream, origin);
+        }
+    }
+
     /// Where a stream began, if this entry knows.
     pub(in crate::daemon::forward) fn origin(&self, stream: u64) -> Option<&StreamOrigin> {
         self.origins.get(stream)
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -13,7 +13,7 @@
 use super::exchange::UpstreamResponse;
 use super::matched_request::MatchedRequest;
 use super::messages::{ForwardMsg, Outcome, StreamPause, Ticket};
-use super::replacement::{Replacement, found, late};
+use super::replacement::{Replacement, found, late, report_silence};
 use super::server::Gateway;
 use super::stream_source::{Next, StreamSource};
 use super::takeover::{StreamTakeover, TakeoverResult};
@@ -38,31 +38,32 @@
     Lost,
 }
 
-/// Waits for the first event, or until a replacement for the upstream is found, then spawns a task that forwards the
-/// stream. `attempts` is the number of upstreams that the request was sent to, including this one.
+/// Waits for the first event, or until the response of a replacement for the upstream has begun, then spawns a task that
+/// forwards the stream. `attempts` is the number of upstreams that the request was sent to, including this one.
 pub(super) async fn open(
     gw: &Arc<Gateway>,
     req: &Arc<MatchedRequest>,
     received: UpstreamResponse,
-    mut replacement: Option<&mut Replacement<'_>>,
+    mut replacement: Option<&mut Replacement>,
     attempts: u32,
 ) -> OpenResult {
     let account = req.account.as_ref();
     let mut source = StreamSource::new(received, EventSplitter::default(), &gw.held, account);
     // Comments before the first event.
     let mut comments = BytesMut::new();
-    let mut replacement_due = replacement.as_ref().map(|r| r.late_at());
+    let mut due = replacement.as_ref().map(|r| r.late_at());
     let next = loop {
         let next = tokio::select! {
             biased;
             next = source.next(req.deadline) => next,
             () = found(&mut replacement) => Next::Late,
-            () = late(replacement_due) => {
-                replacement_due = None;
+            () = late(due) => {
+                due = None;
                 // It is not silent: what it sends is no stream.
                 if source.has_bytes_without_event() {
                     break Next::Late;
                 }
+                report_silence(&mut replacement);
                 continue;
             }
         };
--- a/src/coltsfootnotch/daemon/forward/takeover.rs
+++ b/src/coltsfootnotch/daemon/forward/takeover.rs
@@ -5,15 +5,15 @@
 
 use bytes::Bytes;
 use coltsfootnotch_forward::streams::{Takeover, TakeoverStep};
-use tokio::time::{sleep, sleep_until};
+use hyper::StatusCode;
+use tokio::time::sleep_until;
 
 use super::event_splitter::EventSplitter;
-use super::exchange::ExchangeResult;
 use super::messages::{ForwardMsg, Outcome, Silence};
 use super::replacement::late;
 use super::stream::Forwarder;
 use super::stream_source::{Next, StreamSource};
-use super::takeover_search::{Found, TakeoverSearch};
+use super::takeover_search::{Found, TakeoverSearch, sleep_for};
 use crate::util::events;
 
 /// Time for which an upstream is listened to that sends comments or a part of an event, and no whole one. A sound one
@@ -211,30 +211,15 @@
 
     fn on_found(&mut self, found: Found) {
         let now = self.began_at.elapsed();
-        match found {
-            Found::Placed(Ok(ticket)) => {
-                self.decision.on_found();
-                self.search.ask(ticket);
-            }
-            Found::Placed(Err(e)) => self.decision.on_refused(now, e.into()),
-            Found::Ended(ExchangeResult::Response(received))
-                if received.response.status().is_success() =>
-            {
-                let account = self.forwarder.req.account.as_ref();
-                let held = &self.forwarder.gw.held;
-                let events = self.events.after_last_event();
-                self.other = Some(StreamSource::new(*received, events, held, account));
-                self.decision.on_answered(now);
-            }
-            Found::Ended(ExchangeResult::Response(received)) => {
-                received.guard.finish(Outcome::Failed);
-                self.decision.on_failed(now, true);
-            }
-            Found::Ended(ExchangeResult::Lost) => self.decision.on_failed(now, true),
-            Found::Ended(
-                ExchangeResult::Unreached | ExchangeResult::Withheld | ExchangeResult::Rejected,
-            ) => self.decision.on_failed(now, false),
-        }
+        let is_response = |status: StatusCode| status.is_success();
+        let decision = &mut self.decision;
+        let Some(received) = self.search.advance(decision, now, found, is_response) else {
+            return;
+        };
+        let account = self.forwarder.req.account.as_ref();
+        let held = &self.forwarder.gw.held;
+        let events = self.events.after_last_event();
+        self.other = Some(StreamSource::new(*received, events, held, account));
     }
 
     /// Closes the connection of the upstream that was silent, for the one whose response has begun.
@@ -313,10 +298,3 @@
         None => pending().await,
     }
 }
-
-async fn sleep_for(time: Option<Duration>) {
-    match time {
-        Some(time) => sleep(time).await,
-        None => pending().await,
-    }
-}
--- a/src/coltsfootnotch/daemon/forward/takeover_search.rs
+++ b/src/coltsfootnotch/daemon/forward/takeover_search.rs
@@ -1,36 +1,45 @@
-//! The search for an upstream that takes over a stream, and the request to it.
+//! The search for an upstream that takes over a request, and the request to it.
 
 use std::future::{Future, pending};
 use std::pin::Pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use coltsfootnotch_forward::place::RefusalReason;
-use coltsfootnotch_forward::streams::{StreamOrigin, TakeoverRefusal};
+use coltsfootnotch_forward::streams::{StreamOrigin, Takeover, TakeoverRefusal};
+use hyper::StatusCode;
+use tokio::time::sleep;
 
-use super::exchange::{ExchangeResult, attempt_deadline, exchange};
+use super::exchange::{ExchangeResult, UpstreamResponse, attempt_deadline, exchange};
 use super::matched_request::MatchedRequest;
-use super::messages::{PlacementError, Ticket};
+use super::messages::{Outcome, PlacementError, Ticket};
+use super::replacement::Replacement;
 use super::server::Gateway;
 use super::stream_source::StreamSource;
 
 /// What became of a search.
 pub(super) enum Found {
-    /// The stream was placed, or not.
+    /// The request was placed, or not.
     Placed(Result<Ticket, PlacementError>),
-    /// The request to the upstream ended.
-    Ended(ExchangeResult),
+    /// The request to the upstream ended, or to one that replaced it as it was late.
+    Ended {
+        result: ExchangeResult,
+        /// Number of upstreams beyond the first that may have run the request.
+        more_attempts: u32,
+    },
 }
 
 type Step = Pin<Box<dyn Future<Output = Found> + Send>>;
 
-/// A search for an upstream that goes on with a stream. Dropping it ends what is in progress.
+/// A search for an upstream that goes on with a request. Dropping it ends what is in progress.
 pub(super) struct TakeoverSearch {
     gw: Arc<Gateway>,
     req: Arc<MatchedRequest>,
-    origin: StreamOrigin,
+    /// Where its stream began, if it has.
+    origin: Option<StreamOrigin>,
     /// The last event that was forwarded.
     last_event: Option<u64>,
-    /// The upstreams that the stream was sent to, the one before the takeover first.
+    /// The upstreams that the request was sent to, the one before the takeover of a stream first.
     avoid: Vec<Arc<str>>,
     in_progress: Option<Step>,
 }
@@ -42,13 +51,29 @@
         Self {
             gw: Arc::clone(gw),
             req: Arc::clone(req),
-            origin: ticket.origin.clone(),
+            origin: Some(ticket.origin.clone()),
             last_event: source.events.last_id(),
             avoid: vec![ticket.upstream.clone()],
             in_progress: None,
         }
     }
 
+    /// The search for an upstream that responds in place of the last of `avoid`.
+    pub(super) fn of_request(
+        gw: &Arc<Gateway>,
+        req: &Arc<MatchedRequest>,
+        avoid: &[Arc<str>],
+    ) -> Self {
+        Self {
+            gw: Arc::clone(gw),
+            req: Arc::clone(req),
+            origin: req.origin.clone(),
+            last_event: None,
+            avoid: avoid.to_vec(),
+            in_progress: None,
+        }
+    }
+
     /// Why no other upstream can go on with the stream of `source`, if none can.
     pub(super) fn obstacle(req: &MatchedRequest, source: &StreamSource) -> Option<&'static str> {
         if !req.kind().is_idempotent() {
@@ -66,26 +91,111 @@
         &self.avoid[..1]
     }
 
-    /// Has the actor place the stream at another upstream of its origin.
+    /// A search for the upstream that replaces the last one which was asked.
+    fn successor(&self) -> Self {
+        Self {
+            gw: Arc::clone(&self.gw),
+            req: Arc::clone(&self.req),
+            origin: self.origin.clone(),
+            last_event: self.last_event,
+            avoid: self.avoid.clone(),
+            in_progress: None,
+        }
+    }
+
+    /// Most upstreams that the request may be sent to.
+    pub(super) fn max_attempts(&self) -> u32 {
+        self.req.route().max_attempts
+    }
+
+    /// The upstreams that the request was sent to.
+    pub(super) fn into_avoided(self) -> Vec<Arc<str>> {
+        self.avoid
+    }
+
+    /// Has the actor place the request at another upstream, of the origin of its stream if that has begun.
     pub(super) fn place(&mut self) {
         let (gw, req) = (Arc::clone(&self.gw), Arc::clone(&self.req));
         let (avoid, origin) = (self.avoid.clone(), self.origin.clone());
         self.in_progress = Some(Box::pin(async move {
-            Found::Placed(gw.place(&req, &avoid, true, Some(&origin)).await)
+            Found::Placed(gw.place(&req, &avoid, true, origin.as_ref()).await)
         }));
     }
 
-    /// Sends the request from the last event that was forwarded on.
-    pub(super) fn ask(&mut self, ticket: Ticket) {
+    /// Sends the request, from the last event that was forwarded on, as one of this number of `attempts`. If the upstream
+    /// is late, it is replaced as well.
+    fn ask(&mut self, ticket: Ticket, attempts: u32) {
         let (gw, req) = (Arc::clone(&self.gw), Arc::clone(&self.req));
         let last_event = self.last_event;
-        let deadline = attempt_deadline(&req, &ticket, 1.0);
         self.avoid.push(ticket.upstream.clone());
+        let late_at = attempt_deadline(&req, &ticket, 1.0);
+        let search = self.successor();
         self.in_progress = Some(Box::pin(async move {
-            Found::Ended(exchange(&gw, &req, ticket, last_event, deadline, None).await)
+            let mut replacement = Replacement::new(&gw, search, &ticket, attempts, late_at);
+            let deadline = req.deadline;
+            let sought = Some(&mut replacement);
+            let result = exchange(&gw, &req, ticket, last_event, deadline, sought).await;
+            if let ExchangeResult::Response(_) = result {
+                return Found::Ended {
+                    result,
+                    more_attempts: 0,
+                };
+            }
+            let replaced = replacement.finish().await;
+            Found::Ended {
+                result: replaced.found.map_or(result, ExchangeResult::Response),
+                more_attempts: replaced.attempts,
+            }
         }));
     }
 
+    /// Tells the decision what was found, and asks an upstream that was. Returns the response if one has begun that
+    /// `is_response` holds for.
+    pub(super) fn advance(
+        &mut self,
+        decision: &mut Takeover,
+        now: Duration,
+        found: Found,
+        is_response: impl Fn(StatusCode) -> bool,
+    ) -> Option<Box<UpstreamResponse>> {
+        let (result, more_attempts) = match found {
+            Found::Placed(Ok(ticket)) => {
+                decision.on_found();
+                self.ask(ticket, decision.attempts());
+                return None;
+            }
+            Found::Placed(Err(e)) => {
+                decision.on_refused(now, e.into());
+                return None;
+            }
+            Found::Ended {
+                result,
+                more_attempts,
+            } => (result, more_attempts),
+        };
+        decision.add_attempts(more_attempts);
+        match result {
+            ExchangeResult::Response(received) if is_response(received.response.status()) => {
+                decision.on_answered(now);
+                return Some(received);
+            }
+            ExchangeResult::Response(received) => {
+                received.guard.finish(Outcome::Failed);
+                decision.on_failed(now, true);
+            }
+            ExchangeResult::Lost => decision.on_failed(now, true),
+            ExchangeResult::Unreached | ExchangeResult::Withheld | ExchangeResult::Rejected => {
+                decision.on_failed(now, false);
+            }
+        }
+        None
+    }
+
+    /// Whether a placement or a request is in progress.
+    pub(super) fn is_in_progress(&self) -> bool {
+        self.in_progress.is_some()
+    }
+
     /// Waits for the end of what is in progress. May be dropped and called again.
     pub(super) async fn next(&mut self) -> Found {
         let found = match &mut self.in_progress {
@@ -97,6 +207,14 @@
     }
 }
 
+/// Completes after a time, if there is one.
+pub(super) async fn sleep_for(time: Option<Duration>) {
+    match time {
+        Some(time) => sleep(time).await,
+        None => pending().await,
+    }
+}
+
 impl From<PlacementError> for TakeoverRefusal {
     fn from(error: PlacementError) -> Self {
         match error {
