Listen to upstreams at work for as long as to silent ones

Callers got 502 at the route's target plus twice the expected time from a service whose only upstream sent comments before its first event, or interim responses before its head, and a stream cut 1.2 s after its last event in a pause with comments, where a pause without any byte does not end it.

Cause: an upstream that sends bytes which complete nothing was taken for one that never ends its response as soon as it was late, before any other had been found, and in the middle of a stream 0.8 s after another one was sought.

Change: such an upstream is listened to for 1.4 s since its last event or since its request was sent, while another one is sought and asked as for a silent one; then it is given up as before.

--- a/src/coltsfootnotch/daemon/forward/exchange.rs
+++ b/src/coltsfootnotch/daemon/forward/exchange.rs
@@ -15,8 +15,9 @@
 use super::matched_request::MatchedRequest;
 use super::messages::{Outcome, Ticket};
 use super::pool::Connection;
-use super::replacement::{Replacement, found, late, report_silence};
+use super::replacement::{Replacement, found, late, on_late};
 use super::server::Gateway;
+use super::stream_source::UNFINISHED_TIMEOUT;
 use crate::util::body_framing::BodyFraming;
 use crate::util::events;
 
@@ -88,6 +89,7 @@
         connection.on_progress();
         let sending = connection.sender.try_send_request(request);
         let mut sending = pin!(timeout_at(deadline.into(), sending));
+        let unfinished_until = Instant::now() + UNFINISHED_TIMEOUT;
         let mut due = replacement.as_ref().map(|r| r.late_at());
         let sent = loop {
             tokio::select! {
@@ -95,12 +97,12 @@
                 sent = &mut sending => break sent.ok(),
                 () = found(&mut replacement) => break None,
                 () = late(due) => {
-                    due = None;
-                    // It is not silent: what it sends is no head.
-                    if connection.bytes_without_progress() > 0 {
+                    let is_silent = connection.bytes_without_progress() == 0;
+                    due = on_late(&mut replacement, is_silent, unfinished_until);
+                    // What it sends is no head.
+                    if due.is_none() && !is_silent {
                         break None;
                     }
-                    report_silence(&mut replacement);
                 }
             }
         };
--- a/src/coltsfootnotch/daemon/forward/replacement.rs
+++ b/src/coltsfootnotch/daemon/forward/replacement.rs
@@ -127,11 +127,17 @@
     }
 }
 
-/// Reports that a late upstream is silent.
-pub(super) fn report_silence(replacement: &mut Option<&mut Replacement>) {
-    if let Some(replacement) = replacement {
+/// Reports the silence of a late upstream, if it is silent. Returns when it is looked at again, if that is before
+/// `unfinished_until`.
+pub(super) fn on_late(
+    replacement: &mut Option<&mut Replacement>,
+    is_silent: bool,
+    unfinished_until: Instant,
+) -> Option<Instant> {
+    if let Some(replacement) = replacement.as_mut().filter(|_| is_silent) {
         replacement.report_silence();
     }
+    (Instant::now() < unfinished_until).then_some(unfinished_until)
 }
 
 /// Completes when the response of a replacement has begun, if one is sought.
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -13,7 +13,7 @@
 use super::exchange::UpstreamResponse;
 use super::matched_request::MatchedRequest;
 use super::messages::{ForwardMsg, Outcome, StreamPause, Ticket};
-use super::replacement::{Replacement, found, late, report_silence};
+use super::replacement::{Replacement, found, late, on_late};
 use super::server::Gateway;
 use super::stream_source::{Next, StreamSource};
 use super::takeover::{StreamTakeover, TakeoverResult};
@@ -58,12 +58,12 @@
             next = source.next(req.deadline) => next,
             () = found(&mut replacement) => Next::Late,
             () = late(due) => {
-                due = None;
-                // It is not silent: what it sends is no stream.
-                if source.has_bytes_without_event() {
+                let is_silent = !source.has_bytes_without_event();
+                due = on_late(&mut replacement, is_silent, source.unfinished_until());
+                // What it sends is no stream.
+                if due.is_none() && !is_silent {
                     break Next::Late;
                 }
-                report_silence(&mut replacement);
                 continue;
             }
         };
--- a/src/coltsfootnotch/daemon/forward/stream_source.rs
+++ b/src/coltsfootnotch/daemon/forward/stream_source.rs
@@ -18,6 +18,11 @@
 /// Content type of a stream of events.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
+/// Time since the last event, or since its request was sent, for which an upstream is listened to that sends bytes and
+/// completes nothing. A sound one may show by comments or interim responses that it is at work, for a second or so; of
+/// one that sends them without end, callers expect an end within the two seconds after which they give up.
+pub(super) const UNFINISHED_TIMEOUT: Duration = Duration::from_millis(1_400);
+
 /// A stream of one upstream.
 pub(super) struct StreamSource {
     pub(super) received: UpstreamResponse,
@@ -25,6 +30,8 @@
     /// Bytes of the body since the last event, and when the last of them came.
     since_event: u64,
     last_bytes_at: Instant,
+    /// When the last event came, or else the head.
+    last_event_at: Instant,
     /// Counts what is buffered of a long event.
     hold: Hold,
 }
@@ -59,6 +66,7 @@
             events,
             since_event: 0,
             last_bytes_at: Instant::now(),
+            last_event_at: Instant::now(),
             hold: held.hold(HeldKind::Response, account, 0, 0),
         }
     }
@@ -73,6 +81,11 @@
         self.since_event > 0 && self.last_bytes_at.elapsed() < time
     }
 
+    /// Until when it is listened to if it sends bytes and completes no event.
+    pub(super) fn unfinished_until(&self) -> Instant {
+        self.last_event_at + UNFINISHED_TIMEOUT
+    }
+
     /// Whether the end of the stream is that of the upstream's connection.
     pub(super) fn ends_with_connection(&self) -> bool {
         self.received.ends_with_connection()
@@ -141,6 +154,7 @@
             return Some(Next::Comments(complete));
         }
         self.since_event = 0;
+        self.last_event_at = Instant::now();
         Some(Next::Events(complete))
     }
 
--- a/src/coltsfootnotch/daemon/forward/takeover.rs
+++ b/src/coltsfootnotch/daemon/forward/takeover.rs
@@ -16,11 +16,10 @@
 use super::takeover_search::{Found, TakeoverSearch, sleep_for};
 use crate::util::events;
 
-/// Time for which an upstream is listened to that sends comments or a part of an event, and no whole one. A sound one
-/// may show by comments that it is at work; from one that sends them without end, callers expect an end within two
-/// seconds of the last event.
+/// Time for which an upstream is listened to at least that begins to send comments or a part of an event in a silence.
 const COMMENTS_TIMEOUT: Duration = Duration::from_millis(800);
-/// Time without any byte after which such an upstream counts as silent again.
+/// Time without any byte after which an upstream counts as silent that sends comments or a part of an event, and no
+/// whole one.
 const COMMENTS_PAUSE: Duration = Duration::from_millis(400);
 
 /// How a takeover ended.
@@ -131,8 +130,7 @@
         let deadline = self.forwarder.req.deadline;
         let wait = until.map(|until| until.saturating_sub(self.began_at.elapsed()));
         let comments = self.comments.clone();
-        let sending_since = self.sending_since.filter(|_| self.present.is_some());
-        let sent_long = sending_since.map(|since| since + COMMENTS_TIMEOUT);
+        let unfinished_due = self.unfinished_due();
         tokio::select! {
             biased;
             () = self.forwarder.tx.closed() => Some(TakeoverResult::CallerLeft),
@@ -143,8 +141,8 @@
             next = next_of(&mut self.present, deadline), if self.comments.is_none() => self.on_present(next),
             next = next_of(&mut self.other, deadline) => self.on_other(next),
             () = sleep_until(deadline.into()) => Some(self.on_deadline()),
-            () = late(sent_long) => {
-                self.on_sent_long();
+            () = late(unfinished_due) => {
+                self.on_unfinished();
                 None
             }
             found = self.search.next() => {
@@ -254,8 +252,14 @@
         TakeoverResult::GivenUp
     }
 
+    /// When the present upstream is given up if it still sends what makes no event.
+    fn unfinished_due(&self) -> Option<Instant> {
+        let (source, since) = (self.present.as_ref()?, self.sending_since?);
+        Some(source.unfinished_until().max(since + COMMENTS_TIMEOUT))
+    }
+
     /// Gives up the present upstream if it still sends what makes no event.
-    fn on_sent_long(&mut self) {
+    fn on_unfinished(&mut self) {
         self.sending_since = None;
         let present = self.present.as_ref();
         if present.is_some_and(|source| source.has_sent_without_event(COMMENTS_PAUSE)) {
