Give back the places of callers that leave as they are placed

All requests for a service were refused for good with 503 "all upstreams full" at a router some of whose callers had left, though its upstreams were idle.

Cause: the actor sends a placement to the task of its request. If the caller leaves before the task has received it, the task is dropped and the placement with it; only one that was sent after that was given back. The request counted as running at its upstream until that started anew, and as many places were lost as callers left at such a moment. It is the cause of streams that were resumed for callers who had left: only some of the states of a request look at its caller's departure.

Change: PendingPlacement gives a placement back that it has received and nobody takes, and what it grants is a guard from then on, also between the decision to ask another upstream and the request to it. cfn_requests_at_upstreams shows how many requests of an entry count as running.

--- a/crates/forward/src/load/upstream_loads.rs
+++ b/crates/forward/src/load/upstream_loads.rs
@@ -89,6 +89,20 @@
         }
     }
 
+    /// Number of requests of this entry at all upstreams.
+    ///
+    /// ```
+    /// use coltsfootnotch_forward::load::UpstreamLoads;
+    /// assert_eq!(UpstreamLoads::default().local_running(), 0);
+    /// ```
+    #[must_use]
+    pub fn local_running(&self) -> u64 {
+        let loads = self.by_id.values();
+        loads
+            .map(|(_, load)| u64::from(load.local_in_flight().running))
+            .sum()
+    }
+
     /// The report of this period; starts a new one.
     pub fn report(&mut self) -> (Vec<UpstreamUsage>, Vec<SegmentRecord>) {
         let all = self.by_id.iter_mut();
--- a/src/coltsfootnotch/daemon/forward/actor/maintenance.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/maintenance.rs
@@ -125,6 +125,13 @@
         }
     }
 
+    /// Publishes how many requests of this entry are at upstreams.
+    pub(super) fn observe_running(&self) {
+        let running = self.state.loads.local_running() as f64;
+        let metrics = &self.cx.metrics;
+        metrics.gauge("requests_at_upstreams", &[]).set(running);
+    }
+
     /// Publishes what is held for callers, and logs when new requests start or stop to be refused for it.
     pub(super) fn observe_held(&mut self) {
         let metrics = &self.cx.metrics;
--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -436,6 +436,7 @@
         self.expire_upstreams(now);
         self.state.expire_notices(now);
         self.observe_held();
+        self.observe_running();
         self.observe_earlier_retries(now);
         self.update_lease_state();
         self.report_handover();
--- a/src/coltsfootnotch/daemon/forward/attempts.rs
+++ b/src/coltsfootnotch/daemon/forward/attempts.rs
@@ -4,12 +4,13 @@
 use std::time::{Duration, Instant};
 
 use coltsfootnotch_forward::streams::StreamOrigin;
-use tokio::sync::oneshot;
 
 use super::delivery::{DeliveryResult, read_response};
 use super::exchange::{ExchangeResult, UpstreamResponse, attempt_deadline, exchange};
+use super::exchange_guard::ExchangeGuard;
 use super::matched_request::MatchedRequest;
-use super::messages::{ForwardMsg, PlaceRequest, PlacementError, RETRY_SOON, Ticket};
+use super::messages::{PlaceRequest, PlacementError, RETRY_SOON, Ticket};
+use super::pending_placement::PendingPlacement;
 use super::replacement::Replacement;
 use super::responses;
 use super::resumption::RESUME_TIMEOUT;
@@ -43,7 +44,7 @@
 /// An attempt that begins.
 enum Begun {
     /// The request is sent to the upstream.
-    Placed(Ticket),
+    Placed(ExchangeGuard),
     /// The response of the upstream, which replaced the one before, has begun.
     Answered(Box<UpstreamResponse>),
 }
@@ -51,7 +52,7 @@
 impl Begun {
     fn ticket(&self) -> &Ticket {
         match self {
-            Self::Placed(ticket) => ticket,
+            Self::Placed(place) => place.ticket(),
             Self::Answered(received) => &received.ticket,
         }
     }
@@ -81,9 +82,9 @@
                 None => {
                     let placed = self.place_or_wait(req, &avoid, reached > 0, wait_until);
                     match placed.await {
-                        Ok(ticket) => {
-                            avoid.push(ticket.upstream.clone());
-                            Begun::Placed(ticket)
+                        Ok(place) => {
+                            avoid.push(place.ticket().upstream.clone());
+                            Begun::Placed(place)
                         }
                         Err(_) if attempts > 0 => return failure.unwrap_or_else(responses::lost),
                         Err(reason) => return self.refuse(req, reason),
@@ -148,7 +149,7 @@
         req.progress.set_may_have_run(true);
         let sought = replacement.as_deref_mut();
         let exchange_result = match begun {
-            Begun::Placed(ticket) => exchange(self, req, ticket, None, req.deadline, sought).await,
+            Begun::Placed(place) => exchange(self, req, place, None, req.deadline, sought).await,
             Begun::Answered(received) => ExchangeResult::Response(received),
         };
         let result = match exchange_result {
@@ -204,8 +205,7 @@
         avoid: &[Arc<str>],
         is_retry: bool,
         origin: Option<&StreamOrigin>,
-    ) -> Result<Ticket, PlacementError> {
-        let (tx, rx) = oneshot::channel();
+    ) -> Result<ExchangeGuard, PlacementError> {
         let place = PlaceRequest {
             config: Arc::clone(&req.config),
             service: req.service,
@@ -223,9 +223,7 @@
             target_left: req.target_left(),
             has_waited: false,
         };
-        self.tx.send(ForwardMsg::Place(Box::new(place), tx));
-        // The actor stops only with the process.
-        let placed = rx.await.unwrap_or(Err(PlacementError::NoLease));
+        let placed = PendingPlacement::request(&self.tx, place).wait().await;
         if placed.is_ok() {
             self.count_placement(req, is_retry);
         }
--- a/src/coltsfootnotch/daemon/forward/exchange.rs
+++ b/src/coltsfootnotch/daemon/forward/exchange.rs
@@ -63,12 +63,12 @@
 pub(super) async fn exchange(
     gw: &Gateway,
     req: &MatchedRequest,
-    ticket: Ticket,
+    guard: ExchangeGuard,
     last_event: Option<u64>,
     deadline: Instant,
     mut replacement: Option<&mut Replacement>,
 ) -> ExchangeResult {
-    let guard = ExchangeGuard::new(gw.tx.clone(), ticket.clone());
+    let ticket = guard.ticket().clone();
     // A pooled connection may have been closed before the request is written: retry once on
     // another.
     for _ in 0..2 {
--- a/src/coltsfootnotch/daemon/forward/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/mod.rs
@@ -28,6 +28,7 @@
 mod matched_request;
 mod messages;
 mod overload_flags;
+mod pending_placement;
 mod pool;
 mod read_limit;
 mod refused_accounts;
--- a/src/coltsfootnotch/daemon/forward/resumption.rs
+++ b/src/coltsfootnotch/daemon/forward/resumption.rs
@@ -7,8 +7,9 @@
 use coltsfootnotch_forward::streams::{StreamOrigin, TakeoverRefusal};
 use tokio::sync::oneshot;
 
+use super::exchange_guard::ExchangeGuard;
 use super::matched_request::MatchedRequest;
-use super::messages::{FindOrigin, ForwardMsg, PlacementError, RETRY_SOON, Ticket};
+use super::messages::{FindOrigin, ForwardMsg, PlacementError, RETRY_SOON};
 use super::server::Gateway;
 
 /// Time for finding an upstream that resumes a stream; callers give up after two seconds without an
@@ -63,7 +64,7 @@
         avoid: &[Arc<str>],
         is_retry: bool,
         wait_until: Instant,
-    ) -> Result<Ticket, PlacementError> {
+    ) -> Result<ExchangeGuard, PlacementError> {
         match &req.origin {
             None => self.place(req, avoid, is_retry, None).await,
             // Boxed, as each open connection holds the space of a request's future.
@@ -82,7 +83,7 @@
         is_retry: bool,
         origin: &StreamOrigin,
         wait_until: Instant,
-    ) -> Result<Ticket, PlacementError> {
+    ) -> Result<ExchangeGuard, PlacementError> {
         loop {
             let placed = self.place(req, avoid, is_retry, Some(origin)).await;
             let may_pass = placed.as_ref().is_err_and(PlacementError::may_pass);
--- a/src/coltsfootnotch/daemon/forward/takeover_search.rs
+++ b/src/coltsfootnotch/daemon/forward/takeover_search.rs
@@ -11,8 +11,9 @@
 use tokio::time::sleep;
 
 use super::exchange::{ExchangeResult, UpstreamResponse, attempt_deadline, exchange};
+use super::exchange_guard::ExchangeGuard;
 use super::matched_request::MatchedRequest;
-use super::messages::{Outcome, PlacementError, Ticket};
+use super::messages::{Outcome, PlacementError};
 use super::replacement::Replacement;
 use super::server::Gateway;
 use super::stream_source::StreamSource;
@@ -20,7 +21,7 @@
 /// What became of a search.
 pub(super) enum Found {
     /// The request was placed, or not.
-    Placed(Result<Ticket, PlacementError>),
+    Placed(Result<ExchangeGuard, PlacementError>),
     /// The request to the upstream ended, or to one that replaced it as it was late.
     Ended {
         result: ExchangeResult,
@@ -124,17 +125,19 @@
 
     /// Sends the request, from the last event that was forwarded on, as one of this number of `attempts`. If the upstream
     /// is late, it is replaced as well.
-    fn ask(&mut self, ticket: Ticket, attempts: u32) {
+    fn ask(&mut self, place: ExchangeGuard, attempts: u32) {
         let (gw, req) = (Arc::clone(&self.gw), Arc::clone(&self.req));
         let last_event = self.last_event;
+        let ticket = place.ticket();
         self.avoid.push(ticket.upstream.clone());
-        let late_at = attempt_deadline(&req, &ticket, 1.0);
+        let late_at = attempt_deadline(&req, ticket, 1.0);
         let search = self.successor();
         self.in_progress = Some(Box::pin(async move {
-            let mut replacement = Replacement::new(&gw, search, &ticket, attempts, late_at);
+            let ticket = place.ticket();
+            let mut replacement = Replacement::new(&gw, search, ticket, attempts, late_at);
             let deadline = req.deadline;
             let sought = Some(&mut replacement);
-            let result = exchange(&gw, &req, ticket, last_event, deadline, sought).await;
+            let result = exchange(&gw, &req, place, last_event, deadline, sought).await;
             if let ExchangeResult::Response(_) = result {
                 return Found::Ended {
                     result,
@@ -159,9 +162,9 @@
         is_response: impl Fn(StatusCode) -> bool,
     ) -> Option<Box<UpstreamResponse>> {
         let (result, more_attempts) = match found {
-            Found::Placed(Ok(ticket)) => {
+            Found::Placed(Ok(place)) => {
                 decision.on_found();
-                self.ask(ticket, decision.attempts());
+                self.ask(place, decision.attempts());
                 return None;
             }
             Found::Placed(Err(e)) => {
