Send no order whose caller has left before it was sent

Orders ran at the service up to seconds after their callers had left, though nothing had been sent by then and nobody learnt of them.

Cause: the entry with a ledger lets a call that may not be repeated run on when its caller leaves, so that its outcome is recorded. It did so in each stage but the queue: also while the log was to commit that the call is sent, and once a sidecar had reported that it was not started, after which it was queued anew. The state chart ends such a request.

Change: a request knows that its caller has left. An intent that is committed then is closed instead of sent, an attempt that was not started is not queued again, and no reread call is made or goes on to resolve an earlier attempt. The keys are free for another try.

--- a/src/coltsfootnotch/daemon/entry/ledger_replies.rs
+++ b/src/coltsfootnotch/daemon/entry/ledger_replies.rs
@@ -4,6 +4,7 @@
 use coltsfootnotch_state::{ClosedBy, LedgerReply};
 use coltsfootnotch_wire::ProposeError;
 
+use super::ClientRequest;
 use super::actor::EntryActor;
 use super::ledger_ops;
 use super::proposals::{ProposalResult, Purpose};
@@ -43,7 +44,9 @@
             return;
         };
         let chosen = (**chosen).clone();
+        let caller_left = active.caller_left;
         let reply = match result.reply {
+            Ok(LedgerReply::Started) if caller_left => return self.cancel_intent(&chosen),
             Ok(LedgerReply::Started) => {
                 self.requests.fire(request, RequestEvent::IntentCommitted);
                 return self.start_attempt(chosen);
@@ -52,6 +55,9 @@
             Err(e) => return self.on_intent_unconfirmed(&chosen, &e),
         };
         self.release_slot(&chosen);
+        if caller_left {
+            return self.finish_cancelled(request);
+        }
         let refusal = match reply {
             LedgerReply::AlreadyDone(outcome) => {
                 self.requests.fire(request, RequestEvent::Replayed);
@@ -79,18 +85,34 @@
         };
         let refusal = Refusal::not_run(RefusalKind::NoQuorum).retry_after(LEDGER_RETRY_AFTER);
         send_refusal(&self.cx.runtime, &req, refusal);
-        if *error == ProposeError::NoQuorum {
-            return;
+        if *error != ProposeError::NoQuorum {
+            self.close_unsent(&req, chosen);
         }
-        if let Some(key) = &req.ledger_key {
-            let by = ClosedBy::Entry(self.cx.identity.incarnation);
-            let op = ledger_ops::close(&req.account, key, chosen.attempt, by);
-            let now = self.cx.now();
-            self.proposals
-                .propose(&mut self.relay, now, request, Purpose::Close, op);
+    }
+
+    /// Closes the attempt of a committed intent, since its caller has left and nothing was sent.
+    fn cancel_intent(&mut self, chosen: &ChosenSlot) {
+        let request = chosen.queued.request;
+        self.release_slot(chosen);
+        self.requests
+            .fire(request, RequestEvent::CallerDisconnected);
+        if let Some(ActiveRequest { req, .. }) = self.requests.remove(request) {
+            self.close_unsent(&req, chosen);
         }
     }
 
+    /// Has the ledger close an attempt that was not sent.
+    fn close_unsent(&mut self, req: &ClientRequest, chosen: &ChosenSlot) {
+        let Some(key) = &req.ledger_key else {
+            return;
+        };
+        let by = ClosedBy::Entry(self.cx.identity.incarnation);
+        let op = ledger_ops::close(&req.account, key, chosen.attempt, by);
+        let (now, purpose) = (self.cx.now(), Purpose::Close);
+        self.proposals
+            .propose(&mut self.relay, now, req.request, purpose, op);
+    }
+
     fn on_close_reply(&mut self, result: &ProposalResult) {
         let request = result.request;
         let Some(active) = self.requests.get(request) else {
--- a/src/coltsfootnotch/daemon/entry/queueing.rs
+++ b/src/coltsfootnotch/daemon/entry/queueing.rs
@@ -43,8 +43,12 @@
         self.core.submit(queued);
     }
 
-    /// Returns a request to its queue, when its attempt was not started or is to be retried.
+    /// Returns a request to its queue, when its attempt was not started or is to be retried. Ends one whose caller has
+    /// left.
     pub(super) fn requeue(&mut self, request: u64, queued: QueuedRequest) {
+        if self.requests.get(request).is_some_and(|a| a.caller_left) {
+            return self.finish_cancelled(request);
+        }
         self.record_queued(request, &queued);
         self.core.requeue(queued);
     }
@@ -63,13 +67,20 @@
 
     /// Handles a closed caller connection.
     pub(super) fn on_caller_disconnected(&mut self, request: u64) {
-        let Some(active) = self.requests.get(request) else {
+        let Some(active) = self.requests.get_mut(request) else {
             return;
         };
+        active.caller_left = true;
         let req = &active.req;
         match &active.stage {
             Stage::Queued => self.withdraw(request),
-            // A non-repeatable call runs on, so that its outcome is recorded.
+            Stage::Resolving(unresolved) => {
+                if let Some(reread) = unresolved.reread {
+                    self.on_caller_disconnected(reread);
+                }
+                return;
+            }
+            // What the ledger has of it is finished first.
             _ if req.ledger_key.is_some() => return,
             Stage::Running { chosen, task } => {
                 task.abort();
@@ -80,6 +91,11 @@
             }
             _ => {}
         }
+        self.finish_cancelled(request);
+    }
+
+    /// Ends a request whose caller has left.
+    pub(super) fn finish_cancelled(&mut self, request: u64) {
         self.requests
             .fire(request, RequestEvent::CallerDisconnected);
         self.requests.remove(request);
--- a/src/coltsfootnotch/daemon/entry/requests.rs
+++ b/src/coltsfootnotch/daemon/entry/requests.rs
@@ -50,6 +50,8 @@
     pub(super) queued: QueuedRequest,
     pub(super) earlier: AttemptId,
     pub(super) sidecar: ProcessId,
+    /// The reread call, once it is made.
+    pub(super) reread: Option<u64>,
     pub(super) deadline: std::time::Duration,
 }
 
@@ -58,6 +60,9 @@
 pub(super) struct ActiveRequest {
     pub(super) req: ClientRequest,
     pub(super) stage: Stage,
+    /// Whether the caller has left. A call that was sent runs on, so that its outcome is recorded, and is not sent
+    /// again.
+    pub(super) caller_left: bool,
     /// Upstreams on which attempts have failed.
     pub(super) failed_on: Vec<UpstreamName>,
     machine: Machine,
@@ -117,6 +122,7 @@
         let mut active = ActiveRequest {
             req,
             stage: Stage::Queued,
+            caller_left: false,
             failed_on: vec![],
             machine,
         };
--- a/src/coltsfootnotch/daemon/entry/unresolved.rs
+++ b/src/coltsfootnotch/daemon/entry/unresolved.rs
@@ -52,6 +52,7 @@
             queued: chosen.queued,
             earlier: attempt,
             sidecar: sidecar.clone(),
+            reread: None,
             deadline: self.cx.now() + RESOLVE_TIMEOUT,
         };
         self.requests.fire(request, RequestEvent::OtherAttemptOpen);
@@ -139,6 +140,9 @@
         let (Some(reread), Some(key)) = (reread, key) else {
             return self.fail_unresolved(request);
         };
+        if active.caller_left {
+            return self.fail_unresolved(request);
+        }
         let (response, parts) = mpsc::channel(REREAD_RESPONSE_PARTS);
         let number = self.next_request_number();
         let reread_req = reread_request(req, reread, key, number, self.cx.now(), response);
@@ -147,6 +151,11 @@
             let response = collect_response(parts).await;
             tx.send(EntryMsg::RereadFinished { request, response });
         });
+        if let Some(active) = self.requests.get_mut(request)
+            && let Stage::Resolving(unresolved) = &mut active.stage
+        {
+            unresolved.reread = Some(number);
+        }
         self.enqueue(reread_req);
     }
 
--- a/tests/testsuite/processes/caller.rs
+++ b/tests/testsuite/processes/caller.rs
@@ -141,6 +141,23 @@
             .ok()
     }
 
+    /// Sends a booking with an idempotency key and returns the connection, from which the raw HTTP response is read.
+    pub(crate) fn raw_booking(&self, key: &str) -> TcpStream {
+        let body = json!({ "pigment": "RAL 7035", "litres": 1 }).to_string();
+        let request = format!(
+            "POST /{}/orders HTTP/1.1\r\nhost: entry\r\nauthorization: {}\r\nidempotency-key: {key}\r\n\
+             content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+            self.service,
+            self.bearer(),
+            body.len()
+        );
+        let mut socket = TcpStream::connect(self.entry).expect("the entry accepts connections");
+        socket
+            .write_all(request.as_bytes())
+            .expect("the booking is sent");
+        socket
+    }
+
     /// Books with an idempotency key. Returns the status, the text of the body and whether the response states
     /// its end, by a length or chunks.
     pub(crate) fn book_unparsed(&self, key: &str) -> (u16, String, bool) {
--- a/tests/testsuite/processes/departed_callers.rs
+++ b/tests/testsuite/processes/departed_callers.rs
@@ -3,10 +3,11 @@
 use std::thread;
 use std::time::Duration;
 
-use coltsfootnotch_fakes::{EngineConfig, EngineStats};
+use coltsfootnotch_fakes::{EngineConfig, EngineStats, OrderConfig};
 use coltsfootnotch_wire::announce::Capabilities;
 use googletest::prelude::*;
 
+use super::daemon::Signal;
 use super::fleet::{Fleet, Plan};
 
 /// Time after the departure of callers in which work for them ends.
@@ -97,3 +98,31 @@
     let stats = engine.stats();
     expect_that!(at_work(&stats), eq(0), "{stats:?}");
 }
+
+/// Time for which the control hosts stand still: shorter than that after which their connections are given up.
+const PAUSE: Duration = Duration::from_millis(1_000);
+
+/// Guards against orders that are sent for callers who left while the log was to commit that they are: nobody learns
+/// of them, and their callers may have ordered elsewhere.
+#[googletest::test]
+fn orders_of_callers_that_left_before_they_were_sent_are_not_run() {
+    let fleet = Fleet::start(Plan {
+        entries: 1,
+        engines: vec![],
+        services: vec![OrderConfig::new("member-desk-1", "member-desk")],
+    });
+    let caller = fleet.caller(0);
+    expect_that!(caller.book("first").0, eq(201));
+    let to_all = |signal| fleet.controls.iter().for_each(|c| c.signal(signal));
+    to_all(Signal::Stop);
+    let orders = ["left-1", "left-2", "left-3"].map(|key| caller.raw_booking(key));
+    thread::sleep(PAUSE / 4);
+    drop(orders);
+    thread::sleep(PAUSE * 3 / 4);
+    to_all(Signal::Continue);
+    thread::sleep(SETTLED);
+    let booked: Vec<_> = fleet.services[0].bookings().into_keys().collect();
+    expect_that!(booked, elements_are![eq("first")]);
+    // The keys are free for another try.
+    expect_that!(caller.book_until_acknowledged("left-1"), some(anything()));
+}
