--- a/tests/testsuite/processes.rs
+++ b/tests/testsuite/processes.rs
@@ -16,3 +16,4 @@
 mod resume;
 mod shutdown;
 mod sidecar_loss;
+mod silences;
