Ask the upstream of a broken stream again if no other one takes it

Callers got a stream cut as its connection to the upstream ended, eight of eight, though that upstream took new connections and could have gone on with it, where it was the only one or all others were full.

Cause: the upstream that is given up was replaced by others only. Upstreams may reset one connection, or end one after a silence, and serve on.

Change: if no other upstream takes the stream within 300 ms, or none can, its own is searched for as well. By then one that has crashed is known to be unreachable.

--- a/crates/forward/src/streams/takeover.rs
+++ b/crates/forward/src/streams/takeover.rs
@@ -205,6 +205,23 @@
         self.search_again(now);
     }
 
+    /// Has another search made at once instead of giving up, for an upstream that was not searched for before.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use coltsfootnotch_forward::streams::{Takeover, TakeoverRefusal, TakeoverStep};
+    /// let mut takeover = Takeover::new(Duration::ZERO, 1, 2);
+    /// takeover.on_present_lost(Duration::ZERO);
+    /// assert_eq!(takeover.step(Duration::ZERO), TakeoverStep::Search);
+    /// takeover.on_refused(Duration::ZERO, TakeoverRefusal::Unavailable("no other"));
+    /// assert_eq!(takeover.step(Duration::ZERO), TakeoverStep::GiveUp("no other"));
+    /// takeover.search_once_more(Duration::ZERO);
+    /// assert_eq!(takeover.step(Duration::ZERO), TakeoverStep::Search);
+    /// ```
+    pub fn search_once_more(&mut self, now: Duration) {
+        self.phase = Phase::Due(now);
+    }
+
     /// The present upstream is lost: its connection ended, or it sent no stream.
     pub fn on_present_lost(&mut self, now: Duration) {
         assert_eq!(self.lost_until, None, "an upstream is lost once");
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -287,9 +287,9 @@
     /// Logs a response whose first part was framed and whose last part ended with its connection: the
     /// caller has all that came, and is not told that it is complete.
     fn log_unconfirmed(&self, source: &StreamSource) {
-        let upstream = vec![source.received.ticket.upstream.clone()];
+        let upstream = &source.received.ticket.upstream;
         let reason = "whether it is complete is unknown";
-        self.log_broken_off(&upstream, &source.events, Outcome::Completed, reason);
+        self.log_broken_off(upstream, &source.events, Outcome::Completed, reason);
     }
 
     /// Records the longest pause of a completed stream.
@@ -332,18 +332,17 @@
 
     pub(super) fn log_broken_off(
         &self,
-        failed: &[Arc<str>],
+        upstream: &Arc<str>,
         events: &EventSplitter,
         outcome: Outcome,
         reason: &'static str,
     ) {
-        let upstream = failed.first().map_or("-", |id| id);
         let outcome = format!("{outcome:?}");
         self.gw.log(
             &events::STREAM_ABORTED,
             &self.req,
             &[
-                ("upstream", &upstream),
+                ("upstream", upstream),
                 ("ended", &outcome),
                 ("events", &events.seen()),
                 ("not_resumed", &reason),
--- a/src/coltsfootnotch/daemon/forward/takeover.rs
+++ b/src/coltsfootnotch/daemon/forward/takeover.rs
@@ -1,6 +1,7 @@
 //! Takeover of a stream by another upstream, while the one before is listened to.
 
 use std::future::pending;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -39,6 +40,8 @@
     forwarder: &'a Forwarder,
     decision: Takeover,
     began_at: Instant,
+    /// The upstream before the takeover.
+    before: Arc<str>,
     /// The upstream that was silent, until it is lost.
     present: Option<StreamSource>,
     /// Comments of it that its caller has no room for yet. Nothing more is read of it until then, while the search goes
@@ -89,6 +92,7 @@
             forwarder,
             decision,
             began_at: Instant::now(),
+            before: source.received.ticket.upstream.clone(),
             events,
             search,
             sending_since: source
@@ -116,6 +120,10 @@
                 }
                 TakeoverStep::Wait(until) => until,
                 TakeoverStep::Switch => return self.switch(None),
+                TakeoverStep::GiveUp(_) if self.search.return_to_broken() => {
+                    self.decision.search_once_more(self.began_at.elapsed());
+                    continue;
+                }
                 TakeoverStep::GiveUp(reason) => return self.give_up(reason),
             };
             if let Some(result) = self.wait(until).await {
@@ -248,7 +256,7 @@
     /// Logs why no upstream goes on. The response ends as broken off, since its sender is dropped.
     fn give_up(&self, reason: &'static str) -> TakeoverResult {
         self.forwarder
-            .log_broken_off(self.search.before(), &self.events, self.outcome, reason);
+            .log_broken_off(&self.before, &self.events, self.outcome, reason);
         TakeoverResult::GivenUp
     }
 
@@ -276,6 +284,9 @@
     }
 
     fn lose_present(&mut self, outcome: Outcome) {
+        if outcome == Outcome::Broken {
+            self.search.on_connection_broken(&self.before);
+        }
         self.finish_present(outcome);
         self.decision.on_present_lost(self.began_at.elapsed());
     }
--- a/src/coltsfootnotch/daemon/forward/takeover_search.rs
+++ b/src/coltsfootnotch/daemon/forward/takeover_search.rs
@@ -3,7 +3,7 @@
 use std::future::{Future, pending};
 use std::pin::Pin;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use coltsfootnotch_forward::place::RefusalReason;
 use coltsfootnotch_forward::streams::{StreamOrigin, Takeover, TakeoverRefusal};
@@ -18,6 +18,10 @@
 use super::server::Gateway;
 use super::stream_source::StreamSource;
 
+/// Time for which only other upstreams are sought once a connection broke. By then an upstream that has crashed is known
+/// to be unreachable: connecting to it takes 250 ms at most.
+const RETURN_AFTER: Duration = Duration::from_millis(300);
+
 /// What became of a search.
 pub(super) enum Found {
     /// The request was placed, or not.
@@ -40,8 +44,10 @@
     origin: Option<StreamOrigin>,
     /// The last event that was forwarded.
     last_event: Option<u64>,
-    /// The upstreams that the request was sent to, the one before the takeover of a stream first.
+    /// The upstreams that the request was sent to, but for the one that it may return to.
     avoid: Vec<Arc<str>>,
+    /// The upstream whose connection broke, and from when on the request may return to it.
+    return_to: Option<(Arc<str>, Instant)>,
     in_progress: Option<Step>,
 }
 
@@ -55,6 +61,7 @@
             origin: Some(ticket.origin.clone()),
             last_event: source.events.last_id(),
             avoid: vec![ticket.upstream.clone()],
+            return_to: None,
             in_progress: None,
         }
     }
@@ -71,6 +78,7 @@
             origin: req.origin.clone(),
             last_event: None,
             avoid: avoid.to_vec(),
+            return_to: None,
             in_progress: None,
         }
     }
@@ -87,11 +95,6 @@
         (!has_numbers).then_some("its events have no numbers")
     }
 
-    /// The upstream before the takeover, for log lines.
-    pub(super) fn before(&self) -> &[Arc<str>] {
-        &self.avoid[..1]
-    }
-
     /// A search for the upstream that replaces the last one which was asked.
     fn successor(&self) -> Self {
         Self {
@@ -100,6 +103,7 @@
             origin: self.origin.clone(),
             last_event: self.last_event,
             avoid: self.avoid.clone(),
+            return_to: None,
             in_progress: None,
         }
     }
@@ -109,6 +113,21 @@
         self.req.route().max_attempts
     }
 
+    /// The connection to this upstream, which may be there still, broke: it is asked again if no other one takes the
+    /// request in [`RETURN_AFTER`].
+    pub(super) fn on_connection_broken(&mut self, upstream: &Arc<str>) {
+        self.return_to = Some((upstream.clone(), Instant::now() + RETURN_AFTER));
+    }
+
+    /// Searches for the upstream whose connection broke as well from now on; returns whether there is one.
+    pub(super) fn return_to_broken(&mut self) -> bool {
+        let Some((upstream, _)) = self.return_to.take() else {
+            return false;
+        };
+        self.avoid.retain(|id| *id != upstream);
+        true
+    }
+
     /// The upstreams that the request was sent to.
     pub(super) fn into_avoided(self) -> Vec<Arc<str>> {
         self.avoid
@@ -116,6 +135,10 @@
 
     /// Has the actor place the request at another upstream, of the origin of its stream if that has begun.
     pub(super) fn place(&mut self) {
+        let is_due = |(_, at): &(Arc<str>, Instant)| Instant::now() >= *at;
+        if self.return_to.as_ref().is_some_and(is_due) {
+            self.return_to_broken();
+        }
         let (gw, req) = (Arc::clone(&self.gw), Arc::clone(&self.req));
         let (avoid, origin) = (self.avoid.clone(), self.origin.clone());
         self.in_progress = Some(Box::pin(async move {
