Close an upstream that was asked in vain, and say what became of it

An upstream that was asked in place of a late one worked on a request that is no stream until the late one had sent its body, for nobody. Log lines of streams that can't be resumed gave "all attempts are used up" as the reason, and those of requests did not name upstreams that were asked and failed.

--- a/crates/forward/src/streams/takeover.rs
+++ b/crates/forward/src/streams/takeover.rs
@@ -205,7 +205,8 @@
         self.search_again(now);
     }
 
-    /// Has another search made at once instead of giving up, for an upstream that was not searched for before.
+    /// Has another search made at once instead of giving up, for an upstream that was not searched for before. Returns
+    /// whether one may be made.
     ///
     /// ```
     /// use std::time::Duration;
@@ -215,11 +216,19 @@
     /// assert_eq!(takeover.step(Duration::ZERO), TakeoverStep::Search);
     /// takeover.on_refused(Duration::ZERO, TakeoverRefusal::Unavailable("no other"));
     /// assert_eq!(takeover.step(Duration::ZERO), TakeoverStep::GiveUp("no other"));
-    /// takeover.search_once_more(Duration::ZERO);
+    /// assert!(takeover.search_once_more(Duration::ZERO));
     /// assert_eq!(takeover.step(Duration::ZERO), TakeoverStep::Search);
     /// ```
-    pub fn search_once_more(&mut self, now: Duration) {
-        self.phase = Phase::Due(now);
+    pub fn search_once_more(&mut self, now: Duration) -> bool {
+        assert!(
+            matches!(self.phase, Phase::Ended(_)),
+            "a search is made instead of giving up"
+        );
+        let may_search = self.impossible.is_none() && self.attempts < self.max_attempts;
+        if may_search {
+            self.phase = Phase::Due(now);
+        }
+        may_search
     }
 
     /// The present upstream is lost: its connection ended, or it sent no stream.
--- a/crates/forward/tests/testsuite/takeover.rs
+++ b/crates/forward/tests/testsuite/takeover.rs
@@ -232,3 +232,15 @@
         }
     }
 }
+
+/// Guards against a stream that no upstream can go on with and that is searched for once more, which its log line would
+/// give as the reason.
+#[gtest]
+fn a_stream_that_cannot_be_taken_over_keeps_its_reason() {
+    let mut takeover = Takeover::impossible(1, "it can't be resumed");
+    takeover.on_present_lost(at(0));
+    let given_up = TakeoverStep::GiveUp("it can't be resumed");
+    expect_that!(takeover.step(at(0)), eq(given_up));
+    expect_false!(takeover.search_once_more(at(0)));
+    expect_that!(takeover.step(at(0)), eq(given_up));
+}
--- a/src/coltsfootnotch/daemon/forward/attempts.rs
+++ b/src/coltsfootnotch/daemon/forward/attempts.rs
@@ -191,6 +191,10 @@
                 OpenResult::Lost => AttemptResult::Lost,
             };
         }
+        let is_failure = received.response.status().is_server_error();
+        if let Some(replacement) = replacement.filter(|_| !is_failure) {
+            replacement.cancel();
+        }
         match read_response(self, req, received).await {
             DeliveryResult::Complete(response) => AttemptResult::Done(response),
             DeliveryResult::Failure(response) => AttemptResult::Failed(response),
--- a/src/coltsfootnotch/daemon/forward/exchange.rs
+++ b/src/coltsfootnotch/daemon/forward/exchange.rs
@@ -58,6 +58,19 @@
     Lost,
 }
 
+impl ExchangeResult {
+    /// Its name in log lines.
+    pub(super) fn name(&self) -> &'static str {
+        match self {
+            Self::Response(_) => "answered",
+            Self::Unreached => "not reached",
+            Self::Withheld => "withheld",
+            Self::Rejected => "rejected",
+            Self::Lost => "lost",
+        }
+    }
+}
+
 /// Sends a request and waits for the headers of its response until `deadline`, or until the response of a replacement
 /// for the upstream has begun.
 pub(super) async fn exchange(
--- a/src/coltsfootnotch/daemon/forward/exchange_guard.rs
+++ b/src/coltsfootnotch/daemon/forward/exchange_guard.rs
@@ -4,8 +4,8 @@
 
 use super::messages::{ForwardMsg, Outcome, Ticket};
 
-/// A place at an upstream, and the exchange that takes it. If dropped without an outcome, as when the caller disconnects and the
-/// server drops the task, it is reported as abandoned, so that the upstream's load doesn't leak.
+/// A place at an upstream, and the exchange that takes it. If dropped without an outcome, as when the caller disconnects
+/// and the server drops the task, it is reported as abandoned, so that the upstream's load doesn't leak.
 pub(super) struct ExchangeGuard {
     tx: Channel<ForwardMsg>,
     ticket: Option<Box<Ticket>>,
--- a/src/coltsfootnotch/daemon/forward/replacement.rs
+++ b/src/coltsfootnotch/daemon/forward/replacement.rs
@@ -104,6 +104,11 @@
         }
     }
 
+    /// Ends the search, as the upstream has responded: another one that was asked would work for nobody.
+    pub(super) fn cancel(&mut self) {
+        self.search.cancel();
+    }
+
     /// Ends the search, as the upstream has failed. What is in progress is waited for, as another upstream may have
     /// the request.
     pub(super) async fn finish(mut self) -> Replaced {
--- a/src/coltsfootnotch/daemon/forward/takeover.rs
+++ b/src/coltsfootnotch/daemon/forward/takeover.rs
@@ -120,10 +120,7 @@
                 }
                 TakeoverStep::Wait(until) => until,
                 TakeoverStep::Switch => return self.switch(None),
-                TakeoverStep::GiveUp(_) if self.search.return_to_broken() => {
-                    self.decision.search_once_more(self.began_at.elapsed());
-                    continue;
-                }
+                TakeoverStep::GiveUp(_) if self.searches_once_more() => continue,
                 TakeoverStep::GiveUp(reason) => return self.give_up(reason),
             };
             if let Some(result) = self.wait(until).await {
@@ -132,6 +129,12 @@
         }
     }
 
+    /// Whether the upstream whose connection broke is searched for as well, now that no other one can be found.
+    fn searches_once_more(&mut self) -> bool {
+        let now = self.began_at.elapsed();
+        self.search.return_to_broken() && self.decision.search_once_more(now)
+    }
+
     /// Waits for the next event of either upstream or of the search, until then if a time is given. The upstream
     /// that was silent comes first if both have an event.
     async fn wait(&mut self, until: Option<Duration>) -> Option<TakeoverResult> {
--- a/src/coltsfootnotch/daemon/forward/takeover_search.rs
+++ b/src/coltsfootnotch/daemon/forward/takeover_search.rs
@@ -17,6 +17,7 @@
 use super::replacement::Replacement;
 use super::server::Gateway;
 use super::stream_source::StreamSource;
+use crate::util::events::{self, Field};
 
 /// Time for which only other upstreams are sought once a connection broke. By then an upstream that has crashed is known
 /// to be unreachable: connecting to it takes 250 ms at most.
@@ -200,6 +201,9 @@
             } => (result, more_attempts),
         };
         decision.add_attempts(more_attempts);
+        if !matches!(result, ExchangeResult::Response(_)) {
+            self.log_failed(&result);
+        }
         match result {
             ExchangeResult::Response(received) if is_response(received.response.status()) => {
                 decision.on_answered(now);
@@ -217,6 +221,18 @@
         None
     }
 
+    fn log_failed(&self, result: &ExchangeResult) {
+        let upstream = self.avoid.last().map_or("-", |id| id);
+        let fields: [Field<'_>; 2] = [("upstream", &upstream), ("outcome", &result.name())];
+        let event = &events::UPSTREAM_REQUEST_FAILED;
+        self.gw.log(event, &self.req, &fields);
+    }
+
+    /// Ends what is in progress.
+    pub(super) fn cancel(&mut self) {
+        self.in_progress = None;
+    }
+
     /// Whether a placement or a request is in progress.
     pub(super) fn is_in_progress(&self) -> bool {
         self.in_progress.is_some()
