Cancel calls in a test once their upstreams have the request

The test of cancelled calls failed in two of five runs of all tests, once on an idle machine, with no end of the connection seen: the call's thread had not sent the request yet when it was cancelled. Such a call is not sent, and the upstream of the test, which reports the end of connections that brought a request, reports none. The call itself ended 24.3 ms after it was cancelled.

The test waits now until the upstream has the request. The time in which call and connection end after that is as before.

--- a/src/coltsfootnotch/daemon/sidecar/endless_upstream_tests.rs
+++ b/src/coltsfootnotch/daemon/sidecar/endless_upstream_tests.rs
@@ -81,6 +81,8 @@
 pub(super) struct Upstream {
     pub(super) address: SocketAddr,
     /// Gets the time at which the caller has closed a connection.
+    /// A request has come.
+    pub(super) asked: mpsc::Receiver<()>,
     pub(super) closed: mpsc::Receiver<Instant>,
     stops: Arc<AtomicBool>,
 }
@@ -91,11 +93,14 @@
         let address = listener.local_addr().unwrap();
         let stops = Arc::new(AtomicBool::new(false));
         let (tx, closed) = mpsc::channel();
+        let (asked_tx, asked) = mpsc::channel();
         let (start, repeated) = (form.start.clone(), form.repeated);
         let serving_stops = Arc::clone(&stops);
         thread::spawn(move || {
             let (mut connection, _) = listener.accept().unwrap();
             let len = connection.read(&mut [0; 4096]).unwrap_or_default();
+            // Few tests wait for it.
+            let _received = asked_tx.send(());
             if len > 0 && send_endlessly(&mut connection, &start, repeated, is_fast, &serving_stops)
             {
                 // Nobody waits for it any more after the end of the test.
@@ -104,6 +109,7 @@
         });
         Self {
             address,
+            asked,
             closed,
             stops,
         }
--- a/src/coltsfootnotch/daemon/sidecar/upstream_call_tests.rs
+++ b/src/coltsfootnotch/daemon/sidecar/upstream_call_tests.rs
@@ -96,9 +96,12 @@
         }
         last
     });
-    let ends_at = started + if is_cancelled { CANCEL_AFTER } else { DEADLINE };
+    let mut ends_at = started + DEADLINE;
     if is_cancelled {
+        // One that was not sent yet opens no connection whose end could be seen.
+        upstream.asked.recv_timeout(SLACK).unwrap();
         thread::sleep(CANCEL_AFTER);
+        ends_at = Instant::now();
         cancelled.store(true, Ordering::Relaxed);
     }
     let time_after = |ended: &std_mpsc::Receiver<Instant>| {
