Tell how the version of a resumed stream is known

A caller's stream may be resumed at the version that this entry or a control host has on record, or at the only one that its service has had. The line has known_by now, and cfn_resumed_streams counts the same, with those whose version is unknown.

--- a/src/coltsfootnotch/daemon/forward/actor/stream_lookups.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/stream_lookups.rs
@@ -7,7 +7,7 @@
 use coltsfootnotch_forward::streams::StreamOrigin;
 use tokio::sync::oneshot;
 
-use crate::daemon::forward::messages::FindOrigin;
+use crate::daemon::forward::messages::{FindOrigin, KnownOrigin};
 
 /// Time after which control hosts that have not responded count as not knowing the stream. Its caller gives up
 /// after two seconds.
@@ -16,7 +16,7 @@
 /// A lookup that control hosts have not answered yet.
 struct Lookup {
     req: FindOrigin,
-    tx: oneshot::Sender<Option<StreamOrigin>>,
+    tx: oneshot::Sender<Option<KnownOrigin>>,
     /// The control hosts that have not responded.
     waiting: BTreeSet<LinkId>,
     deadline: Duration,
@@ -25,7 +25,7 @@
 /// A lookup that has ended.
 pub(super) struct FinishedLookup {
     pub(super) req: FindOrigin,
-    pub(super) tx: oneshot::Sender<Option<StreamOrigin>>,
+    pub(super) tx: oneshot::Sender<Option<KnownOrigin>>,
     /// The origin, if a control host knows it.
     pub(super) origin: Option<StreamOrigin>,
 }
@@ -43,7 +43,7 @@
         &mut self,
         now: Duration,
         req: FindOrigin,
-        tx: oneshot::Sender<Option<StreamOrigin>>,
+        tx: oneshot::Sender<Option<KnownOrigin>>,
         links: impl IntoIterator<Item = LinkId>,
     ) -> u64 {
         self.last_id += 1;
--- a/src/coltsfootnotch/daemon/forward/actor/streams.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/streams.rs
@@ -11,7 +11,7 @@
 use super::ForwardActor;
 use super::maintenance::UPDATES_CURRENT_FOR;
 use super::stream_lookups::FinishedLookup;
-use crate::daemon::forward::messages::FindOrigin;
+use crate::daemon::forward::messages::{FindOrigin, KnownOrigin, OriginSource};
 
 impl ForwardActor {
     /// Finds the origin of a stream: here, at the control hosts, or by its service having one version.
@@ -19,22 +19,22 @@
         &mut self,
         now: Duration,
         req: FindOrigin,
-        tx: oneshot::Sender<Option<StreamOrigin>>,
+        tx: oneshot::Sender<Option<KnownOrigin>>,
     ) {
-        let local = req.stream.and_then(|stream| self.state.origin(stream));
+        if let Some(origin) = req.stream.and_then(|stream| self.state.origin(stream)) {
+            let known = KnownOrigin {
+                origin: origin.clone(),
+                source: OriginSource::Entry,
+            };
+            // Fails if the caller has disconnected.
+            let _result = tx.send(Some(known));
+            return;
+        }
         let links: Vec<LinkId> = self.links.ids().collect();
-        let unknown = FinishedLookup {
-            origin: local.cloned(),
-            req,
-            tx,
-        };
-        let Some(stream) = unknown.req.stream else {
-            return self.finish_lookup(now, unknown);
+        let Some(stream) = req.stream.filter(|_| !links.is_empty()) else {
+            let origin = None;
+            return self.finish_lookup(now, FinishedLookup { req, tx, origin });
         };
-        if unknown.origin.is_some() || links.is_empty() {
-            return self.finish_lookup(now, unknown);
-        }
-        let FinishedLookup { req, tx, .. } = unknown;
         let id = self.lookups.start(now, req, tx, links);
         self.links.send_to_all(&ToRelay::FindStream { id, stream });
     }
@@ -68,9 +68,13 @@
     }
 
     fn finish_lookup(&self, now: Duration, finished: FinishedLookup) {
-        let service = &finished.req.service;
-        let origin = finished.origin.or_else(|| self.sole_origin(now, service));
+        let known_by = |source| move |origin| KnownOrigin { origin, source };
+        let by_control_host = finished.origin.map(known_by(OriginSource::ControlHost));
+        let known = by_control_host.or_else(|| {
+            let origin = self.sole_origin(now, &finished.req.service)?;
+            Some(known_by(OriginSource::SoleVersion)(origin))
+        });
         // Fails if the caller has disconnected.
-        let _result = finished.tx.send(origin);
+        let _result = finished.tx.send(known);
     }
 }
--- a/src/coltsfootnotch/daemon/forward/matched_request.rs
+++ b/src/coltsfootnotch/daemon/forward/matched_request.rs
@@ -8,13 +8,12 @@
 use coltsfootnotch_forward::config::{Route, RouteKind, ServiceConfig};
 use coltsfootnotch_forward::held::Hold;
 use coltsfootnotch_forward::place::Prompt;
-use coltsfootnotch_forward::streams::StreamOrigin;
 use http_body_util::Full;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, Uri};
 
 use super::dialect::{Dialect, RequestHead, UpstreamRequestHead};
-use super::messages::Ticket;
+use super::messages::{KnownOrigin, Ticket};
 use crate::util::request_body::RequestProgress;
 
 /// Bytes at each end of a body that its digest covers. The digest is computed for every request,
@@ -41,7 +40,7 @@
     /// Digest of the content, the same when the caller sends the request again.
     pub(super) content: u64,
     /// The origin of the stream that its caller resumes.
-    pub(super) origin: Option<StreamOrigin>,
+    pub(super) origin: Option<KnownOrigin>,
     /// Digest of the identity of its stream, if its caller may resume it: that of the request that began it.
     pub(super) stream: Option<u64>,
     /// Deadline by the caller's or the route's timeout.
--- a/src/coltsfootnotch/daemon/forward/messages.rs
+++ b/src/coltsfootnotch/daemon/forward/messages.rs
@@ -11,6 +11,7 @@
 use coltsfootnotch_forward::place::{Prompt, Refusal};
 use coltsfootnotch_forward::registry::Announcement;
 use coltsfootnotch_forward::streams::StreamOrigin;
+use derive_more::Display;
 use tokio::sync::oneshot;
 
 /// Request to the actor for the placement of a caller's request.
@@ -83,6 +84,27 @@
     pub(super) service: Arc<str>,
 }
 
+/// How the origin of a stream is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub(super) enum OriginSource {
+    /// This entry placed the stream.
+    #[display("entry")]
+    Entry,
+    /// A control host has it from the entry that placed the stream.
+    #[display("control host")]
+    ControlHost,
+    /// Its service has one version.
+    #[display("sole version")]
+    SoleVersion,
+}
+
+/// The origin of a stream that its caller resumes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct KnownOrigin {
+    pub(super) origin: StreamOrigin,
+    pub(super) source: OriginSource,
+}
+
 /// The placement of a request.
 #[derive(Debug, Clone)]
 pub(super) struct Ticket {
@@ -201,7 +223,7 @@
         Box<PlaceRequest>,
         oneshot::Sender<Result<Ticket, PlacementError>>,
     ),
-    FindOrigin(FindOrigin, oneshot::Sender<Option<StreamOrigin>>),
+    FindOrigin(FindOrigin, oneshot::Sender<Option<KnownOrigin>>),
     /// The first event of a response has come.
     FirstEvent(Ticket),
     /// An exchange has ended.
--- a/src/coltsfootnotch/daemon/forward/request_log.rs
+++ b/src/coltsfootnotch/daemon/forward/request_log.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::matched_request::MatchedRequest;
-use super::messages::{PlacementError, RETRY_SOON, Ticket};
+use super::messages::{OriginSource, PlacementError, RETRY_SOON, Ticket};
 use super::responses;
 use super::server::{Gateway, NOT_CONFIRMED};
 use crate::util::events::{self, EventDef, Field};
@@ -173,6 +173,8 @@
     pub(super) fn log_taken_up(&self, req: &MatchedRequest, ticket: &Ticket) {
         let began_with = req.head.resumes.as_deref().unwrap_or("-");
         let last_event = req.head.last_event.unwrap_or(0);
+        let source = req.origin.as_ref().map(|known| known.source);
+        let known_by = source.map_or_else(|| "-".to_owned(), |source| source.to_string());
         self.log(
             &events::STREAM_TAKEN_UP,
             req,
@@ -181,10 +183,20 @@
                 ("last_event", &last_event),
                 ("upstream", &ticket.upstream),
                 ("version", &ticket.origin.version),
+                ("known_by", &known_by),
             ],
         );
     }
 
+    /// Counts a stream that its caller resumes by how its origin is known, if it is.
+    pub(super) fn count_origin(&self, req: &MatchedRequest, source: Option<OriginSource>) {
+        let service = &req.config.services()[req.service].name;
+        let known_by = source.map_or_else(|| "unknown".to_owned(), |source| source.to_string());
+        let labels = [("service", &**service), ("known_by", &*known_by)];
+        let counter = self.cx.metrics.counter("resumed_streams", &labels);
+        counter.increment(1);
+    }
+
     /// Logs the end of a response that ends with its upstream's connection: always if it was cut short,
     /// otherwise for the sampled requests. `received` tells how much came.
     pub(super) fn log_end_with_connection(
--- a/src/coltsfootnotch/daemon/forward/resumption.rs
+++ b/src/coltsfootnotch/daemon/forward/resumption.rs
@@ -46,13 +46,14 @@
         let (tx, rx) = oneshot::channel();
         self.tx.send(ForwardMsg::FindOrigin(find, tx));
         // The actor stops only with the process.
-        let origin = rx.await.unwrap_or(None);
-        let origin = origin.ok_or(PlacementError::UnknownOrigin)?;
+        let known = rx.await.unwrap_or(None);
+        self.count_origin(req, known.as_ref().map(|known| known.source));
+        let known = known.ok_or(PlacementError::UnknownOrigin)?;
         let services = req.config.services();
         let mut allowed = req.route().services.iter().filter(|s| s.weight > 0);
-        let began_at = allowed.find(|s| services[s.service].name == origin.service);
+        let began_at = allowed.find(|s| services[s.service].name == known.origin.service);
         req.service = began_at.ok_or(VERSION_GONE)?.service;
-        req.origin = Some(origin);
+        req.origin = Some(known);
         Ok(())
     }
 
@@ -68,7 +69,8 @@
         match &req.origin {
             None => self.place(req, avoid, is_retry, None).await,
             // Boxed, as each open connection holds the space of a request's future.
-            Some(origin) => {
+            Some(known) => {
+                let origin = &known.origin;
                 Box::pin(self.place_resumed(req, avoid, is_retry, origin, wait_until)).await
             }
         }
--- a/src/coltsfootnotch/daemon/forward/takeover_search.rs
+++ b/src/coltsfootnotch/daemon/forward/takeover_search.rs
@@ -76,7 +76,7 @@
         Self {
             gw: Arc::clone(gw),
             req: Arc::clone(req),
-            origin: req.origin.clone(),
+            origin: req.origin.as_ref().map(|known| known.origin.clone()),
             last_event: None,
             avoid: avoid.to_vec(),
             return_to: None,
