Guess no version of a stream after a kill of all processes

Callers whose streams broke off as all routers and control hosts were killed beside a release got 200 with the first part from the version that had left and the rest from the new one. What an entry and a control host know of versions was in memory only, and three seconds of announcements counted as proof that no other version had served.

An entry that has no record of a stream asks all control hosts, which answer with the versions announced to them within a minute, how long they know all of them, and how many control hosts there were. It takes the only version for that of the stream only if all have answered for a whole minute. Control hosts save versions before entries hear of their first upstream, so they know them after a restart; one that lost its disk is counted as another host, since its knowledge is lost.

`a_registry_is_complete_only_after_some_announcement_intervals` tested the rule that was wrong and is replaced by a table of what control hosts answer and by a property of what is saved.

--- a/crates/forward/src/registry/upstream_registry.rs
+++ b/crates/forward/src/registry/upstream_registry.rs
@@ -22,8 +22,9 @@
 /// received within this time count as late ones of the departed run.
 const MAX_ANNOUNCEMENT_DELAY: Duration = Duration::from_secs(5);
 
-/// Time after the first announcement from which the registry has all upstreams.
-const COMPLETE_AFTER: Duration = Duration::from_secs(3);
+/// Time for which a version is remembered after its last upstream was heard of; longer than callers wait for a stream
+/// that it began.
+pub const VERSION_RETENTION: Duration = Duration::from_secs(60);
 
 /// Most upstreams in the registry; bounds its memory against forged identities.
 const MAX_UPSTREAMS: usize = 8_192;
@@ -67,8 +68,6 @@
     departures: BTreeMap<Arc<str>, Departure>,
     /// Versions of runs that are in the registry no more, by service, and when they were last.
     past_versions: BTreeMap<Arc<str>, BTreeMap<Arc<str>, Duration>>,
-    /// When the first announcement was received.
-    first_heard: Option<Duration>,
 }
 
 /// The departure of an upstream; without a start time if no run was named.
@@ -101,9 +100,8 @@
             _ => RegistryUpdate::Changed,
         };
         if let Some(previous) = current.map(|c| c.announcement.clone()) {
-            self.record_past_version(now, &previous);
+            self.record_past_version(now, &previous.service, &previous.version);
         }
-        self.first_heard.get_or_insert(now);
         self.retire_earlier_at_address(&announcement);
         let upstream = Upstream {
             announcement,
@@ -197,8 +195,10 @@
         self.departures
             .retain(|_, left| now.saturating_sub(left.at) < DEPARTURE_RETENTION);
         for versions in self.past_versions.values_mut() {
-            versions.retain(|_, last| now.saturating_sub(*last) < DEPARTURE_RETENTION);
+            versions.retain(|_, last| now.saturating_sub(*last) < VERSION_RETENTION);
         }
+        self.past_versions
+            .retain(|_, versions| !versions.is_empty());
         let mut silent = Vec::new();
         self.by_id.retain(|_, u| {
             let idle = now.saturating_sub(u.last_seen);
@@ -211,40 +211,35 @@
             idle < silence
         });
         for announcement in &silent {
-            self.record_past_version(now, announcement);
+            self.record_past_version(now, &announcement.service, &announcement.version);
         }
         silent
     }
 
-    /// Whether announcements have been received for so long that no upstream is missing: one announces itself
-    /// about each second, sometimes seconds late.
-    #[must_use]
-    pub fn is_complete(&self, now: Duration) -> bool {
-        let heard_for = self.first_heard.map(|first| now.saturating_sub(first));
-        heard_for.is_some_and(|time| time >= COMPLETE_AFTER)
+    /// The versions of the service's upstreams that were announced lately, each at least once.
+    pub fn versions<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Arc<str>> {
+        let of_service = move |u: &&Upstream| &*u.announcement.service == service;
+        let present = self.by_id.values().filter(of_service);
+        let past = self.past_versions.get(service).into_iter();
+        present
+            .map(|u| &u.announcement.version)
+            .chain(past.flat_map(BTreeMap::keys))
     }
 
     /// The version of the service's upstreams, if all that were announced lately have the same.
     #[must_use]
     pub fn sole_version(&self, service: &str) -> Option<Arc<str>> {
-        let of_service = |u: &&Upstream| &*u.announcement.service == service;
-        let present = self.by_id.values().filter(of_service);
-        let present = present.map(|u| &u.announcement.version);
-        let past = self.past_versions.get(service).into_iter();
-        let past = past.flat_map(BTreeMap::keys);
-        let mut versions: Vec<_> = present.chain(past).collect();
-        versions.sort_unstable();
-        versions.dedup();
-        match versions[..] {
-            [version] => Some(version.clone()),
-            _ => None,
-        }
+        let mut versions = self.versions(service);
+        let first = versions.next()?;
+        versions
+            .all(|version| version == first)
+            .then(|| first.clone())
     }
 
-    fn record_past_version(&mut self, now: Duration, announcement: &Announcement) {
-        let versions = self.past_versions.entry(announcement.service.clone());
-        let versions = versions.or_default();
-        versions.insert(announcement.version.clone(), now);
+    /// Records that upstreams of a version ran until `now`, of which nothing more is known.
+    pub fn record_past_version(&mut self, now: Duration, service: &Arc<str>, version: &Arc<str>) {
+        let versions = self.past_versions.entry(service.clone()).or_default();
+        versions.insert(version.clone(), now);
     }
 
     fn has_later_run_at_address(&self, announcement: &Announcement) -> bool {
--- a/crates/forward/src/streams/mod.rs
+++ b/crates/forward/src/streams/mod.rs
@@ -4,8 +4,10 @@
 mod origins;
 mod search_interval;
 mod takeover;
+mod version_reports;
 
 pub use origin::StreamOrigin;
 pub use origins::{StreamOrigins, group_streams};
 pub use search_interval::SearchInterval;
 pub use takeover::{Takeover, TakeoverRefusal, TakeoverStep};
+pub use version_reports::VersionReports;
--- a/crates/forward/tests/testsuite/streams.rs
+++ b/crates/forward/tests/testsuite/streams.rs
@@ -1,5 +1,6 @@
 //! Where streams began, and which upstreams may go on with them.
 
+use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,8 +8,11 @@
 use coltsfootnotch_forward::place::{
     Candidate, PlacementRequest, PrefillRate, Prompt, place_engine,
 };
-use coltsfootnotch_forward::registry::{Announcement, Stage, UpstreamRegistry};
-use coltsfootnotch_forward::streams::{StreamOrigin, StreamOrigins, group_streams};
+use coltsfootnotch_forward::registry::{
+    Announcement, RecentHosts, SaveRequest, SavedVersions, ServiceVersion, Stage, UpstreamRegistry,
+};
+use coltsfootnotch_forward::streams::{StreamOrigin, StreamOrigins, VersionReports, group_streams};
+use coltsfootnotch_wire::VersionReport;
 use googletest::prelude::*;
 use proptest::prelude::{prop_assert, proptest};
 
@@ -124,14 +128,65 @@
     expect_that!(sole_version(&registry, "spec"), none(), "silent lately");
 }
 
-/// Guards against a host that has just started and takes the first version it hears of for the only one.
+fn report(versions: &[&str], known_for_ms: u32, control_hosts: u32) -> VersionReport {
+    VersionReport {
+        versions: versions.iter().map(|v| (*v).to_owned()).collect(),
+        known_for_ms,
+        control_hosts,
+    }
+}
+
+/// Guards against a version that is taken for the only one while a control host that may know another has not answered,
+/// has just started, or lost what it knew.
 #[gtest]
-fn a_registry_is_complete_only_after_some_announcement_intervals() {
-    let mut registry = UpstreamRegistry::default();
-    expect_that!(registry.is_complete(at(9)), eq(false));
-    registry.apply(at(9), announcement("a", 1, 1, "v1"));
-    expect_that!(registry.is_complete(at(10)), eq(false));
-    expect_that!(registry.is_complete(at(12)), eq(true));
+fn a_version_is_the_only_one_if_all_control_hosts_know_no_other() {
+    let minute = 60_000;
+    let answers = [
+        // What the control hosts answer, in order, and the version that is known to be the only one.
+        (vec![], None),
+        (vec![report(&["v1"], u32::MAX, 1)], Some("v1")),
+        (vec![report(&["v1"], minute, 1)], Some("v1")),
+        (vec![report(&["v1"], minute - 1, 1)], None),
+        (vec![report(&["v1"], u32::MAX, 2)], None),
+        (
+            vec![report(&["v1"], minute, 2), report(&[], minute, 2)],
+            Some("v1"),
+        ),
+        (
+            vec![report(&["v1"], minute, 2), report(&[], minute - 1, 2)],
+            None,
+        ),
+        (
+            vec![report(&["v1"], minute, 2), report(&["v2"], minute, 2)],
+            None,
+        ),
+        (
+            vec![report(&["v1"], minute, 2), report(&[], minute, 3)],
+            None,
+        ),
+        // A control host that upstreams don't announce themselves to counts for nothing.
+        (
+            vec![report(&["v1"], minute, 1), report(&[], 0, 0)],
+            Some("v1"),
+        ),
+        (vec![report(&["v1"], minute, 2), report(&[], 0, 0)], None),
+        (vec![report(&[], minute, 1)], None),
+    ];
+    for (answers, sole) in answers {
+        let mut reports = VersionReports::default();
+        for (number, answer) in answers.iter().enumerate() {
+            reports.record(&format!("control-{number}"), answer.clone());
+        }
+        expect_that!(reports.sole_version([]), eq(sole), "{answers:?}");
+        let is_complete = sole.is_some() || reports.sole_version(["v1"]).is_some();
+        let other = reports.sole_version(["v9"]);
+        let knows_none = answers.iter().all(|answer| answer.versions.is_empty());
+        expect_that!(
+            other.is_some(),
+            eq(is_complete && knows_none),
+            "{answers:?}"
+        );
+    }
 }
 
 /// Guards against resumed streams that are lost at the homes of their subject, or behind new ones, while their
@@ -209,3 +264,60 @@
     expect_that!(origins.get(7), some(eq(&one)));
     expect_that!(origins.get(8), some(eq(&two)));
 }
+
+/// Guards against a control host that is left out of those asked although it may have run a moment ago, and against
+/// streams that are refused for good since one is gone.
+#[gtest]
+fn control_hosts_count_for_a_time_after_they_were_connected() {
+    let mut hosts = RecentHosts::default();
+    let members = ["b", "c"];
+    hosts.update(at(0), members, ["b"]);
+    expect_that!(hosts.count(at(0)), eq(2), "c may run");
+    hosts.update(at(59), members, ["b"]);
+    expect_that!(hosts.count(at(59)), eq(2));
+    hosts.update(at(60), members, ["b"]);
+    expect_that!(hosts.count(at(60)), eq(1), "c is gone");
+    hosts.update(at(61), members, ["b", "c"]);
+    expect_that!(hosts.count(at(61)), eq(2), "c is back");
+    // The host of b lost its disk and comes back as d, before the group knows.
+    hosts.update(at(70), members, ["c", "d"]);
+    expect_that!(hosts.count(at(70)), eq(3));
+    hosts.update(at(121), ["c", "d"], ["c", "d"]);
+    expect_that!(hosts.count(at(121)), eq(2), "what b knew is over");
+}
+
+proptest! {
+    /// A version that counts as saved is on the disk, whichever requests are made, fail or are still in progress when the
+    /// host is killed.
+    #[test]
+    fn saved_versions_survive_a_kill_at_any_moment(
+        steps in proptest::collection::vec((0_usize..4, 0_usize..4), 1..80),
+    ) {
+        let version = |n: usize| -> ServiceVersion { ("spec".into(), format!("v{n}").into()) };
+        let mut versions = SavedVersions::default();
+        let mut disk = BTreeSet::new();
+        let mut queued: VecDeque<SaveRequest> = VecDeque::new();
+        for (step, n) in steps {
+            match step {
+                0 => queued.extend(versions.add(&version(n))),
+                1 => queued.extend(versions.remove_unused(|used| *used != version(n))),
+                2 => {
+                    if let Some(req) = queued.pop_front() {
+                        versions.on_saved(req.number);
+                        disk = req.stored.versions;
+                    }
+                }
+                _ => {
+                    if queued.pop_front().is_some() {
+                        versions.on_failed();
+                    }
+                }
+            }
+            for version in (0..4).map(version).filter(|version| versions.contains(version)) {
+                prop_assert!(disk.contains(&version));
+                // Also after each of the requests that are queued.
+                prop_assert!(queued.iter().all(|req| req.stored.versions.contains(&version)));
+            }
+        }
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -34,7 +34,7 @@
 pub use upstream::{
     AbortRecord, AccountDemand, BegunStreams, CrashReport, CrashSuspects, EntryLoadReport,
     LoadChanges, RefusedContent, SegmentGroup, SegmentRecord, SegmentReport, StreamOriginRecord,
-    UpstreamKeepAlive, UpstreamRecord, UpstreamStage, UpstreamUsage,
+    UpstreamKeepAlive, UpstreamRecord, UpstreamStage, UpstreamUsage, VersionReport,
 };
 
 /// Commonly used messages.
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     BegunStreams, EntryLoadReport, HostRecord, RetryHistory, RetryReport, SegmentReport,
-    StreamOriginRecord, UpstreamKeepAlive, UpstreamRecord,
+    StreamOriginRecord, UpstreamKeepAlive, UpstreamRecord, VersionReport,
 };
 
 /// Periodic report that a host is alive, with its directory record.
@@ -161,8 +161,10 @@
     FindStream {
         /// Request number, repeated in the response.
         id: u64,
-        /// Digest of the stream's identity.
-        stream: u64,
+        /// Digest of the stream's identity; none if its caller does not name the request that began it.
+        stream: Option<u64>,
+        /// The service that it is resumed at.
+        service: String,
     },
     /// Requests the number of the latest configuration, confirmed by a quorum.
     Lease {
@@ -271,8 +273,6 @@
         period_ms: u32,
         /// Sum of the entries' reports: an encoded [`LoadChanges`](crate::LoadChanges).
         load: Vec<u8>,
-        /// Whether the sender knows all upstreams: it was not started just now while others may have served.
-        lists_all_upstreams: bool,
         /// Segments that crash upstreams.
         segments: SegmentReport,
     },
@@ -282,6 +282,8 @@
         id: u64,
         /// Where the stream began; none if it is not known here.
         origin: Option<StreamOriginRecord>,
+        /// The versions of the service of which the sender knows.
+        versions: VersionReport,
     },
     /// Response to [`ToRelay::Lease`]; not sent while there is no quorum.
     Lease {
--- a/crates/wire/src/upstream.rs
+++ b/crates/wire/src/upstream.rs
@@ -241,6 +241,19 @@
     pub version: String,
 }
 
+/// What a control host knows of the versions of a service that may have begun a stream.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionReport {
+    /// Versions of the upstreams that were announced to the sender lately.
+    pub versions: Vec<String>,
+    /// Time for which the sender knows all versions that were announced to it, in milliseconds; the maximum if none
+    /// can be missing.
+    pub known_for_ms: u32,
+    /// Number of control hosts that upstreams may have announced themselves to lately, with the sender; zero if they
+    /// don't announce themselves to the sender.
+    pub control_hosts: u32,
+}
+
 /// Streams that began at upstreams of one service and version.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BegunStreams {
--- a/src/coltsfootnotch/daemon/control/actor.rs
+++ b/src/coltsfootnotch/daemon/control/actor.rs
@@ -1,6 +1,5 @@
 //! Starts the control daemon and runs its actor on the event loop.
 
-use std::collections::BTreeSet;
 use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
@@ -19,11 +18,11 @@
     timer_min,
 };
 
-use super::daemon::{ControlDaemon, NextStep};
+use super::daemon::{ControlDaemon, NextStep, Saved};
 use super::disk::Disk;
 use super::handle::Shared;
 use super::input::Input;
-use super::{ControlConfig, ControlError, ControlHandle, address_file, epoch};
+use super::{ControlConfig, ControlError, ControlHandle, address_file, epoch, version_file};
 use crate::core::HostCx;
 use crate::util::{event_loop, events};
 
@@ -140,7 +139,7 @@
         relay,
         endpoint,
         opened.disk,
-        opened.addresses,
+        opened.saved,
     );
     Ok((daemon, parts))
 }
@@ -150,7 +149,7 @@
     recovered: Recovered,
     epoch: Epoch,
     disk: Disk,
-    addresses: BTreeSet<SocketAddr>,
+    saved: Saved,
 }
 
 fn open_disk(
@@ -164,7 +163,10 @@
     let (storage, recovered) = Storage::open_with(&storage_cfg, fault_injector, &mut rand::rng())
         .map_err(ControlError::Open)?;
     let epoch = epoch::next(&cfg.data).map_err(ControlError::Epoch)?;
-    let addresses = address_file::load(&cfg.data).map_err(ControlError::Addresses)?;
+    let saved = Saved {
+        addresses: address_file::load(&cfg.data).map_err(ControlError::Addresses)?,
+        versions: version_file::load(&cfg.data),
+    };
     let to_actor = channel.clone();
     let disk = Disk::spawn(storage, &cfg.data, move |report| {
         to_actor.send(Input::Disk(report));
@@ -174,7 +176,7 @@
         recovered,
         epoch,
         disk,
-        addresses,
+        saved,
     })
 }
 
@@ -188,7 +190,7 @@
         recovered: Recovered::empty(member),
         epoch: Epoch(rand::random()),
         disk: Disk::none(),
-        addresses: BTreeSet::new(),
+        saved: Saved::default(),
     }
 }
 
--- a/src/coltsfootnotch/daemon/control/daemon/from_hosts.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/from_hosts.rs
@@ -64,7 +64,11 @@
                 }
             }
             ToRelay::Retries(report) => self.record_retries(now, link, peer, &report),
-            ToRelay::FindStream { id, stream } => self.find_stream(link, id, stream),
+            ToRelay::FindStream {
+                id,
+                stream,
+                service,
+            } => self.find_stream(now, link, id, stream, &service),
             ToRelay::Handover {
                 domain,
                 address,
--- a/src/coltsfootnotch/daemon/control/daemon/mod.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/mod.rs
@@ -14,6 +14,7 @@
 
 use coltsfootnotch_consensus::{Core, MemberId, Recovered, RoleKind, Term};
 use coltsfootnotch_fabric::{DialHandle, Endpoint, PeerId};
+use coltsfootnotch_forward::registry::StoredVersions;
 use coltsfootnotch_membership::RelayId;
 use coltsfootnotch_state::{Evacuations, StateMachine};
 use coltsfootnotch_types::prelude::*;
@@ -45,6 +46,15 @@
     Stop,
 }
 
+/// Small files of the data folder.
+#[derive(Debug, Default)]
+pub(super) struct Saved {
+    /// Addresses of other control hosts.
+    pub(super) addresses: BTreeSet<SocketAddr>,
+    /// Versions of services.
+    pub(super) versions: StoredVersions,
+}
+
 /// The state of a control daemon and its connections.
 pub(super) struct ControlDaemon {
     pub(super) host: HostCx,
@@ -91,7 +101,7 @@
         relay: RelayId,
         endpoint: Endpoint,
         disk: Disk,
-        saved_addresses: BTreeSet<SocketAddr>,
+        saved: Saved,
     ) -> Self {
         let now = host.now();
         let me = host.identity.host.clone();
@@ -105,8 +115,9 @@
         };
         let seeded = cfg.seeds.as_ref();
         let seeded = seeded.map(|seeds| {
-            let discovery = Discovery::new(cfg.address(), !cfg.diskless, seeds, saved_addresses);
-            Seeded::new(now, me.clone(), discovery, seeds.first_start && hello.empty)
+            let discovery = Discovery::new(cfg.address(), !cfg.diskless, seeds, saved.addresses);
+            let is_first_start = seeds.first_start && hello.empty;
+            Seeded::new(now, me.clone(), discovery, is_first_start, saved.versions)
         });
         let local = cfg.members.iter().find(|m| m.host == me);
         let dials = cfg.peers(&me).map(|m| dial(&endpoint, m)).collect();
@@ -151,6 +162,8 @@
                 self.syncs = syncs;
                 self.replica.core_mut().synced(now, seq);
             }
+            Input::Disk(DiskReport::VersionsSaved(number)) => self.on_versions_saved(now, number),
+            Input::Disk(DiskReport::VersionsNotSaved) => self.on_versions_not_saved(),
             Input::Disk(DiskReport::Failed(e)) => return Err(ControlError::Write(e)),
             Input::Call(call, tx) => self.on_call(now, call, tx),
             Input::Seeds(seeds) => self.set_seeds(now, &seeds),
--- a/src/coltsfootnotch/daemon/control/disk.rs
+++ b/src/coltsfootnotch/daemon/control/disk.rs
@@ -13,8 +13,9 @@
 
 use coltsfootnotch_consensus::storage::{Storage, StorageError};
 use coltsfootnotch_consensus::{Persist, PersistSeq};
+use coltsfootnotch_forward::registry::SaveRequest;
 
-use super::address_file;
+use super::{address_file, version_file};
 
 /// Idle time after which the number of the last sync is synced as well.
 const IDLE_SYNC_DELAY: Duration = Duration::from_millis(200);
@@ -29,6 +30,10 @@
         /// Number of syncs since the start.
         syncs: u64,
     },
+    /// The versions of services of the request with this number are durable.
+    VersionsSaved(u64),
+    /// The versions of services could not be made durable.
+    VersionsNotSaved,
     /// The folder is unusable; the daemon must stop.
     Failed(StorageError),
 }
@@ -48,6 +53,7 @@
 enum Work {
     Log(Persist),
     Addresses(BTreeSet<SocketAddr>),
+    Versions(SaveRequest),
 }
 
 impl Disk {
@@ -89,6 +95,14 @@
         }
     }
 
+    /// Stores versions of services, and reports whether they are durable.
+    pub(super) fn save_versions(&self, req: SaveRequest) {
+        if let Some(worker) = &self.worker {
+            // The thread exits early only after reporting a failure.
+            let _ = worker.work.send(Work::Versions(req));
+        }
+    }
+
     /// Completes all queued work and releases the folder.
     pub(super) fn close(self) {
         if let Some(Worker { work, thread }) = self.worker {
@@ -107,29 +121,25 @@
 fn run(files: &mut Files, rx: &Receiver<Work>, report: impl Fn(DiskReport)) {
     loop {
         let done = match rx.recv_timeout(IDLE_SYNC_DELAY) {
-            Ok(first) => files.process_pending(first, rx),
-            Err(RecvTimeoutError::Timeout) => files.storage.sync_watermark().map(|()| None),
+            Ok(first) => files.process_pending(first, rx, &report),
+            Err(RecvTimeoutError::Timeout) => files.storage.sync_watermark(),
             Err(RecvTimeoutError::Disconnected) => return,
         };
-        match done {
-            Ok(Some(seq)) => report(DiskReport::Synced {
-                seq,
-                syncs: files.storage.syncs(),
-            }),
-            Ok(None) => {}
-            Err(e) => return report(DiskReport::Failed(e)),
+        if let Err(e) = done {
+            return report(DiskReport::Failed(e));
         }
     }
 }
 
 impl Files {
-    /// Writes all queued work and syncs once; returns the last synced log write, if any.
+    /// Writes all queued work, syncs the log once and reports what is durable.
     fn process_pending(
         &mut self,
         first: Work,
         rx: &Receiver<Work>,
-    ) -> Result<Option<PersistSeq>, StorageError> {
-        let mut addresses = None;
+        report: impl Fn(DiskReport),
+    ) -> Result<(), StorageError> {
+        let (mut addresses, mut versions) = (None, None);
         let mut to_sync = false;
         for work in std::iter::once(first).chain(rx.try_iter()) {
             match work {
@@ -138,13 +148,32 @@
                     to_sync = true;
                 }
                 Work::Addresses(newest) => addresses = Some(newest),
+                Work::Versions(newest) => versions = Some(newest),
             }
         }
-        let synced = to_sync.then(|| self.storage.sync()).transpose()?;
+        if to_sync {
+            let seq = self.storage.sync()?;
+            let syncs = self.storage.syncs();
+            report(DiskReport::Synced { seq, syncs });
+        }
         if let Some(addresses) = addresses {
             self.save(&addresses);
         }
-        Ok(synced)
+        if let Some(req) = versions {
+            report(self.save_versions(&req));
+        }
+        Ok(())
+    }
+
+    /// Stores the versions. After a failure entries don't hear of upstreams of those that are new.
+    fn save_versions(&self, req: &SaveRequest) -> DiskReport {
+        match version_file::save(&self.dir, &req.stored) {
+            Ok(()) => DiskReport::VersionsSaved(req.number),
+            Err(e) => {
+                log::warn!("failed to store the versions of services: {e}");
+                DiskReport::VersionsNotSaved
+            }
+        }
     }
 
     /// Stores the addresses. A failure is only logged: a restart falls back to the seeds.
--- a/src/coltsfootnotch/daemon/control/mod.rs
+++ b/src/coltsfootnotch/daemon/control/mod.rs
@@ -39,6 +39,7 @@
 pub mod request_table;
 pub mod seeded;
 mod status;
+mod version_file;
 
 pub use actor::start;
 pub use config::ControlConfig;
--- a/src/coltsfootnotch/daemon/control/seeded/handlers.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/handlers.rs
@@ -35,6 +35,7 @@
         self.bootstrap_seeded(now);
         self.change_members(now);
         self.expire_upstreams(now);
+        self.maintain_versions(now);
         self.send_alive(now);
     }
 
@@ -64,7 +65,6 @@
         }
         let period = seeded.evidence_period();
         let round = Round {
-            lists_all_upstreams: seeded.lists_all_upstreams(now),
             segments: &seeded.evidence.take_report(now, period),
         };
         let next = seeded
@@ -220,11 +220,7 @@
             Call::Announce(_) | Call::Leave { .. } if self.is_stopping() => {
                 let _caller_waits = tx.send(CallReply::Unknown);
             }
-            Call::Announce(announcement) => {
-                self.on_announcement(now, announcement);
-                self.on_acknowledged(now);
-                let _caller_waits = tx.send(CallReply::Done);
-            }
+            Call::Announce(announcement) => self.announce(now, announcement, tx),
             Call::Leave { id, born_ms } => {
                 self.on_upstream_left(now, &id, born_ms);
                 self.on_acknowledged(now);
@@ -332,13 +328,25 @@
         }
     }
 
-    /// Handles an entry's query where a stream began.
-    pub(in crate::daemon::control) fn find_stream(&self, link: LinkId, id: u64, stream: u64) {
+    /// Handles an entry's query where a stream began that is resumed at `service`.
+    pub(in crate::daemon::control) fn find_stream(
+        &self,
+        now: Duration,
+        link: LinkId,
+        id: u64,
+        stream: Option<u64>,
+        service: &str,
+    ) {
         let Some(seeded) = &self.seeded else {
             return;
         };
-        let origin = seeded.origins.get(stream).map(StreamOriginRecord::from);
-        self.send_to_host(link, FromRelay::StreamFound { id, origin });
+        let origin = stream.and_then(|stream| seeded.origins.get(stream));
+        let message = FromRelay::StreamFound {
+            id,
+            origin: origin.map(StreamOriginRecord::from),
+            versions: seeded.version_report(now, service),
+        };
+        self.send_to_host(link, message);
     }
 
     /// Finishes the read for lease queries; they are only answered if it is `confirmed`.
--- a/src/coltsfootnotch/daemon/control/seeded/load_exchange.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/load_exchange.rs
@@ -29,8 +29,6 @@
 
 /// What a round sends to all entries alike.
 pub(super) struct Round<'a> {
-    /// Whether no upstream is missing in the registry.
-    pub(super) lists_all_upstreams: bool,
     pub(super) segments: &'a SegmentReport,
 }
 
@@ -166,7 +164,6 @@
                     included: subscribers.get(&link).copied().unwrap_or(0),
                     period_ms: u32::try_from(period.as_millis()).unwrap_or(u32::MAX),
                     load: bytes.to_vec(),
-                    lists_all_upstreams: round.lists_all_upstreams,
                     segments: round.segments.clone(),
                 };
                 send(link, message);
--- a/src/coltsfootnotch/daemon/control/seeded/load_exchange_tests.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/load_exchange_tests.rs
@@ -96,7 +96,6 @@
         let members: Vec<_> = members.map(member_link).collect();
         let (parts, messages) = (RefCell::new(Vec::new()), RefCell::new(Vec::new()));
         let round = Round {
-            lists_all_upstreams: true,
             segments: &SegmentReport::default(),
         };
         let _next = self.hosts[n].run_round(
--- a/src/coltsfootnotch/daemon/control/seeded/mod.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/mod.rs
@@ -13,13 +13,14 @@
 mod handlers;
 mod load_exchange;
 pub mod members;
+mod service_versions;
 mod upstreams;
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use coltsfootnotch_fabric::LinkId;
-use coltsfootnotch_forward::registry::UpstreamRegistry;
+use coltsfootnotch_forward::registry::{StoredVersions, UpstreamRegistry};
 use coltsfootnotch_forward::retry::{CrashEvidence, RetryRecords};
 use coltsfootnotch_forward::streams::StreamOrigins;
 use coltsfootnotch_types::{DomainName, HostName, Incarnation};
@@ -35,6 +36,7 @@
 pub use self::discovery::Discovery;
 pub(super) use self::entries::{ConnectedEntries, ConnectedEntry, HandoverPoint};
 use self::load_exchange::LoadExchange;
+use self::service_versions::ServiceVersions;
 
 /// Settings for the discovery of control hosts.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -69,8 +71,7 @@
     pub(super) load: LoadExchange,
     pub(super) calls: Calls,
     pub(super) registry: UpstreamRegistry,
-    /// Whether the fleet starts for the first time, so that no upstream can have served before.
-    is_first_start: bool,
+    versions: ServiceVersions,
     /// Prompt segments that crash upstreams.
     pub(super) evidence: CrashEvidence,
     /// Retries that entries have reported, for those that restart.
@@ -92,15 +93,20 @@
         host: HostName,
         discovery: Discovery,
         is_first_start: bool,
+        stored_versions: StoredVersions,
     ) -> Self {
+        let mut registry = UpstreamRegistry::default();
+        for (service, version) in &stored_versions.versions {
+            registry.record_past_version(now, service, version);
+        }
         Self {
             discovery,
             bootstrap: SeededBootstrap::default(),
             entries: ConnectedEntries::default(),
             load: LoadExchange::new(host),
             calls: Calls::default(),
-            registry: UpstreamRegistry::default(),
-            is_first_start,
+            registry,
+            versions: ServiceVersions::new(now, is_first_start, stored_versions),
             evidence: CrashEvidence::default(),
             retries: RetryRecords::new(now, is_first_start),
             origins: StreamOrigins::default(),
@@ -167,11 +173,6 @@
         self.load.period() * 2
     }
 
-    /// Whether no upstream that may have served is missing in the registry.
-    pub(super) fn lists_all_upstreams(&self, now: Duration) -> bool {
-        self.is_first_start || self.registry.is_complete(now)
-    }
-
     /// Addresses of the control hosts that have a log, for forwarding entries.
     pub(super) fn control_hosts(&self, domain: &DomainName) -> FromRelay {
         FromRelay::ControlHosts {
--- a/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
@@ -77,20 +77,20 @@
                 included,
                 period_ms,
                 load,
-                lists_all_upstreams,
                 segments,
             } => {
                 self.apply_segments(now, &segments);
                 if self.links.reports_to(link) {
-                    self.lists_all_upstreams = lists_all_upstreams;
                     let period = Duration::from_millis(period_ms.into());
                     self.report_period = period.min(reporting_period(u32::MAX));
                     self.apply_fleet_load(now, link, entries, included, &load);
                 }
             }
-            FromRelay::StreamFound { id, origin } => {
-                self.on_stream_found(now, link, id, origin.map(StreamOrigin::from));
-            }
+            FromRelay::StreamFound {
+                id,
+                origin,
+                versions,
+            } => self.on_stream_found(link, id, origin.map(StreamOrigin::from), versions),
             FromRelay::Lease { id, number } => {
                 if let Some(sent_at) = self.links.on_lease_response(id) {
                     self.state.lease.renew(sent_at, number);
--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -191,8 +191,6 @@
     /// The control host whose messages the decoder has.
     decodes_from: Option<LinkId>,
     last_upstream_update: Duration,
-    /// Whether the selected control host knows all upstreams, by its last message.
-    lists_all_upstreams: bool,
     lookups: StreamLookups,
     /// Requests that wait for an engine with room, and when they are placed again at the earliest.
     line: WaitingLine<WaitingRequest>,
@@ -323,7 +321,6 @@
             decoder: LoadDecoder::default(),
             decodes_from: None,
             last_upstream_update: Duration::ZERO,
-            lists_all_upstreams: false,
             lookups: StreamLookups::default(),
             line: WaitingLine::default(),
             line_due: Duration::ZERO,
--- a/src/coltsfootnotch/daemon/forward/actor/stream_lookups.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/stream_lookups.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use coltsfootnotch_fabric::LinkId;
-use coltsfootnotch_forward::streams::StreamOrigin;
+use coltsfootnotch_forward::streams::{StreamOrigin, VersionReports};
+use coltsfootnotch_types::HostName;
+use coltsfootnotch_wire::VersionReport;
 use tokio::sync::oneshot;
 
 use crate::daemon::forward::messages::{FindOrigin, KnownOrigin};
@@ -19,6 +21,7 @@
     tx: oneshot::Sender<Option<KnownOrigin>>,
     /// The control hosts that have not responded.
     waiting: BTreeSet<LinkId>,
+    versions: VersionReports,
     deadline: Duration,
 }
 
@@ -28,6 +31,17 @@
     pub(super) tx: oneshot::Sender<Option<KnownOrigin>>,
     /// The origin, if a control host knows it.
     pub(super) origin: Option<StreamOrigin>,
+    /// What the control hosts that responded know of the service's versions.
+    pub(super) versions: VersionReports,
+}
+
+/// The response of a control host to a lookup.
+pub(super) struct LookupResponse<'a> {
+    pub(super) link: LinkId,
+    pub(super) host: &'a HostName,
+    pub(super) id: u64,
+    pub(super) origin: Option<StreamOrigin>,
+    pub(super) versions: VersionReport,
 }
 
 /// The lookups in progress.
@@ -51,6 +65,7 @@
             req,
             tx,
             waiting: links.into_iter().collect(),
+            versions: VersionReports::default(),
             deadline: now + LOOKUP_TIMEOUT,
         };
         self.pending.insert(self.last_id, lookup);
@@ -58,14 +73,17 @@
     }
 
     /// Handles the response of a control host; returns the lookup if that ends it.
-    pub(super) fn on_response(
-        &mut self,
-        link: LinkId,
-        id: u64,
-        origin: Option<StreamOrigin>,
-    ) -> Option<FinishedLookup> {
+    pub(super) fn on_response(&mut self, response: LookupResponse<'_>) -> Option<FinishedLookup> {
+        let LookupResponse {
+            link,
+            host,
+            id,
+            origin,
+            versions,
+        } = response;
         let lookup = self.pending.get_mut(&id)?;
         lookup.waiting.remove(&link);
+        lookup.versions.record(host.as_str(), versions);
         if origin.is_none() && !lookup.waiting.is_empty() {
             return None;
         }
@@ -88,6 +106,7 @@
             req: self.req,
             tx: self.tx,
             origin,
+            versions: self.versions,
         }
     }
 }
--- a/src/coltsfootnotch/daemon/forward/actor/streams.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/streams.rs
@@ -1,16 +1,14 @@
 //! Streams that their callers resume: where they began, as far as control hosts or this entry know.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use coltsfootnotch_fabric::LinkId;
 use coltsfootnotch_forward::streams::StreamOrigin;
-use coltsfootnotch_wire::ToRelay;
+use coltsfootnotch_wire::{ToRelay, VersionReport};
 use tokio::sync::oneshot;
 
 use super::ForwardActor;
-use super::maintenance::UPDATES_CURRENT_FOR;
-use super::stream_lookups::FinishedLookup;
+use super::stream_lookups::{FinishedLookup, LookupResponse};
 use crate::daemon::forward::messages::{FindOrigin, KnownOrigin, OriginSource};
 
 impl ForwardActor {
@@ -31,47 +29,56 @@
             return;
         }
         let links: Vec<LinkId> = self.links.ids().collect();
-        let Some(stream) = req.stream.filter(|_| !links.is_empty()) else {
-            let origin = None;
-            return self.finish_lookup(now, FinishedLookup { req, tx, origin });
-        };
+        if links.is_empty() {
+            // Fails if the caller has disconnected.
+            let _result = tx.send(None);
+            return;
+        }
+        let (stream, service) = (req.stream, req.service.to_string());
         let id = self.lookups.start(now, req, tx, links);
-        self.links.send_to_all(&ToRelay::FindStream { id, stream });
+        self.links.send_to_all(&ToRelay::FindStream {
+            id,
+            stream,
+            service,
+        });
     }
 
     pub(super) fn on_stream_found(
         &mut self,
-        now: Duration,
         link: LinkId,
         id: u64,
         origin: Option<StreamOrigin>,
+        versions: VersionReport,
     ) {
-        if let Some(finished) = self.lookups.on_response(link, id, origin) {
-            self.finish_lookup(now, finished);
+        let Some(host) = self.links.host(link) else {
+            return;
+        };
+        let response = LookupResponse {
+            link,
+            host,
+            id,
+            origin,
+            versions,
+        };
+        if let Some(finished) = self.lookups.on_response(response) {
+            self.finish_lookup(finished);
         }
     }
 
     pub(super) fn expire_lookups(&mut self, now: Duration) {
         for finished in self.lookups.expire(now) {
-            self.finish_lookup(now, finished);
+            self.finish_lookup(finished);
         }
     }
 
-    /// The origin of all streams of a service: that of its upstreams, if this entry can know all of them and
-    /// they have one version.
-    fn sole_origin(&self, now: Duration, service: &Arc<str>) -> Option<StreamOrigin> {
-        let registry = &self.state.registry;
-        let is_current = now.saturating_sub(self.last_upstream_update) < UPDATES_CURRENT_FOR;
-        let is_complete = self.lists_all_upstreams || registry.is_complete(now);
-        let version = registry.sole_version(service)?;
-        (is_current && is_complete).then(|| StreamOrigin::new(service.clone(), version))
-    }
-
-    fn finish_lookup(&self, now: Duration, finished: FinishedLookup) {
+    fn finish_lookup(&self, finished: FinishedLookup) {
         let known_by = |source| move |origin| KnownOrigin { origin, source };
         let by_control_host = finished.origin.map(known_by(OriginSource::ControlHost));
         let known = by_control_host.or_else(|| {
-            let origin = self.sole_origin(now, &finished.req.service)?;
+            let service = &finished.req.service;
+            let own = self.state.registry.versions(service);
+            let version = finished.versions.sole_version(own.map(|v| &**v))?;
+            let origin = StreamOrigin::new(service.clone(), version);
             Some(known_by(OriginSource::SoleVersion)(origin))
         });
         // Fails if the caller has disconnected.
