Tell control hosts at once of a stream that moves to another version

A caller whose stream began at v2 and whose entry was killed got the rest from v1: the entry had placed it at v1 first, whose upstream was late, had reported that, and was killed within 0.1 s of placing it at v2, before its next report. Reports of origins go out ten times a second, and one that is out of date looks like a current one.

An entry now sends a message to all control hosts when it places a stream at another origin than before, or has its first event from there. Reports of the earlier placement, which may arrive later by way of another control host, don't replace that record.

--- a/crates/forward/src/streams/origins.rs
+++ b/crates/forward/src/streams/origins.rs
@@ -29,19 +29,47 @@
 pub struct StreamOrigins {
     /// Each distinct origin once.
     interned: HashSet<Arc<StreamOrigin>>,
-    current: HashMap<u64, Arc<StreamOrigin>>,
-    previous: HashMap<u64, Arc<StreamOrigin>>,
+    current: HashMap<u64, Record>,
+    previous: HashMap<u64, Record>,
     /// When the current period began.
     since: Duration,
 }
 
+/// Where a stream is.
+#[derive(Debug, Clone)]
+struct Record {
+    origin: Arc<StreamOrigin>,
+    /// Whether it was placed elsewhere before.
+    has_moved: bool,
+}
+
 impl StreamOrigins {
     /// Records where a stream begins or goes on.
     pub fn record(&mut self, now: Duration, stream: u64, origin: &StreamOrigin) {
+        self.insert(now, stream, origin, false);
+    }
+
+    /// Records that a stream was placed at another origin than before. Reports of the earlier one, which may arrive
+    /// later by way of other hosts, don't count.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use coltsfootnotch_forward::streams::{StreamOrigin, StreamOrigins, group_streams};
+    /// let (one, two) = (StreamOrigin::new("spec", "v1"), StreamOrigin::new("spec", "v2"));
+    /// let mut origins = StreamOrigins::default();
+    /// origins.record_move(Duration::ZERO, 7, &two);
+    /// origins.record_report(Duration::ZERO, &group_streams([(7, one)]));
+    /// assert_eq!(origins.get(7), Some(&two));
+    /// ```
+    pub fn record_move(&mut self, now: Duration, stream: u64, origin: &StreamOrigin) {
+        self.insert(now, stream, origin, true);
+    }
+
+    fn insert(&mut self, now: Duration, stream: u64, origin: &StreamOrigin, has_moved: bool) {
         self.expire(now);
-        let origin = self.intern(origin);
         if self.current.len() < MAX_STREAMS {
-            self.current.insert(stream, origin);
+            let origin = self.intern(origin);
+            self.current.insert(stream, Record { origin, has_moved });
         }
     }
 
@@ -50,7 +78,9 @@
         for group in begun {
             let origin = StreamOrigin::from(group);
             for stream in &group.streams {
-                self.record(now, *stream, &origin);
+                if !self.has_moved(*stream) {
+                    self.record(now, *stream, &origin);
+                }
             }
         }
     }
@@ -58,9 +88,17 @@
     /// The origin of a stream, if it began lately.
     #[must_use]
     pub fn get(&self, stream: u64) -> Option<&StreamOrigin> {
+        Some(&self.record_of(stream)?.origin)
+    }
+
+    fn has_moved(&self, stream: u64) -> bool {
+        self.record_of(stream)
+            .is_some_and(|record| record.has_moved)
+    }
+
+    fn record_of(&self, stream: u64) -> Option<&Record> {
         let current = self.current.get(&stream);
-        let origin = current.or_else(|| self.previous.get(&stream))?;
-        Some(origin)
+        current.or_else(|| self.previous.get(&stream))
     }
 
     fn intern(&mut self, origin: &StreamOrigin) -> Arc<StreamOrigin> {
@@ -84,7 +122,8 @@
         }
         self.since = now;
         let previous = &self.previous;
-        let is_used = |origin: &Arc<StreamOrigin>| previous.values().any(|o| o == origin);
+        let is_used =
+            |origin: &Arc<StreamOrigin>| previous.values().any(|record| record.origin == *origin);
         self.interned.retain(is_used);
     }
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -46,6 +46,7 @@
                 ToRelay::Load { .. }
                 | ToRelay::LoadElsewhere
                 | ToRelay::FindStream { .. }
+                | ToRelay::StreamMoved { .. }
                 | ToRelay::Lease { .. }
                 | ToRelay::Handover { .. }
                 | ToRelay::Retries(_),
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -166,6 +166,13 @@
         /// The service that it is resumed at.
         service: String,
     },
+    /// States that a stream goes on at another origin than it was placed at before, which may have been reported.
+    StreamMoved {
+        /// Digest of the stream's identity.
+        stream: u64,
+        /// Where it was placed last.
+        origin: StreamOriginRecord,
+    },
     /// Requests the number of the latest configuration, confirmed by a quorum.
     Lease {
         /// Request number, repeated in the response.
--- a/src/coltsfootnotch/daemon/control/daemon/from_hosts.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/from_hosts.rs
@@ -64,6 +64,11 @@
                 }
             }
             ToRelay::Retries(report) => self.record_retries(now, link, peer, &report),
+            ToRelay::StreamMoved { stream, origin } => {
+                if let Some(seeded) = &mut self.seeded {
+                    seeded.origins.record_move(now, stream, &origin.into());
+                }
+            }
             ToRelay::FindStream {
                 id,
                 stream,
--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -352,6 +352,7 @@
             ForwardMsg::FindOrigin(req, tx) => self.find_origin(now, req, tx),
             ForwardMsg::FirstEvent(ticket) => {
                 self.state.on_first_event(now, &ticket);
+                self.report_moved_streams();
                 self.place_waiting(now);
             }
             ForwardMsg::Finished {
@@ -408,6 +409,7 @@
             .state
             .place(now, self.boot_clock.now(), self.number, req);
         self.report_retries(now);
+        self.report_moved_streams();
         placed
     }
 
--- a/src/coltsfootnotch/daemon/forward/actor/streams.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/streams.rs
@@ -4,7 +4,7 @@
 
 use coltsfootnotch_fabric::LinkId;
 use coltsfootnotch_forward::streams::StreamOrigin;
-use coltsfootnotch_wire::{ToRelay, VersionReport};
+use coltsfootnotch_wire::{StreamOriginRecord, ToRelay, VersionReport};
 use tokio::sync::oneshot;
 
 use super::ForwardActor;
@@ -71,6 +71,16 @@
         }
     }
 
+    /// Tells all control hosts at once of streams that were placed at another origin than before: this process may be
+    /// killed before its next report, and the last one may name the origin before.
+    pub(super) fn report_moved_streams(&mut self) {
+        for (stream, origin) in self.state.take_moved_streams() {
+            let origin = StreamOriginRecord::from(&origin);
+            self.links
+                .send_to_all(&ToRelay::StreamMoved { stream, origin });
+        }
+    }
+
     fn finish_lookup(&self, finished: FinishedLookup) {
         let known_by = |source| move |origin| KnownOrigin { origin, source };
         let by_control_host = finished.origin.map(known_by(OriginSource::ControlHost));
--- a/src/coltsfootnotch/daemon/forward/state/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/state/mod.rs
@@ -56,6 +56,8 @@
     origins: StreamOrigins,
     /// Streams begun since the last report.
     begun: Vec<(u64, StreamOrigin)>,
+    /// Streams that were placed at another origin than before, which control hosts have not been told.
+    moved: Vec<(u64, StreamOrigin)>,
     pub(super) lease: ConfigLease,
     entries: EntryCount,
     /// When the load of the other entries was last received.
@@ -87,6 +89,7 @@
             segments: RefusedSegments::default(),
             origins: StreamOrigins::default(),
             begun: Vec::new(),
+            moved: Vec::new(),
             lease,
             entries: EntryCount::default(),
             remote_at: Duration::ZERO,
