--- a/src/coltsfootnotch/daemon/forward/takeover_search.rs
+++ b/src/coltsfootnotch/daemon/forward/takeover_search.rs
@@ -56,15 +56,9 @@
     /// The search for an upstream that goes on with the stream of `source`.
     pub(super) fn new(gw: &Arc<Gateway>, req: &Arc<MatchedRequest>, source: &StreamSource) -> Self {
         let ticket = &source.received.ticket;
-        Self {
-            gw: Arc::clone(gw),
-            req: Arc::clone(req),
-            origin: Some(ticket.origin.clone()),
-            last_event: source.events.last_id(),
-            avoid: vec![ticket.upstream.clone()],
-            return_to: None,
-            in_progress: None,
-        }
+        let origin = Some(ticket.origin.clone());
+        let avoid = vec![ticket.upstream.clone()];
+        Self::from_parts(gw, req, origin, source.events.last_id(), avoid)
     }
 
     /// The search for an upstream that responds in place of the last of `avoid`.
@@ -72,13 +66,23 @@
         gw: &Arc<Gateway>,
         req: &Arc<MatchedRequest>,
         avoid: &[Arc<str>],
+    ) -> Self {
+        Self::from_parts(gw, req, req.origin.clone(), None, avoid.to_vec())
+    }
+
+    fn from_parts(
+        gw: &Arc<Gateway>,
+        req: &Arc<MatchedRequest>,
+        origin: Option<StreamOrigin>,
+        last_event: Option<u64>,
+        avoid: Vec<Arc<str>>,
     ) -> Self {
         Self {
             gw: Arc::clone(gw),
             req: Arc::clone(req),
-            origin: req.origin.clone(),
-            last_event: None,
-            avoid: avoid.to_vec(),
+            origin,
+            last_event,
+            avoid,
             return_to: None,
             in_progress: None,
         }
@@ -98,15 +102,8 @@
 
     /// A search for the upstream that replaces the last one which was asked.
     fn successor(&self) -> Self {
-        Self {
-            gw: Arc::clone(&self.gw),
-            req: Arc::clone(&self.req),
-            origin: self.origin.clone(),
-            last_event: self.last_event,
-            avoid: self.avoid.clone(),
-            return_to: None,
-            in_progress: None,
-        }
+        let (origin, avoid) = (self.origin.clone(), self.avoid.clone());
+        Self::from_parts(&self.gw, &self.req, origin, self.last_event, avoid)
     }
 
     /// Most upstreams that the request may be sent to.
