Count the attempts of a replacement before another upstream is tried

Cause: whether a request may go to another upstream was decided before an attempt began. As the upstream of that attempt is late, its replacement is asked, and both may break off; then the old answer still allowed another one.

What upstreams saw: on a route with max_attempts of 2, a late upstream breaks off, the one that was asked for it as well, and a third one gets the request. The caller of the test gets 502 before and after.

Evidence: the new test failed before, 3 upstreams of 2 allowed, with and without a stream.

Change: the number of attempts is compared with max_attempts after they are counted; one closure decides for the replacement and for the next attempt.

Measured: the test passes, 2 of 2 upstreams get the request.

--- a/src/coltsfootnotch/daemon/forward/attempts.rs
+++ b/src/coltsfootnotch/daemon/forward/attempts.rs
@@ -65,6 +65,8 @@
         // Attempts that reached an upstream, and those of them that may have run.
         let (mut reached, mut attempts) = (0, 0);
         let mut failure = None;
+        let may_repeat_after =
+            |attempts: u32| req.kind().is_idempotent() && attempts < req.route().max_attempts;
         let wait_until = Instant::now() + RESUME_TIMEOUT;
         // The response of an upstream that replaced the one before.
         let mut found = None;
@@ -94,8 +96,7 @@
             if req.resumes_stream() {
                 self.log_taken_up(req, begun.ticket());
             }
-            let may_retry = req.kind().is_idempotent() && attempts + 1 < req.route().max_attempts;
-            let mut replacement = may_retry.then(|| {
+            let mut replacement = may_repeat_after(attempts + 1).then(|| {
                 let late_at = attempt_deadline(req, begun.ticket(), ATTEMPT_TIME_SHARE);
                 let search = TakeoverSearch::of_request(self, req, &avoid);
                 Replacement::new(self, search, begun.ticket(), attempts + 1, late_at)
@@ -131,7 +132,7 @@
             if Instant::now() >= req.deadline {
                 return failure.unwrap_or_else(responses::deadline_exceeded);
             }
-            if !may_retry {
+            if !may_repeat_after(attempts) {
                 return failure.unwrap_or_else(responses::lost);
             }
         }
