Count upstreams that were asked in place of a late one until a response came

Cause: an upstream that is asked in place of a late one may be late too, and another one is asked in its place. When a response began meanwhile, what had been asked in place of its upstream was closed and forgotten: the count was kept in the search that was dropped. The same holds for a stream whose first event came while another upstream was asked.

What upstreams saw: one more of them got the request than max_attempts of its route, if the upstream that had responded failed, broke off or brought no event; on streams with max_attempts of 2 also if the late upstream broke off after its first event.

Change: the number of upstreams that were sent a request is shared by a search and those that replace its upstreams, so that it outlives them. A stream's first event and a takeover count what is still being asked.

--- a/src/coltsfootnotch/daemon/forward/replacement.rs
+++ b/src/coltsfootnotch/daemon/forward/replacement.rs
@@ -22,7 +22,7 @@
     unreported: Option<Silence>,
     late_at: Instant,
     /// Number of upstreams that the request was sent to before the search, the late one included.
-    attempts: u32,
+    earlier_attempts: u32,
     found: Option<Box<UpstreamResponse>>,
 }
 
@@ -52,7 +52,7 @@
             search,
             unreported: Some(Silence::of(ticket, false)),
             late_at,
-            attempts,
+            earlier_attempts: attempts,
             found: None,
         }
     }
@@ -62,6 +62,11 @@
         self.late_at
     }
 
+    /// Number of upstreams that the search sent the request to and that may have run it.
+    pub(super) fn attempts(&self) -> u32 {
+        self.decision.attempts() - self.earlier_attempts + self.search.uncounted()
+    }
+
     /// Completes when the response of another upstream has begun. May be dropped and called again.
     pub(super) async fn found(&mut self) {
         sleep_until(self.late_at.into()).await;
@@ -117,8 +122,8 @@
             self.on_found(found);
         }
         Replaced {
+            attempts: self.attempts(),
             found: self.found,
-            attempts: self.decision.attempts() - self.attempts,
             avoid: self.search.into_avoided(),
         }
     }
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -79,6 +79,7 @@
         Next::Events(first) => {
             let first = joined(comments, first);
             source.received.guard.on_first_event();
+            let attempts = attempts + replacement.map_or(0, |r| r.attempts());
             OpenResult::Streaming(start(gw, req, source, first, attempts))
         }
         Next::End(_) if source.must_have_events(req) => {
--- a/src/coltsfootnotch/daemon/forward/takeover.rs
+++ b/src/coltsfootnotch/daemon/forward/takeover.rs
@@ -108,7 +108,8 @@
     /// Runs until an upstream goes on, or none can. Returns the number of attempts as well.
     pub(super) async fn run(mut self) -> (u32, TakeoverResult) {
         let result = self.run_until_result().await;
-        (self.decision.attempts(), result)
+        let attempts = self.decision.attempts() + self.search.uncounted();
+        (attempts, result)
     }
 
     async fn run_until_result(&mut self) -> TakeoverResult {
--- a/src/coltsfootnotch/daemon/forward/takeover_search.rs
+++ b/src/coltsfootnotch/daemon/forward/takeover_search.rs
@@ -3,6 +3,7 @@
 use std::future::{Future, pending};
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use coltsfootnotch_forward::place::RefusalReason;
@@ -28,11 +29,7 @@
     /// The request was placed, or not.
     Placed(Result<ExchangeGuard, PlacementError>),
     /// The request to the upstream ended, or to one that replaced it as it was late.
-    Ended {
-        result: ExchangeResult,
-        /// Number of upstreams beyond the first that may have run the request.
-        more_attempts: u32,
-    },
+    Ended(ExchangeResult),
 }
 
 type Step = Pin<Box<dyn Future<Output = Found> + Send>>;
@@ -49,6 +46,11 @@
     avoid: Vec<Arc<str>>,
     /// The upstream whose connection broke, and from when on the request may return to it.
     return_to: Option<(Arc<str>, Instant)>,
+    /// Number of upstreams that were sent the request and may have run it, shared with the searches that replace those
+    /// upstreams: such a search may be dropped while its own upstream is asked.
+    sent: Arc<AtomicU32>,
+    /// How many of `sent` the decision counts.
+    counted: u32,
     in_progress: Option<Step>,
 }
 
@@ -84,6 +86,8 @@
             last_event,
             avoid,
             return_to: None,
+            sent: Arc::default(),
+            counted: 0,
             in_progress: None,
         }
     }
@@ -103,7 +107,16 @@
     /// A search for the upstream that replaces the last one which was asked.
     fn successor(&self) -> Self {
         let (origin, avoid) = (self.origin.clone(), self.avoid.clone());
-        Self::from_parts(&self.gw, &self.req, origin, self.last_event, avoid)
+        Self {
+            sent: Arc::clone(&self.sent),
+            ..Self::from_parts(&self.gw, &self.req, origin, self.last_event, avoid)
+        }
+    }
+
+    /// Number of upstreams that were sent the request in place of those that this search has asked, may have run it, and
+    /// aren't counted by the decision yet.
+    pub(super) fn uncounted(&self) -> u32 {
+        self.sent.load(Ordering::Relaxed) - self.counted
     }
 
     /// Most upstreams that the request may be sent to.
@@ -152,6 +165,7 @@
         let ticket = place.ticket();
         self.avoid.push(ticket.upstream.clone());
         let late_at = attempt_deadline(&req, ticket, 1.0);
+        self.counted = self.sent.fetch_add(1, Ordering::Relaxed) + 1;
         let search = self.successor();
         self.in_progress = Some(Box::pin(async move {
             let ticket = place.ticket();
@@ -160,16 +174,10 @@
             let sought = Some(&mut replacement);
             let result = exchange(&gw, &req, place, last_event, deadline, sought).await;
             if let ExchangeResult::Response(_) = result {
-                return Found::Ended {
-                    result,
-                    more_attempts: 0,
-                };
-            }
-            let replaced = replacement.finish().await;
-            Found::Ended {
-                result: replaced.found.map_or(result, ExchangeResult::Response),
-                more_attempts: replaced.attempts,
+                return Found::Ended(result);
             }
+            let found = replacement.finish().await.found;
+            Found::Ended(found.map_or(result, ExchangeResult::Response))
         }));
     }
 
@@ -182,7 +190,7 @@
         found: Found,
         is_response: impl Fn(StatusCode) -> bool,
     ) -> Option<Box<UpstreamResponse>> {
-        let (result, more_attempts) = match found {
+        let result = match found {
             Found::Placed(Ok(place)) => {
                 decision.on_found();
                 self.ask(place, decision.attempts());
@@ -192,12 +200,10 @@
                 decision.on_refused(now, e.into());
                 return None;
             }
-            Found::Ended {
-                result,
-                more_attempts,
-            } => (result, more_attempts),
+            Found::Ended(result) => result,
         };
-        decision.add_attempts(more_attempts);
+        decision.add_attempts(self.uncounted());
+        self.count_ended(&result);
         if !matches!(result, ExchangeResult::Response(_)) {
             self.log_failed(&result);
         }
@@ -218,6 +224,17 @@
         None
     }
 
+    /// Counts the upstream that was asked only if it may have run the request.
+    fn count_ended(&mut self, result: &ExchangeResult) {
+        let has_not_run = matches!(
+            result,
+            ExchangeResult::Unreached | ExchangeResult::Withheld | ExchangeResult::Rejected
+        );
+        self.sent
+            .fetch_sub(u32::from(has_not_run), Ordering::Relaxed);
+        self.counted = self.sent.load(Ordering::Relaxed);
+    }
+
     fn log_failed(&self, result: &ExchangeResult) {
         let upstream = self.avoid.last().map_or("-", |id| id);
         let fields: [Field<'_>; 2] = [("upstream", &upstream), ("outcome", &result.name())];
