--- a/src/coltsfootnotch/daemon/forward/takeover_search.rs
+++ b/src/coltsfootnotch/daemon/forward/takeover_search.rs
@@ -3,6 +3,7 @@
 use std::future::{Future, pending};
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use coltsfootnotch_forward::place::RefusalReason;
@@ -28,11 +29,7 @@
     /// The request was placed, or not.
     Placed(Result<ExchangeGuard, PlacementError>),
     /// The request to the upstream ended, or to one that replaced it as it was late.
-    Ended {
-        result: ExchangeResult,
-        /// Number of upstreams beyond the first that may have run the request.
-        more_attempts: u32,
-    },
+    Ended(ExchangeResult),
 }
 
 type Step = Pin<Box<dyn Future<Output = Found> + Send>>;
@@ -49,6 +46,11 @@
     avoid: Vec<Arc<str>>,
     /// The upstream whose connection broke, and from when on the request may return to it.
     return_to: Option<(Arc<str>, Instant)>,
+    /// Number of upstreams that were sent the request and may have run it, shared with the searches that replace those
+    /// upstreams: such a search may be dropped while its own upstream is asked.
+    sent: Arc<AtomicU32>,
+    /// How many of `sent` the decision counts.
+    counted: u32,
     in_progress: Option<Step>,
 }
 
@@ -56,15 +58,9 @@
     /// The search for an upstream that goes on with the stream of `source`.
     pub(super) fn new(gw: &Arc<Gateway>, req: &Arc<MatchedRequest>, source: &StreamSource) -> Self {
         let ticket = &source.received.ticket;
-        Self {
-            gw: Arc::clone(gw),
-            req: Arc::clone(req),
-            origin: Some(ticket.origin.clone()),
-            last_event: source.events.last_id(),
-            avoid: vec![ticket.upstream.clone()],
-            return_to: None,
-            in_progress: None,
-        }
+        let origin = Some(ticket.origin.clone());
+        let avoid = vec![ticket.upstream.clone()];
+        Self::from_parts(gw, req, origin, source.events.last_id(), avoid)
     }
 
     /// The search for an upstream that responds in place of the last of `avoid`.
@@ -72,14 +68,27 @@
         gw: &Arc<Gateway>,
         req: &Arc<MatchedRequest>,
         avoid: &[Arc<str>],
+    ) -> Self {
+        let origin = req.origin.as_ref().map(|known| known.origin.clone());
+        Self::from_parts(gw, req, origin, None, avoid.to_vec())
+    }
+
+    fn from_parts(
+        gw: &Arc<Gateway>,
+        req: &Arc<MatchedRequest>,
+        origin: Option<StreamOrigin>,
+        last_event: Option<u64>,
+        avoid: Vec<Arc<str>>,
     ) -> Self {
         Self {
             gw: Arc::clone(gw),
             req: Arc::clone(req),
-            origin: req.origin.as_ref().map(|known| known.origin.clone()),
-            last_event: None,
-            avoid: avoid.to_vec(),
+            origin,
+            last_event,
+            avoid,
             return_to: None,
+            sent: Arc::default(),
+            counted: 0,
             in_progress: None,
         }
     }
@@ -98,17 +107,19 @@
 
     /// A search for the upstream that replaces the last one which was asked.
     fn successor(&self) -> Self {
+        let (origin, avoid) = (self.origin.clone(), self.avoid.clone());
         Self {
-            gw: Arc::clone(&self.gw),
-            req: Arc::clone(&self.req),
-            origin: self.origin.clone(),
-            last_event: self.last_event,
-            avoid: self.avoid.clone(),
-            return_to: None,
-            in_progress: None,
+            sent: Arc::clone(&self.sent),
+            ..Self::from_parts(&self.gw, &self.req, origin, self.last_event, avoid)
         }
     }
 
+    /// Number of upstreams that were sent the request in place of those that this search has asked, may have run it, and
+    /// aren't counted by the decision yet.
+    pub(super) fn uncounted(&self) -> u32 {
+        self.sent.load(Ordering::Relaxed) - self.counted
+    }
+
     /// Most upstreams that the request may be sent to.
     pub(super) fn max_attempts(&self) -> u32 {
         self.req.route().max_attempts
@@ -155,6 +166,7 @@
         let ticket = place.ticket();
         self.avoid.push(ticket.upstream.clone());
         let late_at = attempt_deadline(&req, ticket, 1.0);
+        self.counted = self.sent.fetch_add(1, Ordering::Relaxed) + 1;
         let search = self.successor();
         self.in_progress = Some(Box::pin(async move {
             let ticket = place.ticket();
@@ -163,16 +175,10 @@
             let sought = Some(&mut replacement);
             let result = exchange(&gw, &req, place, last_event, deadline, sought).await;
             if let ExchangeResult::Response(_) = result {
-                return Found::Ended {
-                    result,
-                    more_attempts: 0,
-                };
-            }
-            let replaced = replacement.finish().await;
-            Found::Ended {
-                result: replaced.found.map_or(result, ExchangeResult::Response),
-                more_attempts: replaced.attempts,
+                return Found::Ended(result);
             }
+            let found = replacement.finish().await.found;
+            Found::Ended(found.map_or(result, ExchangeResult::Response))
         }));
     }
 
@@ -185,7 +191,7 @@
         found: Found,
         is_response: impl Fn(StatusCode) -> bool,
     ) -> Option<Box<UpstreamResponse>> {
-        let (result, more_attempts) = match found {
+        let result = match found {
             Found::Placed(Ok(place)) => {
                 decision.on_found();
                 self.ask(place, decision.attempts());
@@ -195,12 +201,10 @@
                 decision.on_refused(now, e.into());
                 return None;
             }
-            Found::Ended {
-                result,
-                more_attempts,
-            } => (result, more_attempts),
+            Found::Ended(result) => result,
         };
-        decision.add_attempts(more_attempts);
+        decision.add_attempts(self.uncounted());
+        self.count_ended(&result);
         if !matches!(result, ExchangeResult::Response(_)) {
             self.log_failed(&result);
         }
@@ -221,6 +225,17 @@
         None
     }
 
+    /// Counts the upstream that was asked only if it may have run the request.
+    fn count_ended(&mut self, result: &ExchangeResult) {
+        let has_not_run = matches!(
+            result,
+            ExchangeResult::Unreached | ExchangeResult::Withheld | ExchangeResult::Rejected
+        );
+        self.sent
+            .fetch_sub(u32::from(has_not_run), Ordering::Relaxed);
+        self.counted = self.sent.load(Ordering::Relaxed);
+    }
+
     fn log_failed(&self, result: &ExchangeResult) {
         let upstream = self.avoid.last().map_or("-", |id| id);
         let fields: [Field<'_>; 2] = [("upstream", &upstream), ("outcome", &result.name())];
