Forward no events whose numbers go back

Cause: an entry that asks another upstream to go on with a stream states the last event that was forwarded, and compares nothing of what comes with it. The same for a caller's Last-Event-Id, and within one response.

Callers saw events that they had, once more, in a response that was framed as complete: 1 2 1 2 3 4 5 6.

Change: on routes whose streams can be resumed, the number of an event must be greater than the one before and than Last-Event-Id. Bytes in which it isn't are not forwarded and not recorded; the upstream's response has failed, and another one is asked to go on after the last event that was forwarded.

--- a/src/coltsfootnotch/daemon/forward/event_splitter.rs
+++ b/src/coltsfootnotch/daemon/forward/event_splitter.rs
@@ -15,13 +15,24 @@
 #[derive(Debug, Default)]
 pub(super) struct EventSplitter {
     rest: BytesMut,
+    /// The number after which the stream is resumed.
+    resumed_after: Option<u64>,
     last_id: Option<u64>,
     seen: u64,
     /// Whether a part of the current event has been returned.
     is_partly_returned: bool,
+    is_out_of_order: bool,
 }
 
 impl EventSplitter {
+    /// A splitter for a stream that its caller resumes after the event with this number.
+    pub(super) fn resumed_after(event: Option<u64>) -> Self {
+        Self {
+            resumed_after: event,
+            ..Self::default()
+        }
+    }
+
     /// Adds bytes; returns all events that are complete now.
     pub(super) fn push(&mut self, bytes: &[u8]) -> Bytes {
         let scanned = self.rest.len();
@@ -32,21 +43,25 @@
             None if self.rest.len() > MAX_EVENT => self.rest.len() - MAX_BLANK_LINE,
             None => return Bytes::new(),
         };
-        self.is_partly_returned = blank_line.is_none();
         let complete = self.rest.split_to(end).freeze();
-        self.record_ids(&complete);
+        self.record(&complete, blank_line.is_none());
         complete
     }
 
     /// Takes what came of an incomplete event, but for the bytes that its end may begin with.
     pub(super) fn take_part(&mut self) -> Bytes {
-        self.is_partly_returned = true;
         let end = self.rest.len().saturating_sub(MAX_BLANK_LINE);
         let part = self.rest.split_to(end).freeze();
-        self.record_ids(&part);
+        self.record(&part, true);
         part
     }
 
+    /// Whether the numbers of events do not increase. What was returned last is not to be forwarded then, and is
+    /// not recorded.
+    pub(super) fn is_out_of_order(&self) -> bool {
+        self.is_out_of_order
+    }
+
     /// Bytes of an incomplete event.
     pub(super) fn rest_len(&self) -> usize {
         self.rest.len()
@@ -88,20 +103,31 @@
         self.seen
     }
 
-    fn record_ids(&mut self, events: &[u8]) {
-        for line in events.split(is_line_end) {
-            let Some(value) = line.strip_prefix(b"id:") else {
-                continue;
-            };
-            let text = std::str::from_utf8(value).unwrap_or_default().trim();
-            if let Ok(id) = text.parse() {
-                self.last_id = Some(id);
-                self.seen += 1;
+    /// Records what is returned: events, the last of them in part or whole.
+    fn record(&mut self, events: &[u8], is_part: bool) {
+        let (mut last_id, mut seen) = (self.last_id, self.seen);
+        for id in events.split(is_line_end).filter_map(id_of_line) {
+            if last_id
+                .or(self.resumed_after)
+                .is_some_and(|last| id <= last)
+            {
+                self.is_out_of_order = true;
+                return;
             }
+            last_id = Some(id);
+            seen += 1;
         }
+        (self.last_id, self.seen) = (last_id, seen);
+        self.is_partly_returned = is_part;
     }
 }
 
+/// The number in a line that states the identity of an event, if it is one.
+fn id_of_line(line: &[u8]) -> Option<u64> {
+    let value = line.strip_prefix(b"id:")?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
+}
+
 /// Whether a line belongs to an event: blank lines and comments belong to none.
 pub(super) fn has_line_of_event(bytes: &[u8]) -> bool {
     let mut lines = bytes.split_inclusive(is_line_end);
--- a/src/coltsfootnotch/daemon/forward/event_splitter_tests.rs
+++ b/src/coltsfootnotch/daemon/forward/event_splitter_tests.rs
@@ -107,3 +107,36 @@
         }
     }
 }
+
+/// Guards against a stream that is resumed after events which were not forwarded, since their numbers went back.
+#[googletest::test]
+fn events_are_not_recorded_once_their_numbers_go_back() {
+    for events in [
+        &b"id: 8\n\nid: 9\n\nid: 9\n\n"[..],
+        b"id: 7\n\n",
+        b"id: 1\n\nid: 8\n\n",
+    ] {
+        let mut first = EventSplitter::default();
+        first.push(b"id: 7\ndata: a\n\n");
+        let mut other = first.after_last_event();
+        other.push(events);
+        expect_true!(other.is_out_of_order());
+        expect_that!(other.last_id(), some(eq(7)));
+        expect_that!(other.seen(), eq(1));
+        expect_false!(other.after_last_event().is_out_of_order());
+    }
+}
+
+/// Guards against a resumed stream that repeats events its caller has, and against an event that counts as received
+/// before any came.
+#[googletest::test]
+fn a_resumed_stream_goes_on_after_the_event_of_its_caller() {
+    let mut events = EventSplitter::resumed_after(Some(3));
+    expect_that!(events.last_id(), none());
+    events.push(b"id: 3\n\n");
+    expect_true!(events.is_out_of_order());
+    let mut events = EventSplitter::resumed_after(Some(3));
+    events.push(b"id: 5\n\n");
+    expect_false!(events.is_out_of_order());
+    expect_that!(events.last_id(), some(eq(5)));
+}
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -47,8 +47,8 @@
     mut replacement: Option<&mut Replacement>,
     attempts: u32,
 ) -> OpenResult {
-    let account = req.account.as_ref();
-    let mut source = StreamSource::new(received, EventSplitter::default(), &gw.held, account);
+    let events = EventSplitter::resumed_after(req.head.last_event);
+    let mut source = StreamSource::new(received, events, &gw.held, req);
     // Comments before the first event.
     let mut comments = BytesMut::new();
     let mut due = replacement.as_ref().map(|r| r.late_at());
--- a/src/coltsfootnotch/daemon/forward/stream_source.rs
+++ b/src/coltsfootnotch/daemon/forward/stream_source.rs
@@ -32,6 +32,8 @@
     last_bytes_at: Instant,
     /// When the last event came, or else the head.
     last_event_at: Instant,
+    /// Whether numbers of events must increase: on other routes they need not identify events.
+    has_increasing_ids: bool,
     /// Counts what is buffered of a long event.
     hold: Hold,
 }
@@ -46,22 +48,24 @@
     End(Bytes),
     /// The connection broke, or ended inside an event.
     Broken,
-    /// What came is no body.
+    /// What came is no body, or events that do not go on after those before.
     Invalid,
     /// Nothing came until the deadline.
     Late,
 }
 
 impl StreamSource {
-    /// The stream that a response begins, after `events` of earlier responses. What is buffered is held for
-    /// `account`.
+    /// The stream that a response to `req` begins, after `events` of earlier responses. What is buffered is held
+    /// for the account of `req`.
     pub(super) fn new(
         received: UpstreamResponse,
         events: EventSplitter,
         held: &Arc<HeldResources>,
-        account: Option<&Arc<str>>,
+        req: &MatchedRequest,
     ) -> Self {
+        let account = req.account.as_ref();
         Self {
+            has_increasing_ids: req.kind().is_idempotent(),
             received,
             events,
             since_event: 0,
@@ -91,6 +95,11 @@
         self.received.ends_with_connection()
     }
 
+    /// Whether the numbers of events go back or repeat, so that the stream can't be continued with them.
+    fn is_out_of_order(&self) -> bool {
+        self.has_increasing_ids && self.has_events() && self.events.is_out_of_order()
+    }
+
     /// Whether the body consists of events; upstreams need not state so.
     fn has_events(&self) -> bool {
         let content_type = self.received.response.headers().get(CONTENT_TYPE);
@@ -135,6 +144,9 @@
                     let complete = self.events.push(data);
                     let next = self.next_of(complete, was_inside_event);
                     self.hold_rest();
+                    if self.is_out_of_order() {
+                        return Next::Invalid;
+                    }
                     if let Some(next) = next {
                         return next;
                     }
@@ -170,6 +182,10 @@
 
     /// Logs that what came is no stream.
     pub(super) fn log_invalid(&self, gw: &Gateway, req: &MatchedRequest) {
+        if self.is_out_of_order() {
+            gw.log_no_response(req, &self.received.ticket, "order of events", None);
+            return;
+        }
         let bytes = self.received.connection.bytes_without_end();
         let bytes = bytes.unwrap_or(self.since_event);
         gw.log_no_response(req, &self.received.ticket, "stream", Some(bytes));
--- a/src/coltsfootnotch/daemon/forward/takeover.rs
+++ b/src/coltsfootnotch/daemon/forward/takeover.rs
@@ -225,10 +225,9 @@
         let Some(received) = self.search.advance(decision, now, found, is_response) else {
             return;
         };
-        let account = self.forwarder.req.account.as_ref();
-        let held = &self.forwarder.gw.held;
+        let (gw, req) = (&self.forwarder.gw, &self.forwarder.req);
         let events = self.events.after_last_event();
-        self.other = Some(StreamSource::new(*received, events, held, account));
+        self.other = Some(StreamSource::new(*received, events, &gw.held, req));
     }
 
     /// Closes the connection of the upstream that was silent, for the one whose response has begun.
