Resume a stream at its version whatever its last event is called

Cause: Last-Event-Id is read as a number of 64 bits; one that isn't (e-1, -1, 2^64) was taken for absent. Without Resumes, the request counted as one that begins a stream, was placed at any version, and was forwarded with its header.

Callers saw the rest of a stream, framed as complete, from another version than the one that began it.

Evidence: stream_versions::a_stream_whose_last_event_is_no_number_goes_on_at_its_version fails before: 200 instead of 503 for an unnamed stream while two versions serve.

Change: a request that states a last event resumes a stream. Which version that is is decided as before.

Measured: the 11 tests of stream_versions and the six of event_order pass.

--- a/src/coltsfootnotch/daemon/forward/dialect.rs
+++ b/src/coltsfootnotch/daemon/forward/dialect.rs
@@ -34,7 +34,9 @@
     pub key: Option<String>,
     /// Its prompt, for a model engine.
     pub prompt: Prompt,
-    /// The last event that the caller received, if it resumes a stream.
+    /// Whether the caller states the last event that it received, and so resumes a stream.
+    pub states_last_event: bool,
+    /// That event, if its identity is a number.
     pub last_event: Option<u64>,
     /// The attempt that brought the first event, if it resumes a stream.
     pub resumes: Option<String>,
--- a/src/coltsfootnotch/daemon/forward/matched_request.rs
+++ b/src/coltsfootnotch/daemon/forward/matched_request.rs
@@ -65,7 +65,7 @@
 
     /// Whether the caller resumes a stream that began with an earlier request.
     pub(super) fn resumes_stream(&self) -> bool {
-        let is_resumed = self.head.last_event.is_some() || self.head.resumes.is_some();
+        let is_resumed = self.head.states_last_event || self.head.resumes.is_some();
         self.kind().is_stream() && is_resumed
     }
 
--- a/src/coltsfootnotch/daemon/forward/stream_source.rs
+++ b/src/coltsfootnotch/daemon/forward/stream_source.rs
@@ -119,7 +119,7 @@
     /// Whether an end before the first event is a break, as that of a crash. A caller that resumes its stream
     /// may have all events.
     pub(super) fn must_have_events(&self, req: &MatchedRequest) -> bool {
-        self.ends_with_connection() && self.has_events() && req.head.last_event.is_none()
+        self.ends_with_connection() && self.has_events() && !req.head.states_last_event
     }
 
     pub(super) async fn next(&mut self, deadline: Instant) -> Next {
