Add releases beside kills of all hosts to the soak

Callers resume their streams, for eight seconds, and check that all parts of a stream fit together. What existing seeds draw stays.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -235,6 +235,12 @@
         self.size.controls
     }
 
+    /// Returns the number of routers.
+    #[must_use]
+    pub fn router_count(&self) -> usize {
+        self.size.routers
+    }
+
     /// Locks the process of a control host.
     pub fn control(&self, n: usize) -> MutexGuard<'_, Process> {
         self.controls[n]
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod process;
 pub mod proxy;
 pub mod recorder;
+pub mod resuming_client;
 pub mod run;
 mod scenario;
 pub mod schedule;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -27,6 +27,7 @@
     with_framing: bool,
     without_slow_clients: bool,
     without_kept_callers: bool,
+    releases: bool,
 }
 
 fn options() -> OptionParser<Options> {
@@ -76,6 +77,9 @@
     let without_kept_callers = long("without-kept-callers")
         .help("no callers on kept connections while a router stops; for seeds that were found without")
         .switch();
+    let releases = long("releases")
+        .help("releases beside kills of all hosts, and clients that resume their streams")
+        .switch();
     construct!(Options {
         seed,
         seeds,
@@ -89,7 +93,8 @@
         without_refusals,
         with_framing,
         without_slow_clients,
-        without_kept_callers
+        without_kept_callers,
+        releases
     })
     .guard(
         |o| [3, 5, 7].contains(&o.controls),
@@ -146,6 +151,7 @@
         omits_framing: !options.with_framing,
         has_slow_clients: !options.without_slow_clients,
         has_kept_callers: !options.without_kept_callers,
+        has_releases: options.releases,
         binary: options.binary.clone(),
         block: (std::process::id() % 250) as u8,
         folder: folder.path().to_owned(),
@@ -158,7 +164,7 @@
     let outcome = runtime.block_on(soak.run())?;
     let counts = outcome.counts;
     println!(
-        "seed {seed}: {} steps, {} served, {} refused, {} failed, {} cut, {} unread at a stop, {} changes, {} read back, {:.3} served at the end, {} findings",
+        "seed {seed}: {} steps, {} served, {} refused, {} failed, {} cut, {} unread at a stop, {} changes, {} read back, {} streams resumed, {:.3} served at the end, {} findings",
         outcome.steps,
         counts.served,
         counts.refused,
@@ -167,6 +173,7 @@
         counts.unread,
         counts.accepted,
         counts.read_back,
+        counts.resumed,
         outcome.recovered,
         outcome.findings.len(),
     );
--- a/soak/src/operator.rs
+++ b/soak/src/operator.rs
@@ -19,7 +19,9 @@
 /// Host name of all routes.
 pub const HOST: &str = "a.example";
 /// Services, assigned to the upstreams in turn.
-pub const SERVICES: [&str; 2] = ["desk", "writer"];
+pub const SERVICES: [&str; 2] = ["desk", STREAM_SERVICE];
+/// The service of streams.
+pub const STREAM_SERVICE: &str = "writer";
 /// Name of the client account whose keys change.
 const ACCOUNT: &str = "group";
 /// The account of clients that are slow.
--- a/soak/src/recorder.rs
+++ b/soak/src/recorder.rs
@@ -107,6 +107,8 @@
     pub accepted: u64,
     /// Configuration reads.
     pub read_back: u64,
+    /// Responses to clients that resumed a stream.
+    pub resumed: u64,
 }
 
 #[derive(Debug, Default)]
@@ -290,6 +292,11 @@
         }
     }
 
+    /// Counts a response that goes on with a stream.
+    pub fn record_resumed(&self) {
+        self.observations().counts.resumed += 1;
+    }
+
     /// Counts an accepted configuration.
     pub fn record_accepted(&self) {
         self.observations().counts.accepted += 1;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -20,6 +20,7 @@
 use crate::process::wait_until;
 use crate::proxy::{Endpoint, Path};
 use crate::recorder::{Counts, Finding, Invariant, Recorder};
+use crate::resuming_client::{RESUMING_CLIENTS, ResumingClient};
 use crate::scenario::Scenario;
 use crate::schedule::{FleetSize, Schedule};
 use crate::slow_client::{SLOW_CLIENTS, SlowClient};
@@ -71,6 +72,8 @@
     pub has_slow_clients: bool,
     /// Whether routers that are stopped are called on kept connections meanwhile.
     pub has_kept_callers: bool,
+    /// Whether releases go on beside kills of all hosts, with clients that resume their streams.
+    pub has_releases: bool,
     /// The platform's program.
     pub binary: PathBuf,
     /// Block of loopback addresses; concurrent runs need different blocks.
@@ -116,6 +119,9 @@
         if self.omits_framing {
             schedule = schedule.with_omitted_framing(self.seed, self.size);
         }
+        if self.has_releases {
+            schedule = schedule.with_releases(self.seed);
+        }
         let addresses = Addresses::new(self.block);
         let fleet = Fleet::start(&self.binary, &self.folder, addresses, self.size).await?;
         let scenario = Arc::new(self.start_scenario(fleet).await?);
@@ -206,6 +212,18 @@
         tasks.spawn(watch_memory(Arc::clone(scenario)));
     }
 
+    fn start_resuming_clients(&self, scenario: &Arc<Scenario>, tasks: &mut JoinSet<()>) {
+        for number in 0..self.size.routers * RESUMING_CLIENTS {
+            let client = ResumingClient {
+                number,
+                addresses: scenario.fleet.addresses,
+                routers: self.size.routers,
+                recorder: scenario.recorder.clone(),
+            };
+            tasks.spawn(client.run(self.seed.rotate_left(8) ^ (number as u64 + 1)));
+        }
+    }
+
     fn start_clients(&self, scenario: &Arc<Scenario>) -> JoinSet<()> {
         let mut tasks = JoinSet::new();
         let recorder = scenario.recorder.with_recovery_from(
@@ -226,6 +244,9 @@
             };
             tasks.spawn(client.run(self.seed ^ (number as u64 + 1)));
         }
+        if self.has_releases {
+            self.start_resuming_clients(scenario, &mut tasks);
+        }
         if self.has_slow_clients {
             self.start_slow_clients(scenario, &mut tasks);
         }
--- a/soak/src/scenario.rs
+++ b/soak/src/scenario.rs
@@ -10,7 +10,7 @@
 use crate::fleet::{Fleet, GRACE_S};
 use crate::kept_caller::{KEPT_CALLERS, call_until_refused};
 use crate::notices::Notices;
-use crate::operator::Operator;
+use crate::operator::{Operator, STREAM_SERVICE};
 use crate::process::wait_until;
 use crate::proxy::{Endpoint, Path, Rule};
 use crate::recorder::{Invariant, Recorder};
@@ -22,6 +22,10 @@
 const MIN_SERVED_SHARE: f64 = 0.9;
 /// Time limit for reading the last configuration.
 const READ_BACK_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time between the departures of two upstreams in a release.
+const DEPARTURE_INTERVAL: Duration = Duration::from_millis(200);
+/// Time in which the first upstream of a release gets streams.
+const SETTLE_TIME: Duration = Duration::from_millis(1_200);
 
 /// The fleet with its operators and simulated upstreams.
 pub(crate) struct Scenario {
@@ -153,6 +157,11 @@
                 upstream.lock().await.set_omits_framing(false);
                 Ok(())
             }
+            Action::ReleaseAndKillAll {
+                kill_after,
+                down,
+                absent,
+            } => self.release_and_kill_all(absent, kill_after, down).await,
             Action::ConflictingPuts => {
                 self.operator.put_conflicting().await;
                 Ok(())
@@ -189,6 +198,73 @@
         Ok(())
     }
 
+    async fn kill_all(&self, down: Duration) -> io::Result<()> {
+        self.disturb_control(down);
+        for host in 0..self.fleet.control_count() {
+            self.fleet.control(host).kill()?;
+        }
+        for host in 0..self.fleet.router_count() {
+            self.disturb_router(host, down);
+            self.interrupt_router(host, down);
+            self.fleet.router(host).kill()?;
+        }
+        sleep(down).await;
+        for host in 0..self.fleet.control_count() {
+            self.fleet.control(host).ensure_running()?;
+        }
+        for host in 0..self.fleet.router_count() {
+            self.fleet.router(host).ensure_running()?;
+            self.interrupt_router(host, Duration::ZERO);
+        }
+        Ok(())
+    }
+
+    /// Starts the first upstream of streams with its next version, then has the others leave, which start with that
+    /// version later. All hosts are killed `kill_after` the others begin to leave.
+    async fn release_and_kill_all(
+        &self,
+        absent: Duration,
+        kill_after: Duration,
+        down: Duration,
+    ) -> io::Result<()> {
+        let mut upstreams = Vec::new();
+        for upstream in &self.upstreams {
+            let upstream = upstream.lock().await;
+            if upstream.service() == STREAM_SERVICE {
+                upstreams.push(upstream);
+            }
+        }
+        let Some((first, others)) = upstreams.split_first_mut() else {
+            return Ok(());
+        };
+        let next_version = first.next_version();
+        first.leave().await;
+        sleep(absent).await;
+        first.start().await?;
+        sleep(SETTLE_TIME).await;
+        let kill = async {
+            sleep(kill_after).await;
+            self.kill_all(down).await
+        };
+        let depart = async {
+            // Those that have the version already stay.
+            for upstream in others {
+                if upstream.next_version() == next_version {
+                    upstream.leave().await;
+                    sleep(DEPARTURE_INTERVAL).await;
+                }
+            }
+            sleep(absent).await;
+        };
+        let (killed, ()) = tokio::join!(kill, depart);
+        for upstream in &mut upstreams {
+            if !upstream.is_running() {
+                upstream.start().await?;
+            }
+        }
+        killed
+    }
+
     fn control_endpoint(&self, control: usize) -> Endpoint {
         Endpoint::Control(self.fleet.slots.slot(control))
     }
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -14,6 +14,8 @@
 const QUIET_START: Duration = Duration::from_secs(4);
 /// Mean time between two steps. Most faults last longer, so several overlap.
 const MEAN_GAP_MS: u64 = 900;
+/// Time for a release beside a kill of all hosts, until streams are resumed or given up.
+const RELEASE_TIME: Duration = Duration::from_secs(8);
 
 /// Number of hosts and upstreams.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -169,6 +171,19 @@
         /// Duration of the fault.
         time: Duration,
     },
+    /// Replaces all upstreams of streams by the next version, and kills all hosts before, while or after the last
+    /// upstreams of the one before leave.
+    #[display(
+        "upstreams leave for {absent:?}, and all hosts are killed {kill_after:?} later for {down:?}"
+    )]
+    ReleaseAndKillAll {
+        /// Time from when the last upstreams begin to leave to the kill.
+        kill_after: Duration,
+        /// Downtime of the hosts before the restart.
+        down: Duration,
+        /// Downtime of each upstream before it starts with the next version.
+        absent: Duration,
+    },
     /// Puts two different configurations with the same number concurrently.
     #[display("two operators put conflicting configurations")]
     ConflictingPuts,
@@ -261,6 +276,26 @@
         self.steps.sort_by_key(|step| step.at);
         self
     }
+
+    /// Adds releases beside kills of all hosts, before, while and after the old version leaves, drawn for the same
+    /// seed; the other steps stay.
+    #[must_use]
+    pub fn with_releases(mut self, seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed.rotate_left(16));
+        let mut at = QUIET_START;
+        let end = self.length.saturating_sub(QUIET_END);
+        while at + RELEASE_TIME <= end {
+            let action = Action::ReleaseAndKillAll {
+                kill_after: Duration::from_millis(rng.random_range(0..1_200)),
+                down: Duration::from_millis(rng.random_range(100..600)),
+                absent: Duration::from_millis(rng.random_range(100..1_500)),
+            };
+            self.steps.push(Step { at, action });
+            at += RELEASE_TIME + Duration::from_millis(rng.random_range(0..1_000));
+        }
+        self.steps.sort_by_key(|step| step.at);
+        self
+    }
 }
 
 fn draw_action(rng: &mut StdRng, size: FleetSize) -> Action {
--- a/soak/src/upstream/mod.rs
+++ b/soak/src/upstream/mod.rs
@@ -84,7 +84,7 @@
         let run = Arc::new(Run {
             id: format!("u{}-{}", self.number, self.runs),
             service: self.service,
-            version: VERSIONS[(self.number + self.runs as usize) % VERSIONS.len()],
+            version: self.version(self.runs),
             address: self.proxied,
             born_ms: since_epoch.map_err(io::Error::other)?.as_millis() as u64,
             sequence: AtomicU64::new(0),
@@ -123,6 +123,38 @@
         Ok(())
     }
 
+    /// Whether a run is in progress.
+    #[must_use]
+    pub fn is_running(&self) -> bool {
+        self.current.is_some()
+    }
+
+    /// The service that it belongs to.
+    #[must_use]
+    pub fn service(&self) -> &'static str {
+        self.service
+    }
+
+    /// The version that its next run has.
+    #[must_use]
+    pub fn next_version(&self) -> &'static str {
+        self.version(self.runs + 1)
+    }
+
+    fn version(&self, run: u64) -> &'static str {
+        VERSIONS[(self.number + run as usize) % VERSIONS.len()]
+    }
+
+    /// Leaves and ends the run at once, without a drain.
+    pub async fn leave(&mut self) {
+        if let Some((run, _)) = &self.current {
+            let (path, body) = (leave_path(&run.id), run.description().leave_body());
+            // Like a real upstream, it ends even without an acknowledgement.
+            let _status = self.control_client.post(&path, body).await;
+        }
+        self.crash();
+    }
+
     /// Ends the run and its connections at once.
     pub fn crash(&mut self) {
         for task in self.current.take().into_iter().flat_map(|(_, tasks)| tasks) {
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -43,6 +43,7 @@
         omits_framing: false,
         has_slow_clients: false,
         has_kept_callers: false,
+        has_releases: false,
         binary: binary(),
         block: 250 - (seed % 100) as u8,
         folder: folder.path().to_owned(),
