Deliver the first event of a moved stream once control hosts know of it

At a load of 40 a caller still got a stream joined from two versions: its entry was killed before the message on the move had left the host.

--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -168,6 +168,8 @@
     },
     /// States that a stream goes on at another origin than it was placed at before, which may have been reported.
     StreamMoved {
+        /// Request number, repeated in the response.
+        id: u64,
         /// Digest of the stream's identity.
         stream: u64,
         /// Where it was placed last.
@@ -292,6 +294,11 @@
         /// The versions of the service of which the sender knows.
         versions: VersionReport,
     },
+    /// Response to [`ToRelay::StreamMoved`].
+    StreamMoveRecorded {
+        /// Number of the request.
+        id: u64,
+    },
     /// Response to [`ToRelay::Lease`]; not sent while there is no quorum.
     Lease {
         /// Number of the request.
--- a/src/coltsfootnotch/daemon/control/daemon/from_hosts.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/from_hosts.rs
@@ -64,9 +64,10 @@
                 }
             }
             ToRelay::Retries(report) => self.record_retries(now, link, peer, &report),
-            ToRelay::StreamMoved { stream, origin } => {
+            ToRelay::StreamMoved { id, stream, origin } => {
                 if let Some(seeded) = &mut self.seeded {
                     seeded.origins.record_move(now, stream, &origin.into());
+                    self.send_to_host(link, FromRelay::StreamMoveRecorded { id });
                 }
             }
             ToRelay::FindStream {
--- a/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
@@ -91,6 +91,7 @@
                 origin,
                 versions,
             } => self.on_stream_found(link, id, origin.map(StreamOrigin::from), versions),
+            FromRelay::StreamMoveRecorded { id } => self.moves.on_recorded(link, id),
             FromRelay::Lease { id, number } => {
                 if let Some(sent_at) = self.links.on_lease_response(id) {
                     self.state.lease.renew(sent_at, number);
--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -4,6 +4,7 @@
 mod maintenance;
 mod shutdown;
 mod stream_lookups;
+mod stream_moves;
 mod streams;
 mod waits;
 
@@ -30,6 +31,7 @@
 use tokio::sync::watch;
 
 use self::stream_lookups::StreamLookups;
+use self::stream_moves::StreamMoves;
 use self::waits::WaitingRequest;
 use super::control_links::ControlLinks;
 use super::dialect::{Dialect, InForce};
@@ -192,6 +194,7 @@
     decodes_from: Option<LinkId>,
     last_upstream_update: Duration,
     lookups: StreamLookups,
+    moves: StreamMoves,
     /// Requests that wait for an engine with room, and when they are placed again at the earliest.
     line: WaitingLine<WaitingRequest>,
     line_due: Duration,
@@ -322,6 +325,7 @@
             decodes_from: None,
             last_upstream_update: Duration::ZERO,
             lookups: StreamLookups::default(),
+            moves: StreamMoves::default(),
             line: WaitingLine::default(),
             line_due: Duration::ZERO,
             begun_lately: VecDeque::new(),
@@ -350,9 +354,10 @@
             ForwardMsg::Fabric(event) => self.on_fabric_event(now, event),
             ForwardMsg::Place(req, tx) => self.place_or_wait(now, req, tx),
             ForwardMsg::FindOrigin(req, tx) => self.find_origin(now, req, tx),
+            ForwardMsg::ConfirmOrigin(ticket, tx) => self.confirm_origin(now, &ticket, tx),
             ForwardMsg::FirstEvent(ticket) => {
                 self.state.on_first_event(now, &ticket);
-                self.report_moved_streams();
+                self.report_moved_streams(now);
                 self.place_waiting(now);
             }
             ForwardMsg::Finished {
@@ -409,7 +414,7 @@
             .state
             .place(now, self.boot_clock.now(), self.number, req);
         self.report_retries(now);
-        self.report_moved_streams();
+        self.report_moved_streams(now);
         placed
     }
 
@@ -428,6 +433,7 @@
         self.links.request_lease(self.boot_clock.now(), current);
         self.measure_scheduling_delay();
         self.expire_lookups(now);
+        self.moves.expire(now);
         self.place_waiting(now);
         self.report(now);
         self.check_load_age(now);
--- a/src/coltsfootnotch/daemon/forward/actor/streams.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/streams.rs
@@ -9,7 +9,7 @@
 
 use super::ForwardActor;
 use super::stream_lookups::{FinishedLookup, LookupResponse};
-use crate::daemon::forward::messages::{FindOrigin, KnownOrigin, OriginSource};
+use crate::daemon::forward::messages::{FindOrigin, KnownOrigin, OriginSource, Ticket};
 
 impl ForwardActor {
     /// Finds the origin of a stream: here, at the control hosts, or by its service having one version.
@@ -73,14 +73,30 @@
 
     /// Tells all control hosts at once of streams that were placed at another origin than before: this process may be
     /// killed before its next report, and the last one may name the origin before.
-    pub(super) fn report_moved_streams(&mut self) {
+    pub(super) fn report_moved_streams(&mut self, now: Duration) {
         for (stream, origin) in self.state.take_moved_streams() {
+            let id = self.moves.start(now, stream, self.links.ids());
             let origin = StreamOriginRecord::from(&origin);
             self.links
-                .send_to_all(&ToRelay::StreamMoved { stream, origin });
+                .send_to_all(&ToRelay::StreamMoved { id, stream, origin });
         }
     }
 
+    /// Replies once all control hosts know that the stream goes on at the upstream of `ticket`.
+    pub(super) fn confirm_origin(
+        &mut self,
+        now: Duration,
+        ticket: &Ticket,
+        tx: oneshot::Sender<()>,
+    ) {
+        let Some(stream) = ticket.stream else {
+            return;
+        };
+        self.state.record_origin(now, stream, &ticket.origin);
+        self.report_moved_streams(now);
+        self.moves.on_recorded_by_all(stream, tx);
+    }
+
     fn finish_lookup(&self, finished: FinishedLookup) {
         let known_by = |source| move |origin| KnownOrigin { origin, source };
         let by_control_host = finished.origin.map(known_by(OriginSource::ControlHost));
--- a/src/coltsfootnotch/daemon/forward/messages.rs
+++ b/src/coltsfootnotch/daemon/forward/messages.rs
@@ -128,6 +128,8 @@
     pub(super) is_stream: bool,
     /// Digest of the identity of its stream, if its caller may resume it.
     pub(super) stream: Option<u64>,
+    /// Whether the request was placed before.
+    pub(super) is_repeated: bool,
     /// Most idle connections that this entry keeps to it.
     pub(super) connections: usize,
 }
@@ -224,6 +226,9 @@
         oneshot::Sender<Result<Ticket, PlacementError>>,
     ),
     FindOrigin(FindOrigin, oneshot::Sender<Option<KnownOrigin>>),
+    /// The first event of a stream that was placed more than once has come. It is delivered once control hosts have
+    /// been told where it comes from.
+    ConfirmOrigin(Ticket, oneshot::Sender<()>),
     /// The first event of a response has come.
     FirstEvent(Ticket),
     /// An exchange has ended.
--- a/src/coltsfootnotch/daemon/forward/pool_tests.rs
+++ b/src/coltsfootnotch/daemon/forward/pool_tests.rs
@@ -43,6 +43,7 @@
             prompt: Arc::new(Prompt::default()),
             is_stream: false,
             stream: None,
+            is_repeated: false,
             connections: 8,
         };
         Self { listener, ticket }
--- a/src/coltsfootnotch/daemon/forward/resumption.rs
+++ b/src/coltsfootnotch/daemon/forward/resumption.rs
@@ -9,7 +9,7 @@
 
 use super::exchange_guard::ExchangeGuard;
 use super::matched_request::MatchedRequest;
-use super::messages::{FindOrigin, ForwardMsg, PlacementError, RETRY_SOON};
+use super::messages::{FindOrigin, ForwardMsg, PlacementError, RETRY_SOON, Ticket};
 use super::server::Gateway;
 
 /// Time for finding an upstream that resumes a stream; callers give up after two seconds without an
@@ -57,6 +57,18 @@
         Ok(())
     }
 
+    /// Waits until control hosts know that a stream which was placed more than once goes on at the upstream of `ticket`:
+    /// its caller may resume it at another entry as soon as it has the first event.
+    pub(super) async fn confirm_origin(&self, ticket: &Ticket) {
+        if ticket.stream.is_none() {
+            return;
+        }
+        let (tx, rx) = oneshot::channel();
+        self.tx.send(ForwardMsg::ConfirmOrigin(ticket.clone(), tx));
+        // The sender is dropped once they know.
+        let _dropped = rx.await;
+    }
+
     /// Has the actor place a request. One that resumes a stream is placed again for some time if it is refused for
     /// what may pass: what was delivered of the stream is lost with a refusal.
     pub(super) async fn place_or_wait(
--- a/src/coltsfootnotch/daemon/forward/state/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/state/mod.rs
@@ -336,6 +336,7 @@
             prompt: Arc::clone(&req.prompt),
             is_stream: req.is_stream,
             stream: req.stream,
+            is_repeated: !req.is_first(),
             connections: share.max(1) as usize,
         }
     }
--- a/src/coltsfootnotch/daemon/forward/state/streams.rs
+++ b/src/coltsfootnotch/daemon/forward/state/streams.rs
@@ -22,7 +22,12 @@
 
     /// Records where a stream has its first event from, if that is not where it was placed last: of a late upstream and
     /// another one that was asked as well, either may bring it.
-    pub(super) fn record_origin(&mut self, now: Duration, stream: u64, origin: &StreamOrigin) {
+    pub(in crate::daemon::forward) fn record_origin(
+        &mut self,
+        now: Duration,
+        stream: u64,
+        origin: &StreamOrigin,
+    ) {
         if self.origins.get(stream) != Some(origin) {
             self.record_stream(now, stream, origin);
         }
--- a/src/coltsfootnotch/daemon/forward/stream.rs
+++ b/src/coltsfootnotch/daemon/forward/stream.rs
@@ -75,6 +75,13 @@
             next => break next,
         }
     };
+    let may_have_moved = source.received.ticket.is_repeated
+        || replacement
+            .as_ref()
+            .is_some_and(|r| Instant::now() >= r.late_at());
+    if may_have_moved && matches!(next, Next::Events(_) | Next::End(_)) {
+        gw.confirm_origin(&source.received.ticket).await;
+    }
     match next {
         Next::Events(first) => {
             let first = joined(comments, first);
--- a/src/coltsfootnotch/daemon/relay_client.rs
+++ b/src/coltsfootnotch/daemon/relay_client.rs
@@ -246,6 +246,7 @@
             | FromRelay::UpstreamLeft { .. }
             | FromRelay::FleetLoad { .. }
             | FromRelay::StreamFound { .. }
+            | FromRelay::StreamMoveRecorded { .. }
             | FromRelay::Lease { .. }
             | FromRelay::ConfigPatch { .. }
             | FromRelay::Neighbours { .. }
