Infer the version of a stream from all control hosts by identity

Answers of control hosts were counted, so one that the others did not know stood in for one that was down and alone knew the old version; and one that was removed from the group just before the kill was forgotten.

Nothing is inferred for routes with several services. Each control host names the others, which all have to answer, and keeps their identities on disk with the versions.

--- a/crates/forward/src/registry/recent_hosts.rs
+++ b/crates/forward/src/registry/recent_hosts.rs
@@ -15,9 +15,9 @@
 /// let at = Duration::from_secs;
 /// let mut hosts = RecentHosts::default();
 /// hosts.update(at(0), ["a", "b"], ["a"]);
-/// assert_eq!(hosts.count(at(0)), 2, "b may have run until now");
+/// assert!(hosts.recent(at(0)).eq(&["a", "b"]), "b may have run until now");
 /// hosts.update(at(70), ["a", "b"], ["a"]);
-/// assert_eq!(hosts.count(at(70)), 1);
+/// assert!(hosts.recent(at(70)).eq(&["a"]));
 /// ```
 #[derive(Debug, Clone)]
 pub struct RecentHosts<M> {
@@ -49,10 +49,13 @@
         }
     }
 
-    /// Number of the hosts that were connected within the retention period of versions.
-    #[must_use]
-    pub fn count(&self, now: Duration) -> usize {
-        let is_recent = |seen: &&Duration| now.saturating_sub(**seen) < VERSION_RETENTION;
-        self.last_seen.values().filter(is_recent).count()
+    /// The hosts that were connected within the retention period of versions.
+    pub fn recent(&self, now: Duration) -> impl Iterator<Item = &M> {
+        let is_recent = move |seen: &Duration| now.saturating_sub(*seen) < VERSION_RETENTION;
+        let recent = self
+            .last_seen
+            .iter()
+            .filter(move |(_, seen)| is_recent(seen));
+        recent.map(|(host, _)| host)
     }
 }
--- a/crates/forward/src/registry/saved_versions.rs
+++ b/crates/forward/src/registry/saved_versions.rs
@@ -13,6 +13,8 @@
     pub is_complete: bool,
     /// The versions.
     pub versions: BTreeSet<ServiceVersion>,
+    /// Identities of the other control hosts that were connected lately.
+    pub hosts: BTreeSet<String>,
 }
 
 /// A request to replace the versions on the disk.
@@ -42,6 +44,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct SavedVersions {
     is_complete: bool,
+    hosts: BTreeSet<String>,
     /// With the number of the request that added it, which all later ones contain as well.
     versions: BTreeMap<ServiceVersion, u64>,
     /// Number of the last request, and of the last that was carried out.
@@ -56,6 +59,7 @@
         let versions = stored.versions.into_iter();
         Self {
             is_complete: stored.is_complete,
+            hosts: stored.hosts,
             versions: versions.map(|version| (version, 0)).collect(),
             ..Self::default()
         }
@@ -73,6 +77,15 @@
         self.request()
     }
 
+    /// Sets the other control hosts; returns what to save if they have changed.
+    pub fn set_hosts(&mut self, hosts: BTreeSet<String>) -> Option<SaveRequest> {
+        if self.hosts == hosts {
+            return None;
+        }
+        self.hosts = hosts;
+        Some(self.request())
+    }
+
     /// Whether the version is on the disk, and is not about to be removed from it.
     #[must_use]
     pub fn contains(&self, version: &ServiceVersion) -> bool {
@@ -129,6 +142,7 @@
             number: self.requested,
             stored: StoredVersions {
                 is_complete: self.is_complete,
+                hosts: self.hosts.clone(),
                 versions: self.versions.keys().cloned().collect(),
             },
         }
--- a/crates/forward/src/streams/version_reports.rs
+++ b/crates/forward/src/streams/version_reports.rs
@@ -15,28 +15,29 @@
 /// ```
 /// use coltsfootnotch_forward::streams::VersionReports;
 /// use coltsfootnotch_wire::VersionReport;
-/// let report = |version: &str| VersionReport {
+/// let report = |version: &str, member: &str, other: &str| VersionReport {
 ///     versions: vec![version.to_owned()],
 ///     known_for_ms: u32::MAX,
-///     control_hosts: 2,
+///     member: Some(member.to_owned()),
+///     others: vec![other.to_owned()],
 /// };
 /// let mut reports = VersionReports::default();
-/// reports.record("control-1", report("v1"));
+/// reports.record(report("v1", "a", "b"));
 /// assert_eq!(reports.sole_version([]), None, "of one control host of two");
-/// reports.record("control-2", report("v1"));
+/// reports.record(report("v1", "b", "a"));
 /// assert_eq!(reports.sole_version([]), Some("v1"));
 /// assert_eq!(reports.sole_version(["v2"]), None);
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct VersionReports {
-    by_host: BTreeMap<String, VersionReport>,
+    by_member: BTreeMap<String, VersionReport>,
 }
 
 impl VersionReports {
-    /// Records the answer of a control host. One that counts no control host gets no announcements itself.
-    pub fn record(&mut self, host: &str, report: VersionReport) {
-        if report.control_hosts > 0 {
-            self.by_host.insert(host.to_owned(), report);
+    /// Records the answer of a control host. One that upstreams don't announce themselves to is left out.
+    pub fn record(&mut self, report: VersionReport) {
+        if let Some(member) = &report.member {
+            self.by_member.insert(member.clone(), report);
         }
     }
 
@@ -47,7 +48,7 @@
         if !self.is_complete() {
             return None;
         }
-        let reported = self.by_host.values().flat_map(|report| &report.versions);
+        let reported = self.by_member.values().flat_map(|report| &report.versions);
         let versions: BTreeSet<&str> = reported.map(String::as_str).chain(own).collect();
         match versions.len() {
             1 => versions.first().copied(),
@@ -57,12 +58,11 @@
 
     /// Whether all control hosts have answered, and each knows all that was announced to it.
     fn is_complete(&self) -> bool {
-        let reports = self.by_host.values();
-        let control_hosts = reports.clone().map(|report| report.control_hosts).max();
         let is_known = |report: &VersionReport| {
             u128::from(report.known_for_ms) >= VERSION_RETENTION.as_millis()
         };
-        let has_all = control_hosts.is_some_and(|count| self.by_host.len() >= count as usize);
-        has_all && reports.clone().all(is_known)
+        let has_answered = |member: &String| self.by_member.contains_key(member);
+        let mut reports = self.by_member.values();
+        reports.all(|report| is_known(report) && report.others.iter().all(has_answered))
     }
 }
--- a/crates/forward/tests/testsuite/streams.rs
+++ b/crates/forward/tests/testsuite/streams.rs
@@ -128,11 +128,14 @@
     expect_that!(sole_version(&registry, "spec"), none(), "silent lately");
 }
 
-fn report(versions: &[&str], known_for_ms: u32, control_hosts: u32) -> VersionReport {
+/// The answer of a control host that knows `versions`, of the other control hosts `others`.
+fn report(member: &str, others: &[&str], versions: &[&str], known_for_ms: u32) -> VersionReport {
+    let owned = |names: &[&str]| names.iter().map(|name| (*name).to_owned()).collect();
     VersionReport {
-        versions: versions.iter().map(|v| (*v).to_owned()).collect(),
+        versions: owned(versions),
         known_for_ms,
-        control_hosts,
+        member: Some(member.to_owned()),
+        others: owned(others),
     }
 }
 
@@ -141,51 +144,68 @@
 #[gtest]
 fn a_version_is_the_only_one_if_all_control_hosts_know_no_other() {
     let minute = 60_000;
+    let of_none = VersionReport::default();
+    // What the control hosts answer, and the version that is known to be the only one.
     let answers = [
-        // What the control hosts answer, in order, and the version that is known to be the only one.
         (vec![], None),
-        (vec![report(&["v1"], u32::MAX, 1)], Some("v1")),
-        (vec![report(&["v1"], minute, 1)], Some("v1")),
-        (vec![report(&["v1"], minute - 1, 1)], None),
-        (vec![report(&["v1"], u32::MAX, 2)], None),
+        (vec![report("a", &[], &[], minute)], None),
+        (vec![report("a", &[], &["v1"], u32::MAX)], Some("v1")),
+        (vec![report("a", &[], &["v1"], minute)], Some("v1")),
+        (vec![report("a", &[], &["v1"], minute - 1)], None),
+        (vec![report("a", &["b"], &["v1"], u32::MAX)], None),
         (
-            vec![report(&["v1"], minute, 2), report(&[], minute, 2)],
+            vec![
+                report("a", &["b"], &["v1"], minute),
+                report("b", &["a"], &[], minute),
+            ],
             Some("v1"),
         ),
         (
-            vec![report(&["v1"], minute, 2), report(&[], minute - 1, 2)],
+            vec![
+                report("a", &["b"], &["v1"], minute),
+                report("b", &["a"], &[], minute - 1),
+            ],
             None,
         ),
         (
-            vec![report(&["v1"], minute, 2), report(&["v2"], minute, 2)],
+            vec![
+                report("a", &["b"], &["v1"], minute),
+                report("b", &["a"], &["v2"], minute),
+            ],
             None,
         ),
         (
-            vec![report(&["v1"], minute, 2), report(&[], minute, 3)],
+            vec![
+                report("a", &["b"], &["v1"], minute),
+                report("b", &["a", "c"], &[], minute),
+            ],
+            None,
+        ),
+        // One that the others don't know stands for none of those that they know.
+        (
+            vec![
+                report("a", &["b", "c"], &["v1"], minute),
+                report("b", &["a", "c"], &[], minute),
+                report("d", &["a", "b"], &[], minute),
+            ],
             None,
         ),
         // A control host that upstreams don't announce themselves to counts for nothing.
         (
-            vec![report(&["v1"], minute, 1), report(&[], 0, 0)],
+            vec![report("a", &[], &["v1"], minute), of_none.clone()],
             Some("v1"),
         ),
-        (vec![report(&["v1"], minute, 2), report(&[], 0, 0)], None),
-        (vec![report(&[], minute, 1)], None),
+        (vec![report("a", &["b"], &["v1"], minute), of_none], None),
     ];
     for (answers, sole) in answers {
         let mut reports = VersionReports::default();
-        for (number, answer) in answers.iter().enumerate() {
-            reports.record(&format!("control-{number}"), answer.clone());
-        }
+        answers
+            .iter()
+            .for_each(|answer| reports.record(answer.clone()));
         expect_that!(reports.sole_version([]), eq(sole), "{answers:?}");
-        let is_complete = sole.is_some() || reports.sole_version(["v1"]).is_some();
-        let other = reports.sole_version(["v9"]);
-        let knows_none = answers.iter().all(|answer| answer.versions.is_empty());
-        expect_that!(
-            other.is_some(),
-            eq(is_complete && knows_none),
-            "{answers:?}"
-        );
+        if sole.is_some() {
+            expect_that!(reports.sole_version(["v9"]), none(), "{answers:?}");
+        }
     }
 }
 
@@ -272,18 +292,19 @@
     let mut hosts = RecentHosts::default();
     let members = ["b", "c"];
     hosts.update(at(0), members, ["b"]);
-    expect_that!(hosts.count(at(0)), eq(2), "c may run");
+    let recent = |hosts: &RecentHosts<&str>, now| hosts.recent(now).copied().collect::<String>();
+    expect_that!(recent(&hosts, at(0)), eq("bc"), "c may run");
     hosts.update(at(59), members, ["b"]);
-    expect_that!(hosts.count(at(59)), eq(2));
+    expect_that!(recent(&hosts, at(59)), eq("bc"));
     hosts.update(at(60), members, ["b"]);
-    expect_that!(hosts.count(at(60)), eq(1), "c is gone");
+    expect_that!(recent(&hosts, at(60)), eq("b"), "c is gone");
     hosts.update(at(61), members, ["b", "c"]);
-    expect_that!(hosts.count(at(61)), eq(2), "c is back");
+    expect_that!(recent(&hosts, at(61)), eq("bc"), "c is back");
     // The host of b lost its disk and comes back as d, before the group knows.
     hosts.update(at(70), members, ["c", "d"]);
-    expect_that!(hosts.count(at(70)), eq(3));
+    expect_that!(recent(&hosts, at(70)), eq("bcd"));
     hosts.update(at(121), ["c", "d"], ["c", "d"]);
-    expect_that!(hosts.count(at(121)), eq(2), "what b knew is over");
+    expect_that!(recent(&hosts, at(121)), eq("cd"), "what b knew is over");
 }
 
 proptest! {
--- a/crates/wire/src/upstream.rs
+++ b/crates/wire/src/upstream.rs
@@ -249,9 +249,10 @@
     /// Time for which the sender knows all versions that were announced to it, in milliseconds; the maximum if none
     /// can be missing.
     pub known_for_ms: u32,
-    /// Number of control hosts that upstreams may have announced themselves to lately, with the sender; zero if they
-    /// don't announce themselves to the sender.
-    pub control_hosts: u32,
+    /// The sender's identity in the control group; none if upstreams don't announce themselves to it.
+    pub member: Option<String>,
+    /// Identities of the other control hosts that upstreams may have announced themselves to lately.
+    pub others: Vec<String>,
 }
 
 /// Streams that began at upstreams of one service and version.
--- a/src/coltsfootnotch/daemon/control/seeded/handlers.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/handlers.rs
@@ -340,11 +340,12 @@
         let Some(seeded) = &self.seeded else {
             return;
         };
+        let local = &self.bootstrap.local_hello().member;
         let origin = stream.and_then(|stream| seeded.origins.get(stream));
         let message = FromRelay::StreamFound {
             id,
             origin: origin.map(StreamOriginRecord::from),
-            versions: seeded.version_report(now, service),
+            versions: seeded.version_report(now, local, service),
         };
         self.send_to_host(link, message);
     }
--- a/src/coltsfootnotch/daemon/control/seeded/service_versions.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/service_versions.rs
@@ -31,18 +31,20 @@
     is_first_start: bool,
     started: Duration,
     /// The other control hosts.
-    others: RecentHosts<MemberId>,
+    others: RecentHosts<String>,
 }
 
 impl ServiceVersions {
     /// The state of a control host that starts now, with what it has on its disk.
     pub(super) fn new(now: Duration, is_first_start: bool, stored: StoredVersions) -> Self {
+        let mut others = RecentHosts::default();
+        others.update(now, stored.hosts.iter().cloned(), []);
         Self {
             saved: SavedVersions::loaded(stored),
             waiting: Vec::new(),
             is_first_start,
             started: now,
-            others: RecentHosts::default(),
+            others,
         }
     }
 
@@ -59,17 +61,22 @@
 impl Seeded {
     /// What this control host knows of the versions of a service; nothing if it has no log, since no upstream
     /// announces itself to it.
-    pub(super) fn version_report(&self, now: Duration, service: &str) -> VersionReport {
+    pub(super) fn version_report(
+        &self,
+        now: Duration,
+        local: &MemberId,
+        service: &str,
+    ) -> VersionReport {
         if !self.discovery.has_log() {
             return VersionReport::default();
         }
         let versions: BTreeSet<&str> = self.registry.versions(service).map(|v| &**v).collect();
         let known_for_ms = self.versions.known_for(now).as_millis();
-        let others = self.versions.others.count(now);
         VersionReport {
             versions: versions.into_iter().map(ToOwned::to_owned).collect(),
             known_for_ms: u32::try_from(known_for_ms).unwrap_or(u32::MAX),
-            control_hosts: u32::try_from(others + 1).unwrap_or(u32::MAX),
+            member: Some(local.to_string()),
+            others: self.versions.others.recent(now).cloned().collect(),
         }
     }
 }
@@ -145,13 +152,17 @@
         let Some(seeded) = &mut self.seeded else {
             return;
         };
-        let others = |members: Vec<MemberId>| members.into_iter().filter(move |m| m != local);
-        let connected = seeded.connectivity.connected().iter().cloned().collect();
-        let members = members.all().cloned().collect();
+        let is_other = |member: &&MemberId| *member != local;
+        let connected = seeded.connectivity.connected().iter().filter(is_other);
+        let members = members.all().filter(is_other);
         let versions = &mut seeded.versions;
-        versions
-            .others
-            .update(now, others(members), others(connected));
+        versions.others.update(
+            now,
+            members.map(ToString::to_string),
+            connected.map(ToString::to_string),
+        );
+        let hosts = versions.others.recent(now).cloned().collect();
+        let hosts_changed = versions.saved.set_hosts(hosts);
         let registry = &seeded.registry;
         let is_used = |(service, version): &ServiceVersion| {
             let mut known = registry.versions(service);
@@ -161,7 +172,7 @@
         let is_complete = versions.known_for(now) >= VERSION_RETENTION;
         let completed =
             (is_complete && !versions.saved.is_complete()).then(|| versions.saved.set_complete());
-        if let Some(req) = completed.or(removed) {
+        if let Some(req) = completed.or(removed).or(hosts_changed) {
             self.disk.save_versions(req);
         }
     }
--- a/src/coltsfootnotch/daemon/control/version_file.rs
+++ b/src/coltsfootnotch/daemon/control/version_file.rs
@@ -18,6 +18,8 @@
     complete: bool,
     /// Pairs of a service and a version.
     versions: Vec<(String, String)>,
+    /// Identities of other control hosts.
+    hosts: Vec<String>,
 }
 
 impl From<&StoredVersions> for FileContent {
@@ -27,6 +29,7 @@
         Self {
             complete: stored.is_complete,
             versions: stored.versions.iter().map(to_owned).collect(),
+            hosts: stored.hosts.iter().cloned().collect(),
         }
     }
 }
@@ -37,6 +40,7 @@
         Self {
             is_complete: content.complete,
             versions: versions.map(|(s, v)| (s.into(), v.into())).collect(),
+            hosts: content.hosts.into_iter().collect(),
         }
     }
 }
--- a/src/coltsfootnotch/daemon/control/version_file_tests.rs
+++ b/src/coltsfootnotch/daemon/control/version_file_tests.rs
@@ -12,6 +12,7 @@
     StoredVersions {
         is_complete: true,
         versions: of_spec.iter().map(version).collect(),
+        hosts: ["control-1/5".to_owned()].into(),
     }
 }
 
--- a/src/coltsfootnotch/daemon/forward/actor/stream_lookups.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/stream_lookups.rs
@@ -5,7 +5,6 @@
 
 use coltsfootnotch_fabric::LinkId;
 use coltsfootnotch_forward::streams::{StreamOrigin, VersionReports};
-use coltsfootnotch_types::HostName;
 use coltsfootnotch_wire::VersionReport;
 use tokio::sync::oneshot;
 
@@ -35,15 +34,6 @@
     pub(super) versions: VersionReports,
 }
 
-/// The response of a control host to a lookup.
-pub(super) struct LookupResponse<'a> {
-    pub(super) link: LinkId,
-    pub(super) host: &'a HostName,
-    pub(super) id: u64,
-    pub(super) origin: Option<StreamOrigin>,
-    pub(super) versions: VersionReport,
-}
-
 /// The lookups in progress.
 #[derive(Default)]
 pub(super) struct StreamLookups {
@@ -73,17 +63,16 @@
     }
 
     /// Handles the response of a control host; returns the lookup if that ends it.
-    pub(super) fn on_response(&mut self, response: LookupResponse<'_>) -> Option<FinishedLookup> {
-        let LookupResponse {
-            link,
-            host,
-            id,
-            origin,
-            versions,
-        } = response;
+    pub(super) fn on_response(
+        &mut self,
+        link: LinkId,
+        id: u64,
+        origin: Option<StreamOrigin>,
+        versions: VersionReport,
+    ) -> Option<FinishedLookup> {
         let lookup = self.pending.get_mut(&id)?;
         lookup.waiting.remove(&link);
-        lookup.versions.record(host.as_str(), versions);
+        lookup.versions.record(versions);
         if origin.is_none() && !lookup.waiting.is_empty() {
             return None;
         }
--- a/src/coltsfootnotch/daemon/forward/actor/streams.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/streams.rs
@@ -8,7 +8,7 @@
 use tokio::sync::oneshot;
 
 use super::ForwardActor;
-use super::stream_lookups::{FinishedLookup, LookupResponse};
+use super::stream_lookups::FinishedLookup;
 use crate::daemon::forward::messages::{FindOrigin, KnownOrigin, OriginSource, Ticket};
 
 impl ForwardActor {
@@ -34,7 +34,8 @@
             let _result = tx.send(None);
             return;
         }
-        let (stream, service) = (req.stream, req.service.to_string());
+        let service = req.sole_service.as_deref().unwrap_or_default().to_owned();
+        let stream = req.stream;
         let id = self.lookups.start(now, req, tx, links);
         self.links.send_to_all(&ToRelay::FindStream {
             id,
@@ -50,17 +51,7 @@
         origin: Option<StreamOrigin>,
         versions: VersionReport,
     ) {
-        let Some(host) = self.links.host(link) else {
-            return;
-        };
-        let response = LookupResponse {
-            link,
-            host,
-            id,
-            origin,
-            versions,
-        };
-        if let Some(finished) = self.lookups.on_response(response) {
+        if let Some(finished) = self.lookups.on_response(link, id, origin, versions) {
             self.finish_lookup(finished);
         }
     }
@@ -101,7 +92,7 @@
         let known_by = |source| move |origin| KnownOrigin { origin, source };
         let by_control_host = finished.origin.map(known_by(OriginSource::ControlHost));
         let known = by_control_host.or_else(|| {
-            let service = &finished.req.service;
+            let service = finished.req.sole_service.as_ref()?;
             let own = self.state.registry.versions(service);
             let version = finished.versions.sole_version(own.map(|v| &**v))?;
             let origin = StreamOrigin::new(service.clone(), version);
--- a/src/coltsfootnotch/daemon/forward/messages.rs
+++ b/src/coltsfootnotch/daemon/forward/messages.rs
@@ -80,8 +80,8 @@
 pub(super) struct FindOrigin {
     /// Digest of the stream's identity, if the caller names the request that began it.
     pub(super) stream: Option<u64>,
-    /// The service that the request is for.
-    pub(super) service: Arc<str>,
+    /// The service that its route leads to, if that is but one.
+    pub(super) sole_service: Option<Arc<str>>,
 }
 
 /// How the origin of a stream is known.
--- a/src/coltsfootnotch/daemon/forward/resumption.rs
+++ b/src/coltsfootnotch/daemon/forward/resumption.rs
@@ -39,9 +39,12 @@
         &self,
         req: &mut MatchedRequest,
     ) -> Result<(), PlacementError> {
+        let services = req.config.services();
+        let mut allowed = req.route().services.iter().filter(|s| s.weight > 0);
+        let sole = allowed.next().filter(|_| allowed.next().is_none());
         let find = FindOrigin {
             stream: req.stream.filter(|_| req.head.resumes.is_some()),
-            service: req.config.services()[req.service].name.clone(),
+            sole_service: sole.map(|s| services[s.service].name.clone()),
         };
         let (tx, rx) = oneshot::channel();
         self.tx.send(ForwardMsg::FindOrigin(find, tx));
