--- a/soak/src/scenario.rs
+++ b/soak/src/scenario.rs
@@ -219,6 +219,15 @@
         Ok(())
     }
 
+    /// Has an upstream leave with its streams unfinished. No other one may go on with them, so that a router which is
+    /// stopping has to break them off.
+    async fn leave(&self, upstream: &mut Upstream) {
+        for router in 0..self.fleet.router_count() {
+            self.disturb_router(router, Duration::ZERO);
+        }
+        upstream.leave().await;
+    }
+
     /// Starts the first upstream of streams with its next version, then has the others leave, which start with that
     /// version later. All hosts are killed `kill_after` the others begin to leave.
     async fn release_and_kill_all(
@@ -238,7 +247,7 @@
             return Ok(());
         };
         let next_version = first.next_version();
-        first.leave().await;
+        self.leave(first).await;
         sleep(absent).await;
         first.start().await?;
         sleep(SETTLE_TIME).await;
@@ -250,7 +259,7 @@
             // Those that have the version already stay.
             for upstream in others {
                 if upstream.next_version() == next_version {
-                    upstream.leave().await;
+                    self.leave(upstream).await;
                     sleep(DEPARTURE_INTERVAL).await;
                 }
             }
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -9,6 +9,7 @@
 use coltsfootnotch_soak::kept_caller::call_until_refused;
 use coltsfootnotch_soak::notices::Notices;
 use coltsfootnotch_soak::recorder::{Invariant, Recorder, RequestOutcome};
+use coltsfootnotch_soak::schedule::{Action, FleetSize, Schedule, Step};
 use googletest::prelude::*;
 
 fn violated(recorder: &Recorder) -> Vec<Invariant> {
@@ -226,3 +227,26 @@
     drop(listener);
     expect_that!(call_until_refused(refused), none());
 }
+
+/// Guards against releases that change what a seed draws otherwise, or that have no time to end.
+#[googletest::test]
+fn releases_are_added_to_the_steps_of_a_seed() {
+    let size = FleetSize {
+        controls: 3,
+        routers: 3,
+        upstreams: 6,
+    };
+    let length = Duration::from_secs(30);
+    for seed in 0..20 {
+        let without = Schedule::draw(seed, length, size);
+        let mut with = without.clone().with_releases(seed);
+        expect_that!(with, eq(&without.clone().with_releases(seed)));
+        let is_release = |step: &Step| matches!(step.action, Action::ReleaseAndKillAll { .. });
+        expect_that!(
+            with.steps.iter().filter(|step| is_release(step)).count(),
+            eq(2)
+        );
+        with.steps.retain(|step| !is_release(step));
+        expect_that!(with, eq(&without));
+    }
+}
