Pass redirects of upstreams on instead of following them, also cut ones

Cause: the sidecar's HTTP client followed redirects.

What callers saw: a 200 that is framed as complete with the body of another path or address, for a call whose upstream had stopped in the head of a 302; the same for a whole 302. A call that may run once reached an upstream twice. An answer taken that way would be recorded in the ledger for its idempotency key as any other.

Change: calls follow no redirects.

A redirect reaches its caller without its Location, since the head that sidecars send has no place for it; before it did not reach its caller at all.

--- a/src/coltsfootnotch/daemon/sidecar/orders/call_tests.rs
+++ b/src/coltsfootnotch/daemon/sidecar/orders/call_tests.rs
@@ -1,5 +1,7 @@
-//! Orders to engines that send bytes without end.
+//! Orders to engines whose responses have no end, are cut, or redirect.
 
+use std::io::{Read, Write};
+use std::net::TcpListener;
 use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
@@ -7,7 +9,7 @@
 use coltsfootnotch_state::FencingNumber;
 use googletest::prelude::*;
 
-use super::OrderCall;
+use super::{OrderCall, OrderOutcome};
 use crate::daemon::sidecar::endless_upstream::{Form, Upstream, forms};
 
 /// Timeout of the orders.
@@ -49,3 +51,52 @@
         });
     }
 }
+
+/// How an order ends whose engine responds with `first` and closes, and answers any further call with a success.
+fn order_answered_with(first: &str) -> OrderOutcome {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let first = first.to_owned();
+    thread::spawn(move || {
+        let further = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        for (n, stream) in listener.incoming().enumerate() {
+            let mut stream = stream.unwrap();
+            let _read = stream.read(&mut [0; 4096]);
+            let response = if n == 0 { &first } else { further };
+            let _written = stream.write_all(response.as_bytes());
+        }
+    });
+    let order = OrderCall {
+        address,
+        fence: FencingNumber(1),
+        order: "load",
+        key: "name",
+        value: "m".into(),
+        timeout: TIMEOUT,
+    };
+    order.run()
+}
+
+/// Guards against an order that counts as done, or as refused, since a part of a head was taken for a response.
+#[googletest::test]
+fn an_order_whose_response_is_cut_in_its_head_has_no_response() {
+    for whole in [
+        "HTTP/1.1 200 OK\r\nx-a: b\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 409 Conflict\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 302 Found\r\nlocation: /other\r\ncontent-length: 0\r\n\r\n",
+    ] {
+        for cut in 0..whole.len() {
+            let outcome = order_answered_with(&whole[..cut]);
+            let cut = &whole[..cut];
+            expect_that!(outcome, eq(OrderOutcome::NoResponse), "{cut:?}");
+        }
+    }
+}
+
+/// Guards against an order that counts as done since another address answered.
+#[googletest::test]
+fn an_order_that_is_redirected_is_not_done() {
+    let redirect = "HTTP/1.1 302 Found\r\nlocation: /other\r\ncontent-length: 0\r\n\r\n";
+    let outcome = order_answered_with(redirect);
+    expect_that!(outcome, eq(OrderOutcome::Status(302)));
+}
--- a/src/coltsfootnotch/daemon/sidecar/upstream_call.rs
+++ b/src/coltsfootnotch/daemon/sidecar/upstream_call.rs
@@ -111,6 +111,8 @@
 fn build_agent(max_idle: usize) -> Agent {
     let config = Agent::config_builder()
         .http_status_as_error(false)
+        // Redirects are for the caller: following one would send the call to an address that was not chosen for it.
+        .max_redirects(0)
         .timeout_connect(Some(CONNECT_TIMEOUT))
         .timeout_per_read(Some(READ_TIMEOUT))
         .no_delay(true)
@@ -337,3 +339,7 @@
 #[cfg(test)]
 #[path = "upstream_call_tests.rs"]
 mod tests;
+
+#[cfg(test)]
+#[path = "cut_response_tests.rs"]
+mod cut_response_tests;
