Count an order as done only if its engine says so

Cause: as with calls, the client that sends orders followed redirects, and took one for read once its Location was.

What operators saw: an order that counts as done, though its engine stopped in the head of a 302 and another address, or another path, answered the request that followed.

Change: orders follow no redirects.

--- a/src/coltsfootnotch/daemon/sidecar/orders/call.rs
+++ b/src/coltsfootnotch/daemon/sidecar/orders/call.rs
@@ -47,6 +47,8 @@
     pub fn run(&self) -> OrderOutcome {
         let agent: Agent = Agent::config_builder()
             .http_status_as_error(false)
+            // The order is for this engine; a success elsewhere does not state that it was executed.
+            .max_redirects(0)
             .timeout_global(Some(self.timeout))
             .max_idle_connections_per_host(0)
             .build()
