Guard relayed connections against responses that are cut

Three forms of a response (length, chunks with a trailer, neither), each also after a 103, are cut at each byte on a connection that is handed over to a neighbour, by a close and by a reset: 980 cuts. The test passed on the code as it was, in 0.6 s: nothing is added to a head that has begun, a caller whose response has not begun gets a 502, and a reset reaches the caller as one.

--- a/src/coltsfootnotch/daemon/forward/handover/relay.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay.rs
@@ -273,3 +273,7 @@
 #[cfg(test)]
 #[path = "relay_departure_tests.rs"]
 mod departure_tests;
+
+#[cfg(test)]
+#[path = "relay_cut_tests.rs"]
+mod cut_tests;
