Infer no version when no control host has answered

Callers that resumed streams as all control hosts were killed got them joined from two versions: a lookup that no control host had answered counted as answered by all, so the versions that the entry had heard of decided.

The table of answers asks for a version that the entry knows itself as well; it failed before.

--- a/crates/forward/src/streams/version_reports.rs
+++ b/crates/forward/src/streams/version_reports.rs
@@ -63,6 +63,8 @@
         };
         let has_answered = |member: &String| self.by_member.contains_key(member);
         let mut reports = self.by_member.values();
-        reports.all(|report| is_known(report) && report.others.iter().all(has_answered))
+        let is_complete =
+            reports.all(|report| is_known(report) && report.others.iter().all(has_answered));
+        is_complete && !self.by_member.is_empty()
     }
 }
--- a/crates/forward/tests/testsuite/streams.rs
+++ b/crates/forward/tests/testsuite/streams.rs
@@ -203,6 +203,9 @@
             .iter()
             .for_each(|answer| reports.record(answer.clone()));
         expect_that!(reports.sole_version([]), eq(sole), "{answers:?}");
+        if sole.is_none() && !answers.iter().any(|answer| answer.versions.is_empty()) {
+            expect_that!(reports.sole_version(["v1"]), none(), "{answers:?}");
+        }
         if sole.is_some() {
             expect_that!(reports.sole_version(["v9"]), none(), "{answers:?}");
         }
