--- a/crates/forward/src/registry/saved_versions.rs
+++ b/crates/forward/src/registry/saved_versions.rs
@@ -36,10 +36,10 @@
 /// let version = ("spec".into(), "v1".into());
 /// let mut versions = SavedVersions::default();
 /// let req = versions.add(&version).unwrap();
-/// assert!(!versions.contains(&version));
+/// assert!(!versions.is_saved(&version));
 /// assert_eq!(versions.add(&version), None, "is being saved");
 /// versions.on_saved(req.number);
-/// assert!(versions.contains(&version));
+/// assert!(versions.is_saved(&version));
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct SavedVersions {
@@ -88,7 +88,7 @@
 
     /// Whether the version is on the disk, and is not about to be removed from it.
     #[must_use]
-    pub fn contains(&self, version: &ServiceVersion) -> bool {
+    pub fn is_saved(&self, version: &ServiceVersion) -> bool {
         let number = self.versions.get(version);
         number.is_some_and(|number| *number <= self.saved)
     }
--- a/crates/forward/tests/testsuite/streams.rs
+++ b/crates/forward/tests/testsuite/streams.rs
@@ -337,7 +337,7 @@
                     }
                 }
             }
-            for version in (0..4).map(version).filter(|version| versions.contains(version)) {
+            for version in (0..4).map(version).filter(|version| versions.is_saved(version)) {
                 prop_assert!(disk.contains(&version));
                 // Also after each of the requests that are queued.
                 prop_assert!(queued.iter().all(|req| req.stored.versions.contains(&version)));
--- a/src/coltsfootnotch/daemon/control/seeded/service_versions.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/service_versions.rs
@@ -95,7 +95,7 @@
         };
         let version = service_version(&announcement);
         let versions = &mut seeded.versions;
-        if versions.saved.contains(&version) {
+        if versions.saved.is_saved(&version) {
             return self.accept_announcement(now, announcement, tx);
         }
         if versions.waiting.len() >= MAX_VERSIONS || versions.saved.len() >= MAX_VERSIONS {
@@ -127,7 +127,7 @@
         let versions = &mut seeded.versions;
         versions.saved.on_saved(number);
         let is_saved =
-            |waiting: &mut Waiting| versions.saved.contains(&service_version(&waiting.0));
+            |waiting: &mut Waiting| versions.saved.is_saved(&service_version(&waiting.0));
         let accepted: Vec<Waiting> = versions.waiting.extract_if(.., is_saved).collect();
         for (announcement, tx) in accepted {
             self.accept_announcement(now, announcement, tx);
