Say why one of several requests to save versions is enough

Three changes may each make a request in one round, and only the last is sent; why that is enough was not plain. A comment, no behaviour changes.

--- a/src/coltsfootnotch/daemon/control/seeded/service_versions.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/service_versions.rs
@@ -172,6 +172,7 @@
         let is_complete = versions.known_for(now) >= VERSION_RETENTION;
         let completed =
             (is_complete && !versions.saved.is_complete()).then(|| versions.saved.set_complete());
+        // The last request made holds what the earlier ones do.
         if let Some(req) = completed.or(removed).or(hosts_changed) {
             self.disk.save_versions(req);
         }
