Test clients that do not behave at each listener

Crowds of clients that stop short of the end of a body or head, or read nothing, are sent to each listener of the processes, with lowered limits. Each test checks that the processes live, their peak memory and descriptors, and that ordinary requests are answered afterwards, and runs alone in its program.

--- /dev/null
+++ b/tests/misbehaving/crowd.rs
@@ -0,0 +1,144 @@
+//! Clients that stay connected to one listener and never read what they are sent.
+
+use std::io::{ErrorKind, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use socket2::{Domain, Socket, Type};
+
+/// Time limit for a connection to be accepted.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time without progress after which a crowd counts as sent: the listener reads no more of it.
+const STALL: Duration = Duration::from_secs(2);
+/// Most bytes that a client sends in its turn.
+const TURN_BYTES: usize = 64 * 1024;
+/// Receive buffer of a client, in bytes: its listener soon has to keep what it sends.
+const RECEIVE_BUFFER: usize = 4 * 1024;
+/// Bytes of a large chunk.
+pub(crate) const LARGE_CHUNK: usize = 64 * 1024;
+
+/// Held by a test while it runs, so that its crowd is the only one.
+pub(crate) fn only_crowd() -> MutexGuard<'static, ()> {
+    static ONLY: Mutex<()> = Mutex::new(());
+    ONLY.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Clients that stay connected until this value is dropped.
+pub(crate) struct Crowd {
+    clients: Vec<Client>,
+}
+
+struct Client {
+    stream: TcpStream,
+    message: Vec<u8>,
+    sent: usize,
+    is_refused: bool,
+}
+
+impl Client {
+    /// Sends what the connection takes at once; returns whether that was anything.
+    fn send(&mut self) -> bool {
+        let end = self.message.len().min(self.sent + TURN_BYTES);
+        if self.is_refused || self.sent == end {
+            return false;
+        }
+        match self.stream.write(&self.message[self.sent..end]) {
+            Ok(len) => {
+                self.sent += len;
+                true
+            }
+            Err(e) if e.kind() == ErrorKind::WouldBlock => false,
+            Err(_) => {
+                self.is_refused = true;
+                true
+            }
+        }
+    }
+}
+
+impl Crowd {
+    /// Connects clients and has each send its message, by turns, until all is sent, refused or no longer read.
+    pub(crate) fn send(
+        address: SocketAddr,
+        clients: usize,
+        message: impl Fn(usize) -> Vec<u8>,
+    ) -> Self {
+        let connect = |n| {
+            let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+            socket.set_recv_buffer_size(RECEIVE_BUFFER).unwrap();
+            socket
+                .connect_timeout(&address.into(), CONNECT_TIMEOUT)
+                .ok()?;
+            socket.set_nonblocking(true).unwrap();
+            Some(Client {
+                stream: socket.into(),
+                message: message(n),
+                sent: 0,
+                is_refused: false,
+            })
+        };
+        let mut crowd = Self {
+            clients: (0..clients).filter_map(connect).collect(),
+        };
+        crowd.send_all();
+        crowd
+    }
+
+    fn send_all(&mut self) {
+        let mut last_progress = Instant::now();
+        while last_progress.elapsed() < STALL {
+            let mut has_sent = false;
+            for client in &mut self.clients {
+                has_sent |= client.send();
+            }
+            if has_sent {
+                last_progress = Instant::now();
+            } else {
+                std::thread::sleep(Duration::from_millis(5));
+            }
+        }
+    }
+}
+
+/// The head of a request with a chunked body, and chunks of `chunk_bytes` that hold `body_bytes` in all, without the
+/// last chunk.
+pub(crate) fn unfinished_chunks(head: &str, body_bytes: usize, chunk_bytes: usize) -> Vec<u8> {
+    let mut message = format!("{head}Transfer-Encoding: chunked\r\n\r\n").into_bytes();
+    let chunk = format!("{chunk_bytes:x}\r\n{}\r\n", "a".repeat(chunk_bytes));
+    for _ in 0..body_bytes / chunk_bytes {
+        message.extend_from_slice(chunk.as_bytes());
+    }
+    message
+}
+
+/// The head of a request that lacks its last line, of `bytes` in all, with one long header.
+pub(crate) fn unfinished_head(line: &str, bytes: usize) -> Vec<u8> {
+    let start = format!("{line}\r\nHost: a.example\r\nX-Filler: ");
+    let filler = "a".repeat(bytes.saturating_sub(start.len()));
+    (start + &filler).into_bytes()
+}
+
+/// What a process holds, as the system reports it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ProcessUsage {
+    /// Most resident memory since the start, in kilobytes.
+    pub(crate) peak_memory_kb: u64,
+    /// Open descriptors.
+    pub(crate) descriptors: usize,
+}
+
+impl ProcessUsage {
+    /// None if the process has ended.
+    pub(crate) fn of(pid: u32) -> Option<Self> {
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let descriptors = std::fs::read_dir(format!("/proc/{pid}/fd")).ok()?;
+        Some(Self {
+            peak_memory_kb: line.split_whitespace().next()?.parse().ok()?,
+            descriptors: descriptors.count(),
+        })
+    }
+}
--- a/tests/testsuite/processes/daemon.rs
+++ b/tests/testsuite/processes/daemon.rs
@@ -42,7 +42,7 @@
     pub(crate) host: String,
     settings: PathBuf,
     log: PathBuf,
-    child: Option<Child>,
+    pub(crate) child: Option<Child>,
 }
 
 impl Daemon {
--- a/tests/testsuite/processes/fleet.rs
+++ b/tests/testsuite/processes/fleet.rs
@@ -56,7 +56,7 @@
     pub(crate) engines: Vec<EngineHandle>,
     pub(crate) services: Vec<OrderHandle>,
     pub(crate) operator: OperatorClient,
-    address: IpAddr,
+    pub(crate) address: IpAddr,
     folder: TempDir,
     runtime: Runtime,
 }
@@ -64,11 +64,17 @@
 impl Fleet {
     /// Starts all processes, applies manifest 1 and waits until every entry serves every pool.
     pub(crate) fn start(plan: Plan) -> Self {
+        Self::start_with_limits(plan, &json!({}))
+    }
+
+    /// The same with further limits in the settings of entries and sidecars.
+    pub(crate) fn start_with_limits(plan: Plan, limits: &Value) -> Self {
         let address = unique_address();
         let folder = TempDir::new().expect("the folder is created");
         let writer = SettingsWriter {
             address,
             folder: folder.path(),
+            limits,
         };
         let sidecars = plan.engines.len() + plan.services.len();
         let mut controls = writer.write_role(Role::Control, 3);
@@ -273,6 +279,8 @@
 struct SettingsWriter<'a> {
     address: IpAddr,
     folder: &'a Path,
+    /// Further limits of entries and sidecars.
+    limits: &'a Value,
 }
 
 impl SettingsWriter<'_> {
@@ -317,6 +325,11 @@
             Role::Operator => panic!("an operator has no daemon"),
         }
         settings["listen"] = listen;
+        if role != Role::Control {
+            for (name, limit) in self.limits.as_object().into_iter().flatten() {
+                settings["limits"][name] = limit.clone();
+            }
+        }
         settings
     }
 }
@@ -325,7 +338,7 @@
     format!("{role}-{}", at + 1)
 }
 
-fn port_of(address: IpAddr, role: Role, at: usize, of: u16) -> SocketAddr {
+pub(crate) fn port_of(address: IpAddr, role: Role, at: usize, of: u16) -> SocketAddr {
     let first = match role {
         Role::Control => 0,
         Role::Entry => 100,
