--- a/crates/forward/src/config/forward_config.rs
+++ b/crates/forward/src/config/forward_config.rs
@@ -154,10 +154,8 @@
             let prefixes = by_host.entry(route.host.clone()).or_default();
             if let Some(first) = prefixes.insert(route.prefix.clone(), index) {
                 let first = format!("routes[{first}]");
-                problems.push(Problem::new(
-                    location,
-                    ProblemKind::DuplicateRoute { first },
-                ));
+                let kind = ProblemKind::DuplicateRoute { first };
+                Problem::new(location, kind).report(&mut problems);
             }
             routes.push(Arc::new(route));
         }
@@ -186,7 +184,7 @@
         if let Some(first) = found.insert(name.clone(), index) {
             let first = format!("{list}[{first}]");
             let location = format!("{list}[{index}]");
-            problems.push(Problem::new(location, ProblemKind::DuplicateName { first }));
+            Problem::new(location, ProblemKind::DuplicateName { first }).report(problems);
         }
     }
     found
@@ -201,7 +199,7 @@
             if let Some(first) = previous.filter(|first| *first != index) {
                 let first = format!("accounts[{first}]");
                 let location = format!("accounts[{index}]");
-                problems.push(Problem::new(location, ProblemKind::SharedKey { first }));
+                Problem::new(location, ProblemKind::SharedKey { first }).report(problems);
             }
         }
     }
@@ -215,18 +213,15 @@
     problems: &mut Vec<Problem>,
 ) -> Route {
     if draft.timeout.is_zero() {
-        problems.push(Problem::new(location, ProblemKind::ZeroTimeout));
+        Problem::new(location, ProblemKind::ZeroTimeout).report(problems);
     }
     if !draft.prefix.starts_with('/') || !draft.prefix.ends_with('/') {
         let prefix = draft.prefix.clone();
-        problems.push(Problem::new(
-            location,
-            ProblemKind::InvalidPrefix { prefix },
-        ));
+        Problem::new(location, ProblemKind::InvalidPrefix { prefix }).report(problems);
     }
     let total: u64 = draft.services.iter().map(|s| u64::from(s.weight)).sum();
     if total == 0 {
-        problems.push(Problem::new(location, ProblemKind::ZeroWeight));
+        Problem::new(location, ProblemKind::ZeroWeight).report(problems);
     }
     let mut shares = Vec::with_capacity(draft.services.len());
     for share in draft.services {
@@ -237,7 +232,7 @@
             }),
             None => {
                 let name = share.service;
-                problems.push(Problem::new(location, ProblemKind::UnknownService { name }));
+                Problem::new(location, ProblemKind::UnknownService { name }).report(problems);
             }
         }
     }
--- a/crates/forward/src/config/mod.rs
+++ b/crates/forward/src/config/mod.rs
@@ -15,7 +15,7 @@
 pub use account::Account;
 pub use draft::{ConfigDraft, RouteDraft, ShareDraft};
 pub use forward_config::{Bounds, ForwardConfig};
-pub use problem::{Problem, ProblemKind};
+pub use problem::{MAX_PROBLEMS, Problem, ProblemKind};
 pub use route::{Route, RouteKind, ServiceShare};
 pub use service::{Engine, Service};
 pub use service_config::ServiceConfig;
--- a/crates/forward/src/config/problem.rs
+++ b/crates/forward/src/config/problem.rs
@@ -49,6 +49,9 @@
     },
 }
 
+/// Most problems of a configuration that are reported; a long one may have many more.
+pub const MAX_PROBLEMS: usize = 100;
+
 /// A problem of a configuration.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 #[display("{location}: {kind}")]
@@ -68,4 +71,20 @@
             kind,
         }
     }
+
+    /// Adds the problem to those that are reported, unless they are [`MAX_PROBLEMS`].
+    ///
+    /// ```
+    /// use coltsfootnotch_forward::config::{MAX_PROBLEMS, Problem, ProblemKind};
+    /// let mut problems = Vec::new();
+    /// for index in 0..=MAX_PROBLEMS {
+    ///     Problem::new(format!("routes[{index}]"), ProblemKind::ZeroTimeout).report(&mut problems);
+    /// }
+    /// assert_eq!(problems.len(), MAX_PROBLEMS);
+    /// ```
+    pub fn report(self, problems: &mut Vec<Self>) {
+        if problems.len() < MAX_PROBLEMS {
+            problems.push(self);
+        }
+    }
 }
