--- a/src/coltsfootnotch/daemon/admin.rs
+++ b/src/coltsfootnotch/daemon/admin.rs
@@ -10,7 +10,7 @@
 
 use crate::core::HostCx;
 use crate::util::http_server::{self, AnyResponse, ServerLimits, TEXT};
-use crate::util::metrics::Metrics;
+use crate::util::rendered_metrics::RenderedMetrics;
 
 /// Sized for load balancers and metric scrapers, which need a few connections each.
 const LIMITS: ServerLimits = ServerLimits {
@@ -38,7 +38,7 @@
     let entered = cx.runtime.enter();
     let listener = tokio::net::TcpListener::from_std(listener)?;
     drop(entered);
-    let metrics = cx.metrics.clone();
+    let metrics = RenderedMetrics::new(cx.metrics.clone());
     let ready = Arc::new(ready);
     let serving = http_server::serve(listener, LIMITS, move |req, _peer| {
         let is_get = req.method() == Method::GET;
@@ -51,7 +51,7 @@
 fn answer(
     is_get: bool,
     path: &str,
-    metrics: &Metrics,
+    metrics: &RenderedMetrics,
     ready: &(impl Fn() -> bool + ?Sized),
 ) -> AnyResponse {
     if !is_get {
--- a/src/coltsfootnotch/util/mod.rs
+++ b/src/coltsfootnotch/util/mod.rs
@@ -20,6 +20,7 @@
 pub mod panic_log;
 mod print_causes;
 pub(crate) mod refused_connection;
+pub(crate) mod rendered_metrics;
 pub mod request_body;
 mod unsized_body;
 
