Count bodies as they are held, and limit them at every listener

A body was collected as a list of its chunks, each of which kept 32 bytes and the whole read that it came in, and only a forwarding entry had a limit over all bodies. It counted their content, while their buffers doubled, and bodies that had begun grew into the room that is left to responses.

An entry counts the copy that it makes of a body. Bodies take none of the last fifth of a router's memory.

--- a/crates/forward/src/held/hold.rs
+++ b/crates/forward/src/held/hold.rs
@@ -55,12 +55,23 @@
         self.bytes = bytes;
     }
 
-    /// Holds `bytes` more if its account has them free; returns whether it does.
+    /// Holds `bytes` of a request from now on, unless they are more than before and than there is room for; see
+    /// [`HeldResources::has_room_for_body`]. Returns whether it does.
+    ///
+    /// ```
+    /// use coltsfootnotch_forward::held::{HeldKind, HeldResources, HostLimits};
+    /// let held = HeldResources::new(HostLimits { memory_bytes: 1_000, sockets: 10 });
+    /// let mut request = held.hold(HeldKind::Request, None, 400, 0);
+    /// assert!(!request.try_resize(600), "more than is free");
+    /// assert!(request.try_resize(300));
+    /// ```
     #[must_use]
-    pub fn try_grow(&mut self, bytes: u64) -> bool {
-        let has_room = self.held.has_room(self.account.as_deref(), bytes);
+    pub fn try_resize(&mut self, bytes: u64) -> bool {
+        let account = self.account.as_deref();
+        let has_room =
+            bytes <= self.bytes || self.held.has_room_for_body(account, bytes - self.bytes);
         if has_room {
-            self.resize(self.bytes + bytes);
+            self.resize(bytes);
         }
         has_room
     }
--- a/crates/forward/src/held/limits.rs
+++ b/crates/forward/src/held/limits.rs
@@ -64,6 +64,11 @@
         (self.memory_bytes as f64 * RESPONSES_SHARE) as u64
     }
 
+    /// Memory up to which requests are accepted, in bytes.
+    pub(super) fn accepting_bytes(&self) -> u64 {
+        (self.memory_bytes as f64 * REFUSED_SHARE) as u64
+    }
+
     /// Memory that long responses leave free, in bytes.
     pub(super) fn reserved_bytes(&self) -> u64 {
         (self.memory_bytes as f64 * RESERVED_SHARE) as u64
--- a/crates/forward/src/held/resources.rs
+++ b/crates/forward/src/held/resources.rs
@@ -170,6 +170,14 @@
             && self.has_room(account, with_reserve)
     }
 
+    /// Whether the body of a request of an account may hold `bytes` more: what [`HeldResources::has_room`] allows, and
+    /// nothing of the part that is left to the responses of requests that were accepted.
+    #[must_use]
+    pub fn has_room_for_body(&self, account: Option<&str>, bytes: u64) -> bool {
+        let held = self.memory_bytes().saturating_add(bytes);
+        held <= self.limits.accepting_bytes() && self.has_room(account, bytes)
+    }
+
     pub(super) fn add_bytes(&self, kind: HeldKind, account: Option<&Arc<str>>, bytes: u64) {
         self.memory_bytes.fetch_add(bytes, Ordering::Relaxed);
         self.by_kind[kind as usize].fetch_add(bytes, Ordering::Relaxed);
--- a/src/coltsfootnotch/daemon/entry/request_handler.rs
+++ b/src/coltsfootnotch/daemon/entry/request_handler.rs
@@ -33,6 +33,8 @@
 const RESPONSE_BUFFER: usize = 32;
 /// Bytes per permit of the memory semaphore.
 const MEMORY_PERMIT_BYTES: u64 = 1024;
+/// Copies of a body that are held at once: its buffer beside a larger one as it grows, or beside the call that is sent.
+const COPIES_OF_BODY: u64 = 2;
 /// Header of every response that carries the request id.
 const REQUEST_ID_HEADER: &str = "x-request-id";
 /// Header with the caller's timeout in milliseconds, which can only shorten the configured one.
@@ -137,8 +139,10 @@
         if parts.method == Method::GET && parts.uri.path() == "/v1/models" {
             return Ok(list_models(&config));
         }
-        let permits = u32::try_from(self.max_body_bytes(&parts).div_ceil(MEMORY_PERMIT_BYTES))
-            .unwrap_or(u32::MAX);
+        let held = COPIES_OF_BODY * self.max_body_bytes(&parts);
+        // A body that the limits allow is served while nothing else is.
+        let held = held.min(self.limits.memory_bytes / MEMORY_PERMIT_BYTES * MEMORY_PERMIT_BYTES);
+        let permits = u32::try_from(held.div_ceil(MEMORY_PERMIT_BYTES)).unwrap_or(u32::MAX);
         let memory = Arc::clone(&self.memory).try_acquire_many_owned(permits.max(1));
         let memory = memory.map_err(|_| {
             Refusal::not_run(RefusalKind::Overloaded).retry_after(Duration::from_secs(1))
--- a/src/coltsfootnotch/util/http_server.rs
+++ b/src/coltsfootnotch/util/http_server.rs
@@ -13,15 +13,16 @@
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
+use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::combinators::BoxBody;
-use http_body_util::{BodyExt, Limited};
 use hyper::{Request, Response, StatusCode};
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
+use super::body_buffer::{CollectError, collect_body};
 pub use super::connection::serve_connection;
 pub(crate) use super::connection::{CLOSE_LINGER, PARTIAL_REQUEST_TIMEOUT};
 use super::connections::{Connections, OpenConnection};
@@ -222,15 +223,26 @@
     limit: usize,
     timeout: Duration,
 ) -> Result<Bytes, StatusCode> {
-    let collected = tokio::time::timeout(timeout, Limited::new(body, limit).collect());
-    match collected.await {
-        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-            Err(StatusCode::PAYLOAD_TOO_LARGE)
-        }
-        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
-    }
+    read_body_with(body, limit, timeout, |_| true).await
+}
+
+/// The same with memory that `reserve` allows; see [`collect_body`].
+///
+/// # Errors
+/// Returns the same, and 503 if `reserve` refuses memory.
+pub async fn read_body_with(
+    body: RequestBody,
+    limit: usize,
+    timeout: Duration,
+    reserve: impl FnMut(u64) -> bool,
+) -> Result<Bytes, StatusCode> {
+    let collected = tokio::time::timeout(timeout, collect_body(body, limit, reserve)).await;
+    let collected = collected.map_err(|_| StatusCode::REQUEST_TIMEOUT)?;
+    collected.map_err(|e| match e {
+        CollectError::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+        CollectError::Broken => StatusCode::BAD_REQUEST,
+        CollectError::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
+    })
 }
 
 #[cfg(test)]
--- a/src/coltsfootnotch/util/mod.rs
+++ b/src/coltsfootnotch/util/mod.rs
@@ -1,6 +1,7 @@
 //! Utilities shared by daemons and commands.
 
 mod abort_after_flush;
+pub mod body_buffer;
 pub mod body_framing;
 pub mod boot_clock;
 pub mod call_cancellation;
@@ -16,6 +17,7 @@
 pub mod http_server;
 pub mod json_log;
 pub mod line_budget;
+pub mod memory_budget;
 pub mod metrics;
 pub mod panic_log;
 mod print_causes;
--- a/tests/misbehaving/crowd.rs
+++ b/tests/misbehaving/crowd.rs
@@ -30,13 +30,39 @@
 }
 
 struct Client {
+    address: SocketAddr,
     stream: TcpStream,
     message: Vec<u8>,
     sent: usize,
     is_refused: bool,
+    /// Times that it connects again after its connection was closed.
+    returns: usize,
 }
 
 impl Client {
+    fn connect(address: SocketAddr, message: Vec<u8>, returns: usize) -> Option<Self> {
+        Some(Self {
+            address,
+            stream: connect(address)?,
+            message,
+            sent: 0,
+            is_refused: false,
+            returns,
+        })
+    }
+
+    /// Connects again, unless it has done so as often as it does.
+    fn come_again(&mut self) {
+        let stream = self.returns.checked_sub(1).and_then(|left| {
+            self.returns = left;
+            connect(self.address)
+        });
+        self.is_refused = stream.is_none();
+        if let Some(stream) = stream {
+            (self.stream, self.sent) = (stream, 0);
+        }
+    }
+
     /// Sends what the connection takes at once; returns whether that was anything.
     fn send(&mut self) -> bool {
         let end = self.message.len().min(self.sent + TURN_BYTES);
@@ -50,13 +76,24 @@
             }
             Err(e) if e.kind() == ErrorKind::WouldBlock => false,
             Err(_) => {
-                self.is_refused = true;
+                self.come_again();
                 true
             }
         }
     }
 }
 
+/// Connects without waiting in reads and writes from then on.
+fn connect(address: SocketAddr) -> Option<TcpStream> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(RECEIVE_BUFFER).unwrap();
+    socket
+        .connect_timeout(&address.into(), CONNECT_TIMEOUT)
+        .ok()?;
+    socket.set_nonblocking(true).unwrap();
+    Some(socket.into())
+}
+
 impl Crowd {
     /// Connects clients and has each send its message, by turns, until all is sent, refused or no longer read.
     pub(crate) fn send(
@@ -64,22 +101,19 @@
         clients: usize,
         message: impl Fn(usize) -> Vec<u8>,
     ) -> Self {
-        let connect = |n| {
-            let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-            socket.set_recv_buffer_size(RECEIVE_BUFFER).unwrap();
-            socket
-                .connect_timeout(&address.into(), CONNECT_TIMEOUT)
-                .ok()?;
-            socket.set_nonblocking(true).unwrap();
-            Some(Client {
-                stream: socket.into(),
-                message: message(n),
-                sent: 0,
-                is_refused: false,
-            })
-        };
+        Self::send_again(address, clients, 0, message)
+    }
+
+    /// The same with clients that connect `returns` times again after their connection was closed.
+    pub(crate) fn send_again(
+        address: SocketAddr,
+        clients: usize,
+        returns: usize,
+        message: impl Fn(usize) -> Vec<u8>,
+    ) -> Self {
+        let clients = (0..clients).filter_map(|n| Client::connect(address, message(n), returns));
         let mut crowd = Self {
-            clients: (0..clients).filter_map(connect).collect(),
+            clients: clients.collect(),
         };
         crowd.send_all();
         crowd
