Count the heads that outgrow the first buffer of their connection

A connection counted 14 KiB whatever it held. The HTTP library doubles its buffer for a head that does not fit, up to 32 KiB for one of 16 KiB, and it doubles what it reads at once after each read that fills the buffer, so that a body took up to the longest head besides its own.

The socket of a connection accounts for its buffer as the head outgrows 8 KiB, up to 0.6 of a router's memory and a budget of each other listener, and has the connection closed beyond that. One read is less than the first buffer.

--- a/crates/forward/src/held/limits.rs
+++ b/crates/forward/src/held/limits.rs
@@ -25,6 +25,10 @@
 /// so what its requests take counts twice.
 const ACCOUNT_RESPONSES_SHARE: f64 = 1.0 - RESPONSES_SHARE - 2.0 * ACCOUNT_REQUESTS_SHARE;
 
+/// Share of the memory up to which the heads of requests may outgrow the first buffers of their connections. Buffers that
+/// grow leave gaps that the allocator keeps, so not all of the memory is theirs.
+const HEADS_SHARE: f64 = 0.6;
+
 /// Share of the memory that long responses leave to new requests, also to those of their own account.
 const RESERVED_SHARE: f64 = 0.05;
 
@@ -69,6 +73,11 @@
         (self.memory_bytes as f64 * REFUSED_SHARE) as u64
     }
 
+    /// Memory up to which heads may outgrow their first buffers, in bytes.
+    pub(super) fn head_bytes(&self) -> u64 {
+        (self.memory_bytes as f64 * HEADS_SHARE) as u64
+    }
+
     /// Memory that long responses leave free, in bytes.
     pub(super) fn reserved_bytes(&self) -> u64 {
         (self.memory_bytes as f64 * RESERVED_SHARE) as u64
--- a/crates/forward/src/held/resources.rs
+++ b/crates/forward/src/held/resources.rs
@@ -178,6 +178,19 @@
         held <= self.limits.accepting_bytes() && self.has_room(account, bytes)
     }
 
+    /// Whether the head of a request may hold `bytes` more than the first buffer of its connection.
+    ///
+    /// ```
+    /// use coltsfootnotch_forward::held::{HeldResources, HostLimits};
+    /// let held = HeldResources::new(HostLimits { memory_bytes: 1_000, sockets: 10 });
+    /// assert!(held.has_room_for_head(600));
+    /// assert!(!held.has_room_for_head(700));
+    /// ```
+    #[must_use]
+    pub fn has_room_for_head(&self, bytes: u64) -> bool {
+        self.memory_bytes().saturating_add(bytes) <= self.limits.head_bytes()
+    }
+
     pub(super) fn add_bytes(&self, kind: HeldKind, account: Option<&Arc<str>>, bytes: u64) {
         self.memory_bytes.fetch_add(bytes, Ordering::Relaxed);
         self.by_kind[kind as usize].fetch_add(bytes, Ordering::Relaxed);
--- a/src/coltsfootnotch/daemon/admin.rs
+++ b/src/coltsfootnotch/daemon/admin.rs
@@ -16,6 +16,7 @@
 const LIMITS: ServerLimits = ServerLimits {
     connections: 64,
     header_bytes: 8 * 1024,
+    long_head_bytes: 512 * 1024,
     read_timeout: Duration::from_secs(5),
 };
 
--- a/src/coltsfootnotch/daemon/entry/listen.rs
+++ b/src/coltsfootnotch/daemon/entry/listen.rs
@@ -17,6 +17,9 @@
 use crate::util::connections::Connections;
 use crate::util::http_server::{ServerLimits, serve_and_close};
 
+/// Part of the memory for bodies and answers that heads may take besides, which need it for moments only.
+const LONG_HEADS_DIVISOR: u64 = 4;
+
 /// State that the actor shares with the tasks of caller connections.
 pub(super) struct ListenerState {
     pub(super) config: watch::Receiver<Option<Arc<ConfigIndex>>>,
@@ -37,6 +40,7 @@
     let limits = ServerLimits {
         connections: cfg.limits.connections,
         header_bytes: cfg.limits.header_bytes,
+        long_head_bytes: cfg.limits.memory_bytes / LONG_HEADS_DIVISOR,
         read_timeout: cfg.limits.read_timeout(),
     };
     let request_handler = Arc::new(RequestHandler {
--- a/src/coltsfootnotch/daemon/forward/handover/handed_over.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/handed_over.rs
@@ -86,6 +86,8 @@
             if this.take_bytes(buf)? {
                 return Poll::Ready(Ok(()));
             }
+            // Idle connections hold no buffer.
+            this.received = BytesMut::from(&this.received[..]);
             let mut chunk = [0; READ_BYTES];
             let mut read = ReadBuf::new(&mut chunk);
             ready!(Pin::new(&mut this.stream).poll_read(cx, &mut read))?;
--- a/src/coltsfootnotch/daemon/forward/listener.rs
+++ b/src/coltsfootnotch/daemon/forward/listener.rs
@@ -5,15 +5,19 @@
 use std::time::{Duration, Instant};
 
 use coltsfootnotch_forward::held::{HeldKind, Hold, Load};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 
 use super::costs::{CONNECTION_BYTES, RELAY_BYTES};
 use super::handover::{HandedOver, RelayEnd, connect, probe_peer, relay};
 use super::server::Gateway;
+use crate::util::connection_io::ServerSocket;
 use crate::util::connections::{Connections, OpenConnection};
 use crate::util::events;
-use crate::util::http_server::{ConnectionLimits, accept_connections, prepare, serve_connection};
+use crate::util::http_server::{
+    ConnectionCx, ConnectionLimits, accept_connections, prepare, serve_connection,
+};
 use crate::util::refused_connection::{MAX_WAITED_FOR, refuse_connection};
 
 /// Neighbours tried before a connection is served here.
@@ -33,39 +37,67 @@
 impl Acceptor {
     /// Accepts connections of callers until the connections are told to close.
     pub(super) async fn accept_callers(self, listener: TcpListener) {
-        let Self { limits, gw, .. } = self.clone();
         let refusals = Arc::new(Semaphore::new(MAX_WAITED_FOR));
+        let acceptor = self.clone();
         let serve = move |stream, peer, open, hold| {
-            let refusals = Arc::clone(&refusals);
-            serve_caller(
-                stream,
-                peer,
-                open,
-                hold,
-                Arc::clone(&limits),
-                Arc::clone(&gw),
-                refusals,
-            )
+            let conn = Accepted { peer, open, hold };
+            serve_caller(stream, conn, acceptor.clone(), Arc::clone(&refusals))
         };
-        accept_connections(listener, || admit(&self.gw), self.connections, serve).await;
+        accept_connections(
+            listener,
+            || admit(&self.gw),
+            Arc::clone(&self.connections),
+            serve,
+        )
+        .await;
     }
 
     /// Accepts connections that neighbours hand over, until the connections are told to close. They are served
     /// here in any case, so that a connection is handed over at most once.
     pub(super) async fn accept_handed_over(self, listener: TcpListener) {
-        let Self { limits, gw, .. } = self.clone();
+        let acceptor = self.clone();
         let serve = move |stream, peer, open, hold| {
-            serve_handed_over(
-                stream,
-                peer,
-                open,
-                hold,
-                Arc::clone(&limits),
-                Arc::clone(&gw),
-            )
+            let conn = Accepted { peer, open, hold };
+            serve_handed_over(stream, conn, acceptor.clone())
         };
-        accept_connections(listener, || admit(&self.gw), self.connections, serve).await;
+        accept_connections(
+            listener,
+            || admit(&self.gw),
+            Arc::clone(&self.connections),
+            serve,
+        )
+        .await;
     }
+
+    /// Serves a connection here until it ends.
+    async fn serve<S: AsyncRead + AsyncWrite + ServerSocket + Unpin>(
+        &self,
+        stream: S,
+        conn: Accepted,
+        closing: impl Future<Output = ()>,
+    ) {
+        let Accepted { peer, open, hold } = conn;
+        let cx = connection_cx(peer, hold, &self.gw);
+        let handler = |req, peer| Arc::clone(&self.gw).handle(req, peer);
+        let closing = async {
+            tokio::select! {
+                () = closing => {}
+                () = open.closing() => {}
+            }
+        };
+        let aborting = || open.aborting();
+        let limits = || (self.limits)();
+        let served = serve_connection(stream, cx, limits, closing, aborting, &handler);
+        let is_unread = served.await;
+        open.count_if_unread(is_unread);
+    }
+}
+
+/// A connection that was accepted.
+struct Accepted {
+    peer: SocketAddr,
+    open: OpenConnection,
+    hold: Hold,
 }
 
 /// Memory and socket of a new connection; none if no more connections may be held.
@@ -89,42 +121,40 @@
 
 async fn serve_caller(
     stream: TcpStream,
-    peer: SocketAddr,
-    open: OpenConnection,
-    mut hold: Hold,
-    limits: Limits,
-    gw: Arc<Gateway>,
+    mut conn: Accepted,
+    acceptor: Acceptor,
     refusals: Arc<Semaphore>,
 ) {
+    let gw = &acceptor.gw;
     if prepare(&stream).is_err() {
         return;
     }
-    let hands_over = should_hand_over(&gw);
+    let hands_over = should_hand_over(gw);
     if hands_over && gw.overload.should_refuse((gw.draw)()) {
         // Even handing over takes more time than this host has, and a fixed refusal takes less: with it the
         // caller knows that it may reach another host at once.
-        count_closed_unread(&gw);
+        count_closed_unread(gw);
         // Boxed, as each connection that is served holds the space of its timer.
         Box::pin(refuse_connection(stream, &refusals)).await;
         return;
     }
-    if hands_over && let Some(neighbour) = connect_neighbour(&gw).await {
+    if hands_over && let Some(neighbour) = connect_neighbour(gw).await {
         gw.cx
             .metrics
             .counter("connections_handed_over", &[])
             .increment(1);
-        hold.resize(RELAY_BYTES);
-        hold.add_sockets(1);
+        conn.hold.resize(RELAY_BYTES);
+        conn.hold.add_sockets(1);
         let is_single = gw.held.load() >= Load::Crowded;
         let started = Instant::now();
         let address = neighbour.peer_addr().ok();
-        let (closing, aborting) = (gw.handover.ended(), open.aborting());
+        let (closing, aborting) = (gw.handover.ended(), conn.open.aborting());
         // Boxed, since its buffers would otherwise be part of the task of each connection that is served
         // here. A broken connection to the caller is its own.
         let relayed = Box::pin(relay(stream, neighbour, closing, aborting, is_single)).await;
         match relayed {
             Ok(RelayEnd::NeighbourLost { is_broken }) => {
-                log_lost_neighbour(&gw, address, is_broken, started.elapsed());
+                log_lost_neighbour(gw, address, is_broken, started.elapsed());
             }
             Ok(RelayEnd::Refused) => {
                 let metrics = &gw.cx.metrics;
@@ -136,11 +166,21 @@
         }
         return;
     }
-    let handler = move |req, peer| Arc::clone(&gw).handle(req, peer);
-    let (closing, aborting) = (open.closing(), || open.aborting());
-    let limits = || limits();
-    let is_unread = serve_connection(stream, peer, limits, closing, aborting, &handler).await;
-    open.count_if_unread(is_unread);
+    let never = std::future::pending();
+    acceptor.serve(stream, conn, never).await;
+}
+
+/// A connection whose buffer is counted with what `hold` holds.
+fn connection_cx(peer: SocketAddr, mut hold: Hold, gw: &Gateway) -> ConnectionCx {
+    let (held, others) = (Arc::clone(&gw.held), hold.bytes());
+    ConnectionCx::from(peer).reserve_buffer(move |bytes| {
+        let more = (others + bytes).saturating_sub(hold.bytes());
+        let has_room = held.has_room_for_head(more);
+        if has_room {
+            hold.resize(others + bytes);
+        }
+        has_room
+    })
 }
 
 /// Whether to hand a new connection over: this host has more callers than it can serve, or holds nearly as
@@ -185,28 +225,12 @@
     None
 }
 
-async fn serve_handed_over(
-    stream: TcpStream,
-    peer: SocketAddr,
-    open: OpenConnection,
-    _hold: Hold,
-    limits: Limits,
-    gw: Arc<Gateway>,
-) {
+async fn serve_handed_over(stream: TcpStream, conn: Accepted, acceptor: Acceptor) {
     if prepare(&stream).and_then(|()| probe_peer(&stream)).is_err() {
         return;
     }
     let stream = HandedOver::new(stream);
     let close_requested = stream.close_requested();
-    let closing = async {
-        tokio::select! {
-            () = close_requested.notified() => {}
-            () = open.closing() => {}
-        }
-    };
-    let handler = move |req, peer| Arc::clone(&gw).handle(req, peer);
-    let aborting = || open.aborting();
-    let limits = || limits();
-    let is_unread = serve_connection(stream, peer, limits, closing, aborting, &handler).await;
-    open.count_if_unread(is_unread);
+    let closing = async { close_requested.notified().await };
+    acceptor.serve(stream, conn, closing).await;
 }
--- a/src/coltsfootnotch/daemon/sidecar/sockets.rs
+++ b/src/coltsfootnotch/daemon/sidecar/sockets.rs
@@ -18,6 +18,7 @@
 /// Maximum number of connections for announcements, which come from upstreams on the same host.
 const MAX_ANNOUNCE_CONNECTIONS: usize = 64;
 const ANNOUNCE_HEADER_BYTES: usize = 8192;
+const ANNOUNCE_LONG_HEAD_BYTES: u64 = 512 * 1024;
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Returns a handler that passes fabric events to the actor. The first frame of a stream is read on
@@ -70,6 +71,7 @@
     let limits = ServerLimits {
         connections: MAX_ANNOUNCE_CONNECTIONS,
         header_bytes: ANNOUNCE_HEADER_BYTES,
+        long_head_bytes: ANNOUNCE_LONG_HEAD_BYTES,
         read_timeout: ANNOUNCE_TIMEOUT,
     };
     let (handler_cx, tx) = (cx.clone(), tx.clone());
--- a/src/coltsfootnotch/util/connection.rs
+++ b/src/coltsfootnotch/util/connection.rs
@@ -24,7 +24,7 @@
 use tokio::time::timeout;
 
 use super::closing_responses::{refuse, until_aborted};
-use super::connection_io::{ConnectionIo, ServerSocket};
+use super::connection_io::{ConnectionIo, ReserveBuffer, ServerSocket};
 use super::connection_state::ConnectionState;
 use super::http_server::{AnyBody, AnyResponse, ConnectionLimits};
 use super::request_body::{RequestBody, discard_left_body};
@@ -50,6 +50,34 @@
 /// Minimum buffer size that hyper accepts, in bytes.
 const MIN_BUFFER: usize = 8192;
 
+/// What a connection is served with besides its limits.
+pub struct ConnectionCx {
+    peer: SocketAddr,
+    reserve_buffer: ReserveBuffer,
+}
+
+impl ConnectionCx {
+    /// Has `reserve_buffer` account for the bytes that the connection's buffer takes from then on, besides the first 8
+    /// KiB, as a head outgrows it; the connection is closed if it refuses.
+    #[must_use]
+    pub fn reserve_buffer(self, reserve: impl FnMut(u64) -> bool + Send + 'static) -> Self {
+        Self {
+            reserve_buffer: Box::new(reserve),
+            ..self
+        }
+    }
+}
+
+impl From<SocketAddr> for ConnectionCx {
+    /// A connection whose buffer is not limited.
+    fn from(peer: SocketAddr) -> Self {
+        Self {
+            peer,
+            reserve_buffer: Box::new(|_| true),
+        }
+    }
+}
+
 type Connection<S, H> = http1::Connection<TokioIo<ConnectionIo<S>>, H>;
 
 /// Serves one connection until it is closed. Once `closing` completes, closes it after the current response,
@@ -60,7 +88,7 @@
 /// close and was closed with bytes of its peer unread.
 pub async fn serve_connection<S, F, R, C>(
     stream: S,
-    peer: SocketAddr,
+    cx: impl Into<ConnectionCx>,
     limits: impl Fn() -> ConnectionLimits,
     closing: impl Future<Output = ()>,
     aborting: impl Fn() -> C,
@@ -72,8 +100,9 @@
     R: Future<Output = AnyResponse>,
     C: Future<Output = ()>,
 {
-    let state = Arc::new(ConnectionState::default());
-    let io = ConnectionIo::new(stream, Arc::clone(&state));
+    let cx = cx.into();
+    let (peer, state) = (cx.peer, Arc::<ConnectionState>::default());
+    let io = ConnectionIo::new(stream, Arc::clone(&state), cx.reserve_buffer);
     let service = service_fn(|req: Request<Incoming>| {
         let version = req.version();
         // Such a caller sends its body only once it is asked to, by a read of it.
@@ -309,6 +338,7 @@
     // What is left of a body may not have arrived yet.
     let has_rest = io.has_unread() || state.has_body_left.load(Ordering::Acquire);
     if io.shutdown().await.is_ok() && has_rest {
+        io.begin_discarding();
         // Boxed, since few connections need its buffer.
         let discarded = Box::pin(discard(&mut io));
         let _rest = timeout(REST_TIMEOUT, discarded).await;
--- a/src/coltsfootnotch/util/connection_io.rs
+++ b/src/coltsfootnotch/util/connection_io.rs
@@ -15,7 +15,7 @@
 
 use bytes::Bytes;
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 use super::connection_state::ConnectionState;
@@ -60,10 +60,25 @@
 /// Bytes that are read ahead at once.
 const READ_AHEAD_BYTES: usize = 2 * 1024;
 
+/// Most bytes that the HTTP library is given at once. It doubles its buffer after a read that fills it, and a body is
+/// copied out of it anyway.
+const MAX_READ: usize = FIRST_BUFFER - 1;
+
+/// Size of the HTTP library's buffer until a head doesn't fit, in bytes.
+const FIRST_BUFFER: usize = 8 * 1024;
+
+/// Accounts for the bytes that a connection's buffer takes from then on besides its first, and returns whether it may.
+pub(super) type ReserveBuffer = Box<dyn FnMut(u64) -> bool + Send>;
+
 /// The socket of a connection.
 pub(super) struct ConnectionIo<S> {
     stream: S,
     state: Arc<ConnectionState>,
+    reserve_buffer: ReserveBuffer,
+    /// Size of the HTTP library's buffer, in bytes. It never shrinks.
+    buffer_bytes: usize,
+    /// Whether what is read from now on is kept in no buffer.
+    is_discarding: bool,
     /// Bytes that were read before and are to be read again.
     put_back: Bytes,
     /// Whether the HTTP library waits for bytes of the peer, and so notices that it closes the connection.
@@ -74,10 +89,18 @@
 }
 
 impl<S: ServerSocket> ConnectionIo<S> {
-    pub(super) fn new(stream: S, state: Arc<ConnectionState>) -> Self {
+    /// `reserve_buffer` is called as a head outgrows the buffer for it; if it refuses, the connection fails.
+    pub(super) fn new(
+        stream: S,
+        state: Arc<ConnectionState>,
+        reserve_buffer: ReserveBuffer,
+    ) -> Self {
         Self {
             stream,
             state,
+            reserve_buffer,
+            buffer_bytes: FIRST_BUFFER,
+            is_discarding: false,
             put_back: Bytes::new(),
             is_reading: false,
             version: &[],
@@ -85,6 +108,11 @@
         }
     }
 
+    /// Takes note that what is read from now on is kept in no buffer.
+    pub(super) fn begin_discarding(&mut self) {
+        self.is_discarding = true;
+    }
+
     /// Has bytes that were read already read again, before those that were put back earlier.
     pub(super) fn put_back(&mut self, bytes: Bytes) {
         self.put_back = match self.put_back.is_empty() {
@@ -129,6 +157,24 @@
     }
 }
 
+impl<S> ConnectionIo<S> {
+    /// Accounts for the buffer that the HTTP library has for its next read.
+    fn account_for_buffer(&mut self) -> io::Result<()> {
+        // It doubles the buffer of a head that leaves less room than the first one had. Those of bodies are emptied
+        // after each read.
+        let head = self.state.head_bytes.load(Ordering::Acquire);
+        let needed = (head + FIRST_BUFFER).next_power_of_two();
+        if head == 0 || needed <= self.buffer_bytes {
+            return Ok(());
+        }
+        if !(self.reserve_buffer)((needed - FIRST_BUFFER) as u64) {
+            return Err(io::ErrorKind::OutOfMemory.into());
+        }
+        self.buffer_bytes = needed;
+        Ok(())
+    }
+}
+
 impl<S: AsyncRead + ServerSocket + Unpin> ConnectionIo<S> {
     /// Fails once the peer has closed the connection while its request is handled. The HTTP library doesn't notice
     /// that while it has bytes behind the request, or while the request's body is not read.
@@ -158,15 +204,22 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.account_for_buffer()?;
         let filled = buf.filled().len();
         let read = if self.put_back.is_empty() {
-            Pin::new(&mut self.stream).poll_read(cx, buf)?
+            let mut limited = (&mut self.stream).take(MAX_READ as u64);
+            Pin::new(&mut limited).poll_read(cx, buf)?
         } else {
-            let len = self.put_back.len().min(buf.remaining());
+            let len = self.put_back.len().min(buf.remaining()).min(MAX_READ);
             buf.put_slice(&self.put_back.split_to(len));
             Poll::Ready(())
         };
         self.is_reading = read.is_pending();
+        let has_body_left = self.state.has_body_left.load(Ordering::Acquire);
+        if !self.state.is_handling() && !has_body_left && !self.is_discarding {
+            let len = buf.filled().len() - filled;
+            self.state.head_bytes.fetch_add(len, Ordering::AcqRel);
+        }
         let is_closing = self.state.is_closing.load(Ordering::Acquire);
         let has_more = match read {
             Poll::Ready(()) => buf.filled().len() > filled,
--- a/src/coltsfootnotch/util/connection_state.rs
+++ b/src/coltsfootnotch/util/connection_state.rs
@@ -1,6 +1,6 @@
 //! What the service of a connection and its socket tell each other.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use http_body_util::BodyExt;
@@ -47,11 +47,14 @@
     pub(super) is_body_unfinished: AtomicBool,
     /// Whether the connection was told to close, and was closed in order with bytes unread.
     pub(super) is_closed_unread: AtomicBool,
+    /// Bytes that were received of the next request's head.
+    pub(super) head_bytes: AtomicUsize,
 }
 
 impl ConnectionState {
     /// Takes note of a request that begins.
     pub(super) fn begin_request(&self, version: Version, headers: &HeaderMap) {
+        self.head_bytes.store(0, Ordering::Release);
         self.expects_rest.store(false, Ordering::Release);
         self.has_begun.store(true, Ordering::Release);
         self.may_have_run.store(false, Ordering::Release);
--- a/src/coltsfootnotch/util/http_server.rs
+++ b/src/coltsfootnotch/util/http_server.rs
@@ -23,9 +23,10 @@
 use tokio::time::sleep;
 
 use super::body_buffer::{CollectError, collect_body};
-pub use super::connection::serve_connection;
 pub(crate) use super::connection::{CLOSE_LINGER, PARTIAL_REQUEST_TIMEOUT};
+pub use super::connection::{ConnectionCx, serve_connection};
 use super::connections::{Connections, OpenConnection};
+use super::memory_budget::MemoryBudget;
 use super::refused_connection::{MAX_WAITED_FOR, refuse_connection};
 use super::request_body::RequestBody;
 
@@ -46,6 +47,9 @@
     pub connections: usize,
     /// Maximum size of the request line and headers, in bytes.
     pub header_bytes: usize,
+    /// Maximum size of all heads in progress together that outgrow the first 8 KiB of their connections, in bytes;
+    /// connections with further ones are closed.
+    pub long_head_bytes: u64,
     /// Maximum time to receive the headers.
     pub read_timeout: Duration,
 }
@@ -83,9 +87,12 @@
 {
     let (handler, read_timeout) = (Arc::new(handler), Arc::new(read_timeout));
     let permits = Arc::new(Semaphore::new(limits.connections));
+    let long_heads = MemoryBudget::new(limits.long_head_bytes);
     let admit = || Arc::clone(&permits).try_acquire_owned().ok();
     let serve = |stream: TcpStream, peer, open: OpenConnection, permit| {
         let (handler, read_timeout) = (Arc::clone(&handler), Arc::clone(&read_timeout));
+        let mut head = long_heads.hold();
+        let cx = ConnectionCx::from(peer).reserve_buffer(move |bytes| head.try_resize(bytes));
         async move {
             if prepare(&stream).is_ok() {
                 let limits = || ConnectionLimits {
@@ -93,7 +100,7 @@
                     read_timeout: read_timeout(),
                 };
                 let (closing, aborting) = (open.closing(), || open.aborting());
-                let served = serve_connection(stream, peer, limits, closing, aborting, &*handler);
+                let served = serve_connection(stream, cx, limits, closing, aborting, &*handler);
                 let is_unread = served.await;
                 open.count_if_unread(is_unread);
             }
--- a/src/coltsfootnotch/util/http_server_tests.rs
+++ b/src/coltsfootnotch/util/http_server_tests.rs
@@ -17,6 +17,7 @@
     connections: 8,
     header_bytes: 16 * 1024,
     read_timeout: Duration::from_secs(5),
+    long_head_bytes: 1 << 20,
 };
 /// Time within which what is expected happens.
 const WAIT: Duration = Duration::from_secs(5);
--- a/tests/testsuite/connections.rs
+++ b/tests/testsuite/connections.rs
@@ -18,6 +18,7 @@
     connections: 8,
     header_bytes: 8192,
     read_timeout: Duration::from_secs(30),
+    long_head_bytes: 1 << 20,
 };
 
 fn wait_for(connections: &Connections, count: usize) {
