Close connections that wait for their clients when a listener is full

Nothing ended a connection whose client takes no bytes, and a full listener refused everybody else. 100 clients that read nothing kept all others from the status check of a router, which gets no callers then, and from the metrics of each daemon; 400 kept them from a control host and from an entry (four tests, nobody answered for 20 and 30 s).

For a new connection beyond the limit, the one is closed that has waited for its client for the longest, for a request or for it to take bytes. Connections whose request is being handled, and streams that wait for their upstream, are kept. Except for callers of a router, whose requests have a time, a client that takes no bytes has its connection closed.

--- a/src/coltsfootnotch/daemon/admin.rs
+++ b/src/coltsfootnotch/daemon/admin.rs
@@ -18,6 +18,7 @@
     header_bytes: 8 * 1024,
     long_head_bytes: 512 * 1024,
     read_timeout: Duration::from_secs(5),
+    write_timeout: Duration::from_secs(5),
 };
 
 /// Content type of the Prometheus text exposition format.
--- a/src/coltsfootnotch/daemon/entry/listen.rs
+++ b/src/coltsfootnotch/daemon/entry/listen.rs
@@ -42,6 +42,7 @@
         header_bytes: cfg.limits.header_bytes,
         long_head_bytes: cfg.limits.memory_bytes / LONG_HEADS_DIVISOR,
         read_timeout: cfg.limits.read_timeout(),
+        write_timeout: cfg.limits.write_timeout(),
     };
     let request_handler = Arc::new(RequestHandler {
         cx: cx.clone(),
--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -48,6 +48,7 @@
 use super::{ForwardHandle, ForwardSettings, Times};
 use crate::core::HostCx;
 use crate::util::boot_clock::BootClock;
+use crate::util::connection_slots::ConnectionSlots;
 use crate::util::connections::Connections;
 use crate::util::event_loop;
 use crate::util::events;
@@ -274,6 +275,7 @@
             connections: Arc::clone(&connections),
             limits,
             gw: gateway,
+            slots: ConnectionSlots::new(usize::MAX),
         };
         let handed_over = acceptor.clone().accept_handed_over(handed_over);
         let callers = acceptor.accept_callers(callers);
--- a/src/coltsfootnotch/daemon/forward/listener.rs
+++ b/src/coltsfootnotch/daemon/forward/listener.rs
@@ -13,6 +13,7 @@
 use super::handover::{HandedOver, RelayEnd, connect, probe_peer, relay};
 use super::server::Gateway;
 use crate::util::connection_io::ServerSocket;
+use crate::util::connection_slots::{ConnectionSlots, Slot};
 use crate::util::connections::{Connections, OpenConnection};
 use crate::util::events;
 use crate::util::http_server::{
@@ -32,6 +33,8 @@
     pub(super) connections: Arc<Connections>,
     pub(super) limits: Limits,
     pub(super) gw: Arc<Gateway>,
+    /// Connections that are served here, whose number is limited by what the host holds.
+    pub(super) slots: Arc<ConnectionSlots>,
 }
 
 impl Acceptor {
@@ -43,13 +46,8 @@
             let conn = Accepted { peer, open, hold };
             serve_caller(stream, conn, acceptor.clone(), Arc::clone(&refusals))
         };
-        accept_connections(
-            listener,
-            || admit(&self.gw),
-            Arc::clone(&self.connections),
-            serve,
-        )
-        .await;
+        let admit = || admit(&self.gw, &self.slots);
+        accept_connections(listener, admit, Arc::clone(&self.connections), serve).await;
     }
 
     /// Accepts connections that neighbours hand over, until the connections are told to close. They are served
@@ -60,16 +58,11 @@
             let conn = Accepted { peer, open, hold };
             serve_handed_over(stream, conn, acceptor.clone())
         };
-        accept_connections(
-            listener,
-            || admit(&self.gw),
-            Arc::clone(&self.connections),
-            serve,
-        )
-        .await;
+        let admit = || admit(&self.gw, &self.slots);
+        accept_connections(listener, admit, Arc::clone(&self.connections), serve).await;
     }
 
-    /// Serves a connection here until it ends.
+    /// Serves a connection here until it ends, or is closed for a new one.
     async fn serve<S: AsyncRead + AsyncWrite + ServerSocket + Unpin>(
         &self,
         stream: S,
@@ -77,7 +70,10 @@
         closing: impl Future<Output = ()>,
     ) {
         let Accepted { peer, open, hold } = conn;
-        let cx = connection_cx(peer, hold, &self.gw);
+        let Some(slot) = self.slots.take() else {
+            return;
+        };
+        let cx = connection_cx(peer, &slot, hold, &self.gw);
         let handler = |req, peer| Arc::clone(&self.gw).handle(req, peer);
         let closing = async {
             tokio::select! {
@@ -88,8 +84,10 @@
         let aborting = || open.aborting();
         let limits = || (self.limits)();
         let served = serve_connection(stream, cx, limits, closing, aborting, &handler);
-        let is_unread = served.await;
-        open.count_if_unread(is_unread);
+        tokio::select! {
+            is_unread = served => open.count_if_unread(is_unread),
+            () = slot.evicted() => {}
+        }
     }
 }
 
@@ -100,9 +98,10 @@
     hold: Hold,
 }
 
-/// Memory and socket of a new connection; none if no more connections may be held.
-fn admit(gw: &Gateway) -> Option<Hold> {
-    if gw.held.load() >= Load::Full {
+/// Memory and socket of a new connection. If no more may be held, the connection that has waited for its caller for the
+/// longest is closed for it; none if no connection waits.
+fn admit(gw: &Gateway, slots: &ConnectionSlots) -> Option<Hold> {
+    if gw.held.load() >= Load::Full && !slots.evict() {
         count_closed_unread(gw);
         return None;
     }
@@ -171,9 +170,9 @@
 }
 
 /// A connection whose buffer is counted with what `hold` holds.
-fn connection_cx(peer: SocketAddr, mut hold: Hold, gw: &Gateway) -> ConnectionCx {
+fn connection_cx(peer: SocketAddr, slot: &Slot, mut hold: Hold, gw: &Gateway) -> ConnectionCx {
     let (held, others) = (Arc::clone(&gw.held), hold.bytes());
-    ConnectionCx::from(peer).reserve_buffer(move |bytes| {
+    ConnectionCx::with_slot(peer, slot).reserve_buffer(move |bytes| {
         let more = (others + bytes).saturating_sub(hold.bytes());
         let has_room = held.has_room_for_head(more);
         if has_room {
--- a/src/coltsfootnotch/daemon/sidecar/sockets.rs
+++ b/src/coltsfootnotch/daemon/sidecar/sockets.rs
@@ -73,6 +73,7 @@
         header_bytes: ANNOUNCE_HEADER_BYTES,
         long_head_bytes: ANNOUNCE_LONG_HEAD_BYTES,
         read_timeout: ANNOUNCE_TIMEOUT,
+        write_timeout: ANNOUNCE_TIMEOUT,
     };
     let (handler_cx, tx) = (cx.clone(), tx.clone());
     let handler = move |req, from| {
--- a/src/coltsfootnotch/util/connection.rs
+++ b/src/coltsfootnotch/util/connection.rs
@@ -25,6 +25,7 @@
 
 use super::closing_responses::{refuse, until_aborted};
 use super::connection_io::{ConnectionIo, ReserveBuffer, ServerSocket};
+use super::connection_slots::Slot;
 use super::connection_state::ConnectionState;
 use super::http_server::{AnyBody, AnyResponse, ConnectionLimits};
 use super::request_body::{RequestBody, discard_left_body};
@@ -53,10 +54,20 @@
 /// What a connection is served with besides its limits.
 pub struct ConnectionCx {
     peer: SocketAddr,
+    state: Arc<ConnectionState>,
     reserve_buffer: ReserveBuffer,
+    write_timeout: Option<Duration>,
 }
 
 impl ConnectionCx {
+    /// A connection that has a slot of its listener.
+    pub(crate) fn with_slot(peer: SocketAddr, slot: &Slot) -> Self {
+        Self {
+            state: slot.state(),
+            ..Self::from(peer)
+        }
+    }
+
     /// Has `reserve_buffer` account for the bytes that the connection's buffer takes from then on, besides the first 8
     /// KiB, as a head outgrows it; the connection is closed if it refuses.
     #[must_use]
@@ -66,14 +77,25 @@
             ..self
         }
     }
+
+    /// Has the connection closed if its peer takes no bytes for `time`.
+    #[must_use]
+    pub fn write_timeout(self, time: Duration) -> Self {
+        Self {
+            write_timeout: Some(time),
+            ..self
+        }
+    }
 }
 
 impl From<SocketAddr> for ConnectionCx {
-    /// A connection whose buffer is not limited.
+    /// A connection whose buffer and time to write are not limited.
     fn from(peer: SocketAddr) -> Self {
         Self {
             peer,
+            state: Arc::default(),
             reserve_buffer: Box::new(|_| true),
+            write_timeout: None,
         }
     }
 }
@@ -101,8 +123,13 @@
     C: Future<Output = ()>,
 {
     let cx = cx.into();
-    let (peer, state) = (cx.peer, Arc::<ConnectionState>::default());
-    let io = ConnectionIo::new(stream, Arc::clone(&state), cx.reserve_buffer);
+    let (peer, state) = (cx.peer, cx.state);
+    let io = ConnectionIo::new(
+        stream,
+        Arc::clone(&state),
+        cx.reserve_buffer,
+        cx.write_timeout,
+    );
     let service = service_fn(|req: Request<Incoming>| {
         let version = req.version();
         // Such a caller sends its body only once it is asked to, by a read of it.
--- a/src/coltsfootnotch/util/connection_io.rs
+++ b/src/coltsfootnotch/util/connection_io.rs
@@ -17,6 +17,7 @@
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::{Sleep, sleep};
 
 use super::connection_state::ConnectionState;
 
@@ -79,6 +80,9 @@
     buffer_bytes: usize,
     /// Whether what is read from now on is kept in no buffer.
     is_discarding: bool,
+    /// Time that is left for the peer to take bytes; set while it takes none.
+    write_deadline: Option<Pin<Box<Sleep>>>,
+    write_timeout: Option<Duration>,
     /// Bytes that were read before and are to be read again.
     put_back: Bytes,
     /// Whether the HTTP library waits for bytes of the peer, and so notices that it closes the connection.
@@ -89,11 +93,13 @@
 }
 
 impl<S: ServerSocket> ConnectionIo<S> {
-    /// `reserve_buffer` is called as a head outgrows the buffer for it; if it refuses, the connection fails.
+    /// `reserve_buffer` is called as a head outgrows the buffer for it; if it refuses, the connection fails. So it does
+    /// if its peer takes no bytes for `write_timeout`.
     pub(super) fn new(
         stream: S,
         state: Arc<ConnectionState>,
         reserve_buffer: ReserveBuffer,
+        write_timeout: Option<Duration>,
     ) -> Self {
         Self {
             stream,
@@ -101,6 +107,8 @@
             reserve_buffer,
             buffer_bytes: FIRST_BUFFER,
             is_discarding: false,
+            write_deadline: None,
+            write_timeout,
             put_back: Bytes::new(),
             is_reading: false,
             version: &[],
@@ -173,9 +181,34 @@
         self.buffer_bytes = needed;
         Ok(())
     }
+
+    /// Fails once the peer has taken no bytes for too long; called after a write that it took nothing of.
+    fn check_write_timeout(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
+        let Some(time) = self.write_timeout else {
+            return Ok(());
+        };
+        let deadline = self
+            .write_deadline
+            .get_or_insert_with(|| Box::pin(sleep(time)));
+        match deadline.as_mut().poll(cx) {
+            Poll::Ready(()) => Err(io::ErrorKind::TimedOut.into()),
+            Poll::Pending => Ok(()),
+        }
+    }
 }
 
 impl<S: AsyncRead + ServerSocket + Unpin> ConnectionIo<S> {
+    fn on_not_written(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
+        self.state.set_waiting();
+        self.check_write_timeout(cx)?;
+        self.check_departure(cx)
+    }
+
+    fn on_written(&mut self) {
+        self.write_deadline = None;
+        self.state.end_waiting();
+    }
+
     /// Fails once the peer has closed the connection while its request is handled. The HTTP library doesn't notice
     /// that while it has bytes behind the request, or while the request's body is not read.
     fn check_departure(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
@@ -219,6 +252,9 @@
         if !self.state.is_handling() && !has_body_left && !self.is_discarding {
             let len = buf.filled().len() - filled;
             self.state.head_bytes.fetch_add(len, Ordering::AcqRel);
+            if read.is_pending() {
+                self.state.set_waiting();
+            }
         }
         let is_closing = self.state.is_closing.load(Ordering::Acquire);
         let has_more = match read {
@@ -247,9 +283,10 @@
             len => &this.version[..len],
         };
         let Poll::Ready(written) = Pin::new(&mut this.stream).poll_write(cx, bytes)? else {
-            this.check_departure(cx)?;
+            this.on_not_written(cx)?;
             return Poll::Pending;
         };
+        this.on_written();
         this.version = &this.version[written.min(len)..];
         Poll::Ready(Ok(written))
     }
@@ -267,7 +304,9 @@
         }
         let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         if written.is_pending() {
-            self.check_departure(cx)?;
+            self.on_not_written(cx)?;
+        } else {
+            self.on_written();
         }
         written
     }
--- a/src/coltsfootnotch/util/connection_state.rs
+++ b/src/coltsfootnotch/util/connection_state.rs
@@ -1,6 +1,6 @@
 //! What the service of a connection and its socket tell each other.
 
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use http_body_util::BodyExt;
@@ -49,11 +49,36 @@
     pub(super) is_closed_unread: AtomicBool,
     /// Bytes that were received of the next request's head.
     pub(super) head_bytes: AtomicUsize,
+    /// When the connection began to wait for its peer to send or take bytes, as a number that grows; zero while it does
+    /// not.
+    waits_since: AtomicU64,
 }
 
+/// Order in which connections begin to wait for their peers.
+static NEXT_WAIT: AtomicU64 = AtomicU64::new(1);
+
 impl ConnectionState {
+    /// Takes note that the connection waits for its peer, if it does not yet.
+    pub(super) fn set_waiting(&self) {
+        if self.waits_since.load(Ordering::Acquire) == 0 {
+            let now = NEXT_WAIT.fetch_add(1, Ordering::Relaxed);
+            self.waits_since.store(now, Ordering::Release);
+        }
+    }
+
+    /// Takes note that the peer has sent or taken bytes, or that its request is being handled.
+    pub(super) fn end_waiting(&self) {
+        self.waits_since.store(0, Ordering::Release);
+    }
+
+    /// When the connection began to wait for its peer, as a number that grows; none while it does not.
+    pub(super) fn waits_since(&self) -> Option<u64> {
+        Some(self.waits_since.load(Ordering::Acquire)).filter(|since| *since > 0)
+    }
+
     /// Takes note of a request that begins.
     pub(super) fn begin_request(&self, version: Version, headers: &HeaderMap) {
+        self.end_waiting();
         self.head_bytes.store(0, Ordering::Release);
         self.expects_rest.store(false, Ordering::Release);
         self.has_begun.store(true, Ordering::Release);
--- a/src/coltsfootnotch/util/departure_tests.rs
+++ b/src/coltsfootnotch/util/departure_tests.rs
@@ -27,6 +27,7 @@
     header_bytes: 16 * 1024,
     read_timeout: Duration::from_secs(5),
     long_head_bytes: 1 << 20,
+    write_timeout: Duration::from_secs(30),
 };
 /// Time within which the work for a caller that has left ends.
 const LEFT: Duration = Duration::from_millis(500);
--- a/src/coltsfootnotch/util/http_server.rs
+++ b/src/coltsfootnotch/util/http_server.rs
@@ -25,6 +25,7 @@
 use super::body_buffer::{CollectError, collect_body};
 pub(crate) use super::connection::{CLOSE_LINGER, PARTIAL_REQUEST_TIMEOUT};
 pub use super::connection::{ConnectionCx, serve_connection};
+use super::connection_slots::{ConnectionSlots, Slot};
 use super::connections::{Connections, OpenConnection};
 use super::memory_budget::MemoryBudget;
 use super::refused_connection::{MAX_WAITED_FOR, refuse_connection};
@@ -43,7 +44,8 @@
 /// Limits of a server.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerLimits {
-    /// Maximum number of open connections; further ones are refused.
+    /// Maximum number of open connections. For a further one, that is closed which has waited for its peer for the
+    /// longest; if none waits, the further one is refused.
     pub connections: usize,
     /// Maximum size of the request line and headers, in bytes.
     pub header_bytes: usize,
@@ -52,6 +54,8 @@
     pub long_head_bytes: u64,
     /// Maximum time to receive the headers.
     pub read_timeout: Duration,
+    /// Maximum time for which a peer takes no bytes of its response; its connection is closed then.
+    pub write_timeout: Duration,
 }
 
 /// Limits of one connection.
@@ -86,13 +90,15 @@
     R: Future<Output = AnyResponse> + Send + 'static,
 {
     let (handler, read_timeout) = (Arc::new(handler), Arc::new(read_timeout));
-    let permits = Arc::new(Semaphore::new(limits.connections));
+    let slots = ConnectionSlots::new(limits.connections);
     let long_heads = MemoryBudget::new(limits.long_head_bytes);
-    let admit = || Arc::clone(&permits).try_acquire_owned().ok();
-    let serve = |stream: TcpStream, peer, open: OpenConnection, permit| {
+    let admit = || slots.take();
+    let serve = |stream: TcpStream, peer, open: OpenConnection, slot: Slot| {
         let (handler, read_timeout) = (Arc::clone(&handler), Arc::clone(&read_timeout));
         let mut head = long_heads.hold();
-        let cx = ConnectionCx::from(peer).reserve_buffer(move |bytes| head.try_resize(bytes));
+        let cx = ConnectionCx::with_slot(peer, &slot)
+            .reserve_buffer(move |bytes| head.try_resize(bytes))
+            .write_timeout(limits.write_timeout);
         async move {
             if prepare(&stream).is_ok() {
                 let limits = || ConnectionLimits {
@@ -101,10 +107,12 @@
                 };
                 let (closing, aborting) = (open.closing(), || open.aborting());
                 let served = serve_connection(stream, cx, limits, closing, aborting, &*handler);
-                let is_unread = served.await;
-                open.count_if_unread(is_unread);
+                tokio::select! {
+                    is_unread = served => open.count_if_unread(is_unread),
+                    () = slot.evicted() => {}
+                }
             }
-            drop(permit);
+            drop(slot);
         }
     };
     accept_connections(listener, admit, connections, serve).await;
--- a/src/coltsfootnotch/util/mod.rs
+++ b/src/coltsfootnotch/util/mod.rs
@@ -8,6 +8,7 @@
 mod closing_responses;
 mod connection;
 pub mod connection_io;
+pub(crate) mod connection_slots;
 mod connection_state;
 pub mod connections;
 pub mod cut_body;
--- a/tests/testsuite/connections.rs
+++ b/tests/testsuite/connections.rs
@@ -19,6 +19,7 @@
     header_bytes: 8192,
     read_timeout: Duration::from_secs(30),
     long_head_bytes: 1 << 20,
+    write_timeout: Duration::from_secs(30),
 };
 
 fn wait_for(connections: &Connections, count: usize) {
