Count the heads and requests that relayed connections hold

What it holds beyond 4 KiB is counted as it changes, and the connection is closed where a head that is served here would be.

--- a/src/coltsfootnotch/daemon/forward/handover/exchanges.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/exchanges.rs
@@ -71,6 +71,13 @@
         }
     }
 
+    /// Bytes that are held of what has passed: incomplete heads and requests without a complete response.
+    pub(super) fn held_bytes(&self) -> u64 {
+        let heads = self.request.capacity() + self.response.capacity();
+        let unanswered = self.unanswered.capacity() * size_of::<RequestHead>();
+        (heads + unanswered) as u64
+    }
+
     /// Whether a request waits for its response, and nothing of that response has passed.
     pub(super) fn awaits_response(&self) -> bool {
         let has_request =
--- a/src/coltsfootnotch/daemon/forward/handover/message_position.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/message_position.rs
@@ -33,6 +33,14 @@
 use MessagePosition::{Between, Body, ChunkData, ChunkSize, Trailers, Unknown, UntilClose};
 
 impl MessagePosition {
+    /// Bytes that are allocated for a line or head that is not complete.
+    pub(super) fn capacity(&self) -> usize {
+        match self {
+            Self::Head(bytes) | ChunkSize(bytes) => bytes.capacity(),
+            Between | Body(_) | ChunkData(_) | Trailers(_) | UntilClose | Unknown => 0,
+        }
+    }
+
     /// Follows bytes of a head, which `parse` decodes: takes what it uses from `bytes`. Returns what
     /// the head states once it is complete; the position is before the body then.
     ///
--- a/src/coltsfootnotch/daemon/forward/handover/relay.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay.rs
@@ -86,6 +86,9 @@
 /// passed on. Once `aborting` completes, as shortly before the end of the process, the caller of a request gets the
 /// same failure, and a response that has begun is broken off.
 ///
+/// `reserve` is called with the bytes that are held, besides the buffers, of heads that have not arrived whole and of
+/// requests without a response, as they change; the connection is closed if it refuses.
+///
 /// # Errors
 /// Returns an error when the connection to the caller is broken by then.
 pub(in crate::daemon::forward) async fn relay(
@@ -94,10 +97,11 @@
     closing: impl Future<Output = ()>,
     aborting: impl Future<Output = ()>,
     is_single: bool,
+    reserve: impl FnMut(u64) -> bool,
 ) -> io::Result<RelayEnd> {
     let mut exchanges = Exchanges::default();
     let ends = (&mut caller, &mut neighbour);
-    let relaying = relay_until_closed(ends, closing, is_single, &mut exchanges);
+    let relaying = relay_until_closed(ends, closing, is_single, &mut exchanges, reserve);
     let end = tokio::select! {
         end = relaying => end,
         () = aborting => End::Aborted,
@@ -172,7 +176,9 @@
     closing: impl Future<Output = ()>,
     is_single: bool,
     exchanges: &mut Exchanges,
+    mut reserve: impl FnMut(u64) -> bool,
 ) -> End {
+    let mut held_bytes = 0;
     let mut request = [0; HEADER_BYTES + REQUEST_BYTES];
     let mut response = [0; RESPONSE_BYTES];
     let mut closing = std::pin::pin!(closing);
@@ -238,6 +244,11 @@
                     Err(_) => return End::Caller,
                 };
                 exchanges.pass_request_bytes(&request[HEADER_BYTES..HEADER_BYTES + len]);
+                let holds = exchanges.held_bytes();
+                if holds != held_bytes && !reserve(holds) {
+                    return End::Caller;
+                }
+                held_bytes = holds;
                 request[..HEADER_BYTES].copy_from_slice(&Header::Data(len).encode());
                 match write_to(neighbour, &request[..HEADER_BYTES + len], caller).await {
                     Some(is_written) => neighbour_reads = is_written,
--- a/src/coltsfootnotch/daemon/forward/handover/relay_cut_tests.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay_cut_tests.rs
@@ -43,7 +43,7 @@
     let relay = async {
         let (caller, _) = entry.accept().await.unwrap();
         let neighbour = connect(address).await.unwrap();
-        let _caller_reads = relay(caller, neighbour, pending(), pending(), false).await;
+        let _caller_reads = relay(caller, neighbour, pending(), pending(), false, |_| true).await;
     };
     let call = async {
         let mut caller = TcpStream::connect(entry_address).await.unwrap();
--- a/src/coltsfootnotch/daemon/forward/handover/relay_departure_tests.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay_departure_tests.rs
@@ -53,7 +53,7 @@
         set_buffers(&SockRef::from(&stream), BUFFER);
         let (neighbour, _) = listener.accept().await.unwrap();
         let relaying = tokio::spawn(async move {
-            let _end = relay(accepted, stream, pending(), pending(), false).await;
+            let _end = relay(accepted, stream, pending(), pending(), false, |_| true).await;
         });
         Self {
             caller,
--- a/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
@@ -15,7 +15,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::super::handed_over::HandedOver;
-use super::{CLOSE_LINGER, HEADER_BYTES, PARTIAL_REQUEST_TIMEOUT, connect, relay};
+use super::{CLOSE_LINGER, HEADER_BYTES, PARTIAL_REQUEST_TIMEOUT, RelayEnd, connect, relay};
 use crate::util::connection_io::EndsWithConnection;
 use crate::util::http_server::{AnyResponse, ConnectionLimits, full, read_body, serve_connection};
 use crate::util::request_body::RequestBody;
@@ -107,7 +107,16 @@
         let (caller, _) = entry.accept().await.unwrap();
         let neighbour = connect(address).await.unwrap();
         let closing = wait_for(stopped);
-        relay(caller, neighbour, closing, wait_for(abort), is_single).await
+        let reserve = |_| true;
+        relay(
+            caller,
+            neighbour,
+            closing,
+            wait_for(abort),
+            is_single,
+            reserve,
+        )
+        .await
     });
     let caller = TcpStream::connect(entry_address).await.unwrap();
     (caller, stop, abort_sender)
@@ -226,7 +235,7 @@
     drop(caller);
     let (caller, _) = entry.accept().await.unwrap();
     let stream = connect(neighbour.local_addr().unwrap()).await.unwrap();
-    let relaying = relay(caller, stream, pending(), pending(), false);
+    let relaying = relay(caller, stream, pending(), pending(), false, |_| true);
     let (mut received, _) = neighbour.accept().await.unwrap();
     let mut bytes = Vec::new();
     let (relayed, read) = tokio::join!(relaying, received.read_to_end(&mut bytes));
@@ -234,6 +243,30 @@
     expect_that!(read, ok(eq(&0)));
 }
 
+/// Guards against a host that ends for want of memory: heads that do not end on relayed connections.
+#[gtest]
+#[tokio::test]
+async fn a_head_that_there_is_no_memory_for_ends_its_relay() {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let entry = TcpListener::bind(any).await.unwrap();
+    let neighbour = TcpListener::bind(any).await.unwrap();
+    let mut caller = TcpStream::connect(entry.local_addr().unwrap())
+        .await
+        .unwrap();
+    let head = format!("GET / HTTP/1.1\r\nx: {}", "a".repeat(15_000));
+    caller.write_all(head.as_bytes()).await.unwrap();
+    let (accepted, _) = entry.accept().await.unwrap();
+    let stream = connect(neighbour.local_addr().unwrap()).await.unwrap();
+    let mut most = 0;
+    let reserve = |bytes| {
+        most = bytes;
+        bytes < 10_000
+    };
+    let relayed = relay(accepted, stream, pending(), pending(), false, reserve).await;
+    expect_that!(relayed, ok(eq(&RelayEnd::Closed)));
+    expect_that!(most, ge(15_000));
+}
+
 /// A relayed connection: the test is its caller and its neighbour.
 struct Relayed {
     caller: TcpStream,
@@ -257,7 +290,7 @@
         let (accepted, _) = entry.accept().await.unwrap();
         let stream = connect(listener.local_addr().unwrap()).await.unwrap();
         let (neighbour, _) = listener.accept().await.unwrap();
-        let relaying = tokio::spawn(relay(accepted, stream, closing, pending(), false));
+        let relaying = tokio::spawn(relay(accepted, stream, closing, pending(), false, |_| true));
         Self {
             caller,
             neighbour,
--- a/src/coltsfootnotch/daemon/forward/listener.rs
+++ b/src/coltsfootnotch/daemon/forward/listener.rs
@@ -9,7 +9,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 
-use super::costs::{CONNECTION_BYTES, RELAY_BYTES};
+use super::costs::{CONNECTION_BYTES, RELAY_BYTES, RELAY_HEAD_BYTES};
 use super::handover::{HandedOver, RelayEnd, connect, probe_peer, relay};
 use super::server::Gateway;
 use crate::util::connection_io::ServerSocket;
@@ -150,7 +150,10 @@
         let (closing, aborting) = (gw.handover.ended(), conn.open.aborting());
         // Boxed, since its buffers would otherwise be part of the task of each connection that is served
         // here. A broken connection to the caller is its own.
-        let relayed = Box::pin(relay(stream, neighbour, closing, aborting, is_single)).await;
+        let mut reserve_more = reserve_buffer(conn.hold, gw);
+        let reserve = |bytes: u64| reserve_more(bytes.saturating_sub(RELAY_HEAD_BYTES));
+        let relaying = relay(stream, neighbour, closing, aborting, is_single, reserve);
+        let relayed = Box::pin(relaying).await;
         match relayed {
             Ok(RelayEnd::NeighbourLost { is_broken }) => {
                 log_lost_neighbour(gw, address, is_broken, started.elapsed());
@@ -170,16 +173,21 @@
 }
 
 /// A connection whose buffer is counted with what `hold` holds.
-fn connection_cx(peer: SocketAddr, slot: &Slot, mut hold: Hold, gw: &Gateway) -> ConnectionCx {
+fn connection_cx(peer: SocketAddr, slot: &Slot, hold: Hold, gw: &Gateway) -> ConnectionCx {
+    ConnectionCx::with_slot(peer, slot).reserve_buffer(reserve_buffer(hold, gw))
+}
+
+/// Holds as many bytes besides those of `hold` as it is called with, if there is room for those that are more.
+fn reserve_buffer(mut hold: Hold, gw: &Gateway) -> impl FnMut(u64) -> bool + Send + 'static {
     let (held, others) = (Arc::clone(&gw.held), hold.bytes());
-    ConnectionCx::with_slot(peer, slot).reserve_buffer(move |bytes| {
+    move |bytes| {
         let more = (others + bytes).saturating_sub(hold.bytes());
-        let has_room = held.has_room_for_head(more);
+        let has_room = more == 0 || held.has_room_for_head(more);
         if has_room {
             hold.resize(others + bytes);
         }
         has_room
-    })
+    }
 }
 
 /// Whether to hand a new connection over: this host has more callers than it can serve, or holds nearly as
