Keep connections whose short head arrives in parts

The HTTP library grows the buffer of any head that does not come in one read, so a caller whose short head arrives in two packets had its connection closed from 0.6 of a router's memory on, where requests are still accepted. Found by reading the change again; no caller met it.

The first 8 KiB by which a head outgrows its buffer may be held as long as requests are accepted.

--- a/src/coltsfootnotch/daemon/entry/request_handler.rs
+++ b/src/coltsfootnotch/daemon/entry/request_handler.rs
@@ -33,7 +33,7 @@
 const RESPONSE_BUFFER: usize = 32;
 /// Bytes per permit of the memory semaphore.
 const MEMORY_PERMIT_BYTES: u64 = 1024;
-/// Copies of a body that are held at once: its buffer beside a larger one as it grows, or beside the call that is sent.
+/// Copies of a body that are held at once: its buffers beside the one that they are joined to, or that beside the call.
 const COPIES_OF_BODY: u64 = 2;
 /// Header of every response that carries the request id.
 const REQUEST_ID_HEADER: &str = "x-request-id";
--- a/src/coltsfootnotch/daemon/forward/listener.rs
+++ b/src/coltsfootnotch/daemon/forward/listener.rs
@@ -177,12 +177,16 @@
     ConnectionCx::with_slot(peer, slot).reserve_buffer(reserve_buffer(hold, gw))
 }
 
+/// Bytes by which a head may outgrow the first buffer while requests are accepted: one that arrives in parts does.
+const PARTIAL_HEAD_BYTES: u64 = 8 * 1024;
+
 /// Holds as many bytes besides those of `hold` as it is called with, if there is room for those that are more.
 fn reserve_buffer(mut hold: Hold, gw: &Gateway) -> impl FnMut(u64) -> bool + Send + 'static {
     let (held, others) = (Arc::clone(&gw.held), hold.bytes());
     move |bytes| {
         let more = (others + bytes).saturating_sub(hold.bytes());
-        let has_room = more == 0 || held.has_room_for_head(more);
+        let is_short = bytes <= PARTIAL_HEAD_BYTES && held.memory_load() < Load::Refusing;
+        let has_room = more == 0 || is_short || held.has_room_for_head(more);
         if has_room {
             hold.resize(others + bytes);
         }
--- a/src/coltsfootnotch/util/body_buffer.rs
+++ b/src/coltsfootnotch/util/body_buffer.rs
@@ -5,7 +5,9 @@
 use http_body_util::BodyExt;
 use hyper::body::Body;
 
-/// Capacity of the buffers of a body without a stated length, in bytes. They have one size, so that bodies of all lengths
+/// Capacity of the first buffer of a body without a stated length, in bytes; most need no other.
+const FIRST_BUFFER_BYTES: usize = 4 * 1024;
+/// Capacity of its further buffers, in bytes. They have one size, so that bodies of all lengths
 /// use the memory again that others have left; a buffer that grows would leave gaps.
 const BUFFER_BYTES: usize = 16 * 1024;
 
@@ -71,10 +73,14 @@
         }
         while !data.is_empty() {
             if bufs.is_full() {
-                if !reserve((bufs.capacity() + BUFFER_BYTES) as u64) {
+                let more = match bufs.len() {
+                    0 => FIRST_BUFFER_BYTES,
+                    _ => BUFFER_BYTES,
+                };
+                if !reserve((bufs.capacity() + more) as u64) {
                     return Err(CollectError::NoMemory);
                 }
-                bufs.add();
+                bufs.add(more);
             }
             data = bufs.fill(data);
         }
@@ -116,9 +122,9 @@
         self.last.len() == self.last.capacity()
     }
 
-    /// Adds an empty buffer behind a full one.
-    fn add(&mut self) {
-        let last = std::mem::replace(&mut self.last, Vec::with_capacity(BUFFER_BYTES));
+    /// Adds an empty buffer of `bytes` behind a full one.
+    fn add(&mut self, bytes: usize) {
+        let last = std::mem::replace(&mut self.last, Vec::with_capacity(bytes));
         if !last.is_empty() {
             self.full_bytes += last.len();
             self.full.push(last);
