Share the configuration between the replies that wait for a handler

Clients that read nothing shared a configuration once their handlers ran, but the control daemon made a copy for each reply before that: reads that wait for the same confirmation are answered in one turn.

The daemon hands out one copy for as long as a reply or connection holds it.

--- a/src/coltsfootnotch/daemon/control/daemon/from_hosts.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/from_hosts.rs
@@ -4,7 +4,7 @@
 
 use coltsfootnotch_fabric::{LinkId, PeerId};
 use coltsfootnotch_manifest::Manifest;
-use coltsfootnotch_state::Op;
+use coltsfootnotch_state::{AcceptedConfig, Op};
 use coltsfootnotch_wire::{
     ConfigBody, FromRelay, Heartbeat, ProposeError, RetryReport, ServiceBatch, ToRelay,
 };
@@ -192,11 +192,15 @@
 
     /// The configuration in force in this member's applied state.
     pub(in crate::daemon::control) fn config_body(&self) -> Option<ConfigBody> {
-        let accepted = self.machine().config().in_force()?;
-        Some(ConfigBody {
-            number: accepted.number,
-            digest: accepted.digest.0,
-            body: accepted.body.clone(),
-        })
+        self.machine().config().in_force().map(encoded)
+    }
+}
+
+/// A configuration as it is sent.
+pub(in crate::daemon::control) fn encoded(accepted: &AcceptedConfig) -> ConfigBody {
+    ConfigBody {
+        number: accepted.number,
+        digest: accepted.digest.0,
+        body: accepted.body.clone(),
     }
 }
--- a/src/coltsfootnotch/daemon/control/daemon/mod.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/mod.rs
@@ -20,6 +20,8 @@
 use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::HostRecord;
 
+pub(in crate::daemon::control) use from_hosts::encoded;
+
 use super::bootstrap::Bootstrap;
 use super::config_patches::ConfigPatches;
 use super::config_push::ConfigPush;
--- a/src/coltsfootnotch/daemon/control/seeded/call.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/call.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::{Arc, Weak};
 
 use coltsfootnotch_forward::registry::Announcement;
 use coltsfootnotch_types::DomainName;
@@ -43,8 +44,8 @@
 pub enum CallReply {
     /// Done, done before, or superseded by a higher number.
     Done,
-    /// The newest configuration, if there is one.
-    Config(Option<ConfigBody>),
+    /// The newest configuration, if there is one. Replies with the same one share it.
+    Config(Option<Arc<ConfigBody>>),
     /// Nothing was done, since the failure domain is not known.
     UnknownDomain,
     /// Nothing was done, since this host has no log; the control host at this fleet address has one.
@@ -58,6 +59,8 @@
 pub(in crate::daemon::control) struct Calls {
     last: u64,
     waiting: BTreeMap<u64, oneshot::Sender<CallReply>>,
+    /// The configuration that was read last, while a reply holds it.
+    last_read: Weak<ConfigBody>,
 }
 
 impl Calls {
@@ -72,6 +75,19 @@
         self.waiting.get(&id).is_none_or(oneshot::Sender::is_closed)
     }
 
+    /// The configuration with this digest that replies hold already, or else the one that `read` returns.
+    pub(in crate::daemon::control) fn share_config(
+        &mut self,
+        digest: [u8; 32],
+        read: impl FnOnce() -> ConfigBody,
+    ) -> Arc<ConfigBody> {
+        let last = self.last_read.upgrade();
+        let shared = last.filter(|config| config.digest == digest);
+        let shared = shared.unwrap_or_else(|| Arc::new(read()));
+        self.last_read = Arc::downgrade(&shared);
+        shared
+    }
+
     /// Sends the reply to a call, unless the caller has disconnected.
     pub(in crate::daemon::control) fn respond(&mut self, id: u64, reply: CallReply) {
         if let Some(tx) = self.waiting.remove(&id) {
--- a/src/coltsfootnotch/daemon/control/seeded/handlers.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/handlers.rs
@@ -17,7 +17,7 @@
 use super::members::GroupView;
 use super::{Call, CallReply};
 use crate::core::{decode_reply, encode_op};
-use crate::daemon::control::daemon::ControlDaemon;
+use crate::daemon::control::daemon::{ControlDaemon, encoded};
 use crate::daemon::control::packet::{LeaderRequest, LeaderResponse, MemberPacket};
 use crate::daemon::control::request_table::Origin;
 use crate::util::events;
@@ -305,9 +305,11 @@
 
     /// Sends the configuration to a read call, after its index is applied.
     pub(in crate::daemon::control) fn respond_to_read(&mut self, id: u64) {
-        let config = self.config_body();
+        let accepted = self.replica.machine().config().in_force();
         if let Some(seeded) = &mut self.seeded {
-            seeded.calls.respond(id, CallReply::Config(config));
+            let calls = &mut seeded.calls;
+            let config = accepted.map(|a| calls.share_config(a.digest.0, || encoded(a)));
+            calls.respond(id, CallReply::Config(config));
         }
     }
 
