--- a/crates/manifest/src/schema/settings_keys.rs
+++ b/crates/manifest/src/schema/settings_keys.rs
@@ -148,7 +148,7 @@
         "limits.connections",
         number(1, 65_536, "connections"),
         Presence::Default("4096"),
-        "callers connected at once; more are closed at once",
+        "callers connected at once; for one more, the one is closed that has waited for its caller for the longest, or it is refused if none waits",
     ),
     Key::new(
         "limits.header_bytes",
@@ -166,7 +166,7 @@
         "limits.memory_bytes",
         number(16 << 20, 64 << 30, "bytes"),
         Presence::Default("268435456"),
-        "bodies and answers held at once; above it requests are refused with 503",
+        "bodies and answers held at once, each body counted twice for its copies; above it requests are refused with 503; a quarter of as much besides for heads beyond 8 KiB",
     ),
     Key::new(
         "limits.queue_requests",
