--- a/tests/misbehaving/crowd.rs
+++ b/tests/misbehaving/crowd.rs
@@ -36,25 +36,25 @@
     sent: usize,
     is_refused: bool,
     /// Times that it connects again after its connection was closed.
-    returns: usize,
+    reconnects: usize,
 }
 
 impl Client {
-    fn connect(address: SocketAddr, message: Vec<u8>, returns: usize) -> Option<Self> {
+    fn connect(address: SocketAddr, message: Vec<u8>, reconnects: usize) -> Option<Self> {
         Some(Self {
             address,
             stream: connect(address)?,
             message,
             sent: 0,
             is_refused: false,
-            returns,
+            reconnects,
         })
     }
 
     /// Connects again, unless it has done so as often as it does.
-    fn come_again(&mut self) {
-        let stream = self.returns.checked_sub(1).and_then(|left| {
-            self.returns = left;
+    fn reconnect(&mut self) {
+        let stream = self.reconnects.checked_sub(1).and_then(|left| {
+            self.reconnects = left;
             connect(self.address)
         });
         self.is_refused = stream.is_none();
@@ -76,7 +76,7 @@
             }
             Err(e) if e.kind() == ErrorKind::WouldBlock => false,
             Err(_) => {
-                self.come_again();
+                self.reconnect();
                 true
             }
         }
@@ -101,17 +101,17 @@
         clients: usize,
         message: impl Fn(usize) -> Vec<u8>,
     ) -> Self {
-        Self::send_again(address, clients, 0, message)
+        Self::send_reconnecting(address, clients, 0, message)
     }
 
-    /// The same with clients that connect `returns` times again after their connection was closed.
-    pub(crate) fn send_again(
+    /// The same with clients that connect `reconnects` times again after their connection was closed.
+    pub(crate) fn send_reconnecting(
         address: SocketAddr,
         clients: usize,
-        returns: usize,
+        reconnects: usize,
         message: impl Fn(usize) -> Vec<u8>,
     ) -> Self {
-        let clients = (0..clients).filter_map(|n| Client::connect(address, message(n), returns));
+        let clients = (0..clients).filter_map(|n| Client::connect(address, message(n), reconnects));
         let mut crowd = Self {
             clients: clients.collect(),
         };
--- a/tests/misbehaving/crowded_fleet.rs
+++ b/tests/misbehaving/crowded_fleet.rs
@@ -53,7 +53,7 @@
         port_of(self.fleet.address, Role::Sidecar, 0, 2)
     }
 
-    /// Where the first daemon of a role tells its health and metrics.
+    /// Where the first daemon of a role serves its health and metrics.
     pub(crate) fn admin_address(&self, role: Role) -> SocketAddr {
         port_of(self.fleet.address, role, 0, 3)
     }
@@ -78,7 +78,7 @@
             wait_until("the status check is answered", || {
                 ureq::get(format!("http://{admin}/healthz")).call().is_ok()
             });
-            wait_until("metrics are told", || {
+            wait_until("metrics are served", || {
                 ureq::get(format!("http://{admin}/metrics")).call().is_ok()
             });
         }
--- a/tests/misbehaving/daemons.rs
+++ b/tests/misbehaving/daemons.rs
@@ -17,7 +17,7 @@
     )
 }
 
-/// Guards against an entry that ends for want of memory: bodies in large chunks that stop short of their end.
+/// Guards against an entry that ends for lack of memory: bodies in large chunks that stop short of their end.
 #[googletest::test]
 fn requests_in_large_chunks_that_do_not_end() {
     let crowded = CrowdedFleet::start();
@@ -27,7 +27,7 @@
     crowded.expect_alive_within_limits();
 }
 
-/// Guards against an entry that ends for want of memory: bodies in chunks of a byte that stop short of their end.
+/// Guards against an entry that ends for lack of memory: bodies in chunks of a byte that stop short of their end.
 #[googletest::test]
 fn requests_in_tiny_chunks_that_do_not_end() {
     let crowded = CrowdedFleet::start();
@@ -37,7 +37,7 @@
     crowded.expect_alive_within_limits();
 }
 
-/// Guards against an entry that ends for want of memory: long heads whose last line is missing.
+/// Guards against an entry that ends for lack of memory: long heads whose last line is missing.
 #[googletest::test]
 fn heads_that_do_not_end() {
     let crowded = CrowdedFleet::start();
@@ -60,7 +60,7 @@
     crowded.expect_alive_within_limits();
 }
 
-/// Guards against a sidecar that ends for want of memory: announcements in large chunks that stop short of their end.
+/// Guards against a sidecar that ends for lack of memory: announcements in large chunks that stop short of their end.
 #[googletest::test]
 fn announcements_in_large_chunks_that_do_not_end() {
     let crowded = CrowdedFleet::start();
@@ -70,7 +70,7 @@
     crowded.expect_alive_within_limits();
 }
 
-/// Guards against a sidecar that ends for want of memory: announcements in chunks of a byte that stop short of their end.
+/// Guards against a sidecar that ends for lack of memory: announcements in chunks of a byte that stop short of their end.
 #[googletest::test]
 fn announcements_in_tiny_chunks_that_do_not_end() {
     let crowded = CrowdedFleet::start();
@@ -80,7 +80,7 @@
     crowded.expect_alive_within_limits();
 }
 
-/// Guards against daemons that tell neither health nor metrics: all connections are taken by clients that read nothing.
+/// Guards against daemons that serve neither health nor metrics: all connections are taken by clients that read nothing.
 #[googletest::test]
 fn metrics_that_are_not_read() {
     let crowded = CrowdedFleet::start();
@@ -93,7 +93,7 @@
     crowded.expect_alive_within_limits();
 }
 
-/// Guards against daemons that tell neither health nor metrics: heads and bodies that do not end.
+/// Guards against daemons that serve neither health nor metrics: heads and bodies that do not end.
 #[googletest::test]
 fn metrics_requests_that_do_not_end() {
     let crowded = CrowdedFleet::start();
