Test peers that stop short at the fleet's listeners

The listeners of the fleet's own protocol were not among those that crowds were sent to. Peers connect to a control host, an entry, a router and a sidecar, and stop short in the handshake, in the first frame, in a message or in a request, or read nothing. On the fleet without keys any process can be such a peer; with keys it needs one, except for handshakes.

--- a/tests/misbehaving/crowd.rs
+++ b/tests/misbehaving/crowd.rs
@@ -146,6 +146,19 @@
     message
 }
 
+/// The head of a request with a chunked body whose framing does not end: by turns the extensions of a chunk, the
+/// trailers and the size of a chunk.
+pub(crate) fn unfinished_framing(head: &str, n: usize) -> Vec<u8> {
+    let mut message = unfinished_chunks(head, 10, 1);
+    let endless = match n % 3 {
+        0 => format!("1;{}", "x=y;".repeat(50_000)),
+        1 => format!("0\r\n{}", "X-Trailer: a\r\n".repeat(20_000)),
+        _ => "0".repeat(200_000),
+    };
+    message.extend(endless.into_bytes());
+    message
+}
+
 /// The head of a request that lacks its last line, of `bytes` in all, with one long header.
 pub(crate) fn unfinished_head(line: &str, bytes: usize) -> Vec<u8> {
     let start = format!("{line}\r\nHost: a.example\r\nX-Filler: ");
--- a/tests/misbehaving/crowded_fleet.rs
+++ b/tests/misbehaving/crowded_fleet.rs
@@ -4,6 +4,7 @@
 use std::process::Child;
 use std::sync::MutexGuard;
 
+use coltsfootnotch_fabric::IssuedKey;
 use coltsfootnotch_fakes::EngineConfig;
 use coltsfootnotch_types::prelude::*;
 use googletest::prelude::*;
@@ -58,6 +59,21 @@
         port_of(self.fleet.address, role, 0, 3)
     }
 
+    /// Where the first daemon of a role takes connections of other hosts of the fleet.
+    pub(crate) fn fleet_address(&self, role: Role) -> SocketAddr {
+        port_of(self.fleet.address, role, 0, 0)
+    }
+
+    /// The key of a host or operator of this fleet.
+    pub(crate) fn issued_key(&self, host: &str) -> IssuedKey {
+        let keys = self.fleet.folder.path().join("keys");
+        let read = |kind| std::fs::read_to_string(keys.join(format!("{host}.{kind}"))).unwrap();
+        IssuedKey {
+            certificate: read("pem"),
+            key: read("key"),
+        }
+    }
+
     /// Expects that an ordinary request of each kind is answered, and that each process lives within its limits.
     pub(crate) fn expect_alive_within_limits(&self) {
         let caller = self.fleet.caller(0);
--- a/tests/misbehaving/daemons.rs
+++ b/tests/misbehaving/daemons.rs
@@ -3,7 +3,7 @@
 use coltsfootnotch_types::prelude::*;
 
 use super::caller::KEY;
-use super::crowd::{Crowd, LARGE_CHUNK, unfinished_chunks, unfinished_head};
+use super::crowd::{Crowd, LARGE_CHUNK, unfinished_chunks, unfinished_framing, unfinished_head};
 use super::crowded_fleet::CrowdedFleet;
 
 const ANNOUNCE: &str = "POST /v1/announce HTTP/1.1\r\nHost: s\r\n";
@@ -109,3 +109,20 @@
     });
     crowded.expect_alive_within_limits();
 }
+
+/// Guards against daemons that end for lack of memory or answer nobody: extensions of a chunk, trailers and sizes of
+/// chunks without end, at each listener.
+#[googletest::test]
+fn framing_that_does_not_end() {
+    let crowded = CrowdedFleet::start();
+    let metrics = "POST /metrics HTTP/1.1\r\nHost: m\r\n".to_owned();
+    let listeners = [
+        (crowded.callers_address(), 250, completion()),
+        (crowded.announce_address(), CLIENTS, ANNOUNCE.to_owned()),
+        (crowded.admin_address(Role::Control), CLIENTS, metrics),
+    ];
+    let _crowds = listeners.map(|(address, clients, head)| {
+        Crowd::send_reconnecting(address, clients, 5, |n| unfinished_framing(&head, n))
+    });
+    crowded.expect_alive_within_limits();
+}
--- a/tests/misbehaving/main.rs
+++ b/tests/misbehaving/main.rs
@@ -11,6 +11,8 @@
 #[path = "../testsuite/processes/fleet.rs"]
 #[expect(dead_code, reason = "shared with the test suite")]
 mod fleet;
+mod peers;
 
 mod crowded_fleet;
 mod daemons;
+mod fleet_links;
--- a/tests/testsuite/processes/fleet.rs
+++ b/tests/testsuite/processes/fleet.rs
@@ -57,7 +57,7 @@
     pub(crate) services: Vec<OrderHandle>,
     pub(crate) operator: OperatorClient,
     pub(crate) address: IpAddr,
-    folder: TempDir,
+    pub(crate) folder: TempDir,
     runtime: Runtime,
 }
 
