Limit what peers make the fleet's listeners hold

Callers saw nothing in the tests, which run on loopback; on a machine of 60 or 96 MB each of these crowds ends the process, and with a control host its group loses a member, with a router all of its callers lose their requests.

Cause: nothing at the fleet's listeners was limited over all peers. Each connection was accepted; a sidecar's took 300 KB for streams that a peer might open, before it had shown a key. A first frame could have 9 MiB, as any other, and each was allocated in full when its length had arrived. Streams kept 1.25 MB each until they were accepted. Messages waited for the actor, and frames for a peer that reads nothing, without a limit in bytes.

Now connections and handshakes are limited by the memory of the process, and handshakes by time; a first frame has 64 bytes; peers get the streams of attempts only after it. Frames of more than 4 KiB share a quarter of the memory until they are handled, and one that stops short is given up after 2 s. 256 messages of a connection wait for the actor. Beyond a quarter of the memory for frames that wait to be sent, the connection is closed whose peer has taken nothing for a second and has most. Windows are 256 KiB, 4 MiB for attempts. What hosts of a fleet send to each other meets none of it: the smallest control host (110 MB) accepts 839 connections, 104 handshakes at once.

--- a/crates/fabric/src/connection.rs
+++ b/crates/fabric/src/connection.rs
@@ -10,17 +10,30 @@
 use derive_more::{Display, Error, From};
 use quinn::{ClientConfig, Connection, RecvStream, SendStream};
 use rustls_pki_types::CertificateDer;
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
+use tokio::time::timeout;
 
-use crate::endpoint::Traffic;
+use crate::endpoint::{ATTEMPT_STREAMS, ATTEMPTS_WINDOW, Traffic};
+use crate::frame_memory::receive_short;
 use crate::keys::SERVER_NAME;
-use crate::{Event, FrameError, LinkId, LinkTx, PeerError, PeerId, read_frame, write_frame};
+use crate::send_queues::{SendQueue, SendQueues};
+use crate::{
+    AttemptStream, Event, FrameError, FrameMemory, LinkId, LinkTx, MessageHold, PeerError, PeerId,
+    PeerLimits, ReceiveError, write_frame,
+};
 
 /// Initial delay before redialling; doubles up to [`MAX_REDIAL_DELAY`].
 const MIN_REDIAL_DELAY: Duration = Duration::from_millis(50);
 /// Maximum delay before redialling, so that a restarted host is reconnected within a second.
 const MAX_REDIAL_DELAY: Duration = Duration::from_secs(1);
 
+/// Time for a handshake and the first frame.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest first frame, in bytes.
+const MAX_HELLO_BYTES: usize = 64;
+/// Messages of a connection that are received and not handled yet; the peer has to wait with further ones.
+const MAX_UNHANDLED_MESSAGES: usize = 256;
+
 /// An error in establishing or running a connection.
 #[derive(Debug, Display, Error, From)]
 enum LinkError {
@@ -30,6 +43,11 @@
     Connect(quinn::ConnectError),
     #[display("invalid frame")]
     Frame(FrameError),
+    #[display("a frame was not received")]
+    Receive(ReceiveError),
+    #[display("the peer does not complete the handshake")]
+    #[from(skip)]
+    Handshake,
     #[display("the peer has no valid identity")]
     Peer(PeerError),
     #[display("another process listens at the address")]
@@ -53,28 +71,71 @@
     pub(crate) handler: Handler,
     pub(crate) next_link: AtomicU64,
     pub(crate) traffic: Arc<Traffic>,
+    /// Whether peers open streams for attempts.
+    pub(crate) runs_attempts: bool,
+    pub(crate) limits: PeerLimits,
+    /// For frames that are received and not handled.
+    pub(crate) memory: FrameMemory,
+    pub(crate) queues: Arc<SendQueues>,
+}
+
+/// A connection whose first frames were exchanged.
+struct Established {
+    connection: Connection,
+    peer: PeerId,
+    hello: Hello,
+    send: SendStream,
+    recv: RecvStream,
 }
 
 /// Accepts connections until the endpoint is closed.
 pub(crate) async fn accept_loop(shared: Arc<Shared>) {
+    let connections = Arc::new(Semaphore::new(shared.limits.connections));
+    let handshakes = Arc::new(Semaphore::new(shared.limits.handshakes));
     while let Some(incoming) = shared.quinn.accept().await {
+        let slot = Arc::clone(&connections).try_acquire_owned();
+        let handshake = Arc::clone(&handshakes).try_acquire_owned();
+        let (Ok(slot), Ok(handshake)) = (slot, handshake) else {
+            shared.traffic.refused.fetch_add(1, Ordering::Relaxed);
+            incoming.refuse();
+            continue;
+        };
         let shared = Arc::clone(&shared);
         tokio::spawn(async move {
-            if accept_connection(&shared, incoming).await.is_err() {
-                shared.traffic.refused.fetch_add(1, Ordering::Relaxed);
+            match accept_connection(&shared, incoming).await {
+                Ok(established) => {
+                    drop(handshake);
+                    run_link(&shared, established).await;
+                }
+                Err(_) => {
+                    shared.traffic.refused.fetch_add(1, Ordering::Relaxed);
+                }
             }
+            drop(slot);
         });
     }
 }
 
-async fn accept_connection(shared: &Shared, incoming: quinn::Incoming) -> Result<(), LinkError> {
-    let connection = incoming.await?;
-    let peer = peer_identity(&connection)?;
-    let (mut send, mut recv) = connection.accept_bi().await?;
-    let hello = read_hello(&mut recv).await?;
-    write_frame(&mut send, &shared.hello()).await?;
-    run_link(shared, connection, peer, hello, send, recv).await;
-    Ok(())
+async fn accept_connection(
+    shared: &Shared,
+    incoming: quinn::Incoming,
+) -> Result<Established, LinkError> {
+    let established = async {
+        let connection = incoming.await?;
+        let peer = peer_identity(&connection)?;
+        let (mut send, mut recv) = connection.accept_bi().await?;
+        let hello = read_hello(&mut recv).await?;
+        write_frame(&mut send, &shared.hello()).await?;
+        Ok(Established {
+            connection,
+            peer,
+            hello,
+            send,
+            recv,
+        })
+    };
+    let in_time = timeout(HANDSHAKE_TIMEOUT, established).await;
+    in_time.unwrap_or(Err(LinkError::Handshake))
 }
 
 /// Maintains a connection to an address, redialling after each disconnection.
@@ -110,12 +171,19 @@
     let (mut send, mut recv) = connection.open_bi().await?;
     write_frame(&mut send, &shared.hello()).await?;
     let hello = read_hello(&mut recv).await?;
-    run_link(shared, connection, peer, hello, send, recv).await;
+    let established = Established {
+        connection,
+        peer,
+        hello,
+        send,
+        recv,
+    };
+    run_link(shared, established).await;
     Ok(())
 }
 
 async fn read_hello(recv: &mut RecvStream) -> Result<Hello, LinkError> {
-    let hello: Hello = read_frame(recv).await?;
+    let hello: Hello = receive_short(recv, MAX_HELLO_BYTES).await?;
     if hello.version == WIRE_VERSION {
         Ok(hello)
     } else {
@@ -131,16 +199,25 @@
     PeerId::from_certificate(chain.first().ok_or(PeerError::NoCertificate)?)
 }
 
-async fn run_link(
-    shared: &Shared,
-    connection: Connection,
-    peer: PeerId,
-    hello: Hello,
-    send: SendStream,
-    recv: RecvStream,
-) {
+async fn run_link(shared: &Shared, established: Established) {
+    let Established {
+        connection,
+        peer,
+        hello,
+        send,
+        recv,
+    } = established;
+    if shared.runs_attempts {
+        connection.set_max_concurrent_bi_streams(ATTEMPT_STREAMS);
+        connection.set_receive_window(ATTEMPTS_WINDOW);
+    }
     let link = LinkId(shared.next_link.fetch_add(1, Ordering::Relaxed));
-    let (tx, rx) = LinkTx::new(connection.clone());
+    let queue = Arc::new(shared.queues.add(link, connection.clone()));
+    let (tx, rx) = LinkTx::new(
+        connection.clone(),
+        Arc::clone(&queue),
+        shared.memory.clone(),
+    );
     let incarnation = hello.incarnation;
     (shared.handler)(Event::Up {
         link,
@@ -151,13 +228,14 @@
     let outcome = tokio::select! {
         outcome = read_messages(shared, link, &peer, recv) => outcome,
         outcome = accept_streams(shared, link, &peer, &connection) => outcome,
-        outcome = write_messages(shared, send, rx) => outcome,
+        outcome = write_messages(shared, send, rx, &queue) => outcome,
     };
     if matches!(outcome, Err(LinkError::Forbidden)) {
         shared.traffic.refused.fetch_add(1, Ordering::Relaxed);
         (shared.handler)(Event::Forbidden { peer: peer.clone() });
     }
     connection.close(0_u32.into(), b"closed");
+    queue.remove();
     (shared.handler)(Event::Down { link, peer });
 }
 
@@ -167,15 +245,19 @@
     peer: &PeerId,
     mut recv: RecvStream,
 ) -> Result<(), LinkError> {
+    let unhandled = Arc::new(Semaphore::new(MAX_UNHANDLED_MESSAGES));
     loop {
-        let message: Message = read_frame(&mut recv).await?;
+        let (message, memory) = shared.memory.receive::<Message>(&mut recv).await?;
         if !message.may_be_sent_by(peer.role) {
             return Err(LinkError::Forbidden);
         }
+        // The semaphore is never closed.
+        let permit = Arc::clone(&unhandled).acquire_owned().await.ok();
         (shared.handler)(Event::Message {
             link,
             peer: peer.clone(),
             message,
+            hold: MessageHold::new(permit, memory),
         });
     }
 }
@@ -188,7 +270,8 @@
 ) -> Result<(), LinkError> {
     loop {
         let (send, recv) = connection.accept_bi().await?;
-        let stream = crate::AttemptStream { send, recv };
+        let memory = shared.memory.clone();
+        let stream = AttemptStream { send, recv, memory };
         (shared.handler)(Event::Stream {
             link,
             peer: peer.clone(),
@@ -201,10 +284,12 @@
     shared: &Shared,
     mut send: SendStream,
     mut rx: mpsc::Receiver<Vec<u8>>,
+    queue: &SendQueue,
 ) -> Result<(), LinkError> {
     while let Some(frame) = rx.recv().await {
-        let len = frame.len() as u64;
         send.write_all(&frame).await.map_err(FrameError::from)?;
+        queue.pop(frame.len());
+        let len = frame.len() as u64;
         shared.traffic.sent.fetch_add(len, Ordering::Relaxed);
     }
     std::future::pending().await
--- a/crates/fabric/src/endpoint.rs
+++ b/crates/fabric/src/endpoint.rs
@@ -12,7 +12,8 @@
 use tokio::task::JoinHandle;
 
 use crate::connection::{Shared, accept_loop, dial_loop};
-use crate::{Credentials, CredentialsError, Event, PeerId};
+use crate::send_queues::SendQueues;
+use crate::{Credentials, CredentialsError, Event, FrameMemory, PeerId, PeerLimits};
 
 /// A connection idle for this long is closed.
 ///
@@ -23,11 +24,21 @@
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum concurrent streams that a peer may open for attempts, which bounds the requests in
 /// progress between two hosts.
-const ATTEMPT_STREAMS: VarInt = VarInt::from_u32(4_096);
-/// The same for processes that run no attempts: the control stream and a few to spare. A connection
-/// allocates some 70 bytes for each stream that its peer may open, so that with the limit for
+pub(crate) const ATTEMPT_STREAMS: VarInt = VarInt::from_u32(4_096);
+/// The same for processes that run no attempts, and for peers that have sent no first frame: the control stream and a few
+/// to spare. A connection allocates some 70 bytes for each stream that its peer may open, so that with the limit for
 /// attempts a control host of hundreds of hosts needs most of its memory for streams never opened.
 const CONTROL_STREAMS: VarInt = VarInt::from_u32(4);
+/// Bytes of a stream that a peer may send before they are read.
+const STREAM_WINDOW: VarInt = VarInt::from_u32(256 * 1024);
+/// The same for all streams of a connection that carries no attempts.
+const CONTROL_WINDOW: VarInt = STREAM_WINDOW;
+/// The same for a connection that carries attempts: some of them may wait for memory.
+pub(crate) const ATTEMPTS_WINDOW: VarInt = VarInt::from_u32(4 * 1024 * 1024);
+/// Bytes of a connection that are kept until its peer has received them.
+const SEND_WINDOW: u64 = 512 * 1024;
+/// Bytes of datagrams that are kept for connections until they are accepted or refused.
+const INCOMING_BYTES: u64 = 2 * 1024 * 1024;
 /// Round-trip time assumed before one is measured.
 ///
 /// The first packet is retransmitted after three times this value. With quinn's default of 333 ms,
@@ -95,16 +106,17 @@
         address: SocketAddr,
         credentials: &Credentials,
         incarnation: Incarnation,
+        limits: PeerLimits,
         handler: impl Fn(Event) + Send + Sync + 'static,
     ) -> Result<Self, EndpointError> {
-        let transport = transport(CONTROL_STREAMS);
         Self::bind_with(
             runtime,
             address,
             credentials,
             incarnation,
+            limits,
             handler,
-            transport,
+            false,
         )
     }
 
@@ -117,16 +129,17 @@
         address: SocketAddr,
         credentials: &Credentials,
         incarnation: Incarnation,
+        limits: PeerLimits,
         handler: impl Fn(Event) + Send + Sync + 'static,
     ) -> Result<Self, EndpointError> {
-        let transport = transport(ATTEMPT_STREAMS);
         Self::bind_with(
             runtime,
             address,
             credentials,
             incarnation,
+            limits,
             handler,
-            transport,
+            true,
         )
     }
 
@@ -135,12 +148,16 @@
         address: SocketAddr,
         credentials: &Credentials,
         incarnation: Incarnation,
+        limits: PeerLimits,
         handler: impl Fn(Event) + Send + Sync + 'static,
-        transport: TransportConfig,
+        runs_attempts: bool,
     ) -> Result<Self, EndpointError> {
-        let transport = Arc::new(transport);
+        let transport = Arc::new(transport());
         let mut server = ServerConfig::with_crypto(Arc::new(credentials.server_config()?));
-        server.transport_config(Arc::clone(&transport));
+        server
+            .transport_config(Arc::clone(&transport))
+            .max_incoming(limits.handshakes)
+            .incoming_buffer_size_total(INCOMING_BYTES);
         let mut client = ClientConfig::new(Arc::new(credentials.client_config()?));
         client.transport_config(transport);
         let runtime_guard = runtime.enter();
@@ -153,6 +170,10 @@
             handler: Arc::new(handler),
             next_link: AtomicU64::new(0),
             traffic: Arc::default(),
+            runs_attempts,
+            limits,
+            memory: FrameMemory::new(limits.received_bytes),
+            queues: SendQueues::new(limits.queued_bytes),
         });
         let accept_task = runtime.spawn(accept_loop(Arc::clone(&shared)));
         Ok(Self {
@@ -209,13 +230,17 @@
     }
 }
 
-fn transport(streams: VarInt) -> TransportConfig {
+fn transport() -> TransportConfig {
     let mut transport = TransportConfig::default();
     transport
         .max_idle_timeout(Some(IdleTimeout::from(IDLE_TIMEOUT)))
         .keep_alive_interval(Some(KEEP_ALIVE_INTERVAL))
         .initial_rtt(INITIAL_RTT)
-        .max_concurrent_bidi_streams(streams)
+        .stream_receive_window(STREAM_WINDOW)
+        .receive_window(CONTROL_WINDOW)
+        .send_window(SEND_WINDOW)
+        .datagram_receive_buffer_size(None)
+        .max_concurrent_bidi_streams(CONTROL_STREAMS)
         .max_concurrent_uni_streams(0_u32.into());
     transport
 }
--- a/crates/fabric/src/event.rs
+++ b/crates/fabric/src/event.rs
@@ -3,13 +3,30 @@
 use coltsfootnotch_types::Incarnation;
 use coltsfootnotch_wire::Message;
 use derive_more::Display;
+use tokio::sync::OwnedSemaphorePermit;
 
-use crate::{AttemptStream, LinkTx, PeerId};
+use crate::{AttemptStream, FrameHold, LinkTx, PeerId};
 
 /// Identifies a connection within a process; each reconnection to a host gets a new id.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
 pub struct LinkId(pub u64);
 
+/// What a message takes until it is handled, which is when this value is dropped.
+#[derive(Debug, Default)]
+pub struct MessageHold {
+    _permit: Option<OwnedSemaphorePermit>,
+    _memory: FrameHold,
+}
+
+impl MessageHold {
+    pub(crate) fn new(permit: Option<OwnedSemaphorePermit>, memory: FrameHold) -> Self {
+        Self {
+            _permit: permit,
+            _memory: memory,
+        }
+    }
+}
+
 /// An event of an endpoint.
 ///
 /// The events of a link are `Up`, then messages and streams, then `Down`.
@@ -34,6 +51,8 @@
         peer: PeerId,
         /// The message.
         message: Message,
+        /// What the message takes; the peer may send as much again once it is dropped.
+        hold: MessageHold,
     },
     /// The peer opened a stream.
     Stream {
--- a/crates/fabric/tests/identity.rs
+++ b/crates/fabric/tests/identity.rs
@@ -4,13 +4,14 @@
 use std::sync::mpsc;
 use std::time::Duration;
 
-use coltsfootnotch_fabric::{Authority, Credentials, Endpoint, Event, PeerId};
+use coltsfootnotch_fabric::{Authority, Credentials, Endpoint, Event, PeerId, PeerLimits};
 use coltsfootnotch_types::prelude::*;
 use coltsfootnotch_wire::Message;
 use googletest::prelude::*;
 use tokio::runtime::Runtime;
 
 const TIMEOUT: Duration = Duration::from_secs(10);
+const MEMORY_BYTES: u64 = 64 << 20;
 
 fn peer(role: Role, host: &str) -> PeerId {
     PeerId {
@@ -36,6 +37,7 @@
         address,
         &credentials,
         Incarnation(1),
+        PeerLimits::for_memory(MEMORY_BYTES),
         handler,
     );
     (endpoint.unwrap(), rx)
--- a/crates/fabric/tests/memory.rs
+++ b/crates/fabric/tests/memory.rs
@@ -3,12 +3,13 @@
 use std::sync::mpsc;
 use std::time::Duration;
 
-use coltsfootnotch_fabric::{Credentials, DialHandle, Endpoint, Event, PeerId};
+use coltsfootnotch_fabric::{Credentials, DialHandle, Endpoint, Event, PeerId, PeerLimits};
 use coltsfootnotch_types::prelude::*;
 use googletest::prelude::*;
 use tokio::runtime::Runtime;
 
 const TIMEOUT: Duration = Duration::from_secs(30);
+const MEMORY_BYTES: u64 = 110 << 20;
 
 /// Hosts that one control host is connected to.
 const HOSTS: u32 = 100;
@@ -34,6 +35,7 @@
         address,
         &credentials,
         Incarnation(1),
+        PeerLimits::for_memory(MEMORY_BYTES),
         handler,
     );
     (endpoint.unwrap(), rx)
--- a/src/coltsfootnotch/daemon/control/actor.rs
+++ b/src/coltsfootnotch/daemon/control/actor.rs
@@ -119,6 +119,7 @@
         cfg.listen,
         &cfg.credentials,
         cx.identity.incarnation,
+        cfg.peer_limits,
         move |event| {
             to_actor.send(Input::Fabric(event));
         },
--- a/src/coltsfootnotch/daemon/control/config.rs
+++ b/src/coltsfootnotch/daemon/control/config.rs
@@ -7,7 +7,7 @@
 
 use coltsfootnotch_consensus::CoreConfig;
 use coltsfootnotch_consensus::storage::FaultInjector;
-use coltsfootnotch_fabric::Credentials;
+use coltsfootnotch_fabric::{Credentials, PeerLimits};
 use coltsfootnotch_manifest::Settings;
 use coltsfootnotch_membership::Timing;
 use coltsfootnotch_types::prelude::*;
@@ -46,6 +46,8 @@
     /// Failure domains of the fleet, which operators may evacuate; if empty, those of all hosts in
     /// the directory, and any with `seeds`.
     pub domains: BTreeSet<DomainName>,
+    /// Limits on what the hosts that connect make this one hold.
+    pub peer_limits: PeerLimits,
     /// Timeouts and size limits of the replicated log.
     pub core: CoreConfig,
     /// Timeouts of the failure detection of hosts.
@@ -85,6 +87,7 @@
             diskless: false,
             seeds: None,
             domains: BTreeSet::new(),
+            peer_limits: PeerLimits::default(),
             core,
             timing: Timing::DEFAULT,
             batch_ledger: true,
--- a/src/coltsfootnotch/daemon/control/daemon/connections.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/connections.rs
@@ -45,6 +45,7 @@
                 link,
                 peer,
                 message,
+                ..
             } => self.on_message(now, link, &peer, message),
             // Control hosts don't run attempts.
             Event::Stream { stream, .. } => drop(stream),
--- a/src/coltsfootnotch/daemon/entry/actor.rs
+++ b/src/coltsfootnotch/daemon/entry/actor.rs
@@ -10,7 +10,7 @@
 use coltsfootnotch_chart::Charts;
 use coltsfootnotch_decide::admit::{Admission, RateLimits};
 use coltsfootnotch_decide::retry::RetryBudget;
-use coltsfootnotch_fabric::{Endpoint, Event};
+use coltsfootnotch_fabric::{Endpoint, Event, PeerLimits};
 use coltsfootnotch_manifest::ConfigIndex;
 use coltsfootnotch_router::{EntryAction, EntryCore, QueuedRequest};
 use coltsfootnotch_types::prelude::*;
@@ -116,6 +116,7 @@
             cfg.fleet_address,
             &cfg.credentials,
             incarnation,
+            PeerLimits::default(),
             handler,
         )?;
         let fleet_address = endpoint.address()?;
--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -14,7 +14,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use coltsfootnotch_fabric::{Endpoint, LinkId};
+use coltsfootnotch_fabric::{Endpoint, LinkId, PeerLimits};
 use coltsfootnotch_forward::control_host::ControlHostSelector;
 use coltsfootnotch_forward::held::{HeldKind, HeldResources, Hold};
 use coltsfootnotch_forward::lease::ConfigLease;
@@ -221,6 +221,7 @@
             settings.fleet_address,
             &settings.credentials,
             cx.identity.incarnation,
+            PeerLimits::for_memory(settings.limits.memory_bytes),
             move |event| {
                 to_actor.send(ForwardMsg::Fabric(event));
             },
--- a/src/coltsfootnotch/daemon/sidecar/actor.rs
+++ b/src/coltsfootnotch/daemon/sidecar/actor.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use coltsfootnotch_chart::{Charts, UpstreamEvent};
-use coltsfootnotch_fabric::{AttemptStream, Endpoint, Event, LinkId, LinkTx, PeerId};
+use coltsfootnotch_fabric::{
+    AttemptStream, Endpoint, Event, FrameHold, LinkId, LinkTx, PeerId, PeerLimits,
+};
 use coltsfootnotch_router::{
     InFlightRequests, RunOutcome, SidecarConfig as CoreConfig, SidecarCore,
 };
@@ -43,6 +45,8 @@
         peer: PeerId,
         open: Box<OpenAttempt>,
         stream: AttemptStream,
+        /// Memory of the frame, until the message is handled.
+        hold: FrameHold,
     },
     Announcement(Box<Announcement>),
     FirstChunk {
@@ -136,6 +140,7 @@
             cfg.fleet_address,
             &cfg.credentials,
             local_incarnation,
+            PeerLimits::default(),
             handler,
         )?;
         let fleet_address = endpoint.address()?;
@@ -184,8 +189,14 @@
     fn on_msg(&mut self, stakker: CX![], msg: SidecarMsg) {
         match msg {
             SidecarMsg::Fabric(event) => self.on_fabric(event),
-            SidecarMsg::AttemptOpened { peer, open, stream } => {
+            SidecarMsg::AttemptOpened {
+                peer,
+                open,
+                stream,
+                hold,
+            } => {
                 self.on_attempt_opened(&peer, *open, stream);
+                drop(hold);
             }
             SidecarMsg::Announcement(announcement) => self.on_announcement(&announcement),
             SidecarMsg::FirstChunk { attempt } => self.on_first_chunk(attempt),
@@ -297,6 +308,7 @@
                 link,
                 peer,
                 message: Message::ToSidecar(message),
+                ..
             } => {
                 if self
                     .entries
--- a/src/coltsfootnotch/daemon/sidecar/sockets.rs
+++ b/src/coltsfootnotch/daemon/sidecar/sockets.rs
@@ -34,11 +34,12 @@
         } if peer.role == Role::Entry => {
             let tx = tx.clone();
             runtime.spawn(async move {
-                if let Ok(open) = coltsfootnotch_fabric::read_frame(&mut stream.recv).await {
+                if let Ok((open, hold)) = stream.receive().await {
                     tx.send(SidecarMsg::AttemptOpened {
                         peer,
                         open: Box::new(open),
                         stream,
+                        hold,
                     });
                 }
             });
--- a/src/coltsfootnotch/daemon/sidecar/stop_tests.rs
+++ b/src/coltsfootnotch/daemon/sidecar/stop_tests.rs
@@ -5,7 +5,7 @@
 
 use coltsfootnotch_decide::fair::ChoicePolicy;
 use coltsfootnotch_fabric::{
-    Credentials, DialHandle, Endpoint, Event, LinkTx, PeerId, read_frame, write_frame,
+    Credentials, DialHandle, Endpoint, Event, LinkTx, PeerId, PeerLimits, read_frame, write_frame,
 };
 use coltsfootnotch_manifest::Limits;
 use coltsfootnotch_state::DriftBound;
@@ -75,7 +75,14 @@
             let _received = tx.send(link);
         }
     };
-    let entry = Endpoint::bind(runtime.handle(), any, &credentials, Incarnation(2), handler);
+    let entry = Endpoint::bind(
+        runtime.handle(),
+        any,
+        &credentials,
+        Incarnation(2),
+        PeerLimits::default(),
+        handler,
+    );
     let entry = entry.unwrap();
     let dial = entry.dial(sidecar.fleet_address(), peer(Role::Sidecar));
     let link = rx.recv_timeout(WAIT).unwrap();
--- a/src/coltsfootnotch/ops/operator_client.rs
+++ b/src/coltsfootnotch/ops/operator_client.rs
@@ -11,7 +11,7 @@
 use std::sync::{Mutex, PoisonError, mpsc};
 use std::time::{Duration, Instant};
 
-use coltsfootnotch_fabric::{Credentials, DialHandle, Endpoint, EndpointError, PeerId};
+use coltsfootnotch_fabric::{Credentials, DialHandle, Endpoint, EndpointError, PeerId, PeerLimits};
 use coltsfootnotch_manifest::Manifest;
 use coltsfootnotch_state::{ApplyConfig, BodyDigest, Op, Reply};
 use coltsfootnotch_types::prelude::*;
@@ -101,7 +101,14 @@
             let _client_may_be_dropped = tx.send(event);
         };
         // Control hosts don't address messages to an operator's incarnation.
-        let endpoint = Endpoint::bind(runtime, ANY, credentials, Incarnation(0), handler)?;
+        let endpoint = Endpoint::bind(
+            runtime,
+            ANY,
+            credentials,
+            Incarnation(0),
+            PeerLimits::default(),
+            handler,
+        )?;
         let dial = |control: &ControlAddress| {
             let peer = PeerId {
                 role: Role::Control,
--- a/tests/misbehaving/fleet_links.rs
+++ b/tests/misbehaving/fleet_links.rs
@@ -50,7 +50,7 @@
     let key = crowded.issued_key("entry-1");
     let address = crowded.fleet_address(Role::Sidecar);
     // The first stream is that of messages, the others are each that of a request.
-    let _crowd = PeerCrowd::send_first(address, 1, &key, hello(), 60, |_| unfinished_frame());
+    let _crowd = PeerCrowd::send_first(address, 1, &key, &hello(), 60, |_| unfinished_frame());
     crowded.expect_alive_within_limits();
 }
 
--- a/tests/misbehaving/peers.rs
+++ b/tests/misbehaving/peers.rs
@@ -65,7 +65,7 @@
         streams: usize,
         message: impl Fn(usize) -> Vec<u8>,
     ) -> Self {
-        Self::send_first(address, peers, key, Vec::new(), streams, message)
+        Self::send_first(address, peers, key, &[], streams, message)
     }
 
     /// The same with `first` on a stream of its own before, if it is not empty.
@@ -73,7 +73,7 @@
         address: SocketAddr,
         peers: usize,
         key: &IssuedKey,
-        first: Vec<u8>,
+        first: &[u8],
         streams: usize,
         message: impl Fn(usize) -> Vec<u8>,
     ) -> Self {
@@ -82,7 +82,7 @@
         let begin = |n| {
             let has_first = !first.is_empty();
             let mut messages = vec![message(n); streams];
-            messages.splice(0..0, has_first.then(|| first.clone()));
+            messages.splice(0..0, has_first.then(|| first.to_vec()));
             let endpoint = endpoint.clone();
             runtime.spawn(async move { send_one(&endpoint, address, messages).await })
         };
--- a/tests/testsuite/control/client.rs
+++ b/tests/testsuite/control/client.rs
@@ -5,7 +5,7 @@
 
 use coltsfootnotch::core::{decode_reply, encode_op};
 use coltsfootnotch::daemon::ControlAddress;
-use coltsfootnotch_fabric::{Credentials, DialHandle, Endpoint, Event, LinkTx, PeerId};
+use coltsfootnotch_fabric::{Credentials, DialHandle, Endpoint, Event, LinkTx, PeerId, PeerLimits};
 use coltsfootnotch_manifest::{KeyHash, Manifest};
 use coltsfootnotch_state::{ApplyConfig, BodyDigest, ConfigReply, Op, Reply};
 use coltsfootnotch_types::prelude::*;
@@ -39,11 +39,13 @@
         let (to_client, events) = mpsc::channel();
         let incarnation = Incarnation(rand::random());
         let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        let endpoint = Endpoint::bind(runtime, any_port, credentials, incarnation, move |event| {
+        let handler = move |event| {
             // The test may have finished.
             let _ = to_client.send(event);
-        })
-        .expect("an endpoint");
+        };
+        let limits = PeerLimits::default();
+        let endpoint = Endpoint::bind(runtime, any_port, credentials, incarnation, limits, handler)
+            .expect("an endpoint");
         let control = PeerId {
             role: Role::Control,
             host: member.host.clone(),
