Limit the receive buffers of callers' and upstreams' connections

Bytes that have arrived and were not read count as memory of a process on the users' platform. The system lets the receive buffer of a peer that has sent much grow, up to 32 MB here, while nothing is read of it: behind a request that is handled, or a response that its caller doesn't take. Found by reading; on loopback, none of the tests made a buffer grow beyond its default of 128 KiB (200 clients had 20.8 MB unread with and without the change, 104 KB each). The buffer is set to 32 KiB, of which the system makes 64.

--- a/src/coltsfootnotch/daemon/forward/pool.rs
+++ b/src/coltsfootnotch/daemon/forward/pool.rs
@@ -19,6 +19,7 @@
 use super::read_limit::ReadLimit;
 use super::upstream_socket::{SocketProbe, UpstreamSocket};
 use crate::util::buffered_body::BufferedBody;
+use crate::util::http_server::limit_unread;
 
 /// Timeout of a new connection. Connecting takes some milliseconds within a region; an unreachable
 /// host must leave time for another upstream.
@@ -173,6 +174,7 @@
         Err(_) => return Err(io::ErrorKind::TimedOut.into()),
     };
     stream.set_nodelay(true)?;
+    limit_unread(&stream)?;
     let limit = Arc::<ReadLimit>::default();
     let socket = UpstreamSocket::new(stream, Arc::clone(&limit));
     let probe = socket.probe();
--- a/src/coltsfootnotch/util/http_server.rs
+++ b/src/coltsfootnotch/util/http_server.rs
@@ -206,12 +206,25 @@
     stream.set_nodelay(true)?;
     // The system's default is megabytes, and a writer is woken only once much of that is free. A
     // slow reader then holds that much memory and appears to be stalled.
-    SockRef::from(stream).set_send_buffer_size(SEND_BUFFER)
+    SockRef::from(stream).set_send_buffer_size(SEND_BUFFER)?;
+    limit_unread(stream)
 }
 
 /// Size of the socket's send buffer, in bytes.
 const SEND_BUFFER: usize = 64 * 1024;
 
+/// Size of a socket's receive buffer, in bytes.
+const RECEIVE_BUFFER: usize = 32 * 1024;
+
+/// Limits what a peer may send before it is read. The system would let the buffer of a peer that has sent much grow to
+/// megabytes, which count as memory of the process.
+///
+/// # Errors
+/// Returns an error when the connection is closed already.
+pub(crate) fn limit_unread(stream: &TcpStream) -> std::io::Result<()> {
+    SockRef::from(stream).set_recv_buffer_size(RECEIVE_BUFFER)
+}
+
 /// Content type of a plain-text body.
 pub const TEXT: &str = "text/plain; charset=utf-8";
 
