Serve connections in slots by one function

The listeners of callers and the servers of all others had the same select on a connection's end and the loss of its slot. A slot is taken and another connection closed for it under one lock now: two tasks could pass the limit by one.

--- a/src/coltsfootnotch/daemon/forward/listener.rs
+++ b/src/coltsfootnotch/daemon/forward/listener.rs
@@ -17,7 +17,7 @@
 use crate::util::connections::{Connections, OpenConnection};
 use crate::util::events;
 use crate::util::http_server::{
-    ConnectionCx, ConnectionLimits, accept_connections, prepare, serve_connection,
+    ConnectionCx, ConnectionLimits, accept_connections, prepare, serve_in_slot,
 };
 use crate::util::refused_connection::{MAX_WAITED_FOR, refuse_connection};
 
@@ -75,19 +75,8 @@
         };
         let cx = connection_cx(peer, &slot, hold, &self.gw);
         let handler = |req, peer| Arc::clone(&self.gw).handle(req, peer);
-        let closing = async {
-            tokio::select! {
-                () = closing => {}
-                () = open.closing() => {}
-            }
-        };
-        let aborting = || open.aborting();
         let limits = || (self.limits)();
-        let served = serve_connection(stream, cx, limits, closing, aborting, &handler);
-        tokio::select! {
-            is_unread = served => open.count_if_unread(is_unread),
-            () = slot.evicted() => {}
-        }
+        serve_in_slot(stream, cx, limits, &open, &slot, closing, &handler).await;
     }
 }
 
--- a/src/coltsfootnotch/util/connection_slots.rs
+++ b/src/coltsfootnotch/util/connection_slots.rs
@@ -50,10 +50,10 @@
     /// Takes a slot. If all are taken, the connection that has waited for its peer for the longest loses its slot; none
     /// if no connection waits.
     pub(crate) fn take(self: &Arc<Self>) -> Option<Slot> {
-        if self.open().by_id.len() >= self.limit && !self.evict() {
+        let mut open = self.open();
+        if open.by_id.len() >= self.limit && !open.evict() {
             return None;
         }
-        let mut open = self.open();
         open.last_id += 1;
         let id = open.last_id;
         let state = Arc::<ConnectionState>::default();
@@ -75,22 +75,27 @@
 
     /// Closes the connection that has waited for its peer for the longest; returns whether there is one.
     pub(crate) fn evict(&self) -> bool {
-        let mut open = self.open();
-        let waiting = open.by_id.iter();
+        self.open().evict()
+    }
+
+    fn open(&self) -> MutexGuard<'_, OpenSlots> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl OpenSlots {
+    fn evict(&mut self) -> bool {
+        let waiting = self.by_id.iter();
         let waiting =
             waiting.filter_map(|(id, occupant)| Some((occupant.state.waits_since()?, *id)));
         let Some((_, longest)) = waiting.min() else {
             return false;
         };
-        if let Some(occupant) = open.by_id.remove(&longest) {
+        if let Some(occupant) = self.by_id.remove(&longest) {
             occupant.evicted.notify_one();
         }
         true
     }
-
-    fn open(&self) -> MutexGuard<'_, OpenSlots> {
-        self.open.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
 
 impl Slot {
--- a/src/coltsfootnotch/util/http_server.rs
+++ b/src/coltsfootnotch/util/http_server.rs
@@ -18,6 +18,7 @@
 use http_body_util::combinators::BoxBody;
 use hyper::{Request, Response, StatusCode};
 use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
@@ -25,6 +26,7 @@
 use super::body_buffer::{CollectError, collect_body};
 pub(crate) use super::connection::{CLOSE_LINGER, PARTIAL_REQUEST_TIMEOUT};
 pub use super::connection::{ConnectionCx, serve_connection};
+use super::connection_io::ServerSocket;
 use super::connection_slots::{ConnectionSlots, Slot};
 use super::connections::{Connections, OpenConnection};
 use super::memory_budget::MemoryBudget;
@@ -100,24 +102,49 @@
             .reserve_buffer(move |bytes| head.try_resize(bytes))
             .write_timeout(limits.write_timeout);
         async move {
-            if prepare(&stream).is_ok() {
-                let limits = || ConnectionLimits {
-                    header_bytes: limits.header_bytes,
-                    read_timeout: read_timeout(),
-                };
-                let (closing, aborting) = (open.closing(), || open.aborting());
-                let served = serve_connection(stream, cx, limits, closing, aborting, &*handler);
-                tokio::select! {
-                    is_unread = served => open.count_if_unread(is_unread),
-                    () = slot.evicted() => {}
-                }
+            if prepare(&stream).is_err() {
+                return;
             }
-            drop(slot);
+            let limits = || ConnectionLimits {
+                header_bytes: limits.header_bytes,
+                read_timeout: read_timeout(),
+            };
+            let never = std::future::pending();
+            serve_in_slot(stream, cx, limits, &open, &slot, never, &*handler).await;
         }
     };
     accept_connections(listener, admit, connections, serve).await;
 }
 
+/// Serves a connection until it ends or loses its slot. Closes it after the current response once `closing` completes or
+/// its listener closes its connections; see [`serve_connection`].
+pub(crate) async fn serve_in_slot<S, F, R>(
+    stream: S,
+    cx: ConnectionCx,
+    limits: impl Fn() -> ConnectionLimits,
+    open: &OpenConnection,
+    slot: &Slot,
+    closing: impl Future<Output = ()>,
+    handler: &F,
+) where
+    S: AsyncRead + AsyncWrite + ServerSocket + Unpin,
+    F: Fn(Request<RequestBody>, SocketAddr) -> R,
+    R: Future<Output = AnyResponse>,
+{
+    let closing = async {
+        tokio::select! {
+            () = closing => {}
+            () = open.closing() => {}
+        }
+    };
+    let aborting = || open.aborting();
+    let served = serve_connection(stream, cx, limits, closing, aborting, handler);
+    tokio::select! {
+        is_unread = served => open.count_if_unread(is_unread),
+        () = slot.evicted() => {}
+    }
+}
+
 /// Accepts connections and runs `serve` on each in a task of its own, with its permit, until `connections`
 /// are told to close; those in the queue by then are accepted as well. Connections that `admit` gives no
 /// permit are refused without being parsed.
