Keep the windows of connections that a host dials

An entry's connection to a sidecar carries the responses of all attempts. The smaller windows are those of accepted connections only, and only entries that a sidecar has accepted get the streams of attempts.

--- a/crates/fabric/src/connection.rs
+++ b/crates/fabric/src/connection.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use coltsfootnotch_types::Incarnation;
+use coltsfootnotch_types::{Incarnation, Role};
 use coltsfootnotch_wire::{Hello, Message, WIRE_VERSION};
 use derive_more::{Display, Error, From};
 use quinn::{ClientConfig, Connection, RecvStream, SendStream};
@@ -105,6 +105,9 @@
             match accept_connection(&shared, incoming).await {
                 Ok(established) => {
                     drop(handshake);
+                    if shared.runs_attempts && established.peer.role == Role::Entry {
+                        allow_attempts(&established.connection);
+                    }
                     run_link(&shared, established).await;
                 }
                 Err(_) => {
@@ -116,6 +119,11 @@
     }
 }
 
+fn allow_attempts(connection: &Connection) {
+    connection.set_max_concurrent_bi_streams(ATTEMPT_STREAMS);
+    connection.set_receive_window(ATTEMPTS_WINDOW);
+}
+
 async fn accept_connection(
     shared: &Shared,
     incoming: quinn::Incoming,
@@ -207,10 +215,6 @@
         send,
         recv,
     } = established;
-    if shared.runs_attempts {
-        connection.set_max_concurrent_bi_streams(ATTEMPT_STREAMS);
-        connection.set_receive_window(ATTEMPTS_WINDOW);
-    }
     let link = LinkId(shared.next_link.fetch_add(1, Ordering::Relaxed));
     let queue = Arc::new(shared.queues.add(link, connection.clone()));
     let (tx, rx) = LinkTx::new(
--- a/crates/fabric/src/endpoint.rs
+++ b/crates/fabric/src/endpoint.rs
@@ -152,14 +152,13 @@
         handler: impl Fn(Event) + Send + Sync + 'static,
         runs_attempts: bool,
     ) -> Result<Self, EndpointError> {
-        let transport = Arc::new(transport());
         let mut server = ServerConfig::with_crypto(Arc::new(credentials.server_config()?));
         server
-            .transport_config(Arc::clone(&transport))
+            .transport_config(Arc::new(accepting_transport()))
             .max_incoming(limits.handshakes)
             .incoming_buffer_size_total(INCOMING_BYTES);
         let mut client = ClientConfig::new(Arc::new(credentials.client_config()?));
-        client.transport_config(transport);
+        client.transport_config(Arc::new(transport()));
         let runtime_guard = runtime.enter();
         let quinn = quinn::Endpoint::server(server, address)?;
         drop(runtime_guard);
@@ -236,11 +235,19 @@
         .max_idle_timeout(Some(IdleTimeout::from(IDLE_TIMEOUT)))
         .keep_alive_interval(Some(KEEP_ALIVE_INTERVAL))
         .initial_rtt(INITIAL_RTT)
+        .max_concurrent_bidi_streams(CONTROL_STREAMS)
+        .max_concurrent_uni_streams(0_u32.into());
+    transport
+}
+
+/// Connections that others dial have smaller windows. Those that this process dials lead to hosts that it knows, and at
+/// an entry they carry the responses of all attempts, which must not block each other.
+fn accepting_transport() -> TransportConfig {
+    let mut transport = transport();
+    transport
         .stream_receive_window(STREAM_WINDOW)
         .receive_window(CONTROL_WINDOW)
         .send_window(SEND_WINDOW)
-        .datagram_receive_buffer_size(None)
-        .max_concurrent_bidi_streams(CONTROL_STREAMS)
-        .max_concurrent_uni_streams(0_u32.into());
+        .datagram_receive_buffer_size(None);
     transport
 }
