--- a/src/coltsfootnotch/daemon/forward/actor/maintenance.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/maintenance.rs
@@ -132,6 +132,17 @@
         metrics.gauge("requests_at_upstreams", &[]).set(running);
     }
 
+    /// Publishes which upstreams this entry may place requests at, and how many entries it shares limits with.
+    pub(super) fn observe_fleet(&mut self) {
+        let upstreams = self.state.registry.all().count() as f64;
+        let entries = self.state.sharing_entries().unwrap_or(0);
+        let metrics = &self.cx.metrics;
+        metrics.gauge("known_upstreams", &[]).set(upstreams);
+        metrics
+            .gauge("sharing_entries", &[])
+            .set(f64::from(entries));
+    }
+
     /// Publishes what is held for callers, and logs when new requests start or stop to be refused for it.
     pub(super) fn observe_held(&mut self) {
         let metrics = &self.cx.metrics;
--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -445,6 +445,7 @@
         self.state.expire_notices(now);
         self.observe_held();
         self.observe_running();
+        self.observe_fleet();
         self.observe_earlier_retries(now);
         self.update_lease_state();
         self.report_handover();
--- a/src/coltsfootnotch/daemon/forward/state/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/state/mod.rs
@@ -435,6 +435,11 @@
         self.loads.apply_remote(now, load, capacity);
     }
 
+    /// Number of entries that share limits; none while it is not known.
+    pub(super) fn sharing_entries(&self) -> Option<u32> {
+        self.entries.sharing()
+    }
+
     /// This entry's demand relative to an even share of the demand at all entries.
     pub(super) fn load_ratio(&mut self, now: Duration) -> f64 {
         self.shares.local_share(now) * f64::from(self.entries.current().unwrap_or(1))
