Count messages that are not handled by their length, and let known peers send more at once

256 messages of a connection waited for the actor, of up to 4 KiB that count with nothing else: 1 MB a peer. They count in units of 256 bytes now, 64 KiB a connection. Found by reading; a test in the package reads 200 messages of 4 KB and expects 64 KiB at most.

A peer may send 64 KiB before its first frame is read, and 512 KiB afterwards instead of 256: with a delay of half a second, as on a link that is squeezed, a configuration of 4 MiB would take 8 s instead of 4.

--- a/crates/fabric/src/connection.rs
+++ b/crates/fabric/src/connection.rs
@@ -13,7 +13,7 @@
 use tokio::sync::{Semaphore, mpsc};
 use tokio::time::timeout;
 
-use crate::endpoint::{ATTEMPT_STREAMS, ATTEMPTS_WINDOW, Traffic};
+use crate::endpoint::{ATTEMPT_STREAMS, ATTEMPTS_WINDOW, CONTROL_WINDOW, Traffic};
 use crate::frame_memory::receive_short;
 use crate::keys::SERVER_NAME;
 use crate::send_queues::{SendQueue, SendQueues};
@@ -31,8 +31,11 @@
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Longest first frame, in bytes.
 const MAX_HELLO_BYTES: usize = 64;
-/// Messages of a connection that are received and not handled yet; the peer has to wait with further ones.
-const MAX_UNHANDLED_MESSAGES: usize = 256;
+/// Messages of a connection that are received and not handled yet, in units of [`MESSAGE_UNIT_BYTES`]; the peer has to
+/// wait with further ones.
+const MAX_UNHANDLED: usize = 256;
+/// Bytes of a message that count as one; a short one takes as much with its place in the queue.
+const MESSAGE_UNIT_BYTES: usize = 256;
 
 /// An error in establishing or running a connection.
 #[derive(Debug, Display, Error, From)]
@@ -105,9 +108,7 @@
             match accept_connection(&shared, incoming).await {
                 Ok(established) => {
                     drop(handshake);
-                    if shared.runs_attempts && established.peer.role == Role::Entry {
-                        allow_attempts(&established.connection);
-                    }
+                    allow_more(&shared, &established);
                     run_link(&shared, established).await;
                 }
                 Err(_) => {
@@ -119,9 +120,15 @@
     }
 }
 
-fn allow_attempts(connection: &Connection) {
-    connection.set_max_concurrent_bi_streams(ATTEMPT_STREAMS);
-    connection.set_receive_window(ATTEMPTS_WINDOW);
+/// Has a peer that has sent its first frame send more than before.
+fn allow_more(shared: &Shared, established: &Established) {
+    let connection = &established.connection;
+    if shared.runs_attempts && established.peer.role == Role::Entry {
+        connection.set_max_concurrent_bi_streams(ATTEMPT_STREAMS);
+        connection.set_receive_window(ATTEMPTS_WINDOW);
+    } else {
+        connection.set_receive_window(CONTROL_WINDOW);
+    }
 }
 
 async fn accept_connection(
@@ -249,14 +256,16 @@
     peer: &PeerId,
     mut recv: RecvStream,
 ) -> Result<(), LinkError> {
-    let unhandled = Arc::new(Semaphore::new(MAX_UNHANDLED_MESSAGES));
+    let unhandled = Arc::new(Semaphore::new(MAX_UNHANDLED));
     loop {
         let (message, memory) = shared.memory.receive::<Message>(&mut recv).await?;
+        let units = memory.frame_bytes().div_ceil(MESSAGE_UNIT_BYTES);
+        let units = units.clamp(1, MAX_UNHANDLED) as u32;
         if !message.may_be_sent_by(peer.role) {
             return Err(LinkError::Forbidden);
         }
         // The semaphore is never closed.
-        let permit = Arc::clone(&unhandled).acquire_owned().await.ok();
+        let permit = Arc::clone(&unhandled).acquire_many_owned(units).await.ok();
         (shared.handler)(Event::Message {
             link,
             peer: peer.clone(),
--- a/crates/fabric/src/endpoint.rs
+++ b/crates/fabric/src/endpoint.rs
@@ -29,10 +29,10 @@
 /// to spare. A connection allocates some 70 bytes for each stream that its peer may open, so that with the limit for
 /// attempts a control host of hundreds of hosts needs most of its memory for streams never opened.
 const CONTROL_STREAMS: VarInt = VarInt::from_u32(4);
-/// Bytes of a stream that a peer may send before they are read.
-const STREAM_WINDOW: VarInt = VarInt::from_u32(256 * 1024);
-/// The same for all streams of a connection that carries no attempts.
-const CONTROL_WINDOW: VarInt = STREAM_WINDOW;
+/// Bytes that a peer may send on all streams of its connection before its first frame is read.
+const HANDSHAKE_WINDOW: VarInt = VarInt::from_u32(64 * 1024);
+/// The same afterwards. On a link with delays of half a second, a configuration of 4 MiB takes as many seconds.
+pub(crate) const CONTROL_WINDOW: VarInt = VarInt::from_u32(512 * 1024);
 /// The same for a connection that carries attempts: some of them may wait for memory.
 pub(crate) const ATTEMPTS_WINDOW: VarInt = VarInt::from_u32(4 * 1024 * 1024);
 /// Bytes of a connection that are kept until its peer has received them.
@@ -245,8 +245,8 @@
 fn accepting_transport() -> TransportConfig {
     let mut transport = transport();
     transport
-        .stream_receive_window(STREAM_WINDOW)
-        .receive_window(CONTROL_WINDOW)
+        .stream_receive_window(CONTROL_WINDOW)
+        .receive_window(HANDSHAKE_WINDOW)
         .send_window(SEND_WINDOW)
         .datagram_receive_buffer_size(None);
     transport
--- a/crates/fabric/src/event.rs
+++ b/crates/fabric/src/event.rs
@@ -12,7 +12,7 @@
 pub struct LinkId(pub u64);
 
 /// What a message takes until it is handled, which is when this value is dropped.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct MessageHold {
     _permit: Option<OwnedSemaphorePermit>,
     _memory: FrameHold,
--- a/crates/fabric/src/frame_memory.rs
+++ b/crates/fabric/src/frame_memory.rs
@@ -12,8 +12,8 @@
 
 use crate::FrameError;
 
-/// Longest frame that takes none of the memory, in bytes: each connection has one at most, so that heartbeats and votes
-/// are read whatever other peers hold.
+/// Longest frame that takes none of the memory, in bytes, so that heartbeats and votes are read whatever other peers
+/// hold. Those of a connection that are not handled are limited by its own.
 const SHORT_FRAME_BYTES: usize = 4 * 1024;
 /// Part of a frame that has to arrive within [`STALL_TIMEOUT`], in bytes.
 const PART_BYTES: usize = 64 * 1024;
@@ -62,11 +62,19 @@
 }
 
 /// Memory of one frame, until it is dropped.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct FrameHold {
+    frame_bytes: usize,
     _permits: Option<OwnedSemaphorePermit>,
 }
 
+impl FrameHold {
+    /// Length of the frame, in bytes.
+    pub(crate) fn frame_bytes(&self) -> usize {
+        self.frame_bytes
+    }
+}
+
 impl FrameMemory {
     /// Memory of `bytes`, or that of one of the longest frames if that is more.
     #[must_use]
@@ -96,7 +104,10 @@
 
     async fn hold(&self, len: usize) -> Result<FrameHold, ReceiveError> {
         if len <= SHORT_FRAME_BYTES {
-            return Ok(FrameHold::default());
+            return Ok(FrameHold {
+                frame_bytes: len,
+                _permits: None,
+            });
         }
         let permits = Arc::clone(&self.permits).acquire_many_owned(permits(len));
         let held = timeout(MEMORY_TIMEOUT, permits).await;
@@ -104,6 +115,7 @@
         let held = held.ok().and_then(Result::ok);
         let held = held.ok_or(ReceiveError::NoMemory)?;
         Ok(FrameHold {
+            frame_bytes: len,
             _permits: Some(held),
         })
     }
--- a/crates/fabric/tests/limits.rs
+++ b/crates/fabric/tests/limits.rs
@@ -200,3 +200,24 @@
     let more: Vec<_> = control.events.try_iter().collect();
     expect_that!(messages(&more), gt(0));
 }
+
+// Guards against the same by long messages, of which fewer are read.
+#[gtest]
+fn long_messages_that_are_not_handled_count_by_their_length() {
+    let runtime = Runtime::new().unwrap();
+    let control = Process::start(&runtime, Role::Control, "c1", PeerLimits::default());
+    let entry = Process::start(&runtime, Role::Entry, "e1", PeerLimits::default());
+    let _dial = entry.dial(&control);
+    let tx = entry.wait_up();
+    for id in 0..200 {
+        let command = vec![0; 4_000];
+        let message = Message::ToRelay(ToRelay::Propose { id, command });
+        tx.send(&message).unwrap();
+    }
+    std::thread::sleep(Duration::from_millis(500));
+    let kept: Vec<_> = control.events.try_iter().collect();
+    let is_message = |event: &&Event| matches!(event, Event::Message { .. });
+    let bytes = 4_000 * kept.iter().filter(is_message).count();
+    expect_that!(bytes, gt(0));
+    expect_that!(bytes, le(64 * 1024));
+}
