Serialise bytes in one piece

The configuration is encoded and decoded some ten times on its way through the control group, each byte as an element of its own, and the leader's actor sends no heartbeats meanwhile; the next leader fares the same.

The wire and the disk stay as they are, which a test checks.

--- a/crates/consensus/src/entry.rs
+++ b/crates/consensus/src/entry.rs
@@ -72,7 +72,7 @@
     /// The membership of the group from this entry on.
     Members(Membership),
     /// A command for the state machine.
-    Data(Arc<[u8]>),
+    Data(#[serde(with = "coltsfootnotch_types::bytes_format")] Arc<[u8]>),
 }
 
 impl Payload {
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -90,6 +90,7 @@
         /// Checksum (CRC-32) of the whole snapshot.
         crc: u32,
         /// Data of the chunk.
+        #[serde(with = "coltsfootnotch_types::bytes_format")]
         data: Arc<[u8]>,
         /// The heartbeat round that the message belongs to.
         round: u64,
--- a/crates/consensus/src/storage/format.rs
+++ b/crates/consensus/src/storage/format.rs
@@ -144,7 +144,7 @@
 enum DiskPayload {
     Noop,
     Members(Membership),
-    Data(Arc<[u8]>),
+    Data(#[serde(with = "coltsfootnotch_types::bytes_format")] Arc<[u8]>),
 }
 
 impl From<&Entry> for DiskEntry {
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -59,6 +59,7 @@
     /// SHA-256 of `body`.
     pub digest: BodyDigest,
     /// The manifest; opaque to this crate.
+    #[serde(with = "coltsfootnotch_types::bytes_format")]
     pub body: Vec<u8>,
 }
 
--- a/crates/state/src/outcome.rs
+++ b/crates/state/src/outcome.rs
@@ -11,7 +11,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RecordedBody {
     /// The whole body.
-    Whole(Vec<u8>),
+    Whole(#[serde(with = "coltsfootnotch_types::bytes_format")] Vec<u8>),
     /// The digest of a body that is too large to record; a resent call gets the status and the
     /// digest.
     Digest {
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -51,6 +51,7 @@
 struct ConfigV1 {
     number: u64,
     digest: BodyDigest,
+    #[serde(with = "coltsfootnotch_types::bytes_format")]
     body: Vec<u8>,
 }
 
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Names are reference-counted strings: cheap to clone into queues, counters and log records.
 
+pub mod bytes_format;
 mod incarnation;
 mod name;
 mod role;
--- a/crates/wire/src/attempt.rs
+++ b/crates/wire/src/attempt.rs
@@ -49,6 +49,7 @@
     /// Idempotency key of a call that must not be repeated.
     pub idempotency_key: Option<String>,
     /// Body as received.
+    #[serde(with = "coltsfootnotch_types::bytes_format")]
     pub body: Vec<u8>,
     /// Whether the response is a stream of server-sent events.
     pub stream: bool,
@@ -191,6 +192,7 @@
         /// Sequence number, from zero, without gaps.
         seq: u64,
         /// The bytes of the chunk.
+        #[serde(with = "coltsfootnotch_types::bytes_format")]
         data: Vec<u8>,
     },
     /// The response is complete.
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -17,9 +17,9 @@
     /// From a control host to a host or an operator.
     FromRelay(FromRelay),
     /// Between members of the control group: a consensus message.
-    Member(Vec<u8>),
+    Member(#[serde(with = "coltsfootnotch_types::bytes_format")] Vec<u8>),
     /// Between control hosts: state of the relays that is not in the log.
-    BetweenRelays(Vec<u8>),
+    BetweenRelays(#[serde(with = "coltsfootnotch_types::bytes_format")] Vec<u8>),
 }
 
 impl Message {
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -50,6 +50,7 @@
     /// SHA-256 of the body.
     pub digest: [u8; 32],
     /// The manifest in its canonical form.
+    #[serde(with = "coltsfootnotch_types::bytes_format")]
     pub body: Vec<u8>,
 }
 
@@ -114,6 +115,7 @@
         /// Request number, repeated in the response.
         id: u64,
         /// The command.
+        #[serde(with = "coltsfootnotch_types::bytes_format")]
         command: Vec<u8>,
     },
     /// Requests the latest accepted configuration, confirmed by a quorum.
@@ -231,6 +233,7 @@
         /// Number of the resulting configuration.
         number: u64,
         /// The delta type of the `manifest` package, encoded with `postcard`.
+        #[serde(with = "coltsfootnotch_types::bytes_format")]
         delta: Vec<u8>,
     },
     /// Response to [`ToRelay::ConfigConfirmed`].
@@ -281,6 +284,7 @@
         /// Interval at which the sender wants reports, in milliseconds.
         period_ms: u32,
         /// Sum of the entries' reports: an encoded [`LoadChanges`](crate::LoadChanges).
+        #[serde(with = "coltsfootnotch_types::bytes_format")]
         load: Vec<u8>,
         /// Segments that crash upstreams.
         segments: SegmentReport,
@@ -326,6 +330,7 @@
         /// SHA-256 of the resulting body.
         digest: [u8; 32],
         /// The patch, a zstd frame with the body of `base` as its prefix.
+        #[serde(with = "coltsfootnotch_types::bytes_format")]
         patch: Vec<u8>,
     },
     /// The other forwarding entries of the receiver's failure domain that take connections over.
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -49,6 +49,16 @@
     expect_true!(propose.may_be_sent_by(Role::Sidecar));
 }
 
+// Guards against processes of one wire version that don't understand each other: bytes are a length and themselves,
+// however they are serialised.
+#[gtest]
+fn bytes_are_encoded_in_one_piece() {
+    let frame = encode(&Message::Member(vec![7, 200, 0])).unwrap();
+    expect_that!(frame, eq(&vec![0, 0, 0, 5, 4, 3, 7, 200, 0]));
+    let (body, _) = split_frame(&frame).unwrap().unwrap();
+    expect_that!(decode::<(u8, Vec<u8>)>(body), ok(eq(&(4, vec![7, 200, 0]))));
+}
+
 proptest! {
     #![proptest_config(fixed_seed())]
 
--- a/src/coltsfootnotch/daemon/control/packet.rs
+++ b/src/coltsfootnotch/daemon/control/packet.rs
@@ -55,6 +55,7 @@
     /// Number of the entries.
     pub entries: u32,
     /// Sum of their reports: an encoded [`LoadChanges`](coltsfootnotch_wire::LoadChanges).
+    #[serde(with = "coltsfootnotch_types::bytes_format")]
     pub load: Vec<u8>,
     /// What they know of segments that crash upstreams.
     pub crashes: CrashReport,
@@ -79,7 +80,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LeaderRequest {
     /// Propose an operation, encoded by [`crate::core::encode_op`].
-    Propose(Vec<u8>),
+    Propose(#[serde(with = "coltsfootnotch_types::bytes_format")] Vec<u8>),
     /// Get the index that must be applied before a linearizable read.
     Read,
     /// Add the member currently running on `host`, and remove the one that it replaces.
