--- a/crates/fabric/src/lib.rs
+++ b/crates/fabric/src/lib.rs
@@ -4,7 +4,7 @@
 //! both certificates; each certificate contains one role and one host. A connection carries an
 //! ordered control stream of [`Message`](coltsfootnotch_wire::Message) frames and one stream per
 //! attempt. Each [`Event`] is passed to a handler, which runs on the runtime's threads and must not
-//! block.
+//! block. [`PeerLimits`] bound what peers make a process hold, also before they have shown a key.
 
 mod accept_any;
 mod connection;
