--- a/review/stand-2/src/cases/shrunk_group.rs
+++ b/review/stand-2/src/cases/shrunk_group.rs
@@ -113,6 +113,17 @@
         }
         sleep(Duration::from_millis(500));
     }
+    if let Err(e) = put(3) {
+        record.line(format!("version 3 is not accepted: {e}"));
+    }
+    // Members that were added and removed, and voters that a member without a leader lacks.
+    for n in 0..CONTROLS {
+        for code in ["CFN-0047", "CFN-0091"] {
+            for line in fleet.log_lines(Host::Control(n), code) {
+                record.line(format!("log of control-{n}: {line}"));
+            }
+        }
+    }
     Ok(Verdict::Broken(format!(
         "version 2 was acknowledged, and no control host gives it {} s after two of five disks were lost: {last}",
         (RECOVERY + READ_FOR).as_secs()
--- a/review/stand-2/src/fleet.rs
+++ b/review/stand-2/src/fleet.rs
@@ -259,13 +259,20 @@
         fs::remove_dir_all(self.folder.join(format!("control-{control}.data")))
     }
 
-    /// Whether the log of a host has a text.
-    pub fn has_logged(&self, host: Host, text: &str) -> bool {
+    /// The lines of the log of a host that have a text.
+    pub fn log_lines(&self, host: Host, text: &str) -> Vec<String> {
         let name = match host {
             Host::Control(n) => format!("control-{n}.log"),
             Host::Router(n) => format!("router-{n}.log"),
         };
-        fs::read_to_string(self.folder.join(name)).is_ok_and(|log| log.contains(text))
+        let log = fs::read_to_string(self.folder.join(name)).unwrap_or_default();
+        let lines = log.lines().filter(|line| line.contains(text));
+        lines.map(ToOwned::to_owned).collect()
+    }
+
+    /// Whether the log of a host has a text.
+    pub fn has_logged(&self, host: Host, text: &str) -> bool {
+        !self.log_lines(host, text).is_empty()
     }
 }
 
