Return a shrunk control group to its size at once

What operators saw: of five control hosts, two of which may be lost, one was isolated for 11 s and another restarted meanwhile. Nine seconds after both were back two others lost their disks, and no control host gave the acknowledged configuration any more.

Cause: a group of five removes a voter after 8 s of silence and the next one 1.5 s after it is lost. It takes two learners back together only if their processes belong to the first start of the fleet, or after 30 s. With three voters and two learners it can't be told from a group of three in which two hosts are about to be replaced.

Learners are promoted at once up to that size, and wait 30 s beyond it. A member that an operator removes reduces the size, a lost one doesn't. Folders of earlier programs are still read; the wire version is 8. A restarted process of the simulated fleets is no longer one of the first start, which had hidden the fault.

--- a/crates/consensus/examples/measure/member.rs
+++ b/crates/consensus/examples/measure/member.rs
@@ -12,7 +12,7 @@
 
 /// Input of a member.
 pub(crate) enum Input {
-    Message(MemberId, Message),
+    Message(MemberId, Box<Message>),
     Synced(PersistSeq),
     Propose(Vec<u8>),
     Stop,
@@ -89,7 +89,7 @@
         for input in first.into_iter().chain(link.rx.try_iter()) {
             let now = link.start_time.elapsed();
             match input {
-                Input::Message(from, msg) => core.step(now, &from, msg),
+                Input::Message(from, msg) => core.step(now, &from, *msg),
                 Input::Synced(seq) => core.synced(now, seq),
                 Input::Propose(data) => {
                     if core.propose(now, data).is_err() {
@@ -117,7 +117,7 @@
     match action {
         Action::Send { to, msg } => {
             if let Some((_, tx)) = link.peers.iter().find(|(peer, _)| *peer == to) {
-                let _ = tx.send(Input::Message(id.clone(), msg));
+                let _ = tx.send(Input::Message(id.clone(), Box::new(msg)));
             }
         }
         Action::Persist(persist) => {
--- a/crates/consensus/src/core/members.rs
+++ b/crates/consensus/src/core/members.rs
@@ -32,7 +32,8 @@
         let next = match change {
             MemberChange::Add { member, replaces } => self.with_learner(member, replaces)?,
             MemberChange::Promote { member, replaces } => self.with_promoted(member, replaces)?,
-            MemberChange::Remove { member } => self.with_removed(member)?,
+            MemberChange::Remove { member } => self.checked(member)?.without(member),
+            MemberChange::Retire { member } => self.checked(member)?.retired(member),
         };
         Ok(self.propose_members(next))
     }
@@ -71,7 +72,8 @@
         Ok(members.promoted(member, replaces.clone()))
     }
 
-    fn with_removed(&self, member: &MemberId) -> Result<Membership, ChangeRefused> {
+    /// The current members, if `member` can be removed from them.
+    fn checked(&self, member: &MemberId) -> Result<&Membership, ChangeRefused> {
         let members = self.log.members();
         if *member == self.me {
             return Err(ChangeRefused::IsLeader);
@@ -80,11 +82,10 @@
             let member = member.clone();
             return Err(ChangeRefused::NotMember { member });
         }
-        let next = members.without(member);
-        if next.voters.is_empty() {
+        if members.voters.iter().all(|voter| voter == member) {
             return Err(ChangeRefused::LastVoter);
         }
-        Ok(next)
+        Ok(members)
     }
 
     fn propose_members(&mut self, next: Membership) -> Proposal {
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -15,6 +15,9 @@
     pub learners: BTreeMap<MemberId, Option<MemberId>>,
     /// A replaced voter that is to be removed next.
     pub leaving: Option<MemberId>,
+    /// The number of voters that the group is meant to have. A group that has lost voters has fewer
+    /// until other members are promoted.
+    pub size: usize,
 }
 
 /// A membership change. At most one voter changes at a time, so that every majority before the
@@ -38,15 +41,21 @@
         /// The voter to remove next.
         replaces: Option<MemberId>,
     },
-    /// Removes a learner or a voter.
+    /// Removes a learner, or a voter that is lost. The intended size of the group stays.
     Remove {
         /// The member to remove.
         member: MemberId,
     },
+    /// Removes a learner, or a voter for which no other member is wanted: the intended size of the
+    /// group decreases.
+    Retire {
+        /// The member to remove.
+        member: MemberId,
+    },
 }
 
 impl Membership {
-    /// A membership with the given voters and no learners.
+    /// A membership with the given voters and no learners, of the size that it has.
     ///
     /// ```
     /// use coltsfootnotch_consensus::Membership;
@@ -54,8 +63,10 @@
     /// ```
     #[must_use]
     pub fn of(voters: impl IntoIterator<Item = MemberId>) -> Self {
+        let voters: BTreeSet<_> = voters.into_iter().collect();
         Self {
-            voters: voters.into_iter().collect(),
+            size: voters.len(),
+            voters,
             ..Self::default()
         }
     }
@@ -112,10 +123,12 @@
         next.learners.remove(learner);
         next.voters.insert(learner.clone());
         next.leaving = replaced.filter(|old| next.voters.contains(old));
+        let staying = next.voters.len() - usize::from(next.leaving.is_some());
+        next.size = next.size.max(staying);
         next
     }
 
-    /// The membership without `member`.
+    /// The membership without `member`, of the same intended size.
     #[must_use]
     pub(crate) fn without(&self, member: &MemberId) -> Self {
         let mut next = self.clone();
@@ -126,4 +139,14 @@
         }
         next
     }
+
+    /// The membership without `member`; the intended size decreases if it is a voter.
+    #[must_use]
+    pub(crate) fn retired(&self, member: &MemberId) -> Self {
+        let mut next = self.without(member);
+        if self.voters.contains(member) {
+            next.size -= 1;
+        }
+        next
+    }
 }
--- a/crates/consensus/src/storage/format.rs
+++ b/crates/consensus/src/storage/format.rs
@@ -1,5 +1,6 @@
 //! On-disk types, separate from the in-memory types so that they can change independently.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use derive_more::{Display, Error};
@@ -12,6 +13,8 @@
 
 /// Version of the file format.
 pub(super) const FORMAT: u32 = 1;
+/// Version of the metadata of snapshots, which state the intended size of the group.
+const SNAPSHOT_FORMAT: u32 = 2;
 
 /// The file has an unsupported format version.
 #[derive(Debug, Display, Error)]
@@ -139,19 +142,69 @@
     payload: DiskPayload,
 }
 
-/// Content of an entry.
+/// Content of an entry. Variants are only added at the end.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 enum DiskPayload {
     Noop,
-    Members(Membership),
+    /// Written by earlier programs.
+    Members(DiskMembersV1),
     Data(#[serde(with = "coltsfootnotch_types::bytes_format")] Arc<[u8]>),
+    SizedMembers(DiskMembers),
+}
+
+/// The members of the group.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct DiskMembers {
+    members: DiskMembersV1,
+    size: usize,
+}
+
+/// The members of the group as earlier programs wrote them, without the intended size.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct DiskMembersV1 {
+    voters: BTreeSet<MemberId>,
+    learners: BTreeMap<MemberId, Option<MemberId>>,
+    leaving: Option<MemberId>,
+}
+
+impl From<&Membership> for DiskMembers {
+    fn from(members: &Membership) -> Self {
+        Self {
+            members: DiskMembersV1 {
+                voters: members.voters.clone(),
+                learners: members.learners.clone(),
+                leaving: members.leaving.clone(),
+            },
+            size: members.size,
+        }
+    }
+}
+
+impl From<DiskMembers> for Membership {
+    fn from(stored: DiskMembers) -> Self {
+        Self {
+            size: stored.size,
+            ..stored.members.into()
+        }
+    }
+}
+
+impl From<DiskMembersV1> for Membership {
+    fn from(stored: DiskMembersV1) -> Self {
+        Self {
+            size: stored.voters.len(),
+            voters: stored.voters,
+            learners: stored.learners,
+            leaving: stored.leaving,
+        }
+    }
 }
 
 impl From<&Entry> for DiskEntry {
     fn from(entry: &Entry) -> Self {
         let payload = match &entry.payload {
             Payload::Noop => DiskPayload::Noop,
-            Payload::Members(members) => DiskPayload::Members(members.clone()),
+            Payload::Members(members) => DiskPayload::SizedMembers(members.into()),
             Payload::Data(data) => DiskPayload::Data(data.clone()),
         };
         Self {
@@ -166,7 +219,8 @@
     fn from(stored: DiskEntry) -> Self {
         let payload = match stored.payload {
             DiskPayload::Noop => Payload::Noop,
-            DiskPayload::Members(members) => Payload::Members(members),
+            DiskPayload::Members(members) => Payload::Members(members.into()),
+            DiskPayload::SizedMembers(members) => Payload::Members(members.into()),
             DiskPayload::Data(data) => Payload::Data(data),
         };
         Self {
@@ -180,32 +234,60 @@
 /// Metadata of a snapshot.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct DiskSnapshotMeta {
+    meta: DiskSnapshotMetaV1,
+    size: usize,
+}
+
+/// Metadata of a snapshot as earlier programs wrote it, without the intended size of the group.
+#[derive(Debug, Serialize, Deserialize)]
+struct DiskSnapshotMetaV1 {
     format: u32,
     index: u64,
     term: u64,
-    members: Membership,
+    members: DiskMembersV1,
 }
 
 impl From<&SnapshotMeta> for DiskSnapshotMeta {
     fn from(meta: &SnapshotMeta) -> Self {
+        let DiskMembers { members, size } = DiskMembers::from(&meta.members);
         Self {
-            format: FORMAT,
-            index: meta.index.0,
-            term: meta.term.0,
-            members: meta.members.clone(),
+            meta: DiskSnapshotMetaV1 {
+                format: SNAPSHOT_FORMAT,
+                index: meta.index.0,
+                term: meta.term.0,
+                members,
+            },
+            size,
         }
     }
 }
 
-impl TryFrom<DiskSnapshotMeta> for SnapshotMeta {
-    type Error = UnknownFormat;
-
-    fn try_from(stored: DiskSnapshotMeta) -> Result<Self, UnknownFormat> {
-        check_format(stored.format)?;
-        Ok(Self {
+impl From<DiskSnapshotMetaV1> for SnapshotMeta {
+    fn from(stored: DiskSnapshotMetaV1) -> Self {
+        Self {
             index: LogIndex(stored.index),
             term: Term(stored.term),
-            members: stored.members,
-        })
+            members: stored.members.into(),
+        }
+    }
+}
+
+/// Decodes the metadata of a snapshot, of this format or an earlier one.
+///
+/// # Errors
+/// Returns what is wrong with the bytes.
+pub(super) fn decode_snapshot_meta(bytes: &[u8]) -> Result<SnapshotMeta, &'static str> {
+    const MALFORMED: &str = "the metadata can't be decoded";
+    let decoded = postcard::take_from_bytes::<DiskSnapshotMetaV1>(bytes);
+    let (stored, rest) = decoded.map_err(|_| MALFORMED)?;
+    let format = stored.format;
+    let mut meta = SnapshotMeta::from(stored);
+    match format {
+        FORMAT => {}
+        SNAPSHOT_FORMAT => {
+            meta.members.size = postcard::from_bytes(rest).map_err(|_| MALFORMED)?;
+        }
+        _ => return Err("unsupported format version"),
     }
+    Ok(meta)
 }
--- a/crates/consensus/src/storage/snapshot_file.rs
+++ b/crates/consensus/src/storage/snapshot_file.rs
@@ -1,10 +1,10 @@
 //! Snapshot files: a frame with the metadata and a frame with the state machine.
 
 use super::files::Files;
-use super::format::DiskSnapshotMeta;
+use super::format::{DiskSnapshotMeta, decode_snapshot_meta};
 use super::frame::{self, FrameAt};
 use super::{StorageError, segment};
-use crate::{LogIndex, Snapshot, SnapshotMeta};
+use crate::{LogIndex, Snapshot};
 
 const PREFIX: &str = "snap-";
 const SUFFIX: &str = ".snap";
@@ -53,10 +53,7 @@
     let FrameAt::Complete { payload, end } = frame::read_at(&buf, 0) else {
         return Err(corrupt(0, "the metadata is not a complete frame"));
     };
-    let stored: DiskSnapshotMeta =
-        postcard::from_bytes(payload).map_err(|_| corrupt(0, "the metadata can't be decoded"))?;
-    let meta =
-        SnapshotMeta::try_from(stored).map_err(|_| corrupt(0, "unsupported format version"))?;
+    let meta = decode_snapshot_meta(payload).map_err(|why| corrupt(0, why))?;
     let FrameAt::Complete { payload, .. } = frame::read_at(&buf, end) else {
         return Err(corrupt(end, "the data is not a complete frame"));
     };
--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -239,3 +239,29 @@
     expect_that!(script.core.status().commit, eq(next));
     expect_that!(script.core.status().applied, eq(proposal.index));
 }
+
+// Guards against a group that forgets how many voters it is meant to have while some are lost, or that
+// returns to a size which an operator has reduced.
+#[gtest]
+fn only_a_retired_voter_reduces_the_size_of_the_group() {
+    let remove = MemberChange::Remove {
+        member: member("c"),
+    };
+    expect_that!(members_after(&remove).size, eq(3));
+    let retire = MemberChange::Retire {
+        member: member("c"),
+    };
+    let members = members_after(&retire);
+    expect_that!(members.size, eq(2));
+    expect_that!(members.voters, eq(&[member("a"), member("b")].into()));
+}
+
+/// The members of a group of three after `change`.
+fn members_after(change: &MemberChange) -> Membership {
+    let mut script = Script::start();
+    script.become_leader();
+    script.receive_appended("b", 3);
+    let proposed = script.core.change_members(script.now, change);
+    expect_that!(proposed, ok(anything()));
+    script.core.status().members
+}
--- a/crates/consensus/tests/storage/main.rs
+++ b/crates/consensus/tests/storage/main.rs
@@ -8,10 +8,10 @@
 use std::path::Path;
 use std::sync::{Arc, Mutex};
 
-use coltsfootnotch_consensus::Term;
 use coltsfootnotch_consensus::storage::{
     FaultInjector, FileOp, FileOpOutcome, Storage, StorageConfig,
 };
+use coltsfootnotch_consensus::{Payload, Term};
 use coltsfootnotch_types::HostName;
 use folder::{
     append, edit_file, failing, files_containing, folder_with_five_entries, last_index, log_file,
@@ -24,6 +24,35 @@
 use rand::rngs::StdRng;
 use tempfile::TempDir;
 
+/// Files of an earlier program: a snapshot with three voters and a learner, and an entry in which the learner
+/// is a voter and replaces another.
+const FOLDER_V1: [(&str, &str); 4] = [
+    (
+        "identity",
+        "63666e311e000000e326a0260109636f6e74726f6c2d30e1b0c099cdcc86b4f995a5ebc0b9c9e8f4e102",
+    ),
+    (
+        "log-00000000000000000003.seg",
+        "63666e310b000000735c0263030101010301010000000063666e311d00000076\
+         26bbd70400010101000001040101040161010162020163030164040001016303",
+    ),
+    (
+        "snap-00000000000000000003.snap",
+        "63666e31160000002aac77f30103010301610101620201630301016404010163030063666e3102000000c5501f0b0102",
+    ),
+    ("synced", "040000000000000093d168e1"),
+];
+
+fn bytes(hex: &str) -> Vec<u8> {
+    let pairs = hex.as_bytes().chunks(2);
+    pairs
+        .map(|pair| {
+            let digits = std::str::from_utf8(pair).expect("hex digits");
+            u8::from_str_radix(digits, 16).expect("hex digits")
+        })
+        .collect()
+}
+
 // Guards against a refused start after a crash in the middle of a write: the torn frame was never
 // acknowledged and is truncated.
 #[gtest]
@@ -314,6 +343,26 @@
     expect_that!(saved, eq(true));
 }
 
+// Guards against a member that can't start on the folder of an earlier program, whose records of members
+// state no size of the group.
+#[gtest]
+fn a_folder_without_the_size_of_the_group_is_recovered() {
+    let dir = tempfile::tempdir().expect("a temporary folder can be created");
+    for (name, hex) in FOLDER_V1 {
+        fs::write(dir.path().join(name), bytes(hex)).expect("the file is written");
+    }
+    let (_, recovered) = open(dir.path()).expect("the folder opens");
+    let snapshot = recovered.snapshot.expect("it has a snapshot").meta.members;
+    expect_that!((snapshot.voters.len(), snapshot.size), eq((3, 3)));
+    expect_that!(snapshot.learners.len(), eq(1));
+    let payload = recovered.entries.into_iter().map(|entry| entry.payload);
+    let Some(Payload::Members(members)) = payload.last() else {
+        panic!("the last entry has the members");
+    };
+    expect_that!((members.voters.len(), members.size), eq((4, 4)));
+    expect_that!(members.leaving, some(anything()));
+}
+
 proptest! {
     #![proptest_config(Config {
         cases: 60, rng_seed: RngSeed::Fixed(5), failure_persistence: None, ..Config::default()
--- a/crates/wire/src/hello.rs
+++ b/crates/wire/src/hello.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Version of the protocol; processes of different versions don't communicate.
-pub const WIRE_VERSION: u16 = 7;
+pub const WIRE_VERSION: u16 = 8;
 
 /// Opens a control stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/coltsfootnotch/daemon/control/daemon/group_status.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/group_status.rs
@@ -53,6 +53,7 @@
     fn set_health_gauges(&self, health: &GroupHealth) {
         let set = |name, value: f64| self.host.metrics.gauge(name, &[]).set(value);
         set("control_voters", health.voters as f64);
+        set("control_group_size", health.size as f64);
         set("control_learners", health.learners as f64);
         set("control_voters_connected", health.connected as f64);
         set("control_voters_spare", health.spare() as f64);
--- a/src/coltsfootnotch/daemon/control/daemon/requests.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/requests.rs
@@ -112,7 +112,7 @@
         let members = self.replica.core().status().members;
         let member = members.all().find(|m| m.host == host).cloned();
         let member = member.ok_or(MembersError::NotMember { host })?;
-        Ok(MemberChange::Remove { member })
+        Ok(MemberChange::Retire { member })
     }
 
     /// Handles the response to a request.
--- a/src/coltsfootnotch/daemon/control/group_health.rs
+++ b/src/coltsfootnotch/daemon/control/group_health.rs
@@ -9,6 +9,8 @@
 pub struct GroupHealth {
     /// Number of voters.
     pub voters: usize,
+    /// The number of voters that the group is meant to have.
+    pub size: usize,
     /// Number of members without a vote.
     pub learners: usize,
     /// Number of connected voters, including this member.
@@ -25,6 +27,7 @@
     pub fn of(members: &Membership, connected: &BTreeSet<MemberId>) -> Self {
         Self {
             voters: members.voters.len(),
+            size: members.size,
             learners: members.learners.len(),
             connected: members.voters.intersection(connected).count(),
             needed: members.quorum(),
@@ -35,7 +38,7 @@
     ///
     /// ```
     /// use coltsfootnotch::daemon::control::group_health::GroupHealth;
-    /// let health = GroupHealth { voters: 4, learners: 0, connected: 3, needed: 3 };
+    /// let health = GroupHealth { voters: 4, size: 4, learners: 0, connected: 3, needed: 3 };
     /// assert_eq!(health.spare(), 0);
     /// ```
     #[must_use]
--- a/src/coltsfootnotch/daemon/control/seeded/handlers.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/handlers.rs
@@ -192,6 +192,7 @@
             MemberChange::Add { member, replaces } => ("add", member, replaces.as_ref()),
             MemberChange::Promote { member, replaces } => ("promote", member, replaces.as_ref()),
             MemberChange::Remove { member } => ("remove", member, None),
+            MemberChange::Retire { member } => ("retire", member, None),
         };
         let replaces = replaces.map_or_else(|| "none".to_owned(), ToString::to_string);
         self.host.log(
--- a/src/coltsfootnotch/daemon/control/seeded/members.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/members.rs
@@ -3,7 +3,9 @@
 //! A voter that is lost for good, or returns with an empty disk, reduces the fault tolerance of the
 //! group. Another voter beside it doesn't help: four voters, one of them lost, need all three others.
 //! A new member is therefore added as a learner, and is promoted only in place of a lost voter, to the
-//! next odd number of voters together with another learner, or below [`MIN_VOTERS`].
+//! next odd number of voters together with another learner, or below [`MIN_VOTERS`]. A group that has
+//! shrunk returns to its [size](Membership::size) as soon as it can; it grows beyond that only by members
+//! that stay.
 //!
 //! An even group removes a lost voter at once, since every majority of `2k` voters without any one voter
 //! is a majority of the other `2k - 1`. An odd group gains nothing by that, so it waits longer, requires
@@ -29,8 +31,8 @@
 /// Silence after which a voter of an odd group is removed without a replacement. Longer than usual
 /// process stalls and network partitions, from which hosts return.
 const REMOVE_VOTER_AFTER: Duration = Duration::from_secs(8);
-/// How long a new member has to be connected before the group grows by it. Longer than a planned
-/// replacement takes.
+/// How long a new member has to be connected before the group grows beyond its size by it. Longer than a
+/// planned replacement takes.
 const GROW_AFTER: Duration = Duration::from_secs(30);
 
 /// The leader's view of the group and of hosts that could join it.
@@ -111,7 +113,9 @@
         } else {
             2
         };
-        let is_eligible = |m: &&MemberId| needed == 1 || self.is_established(now, m);
+        let returns_to_size = voters + needed <= self.members.size;
+        let is_eligible =
+            |m: &&MemberId| needed == 1 || returns_to_size || self.is_established(now, m);
         let learners: Vec<_> = self.ready_learners().filter(is_eligible).collect();
         let fits = voters + needed <= MAX_VOTERS;
         if !fits || learners.len() < needed || !self.has_all_voters_ready() {
--- a/tests/testsuite/control_fleet/fault_run.rs
+++ b/tests/testsuite/control_fleet/fault_run.rs
@@ -15,12 +15,15 @@
 const MAX_GAP_MS: u64 = 3_000;
 /// Longest time for which a host is paused, partitioned or without power.
 const MAX_OUTAGE_MS: u64 = 6_000;
+/// The same in runs with long outages, in which groups shrink.
+const MAX_LONG_OUTAGE_MS: u64 = 16_000;
 
 /// A run of one fleet with random faults.
 pub(crate) struct FaultRun {
     fleet: Fleet,
     /// Hosts that may be lost at the same time.
     tolerance: usize,
+    max_outage_ms: u64,
     /// Until when each lost host counts as lost, in milliseconds.
     lost_until: Vec<u64>,
     /// Partitions to end, by time.
@@ -37,6 +40,7 @@
         Self {
             fleet,
             tolerance: if log_hosts == 3 { 1 } else { 2 },
+            max_outage_ms: MAX_OUTAGE_MS,
             lost_until: Vec::new(),
             heals: Vec::new(),
             leaving: Vec::new(),
@@ -44,6 +48,14 @@
         }
     }
 
+    /// A run whose outages last longer than a group keeps a lost voter.
+    pub(crate) fn with_long_outages(seed: u64) -> Self {
+        Self {
+            max_outage_ms: MAX_LONG_OUTAGE_MS,
+            ..Self::new(seed)
+        }
+    }
+
     /// Injects all faults and a final loss; returns the fleet, and the newest configuration acknowledged
     /// before the loss.
     pub(crate) fn execute(mut self) -> (Fleet, u64) {
@@ -70,7 +82,7 @@
             self.fleet.step();
             let now = self.fleet.now_ms;
             for (_, place) in self.heals.extract_if(.., |(at, _)| *at <= now) {
-                self.fleet.links.heal(place);
+                self.fleet.heal(place);
             }
             let leaving: Vec<_> = self.leaving.extract_if(.., |(at, _)| *at <= now).collect();
             for (_, place) in leaving {
@@ -88,7 +100,7 @@
         let Some(place) = self.pick_host() else {
             return;
         };
-        let outage_ms = self.fleet.rng.random_range(300..MAX_OUTAGE_MS);
+        let outage_ms = self.fleet.rng.random_range(300..self.max_outage_ms);
         match self.fleet.rng.random_range(0..11) {
             0..=2 => self.replace(place),
             3 => self.replace_planned(place),
--- a/tests/testsuite/control_fleet/faults.rs
+++ b/tests/testsuite/control_fleet/faults.rs
@@ -6,10 +6,11 @@
 use super::{Disk, Fleet};
 
 impl Fleet {
-    /// The host loses power and restarts after `down_ms`.
+    /// The host loses power and restarts after `down_ms`, with settings that are not for the first start.
     pub(crate) fn power_off(&mut self, place: usize, down_ms: u64) {
         let host = &mut self.hosts[place];
         host.process = None;
+        host.seeds.first_start = false;
         host.disk.interrupt(&mut self.rng);
         host.starts_ms = Some(self.now_ms + down_ms);
         self.proposed.retain(|(at, _), _| *at != place);
@@ -33,7 +34,6 @@
         let name = host.member().host.clone();
         host.saved_addresses.clear();
         host.disk = Disk::empty(MemberId { host: name, disk });
-        host.seeds.first_start = false;
     }
 
     /// The running hosts in `wiped` lose their disks, and with `all` the others lose power; all restart after
@@ -68,6 +68,11 @@
         self.hosts[place].disk.stalls_until = self.now_ms + for_ms;
     }
 
+    /// Ends the partition of a host.
+    pub(crate) fn heal(&mut self, place: usize) {
+        self.links.heal(place);
+    }
+
     /// Partitions a host from all others.
     pub(crate) fn isolate(&mut self, place: usize) {
         for other in (0..self.hosts.len()).filter(|other| *other != place) {
--- a/tests/testsuite/member_runs.rs
+++ b/tests/testsuite/member_runs.rs
@@ -1,5 +1,7 @@
 //! Fault tolerance of control groups during membership changes, in simulated fleets.
 
+use std::ops::Range;
+
 use googletest::prelude::*;
 
 use super::control_fleet::fault_run::{CATCH_UP_MS, FaultRun};
@@ -93,18 +95,58 @@
 /// sets the number of groups, `MEMBER_SEED` runs only the group with that seed.
 #[googletest::test]
 fn random_groups_tolerate_the_specified_losses() {
+    for seed in random_seeds() {
+        tolerates_losses(FaultRun::new(seed), seed);
+    }
+}
+
+fn random_seeds() -> Range<u64> {
     let number = |name: &str| std::env::var(name).ok().and_then(|v| v.parse().ok());
     let groups = number("MEMBER_RUNS").unwrap_or(GROUPS);
-    let seeds = number("MEMBER_SEED").map_or(0..groups, |seed| seed..seed + 1);
-    for seed in seeds {
-        let (mut fleet, before) = FaultRun::new(seed).execute();
+    number("MEMBER_SEED").map_or(0..groups, |seed| seed..seed + 1)
+}
+
+fn tolerates_losses(run: FaultRun, seed: u64) {
+    let (mut fleet, before) = run.execute();
+    let accepts_config = fleet.accepts_config(RECOVERS_WITHIN_MS);
+    let case = format!("seed {seed}: {:#?}", fleet.trace);
+    expect_that!(accepts_config, eq(true), "{case}");
+    if let Some(newest) = fleet.newest() {
+        expect_that!(newest, ge(before), "{case}");
+    }
+    expect_that!(fleet.groups_bootstrapped, eq(1), "{case}");
+}
+
+/// Guards against a group that has shrunk while two of its hosts were lost, and doesn't tolerate the next two
+/// losses once they are back.
+#[googletest::test]
+fn a_group_that_has_shrunk_tolerates_the_next_losses_once_all_are_back() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::bootstrapped(seed, 5);
+        fleet.run(6_000);
+        let leader = fleet.leader().expect("it has accepted a configuration");
+        let [isolated, killed, wiped, _] = [1, 2, 3, 4].map(|n| (leader + n) % 5);
+        fleet.isolate(isolated);
+        fleet.run(8_600);
+        fleet.kill(killed, 3_500);
+        fleet.run(2_400);
+        fleet.heal(isolated);
+        fleet.run(1_100 + CATCH_UP_MS);
+        let before = fleet.acknowledged;
+        fleet.lose_disks(&[leader, wiped], false, 1_600);
         let accepts_config = fleet.accepts_config(RECOVERS_WITHIN_MS);
         let case = format!("seed {seed}: {:#?}", fleet.trace);
         expect_that!(accepts_config, eq(true), "{case}");
-        if let Some(newest) = fleet.newest() {
-            expect_that!(newest, ge(before), "{case}");
-        }
-        expect_that!(fleet.groups_bootstrapped, eq(1), "{case}");
+        expect_that!(fleet.newest(), some(ge(before)), "{case}");
+    }
+}
+
+/// Guards against a group that doesn't tolerate the specified number of losses after outages that are long
+/// enough for it to shrink. `MEMBER_RUNS` and `MEMBER_SEED` as above.
+#[googletest::test]
+fn random_groups_tolerate_the_specified_losses_after_long_outages() {
+    for seed in random_seeds() {
+        tolerates_losses(FaultRun::with_long_outages(seed), seed);
     }
 }
 
--- a/tests/testsuite/seeded_members.rs
+++ b/tests/testsuite/seeded_members.rs
@@ -206,6 +206,25 @@
     expect_that!(group.change(30_000), none(), "a voter is missing");
 }
 
+/// Guards against a group that has lost two of five voters and bears only one loss for half a minute after
+/// their hosts, or others, are back.
+#[googletest::test]
+fn a_group_that_has_shrunk_returns_to_its_size_at_once() {
+    let mut group = three();
+    group.members.size = 5;
+    let (d, f) = (member("d", 4), member("f", 6));
+    group.learner(&d);
+    expect_that!(group.change(0), none(), "four voters bear no more");
+    group.learner(&f);
+    expect_that!(group.change(0), some(eq(&promote(&d, None))));
+    group.set_peer(&member("b", 2), 600);
+    expect_that!(group.change(100), none(), "a voter is missing");
+    let mut group = five();
+    group.learner(&f);
+    group.learner(&member("g", 7));
+    expect_that!(group.change(0), none(), "it has its size");
+}
+
 #[googletest::test]
 fn only_one_change_is_made_at_a_time() {
     let mut group = three();
