Refuse orders that reach the leader after others unknown to their control host

What operators saw: an evacuation was ended and started again while one of three control hosts was cut off for 1.7 s. The first copy of the order to end it, which that host had passed on and its caller given up, was applied after the cut, and requests ran in the evacuated domain for good.

Cause: the fleet's connections hold messages back during a short cut. Whether the caller was still there was asked only before the order was passed on, and an order without a number can't be told from a new one where it is applied.

The command line's orders were never checked for their caller.

Change: control hosts pass evacuations, admissions and removals on with the log index that they have applied, and hold them for 50 ms in which a caller that has left is noticed. An order that would change a domain is refused if another one for it was committed after that index, a change of members if the members were changed since.

An order is acknowledged some 50 ms later than before.

--- a/crates/consensus/src/core/status.rs
+++ b/crates/consensus/src/core/status.rs
@@ -18,6 +18,7 @@
             applied: self.applied,
             snapshot: self.log.snapshot_index(),
             members: self.log.members().clone(),
+            members_index: self.log.members_index(),
             log_bytes: self.log.log_bytes(),
             lease_until: self.lease_until(),
         }
--- a/crates/consensus/src/status.rs
+++ b/crates/consensus/src/status.rs
@@ -27,6 +27,8 @@
     pub snapshot: LogIndex,
     /// The latest membership in its log.
     pub members: Membership,
+    /// The entry with that membership.
+    pub members_index: LogIndex,
     /// Bytes of the entries in memory.
     pub log_bytes: usize,
     /// End of the leader's lease on this member's clock; `None` unless it leads and has one.
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -9,8 +9,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Action, AttemptId, BodyDigest, CodecError, FencingNumber, IdempotencyKey, KeyDigest,
-    LedgerLimits, LogTime, Outcome, ProcessId, SetEvacuation,
+    Action, AttemptId, BodyDigest, CodecError, EvacuationOrder, FencingNumber, IdempotencyKey,
+    KeyDigest, LedgerLimits, LogTime, Outcome, ProcessId, SetEvacuation,
 };
 
 /// The version that [`Command::encode`] writes.
@@ -47,8 +47,11 @@
     Release(Release),
     /// Records that an engine has executed an order.
     OrderDone(OrderDone),
-    /// Starts or ends the evacuation of a failure domain.
+    /// Starts or ends the evacuation of a failure domain. Operators propose it, and control hosts pass it on
+    /// as `Evacuate`; logs of earlier programs hold it.
     SetEvacuation(SetEvacuation),
+    /// Starts or ends the evacuation of a failure domain, unless the order is late.
+    Evacuate(EvacuationOrder),
 }
 
 /// Puts the configuration `number` in force.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -44,7 +44,7 @@
 pub use digest::{BodyDigest, KeyDigest};
 pub use drift::DriftBound;
 pub use error::{CodecError, SnapshotError};
-pub use evacuation::{EvacuationReply, Evacuations, SetEvacuation};
+pub use evacuation::{EvacuationOrder, EvacuationReply, Evacuations, SetEvacuation};
 pub use fence::{FenceCheck, FencingNumber};
 pub use finished_orders::{FinishedOrder, FinishedOrders};
 pub use key::{IdempotencyKey, KeyError};
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -1,8 +1,8 @@
 //! The replicated state machine.
 
 use crate::{
-    Command, ConfigState, Evacuations, FinishedOrders, Leases, Ledger, LogTime, Op, OrderDone,
-    OrderReply, Reply, SnapshotError, snapshot,
+    Command, ConfigState, EvacuationOrder, Evacuations, FinishedOrders, Leases, Ledger, LogTime,
+    Op, OrderDone, OrderReply, Reply, SnapshotError, snapshot,
 };
 
 /// The state that the control group replicates.
@@ -76,7 +76,10 @@
             Op::Renew(req) => Reply::Lease(self.leases.renew(now, req)),
             Op::Release(req) => Reply::Lease(self.leases.release(req)),
             Op::OrderDone(done) => Reply::Order(self.order_done(done)),
-            Op::SetEvacuation(req) => Reply::Evacuation(self.evacuations.apply(index, req)),
+            Op::SetEvacuation(req) => Reply::Evacuation(self.evacuations.apply(index, req, None)),
+            Op::Evacuate(EvacuationOrder { order, known }) => {
+                Reply::Evacuation(self.evacuations.apply(index, order, Some(*known)))
+            }
         }
     }
 
--- a/crates/state/src/reply.rs
+++ b/crates/state/src/reply.rs
@@ -26,7 +26,7 @@
     Lease(LeaseReply),
     /// To `OrderDone`.
     Order(OrderReply),
-    /// To `SetEvacuation`.
+    /// To `SetEvacuation` and `Evacuate`.
     Evacuation(EvacuationReply),
 }
 
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -17,11 +17,26 @@
 use record::RecordV1;
 
 const MAGIC: [u8; 4] = *b"CFst";
-const VERSION: u16 = 2;
+const VERSION: u16 = 3;
+/// The version without the last orders for evacuations, which earlier programs wrote.
+const VERSION_2: u16 = 2;
 /// The version without evacuations, which earlier programs wrote.
 const VERSION_1: u16 = 1;
 const HEADER_BYTES: usize = MAGIC.len() + size_of::<u16>() + size_of::<u32>();
 
+#[derive(Serialize, Deserialize)]
+struct StateV3 {
+    state: StateV1,
+    evacuations: EvacuationsV3,
+}
+
+#[derive(Serialize, Deserialize)]
+struct EvacuationsV3 {
+    evacuations: EvacuationsV2,
+    last_orders: Vec<(DomainName, u64)>,
+    forgotten_orders: u64,
+}
+
 #[derive(Serialize, Deserialize)]
 struct StateV2 {
     state: StateV1,
@@ -81,7 +96,7 @@
 
 /// Encodes a snapshot of `machine`.
 pub(crate) fn write(machine: &StateMachine) -> Vec<u8> {
-    let state = StateV2::from(machine);
+    let state = StateV3::from(machine);
     let payload = postcard::to_stdvec(&state).expect("a state can be encoded");
     let mut bytes = Vec::with_capacity(HEADER_BYTES + payload.len());
     bytes.extend(MAGIC);
@@ -97,7 +112,7 @@
     let (version, rest) = rest.split_first_chunk().ok_or(SnapshotError::Header)?;
     let (crc, payload) = rest.split_first_chunk().ok_or(SnapshotError::Header)?;
     let version = u16::from_le_bytes(*version);
-    if ![VERSION, VERSION_1].contains(&version) {
+    if ![VERSION, VERSION_2, VERSION_1].contains(&version) {
         return Err(SnapshotError::Version { found: version });
     }
     let expected = u32::from_le_bytes(*crc);
@@ -106,10 +121,11 @@
         return Err(SnapshotError::Checksum { found, expected });
     }
     let state = match version {
-        VERSION_1 => StateV2 {
+        VERSION_1 => StateV3::from(StateV2 {
             state: postcard::from_bytes(payload)?,
             evacuations: EvacuationsV2::default(),
-        },
+        }),
+        VERSION_2 => StateV3::from(postcard::from_bytes::<StateV2>(payload)?),
         _ => postcard::from_bytes(payload)?,
     };
     StateMachine::try_from(state)
--- a/crates/state/src/snapshot/convert.rs
+++ b/crates/state/src/snapshot/convert.rs
@@ -1,19 +1,41 @@
 //! Conversions between the in-memory state and its snapshot.
 
-use super::{AccountV1, ConfigV1, EvacuationsV2, FinishedV1, LeaseV1, StateV1, StateV2};
+use super::{
+    AccountV1, ConfigV1, EvacuationsV2, EvacuationsV3, FinishedV1, LeaseV1, StateV1, StateV2,
+    StateV3,
+};
 use crate::{
     AcceptedConfig, BodyDigest, BookingRecord, ConfigState, Evacuations, FinishedOrder,
     FinishedOrders, Lease, Leases, Ledger, LedgerLimits, LogTime, SnapshotError, StateMachine,
 };
 
-impl From<&StateMachine> for StateV2 {
+impl From<&StateMachine> for StateV3 {
     fn from(machine: &StateMachine) -> Self {
         let evacuations = &machine.evacuations;
+        let last_orders = evacuations.last_orders.iter();
         Self {
             state: StateV1::from(machine),
-            evacuations: EvacuationsV2 {
-                revision: evacuations.revision,
-                domains: evacuations.domains.iter().cloned().collect(),
+            evacuations: EvacuationsV3 {
+                evacuations: EvacuationsV2 {
+                    revision: evacuations.revision,
+                    domains: evacuations.domains.iter().cloned().collect(),
+                },
+                last_orders: last_orders.map(|(d, i)| (d.clone(), *i)).collect(),
+                forgotten_orders: evacuations.forgotten_orders,
+            },
+        }
+    }
+}
+
+impl From<StateV2> for StateV3 {
+    /// Every domain had its last order at the last change or before; later orders changed nothing.
+    fn from(disk: StateV2) -> Self {
+        Self {
+            state: disk.state,
+            evacuations: EvacuationsV3 {
+                last_orders: Vec::new(),
+                forgotten_orders: disk.evacuations.revision,
+                evacuations: disk.evacuations,
             },
         }
     }
@@ -71,14 +93,15 @@
     }
 }
 
-impl TryFrom<StateV2> for StateMachine {
+impl TryFrom<StateV3> for StateMachine {
     type Error = SnapshotError;
 
-    fn try_from(disk: StateV2) -> Result<Self, SnapshotError> {
-        let StateV2 {
+    fn try_from(disk: StateV3) -> Result<Self, SnapshotError> {
+        let StateV3 {
             state: disk,
-            evacuations,
+            evacuations: orders,
         } = disk;
+        let evacuations = orders.evacuations;
         if evacuations.revision > disk.applied {
             let what = "revision of the evacuations above the applied index";
             return Err(SnapshotError::Inconsistent { what });
@@ -87,6 +110,8 @@
             evacuations: Evacuations {
                 revision: evacuations.revision,
                 domains: evacuations.domains.into_iter().collect(),
+                last_orders: orders.last_orders.into_iter().collect(),
+                forgotten_orders: orders.forgotten_orders,
             },
             applied: disk.applied,
             now: disk.now,
--- a/crates/state/tests/testsuite/format.rs
+++ b/crates/state/tests/testsuite/format.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use coltsfootnotch_state::prelude::*;
-use coltsfootnotch_state::{ApplyConfig, CodecError, Grant, SetEvacuation};
+use coltsfootnotch_state::{ApplyConfig, CodecError, EvacuationOrder, Grant, SetEvacuation};
 use coltsfootnotch_types::{DomainName, LeaseName};
 use googletest::prelude::*;
 
@@ -36,6 +36,13 @@
             domain: DomainName::new("colombo").expect("a valid name"),
             evacuated: true,
         }),
+        Op::Evacuate(EvacuationOrder {
+            order: SetEvacuation {
+                domain: DomainName::new("gampaha").expect("a valid name"),
+                evacuated: true,
+            },
+            known: 6,
+        }),
     ]
 }
 
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -101,6 +101,9 @@
     /// The last voter can't be removed.
     #[display("the last voter can't be removed")]
     LastVoter,
+    /// The members were changed before the request reached the leader; nothing was changed by it.
+    #[display("the members were changed meanwhile; check the status and retry")]
+    Changed,
 }
 
 /// From a host, or an operator, to a control host.
--- a/src/coltsfootnotch/daemon/control/daemon/from_hosts.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/from_hosts.rs
@@ -4,7 +4,7 @@
 
 use coltsfootnotch_fabric::{LinkId, PeerId};
 use coltsfootnotch_manifest::Manifest;
-use coltsfootnotch_state::{AcceptedConfig, Op};
+use coltsfootnotch_state::{AcceptedConfig, EvacuationOrder, Op};
 use coltsfootnotch_wire::{
     ConfigBody, FromRelay, Heartbeat, ProposeError, RetryReport, ServiceBatch, ToRelay,
 };
@@ -38,7 +38,11 @@
                 self.send_to_host(link, FromRelay::Status { id, json });
             }
             ToRelay::AdmitMember { id, host, replaces } => {
-                let body = LeaderRequest::Admit { host, replaces };
+                let body = LeaderRequest::Admit {
+                    host,
+                    replaces,
+                    known: 0,
+                };
                 self.submit(now, Origin::Members(link, id), body);
             }
             ToRelay::Load {
@@ -87,11 +91,8 @@
             }
             ToRelay::Lease { id, current } => self.on_lease_query(now, link, id, current),
             ToRelay::RemoveMember { id, host } => {
-                self.submit(
-                    now,
-                    Origin::Members(link, id),
-                    LeaderRequest::Remove { host },
-                );
+                let body = LeaderRequest::Remove { host, known: 0 };
+                self.submit(now, Origin::Members(link, id), body);
             }
         }
     }
@@ -165,11 +166,13 @@
             }
             return;
         }
-        self.submit(
-            now,
-            Origin::Propose(link, id),
-            LeaderRequest::Propose(command),
-        );
+        let body = match op {
+            Op::SetEvacuation(order) => {
+                LeaderRequest::Evacuate(EvacuationOrder { order, known: 0 })
+            }
+            _ => LeaderRequest::Propose(command),
+        };
+        self.submit(now, Origin::Propose(link, id), body);
     }
 
     /// Whether an operation is valid, where the state machine can't check it: it parses no manifests,
--- a/src/coltsfootnotch/daemon/control/daemon/requests.rs
+++ b/src/coltsfootnotch/daemon/control/daemon/requests.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use coltsfootnotch_consensus::MemberChange;
+use coltsfootnotch_state::Op;
 use coltsfootnotch_types::HostName;
 use coltsfootnotch_wire::{FromRelay, MembersError, ProposeError};
 
@@ -26,9 +27,13 @@
         }
     }
 
-    /// Executes a request if this member leads, or forwards it to the leader. Without a known leader it
-    /// keeps waiting.
+    /// Executes a request if this member leads, or forwards it to the leader. Without a known leader, or while
+    /// it is held, it keeps waiting.
     fn dispatch(&mut self, now: Duration, id: RequestId) {
+        if let Some(due) = self.requests.held_until(now, id) {
+            self.maintenance_due = self.maintenance_due.min(due);
+            return;
+        }
         if self.is_abandoned(id) {
             self.requests.close(id);
             return self.host.log(&events::CALL_ABANDONED, &[]);
@@ -36,8 +41,11 @@
         let Some(request) = self.requests.get(id) else {
             return;
         };
+        let mut body = request.body.clone();
+        if !matches!(request.origin, Origin::Member(..)) {
+            body.set_known(self.replica.applied());
+        }
         if self.replica.core().is_leader() {
-            let body = request.body.clone();
             self.requests.set_state(now, id, RequestState::Local);
             return self.execute(now, id, body);
         }
@@ -45,19 +53,23 @@
             return;
         };
         if let Some((link_id, link)) = self.links.control(&leader.host) {
-            let body = request.body.clone();
             link.send_member(&MemberPacket::Request { id: id.0, body });
             self.requests
                 .set_state(now, id, RequestState::Forwarded(link_id));
         }
     }
 
-    /// Whether the caller of an HTTP call left before the call was proposed. It has sent its order to
-    /// another host since, and may have withdrawn it there: proposed now, the order would come back.
+    /// Whether the caller of an HTTP call, or the operator who sent an unnumbered request, left before it was
+    /// proposed. It may have sent the request to another host since, and withdrawn it there.
     fn is_abandoned(&self, id: RequestId) -> bool {
-        let origin = self.requests.get(id).map(|request| request.origin);
-        match (origin, &self.seeded) {
-            (Some(Origin::Call(call)), Some(seeded)) => seeded.calls.is_abandoned(call),
+        let Some(request) = self.requests.get(id) else {
+            return false;
+        };
+        match (request.origin, &self.seeded) {
+            (Origin::Call(call), Some(seeded)) => seeded.calls.is_abandoned(call),
+            (Origin::Propose(link, _) | Origin::Members(link, _), _) => {
+                request.body.is_unnumbered() && self.links.get(link).is_none()
+            }
             _ => false,
         }
     }
@@ -73,16 +85,42 @@
                 }
             },
             LeaderRequest::Read => self.replica.read(now, id),
-            LeaderRequest::Admit { host, replaces } => {
-                match self.addition(&host, replaces.as_ref()) {
-                    Ok(change) => self.replica.change(now, id, &change),
-                    Err(error) => self.complete(now, id, LeaderResponse::Members(Err(error))),
-                }
+            LeaderRequest::Evacuate(order) => self.replica.propose(now, id, Op::Evacuate(order)),
+            LeaderRequest::Admit {
+                host,
+                replaces,
+                known,
+            } => {
+                let change = self.addition(&host, replaces.as_ref());
+                self.change(now, id, known, change);
             }
-            LeaderRequest::Remove { host } => match self.removal(host) {
-                Ok(change) => self.replica.change(now, id, &change),
-                Err(error) => self.complete(now, id, LeaderResponse::Members(Err(error))),
-            },
+            LeaderRequest::Remove { host, known } => {
+                let change = self.removal(host);
+                self.change(now, id, known, change);
+            }
+        }
+    }
+
+    /// Changes the members, unless they were changed after the log index `known`: the request may be late.
+    fn change(
+        &mut self,
+        now: Duration,
+        id: RequestId,
+        known: u64,
+        change: Result<MemberChange, MembersError>,
+    ) {
+        let status = self.replica.core().status();
+        let changed_at = status.members_index;
+        // A change that isn't committed yet is left to the consensus core, which refuses others beside it.
+        let is_late = changed_at.0 > known && changed_at <= status.commit;
+        let outcome = if is_late {
+            Err(MembersError::Changed)
+        } else {
+            change
+        };
+        match outcome {
+            Ok(change) => self.replica.change(now, id, &change),
+            Err(error) => self.complete(now, id, LeaderResponse::Members(Err(error))),
         }
     }
 
--- a/src/coltsfootnotch/daemon/control/packet.rs
+++ b/src/coltsfootnotch/daemon/control/packet.rs
@@ -6,6 +6,7 @@
 
 use coltsfootnotch_consensus::{MemberId, Message};
 use coltsfootnotch_membership::{SummaryDelta, SumsDelta};
+use coltsfootnotch_state::EvacuationOrder;
 use coltsfootnotch_types::HostName;
 use coltsfootnotch_wire::{BegunStreams, CrashReport, MembersError, ProposeError};
 use serde::{Deserialize, Serialize};
@@ -90,12 +91,38 @@
         /// The host of the voter to remove once the new member is a voter; may be the same host after
         /// the loss of its disk.
         replaces: Option<HostName>,
+        /// The log index that the control host had applied while the caller waited for its response.
+        known: u64,
     },
     /// Remove the member on `host`.
     Remove {
         /// The host.
         host: HostName,
+        /// As for `Admit`.
+        known: u64,
     },
+    /// Start or end the evacuation of a failure domain.
+    Evacuate(EvacuationOrder),
+}
+
+impl LeaderRequest {
+    /// Whether the request has no number by which a late one could be told from a new one.
+    #[must_use]
+    pub fn is_unnumbered(&self) -> bool {
+        match self {
+            Self::Propose(_) | Self::Read => false,
+            Self::Admit { .. } | Self::Remove { .. } | Self::Evacuate(_) => true,
+        }
+    }
+
+    /// Records, in an unnumbered request, the log index that its control host has applied.
+    pub(super) fn set_known(&mut self, index: u64) {
+        match self {
+            Self::Propose(_) | Self::Read => {}
+            Self::Admit { known, .. } | Self::Remove { known, .. } => *known = index,
+            Self::Evacuate(order) => order.known = index,
+        }
+    }
 }
 
 /// The outcome of a [`LeaderRequest`].
--- a/src/coltsfootnotch/daemon/control/permissions.rs
+++ b/src/coltsfootnotch/daemon/control/permissions.rs
@@ -13,7 +13,7 @@
         Op::Ledger(_) | Op::Batch(_) => role == Role::Entry,
         // Orders are sent to an engine by the sidecar on its host.
         Op::Grant(_) | Op::Renew(_) | Op::Release(_) | Op::OrderDone(_) => role == Role::Sidecar,
-        // Only proposed by the leader itself.
-        Op::Expire => false,
+        // Only proposed by control hosts.
+        Op::Expire | Op::Evacuate(_) => false,
     }
 }
--- a/src/coltsfootnotch/daemon/control/request_table.rs
+++ b/src/coltsfootnotch/daemon/control/request_table.rs
@@ -16,6 +16,9 @@
 const WAIT_FOR_LEADER: Duration = Duration::from_millis(1_500);
 /// How long the leader may take before the outcome of a request counts as unknown.
 const WAIT_FOR_COMMIT: Duration = Duration::from_secs(3);
+/// How long an unnumbered request is held before it is passed on. What a process finds in its sockets after
+/// a pause may be from callers that have left, which shows within this time.
+const CALLER_CHECK: Duration = Duration::from_millis(50);
 /// Most open requests; further ones are refused at once, which bounds memory.
 const MAX_OPEN: usize = 16_384;
 
@@ -62,9 +65,19 @@
     pub body: LeaderRequest,
     state: RequestState,
     opened: Duration,
+    /// Until when it is held.
+    held_until: Duration,
     deadline: Duration,
 }
 
+impl Request {
+    /// Whether the request is held for now.
+    #[must_use]
+    pub fn is_held(&self, now: Duration) -> bool {
+        now < self.held_until
+    }
+}
+
 /// The open requests.
 ///
 /// ```
@@ -104,11 +117,14 @@
         }
         self.last += 1;
         let id = RequestId(self.last);
+        // The member that passes a request on has held it.
+        let is_held = body.is_unnumbered() && !matches!(origin, Origin::Member(..));
         let request = Request {
             origin,
             body,
             state: RequestState::Waiting,
             opened: now,
+            held_until: if is_held { now + CALLER_CHECK } else { now },
             deadline: now + WAIT_FOR_LEADER,
         };
         self.open.insert(id, request);
@@ -122,6 +138,13 @@
         self.open.get(&id)
     }
 
+    /// Until when the request is held, if it is.
+    #[must_use]
+    pub fn held_until(&self, now: Duration, id: RequestId) -> Option<Duration> {
+        let request = self.get(id).filter(|request| request.is_held(now))?;
+        Some(request.held_until)
+    }
+
     /// Changes the state of a request. Returning to `Waiting` doesn't extend its deadline.
     pub fn set_state(&mut self, now: Duration, id: RequestId, state: RequestState) {
         let Some(request) = self.open.get_mut(&id) else {
@@ -227,10 +250,12 @@
 fn failure_response(body: &LeaderRequest, state: RequestState) -> LeaderResponse {
     let is_in_progress = matches!(state, RequestState::Local | RequestState::Forwarded(_));
     match body {
-        LeaderRequest::Propose(_) if is_in_progress => {
+        LeaderRequest::Propose(_) | LeaderRequest::Evacuate(_) if is_in_progress => {
             LeaderResponse::Proposed(Err(ProposeError::Unknown))
         }
-        LeaderRequest::Propose(_) => LeaderResponse::Proposed(Err(ProposeError::NoQuorum)),
+        LeaderRequest::Propose(_) | LeaderRequest::Evacuate(_) => {
+            LeaderResponse::Proposed(Err(ProposeError::NoQuorum))
+        }
         LeaderRequest::Read => LeaderResponse::NotLeader,
         LeaderRequest::Admit { .. } | LeaderRequest::Remove { .. } if is_in_progress => {
             LeaderResponse::Members(Err(MembersError::Unknown))
--- a/src/coltsfootnotch/daemon/control/seeded/handlers.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/handlers.rs
@@ -5,7 +5,8 @@
 use coltsfootnotch_consensus::MemberChange;
 use coltsfootnotch_fabric::LinkId;
 use coltsfootnotch_state::{
-    ApplyConfig, BodyDigest, ConfigReply, EvacuationReply, Op, Reply, SetEvacuation,
+    ApplyConfig, BodyDigest, ConfigReply, EvacuationOrder, EvacuationReply, Op, Reply,
+    SetEvacuation,
 };
 use coltsfootnotch_types::DomainName;
 use coltsfootnotch_wire::{FromRelay, StreamOriginRecord};
@@ -278,8 +279,9 @@
             let _caller_waits = tx.send(CallReply::UnknownDomain);
             return;
         }
-        let op = Op::SetEvacuation(SetEvacuation { domain, evacuated });
-        self.submit_call(now, LeaderRequest::Propose(encode_op(&op)), tx);
+        let order = SetEvacuation { domain, evacuated };
+        let body = LeaderRequest::Evacuate(EvacuationOrder { order, known: 0 });
+        self.submit_call(now, body, tx);
     }
 
     fn submit_call(&mut self, now: Duration, body: LeaderRequest, tx: oneshot::Sender<CallReply>) {
@@ -293,7 +295,7 @@
     /// Sends the control group's response to a call.
     pub(in crate::daemon::control) fn finish_call(&mut self, id: u64, response: &LeaderResponse) {
         let reply = match response {
-            LeaderResponse::Proposed(Ok(bytes)) => reply_to_order(bytes),
+            LeaderResponse::Proposed(Ok(bytes)) => self.reply_to_order(bytes),
             LeaderResponse::Proposed(Err(_))
             | LeaderResponse::NotLeader
             | LeaderResponse::Read(_)
@@ -394,18 +396,25 @@
             }
         }
     }
-}
 
-fn reply_to_order(bytes: &[u8]) -> CallReply {
-    match decode_reply(bytes) {
-        Ok(Reply::Config(
-            ConfigReply::Accepted { .. } | ConfigReply::Conflict { .. } | ConfigReply::Stale { .. },
-        ))
-        | Ok(Reply::Evacuation(EvacuationReply::Done { .. })) => CallReply::Done,
-        Ok(_) => CallReply::Unknown,
-        Err(e) => {
-            log::error!("failed to decode the control group's reply: {e}");
-            CallReply::Unknown
+    fn reply_to_order(&self, bytes: &[u8]) -> CallReply {
+        match decode_reply(bytes) {
+            Ok(Reply::Config(
+                ConfigReply::Accepted { .. }
+                | ConfigReply::Conflict { .. }
+                | ConfigReply::Stale { .. },
+            ))
+            | Ok(Reply::Evacuation(EvacuationReply::Done { .. })) => CallReply::Done,
+            Ok(Reply::Evacuation(EvacuationReply::Superseded { by })) => {
+                self.host
+                    .log(&events::EVACUATION_SUPERSEDED, &[("by", &by)]);
+                CallReply::Unknown
+            }
+            Ok(_) => CallReply::Unknown,
+            Err(e) => {
+                log::error!("failed to decode the control group's reply: {e}");
+                CallReply::Unknown
+            }
         }
     }
 }
--- a/src/coltsfootnotch/ops/evacuate.rs
+++ b/src/coltsfootnotch/ops/evacuate.rs
@@ -34,6 +34,11 @@
         Ok(Reply::Evacuation(EvacuationReply::TooMany)) => Err(OpsError::EvacuationRefused {
             reason: "too many failure domains are evacuated",
         }),
+        Ok(Reply::Evacuation(EvacuationReply::Superseded { .. })) => {
+            Err(OpsError::EvacuationRefused {
+                reason: "another order for it was accepted meanwhile",
+            })
+        }
         Ok(other) => Err(OpsError::Refused {
             reason: format!("unexpected reply {other:?}"),
         }),
--- a/src/coltsfootnotch/util/events.rs
+++ b/src/coltsfootnotch/util/events.rs
@@ -123,6 +123,7 @@
     EARLIER_RETRIES_UNKNOWN = 103 Warn "control hosts don't know how much earlier processes of this host have sent again" => "nothing unless it repeats: for a window after its start the host uses a quarter of its retry budget and no slack, as after a start of the control hosts; check whether it is connected to all of them";
     RESPONSE_WITHOUT_END = 104 Warn "an upstream sends bytes that become no response; its connection was closed" => "check the upstream named: what it sends, and INTERFACE.md for what it may send";
     PANICKED = 105 Error "a panic ended a request, a connection or the process" => "report it with place and reason; if CFN-0001 follows, the process ended, and what it had in progress got no response";
+    EVACUATION_SUPERSEDED = 106 Info "an order to start or end an evacuation was not applied, since another one for the failure domain was accepted that this host did not know" => "nothing; a caller that still waits sends it again";
 }
 
 /// Finds an event by its code, ignoring case; the prefix `CFN-` is optional.
--- a/tests/testsuite/control.rs
+++ b/tests/testsuite/control.rs
@@ -2,6 +2,8 @@
 
 mod client;
 mod configuration;
+mod cut_path;
+mod delayed_orders;
 mod disk;
 mod group;
 mod hosts;
--- a/tests/testsuite/control/client.rs
+++ b/tests/testsuite/control/client.rs
@@ -197,6 +197,13 @@
         self.members_outcome(id)
     }
 
+    pub(crate) fn remove(&mut self, host: &HostName) -> Result<(), MembersError> {
+        let id = self.next_id();
+        let host = host.clone();
+        self.send(ToRelay::RemoveMember { id, host });
+        self.members_outcome(id)
+    }
+
     fn members_outcome(&mut self, id: u64) -> Result<(), MembersError> {
         self.wait_for(|message| match message {
             FromRelay::Members { id: of, outcome } if *of == id => Some(outcome.clone()),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod control_fleet;
 mod demo;
 mod evacuations;
+mod late_orders;
 mod limits;
 mod load;
 mod member_runs;
