Refuse requests that a stop would cut off after they are passed on

What callers saw: requests whose bodies ended late in the stop of a router were passed on, cut off at the end of the stop and answered 502, which says that they may have run. Those that may not be repeated could not be sent elsewhere.

Cause: a stopping router passed on what it had accepted, unless the tokens of a prompt made it expect a longer answer. Plain services and prompts without tokens were expected to take no time; deadlines were not asked.

Change: from 2.6 s after the signal on, when callers have other hosts, a request is passed on only if its deadline is before the moment at which requests are aborted, asked before the placement and again before it is sent. A body that can't be passed on any more is not read to its end. A neighbour that serves a relayed connection learns from the frame that asks it to close how long the relay goes on. Other attempts and resumed streams may go by the estimate of their tokens.

--- a/src/coltsfootnotch/daemon/forward/actor/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/mod.rs
@@ -45,6 +45,7 @@
 use super::server::Gateway;
 use super::shared_notices::SharedNotices;
 use super::state::State;
+use super::stop_times::StopTimes;
 use super::{ForwardHandle, ForwardSettings, Times};
 use crate::core::HostCx;
 use crate::util::boot_clock::BootClock;
@@ -169,6 +170,8 @@
     is_full: bool,
     ready: Arc<AtomicBool>,
     stopping: Option<Stopping>,
+    /// Its times, for the tasks of connections.
+    stop_times: watch::Sender<Option<StopTimes>>,
     /// Whether the lease was valid at its last check; shared with the tasks of connections.
     lease_valid: Arc<AtomicBool>,
     pause_detector: Arc<PauseDetector>,
@@ -231,6 +234,7 @@
         let mut links = ControlLinks::new(&settings.seeds, selector);
         links.dial(&endpoint);
         let (config, watched) = watch::channel(None);
+        let (stop_times, stop) = watch::channel(None);
         let held = HeldResources::new(settings.limits);
         let pool = Arc::new(Pool::new(Arc::clone(&held)));
         let connections = Arc::<Connections>::default();
@@ -251,6 +255,7 @@
             refused_accounts: Arc::clone(&refused_accounts),
             lost_neighbours: LineBudget::new(LOST_NEIGHBOUR_LINES),
             no_responses: LineBudget::new(NO_RESPONSE_LINES),
+            stop,
             lease_valid: Arc::clone(&lease_valid),
             pause_detector: Arc::clone(&pause_detector),
             overload: Arc::clone(&overload_flags),
@@ -308,6 +313,7 @@
             is_full: false,
             ready: Arc::default(),
             stopping: None,
+            stop_times,
             lease_valid,
             pause_detector,
             overload: Overload::default(),
@@ -407,8 +413,7 @@
 
     fn place(&mut self, now: Duration, req: &PlaceRequest) -> Result<Ticket, PlacementError> {
         if let Some(stopping) = self.stopping {
-            let time = self.times.shutdown.saturating_sub(STOP_MARGIN + ABORT_TIME);
-            let end = stopping.since + time;
+            let end = stopping.since + self.time_until_abort();
             if now + req.prompt.max_answer_time() > end {
                 return Err(PlacementError::Stopping);
             }
--- a/src/coltsfootnotch/daemon/forward/actor/shutdown.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/shutdown.rs
@@ -1,18 +1,14 @@
 //! Graceful shutdown of a forwarding entry.
 
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use stakker::CX;
 
 use super::{ABORT_TIME, ForwardActor, STOP_MARGIN, Stopping};
+use crate::daemon::forward::stop_times::{STOP_LISTENING_AFTER, StopTimes};
 use crate::util::events;
 
-/// Time after the stop signal for which new connections are accepted. Load balancers probe each
-/// second and remove a host after two failures in a row; connections opened until then must be
-/// served.
-const STOP_LISTENING_AFTER: Duration = Duration::from_millis(2_600);
-
 impl ForwardActor {
     /// Starts a shutdown. A second call has no effect: requests in progress keep their time.
     pub(super) fn start_shutdown(&mut self, now: Duration) {
@@ -29,9 +25,16 @@
             has_reported: false,
         });
         self.ready.store(false, Ordering::Relaxed);
+        let times = StopTimes::new(Instant::now(), self.time_until_abort());
+        self.stop_times.send_replace(Some(times));
         self.handover.end();
     }
 
+    /// Time from the stop signal until the requests in progress are aborted.
+    pub(super) fn time_until_abort(&self) -> Duration {
+        self.times.shutdown.saturating_sub(STOP_MARGIN + ABORT_TIME)
+    }
+
     pub(super) fn continue_shutdown(&mut self, cx: CX![], now: Duration) {
         let Some(stopping) = &mut self.stopping else {
             return;
--- a/src/coltsfootnotch/daemon/forward/attempts.rs
+++ b/src/coltsfootnotch/daemon/forward/attempts.rs
@@ -33,7 +33,7 @@
     Failed(AnyResponse),
     /// The request did not reach the upstream.
     Unreached,
-    /// The request was not sent, since the upstream accepts none now.
+    /// The request was not sent, since the upstream accepts none now or a stop could cut it off.
     Withheld,
     /// The upstream received the request and did not run it.
     Rejected,
@@ -211,6 +211,9 @@
         is_retry: bool,
         origin: Option<&StreamOrigin>,
     ) -> Result<ExchangeGuard, PlacementError> {
+        if self.is_too_late(req, is_retry) {
+            return Err(PlacementError::Stopping);
+        }
         let place = PlaceRequest {
             config: Arc::clone(&req.config),
             service: req.service,
--- a/src/coltsfootnotch/daemon/forward/exchange.rs
+++ b/src/coltsfootnotch/daemon/forward/exchange.rs
@@ -50,7 +50,7 @@
     Response(Box<UpstreamResponse>),
     /// The request did not reach the upstream.
     Unreached,
-    /// The request was not sent: the upstream asked for none since it was placed.
+    /// The request was not sent: the upstream asked for none since it was placed, or a stop could cut it off.
     Withheld,
     /// The upstream received the request and did not run it.
     Rejected,
@@ -94,7 +94,8 @@
             guard.finish(unsent(req));
             return ExchangeResult::Unreached;
         }
-        if !gw.accepts_requests(&ticket) {
+        // It may have waited for its placement and its connection.
+        if !gw.accepts_requests(&ticket) || gw.is_too_late(req, ticket.is_repeated) {
             guard.finish(Outcome::NotRun);
             return ExchangeResult::Withheld;
         }
--- a/src/coltsfootnotch/daemon/forward/handover/handed_over.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/handed_over.rs
@@ -4,13 +4,15 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
+use std::time::Instant;
 
 use bytes::{Buf, BytesMut};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use super::frame::{HEADER_BYTES, Header};
+use crate::daemon::forward::stop_times::{StopNotice, StopTimes};
 use crate::util::connection_io::ServerSocket;
 
 /// Bytes read from the socket at once.
@@ -23,6 +25,7 @@
     /// Bytes of the current frame that are not read yet.
     frame_left: usize,
     close_requested: Arc<Notify>,
+    stop: watch::Sender<Option<StopTimes>>,
 }
 
 impl HandedOver {
@@ -32,9 +35,15 @@
             received: BytesMut::new(),
             frame_left: 0,
             close_requested: Arc::default(),
+            stop: watch::Sender::new(None),
         }
     }
 
+    /// When the neighbour breaks the connection off, once it stops.
+    pub(in crate::daemon::forward) fn stop_notice(&self) -> StopNotice {
+        self.stop.subscribe()
+    }
+
     /// Notified when the neighbour asks to close the connection after the response in progress.
     pub(in crate::daemon::forward) fn close_requested(&self) -> Arc<Notify> {
         Arc::clone(&self.close_requested)
@@ -50,7 +59,11 @@
             self.received.advance(HEADER_BYTES);
             match header {
                 Some(Header::Data(len)) => self.frame_left = len,
-                Some(Header::Close) => self.close_requested.notify_one(),
+                Some(Header::Close(time_left)) => {
+                    let stop = time_left.map(|time| StopTimes::new(Instant::now(), time));
+                    self.stop.send_replace(stop);
+                    self.close_requested.notify_one();
+                }
                 None => return Err(io::ErrorKind::InvalidData.into()),
             }
         }
--- a/src/coltsfootnotch/daemon/forward/handover/relay.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay.rs
@@ -81,7 +81,8 @@
 
 /// Relays between a caller and the neighbour that serves it, until one of them closes its connection;
 /// both are closed then. Once `closing` completes, or the first bytes of the caller have passed if
-/// `is_single`, asks the neighbour to close the connection after the response in progress. A caller whose
+/// `is_single`, asks the neighbour to close the connection after the response in progress; `closing` returns the time
+/// until `aborting` completes, if that is known. A caller whose
 /// neighbour is gone before it has begun to respond gets a failure, or a refusal if the request was not
 /// passed on. Once `aborting` completes, as shortly before the end of the process, the caller of a request gets the
 /// same failure, and a response that has begun is broken off.
@@ -94,7 +95,7 @@
 pub(in crate::daemon::forward) async fn relay(
     mut caller: TcpStream,
     mut neighbour: TcpStream,
-    closing: impl Future<Output = ()>,
+    closing: impl Future<Output = Option<Duration>>,
     aborting: impl Future<Output = ()>,
     is_single: bool,
     reserve: impl FnMut(u64) -> bool,
@@ -173,7 +174,7 @@
 /// `exchanges`.
 async fn relay_until_closed(
     (caller, neighbour): (&mut TcpStream, &mut TcpStream),
-    closing: impl Future<Output = ()>,
+    closing: impl Future<Output = Option<Duration>>,
     is_single: bool,
     exchanges: &mut Exchanges,
     mut reserve: impl FnMut(u64) -> bool,
@@ -194,10 +195,10 @@
             // The neighbour's end comes before bytes of the caller: a request that crosses it has
             // not been read, and its caller can tell that from a connection that is just closed.
             biased;
-            () = closing.as_mut(), if !close_requested => {
+            time_left = closing.as_mut(), if !close_requested => {
                 close_requested = true;
                 passing_on.as_mut().reset(Instant::now() + PASS_ON_TIME);
-                match write_to(neighbour, &Header::Close.encode(), caller).await {
+                match write_to(neighbour, &Header::Close(time_left).encode(), caller).await {
                     Some(is_written) => neighbour_reads &= is_written,
                     None => return End::Caller,
                 }
@@ -257,7 +258,7 @@
                 if is_single && !close_requested {
                     close_requested = true;
                     passing_on.as_mut().reset(Instant::now() + PASS_ON_TIME);
-                    match write_to(neighbour, &Header::Close.encode(), caller).await {
+                    match write_to(neighbour, &Header::Close(None).encode(), caller).await {
                         Some(is_written) => neighbour_reads &= is_written,
                         None => return End::Caller,
                     }
--- a/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
+++ b/src/coltsfootnotch/daemon/forward/handover/relay_tests.rs
@@ -106,7 +106,10 @@
     tokio::spawn(async move {
         let (caller, _) = entry.accept().await.unwrap();
         let neighbour = connect(address).await.unwrap();
-        let closing = wait_for(stopped);
+        let closing = async {
+            wait_for(stopped).await;
+            None
+        };
         let reserve = |_| true;
         relay(
             caller,
@@ -290,6 +293,10 @@
         let (accepted, _) = entry.accept().await.unwrap();
         let stream = connect(listener.local_addr().unwrap()).await.unwrap();
         let (neighbour, _) = listener.accept().await.unwrap();
+        let closing = async {
+            closing.await;
+            None
+        };
         let relaying = tokio::spawn(relay(accepted, stream, closing, pending(), false, |_| true));
         Self {
             caller,
@@ -624,3 +631,34 @@
     expect_that!(text, starts_with("HTTP/1.1 502 Bad Gateway"));
     expect_that!(text, ends_with("the request may have run"));
 }
+
+/// Guards against requests that a neighbour passes on though the entry that relays them stops before they end.
+#[tokio::test]
+async fn a_neighbour_learns_when_the_entry_that_relays_a_connection_stops() {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = TcpListener::bind(any).await.unwrap();
+    let entry = TcpListener::bind(any).await.unwrap();
+    let _caller = TcpStream::connect(entry.local_addr().unwrap())
+        .await
+        .unwrap();
+    let (accepted, _) = entry.accept().await.unwrap();
+    let stream = connect(listener.local_addr().unwrap()).await.unwrap();
+    let (neighbour, _) = listener.accept().await.unwrap();
+    let time_left = Duration::from_secs(5);
+    let closing = async move { Some(time_left) };
+    let _relaying = tokio::spawn(relay(accepted, stream, closing, pending(), false, |_| true));
+
+    let mut handed_over = HandedOver::new(neighbour);
+    let mut notice = handed_over.stop_notice();
+    let mut buf = [0; 1];
+    let reading = timeout(CLOSE_LINGER, handed_over.read(&mut buf));
+    assert_that!(
+        reading.await,
+        err(anything()),
+        "the caller has sent nothing"
+    );
+    let stop = notice.borrow_and_update().expect("the entry stops");
+    let told = stop.time_left(Instant::now());
+    assert_that!(told, le(time_left));
+    assert_that!(told, gt(time_left / 2));
+}
--- a/src/coltsfootnotch/daemon/forward/listener.rs
+++ b/src/coltsfootnotch/daemon/forward/listener.rs
@@ -12,6 +12,7 @@
 use super::costs::{CONNECTION_BYTES, RELAY_BYTES, RELAY_HEAD_BYTES};
 use super::handover::{HandedOver, RelayEnd, connect, probe_peer, relay};
 use super::server::Gateway;
+use super::stop_times::StopNotice;
 use crate::util::connection_io::ServerSocket;
 use crate::util::connection_slots::{ConnectionSlots, Slot};
 use crate::util::connections::{Connections, OpenConnection};
@@ -68,13 +69,14 @@
         stream: S,
         conn: Accepted,
         closing: impl Future<Output = ()>,
+        relay_stop: Option<StopNotice>,
     ) {
         let Accepted { peer, open, hold } = conn;
         let Some(slot) = self.slots.take() else {
             return;
         };
         let cx = connection_cx(peer, &slot, hold, &self.gw);
-        let handler = |req, peer| Arc::clone(&self.gw).handle(req, peer);
+        let handler = |req, _peer| Arc::clone(&self.gw).handle(req, relay_stop.clone());
         let limits = || (self.limits)();
         serve_in_slot(stream, cx, limits, &open, &slot, closing, &handler).await;
     }
@@ -136,7 +138,12 @@
         let is_single = gw.held.load() >= Load::Crowded;
         let started = Instant::now();
         let address = neighbour.peer_addr().ok();
-        let (closing, aborting) = (gw.handover.ended(), conn.open.aborting());
+        let closing = async {
+            gw.handover.ended().await;
+            let stop = *gw.stop.borrow();
+            stop.map(|stop| stop.time_left(Instant::now()))
+        };
+        let aborting = conn.open.aborting();
         // Boxed, since its buffers would otherwise be part of the task of each connection that is served
         // here. A broken connection to the caller is its own.
         let mut reserve_more = reserve_buffer(conn.hold, gw);
@@ -158,7 +165,7 @@
         return;
     }
     let never = std::future::pending();
-    acceptor.serve(stream, conn, never).await;
+    acceptor.serve(stream, conn, never, None).await;
 }
 
 /// A connection whose buffer is counted with what `hold` holds.
@@ -232,5 +239,8 @@
     let stream = HandedOver::new(stream);
     let close_requested = stream.close_requested();
     let closing = async { close_requested.notified().await };
-    acceptor.serve(stream, conn, closing).await;
+    let relay_stop = stream.stop_notice();
+    acceptor
+        .serve(stream, conn, closing, Some(relay_stop))
+        .await;
 }
--- a/src/coltsfootnotch/daemon/forward/matched_request.rs
+++ b/src/coltsfootnotch/daemon/forward/matched_request.rs
@@ -12,6 +12,7 @@
 
 use super::dialect::{Dialect, RequestHead, UpstreamRequestHead};
 use super::messages::{KnownOrigin, Ticket};
+use super::stop_times::StopNotice;
 use crate::util::buffered_body::BufferedBody;
 use crate::util::request_body::RequestProgress;
 
@@ -44,6 +45,8 @@
     pub(super) stream: Option<u64>,
     /// Deadline by the caller's or the route's timeout.
     pub(super) deadline: Instant,
+    /// When the host stops that relays its connection, if one does.
+    pub(super) relay_stop: Option<StopNotice>,
     /// When its headers were received.
     pub(super) received_at: Instant,
     /// Where its caller's connection is told how far it has come.
--- a/src/coltsfootnotch/daemon/forward/mod.rs
+++ b/src/coltsfootnotch/daemon/forward/mod.rs
@@ -40,6 +40,7 @@
 mod server;
 mod shared_notices;
 mod state;
+mod stop_times;
 mod stream;
 mod stream_source;
 mod takeover;
--- a/src/coltsfootnotch/daemon/forward/request_log.rs
+++ b/src/coltsfootnotch/daemon/forward/request_log.rs
@@ -32,7 +32,7 @@
             }
             PlacementError::NoLease => (NOT_CONFIRMED.to_owned(), RETRY_SOON),
             PlacementError::NoRetryBudget => ("too much is sent again".to_owned(), RETRY_SOON),
-            PlacementError::Stopping => ("this host is stopping".to_owned(), Duration::ZERO),
+            PlacementError::Stopping => (responses::STOPPING.to_owned(), Duration::ZERO),
             PlacementError::UnknownOrigin => (
                 "the version that began the stream is not known".to_owned(),
                 RETRY_SOON,
--- a/src/coltsfootnotch/daemon/forward/responses.rs
+++ b/src/coltsfootnotch/daemon/forward/responses.rs
@@ -52,6 +52,17 @@
     response
 }
 
+/// Reason for refusals of requests that a stop of the host could cut off.
+pub(super) const STOPPING: &str = "this host is stopping";
+
+/// The host stops before the request might have run. The connection is closed, as its callers reach other hosts.
+pub(super) fn stopping() -> AnyResponse {
+    let mut response = not_run(STOPPING, Duration::ZERO);
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    response
+}
+
 /// No complete response came; the request may have run.
 pub(super) fn lost() -> AnyResponse {
     failure(
--- a/src/coltsfootnotch/daemon/forward/server.rs
+++ b/src/coltsfootnotch/daemon/forward/server.rs
@@ -1,6 +1,5 @@
 //! Handling of requests: matching, forwarding and the response.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -24,6 +23,7 @@
 use super::request_body::{BodyError, read_body};
 use super::responses;
 use super::shared_notices::SharedNotices;
+use super::stop_times::{StopNotice, too_late};
 use crate::core::HostCx;
 use crate::util::boot_clock::BootClock;
 use crate::util::http_server::AnyResponse;
@@ -54,6 +54,8 @@
     pub(super) lost_neighbours: LineBudget,
     /// Limits the responses without end that are logged.
     pub(super) no_responses: LineBudget,
+    /// When this host stops, once it does.
+    pub(super) stop: StopNotice,
     /// Whether the lease of the configuration is valid.
     pub(super) lease_valid: Arc<AtomicBool>,
     pub(super) pause_detector: Arc<PauseDetector>,
@@ -67,11 +69,11 @@
 }
 
 impl Gateway {
-    /// Handles one request.
+    /// Handles one request; `relay_stop` tells when the host stops that relays its connection, if one does.
     pub(super) async fn handle(
         self: Arc<Self>,
         req: Request<RequestBody>,
-        _peer: SocketAddr,
+        relay_stop: Option<StopNotice>,
     ) -> AnyResponse {
         if self.pause_detector.should_refuse(BootClock.now()) {
             return responses::paused();
@@ -89,7 +91,7 @@
             return self.refuse_unread(None);
         }
         let received_at = Instant::now();
-        let mut response = match self.read(req, received_at).await {
+        let mut response = match self.read(req, received_at, relay_stop).await {
             Ok(mut req) => {
                 // Boxed, as each open connection holds the space of a request's future.
                 let pinned = if req.resumes_stream() {
@@ -145,6 +147,7 @@
         &self,
         req: Request<RequestBody>,
         received_at: Instant,
+        relay_stop: Option<StopNotice>,
     ) -> Result<MatchedRequest, AnyResponse> {
         let Some(config) = self.current_config().await else {
             return Err(responses::not_run(
@@ -185,12 +188,19 @@
             .held
             .try_hold(HeldKind::Request, account.as_ref(), head_bytes)
             .ok_or_else(|| self.refuse_unread(account.as_ref()))?;
-        let body = read_body(body, bounds.body_bytes, timeout, &mut hold)
-            .await
-            .map_err(|e| match e {
+        let reading = read_body(body, bounds.body_bytes, timeout, &mut hold);
+        let body = tokio::select! {
+            biased;
+            read = reading => read.map_err(|e| match e {
                 BodyError::Status(status) => responses::failure(status, "the body can't be read"),
                 BodyError::NoRoom => self.refuse_unread(account.as_ref()),
-            })?;
+            })?,
+            // Boxed, as each open connection holds the space of a request's future.
+            () = Box::pin(self.too_late(relay_stop.clone(), deadline)) => {
+                self.refused_accounts.record(account.as_ref(), responses::STOPPING);
+                return Err(responses::stopping());
+            }
+        };
         let content = digest(&parts, account.as_deref(), &body);
         let prompt = Arc::new(std::mem::take(&mut head.prompt));
         let began_with = head.resumes.as_deref().or(head.id.as_deref());
@@ -214,12 +224,41 @@
             origin: None,
             stream,
             deadline,
+            relay_stop,
             received_at,
             progress,
             _hold: hold,
         })
     }
 
+    /// Completes when a request with this deadline may not be passed on any more, since this host stops or the one
+    /// that relays its connection.
+    async fn too_late(&self, relay_stop: Option<StopNotice>, deadline: Instant) {
+        let own = too_late(self.stop.clone(), deadline);
+        let Some(relay_stop) = relay_stop else {
+            return own.await;
+        };
+        tokio::select! {
+            () = own => {}
+            () = too_late(relay_stop, deadline) => {}
+        }
+    }
+
+    /// Whether a request may not be passed on, since this host stops or the one that relays its connection. Another
+    /// attempt at a request may take as long as its answer is estimated to.
+    pub(super) fn is_too_late(&self, req: &MatchedRequest, is_repeated: bool) -> bool {
+        let now = Instant::now();
+        let answer_time = req.prompt.max_answer_time();
+        let latest = if is_repeated && !answer_time.is_zero() {
+            req.deadline.min(now + answer_time)
+        } else {
+            req.deadline
+        };
+        let stops = [Some(&self.stop), req.relay_stop.as_ref()];
+        let mut stops = stops.into_iter().flatten();
+        stops.any(|stop| stop.borrow().is_some_and(|stop| !stop.allows(now, latest)))
+    }
+
     /// Refuses a request whose body was not read: this host holds as much as it may, or as much for the
     /// account as it may.
     fn refuse_unread(&self, account: Option<&Arc<str>>) -> AnyResponse {
--- a/src/coltsfootnotch/daemon/forward/takeover_search.rs
+++ b/src/coltsfootnotch/daemon/forward/takeover_search.rs
@@ -16,6 +16,7 @@
 use super::matched_request::MatchedRequest;
 use super::messages::{Outcome, PlacementError};
 use super::replacement::Replacement;
+use super::responses;
 use super::server::Gateway;
 use super::stream_source::StreamSource;
 use crate::util::events::{self, Field};
@@ -286,7 +287,7 @@
             PlacementError::NoLease => Self::Full("the configuration is not confirmed"),
             PlacementError::NoRetryBudget => Self::Unavailable("too much is sent again"),
             PlacementError::UnknownOrigin => Self::Unavailable("no upstream can go on in time"),
-            PlacementError::Stopping => Self::Never("this host is stopping"),
+            PlacementError::Stopping => Self::Never(responses::STOPPING),
             PlacementError::PoisonRequest | PlacementError::PoisonSegment => {
                 Self::Never("it has crashed upstreams")
             }
