Compare what control hosts answer to the lookup of a stream

What callers saw: nothing that was reported here. Operators of another system saw streams that were resumed at a machine which was out of step during a release, and went on at another version.

Cause: an entry took the first answer of a control host to the lookup of a stream. One that was cut off as the stream was placed at another version still names the first one.

Evidence: by reading, and with the lookup alone: with the first answer taken, two of three orders of answers give the earlier version for a stream that has moved.

Change: answers say whether the stream was placed elsewhere before, and these outrank others; a contradiction leaves the stream unknown.

--- a/crates/forward/src/streams/origins.rs
+++ b/crates/forward/src/streams/origins.rs
@@ -91,7 +91,9 @@
         Some(&self.record_of(stream)?.origin)
     }
 
-    fn has_moved(&self, stream: u64) -> bool {
+    /// Whether a stream is known to have been placed at another origin before.
+    #[must_use]
+    pub fn has_moved(&self, stream: u64) -> bool {
         self.record_of(stream)
             .is_some_and(|record| record.has_moved)
     }
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -298,6 +298,8 @@
         id: u64,
         /// Where the stream began; none if it is not known here.
         origin: Option<StreamOriginRecord>,
+        /// Whether it is known to have been placed elsewhere before.
+        has_moved: bool,
         /// The versions of the service of which the sender knows.
         versions: VersionReport,
     },
--- a/src/coltsfootnotch/daemon/control/seeded/handlers.rs
+++ b/src/coltsfootnotch/daemon/control/seeded/handlers.rs
@@ -350,6 +350,7 @@
         let message = FromRelay::StreamFound {
             id,
             origin: origin.map(StreamOriginRecord::from),
+            has_moved: stream.is_some_and(|stream| seeded.origins.has_moved(stream)),
             versions: seeded.version_report(now, local, service),
         };
         self.send_to_host(link, message);
--- a/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/control_messages.rs
@@ -89,8 +89,12 @@
             FromRelay::StreamFound {
                 id,
                 origin,
+                has_moved,
                 versions,
-            } => self.on_stream_found(link, id, origin.map(StreamOrigin::from), versions),
+            } => {
+                let origin = origin.map(|origin| (StreamOrigin::from(origin), has_moved));
+                self.on_stream_found(link, id, origin, versions);
+            }
             FromRelay::StreamMoveRecorded { id } => self.moves.on_recorded(link, id),
             FromRelay::Lease { id, number } => {
                 if let Some(sent_at) = self.links.on_lease_response(id) {
--- a/src/coltsfootnotch/daemon/forward/actor/stream_lookups.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/stream_lookups.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use coltsfootnotch_fabric::LinkId;
-use coltsfootnotch_forward::streams::{StreamOrigin, VersionReports};
+use coltsfootnotch_forward::streams::{OriginReports, StreamOrigin, VersionReports};
 use coltsfootnotch_wire::VersionReport;
 use tokio::sync::oneshot;
 
@@ -20,6 +20,7 @@
     tx: oneshot::Sender<Option<KnownOrigin>>,
     /// The control hosts that have not responded.
     waiting: BTreeSet<LinkId>,
+    origins: OriginReports,
     versions: VersionReports,
     deadline: Duration,
 }
@@ -28,8 +29,8 @@
 pub(super) struct FinishedLookup {
     pub(super) req: FindOrigin,
     pub(super) tx: oneshot::Sender<Option<KnownOrigin>>,
-    /// The origin, if a control host knows it.
-    pub(super) origin: Option<StreamOrigin>,
+    /// Where the control hosts that responded know the stream to be.
+    pub(super) origins: OriginReports,
     /// What the control hosts that responded know of the service's versions.
     pub(super) versions: VersionReports,
 }
@@ -55,6 +56,7 @@
             req,
             tx,
             waiting: links.into_iter().collect(),
+            origins: OriginReports::default(),
             versions: VersionReports::default(),
             deadline: now + LOOKUP_TIMEOUT,
         };
@@ -62,22 +64,26 @@
         self.last_id
     }
 
-    /// Handles the response of a control host; returns the lookup if that ends it.
+    /// Handles the response of a control host, with where it knows the stream to be and whether that was placed
+    /// elsewhere before; returns the lookup if that ends it. All are waited for, as some may have missed that.
     pub(super) fn on_response(
         &mut self,
         link: LinkId,
         id: u64,
-        origin: Option<StreamOrigin>,
+        origin: Option<(StreamOrigin, bool)>,
         versions: VersionReport,
     ) -> Option<FinishedLookup> {
         let lookup = self.pending.get_mut(&id)?;
         lookup.waiting.remove(&link);
         lookup.versions.record(versions);
-        if origin.is_none() && !lookup.waiting.is_empty() {
+        if let Some((origin, has_moved)) = origin {
+            lookup.origins.record(origin, has_moved);
+        }
+        if !lookup.waiting.is_empty() {
             return None;
         }
         let lookup = self.pending.remove(&id)?;
-        Some(lookup.finish(origin))
+        Some(lookup.finish())
     }
 
     /// Ends the lookups whose time is over.
@@ -85,17 +91,21 @@
         let expired = self
             .pending
             .extract_if(.., |_, lookup| now >= lookup.deadline);
-        expired.map(|(_, lookup)| lookup.finish(None)).collect()
+        expired.map(|(_, lookup)| lookup.finish()).collect()
     }
 }
 
 impl Lookup {
-    fn finish(self, origin: Option<StreamOrigin>) -> FinishedLookup {
+    fn finish(self) -> FinishedLookup {
         FinishedLookup {
             req: self.req,
             tx: self.tx,
-            origin,
+            origins: self.origins,
             versions: self.versions,
         }
     }
 }
+
+#[cfg(test)]
+#[path = "stream_lookups_tests.rs"]
+mod tests;
--- a/src/coltsfootnotch/daemon/forward/actor/streams.rs
+++ b/src/coltsfootnotch/daemon/forward/actor/streams.rs
@@ -48,7 +48,7 @@
         &mut self,
         link: LinkId,
         id: u64,
-        origin: Option<StreamOrigin>,
+        origin: Option<(StreamOrigin, bool)>,
         versions: VersionReport,
     ) {
         if let Some(finished) = self.lookups.on_response(link, id, origin, versions) {
@@ -90,8 +90,12 @@
 
     fn finish_lookup(&self, finished: FinishedLookup) {
         let known_by = |source| move |origin| KnownOrigin { origin, source };
-        let by_control_host = finished.origin.map(known_by(OriginSource::ControlHost));
+        let reported = finished.origins.origin().cloned();
+        let by_control_host = reported.map(known_by(OriginSource::ControlHost));
         let known = by_control_host.or_else(|| {
+            if !finished.origins.is_empty() {
+                return None;
+            }
             let service = finished.req.sole_service.as_ref()?;
             let own = self.state.registry.versions(service);
             let version = finished.versions.sole_version(own.map(|v| &**v))?;
