--- a/crates/consensus/src/core/members.rs
+++ b/crates/consensus/src/core/members.rs
@@ -32,8 +32,8 @@
         let next = match change {
             MemberChange::Add { member, replaces } => self.with_learner(member, replaces)?,
             MemberChange::Promote { member, replaces } => self.with_promoted(member, replaces)?,
-            MemberChange::Remove { member } => self.checked(member)?.without(member),
-            MemberChange::Retire { member } => self.checked(member)?.retired(member),
+            MemberChange::Remove { member } => self.check_removable(member)?.without(member),
+            MemberChange::Retire { member } => self.check_removable(member)?.retired(member),
         };
         Ok(self.propose_members(next))
     }
@@ -73,7 +73,7 @@
     }
 
     /// The current members, if `member` can be removed from them.
-    fn checked(&self, member: &MemberId) -> Result<&Membership, ChangeRefused> {
+    fn check_removable(&self, member: &MemberId) -> Result<&Membership, ChangeRefused> {
         let members = self.log.members();
         if *member == self.me {
             return Err(ChangeRefused::IsLeader);
--- a/src/coltsfootnotch/daemon/control/request_table.rs
+++ b/src/coltsfootnotch/daemon/control/request_table.rs
@@ -70,14 +70,6 @@
     deadline: Duration,
 }
 
-impl Request {
-    /// Whether the request is held for now.
-    #[must_use]
-    pub fn is_held(&self, now: Duration) -> bool {
-        now < self.held_until
-    }
-}
-
 /// The open requests.
 ///
 /// ```
@@ -141,8 +133,8 @@
     /// Until when the request is held, if it is.
     #[must_use]
     pub fn held_until(&self, now: Duration, id: RequestId) -> Option<Duration> {
-        let request = self.get(id).filter(|request| request.is_held(now))?;
-        Some(request.held_until)
+        let held_until = self.get(id)?.held_until;
+        (now < held_until).then_some(held_until)
     }
 
     /// Changes the state of a request. Returning to `Waiting` doesn't extend its deadline.
--- a/src/coltsfootnotch/daemon/forward/responses.rs
+++ b/src/coltsfootnotch/daemon/forward/responses.rs
@@ -22,22 +22,24 @@
     response
 }
 
-/// The process was paused while the request waited. The connection is closed, so that the caller
-/// reconnects through the load balancer and reaches another host.
-pub(super) fn paused() -> AnyResponse {
-    let mut response = not_run("this host stood still", Duration::ZERO);
+/// The request did not run, and its caller may retry it at once, through another connection.
+fn not_run_here(text: &str) -> AnyResponse {
+    let mut response = not_run(text, Duration::ZERO);
     let close = HeaderValue::from_static("close");
     response.headers_mut().insert(CONNECTION, close);
     response
 }
 
+/// The process was paused while the request waited. The connection is closed, so that the caller
+/// reconnects through the load balancer and reaches another host.
+pub(super) fn paused() -> AnyResponse {
+    not_run_here("this host stood still")
+}
+
 /// The host is overloaded. The connection is closed, so that the caller reconnects through the load
 /// balancer and reaches another host.
 pub(super) fn overloaded() -> AnyResponse {
-    let mut response = not_run("this host is overloaded", Duration::ZERO);
-    let close = HeaderValue::from_static("close");
-    response.headers_mut().insert(CONNECTION, close);
-    response
+    not_run_here("this host is overloaded")
 }
 
 /// Reason for refusals while as much is held for callers, or for those of the account, as the host may hold.
@@ -46,10 +48,7 @@
 /// The host has no memory or sockets to spare. The connection is closed, so that the caller reconnects
 /// through the load balancer and reaches another host.
 pub(super) fn full_host() -> AnyResponse {
-    let mut response = not_run(FULL, Duration::ZERO);
-    let close = HeaderValue::from_static("close");
-    response.headers_mut().insert(CONNECTION, close);
-    response
+    not_run_here(FULL)
 }
 
 /// Reason for refusals of requests that a stop of the host could cut off.
@@ -57,10 +56,7 @@
 
 /// The host stops before the request might have run. The connection is closed, as its callers reach other hosts.
 pub(super) fn stopping() -> AnyResponse {
-    let mut response = not_run(STOPPING, Duration::ZERO);
-    let close = HeaderValue::from_static("close");
-    response.headers_mut().insert(CONNECTION, close);
-    response
+    not_run_here(STOPPING)
 }
 
 /// No complete response came; the request may have run.
--- a/src/coltsfootnotch/daemon/forward/server.rs
+++ b/src/coltsfootnotch/daemon/forward/server.rs
@@ -195,8 +195,8 @@
                 BodyError::Status(status) => responses::failure(status, "the body can't be read"),
                 BodyError::NoRoom => self.refuse_unread(account.as_ref()),
             })?,
-            // Boxed, as each open connection holds the space of a request's future.
-            () = Box::pin(self.too_late(relay_stop.clone(), deadline)) => {
+            // Boxed, as each open connection holds the space of a request's future, and only if the body isn't complete.
+            () = async { Box::pin(self.too_late(relay_stop.clone(), deadline)).await } => {
                 self.refused_accounts.record(account.as_ref(), responses::STOPPING);
                 return Err(responses::stopping());
             }
